--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/admission/LengthClass.java
@@ -0,0 +1,33 @@
+package dev.laneworks.core.admission;
+
+import java.util.Objects;
+
+import dev.laneworks.core.message.Work;
+import dev.laneworks.core.message.WorkKind;
+
+/**
+ * Requests whose outputs are learned together.
+ *
+ * @param account the client account
+ * @param model the model
+ * @param kind the kind of request
+ * @since 0.1
+ */
+public record LengthClass(String account, String model, WorkKind kind) {
+
+	public LengthClass {
+		Objects.requireNonNull(account, "account must not be null");
+		Objects.requireNonNull(model, "model must not be null");
+		Objects.requireNonNull(kind, "kind must not be null");
+	}
+
+	/**
+	 * Return the class of a request.
+	 * @param work the request
+	 * @return the class
+	 */
+	public static LengthClass of(Work work) {
+		return new LengthClass(work.account(), work.model(), work.kind());
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/admission/MemoryForecast.java
@@ -0,0 +1,125 @@
+package dev.laneworks.core.admission;
+
+import java.util.Collection;
+
+/**
+ * Forecasts the memory that running generations will hold, while their lengths are
+ * unknown.
+ * <p>
+ * All running generations grow together, a token a step. For a few points in the future
+ * the forecast adds up what each generation will hold if it still runs then, and how
+ * uncertain that is: with {@code n} tokens so far, a generation still runs {@code h}
+ * steps on with the probability {@code S(n + h) / S(n)} of its survival curve. A
+ * candidate fits if at every point the mean plus a number of standard deviations stays
+ * within the memory. The number of deviations sets the chance of outgrowing the memory.
+ *
+ * @since 0.1
+ */
+public final class MemoryForecast {
+
+	private static final int[] HORIZONS = { 0, 16, 64, 128, 256, 512, 1024, 2048, 4096, 8192, 16384 };
+
+	private static final double CERTAINLY_RUNNING = 1.0;
+
+	private final LengthModel lengths;
+
+	private final double deviations;
+
+	private final double[] means = new double[HORIZONS.length];
+
+	private final double[] variances = new double[HORIZONS.length];
+
+	/**
+	 * Create a forecast of an empty engine.
+	 * @param lengths says how likely an output is to outlast a length
+	 * @param deviations the standard deviations kept free, 0 or more
+	 */
+	public MemoryForecast(LengthModel lengths, double deviations) {
+		if (!(deviations >= 0)) {
+			throw new IllegalArgumentException("deviations must not be negative but is " + deviations);
+		}
+		this.lengths = lengths;
+		this.deviations = deviations;
+	}
+
+	/**
+	 * Forecast anew from what runs now.
+	 * @param running the running generations
+	 */
+	public void refresh(Collection<? extends MemoryUser> running) {
+		for (int i = 0; i < HORIZONS.length; i++) {
+			this.means[i] = 0;
+			this.variances[i] = 0;
+		}
+		running.forEach(this::add);
+	}
+
+	/**
+	 * Add a generation that was admitted since the last refresh.
+	 * @param user the generation
+	 */
+	public void add(MemoryUser user) {
+		double survivalNow = survivalNow(user);
+		for (int i = 0; i < HORIZONS.length; i++) {
+			double running = probability(user, survivalNow, HORIZONS[i]);
+			double held = held(user, HORIZONS[i]);
+			this.means[i] += running * held;
+			this.variances[i] += running * (1 - running) * held * held;
+		}
+	}
+
+	/**
+	 * Return whether a candidate fits beside what runs.
+	 * @param candidate the candidate
+	 * @param capacityTokens the engine's memory in tokens
+	 * @return {@code true} if the chance of outgrowing the memory stays under the bound
+	 */
+	public boolean fits(MemoryUser candidate, long capacityTokens) {
+		double survivalNow = survivalNow(candidate);
+		for (int i = 0; i < HORIZONS.length; i++) {
+			double running = probability(candidate, survivalNow, HORIZONS[i]);
+			double held = held(candidate, HORIZONS[i]);
+			double mean = this.means[i] + running * held;
+			double variance = this.variances[i] + running * (1 - running) * held * held;
+			if (mean + this.deviations * Math.sqrt(variance) > capacityTokens) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	/**
+	 * Return the greatest mean over all points of the forecast.
+	 * @return tokens
+	 */
+	public double peakMean() {
+		double peak = 0;
+		for (double mean : this.means) {
+			peak = Math.max(peak, mean);
+		}
+		return peak;
+	}
+
+	private double survivalNow(MemoryUser user) {
+		return this.lengths.survival(user.lengthClass(), user.outputTokens());
+	}
+
+	private double probability(MemoryUser user, double survivalNow, int horizon) {
+		if (horizon == 0) {
+			return CERTAINLY_RUNNING;
+		}
+		int length = user.outputTokens() + horizon;
+		if (length >= user.maxTokens()) {
+			return 0;
+		}
+		if (survivalNow <= 0) {
+			return 0;
+		}
+		return Math.min(1, this.lengths.survival(user.lengthClass(), length) / survivalNow);
+	}
+
+	private static double held(MemoryUser user, int horizon) {
+		return (double) user.promptTokens() + Math.min(user.maxTokens(), user.outputTokens() + horizon);
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/audit/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Records what was decided and why.
+ */
+package dev.laneworks.core.audit;
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/call/Call.java
@@ -0,0 +1,203 @@
+package dev.laneworks.core.call;
+
+import java.util.HashSet;
+import java.util.Set;
+
+import dev.laneworks.core.message.StreamId;
+import dev.laneworks.core.message.Work;
+import dev.laneworks.core.verdict.Verdict;
+
+/**
+ * One caller's request, or its return to a generation, as the entry holds it.
+ */
+final class Call {
+
+	static final long NO_TIMER = Long.MAX_VALUE;
+
+	private final long number;
+
+	private final CallRequest request;
+
+	private final long firstOutputDeadline;
+
+	private final Set<String> excluded = new HashSet<>();
+
+	private CallPhase phase = CallPhase.CONNECTING;
+
+	private long timer = NO_TIMER;
+
+	private String target = "";
+
+	private String route = "";
+
+	private long incarnation;
+
+	private String generation = "";
+
+	private int epoch;
+
+	private int attempts;
+
+	private long nextOffset;
+
+	private boolean outputSeen;
+
+	private long readOffset;
+
+	private long creditLimit;
+
+	private Verdict worst = Verdict.NOT_RUN;
+
+	private boolean countedInFlight;
+
+	private boolean announced;
+
+	Call(long number, CallRequest request, long now) {
+		this.number = number;
+		this.request = request;
+		this.firstOutputDeadline = now + request.work().patienceMillis();
+	}
+
+	long number() {
+		return this.number;
+	}
+
+	CallRequest request() {
+		return this.request;
+	}
+
+	Work work() {
+		return this.request.work();
+	}
+
+	long firstOutputDeadline() {
+		return this.firstOutputDeadline;
+	}
+
+	Set<String> excluded() {
+		return this.excluded;
+	}
+
+	CallPhase phase() {
+		return this.phase;
+	}
+
+	void enter(CallPhase next, long timerAt) {
+		this.phase = next;
+		this.timer = timerAt;
+	}
+
+	long timer() {
+		return this.timer;
+	}
+
+	String target() {
+		return this.target;
+	}
+
+	void routeTo(String name, String reason) {
+		this.target = name;
+		this.route = reason;
+	}
+
+	String route() {
+		return this.route;
+	}
+
+	long incarnation() {
+		return this.incarnation;
+	}
+
+	String generation() {
+		return this.generation;
+	}
+
+	StreamId stream() {
+		return new StreamId(this.number, this.epoch);
+	}
+
+	StreamId startAttempt(long sidecarIncarnation) {
+		this.attempts++;
+		StreamId stream = nextStream();
+		this.incarnation = sidecarIncarnation;
+		this.generation = work().generationName(stream.attempt());
+		return stream;
+	}
+
+	// Frames of earlier streams of this call are void from now on.
+	StreamId nextStream() {
+		this.epoch++;
+		return stream();
+	}
+
+	void returnTo(String generationName, long sidecarIncarnation, long offset) {
+		this.generation = generationName;
+		this.incarnation = sidecarIncarnation;
+		this.nextOffset = offset;
+		this.readOffset = offset;
+		this.outputSeen = true;
+		this.worst = Verdict.RAN;
+	}
+
+	int attempts() {
+		return this.attempts;
+	}
+
+	long nextOffset() {
+		return this.nextOffset;
+	}
+
+	void advance() {
+		this.nextOffset++;
+		this.outputSeen = true;
+		this.worst = Verdict.RAN;
+	}
+
+	boolean hasOutputBeenSeen() {
+		return this.outputSeen;
+	}
+
+	long creditLimit() {
+		return this.creditLimit;
+	}
+
+	void setCreditLimit(long limit) {
+		this.creditLimit = limit;
+	}
+
+	long readOffset() {
+		return this.readOffset;
+	}
+
+	void read(long offset) {
+		this.readOffset = Math.max(this.readOffset, offset);
+	}
+
+	// The final verdict covers all attempts, not just the last.
+	Verdict worsen(Verdict verdict) {
+		if (verdict.compareTo(this.worst) > 0) {
+			this.worst = verdict;
+		}
+		return this.worst;
+	}
+
+	boolean isCountedInFlight() {
+		return this.countedInFlight;
+	}
+
+	void setCountedInFlight(boolean counted) {
+		this.countedInFlight = counted;
+	}
+
+	// Returns whether the caller's side was not told yet.
+	boolean announce() {
+		boolean first = !this.announced;
+		this.announced = true;
+		return first;
+	}
+
+	boolean hasFixedTarget() {
+		return work().onceKey().isPresent();
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/document/DocumentObject.java
@@ -0,0 +1,384 @@
+package dev.laneworks.core.document;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * An object of a document, read member by member.
+ * <p>
+ * Every method throws {@link InvalidDocumentException} with the line and path of the
+ * setting when its value is not allowed. Members that no method asked for are unknown,
+ * which {@link #end()} reports. Not thread-safe.
+ *
+ * @since 0.1
+ */
+public final class DocumentObject {
+
+	private static final Pattern DURATION = Pattern.compile("(\\d{1,9})(ms|s|m|h|d)");
+
+	private static final Pattern SIZE = Pattern.compile("(\\d{1,9})(B|KiB|MiB|GiB)");
+
+	private final String source;
+
+	private final String path;
+
+	private final DocumentNode.ObjectNode node;
+
+	private final Set<String> known = new LinkedHashSet<>();
+
+	private final List<DocumentObject> children = new ArrayList<>();
+
+	DocumentObject(String source, String path, DocumentNode.ObjectNode node) {
+		this.source = source;
+		this.path = path;
+		this.node = node;
+	}
+
+	/**
+	 * Return the line on which the object starts.
+	 * @return the line, from 1
+	 */
+	public int line() {
+		return this.node.line();
+	}
+
+	/**
+	 * Create an exception about a member of this object.
+	 * @param name the member's name
+	 * @param problem what is wrong and what is allowed
+	 * @return the exception, to be thrown
+	 */
+	public InvalidDocumentException invalid(String name, String problem) {
+		DocumentNode member = this.node.members().get(name);
+		int line = (member != null) ? member.line() : this.node.line();
+		return new InvalidDocumentException(this.source, line, pathOf(name), problem);
+	}
+
+	/**
+	 * Return whether a member is present.
+	 * @param name the member's name
+	 * @return {@code true} if it is present and not null
+	 */
+	public boolean has(String name) {
+		this.known.add(name);
+		DocumentNode member = this.node.members().get(name);
+		return member != null && !(member instanceof DocumentNode.NullNode);
+	}
+
+	/**
+	 * Read a string that must be present and not empty.
+	 * @param name the member's name
+	 * @return the string
+	 */
+	public String text(String name) {
+		DocumentNode member = required(name, "a string");
+		if (!(member instanceof DocumentNode.TextNode text)) {
+			throw wrongType(name, "a string", member);
+		}
+		if (text.value().isBlank()) {
+			throw invalid(name, "must not be empty");
+		}
+		return text.value();
+	}
+
+	/**
+	 * Read a string that may be missing.
+	 * @param name the member's name
+	 * @return the string, or empty
+	 */
+	public Optional<String> optionalText(String name) {
+		return has(name) ? Optional.of(text(name)) : Optional.empty();
+	}
+
+	/**
+	 * Read a string with a fallback.
+	 * @param name the member's name
+	 * @param fallback the value if the member is missing
+	 * @return the string
+	 */
+	public String text(String name, String fallback) {
+		return optionalText(name).orElse(fallback);
+	}
+
+	/**
+	 * Read a whole number that must be present.
+	 * @param name the member's name
+	 * @param min the least value allowed
+	 * @param max the greatest value allowed
+	 * @return the number
+	 */
+	public long integer(String name, long min, long max) {
+		String range = "a whole number from " + min + " to " + max;
+		DocumentNode member = required(name, range);
+		if (!(member instanceof DocumentNode.NumberNode number)) {
+			throw wrongType(name, range, member);
+		}
+		long value;
+		try {
+			value = Long.parseLong(number.text());
+		}
+		catch (NumberFormatException ex) {
+			throw wrongType(name, range, member);
+		}
+		if (value < min || value > max) {
+			throw wrongType(name, range, member);
+		}
+		return value;
+	}
+
+	/**
+	 * Read a whole number with a fallback.
+	 * @param name the member's name
+	 * @param min the least value allowed
+	 * @param max the greatest value allowed
+	 * @param fallback the value if the member is missing
+	 * @return the number
+	 */
+	public long integer(String name, long min, long max, long fallback) {
+		return has(name) ? integer(name, min, max) : fallback;
+	}
+
+	/**
+	 * Read a number with a fallback.
+	 * @param name the member's name
+	 * @param min the least value allowed
+	 * @param max the greatest value allowed
+	 * @param fallback the value if the member is missing
+	 * @return the number
+	 */
+	public double number(String name, double min, double max, double fallback) {
+		if (!has(name)) {
+			return fallback;
+		}
+		String range = "a number from " + min + " to " + max;
+		DocumentNode member = required(name, range);
+		if (!(member instanceof DocumentNode.NumberNode number)) {
+			throw wrongType(name, range, member);
+		}
+		double value = Double.parseDouble(number.text());
+		if (!(value >= min && value <= max)) {
+			throw wrongType(name, range, member);
+		}
+		return value;
+	}
+
+	/**
+	 * Read a truth value with a fallback.
+	 * @param name the member's name
+	 * @param fallback the value if the member is missing
+	 * @return the value
+	 */
+	public boolean bool(String name, boolean fallback) {
+		if (!has(name)) {
+			return fallback;
+		}
+		DocumentNode member = required(name, "true or false");
+		if (!(member instanceof DocumentNode.BooleanNode bool)) {
+			throw wrongType(name, "true or false", member);
+		}
+		return bool.value();
+	}
+
+	/**
+	 * Read a duration such as {@code "250ms"}, {@code "5s"}, {@code "10m"}, {@code "1h"}
+	 * or {@code "1d"}.
+	 * @param name the member's name
+	 * @param min the least value allowed
+	 * @param max the greatest value allowed
+	 * @param fallback the value if the member is missing
+	 * @return the duration
+	 */
+	public Duration duration(String name, Duration min, Duration max, Duration fallback) {
+		if (!has(name)) {
+			return fallback;
+		}
+		String range = "a duration from " + format(min) + " to " + format(max) + " such as \"5s\" (ms, s, m, h, d)";
+		DocumentNode member = required(name, range);
+		if (!(member instanceof DocumentNode.TextNode text)) {
+			throw wrongType(name, range, member);
+		}
+		Matcher matcher = DURATION.matcher(text.value());
+		if (!matcher.matches()) {
+			throw wrongType(name, range, member);
+		}
+		Duration value = duration(Long.parseLong(matcher.group(1)), matcher.group(2));
+		if (value.compareTo(min) < 0 || value.compareTo(max) > 0) {
+			throw wrongType(name, range, member);
+		}
+		return value;
+	}
+
+	/**
+	 * Read a size in bytes such as {@code "512B"}, {@code "64KiB"} or {@code "1MiB"}.
+	 * @param name the member's name
+	 * @param min the least value allowed, in bytes
+	 * @param max the greatest value allowed, in bytes
+	 * @param fallback the value if the member is missing, in bytes
+	 * @return the size in bytes
+	 */
+	public long size(String name, long min, long max, long fallback) {
+		if (!has(name)) {
+			return fallback;
+		}
+		String range = "a size from " + min + "B to " + max + "B such as \"64KiB\" (B, KiB, MiB, GiB)";
+		DocumentNode member = required(name, range);
+		if (!(member instanceof DocumentNode.TextNode text)) {
+			throw wrongType(name, range, member);
+		}
+		Matcher matcher = SIZE.matcher(text.value());
+		if (!matcher.matches()) {
+			throw wrongType(name, range, member);
+		}
+		long value = Long.parseLong(matcher.group(1)) << sizeShift(matcher.group(2));
+		if (value < min || value > max) {
+			throw wrongType(name, range, member);
+		}
+		return value;
+	}
+
+	/**
+	 * Read one of a few words, written in lower case with hyphens.
+	 * @param <E> the type
+	 * @param name the member's name
+	 * @param type the words
+	 * @param fallback the value if the member is missing
+	 * @return the word
+	 */
+	public <E extends Enum<E>> E word(String name, Class<E> type, E fallback) {
+		if (!has(name)) {
+			return fallback;
+		}
+		List<String> words = Arrays.stream(type.getEnumConstants()).map(DocumentObject::label).toList();
+		int index = words.indexOf(text(name));
+		if (index < 0) {
+			throw wrongType(name, "one of " + String.join(", ", words), this.node.members().get(name));
+		}
+		return type.getEnumConstants()[index];
+	}
+
+	/**
+	 * Read an object that may be missing; a missing one reads as empty.
+	 * @param name the member's name
+	 * @return the object
+	 */
+	public DocumentObject object(String name) {
+		DocumentNode member = has(name) ? this.node.members().get(name)
+				: new DocumentNode.ObjectNode(this.node.line(), Map.of());
+		return child(name, name, member);
+	}
+
+	/**
+	 * Read an array of objects; a missing one reads as empty.
+	 * @param name the member's name
+	 * @return the objects
+	 */
+	public List<DocumentObject> objects(String name) {
+		List<DocumentObject> objects = new ArrayList<>();
+		int index = 0;
+		for (DocumentNode element : elements(name)) {
+			objects.add(child(name, name + '[' + index++ + ']', element));
+		}
+		return objects;
+	}
+
+	/**
+	 * Read an array of strings; a missing one reads as empty.
+	 * @param name the member's name
+	 * @return the strings
+	 */
+	public List<String> texts(String name) {
+		List<String> texts = new ArrayList<>();
+		for (DocumentNode element : elements(name)) {
+			if (!(element instanceof DocumentNode.TextNode text)) {
+				throw wrongType(name, "an array of strings", element);
+			}
+			texts.add(text.value());
+		}
+		return List.copyOf(texts);
+	}
+
+	/**
+	 * Check that every member of this object and of those read from it was asked for.
+	 */
+	public void end() {
+		for (var member : this.node.members().entrySet()) {
+			if (!this.known.contains(member.getKey())) {
+				throw invalid(member.getKey(), "is unknown; allowed here: " + String.join(", ", this.known));
+			}
+		}
+		this.children.forEach(DocumentObject::end);
+	}
+
+	private DocumentObject child(String name, String childName, DocumentNode member) {
+		if (!(member instanceof DocumentNode.ObjectNode object)) {
+			throw wrongType(name, "an object", member);
+		}
+		DocumentObject child = new DocumentObject(this.source, pathOf(childName), object);
+		this.children.add(child);
+		return child;
+	}
+
+	private List<DocumentNode> elements(String name) {
+		if (!has(name)) {
+			return List.of();
+		}
+		DocumentNode member = this.node.members().get(name);
+		if (!(member instanceof DocumentNode.ArrayNode array)) {
+			throw wrongType(name, "an array", member);
+		}
+		return array.elements();
+	}
+
+	private DocumentNode required(String name, String expected) {
+		if (!has(name)) {
+			throw invalid(name, "is missing; it must be " + expected);
+		}
+		return this.node.members().get(name);
+	}
+
+	private InvalidDocumentException wrongType(String name, String expected, DocumentNode actual) {
+		return new InvalidDocumentException(this.source, actual.line(), pathOf(name),
+				"must be " + expected + " but is " + actual.description());
+	}
+
+	private String pathOf(String name) {
+		return this.path.isEmpty() ? name : this.path + '.' + name;
+	}
+
+	private static Duration duration(long amount, String unit) {
+		return switch (unit) {
+			case "ms" -> Duration.ofMillis(amount);
+			case "s" -> Duration.ofSeconds(amount);
+			case "m" -> Duration.ofMinutes(amount);
+			case "h" -> Duration.ofHours(amount);
+			default -> Duration.ofDays(amount);
+		};
+	}
+
+	private static int sizeShift(String unit) {
+		return switch (unit) {
+			case "KiB" -> 10;
+			case "MiB" -> 20;
+			case "GiB" -> 30;
+			default -> 0;
+		};
+	}
+
+	private static String format(Duration duration) {
+		return (duration.toMillis() % 1000 != 0) ? duration.toMillis() + "ms" : duration.toSeconds() + "s";
+	}
+
+	private static String label(Enum<?> word) {
+		return word.name().toLowerCase(Locale.ROOT).replace('_', '-');
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/document/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Reads JSON with comments into values that know their line.
+ */
+package dev.laneworks.core.document;
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/host/Generation.java
@@ -0,0 +1,256 @@
+package dev.laneworks.core.host;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+import dev.laneworks.core.admission.LengthClass;
+import dev.laneworks.core.admission.MemoryUser;
+import dev.laneworks.core.admission.QueueEntry;
+import dev.laneworks.core.message.FinishReason;
+import dev.laneworks.core.message.Work;
+import dev.laneworks.core.message.WorkKind;
+import dev.laneworks.core.stream.ChunkLog;
+import dev.laneworks.core.verdict.Refusal;
+
+/**
+ * One generation and its output, as a sidecar holds it.
+ */
+final class Generation implements MemoryUser, QueueEntry {
+
+	private final String name;
+
+	private final Work work;
+
+	private final LengthClass lengthClass;
+
+	private final double weight;
+
+	private final long queuedAt;
+
+	private final ChunkLog log = new ChunkLog();
+
+	private final Set<String> homesToAsk = new HashSet<>();
+
+	private GenerationState state;
+
+	private Reader reader;
+
+	private long readerLostAt;
+
+	private FinishReason finishReason;
+
+	private Refusal refusal;
+
+	private Refusal answerIfUnknown;
+
+	private long overAt;
+
+	private long deadline;
+
+	private long reattachUntil;
+
+	private long reattachAt;
+
+	private boolean startedAtTarget;
+
+	private boolean delivered;
+
+	Generation(String name, Work work, double weight, GenerationState state, long now) {
+		this.name = name;
+		this.work = work;
+		this.lengthClass = LengthClass.of(work);
+		this.weight = weight;
+		this.state = state;
+		this.queuedAt = now;
+		this.readerLostAt = now;
+		this.deadline = now + work.patienceMillis();
+	}
+
+	// Create a generation that an earlier sidecar started and this one knows by name
+	// only.
+	static Generation adopted(String name, long now) {
+		Work work = new Work(name, WorkKind.COMPLETION, "", "", "", "", new byte[0], 0, false, Optional.empty(), 0,
+				Integer.MAX_VALUE, 0);
+		Generation generation = new Generation(name, work, 1, GenerationState.RUNNING, now);
+		generation.startedAtTarget = true;
+		return generation;
+	}
+
+	String name() {
+		return this.name;
+	}
+
+	Work work() {
+		return this.work;
+	}
+
+	boolean isKeyed() {
+		return this.work.onceKey().isPresent();
+	}
+
+	GenerationState state() {
+		return this.state;
+	}
+
+	void enter(GenerationState next) {
+		this.state = next;
+		if (next == GenerationState.RUNNING) {
+			this.startedAtTarget = true;
+		}
+	}
+
+	boolean hasStarted() {
+		return this.startedAtTarget;
+	}
+
+	boolean isDelivered() {
+		return this.delivered;
+	}
+
+	void setDelivered() {
+		this.delivered = true;
+	}
+
+	ChunkLog log() {
+		return this.log;
+	}
+
+	Optional<Reader> reader() {
+		return Optional.ofNullable(this.reader);
+	}
+
+	void readBy(Reader newReader) {
+		this.reader = newReader;
+	}
+
+	void loseReader(long now) {
+		this.reader = null;
+		this.readerLostAt = now;
+	}
+
+	long readerLostAt() {
+		return this.readerLostAt;
+	}
+
+	void end(FinishReason reason, long now) {
+		this.state = GenerationState.ENDED;
+		this.finishReason = reason;
+		this.overAt = now;
+	}
+
+	void fail(Refusal finalAnswer, long now) {
+		this.state = GenerationState.FAILED;
+		this.refusal = finalAnswer;
+		this.overAt = now;
+	}
+
+	FinishReason finishReason() {
+		return this.finishReason;
+	}
+
+	Refusal refusal() {
+		return this.refusal;
+	}
+
+	// Return since when it is over and nobody reads it.
+	long idleSince() {
+		return Math.max(this.overAt, this.readerLostAt);
+	}
+
+	Refusal answerIfUnknown() {
+		return this.answerIfUnknown;
+	}
+
+	void answerIfUnknown(Refusal answer) {
+		this.answerIfUnknown = answer;
+	}
+
+	long deadline() {
+		return this.deadline;
+	}
+
+	void setDeadline(long at) {
+		this.deadline = at;
+	}
+
+	Set<String> homesToAsk() {
+		return this.homesToAsk;
+	}
+
+	// Return whether the target was lost and is to be asked again.
+	boolean isReattaching() {
+		return this.reattachUntil != 0;
+	}
+
+	void startReattaching(long until, long at) {
+		if (this.reattachUntil == 0) {
+			this.reattachUntil = until;
+		}
+		this.reattachAt = at;
+	}
+
+	void stopReattaching() {
+		this.reattachUntil = 0;
+		this.reattachAt = 0;
+	}
+
+	long reattachUntil() {
+		return this.reattachUntil;
+	}
+
+	// Return when the target is to be asked again, or 0 while an answer is awaited.
+	long reattachAt() {
+		return this.reattachAt;
+	}
+
+	void reattachSent() {
+		this.reattachAt = 0;
+	}
+
+	@Override
+	public LengthClass lengthClass() {
+		return this.lengthClass;
+	}
+
+	@Override
+	public int promptTokens() {
+		return this.work.promptTokens();
+	}
+
+	@Override
+	public int outputTokens() {
+		return this.log.size();
+	}
+
+	@Override
+	public int maxTokens() {
+		return this.work.maxTokens();
+	}
+
+	@Override
+	public String account() {
+		return this.work.account();
+	}
+
+	@Override
+	public int priority() {
+		return this.work.priority();
+	}
+
+	@Override
+	public double weight() {
+		return this.weight;
+	}
+
+	@Override
+	public long queuedAt() {
+		return this.queuedAt;
+	}
+
+	// Return the tokens that the generation holds in the target's memory while it runs.
+	long heldTokens() {
+		return (long) promptTokens() + outputTokens();
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/limit/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Limits each client account without shared state.
+ */
+package dev.laneworks.core.limit;
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/once/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Runs a request that must not be repeated at most once, without a shared store.
+ */
+package dev.laneworks.core.once;
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/retry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Bounds retries by budget, backoff and target health.
+ */
+package dev.laneworks.core.retry;
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/routing/DefaultTargetSelector.java
@@ -0,0 +1,173 @@
+package dev.laneworks.core.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+import dev.laneworks.core.configuration.FleetConfiguration;
+import dev.laneworks.core.configuration.Intent;
+import dev.laneworks.core.configuration.TargetDescription;
+import dev.laneworks.core.message.LoadReport;
+
+/**
+ * Chooses by data centre, load and cached prefix among a bounded subset of targets.
+ * <p>
+ * Data centres are tried in the order of the intent, then those its spill rule adds. In
+ * one data centre two targets drawn at random are compared, and with them the one that
+ * the prompt's prefix belongs to; drawing keeps entries that hold the same old reports
+ * from all choosing the same target. The next data centre is tried when the best one
+ * found is full. Not thread-safe.
+ *
+ * @since 0.1
+ */
+public final class DefaultTargetSelector implements TargetSelector {
+
+	private static final double FULL = 1.0;
+
+	private static final double QUEUE_WEIGHT = 0.25;
+
+	private static final double SENT_WEIGHT = 0.05;
+
+	private static final double PREFIX_BONUS = 0.15;
+
+	private final TargetBoard board;
+
+	private final TargetSubset subset;
+
+	private final String ownDataCentre;
+
+	private final RandomGenerator random;
+
+	private final Map<String, List<TargetDescription>> subsets = new HashMap<>();
+
+	private FleetConfiguration configuration;
+
+	/**
+	 * Create a selector.
+	 * @param board what the entry believes of each target
+	 * @param subset bounds the targets used
+	 * @param ownDataCentre the data centre of the entry
+	 * @param random the source of draws
+	 */
+	public DefaultTargetSelector(TargetBoard board, TargetSubset subset, String ownDataCentre, RandomGenerator random) {
+		this.board = board;
+		this.subset = subset;
+		this.ownDataCentre = ownDataCentre;
+		this.random = random;
+	}
+
+	/**
+	 * Use a configuration from now on.
+	 * @param configuration the configuration in force
+	 */
+	public void use(FleetConfiguration configuration) {
+		this.configuration = configuration;
+		this.subsets.clear();
+		for (String model : configuration.models()) {
+			this.subsets.put(model, this.subset.choose(model, configuration.targetsServing(model)));
+		}
+	}
+
+	/**
+	 * Return the targets used for all models.
+	 * @return the targets, each once
+	 */
+	public List<TargetDescription> usedTargets() {
+		return this.subsets.values().stream().flatMap(List::stream).distinct().toList();
+	}
+
+	@Override
+	public Optional<Route> select(RouteRequest request, long now) {
+		if (this.configuration == null) {
+			return Optional.empty();
+		}
+		List<TargetDescription> usable = usable(request, now);
+		Candidate fallback = null;
+		for (String dataCentre : dataCentres(request.intent(), usable)) {
+			Candidate best = best(dataCentre, usable, request.prefixHash(), now);
+			if (best == null) {
+				continue;
+			}
+			if (best.score() < FULL) {
+				return Optional.of(best.route());
+			}
+			if (fallback == null || best.score() < fallback.score()) {
+				fallback = best;
+			}
+		}
+		return Optional.ofNullable(fallback).map(Candidate::route);
+	}
+
+	private List<TargetDescription> usable(RouteRequest request, long now) {
+		List<TargetDescription> usable = new ArrayList<>();
+		for (TargetDescription target : this.subsets.getOrDefault(request.model(), List.of())) {
+			TargetState state = this.board.state(target.name());
+			if (!request.excluded().contains(target.name()) && !state.isLeaving(now) && state.health().isUsable(now)) {
+				usable.add(target);
+			}
+		}
+		return usable;
+	}
+
+	private List<String> dataCentres(Intent intent, List<TargetDescription> usable) {
+		List<String> order = new ArrayList<>(intent.dataCentres());
+		if (order.isEmpty()) {
+			order.add(this.ownDataCentre);
+		}
+		List<String> regions = usable.stream()
+			.filter((t) -> order.contains(t.dataCentre()))
+			.map(TargetDescription::region)
+			.toList();
+		for (TargetDescription target : usable) {
+			boolean allowed = intent.dataCentres().isEmpty() || switch (intent.spill()) {
+				case NONE -> false;
+				case REGION -> regions.contains(target.region());
+				case ANY -> true;
+			};
+			if (allowed && !order.contains(target.dataCentre())) {
+				order.add(target.dataCentre());
+			}
+		}
+		return order;
+	}
+
+	private Candidate best(String dataCentre, List<TargetDescription> usable, long prefixHash, long now) {
+		List<TargetDescription> local = usable.stream().filter((t) -> t.dataCentre().equals(dataCentre)).toList();
+		if (local.isEmpty()) {
+			return null;
+		}
+		TargetDescription first = local.get(this.random.nextInt(local.size()));
+		TargetDescription second = local.get(this.random.nextInt(local.size()));
+		Candidate best = better(candidate(first, 0, "less loaded of two"), candidate(second, 0, "less loaded of two"));
+		if (prefixHash != 0) {
+			TargetDescription prefix = Rendezvous.first(prefixHash, local, TargetDescription::name).orElseThrow();
+			best = better(best, candidate(prefix, PREFIX_BONUS, "holds the prefix"));
+		}
+		return best;
+	}
+
+	private Candidate candidate(TargetDescription target, double bonus, String reason) {
+		TargetState state = this.board.state(target.name());
+		LoadReport report = state.report();
+		double used = (report.capacityTokens() > 0) ? (double) report.usedTokens() / report.capacityTokens() : 0;
+		double score = used + QUEUE_WEIGHT * report.queued() + SENT_WEIGHT * state.sentSinceReport() - bonus;
+		return new Candidate(target, score, reason);
+	}
+
+	private static Candidate better(Candidate a, Candidate b) {
+		return (b.score() < a.score()) ? b : a;
+	}
+
+	private record Candidate(TargetDescription target, double score, String reason) {
+
+		Route route() {
+			return new Route(this.target,
+					"%s in %s, score %.2f".formatted(this.reason, this.target.dataCentre(), this.score));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/routing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Chooses the target that a request goes to.
+ */
+package dev.laneworks.core.routing;
--- /dev/null
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/DutyCalls.java
@@ -0,0 +1,112 @@
+package dev.laneworks.entry;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+
+import dev.laneworks.core.call.CallRequest;
+import dev.laneworks.core.configuration.FleetConfiguration;
+import dev.laneworks.core.configuration.TargetDescription;
+import dev.laneworks.core.routing.Rendezvous;
+import dev.laneworks.core.stream.OnceTicket;
+import dev.laneworks.core.stream.StreamPosition;
+import dev.laneworks.entry.caller.CallPort;
+import dev.laneworks.entry.caller.CallerAnswer;
+import dev.laneworks.runtime.duty.Duty;
+import dev.laneworks.runtime.program.MonotonicClock;
+
+/**
+ * Gives callers' requests to the deciding duty.
+ */
+final class DutyCalls implements CallPort {
+
+	private final Supplier<Duty<EntryState>> duty;
+
+	private final int maxCalls;
+
+	private final AtomicLong numbers = new AtomicLong();
+
+	/** The incarnations of the sidecars whose links are up. */
+	private final Map<String, Long> incarnations = new ConcurrentHashMap<>();
+
+	private volatile FleetConfiguration configuration;
+
+	private volatile int openCalls;
+
+	DutyCalls(Supplier<Duty<EntryState>> duty, int maxCalls) {
+		this.duty = duty;
+		this.maxCalls = maxCalls;
+	}
+
+	void inForce(FleetConfiguration newConfiguration) {
+		this.configuration = newConfiguration;
+	}
+
+	void linkUp(String target, long incarnation) {
+		this.incarnations.put(target, incarnation);
+	}
+
+	void linkDown(String target) {
+		this.incarnations.remove(target);
+	}
+
+	void openCalls(int count) {
+		this.openCalls = count;
+	}
+
+	@Override
+	public Optional<FleetConfiguration> configuration() {
+		return Optional.ofNullable(this.configuration);
+	}
+
+	@Override
+	public long nextCall() {
+		return this.numbers.incrementAndGet();
+	}
+
+	@Override
+	public boolean open(long call, CallRequest request, CallerAnswer answer) {
+		return this.openCalls < this.maxCalls && this.duty.get().offer((s) -> {
+			s.register(call, answer);
+			s.coordinator().open(call, request, MonotonicClock.millis());
+		});
+	}
+
+	@Override
+	public boolean resume(long call, CallRequest request, StreamPosition position, CallerAnswer answer) {
+		return this.openCalls < this.maxCalls && this.duty.get().offer((s) -> {
+			s.register(call, answer);
+			s.coordinator().resume(call, request, position, MonotonicClock.millis());
+		});
+	}
+
+	@Override
+	public void read(long call, long offset) {
+		this.duty.get().put((s) -> s.coordinator().onCallerRead(call, offset));
+	}
+
+	@Override
+	public void left(long call) {
+		this.duty.get().put((s) -> s.callerLeft(call));
+	}
+
+	@Override
+	public Optional<OnceTicket> ticket(String account, String model) {
+		FleetConfiguration current = this.configuration;
+		if (current == null) {
+			return Optional.empty();
+		}
+		String identity = UUID.randomUUID().toString();
+		var linked = current.targetsServing(model)
+			.stream()
+			.filter((t) -> this.incarnations.containsKey(t.name()))
+			.toList();
+		Optional<TargetDescription> home = Rendezvous.first(Rendezvous.hash(identity), linked, TargetDescription::name);
+		return home.flatMap((t) -> Optional.ofNullable(this.incarnations.get(t.name()))
+			.map((i) -> new OnceTicket(t.name(), i, account, identity)));
+	}
+
+}
--- /dev/null
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/Entry.java
@@ -0,0 +1,288 @@
+package dev.laneworks.entry;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.ToLongFunction;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import dev.laneworks.core.call.CallCoordinator;
+import dev.laneworks.core.call.CallCounters;
+import dev.laneworks.core.configuration.ConfigurationLedger;
+import dev.laneworks.core.configuration.FleetConfiguration;
+import dev.laneworks.core.configuration.TargetDescription;
+import dev.laneworks.core.retry.Backoff;
+import dev.laneworks.core.retry.RetryBudget;
+import dev.laneworks.core.routing.DefaultTargetSelector;
+import dev.laneworks.core.routing.TargetBoard;
+import dev.laneworks.core.routing.TargetState;
+import dev.laneworks.core.routing.TargetSubset;
+import dev.laneworks.entry.caller.CallTimes;
+import dev.laneworks.entry.caller.CallerServer;
+import dev.laneworks.runtime.audit.AuditTrail;
+import dev.laneworks.runtime.duty.Duty;
+import dev.laneworks.runtime.duty.Supervisor;
+import dev.laneworks.runtime.http.HttpCaller;
+import dev.laneworks.runtime.http.IoWorker;
+import dev.laneworks.runtime.log.LogLine;
+import dev.laneworks.runtime.operator.OperatorServer;
+import dev.laneworks.runtime.platform.ConfigurationKeeper;
+import dev.laneworks.runtime.platform.HttpConfigurationService;
+import dev.laneworks.runtime.program.ExitCode;
+import dev.laneworks.runtime.program.MonotonicClock;
+import dev.laneworks.wire.LinkSettings;
+import dev.laneworks.wire.PeerIdentity;
+import dev.laneworks.wire.TargetLinks;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.undertow.Handlers;
+
+/**
+ * One running entry: its threads, its links, its callers.
+ * <p>
+ * The duties are: deciding, links (one event loop), HTTP (I/O threads of one worker) and
+ * logging.
+ *
+ * @since 0.1
+ */
+public final class Entry {
+
+	private static final int RING = 16_384;
+
+	private static final Duration TICK = Duration.ofMillis(10);
+
+	private static final Duration FAILURE_WINDOW = Duration.ofSeconds(10);
+
+	private static final int MAX_FAILURES = 5;
+
+	private static final long PEERS_SUFFICE_MILLIS = 30_000;
+
+	private static final double RETRIES_PER_SECOND = 1;
+
+	private static final double RETRIES_SAVED = 20;
+
+	private static final Duration STATUS_WAIT = Duration.ofSeconds(2);
+
+	/** How long the balancer may go on sending callers after readiness ends. */
+	private static final long BALANCER_MILLIS = 2_000;
+
+	private static final Duration FLUSH = Duration.ofMillis(200);
+
+	private final EntrySettings settings;
+
+	private final AuditTrail audit;
+
+	private final MetricRegistry metrics = new MetricRegistry();
+
+	private final CountDownLatch ended = new CountDownLatch(1);
+
+	private final Supervisor supervisor;
+
+	private final SplittableRandom random = new SplittableRandom(ThreadLocalRandom.current().nextLong());
+
+	private final DutyCalls calls;
+
+	private volatile ExitCode exitCode = ExitCode.OK;
+
+	private volatile long stoppingSince;
+
+	private volatile boolean ready;
+
+	private Duty<EntryState> duty;
+
+	private IoWorker io;
+
+	private TargetLinks links;
+
+	/**
+	 * Create an entry; {@link #run()} starts it.
+	 * @param settings its settings
+	 */
+	public Entry(EntrySettings settings) {
+		this.settings = settings;
+		this.audit = new AuditTrail(settings.common().auditCapacity());
+		this.supervisor = new Supervisor("entry", MAX_FAILURES, FAILURE_WINDOW, (ex) -> end(ExitCode.GAVE_UP));
+		this.calls = new DutyCalls(() -> this.duty, settings.callers().maxCalls());
+	}
+
+	/**
+	 * Run until the planned stop is over.
+	 * @return how the process ends
+	 */
+	public ExitCode run() {
+		this.io = IoWorker.start(2, 2);
+		MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+		this.duty = new Duty<>("calls", createState(loops.next()), RING, TICK, this::tick);
+		this.supervisor.start(this.duty);
+		CallerServer callers = new CallerServer(this.io, this.settings.callers(), this.calls, this.settings.secret(),
+				new CallTimes(this.metrics), this::isReady);
+		OperatorServer operators = new OperatorServer(this.io.worker(), this.settings.common().operatorAddress(),
+				this.metrics, this.audit, this::isReady, () -> ask(this::status), Handlers.routing());
+		operators.start();
+		callers.start();
+		LogLine.of("started").with("address", this.settings.callers().address().toString()).info();
+		awaitEnd();
+		callers.stop();
+		operators.stop();
+		this.links.close();
+		this.supervisor.stop();
+		loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+		LogLine.of("ended").with("code", this.exitCode.code()).info();
+		return this.exitCode;
+	}
+
+	/**
+	 * Start the planned stop: fail the health check, go on with what is under way, then
+	 * end.
+	 */
+	public void stop() {
+		this.stoppingSince = Math.max(1, MonotonicClock.millis());
+		if (!this.settings.drainLimit().isZero()) {
+			this.io.worker()
+				.getIoThread()
+				.executeAfter(() -> end(ExitCode.OK), this.settings.drainLimit().toMillis(), TimeUnit.MILLISECONDS);
+		}
+	}
+
+	private EntryState createState(EventLoop loop) {
+		String instance = this.settings.common().instance();
+		String dataCentre = this.settings.common().dataCentre();
+		TargetBoard board = new TargetBoard();
+		TargetSubset subset = new TargetSubset(instance, dataCentre, this.settings.ownShare(),
+				this.settings.otherShare());
+		DefaultTargetSelector selector = new DefaultTargetSelector(board, subset, dataCentre, this.random);
+		PeerIdentity self = new PeerIdentity(instance, dataCentre, this.random.nextLong());
+		this.links = new TargetLinks(loop, self, LinkSettings.defaults(), this.random.split(),
+				new SidecarLinks((c) -> this.duty.put(c), this.calls));
+		EntryState state = new EntryState(board, selector, this.links, seeds());
+		Backoff backoff = new Backoff(Duration.ofMillis(50), Duration.ofSeconds(2), this.random);
+		RetryBudget budget = new RetryBudget(this.settings.retryShare(), RETRIES_PER_SECOND, RETRIES_SAVED);
+		CallCoordinator coordinator = new CallCoordinator(this.settings.calls(), selector, board, budget, backoff,
+				state, this.audit);
+		state.use(coordinator, keeper());
+		registerMetrics(coordinator.counters());
+		return state;
+	}
+
+	private ConfigurationKeeper keeper() {
+		HttpCaller caller = new HttpCaller(this.io.worker(), this.io.buffers());
+		HttpConfigurationService service = new HttpConfigurationService(caller, this.io.worker().getIoThread(),
+				this.settings.common().platform(), this.settings.common().watchWait());
+		Backoff backoff = new Backoff(Duration.ofMillis(100), Duration.ofSeconds(5), this.random);
+		ConfigurationKeeper keeper = new ConfigurationKeeper(new ConfigurationLedger(), service, backoff,
+				PEERS_SUFFICE_MILLIS, (t) -> this.duty.put((s) -> t.accept(MonotonicClock.millis())), this::inForce,
+				this.audit);
+		keeper.setWatcher(false);
+		return keeper;
+	}
+
+	private void inForce(FleetConfiguration configuration) {
+		this.calls.inForce(configuration);
+		this.duty.put((s) -> s.inForce(configuration));
+		this.ready = true;
+	}
+
+	private void tick(EntryState state) {
+		state.tick();
+		this.calls.openCalls(state.coordinator().openCalls());
+		long since = this.stoppingSince;
+		if (since != 0 && MonotonicClock.millis() - since >= BALANCER_MILLIS && state.coordinator().openCalls() == 0) {
+			end(ExitCode.OK);
+		}
+	}
+
+	private boolean isReady() {
+		return this.ready && this.stoppingSince == 0;
+	}
+
+	private Object status(EntryState state) {
+		long now = MonotonicClock.millis();
+		ConfigurationLedger ledger = state.keeper().ledger();
+		long age = ledger.confirmedAgeMillis(now);
+		List<EntryStatus.TargetBelief> targets = state.selector()
+			.usedTargets()
+			.stream()
+			.map((t) -> belief(state, t, now))
+			.toList();
+		return new EntryStatus(this.settings.common().instance(), this.settings.common().dataCentre(), ledger.version(),
+				ledger.digest(), (age != ConfigurationLedger.NEVER_CONFIRMED) ? age : -1, state.keeper().lastRefusal(),
+				state.keeper().serviceCalls(), state.coordinator().openCalls(), targets);
+	}
+
+	private static EntryStatus.TargetBelief belief(EntryState state, TargetDescription target, long now) {
+		TargetState known = state.board().state(target.name());
+		return new EntryStatus.TargetBelief(target.name(), target.dataCentre(),
+				state.coordinator().incarnation(target.name()).isPresent(), known.isLeaving(now),
+				!known.health().isUsable(now), known.inFlight(), known.reportAgeMillis(now), known.report());
+	}
+
+	private Object ask(Function<EntryState, Object> question) {
+		CompletableFuture<Object> answer = new CompletableFuture<>();
+		Consumer<EntryState> command = (s) -> answer.complete(question.apply(s));
+		this.duty.put(command);
+		try {
+			return answer.get(STATUS_WAIT.toMillis(), TimeUnit.MILLISECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IllegalStateException("interrupted while asking the deciding duty", ex);
+		}
+		catch (ExecutionException | TimeoutException ex) {
+			throw new IllegalStateException("the deciding duty did not answer in time", ex);
+		}
+	}
+
+	private void registerMetrics(CallCounters counters) {
+		gauge("laneworks_calls_opened", counters, (c) -> c.opened().sum());
+		gauge("laneworks_calls_finished", counters, (c) -> c.finished().sum());
+		gauge("laneworks_calls_refused", counters, (c) -> c.refused().sum());
+		gauge("laneworks_retries", counters, (c) -> c.retried().sum());
+		gauge("laneworks_tokens_delivered", counters, (c) -> c.delivered().sum());
+		gauge("laneworks_stray_messages", counters, (c) -> c.strays().sum());
+		gauge("laneworks_reattached", counters, (c) -> c.reattached().sum());
+	}
+
+	private void gauge(String name, CallCounters counters, ToLongFunction<CallCounters> value) {
+		this.metrics.register(name, (Gauge<Long>) () -> value.applyAsLong(counters));
+	}
+
+	private Map<String, InetSocketAddress> seeds() {
+		Map<String, InetSocketAddress> seeds = new HashMap<>();
+		for (InetSocketAddress seed : this.settings.seeds()) {
+			seeds.put(TargetLinks.SEED_PREFIX + seed.getHostString() + ':' + seed.getPort(), seed);
+		}
+		return seeds;
+	}
+
+	private void end(ExitCode code) {
+		if (this.ended.getCount() > 0) {
+			this.exitCode = code;
+			this.ended.countDown();
+		}
+	}
+
+	private void awaitEnd() {
+		try {
+			this.ended.await();
+			// The last events are on their way to the operating system.
+			Thread.sleep(FLUSH.toMillis());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- /dev/null
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/EntryMain.java
@@ -0,0 +1,38 @@
+package dev.laneworks.entry;
+
+import java.util.List;
+
+import dev.laneworks.runtime.log.JsonLineWriter;
+import dev.laneworks.runtime.program.ExitCode;
+import dev.laneworks.runtime.program.Program;
+import dev.laneworks.runtime.program.StopSignals;
+
+/**
+ * The command line of {@code laneworks-entry}.
+ *
+ * @since 0.1
+ */
+public final class EntryMain {
+
+	private EntryMain() {
+	}
+
+	/**
+	 * Run the program.
+	 * @param arguments the command line
+	 */
+	public static void main(String[] arguments) {
+		Program<EntrySettings> program = new Program<>("laneworks-entry",
+				"takes callers' requests and streams their answers", EntrySettings::read, EntryMain::run,
+				List.of(new CheckConfigCommand()));
+		System.exit(program.run(arguments, System.out, System.err).code());
+	}
+
+	private static ExitCode run(EntrySettings settings) {
+		JsonLineWriter.nameInstance(settings.common().instance());
+		Entry entry = new Entry(settings);
+		new StopSignals().handle(entry::stop);
+		return entry.run();
+	}
+
+}
--- /dev/null
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/SidecarLinks.java
@@ -0,0 +1,64 @@
+package dev.laneworks.entry;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import dev.laneworks.core.message.SidecarMessage;
+import dev.laneworks.runtime.program.MonotonicClock;
+import dev.laneworks.wire.ConfigurationMessage;
+import dev.laneworks.wire.FrameCodec;
+import dev.laneworks.wire.Link;
+import dev.laneworks.wire.TargetLinkListener;
+import dev.laneworks.wire.TargetLinks;
+import dev.laneworks.wire.proto.Protocol;
+
+/**
+ * Passes what links to sidecars bring on to the deciding duty, holding a link up while
+ * the duty's ring is full.
+ */
+final class SidecarLinks implements TargetLinkListener {
+
+	private final Consumer<Consumer<EntryState>> duty;
+
+	private final DutyCalls calls;
+
+	SidecarLinks(Consumer<Consumer<EntryState>> duty, DutyCalls calls) {
+		this.duty = duty;
+		this.calls = calls;
+	}
+
+	@Override
+	public void onUp(String target, Link link) {
+		if (!isSeed(target)) {
+			long incarnation = link.peer().incarnation();
+			this.calls.linkUp(target, incarnation);
+			this.duty.accept((s) -> s.coordinator().onLinkUp(target, incarnation, MonotonicClock.millis()));
+		}
+	}
+
+	@Override
+	public void onFrame(String target, Link link, Protocol.Frame frame) {
+		Optional<ConfigurationMessage> configuration = FrameCodec.decodeConfigurationMessage(frame);
+		if (configuration.isPresent()) {
+			this.duty.accept((s) -> s.onConfigurationMessage(link, configuration.get()));
+			return;
+		}
+		if (!isSeed(target)) {
+			Optional<SidecarMessage> message = FrameCodec.decodeSidecarMessage(frame);
+			message.ifPresent((m) -> this.duty.accept((s) -> s.onMessage(target, m)));
+		}
+	}
+
+	@Override
+	public void onDown(String target) {
+		if (!isSeed(target)) {
+			this.calls.linkDown(target);
+			this.duty.accept((s) -> s.coordinator().onLinkDown(target, MonotonicClock.millis()));
+		}
+	}
+
+	private static boolean isSeed(String target) {
+		return target.startsWith(TargetLinks.SEED_PREFIX);
+	}
+
+}
--- /dev/null
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/caller/RequestReader.java
@@ -0,0 +1,228 @@
+package dev.laneworks.entry.caller;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.time.Duration;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import dev.laneworks.core.call.CallRequest;
+import dev.laneworks.core.configuration.AccountDescription;
+import dev.laneworks.core.configuration.FleetConfiguration;
+import dev.laneworks.core.configuration.Intent;
+import dev.laneworks.core.configuration.ServiceDescription;
+import dev.laneworks.core.configuration.SpillRule;
+import dev.laneworks.core.message.OnceKey;
+import dev.laneworks.core.message.Work;
+import dev.laneworks.core.message.WorkKind;
+import dev.laneworks.core.routing.Rendezvous;
+import dev.laneworks.core.stream.OnceTicket;
+import dev.laneworks.core.stream.TokenSealer;
+import dev.laneworks.core.verdict.Refusal;
+import dev.laneworks.core.verdict.RefusalReason;
+import dev.laneworks.runtime.http.JsonText;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.vavr.control.Either;
+
+/**
+ * Turns callers' HTTP requests into requests of the system, or says what is wrong with
+ * them.
+ * <p>
+ * {@code Authorization: Bearer KEY} names the account. {@code Idempotency-Key} names a
+ * request that must run at most once; its value is the caller's own key or a ticket.
+ * {@code Laneworks-Patience} says in milliseconds how long the caller waits for its first
+ * token.
+ */
+final class RequestReader {
+
+	static final HttpString IDEMPOTENCY_KEY = new HttpString("Idempotency-Key");
+
+	static final HttpString PATIENCE = new HttpString("Laneworks-Patience");
+
+	private static final String BEARER = "Bearer ";
+
+	private static final int CHARS_PER_TOKEN = 4;
+
+	private static final int PREFIX_CHARS = 512;
+
+	private static final int DEFAULT_MAX_TOKENS = 65_536;
+
+	private static final int MAX_MAX_TOKENS = 1_000_000;
+
+	private static final int MAX_KEY_LENGTH = 512;
+
+	private static final long MAX_PATIENCE_MILLIS = Duration.ofHours(1).toMillis();
+
+	private final byte[] secret;
+
+	private final Duration patience;
+
+	RequestReader(byte[] secret, Duration patience) {
+		this.secret = secret.clone();
+		this.patience = patience;
+	}
+
+	Either<Refusal, AccountDescription> account(HttpServerExchange exchange, FleetConfiguration configuration) {
+		String given = exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION);
+		if (given == null || !given.startsWith(BEARER)) {
+			return Either.left(Refusal.never(RefusalReason.UNKNOWN_ACCOUNT,
+					"the Authorization header must be 'Bearer' and an API key"));
+		}
+		return configuration.accountByDigest(digest(given.substring(BEARER.length()).strip()))
+			.<Either<Refusal, AccountDescription>>map(Either::right)
+			.orElseGet(() -> Either.left(Refusal.never(RefusalReason.UNKNOWN_ACCOUNT, "the API key is not known")));
+	}
+
+	Either<Refusal, GenerationRequest> generation(HttpServerExchange exchange, byte[] body, WorkKind kind,
+			AccountDescription account, FleetConfiguration configuration) {
+		JsonNode json;
+		try {
+			json = JsonText.read(body);
+		}
+		catch (IOException ex) {
+			return bad("the body is not JSON");
+		}
+		if (!(json instanceof ObjectNode object)) {
+			return bad("the body must be a JSON object");
+		}
+		String model = object.path("model").asText("");
+		if (model.isEmpty()) {
+			return bad("the member 'model' is missing");
+		}
+		String input = (kind == WorkKind.CHAT) ? "messages" : "prompt";
+		if (!object.has(input)) {
+			return bad("the member '" + input + "' is missing");
+		}
+		int maxTokens = object.path("max_tokens").asInt(DEFAULT_MAX_TOKENS);
+		if (maxTokens < 1 || maxTokens > MAX_MAX_TOKENS) {
+			return bad("the member 'max_tokens' must be from 1 to " + MAX_MAX_TOKENS);
+		}
+		Optional<Intent> intent = configuration.intent(account.name(), model);
+		if (intent.isEmpty() || configuration.service(model).isPresent()) {
+			return Either
+				.left(Refusal.never(RefusalReason.UNKNOWN_MODEL, "the account may use no model named '" + model + "'"));
+		}
+		boolean stream = object.path("stream").asBoolean(false);
+		String prompt = (kind == WorkKind.CHAT) ? object.path(input).toString() : object.path(input).asText();
+		object.put("stream", true);
+		byte[] forTarget = object.toString().getBytes(StandardCharsets.UTF_8);
+		String path = (kind == WorkKind.CHAT) ? "/v1/chat/completions" : "/v1/completions";
+		return once(exchange, account).flatMap((o) -> patience(exchange).map((p) -> {
+			boolean repeatable = o.key().isEmpty() && intent.get().repeatable();
+			Work work = new Work(newRequestId(), kind, account.name(), model, "POST", path, forTarget,
+					intent.get().priority(), repeatable, o.key(), Math.max(1, prompt.length() / CHARS_PER_TOKEN),
+					maxTokens, p);
+			CallRequest request = new CallRequest(work, intent.get(), prefixHash(prompt), o.ticketTarget(), stream);
+			return new GenerationRequest(request, stream);
+		}));
+	}
+
+	Either<Refusal, CallRequest> service(HttpServerExchange exchange, byte[] body, String name, String path,
+			AccountDescription account, FleetConfiguration configuration) {
+		Optional<ServiceDescription> service = configuration.service(name);
+		Optional<Intent> intent = configuration.intent(account.name(), name);
+		if (service.isEmpty() || intent.isEmpty()) {
+			return Either.left(
+					Refusal.never(RefusalReason.UNKNOWN_MODEL, "the account may use no service named '" + name + "'"));
+		}
+		String method = exchange.getRequestMethod().toString();
+		String query = exchange.getQueryString().isEmpty() ? "" : '?' + exchange.getQueryString();
+		return once(exchange, account).flatMap((o) -> patience(exchange).map((p) -> {
+			boolean repeatable = o.key().isEmpty() && service.get().isRepeatable(method, path);
+			Work work = new Work(newRequestId(), WorkKind.SERVICE, account.name(), name, method, path + query, body,
+					intent.get().priority(), repeatable, o.key(), 0, 1, p);
+			return new CallRequest(work, intent.get(), 0, o.ticketTarget(), false);
+		}));
+	}
+
+	static CallRequest returning(String account) {
+		Work work = new Work(newRequestId(), WorkKind.COMPLETION, account, "", "", "", new byte[0], 0, false,
+				Optional.empty(), 0, 1, 0);
+		Intent intent = new Intent(account, "", "", "", 0, List.of(), SpillRule.NONE, false);
+		return new CallRequest(work, intent, 0, Optional.empty(), true);
+	}
+
+	private Either<Refusal, Once> once(HttpServerExchange exchange, AccountDescription account) {
+		HeaderMap headers = exchange.getRequestHeaders();
+		String key = headers.getFirst(IDEMPOTENCY_KEY);
+		if (key == null) {
+			return Either.right(new Once(Optional.empty(), Optional.empty()));
+		}
+		if (key.isBlank() || key.length() > MAX_KEY_LENGTH) {
+			return bad("the Idempotency-Key must have from 1 to " + MAX_KEY_LENGTH + " characters");
+		}
+		Optional<OnceTicket> ticket = new TokenSealer(this.secret).openTicket(key);
+		if (ticket.isEmpty()) {
+			return Either
+				.right(new Once(Optional.of(new OnceKey(account.name(), key, OnceKey.NO_TICKET)), Optional.empty()));
+		}
+		if (!ticket.get().account().equals(account.name())) {
+			return bad("the ticket in the Idempotency-Key belongs to another account");
+		}
+		OnceKey named = new OnceKey(account.name(), ticket.get().identity(), ticket.get().incarnation());
+		return Either.right(new Once(Optional.of(named), Optional.of(ticket.get().target())));
+	}
+
+	private Either<Refusal, Long> patience(HttpServerExchange exchange) {
+		String given = exchange.getRequestHeaders().getFirst(PATIENCE);
+		if (given == null) {
+			return Either.right(this.patience.toMillis());
+		}
+		try {
+			long millis = Long.parseLong(given.strip());
+			if (millis >= 1 && millis <= MAX_PATIENCE_MILLIS) {
+				return Either.right(millis);
+			}
+		}
+		catch (NumberFormatException ex) {
+			// Answered below, as a number out of range is.
+		}
+		return bad("the Laneworks-Patience header must be milliseconds from 1 to " + MAX_PATIENCE_MILLIS);
+	}
+
+	private static <T> Either<Refusal, T> bad(String detail) {
+		return Either.left(Refusal.never(RefusalReason.BAD_REQUEST, detail));
+	}
+
+	private static long prefixHash(String prompt) {
+		return Rendezvous.hash(prompt.substring(0, Math.min(prompt.length(), PREFIX_CHARS)));
+	}
+
+	private static String newRequestId() {
+		return UUID.randomUUID().toString();
+	}
+
+	private static String digest(String key) {
+		try {
+			MessageDigest sha256 = MessageDigest.getInstance("SHA-256");
+			return HexFormat.of().formatHex(sha256.digest(key.getBytes(StandardCharsets.UTF_8)));
+		}
+		catch (NoSuchAlgorithmException ex) {
+			throw new IllegalStateException("SHA-256 is missing from this Java runtime", ex);
+		}
+	}
+
+	/**
+	 * A request for a generation, and whether its caller wants a stream.
+	 *
+	 * @param request the request
+	 * @param stream whether its caller wants a stream
+	 */
+	record GenerationRequest(CallRequest request, boolean stream) {
+
+	}
+
+	private record Once(Optional<OnceKey> key, Optional<String> ticketTarget) {
+
+	}
+
+}
--- /dev/null
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/caller/ServiceAnswer.java
@@ -0,0 +1,54 @@
+package dev.laneworks.entry.caller;
+
+import java.nio.ByteBuffer;
+
+import dev.laneworks.core.message.FinishReason;
+import dev.laneworks.core.message.ServiceReply;
+import dev.laneworks.core.stream.StreamPosition;
+import dev.laneworks.core.verdict.Refusal;
+import dev.laneworks.core.verdict.RefusalReason;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+
+/**
+ * Passes a plain service's answer on to its caller.
+ */
+final class ServiceAnswer implements CallerAnswer {
+
+	private final HttpServerExchange exchange;
+
+	private ServiceReply reply;
+
+	ServiceAnswer(HttpServerExchange exchange) {
+		this.exchange = exchange;
+	}
+
+	@Override
+	public void accepted(StreamPosition position, String route) {
+		AnswerHeaders.put(this.exchange, position, route);
+	}
+
+	@Override
+	public void deliver(long offset, byte[] data) {
+		this.reply = ServiceReply.decode(data);
+	}
+
+	@Override
+	public void finish(long total, FinishReason reason) {
+		if (this.reply == null) {
+			CallerProblem.send(this.exchange, Refusal.ran(RefusalReason.TARGET_LOST, "the service gave no answer"));
+			return;
+		}
+		this.exchange.setStatusCode(this.reply.status());
+		if (!this.reply.contentType().isEmpty()) {
+			this.exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, this.reply.contentType());
+		}
+		this.exchange.getResponseSender().send(ByteBuffer.wrap(this.reply.body()));
+	}
+
+	@Override
+	public void refuse(Refusal refusal) {
+		CallerProblem.send(this.exchange, refusal);
+	}
+
+}
--- /dev/null
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The program that callers reach.
+ */
+package dev.laneworks.entry;
--- /dev/null
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/duty/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Threads for single duties, joined by bounded rings and restarted by supervisors.
+ */
+package dev.laneworks.runtime.duty;
--- /dev/null
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpCall.java
@@ -0,0 +1,39 @@
+package dev.laneworks.runtime.http;
+
+import java.net.URI;
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * A request to an HTTP server.
+ *
+ * @param server the server, such as {@code http://10.0.0.7:8000}
+ * @param method the HTTP method
+ * @param path the path and query
+ * @param headers further headers
+ * @param body the body, maybe empty; not copied, must not be changed
+ * @since 0.1
+ */
+public record HttpCall(URI server, String method, String path, List<HttpHeader> headers, byte[] body) {
+
+	private static final byte[] NO_BODY = new byte[0];
+
+	public HttpCall {
+		Objects.requireNonNull(server, "server must not be null");
+		Objects.requireNonNull(method, "method must not be null");
+		Objects.requireNonNull(path, "path must not be null");
+		headers = List.copyOf(headers);
+	}
+
+	/**
+	 * Create a call without a body.
+	 * @param server the server
+	 * @param method the HTTP method
+	 * @param path the path and query
+	 * @return the call
+	 */
+	public static HttpCall of(URI server, String method, String path) {
+		return new HttpCall(server, method, path, List.of(), NO_BODY);
+	}
+
+}
--- /dev/null
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpCaller.java
@@ -0,0 +1,63 @@
+package dev.laneworks.runtime.http;
+
+import java.io.IOException;
+
+import io.undertow.UndertowOptions;
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import org.xnio.OptionMap;
+import org.xnio.XnioWorker;
+
+/**
+ * Calls HTTP servers, each call on a connection of its own.
+ * <p>
+ * A connection is never used twice, so that a call that could not connect is known not to
+ * have been sent. The servers called stand beside the caller, where a connection costs
+ * little. Thread-safe.
+ *
+ * @since 0.1
+ */
+public final class HttpCaller {
+
+	private final XnioWorker worker;
+
+	private final ByteBufferPool buffers;
+
+	/**
+	 * Create a caller.
+	 * @param worker the I/O threads
+	 * @param buffers the buffers for bodies
+	 */
+	public HttpCaller(XnioWorker worker, ByteBufferPool buffers) {
+		this.worker = worker;
+		this.buffers = buffers;
+	}
+
+	/**
+	 * Make a call.
+	 * @param call the call
+	 * @param listener hears of the response
+	 * @return a handle to give the call up with
+	 */
+	public HttpExchange call(HttpCall call, HttpResponseListener listener) {
+		HttpExchange exchange = new HttpExchange(call, listener, this.buffers);
+		OptionMap options = OptionMap.builder().set(UndertowOptions.ENABLE_HTTP2, false).getMap();
+		UndertowClient.getInstance().connect(new ClientCallback<ClientConnection>() {
+
+			@Override
+			public void completed(ClientConnection connection) {
+				exchange.send(connection);
+			}
+
+			@Override
+			public void failed(IOException ex) {
+				exchange.notSent(ex);
+			}
+
+		}, call.server(), this.worker, this.buffers, options);
+		return exchange;
+	}
+
+}
--- /dev/null
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Logs as one JSON object a line.
+ */
+package dev.laneworks.runtime.log;
--- /dev/null
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/metrics/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Serves metrics to scrapers.
+ */
+package dev.laneworks.runtime.metrics;
--- /dev/null
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/operator/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The port that operators and scrapers use.
+ */
+package dev.laneworks.runtime.operator;
--- /dev/null
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/platform/ConfigurationWatchers.java
@@ -0,0 +1,42 @@
+package dev.laneworks.runtime.platform;
+
+import java.util.List;
+
+import dev.laneworks.core.configuration.FleetConfiguration;
+import dev.laneworks.core.configuration.TargetDescription;
+import dev.laneworks.core.routing.Rendezvous;
+
+/**
+ * Picks the few sidecars that always watch the configuration service, so that its calls
+ * grow with the data centres and not with the fleet.
+ *
+ * @since 0.1
+ */
+public final class ConfigurationWatchers {
+
+	private static final int WATCHERS_PER_DATA_CENTRE = 4;
+
+	private static final long KEY = Rendezvous.hash("configuration watchers");
+
+	private ConfigurationWatchers() {
+	}
+
+	/**
+	 * Return whether the sidecar of a target watches the service.
+	 * @param configuration the configuration in force
+	 * @param target the target's name
+	 * @return {@code true} if it is among the first of its data centre, or not published
+	 */
+	public static boolean isWatcher(FleetConfiguration configuration, String target) {
+		return configuration.target(target).map((t) -> isAmongFirst(configuration, t)).orElse(true);
+	}
+
+	private static boolean isAmongFirst(FleetConfiguration configuration, TargetDescription target) {
+		List<TargetDescription> local = configuration.targets()
+			.stream()
+			.filter((t) -> t.dataCentre().equals(target.dataCentre()))
+			.toList();
+		return Rendezvous.top(KEY, local, TargetDescription::name, WATCHERS_PER_DATA_CENTRE).contains(target);
+	}
+
+}
--- /dev/null
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/platform/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Reads what the platform publishes.
+ */
+package dev.laneworks.runtime.platform;
--- /dev/null
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/program/Program.java
@@ -0,0 +1,162 @@
+package dev.laneworks.runtime.program;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+
+import dev.laneworks.core.document.DocumentObject;
+import dev.laneworks.core.document.DocumentReader;
+import dev.laneworks.core.document.InvalidDocumentException;
+import io.vavr.control.Either;
+import joptsimple.OptionException;
+import joptsimple.OptionParser;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+
+/**
+ * The command line that all programs share: a settings file, checked whole before
+ * anything starts, and subcommands.
+ *
+ * @param <T> the type of settings
+ * @since 0.1
+ */
+public final class Program<T> {
+
+	private final String name;
+
+	private final String summary;
+
+	private final Function<DocumentObject, T> settingsReader;
+
+	private final Function<T, ExitCode> runner;
+
+	private final List<ProgramCommand> commands;
+
+	/**
+	 * Create a program.
+	 * @param name the program's name
+	 * @param summary what it does, in one line
+	 * @param settingsReader reads its settings
+	 * @param runner runs it until it is to end
+	 * @param commands its subcommands
+	 */
+	public Program(String name, String summary, Function<DocumentObject, T> settingsReader,
+			Function<T, ExitCode> runner, List<ProgramCommand> commands) {
+		this.name = name;
+		this.summary = summary;
+		this.settingsReader = settingsReader;
+		this.runner = runner;
+		this.commands = List.copyOf(commands);
+	}
+
+	/**
+	 * Run the program.
+	 * @param arguments the command line
+	 * @param out where results go
+	 * @param err where faults go
+	 * @return how the program ends
+	 */
+	public ExitCode run(String[] arguments, PrintStream out, PrintStream err) {
+		// Undertow's and XNIO's logs go the way of all others.
+		System.setProperty("org.jboss.logging.provider", "slf4j");
+		if (arguments.length > 0) {
+			Optional<ProgramCommand> command = this.commands.stream()
+				.filter((c) -> c.name().equals(arguments[0]))
+				.findFirst();
+			if (command.isPresent()) {
+				List<String> rest = Arrays.asList(arguments).subList(1, arguments.length);
+				return command.get().run(rest, out, err);
+			}
+		}
+		OptionParser parser = new OptionParser();
+		OptionSpec<Void> help = parser.accepts("help", "print this page");
+		OptionSpec<Void> version = parser.accepts("version", "print the version");
+		OptionSpec<Void> check = parser.accepts("check-config", "check the settings and end");
+		OptionSpec<String> config = parser.accepts("config", "the settings, JSON with comments")
+			.withRequiredArg()
+			.describedAs("FILE");
+		OptionSpec<String> rest = parser.nonOptions();
+		OptionSet options;
+		try {
+			options = parser.parse(arguments);
+		}
+		catch (OptionException ex) {
+			return usage(err, ex.getMessage());
+		}
+		if (options.has(help)) {
+			printHelp(parser, out);
+			return ExitCode.OK;
+		}
+		if (options.has(version)) {
+			out.println(this.name + ' ' + version());
+			return ExitCode.OK;
+		}
+		if (!options.valuesOf(rest).isEmpty()) {
+			return usage(err, "'" + options.valuesOf(rest).get(0) + "' is not a command");
+		}
+		if (!options.has(config)) {
+			return usage(err, "--config FILE is missing");
+		}
+		return start(options.valueOf(config), options.has(check), out, err);
+	}
+
+	/**
+	 * Return the version of the workspace.
+	 * @return the version
+	 */
+	public static String version() {
+		String version = Program.class.getPackage().getImplementationVersion();
+		return (version != null) ? version : "development";
+	}
+
+	private ExitCode start(String file, boolean checkOnly, PrintStream out, PrintStream err) {
+		String text;
+		try {
+			text = Files.readString(Path.of(file), StandardCharsets.UTF_8);
+		}
+		catch (IOException ex) {
+			err.println(file + ": can't be read: " + ex.getMessage());
+			return ExitCode.USAGE;
+		}
+		Either<InvalidDocumentException, T> settings = DocumentReader.read(file, text, this.settingsReader);
+		if (settings.isLeft()) {
+			err.println(settings.getLeft().getMessage());
+			return ExitCode.USAGE;
+		}
+		if (checkOnly) {
+			out.println(file + ": the settings are good");
+			return ExitCode.OK;
+		}
+		return this.runner.apply(settings.get());
+	}
+
+	private ExitCode usage(PrintStream err, String problem) {
+		err.println(this.name + ": " + problem + "; see " + this.name + " --help");
+		return ExitCode.USAGE;
+	}
+
+	private void printHelp(OptionParser parser, PrintStream out) {
+		out.println(this.name + " - " + this.summary);
+		out.println();
+		out.println("Usage: " + this.name + " --config FILE [--check-config]");
+		for (ProgramCommand command : this.commands) {
+			out.println("       " + this.name + ' ' + command.name() + "  " + command.summary());
+		}
+		out.println();
+		try {
+			parser.printHelpOn(out);
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("the help page can't be printed", ex);
+		}
+		out.println();
+		out.println("Exit codes: 0 done, 1 failed, 2 wrong command line or setting, 70 a part failed too often");
+	}
+
+}
--- /dev/null
+++ b/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/SidecarMain.java
@@ -0,0 +1,37 @@
+package dev.laneworks.sidecar;
+
+import java.util.List;
+
+import dev.laneworks.runtime.log.JsonLineWriter;
+import dev.laneworks.runtime.program.ExitCode;
+import dev.laneworks.runtime.program.Program;
+import dev.laneworks.runtime.program.StopSignals;
+
+/**
+ * The command line of {@code laneworks-sidecar}.
+ *
+ * @since 0.1
+ */
+public final class SidecarMain {
+
+	private SidecarMain() {
+	}
+
+	/**
+	 * Run the program.
+	 * @param arguments the command line
+	 */
+	public static void main(String[] arguments) {
+		Program<SidecarSettings> program = new Program<>("laneworks-sidecar",
+				"stands beside one target and runs requests on it", SidecarSettings::read, SidecarMain::run, List.of());
+		System.exit(program.run(arguments, System.out, System.err).code());
+	}
+
+	private static ExitCode run(SidecarSettings settings) {
+		JsonLineWriter.nameInstance(settings.common().instance());
+		Sidecar sidecar = new Sidecar(settings);
+		new StopSignals().handle(() -> sidecar.stop("planned stop"));
+		return sidecar.run();
+	}
+
+}
--- /dev/null
+++ b/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The program that stands beside each target.
+ */
+package dev.laneworks.sidecar;
--- /dev/null
+++ b/laneworks-standin/src/main/java/dev/laneworks/standin/client/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * A caller that streams, checks and measures answers.
+ */
+package dev.laneworks.standin.client;
--- /dev/null
+++ b/laneworks-standin/src/main/java/dev/laneworks/standin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Launches the stand-ins.
+ */
+package dev.laneworks.standin;
--- /dev/null
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/LinkServer.java
@@ -0,0 +1,59 @@
+package dev.laneworks.wire;
+
+import java.net.InetSocketAddress;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+
+/**
+ * Takes links from peers.
+ *
+ * @since 0.1
+ */
+public final class LinkServer implements AutoCloseable {
+
+	private static final int BACKLOG = 1024;
+
+	private final Channel channel;
+
+	/**
+	 * Open a server.
+	 * @param group the threads that serve the links
+	 * @param address where to listen
+	 * @param self who this process is
+	 * @param settings bounds and times
+	 * @param listener hears of every link
+	 * @throws LinkException if the address can't be listened on
+	 */
+	public LinkServer(EventLoopGroup group, InetSocketAddress address, PeerIdentity self, LinkSettings settings,
+			LinkListener listener) {
+		ServerBootstrap bootstrap = new ServerBootstrap().group(group)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_BACKLOG, BACKLOG)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(new LinkInitializer(settings, () -> new LinkHandler(self, listener)));
+		var bound = bootstrap.bind(address).awaitUninterruptibly();
+		if (!bound.isSuccess()) {
+			throw new LinkException("can't listen on " + address + ": " + bound.cause().getMessage(), bound.cause());
+		}
+		this.channel = bound.channel();
+	}
+
+	/**
+	 * Return the port that the server listens on.
+	 * @return the port
+	 */
+	public int port() {
+		return ((InetSocketAddress) this.channel.localAddress()).getPort();
+	}
+
+	@Override
+	public void close() {
+		this.channel.close().awaitUninterruptibly();
+	}
+
+}
--- /dev/null
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Links between laneworks processes over TCP.
+ */
+package dev.laneworks.wire;
--- /dev/null
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/proto/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Generated from laneworks.proto; not to be edited.
+ */
+package dev.laneworks.wire.proto;
