--- /dev/null
+++ b/laneworks-bench/src/main/java/dev/laneworks/bench/BenchMain.java
@@ -0,0 +1,44 @@
+package dev.laneworks.bench;
+
+import java.util.Arrays;
+import java.util.List;
+
+import dev.laneworks.bench.fuzz.FuzzCommand;
+import dev.laneworks.runtime.log.JsonLineWriter;
+import dev.laneworks.runtime.program.ExitCode;
+import dev.laneworks.runtime.program.ProgramCommand;
+
+/**
+ * The command line of the measurements.
+ *
+ * @since 0.1
+ */
+public final class BenchMain {
+
+	private static final List<ProgramCommand> COMMANDS = List.of(new FuzzCommand());
+
+	private BenchMain() {
+	}
+
+	/**
+	 * Run a command.
+	 * @param arguments the command and its arguments
+	 */
+	public static void main(String[] arguments) {
+		System.setProperty("org.jboss.logging.provider", "slf4j");
+		JsonLineWriter.nameInstance("bench");
+		System.exit(run(arguments).code());
+	}
+
+	private static ExitCode run(String[] arguments) {
+		for (ProgramCommand command : COMMANDS) {
+			if (arguments.length > 0 && command.name().equals(arguments[0])) {
+				return command.run(Arrays.asList(arguments).subList(1, arguments.length), System.out, System.err);
+			}
+		}
+		System.err.println("bin/bench: a command is needed:");
+		COMMANDS.forEach((c) -> System.err.println("  " + c.name() + ' ' + c.summary()));
+		return ExitCode.USAGE;
+	}
+
+}
--- /dev/null
+++ b/laneworks-bench/src/main/java/dev/laneworks/bench/fuzz/FakeEntry.java
@@ -0,0 +1,218 @@
+package dev.laneworks.bench.fuzz;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+import dev.laneworks.core.call.CallCoordinator;
+import dev.laneworks.core.call.CallOutputs;
+import dev.laneworks.core.call.CallRequest;
+import dev.laneworks.core.call.CallSettings;
+import dev.laneworks.core.configuration.ConfigurationLedger;
+import dev.laneworks.core.configuration.FleetConfiguration;
+import dev.laneworks.core.message.ConfigurationMessage;
+import dev.laneworks.core.message.EntryMessage;
+import dev.laneworks.core.message.FinishReason;
+import dev.laneworks.core.message.SidecarMessage;
+import dev.laneworks.core.peer.ConfigurationExchange;
+import dev.laneworks.core.peer.ConfigurationKeeper;
+import dev.laneworks.core.retry.Backoff;
+import dev.laneworks.core.retry.RetryBudget;
+import dev.laneworks.core.routing.DefaultTargetSelector;
+import dev.laneworks.core.routing.TargetBoard;
+import dev.laneworks.core.routing.TargetSubset;
+import dev.laneworks.core.stream.StreamPosition;
+import dev.laneworks.core.verdict.Refusal;
+
+/**
+ * An entry's decisions over fake links and fake callers.
+ */
+final class FakeEntry extends FakeProcess implements CallOutputs {
+
+	private static final CallSettings SETTINGS = new CallSettings(500, 500, 1_000, 3_000, 3, 8);
+
+	private static final long PEERS_SUFFICE_MILLIS = 3_000;
+
+	private static final long CALLER_READS_MILLIS = 2;
+
+	private final VirtualTime time;
+
+	private final World world;
+
+	private final int index;
+
+	private final Map<Integer, FakeLink> links = new HashMap<>();
+
+	private final Map<Long, Connection> callers = new HashMap<>();
+
+	private final DefaultTargetSelector selector;
+
+	private final CallCoordinator coordinator;
+
+	private final ConfigurationExchange exchange;
+
+	private long highestVersion;
+
+	private long numbers;
+
+	FakeEntry(VirtualTime time, SplittableRandom random, World world, int index, FakePlatform platform) {
+		super(time);
+		this.time = time;
+		this.world = world;
+		this.index = index;
+		TargetBoard board = new TargetBoard();
+		this.selector = new DefaultTargetSelector(board, new TargetSubset("entry-" + index, "east", 3, 3), "east",
+				random);
+		this.coordinator = new CallCoordinator(SETTINGS, this.selector, board, new RetryBudget(0.5, 5, 20),
+				new Backoff(Duration.ofMillis(20), Duration.ofMillis(200), random), this, (e) -> {
+				});
+		ConfigurationKeeper keeper = new ConfigurationKeeper(new ConfigurationLedger(), platform,
+				new Backoff(Duration.ofMillis(50), Duration.ofSeconds(1), random), PEERS_SUFFICE_MILLIS,
+				(t) -> run(() -> t.accept(time.now())), this::inForce, (e) -> {
+				});
+		keeper.setWatcher(false);
+		this.exchange = new ConfigurationExchange(keeper, (m) -> this.links.values().forEach((l) -> send(l, m)));
+	}
+
+	int index() {
+		return this.index;
+	}
+
+	long version() {
+		return this.exchange.keeper().ledger().version();
+	}
+
+	boolean isOpen(FakeLink link) {
+		return this.links.get(link.sidecar().index()) == link;
+	}
+
+	boolean hasLink(int sidecar) {
+		return this.links.containsKey(sidecar);
+	}
+
+	Optional<Long> incarnation(int sidecar) {
+		return this.coordinator.incarnation(World.targetName(sidecar));
+	}
+
+	void open(FakeCall call, CallRequest request) {
+		long number = ++this.numbers;
+		this.callers.put(number, new Connection(call, call.tries()));
+		this.coordinator.open(number, request, this.time.now());
+	}
+
+	void resume(FakeCall call, CallRequest request, StreamPosition position) {
+		long number = ++this.numbers;
+		this.callers.put(number, new Connection(call, call.tries()));
+		this.coordinator.resume(number, request, position, this.time.now());
+	}
+
+	void callerLeft(FakeCall call) {
+		this.callers.entrySet().stream().filter((e) -> e.getValue().call() == call).findFirst().ifPresent((e) -> {
+			this.callers.remove(e.getKey());
+			this.coordinator.onCallerLeft(e.getKey());
+		});
+	}
+
+	void linkUp(FakeLink link) {
+		this.links.put(link.sidecar().index(), link);
+		send(link, this.exchange.notice(this.time.now()));
+		this.coordinator.onLinkUp(World.targetName(link.sidecar().index()), link.sidecar().incarnation(),
+				this.time.now());
+	}
+
+	void linkLost(FakeLink link) {
+		if (this.links.remove(link.sidecar().index(), link)) {
+			this.coordinator.onLinkDown(World.targetName(link.sidecar().index()), this.time.now());
+		}
+	}
+
+	void connectFailed(int sidecar) {
+		this.coordinator.onLinkDown(World.targetName(sidecar), this.time.now());
+	}
+
+	void onMessage(int sidecar, SidecarMessage message) {
+		this.coordinator.onMessage(World.targetName(sidecar), message, this.time.now());
+	}
+
+	void onMessage(FakeLink link, ConfigurationMessage message) {
+		this.exchange.onMessage("sidecar", message, (m) -> send(link, m), this.time.now());
+	}
+
+	@Override
+	void tick(long now) {
+		this.coordinator.tick(now);
+		this.exchange.tick(now);
+	}
+
+	@Override
+	public void connect(String target) {
+		this.world.connect(this, World.targetIndex(target));
+	}
+
+	@Override
+	public void send(String target, EntryMessage message) {
+		FakeLink link = this.links.get(World.targetIndex(target));
+		if (link != null) {
+			link.sendToSidecar(() -> link.sidecar().onMessage(link, message));
+		}
+	}
+
+	@Override
+	public void accepted(long call, StreamPosition position, String route) {
+		caller(call).ifPresent((c) -> c.accepted(position));
+	}
+
+	@Override
+	public void deliver(long call, long offset, byte[] data) {
+		caller(call).ifPresent((c) -> c.token(offset, data));
+		this.time.after(CALLER_READS_MILLIS, () -> run(() -> this.coordinator.onCallerRead(call, offset + 1)));
+	}
+
+	@Override
+	public void finish(long call, long total, FinishReason reason) {
+		caller(call).ifPresent((c) -> c.finish(total));
+		this.callers.remove(call);
+	}
+
+	@Override
+	public void refuse(long call, Refusal refusal) {
+		caller(call).ifPresent((c) -> c.refuse(refusal));
+		this.callers.remove(call);
+	}
+
+	private Optional<FakeCall> caller(long call) {
+		return Optional.ofNullable(this.callers.get(call)).filter(Connection::isOpen).map(Connection::call);
+	}
+
+	private void inForce(FleetConfiguration configuration) {
+		if (configuration.version() <= this.highestVersion) {
+			throw new PromiseBrokenException("entry " + this.index + " went back from version " + this.highestVersion
+					+ " to " + configuration.version());
+		}
+		this.highestVersion = configuration.version();
+		this.selector.use(configuration);
+		this.coordinator.use(configuration);
+		this.exchange.announce(this.time.now());
+	}
+
+	private void send(FakeLink link, ConfigurationMessage message) {
+		link.sendToSidecar(() -> link.sidecar().onMessage(link, message));
+	}
+
+	/**
+	 * One connection of a caller; what is sent on one that was closed reaches nobody.
+	 *
+	 * @param call the caller's request
+	 * @param tries counts the connections for it
+	 */
+	private record Connection(FakeCall call, int tries) {
+
+		boolean isOpen() {
+			return this.call.isConnected() && this.call.tries() == this.tries;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/laneworks-bench/src/main/java/dev/laneworks/bench/fuzz/FakeSidecar.java
@@ -0,0 +1,236 @@
+package dev.laneworks.bench.fuzz;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+import dev.laneworks.core.configuration.ConfigurationLedger;
+import dev.laneworks.core.configuration.FleetConfiguration;
+import dev.laneworks.core.host.GenerationHost;
+import dev.laneworks.core.host.HostOutputs;
+import dev.laneworks.core.host.HostSettings;
+import dev.laneworks.core.message.BarOutcome;
+import dev.laneworks.core.message.ConfigurationMessage;
+import dev.laneworks.core.message.EntryMessage;
+import dev.laneworks.core.message.OnceKey;
+import dev.laneworks.core.message.SidecarMessage;
+import dev.laneworks.core.message.Work;
+import dev.laneworks.core.once.KeyGuard;
+import dev.laneworks.core.once.ViewHistory;
+import dev.laneworks.core.peer.ConfigurationExchange;
+import dev.laneworks.core.peer.ConfigurationKeeper;
+import dev.laneworks.core.retry.Backoff;
+
+/**
+ * A sidecar's decisions over fake links and a fake engine.
+ */
+final class FakeSidecar extends FakeProcess implements HostOutputs {
+
+	private static final long TO_ENGINE_MILLIS = 3;
+
+	private static final long PEERS_SUFFICE_MILLIS = 3_000;
+
+	private static final HostSettings SETTINGS = new HostSettings(4, 8, 0, 0.97, 2, 20_000, 4_000, 6_000, 3_000, 1_000,
+			3_000, 64);
+
+	private final VirtualTime time;
+
+	private final World world;
+
+	private final int index;
+
+	private final long incarnation;
+
+	private final FakeEngine engine;
+
+	private final Map<Long, FakeLink> links = new HashMap<>();
+
+	private final Map<String, FakeStream> streams = new HashMap<>();
+
+	private final ViewHistory views = new ViewHistory();
+
+	private final GenerationHost host;
+
+	private final ConfigurationExchange exchange;
+
+	private long highestVersion;
+
+	private boolean stopping;
+
+	private KeyQuestion keyQuestion;
+
+	FakeSidecar(VirtualTime time, SplittableRandom random, World world, int index, long incarnation, FakeEngine engine,
+			FakePlatform platform) {
+		super(time);
+		this.time = time;
+		this.world = world;
+		this.index = index;
+		this.incarnation = incarnation;
+		this.engine = engine;
+		ConfigurationLedger ledger = new ConfigurationLedger();
+		KeyGuard guard = new KeyGuard(World.targetName(index), incarnation, time.now(), this.views);
+		this.host = new GenerationHost(World.targetName(index), incarnation, SETTINGS, guard, ledger, this, (e) -> {
+		}, time.now());
+		Backoff backoff = new Backoff(Duration.ofMillis(50), Duration.ofSeconds(1), random);
+		ConfigurationKeeper keeper = new ConfigurationKeeper(ledger, platform, backoff, PEERS_SUFFICE_MILLIS,
+				(t) -> run(() -> t.accept(time.now())), this::inForce, (e) -> {
+				});
+		keeper.setWatcher(index == 0);
+		this.exchange = new ConfigurationExchange(keeper, (m) -> this.links.values().forEach((l) -> send(l, m)));
+	}
+
+	int index() {
+		return this.index;
+	}
+
+	long incarnation() {
+		return this.incarnation;
+	}
+
+	long version() {
+		return this.exchange.keeper().ledger().version();
+	}
+
+	boolean isReadyToEnd() {
+		return this.stopping && this.host.isIdle(this.time.now());
+	}
+
+	void leave() {
+		this.stopping = true;
+		this.host.leave("planned stop", this.time.now());
+		this.links.keySet().forEach((l) -> send(l, new SidecarMessage.Load(this.host.load())));
+	}
+
+	void linkUp(FakeLink link) {
+		this.links.put(link.number(), link);
+		send(link, this.exchange.notice(this.time.now()));
+	}
+
+	void linkLost(FakeLink link) {
+		this.links.remove(link.number());
+		this.host.onLinkLost(link.number(), this.time.now());
+	}
+
+	void onMessage(FakeLink link, EntryMessage message) {
+		this.host.onMessage(link.number(), message, this.time.now());
+	}
+
+	void onMessage(FakeLink link, ConfigurationMessage message) {
+		this.exchange.onMessage("entry", message, (m) -> send(link, m), this.time.now());
+	}
+
+	BarOutcome askAboutKey(OnceKey key) {
+		KeyQuestion question = new KeyQuestion();
+		this.keyQuestion = question;
+		this.host.onMessage(KeyQuestion.LINK, new EntryMessage.BarKey(key), this.time.now());
+		this.keyQuestion = null;
+		return question.outcome;
+	}
+
+	@Override
+	void tick(long now) {
+		this.host.tick(now);
+		this.exchange.tick(now);
+		this.exchange.keeper()
+			.ledger()
+			.current()
+			.ifPresent((c) -> this.views.forget(now - c.keyTimes().memoryMillis()));
+	}
+
+	@Override
+	public void send(long link, SidecarMessage message) {
+		if (link == KeyQuestion.LINK && message instanceof SidecarMessage.KeyBarResult result) {
+			this.keyQuestion.outcome = result.outcome();
+			return;
+		}
+		FakeLink open = this.links.get(link);
+		if (open != null) {
+			open.sendToEntry(() -> open.entry().onMessage(this.index, message));
+		}
+	}
+
+	@Override
+	public void start(String generation, Work work) {
+		if (this.host.isLeaving()) {
+			throw new PromiseBrokenException("a leaving target was given new work: " + generation);
+		}
+		int length = Integer.parseInt(new String(work.body(), StandardCharsets.UTF_8));
+		FakeStream stream = open(generation);
+		this.time.after(TO_ENGINE_MILLIS, () -> this.engine.start(generation, length, stream));
+	}
+
+	@Override
+	public void reattach(String generation, long offset) {
+		FakeStream stream = open(generation);
+		this.time.after(TO_ENGINE_MILLIS, () -> this.engine.reattach(generation, (int) offset, stream));
+	}
+
+	@Override
+	public void cancel(String generation) {
+		FakeStream stream = this.streams.remove(generation);
+		if (stream != null) {
+			stream.abandon();
+		}
+		this.time.after(TO_ENGINE_MILLIS, () -> this.engine.cancel(generation));
+	}
+
+	@Override
+	public void pause(String generation) {
+		throw new IllegalStateException("memory is not watched here");
+	}
+
+	@Override
+	public void resume(String generation) {
+		throw new IllegalStateException("memory is not watched here");
+	}
+
+	@Override
+	public void lookUp(String generation) {
+		this.time.after(TO_ENGINE_MILLIS, () -> {
+			boolean found = this.engine.holds(generation);
+			run(() -> this.host.onLookUp(generation, found, this.time.now()));
+		});
+	}
+
+	@Override
+	public void askHome(String home, OnceKey key) {
+		this.world.askHome(this, home, key, (o) -> run(() -> this.host.onHomeAnswer(home, key, o, this.time.now())));
+	}
+
+	private void inForce(FleetConfiguration configuration) {
+		if (configuration.version() <= this.highestVersion) {
+			throw new PromiseBrokenException("sidecar " + this.index + " went back from version " + this.highestVersion
+					+ " to " + configuration.version());
+		}
+		this.highestVersion = configuration.version();
+		this.views.record(configuration.targets(), this.time.now());
+		this.exchange.announce(this.time.now());
+	}
+
+	private void send(FakeLink link, ConfigurationMessage message) {
+		link.sendToEntry(() -> link.entry().onMessage(link, message));
+	}
+
+	private FakeStream open(String generation) {
+		FakeStream stream = new FakeStream(this.time, this, this.host, generation);
+		FakeStream old = this.streams.put(generation, stream);
+		if (old != null) {
+			old.abandon();
+		}
+		return stream;
+	}
+
+	/**
+	 * A question of another sidecar under way.
+	 */
+	private static final class KeyQuestion {
+
+		private static final long LINK = -1;
+
+		private BarOutcome outcome = BarOutcome.UNKNOWN;
+
+	}
+
+}
--- /dev/null
+++ b/laneworks-bench/src/main/java/dev/laneworks/bench/fuzz/Oracle.java
@@ -0,0 +1,84 @@
+package dev.laneworks.bench.fuzz;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import dev.laneworks.core.verdict.Verdict;
+
+/**
+ * Knows what truly ran and what callers saw, and says when a promise is broken.
+ */
+final class Oracle {
+
+	private final Map<String, Integer> runs = new HashMap<>();
+
+	private final Map<String, List<Integer>> engines = new HashMap<>();
+
+	private final List<FakeCall> calls = new ArrayList<>();
+
+	static byte[] token(String generation, int offset) {
+		return (generation + '#' + offset).getBytes(StandardCharsets.UTF_8);
+	}
+
+	void ran(String name, int engine) {
+		this.runs.merge(name, 1, Integer::sum);
+		this.engines.computeIfAbsent(name, (n) -> new ArrayList<>()).add(engine);
+		if (name.startsWith("once-") && this.runs.get(name) > 1) {
+			throw new PromiseBrokenException(
+					"a request that must not be repeated ran twice: " + name + " at engines " + this.engines.get(name));
+		}
+	}
+
+	void opened(FakeCall call) {
+		this.calls.add(call);
+	}
+
+	List<FakeCall> calls() {
+		return this.calls;
+	}
+
+	// Called at the end of a trace, when nothing is under way any more.
+	void checkAll() {
+		for (FakeCall call : this.calls) {
+			checkRuns(call);
+		}
+	}
+
+	private void checkRuns(FakeCall call) {
+		if (call.key().isPresent()) {
+			checkKey(call);
+			return;
+		}
+		int count = runsOf(call.requestId());
+		if (call.verdict().filter((v) -> v == Verdict.NOT_RUN).isPresent() && count > 0) {
+			throw new PromiseBrokenException(
+					"call " + call.number() + " was refused as not run but ran: " + call.cause());
+		}
+		if (!call.isRepeatable() && count > 1) {
+			throw new PromiseBrokenException(
+					"call " + call.number() + " must not be repeated but ran " + count + " times");
+		}
+	}
+
+	private void checkKey(FakeCall call) {
+		String name = call.key().get().generationName();
+		boolean allNotRun = this.calls.stream()
+			.filter((c) -> c.key().equals(call.key()))
+			.allMatch((c) -> c.verdict().filter((v) -> v == Verdict.NOT_RUN).isPresent());
+		if (allNotRun && this.runs.containsKey(name)) {
+			throw new PromiseBrokenException("every try of " + name + " was refused as not run but it ran");
+		}
+	}
+
+	private int runsOf(String requestId) {
+		return this.runs.entrySet()
+			.stream()
+			.filter((e) -> e.getKey().startsWith(requestId + '-'))
+			.mapToInt(Map.Entry::getValue)
+			.sum();
+	}
+
+}
--- /dev/null
+++ b/laneworks-bench/src/main/java/dev/laneworks/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measurements and fuzzing, started from the command line.
+ */
+package dev.laneworks.bench;
--- a/laneworks-core/src/main/java/dev/laneworks/core/audit/AuditKind.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/audit/AuditKind.java
@@ -15,6 +15,9 @@
 	/** A configuration was refused. */
 	CONFIGURATION_REFUSED,
 
+	/** The configuration service was lost, or is back. */
+	CONFIGURATION_SERVICE,
+
 	/** A target was chosen for an attempt. */
 	ROUTED,
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/call/Call.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/call/Call.java
@@ -34,6 +34,8 @@
 
 	private String generation = "";
 
+	private String attemptName = "";
+
 	private int epoch;
 
 	private int attempts;
@@ -112,6 +114,10 @@
 		return this.generation;
 	}
 
+	String attemptName() {
+		return this.attemptName;
+	}
+
 	StreamId stream() {
 		return new StreamId(this.number, this.epoch);
 	}
@@ -121,6 +127,7 @@
 		StreamId stream = nextStream();
 		this.incarnation = sidecarIncarnation;
 		this.generation = work().generationName(stream.attempt());
+		this.attemptName = work().attemptName(stream.attempt());
 		return stream;
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/call/CallCoordinator.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/call/CallCoordinator.java
@@ -66,8 +66,12 @@
 
 	private final Map<Long, Call> calls = new LinkedHashMap<>();
 
+	/** The sidecars whose links are up. */
 	private final Map<String, Long> incarnations = new HashMap<>();
 
+	/** The sidecars heard last, whether or not their links are up. */
+	private final Map<String, Long> lastIncarnations = new HashMap<>();
+
 	private FleetConfiguration configuration;
 
 	/**
@@ -97,6 +101,7 @@
 	 */
 	public void use(FleetConfiguration newConfiguration) {
 		this.configuration = newConfiguration;
+		this.lastIncarnations.keySet().removeIf((t) -> newConfiguration.target(t).isEmpty());
 	}
 
 	/**
@@ -143,12 +148,7 @@
 			return;
 		}
 		call.read(offset);
-		long limit = call.readOffset() + this.settings.window();
-		boolean worthSending = limit - call.creditLimit() >= Math.max(1, this.settings.window() / CREDITS_PER_WINDOW);
-		if (call.phase() == CallPhase.READING && worthSending) {
-			call.setCreditLimit(limit);
-			this.outputs.send(call.target(), new EntryMessage.Credit(call.stream(), limit));
-		}
+		grantCredit(call);
 	}
 
 	/**
@@ -175,10 +175,9 @@
 	 * @param now the time in milliseconds
 	 */
 	public void onLinkUp(String target, long incarnation, long now) {
-		Long former = this.incarnations.put(target, incarnation);
-		if (former == null || former != incarnation) {
-			this.board.state(target).recordNewIncarnation();
-		}
+		this.incarnations.put(target, incarnation);
+		Long former = this.lastIncarnations.put(target, incarnation);
+		this.board.state(target).recordLinkUp(former == null || former != incarnation);
 		for (Call call : callsAt(target)) {
 			switch (call.phase()) {
 				case CONNECTING -> submit(call, now);
@@ -200,6 +199,7 @@
 			connectFailed(target, now);
 			return;
 		}
+		this.board.state(target).recordLinkDown();
 		recordFailure(target, "link lost", now);
 		for (Call call : callsAt(target)) {
 			switch (call.phase()) {
@@ -348,6 +348,17 @@
 		if (call.announce()) {
 			this.outputs.accepted(call.number(), position(call), call.route());
 		}
+		// The caller may have read on while no credit could be sent.
+		grantCredit(call);
+	}
+
+	private void grantCredit(Call call) {
+		long limit = call.readOffset() + this.settings.window();
+		boolean worthSending = limit - call.creditLimit() >= Math.max(1, this.settings.window() / CREDITS_PER_WINDOW);
+		if (call.phase() == CallPhase.READING && worthSending) {
+			call.setCreditLimit(limit);
+			this.outputs.send(call.target(), new EntryMessage.Credit(call.stream(), limit));
+		}
 	}
 
 	private void onChunk(Call call, SidecarMessage.Chunk chunk, long now) {
@@ -442,7 +453,8 @@
 			this.outputs.connect(call.target());
 			return;
 		}
-		this.outputs.send(call.target(), new EntryMessage.Bar(call.stream(), call.generation(), call.incarnation()));
+		this.outputs.send(call.target(),
+				new EntryMessage.Bar(call.stream(), call.attemptName(), call.generation(), call.incarnation()));
 	}
 
 	private void reattach(Call call, long now) {
@@ -462,10 +474,12 @@
 	}
 
 	private void connectFailed(String target, long now) {
-		recordFailure(target, "no link", now);
 		for (Call call : callsAt(target)) {
 			switch (call.phase()) {
-				case CONNECTING -> attemptFailed(call, notReached(), now);
+				case CONNECTING -> {
+					recordFailure(target, "no link", now);
+					attemptFailed(call, notReached(), now);
+				}
 				case BARRING, REATTACHING -> this.outputs.connect(target);
 				default -> {
 				}
--- a/laneworks-core/src/main/java/dev/laneworks/core/configuration/ConfigurationParser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/configuration/ConfigurationParser.java
@@ -29,7 +29,9 @@
 
 	private static final Duration DEFAULT_RETRY_WINDOW = Duration.ofMinutes(10);
 
-	private static final Duration DEFAULT_VIEW_AGE = Duration.ofMinutes(10);
+	private static final Duration DEFAULT_VIEW_AGE = Duration.ofMinutes(2);
+
+	private static final Duration DEFAULT_STALENESS = Duration.ofMinutes(5);
 
 	private static final Duration MAX_WINDOW = Duration.ofDays(1);
 
@@ -56,13 +58,19 @@
 
 	private FleetConfiguration configuration(DocumentObject root) {
 		long version = root.integer("version", 1, Long.MAX_VALUE);
-		Duration retryWindow = root.duration("retryWindow", Duration.ofSeconds(1), MAX_WINDOW, DEFAULT_RETRY_WINDOW);
-		Duration viewAge = root.duration("viewAge", Duration.ofSeconds(1), MAX_WINDOW, DEFAULT_VIEW_AGE);
+		KeyTimes keyTimes = keyTimes(root.object("keys"));
 		List<ServiceDescription> services = services(root.objects("services"));
 		List<TargetDescription> targets = targets(root.objects("targets"));
 		List<AccountDescription> accounts = accounts(root.objects("accounts"));
 		List<Intent> intents = intents(root.objects("intents"));
-		return new FleetConfiguration(version, retryWindow, viewAge, targets, services, accounts, intents);
+		return new FleetConfiguration(version, keyTimes, targets, services, accounts, intents);
+	}
+
+	private static KeyTimes keyTimes(DocumentObject keys) {
+		Duration least = Duration.ofSeconds(1);
+		return new KeyTimes(keys.duration("retryWindow", least, MAX_WINDOW, DEFAULT_RETRY_WINDOW),
+				keys.duration("viewAge", least, MAX_WINDOW, DEFAULT_VIEW_AGE),
+				keys.duration("serviceStaleness", least, MAX_WINDOW, DEFAULT_STALENESS));
 	}
 
 	private List<ServiceDescription> services(List<DocumentObject> objects) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/configuration/FleetConfiguration.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/configuration/FleetConfiguration.java
@@ -1,6 +1,5 @@
 package dev.laneworks.core.configuration;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -19,9 +18,7 @@
 
 	private final long version;
 
-	private final Duration retryWindow;
-
-	private final Duration viewAge;
+	private final KeyTimes keyTimes;
 
 	private final Map<String, TargetDescription> targets;
 
@@ -35,11 +32,10 @@
 
 	private final Map<IntentKey, Intent> intents;
 
-	FleetConfiguration(long version, Duration retryWindow, Duration viewAge, List<TargetDescription> targets,
+	FleetConfiguration(long version, KeyTimes keyTimes, List<TargetDescription> targets,
 			List<ServiceDescription> services, List<AccountDescription> accounts, List<Intent> intents) {
 		this.version = version;
-		this.retryWindow = retryWindow;
-		this.viewAge = viewAge;
+		this.keyTimes = keyTimes;
 		this.targets = new LinkedHashMap<>();
 		this.targetsByModel = new HashMap<>();
 		targets.forEach(this::addTarget);
@@ -61,20 +57,11 @@
 	}
 
 	/**
-	 * Return how long callers may try again with one key.
-	 * @return the window
-	 */
-	public Duration retryWindow() {
-		return this.retryWindow;
-	}
-
-	/**
-	 * Return how old a sidecar's confirmed view may be before it stops deciding on keys
-	 * without a ticket.
-	 * @return the greatest age
+	 * Return the times that bound the use of keys.
+	 * @return the times
 	 */
-	public Duration viewAge() {
-		return this.viewAge;
+	public KeyTimes keyTimes() {
+		return this.keyTimes;
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/host/GenerationHost.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/host/GenerationHost.java
@@ -49,6 +49,8 @@
 
 	private static final long LEAST_RETRY_MILLIS = 500;
 
+	private static final long UNKNOWN_MEMORY_MILLIS = Duration.ofMinutes(20).toMillis();
+
 	private static final int MAX_LENGTH_CLASSES = 4096;
 
 	private final HostSettings settings;
@@ -358,7 +360,7 @@
 			accept(known, reader, now);
 			return;
 		}
-		Optional<Refusal> refusal = refusalAtTheDoor(name, work, now);
+		Optional<Refusal> refusal = refusalAtTheDoor(name, submit, now);
 		if (refusal.isPresent()) {
 			refuse(link, submit.stream(), work, refusal.get());
 			return;
@@ -373,12 +375,12 @@
 		decideOnKey(generation, work.onceKey().get(), now);
 	}
 
-	private Optional<Refusal> refusalAtTheDoor(String name, Work work, long now) {
+	private Optional<Refusal> refusalAtTheDoor(String name, EntryMessage.Submit submit, long now) {
 		if (this.spent.contains(name)) {
 			return Optional
 				.of(Refusal.ran(RefusalReason.GENERATION_UNKNOWN, "the request ran and its output is no longer held"));
 		}
-		if (this.barred.contains(name)) {
+		if (this.barred.contains(name) || this.barred.contains(submit.work().attemptName(submit.stream().attempt()))) {
 			return Optional.of(Refusal.notRun(RefusalReason.WITHDRAWN, "the attempt was barred before it came",
 					Duration.ofMillis(RETRY_ELSEWHERE_MILLIS)));
 		}
@@ -386,7 +388,7 @@
 			return Optional.of(Refusal.notRun(RefusalReason.LEAVING, "the target is leaving",
 					Duration.ofMillis(RETRY_ELSEWHERE_MILLIS)));
 		}
-		return this.admission.refusal(work, now);
+		return this.admission.refusal(submit.work(), now);
 	}
 
 	private void decideOnKey(Generation generation, OnceKey key, long now) {
@@ -427,6 +429,15 @@
 		Optional<Generation> next = this.admission.next(now);
 		while (next.isPresent()) {
 			Generation generation = next.get();
+			if (!generation.hasStarted() && !mayStillRun(generation, now)) {
+				refuseBeforeRun(generation,
+						Refusal.notRun(RefusalReason.STALE_VIEW,
+								"the home of the key changed or its view grew old while the request waited",
+								Duration.ofMillis(LEAST_RETRY_MILLIS)),
+						now);
+				next = this.admission.next(now);
+				continue;
+			}
 			this.audit.record(event(AuditKind.ADMITTED, generation, "waited " + (now - generation.queuedAt()) + " ms, "
 					+ this.admission.usedTokens() + " tokens held"));
 			if (generation.hasStarted()) {
@@ -443,6 +454,13 @@
 		}
 	}
 
+	private boolean mayStillRun(Generation generation, long now) {
+		return generation.work()
+			.onceKey()
+			.map((k) -> this.keyGuard.mayStillRun(k, generation.work().model(), this.ledger, now))
+			.orElse(true);
+	}
+
 	private void yieldMemory(long now) {
 		Optional<Generation> victim = this.admission.victim();
 		while (victim.isPresent()) {
@@ -506,31 +524,37 @@
 	}
 
 	private void bar(long link, EntryMessage.Bar bar, long now) {
-		Generation generation = this.generations.get(bar.generation());
-		BarOutcome outcome;
-		if (generation != null && generation.state().isBeforeRun()) {
-			drop(generation, now);
-			outcome = BarOutcome.BARRED;
-		}
-		else if (generation != null) {
-			outcome = BarOutcome.HAS_RUN;
-		}
-		else if (this.spent.contains(bar.generation())) {
-			outcome = BarOutcome.HAS_RUN;
-		}
-		else if (bar.incarnation() != this.incarnation) {
-			outcome = BarOutcome.UNKNOWN;
-		}
-		else {
-			outcome = BarOutcome.BARRED;
-		}
+		BarOutcome outcome = barOutcome(link, bar);
 		if (outcome == BarOutcome.BARRED) {
-			this.barred.add(bar.generation(), now + memoryMillis());
+			Generation generation = this.generations.get(bar.generation());
+			if (generation != null) {
+				drop(generation, now);
+			}
+			this.barred.add(bar.attemptName(), now + memoryMillis());
 		}
 		this.audit.record(AuditEvent.of(AuditKind.BARRED, bar.generation(), this.target, "outcome " + outcome));
 		this.outputs.send(link, new SidecarMessage.BarResult(bar.stream(), outcome));
 	}
 
+	private BarOutcome barOutcome(long link, EntryMessage.Bar bar) {
+		Generation generation = this.generations.get(bar.generation());
+		if (generation != null) {
+			if (!generation.state().isBeforeRun()) {
+				return BarOutcome.HAS_RUN;
+			}
+			// Another try with the same key may have taken the generation over; it is not
+			// this attempt's to drop.
+			boolean isOthers = generation.isKeyed() && generation.reader()
+				.filter((r) -> r.link() != link || r.stream().call() != bar.stream().call())
+				.isPresent();
+			return isOthers ? BarOutcome.UNKNOWN : BarOutcome.BARRED;
+		}
+		if (this.spent.contains(bar.generation())) {
+			return BarOutcome.HAS_RUN;
+		}
+		return (bar.incarnation() == this.incarnation) ? BarOutcome.BARRED : BarOutcome.UNKNOWN;
+	}
+
 	private BarOutcome barKey(OnceKey key, long now) {
 		String name = key.generationName();
 		Generation generation = this.generations.get(name);
@@ -759,7 +783,7 @@
 	}
 
 	private long memoryMillis() {
-		return this.ledger.current().map(KeyGuard::memoryMillis).orElse(Duration.ofMinutes(20).toMillis());
+		return this.ledger.current().map((c) -> c.keyTimes().memoryMillis()).orElse(UNKNOWN_MEMORY_MILLIS);
 	}
 
 	private long holdMillis(Generation generation) {
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/ConfigurationMessage.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/message/ConfigurationMessage.java
@@ -1,4 +1,4 @@
-package dev.laneworks.wire;
+package dev.laneworks.core.message;
 
 /**
  * A message by which peers keep each other's configuration up to date.
--- a/laneworks-core/src/main/java/dev/laneworks/core/message/EntryMessage.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/message/EntryMessage.java
@@ -36,10 +36,11 @@
 	 * Asks to make sure that an attempt does not run if it has not run yet.
 	 *
 	 * @param stream the attempt
+	 * @param attemptName the name of the attempt, as {@link Work#attemptName} gives it
 	 * @param generation the name the attempt's generation would have
 	 * @param incarnation the incarnation of the sidecar that the attempt was sent to
 	 */
-	record Bar(StreamId stream, String generation, long incarnation) implements EntryMessage {
+	record Bar(StreamId stream, String attemptName, String generation, long incarnation) implements EntryMessage {
 
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/message/Work.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/message/Work.java
@@ -48,7 +48,16 @@
 	 * @return the name
 	 */
 	public String generationName(int attempt) {
-		return this.onceKey.map(OnceKey::generationName).orElseGet(() -> this.requestId + "-" + attempt);
+		return this.onceKey.map(OnceKey::generationName).orElseGet(() -> attemptName(attempt));
+	}
+
+	/**
+	 * Return the name of an attempt, which no other attempt of any request has.
+	 * @param attempt the number of the attempt
+	 * @return the name
+	 */
+	public String attemptName(int attempt) {
+		return this.requestId + "-" + attempt;
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/once/KeyGuard.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/once/KeyGuard.java
@@ -67,27 +67,24 @@
 		if (key.hasTicket()) {
 			return decideTicket(key);
 		}
-		FleetConfiguration configuration = ledger.current().orElse(null);
-		if (configuration == null || ledger.confirmedAgeMillis(now) > configuration.viewAge().toMillis()) {
-			return new KeyDecision.Refuse(Refusal.notRun(RefusalReason.STALE_VIEW,
-					"the view of the published targets is too old to decide on a key without a ticket",
-					STALE_VIEW_RETRY));
-		}
-		String generation = key.generationName();
-		if (!this.views.home(model, generation).filter(this.target::equals).isPresent()) {
-			return new KeyDecision.Refuse(Refusal.notRun(RefusalReason.LEAVING,
-					"this sidecar is not the home of the key by the targets published now", WRONG_HOME_RETRY));
+		Optional<Refusal> refusal = refusalByView(key, model, ledger, now);
+		if (refusal.isPresent()) {
+			return new KeyDecision.Refuse(refusal.get());
 		}
-		return decideAtHome(generation, model, configuration, now);
+		return decideAtHome(key.generationName(), model, ledger.current().orElseThrow(), now);
 	}
 
 	/**
-	 * Return how long a sidecar must remember keys and views.
-	 * @param configuration the configuration in force
-	 * @return the time in milliseconds
+	 * Return whether a keyed request that was decided on before may still run.
+	 * @param key the key
+	 * @param model the model of the request
+	 * @param ledger the configuration in force and its age
+	 * @param now the time in milliseconds
+	 * @return {@code false} if the sidecar's view is too old, or names another home by
+	 * now
 	 */
-	public static long memoryMillis(FleetConfiguration configuration) {
-		return configuration.retryWindow().plus(configuration.viewAge()).toMillis();
+	public boolean mayStillRun(OnceKey key, String model, ConfigurationLedger ledger, long now) {
+		return key.hasTicket() || refusalByView(key, model, ledger, now).isEmpty();
 	}
 
 	/**
@@ -98,7 +95,21 @@
 	 * @return {@code true} if it has run for long enough
 	 */
 	public boolean remembersWindow(FleetConfiguration configuration, long now) {
-		return now - this.startedAt >= memoryMillis(configuration);
+		return now - this.startedAt >= configuration.keyTimes().memoryMillis();
+	}
+
+	private Optional<Refusal> refusalByView(OnceKey key, String model, ConfigurationLedger ledger, long now) {
+		FleetConfiguration configuration = ledger.current().orElse(null);
+		if (configuration == null || ledger.confirmedAgeMillis(now) > configuration.keyTimes().viewAge().toMillis()) {
+			return Optional.of(Refusal.notRun(RefusalReason.STALE_VIEW,
+					"the view of the published targets is too old to decide on a key without a ticket",
+					STALE_VIEW_RETRY));
+		}
+		if (this.views.home(model, key.generationName()).filter(this.target::equals).isEmpty()) {
+			return Optional.of(Refusal.notRun(RefusalReason.LEAVING,
+					"this sidecar is not the home of the key by the targets published now", WRONG_HOME_RETRY));
+		}
+		return Optional.empty();
 	}
 
 	private KeyDecision decideTicket(OnceKey key) {
@@ -111,7 +122,7 @@
 
 	private KeyDecision decideAtHome(String generation, String model, FleetConfiguration configuration, long now) {
 		if (!remembersWindow(configuration, now)) {
-			long remaining = this.startedAt + memoryMillis(configuration) - now;
+			long remaining = this.startedAt + configuration.keyTimes().memoryMillis() - now;
 			return new KeyDecision.AskTarget(new Refusal(Verdict.MAY_HAVE_RUN, RefusalReason.KEY_IN_DOUBT,
 					"not run this time; an earlier try may have run before this sidecar started",
 					Optional.of(Duration.ofMillis(remaining))));
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/platform/ConfigurationKeeper.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/peer/ConfigurationKeeper.java
@@ -1,4 +1,4 @@
-package dev.laneworks.runtime.platform;
+package dev.laneworks.core.peer;
 
 import java.io.IOException;
 import java.util.function.Consumer;
@@ -10,7 +10,6 @@
 import dev.laneworks.core.configuration.FleetConfiguration;
 import dev.laneworks.core.document.InvalidDocumentException;
 import dev.laneworks.core.retry.Backoff;
-import dev.laneworks.runtime.log.LogLine;
 import io.vavr.control.Either;
 
 /**
@@ -151,11 +150,15 @@
 		this.calling = false;
 		if (answer.isLeft()) {
 			if (this.failures++ == 0) {
-				LogLine.of("configuration-service-lost").with("cause", answer.getLeft().toString()).warn();
+				this.audit
+					.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "lost", "", answer.getLeft().toString()));
 			}
 			this.nextCallAt = now + this.backoff.delayMillis(this.failures);
 			return;
 		}
+		if (this.failures > 0) {
+			this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "back", "", ""));
+		}
 		this.failures = 0;
 		this.nextCallAt = now + this.backoff.delayMillis(1);
 		PublishedDocument held = answer.get();
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/platform/ConfigurationWatchers.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/peer/ConfigurationWatchers.java
@@ -1,4 +1,4 @@
-package dev.laneworks.runtime.platform;
+package dev.laneworks.core.peer;
 
 import java.util.List;
 
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/platform/PublishedDocument.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/peer/PublishedDocument.java
@@ -1,4 +1,4 @@
-package dev.laneworks.runtime.platform;
+package dev.laneworks.core.peer;
 
 /**
  * What the configuration service holds.
--- a/laneworks-core/src/main/java/dev/laneworks/core/routing/DefaultTargetSelector.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/routing/DefaultTargetSelector.java
@@ -109,7 +109,8 @@
 				usable.add(target);
 			}
 		}
-		return usable;
+		List<TargetDescription> linked = usable.stream().filter((t) -> this.board.state(t.name()).isLinked()).toList();
+		return linked.isEmpty() ? usable : linked;
 	}
 
 	private List<String> dataCentres(Intent intent, List<TargetDescription> usable) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/routing/TargetState.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/routing/TargetState.java
@@ -19,7 +19,7 @@
 	 */
 	private static final long LIST_HINT_MILLIS = 60_000;
 
-	private final TargetHealth health = new TargetHealth();
+	private TargetHealth health = new TargetHealth();
 
 	private LoadReport report = new LoadReport(0, 0, 0, 0, false);
 
@@ -31,6 +31,8 @@
 
 	private boolean leaving;
 
+	private boolean linked;
+
 	private long listedLeavingAt = Long.MIN_VALUE / 2;
 
 	/**
@@ -103,12 +105,32 @@
 	}
 
 	/**
-	 * Record that another incarnation of the sidecar answered; what was said of the old
-	 * one is void.
+	 * Record that the link to the target's sidecar is up.
+	 * @param newIncarnation whether another process answered than the last time; what was
+	 * said of the old one is void
+	 */
+	public void recordLinkUp(boolean newIncarnation) {
+		this.linked = true;
+		if (newIncarnation) {
+			this.leaving = false;
+			this.listedLeavingAt = Long.MIN_VALUE / 2;
+			this.health = new TargetHealth();
+		}
+	}
+
+	/**
+	 * Record that the link to the target's sidecar is down.
+	 */
+	public void recordLinkDown() {
+		this.linked = false;
+	}
+
+	/**
+	 * Return whether the link to the target's sidecar is up.
+	 * @return {@code true} if a request can be sent at once
 	 */
-	public void recordNewIncarnation() {
-		this.leaving = false;
-		this.listedLeavingAt = Long.MIN_VALUE / 2;
+	public boolean isLinked() {
+		return this.linked;
 	}
 
 	/**
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/EntryState.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/EntryState.java
@@ -10,17 +10,18 @@
 import dev.laneworks.core.call.CallOutputs;
 import dev.laneworks.core.configuration.FleetConfiguration;
 import dev.laneworks.core.configuration.TargetDescription;
+import dev.laneworks.core.message.ConfigurationMessage;
 import dev.laneworks.core.message.EntryMessage;
 import dev.laneworks.core.message.FinishReason;
 import dev.laneworks.core.message.SidecarMessage;
+import dev.laneworks.core.peer.ConfigurationExchange;
+import dev.laneworks.core.peer.ConfigurationKeeper;
 import dev.laneworks.core.routing.DefaultTargetSelector;
 import dev.laneworks.core.routing.TargetBoard;
 import dev.laneworks.core.stream.StreamPosition;
 import dev.laneworks.core.verdict.Refusal;
 import dev.laneworks.entry.caller.CallerAnswer;
-import dev.laneworks.runtime.platform.ConfigurationKeeper;
 import dev.laneworks.runtime.program.MonotonicClock;
-import dev.laneworks.wire.ConfigurationMessage;
 import dev.laneworks.wire.Link;
 import dev.laneworks.wire.TargetLinks;
 
@@ -29,8 +30,6 @@
  */
 final class EntryState implements CallOutputs {
 
-	private static final long NOTICE_GAP_MILLIS = 2_000;
-
 	private final Map<Long, CallerAnswer> answers = new HashMap<>();
 
 	private final Map<String, InetSocketAddress> seeds;
@@ -43,9 +42,7 @@
 
 	private CallCoordinator coordinator;
 
-	private ConfigurationKeeper keeper;
-
-	private long noticedAt;
+	private ConfigurationExchange exchange;
 
 	EntryState(TargetBoard board, DefaultTargetSelector selector, TargetLinks links,
 			Map<String, InetSocketAddress> seeds) {
@@ -59,7 +56,7 @@
 	// The coordinator's outputs are this object, so it comes after.
 	void use(CallCoordinator newCoordinator, ConfigurationKeeper newKeeper) {
 		this.coordinator = newCoordinator;
-		this.keeper = newKeeper;
+		this.exchange = new ConfigurationExchange(newKeeper, this.links::broadcast);
 	}
 
 	CallCoordinator coordinator() {
@@ -67,7 +64,7 @@
 	}
 
 	ConfigurationKeeper keeper() {
-		return this.keeper;
+		return this.exchange.keeper();
 	}
 
 	TargetBoard board() {
@@ -99,32 +96,17 @@
 			.map(TargetDescription::name)
 			.collect(Collectors.toSet());
 		this.links.use(addresses, steady);
-		sendNotices(MonotonicClock.millis());
+		this.exchange.announce(MonotonicClock.millis());
 	}
 
 	void tick() {
 		long now = MonotonicClock.millis();
 		this.coordinator.tick(now);
-		this.keeper.tick(now);
-		if (now - this.noticedAt >= NOTICE_GAP_MILLIS) {
-			sendNotices(now);
-		}
+		this.exchange.tick(now);
 	}
 
 	void onConfigurationMessage(Link link, ConfigurationMessage message) {
-		long now = MonotonicClock.millis();
-		if (message instanceof ConfigurationMessage.Notice notice) {
-			if (this.keeper.onPeerNotice(notice.version(), notice.confirmedAgeMillis(), now)) {
-				link.send(new ConfigurationMessage.Request());
-			}
-		}
-		else if (message instanceof ConfigurationMessage.Request) {
-			long version = this.keeper.ledger().version();
-			this.keeper.ledger().text().ifPresent((t) -> link.send(new ConfigurationMessage.Text(version, t)));
-		}
-		else if (message instanceof ConfigurationMessage.Text text) {
-			this.keeper.onPeerDocument(link.peer().name(), text.text(), now);
-		}
+		this.exchange.onMessage(link.peer().name(), message, link::send, MonotonicClock.millis());
 	}
 
 	@Override
@@ -173,10 +155,4 @@
 		this.coordinator.onMessage(target, message, MonotonicClock.millis());
 	}
 
-	private void sendNotices(long now) {
-		this.noticedAt = now;
-		this.links.broadcast(new ConfigurationMessage.Notice(this.keeper.ledger().version(),
-				this.keeper.ledger().confirmedAgeMillis(now)));
-	}
-
 }
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/SidecarLinks.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/SidecarLinks.java
@@ -3,9 +3,9 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
+import dev.laneworks.core.message.ConfigurationMessage;
 import dev.laneworks.core.message.SidecarMessage;
 import dev.laneworks.runtime.program.MonotonicClock;
-import dev.laneworks.wire.ConfigurationMessage;
 import dev.laneworks.wire.FrameCodec;
 import dev.laneworks.wire.Link;
 import dev.laneworks.wire.TargetLinkListener;
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/platform/HttpConfigurationService.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/platform/HttpConfigurationService.java
@@ -7,6 +7,8 @@
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import dev.laneworks.core.peer.ConfigurationService;
+import dev.laneworks.core.peer.PublishedDocument;
 import dev.laneworks.runtime.http.HttpCall;
 import dev.laneworks.runtime.http.HttpCaller;
 import dev.laneworks.runtime.http.HttpExchange;
--- a/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/EntryLinks.java
+++ b/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/EntryLinks.java
@@ -2,10 +2,10 @@
 
 import java.util.Optional;
 
+import dev.laneworks.core.message.ConfigurationMessage;
 import dev.laneworks.core.message.EntryMessage;
 import dev.laneworks.runtime.duty.Duty;
 import dev.laneworks.runtime.program.MonotonicClock;
-import dev.laneworks.wire.ConfigurationMessage;
 import dev.laneworks.wire.FrameCodec;
 import dev.laneworks.wire.Link;
 import dev.laneworks.wire.LinkListener;
--- a/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/SidecarState.java
+++ b/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/SidecarState.java
@@ -4,13 +4,13 @@
 
 import dev.laneworks.core.configuration.FleetConfiguration;
 import dev.laneworks.core.host.GenerationHost;
+import dev.laneworks.core.message.ConfigurationMessage;
 import dev.laneworks.core.message.EntryMessage;
-import dev.laneworks.core.once.KeyGuard;
 import dev.laneworks.core.once.ViewHistory;
-import dev.laneworks.runtime.platform.ConfigurationKeeper;
-import dev.laneworks.runtime.platform.ConfigurationWatchers;
+import dev.laneworks.core.peer.ConfigurationExchange;
+import dev.laneworks.core.peer.ConfigurationKeeper;
+import dev.laneworks.core.peer.ConfigurationWatchers;
 import dev.laneworks.runtime.program.MonotonicClock;
-import dev.laneworks.wire.ConfigurationMessage;
 import dev.laneworks.wire.Link;
 
 /**
@@ -18,8 +18,6 @@
  */
 final class SidecarState {
 
-	private static final long NOTICE_GAP_MILLIS = 2_000;
-
 	private static final long LOAD_GAP_MILLIS = 200;
 
 	private final String target;
@@ -30,12 +28,10 @@
 
 	private final GenerationHost host;
 
-	private final ConfigurationKeeper keeper;
+	private final ConfigurationExchange exchange;
 
 	private final SidecarOutputs outputs;
 
-	private long noticedAt;
-
 	private long loadReportedAt;
 
 	SidecarState(String target, ViewHistory views, Map<Long, Link> links, GenerationHost host,
@@ -44,7 +40,7 @@
 		this.views = views;
 		this.links = links;
 		this.host = host;
-		this.keeper = keeper;
+		this.exchange = new ConfigurationExchange(keeper, (m) -> links.values().forEach((l) -> l.send(m)));
 		this.outputs = outputs;
 	}
 
@@ -53,7 +49,7 @@
 	}
 
 	ConfigurationKeeper keeper() {
-		return this.keeper;
+		return this.exchange.keeper();
 	}
 
 	SidecarOutputs outputs() {
@@ -66,7 +62,7 @@
 
 	void onLinkUp(Link link) {
 		this.links.put(link.number(), link);
-		link.send(notice(MonotonicClock.millis()));
+		link.send(this.exchange.notice(MonotonicClock.millis()));
 		this.host.onMessage(link.number(), new EntryMessage.Probe(), MonotonicClock.millis());
 	}
 
@@ -78,8 +74,8 @@
 	void inForce(FleetConfiguration configuration) {
 		long now = MonotonicClock.millis();
 		this.views.record(configuration.targets(), now);
-		this.keeper.setWatcher(ConfigurationWatchers.isWatcher(configuration, this.target));
-		sendNotices(now);
+		this.exchange.keeper().setWatcher(ConfigurationWatchers.isWatcher(configuration, this.target));
+		this.exchange.announce(now);
 	}
 
 	void leave(String cause) {
@@ -90,42 +86,19 @@
 	void tick() {
 		long now = MonotonicClock.millis();
 		this.host.tick(now);
-		this.keeper.tick(now);
-		this.keeper.ledger().current().ifPresent((c) -> this.views.forget(now - KeyGuard.memoryMillis(c)));
+		this.exchange.tick(now);
+		this.exchange.keeper()
+			.ledger()
+			.current()
+			.ifPresent((c) -> this.views.forget(now - c.keyTimes().memoryMillis()));
 		if (now - this.loadReportedAt >= LOAD_GAP_MILLIS) {
 			this.loadReportedAt = now;
 			this.outputs.reportLoad(this.host.load());
 		}
-		if (now - this.noticedAt >= NOTICE_GAP_MILLIS) {
-			sendNotices(now);
-		}
 	}
 
 	void onConfigurationMessage(Link link, ConfigurationMessage message) {
-		long now = MonotonicClock.millis();
-		if (message instanceof ConfigurationMessage.Notice notice) {
-			if (this.keeper.onPeerNotice(notice.version(), notice.confirmedAgeMillis(), now)) {
-				link.send(new ConfigurationMessage.Request());
-			}
-		}
-		else if (message instanceof ConfigurationMessage.Request) {
-			long version = this.keeper.ledger().version();
-			this.keeper.ledger().text().ifPresent((t) -> link.send(new ConfigurationMessage.Text(version, t)));
-		}
-		else if (message instanceof ConfigurationMessage.Text text) {
-			this.keeper.onPeerDocument(link.peer().name(), text.text(), now);
-		}
-	}
-
-	private ConfigurationMessage.Notice notice(long now) {
-		return new ConfigurationMessage.Notice(this.keeper.ledger().version(),
-				this.keeper.ledger().confirmedAgeMillis(now));
-	}
-
-	private void sendNotices(long now) {
-		this.noticedAt = now;
-		ConfigurationMessage.Notice notice = notice(now);
-		this.links.values().forEach((l) -> l.send(notice));
+		this.exchange.onMessage(link.peer().name(), message, link::send, MonotonicClock.millis());
 	}
 
 }
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/FrameCodec.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/FrameCodec.java
@@ -6,6 +6,7 @@
 
 import com.google.protobuf.UnsafeByteOperations;
 import dev.laneworks.core.message.BarOutcome;
+import dev.laneworks.core.message.ConfigurationMessage;
 import dev.laneworks.core.message.EntryMessage;
 import dev.laneworks.core.message.FinishReason;
 import dev.laneworks.core.message.LoadReport;
@@ -85,6 +86,7 @@
 		else if (message instanceof EntryMessage.Bar bar) {
 			frame.setBar(Protocol.Bar.newBuilder()
 				.setStream(encode(bar.stream()))
+				.setAttemptName(bar.attemptName())
 				.setGeneration(bar.generation())
 				.setIncarnation(bar.incarnation()));
 		}
@@ -122,7 +124,8 @@
 			}
 			case BAR -> {
 				Protocol.Bar bar = frame.getBar();
-				yield new EntryMessage.Bar(decode(bar.getStream()), bar.getGeneration(), bar.getIncarnation());
+				yield new EntryMessage.Bar(decode(bar.getStream()), bar.getAttemptName(), bar.getGeneration(),
+						bar.getIncarnation());
 			}
 			case RELEASE ->
 				new EntryMessage.Release(decode(frame.getRelease().getStream()), frame.getRelease().getMayReturn());
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/Link.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/Link.java
@@ -1,5 +1,6 @@
 package dev.laneworks.wire;
 
+import dev.laneworks.core.message.ConfigurationMessage;
 import dev.laneworks.core.message.EntryMessage;
 import dev.laneworks.core.message.SidecarMessage;
 import dev.laneworks.wire.proto.Protocol;
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/TargetLinks.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/TargetLinks.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
+import dev.laneworks.core.message.ConfigurationMessage;
 import dev.laneworks.core.message.EntryMessage;
 import dev.laneworks.core.retry.Backoff;
 import dev.laneworks.wire.proto.Protocol;
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
@@ -9621,6 +9621,18 @@
      * @return The incarnation.
      */
     long getIncarnation();
+
+    /**
+     * <code>string attempt_name = 4;</code>
+     * @return The attemptName.
+     */
+    java.lang.String getAttemptName();
+    /**
+     * <code>string attempt_name = 4;</code>
+     * @return The bytes for attemptName.
+     */
+    com.google.protobuf.ByteString
+        getAttemptNameBytes();
   }
   /**
    * Protobuf type {@code laneworks.Bar}
@@ -9645,6 +9657,7 @@
     }
     private Bar() {
       generation_ = "";
+      attemptName_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -9742,6 +9755,45 @@
       return incarnation_;
     }
 
+    public static final int ATTEMPT_NAME_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object attemptName_ = "";
+    /**
+     * <code>string attempt_name = 4;</code>
+     * @return The attemptName.
+     */
+    @java.lang.Override
+    public java.lang.String getAttemptName() {
+      java.lang.Object ref = attemptName_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        attemptName_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string attempt_name = 4;</code>
+     * @return The bytes for attemptName.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getAttemptNameBytes() {
+      java.lang.Object ref = attemptName_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        attemptName_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -9765,6 +9817,9 @@
       if (incarnation_ != 0L) {
         output.writeFixed64(3, incarnation_);
       }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(attemptName_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 4, attemptName_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -9785,6 +9840,9 @@
         size += com.google.protobuf.CodedOutputStream
           .computeFixed64Size(3, incarnation_);
       }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(attemptName_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(4, attemptName_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -9809,6 +9867,8 @@
           .equals(other.getGeneration())) return false;
       if (getIncarnation()
           != other.getIncarnation()) return false;
+      if (!getAttemptName()
+          .equals(other.getAttemptName())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -9829,6 +9889,8 @@
       hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getIncarnation());
+      hash = (37 * hash) + ATTEMPT_NAME_FIELD_NUMBER;
+      hash = (53 * hash) + getAttemptName().hashCode();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -9973,6 +10035,7 @@
         }
         generation_ = "";
         incarnation_ = 0L;
+        attemptName_ = "";
         return this;
       }
 
@@ -10019,6 +10082,9 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.incarnation_ = incarnation_;
         }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.attemptName_ = attemptName_;
+        }
         result.bitField0_ |= to_bitField0_;
       }
 
@@ -10045,6 +10111,11 @@
         if (other.getIncarnation() != 0L) {
           setIncarnation(other.getIncarnation());
         }
+        if (!other.getAttemptName().isEmpty()) {
+          attemptName_ = other.attemptName_;
+          bitField0_ |= 0x00000008;
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -10088,6 +10159,11 @@
                 bitField0_ |= 0x00000004;
                 break;
               } // case 25
+              case 34: {
+                attemptName_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 34
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -10330,6 +10406,78 @@
         return this;
       }
 
+      private java.lang.Object attemptName_ = "";
+      /**
+       * <code>string attempt_name = 4;</code>
+       * @return The attemptName.
+       */
+      public java.lang.String getAttemptName() {
+        java.lang.Object ref = attemptName_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          attemptName_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string attempt_name = 4;</code>
+       * @return The bytes for attemptName.
+       */
+      public com.google.protobuf.ByteString
+          getAttemptNameBytes() {
+        java.lang.Object ref = attemptName_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          attemptName_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string attempt_name = 4;</code>
+       * @param value The attemptName to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAttemptName(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        attemptName_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string attempt_name = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAttemptName() {
+        attemptName_ = getDefaultInstance().getAttemptName();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string attempt_name = 4;</code>
+       * @param value The bytes for attemptName to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAttemptNameBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        attemptName_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:laneworks.Bar)
     }
 
@@ -19584,34 +19732,35 @@
       "millis\030\016 \001(\004\022\024\n\014credit_limit\030\017 \001(\004\"z\n\006At" +
       "tach\022!\n\006stream\030\001 \001(\0132\021.laneworks.Stream\022" +
       "\022\n\ngeneration\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\006" +
-      "\022\016\n\006offset\030\004 \001(\004\022\024\n\014credit_limit\030\005 \001(\004\"Q" +
+      "\022\016\n\006offset\030\004 \001(\004\022\024\n\014credit_limit\030\005 \001(\004\"g" +
       "\n\003Bar\022!\n\006stream\030\001 \001(\0132\021.laneworks.Stream" +
       "\022\022\n\ngeneration\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(" +
-      "\006\"@\n\007Release\022!\n\006stream\030\001 \001(\0132\021.laneworks" +
-      ".Stream\022\022\n\nmay_return\030\002 \001(\010\"A\n\006Credit\022!\n" +
-      "\006stream\030\001 \001(\0132\021.laneworks.Stream\022\024\n\014cred" +
-      "it_limit\030\002 \001(\004\"\007\n\005Probe\")\n\006BarKey\022\037\n\003key" +
-      "\030\001 \001(\0132\022.laneworks.OnceKey\"Q\n\010Accepted\022!" +
-      "\n\006stream\030\001 \001(\0132\021.laneworks.Stream\022\022\n\ngen" +
-      "eration\030\002 \001(\t\022\016\n\006queued\030\003 \001(\r\"H\n\005Chunk\022!" +
-      "\n\006stream\030\001 \001(\0132\021.laneworks.Stream\022\016\n\006off" +
-      "set\030\002 \001(\004\022\014\n\004data\030\003 \001(\014\"G\n\003End\022!\n\006stream" +
-      "\030\001 \001(\0132\021.laneworks.Stream\022\r\n\005total\030\002 \001(\004" +
-      "\022\016\n\006reason\030\003 \001(\r\"{\n\007Refused\022!\n\006stream\030\001 " +
-      "\001(\0132\021.laneworks.Stream\022\017\n\007verdict\030\002 \001(\r\022" +
-      "\016\n\006reason\030\003 \001(\t\022\016\n\006detail\030\004 \001(\t\022\034\n\024retry" +
-      "_after_plus_one\030\005 \001(\004\"?\n\tBarResult\022!\n\006st" +
-      "ream\030\001 \001(\0132\021.laneworks.Stream\022\017\n\007outcome" +
-      "\030\002 \001(\r\"f\n\004Load\022\017\n\007running\030\001 \001(\r\022\016\n\006queue" +
-      "d\030\002 \001(\r\022\023\n\013used_tokens\030\003 \001(\004\022\027\n\017capacity" +
-      "_tokens\030\004 \001(\004\022\017\n\007leaving\030\005 \001(\010\"@\n\014KeyBar" +
-      "Result\022\037\n\003key\030\001 \001(\0132\022.laneworks.OnceKey\022" +
-      "\017\n\007outcome\030\002 \001(\r\"F\n\023ConfigurationNotice\022" +
-      "\017\n\007version\030\001 \001(\004\022\036\n\026confirmed_age_plus_o" +
-      "ne\030\002 \001(\004\"\026\n\024ConfigurationRequest\"F\n\021Conf" +
-      "igurationText\022\017\n\007version\030\001 \001(\004\022\020\n\010deflat" +
-      "ed\030\002 \001(\014\022\016\n\006digest\030\003 \001(\014B&\n\030dev.lanework" +
-      "s.wire.protoB\010ProtocolP\000b\006proto3"
+      "\006\022\024\n\014attempt_name\030\004 \001(\t\"@\n\007Release\022!\n\006st" +
+      "ream\030\001 \001(\0132\021.laneworks.Stream\022\022\n\nmay_ret" +
+      "urn\030\002 \001(\010\"A\n\006Credit\022!\n\006stream\030\001 \001(\0132\021.la" +
+      "neworks.Stream\022\024\n\014credit_limit\030\002 \001(\004\"\007\n\005" +
+      "Probe\")\n\006BarKey\022\037\n\003key\030\001 \001(\0132\022.laneworks" +
+      ".OnceKey\"Q\n\010Accepted\022!\n\006stream\030\001 \001(\0132\021.l" +
+      "aneworks.Stream\022\022\n\ngeneration\030\002 \001(\t\022\016\n\006q" +
+      "ueued\030\003 \001(\r\"H\n\005Chunk\022!\n\006stream\030\001 \001(\0132\021.l" +
+      "aneworks.Stream\022\016\n\006offset\030\002 \001(\004\022\014\n\004data\030" +
+      "\003 \001(\014\"G\n\003End\022!\n\006stream\030\001 \001(\0132\021.laneworks" +
+      ".Stream\022\r\n\005total\030\002 \001(\004\022\016\n\006reason\030\003 \001(\r\"{" +
+      "\n\007Refused\022!\n\006stream\030\001 \001(\0132\021.laneworks.St" +
+      "ream\022\017\n\007verdict\030\002 \001(\r\022\016\n\006reason\030\003 \001(\t\022\016\n" +
+      "\006detail\030\004 \001(\t\022\034\n\024retry_after_plus_one\030\005 " +
+      "\001(\004\"?\n\tBarResult\022!\n\006stream\030\001 \001(\0132\021.lanew" +
+      "orks.Stream\022\017\n\007outcome\030\002 \001(\r\"f\n\004Load\022\017\n\007" +
+      "running\030\001 \001(\r\022\016\n\006queued\030\002 \001(\r\022\023\n\013used_to" +
+      "kens\030\003 \001(\004\022\027\n\017capacity_tokens\030\004 \001(\004\022\017\n\007l" +
+      "eaving\030\005 \001(\010\"@\n\014KeyBarResult\022\037\n\003key\030\001 \001(" +
+      "\0132\022.laneworks.OnceKey\022\017\n\007outcome\030\002 \001(\r\"F" +
+      "\n\023ConfigurationNotice\022\017\n\007version\030\001 \001(\004\022\036" +
+      "\n\026confirmed_age_plus_one\030\002 \001(\004\"\026\n\024Config" +
+      "urationRequest\"F\n\021ConfigurationText\022\017\n\007v" +
+      "ersion\030\001 \001(\004\022\020\n\010deflated\030\002 \001(\014\022\016\n\006digest" +
+      "\030\003 \001(\014B&\n\030dev.laneworks.wire.protoB\010Prot" +
+      "ocolP\000b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -19658,7 +19807,7 @@
     internal_static_laneworks_Bar_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_Bar_descriptor,
-        new java.lang.String[] { "Stream", "Generation", "Incarnation", });
+        new java.lang.String[] { "Stream", "Generation", "Incarnation", "AttemptName", });
     internal_static_laneworks_Release_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_laneworks_Release_fieldAccessorTable = new
