--- a/laneworks-bench/src/main/java/dev/laneworks/bench/fuzz/FakeSidecar.java
+++ b/laneworks-bench/src/main/java/dev/laneworks/bench/fuzz/FakeSidecar.java
@@ -103,6 +103,11 @@
 		this.links.keySet().forEach((l) -> send(l, new SidecarMessage.Load(this.host.load())));
 	}
 
+	void farewell() {
+		this.host.end();
+		this.links.keySet().forEach((l) -> send(l, new SidecarMessage.Farewell()));
+	}
+
 	void linkUp(FakeLink link) {
 		this.links.put(link.number(), link);
 		send(link, this.exchange.notice(this.time.now()));
--- a/laneworks-bench/src/main/java/dev/laneworks/bench/fuzz/World.java
+++ b/laneworks-bench/src/main/java/dev/laneworks/bench/fuzz/World.java
@@ -51,6 +51,8 @@
 
 	private static final long ASK_WAY_MILLIS = 5;
 
+	private static final long FLUSH_MILLIS = 50;
+
 	/** After this time without faults nothing may be under way any more. */
 	private static final long SETTLE_MILLIS = 60_000;
 
@@ -332,7 +334,12 @@
 			return;
 		}
 		if (sidecar.isReadyToEnd() && !sidecar.isPaused()) {
-			killSidecar(sidecar.index());
+			sidecar.farewell();
+			this.time.after(FLUSH_MILLIS, () -> {
+				if (!sidecar.isDead()) {
+					killSidecar(sidecar.index());
+				}
+			});
 			return;
 		}
 		this.time.after(RECONNECT_MILLIS, () -> endWhenIdle(sidecar));
--- a/laneworks-core/src/main/java/dev/laneworks/core/admission/MemoryForecast.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/admission/MemoryForecast.java
@@ -17,7 +17,8 @@
  */
 public final class MemoryForecast {
 
-	private static final int[] HORIZONS = { 0, 16, 64, 128, 256, 512, 1024, 2048, 4096, 8192, 16384 };
+	private static final int[] HORIZONS = { 0, 16, 32, 64, 90, 128, 181, 256, 362, 512, 724, 1024, 1448, 2048, 2896,
+			4096, 5793, 8192, 11585, 16384 };
 
 	private static final double CERTAINLY_RUNNING = 1.0;
 
@@ -29,6 +30,9 @@
 
 	private final double[] variances = new double[HORIZONS.length];
 
+	/** What all would hold if each grew as long as it may. */
+	private long ceiling;
+
 	/**
 	 * Create a forecast of an empty engine.
 	 * @param lengths says how likely an output is to outlast a length
@@ -47,6 +51,7 @@
 	 * @param running the running generations
 	 */
 	public void refresh(Collection<? extends MemoryUser> running) {
+		this.ceiling = 0;
 		for (int i = 0; i < HORIZONS.length; i++) {
 			this.means[i] = 0;
 			this.variances[i] = 0;
@@ -59,6 +64,7 @@
 	 * @param user the generation
 	 */
 	public void add(MemoryUser user) {
+		this.ceiling += ceiling(user);
 		double survivalNow = survivalNow(user);
 		for (int i = 0; i < HORIZONS.length; i++) {
 			double running = probability(user, survivalNow, HORIZONS[i]);
@@ -75,6 +81,9 @@
 	 * @return {@code true} if the chance of outgrowing the memory stays under the bound
 	 */
 	public boolean fits(MemoryUser candidate, long capacityTokens) {
+		if (this.ceiling + ceiling(candidate) <= capacityTokens) {
+			return true;
+		}
 		double survivalNow = survivalNow(candidate);
 		for (int i = 0; i < HORIZONS.length; i++) {
 			double running = probability(candidate, survivalNow, HORIZONS[i]);
@@ -118,6 +127,10 @@
 		return Math.min(1, this.lengths.survival(user.lengthClass(), length) / survivalNow);
 	}
 
+	private static long ceiling(MemoryUser user) {
+		return (long) user.promptTokens() + user.maxTokens();
+	}
+
 	private static double held(MemoryUser user, int horizon) {
 		return (double) user.promptTokens() + Math.min(user.maxTokens(), user.outputTokens() + horizon);
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/call/Call.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/call/Call.java
@@ -54,6 +54,8 @@
 
 	private boolean announced;
 
+	private boolean heardWhileBarring;
+
 	Call(long number, CallRequest request, long now) {
 		this.number = number;
 		this.request = request;
@@ -128,6 +130,7 @@
 		this.incarnation = sidecarIncarnation;
 		this.generation = work().generationName(stream.attempt());
 		this.attemptName = work().attemptName(stream.attempt());
+		this.heardWhileBarring = false;
 		return stream;
 	}
 
@@ -203,6 +206,15 @@
 		return first;
 	}
 
+	// The sidecar read the request before it read the wish to bar it.
+	void heardWhileBarring() {
+		this.heardWhileBarring = true;
+	}
+
+	boolean wasHeardWhileBarring() {
+		return this.heardWhileBarring;
+	}
+
 	boolean hasFixedTarget() {
 		return work().onceKey().isPresent();
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/call/CallCoordinator.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/call/CallCoordinator.java
@@ -222,6 +222,10 @@
 			this.board.state(target).recordReport(load.report(), now);
 			return;
 		}
+		if (message instanceof SidecarMessage.Farewell) {
+			onFarewell(target, now);
+			return;
+		}
 		if (!(message instanceof SidecarMessage.OfStream ofStream)) {
 			this.counters.strays().increment();
 			return;
@@ -320,7 +324,26 @@
 		this.outputs.send(call.target(), new EntryMessage.Submit(stream, work, call.creditLimit()));
 	}
 
+	private void onFarewell(String target, long now) {
+		this.board.state(target).recordLeaving();
+		for (Call call : callsAt(target)) {
+			if (call.phase() == CallPhase.SUBMITTED || call.phase() == CallPhase.BARRING) {
+				attemptFailed(call, unansweredAtEnd(call), now);
+			}
+		}
+	}
+
+	private static Refusal unansweredAtEnd(Call call) {
+		if (call.wasHeardWhileBarring()) {
+			return Refusal.mayHaveRun(RefusalReason.LEAVING, "the sidecar ended after it took the request on");
+		}
+		return Refusal.notRun(RefusalReason.LEAVING, "the sidecar ended without reading the request", NO_TARGET_RETRY);
+	}
+
 	private void onStreamMessage(Call call, SidecarMessage.OfStream message, long now) {
+		if (call.phase() == CallPhase.BARRING) {
+			call.heardWhileBarring();
+		}
 		if (message instanceof SidecarMessage.Accepted) {
 			onAccepted(call, now);
 		}
--- a/laneworks-core/src/main/java/dev/laneworks/core/host/Admission.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/host/Admission.java
@@ -22,6 +22,11 @@
 
 	private static final long LEAST_RETRY_MILLIS = 500;
 
+	private static final double YIELD_MARGIN = 0.05;
+
+	/** How long a forecast is used while only tokens came since. */
+	private static final long FORECAST_MILLIS = 50;
+
 	private static final Comparator<Generation> FIRST_TO_YIELD = Comparator.comparingInt(Generation::priority)
 		.thenComparingLong(Generation::heldTokens);
 
@@ -39,6 +44,8 @@
 
 	private boolean forecastStale;
 
+	private long forecastAt;
+
 	Admission(HostSettings settings, LengthModel lengths) {
 		this.settings = settings;
 		this.forecast = new MemoryForecast(lengths, settings.deviations());
@@ -79,7 +86,7 @@
 	// Take the next request whose memory fits.
 	Optional<Generation> next(long now) {
 		Optional<Generation> head = this.queue.peek(now);
-		if (head.isEmpty() || this.running.size() >= this.settings.maxRunning() || !fits(head.get())) {
+		if (head.isEmpty() || this.running.size() >= this.settings.maxRunning() || !fits(head.get(), now)) {
 			return Optional.empty();
 		}
 		Generation generation = head.get();
@@ -100,7 +107,6 @@
 		if (this.running.contains(generation)) {
 			this.usedTokens++;
 		}
-		this.forecastStale = true;
 		this.queue.recordServed(generation.account(), generation.weight(), 1);
 	}
 
@@ -132,15 +138,20 @@
 		return this.usedTokens;
 	}
 
-	private boolean fits(Generation candidate) {
+	private boolean fits(Generation candidate, long now) {
 		if (!watchesMemory() || this.running.isEmpty()) {
 			return true;
 		}
-		if (this.forecastStale) {
+		if (this.forecastStale || now - this.forecastAt >= FORECAST_MILLIS) {
 			this.forecast.refresh(this.running);
 			this.forecastStale = false;
+			this.forecastAt = now;
 		}
-		return this.forecast.fits(candidate, this.settings.capacityTokens());
+		// Below the mark at which somebody yields, or a generation would yield and go on
+		// in turns.
+		double mark = (this.settings.highWater() - YIELD_MARGIN) * this.settings.capacityTokens();
+		return this.usedTokens + candidate.heldTokens() <= mark
+				&& this.forecast.fits(candidate, this.settings.capacityTokens());
 	}
 
 	private void removeRunning(Generation generation) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/host/GenerationHost.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/host/GenerationHost.java
@@ -87,6 +87,8 @@
 
 	private boolean leaving;
 
+	private boolean ended;
+
 	private long lastInputAt;
 
 	/**
@@ -121,6 +123,9 @@
 	 * @param now the time in milliseconds
 	 */
 	public void onMessage(long link, EntryMessage message, long now) {
+		if (this.ended) {
+			return;
+		}
 		noticePause(now);
 		if (message instanceof EntryMessage.Submit submit) {
 			submit(link, submit, now);
@@ -318,6 +323,15 @@
 					&& (g.isDelivered() || now - g.idleSince() >= this.settings.holdMillis()));
 	}
 
+	/**
+	 * End for good: no message that comes after this is read.
+	 * <p>
+	 * To be followed by {@link SidecarMessage.Farewell} on every link.
+	 */
+	public void end() {
+		this.ended = true;
+	}
+
 	/**
 	 * Return whether the target takes no new work.
 	 * @return {@code true} after {@link #leave}
--- a/laneworks-core/src/main/java/dev/laneworks/core/message/SidecarMessage.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/message/SidecarMessage.java
@@ -84,6 +84,14 @@
 
 	}
 
+	/**
+	 * Says that the sidecar ends: what it did not answer before on this link it has not
+	 * read and never will.
+	 */
+	record Farewell() implements SidecarMessage {
+
+	}
+
 	/**
 	 * Answers {@link EntryMessage.BarKey}.
 	 *
--- /dev/null
+++ b/laneworks-core/src/test/java/dev/laneworks/core/configuration/ConfigurationParserTests.java
@@ -0,0 +1,65 @@
+package dev.laneworks.core.configuration;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link ConfigurationParser}.
+ */
+class ConfigurationParserTests {
+
+	private static final String TARGET = "{\"name\": \"t1\", \"dataCentre\": \"d1\", \"address\": \"10.0.0.1:7400\", "
+			+ "\"serves\": [\"m1\"]}";
+
+	@Test
+	void findsAnAccountsOwnIntentBeforeTheOneForAny() {
+		String digest = "0".repeat(64);
+		FleetConfiguration configuration = ConfigurationParser
+			.parse("file",
+					"{\"version\": 3, \"targets\": [" + TARGET + "], \"accounts\": [{\"name\": \"a\", \"keyDigest\": \""
+							+ digest + "\"}], \"intents\": [{\"model\": \"m1\", \"priority\": 1}, "
+							+ "{\"account\": \"a\", \"model\": \"m1\", \"priority\": 5}]}")
+			.get();
+		assertThat(configuration.version()).isEqualTo(3);
+		assertThat(configuration.intent("a", "m1").orElseThrow().priority()).isEqualTo(5);
+		assertThat(configuration.intent("b", "m1").orElseThrow().priority()).isEqualTo(1);
+		assertThat(configuration.intent("b", "m2").isEmpty()).isTrue();
+		assertThat(configuration.accountByDigest(digest).orElseThrow().name()).isEqualTo("a");
+	}
+
+	@Test
+	void refusesATargetGivenTwice() {
+		assertThat(fault("{\"version\": 1, \"targets\": [" + TARGET + ",\n" + TARGET + "]}"))
+			.isEqualTo("file:2: targets[1].name: \"t1\" is given twice");
+	}
+
+	@Test
+	void refusesAnIntentForAModelThatNoTargetServes() {
+		assertThat(fault("{\"version\": 1, \"targets\": [" + TARGET + "],\n\"intents\": [{\"model\": \"m9\"}]}"))
+			.isEqualTo("file:2: intents[0].model: names \"m9\", which no target serves");
+	}
+
+	@Test
+	void refusesAHostName() {
+		assertThat(fault("{\"version\": 1, \"targets\": [" + TARGET.replace("10.0.0.1", "example") + "]}"))
+			.contains("targets[0].address: must be an IP number and a port");
+	}
+
+	@Test
+	void refusesAVersionBelowOne() {
+		assertThat(fault("{\"version\": 0}")).contains("version: must be a whole number from 1");
+	}
+
+	@Test
+	void refusesAnUnknownSpillRule() {
+		assertThat(fault("{\"version\": 1, \"targets\": [" + TARGET
+				+ "], \"intents\": [{\"model\": \"m1\", \"spill\": \"all\"}]}"))
+			.contains("must be one of none, region, any but is the string \"all\"");
+	}
+
+	private static String fault(String document) {
+		return ConfigurationParser.parse("file", document).getLeft().getMessage();
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/test/java/dev/laneworks/core/document/DocumentReaderTests.java
@@ -0,0 +1,70 @@
+package dev.laneworks.core.document;
+
+import java.time.Duration;
+import java.util.function.Function;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link DocumentReader} and {@link DocumentObject}.
+ */
+class DocumentReaderTests {
+
+	@Test
+	void readsCommentsAndTrailingCommas() {
+		String text = "// a comment\n{\"a\": 1, /* another */ \"b\": \"two\",}";
+		String read = DocumentReader.read("file", text, (o) -> o.integer("a", 0, 9) + o.text("b")).get();
+		assertThat(read).isEqualTo("1two");
+	}
+
+	@Test
+	void namesAnUnknownSettingWithItsLineAndWhatIsAllowed() {
+		String message = fault("{\n  \"a\": 1,\n  \"aa\": 2\n}", (o) -> o.integer("a", 0, 9));
+		assertThat(message).isEqualTo("file:3: aa: is unknown; allowed here: a");
+	}
+
+	@Test
+	void namesAWrongTypeWithItsLine() {
+		String message = fault("{\n\n\"a\": \"x\"}", (o) -> o.integer("a", 0, 9));
+		assertThat(message).isEqualTo("file:3: a: must be a whole number from 0 to 9 but is the string \"x\"");
+	}
+
+	@Test
+	void namesANumberOutOfRange() {
+		assertThat(fault("{\"a\": 10}", (o) -> o.integer("a", 0, 9))).contains("from 0 to 9 but is the number 10");
+	}
+
+	@Test
+	void namesABadUnit() {
+		String message = fault("{\"o\": {\"wait\": \"5 sec\"}}",
+				(o) -> o.object("o").duration("wait", Duration.ZERO, Duration.ofHours(1), Duration.ZERO));
+		assertThat(message).contains("file:1: o.wait: must be a duration from 0s to 3600s");
+	}
+
+	@Test
+	void namesASettingGivenTwice() {
+		assertThat(fault("{\"a\": 1,\n\"a\": 2}", (o) -> o.integer("a", 0, 9))).isEqualTo("file:2: a: is given twice");
+	}
+
+	@Test
+	void namesTheLineOfBrokenJson() {
+		assertThat(fault("{\n\"a\": }", (o) -> o.integer("a", 0, 9))).startsWith("file:2: document: is not JSON");
+	}
+
+	@Test
+	void namesAMissingSetting() {
+		assertThat(fault("{}", (o) -> o.text("a"))).isEqualTo("file:1: a: is missing; it must be a string");
+	}
+
+	@Test
+	void refusesAnEmptyDocument() {
+		assertThat(fault("", (o) -> 1)).contains("is empty");
+	}
+
+	private static String fault(String text, Function<DocumentObject, Object> mapping) {
+		return DocumentReader.read("file", text, mapping).getLeft().getMessage();
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/test/java/dev/laneworks/core/host/GenerationHostTests.java
@@ -0,0 +1,393 @@
+package dev.laneworks.core.host;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import dev.laneworks.core.configuration.ConfigurationLedger;
+import dev.laneworks.core.message.BarOutcome;
+import dev.laneworks.core.message.EntryMessage;
+import dev.laneworks.core.message.FinishReason;
+import dev.laneworks.core.message.OnceKey;
+import dev.laneworks.core.message.SidecarMessage;
+import dev.laneworks.core.message.StreamId;
+import dev.laneworks.core.message.Work;
+import dev.laneworks.core.message.WorkKind;
+import dev.laneworks.core.once.KeyGuard;
+import dev.laneworks.core.once.ViewHistory;
+import dev.laneworks.core.verdict.RefusalReason;
+import dev.laneworks.core.verdict.Verdict;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link GenerationHost}.
+ */
+class GenerationHostTests {
+
+	private static final long LINK = 1;
+
+	private static final long OTHER_LINK = 2;
+
+	private static final long INCARNATION = 77;
+
+	private static final String TARGETS = "{\"version\": %d, \"keys\": {\"retryWindow\": \"10s\", \"viewAge\": \"5s\", "
+			+ "\"serviceStaleness\": \"1s\"}, \"targets\": [%s]}";
+
+	private final Recording outputs = new Recording();
+
+	private final ConfigurationLedger ledger = new ConfigurationLedger();
+
+	private final ViewHistory views = new ViewHistory();
+
+	private final GenerationHost host = host(
+			new HostSettings(2, 3, 0, 0.97, 2, 20_000, 1_000, 1_000, 1_000, 500, 2_000, 64));
+
+	@Test
+	void deliversWhatTheTargetGivesOnceAndInOrder() {
+		submit(LINK, 1, "r", 9);
+		this.host.onTargetChunk("r-1", 0, data(0), 1);
+		this.host.onTargetChunk("r-1", 0, data(0), 1);
+		this.host.onTargetChunk("r-1", 1, data(1), 2);
+		this.host.onTargetEnd("r-1", 2, FinishReason.STOP, 3);
+		assertThat(this.outputs.log).containsExactly("accepted 1", "start r-1", "chunk 0", "chunk 1", "end 2")
+			.inOrder();
+		assertThat(this.host.counters().duplicates().sum()).isEqualTo(1);
+	}
+
+	@Test
+	void mendsAGapAndATruncatedOutput() {
+		submit(LINK, 1, "r", 9);
+		this.host.onTargetChunk("r-1", 1, data(1), 1);
+		assertThat(this.outputs.last()).isEqualTo("reattach r-1 from 0");
+		this.host.onTargetChunk("r-1", 0, data(0), 2);
+		this.host.onTargetEnd("r-1", 2, FinishReason.STOP, 3);
+		assertThat(this.outputs.last()).isEqualTo("reattach r-1 from 1");
+	}
+
+	@Test
+	void sendsNoMoreThanTheReaderAllows() {
+		submit(LINK, 1, "r", 1);
+		this.host.onTargetChunk("r-1", 0, data(0), 1);
+		this.host.onTargetChunk("r-1", 1, data(1), 1);
+		assertThat(this.outputs.last()).isEqualTo("chunk 0");
+		this.host.onMessage(LINK, new EntryMessage.Credit(new StreamId(1, 1), 2), 2);
+		assertThat(this.outputs.last()).isEqualTo("chunk 1");
+	}
+
+	@Test
+	void ofTwoReadersOneWinsAndNeitherSeesATokenTwice() {
+		submit(LINK, 1, "r", 9);
+		this.host.onTargetChunk("r-1", 0, data(0), 1);
+		attach(LINK, new StreamId(2, 1), 1);
+		attach(OTHER_LINK, new StreamId(3, 1), 1);
+		assertThat(this.outputs.refused).containsExactly(RefusalReason.SUPERSEDED, RefusalReason.SUPERSEDED);
+		this.outputs.log.clear();
+		this.host.onTargetChunk("r-1", 1, data(1), 2);
+		assertThat(this.outputs.log).containsExactly("chunk 1");
+		assertThat(this.outputs.lastLink).isEqualTo(OTHER_LINK);
+	}
+
+	@Test
+	void aCallerThatLeavesFreesTheTargetAtOnce() {
+		submit(LINK, 1, "r", 9);
+		this.host.onMessage(LINK, new EntryMessage.Release(new StreamId(1, 1), false), 5);
+		assertThat(this.outputs.last()).isEqualTo("cancel r-1");
+		assertThat(this.host.load().running()).isEqualTo(0);
+	}
+
+	@Test
+	void aReaderWhoseLinkIsLostMayComeBackForAWhile() {
+		submit(LINK, 1, "r", 9);
+		this.host.onLinkLost(LINK, 10);
+		this.host.tick(900);
+		attach(OTHER_LINK, new StreamId(5, 1), 0);
+		assertThat(this.outputs.last()).isEqualTo("accepted 5");
+		this.host.onLinkLost(OTHER_LINK, 1_000);
+		this.host.tick(2_000);
+		assertThat(this.outputs.last()).isEqualTo("cancel r-1");
+	}
+
+	@Test
+	void barredBeforeItCameItNeverRuns() {
+		this.host.onMessage(LINK, new EntryMessage.Bar(new StreamId(1, 1), "r-1", "r-1", INCARNATION), 1);
+		assertThat(this.outputs.barOutcome).isEqualTo(BarOutcome.BARRED);
+		submit(LINK, 1, "r", 9);
+		assertThat(this.outputs.refused).containsExactly(RefusalReason.WITHDRAWN);
+		assertThat(this.outputs.verdict).isEqualTo(Verdict.NOT_RUN);
+		assertThat(this.outputs.log).doesNotContain("start r-1");
+	}
+
+	@Test
+	void whatRunsCanNotBeBarredAndAnotherIncarnationCanNotTell() {
+		submit(LINK, 1, "r", 9);
+		this.host.onMessage(LINK, new EntryMessage.Bar(new StreamId(1, 1), "r-1", "r-1", INCARNATION), 1);
+		assertThat(this.outputs.barOutcome).isEqualTo(BarOutcome.HAS_RUN);
+		this.host.onMessage(LINK, new EntryMessage.Bar(new StreamId(2, 1), "q-1", "q-1", 5), 1);
+		assertThat(this.outputs.barOutcome).isEqualTo(BarOutcome.UNKNOWN);
+	}
+
+	@Test
+	void leavingItSendsQueuedWorkBackAndGoesOnWithTheRest() {
+		submit(LINK, 1, "a", 9);
+		submit(LINK, 2, "b", 9);
+		submit(LINK, 3, "c", 9);
+		this.host.leave("test", 1);
+		assertThat(this.outputs.refused).containsExactly(RefusalReason.LEAVING);
+		assertThat(this.outputs.verdict).isEqualTo(Verdict.NOT_RUN);
+		submit(LINK, 4, "d", 9);
+		assertThat(this.outputs.refused).containsExactly(RefusalReason.LEAVING, RefusalReason.LEAVING);
+		assertThat(this.host.load().running()).isEqualTo(2);
+		assertThat(this.host.isIdle(2)).isFalse();
+	}
+
+	@Test
+	void pausedItSendsBackWhatWaited() {
+		submit(LINK, 1, "a", 9);
+		submit(LINK, 2, "b", 9);
+		submit(LINK, 3, "c", 9);
+		this.host.onTargetEnd("a-1", 0, FinishReason.STOP, 5);
+		submit(LINK, 4, "d", 9);
+		this.host.tick(2_005);
+		assertThat(this.outputs.refused).containsExactly(RefusalReason.WITHDRAWN);
+		assertThat(this.host.counters().pauses().sum()).isEqualTo(1);
+	}
+
+	@Test
+	void refusesAtOnceWhenTheQueueIsFull() {
+		for (int i = 1; i <= 6; i++) {
+			submit(LINK, i, "r" + i, 9);
+		}
+		assertThat(this.outputs.refused).containsExactly(RefusalReason.OVERLOADED);
+		assertThat(this.outputs.verdict).isEqualTo(Verdict.NOT_RUN);
+	}
+
+	@Test
+	void aTargetThatWasNeverReachedDidNotRunTheRequest() {
+		submit(LINK, 1, "r", 9);
+		this.host.onTargetLost("r-1", TargetLoss.NOT_SENT, 5);
+		assertThat(this.outputs.verdict).isEqualTo(Verdict.NOT_RUN);
+	}
+
+	@Test
+	void aTargetThatForgotTheGenerationEndsItWithATrueVerdict() {
+		submit(LINK, 1, "r", 9);
+		submit(LINK, 2, "q", 9);
+		this.host.onTargetChunk("r-1", 0, data(0), 1);
+		this.host.onTargetLost("r-1", TargetLoss.UNKNOWN, 5);
+		assertThat(this.outputs.verdict).isEqualTo(Verdict.RAN);
+		this.host.onTargetLost("q-1", TargetLoss.UNKNOWN, 5);
+		assertThat(this.outputs.verdict).isEqualTo(Verdict.MAY_HAVE_RUN);
+	}
+
+	@Test
+	void aTicketOfThisProcessRunsOnceAndOneOfAnotherIsInDoubt() {
+		submitKeyed(1, new OnceKey("a", "k", INCARNATION), 0);
+		submitKeyed(2, new OnceKey("a", "k", INCARNATION), 0);
+		assertThat(this.outputs.starts).isEqualTo(1);
+		submitKeyed(3, new OnceKey("a", "j", 5), 0);
+		assertThat(this.outputs.last()).startsWith("look up once-");
+		this.host.onLookUp(new OnceKey("a", "j", 5).generationName(), false, 1);
+		assertThat(this.outputs.refused).contains(RefusalReason.KEY_IN_DOUBT);
+		assertThat(this.outputs.verdict).isEqualTo(Verdict.MAY_HAVE_RUN);
+	}
+
+	@Test
+	void aKeyWithoutATicketNeedsAFreshViewAndAMemoryOfTheWholeWindow() {
+		submitKeyed(1, new OnceKey("a", "k", OnceKey.NO_TICKET), 0);
+		assertThat(this.outputs.refused).containsExactly(RefusalReason.STALE_VIEW);
+		publish(1, 0, "t");
+		submitKeyed(2, new OnceKey("a", "k", OnceKey.NO_TICKET), 10);
+		assertThat(this.outputs.last()).startsWith("look up once-");
+		this.host.onLookUp(new OnceKey("a", "k", OnceKey.NO_TICKET).generationName(), false, 20);
+		assertThat(this.outputs.refused).contains(RefusalReason.KEY_IN_DOUBT);
+		this.ledger.confirm(1, 0, 30_000);
+		submitKeyed(3, new OnceKey("a", "k", OnceKey.NO_TICKET), 30_000);
+		assertThat(this.outputs.starts).isEqualTo(1);
+	}
+
+	@Test
+	void aFormerHomeMustBarTheKeyFirst() {
+		publish(1, 0, "u");
+		publish(2, 40_000, "t");
+		OnceKey key = new OnceKey("a", "k", OnceKey.NO_TICKET);
+		submitKeyed(1, key, 40_010);
+		assertThat(this.outputs.last()).isEqualTo("ask u");
+		assertThat(this.outputs.starts).isEqualTo(0);
+		this.host.onHomeAnswer("u", key, BarOutcome.BARRED, 40_020);
+		assertThat(this.outputs.starts).isEqualTo(1);
+	}
+
+	@Test
+	void aFormerHomeThatRanItOrIsSilentKeepsItFromRunning() {
+		publish(1, 0, "u");
+		publish(2, 40_000, "t");
+		OnceKey ran = new OnceKey("a", "k", OnceKey.NO_TICKET);
+		submitKeyed(1, ran, 40_010);
+		this.host.onHomeAnswer("u", ran, BarOutcome.HAS_RUN, 40_020);
+		assertThat(this.outputs.verdict).isEqualTo(Verdict.RAN);
+		submitKeyed(2, new OnceKey("a", "j", OnceKey.NO_TICKET), 40_030);
+		this.host.tick(40_600);
+		assertThat(this.outputs.verdict).isEqualTo(Verdict.MAY_HAVE_RUN);
+		assertThat(this.outputs.starts).isEqualTo(0);
+	}
+
+	@Test
+	void aKeyThatWaitedIsCheckedAgainWhenItIsAdmitted() {
+		publish(1, 0, "t");
+		this.ledger.confirm(1, 0, 40_000);
+		submit(LINK, 1, "a", 9, 40_000);
+		submit(LINK, 2, "b", 9, 40_000);
+		submitKeyed(3, new OnceKey("a", "k", OnceKey.NO_TICKET), 40_000);
+		for (long now = 40_500; now < 46_000; now += 500) {
+			this.host.tick(now);
+		}
+		this.host.onTargetEnd("a-1", 0, FinishReason.STOP, 46_000);
+		assertThat(this.outputs.refused).contains(RefusalReason.STALE_VIEW);
+		assertThat(this.outputs.starts).isEqualTo(2);
+	}
+
+	@Test
+	void whenMemoryRunsShortTheLowestPriorityWithTheLeastWorkYieldsAndGoesOnLater() {
+		GenerationHost small = host(new HostSettings(9, 9, 100, 0.9, 0, 20_000, 9_000, 1_000, 1_000, 500, 9_000, 64));
+		small.onMessage(LINK, submission(1, "low", 0, 30), 0);
+		small.onMessage(LINK, submission(2, "less", 0, 10), 0);
+		small.onMessage(LINK, submission(3, "high", 5, 10), 0);
+		assertThat(this.outputs.starts).isEqualTo(3);
+		for (int i = 0; i < 41; i++) {
+			small.onTargetChunk("high-1", i, data(i), 1);
+		}
+		small.tick(2);
+		assertThat(this.outputs.log).contains("pause less-1");
+		assertThat(this.outputs.log).doesNotContain("pause low-1");
+		small.onTargetEnd("high-1", 41, FinishReason.STOP, 3);
+		assertThat(this.outputs.last()).isEqualTo("resume less-1");
+		assertThat(small.counters().yields().sum()).isEqualTo(1);
+	}
+
+	private GenerationHost host(HostSettings settings) {
+		return new GenerationHost("t", INCARNATION, settings, new KeyGuard("t", INCARNATION, 0, this.views),
+				this.ledger, this.outputs, (e) -> {
+				}, 0);
+	}
+
+	private void publish(long version, long now, String target) {
+		String targets = "{\"name\": \"" + target
+				+ "\", \"dataCentre\": \"d\", \"address\": \"10.0.0.1:1\", \"serves\": [\"m\"]}";
+		this.ledger.offer("test", TARGETS.formatted(version, targets), now);
+		this.ledger.confirm(version, 0, now);
+		this.views.record(this.ledger.current().orElseThrow().targets(), now);
+	}
+
+	private void submit(long link, long call, String request, long credit) {
+		submit(link, call, request, credit, 0);
+	}
+
+	private void submit(long link, long call, String request, long credit, long now) {
+		EntryMessage.Submit message = submission(call, request, 1, 1);
+		this.host.onMessage(link, new EntryMessage.Submit(message.stream(), message.work(), credit), now);
+	}
+
+	private void submitKeyed(long call, OnceKey key, long now) {
+		Work work = new Work("keyed" + call, WorkKind.COMPLETION, "a", "m", "POST", "/", new byte[0], 1, false,
+				Optional.of(key), 1, 100, 10_000);
+		this.host.onMessage(LINK, new EntryMessage.Submit(new StreamId(call, 1), work, 9), now);
+	}
+
+	private static EntryMessage.Submit submission(long call, String request, int priority, int promptTokens) {
+		Work work = new Work(request, WorkKind.COMPLETION, "a", "m", "POST", "/", new byte[0], priority, true,
+				Optional.empty(), promptTokens, 50, 10_000);
+		return new EntryMessage.Submit(new StreamId(call, 1), work, 99);
+	}
+
+	private void attach(long link, StreamId stream, long offset) {
+		this.host.onMessage(link, new EntryMessage.Attach(stream, "r-1", INCARNATION, offset, 99), 900);
+	}
+
+	private static byte[] data(int offset) {
+		return String.valueOf(offset).getBytes(StandardCharsets.UTF_8);
+	}
+
+	/**
+	 * Records what the host asks.
+	 */
+	private static final class Recording implements HostOutputs {
+
+		private final List<String> log = new ArrayList<>();
+
+		private final List<RefusalReason> refused = new ArrayList<>();
+
+		private Verdict verdict;
+
+		private BarOutcome barOutcome;
+
+		private long lastLink;
+
+		private int starts;
+
+		String last() {
+			return this.log.get(this.log.size() - 1);
+		}
+
+		@Override
+		public void send(long link, SidecarMessage message) {
+			this.lastLink = link;
+			if (message instanceof SidecarMessage.Accepted accepted) {
+				this.log.add("accepted " + accepted.stream().call());
+			}
+			else if (message instanceof SidecarMessage.Chunk chunk) {
+				this.log.add("chunk " + chunk.offset());
+			}
+			else if (message instanceof SidecarMessage.End end) {
+				this.log.add("end " + end.total());
+			}
+			else if (message instanceof SidecarMessage.Refused answer) {
+				this.refused.add(answer.refusal().reason());
+				this.verdict = answer.refusal().verdict();
+			}
+			else if (message instanceof SidecarMessage.BarResult result) {
+				this.barOutcome = result.outcome();
+			}
+		}
+
+		@Override
+		public void start(String generation, Work work) {
+			this.starts++;
+			this.log.add("start " + generation);
+		}
+
+		@Override
+		public void reattach(String generation, long offset) {
+			this.log.add("reattach " + generation + " from " + offset);
+		}
+
+		@Override
+		public void cancel(String generation) {
+			this.log.add("cancel " + generation);
+		}
+
+		@Override
+		public void pause(String generation) {
+			this.log.add("pause " + generation);
+		}
+
+		@Override
+		public void resume(String generation) {
+			this.log.add("resume " + generation);
+		}
+
+		@Override
+		public void lookUp(String generation) {
+			this.log.add("look up " + generation);
+		}
+
+		@Override
+		public void askHome(String home, OnceKey key) {
+			this.log.add("ask " + home);
+		}
+
+	}
+
+}
--- a/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/Sidecar.java
+++ b/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/Sidecar.java
@@ -201,7 +201,8 @@
 
 	private void tick(SidecarState state) {
 		state.tick();
-		if (this.stopping && state.host().isIdle(MonotonicClock.millis())) {
+		if (this.stopping && this.ended.getCount() > 0 && state.host().isIdle(MonotonicClock.millis())) {
+			state.farewell();
 			end(ExitCode.OK);
 		}
 	}
--- a/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/SidecarState.java
+++ b/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/SidecarState.java
@@ -6,6 +6,7 @@
 import dev.laneworks.core.host.GenerationHost;
 import dev.laneworks.core.message.ConfigurationMessage;
 import dev.laneworks.core.message.EntryMessage;
+import dev.laneworks.core.message.SidecarMessage;
 import dev.laneworks.core.once.ViewHistory;
 import dev.laneworks.core.peer.ConfigurationExchange;
 import dev.laneworks.core.peer.ConfigurationKeeper;
@@ -83,6 +84,11 @@
 		this.outputs.reportLoadToAll(this.host.load());
 	}
 
+	void farewell() {
+		this.host.end();
+		this.links.values().forEach((l) -> l.send(new SidecarMessage.Farewell()));
+	}
+
 	void tick() {
 		long now = MonotonicClock.millis();
 		this.host.tick(now);
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/FrameCodec.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/FrameCodec.java
@@ -174,6 +174,9 @@
 		else if (message instanceof SidecarMessage.Load load) {
 			frame.setLoad(encodeLoad(load.report()));
 		}
+		else if (message instanceof SidecarMessage.Farewell) {
+			frame.setFarewell(Protocol.Farewell.getDefaultInstance());
+		}
 		else if (message instanceof SidecarMessage.KeyBarResult result) {
 			frame.setKeyBarResult(Protocol.KeyBarResult.newBuilder()
 				.setKey(encode(result.key()))
@@ -208,6 +211,7 @@
 			case BAR_RESULT -> new SidecarMessage.BarResult(decode(frame.getBarResult().getStream()),
 					constant(BarOutcome.values(), frame.getBarResult().getOutcome()));
 			case LOAD -> new SidecarMessage.Load(decodeLoad(frame.getLoad()));
+			case FAREWELL -> new SidecarMessage.Farewell();
 			case KEY_BAR_RESULT -> new SidecarMessage.KeyBarResult(decode(frame.getKeyBarResult().getKey()),
 					constant(BarOutcome.values(), frame.getKeyBarResult().getOutcome()));
 			default -> null;
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
@@ -300,6 +300,21 @@
      */
     dev.laneworks.wire.proto.Protocol.ConfigurationNoticeOrBuilder getConfigurationNoticeOrBuilder();
 
+    /**
+     * <code>.laneworks.Farewell farewell = 19;</code>
+     * @return Whether the farewell field is set.
+     */
+    boolean hasFarewell();
+    /**
+     * <code>.laneworks.Farewell farewell = 19;</code>
+     * @return The farewell.
+     */
+    dev.laneworks.wire.proto.Protocol.Farewell getFarewell();
+    /**
+     * <code>.laneworks.Farewell farewell = 19;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.FarewellOrBuilder getFarewellOrBuilder();
+
     dev.laneworks.wire.proto.Protocol.Frame.BodyCase getBodyCase();
   }
   /**
@@ -368,6 +383,7 @@
       CONFIGURATION_REQUEST(16),
       CONFIGURATION_TEXT(17),
       CONFIGURATION_NOTICE(18),
+      FAREWELL(19),
       BODY_NOT_SET(0);
       private final int value;
       private BodyCase(int value) {
@@ -403,6 +419,7 @@
           case 16: return CONFIGURATION_REQUEST;
           case 17: return CONFIGURATION_TEXT;
           case 18: return CONFIGURATION_NOTICE;
+          case 19: return FAREWELL;
           case 0: return BODY_NOT_SET;
           default: return null;
         }
@@ -976,6 +993,37 @@
       return dev.laneworks.wire.proto.Protocol.ConfigurationNotice.getDefaultInstance();
     }
 
+    public static final int FAREWELL_FIELD_NUMBER = 19;
+    /**
+     * <code>.laneworks.Farewell farewell = 19;</code>
+     * @return Whether the farewell field is set.
+     */
+    @java.lang.Override
+    public boolean hasFarewell() {
+      return bodyCase_ == 19;
+    }
+    /**
+     * <code>.laneworks.Farewell farewell = 19;</code>
+     * @return The farewell.
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.Farewell getFarewell() {
+      if (bodyCase_ == 19) {
+         return (dev.laneworks.wire.proto.Protocol.Farewell) body_;
+      }
+      return dev.laneworks.wire.proto.Protocol.Farewell.getDefaultInstance();
+    }
+    /**
+     * <code>.laneworks.Farewell farewell = 19;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.FarewellOrBuilder getFarewellOrBuilder() {
+      if (bodyCase_ == 19) {
+         return (dev.laneworks.wire.proto.Protocol.Farewell) body_;
+      }
+      return dev.laneworks.wire.proto.Protocol.Farewell.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -1044,6 +1092,9 @@
       if (bodyCase_ == 18) {
         output.writeMessage(18, (dev.laneworks.wire.proto.Protocol.ConfigurationNotice) body_);
       }
+      if (bodyCase_ == 19) {
+        output.writeMessage(19, (dev.laneworks.wire.proto.Protocol.Farewell) body_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -1125,6 +1176,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(18, (dev.laneworks.wire.proto.Protocol.ConfigurationNotice) body_);
       }
+      if (bodyCase_ == 19) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(19, (dev.laneworks.wire.proto.Protocol.Farewell) body_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -1214,6 +1269,10 @@
           if (!getConfigurationNotice()
               .equals(other.getConfigurationNotice())) return false;
           break;
+        case 19:
+          if (!getFarewell()
+              .equals(other.getFarewell())) return false;
+          break;
         case 0:
         default:
       }
@@ -1301,6 +1360,10 @@
           hash = (37 * hash) + CONFIGURATION_NOTICE_FIELD_NUMBER;
           hash = (53 * hash) + getConfigurationNotice().hashCode();
           break;
+        case 19:
+          hash = (37 * hash) + FAREWELL_FIELD_NUMBER;
+          hash = (53 * hash) + getFarewell().hashCode();
+          break;
         case 0:
         default:
       }
@@ -1489,6 +1552,9 @@
         if (configurationNoticeBuilder_ != null) {
           configurationNoticeBuilder_.clear();
         }
+        if (farewellBuilder_ != null) {
+          farewellBuilder_.clear();
+        }
         bodyCase_ = 0;
         body_ = null;
         return this;
@@ -1602,6 +1668,10 @@
             configurationNoticeBuilder_ != null) {
           result.body_ = configurationNoticeBuilder_.build();
         }
+        if (bodyCase_ == 19 &&
+            farewellBuilder_ != null) {
+          result.body_ = farewellBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -1689,6 +1759,10 @@
             mergeConfigurationNotice(other.getConfigurationNotice());
             break;
           }
+          case FAREWELL: {
+            mergeFarewell(other.getFarewell());
+            break;
+          }
           case BODY_NOT_SET: {
             break;
           }
@@ -1845,6 +1919,13 @@
                 bodyCase_ = 18;
                 break;
               } // case 146
+              case 154: {
+                input.readMessage(
+                    internalGetFarewellFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bodyCase_ = 19;
+                break;
+              } // case 154
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -4433,6 +4514,148 @@
         return configurationNoticeBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.Farewell, dev.laneworks.wire.proto.Protocol.Farewell.Builder, dev.laneworks.wire.proto.Protocol.FarewellOrBuilder> farewellBuilder_;
+      /**
+       * <code>.laneworks.Farewell farewell = 19;</code>
+       * @return Whether the farewell field is set.
+       */
+      @java.lang.Override
+      public boolean hasFarewell() {
+        return bodyCase_ == 19;
+      }
+      /**
+       * <code>.laneworks.Farewell farewell = 19;</code>
+       * @return The farewell.
+       */
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.Farewell getFarewell() {
+        if (farewellBuilder_ == null) {
+          if (bodyCase_ == 19) {
+            return (dev.laneworks.wire.proto.Protocol.Farewell) body_;
+          }
+          return dev.laneworks.wire.proto.Protocol.Farewell.getDefaultInstance();
+        } else {
+          if (bodyCase_ == 19) {
+            return farewellBuilder_.getMessage();
+          }
+          return dev.laneworks.wire.proto.Protocol.Farewell.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.laneworks.Farewell farewell = 19;</code>
+       */
+      public Builder setFarewell(dev.laneworks.wire.proto.Protocol.Farewell value) {
+        if (farewellBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          body_ = value;
+          onChanged();
+        } else {
+          farewellBuilder_.setMessage(value);
+        }
+        bodyCase_ = 19;
+        return this;
+      }
+      /**
+       * <code>.laneworks.Farewell farewell = 19;</code>
+       */
+      public Builder setFarewell(
+          dev.laneworks.wire.proto.Protocol.Farewell.Builder builderForValue) {
+        if (farewellBuilder_ == null) {
+          body_ = builderForValue.build();
+          onChanged();
+        } else {
+          farewellBuilder_.setMessage(builderForValue.build());
+        }
+        bodyCase_ = 19;
+        return this;
+      }
+      /**
+       * <code>.laneworks.Farewell farewell = 19;</code>
+       */
+      public Builder mergeFarewell(dev.laneworks.wire.proto.Protocol.Farewell value) {
+        if (farewellBuilder_ == null) {
+          if (bodyCase_ == 19 &&
+              body_ != dev.laneworks.wire.proto.Protocol.Farewell.getDefaultInstance()) {
+            body_ = dev.laneworks.wire.proto.Protocol.Farewell.newBuilder((dev.laneworks.wire.proto.Protocol.Farewell) body_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            body_ = value;
+          }
+          onChanged();
+        } else {
+          if (bodyCase_ == 19) {
+            farewellBuilder_.mergeFrom(value);
+          } else {
+            farewellBuilder_.setMessage(value);
+          }
+        }
+        bodyCase_ = 19;
+        return this;
+      }
+      /**
+       * <code>.laneworks.Farewell farewell = 19;</code>
+       */
+      public Builder clearFarewell() {
+        if (farewellBuilder_ == null) {
+          if (bodyCase_ == 19) {
+            bodyCase_ = 0;
+            body_ = null;
+            onChanged();
+          }
+        } else {
+          if (bodyCase_ == 19) {
+            bodyCase_ = 0;
+            body_ = null;
+          }
+          farewellBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.laneworks.Farewell farewell = 19;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.Farewell.Builder getFarewellBuilder() {
+        return internalGetFarewellFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.laneworks.Farewell farewell = 19;</code>
+       */
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.FarewellOrBuilder getFarewellOrBuilder() {
+        if ((bodyCase_ == 19) && (farewellBuilder_ != null)) {
+          return farewellBuilder_.getMessageOrBuilder();
+        } else {
+          if (bodyCase_ == 19) {
+            return (dev.laneworks.wire.proto.Protocol.Farewell) body_;
+          }
+          return dev.laneworks.wire.proto.Protocol.Farewell.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.laneworks.Farewell farewell = 19;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.Farewell, dev.laneworks.wire.proto.Protocol.Farewell.Builder, dev.laneworks.wire.proto.Protocol.FarewellOrBuilder> 
+          internalGetFarewellFieldBuilder() {
+        if (farewellBuilder_ == null) {
+          if (!(bodyCase_ == 19)) {
+            body_ = dev.laneworks.wire.proto.Protocol.Farewell.getDefaultInstance();
+          }
+          farewellBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              dev.laneworks.wire.proto.Protocol.Farewell, dev.laneworks.wire.proto.Protocol.Farewell.Builder, dev.laneworks.wire.proto.Protocol.FarewellOrBuilder>(
+                  (dev.laneworks.wire.proto.Protocol.Farewell) body_,
+                  getParentForChildren(),
+                  isClean());
+          body_ = null;
+        }
+        bodyCase_ = 19;
+        onChanged();
+        return farewellBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:laneworks.Frame)
     }
 
@@ -17409,6 +17632,374 @@
 
   }
 
+  public interface FarewellOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:laneworks.Farewell)
+      com.google.protobuf.MessageOrBuilder {
+  }
+  /**
+   * <pre>
+   * Says that the sidecar ends: what it did not answer before on this link it has not read and never will.
+   * </pre>
+   *
+   * Protobuf type {@code laneworks.Farewell}
+   */
+  public static final class Farewell extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:laneworks.Farewell)
+      FarewellOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Farewell");
+    }
+    // Use Farewell.newBuilder() to construct.
+    private Farewell(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private Farewell() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_Farewell_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_Farewell_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_Farewell_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              dev.laneworks.wire.proto.Protocol.Farewell.class, dev.laneworks.wire.proto.Protocol.Farewell.Builder.class);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof dev.laneworks.wire.proto.Protocol.Farewell)) {
+        return super.equals(obj);
+      }
+      dev.laneworks.wire.proto.Protocol.Farewell other = (dev.laneworks.wire.proto.Protocol.Farewell) obj;
+
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.Farewell parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.Farewell parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.Farewell parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.Farewell parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.Farewell parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.Farewell parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.Farewell parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.Farewell parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.Farewell parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.Farewell parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.Farewell parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.Farewell parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(dev.laneworks.wire.proto.Protocol.Farewell prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Says that the sidecar ends: what it did not answer before on this link it has not read and never will.
+     * </pre>
+     *
+     * Protobuf type {@code laneworks.Farewell}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:laneworks.Farewell)
+        dev.laneworks.wire.proto.Protocol.FarewellOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_Farewell_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_Farewell_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                dev.laneworks.wire.proto.Protocol.Farewell.class, dev.laneworks.wire.proto.Protocol.Farewell.Builder.class);
+      }
+
+      // Construct using dev.laneworks.wire.proto.Protocol.Farewell.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_Farewell_descriptor;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.Farewell getDefaultInstanceForType() {
+        return dev.laneworks.wire.proto.Protocol.Farewell.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.Farewell build() {
+        dev.laneworks.wire.proto.Protocol.Farewell result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.Farewell buildPartial() {
+        dev.laneworks.wire.proto.Protocol.Farewell result = new dev.laneworks.wire.proto.Protocol.Farewell(this);
+        onBuilt();
+        return result;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof dev.laneworks.wire.proto.Protocol.Farewell) {
+          return mergeFrom((dev.laneworks.wire.proto.Protocol.Farewell)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(dev.laneworks.wire.proto.Protocol.Farewell other) {
+        if (other == dev.laneworks.wire.proto.Protocol.Farewell.getDefaultInstance()) return this;
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:laneworks.Farewell)
+    }
+
+    // @@protoc_insertion_point(class_scope:laneworks.Farewell)
+    private static final dev.laneworks.wire.proto.Protocol.Farewell DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.Farewell();
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.Farewell getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<Farewell>
+        PARSER = new com.google.protobuf.AbstractParser<Farewell>() {
+      @java.lang.Override
+      public Farewell parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<Farewell> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<Farewell> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.Farewell getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
   public interface KeyBarResultOrBuilder extends
       // @@protoc_insertion_point(interface_extends:laneworks.KeyBarResult)
       com.google.protobuf.MessageOrBuilder {
@@ -19668,6 +20259,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_laneworks_Load_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_Farewell_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_Farewell_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_laneworks_KeyBarResult_descriptor;
   private static final 
@@ -19697,7 +20293,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\017laneworks.proto\022\tlaneworks\"\200\006\n\005Frame\022!" +
+      "\n\017laneworks.proto\022\tlaneworks\"\251\006\n\005Frame\022!" +
       "\n\005hello\030\001 \001(\0132\020.laneworks.HelloH\000\022#\n\006sub" +
       "mit\030\002 \001(\0132\021.laneworks.SubmitH\000\022#\n\006attach" +
       "\030\003 \001(\0132\021.laneworks.AttachH\000\022\035\n\003bar\030\004 \001(\013" +
@@ -19716,51 +20312,52 @@
       "orks.ConfigurationRequestH\000\022:\n\022configura" +
       "tion_text\030\021 \001(\0132\034.laneworks.Configuratio" +
       "nTextH\000\022>\n\024configuration_notice\030\022 \001(\0132\036." +
-      "laneworks.ConfigurationNoticeH\000B\006\n\004body\"" +
-      "Q\n\005Hello\022\020\n\010protocol\030\001 \001(\r\022\014\n\004name\030\002 \001(\t" +
-      "\022\023\n\013data_centre\030\003 \001(\t\022\023\n\013incarnation\030\004 \001" +
-      "(\006\"\'\n\006Stream\022\014\n\004call\030\001 \001(\004\022\017\n\007attempt\030\002 " +
-      "\001(\r\"C\n\007OnceKey\022\017\n\007account\030\001 \001(\t\022\013\n\003key\030\002" +
-      " \001(\t\022\032\n\022ticket_incarnation\030\003 \001(\006\"\277\002\n\006Sub" +
-      "mit\022!\n\006stream\030\001 \001(\0132\021.laneworks.Stream\022\022" +
-      "\n\nrequest_id\030\002 \001(\t\022\014\n\004kind\030\003 \001(\r\022\017\n\007acco" +
-      "unt\030\004 \001(\t\022\r\n\005model\030\005 \001(\t\022\016\n\006method\030\006 \001(\t" +
-      "\022\014\n\004path\030\007 \001(\t\022\014\n\004body\030\010 \001(\014\022\020\n\010priority" +
-      "\030\t \001(\r\022\022\n\nrepeatable\030\n \001(\010\022$\n\010once_key\030\013" +
-      " \001(\0132\022.laneworks.OnceKey\022\025\n\rprompt_token" +
-      "s\030\014 \001(\r\022\022\n\nmax_tokens\030\r \001(\r\022\027\n\017patience_" +
-      "millis\030\016 \001(\004\022\024\n\014credit_limit\030\017 \001(\004\"z\n\006At" +
-      "tach\022!\n\006stream\030\001 \001(\0132\021.laneworks.Stream\022" +
-      "\022\n\ngeneration\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\006" +
-      "\022\016\n\006offset\030\004 \001(\004\022\024\n\014credit_limit\030\005 \001(\004\"g" +
-      "\n\003Bar\022!\n\006stream\030\001 \001(\0132\021.laneworks.Stream" +
+      "laneworks.ConfigurationNoticeH\000\022\'\n\010farew" +
+      "ell\030\023 \001(\0132\023.laneworks.FarewellH\000B\006\n\004body" +
+      "\"Q\n\005Hello\022\020\n\010protocol\030\001 \001(\r\022\014\n\004name\030\002 \001(" +
+      "\t\022\023\n\013data_centre\030\003 \001(\t\022\023\n\013incarnation\030\004 " +
+      "\001(\006\"\'\n\006Stream\022\014\n\004call\030\001 \001(\004\022\017\n\007attempt\030\002" +
+      " \001(\r\"C\n\007OnceKey\022\017\n\007account\030\001 \001(\t\022\013\n\003key\030" +
+      "\002 \001(\t\022\032\n\022ticket_incarnation\030\003 \001(\006\"\277\002\n\006Su" +
+      "bmit\022!\n\006stream\030\001 \001(\0132\021.laneworks.Stream\022" +
+      "\022\n\nrequest_id\030\002 \001(\t\022\014\n\004kind\030\003 \001(\r\022\017\n\007acc" +
+      "ount\030\004 \001(\t\022\r\n\005model\030\005 \001(\t\022\016\n\006method\030\006 \001(" +
+      "\t\022\014\n\004path\030\007 \001(\t\022\014\n\004body\030\010 \001(\014\022\020\n\010priorit" +
+      "y\030\t \001(\r\022\022\n\nrepeatable\030\n \001(\010\022$\n\010once_key\030" +
+      "\013 \001(\0132\022.laneworks.OnceKey\022\025\n\rprompt_toke" +
+      "ns\030\014 \001(\r\022\022\n\nmax_tokens\030\r \001(\r\022\027\n\017patience" +
+      "_millis\030\016 \001(\004\022\024\n\014credit_limit\030\017 \001(\004\"z\n\006A" +
+      "ttach\022!\n\006stream\030\001 \001(\0132\021.laneworks.Stream" +
       "\022\022\n\ngeneration\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(" +
-      "\006\022\024\n\014attempt_name\030\004 \001(\t\"@\n\007Release\022!\n\006st" +
-      "ream\030\001 \001(\0132\021.laneworks.Stream\022\022\n\nmay_ret" +
-      "urn\030\002 \001(\010\"A\n\006Credit\022!\n\006stream\030\001 \001(\0132\021.la" +
-      "neworks.Stream\022\024\n\014credit_limit\030\002 \001(\004\"\007\n\005" +
-      "Probe\")\n\006BarKey\022\037\n\003key\030\001 \001(\0132\022.laneworks" +
-      ".OnceKey\"Q\n\010Accepted\022!\n\006stream\030\001 \001(\0132\021.l" +
-      "aneworks.Stream\022\022\n\ngeneration\030\002 \001(\t\022\016\n\006q" +
-      "ueued\030\003 \001(\r\"H\n\005Chunk\022!\n\006stream\030\001 \001(\0132\021.l" +
-      "aneworks.Stream\022\016\n\006offset\030\002 \001(\004\022\014\n\004data\030" +
-      "\003 \001(\014\"G\n\003End\022!\n\006stream\030\001 \001(\0132\021.laneworks" +
-      ".Stream\022\r\n\005total\030\002 \001(\004\022\016\n\006reason\030\003 \001(\r\"{" +
-      "\n\007Refused\022!\n\006stream\030\001 \001(\0132\021.laneworks.St" +
-      "ream\022\017\n\007verdict\030\002 \001(\r\022\016\n\006reason\030\003 \001(\t\022\016\n" +
-      "\006detail\030\004 \001(\t\022\034\n\024retry_after_plus_one\030\005 " +
-      "\001(\004\"?\n\tBarResult\022!\n\006stream\030\001 \001(\0132\021.lanew" +
-      "orks.Stream\022\017\n\007outcome\030\002 \001(\r\"f\n\004Load\022\017\n\007" +
-      "running\030\001 \001(\r\022\016\n\006queued\030\002 \001(\r\022\023\n\013used_to" +
-      "kens\030\003 \001(\004\022\027\n\017capacity_tokens\030\004 \001(\004\022\017\n\007l" +
-      "eaving\030\005 \001(\010\"@\n\014KeyBarResult\022\037\n\003key\030\001 \001(" +
-      "\0132\022.laneworks.OnceKey\022\017\n\007outcome\030\002 \001(\r\"F" +
-      "\n\023ConfigurationNotice\022\017\n\007version\030\001 \001(\004\022\036" +
-      "\n\026confirmed_age_plus_one\030\002 \001(\004\"\026\n\024Config" +
-      "urationRequest\"F\n\021ConfigurationText\022\017\n\007v" +
-      "ersion\030\001 \001(\004\022\020\n\010deflated\030\002 \001(\014\022\016\n\006digest" +
-      "\030\003 \001(\014B&\n\030dev.laneworks.wire.protoB\010Prot" +
-      "ocolP\000b\006proto3"
+      "\006\022\016\n\006offset\030\004 \001(\004\022\024\n\014credit_limit\030\005 \001(\004\"" +
+      "g\n\003Bar\022!\n\006stream\030\001 \001(\0132\021.laneworks.Strea" +
+      "m\022\022\n\ngeneration\030\002 \001(\t\022\023\n\013incarnation\030\003 \001" +
+      "(\006\022\024\n\014attempt_name\030\004 \001(\t\"@\n\007Release\022!\n\006s" +
+      "tream\030\001 \001(\0132\021.laneworks.Stream\022\022\n\nmay_re" +
+      "turn\030\002 \001(\010\"A\n\006Credit\022!\n\006stream\030\001 \001(\0132\021.l" +
+      "aneworks.Stream\022\024\n\014credit_limit\030\002 \001(\004\"\007\n" +
+      "\005Probe\")\n\006BarKey\022\037\n\003key\030\001 \001(\0132\022.lanework" +
+      "s.OnceKey\"Q\n\010Accepted\022!\n\006stream\030\001 \001(\0132\021." +
+      "laneworks.Stream\022\022\n\ngeneration\030\002 \001(\t\022\016\n\006" +
+      "queued\030\003 \001(\r\"H\n\005Chunk\022!\n\006stream\030\001 \001(\0132\021." +
+      "laneworks.Stream\022\016\n\006offset\030\002 \001(\004\022\014\n\004data" +
+      "\030\003 \001(\014\"G\n\003End\022!\n\006stream\030\001 \001(\0132\021.lanework" +
+      "s.Stream\022\r\n\005total\030\002 \001(\004\022\016\n\006reason\030\003 \001(\r\"" +
+      "{\n\007Refused\022!\n\006stream\030\001 \001(\0132\021.laneworks.S" +
+      "tream\022\017\n\007verdict\030\002 \001(\r\022\016\n\006reason\030\003 \001(\t\022\016" +
+      "\n\006detail\030\004 \001(\t\022\034\n\024retry_after_plus_one\030\005" +
+      " \001(\004\"?\n\tBarResult\022!\n\006stream\030\001 \001(\0132\021.lane" +
+      "works.Stream\022\017\n\007outcome\030\002 \001(\r\"f\n\004Load\022\017\n" +
+      "\007running\030\001 \001(\r\022\016\n\006queued\030\002 \001(\r\022\023\n\013used_t" +
+      "okens\030\003 \001(\004\022\027\n\017capacity_tokens\030\004 \001(\004\022\017\n\007" +
+      "leaving\030\005 \001(\010\"\n\n\010Farewell\"@\n\014KeyBarResul" +
+      "t\022\037\n\003key\030\001 \001(\0132\022.laneworks.OnceKey\022\017\n\007ou" +
+      "tcome\030\002 \001(\r\"F\n\023ConfigurationNotice\022\017\n\007ve" +
+      "rsion\030\001 \001(\004\022\036\n\026confirmed_age_plus_one\030\002 " +
+      "\001(\004\"\026\n\024ConfigurationRequest\"F\n\021Configura" +
+      "tionText\022\017\n\007version\030\001 \001(\004\022\020\n\010deflated\030\002 " +
+      "\001(\014\022\016\n\006digest\030\003 \001(\014B&\n\030dev.laneworks.wir" +
+      "e.protoB\010ProtocolP\000b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -19771,7 +20368,7 @@
     internal_static_laneworks_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_Frame_descriptor,
-        new java.lang.String[] { "Hello", "Submit", "Attach", "Bar", "Release", "Credit", "Probe", "BarKey", "Accepted", "Chunk", "End", "Refused", "BarResult", "Load", "KeyBarResult", "ConfigurationRequest", "ConfigurationText", "ConfigurationNotice", "Body", });
+        new java.lang.String[] { "Hello", "Submit", "Attach", "Bar", "Release", "Credit", "Probe", "BarKey", "Accepted", "Chunk", "End", "Refused", "BarResult", "Load", "KeyBarResult", "ConfigurationRequest", "ConfigurationText", "ConfigurationNotice", "Farewell", "Body", });
     internal_static_laneworks_Hello_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_laneworks_Hello_fieldAccessorTable = new
@@ -19868,26 +20465,32 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_Load_descriptor,
         new java.lang.String[] { "Running", "Queued", "UsedTokens", "CapacityTokens", "Leaving", });
-    internal_static_laneworks_KeyBarResult_descriptor =
+    internal_static_laneworks_Farewell_descriptor =
       getDescriptor().getMessageType(17);
+    internal_static_laneworks_Farewell_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_laneworks_Farewell_descriptor,
+        new java.lang.String[] { });
+    internal_static_laneworks_KeyBarResult_descriptor =
+      getDescriptor().getMessageType(18);
     internal_static_laneworks_KeyBarResult_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_KeyBarResult_descriptor,
         new java.lang.String[] { "Key", "Outcome", });
     internal_static_laneworks_ConfigurationNotice_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_laneworks_ConfigurationNotice_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_ConfigurationNotice_descriptor,
         new java.lang.String[] { "Version", "ConfirmedAgePlusOne", });
     internal_static_laneworks_ConfigurationRequest_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_laneworks_ConfigurationRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_ConfigurationRequest_descriptor,
         new java.lang.String[] { });
     internal_static_laneworks_ConfigurationText_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(21);
     internal_static_laneworks_ConfigurationText_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_ConfigurationText_descriptor,
