Measure the path and the slopes

bin/bench path runs callers straight to an engine stand-in and through entry and sidecar in one run; bin/bench slopes measures cost against size.

--- a/laneworks-bench/src/main/java/dev/laneworks/bench/BenchMain.java
+++ b/laneworks-bench/src/main/java/dev/laneworks/bench/BenchMain.java
@@ -4,6 +4,8 @@
 import java.util.List;
 
 import dev.laneworks.bench.fuzz.FuzzCommand;
+import dev.laneworks.bench.path.PathCommand;
+import dev.laneworks.bench.slopes.SlopesCommand;
 import dev.laneworks.runtime.log.JsonLineWriter;
 import dev.laneworks.runtime.program.ExitCode;
 import dev.laneworks.runtime.program.ProgramCommand;
@@ -15,7 +17,8 @@
  */
 public final class BenchMain {
 
-	private static final List<ProgramCommand> COMMANDS = List.of(new FuzzCommand());
+	private static final List<ProgramCommand> COMMANDS = List.of(new FuzzCommand(), new PathCommand(),
+			new SlopesCommand());
 
 	private BenchMain() {
 	}
--- /dev/null
+++ b/laneworks-bench/src/main/java/dev/laneworks/bench/slopes/SlopesCommand.java
@@ -0,0 +1,428 @@
+package dev.laneworks.bench.slopes;
+
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntFunction;
+
+import dev.laneworks.core.admission.LearnedLengthModel;
+import dev.laneworks.core.admission.LengthClass;
+import dev.laneworks.core.admission.MemoryForecast;
+import dev.laneworks.core.admission.MemoryUser;
+import dev.laneworks.core.configuration.ConfigurationParser;
+import dev.laneworks.core.configuration.FleetConfiguration;
+import dev.laneworks.core.configuration.Intent;
+import dev.laneworks.core.configuration.SpillRule;
+import dev.laneworks.core.message.ConfigurationMessage;
+import dev.laneworks.core.message.EntryMessage;
+import dev.laneworks.core.message.LoadReport;
+import dev.laneworks.core.message.SidecarMessage;
+import dev.laneworks.core.message.WorkKind;
+import dev.laneworks.core.once.ExpiringNames;
+import dev.laneworks.core.once.ViewHistory;
+import dev.laneworks.core.routing.DefaultTargetSelector;
+import dev.laneworks.core.routing.RouteRequest;
+import dev.laneworks.core.routing.TargetBoard;
+import dev.laneworks.core.routing.TargetSubset;
+import dev.laneworks.core.stream.ChunkLog;
+import dev.laneworks.runtime.program.ExitCode;
+import dev.laneworks.runtime.program.ProgramCommand;
+import dev.laneworks.wire.FrameCodec;
+import dev.laneworks.wire.Link;
+import dev.laneworks.wire.LinkListener;
+import dev.laneworks.wire.LinkServer;
+import dev.laneworks.wire.LinkSettings;
+import dev.laneworks.wire.PeerIdentity;
+import dev.laneworks.wire.TargetLinkListener;
+import dev.laneworks.wire.TargetLinks;
+import dev.laneworks.wire.proto.Protocol;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+
+/**
+ * Measures cost against size, at five sizes or more each, and prints the table that
+ * docs/CAPACITY.md quotes.
+ *
+ * @since 0.1
+ */
+public final class SlopesCommand implements ProgramCommand {
+
+	private static final int[] TARGETS = { 75, 150, 300, 600, 1200 };
+
+	private static final int[] ACCOUNTS = { 500, 1000, 2000, 4100, 8200 };
+
+	private static final int[] STREAMS = { 16, 32, 64, 128, 256, 512 };
+
+	private static final int[] LINKS = { 8, 16, 32, 64, 128 };
+
+	private static final int[] NAMES = { 1_000, 4_000, 16_000, 64_000, 256_000 };
+
+	private static final int REPEATS = 7;
+
+	private static final int WARM_UPS = 3;
+
+	private static final int OUTPUT_TOKENS = 300;
+
+	private static final Intent INTENT = new Intent("*", "model-0", "", "1", 1, List.of(), SpillRule.ANY, true);
+
+	@Override
+	public String name() {
+		return "slopes";
+	}
+
+	@Override
+	public String summary() {
+		return " cost against the number of targets, accounts, streams, links and keys";
+	}
+
+	@Override
+	public ExitCode run(List<String> arguments, PrintStream out, PrintStream err) {
+		out.println("| cost | unit | sizes | slope | intercept | fit | spread of the largest |");
+		out.println("|---|---|---|---|---|---|---|");
+		timed(out, "parse a configuration, by accounts (600 targets)", "us", ACCOUNTS, this::parseByAccounts, 1);
+		timed(out, "parse a configuration, by targets (4,100 accounts)", "us", TARGETS, this::parseByTargets, 1);
+		held(out, "configuration held, by accounts (600 targets)", ACCOUNTS,
+				(n) -> parse(MadeFleet.document(1, 600, n)));
+		held(out, "configuration held, by targets (no accounts)", TARGETS, (n) -> parse(MadeFleet.document(1, n, 0)));
+		timed(out, "compress a configuration, by accounts", "us", ACCOUNTS, this::compress, 1);
+		sized(out, "compressed configuration, by accounts (600 targets)", ACCOUNTS,
+				(n) -> FrameCodec.encode(new ConfigurationMessage.Text(1, MadeFleet.document(1, 600, n)))
+					.getSerializedSize());
+		timed(out, "apply a configuration to routing, by targets", "us", TARGETS, this::applyToRouting, 1);
+		timed(out, "choose a target, by targets published", "us", TARGETS, this::chooseTarget, 20_000);
+		timed(out, "home of a key, by targets published", "us", TARGETS, this::homeOfKey, 500);
+		timed(out, "admission decision, by streams", "us", STREAMS, this::admit, 20_000);
+		timed(out, "refresh of the memory forecast, by streams", "us", STREAMS, this::refresh, 200);
+		held(out, "output of 300 tokens held, by streams", STREAMS, SlopesCommand::logs);
+		held(out, "barred or spent names held, by names", NAMES, SlopesCommand::names);
+		links(out);
+		frames(out);
+		return ExitCode.OK;
+	}
+
+	private Runnable parseByAccounts(int accounts) {
+		String text = MadeFleet.document(1, 600, accounts);
+		return () -> parse(text);
+	}
+
+	private Runnable parseByTargets(int targets) {
+		String text = MadeFleet.document(1, targets, 4100);
+		return () -> parse(text);
+	}
+
+	private Runnable compress(int accounts) {
+		ConfigurationMessage.Text text = new ConfigurationMessage.Text(1, MadeFleet.document(1, 600, accounts));
+		return () -> FrameCodec.encode(text);
+	}
+
+	private Runnable applyToRouting(int targets) {
+		FleetConfiguration configuration = parse(MadeFleet.document(1, targets, 10));
+		DefaultTargetSelector selector = selector(new TargetBoard());
+		return () -> selector.use(configuration);
+	}
+
+	private Runnable chooseTarget(int targets) {
+		TargetBoard board = new TargetBoard();
+		DefaultTargetSelector selector = selector(board);
+		selector.use(parse(MadeFleet.document(1, targets, 10)));
+		selector.usedTargets().forEach((t) -> board.state(t.name()).recordLinkUp(true));
+		RouteRequest request = new RouteRequest("model-0", INTENT, 77, Set.of());
+		return () -> selector.select(request, 1);
+	}
+
+	private Runnable homeOfKey(int targets) {
+		ViewHistory views = new ViewHistory();
+		views.record(parse(MadeFleet.document(1, targets, 10)).targets(), 0);
+		return () -> views.home("model-0", "once-0123456789abcdef");
+	}
+
+	private Runnable admit(int streams) {
+		MemoryForecast forecast = new MemoryForecast(lengths(), 2);
+		forecast.refresh(running(streams));
+		MemoryUser candidate = new Running(200, 0);
+		return () -> forecast.fits(candidate, 150_000);
+	}
+
+	private Runnable refresh(int streams) {
+		MemoryForecast forecast = new MemoryForecast(lengths(), 2);
+		List<Running> running = running(streams);
+		return () -> forecast.refresh(running);
+	}
+
+	private static void timed(PrintStream out, String what, String unit, int[] sizes, IntFunction<Runnable> task,
+			int calls) {
+		double[] medians = new double[sizes.length];
+		double spread = 0;
+		for (int i = 0; i < sizes.length; i++) {
+			double[] micros = time(task.apply(sizes[i]), calls);
+			medians[i] = micros[micros.length / 2];
+			spread = (micros[micros.length - 1] - micros[0]) / medians[i];
+		}
+		print(out, what, unit, sizes, medians, spread);
+	}
+
+	private static double[] time(Runnable task, int calls) {
+		double[] micros = new double[REPEATS];
+		for (int repeat = -WARM_UPS; repeat < REPEATS; repeat++) {
+			long start = System.nanoTime();
+			for (int i = 0; i < calls; i++) {
+				task.run();
+			}
+			if (repeat >= 0) {
+				micros[repeat] = (System.nanoTime() - start) / 1e3 / calls;
+			}
+		}
+		Arrays.sort(micros);
+		return micros;
+	}
+
+	private static void held(PrintStream out, String what, int[] sizes, IntFunction<Object> maker) {
+		double[] bytes = new double[sizes.length];
+		for (int i = 0; i < sizes.length; i++) {
+			long before = usedBytes();
+			Object held = maker.apply(sizes[i]);
+			bytes[i] = usedBytes() - before;
+			if (held.hashCode() == 0) {
+				out.print("");
+			}
+		}
+		print(out, what, "bytes", sizes, bytes, 0);
+	}
+
+	private static void sized(PrintStream out, String what, int[] sizes, IntFunction<Integer> size) {
+		double[] bytes = Arrays.stream(sizes).mapToDouble(size::apply).toArray();
+		print(out, what, "bytes", sizes, bytes, 0);
+	}
+
+	private static void print(PrintStream out, String what, String unit, int[] sizes, double[] values, double spread) {
+		Line line = Line.through(Arrays.stream(sizes).asDoubleStream().toArray(), values);
+		out.printf("| %s | %s | %d to %d | %.4g | %.4g | %.3f | %s |%n", what, unit, sizes[0], sizes[sizes.length - 1],
+				line.slope(), line.intercept(), line.fit(), (spread > 0) ? "%.0f%%".formatted(spread * 100) : "-");
+	}
+
+	// Probes over real links on loopback: processor time of the two event loops for each
+	// probe and its answer.
+	private static void links(PrintStream out) {
+		double[] cpu = new double[LINKS.length];
+		double[] memory = new double[LINKS.length];
+		for (int i = 0; i < LINKS.length; i++) {
+			long before = usedBytes();
+			try (ProbedLinks links = new ProbedLinks(LINKS[i])) {
+				memory[i] = usedBytes() - before;
+				cpu[i] = links.cpuMicrosPerSecond();
+			}
+		}
+		print(out, "processor time of both ends with a probe every 100 ms on each link, by links", "us/s", LINKS, cpu,
+				0);
+		print(out, "heap of both ends, by links", "bytes", LINKS, memory, 0);
+	}
+
+	private static void frames(PrintStream out) {
+		int head = 4;
+		out.printf("%nframes with their length: probe %d, load %d, notice %d bytes%n",
+				head + FrameCodec.encode(new EntryMessage.Probe()).getSerializedSize(),
+				head + FrameCodec.encode(new SidecarMessage.Load(new LoadReport(120, 8, 180_000, 200_000, false)))
+					.getSerializedSize(),
+				head + FrameCodec.encode(new ConfigurationMessage.Notice(123_456, 15_000)).getSerializedSize());
+	}
+
+	private static DefaultTargetSelector selector(TargetBoard board) {
+		return new DefaultTargetSelector(board, new TargetSubset("entry-1", "dc0", 6, 1), "dc0",
+				new SplittableRandom(1));
+	}
+
+	private static LearnedLengthModel lengths() {
+		LearnedLengthModel lengths = new LearnedLengthModel(256, 4096);
+		SplittableRandom random = new SplittableRandom(1);
+		for (int i = 0; i < 1_000; i++) {
+			lengths.observe(Running.TYPE, 1 + random.nextInt(800));
+		}
+		return lengths;
+	}
+
+	private static List<Running> running(int streams) {
+		SplittableRandom random = new SplittableRandom(2);
+		List<Running> running = new ArrayList<>();
+		for (int i = 0; i < streams; i++) {
+			running.add(new Running(200, random.nextInt(600)));
+		}
+		return running;
+	}
+
+	private static Object logs(int streams) {
+		List<ChunkLog> logs = new ArrayList<>();
+		byte[] token = new byte[5];
+		for (int i = 0; i < streams; i++) {
+			ChunkLog log = new ChunkLog();
+			for (int t = 0; t < OUTPUT_TOKENS; t++) {
+				log.append(token);
+			}
+			logs.add(log);
+		}
+		return logs;
+	}
+
+	private static Object names(int count) {
+		ExpiringNames names = new ExpiringNames();
+		for (int i = 0; i < count; i++) {
+			names.add("0f8fad5b-d9cb-469f-a165-%012d-1".formatted(i), i);
+		}
+		return names;
+	}
+
+	private static FleetConfiguration parse(String text) {
+		return ConfigurationParser.parse("made", text).get();
+	}
+
+	private static long usedBytes() {
+		Runtime runtime = Runtime.getRuntime();
+		for (int i = 0; i < 3; i++) {
+			System.gc();
+		}
+		return runtime.totalMemory() - runtime.freeMemory();
+	}
+
+	/**
+	 * A running generation.
+	 */
+	private record Running(int promptTokens, int outputTokens) implements MemoryUser {
+
+		private static final LengthClass TYPE = new LengthClass("a", "m", WorkKind.COMPLETION);
+
+		@Override
+		public LengthClass lengthClass() {
+			return TYPE;
+		}
+
+		@Override
+		public int maxTokens() {
+			return 65_536;
+		}
+
+	}
+
+	/**
+	 * Links to one server that are probed all the time.
+	 */
+	private static final class ProbedLinks implements AutoCloseable, TargetLinkListener, LinkListener {
+
+		private static final Duration PROBE_GAP = Duration.ofMillis(100);
+
+		private static final long MEASURED_MILLIS = 3_000;
+
+		private final MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+
+		private final LinkServer server;
+
+		private final TargetLinks links;
+
+		private final Set<String> up = new HashSet<>();
+
+		ProbedLinks(int count) {
+			LinkSettings base = LinkSettings.defaults();
+			LinkSettings settings = new LinkSettings(base.maxFrameBytes(), base.silence(), PROBE_GAP,
+					base.connectTimeout(), base.reconnectFirst(), base.reconnectMax(), base.idle());
+			PeerIdentity self = new PeerIdentity("peer", "d", 1);
+			this.server = new LinkServer(this.loops, new InetSocketAddress("127.0.0.1", 0), self, settings, this);
+			this.links = new TargetLinks(this.loops.next(), self, settings, new SplittableRandom(1), this);
+			Map<String, InetSocketAddress> addresses = new HashMap<>();
+			for (int i = 0; i < count; i++) {
+				addresses.put(TargetLinks.SEED_PREFIX + i, new InetSocketAddress("127.0.0.1", this.server.port()));
+			}
+			this.links.use(addresses, addresses.keySet());
+			while (upCount() < count) {
+				pause(20);
+			}
+		}
+
+		double cpuMicrosPerSecond() {
+			pause(500);
+			long before = loopNanos();
+			pause(MEASURED_MILLIS);
+			return (loopNanos() - before) / 1e3 / (MEASURED_MILLIS / 1e3);
+		}
+
+		@Override
+		public void onUp(String target, Link link) {
+			synchronized (this.up) {
+				this.up.add(target);
+			}
+		}
+
+		@Override
+		public void onFrame(String target, Link link, Protocol.Frame frame) {
+			FrameCodec.decodeSidecarMessage(frame);
+		}
+
+		@Override
+		public void onDown(String target) {
+			// Not expected here.
+		}
+
+		@Override
+		public void onUp(Link link) {
+			// Nothing to keep.
+		}
+
+		@Override
+		public void onFrame(Link link, Protocol.Frame frame) {
+			Optional<?> message = FrameCodec.decodeEntryMessage(frame);
+			if (message.isPresent()) {
+				link.send(new SidecarMessage.Load(new LoadReport(120, 8, 180_000, 200_000, false)));
+			}
+		}
+
+		@Override
+		public void onDown(Link link) {
+			// Nothing to forget.
+		}
+
+		@Override
+		public void close() {
+			this.links.close();
+			this.server.close();
+			this.loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+		}
+
+		private int upCount() {
+			synchronized (this.up) {
+				return this.up.size();
+			}
+		}
+
+		private static long loopNanos() {
+			ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+			long nanos = 0;
+			for (long id : threads.getAllThreadIds()) {
+				var info = threads.getThreadInfo(id);
+				if (info != null && info.getThreadName().contains("multiThreadIoEventLoopGroup")) {
+					nanos += Math.max(0, threads.getThreadCpuTime(id));
+				}
+			}
+			return nanos;
+		}
+
+		private static void pause(long millis) {
+			try {
+				Thread.sleep(millis);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		}
+
+	}
+
+}
--- /dev/null
+++ b/laneworks-bench/src/main/java/dev/laneworks/bench/slopes/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measures how costs grow with the fleet, for docs/CAPACITY.md.
+ */
+package dev.laneworks.bench.slopes;
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/EntrySettings.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/EntrySettings.java
@@ -55,7 +55,7 @@
 				millis(object, "dispatch", defaults.dispatchMillis()), millis(object, "bar", defaults.barMillis()),
 				millis(object, "recovery", defaults.reattachMillis()),
 				(int) object.integer("attempts", 1, 10, defaults.maxAttempts()),
-				(int) object.integer("window", 1, 100_000, defaults.window()));
+				(int) object.integer("window", 32, 100_000, defaults.window()));
 	}
 
 	private static byte[] secret(DocumentObject root) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/caller/StreamedAnswer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/caller/StreamedAnswer.java
@@ -23,6 +23,8 @@
 
 	private static final String DONE = "[DONE]";
 
+	private static final int TOKENS_PER_REPORT = 8;
+
 	private final HttpServerExchange exchange;
 
 	private final CompletionJson json;
@@ -67,7 +69,7 @@
 		String event = this.json.chunk(offset, data);
 		String id = this.sealer.sealPosition(new StreamPosition(this.start.target(), this.start.incarnation(),
 				this.start.generation(), this.start.account(), offset + 1));
-		emit((s) -> s.send(id, event, () -> this.taken.accept(offset + 1)));
+		emit((s) -> s.send(id, event, () -> taken(offset + 1)));
 	}
 
 	@Override
@@ -96,6 +98,13 @@
 		});
 	}
 
+	// Said now and then only, since each time wakes the deciding duty.
+	private void taken(long offset) {
+		if (offset % TOKENS_PER_REPORT == 0) {
+			this.taken.accept(offset);
+		}
+	}
+
 	private void emit(Consumer<EventStream> action) {
 		boolean open;
 		synchronized (this) {
--- a/laneworks-standin/src/main/java/dev/laneworks/standin/StandinMain.java
+++ b/laneworks-standin/src/main/java/dev/laneworks/standin/StandinMain.java
@@ -25,7 +25,7 @@
 /**
  * Starts the stand-ins, and a caller to try them with.
  * <p>
- * {@code engine --port P [--memory TOKENS] [--step MICROS] [--numbers]},
+ * {@code engine --port P [--memory TOKENS] [--step MICROS] [--batch N]},
  * {@code service --port P [--delay MILLIS]}, {@code platform --port P --document FILE},
  * {@code ask --url URL --key KEY --model M --prompt TEXT},
  * {@code call --method M --url URL [--key KEY] [--body TEXT]} and
@@ -60,6 +60,11 @@
 		.ofType(Long.class)
 		.defaultsTo(EngineSettings.defaults().stepMicros());
 
+	private final OptionSpec<Integer> batch = this.parser.accepts("batch", "the most generations in one step")
+		.withRequiredArg()
+		.ofType(Integer.class)
+		.defaultsTo(EngineSettings.defaults().maxBatch());
+
 	private final OptionSpec<Long> seed = this.parser.accepts("seed", "makes lengths repeatable")
 		.withRequiredArg()
 		.ofType(Long.class)
@@ -133,7 +138,7 @@
 
 	private ExitCode engine(OptionSet options) {
 		EngineSettings base = EngineSettings.defaults();
-		EngineSettings settings = new EngineSettings(options.valueOf(this.memory), base.maxBatch(),
+		EngineSettings settings = new EngineSettings(options.valueOf(this.memory), options.valueOf(this.batch),
 				options.valueOf(this.step), base.stepMicrosPerSequence(), base.prefillMicrosPerToken(),
 				base.prefillTokensPerStep(), base.prefixCacheTokens(), base.medianLength(), base.lengthSigma(),
 				base.reportLagMillis(), base.eventLagMillis(), base.eventLossShare(), options.has(this.numbers),
