--- a/laneworks-entry/src/main/java/dev/laneworks/entry/Entry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/Entry.java
@@ -6,18 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
-import java.util.function.Consumer;
-import java.util.function.Function;
-import java.util.function.ToLongFunction;
 
-import com.codahale.metrics.Gauge;
-import com.codahale.metrics.MetricRegistry;
 import dev.laneworks.core.call.CallCoordinator;
 import dev.laneworks.core.call.CallCounters;
 import dev.laneworks.core.configuration.ConfigurationLedger;
@@ -32,16 +23,12 @@
 import dev.laneworks.core.routing.TargetSubset;
 import dev.laneworks.entry.caller.CallTimes;
 import dev.laneworks.entry.caller.CallerServer;
-import dev.laneworks.runtime.audit.AuditTrail;
 import dev.laneworks.runtime.duty.Duty;
-import dev.laneworks.runtime.duty.Supervisor;
-import dev.laneworks.runtime.http.HttpCaller;
-import dev.laneworks.runtime.http.IoWorker;
 import dev.laneworks.runtime.log.LogLine;
 import dev.laneworks.runtime.operator.OperatorServer;
-import dev.laneworks.runtime.platform.HttpConfigurationService;
 import dev.laneworks.runtime.program.ExitCode;
 import dev.laneworks.runtime.program.MonotonicClock;
+import dev.laneworks.runtime.program.ProcessParts;
 import dev.laneworks.wire.LinkSettings;
 import dev.laneworks.wire.PeerIdentity;
 import dev.laneworks.wire.TargetLinks;
@@ -64,47 +51,29 @@
 
 	private static final Duration TICK = Duration.ofMillis(10);
 
-	private static final Duration FAILURE_WINDOW = Duration.ofSeconds(10);
-
-	private static final int MAX_FAILURES = 5;
-
 	private static final long PEERS_SUFFICE_MILLIS = 30_000;
 
 	private static final double RETRIES_PER_SECOND = 1;
 
 	private static final double RETRIES_SAVED = 20;
 
-	private static final Duration STATUS_WAIT = Duration.ofSeconds(2);
-
 	/** How long the balancer may go on sending callers after readiness ends. */
 	private static final long BALANCER_MILLIS = 2_000;
 
-	private static final Duration FLUSH = Duration.ofMillis(200);
-
 	private final EntrySettings settings;
 
-	private final AuditTrail audit;
-
-	private final MetricRegistry metrics = new MetricRegistry();
-
-	private final CountDownLatch ended = new CountDownLatch(1);
-
-	private final Supervisor supervisor;
+	private final ProcessParts parts;
 
 	private final SplittableRandom random = new SplittableRandom(ThreadLocalRandom.current().nextLong());
 
 	private final DutyCalls calls;
 
-	private volatile ExitCode exitCode = ExitCode.OK;
-
 	private volatile long stoppingSince;
 
 	private volatile boolean ready;
 
 	private Duty<EntryState> duty;
 
-	private IoWorker io;
-
 	private TargetLinks links;
 
 	/**
@@ -113,8 +82,7 @@
 	 */
 	public Entry(EntrySettings settings) {
 		this.settings = settings;
-		this.audit = new AuditTrail(settings.common().auditCapacity());
-		this.supervisor = new Supervisor("entry", MAX_FAILURES, FAILURE_WINDOW, (ex) -> end(ExitCode.GAVE_UP));
+		this.parts = new ProcessParts("entry", settings.common(), 2);
 		this.calls = new DutyCalls(() -> this.duty, settings.callers().maxCalls());
 	}
 
@@ -123,25 +91,24 @@
 	 * @return how the process ends
 	 */
 	public ExitCode run() {
-		this.io = IoWorker.start(2, 2);
 		MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 		this.duty = new Duty<>("calls", createState(loops.next()), RING, TICK, this::tick);
-		this.supervisor.start(this.duty);
-		CallerServer callers = new CallerServer(this.io, this.settings.callers(), this.calls, this.settings.secret(),
-				new CallTimes(this.metrics), this::isReady);
-		OperatorServer operators = new OperatorServer(this.io.worker(), this.settings.common().operatorAddress(),
-				this.metrics, this.audit, this::isReady, () -> ask(this::status), Handlers.routing());
+		this.parts.supervisor().start(this.duty);
+		CallerServer callers = new CallerServer(this.parts.io(), this.settings.callers(), this.calls,
+				this.settings.secret(), new CallTimes(this.parts.metrics()), this::isReady);
+		OperatorServer operators = new OperatorServer(this.parts.io().worker(),
+				this.settings.common().operatorAddress(), this.parts.metrics(), this.parts.audit(), this::isReady,
+				() -> ProcessParts.ask(this.duty, this::status), Handlers.routing());
 		operators.start();
 		callers.start();
 		LogLine.of("started").with("address", this.settings.callers().address().toString()).info();
-		awaitEnd();
+		ExitCode code = this.parts.awaitEnd();
 		callers.stop();
 		operators.stop();
 		this.links.close();
-		this.supervisor.stop();
+		this.parts.supervisor().stop();
 		loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
-		LogLine.of("ended").with("code", this.exitCode.code()).info();
-		return this.exitCode;
+		return code;
 	}
 
 	/**
@@ -150,11 +117,7 @@
 	 */
 	public void stop() {
 		this.stoppingSince = Math.max(1, MonotonicClock.millis());
-		if (!this.settings.drainLimit().isZero()) {
-			this.io.worker()
-				.getIoThread()
-				.executeAfter(() -> end(ExitCode.OK), this.settings.drainLimit().toMillis(), TimeUnit.MILLISECONDS);
-		}
+		this.parts.endAfter(this.settings.drainLimit());
 	}
 
 	private EntryState createState(EventLoop loop) {
@@ -171,20 +134,17 @@
 		Backoff backoff = new Backoff(Duration.ofMillis(50), Duration.ofSeconds(2), this.random);
 		RetryBudget budget = new RetryBudget(this.settings.retryShare(), RETRIES_PER_SECOND, RETRIES_SAVED);
 		CallCoordinator coordinator = new CallCoordinator(this.settings.calls(), selector, board, budget, backoff,
-				state, this.audit);
+				state, this.parts.audit());
 		state.use(coordinator, keeper());
 		registerMetrics(coordinator.counters());
 		return state;
 	}
 
 	private ConfigurationKeeper keeper() {
-		HttpCaller caller = new HttpCaller(this.io.worker(), this.io.buffers());
-		HttpConfigurationService service = new HttpConfigurationService(caller, this.io.worker().getIoThread(),
-				this.settings.common().platform(), this.settings.common().watchWait());
 		Backoff backoff = new Backoff(Duration.ofMillis(100), Duration.ofSeconds(5), this.random);
-		ConfigurationKeeper keeper = new ConfigurationKeeper(new ConfigurationLedger(), service, backoff,
-				PEERS_SUFFICE_MILLIS, (t) -> this.duty.put((s) -> t.accept(MonotonicClock.millis())), this::inForce,
-				this.audit);
+		ConfigurationKeeper keeper = new ConfigurationKeeper(new ConfigurationLedger(),
+				this.parts.configurationService(), backoff, PEERS_SUFFICE_MILLIS,
+				(t) -> this.duty.put((s) -> t.accept(MonotonicClock.millis())), this::inForce, this.parts.audit());
 		keeper.setWatcher(false);
 		return keeper;
 	}
@@ -200,7 +160,7 @@
 		this.calls.openCalls(state.coordinator().openCalls());
 		long since = this.stoppingSince;
 		if (since != 0 && MonotonicClock.millis() - since >= BALANCER_MILLIS && state.coordinator().openCalls() == 0) {
-			end(ExitCode.OK);
+			this.parts.end(ExitCode.OK);
 		}
 	}
 
@@ -229,34 +189,14 @@
 				!known.health().isUsable(now), known.inFlight(), known.reportAgeMillis(now), known.report());
 	}
 
-	private Object ask(Function<EntryState, Object> question) {
-		CompletableFuture<Object> answer = new CompletableFuture<>();
-		Consumer<EntryState> command = (s) -> answer.complete(question.apply(s));
-		this.duty.put(command);
-		try {
-			return answer.get(STATUS_WAIT.toMillis(), TimeUnit.MILLISECONDS);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			throw new IllegalStateException("interrupted while asking the deciding duty", ex);
-		}
-		catch (ExecutionException | TimeoutException ex) {
-			throw new IllegalStateException("the deciding duty did not answer in time", ex);
-		}
-	}
-
 	private void registerMetrics(CallCounters counters) {
-		gauge("laneworks_calls_opened", counters, (c) -> c.opened().sum());
-		gauge("laneworks_calls_finished", counters, (c) -> c.finished().sum());
-		gauge("laneworks_calls_refused", counters, (c) -> c.refused().sum());
-		gauge("laneworks_retries", counters, (c) -> c.retried().sum());
-		gauge("laneworks_tokens_delivered", counters, (c) -> c.delivered().sum());
-		gauge("laneworks_stray_messages", counters, (c) -> c.strays().sum());
-		gauge("laneworks_reattached", counters, (c) -> c.reattached().sum());
-	}
-
-	private void gauge(String name, CallCounters counters, ToLongFunction<CallCounters> value) {
-		this.metrics.register(name, (Gauge<Long>) () -> value.applyAsLong(counters));
+		this.parts.gauge("laneworks_calls_opened", counters.opened()::sum);
+		this.parts.gauge("laneworks_calls_finished", counters.finished()::sum);
+		this.parts.gauge("laneworks_calls_refused", counters.refused()::sum);
+		this.parts.gauge("laneworks_retries", counters.retried()::sum);
+		this.parts.gauge("laneworks_tokens_delivered", counters.delivered()::sum);
+		this.parts.gauge("laneworks_stray_messages", counters.strays()::sum);
+		this.parts.gauge("laneworks_reattached", counters.reattached()::sum);
 	}
 
 	private Map<String, InetSocketAddress> seeds() {
@@ -267,22 +207,4 @@
 		return seeds;
 	}
 
-	private void end(ExitCode code) {
-		if (this.ended.getCount() > 0) {
-			this.exitCode = code;
-			this.ended.countDown();
-		}
-	}
-
-	private void awaitEnd() {
-		try {
-			this.ended.await();
-			// The last events are on their way to the operating system.
-			Thread.sleep(FLUSH.toMillis());
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 }
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/platform/HttpLiveList.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/platform/HttpLiveList.java
@@ -14,8 +14,8 @@
 import io.vavr.control.Either;
 
 /**
- * Reads the live list over HTTP: {@code GET /instances} answers {@code [{"name": …,
- * "state": "live"|"leaving"}]}.
+ * Reads the live list over HTTP: {@code GET /instances?name=NAME} answers
+ * {@code [{"name": …, "state": "live"|"leaving"}]}.
  *
  * @since 0.1
  */
@@ -40,8 +40,8 @@
 	}
 
 	@Override
-	public void read(Consumer<Either<IOException, List<LiveInstance>>> receiver) {
-		this.caller.call(HttpCall.of(this.server, "GET", "/instances"),
+	public void read(String name, Consumer<Either<IOException, List<LiveInstance>>> receiver) {
+		this.caller.call(HttpCall.of(this.server, "GET", "/instances?name=" + name),
 				new WholeResponse(MAX_BYTES, (r) -> receiver.accept(r.flatMap(HttpLiveList::instances))));
 	}
 
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/platform/LiveList.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/platform/LiveList.java
@@ -14,9 +14,11 @@
 public interface LiveList {
 
 	/**
-	 * Read the list.
+	 * Read what the list says of an instance.
+	 * @param name the instance's name; a platform that can't look for one name may answer
+	 * with the whole list
 	 * @param receiver takes the list or why there is none; called once on an I/O thread
 	 */
-	void read(Consumer<Either<IOException, List<LiveInstance>>> receiver);
+	void read(String name, Consumer<Either<IOException, List<LiveInstance>>> receiver);
 
 }
--- a/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/SidecarOutputs.java
+++ b/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/SidecarOutputs.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 
 import dev.laneworks.core.host.HostOutputs;
 import dev.laneworks.core.message.EntryMessage;
@@ -27,13 +28,12 @@
 
 	private final TargetLinks others;
 
-	/** The links that got an answer since the last load report. */
-	private final Set<Long> answered = new HashSet<>();
-
 	private final Set<String> openHomes = new HashSet<>();
 
 	private final Map<String, Set<OnceKey>> unsent = new HashMap<>();
 
+	private Supplier<LoadReport> load;
+
 	SidecarOutputs(Map<Long, Link> links, TargetClient target, TargetLinks others) {
 		this.links = links;
 		this.target = target;
@@ -47,8 +47,10 @@
 			return;
 		}
 		open.send(message);
-		if (!(message instanceof SidecarMessage.Chunk)) {
-			this.answered.add(link);
+		// A report costs little in the segment that carries an answer, and much in one of
+		// its own.
+		if (!(message instanceof SidecarMessage.Chunk) && !(message instanceof SidecarMessage.Load)) {
+			sendLoad(open);
 		}
 	}
 
@@ -107,25 +109,17 @@
 		this.unsent.remove(home);
 	}
 
-	void owesLoad(long link) {
-		this.answered.add(link);
-	}
-
-	// Tells the load to the links that got an answer since the last time.
-	void reportLoad(LoadReport report) {
-		this.answered.forEach((l) -> sendLoad(l, report));
-		this.answered.clear();
+	// The host's outputs are this object, so its load comes after.
+	void use(Supplier<LoadReport> hostLoad) {
+		this.load = hostLoad;
 	}
 
-	void reportLoadToAll(LoadReport report) {
-		this.links.keySet().forEach((l) -> sendLoad(l, report));
+	void sendLoad(Link link) {
+		link.send(new SidecarMessage.Load(this.load.get()));
 	}
 
-	private void sendLoad(long link, LoadReport report) {
-		Link open = this.links.get(link);
-		if (open != null) {
-			open.send(new SidecarMessage.Load(report));
-		}
+	void sendLoadToAll() {
+		this.links.values().forEach(this::sendLoad);
 	}
 
 }
--- a/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/SidecarState.java
+++ b/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/SidecarState.java
@@ -19,8 +19,6 @@
  */
 final class SidecarState {
 
-	private static final long LOAD_GAP_MILLIS = 200;
-
 	private final String target;
 
 	private final ViewHistory views;
@@ -33,8 +31,6 @@
 
 	private final SidecarOutputs outputs;
 
-	private long loadReportedAt;
-
 	SidecarState(String target, ViewHistory views, Map<Long, Link> links, GenerationHost host,
 			ConfigurationKeeper keeper, SidecarOutputs outputs) {
 		this.target = target;
@@ -43,6 +39,7 @@
 		this.host = host;
 		this.exchange = new ConfigurationExchange(keeper, (m) -> links.values().forEach((l) -> l.send(m)), false);
 		this.outputs = outputs;
+		outputs.use(host::load);
 	}
 
 	GenerationHost host() {
@@ -85,7 +82,7 @@
 
 	void leave(String cause) {
 		this.host.leave(cause, MonotonicClock.millis());
-		this.outputs.reportLoadToAll(this.host.load());
+		this.outputs.sendLoadToAll();
 	}
 
 	void farewell() {
@@ -101,16 +98,12 @@
 			.ledger()
 			.current()
 			.ifPresent((c) -> this.views.forget(now - c.keyTimes().memoryMillis()));
-		if (now - this.loadReportedAt >= LOAD_GAP_MILLIS) {
-			this.loadReportedAt = now;
-			this.outputs.reportLoad(this.host.load());
-		}
 	}
 
 	void onConfigurationMessage(Link link, ConfigurationMessage message) {
 		this.exchange.onMessage(link.peer().name(), message, link::send, MonotonicClock.millis());
 		if (message instanceof ConfigurationMessage.Notice) {
-			this.outputs.owesLoad(link.number());
+			this.outputs.sendLoad(link);
 		}
 	}
 
--- a/laneworks-standin/src/main/java/dev/laneworks/standin/platform/PlatformServer.java
+++ b/laneworks-standin/src/main/java/dev/laneworks/standin/platform/PlatformServer.java
@@ -200,7 +200,11 @@
 		this.calls.incrementAndGet();
 		List<ObjectNode> shownInstances = new ArrayList<>();
 		synchronized (this) {
+			String name = parameter(exchange, "name", "");
 			for (LiveInstance instance : this.instances.values()) {
+				if (!name.isEmpty() && !name.equals(instance.name())) {
+					continue;
+				}
 				shownInstances.add(JsonText.object()
 					.put("name", instance.name())
 					.put("state", instance.leaving() ? "leaving" : "live"));
