Split delivery from the host; spread the return of refused callers

Read on the way and mended: a keyed request that was refused at the door left its reader in the index for good.

Retry-After came from one estimate for all callers refused together, who would have come back together; a quarter to half of it is added by chance now, and none is told to come back earlier than before.

--- a/laneworks-core/src/main/java/dev/laneworks/core/call/CallCoordinator.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/call/CallCoordinator.java
@@ -281,8 +281,8 @@
 				: this.selector.select(new RouteRequest(call.work().model(), call.request().intent(),
 						call.request().prefixHash(), call.excluded()), now);
 		if (route.isEmpty()) {
-			refuse(call, Refusal.notRun(RefusalReason.NO_TARGET, "no target can take the request now",
-					Duration.ofMillis(this.backoff.spread(NO_TARGET_RETRY.toMillis()))));
+			refuse(call,
+					Refusal.notRun(RefusalReason.NO_TARGET, "no target can take the request now", NO_TARGET_RETRY));
 			return;
 		}
 		String target = route.get().target().name();
@@ -553,7 +553,13 @@
 				call.target(), verdict.label() + ", " + refusal.reason().label() + ": " + refusal.detail()));
 		close(call);
 		this.outputs.refuse(call.number(),
-				new Refusal(verdict, refusal.reason(), refusal.detail(), refusal.retryAfter()));
+				new Refusal(verdict, refusal.reason(), refusal.detail(), refusal.retryAfter().map(this::spread)));
+	}
+
+	// Callers that were refused together do not come back together, and none comes back
+	// too early.
+	private Duration spread(Duration retryAfter) {
+		return retryAfter.plusMillis(this.backoff.spread(retryAfter.toMillis()) / 2);
 	}
 
 	private void close(Call call) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/host/GenerationHost.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/host/GenerationHost.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -72,7 +71,7 @@
 
 	private final ExpiringNames spent = new ExpiringNames();
 
-	private final Map<ReaderKey, Generation> readers = new HashMap<>();
+	private final Delivery delivery;
 
 	private final LengthModel lengths;
 
@@ -108,6 +107,7 @@
 		this.keyGuard = keyGuard;
 		this.ledger = ledger;
 		this.outputs = outputs;
+		this.delivery = new Delivery(outputs);
 		this.audit = audit;
 		this.lastInputAt = now;
 		this.lengths = lengths;
@@ -135,10 +135,11 @@
 			bar(link, bar, now);
 		}
 		else if (message instanceof EntryMessage.Release release) {
-			findRead(link, release.stream()).ifPresent((g) -> release(g, release.mayReturn(), now));
+			this.delivery.find(link, release.stream()).ifPresent((g) -> release(g, release.mayReturn(), now));
 		}
 		else if (message instanceof EntryMessage.Credit credit) {
-			findRead(link, credit.stream()).ifPresent((g) -> allow(g, credit.creditLimit(), now));
+			this.delivery.find(link, credit.stream())
+				.ifPresent((g) -> this.delivery.allow(g, credit.creditLimit(), now));
 		}
 		else if (message instanceof EntryMessage.Probe) {
 			this.outputs.send(link, new SidecarMessage.Load(load()));
@@ -157,7 +158,7 @@
 		noticePause(now);
 		for (Generation generation : this.generations.values()) {
 			if (generation.reader().filter((r) -> r.link() == link).isPresent()) {
-				clearReader(generation, now);
+				this.delivery.lose(generation, now);
 			}
 		}
 	}
@@ -188,7 +189,7 @@
 		generation.log().append(data);
 		this.counters.tokens().increment();
 		this.admission.recordToken(generation);
-		pump(generation, now);
+		this.delivery.pump(generation, now);
 	}
 
 	/**
@@ -211,7 +212,7 @@
 		this.admission.remove(generation);
 		generation.end(reason, now);
 		this.lengths.observe(generation.lengthClass(), total);
-		pump(generation, now);
+		this.delivery.pump(generation, now);
 		admit(now);
 	}
 
@@ -386,7 +387,7 @@
 			return;
 		}
 		Generation generation = new Generation(name, work, weight(work), GenerationState.QUEUED, now);
-		setReader(generation, reader);
+		this.delivery.assign(generation, reader);
 		if (work.onceKey().isEmpty()) {
 			this.generations.put(name, generation);
 			enqueue(generation, now);
@@ -415,6 +416,7 @@
 		KeyDecision decision = this.keyGuard.decide(key, generation.work().model(), this.ledger, now);
 		if (decision instanceof KeyDecision.Refuse refuse) {
 			Reader reader = generation.reader().orElseThrow();
+			this.delivery.lose(generation, now);
 			refuse(reader.link(), reader.stream(), generation.work(), refuse.refusal());
 			return;
 		}
@@ -509,7 +511,7 @@
 			return;
 		}
 		Generation adopted = Generation.adopted(attach.generation(), now);
-		setReader(adopted, reader);
+		this.delivery.assign(adopted, reader);
 		this.generations.put(adopted.name(), adopted);
 		this.admission.addRunning(adopted);
 		this.audit.record(event(AuditKind.ATTACHED, adopted, "an earlier sidecar started it"));
@@ -530,17 +532,8 @@
 	}
 
 	private void accept(Generation generation, Reader reader, long now) {
-		generation.reader()
-			.filter((r) -> r.link() != reader.link() || !r.stream().equals(reader.stream()))
-			.ifPresent((r) -> this.outputs.send(r.link(),
-					new SidecarMessage.Refused(r.stream(),
-							new Refusal(generation.hasStarted() ? Verdict.RAN : Verdict.MAY_HAVE_RUN,
-									RefusalReason.SUPERSEDED, "another reader took over the stream",
-									Optional.empty()))));
-		setReader(generation, reader);
 		this.audit.record(event(AuditKind.ATTACHED, generation, "reader from offset " + reader.nextOffset()));
-		this.outputs.send(reader.link(), new SidecarMessage.Accepted(reader.stream(), generation.name(), 0));
-		pump(generation, now);
+		this.delivery.takeOver(generation, reader, now);
 	}
 
 	private void bar(long link, EntryMessage.Bar bar, long now) {
@@ -595,7 +588,7 @@
 	}
 
 	private void release(Generation generation, boolean mayReturn, long now) {
-		clearReader(generation, now);
+		this.delivery.lose(generation, now);
 		if (!mayReturn && !generation.isKeyed()) {
 			cancel(generation, "its caller left", now);
 		}
@@ -619,40 +612,6 @@
 		admit(now);
 	}
 
-	private void allow(Generation generation, long limit, long now) {
-		generation.reader().ifPresent((r) -> r.allow(limit));
-		pump(generation, now);
-	}
-
-	private void pump(Generation generation, long now) {
-		Reader reader = generation.reader().orElse(null);
-		if (reader == null) {
-			return;
-		}
-		int size = generation.log().size();
-		while (reader.nextOffset() < size && reader.mayTake()) {
-			int offset = (int) reader.nextOffset();
-			this.outputs.send(reader.link(),
-					new SidecarMessage.Chunk(reader.stream(), offset, generation.log().get(offset)));
-			reader.advance();
-		}
-		if (reader.nextOffset() < size || !generation.state().isOver()) {
-			return;
-		}
-		clearReader(generation, now);
-		generation.setDelivered();
-		if (generation.state() == GenerationState.FAILED) {
-			this.outputs.send(reader.link(), new SidecarMessage.Refused(reader.stream(), generation.refusal()));
-		}
-		else if (reader.nextOffset() > size) {
-			this.outputs.send(reader.link(), new SidecarMessage.Refused(reader.stream(),
-					Refusal.ran(RefusalReason.BAD_REQUEST, "the position lies behind the end of the output")));
-		}
-		else {
-			this.outputs.send(reader.link(), new SidecarMessage.End(reader.stream(), size, generation.finishReason()));
-		}
-	}
-
 	private void tick(Generation generation, long now) {
 		switch (generation.state()) {
 			case ASKING -> {
@@ -735,7 +694,7 @@
 		if (!generation.isKeyed()) {
 			this.outputs.cancel(generation.name());
 		}
-		pump(generation, now);
+		this.delivery.pump(generation, now);
 		admit(now);
 	}
 
@@ -757,7 +716,7 @@
 	// Forget a generation; if it is one attempt's alone, its name can't run any more.
 	private void drop(Generation generation, long now) {
 		this.generations.remove(generation.name());
-		generation.reader().ifPresent((r) -> this.readers.remove(ReaderKey.of(r)));
+		this.delivery.lose(generation, now);
 		this.admission.remove(generation);
 		if (!generation.isKeyed()) {
 			this.barred.add(generation.name(), now + memoryMillis());
@@ -784,21 +743,6 @@
 		sendQueuedBack(RefusalReason.WITHDRAWN, "the sidecar was paused while the request waited", now);
 	}
 
-	private Optional<Generation> findRead(long link, StreamId stream) {
-		return Optional.ofNullable(this.readers.get(new ReaderKey(link, stream)));
-	}
-
-	private void setReader(Generation generation, Reader reader) {
-		generation.reader().ifPresent((r) -> this.readers.remove(ReaderKey.of(r)));
-		generation.readBy(reader);
-		this.readers.put(ReaderKey.of(reader), generation);
-	}
-
-	private void clearReader(Generation generation, long now) {
-		generation.reader().ifPresent((r) -> this.readers.remove(ReaderKey.of(r)));
-		generation.loseReader(now);
-	}
-
 	private Refusal inDoubt(long now, String detail) {
 		return new Refusal(Verdict.MAY_HAVE_RUN, RefusalReason.KEY_IN_DOUBT, "not run this time: " + detail,
 				Optional.of(Duration.ofMillis(memoryMillis())));
@@ -820,12 +764,4 @@
 		return new AuditEvent(kind, generation.name(), generation.account(), this.target, cause);
 	}
 
-	private record ReaderKey(long link, StreamId stream) {
-
-		static ReaderKey of(Reader reader) {
-			return new ReaderKey(reader.link(), reader.stream());
-		}
-
-	}
-
 }
