Keep the sidecar's package named target in the repository

Cause: the ignore rule for build output matched any folder named target, and so the package dev.laneworks.sidecar.target; a fresh clone did not compile. Ruled out: a missing build step (the working copy had the files).

--- /dev/null
+++ b/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/target/ForwardingResponse.java
@@ -0,0 +1,46 @@
+package dev.laneworks.sidecar.target;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+
+import dev.laneworks.runtime.http.HttpResponseListener;
+import dev.laneworks.runtime.http.WholeResponse;
+import io.vavr.control.Either;
+
+/**
+ * Gathers a response and tells besides whether the request may have been sent.
+ */
+abstract class ForwardingResponse implements HttpResponseListener {
+
+	private static final int MAX_BYTES = 4 << 20;
+
+	private final WholeResponse whole = new WholeResponse(MAX_BYTES, (r) -> onWhole(r, true));
+
+	abstract void onWhole(Either<IOException, WholeResponse.Received> received, boolean sent);
+
+	@Override
+	public void onNotSent(IOException cause) {
+		onWhole(Either.left(cause), false);
+	}
+
+	@Override
+	public void onHead(int status, String contentType) {
+		this.whole.onHead(status, contentType);
+	}
+
+	@Override
+	public void onBody(ByteBuffer data) {
+		this.whole.onBody(data);
+	}
+
+	@Override
+	public void onEnd() {
+		this.whole.onEnd();
+	}
+
+	@Override
+	public void onBroken(IOException cause) {
+		this.whole.onBroken(cause);
+	}
+
+}
--- /dev/null
+++ b/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/target/HttpTargetClient.java
@@ -0,0 +1,188 @@
+package dev.laneworks.sidecar.target;
+
+import java.io.IOException;
+import java.net.URI;
+import java.util.List;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+
+import dev.laneworks.core.host.TargetLoss;
+import dev.laneworks.core.message.FinishReason;
+import dev.laneworks.core.message.ServiceReply;
+import dev.laneworks.core.message.Work;
+import dev.laneworks.core.message.WorkKind;
+import dev.laneworks.runtime.http.HttpCall;
+import dev.laneworks.runtime.http.HttpCaller;
+import dev.laneworks.runtime.http.HttpExchange;
+import dev.laneworks.runtime.http.HttpHeader;
+import dev.laneworks.runtime.http.WholeResponse;
+import io.vavr.control.Either;
+
+/**
+ * Gives requests to an engine or a plain service over HTTP.
+ * <p>
+ * A generation has at most one stream at a time: asking for its output again gives the
+ * old stream up. Thread-safe.
+ *
+ * @since 0.1
+ */
+public final class HttpTargetClient implements TargetClient {
+
+	private static final int MAX_SERVICE_BODY = 4 << 20;
+
+	private static final int OK = 200;
+
+	private static final byte[] NO_BODY = new byte[0];
+
+	private static final String GENERATIONS = "/v1/generations/";
+
+	private final HttpCaller caller;
+
+	private final URI server;
+
+	private final TargetEvents events;
+
+	private final ConcurrentMap<String, HttpExchange> streams = new ConcurrentHashMap<>();
+
+	/**
+	 * Create a client.
+	 * @param caller makes the calls
+	 * @param server the target
+	 * @param events hears what the target does
+	 */
+	public HttpTargetClient(HttpCaller caller, URI server, TargetEvents events) {
+		this.caller = caller;
+		this.server = server;
+		this.events = new Forgetting(events);
+	}
+
+	@Override
+	public void start(String generation, Work work) {
+		if (work.kind() == WorkKind.SERVICE) {
+			startService(generation, work);
+			return;
+		}
+		List<HttpHeader> headers = List.of(new HttpHeader("Content-Type", "application/json"),
+				new HttpHeader("X-Request-Id", generation),
+				new HttpHeader("X-Priority", String.valueOf(work.priority())));
+		HttpCall call = new HttpCall(this.server, work.method(), work.path(), headers, work.body());
+		stream(generation, call, 0);
+	}
+
+	@Override
+	public void reattach(String generation, long offset) {
+		String path = GENERATIONS + generation + "?offset=" + offset;
+		stream(generation, HttpCall.of(this.server, "GET", path), offset);
+	}
+
+	@Override
+	public void cancel(String generation) {
+		HttpExchange stream = this.streams.remove(generation);
+		if (stream != null) {
+			stream.abandon();
+		}
+		control("DELETE", GENERATIONS + generation);
+	}
+
+	@Override
+	public void pause(String generation) {
+		control("POST", GENERATIONS + generation + "/pause");
+	}
+
+	@Override
+	public void resume(String generation) {
+		control("POST", GENERATIONS + generation + "/resume");
+	}
+
+	@Override
+	public void lookUp(String generation) {
+		HttpCall call = HttpCall.of(this.server, "GET", GENERATIONS + generation + "/state");
+		this.caller.call(call, new WholeResponse(MAX_SERVICE_BODY,
+				(r) -> this.events.onLookUp(generation, r.isRight() && r.get().status() == OK)));
+	}
+
+	private void stream(String generation, HttpCall call, long offset) {
+		HttpExchange exchange = this.caller.call(call, new EngineStream(generation, offset, this.events));
+		HttpExchange old = this.streams.put(generation, exchange);
+		if (old != null) {
+			old.abandon();
+		}
+	}
+
+	private void startService(String generation, Work work) {
+		List<HttpHeader> headers = (work.body().length > 0)
+				? List.of(new HttpHeader("Content-Type", "application/octet-stream"),
+						new HttpHeader("X-Request-Id", generation))
+				: List.of(new HttpHeader("X-Request-Id", generation));
+		HttpCall call = new HttpCall(this.server, work.method(), work.path(), headers, work.body());
+		ServiceAnswer answer = new ServiceAnswer(generation);
+		this.caller.call(call, answer);
+	}
+
+	private void control(String method, String path) {
+		this.caller.call(new HttpCall(this.server, method, path, List.of(), NO_BODY),
+				new WholeResponse(MAX_SERVICE_BODY, (r) -> {
+				}));
+	}
+
+	/**
+	 * Gathers the answer of a plain service.
+	 */
+	private final class ServiceAnswer extends ForwardingResponse {
+
+		private final String generation;
+
+		ServiceAnswer(String generation) {
+			this.generation = generation;
+		}
+
+		@Override
+		void onWhole(Either<IOException, WholeResponse.Received> received, boolean sent) {
+			if (received.isLeft()) {
+				HttpTargetClient.this.events.onLost(this.generation, sent ? TargetLoss.UNKNOWN : TargetLoss.NOT_SENT);
+				return;
+			}
+			WholeResponse.Received response = received.get();
+			byte[] reply = new ServiceReply(response.status(), response.contentType(), response.body()).encode();
+			HttpTargetClient.this.events.onChunk(this.generation, 0, reply);
+			HttpTargetClient.this.events.onEnd(this.generation, 1, FinishReason.STOP);
+		}
+
+	}
+
+	/**
+	 * Forgets a generation's stream when it is over.
+	 */
+	private final class Forgetting implements TargetEvents {
+
+		private final TargetEvents next;
+
+		Forgetting(TargetEvents next) {
+			this.next = next;
+		}
+
+		@Override
+		public void onChunk(String generation, long offset, byte[] data) {
+			this.next.onChunk(generation, offset, data);
+		}
+
+		@Override
+		public void onEnd(String generation, long total, FinishReason reason) {
+			HttpTargetClient.this.streams.remove(generation);
+			this.next.onEnd(generation, total, reason);
+		}
+
+		@Override
+		public void onLost(String generation, TargetLoss loss) {
+			HttpTargetClient.this.streams.remove(generation);
+			this.next.onLost(generation, loss);
+		}
+
+		@Override
+		public void onLookUp(String generation, boolean found) {
+			this.next.onLookUp(generation, found);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/target/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Talks to the target over HTTP.
+ */
+package dev.laneworks.sidecar.target;
