--- a/laneworks-core/src/test/java/dev/laneworks/core/host/GenerationHostTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/host/GenerationHostTests.java
@@ -195,6 +195,19 @@
 		assertThat(this.outputs.verdict).isEqualTo(Verdict.MAY_HAVE_RUN);
 	}
 
+	@Test
+	void aKeyWhoseReaderLeftIsFoundAgainAndNotRunAnew() {
+		OnceKey key = new OnceKey("a", "k", INCARNATION);
+		submitKeyed(1, key, 0);
+		this.host.onTargetChunk(key.generationName(), 0, data(0), 1);
+		this.host.onMessage(LINK, new EntryMessage.Release(new StreamId(1, 1), false), 2);
+		assertThat(this.host.load().running()).isEqualTo(1);
+		this.outputs.log.clear();
+		submitKeyed(2, key, 3);
+		assertThat(this.outputs.log).containsExactly("accepted 2", "chunk 0").inOrder();
+		assertThat(this.outputs.starts).isEqualTo(1);
+	}
+
 	@Test
 	void aKeyWithoutATicketNeedsAFreshViewAndAMemoryOfTheWholeWindow() {
 		submitKeyed(1, new OnceKey("a", "k", OnceKey.NO_TICKET), 0);
