Take the process tests' ports from below the ephemeral range

A port that was found free could be taken by an outgoing connection before its process listened on it. Not seen to fail yet; found by reading. 18 process tests green after the change.

--- a/laneworks-processtests/src/test/java/dev/laneworks/processtests/Fleet.java
+++ b/laneworks-processtests/src/test/java/dev/laneworks/processtests/Fleet.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -37,6 +38,8 @@
 
 	private static final int OK = 200;
 
+	private static final AtomicInteger NEXT_PORT = new AtomicInteger(21_000);
+
 	private final Path directory;
 
 	private final PlatformServer platform = new PlatformServer(free());
@@ -273,12 +276,17 @@
 		}
 	}
 
+	// Below the range from which the operating system takes ports for outgoing
+	// connections, which would race for them.
 	private static InetSocketAddress free() {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-			return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
-		}
-		catch (IOException ex) {
-			throw new UncheckedIOException(ex);
+		while (true) {
+			int port = NEXT_PORT.getAndIncrement();
+			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+				return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+			}
+			catch (IOException ex) {
+				// Taken; the next one is tried.
+			}
 		}
 	}
 
