Let a duty give itself commands without waiting for itself

Cause, found by reading: the configuration keeper runs on the deciding duty and gives it a command when a configuration comes in force. With a full ring put() waited for room that only the waiting thread could make, and the process hung for good.

Commands from the duty's own thread now have a line of their own, which runs first. Ruled out: a larger ring (makes it rarer only), and offer() there (the configuration would be lost).

Before: aDutyMayGiveItselfMoreThanItsRingHolds red after 10 s (50 commands, a ring of 4); after: green.

--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/duty/Duty.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/duty/Duty.java
@@ -1,6 +1,8 @@
 package dev.laneworks.runtime.duty;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
@@ -28,6 +30,9 @@
 
 	private final MpscBlockingConsumerArrayQueue<Consumer<S>> ring;
 
+	/** The commands that the duty gave itself; only its own thread looks at them. */
+	private final Deque<Consumer<S>> own = new ArrayDeque<>();
+
 	private final long tickNanos;
 
 	private final Consumer<S> tick;
@@ -79,9 +84,16 @@
 
 	/**
 	 * Give the duty a command, holding up the calling thread while the ring is full.
+	 * <p>
+	 * The duty itself may give itself commands too; they run before those in the ring and
+	 * never hold it up.
 	 * @param command the command
 	 */
 	public void put(Consumer<S> command) {
+		if (Thread.currentThread() == this.thread) {
+			this.own.add(command);
+			return;
+		}
 		while (!this.ring.offer(command)) {
 			if (this.stopped) {
 				return;
@@ -128,7 +140,10 @@
 
 	void step() throws InterruptedException {
 		long wait = this.nextTick - System.nanoTime();
-		Consumer<S> command = (wait > 0) ? this.ring.poll(wait, TimeUnit.NANOSECONDS) : this.ring.poll();
+		Consumer<S> command = this.own.poll();
+		if (command == null) {
+			command = (wait > 0) ? this.ring.poll(wait, TimeUnit.NANOSECONDS) : this.ring.poll();
+		}
 		if (command != null) {
 			command.accept(this.state);
 		}
