Wait at an entry's planned stop until answers are written

Cause, found by reading: a call counts as over when its last piece was given to its connection, and the stop waited for calls only; a slow caller could lose what still stood in the connection's queue 200 ms later. The entry now counts answers until their exchange is complete or their connection closed, each once.

--- a/laneworks-entry/src/main/java/dev/laneworks/entry/Entry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/Entry.java
@@ -76,6 +76,8 @@
 
 	private TargetLinks links;
 
+	private volatile CallerServer callers;
+
 	/**
 	 * Create an entry; {@link #run()} starts it.
 	 * @param settings its settings
@@ -94,16 +96,16 @@
 		MultiThreadIoEventLoopGroup loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 		this.duty = new Duty<>("calls", createState(loops.next()), RING, TICK, this::tick);
 		this.parts.supervisor().start(this.duty);
-		CallerServer callers = new CallerServer(this.parts.io(), this.settings.callers(), this.calls,
-				this.settings.secret(), new CallTimes(this.parts.metrics()), this::isReady);
+		this.callers = new CallerServer(this.parts.io(), this.settings.callers(), this.calls, this.settings.secret(),
+				new CallTimes(this.parts.metrics()), this::isReady);
 		OperatorServer operators = new OperatorServer(this.parts.io().worker(),
 				this.settings.common().operatorAddress(), this.parts.metrics(), this.parts.audit(), this::isReady,
 				() -> ProcessParts.ask(this.duty, this::status), Handlers.routing());
 		operators.start();
-		callers.start();
+		this.callers.start();
 		LogLine.of("started").with("address", this.settings.callers().address().toString()).info();
 		ExitCode code = this.parts.awaitEnd();
-		callers.stop();
+		this.callers.stop();
 		operators.stop();
 		this.links.close();
 		this.parts.supervisor().stop();
@@ -159,11 +161,17 @@
 		state.tick();
 		this.calls.openCalls(state.coordinator().openCalls());
 		long since = this.stoppingSince;
-		if (since != 0 && MonotonicClock.millis() - since >= BALANCER_MILLIS && state.coordinator().openCalls() == 0) {
+		if (since != 0 && MonotonicClock.millis() - since >= BALANCER_MILLIS && isIdle(state)) {
 			this.parts.end(ExitCode.OK);
 		}
 	}
 
+	// A call is over when its output was given to its connection; its answer only when
+	// that was written.
+	private boolean isIdle(EntryState state) {
+		return state.coordinator().openCalls() == 0 && (this.callers == null || this.callers.openAnswers() == 0);
+	}
+
 	private boolean isReady() {
 		return this.ready && this.stoppingSince == 0;
 	}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/caller/CallerServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/caller/CallerServer.java
@@ -4,6 +4,8 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
 import dev.laneworks.core.call.CallRequest;
@@ -61,6 +63,8 @@
 
 	private final RequestReader reader;
 
+	private final AtomicInteger openAnswers = new AtomicInteger();
+
 	private final Undertow server;
 
 	/**
@@ -107,6 +111,14 @@
 		this.server.stop();
 	}
 
+	/**
+	 * Return how many answers are not written to their end.
+	 * @return the count
+	 */
+	public int openAnswers() {
+		return this.openAnswers.get();
+	}
+
 	private HttpHandler routes() {
 		return Handlers.path()
 			.addExactPath("/livez", (e) -> e.getResponseSender().send("live\n"))
@@ -236,13 +248,28 @@
 
 	private void watch(HttpServerExchange exchange, long call) {
 		new CallerPresence(exchange, () -> this.calls.left(call)).watch();
+		AtomicBoolean open = new AtomicBoolean(true);
+		this.openAnswers.incrementAndGet();
+		exchange.addExchangeCompleteListener((e, next) -> {
+			closed(open);
+			next.proceed();
+		});
 		exchange.getConnection().addCloseListener((c) -> {
+			closed(open);
 			if (!exchange.isComplete()) {
 				this.calls.left(call);
 			}
 		});
 	}
 
+	// An answer is over when its last byte is written or its connection is closed,
+	// whichever comes first.
+	private void closed(AtomicBoolean open) {
+		if (open.compareAndSet(true, false)) {
+			this.openAnswers.decrementAndGet();
+		}
+	}
+
 	private static void answerIfFull(HttpServerExchange exchange, boolean taken) {
 		if (!taken) {
 			CallerProblem.send(exchange,
--- a/laneworks-processtests/src/test/java/dev/laneworks/processtests/FailureTests.java
+++ b/laneworks-processtests/src/test/java/dev/laneworks/processtests/FailureTests.java
@@ -1,7 +1,9 @@
 package dev.laneworks.processtests;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -109,6 +111,7 @@
 		AtomicInteger seen = new AtomicInteger();
 		CompletableFuture<StreamResult> stream = ask(0, "{}", seen);
 		Fleet.await("tokens come", () -> seen.get() > 20);
+		askAndHangUp();
 		this.fleet.entry(0).terminate();
 		Fleet.await("the health check fails", () -> statusCode(this.fleet.entryUri(0, "/readyz")) == 503);
 		assertThat(stream.join().isWhole()).isTrue();
@@ -184,6 +187,18 @@
 		});
 	}
 
+	// A caller whose answer never ends must not hold the stop up.
+	private void askAndHangUp() throws IOException {
+		String body = "{\"model\": \"m\", \"prompt\": \"x\", \"stream\": true, \"standin_length\": 90000}";
+		try (Socket socket = new Socket("127.0.0.1", this.fleet.entryUri(0, "/").getPort())) {
+			socket.getOutputStream()
+				.write(("POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + Fleet.KEY
+						+ "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body)
+					.getBytes(StandardCharsets.UTF_8));
+			assertThat(socket.getInputStream().read()).isAtLeast(0);
+		}
+	}
+
 	private int runningTarget() {
 		Fleet.await("an engine runs the generation",
 				() -> this.fleet.load(0).path("running").asInt() + this.fleet.load(1).path("running").asInt() > 0);
--- a/laneworks-processtests/src/test/java/dev/laneworks/processtests/Fleet.java
+++ b/laneworks-processtests/src/test/java/dev/laneworks/processtests/Fleet.java
@@ -218,15 +218,6 @@
 		}
 	}
 
-	static void sleep(long millis) {
-		try {
-			Thread.sleep(millis);
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-		}
-	}
-
 	@Override
 	public void close() {
 		this.started.forEach(RunningProcess::wake);
@@ -290,4 +281,13 @@
 		}
 	}
 
+	private static void sleep(long millis) {
+		try {
+			Thread.sleep(millis);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 }
