--- a/laneworks-core/src/main/java/dev/laneworks/core/audit/AuditKind.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/audit/AuditKind.java
@@ -61,7 +61,22 @@
 	ORDERED,
 
 	/** An operator's plan was made or confirmed. */
-	PLANNED;
+	PLANNED,
+
+	/** A target came, is leaving or is gone. */
+	MEMBERSHIP,
+
+	/** A request was accepted at the door. */
+	ACCEPTED,
+
+	/** A request got its target's answer, or its stream ended whole. */
+	ANSWERED,
+
+	/** A stream was broken off before its end. */
+	CUT,
+
+	/** A running generation is being copied to another target, or goes on there. */
+	MOVED;
 
 	/**
 	 * Return the form used in logs.
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/DirectoryListener.java
@@ -0,0 +1,29 @@
+package dev.laneworks.core.directory;
+
+/**
+ * Hears of targets that come and go.
+ *
+ * @since 0.2
+ */
+public interface DirectoryListener {
+
+	/**
+	 * Hear of a target that takes new work.
+	 * @param target the target
+	 */
+	void joined(ListedTarget target);
+
+	/**
+	 * Hear of a target that takes no new work any more.
+	 * @param target the target
+	 * @param cause what was seen
+	 */
+	void leaving(ListedTarget target, LeavingCause cause);
+
+	/**
+	 * Hear that a target which was leaving is not listed any more.
+	 * @param target the target
+	 */
+	void gone(ListedTarget target);
+
+}
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/LeavingCause.java
@@ -0,0 +1,22 @@
+package dev.laneworks.core.directory;
+
+/**
+ * What showed that a target is leaving.
+ *
+ * @since 0.2
+ */
+public enum LeavingCause {
+
+	/** The target said so itself. */
+	SAID_SO,
+
+	/** The target's entry went while the list was being followed. */
+	VANISHED,
+
+	/** The target's entry did not come back after the list had been out of reach. */
+	LAPSED,
+
+	/** The target refused a request because it is leaving or is another one. */
+	REFUSED
+
+}
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
@@ -0,0 +1,190 @@
+package dev.laneworks.core.directory;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The targets as one process knows them.
+ * <p>
+ * While the list can't be reached the targets known last stay. Entries can lapse
+ * meanwhile though their targets are well; those are back soon after the list is, so that
+ * an entry which goes within that time counts as gone only at its end. Not thread-safe.
+ *
+ * @since 0.2
+ */
+public final class TargetDirectory {
+
+	/**
+	 * How long after the list's return a lapsed entry may still come back, in
+	 * milliseconds; the platform tells about two seconds, and a target may be sent work
+	 * for no longer than that after its leaving was heard.
+	 */
+	private static final long RETURN_MILLIS = 1_800;
+
+	private final Map<String, ListedTarget> targets = new LinkedHashMap<>();
+
+	private final Map<String, Long> lapsedUntil = new HashMap<>();
+
+	private final Set<String> left = new HashSet<>();
+
+	private final DirectoryListener listener;
+
+	private long settledAt = Long.MIN_VALUE;
+
+	/**
+	 * Create an empty directory.
+	 * @param listener hears of changes
+	 */
+	public TargetDirectory(DirectoryListener listener) {
+		this.listener = listener;
+	}
+
+	/**
+	 * Record that the list is followed again after it had been out of reach.
+	 * @param now the time in milliseconds
+	 */
+	public void regained(long now) {
+		this.settledAt = now + RETURN_MILLIS;
+	}
+
+	/**
+	 * Take a target's entry.
+	 * @param target the target
+	 */
+	public void put(ListedTarget target) {
+		this.lapsedUntil.remove(target.id());
+		ListedTarget before = this.targets.put(target.id(), target);
+		boolean wasLeaving = this.left.contains(target.id());
+		if (target.leaving() && !wasLeaving) {
+			this.left.add(target.id());
+			this.listener.leaving(target, LeavingCause.SAID_SO);
+		}
+		if (!target.leaving() && before == null && !wasLeaving) {
+			this.listener.joined(target);
+		}
+	}
+
+	/**
+	 * Take that a target's entry went.
+	 * @param id the target's id
+	 * @param now the time in milliseconds
+	 */
+	public void remove(String id, long now) {
+		ListedTarget target = this.targets.get(id);
+		if (target == null) {
+			return;
+		}
+		if (now < this.settledAt && !this.left.contains(id)) {
+			this.lapsedUntil.putIfAbsent(id, this.settledAt);
+			return;
+		}
+		drop(target, LeavingCause.VANISHED);
+	}
+
+	/**
+	 * Take the whole list, read anew.
+	 * @param all the targets listed
+	 * @param now the time in milliseconds
+	 */
+	public void replaceAll(Collection<ListedTarget> all, long now) {
+		Set<String> listed = new HashSet<>();
+		for (ListedTarget target : all) {
+			listed.add(target.id());
+			put(target);
+		}
+		for (String id : List.copyOf(this.targets.keySet())) {
+			if (!listed.contains(id)) {
+				remove(id, now);
+			}
+		}
+	}
+
+	/**
+	 * Take that a target itself showed that it takes no new work.
+	 * @param id the target's id
+	 */
+	public void refusedWork(String id) {
+		ListedTarget target = this.targets.get(id);
+		if (target != null && this.left.add(id)) {
+			this.listener.leaving(target, LeavingCause.REFUSED);
+		}
+	}
+
+	/**
+	 * Let go of entries that lapsed and did not come back in time.
+	 * @param now the time in milliseconds
+	 */
+	public void expire(long now) {
+		for (Map.Entry<String, Long> lapsed : List.copyOf(this.lapsedUntil.entrySet())) {
+			if (now >= lapsed.getValue()) {
+				this.lapsedUntil.remove(lapsed.getKey());
+				Optional.ofNullable(this.targets.get(lapsed.getKey())).ifPresent((t) -> drop(t, LeavingCause.LAPSED));
+			}
+		}
+	}
+
+	/**
+	 * Return when {@link #expire(long)} has something to do.
+	 * @return the time in milliseconds, or {@link Long#MAX_VALUE}
+	 */
+	public long nextExpiry() {
+		return this.lapsedUntil.values().stream().mapToLong(Long::longValue).min().orElse(Long.MAX_VALUE);
+	}
+
+	/**
+	 * Return the targets of a service that take new work.
+	 * @param service the service's name
+	 * @return the targets
+	 */
+	public List<ListedTarget> serving(String service) {
+		List<ListedTarget> found = new ArrayList<>();
+		for (ListedTarget target : this.targets.values()) {
+			if (target.service().equals(service) && !this.left.contains(target.id())) {
+				found.add(target);
+			}
+		}
+		return found;
+	}
+
+	/**
+	 * Return whether a target is known and takes new work.
+	 * @param id the target's id
+	 * @return whether work may be sent to it
+	 */
+	public boolean takesWork(String id) {
+		return this.targets.containsKey(id) && !this.left.contains(id);
+	}
+
+	/**
+	 * Return a target that is listed or was when it was last heard of.
+	 * @param id the target's id
+	 * @return the target
+	 */
+	public Optional<ListedTarget> find(String id) {
+		return Optional.ofNullable(this.targets.get(id));
+	}
+
+	/**
+	 * Return how many targets are known.
+	 * @return the count, those that are leaving included
+	 */
+	public int size() {
+		return this.targets.size();
+	}
+
+	private void drop(ListedTarget target, LeavingCause cause) {
+		this.targets.remove(target.id());
+		if (!this.left.remove(target.id())) {
+			this.listener.leaving(target, cause);
+		}
+		this.listener.gone(target);
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The targets that list themselves, and which of them are leaving.
+ */
+package dev.laneworks.core.directory;
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
@@ -0,0 +1,319 @@
+package dev.laneworks.core.dispatch;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.verdict.Verdict;
+
+/**
+ * One request and all that was done for it so far.
+ */
+final class DirectCall {
+
+	/** The value of {@link #lastEvent} while the caller was sent no event. */
+	static final long NO_EVENT = -1;
+
+	private final long number;
+
+	private final DirectRequest request;
+
+	private final long openedAt;
+
+	private final Set<String> tried = new HashSet<>();
+
+	private Attempt attempt;
+
+	private int attempts;
+
+	private int arrivals;
+
+	private int runs;
+
+	private Verdict verdict = Verdict.NOT_RUN;
+
+	private boolean streaming;
+
+	private long lastEvent = NO_EVENT;
+
+	private long lastEventAt;
+
+	private Optional<Copying> copying = Optional.empty();
+
+	DirectCall(long number, DirectRequest request, long openedAt) {
+		this.number = number;
+		this.request = request;
+		this.openedAt = openedAt;
+	}
+
+	long number() {
+		return this.number;
+	}
+
+	DirectRequest request() {
+		return this.request;
+	}
+
+	long openedAt() {
+		return this.openedAt;
+	}
+
+	/** When the caller gives the request up. */
+	long patienceEndsAt() {
+		return this.openedAt + this.request.patienceMillis();
+	}
+
+	/** When the request gets its final answer at the latest. */
+	long dueAt() {
+		return Math.min(patienceEndsAt(), this.openedAt + this.request.route().timeoutMillis());
+	}
+
+	Set<String> tried() {
+		return this.tried;
+	}
+
+	Attempt attempt() {
+		return this.attempt;
+	}
+
+	boolean isCurrent(int number) {
+		return this.attempt != null && this.attempt.number() == number;
+	}
+
+	Attempt begin(ListedTarget target, Optional<ResumePoint> resume, long reservedTokens) {
+		this.attempts++;
+		this.attempt = new Attempt(this.attempts, target, resume, reservedTokens);
+		return this.attempt;
+	}
+
+	void endAttempt() {
+		this.attempt = null;
+	}
+
+	int attempts() {
+		return this.attempts;
+	}
+
+	/** How often the request was written to a target. */
+	int arrivals() {
+		return this.arrivals;
+	}
+
+	void arrived() {
+		this.arrivals++;
+		this.verdict = Verdict.MAY_HAVE_RUN;
+	}
+
+	/** How many targets may have run the request. */
+	int runs() {
+		return this.runs;
+	}
+
+	void mayHaveRun() {
+		this.runs++;
+	}
+
+	void didNotRun() {
+		if (this.runs == 0) {
+			this.verdict = Verdict.NOT_RUN;
+		}
+	}
+
+	Verdict verdict() {
+		return this.verdict;
+	}
+
+	boolean isStreaming() {
+		return this.streaming;
+	}
+
+	void startStreaming() {
+		this.streaming = true;
+	}
+
+	long lastEvent() {
+		return this.lastEvent;
+	}
+
+	long lastEventAt() {
+		return this.lastEventAt;
+	}
+
+	void passed(long event, long now) {
+		this.lastEvent = event;
+		this.lastEventAt = now;
+	}
+
+	Optional<Copying> copying() {
+		return this.copying;
+	}
+
+	void copy(Copying started) {
+		this.copying = Optional.of(started);
+	}
+
+	void endCopy() {
+		this.copying = Optional.empty();
+	}
+
+	/**
+	 * One sending of the request to one target.
+	 */
+	static final class Attempt {
+
+		private final int number;
+
+		private final ListedTarget target;
+
+		private final Optional<ResumePoint> resume;
+
+		private final long reservedTokens;
+
+		private long sentAt = -1;
+
+		private boolean answering;
+
+		Attempt(int number, ListedTarget target, Optional<ResumePoint> resume, long reservedTokens) {
+			this.number = number;
+			this.target = target;
+			this.resume = resume;
+			this.reservedTokens = reservedTokens;
+		}
+
+		int number() {
+			return this.number;
+		}
+
+		ListedTarget target() {
+			return this.target;
+		}
+
+		Optional<ResumePoint> resume() {
+			return this.resume;
+		}
+
+		long reservedTokens() {
+			return this.reservedTokens;
+		}
+
+		boolean isSent() {
+			return this.sentAt >= 0;
+		}
+
+		long sentAt() {
+			return this.sentAt;
+		}
+
+		void sent(long now) {
+			this.sentAt = now;
+		}
+
+		boolean isAnswering() {
+			return this.answering;
+		}
+
+		void answering() {
+			this.answering = true;
+		}
+
+	}
+
+	/**
+	 * A copy of the running generation under way to another engine.
+	 */
+	static final class Copying {
+
+		private final ListedTarget source;
+
+		private final long noticedAt;
+
+		private final Set<String> tried = new HashSet<>();
+
+		private Phase phase = Phase.AHEAD;
+
+		private ListedTarget destination;
+
+		private long roundStartedAt;
+
+		private String handle = "";
+
+		private boolean sourceClosed;
+
+		Copying(ListedTarget source, long noticedAt) {
+			this.source = source;
+			this.noticedAt = noticedAt;
+			this.tried.add(source.id());
+		}
+
+		ListedTarget source() {
+			return this.source;
+		}
+
+		long noticedAt() {
+			return this.noticedAt;
+		}
+
+		Set<String> tried() {
+			return this.tried;
+		}
+
+		Phase phase() {
+			return this.phase;
+		}
+
+		void enter(Phase next) {
+			this.phase = next;
+		}
+
+		ListedTarget destination() {
+			return this.destination;
+		}
+
+		void to(ListedTarget chosen) {
+			this.destination = chosen;
+		}
+
+		long roundStartedAt() {
+			return this.roundStartedAt;
+		}
+
+		void roundStarted(long now) {
+			this.roundStartedAt = now;
+		}
+
+		String handle() {
+			return this.handle;
+		}
+
+		void handle(String name) {
+			this.handle = name;
+		}
+
+		boolean isSourceClosed() {
+			return this.sourceClosed;
+		}
+
+		void sourceClosed() {
+			this.sourceClosed = true;
+		}
+
+	}
+
+	/**
+	 * How far a copy has come.
+	 */
+	enum Phase {
+
+		/** The run goes on while its memory is copied. */
+		AHEAD,
+
+		/** The run was told to stop, and the rest is copied. */
+		STOPPING,
+
+		/** The copy is whole, and the generation can go on there. */
+		STOPPED
+
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DispatchSettings.java
@@ -0,0 +1,28 @@
+package dev.laneworks.core.dispatch;
+
+/**
+ * The times by which a {@link Dispatcher} decides.
+ *
+ * @param connectMillis how long a connection may take to come up before another target is
+ * tried; links between data centres take a few milliseconds, and a dead target says
+ * nothing
+ * @param maxAttempts the most targets that one request is offered to
+ * @param answerSlackMillis how long after its deadline a target's own answer is waited
+ * for
+ * @param comeBackMillis when a refused caller may come back
+ * @param silenceGoals after how many response-time goals without an answer a target
+ * counts as silent
+ * @since 0.2
+ */
+public record DispatchSettings(long connectMillis, int maxAttempts, long answerSlackMillis, long comeBackMillis,
+		double silenceGoals) {
+
+	/**
+	 * Return the settings that were measured on the users' days.
+	 * @return the settings
+	 */
+	public static DispatchSettings defaults() {
+		return new DispatchSettings(250, 4, 40, 400, 2.5);
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/EngineWork.java
@@ -0,0 +1,45 @@
+package dev.laneworks.core.dispatch;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.OptionalLong;
+
+/**
+ * What a generation asks of an engine.
+ *
+ * @param model the model's name
+ * @param promptTokens the tokens of the prompt
+ * @param maxTokens the most tokens that it generates
+ * @param expectedTokens the caller's estimate of the tokens generated, if it gave one
+ * @param parts the parts of the prompt in order; those before the last may be shared
+ * @since 0.2
+ */
+public record EngineWork(String model, long promptTokens, long maxTokens, OptionalLong expectedTokens,
+		List<PromptPart> parts) {
+
+	public EngineWork {
+		Objects.requireNonNull(model, "model must not be null");
+		Objects.requireNonNull(expectedTokens, "expectedTokens must not be null");
+		parts = List.copyOf(parts);
+		if (promptTokens < 0 || maxTokens < 0) {
+			throw new IllegalArgumentException("promptTokens and maxTokens must not be negative");
+		}
+	}
+
+	/**
+	 * Return the tokens that the generation is expected to hold on average while it runs.
+	 * @return the prompt and half of what it is expected to generate
+	 */
+	public long meanTokens() {
+		return this.promptTokens + likelyTokens() / 2;
+	}
+
+	/**
+	 * Return how many tokens are likely to be generated.
+	 * @return the caller's estimate within the most allowed, or else half of the most
+	 */
+	public long likelyTokens() {
+		return Math.min(this.maxTokens, this.expectedTokens.orElse(this.maxTokens / 2));
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -0,0 +1,191 @@
+package dev.laneworks.core.dispatch;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.directory.TargetDirectory;
+import dev.laneworks.core.serving.EngineSpec;
+
+/**
+ * Chooses the target that is likely to answer a request soonest, or to hold a generation
+ * to its end.
+ * <p>
+ * A lower score is better. Plain services are compared by the requests at them and their
+ * response times, engines by how full their memory will be. Not thread-safe.
+ *
+ * @since 0.2
+ */
+public final class TargetChooser {
+
+	/** What another data centre adds to a plain target's score. */
+	private static final double DISTANCE_PLAIN = 0.12;
+
+	/**
+	 * What another data centre adds to an engine's score, as a part of its memory; bytes
+	 * between data centres are dear, and a stream is many bytes.
+	 */
+	private static final double DISTANCE_ENGINE = 0.10;
+
+	/** What a request waiting at an engine adds to its score. */
+	private static final double WAITING_WEIGHT = 0.15;
+
+	/** What an engine that has just refused a request gets on top. */
+	private static final double FULL_WEIGHT = 1;
+
+	/** The greatest random part of a score, so that processes don't choose alike. */
+	private static final double JITTER = 0.05;
+
+	/** The most that a slow answer counts against a plain target. */
+	private static final double MAX_SLOWNESS = 8;
+
+	/** What a generation of another process holds until one was seen, in tokens. */
+	private static final double FIRST_MEAN_TOKENS = 3_000;
+
+	/** The weight of the newest generation in the average held. */
+	private static final double NEWEST_WEIGHT = 0.05;
+
+	private final TargetDirectory directory;
+
+	private final TargetBeliefs beliefs;
+
+	private final String dataCentre;
+
+	private final RandomGenerator random;
+
+	private double meanTokens = FIRST_MEAN_TOKENS;
+
+	/**
+	 * Create a chooser.
+	 * @param directory the targets
+	 * @param beliefs what is believed of them
+	 * @param dataCentre the data centre of this process
+	 * @param random the source of jitter
+	 */
+	public TargetChooser(TargetDirectory directory, TargetBeliefs beliefs, String dataCentre, RandomGenerator random) {
+		this.directory = directory;
+		this.beliefs = beliefs;
+		this.dataCentre = dataCentre;
+		this.random = random;
+	}
+
+	/**
+	 * Choose a target for a request to a plain service.
+	 * @param service the service's name
+	 * @param tried the ids of targets that are left out
+	 * @param now the time in milliseconds
+	 * @return the target, or empty if there is none left
+	 */
+	public Optional<ListedTarget> choosePlain(String service, Set<String> tried, long now) {
+		List<ListedTarget> candidates = candidates(service, tried, now);
+		double fastest = candidates.stream()
+			.mapToDouble((t) -> this.beliefs.of(t).quality().responseMillis())
+			.filter((millis) -> millis > 0)
+			.min()
+			.orElse(1);
+		return lowest(candidates, (t) -> plainScore(t, fastest, now));
+	}
+
+	/**
+	 * Choose an engine for a generation.
+	 * @param service the service's name
+	 * @param engine what its engines can do
+	 * @param work what the generation asks for
+	 * @param tried the ids of targets that are left out
+	 * @param now the time in milliseconds
+	 * @return the engine, or empty if there is none left
+	 */
+	public Optional<ListedTarget> chooseEngine(String service, EngineSpec engine, EngineWork work, Set<String> tried,
+			long now) {
+		this.meanTokens += NEWEST_WEIGHT * (work.meanTokens() - this.meanTokens);
+		return lowest(candidates(service, tried, now),
+				(t) -> engineScore(t, engine, work.meanTokens(), this.dataCentre, now));
+	}
+
+	/**
+	 * Choose where a running generation is copied to.
+	 * @param source the engine that runs it
+	 * @param engine what the service's engines can do
+	 * @param tokens the memory that it holds and will hold
+	 * @param tried the ids of engines that are left out
+	 * @param now the time in milliseconds
+	 * @return the engine, or empty if none has room
+	 */
+	public Optional<ListedTarget> chooseDestination(ListedTarget source, EngineSpec engine, long tokens,
+			Set<String> tried, long now) {
+		List<ListedTarget> others = candidates(source.service(), tried, now).stream()
+			.filter((t) -> !t.id().equals(source.id()))
+			.toList();
+		return lowest(others, (t) -> engineScore(t, engine, tokens, source.dataCentre(), now));
+	}
+
+	/**
+	 * Return how full an engine's memory is believed to be.
+	 * @param target the engine
+	 * @param engine what the service's engines can do
+	 * @param now the time in milliseconds
+	 * @return the share in use; above 1 where more is promised than there is
+	 */
+	public double fullness(ListedTarget target, EngineSpec engine, long now) {
+		return this.beliefs.of(target).usedTokens(this.meanTokens, now) / engine.memoryTokens();
+	}
+
+	private List<ListedTarget> candidates(String service, Set<String> tried, long now) {
+		List<ListedTarget> open = this.directory.serving(service)
+			.stream()
+			.filter((t) -> !tried.contains(t.id()))
+			.toList();
+		List<ListedTarget> usable = open.stream().filter((t) -> this.beliefs.of(t).quality().isUsable(now)).toList();
+		// A floor: where most look bad the fault is likely to be elsewhere.
+		return (usable.size() * 2 >= open.size() || usable.size() > 1) ? usable : open;
+	}
+
+	private double plainScore(ListedTarget target, double fastest, long now) {
+		TargetBelief belief = this.beliefs.of(target);
+		double response = Math.max(fastest, belief.quality().responseMillis());
+		double slowness = Math.min(MAX_SLOWNESS, response / fastest);
+		double load = (belief.load(now) + 1) / Math.max(1, target.slots());
+		double score = load * slowness + belief.quality().badShare(now) + jitter();
+		if (belief.isFull(now)) {
+			score += FULL_WEIGHT;
+		}
+		return target.dataCentre().equals(this.dataCentre) ? score : score + DISTANCE_PLAIN;
+	}
+
+	private double engineScore(ListedTarget target, EngineSpec engine, long tokens, String from, long now) {
+		TargetBelief belief = this.beliefs.of(target);
+		double score = (belief.usedTokens(this.meanTokens, now) + tokens) / engine.memoryTokens();
+		score += belief.waiting(now) * WAITING_WEIGHT + belief.quality().badShare(now) + jitter();
+		if (belief.isFull(now)) {
+			score += FULL_WEIGHT;
+		}
+		return target.dataCentre().equals(from) ? score : score + DISTANCE_ENGINE;
+	}
+
+	private double jitter() {
+		return this.random.nextDouble() * JITTER;
+	}
+
+	private static Optional<ListedTarget> lowest(Collection<ListedTarget> targets, Score score) {
+		return targets.stream()
+			.map((t) -> new Scored(t, score.of(t)))
+			.min(Comparator.comparingDouble(Scored::score))
+			.map(Scored::target);
+	}
+
+	@FunctionalInterface
+	private interface Score {
+
+		double of(ListedTarget target);
+
+	}
+
+	private record Scored(ListedTarget target, double score) {
+
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/FollowListener.java
@@ -0,0 +1,39 @@
+package dev.laneworks.core.follow;
+
+import java.util.List;
+
+/**
+ * Hears of a store's items.
+ *
+ * @since 0.2
+ */
+public interface FollowListener {
+
+	/**
+	 * Take all items, read anew.
+	 * @param items the items
+	 * @param now the time in milliseconds
+	 */
+	void all(List<StoreItem> items, long now);
+
+	/**
+	 * Take changes in the order in which they were made.
+	 * @param changes the changes
+	 * @param now the time in milliseconds
+	 */
+	void changed(List<StoreChange> changes, long now);
+
+	/**
+	 * Hear that the store is out of reach.
+	 * @param cause what was seen
+	 */
+	void lost(String cause);
+
+	/**
+	 * Hear that the store is within reach again, before its answer is passed on.
+	 * @param awayMillis how long it was out of reach, in milliseconds
+	 * @param now the time in milliseconds
+	 */
+	void regained(long awayMillis, long now);
+
+}
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreChange.java
@@ -0,0 +1,20 @@
+package dev.laneworks.core.follow;
+
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * A change of a store: an item was written, or its key went.
+ *
+ * @param key the key
+ * @param item the item as it was written; empty if the key went
+ * @since 0.2
+ */
+public record StoreChange(String key, Optional<StoreItem> item) {
+
+	public StoreChange {
+		Objects.requireNonNull(key, "key must not be null");
+		Objects.requireNonNull(item, "item must not be null");
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/serving/ServiceSpec.java
@@ -0,0 +1,21 @@
+package dev.laneworks.core.serving;
+
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * A service that requests are routed to.
+ *
+ * @param name the service's name
+ * @param maxConnections the connections that one of its targets accepts from all callers
+ * @param engine what its engines can do; empty for a plain service
+ * @since 0.2
+ */
+public record ServiceSpec(String name, int maxConnections, Optional<EngineSpec> engine) {
+
+	public ServiceSpec {
+		Objects.requireNonNull(name, "name must not be null");
+		Objects.requireNonNull(engine, "engine must not be null");
+	}
+
+}
--- a/laneworks-core/src/main/java/dev/laneworks/core/verdict/RefusalReason.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/verdict/RefusalReason.java
@@ -15,6 +15,15 @@
 	/** The request is larger than the entry takes. */
 	TOO_LARGE(413),
 
+	/** The head of the request is larger than the entry takes. */
+	HEAD_TOO_LARGE(431),
+
+	/** The body of the request did not arrive in time. */
+	BODY_TOO_SLOW(408),
+
+	/** No route covers the request's host and path. */
+	UNKNOWN_ROUTE(404),
+
 	/** The credentials name no client account. */
 	UNKNOWN_ACCOUNT(401),
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/caller/CallerPresence.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/caller/CallerPresence.java
@@ -16,7 +16,7 @@
  * its response, and so does not hear of its closing. Here the connection is read from now
  * and then; bytes of a next request are given back.
  */
-final class CallerPresence {
+public final class CallerPresence {
 
 	private static final long GAP_MILLIS = 250;
 
@@ -24,12 +24,12 @@
 
 	private final Runnable left;
 
-	CallerPresence(HttpServerExchange exchange, Runnable left) {
+	public CallerPresence(HttpServerExchange exchange, Runnable left) {
 		this.exchange = exchange;
 		this.left = left;
 	}
 
-	void watch() {
+	public void watch() {
 		this.exchange.getIoThread().executeAfter(this::look, GAP_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/caller/CallerProblem.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/caller/CallerProblem.java
@@ -12,7 +12,7 @@
  * Writes refusals as problem documents (RFC 9457) with a verdict and, where coming back
  * helps, when.
  */
-final class CallerProblem {
+public final class CallerProblem {
 
 	static final String CONTENT_TYPE = "application/problem+json";
 
@@ -23,14 +23,21 @@
 	private CallerProblem() {
 	}
 
-	static void send(HttpServerExchange exchange, Refusal refusal) {
+	/**
+	 * Answer with a refusal; headers that were put before stay.
+	 * @param exchange the exchange
+	 * @param refusal the refusal
+	 */
+	public static void send(HttpServerExchange exchange, Refusal refusal) {
 		if (exchange.isResponseStarted()) {
 			exchange.endExchange();
 			return;
 		}
 		exchange.setStatusCode(refusal.reason().status());
 		exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, CONTENT_TYPE);
-		refusal.retryAfter().ifPresent((d) -> exchange.getResponseHeaders().put(Headers.RETRY_AFTER, seconds(d)));
+		if (!exchange.getResponseHeaders().contains(Headers.RETRY_AFTER)) {
+			refusal.retryAfter().ifPresent((d) -> exchange.getResponseHeaders().put(Headers.RETRY_AFTER, seconds(d)));
+		}
 		exchange.getResponseSender().send(json(refusal).toString());
 	}
 
--- /dev/null
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -0,0 +1,251 @@
+package dev.laneworks.entry.direct;
+
+import java.time.Duration;
+import java.util.EnumSet;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import dev.laneworks.core.audit.AuditEvent;
+import dev.laneworks.core.audit.AuditKind;
+import dev.laneworks.core.directory.DirectoryListener;
+import dev.laneworks.core.directory.LeavingCause;
+import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.directory.TargetDirectory;
+import dev.laneworks.core.dispatch.DispatchSettings;
+import dev.laneworks.core.dispatch.Dispatcher;
+import dev.laneworks.core.dispatch.RetryWindow;
+import dev.laneworks.core.dispatch.TargetBeliefs;
+import dev.laneworks.core.dispatch.TargetChooser;
+import dev.laneworks.core.follow.StoreFollower;
+import dev.laneworks.core.retry.Backoff;
+import dev.laneworks.core.time.Timers;
+import dev.laneworks.runtime.audit.AuditTrail;
+import dev.laneworks.runtime.http.HttpCaller;
+import dev.laneworks.runtime.http.IoWorker;
+import dev.laneworks.runtime.log.LogLine;
+import dev.laneworks.runtime.operator.OperatorServer;
+import dev.laneworks.runtime.program.ExitCode;
+import io.undertow.Handlers;
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.StatusCodes;
+import org.xnio.XnioIoThread;
+
+/**
+ * One running entry that sends requests straight to targets: its thread, its connections,
+ * its callers.
+ * <p>
+ * One thread carries connections and decisions; logging and scrapes have threads of their
+ * own.
+ *
+ * @since 0.2
+ */
+public final class DirectEntry {
+
+	private static final int AUDIT_CAPACITY = 2_000;
+
+	private static final Duration FIRST_WAIT = Duration.ofMillis(80);
+
+	private static final Duration LONGEST_WAIT = Duration.ofMillis(800);
+
+	/**
+	 * How long the balancer may go on sending new connections after readiness ends, in
+	 * milliseconds: it asks each second and believes the second miss.
+	 */
+	private static final long BALANCER_MILLIS = 3_000;
+
+	/**
+	 * How long before the end of its grace the process ends by itself, in milliseconds.
+	 */
+	private static final long END_EARLY_MILLIS = 250;
+
+	private static final long LOOK_MILLIS = 50;
+
+	private final DirectSettings settings;
+
+	private final IoWorker io = IoWorker.start(1, 1);
+
+	private final AuditTrail audit = new AuditTrail(AUDIT_CAPACITY, EnumSet.noneOf(AuditKind.class));
+
+	private final MetricRegistry metrics = new MetricRegistry();
+
+	private final CountDownLatch ended = new CountDownLatch(1);
+
+	private final EventLoop loop;
+
+	private final TargetDirectory directory = new TargetDirectory(new Members());
+
+	private final TargetBeliefs beliefs = new TargetBeliefs();
+
+	private final Dispatcher dispatcher;
+
+	private final PlanAndTargets published;
+
+	private final StoreFollower follower;
+
+	private final DirectServer callers;
+
+	private final Undertow readiness;
+
+	private volatile boolean ready;
+
+	private volatile boolean stopping;
+
+	/**
+	 * Create an entry; {@link #run()} starts it.
+	 * @param settings its settings
+	 * @param platform creates the translation to the platform that it runs on
+	 */
+	public DirectEntry(DirectSettings settings, PlatformAdapter.Factory platform) {
+		this.settings = settings;
+		SplittableRandom random = new SplittableRandom(ThreadLocalRandom.current().nextLong());
+		XnioIoThread thread = this.io.worker().getIoThread();
+		Timers timers = new Timers();
+		this.loop = new EventLoop(thread, timers);
+		HttpCaller http = new HttpCaller(this.io.worker(), this.io.buffers());
+		PlatformAdapter adapter = platform.create(settings, http, thread);
+		DirectCalls calls = new DirectCalls(this.loop, http, adapter.headers(), adapter.engines());
+		TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, settings.dataCentre(), random);
+		RetryWindow retries = new RetryWindow(settings.retryWindowMillis(), settings.retryRatio(),
+				settings.retryExtra() * settings.retryExtraShare());
+		this.dispatcher = new Dispatcher(DispatchSettings.defaults(), this.directory, this.beliefs, chooser, retries,
+				timers, calls, this.audit);
+		calls.use(this.dispatcher);
+		this.published = new PlanAndTargets(adapter.source(), this.directory, this.dispatcher::use, this.audit);
+		this.follower = new StoreFollower(settings.follow(), adapter.source().calls(this::follower), this.published,
+				timers, new Backoff(FIRST_WAIT, LONGEST_WAIT, random));
+		this.callers = new DirectServer(this.io, settings.callers(), calls, adapter.headers(), this.published::plan,
+				() -> this.stopping, this.loop, random);
+		this.readiness = readiness(adapter);
+		registerMetrics();
+	}
+
+	/**
+	 * Run until the planned stop is over.
+	 * @return how the process ends
+	 */
+	public ExitCode run() {
+		OperatorServer operators = new OperatorServer(this.io.worker(), this.settings.operators(), this.metrics,
+				this.audit, this::isReady, this::status, Handlers.routing());
+		operators.start();
+		this.readiness.start();
+		this.callers.start();
+		LogLine.of("started").with("address", this.settings.callers().toString()).info();
+		this.loop.run(() -> this.follower.start(this.loop.now()));
+		this.loop.run(this::lookForPlan);
+		try {
+			this.ended.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			return ExitCode.FAILED;
+		}
+		LogLine.of("ended").with("openCalls", this.dispatcher.openCalls()).info();
+		return ExitCode.OK;
+	}
+
+	/**
+	 * Start the planned stop: fail the readiness check, go on with what is under way,
+	 * then end.
+	 */
+	public void stop() {
+		this.stopping = true;
+		this.loop.run(() -> {
+			long now = this.loop.now();
+			this.audit.record(AuditEvent.of(AuditKind.LEAVING, this.settings.instance(), "",
+					"planned stop with " + this.dispatcher.openCalls() + " open calls"));
+			lookForEnd(now, now);
+		});
+	}
+
+	private void lookForPlan() {
+		if (this.published.isComplete()) {
+			this.ready = true;
+			LogLine.of("ready").with("targets", this.directory.size()).info();
+			return;
+		}
+		this.loop.timers().at(this.loop.now() + LOOK_MILLIS, (t) -> lookForPlan());
+	}
+
+	private void lookForEnd(long since, long now) {
+		boolean isIdle = this.dispatcher.openCalls() == 0 && this.callers.openAnswers() == 0;
+		boolean isLate = now - since >= this.settings.graceMillis() - END_EARLY_MILLIS;
+		if (isLate || (isIdle && now - since >= BALANCER_MILLIS)) {
+			this.ended.countDown();
+			return;
+		}
+		this.loop.timers().at(now + LOOK_MILLIS, (t) -> lookForEnd(since, t));
+	}
+
+	private Undertow readiness(PlatformAdapter adapter) {
+		return Undertow.builder()
+			.setWorker(this.io.worker())
+			.addHttpListener(this.settings.readiness().getPort(), this.settings.readiness().getHostString())
+			.setHandler((e) -> answerReadiness(e, adapter))
+			.build();
+	}
+
+	private void answerReadiness(HttpServerExchange exchange, PlatformAdapter adapter) {
+		if (!adapter.source().readinessPaths().contains(exchange.getRequestPath())) {
+			exchange.setStatusCode(StatusCodes.NOT_FOUND);
+		}
+		else if (!isReady()) {
+			exchange.setStatusCode(StatusCodes.SERVICE_UNAVAILABLE);
+		}
+		exchange.endExchange();
+	}
+
+	private boolean isReady() {
+		return this.ready && !this.stopping;
+	}
+
+	private StoreFollower follower() {
+		return this.follower;
+	}
+
+	private Object status() {
+		return Map.of("instance", this.settings.instance(), "ready", isReady(), "openCalls",
+				this.dispatcher.openCalls(), "planVersion",
+				this.published.plan().map((p) -> Long.toString(p.version())).orElse("none"), "targets",
+				this.directory.size());
+	}
+
+	private void registerMetrics() {
+		this.metrics.register("laneworks_open_calls", (Gauge<Integer>) this.dispatcher::openCalls);
+		this.metrics.register("laneworks_targets", (Gauge<Integer>) this.directory::size);
+	}
+
+	/**
+	 * Tells the rest of the entry of targets that come and go.
+	 */
+	private final class Members implements DirectoryListener {
+
+		@Override
+		public void joined(ListedTarget target) {
+			DirectEntry.this.beliefs.of(target).listed(target);
+			record(target, "joined at " + target.address() + " in " + target.dataCentre());
+		}
+
+		@Override
+		public void leaving(ListedTarget target, LeavingCause cause) {
+			record(target, "leaving: " + cause);
+			DirectEntry.this.dispatcher.leaving(target, DirectEntry.this.loop.now());
+		}
+
+		@Override
+		public void gone(ListedTarget target) {
+			record(target, "gone");
+			DirectEntry.this.beliefs.forget(target.id());
+		}
+
+		private void record(ListedTarget target, String cause) {
+			DirectEntry.this.audit.record(AuditEvent.of(AuditKind.MEMBERSHIP, target.id(), target.id(), cause));
+		}
+
+	}
+
+}
--- /dev/null
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
@@ -0,0 +1,79 @@
+package dev.laneworks.entry.direct;
+
+import java.net.InetSocketAddress;
+
+import dev.laneworks.core.document.DocumentObject;
+import dev.laneworks.core.follow.FollowSettings;
+import dev.laneworks.runtime.program.Addresses;
+
+/**
+ * The settings of an entry that serves targets without sidecars.
+ *
+ * @param instance the instance's name
+ * @param dataCentre the data centre that it is in
+ * @param callers where callers connect
+ * @param readiness where the platform asks for readiness
+ * @param operators where operators and scrapers connect
+ * @param store the address of the platform's store
+ * @param follow how the store is followed
+ * @param retryWindowMillis the window in which repeated sendings are counted
+ * @param retryRatio the repeated sendings that the fleet may make for each request
+ * @param retryExtra the repeated sendings that the fleet may make besides
+ * @param retryExtraShare this entry's part of them, from 0 to 1
+ * @param graceMillis the time from the order to stop to the end of the process
+ * @since 0.2
+ */
+public record DirectSettings(String instance, String dataCentre, InetSocketAddress callers, InetSocketAddress readiness,
+		InetSocketAddress operators, InetSocketAddress store, FollowSettings follow, long retryWindowMillis,
+		double retryRatio, double retryExtra, double retryExtraShare, long graceMillis) {
+
+	/**
+	 * How long the store may hold a watch; see {@link FollowSettings}.
+	 */
+	private static final long WAIT_MILLIS = 4_000;
+
+	private static final long ANSWER_MILLIS = 700;
+
+	private static final long GAP_MILLIS = 60;
+
+	private static final long ONE_MINUTE = 60_000;
+
+	private static final double MIN_SECONDS = 0.1;
+
+	private static final double MAX_SECONDS = 3_600;
+
+	private static final double MILLIS_PER_SECOND = 1_000;
+
+	private static final int MAX_REPEATS = 1_000_000;
+
+	/**
+	 * An entry's part of the fixed number of repeated sendings: a tenth, which is safe
+	 * for up to ten entries that all spend it in the same window.
+	 */
+	private static final double EXTRA_SHARE = 0.1;
+
+	/**
+	 * Read the settings.
+	 * @param root the document
+	 * @return the settings
+	 */
+	public static DirectSettings read(DocumentObject root) {
+		DocumentObject retries = root.object("retries");
+		DocumentObject store = root.object("store");
+		FollowSettings follow = new FollowSettings(store.integer("waitMillis", 1, ONE_MINUTE, WAIT_MILLIS),
+				store.integer("answerMillis", 1, ONE_MINUTE, ANSWER_MILLIS),
+				store.integer("gapMillis", 0, ONE_MINUTE, GAP_MILLIS));
+		return new DirectSettings(root.text("instance"), root.text("dataCentre"), Addresses.address(root, "callers"),
+				Addresses.address(root, "readiness"), Addresses.address(root, "operators"),
+				Addresses.address(store, "address"), follow,
+				millis(retries.number("windowSeconds", MIN_SECONDS, MAX_SECONDS, 10)),
+				retries.number("ratio", 0, 1, 0.1), retries.number("extra", 0, MAX_REPEATS, 0),
+				retries.number("extraShare", 0, 1, EXTRA_SHARE),
+				millis(root.number("graceSeconds", MIN_SECONDS, MAX_SECONDS, 8)));
+	}
+
+	private static long millis(double seconds) {
+		return Math.round(seconds * MILLIS_PER_SECOND);
+	}
+
+}
--- /dev/null
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EngineOrders.java
@@ -0,0 +1,39 @@
+package dev.laneworks.entry.direct;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.dispatch.CopyOrder;
+import dev.laneworks.core.dispatch.CopyResult;
+import dev.laneworks.core.dispatch.EngineReport;
+
+/**
+ * Gives orders to engines, besides the requests that they serve.
+ *
+ * @since 0.2
+ */
+public interface EngineOrders {
+
+	/**
+	 * Order a copy of a running generation.
+	 * @param order the order
+	 * @param result takes how it ended
+	 */
+	void copy(CopyOrder order, Consumer<CopyResult> result);
+
+	/**
+	 * Tell an engine that a copy is not needed any more.
+	 * @param source the engine that made it
+	 * @param handle its name
+	 */
+	void release(ListedTarget source, String handle);
+
+	/**
+	 * Ask an engine for its load.
+	 * @param target the engine
+	 * @param result takes the report, or nothing if there was none
+	 */
+	void report(ListedTarget target, Consumer<Optional<EngineReport>> result);
+
+}
--- /dev/null
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EventLoop.java
@@ -0,0 +1,69 @@
+package dev.laneworks.entry.direct;
+
+import java.util.concurrent.TimeUnit;
+
+import dev.laneworks.core.time.Timers;
+import dev.laneworks.runtime.program.MonotonicClock;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/**
+ * The one thread that connections and decisions share, and the timers that run on it.
+ */
+final class EventLoop {
+
+	private final XnioIoThread thread;
+
+	private final Timers timers;
+
+	private XnioExecutor.Key wake;
+
+	private long wakeAt = Long.MAX_VALUE;
+
+	EventLoop(XnioIoThread thread, Timers timers) {
+		this.thread = thread;
+		this.timers = timers;
+	}
+
+	Timers timers() {
+		return this.timers;
+	}
+
+	long now() {
+		return MonotonicClock.millis();
+	}
+
+	/**
+	 * Run an action on the thread, and whatever has become due by it.
+	 */
+	void run(Runnable action) {
+		this.thread.execute(() -> {
+			action.run();
+			settle();
+		});
+	}
+
+	/**
+	 * Run what is due and see to it that the thread wakes for what is due next. To be
+	 * called on the thread behind each input.
+	 */
+	void settle() {
+		this.timers.run(now());
+		long next = this.timers.nextDue();
+		if (next >= this.wakeAt || next == Long.MAX_VALUE) {
+			return;
+		}
+		if (this.wake != null) {
+			this.wake.remove();
+		}
+		this.wakeAt = next;
+		this.wake = this.thread.executeAfter(this::woken, Math.max(1, next - now()), TimeUnit.MILLISECONDS);
+	}
+
+	private void woken() {
+		this.wake = null;
+		this.wakeAt = Long.MAX_VALUE;
+		settle();
+	}
+
+}
--- /dev/null
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
@@ -0,0 +1,126 @@
+package dev.laneworks.entry.direct;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+import dev.laneworks.core.audit.AuditEvent;
+import dev.laneworks.core.audit.AuditKind;
+import dev.laneworks.core.audit.AuditSink;
+import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.directory.TargetDirectory;
+import dev.laneworks.core.follow.FollowListener;
+import dev.laneworks.core.follow.StoreChange;
+import dev.laneworks.core.follow.StoreItem;
+import dev.laneworks.core.serving.ServingPlan;
+import io.vavr.control.Either;
+
+/**
+ * Keeps the plan in force and the directory of targets as the store tells them.
+ * <p>
+ * Only a plan with a higher version replaces the one in force, so that a late or repeated
+ * read changes nothing.
+ */
+final class PlanAndTargets implements FollowListener {
+
+	private final ServingSource source;
+
+	private final TargetDirectory directory;
+
+	private final Consumer<ServingPlan> inForce;
+
+	private final AuditSink audit;
+
+	private Optional<ServingPlan> plan = Optional.empty();
+
+	private boolean hasRead;
+
+	PlanAndTargets(ServingSource source, TargetDirectory directory, Consumer<ServingPlan> inForce, AuditSink audit) {
+		this.source = source;
+		this.directory = directory;
+		this.inForce = inForce;
+		this.audit = audit;
+	}
+
+	Optional<ServingPlan> plan() {
+		return this.plan;
+	}
+
+	/**
+	 * Return whether a plan and the list of targets were read.
+	 */
+	boolean isComplete() {
+		return this.hasRead && this.plan.isPresent();
+	}
+
+	@Override
+	public void all(List<StoreItem> items, long now) {
+		List<ListedTarget> targets = new ArrayList<>();
+		for (StoreItem item : items) {
+			if (this.source.isPlan(item.key())) {
+				takePlan(item);
+			}
+			else if (!this.source.targetId(item.key()).isEmpty()) {
+				readTarget(item).ifPresent(targets::add);
+			}
+		}
+		this.directory.replaceAll(targets, now);
+		this.hasRead = true;
+	}
+
+	@Override
+	public void changed(List<StoreChange> changes, long now) {
+		for (StoreChange change : changes) {
+			String id = this.source.targetId(change.key());
+			if (change.item().isEmpty()) {
+				if (!id.isEmpty()) {
+					this.directory.remove(id, now);
+				}
+			}
+			else if (this.source.isPlan(change.key())) {
+				takePlan(change.item().get());
+			}
+			else if (!id.isEmpty()) {
+				readTarget(change.item().get()).ifPresent(this.directory::put);
+			}
+		}
+	}
+
+	@Override
+	public void lost(String cause) {
+		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "", "out of reach: " + cause));
+	}
+
+	@Override
+	public void regained(long awayMillis, long now) {
+		this.directory.regained(now);
+		this.audit
+			.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "", "back after " + awayMillis + " ms"));
+	}
+
+	private void takePlan(StoreItem item) {
+		Either<String, ServingPlan> read = this.source.plan(item);
+		if (read.isLeft()) {
+			this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_REFUSED, "plan", "", read.getLeft()));
+			return;
+		}
+		ServingPlan fresh = read.get();
+		if (this.plan.isPresent() && fresh.version() <= this.plan.get().version()) {
+			return;
+		}
+		this.plan = Optional.of(fresh);
+		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_ACCEPTED, "plan", "", "version " + fresh.version()));
+		this.inForce.accept(fresh);
+	}
+
+	private Optional<ListedTarget> readTarget(StoreItem item) {
+		Either<String, ListedTarget> read = this.source.target(item);
+		if (read.isLeft()) {
+			this.audit.record(AuditEvent.of(AuditKind.MEMBERSHIP, item.key(), "", "not understood: " + read.getLeft()));
+			return Optional.empty();
+		}
+		return Optional.of(read.get());
+	}
+
+}
--- /dev/null
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/ServingSource.java
@@ -0,0 +1,61 @@
+package dev.laneworks.entry.direct;
+
+import java.util.List;
+import java.util.function.Supplier;
+
+import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.follow.FollowOutputs;
+import dev.laneworks.core.follow.StoreFollower;
+import dev.laneworks.core.follow.StoreItem;
+import dev.laneworks.core.serving.ServingPlan;
+import io.vavr.control.Either;
+
+/**
+ * The store that a platform publishes its plan and its targets in.
+ *
+ * @since 0.2
+ */
+public interface ServingSource {
+
+	/**
+	 * Return what makes the calls of a follower.
+	 * @param follower takes the answers
+	 * @return the calls
+	 */
+	FollowOutputs calls(Supplier<StoreFollower> follower);
+
+	/**
+	 * Return whether a key holds the plan.
+	 * @param key the key
+	 * @return whether {@link #plan} reads it
+	 */
+	boolean isPlan(String key);
+
+	/**
+	 * Return the id of the target whose entry a key holds.
+	 * @param key the key
+	 * @return the id, or empty text if it holds no target's entry
+	 */
+	String targetId(String key);
+
+	/**
+	 * Read the plan.
+	 * @param item the item
+	 * @return the plan, or why it can't be read
+	 */
+	Either<String, ServingPlan> plan(StoreItem item);
+
+	/**
+	 * Read a target's entry.
+	 * @param item the item
+	 * @return the target, or why it can't be read
+	 */
+	Either<String, ListedTarget> target(StoreItem item);
+
+	/**
+	 * Return the path under which the platform asks whether the process is ready.
+	 * @return the paths, at least one
+	 */
+	List<String> readinessPaths();
+
+}
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/audit/AuditTrail.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/audit/AuditTrail.java
@@ -30,6 +30,8 @@
 
 	private final int capacity;
 
+	private final Set<AuditKind> memoryOnly;
+
 	private final Deque<AuditRecord> records = new ArrayDeque<>();
 
 	private final List<Consumer<AuditRecord>> watchers = new CopyOnWriteArrayList<>();
@@ -41,16 +43,26 @@
 	 * @param capacity the most events kept in memory
 	 */
 	public AuditTrail(int capacity) {
+		this(capacity, MEMORY_ONLY);
+	}
+
+	/**
+	 * Create an empty trail.
+	 * @param capacity the most events kept in memory
+	 * @param memoryOnly the kinds that are not logged
+	 */
+	public AuditTrail(int capacity, Set<AuditKind> memoryOnly) {
 		if (capacity < 1) {
 			throw new IllegalArgumentException("capacity must be at least 1 but is " + capacity);
 		}
+		this.memoryOnly = Set.copyOf(memoryOnly);
 		this.capacity = capacity;
 	}
 
 	@Override
 	public void record(AuditEvent event) {
 		AuditRecord record = add(event);
-		if (!MEMORY_ONLY.contains(event.kind())) {
+		if (!this.memoryOnly.contains(event.kind())) {
 			LogLine.of("audit")
 				.with("kind", event.kind().label())
 				.with("subject", event.subject())
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpCaller.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpCaller.java
@@ -1,6 +1,9 @@
 package dev.laneworks.runtime.http;
 
 import java.io.IOException;
+import java.net.URI;
+import java.util.Optional;
+import java.util.function.Supplier;
 
 import io.undertow.UndertowOptions;
 import io.undertow.client.ClientCallback;
@@ -8,6 +11,7 @@
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import org.xnio.OptionMap;
+import org.xnio.Options;
 import org.xnio.XnioWorker;
 
 /**
@@ -42,8 +46,23 @@
 	 * @return a handle to give the call up with
 	 */
 	public HttpExchange call(HttpCall call, HttpResponseListener listener) {
-		HttpExchange exchange = new HttpExchange(call, listener, this.buffers);
-		OptionMap options = OptionMap.builder().set(UndertowOptions.ENABLE_HTTP2, false).getMap();
+		return call(call.server(), () -> Optional.of(call), listener);
+	}
+
+	/**
+	 * Make a call that is decided on when its connection is up.
+	 * @param server the server
+	 * @param atConnection gives the call right before its first byte goes out; where it
+	 * gives none the connection is closed and the listener hears of nothing
+	 * @param listener hears of the response
+	 * @return a handle to give the call up with
+	 */
+	public HttpExchange call(URI server, Supplier<Optional<HttpCall>> atConnection, HttpResponseListener listener) {
+		HttpExchange exchange = new HttpExchange(atConnection, listener, this.buffers);
+		OptionMap options = OptionMap.builder()
+			.set(UndertowOptions.ENABLE_HTTP2, false)
+			.set(Options.TCP_NODELAY, true)
+			.getMap();
 		UndertowClient.getInstance().connect(new ClientCallback<ClientConnection>() {
 
 			@Override
@@ -56,7 +75,7 @@
 				exchange.notSent(ex);
 			}
 
-		}, call.server(), this.worker, this.buffers, options);
+		}, server, this.worker, this.buffers, options);
 		return exchange;
 	}
 
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpExchange.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpExchange.java
@@ -2,15 +2,21 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
+import io.undertow.client.ClientResponse;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
+import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import org.xnio.ChannelExceptionHandler;
@@ -27,7 +33,7 @@
  */
 public final class HttpExchange {
 
-	private final HttpCall call;
+	private final Supplier<Optional<HttpCall>> atConnection;
 
 	private final HttpResponseListener listener;
 
@@ -39,8 +45,10 @@
 
 	private volatile ClientConnection connection;
 
-	HttpExchange(HttpCall call, HttpResponseListener listener, ByteBufferPool buffers) {
-		this.call = call;
+	private HttpCall call;
+
+	HttpExchange(Supplier<Optional<HttpCall>> atConnection, HttpResponseListener listener, ByteBufferPool buffers) {
+		this.atConnection = atConnection;
 		this.listener = listener;
 		this.buffers = buffers;
 	}
@@ -69,6 +77,13 @@
 			IoUtils.safeClose(open);
 			return;
 		}
+		Optional<HttpCall> decided = this.atConnection.get();
+		if (decided.isEmpty()) {
+			this.over.set(true);
+			IoUtils.safeClose(open);
+			return;
+		}
+		this.call = decided.get();
 		// The end of a body closes the connection before it is reported; what was read
 		// comes first.
 		open.getCloseSetter()
@@ -76,9 +91,14 @@
 		ClientRequest request = new ClientRequest().setMethod(new HttpString(this.call.method()))
 			.setPath(this.call.path());
 		request.getRequestHeaders().put(Headers.HOST, this.call.server().getAuthority());
+		this.call.headers()
+			.stream()
+			.map(HttpHeader::name)
+			.distinct()
+			.forEach((n) -> request.getRequestHeaders().remove(n));
+		this.call.headers().forEach((h) -> request.getRequestHeaders().add(new HttpString(h.name()), h.value()));
 		request.getRequestHeaders().put(Headers.CONNECTION, "close");
-		this.call.headers().forEach((h) -> request.getRequestHeaders().put(new HttpString(h.name()), h.value()));
-		if (this.call.body().length > 0) {
+		if (this.call.body().length > 0 || this.call.method().equals("POST")) {
 			request.getRequestHeaders().put(Headers.CONTENT_LENGTH, this.call.body().length);
 		}
 		open.sendRequest(request, callback(this::requestReady));
@@ -121,8 +141,7 @@
 		if (this.over.get()) {
 			return;
 		}
-		String type = exchange.getResponse().getResponseHeaders().getFirst(Headers.CONTENT_TYPE);
-		this.listener.onHead(exchange.getResponse().getResponseCode(), (type != null) ? type : "");
+		this.listener.onHead(head(exchange.getResponse()));
 		StreamSourceChannel channel = exchange.getResponseChannel();
 		ChannelListener<StreamSourceChannel> reader = this::readBody;
 		channel.getReadSetter().set(reader);
@@ -132,6 +151,14 @@
 		}
 	}
 
+	private static HttpResponseHead head(ClientResponse response) {
+		List<HttpHeader> headers = new ArrayList<>();
+		for (HeaderValues values : response.getResponseHeaders()) {
+			values.forEach((v) -> headers.add(new HttpHeader(values.getHeaderName().toString(), v)));
+		}
+		return new HttpResponseHead(response.getResponseCode(), headers);
+	}
+
 	private void readBody(StreamSourceChannel channel) {
 		try (PooledByteBuffer pooled = this.buffers.allocate()) {
 			ByteBuffer buffer = pooled.getBuffer();
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpResponseListener.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpResponseListener.java
@@ -21,10 +21,9 @@
 
 	/**
 	 * Hear of the response's head.
-	 * @param status the status code
-	 * @param contentType the type of the body, or empty text
+	 * @param head the head
 	 */
-	void onHead(int status, String contentType);
+	void onHead(HttpResponseHead head);
 
 	/**
 	 * Hear of a part of the body.
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/WholeResponse.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/WholeResponse.java
@@ -43,9 +43,9 @@
 	}
 
 	@Override
-	public void onHead(int code, String type) {
-		this.status = code;
-		this.contentType = type;
+	public void onHead(HttpResponseHead head) {
+		this.status = head.status();
+		this.contentType = head.contentType();
 	}
 
 	@Override
--- a/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/target/EngineStream.java
+++ b/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/target/EngineStream.java
@@ -8,6 +8,7 @@
 import dev.laneworks.core.host.TargetLoss;
 import dev.laneworks.core.message.FinishReason;
 import dev.laneworks.runtime.http.EventStreamParser;
+import dev.laneworks.runtime.http.HttpResponseHead;
 import dev.laneworks.runtime.http.HttpResponseListener;
 import dev.laneworks.runtime.http.JsonText;
 import org.tinylog.Logger;
@@ -56,8 +57,8 @@
 	}
 
 	@Override
-	public void onHead(int code, String contentType) {
-		this.status = code;
+	public void onHead(HttpResponseHead head) {
+		this.status = head.status();
 	}
 
 	@Override
--- a/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/target/ForwardingResponse.java
+++ b/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/target/ForwardingResponse.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 
+import dev.laneworks.runtime.http.HttpResponseHead;
 import dev.laneworks.runtime.http.HttpResponseListener;
 import dev.laneworks.runtime.http.WholeResponse;
 import io.vavr.control.Either;
@@ -24,8 +25,8 @@
 	}
 
 	@Override
-	public void onHead(int status, String contentType) {
-		this.whole.onHead(status, contentType);
+	public void onHead(HttpResponseHead head) {
+		this.whole.onHead(head);
 	}
 
 	@Override
