--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.verdict.Verdict;
@@ -12,7 +13,7 @@
  */
 final class DirectCall {
 
-	/** The value of {@link #lastEvent} while the caller was sent no event. */
+	// The value of {@link #lastEvent} while the caller was sent no event.
 	static final long NO_EVENT = -1;
 
 	private final long number;
@@ -23,7 +24,9 @@
 
 	private final Set<String> tried = new HashSet<>();
 
-	private Attempt attempt;
+	private Optional<Attempt> attempt = Optional.empty();
+
+	private Optional<Attempt> successor = Optional.empty();
 
 	private int attempts;
 
@@ -59,12 +62,12 @@
 		return this.openedAt;
 	}
 
-	/** When the caller gives the request up. */
+	// When the caller gives the request up.
 	long patienceEndsAt() {
 		return this.openedAt + this.request.patienceMillis();
 	}
 
-	/** When the request gets its final answer at the latest. */
+	// When the request gets its final answer at the latest.
 	long dueAt() {
 		return Math.min(patienceEndsAt(), this.openedAt + this.request.route().timeoutMillis());
 	}
@@ -73,29 +76,59 @@
 		return this.tried;
 	}
 
-	Attempt attempt() {
+	// The attempt whose answer the caller gets.
+	Optional<Attempt> attempt() {
 		return this.attempt;
 	}
 
-	boolean isCurrent(int number) {
-		return this.attempt != null && this.attempt.number() == number;
+	// The attempt that goes on with the generation once its first event is there.
+	Optional<Attempt> successor() {
+		return this.successor;
+	}
+
+	Optional<Attempt> find(int number) {
+		return Stream.concat(this.attempt.stream(), this.successor.stream())
+			.filter((a) -> a.number() == number)
+			.findFirst();
+	}
+
+	boolean isSuccessor(Attempt candidate) {
+		return this.successor.filter((a) -> a == candidate).isPresent();
 	}
 
-	Attempt begin(ListedTarget target, Optional<ResumePoint> resume, long reservedTokens) {
+	Attempt begin(ListedTarget target, Optional<ResumePoint> resume, long reservedTokens,
+			Optional<ListedTarget> backup) {
 		this.attempts++;
-		this.attempt = new Attempt(this.attempts, target, resume, reservedTokens);
-		return this.attempt;
+		return new Attempt(this.attempts, target, resume, reservedTokens, backup);
+	}
+
+	void use(Attempt current) {
+		this.attempt = Optional.of(current);
+	}
+
+	void succeedBy(Attempt next) {
+		this.successor = Optional.of(next);
 	}
 
-	void endAttempt() {
-		this.attempt = null;
+	void promoteSuccessor() {
+		this.attempt = this.successor;
+		this.successor = Optional.empty();
+	}
+
+	void end(Attempt ended) {
+		if (isSuccessor(ended)) {
+			this.successor = Optional.empty();
+		}
+		else {
+			this.attempt = Optional.empty();
+		}
 	}
 
 	int attempts() {
 		return this.attempts;
 	}
 
-	/** How often the request was written to a target. */
+	// How often the request was written to a target.
 	int arrivals() {
 		return this.arrivals;
 	}
@@ -105,7 +138,7 @@
 		this.verdict = Verdict.MAY_HAVE_RUN;
 	}
 
-	/** How many targets may have run the request. */
+	// How many targets may have run the request.
 	int runs() {
 		return this.runs;
 	}
@@ -136,6 +169,10 @@
 		return this.lastEvent;
 	}
 
+	String lastEventText() {
+		return (this.lastEvent != NO_EVENT) ? Long.toString(this.lastEvent) : "";
+	}
+
 	long lastEventAt() {
 		return this.lastEventAt;
 	}
@@ -170,11 +207,15 @@
 
 		private final long reservedTokens;
 
+		private final Optional<ListedTarget> backup;
+
 		private long sentAt = -1;
 
 		private boolean answering;
 
-		Attempt(int number, ListedTarget target, Optional<ResumePoint> resume, long reservedTokens) {
+		Attempt(int number, ListedTarget target, Optional<ResumePoint> resume, long reservedTokens,
+				Optional<ListedTarget> backup) {
+			this.backup = backup;
 			this.number = number;
 			this.target = target;
 			this.resume = resume;
@@ -197,6 +238,11 @@
 			return this.reservedTokens;
 		}
 
+		// The target that a copy of the generation grows at, if any.
+		Optional<ListedTarget> backup() {
+			return this.backup;
+		}
+
 		boolean isSent() {
 			return this.sentAt >= 0;
 		}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DispatchSettings.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DispatchSettings.java
@@ -15,14 +15,14 @@
  * @since 0.2
  */
 public record DispatchSettings(long connectMillis, int maxAttempts, long answerSlackMillis, long comeBackMillis,
-		double silenceGoals) {
+		double silenceGoals, int timeShareToTryAgain) {
 
 	/**
 	 * Return the settings that were measured on the users' days.
 	 * @return the settings
 	 */
 	public static DispatchSettings defaults() {
-		return new DispatchSettings(250, 4, 40, 400, 2.5);
+		return new DispatchSettings(250, 4, 40, 400, 2.5, 4);
 	}
 
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -6,13 +6,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 
 import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
+import dev.laneworks.core.dispatch.DirectCall.Attempt;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.serving.RequestKind;
 import dev.laneworks.core.serving.ServiceSpec;
@@ -27,7 +27,8 @@
  * <p>
  * A request has run, as far as is known here, from the moment its first byte goes out
  * until its target says that it did not run it. Only what did not run, or may run more
- * than once, is sent again. Pure code over explicit time; not thread-safe.
+ * than once, is sent again. A generation whose engine is leaving or lost goes on at a
+ * copy of its memory. Pure code over explicit time; not thread-safe.
  *
  * @since 0.2
  */
@@ -39,8 +40,6 @@
 
 	private final TargetBeliefs beliefs;
 
-	private final TargetChooser chooser;
-
 	private final RetryWindow retries;
 
 	private final Timers timers;
@@ -49,6 +48,8 @@
 
 	private final AuditSink audit;
 
+	private final AttemptSender sender;
+
 	private final StreamMover mover;
 
 	private final Map<Long, DirectCall> calls = new HashMap<>();
@@ -71,11 +72,11 @@
 		this.settings = settings;
 		this.directory = directory;
 		this.beliefs = beliefs;
-		this.chooser = chooser;
 		this.retries = retries;
 		this.timers = timers;
 		this.outputs = outputs;
 		this.audit = audit;
+		this.sender = new AttemptSender(directory, beliefs, chooser, outputs, audit);
 		this.mover = new StreamMover(chooser, beliefs, timers, outputs, audit, new CallResumption());
 	}
 
@@ -112,31 +113,32 @@
 	/**
 	 * Return the time that a target is given for a request whose connection is up.
 	 * <p>
-	 * To be called right before the first byte goes out; from then on the request may
-	 * have run.
+	 * To be called right before the first byte goes out; from then on the request may have
+	 * run.
 	 * @param number the call
 	 * @param attempt the attempt
 	 * @param now the time in milliseconds
 	 * @return milliseconds, or empty if nothing is to be sent any more
 	 */
 	public OptionalLong readyToSend(long number, int attempt, long now) {
-		DirectCall call = current(number, attempt);
-		if (call == null) {
+		Optional<Attempt> found = find(number, attempt);
+		if (found.isEmpty()) {
 			return OptionalLong.empty();
 		}
+		DirectCall call = this.calls.get(number);
 		long left = call.dueAt() - now;
-		ListedTarget target = call.attempt().target();
 		if (left <= 0) {
 			return OptionalLong.empty();
 		}
-		if (call.attempt().resume().isEmpty() && !this.directory.takesWork(target.id())) {
+		ListedTarget target = found.get().target();
+		if (found.get().resume().isEmpty() && !this.directory.takesWork(target.id())) {
 			this.timers.at(now, (t) -> connectFailed(number, attempt, "the target is leaving", t));
 			return OptionalLong.empty();
 		}
-		call.attempt().sent(now);
+		found.get().sent(now);
 		call.arrived();
 		this.beliefs.of(target).quality().recordSent(now);
-		if (!call.request().route().kind().equals(RequestKind.STREAMING)) {
+		if (call.request().route().kind() != RequestKind.STREAMING) {
 			long silentAt = now + (long) (call.request().route().goalMillis() * this.settings.silenceGoals());
 			this.timers.at(silentAt, (t) -> silent(call, attempt, t));
 		}
@@ -151,22 +153,17 @@
 	 * @param now the time in milliseconds
 	 */
 	public void connectFailed(long number, int attempt, String cause, long now) {
-		DirectCall call = current(number, attempt);
-		if (call == null || call.attempt().isSent()) {
+		Optional<Attempt> found = find(number, attempt).filter((a) -> !a.isSent());
+		if (found.isEmpty()) {
 			return;
 		}
-		ListedTarget target = call.attempt().target();
+		DirectCall call = this.calls.get(number);
+		ListedTarget target = found.get().target();
 		if (this.directory.takesWork(target.id())) {
 			this.beliefs.of(target).quality().recordUnreachable(now);
 		}
-		endAttempt(call);
-		if (call.isStreaming()) {
-			cut(call, "no connection to the copy's engine " + target.id() + ": " + cause);
-			return;
-		}
 		record(AuditKind.RETRIED, call, target, "nothing was sent: " + cause);
-		call.tried().add(target.id());
-		offer(call, now);
+		notTaken(call, found.get(), "no connection: " + cause, now);
 	}
 
 	/**
@@ -175,16 +172,16 @@
 	 * @param attempt the attempt
 	 * @param head the head
 	 * @param now the time in milliseconds
-	 * @return whether the body's events are to be given to {@link #event}; otherwise it
-	 * is to be kept whole for {@link #answered}
+	 * @return whether the body's events are to be given to {@link #event}; otherwise it is
+	 * to be kept whole for {@link #answered}
 	 */
 	public boolean headReceived(long number, int attempt, AnswerHead head, long now) {
-		DirectCall call = current(number, attempt);
-		if (call == null) {
+		Optional<Attempt> found = find(number, attempt);
+		if (found.isEmpty()) {
 			return false;
 		}
-		head.load().ifPresent((l) -> this.beliefs.of(call.attempt().target()).told(l, now));
-		return head.isSuccess() && head.events() && head.answers(call.request().id());
+		head.load().ifPresent((l) -> this.beliefs.of(found.get().target()).told(l, now));
+		return head.isSuccess() && head.events() && head.answers(this.calls.get(number).request().id());
 	}
 
 	/**
@@ -195,36 +192,23 @@
 	 * @param now the time in milliseconds
 	 */
 	public void answered(long number, int attempt, AnswerHead head, long now) {
-		DirectCall call = current(number, attempt);
-		if (call == null) {
+		Optional<Attempt> found = find(number, attempt);
+		if (found.isEmpty()) {
 			return;
 		}
+		DirectCall call = this.calls.get(number);
 		if (!head.answers(call.request().id())) {
-			failed(call, "the answer is not one to this request: status " + head.status(), now);
-			return;
+			failed(call, found.get(), "the answer is not one to this request: status " + head.status(), now);
 		}
-		if (head.saysNotRun()) {
-			notRun(call, head, now);
-			return;
+		else if (head.saysNotRun()) {
+			notRun(call, found.get(), head, now);
 		}
-		call.mayHaveRun();
-		if (call.isStreaming()) {
-			endAttempt(call);
-			cut(call, "the copy's engine answered " + head.status());
-			return;
-		}
-		if (head.isServerError()) {
-			recordBad(call.attempt().target(), "status " + head.status(), now);
-			if (mayTryAgain(call, now)) {
-				tryAgain(call, "status " + head.status(), now);
-				return;
-			}
+		else if (call.isStreaming() || call.isSuccessor(found.get())) {
+			failed(call, found.get(), "status " + head.status() + " to a generation that goes on", now);
 		}
 		else {
-			recordGood(call, now);
+			ran(call, found.get(), head, now);
 		}
-		finish(call, AuditKind.ANSWERED, "status " + head.status() + " after " + (now - call.openedAt()) + " ms");
-		this.outputs.deliver(number, attempt);
 	}
 
 	/**
@@ -236,14 +220,21 @@
 	 * @return whether it is to be passed on; it is not if the caller has it already
 	 */
 	public boolean event(long number, int attempt, long id, long now) {
-		DirectCall call = current(number, attempt);
-		if (call == null) {
+		Optional<Attempt> found = find(number, attempt);
+		if (found.isEmpty()) {
 			return false;
 		}
-		if (!call.attempt().isAnswering()) {
-			call.attempt().answering();
-			recordGood(call, now);
+		DirectCall call = this.calls.get(number);
+		if (call.isSuccessor(found.get())) {
+			takeOver(call);
+		}
+		if (!found.get().isAnswering()) {
+			found.get().answering();
+			recordGood(found.get(), now);
 			call.mayHaveRun();
+			if (!this.directory.takesWork(found.get().target().id())) {
+				moveAway(call, now);
+			}
 		}
 		if (call.lastEvent() != DirectCall.NO_EVENT && id <= call.lastEvent()) {
 			return false;
@@ -267,15 +258,16 @@
 	 * @param now the time in milliseconds
 	 */
 	public void streamEnded(long number, int attempt, long now) {
-		DirectCall call = current(number, attempt);
-		if (call == null) {
+		Optional<Attempt> found = find(number, attempt);
+		if (found.isEmpty()) {
 			return;
 		}
-		if (!call.isStreaming()) {
-			failed(call, "the stream ended without an event", now);
+		DirectCall call = this.calls.get(number);
+		if (call.isSuccessor(found.get()) || !call.isStreaming()) {
+			failed(call, found.get(), "the stream ended without an event", now);
 			return;
 		}
-		finish(call, AuditKind.ANSWERED, "stream of " + (call.lastEvent() + 1) + " events whole after "
+		finish(call, AuditKind.ANSWERED, "stream up to event " + call.lastEvent() + " whole after "
 				+ (now - call.openedAt()) + " ms, attempts " + call.attempts());
 		this.outputs.endStream(number);
 	}
@@ -289,14 +281,15 @@
 	 * @param now the time in milliseconds
 	 */
 	public void broken(long number, int attempt, String cause, long now) {
-		DirectCall call = current(number, attempt);
-		if (call == null) {
+		Optional<Attempt> found = find(number, attempt);
+		if (found.isEmpty()) {
 			return;
 		}
-		if (this.mover.expectsEnd(call, now)) {
+		DirectCall call = this.calls.get(number);
+		if (!call.isSuccessor(found.get()) && this.mover.expectsEnd(call, now)) {
 			return;
 		}
-		failed(call, cause, now);
+		failed(call, found.get(), cause, now);
 	}
 
 	/**
@@ -306,11 +299,10 @@
 	 */
 	public void callerLeft(long number, long now) {
 		DirectCall call = this.calls.get(number);
-		if (call == null) {
-			return;
+		if (call != null) {
+			abandonAll(call);
+			finish(call, AuditKind.CANCELLED, "the caller left after " + (now - call.openedAt()) + " ms");
 		}
-		abandonAttempt(call);
-		finish(call, AuditKind.CANCELLED, "the caller left after " + (now - call.openedAt()) + " ms");
 	}
 
 	/**
@@ -322,13 +314,12 @@
 	 */
 	public void copied(long number, CopyOrder order, CopyResult result, long now) {
 		DirectCall call = this.calls.get(number);
-		if (call == null) {
-			if (!result.handle().isEmpty()) {
-				this.outputs.releaseCopy(order.source(), result.handle());
-			}
-			return;
+		if (call != null) {
+			this.mover.copied(call, order, result, now);
+		}
+		else if (!result.handle().isEmpty()) {
+			this.outputs.releaseCopy(order.source(), result.handle());
 		}
-		this.mover.copied(call, order, result, now);
 	}
 
 	/**
@@ -338,14 +329,43 @@
 	 */
 	public void leaving(ListedTarget target, long now) {
 		for (DirectCall call : List.copyOf(this.calls.values())) {
-			if (call.attempt() != null && call.attempt().isSent() && call.attempt().target().id().equals(target.id())) {
+			if (call.attempt().filter((a) -> a.isSent() && a.target().id().equals(target.id())).isPresent()) {
 				moveAway(call, now);
 			}
 		}
 	}
 
 	private void moveAway(DirectCall call, long now) {
-		engine(call).filter(EngineSpec::moves).ifPresent((e) -> this.mover.start(call, e, now));
+		Optional<EngineSpec> engine = engine(call);
+		if (engine.isEmpty() || (call.isStreaming() && goOnAtBackup(call, "its engine is leaving", now))) {
+			return;
+		}
+		if (engine.get().moves()) {
+			this.mover.start(call, engine.get(), now);
+		}
+	}
+
+	// The run goes on until the copy's engine sends its first event: where there is no
+	// copy nothing is lost by having asked.
+	private boolean goOnAtBackup(DirectCall call, String cause, long now) {
+		Optional<ListedTarget> backup = call.attempt()
+			.flatMap(Attempt::backup)
+			.filter((b) -> this.directory.takesWork(b.id()));
+		if (backup.isEmpty() || call.successor().isPresent()
+				|| !this.retries.tryTake(call.request().service(), now)) {
+			return false;
+		}
+		record(AuditKind.MOVED, call, call.attempt().get().target(),
+				cause + ": goes on at its running copy at " + backup.get().id() + " behind event " + call.lastEvent());
+		ResumePoint point = new ResumePoint(backup.get().address(), call.request().id(), call.lastEventText());
+		call.succeedBy(begin(call, backup.get(), Optional.of(point), now));
+		return true;
+	}
+
+	private void takeOver(DirectCall call) {
+		call.attempt().ifPresent((a) -> this.sender.abandon(call, a));
+		this.mover.ended(call);
+		call.promoteSuccessor();
 	}
 
 	private Optional<EngineSpec> engine(DirectCall call) {
@@ -357,7 +377,7 @@
 			refuse(call, RefusalReason.OVERLOADED, "no target took the request");
 			return;
 		}
-		Optional<ListedTarget> target = choose(call, now);
+		Optional<ListedTarget> target = this.sender.choose(call.request(), engine(call), call.tried(), now);
 		if (target.isEmpty()) {
 			refuse(call, RefusalReason.NO_TARGET, "no target of the service takes work");
 			return;
@@ -366,61 +386,40 @@
 			refuse(call, RefusalReason.OVERLOADED, "the budget for repeated sendings is spent");
 			return;
 		}
-		send(call, target.get(), Optional.empty(), now);
-	}
-
-	private Optional<ListedTarget> choose(DirectCall call, long now) {
-		DirectRequest request = call.request();
-		Optional<EngineSpec> engine = engine(call);
-		Set<String> tried = call.tried();
-		if (engine.isPresent() && request.work().isPresent()) {
-			return this.chooser.chooseEngine(request.service(), engine.get(), request.work().get(), tried, now);
-		}
-		return this.chooser.choosePlain(request.service(), tried, now);
+		call.use(begin(call, target.get(), Optional.empty(), now));
 	}
 
-	private void send(DirectCall call, ListedTarget target, Optional<ResumePoint> resume, long now) {
-		long tokens = call.request().work().map(EngineWork::meanTokens).orElse(0L);
-		DirectCall.Attempt attempt = call.begin(target, resume, tokens);
-		TargetBelief belief = this.beliefs.of(target);
-		record(AuditKind.ROUTED, call, target,
-				"attempt " + attempt.number() + ", own requests there " + belief.inFlight() + ", load "
-						+ Math.round(belief.load(now)) + ", directory of " + this.directory.size());
-		belief.began(tokens);
+	private Attempt begin(DirectCall call, ListedTarget target, Optional<ResumePoint> resume, long now) {
+		Attempt attempt = this.sender.send(call, target, engine(call), resume, now);
 		this.timers.at(now + this.settings.connectMillis(), (t) -> connectOverdue(call, attempt, t));
-		this.outputs.send(call.number(), attempt.number(), target,
-				new SendOrder(call.request().account(), priority(call), resume, Optional.empty()));
-	}
-
-	private int priority(DirectCall call) {
-		return call.request().route().priority();
+		return attempt;
 	}
 
-	private void connectOverdue(DirectCall call, DirectCall.Attempt attempt, long now) {
-		if (isOpen(call) && call.isCurrent(attempt.number()) && !attempt.isSent()) {
+	private void connectOverdue(DirectCall call, Attempt attempt, long now) {
+		if (find(call.number(), attempt.number()).isPresent() && !attempt.isSent()) {
 			this.outputs.abandon(call.number(), attempt.number());
 			connectFailed(call.number(), attempt.number(), "no connection within its time", now);
 		}
 	}
 
-	private void silent(DirectCall call, int attempt, long now) {
-		if (!isOpen(call) || !call.isCurrent(attempt)) {
+	private void silent(DirectCall call, int number, long now) {
+		Optional<Attempt> attempt = find(call.number(), number);
+		if (attempt.isEmpty()) {
 			return;
 		}
-		recordBad(call.attempt().target(), "no answer for " + (now - call.attempt().sentAt()) + " ms", now);
+		recordBad(attempt.get().target(), "no answer for " + (now - attempt.get().sentAt()) + " ms", now);
 		call.mayHaveRun();
-		if (mayTryAgain(call, now)) {
-			this.outputs.abandon(call.number(), attempt);
-			tryAgain(call, "the target is silent", now);
+		if (mayTryAgain(call, attempt.get(), now)) {
+			tryAgain(call, attempt.get(), "the target is silent", now);
 		}
 	}
 
 	private void overdue(DirectCall call, long now) {
-		if (!isOpen(call)) {
+		if (this.calls.get(call.number()) != call) {
 			return;
 		}
 		boolean wasSent = call.verdict() != Verdict.NOT_RUN;
-		abandonAttempt(call);
+		abandonAll(call);
 		if (call.isStreaming()) {
 			cut(call, "the time for the request is over");
 		}
@@ -432,28 +431,61 @@
 		}
 	}
 
-	private void notRun(DirectCall call, AnswerHead head, long now) {
-		DirectCall.Attempt attempt = call.attempt();
+	private void ran(DirectCall call, Attempt attempt, AnswerHead head, long now) {
+		call.mayHaveRun();
+		if (head.isServerError()) {
+			recordBad(attempt.target(), "status " + head.status(), now);
+			if (mayTryAgain(call, attempt, now)) {
+				tryAgain(call, attempt, "status " + head.status(), now);
+				return;
+			}
+		}
+		else {
+			recordGood(attempt, now);
+		}
+		finish(call, AuditKind.ANSWERED, "status " + head.status() + " after " + (now - call.openedAt()) + " ms");
+		this.outputs.deliver(call.number(), attempt.number());
+	}
+
+	private void notRun(DirectCall call, Attempt attempt, AnswerHead head, long now) {
 		ListedTarget target = attempt.target();
 		call.didNotRun();
-		endAttempt(call);
 		if (head.isMisdirected()) {
 			this.directory.refusedWork(target.id());
 		}
 		else {
 			this.beliefs.of(target).full(now + this.settings.comeBackMillis());
 		}
-		if (call.isStreaming()) {
-			cut(call, "the copy's engine did not take the generation: status " + head.status());
+		record(AuditKind.RETRIED, call, target, "not run there: status " + head.status());
+		notTaken(call, attempt, "status " + head.status(), now);
+	}
+
+	// The target did not run what this attempt asked for.
+	private void notTaken(DirectCall call, Attempt attempt, String cause, long now) {
+		boolean wasSuccessor = call.isSuccessor(attempt);
+		this.sender.end(call, attempt);
+		if (wasSuccessor) {
+			goOnWithoutCopy(call, now);
+		}
+		else if (call.isStreaming() || attempt.resume().isPresent()) {
+			lost(call, "the generation could not go on at " + attempt.target().id() + ": " + cause);
+		}
+		else {
+			call.tried().add(attempt.target().id());
+			offer(call, now);
+		}
+	}
+
+	// The running copy is of no use; the run itself may still be there.
+	private void goOnWithoutCopy(DirectCall call, long now) {
+		if (call.attempt().isEmpty()) {
+			lost(call, "neither the run nor its copy is left");
 			return;
 		}
-		record(AuditKind.RETRIED, call, target, "not run there: status " + head.status());
-		call.tried().add(target.id());
-		offer(call, now);
+		engine(call).filter(EngineSpec::moves).ifPresent((e) -> this.mover.start(call, e, now));
 	}
 
-	private void failed(DirectCall call, String cause, long now) {
-		DirectCall.Attempt attempt = call.attempt();
+	private void failed(DirectCall call, Attempt attempt, String cause, long now) {
 		ListedTarget target = attempt.target();
 		if (this.directory.takesWork(target.id())) {
 			recordBad(target, cause, now);
@@ -461,72 +493,68 @@
 		if (!attempt.isAnswering()) {
 			call.mayHaveRun();
 		}
+		if (call.isSuccessor(attempt)) {
+			this.sender.abandon(call, attempt);
+			goOnWithoutCopy(call, now);
+		}
+		else if (call.successor().isPresent()) {
+			this.sender.abandon(call, attempt);
+		}
+		else if (call.request().work().isPresent() && goOnAtBackup(call, cause, now)) {
+			this.sender.abandon(call, attempt);
+		}
+		else if (!call.isStreaming() && mayTryAgain(call, attempt, now)) {
+			tryAgain(call, attempt, cause, now);
+		}
+		else {
+			lost(call, cause + " at " + target.id());
+		}
+	}
+
+	private void lost(DirectCall call, String cause) {
 		if (call.isStreaming()) {
-			abandonAttempt(call);
-			cut(call, cause + " at " + target.id());
-			return;
+			cut(call, cause);
 		}
-		if (mayTryAgain(call, now)) {
-			this.outputs.abandon(call.number(), attempt.number());
-			tryAgain(call, cause, now);
-			return;
+		else {
+			refuse(call, RefusalReason.TARGET_LOST, cause);
 		}
-		abandonAttempt(call);
-		refuse(call, RefusalReason.TARGET_LOST, cause);
 	}
 
 	// Only what may run more than once is sent again, to another target and while there
 	// is time for an answer.
-	private boolean mayTryAgain(DirectCall call, long now) {
+	private boolean mayTryAgain(DirectCall call, Attempt attempt, long now) {
 		DirectRequest request = call.request();
 		boolean isAllowed = Verdict.MAY_HAVE_RUN.allowsAnotherAttempt(request.route().kind().isRepeatable(),
-				call.isStreaming()) && call.runs() < request.route().maxAttempts();
-		return isAllowed && call.attempts() < this.settings.maxAttempts()
-				&& call.dueAt() - now > request.route().goalMillis() / 4
-				&& !this.directory.serving(request.service()).isEmpty() && hasUntried(call)
-				&& this.retries.tryTake(request.service(), now);
+				call.isStreaming());
+		return isAllowed && call.runs() < request.route().maxAttempts()
+				&& call.attempts() < this.settings.maxAttempts()
+				&& call.dueAt() - now > request.route().goalMillis() / this.settings.timeShareToTryAgain()
+				&& this.sender.hasUntried(call, attempt.target()) && this.retries.tryTake(request.service(), now);
 	}
 
-	private boolean hasUntried(DirectCall call) {
-		String own = call.attempt().target().id();
-		return this.directory.serving(call.request().service())
-			.stream()
-			.anyMatch((t) -> !t.id().equals(own) && !call.tried().contains(t.id()));
+	private void tryAgain(DirectCall call, Attempt attempt, String cause, long now) {
+		record(AuditKind.RETRIED, call, attempt.target(), cause);
+		this.sender.abandon(call, attempt);
+		call.tried().add(attempt.target().id());
+		this.sender.choose(call.request(), engine(call), call.tried(), now)
+			.ifPresentOrElse((t) -> call.use(begin(call, t, Optional.empty(), now)),
+					() -> refuse(call, RefusalReason.TARGET_LOST, cause));
 	}
 
-	private void tryAgain(DirectCall call, String cause, long now) {
-		ListedTarget target = call.attempt().target();
-		record(AuditKind.RETRIED, call, target, cause);
-		endAttempt(call);
-		call.tried().add(target.id());
-		choose(call, now).ifPresentOrElse((t) -> send(call, t, Optional.empty(), now),
-				() -> refuse(call, RefusalReason.TARGET_LOST, cause));
-	}
-
-	private void resume(DirectCall call, ListedTarget destination, ResumePoint from, long now) {
-		abandonAttempt(call);
-		if (!this.retries.tryTake(call.request().service(), now)) {
-			cut(call, "the budget for repeated sendings is spent");
-			return;
-		}
-		send(call, destination, Optional.of(from), now);
-	}
-
-	private void recordGood(DirectCall call, long now) {
-		DirectCall.Attempt attempt = call.attempt();
+	private void recordGood(Attempt attempt, long now) {
 		this.beliefs.of(attempt.target()).quality().recordGood(now - attempt.sentAt(), now);
 	}
 
 	private void recordBad(ListedTarget target, String cause, long now) {
 		TargetQuality quality = this.beliefs.of(target).quality();
 		if (quality.recordBad(this.beliefs.peersBadShare(target, now), now)) {
-			this.audit.record(AuditEvent.of(AuditKind.TARGET_HEALTH, target.id(), target.id(),
-					"set aside: " + cause + ", bad answers of late " + Math.round(100 * quality.badShare(now)) + "%"));
+			this.audit.record(AuditEvent.of(AuditKind.TARGET_HEALTH, target.id(), target.id(), "set aside: " + cause
+					+ ", bad answers of late " + Math.round(100 * quality.badShare(now)) + "%"));
 		}
 	}
 
 	private void refuse(DirectCall call, RefusalReason reason, String detail) {
-		abandonAttempt(call);
+		abandonAll(call);
 		Refusal refusal = refusal(call.verdict(), reason, detail);
 		finish(call, AuditKind.REFUSED,
 				refusal.reason().label() + ", " + refusal.verdict().label() + ": " + refusal.detail());
@@ -543,41 +571,31 @@
 	}
 
 	private void cut(DirectCall call, String cause) {
-		abandonAttempt(call);
+		abandonAll(call);
 		finish(call, AuditKind.CUT, cause + ", after event " + call.lastEvent());
 		this.outputs.cutStream(call.number());
 	}
 
-	private void abandonAttempt(DirectCall call) {
-		if (call.attempt() != null) {
-			this.outputs.abandon(call.number(), call.attempt().number());
-			endAttempt(call);
-		}
-	}
-
-	private void endAttempt(DirectCall call) {
-		DirectCall.Attempt attempt = call.attempt();
-		if (attempt != null) {
-			this.beliefs.of(attempt.target()).ended(attempt.reservedTokens());
-			call.endAttempt();
-		}
+	private void abandonAll(DirectCall call) {
+		call.successor().ifPresent((a) -> this.sender.abandon(call, a));
+		call.attempt().ifPresent((a) -> this.sender.abandon(call, a));
 	}
 
 	private void finish(DirectCall call, AuditKind kind, String cause) {
-		ListedTarget target = (call.attempt() != null) ? call.attempt().target() : null;
+		String target = call.attempt().map((a) -> a.target().id()).orElse("");
 		this.mover.ended(call);
-		endAttempt(call);
+		call.successor().ifPresent((a) -> this.sender.abandon(call, a));
+		call.attempt().ifPresent((a) -> this.sender.end(call, a));
 		this.calls.remove(call.number());
-		this.audit.record(new AuditEvent(kind, call.request().id(), call.request().account(),
-				(target != null) ? target.id() : "", cause));
+		this.audit.record(new AuditEvent(kind, call.request().id(), call.request().account(), target, cause));
 	}
 
 	private void record(AuditKind kind, DirectCall call, ListedTarget target, String cause) {
 		this.audit.record(new AuditEvent(kind, call.request().id(), call.request().account(), target.id(), cause));
 	}
 
-	private boolean isOpen(DirectCall call) {
-		return this.calls.get(call.number()) == call;
+	private Optional<Attempt> find(long number, int attempt) {
+		return Optional.ofNullable(this.calls.get(number)).flatMap((c) -> c.find(attempt));
 	}
 
 	/**
@@ -587,12 +605,17 @@
 
 		@Override
 		public void resume(DirectCall call, ListedTarget destination, ResumePoint from, long now) {
-			Dispatcher.this.resume(call, destination, from, now);
+			call.attempt().ifPresent((a) -> Dispatcher.this.sender.abandon(call, a));
+			if (!Dispatcher.this.retries.tryTake(call.request().service(), now)) {
+				lost(call, "the budget for repeated sendings is spent");
+				return;
+			}
+			call.use(begin(call, destination, Optional.of(from), now));
 		}
 
 		@Override
-		public void lost(DirectCall call, long now) {
-			failed(call, "the generation stopped and its copy can't be used", now);
+		public void lost(DirectCall call, String cause) {
+			Dispatcher.this.lost(call, cause);
 		}
 
 		@Override
@@ -602,9 +625,4 @@
 
 	}
 
-	private DirectCall current(long number, int attempt) {
-		DirectCall call = this.calls.get(number);
-		return (call != null && call.isCurrent(attempt)) ? call : null;
-	}
-
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -43,6 +43,12 @@
 	/** How long the stopped run's last events are waited for, in milliseconds. */
 	private static final long LAST_EVENTS_MILLIS = 40;
 
+	/**
+	 * The most tokens of a generation that ends within any notice; a token takes about
+	 * eight milliseconds.
+	 */
+	private static final long SHORT_TOKENS = 100;
+
 	private final TargetChooser chooser;
 
 	private final TargetBeliefs beliefs;
@@ -66,10 +72,10 @@
 	}
 
 	void start(DirectCall call, EngineSpec engine, long now) {
-		if (call.copying().isPresent() || call.request().work().isEmpty()) {
+		if (call.copying().isPresent() || call.attempt().isEmpty() || endsSoon(call)) {
 			return;
 		}
-		Copying copying = new Copying(call.attempt().target(), now);
+		Copying copying = new Copying(call.attempt().get().target(), now);
 		call.copy(copying);
 		copyTo(call, copying, engine, now);
 	}
@@ -121,6 +127,12 @@
 		call.endCopy();
 	}
 
+	// A generation that ends within the notice needs no move, and its copy would hold up
+	// others.
+	private static boolean endsSoon(DirectCall call) {
+		return call.request().work().filter((w) -> w.maxTokens() >= SHORT_TOKENS).isEmpty();
+	}
+
 	private void copyTo(DirectCall call, Copying copying, EngineSpec engine, long now) {
 		if (!isUnderWay(call, copying) || now - copying.noticedAt() > HOPELESS_MILLIS) {
 			return;
@@ -205,7 +217,7 @@
 		}
 		if (copying.isSourceClosed()) {
 			call.endCopy();
-			this.resumption.lost(call, now);
+			this.resumption.lost(call, "the generation stopped and its copy can't be used");
 			return;
 		}
 		copying.enter(Phase.AHEAD);
@@ -219,11 +231,10 @@
 		ListedTarget destination = copying.destination();
 		release(call, copying);
 		call.endCopy();
-		String last = (call.lastEvent() != DirectCall.NO_EVENT) ? Long.toString(call.lastEvent()) : "";
 		record(call, copying, "goes on at " + destination.id() + " behind event " + call.lastEvent() + ", "
 				+ (now - copying.noticedAt()) + " ms after the notice");
-		this.resumption.resume(call, destination, new ResumePoint(copying.source().address(), copying.handle(), last),
-				now);
+		this.resumption.resume(call, destination, new ResumePoint(copying.source().address(), copying.handle(),
+				call.lastEventText()), now);
 	}
 
 	// Memory was promised to the copy at its destination; the attempt promises it anew.
@@ -255,7 +266,7 @@
 		/**
 		 * Take that the run stopped and no copy of it can be used.
 		 */
-		void lost(DirectCall call, long now);
+		void lost(DirectCall call, String cause);
 
 		/**
 		 * Return what the call's engines can do.
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectCalls.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectCalls.java
@@ -66,7 +66,7 @@
 		OpenCall opened = this.open.get(call);
 		TargetAttempt started = new TargetAttempt(call, attempt, target, order, opened.request, this.dispatcher,
 				this.translation, this.loop);
-		opened.attempt = started;
+		opened.attempts.put(attempt, started);
 		this.loop.run(() -> {
 			if (!started.isOver()) {
 				started.use(this.http.call(started.server(), started::atConnection, started));
@@ -77,20 +77,20 @@
 	@Override
 	public void abandon(long call, int attempt) {
 		OpenCall opened = this.open.get(call);
-		if (opened != null && opened.attempt != null && opened.attempt.number() == attempt) {
-			opened.attempt.abandon();
+		if (opened != null) {
+			Optional.ofNullable(opened.attempts.remove(attempt)).ifPresent(TargetAttempt::abandon);
 		}
 	}
 
 	@Override
 	public void deliver(long call, int attempt) {
-		end(call).ifPresent((o) -> o.request.deliver(o.attempt.answer()));
+		end(call).ifPresent((o) -> o.request.deliver(o.attempts.get(attempt).answer()));
 	}
 
 	@Override
 	public void startStream(long call, int attempt) {
 		OpenCall opened = this.open.get(call);
-		opened.request.startStream(opened.attempt.answer().head(), () -> this.loop.run(() -> callerLeft(call)));
+		opened.request.startStream(opened.attempts.get(attempt).answer().head(), () -> this.loop.run(() -> callerLeft(call)));
 	}
 
 	@Override
@@ -131,7 +131,7 @@
 
 		private final String requestId;
 
-		private TargetAttempt attempt;
+		private final Map<Integer, TargetAttempt> attempts = new HashMap<>();
 
 		OpenCall(CallerRequest request, String requestId) {
 			this.request = request;
