--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -26,7 +26,7 @@
 	 * How full the memory of an engine may be for a running copy to go there; copies must
 	 * leave room for generations.
 	 */
-	private static final double BACKUP_FULLNESS = 0.6;
+	private static final double BACKUP_FULLNESS = 0.75;
 
 	private final TargetDirectory directory;
 
@@ -72,16 +72,20 @@
 	 */
 	Attempt send(DirectCall call, ListedTarget target, Optional<EngineSpec> engine, Optional<ResumePoint> resume,
 			long now) {
-		long tokens = call.request().work().map(EngineWork::meanTokens).orElse(0L);
-		Optional<ListedTarget> backup = engine.flatMap((e) -> chooseBackup(call, target, e, now));
-		Attempt attempt = call.begin(target, resume, tokens, backup);
-		TargetBelief belief = this.beliefs.of(target);
+		// A generation that has just moved brings no copy along: its whole memory would go
+		// over links that others need to leave the same engine.
+		Optional<ListedTarget> backup = resume.isPresent() ? Optional.empty()
+				: engine.flatMap((e) -> chooseBackup(call, target, e, now));
+		Attempt attempt = call.begin(target, resume, backup);
 		this.audit.record(new AuditEvent(AuditKind.ROUTED, call.request().id(), call.request().account(), target.id(),
-				"attempt " + attempt.number() + ", own requests there " + belief.inFlight() + ", load "
-						+ Math.round(belief.load(now)) + ", directory of " + this.directory.size()
+				"attempt " + attempt.number() + ", own requests there " + this.beliefs.of(target).inFlight()
+						+ ", all requests " + Math.round(this.beliefs.requests(target, now)) + ", directory of " + this.directory.size()
 						+ backup.map((b) -> ", copy grows at " + b.id()).orElse("")));
-		belief.began(tokens);
-		backup.ifPresent((b) -> this.beliefs.of(b).began(tokens));
+		this.beliefs.change(target, TargetBelief::began);
+		hold(attempt, heldTokens(call, engine));
+		if (resume.isEmpty()) {
+			unread(attempt, call.request().work().map(EngineWork::promptTokens).orElse(0L));
+		}
 		this.outputs.send(call.number(), attempt.number(), target, new SendOrder(call.request().account(),
 				call.request().route().priority(), resume, backup.map(ListedTarget::address)));
 		return attempt;
@@ -93,11 +97,23 @@
 	 * @param attempt the attempt
 	 */
 	void end(DirectCall call, Attempt attempt) {
-		this.beliefs.of(attempt.target()).ended(attempt.reservedTokens());
-		attempt.backup().ifPresent((b) -> this.beliefs.of(b).ended(attempt.reservedTokens()));
+		hold(attempt, 0);
+		unread(attempt, 0);
+		this.beliefs.change(attempt.target(), TargetBelief::ended);
 		call.end(attempt);
 	}
 
+	/**
+	 * Take that a generation sent an event: its prompt is read, and it has grown.
+	 * @param call the call
+	 * @param attempt the attempt
+	 * @param engine what the service's engines can do
+	 */
+	void grew(DirectCall call, Attempt attempt, Optional<EngineSpec> engine) {
+		unread(attempt, 0);
+		hold(attempt, heldTokens(call, engine));
+	}
+
 	/**
 	 * Close an attempt's connection and let go of what it holds.
 	 * @param call the call
@@ -108,13 +124,36 @@
 		end(call, attempt);
 	}
 
+	private static long heldTokens(DirectCall call, Optional<EngineSpec> engine) {
+		long generated = (call.lastEvent() + 1) * engine.map(EngineSpec::tokensPerEvent).orElse(0);
+		return call.request().work().map((w) -> w.heldTokens(generated)).orElse(0L);
+	}
+
+	private void hold(Attempt attempt, long tokens) {
+		long change = tokens - attempt.heldTokens();
+		if (change == 0) {
+			return;
+		}
+		attempt.holds(tokens);
+		this.beliefs.change(attempt.target(), (b) -> b.held(change));
+		attempt.backup().ifPresent((t) -> this.beliefs.change(t, (b) -> b.held(change)));
+	}
+
+	private void unread(Attempt attempt, long tokens) {
+		long change = tokens - attempt.unreadTokens();
+		if (change != 0) {
+			attempt.unread(tokens);
+			this.beliefs.change(attempt.target(), (b) -> b.unread(change));
+		}
+	}
+
 	private Optional<ListedTarget> chooseBackup(DirectCall call, ListedTarget target, EngineSpec engine, long now) {
 		Optional<EngineWork> work = call.request().work();
 		if (!engine.backups() || work.isEmpty() || work.get().maxTokens() < LONG_TOKENS) {
 			return Optional.empty();
 		}
-		long tokens = work.get().meanTokens();
-		return this.chooser.chooseDestination(target, engine, tokens, Set.of(), now)
+		long tokens = work.get().heldTokens(0);
+		return this.chooser.chooseBackup(target, engine, tokens, now)
 			.filter((t) -> this.chooser.fullness(t, engine, now)
 					+ (double) tokens / engine.memoryTokens() <= BACKUP_FULLNESS);
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
@@ -42,6 +42,10 @@
 
 	private long lastEventAt;
 
+	private long longestPause;
+
+	private long eventAfterPause = NO_EVENT;
+
 	private Optional<Copying> copying = Optional.empty();
 
 	DirectCall(long number, DirectRequest request, long openedAt) {
@@ -96,10 +100,9 @@
 		return this.successor.filter((a) -> a == candidate).isPresent();
 	}
 
-	Attempt begin(ListedTarget target, Optional<ResumePoint> resume, long reservedTokens,
-			Optional<ListedTarget> backup) {
+	Attempt begin(ListedTarget target, Optional<ResumePoint> resume, Optional<ListedTarget> backup) {
 		this.attempts++;
-		return new Attempt(this.attempts, target, resume, reservedTokens, backup);
+		return new Attempt(this.attempts, target, resume, backup);
 	}
 
 	void use(Attempt current) {
@@ -177,7 +180,21 @@
 		return this.lastEventAt;
 	}
 
+	// The longest pause between two events, in milliseconds.
+	long longestPause() {
+		return this.longestPause;
+	}
+
+	// The event behind the longest pause.
+	long eventAfterPause() {
+		return this.eventAfterPause;
+	}
+
 	void passed(long event, long now) {
+		if (this.lastEvent != NO_EVENT && now - this.lastEventAt > this.longestPause) {
+			this.longestPause = now - this.lastEventAt;
+			this.eventAfterPause = event;
+		}
 		this.lastEvent = event;
 		this.lastEventAt = now;
 	}
@@ -205,21 +222,21 @@
 
 		private final Optional<ResumePoint> resume;
 
-		private final long reservedTokens;
-
 		private final Optional<ListedTarget> backup;
 
+		private long heldTokens;
+
+		private long unreadTokens;
+
 		private long sentAt = -1;
 
 		private boolean answering;
 
-		Attempt(int number, ListedTarget target, Optional<ResumePoint> resume, long reservedTokens,
-				Optional<ListedTarget> backup) {
-			this.backup = backup;
+		Attempt(int number, ListedTarget target, Optional<ResumePoint> resume, Optional<ListedTarget> backup) {
 			this.number = number;
 			this.target = target;
 			this.resume = resume;
-			this.reservedTokens = reservedTokens;
+			this.backup = backup;
 		}
 
 		int number() {
@@ -234,8 +251,22 @@
 			return this.resume;
 		}
 
-		long reservedTokens() {
-			return this.reservedTokens;
+		// The engine memory that this attempt is counted with.
+		long heldTokens() {
+			return this.heldTokens;
+		}
+
+		void holds(long tokens) {
+			this.heldTokens = tokens;
+		}
+
+		// The tokens of the prompt that the engine has yet to read.
+		long unreadTokens() {
+			return this.unreadTokens;
+		}
+
+		void unread(long tokens) {
+			this.unreadTokens = tokens;
 		}
 
 		// The target that a copy of the generation grows at, if any.
@@ -272,23 +303,26 @@
 
 		private final ListedTarget source;
 
-		private final long noticedAt;
-
 		private final Set<String> tried = new HashSet<>();
 
-		private Phase phase = Phase.AHEAD;
+		private Phase phase = Phase.WAITING;
 
 		private ListedTarget destination;
 
-		private long roundStartedAt;
+		private long promisedTokens;
+
+		private long notBefore;
+
+		private long orderedAt;
 
 		private String handle = "";
 
 		private boolean sourceClosed;
 
-		Copying(ListedTarget source, long noticedAt) {
+		private boolean counted;
+
+		Copying(ListedTarget source) {
 			this.source = source;
-			this.noticedAt = noticedAt;
 			this.tried.add(source.id());
 		}
 
@@ -296,10 +330,6 @@
 			return this.source;
 		}
 
-		long noticedAt() {
-			return this.noticedAt;
-		}
-
 		Set<String> tried() {
 			return this.tried;
 		}
@@ -316,16 +346,30 @@
 			return this.destination;
 		}
 
-		void to(ListedTarget chosen) {
+		void to(ListedTarget chosen, long tokens) {
 			this.destination = chosen;
+			this.promisedTokens = tokens;
+		}
+
+		long promisedTokens() {
+			return this.promisedTokens;
 		}
 
-		long roundStartedAt() {
-			return this.roundStartedAt;
+		// When the copy may be tried again.
+		long notBefore() {
+			return this.notBefore;
 		}
 
-		void roundStarted(long now) {
-			this.roundStartedAt = now;
+		void notBefore(long time) {
+			this.notBefore = time;
+		}
+
+		long orderedAt() {
+			return this.orderedAt;
+		}
+
+		void ordered(long now) {
+			this.orderedAt = now;
 		}
 
 		String handle() {
@@ -336,6 +380,15 @@
 			this.handle = name;
 		}
 
+		// Whether other entries are told that this generation is to be moved.
+		boolean isCounted() {
+			return this.counted;
+		}
+
+		void counted(boolean isCounted) {
+			this.counted = isCounted;
+		}
+
 		boolean isSourceClosed() {
 			return this.sourceClosed;
 		}
@@ -351,6 +404,9 @@
 	 */
 	enum Phase {
 
+		/** Other copies go first. */
+		WAITING,
+
 		/** The run goes on while its memory is copied. */
 		AHEAD,
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -62,13 +62,14 @@
 	 * @param directory the targets
 	 * @param beliefs what is believed of them
 	 * @param chooser chooses among them
+	 * @param turn whose turn it is to copy generations away from an engine
 	 * @param retries the process's part of the bound on repeated sendings
 	 * @param timers what is due later
 	 * @param outputs takes what was decided
 	 * @param audit takes why
 	 */
 	public Dispatcher(DispatchSettings settings, TargetDirectory directory, TargetBeliefs beliefs,
-			TargetChooser chooser, RetryWindow retries, Timers timers, DispatchOutputs outputs, AuditSink audit) {
+			TargetChooser chooser, CopyTurn turn, RetryWindow retries, Timers timers, DispatchOutputs outputs, AuditSink audit) {
 		this.settings = settings;
 		this.directory = directory;
 		this.beliefs = beliefs;
@@ -77,7 +78,7 @@
 		this.outputs = outputs;
 		this.audit = audit;
 		this.sender = new AttemptSender(directory, beliefs, chooser, outputs, audit);
-		this.mover = new StreamMover(chooser, beliefs, timers, outputs, audit, new CallResumption());
+		this.mover = new StreamMover(chooser, beliefs, turn, timers, outputs, audit, new CallResumption());
 	}
 
 	/**
@@ -226,7 +227,7 @@
 		}
 		DirectCall call = this.calls.get(number);
 		if (call.isSuccessor(found.get())) {
-			takeOver(call);
+			takeOver(call, now);
 		}
 		if (!found.get().isAnswering()) {
 			found.get().answering();
@@ -240,7 +241,7 @@
 			return false;
 		}
 		if (call.lastEvent() != DirectCall.NO_EVENT && id != call.lastEvent() + 1) {
-			cut(call, "event " + id + " came after event " + call.lastEvent());
+			cut(call, "event " + id + " came after event " + call.lastEvent(), now);
 			return false;
 		}
 		if (!call.isStreaming()) {
@@ -248,6 +249,7 @@
 			this.outputs.startStream(number, attempt);
 		}
 		call.passed(id, now);
+		this.sender.grew(call, found.get(), engine(call));
 		return true;
 	}
 
@@ -268,7 +270,8 @@
 			return;
 		}
 		finish(call, AuditKind.ANSWERED, "stream up to event " + call.lastEvent() + " whole after "
-				+ (now - call.openedAt()) + " ms, attempts " + call.attempts());
+				+ (now - call.openedAt()) + " ms, attempts " + call.attempts() + ", longest pause "
+				+ call.longestPause() + " ms before event " + call.eventAfterPause(), now);
 		this.outputs.endStream(number);
 	}
 
@@ -301,7 +304,7 @@
 		DirectCall call = this.calls.get(number);
 		if (call != null) {
 			abandonAll(call);
-			finish(call, AuditKind.CANCELLED, "the caller left after " + (now - call.openedAt()) + " ms");
+			finish(call, AuditKind.CANCELLED, "the caller left after " + (now - call.openedAt()) + " ms", now);
 		}
 	}
 
@@ -341,7 +344,7 @@
 			return;
 		}
 		if (engine.get().moves()) {
-			this.mover.start(call, engine.get(), now);
+			this.mover.start(call, now);
 		}
 	}
 
@@ -362,9 +365,9 @@
 		return true;
 	}
 
-	private void takeOver(DirectCall call) {
+	private void takeOver(DirectCall call, long now) {
 		call.attempt().ifPresent((a) -> this.sender.abandon(call, a));
-		this.mover.ended(call);
+		this.mover.ended(call, now);
 		call.promoteSuccessor();
 	}
 
@@ -374,16 +377,16 @@
 
 	private void offer(DirectCall call, long now) {
 		if (call.attempts() >= this.settings.maxAttempts()) {
-			refuse(call, RefusalReason.OVERLOADED, "no target took the request");
+			refuse(call, RefusalReason.OVERLOADED, "no target took the request", now);
 			return;
 		}
 		Optional<ListedTarget> target = this.sender.choose(call.request(), engine(call), call.tried(), now);
 		if (target.isEmpty()) {
-			refuse(call, RefusalReason.NO_TARGET, "no target of the service takes work");
+			refuse(call, RefusalReason.NO_TARGET, "no target of the service takes work", now);
 			return;
 		}
 		if (call.arrivals() > 0 && !this.retries.tryTake(call.request().service(), now)) {
-			refuse(call, RefusalReason.OVERLOADED, "the budget for repeated sendings is spent");
+			refuse(call, RefusalReason.OVERLOADED, "the budget for repeated sendings is spent", now);
 			return;
 		}
 		call.use(begin(call, target.get(), Optional.empty(), now));
@@ -421,13 +424,13 @@
 		boolean wasSent = call.verdict() != Verdict.NOT_RUN;
 		abandonAll(call);
 		if (call.isStreaming()) {
-			cut(call, "the time for the request is over");
+			cut(call, "the time for the request is over", now);
 		}
 		else if (wasSent) {
-			refuse(call, RefusalReason.LINK_LOST, "the target did not answer in time");
+			refuse(call, RefusalReason.LINK_LOST, "the target did not answer in time", now);
 		}
 		else {
-			refuse(call, RefusalReason.WAIT_TOO_LONG, "no target could be reached in time");
+			refuse(call, RefusalReason.WAIT_TOO_LONG, "no target could be reached in time", now);
 		}
 	}
 
@@ -443,7 +446,7 @@
 		else {
 			recordGood(attempt, now);
 		}
-		finish(call, AuditKind.ANSWERED, "status " + head.status() + " after " + (now - call.openedAt()) + " ms");
+		finish(call, AuditKind.ANSWERED, "status " + head.status() + " after " + (now - call.openedAt()) + " ms", now);
 		this.outputs.deliver(call.number(), attempt.number());
 	}
 
@@ -468,7 +471,7 @@
 			goOnWithoutCopy(call, now);
 		}
 		else if (call.isStreaming() || attempt.resume().isPresent()) {
-			lost(call, "the generation could not go on at " + attempt.target().id() + ": " + cause);
+			lost(call, "the generation could not go on at " + attempt.target().id() + ": " + cause, now);
 		}
 		else {
 			call.tried().add(attempt.target().id());
@@ -479,10 +482,12 @@
 	// The running copy is of no use; the run itself may still be there.
 	private void goOnWithoutCopy(DirectCall call, long now) {
 		if (call.attempt().isEmpty()) {
-			lost(call, "neither the run nor its copy is left");
+			lost(call, "neither the run nor its copy is left", now);
 			return;
 		}
-		engine(call).filter(EngineSpec::moves).ifPresent((e) -> this.mover.start(call, e, now));
+		if (engine(call).filter(EngineSpec::moves).isPresent()) {
+			this.mover.start(call, now);
+		}
 	}
 
 	private void failed(DirectCall call, Attempt attempt, String cause, long now) {
@@ -507,16 +512,16 @@
 			tryAgain(call, attempt, cause, now);
 		}
 		else {
-			lost(call, cause + " at " + target.id());
+			lost(call, cause + " at " + target.id(), now);
 		}
 	}
 
-	private void lost(DirectCall call, String cause) {
+	private void lost(DirectCall call, String cause, long now) {
 		if (call.isStreaming()) {
-			cut(call, cause);
+			cut(call, cause, now);
 		}
 		else {
-			refuse(call, RefusalReason.TARGET_LOST, cause);
+			refuse(call, RefusalReason.TARGET_LOST, cause, now);
 		}
 	}
 
@@ -538,7 +543,7 @@
 		call.tried().add(attempt.target().id());
 		this.sender.choose(call.request(), engine(call), call.tried(), now)
 			.ifPresentOrElse((t) -> call.use(begin(call, t, Optional.empty(), now)),
-					() -> refuse(call, RefusalReason.TARGET_LOST, cause));
+					() -> refuse(call, RefusalReason.TARGET_LOST, cause, now));
 	}
 
 	private void recordGood(Attempt attempt, long now) {
@@ -553,11 +558,11 @@
 		}
 	}
 
-	private void refuse(DirectCall call, RefusalReason reason, String detail) {
+	private void refuse(DirectCall call, RefusalReason reason, String detail, long now) {
 		abandonAll(call);
 		Refusal refusal = refusal(call.verdict(), reason, detail);
 		finish(call, AuditKind.REFUSED,
-				refusal.reason().label() + ", " + refusal.verdict().label() + ": " + refusal.detail());
+				refusal.reason().label() + ", " + refusal.verdict().label() + ": " + refusal.detail(), now);
 		this.outputs.refuse(call.number(), refusal);
 	}
 
@@ -570,9 +575,9 @@
 		return new Refusal(verdict, promises ? RefusalReason.TARGET_LOST : reason, detail, Optional.empty());
 	}
 
-	private void cut(DirectCall call, String cause) {
+	private void cut(DirectCall call, String cause, long now) {
 		abandonAll(call);
-		finish(call, AuditKind.CUT, cause + ", after event " + call.lastEvent());
+		finish(call, AuditKind.CUT, cause + ", after event " + call.lastEvent(), now);
 		this.outputs.cutStream(call.number());
 	}
 
@@ -581,9 +586,9 @@
 		call.attempt().ifPresent((a) -> this.sender.abandon(call, a));
 	}
 
-	private void finish(DirectCall call, AuditKind kind, String cause) {
+	private void finish(DirectCall call, AuditKind kind, String cause, long now) {
 		String target = call.attempt().map((a) -> a.target().id()).orElse("");
-		this.mover.ended(call);
+		this.mover.ended(call, now);
 		call.successor().ifPresent((a) -> this.sender.abandon(call, a));
 		call.attempt().ifPresent((a) -> this.sender.end(call, a));
 		this.calls.remove(call.number());
@@ -607,15 +612,15 @@
 		public void resume(DirectCall call, ListedTarget destination, ResumePoint from, long now) {
 			call.attempt().ifPresent((a) -> Dispatcher.this.sender.abandon(call, a));
 			if (!Dispatcher.this.retries.tryTake(call.request().service(), now)) {
-				lost(call, "the budget for repeated sendings is spent");
+				lost(call, "the budget for repeated sendings is spent", now);
 				return;
 			}
 			call.use(begin(call, destination, Optional.of(from), now));
 		}
 
 		@Override
-		public void lost(DirectCall call, String cause) {
-			Dispatcher.this.lost(call, cause);
+		public void lost(DirectCall call, String cause, long now) {
+			Dispatcher.this.lost(call, cause, now);
 		}
 
 		@Override
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/EngineWork.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/EngineWork.java
@@ -17,6 +17,12 @@
 public record EngineWork(String model, long promptTokens, long maxTokens, OptionalLong expectedTokens,
 		List<PromptPart> parts) {
 
+	/**
+	 * The tokens that a running generation is given room for ahead; about two seconds of
+	 * growth, in which a target that fills up can be avoided.
+	 */
+	private static final long GROWTH_TOKENS = 250;
+
 	public EngineWork {
 		Objects.requireNonNull(model, "model must not be null");
 		Objects.requireNonNull(expectedTokens, "expectedTokens must not be null");
@@ -27,11 +33,12 @@
 	}
 
 	/**
-	 * Return the tokens that the generation is expected to hold on average while it runs.
-	 * @return the prompt and half of what it is expected to generate
+	 * Return the engine memory that the generation holds and will hold soon.
+	 * @param generated the tokens generated so far
+	 * @return the prompt, what was generated, and room to grow in
 	 */
-	public long meanTokens() {
-		return this.promptTokens + likelyTokens() / 2;
+	public long heldTokens(long generated) {
+		return this.promptTokens + generated + Math.min(GROWTH_TOKENS, Math.max(0, this.maxTokens - generated));
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -1,58 +1,70 @@
 package dev.laneworks.core.dispatch;
 
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.dispatch.DirectCall.Attempt;
 import dev.laneworks.core.dispatch.DirectCall.Copying;
 import dev.laneworks.core.dispatch.DirectCall.Phase;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.time.Timers;
 
 /**
- * Moves running generations from an engine that is leaving to others.
+ * Moves running generations from an engine that is leaving to others, one after the other.
  * <p>
- * The memory is copied while the run goes on. Copies of all streams share the engine's
- * link, so that the time which a round takes tells how long the link's queue is. The run
- * is stopped when a round was quick, since then the rest is copied within a pause that
- * the caller doesn't see, or when the notice is nearly over.
+ * A generation's memory is copied while the run goes on, until a round finds the links
+ * without a queue; then the run is stopped, the little that is new is copied, and the
+ * generation goes on at the copy. The engine's link
+ * carries one copy at a time anyway, so that a queue of our own costs nothing and spares
+ * each generation the wait for the copies behind it. The smallest goes first, since most
+ * are saved so.
  */
 final class StreamMover {
 
 	/**
-	 * A round that took no longer than this met a link without a queue, in milliseconds;
-	 * the pause that callers allow is 180 ms, of which the rest is for going on
-	 * elsewhere.
+	 * The most tokens of a generation that ends within any notice; a token takes about
+	 * eight milliseconds.
 	 */
-	private static final long QUICK_MILLIS = 70;
+	private static final long SHORT_TOKENS = 100;
 
 	/**
-	 * How long after the notice the run is stopped at the latest, in milliseconds; the
-	 * shortest notice measured is 1,540 ms.
+	 * A copy that took no longer than this met links without a queue, in milliseconds. The
+	 * run is stopped behind such a one, since the pause that callers allow is 180 ms.
 	 */
-	private static final long LATEST_MILLIS = 1_150;
+	private static final long QUICK_MILLIS = 60;
+
+	/**
+	 * How long after the notice the run is stopped whatever the links' queues, in
+	 * milliseconds; the shortest notice measured is 1,540 ms.
+	 */
+	private static final long LATEST_MILLIS = 1_250;
 
 	/** How long after the notice no more copies are tried, in milliseconds. */
-	private static final long HOPELESS_MILLIS = 4_000;
+	private static final long HOPELESS_MILLIS = 6_000;
 
 	/** The wait before an order that could not be carried out is given again. */
 	private static final long AGAIN_MILLIS = 40;
 
+	/** How often it is looked whether the turn has come, in milliseconds. */
+	private static final long LOOK_MILLIS = 8;
+
 	/** How long the stopped run's last events are waited for, in milliseconds. */
 	private static final long LAST_EVENTS_MILLIS = 40;
 
-	/**
-	 * The most tokens of a generation that ends within any notice; a token takes about
-	 * eight milliseconds.
-	 */
-	private static final long SHORT_TOKENS = 100;
-
 	private final TargetChooser chooser;
 
 	private final TargetBeliefs beliefs;
 
+	private final CopyTurn turn;
+
 	private final Timers timers;
 
 	private final DispatchOutputs outputs;
@@ -61,32 +73,41 @@
 
 	private final Resumption resumption;
 
-	StreamMover(TargetChooser chooser, TargetBeliefs beliefs, Timers timers, DispatchOutputs outputs, AuditSink audit,
-			Resumption resumption) {
+	private final Map<String, SourceQueue> queues = new HashMap<>();
+
+	StreamMover(TargetChooser chooser, TargetBeliefs beliefs, CopyTurn turn, Timers timers, DispatchOutputs outputs,
+			AuditSink audit, Resumption resumption) {
 		this.chooser = chooser;
 		this.beliefs = beliefs;
+		this.turn = turn;
 		this.timers = timers;
 		this.outputs = outputs;
 		this.audit = audit;
 		this.resumption = resumption;
 	}
 
-	void start(DirectCall call, EngineSpec engine, long now) {
+	void start(DirectCall call, long now) {
 		if (call.copying().isPresent() || call.attempt().isEmpty() || endsSoon(call)) {
 			return;
 		}
-		Copying copying = new Copying(call.attempt().get().target(), now);
-		call.copy(copying);
-		copyTo(call, copying, engine, now);
+		ListedTarget source = call.attempt().get().target();
+		call.copy(new Copying(source));
+		SourceQueue queue = this.queues.computeIfAbsent(source.id(), (id) -> new SourceQueue(source, now));
+		queue.waiting.add(call);
+		count(call.copying().get(), true);
+		// All that run there are to be queued before the first is chosen.
+		lookAgain(queue, now);
 	}
 
 	/**
 	 * Take that the connection to the source ended.
+	 * @param call the call
+	 * @param now the time in milliseconds
 	 * @return whether that was to be expected, because the run was told to stop
 	 */
 	boolean expectsEnd(DirectCall call, long now) {
 		Optional<Copying> copying = call.copying();
-		if (copying.isEmpty() || copying.get().phase() == Phase.AHEAD) {
+		if (copying.isEmpty() || copying.get().phase() == Phase.WAITING || copying.get().phase() == Phase.AHEAD) {
 			return false;
 		}
 		copying.get().sourceClosed();
@@ -101,8 +122,8 @@
 		if (copying == null || !copying.source().id().equals(order.source().id())) {
 			return;
 		}
-		record(call, copying, (order.stop() ? "last part" : "part") + " copied: " + result.outcome() + " in "
-				+ (now - copying.roundStartedAt()) + " ms");
+		record(call, copying, (order.stop() ? "last part" : "first part") + " to " + order.destination().id() + ": "
+				+ result.outcome() + " in " + (now - copying.orderedAt()) + " ms");
 		if (!result.handle().isEmpty()) {
 			copying.handle(result.handle());
 		}
@@ -115,137 +136,203 @@
 	}
 
 	/**
-	 * Let go of a copy whose call is over.
+	 * Let go of a copy whose call is over or goes on otherwise.
+	 * @param call the call
+	 * @param now the time in milliseconds
 	 */
-	void ended(DirectCall call) {
+	void ended(DirectCall call, long now) {
 		call.copying().ifPresent((c) -> {
-			release(call, c);
 			if (!c.handle().isEmpty() && c.phase() != Phase.STOPPED) {
 				this.outputs.releaseCopy(c.source(), c.handle());
 			}
+			leaveQueue(call, c, now);
 		});
-		call.endCopy();
 	}
 
-	// A generation that ends within the notice needs no move, and its copy would hold up
-	// others.
-	private static boolean endsSoon(DirectCall call) {
-		return call.request().work().filter((w) -> w.maxTokens() >= SHORT_TOKENS).isEmpty();
+	// Copies the next generation if none is being copied and it is this process's turn.
+	private void look(SourceQueue queue, long now) {
+		if (queue.active.isPresent() || queue.waiting.isEmpty()) {
+			return;
+		}
+		long sinceNotice = now - queue.noticedAt;
+		if (!this.turn.isOurs(queue.source, sinceNotice)) {
+			lookAgain(queue, now + LOOK_MILLIS);
+			return;
+		}
+		Optional<DirectCall> next = queue.waiting.stream()
+			.filter((c) -> c.copying().get().notBefore() <= now)
+			.min(Comparator.comparingLong((c) -> c.attempt().map(Attempt::heldTokens).orElse(0L)));
+		next.ifPresent((c) -> copyAhead(queue, c, now));
 	}
 
-	private void copyTo(DirectCall call, Copying copying, EngineSpec engine, long now) {
-		if (!isUnderWay(call, copying) || now - copying.noticedAt() > HOPELESS_MILLIS) {
-			return;
+	private void lookAgain(SourceQueue queue, long due) {
+		if (!queue.lookDue) {
+			queue.lookDue = true;
+			this.timers.at(due, (t) -> {
+				queue.lookDue = false;
+				look(queue, t);
+			});
 		}
-		long tokens = call.request().work().map(EngineWork::meanTokens).orElse(0L);
-		Optional<ListedTarget> destination = this.chooser.chooseDestination(copying.source(), engine, tokens,
-				copying.tried(), now);
+	}
+
+	private void copyAhead(SourceQueue queue, DirectCall call, long now) {
+		Copying copying = call.copying().get();
+		Optional<EngineSpec> engine = this.resumption.engine(call);
+		long tokens = call.attempt().map(Attempt::heldTokens).orElse(0L);
+		Optional<ListedTarget> destination = engine
+			.flatMap((e) -> this.chooser.chooseDestination(queue.source, e, tokens, copying.tried(), now));
 		if (destination.isEmpty()) {
 			copying.tried().clear();
-			this.timers.at(now + AGAIN_MILLIS, (t) -> copyTo(call, copying, engine, t));
+			putBack(queue, call, now);
 			return;
 		}
-		copying.to(destination.get());
-		this.beliefs.of(destination.get()).began(tokens);
-		round(call, copying, now);
+		queue.waiting.remove(call);
+		activate(queue, Optional.of(call));
+		copying.to(destination.get(), tokens);
+		this.beliefs.change(destination.get(), (b) -> b.held(tokens));
+		copying.enter(Phase.AHEAD);
+		order(call, copying, now);
 	}
 
-	private void round(DirectCall call, Copying copying, long now) {
-		if (!isUnderWay(call, copying)) {
-			return;
-		}
-		copying.roundStarted(now);
+	private void order(DirectCall call, Copying copying, long now) {
+		copying.ordered(now);
 		this.outputs.copy(call.number(), new CopyOrder(call.request().id(), copying.source(), copying.destination(),
 				copying.phase() == Phase.STOPPING));
 	}
 
 	private void copiedAhead(DirectCall call, Copying copying, CopyResult result, long now) {
+		SourceQueue queue = this.queues.get(copying.source().id());
 		switch (result.outcome()) {
 			case COPIED -> {
-				boolean wasQuick = now - copying.roundStartedAt() <= QUICK_MILLIS;
-				if (wasQuick || now - copying.noticedAt() >= LATEST_MILLIS) {
+				boolean wasQuick = now - copying.orderedAt() <= QUICK_MILLIS;
+				if (wasQuick || now - queue.noticedAt >= LATEST_MILLIS) {
 					copying.enter(Phase.STOPPING);
 				}
-				round(call, copying, now);
+				order(call, copying, now);
 			}
 			case NO_ROOM -> {
-				release(call, copying);
 				copying.tried().add(copying.destination().id());
-				copying.to(null);
-				again(call, copying, now);
+				release(copying);
+				activate(queue, Optional.empty());
+				copyAhead(queue, call, now);
+			}
+			case UNDER_WAY, FAILED, NO_SUCH_RUN -> {
+				release(copying);
+				activate(queue, Optional.empty());
+				putBack(queue, call, now);
 			}
-			case UNDER_WAY, FAILED, NO_SUCH_RUN -> again(call, copying, now);
 		}
 	}
 
-	private void again(DirectCall call, Copying copying, long now) {
-		if (now - copying.noticedAt() > HOPELESS_MILLIS) {
+	private void putBack(SourceQueue queue, DirectCall call, long now) {
+		Copying copying = call.copying().get();
+		queue.waiting.remove(call);
+		if (now - queue.noticedAt > HOPELESS_MILLIS) {
+			leaveQueue(call, copying, now);
 			return;
 		}
-		this.timers.at(now + AGAIN_MILLIS, (t) -> {
-			if (copying.destination() != null) {
-				round(call, copying, t);
-			}
-			else {
-				this.resumption.engine(call).ifPresent((e) -> copyTo(call, copying, e, t));
+		copying.enter(Phase.WAITING);
+		copying.notBefore(now + AGAIN_MILLIS);
+		queue.waiting.add(call);
+		// Others may go ahead of a generation that can't be copied now.
+		count(copying, false);
+		this.timers.at(copying.notBefore(), (t) -> {
+			if (queue.waiting.contains(call)) {
+				count(copying, true);
+				look(queue, t);
 			}
 		});
+		look(queue, now);
+	}
+
+	private void activate(SourceQueue queue, Optional<DirectCall> call) {
+		queue.active = call;
+		this.beliefs.change(queue.source, (b) -> b.copying(call.isPresent()));
+	}
+
+	private void count(Copying copying, boolean isToMove) {
+		if (copying.isCounted() != isToMove) {
+			copying.counted(isToMove);
+			this.beliefs.change(copying.source(), (b) -> b.toMove(isToMove ? 1 : -1));
+		}
 	}
 
 	private void copiedLast(DirectCall call, Copying copying, CopyResult result, long now) {
-		switch (result.outcome()) {
-			case COPIED -> {
-				copying.enter(Phase.STOPPED);
-				if (copying.isSourceClosed()) {
-					goOn(call, copying, now);
-					return;
-				}
+		if (result.outcome() == CopyResult.Outcome.COPIED) {
+			copying.enter(Phase.STOPPED);
+			if (copying.isSourceClosed()) {
+				goOn(call, copying, now);
+			}
+			else {
 				this.timers.at(now + LAST_EVENTS_MILLIS, (t) -> goOn(call, copying, t));
 			}
-			case NO_ROOM, FAILED, NO_SUCH_RUN, UNDER_WAY -> stoppedWithoutCopy(call, copying, now);
+			return;
 		}
+		stoppedWithoutCopy(call, copying, now);
 	}
 
 	// The run has stopped or not: where its memory stands at the source it goes on there.
 	private void stoppedWithoutCopy(DirectCall call, Copying copying, long now) {
-		if (!copying.handle().isEmpty() && copying.isSourceClosed()) {
-			release(call, copying);
-			copying.to(copying.source());
-			copying.enter(Phase.STOPPED);
-			goOn(call, copying, now);
+		if (!copying.isSourceClosed()) {
+			SourceQueue queue = this.queues.get(copying.source().id());
+			release(copying);
+			activate(queue, Optional.empty());
+			putBack(queue, call, now);
 			return;
 		}
-		if (copying.isSourceClosed()) {
-			call.endCopy();
-			this.resumption.lost(call, "the generation stopped and its copy can't be used");
+		if (copying.handle().isEmpty()) {
+			leaveQueue(call, copying, now);
+			this.resumption.lost(call, "the generation stopped and its copy can't be used", now);
 			return;
 		}
-		copying.enter(Phase.AHEAD);
-		again(call, copying, now);
+		release(copying);
+		copying.to(copying.source(), 0);
+		copying.enter(Phase.STOPPED);
+		goOn(call, copying, now);
 	}
 
 	private void goOn(DirectCall call, Copying copying, long now) {
-		if (!isUnderWay(call, copying)) {
+		if (call.copying().orElse(null) != copying) {
 			return;
 		}
 		ListedTarget destination = copying.destination();
-		release(call, copying);
-		call.endCopy();
+		long sinceNotice = now - this.queues.get(copying.source().id()).noticedAt;
 		record(call, copying, "goes on at " + destination.id() + " behind event " + call.lastEvent() + ", "
-				+ (now - copying.noticedAt()) + " ms after the notice");
-		this.resumption.resume(call, destination, new ResumePoint(copying.source().address(), copying.handle(),
-				call.lastEventText()), now);
+				+ sinceNotice + " ms after the notice");
+		leaveQueue(call, copying, now);
+		this.resumption.resume(call, destination,
+				new ResumePoint(copying.source().address(), copying.handle(), call.lastEventText()), now);
+	}
+
+	private void leaveQueue(DirectCall call, Copying copying, long now) {
+		release(copying);
+		call.endCopy();
+		SourceQueue queue = this.queues.get(copying.source().id());
+		queue.waiting.remove(call);
+		if (queue.active.filter((c) -> c == call).isPresent()) {
+			activate(queue, Optional.empty());
+		}
+		count(copying, false);
+		if (queue.waiting.isEmpty() && queue.active.isEmpty()) {
+			this.queues.remove(copying.source().id());
+			return;
+		}
+		look(queue, now);
 	}
 
 	// Memory was promised to the copy at its destination; the attempt promises it anew.
-	private void release(DirectCall call, Copying copying) {
-		if (copying.destination() != null && !copying.destination().id().equals(copying.source().id())) {
-			this.beliefs.of(copying.destination()).ended(call.request().work().map(EngineWork::meanTokens).orElse(0L));
+	private void release(Copying copying) {
+		long tokens = copying.promisedTokens();
+		if (tokens > 0) {
+			this.beliefs.change(copying.destination(), (b) -> b.held(-tokens));
+			copying.to(copying.destination(), 0);
 		}
 	}
 
-	private boolean isUnderWay(DirectCall call, Copying copying) {
-		return call.copying().orElse(null) == copying;
+	// A generation that ends within the notice needs no move, and its copy would hold up
+	// others.
+	private static boolean endsSoon(DirectCall call) {
+		return call.request().work().filter((w) -> w.maxTokens() >= SHORT_TOKENS).isEmpty();
 	}
 
 	private void record(DirectCall call, Copying copying, String cause) {
@@ -253,6 +340,28 @@
 				copying.source().id(), cause));
 	}
 
+	/**
+	 * The generations to be moved away from one engine.
+	 */
+	private static final class SourceQueue {
+
+		private final ListedTarget source;
+
+		private final long noticedAt;
+
+		private final List<DirectCall> waiting = new ArrayList<>();
+
+		private Optional<DirectCall> active = Optional.empty();
+
+		private boolean lookDue;
+
+		SourceQueue(ListedTarget source, long noticedAt) {
+			this.source = source;
+			this.noticedAt = noticedAt;
+		}
+
+	}
+
 	/**
 	 * How a call goes on after a move.
 	 */
@@ -260,16 +369,25 @@
 
 		/**
 		 * Send the request to where its copy is.
+		 * @param call the call
+		 * @param destination the engine that holds the copy
+		 * @param from where the generation goes on from
+		 * @param now the time in milliseconds
 		 */
 		void resume(DirectCall call, ListedTarget destination, ResumePoint from, long now);
 
 		/**
 		 * Take that the run stopped and no copy of it can be used.
+		 * @param call the call
+		 * @param cause what was seen
+		 * @param now the time in milliseconds
 		 */
-		void lost(DirectCall call, String cause);
+		void lost(DirectCall call, String cause, long now);
 
 		/**
 		 * Return what the call's engines can do.
+		 * @param call the call
+		 * @return what they can do, or empty if the plan no longer tells
 		 */
 		Optional<EngineSpec> engine(DirectCall call);
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBelief.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBelief.java
@@ -1,7 +1,5 @@
 package dev.laneworks.core.dispatch;
 
-import java.util.Optional;
-
 import dev.laneworks.core.directory.ListedTarget;
 
 /**
@@ -22,21 +20,23 @@
 
 	private ListedTarget target;
 
+	private boolean gone;
+
 	private int inFlight;
 
 	private long ownTokens;
 
-	private int othersRunning;
+	private long ownUnread;
 
-	private int waiting;
+	private int toMove;
 
-	private long loadAt = Long.MIN_VALUE / 2;
+	private boolean copying;
 
-	private Optional<EngineReport> report = Optional.empty();
+	private int othersRunning;
 
-	private long reportAt = Long.MIN_VALUE / 2;
+	private int waiting;
 
-	private long ownTokensAtReport;
+	private long loadAt = Long.MIN_VALUE / 2;
 
 	private long fullUntil;
 
@@ -64,6 +64,21 @@
 		this.target = listed;
 	}
 
+	/**
+	 * Record that the target is not listed any more.
+	 */
+	public void gone() {
+		this.gone = true;
+	}
+
+	/**
+	 * Return whether the target is not listed any more.
+	 * @return whether it is gone
+	 */
+	public boolean isGone() {
+		return this.gone;
+	}
+
 	/**
 	 * Return how well the target has answered.
 	 * @return the quality
@@ -89,21 +104,73 @@
 	}
 
 	/**
-	 * Record that a request is on its way to the target, or memory is taken for a copy.
-	 * @param tokens the engine memory that it is expected to hold; 0 at a plain service
+	 * Return the tokens of prompts that this process sent and that are not read yet.
+	 * @return tokens
+	 */
+	public long ownUnread() {
+		return this.ownUnread;
+	}
+
+	/**
+	 * Record that a request is on its way to the target.
 	 */
-	public void began(long tokens) {
+	public void began() {
 		this.inFlight++;
-		this.ownTokens += tokens;
 	}
 
 	/**
 	 * Record that a request is not at the target any more.
-	 * @param tokens what was given when it began
 	 */
-	public void ended(long tokens) {
-		this.inFlight = Math.max(0, this.inFlight - 1);
-		this.ownTokens = Math.max(0, this.ownTokens - tokens);
+	public void ended() {
+		this.inFlight--;
+	}
+
+	/**
+	 * Record that engine memory is held or given back.
+	 * @param tokens the tokens; negative where they are given back
+	 */
+	public void held(long tokens) {
+		this.ownTokens += tokens;
+	}
+
+	/**
+	 * Return how many generations of this process are to be moved away.
+	 * @return the count
+	 */
+	public int toMove() {
+		return this.toMove;
+	}
+
+	/**
+	 * Record that a generation is to be moved away, or that it was or need not be.
+	 * @param change 1 or -1
+	 */
+	public void toMove(int change) {
+		this.toMove += change;
+	}
+
+	/**
+	 * Return whether this process copies a generation away from the target now.
+	 * @return whether a copy is under way
+	 */
+	public boolean isCopying() {
+		return this.copying;
+	}
+
+	/**
+	 * Record that a copy away from the target begins or is over.
+	 * @param isCopying whether a copy is under way
+	 */
+	public void copying(boolean isCopying) {
+		this.copying = isCopying;
+	}
+
+	/**
+	 * Record that a prompt is to be read, or was.
+	 * @param tokens the tokens; negative once they are read
+	 */
+	public void unread(long tokens) {
+		this.ownUnread += tokens;
 	}
 
 	/**
@@ -117,19 +184,6 @@
 		this.loadAt = now;
 	}
 
-	/**
-	 * Take an engine's report of its memory.
-	 * @param fresh the report
-	 * @param now the time in milliseconds
-	 */
-	public void reported(EngineReport fresh, long now) {
-		this.report = Optional.of(fresh);
-		this.reportAt = now;
-		this.ownTokensAtReport = this.ownTokens;
-		this.waiting = fresh.waiting();
-		this.loadAt = now;
-	}
-
 	/**
 	 * Record that the target refused a request because it is full.
 	 * @param until until when others are preferred, in milliseconds
@@ -148,13 +202,13 @@
 	}
 
 	/**
-	 * Return how many requests are believed to be at the target, those of others
-	 * included.
+	 * Return how many requests of others are believed to be at the target, by what it told
+	 * itself.
 	 * @param now the time in milliseconds
 	 * @return the count
 	 */
-	public double load(long now) {
-		return this.inFlight + this.othersRunning * fading(now - this.loadAt);
+	public double othersTold(long now) {
+		return this.othersRunning * fading(now - this.loadAt);
 	}
 
 	/**
@@ -166,20 +220,6 @@
 		return this.waiting * fading(now - this.loadAt);
 	}
 
-	/**
-	 * Return the engine memory that is believed to be in use.
-	 * @param tokensOfOthers what one request of another process holds on average
-	 * @param now the time in milliseconds
-	 * @return tokens
-	 */
-	public double usedTokens(double tokensOfOthers, long now) {
-		if (this.report.isPresent()) {
-			double others = Math.max(0, this.report.get().usedTokens() - this.ownTokensAtReport);
-			return this.ownTokens + others * fading(now - this.reportAt);
-		}
-		return this.ownTokens + this.othersRunning * tokensOfOthers * fading(now - this.loadAt);
-	}
-
 	private static double fading(long age) {
 		return (age <= FRESH_MILLIS) ? 1 : Math.max(0, (double) FRESH_MILLIS / age);
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -31,9 +31,23 @@
 	 */
 	private static final double DISTANCE_ENGINE = 0.10;
 
+	/**
+	 * What another data centre adds to the score of a copy's destination; the copy takes
+	 * twice as long there, and copies wait for each other.
+	 */
+	private static final double DISTANCE_COPY = 0.5;
+
 	/** What a request waiting at an engine adds to its score. */
 	private static final double WAITING_WEIGHT = 0.15;
 
+	/**
+	 * What a prompt that is to be read first adds to an engine's score, for each thousand
+	 * tokens; they take about 70 ms, in which nothing new starts.
+	 */
+	private static final double UNREAD_WEIGHT = 0.04;
+
+	private static final double THOUSAND = 1_000;
+
 	/** What an engine that has just refused a request gets on top. */
 	private static final double FULL_WEIGHT = 1;
 
@@ -101,9 +115,10 @@
 	 */
 	public Optional<ListedTarget> chooseEngine(String service, EngineSpec engine, EngineWork work, Set<String> tried,
 			long now) {
-		this.meanTokens += NEWEST_WEIGHT * (work.meanTokens() - this.meanTokens);
+		long tokens = work.heldTokens(0);
+		this.meanTokens += NEWEST_WEIGHT * (tokens - this.meanTokens);
 		return lowest(candidates(service, tried, now),
-				(t) -> engineScore(t, engine, work.meanTokens(), this.dataCentre, now));
+				(t) -> engineScore(t, engine, tokens, this.dataCentre, DISTANCE_ENGINE, now));
 	}
 
 	/**
@@ -120,7 +135,21 @@
 		List<ListedTarget> others = candidates(source.service(), tried, now).stream()
 			.filter((t) -> !t.id().equals(source.id()))
 			.toList();
-		return lowest(others, (t) -> engineScore(t, engine, tokens, source.dataCentre(), now));
+		return lowest(others, (t) -> engineScore(t, engine, tokens, source.dataCentre(), DISTANCE_COPY, now));
+	}
+
+	/**
+	 * Choose where a running copy of a generation grows; it needs little of a link, so that
+	 * the distance hardly counts.
+	 * @param source the engine that runs it
+	 * @param engine what the service's engines can do
+	 * @param tokens the memory that it holds and will hold
+	 * @param now the time in milliseconds
+	 * @return the engine, or empty if there is no other
+	 */
+	public Optional<ListedTarget> chooseBackup(ListedTarget source, EngineSpec engine, long tokens, long now) {
+		return lowest(candidates(source.service(), Set.of(source.id()), now),
+				(t) -> engineScore(t, engine, tokens, source.dataCentre(), 0, now));
 	}
 
 	/**
@@ -131,7 +160,7 @@
 	 * @return the share in use; above 1 where more is promised than there is
 	 */
 	public double fullness(ListedTarget target, EngineSpec engine, long now) {
-		return this.beliefs.of(target).usedTokens(this.meanTokens, now) / engine.memoryTokens();
+		return this.beliefs.heldTokens(target, this.meanTokens, now) / engine.memoryTokens();
 	}
 
 	private List<ListedTarget> candidates(String service, Set<String> tried, long now) {
@@ -148,7 +177,7 @@
 		TargetBelief belief = this.beliefs.of(target);
 		double response = Math.max(fastest, belief.quality().responseMillis());
 		double slowness = Math.min(MAX_SLOWNESS, response / fastest);
-		double load = (belief.load(now) + 1) / Math.max(1, target.slots());
+		double load = (this.beliefs.requests(target, now) + 1) / Math.max(1, target.slots());
 		double score = load * slowness + belief.quality().badShare(now) + jitter();
 		if (belief.isFull(now)) {
 			score += FULL_WEIGHT;
@@ -156,14 +185,16 @@
 		return target.dataCentre().equals(this.dataCentre) ? score : score + DISTANCE_PLAIN;
 	}
 
-	private double engineScore(ListedTarget target, EngineSpec engine, long tokens, String from, long now) {
+	private double engineScore(ListedTarget target, EngineSpec engine, long tokens, String from, double distance,
+			long now) {
 		TargetBelief belief = this.beliefs.of(target);
-		double score = (belief.usedTokens(this.meanTokens, now) + tokens) / engine.memoryTokens();
+		double score = (this.beliefs.heldTokens(target, this.meanTokens, now) + tokens) / engine.memoryTokens();
+		score += this.beliefs.unreadTokens(target) / THOUSAND * UNREAD_WEIGHT;
 		score += belief.waiting(now) * WAITING_WEIGHT + belief.quality().badShare(now) + jitter();
 		if (belief.isFull(now)) {
 			score += FULL_WEIGHT;
 		}
-		return target.dataCentre().equals(from) ? score : score + DISTANCE_ENGINE;
+		return target.dataCentre().equals(from) ? score : score + distance;
 	}
 
 	private double jitter() {
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/GossipOutputs.java
@@ -0,0 +1,25 @@
+package dev.laneworks.core.gossip;
+
+import java.util.List;
+
+/**
+ * What {@link Gossip} needs from its process.
+ *
+ * @since 0.2
+ */
+public interface GossipOutputs {
+
+	/**
+	 * Send news to an entry; it may be lost on its way.
+	 * @param address the entry's address, {@code IP:PORT}
+	 * @param news the news
+	 */
+	void send(String address, EntryNews news);
+
+	/**
+	 * Return this entry's own work.
+	 * @return its work at each target where it has any
+	 */
+	List<WorkAtTarget> ownWork();
+
+}
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/WorkAtTarget.java
@@ -0,0 +1,34 @@
+package dev.laneworks.core.gossip;
+
+import java.util.Objects;
+
+/**
+ * The work that one entry has, or several have, at a target.
+ *
+ * @param target the target's id
+ * @param requests the requests sent there that have not ended
+ * @param heldTokens the engine memory that they hold and will soon hold, copies included
+ * @param unreadTokens the tokens of prompts of which no answer has begun
+ * @param toMove the generations that are to be moved away because the target is leaving
+ * @param copying whether one of them is being copied now
+ * @since 0.2
+ */
+public record WorkAtTarget(String target, int requests, long heldTokens, long unreadTokens, int toMove,
+		boolean copying) {
+
+	public WorkAtTarget {
+		Objects.requireNonNull(target, "target must not be null");
+	}
+
+	/**
+	 * Return the sum of this work and other work at the same target.
+	 * @param other the other work
+	 * @return the sum
+	 */
+	public WorkAtTarget plus(WorkAtTarget other) {
+		return new WorkAtTarget(this.target, this.requests + other.requests, this.heldTokens + other.heldTokens,
+				this.unreadTokens + other.unreadTokens, this.toMove + other.toMove,
+				this.copying || other.copying);
+	}
+
+}
--- a/laneworks-core/src/main/java/dev/laneworks/core/serving/EngineSpec.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/serving/EngineSpec.java
@@ -7,13 +7,15 @@
  * @param memoryTokens the tokens that an engine's memory holds
  * @param tokenBytes the bytes of memory for a token
  * @param linkMbps the rate of an engine's link for copies, in megabits a second
+ * @param tokensPerEvent the tokens that one event of a stream holds
  * @param moves whether a running generation can be copied on demand
  * @param backups whether a generation can be copied as it grows
  * @param holdMillis the longest time that memory can be reserved for, in milliseconds; 0
  * where it can't
  * @since 0.2
  */
-public record EngineSpec(int slots, long memoryTokens, long tokenBytes, double linkMbps, boolean moves, boolean backups,
+public record EngineSpec(int slots, long memoryTokens, long tokenBytes, double linkMbps, int tokensPerEvent,
+		boolean moves, boolean backups,
 		long holdMillis) {
 
 	private static final double BITS_PER_BYTE = 8;
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -1,11 +1,16 @@
 package dev.laneworks.entry.direct;
 
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.EnumSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Collectors;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -21,6 +26,11 @@
 import dev.laneworks.core.dispatch.TargetBeliefs;
 import dev.laneworks.core.dispatch.TargetChooser;
 import dev.laneworks.core.follow.StoreFollower;
+import dev.laneworks.core.gossip.EntryNews;
+import dev.laneworks.core.gossip.Gossip;
+import dev.laneworks.core.gossip.GossipOutputs;
+import dev.laneworks.core.gossip.GossipSettings;
+import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.core.retry.Backoff;
 import dev.laneworks.core.time.Timers;
 import dev.laneworks.runtime.audit.AuditTrail;
@@ -29,6 +39,7 @@
 import dev.laneworks.runtime.log.LogLine;
 import dev.laneworks.runtime.operator.OperatorServer;
 import dev.laneworks.runtime.program.ExitCode;
+import dev.laneworks.wire.NewsSocket;
 import io.undertow.Handlers;
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
@@ -79,7 +90,11 @@
 
 	private final TargetDirectory directory = new TargetDirectory(new Members());
 
-	private final TargetBeliefs beliefs = new TargetBeliefs();
+	private final TargetBeliefs beliefs = new TargetBeliefs(this::workOfOthers);
+
+	private final Gossip gossip;
+
+	private final NewsSocket news;
 
 	private final Dispatcher dispatcher;
 
@@ -112,12 +127,18 @@
 		TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, settings.dataCentre(), random);
 		RetryWindow retries = new RetryWindow(settings.retryWindowMillis(), settings.retryRatio(),
 				settings.retryExtra() * settings.retryExtraShare());
-		this.dispatcher = new Dispatcher(DispatchSettings.defaults(), this.directory, this.beliefs, chooser, retries,
+		this.dispatcher = new Dispatcher(DispatchSettings.defaults(), this.directory, this.beliefs, chooser,
+				this::isOurTurn, retries,
 				timers, calls, this.audit);
 		calls.use(this.dispatcher);
 		this.published = new PlanAndTargets(adapter.source(), this.directory, this.dispatcher::use, this.audit);
 		this.follower = new StoreFollower(settings.follow(), adapter.source().calls(this::follower), this.published,
 				timers, new Backoff(FIRST_WAIT, LONGEST_WAIT, random));
+		this.gossip = new Gossip(GossipSettings.defaults(), settings.instance(), text(settings.news()), seeds(settings),
+				new News(), timers, random, this.audit);
+		this.beliefs.onChange((isUrgent) -> this.gossip.changed(isUrgent, this.loop.now()));
+		this.news = new NewsSocket(settings.news(),
+				(from, n) -> this.loop.run(() -> this.gossip.received(from, n, this.loop.now())));
 		this.callers = new DirectServer(this.io, settings.callers(), calls, adapter.headers(), this.published::plan,
 				() -> this.stopping, this.loop, random);
 		this.readiness = readiness(adapter);
@@ -137,6 +158,7 @@
 		LogLine.of("started").with("address", this.settings.callers().toString()).info();
 		this.loop.run(() -> this.follower.start(this.loop.now()));
 		this.loop.run(this::lookForPlan);
+		this.loop.run(() -> this.gossip.start(this.loop.now()));
 		try {
 			this.ended.await();
 		}
@@ -175,6 +197,7 @@
 		boolean isIdle = this.dispatcher.openCalls() == 0 && this.callers.openAnswers() == 0;
 		boolean isLate = now - since >= this.settings.graceMillis() - END_EARLY_MILLIS;
 		if (isLate || (isIdle && now - since >= BALANCER_MILLIS)) {
+			this.gossip.end(now);
 			this.ended.countDown();
 			return;
 		}
@@ -203,6 +226,25 @@
 		return this.ready && !this.stopping;
 	}
 
+	private Optional<WorkAtTarget> workOfOthers(String target) {
+		return this.gossip.others(target);
+	}
+
+	private boolean isOurTurn(ListedTarget source, long sinceNotice) {
+		return this.gossip.isFirstToMove(source.id(), sinceNotice);
+	}
+
+	private static Set<String> seeds(DirectSettings settings) {
+		return settings.seeds()
+			.stream()
+			.map((a) -> a.substring(0, a.lastIndexOf(':') + 1) + settings.news().getPort())
+			.collect(Collectors.toSet());
+	}
+
+	private static String text(InetSocketAddress address) {
+		return address.getAddress().getHostAddress() + ':' + address.getPort();
+	}
+
 	private StoreFollower follower() {
 		return this.follower;
 	}
@@ -219,6 +261,25 @@
 		this.metrics.register("laneworks_targets", (Gauge<Integer>) this.directory::size);
 	}
 
+	/**
+	 * Carries the gossip between entries.
+	 */
+	private final class News implements GossipOutputs {
+
+		@Override
+		public void send(String address, EntryNews told) {
+			int colon = address.lastIndexOf(':');
+			DirectEntry.this.news.send(new InetSocketAddress(address.substring(0, colon),
+					Integer.parseInt(address.substring(colon + 1))), told);
+		}
+
+		@Override
+		public List<WorkAtTarget> ownWork() {
+			return DirectEntry.this.beliefs.ownWork();
+		}
+
+	}
+
 	/**
 	 * Tells the rest of the entry of targets that come and go.
 	 */
--- /dev/null
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/NewsSocket.java
@@ -0,0 +1,106 @@
+package dev.laneworks.wire;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+
+import dev.laneworks.core.gossip.EntryNews;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import org.tinylog.Logger;
+
+/**
+ * Sends and hears the news of entries, one datagram each.
+ * <p>
+ * Datagrams may be lost or come late; the news are made for that.
+ *
+ * @since 0.2
+ */
+public final class NewsSocket {
+
+	/** More than the news of an entry with work at a few hundred targets. */
+	private static final int MAX_DATAGRAM_BYTES = 32 * 1024;
+
+	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+	private final Channel channel;
+
+	/**
+	 * Open the socket.
+	 * @param address where news are heard
+	 * @param listener takes the sender's address, {@code IP:PORT}, and its news, on the
+	 * socket's own thread
+	 * @throws LinkException if the address can't be used
+	 */
+	public NewsSocket(InetSocketAddress address, BiConsumer<String, EntryNews> listener) {
+		Bootstrap bootstrap = new Bootstrap().group(this.group)
+			.channel(NioDatagramChannel.class)
+			.option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
+			.handler(new Receiver(listener));
+		ChannelFuture bound = bootstrap.bind(address).awaitUninterruptibly();
+		if (!bound.isSuccess()) {
+			this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+			throw new LinkException("news can't be heard at " + address, bound.cause());
+		}
+		this.channel = bound.channel();
+	}
+
+	/**
+	 * Send news.
+	 * @param address the receiver's address
+	 * @param news the news
+	 */
+	public void send(InetSocketAddress address, EntryNews news) {
+		byte[] datagram = EntryNewsCodec.encode(news);
+		if (datagram.length > MAX_DATAGRAM_BYTES) {
+			Logger.warn("news of {} bytes are too large to be sent", datagram.length);
+			return;
+		}
+		this.channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), address));
+	}
+
+	/**
+	 * Close the socket.
+	 */
+	public void close() {
+		this.channel.close();
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+	}
+
+	private static final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+
+		private final BiConsumer<String, EntryNews> listener;
+
+		Receiver(BiConsumer<String, EntryNews> listener) {
+			this.listener = listener;
+		}
+
+		@Override
+		protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+			InetSocketAddress sender = packet.sender();
+			String from = sender.getAddress().getHostAddress() + ':' + sender.getPort();
+			EntryNewsCodec.decode(ByteBufUtil.getBytes(packet.content()))
+				.ifPresent((n) -> this.listener.accept(from, n));
+		}
+
+		// A closed port at the other end is told as an error; the peer is missed by its
+		// silence.
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			Logger.debug("datagram: {}", cause.getMessage());
+		}
+
+	}
+
+}
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
@@ -20174,6 +20174,2362 @@
 
   }
 
+  public interface EntryNewsOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:laneworks.EntryNews)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint32 protocol = 1;</code>
+     * @return The protocol.
+     */
+    int getProtocol();
+
+    /**
+     * <code>string instance = 2;</code>
+     * @return The instance.
+     */
+    java.lang.String getInstance();
+    /**
+     * <code>string instance = 2;</code>
+     * @return The bytes for instance.
+     */
+    com.google.protobuf.ByteString
+        getInstanceBytes();
+
+    /**
+     * <code>fixed64 incarnation = 3;</code>
+     * @return The incarnation.
+     */
+    long getIncarnation();
+
+    /**
+     * <code>uint64 sequence = 4;</code>
+     * @return The sequence.
+     */
+    long getSequence();
+
+    /**
+     * <code>bool ending = 5;</code>
+     * @return The ending.
+     */
+    boolean getEnding();
+
+    /**
+     * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+     */
+    java.util.List<dev.laneworks.wire.proto.Protocol.WorkAtTarget> 
+        getWorkList();
+    /**
+     * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.WorkAtTarget getWork(int index);
+    /**
+     * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+     */
+    int getWorkCount();
+    /**
+     * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+     */
+    java.util.List<? extends dev.laneworks.wire.proto.Protocol.WorkAtTargetOrBuilder> 
+        getWorkOrBuilderList();
+    /**
+     * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.WorkAtTargetOrBuilder getWorkOrBuilder(
+        int index);
+
+    /**
+     * <pre>
+     * Addresses of other entries, IP:PORT.
+     * </pre>
+     *
+     * <code>repeated string peers = 7;</code>
+     * @return A list containing the peers.
+     */
+    java.util.List<java.lang.String>
+        getPeersList();
+    /**
+     * <pre>
+     * Addresses of other entries, IP:PORT.
+     * </pre>
+     *
+     * <code>repeated string peers = 7;</code>
+     * @return The count of peers.
+     */
+    int getPeersCount();
+    /**
+     * <pre>
+     * Addresses of other entries, IP:PORT.
+     * </pre>
+     *
+     * <code>repeated string peers = 7;</code>
+     * @param index The index of the element to return.
+     * @return The peers at the given index.
+     */
+    java.lang.String getPeers(int index);
+    /**
+     * <pre>
+     * Addresses of other entries, IP:PORT.
+     * </pre>
+     *
+     * <code>repeated string peers = 7;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the peers at the given index.
+     */
+    com.google.protobuf.ByteString
+        getPeersBytes(int index);
+  }
+  /**
+   * <pre>
+   * What an entry tells other entries of its work at targets; one datagram, not a frame.
+   * </pre>
+   *
+   * Protobuf type {@code laneworks.EntryNews}
+   */
+  public static final class EntryNews extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:laneworks.EntryNews)
+      EntryNewsOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "EntryNews");
+    }
+    // Use EntryNews.newBuilder() to construct.
+    private EntryNews(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private EntryNews() {
+      instance_ = "";
+      work_ = java.util.Collections.emptyList();
+      peers_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EntryNews_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EntryNews_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EntryNews_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              dev.laneworks.wire.proto.Protocol.EntryNews.class, dev.laneworks.wire.proto.Protocol.EntryNews.Builder.class);
+    }
+
+    public static final int PROTOCOL_FIELD_NUMBER = 1;
+    private int protocol_ = 0;
+    /**
+     * <code>uint32 protocol = 1;</code>
+     * @return The protocol.
+     */
+    @java.lang.Override
+    public int getProtocol() {
+      return protocol_;
+    }
+
+    public static final int INSTANCE_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object instance_ = "";
+    /**
+     * <code>string instance = 2;</code>
+     * @return The instance.
+     */
+    @java.lang.Override
+    public java.lang.String getInstance() {
+      java.lang.Object ref = instance_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        instance_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string instance = 2;</code>
+     * @return The bytes for instance.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getInstanceBytes() {
+      java.lang.Object ref = instance_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        instance_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int INCARNATION_FIELD_NUMBER = 3;
+    private long incarnation_ = 0L;
+    /**
+     * <code>fixed64 incarnation = 3;</code>
+     * @return The incarnation.
+     */
+    @java.lang.Override
+    public long getIncarnation() {
+      return incarnation_;
+    }
+
+    public static final int SEQUENCE_FIELD_NUMBER = 4;
+    private long sequence_ = 0L;
+    /**
+     * <code>uint64 sequence = 4;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return sequence_;
+    }
+
+    public static final int ENDING_FIELD_NUMBER = 5;
+    private boolean ending_ = false;
+    /**
+     * <code>bool ending = 5;</code>
+     * @return The ending.
+     */
+    @java.lang.Override
+    public boolean getEnding() {
+      return ending_;
+    }
+
+    public static final int WORK_FIELD_NUMBER = 6;
+    @SuppressWarnings("serial")
+    private java.util.List<dev.laneworks.wire.proto.Protocol.WorkAtTarget> work_;
+    /**
+     * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<dev.laneworks.wire.proto.Protocol.WorkAtTarget> getWorkList() {
+      return work_;
+    }
+    /**
+     * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends dev.laneworks.wire.proto.Protocol.WorkAtTargetOrBuilder> 
+        getWorkOrBuilderList() {
+      return work_;
+    }
+    /**
+     * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+     */
+    @java.lang.Override
+    public int getWorkCount() {
+      return work_.size();
+    }
+    /**
+     * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.WorkAtTarget getWork(int index) {
+      return work_.get(index);
+    }
+    /**
+     * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.WorkAtTargetOrBuilder getWorkOrBuilder(
+        int index) {
+      return work_.get(index);
+    }
+
+    public static final int PEERS_FIELD_NUMBER = 7;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList peers_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <pre>
+     * Addresses of other entries, IP:PORT.
+     * </pre>
+     *
+     * <code>repeated string peers = 7;</code>
+     * @return A list containing the peers.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getPeersList() {
+      return peers_;
+    }
+    /**
+     * <pre>
+     * Addresses of other entries, IP:PORT.
+     * </pre>
+     *
+     * <code>repeated string peers = 7;</code>
+     * @return The count of peers.
+     */
+    public int getPeersCount() {
+      return peers_.size();
+    }
+    /**
+     * <pre>
+     * Addresses of other entries, IP:PORT.
+     * </pre>
+     *
+     * <code>repeated string peers = 7;</code>
+     * @param index The index of the element to return.
+     * @return The peers at the given index.
+     */
+    public java.lang.String getPeers(int index) {
+      return peers_.get(index);
+    }
+    /**
+     * <pre>
+     * Addresses of other entries, IP:PORT.
+     * </pre>
+     *
+     * <code>repeated string peers = 7;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the peers at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getPeersBytes(int index) {
+      return peers_.getByteString(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (protocol_ != 0) {
+        output.writeUInt32(1, protocol_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instance_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, instance_);
+      }
+      if (incarnation_ != 0L) {
+        output.writeFixed64(3, incarnation_);
+      }
+      if (sequence_ != 0L) {
+        output.writeUInt64(4, sequence_);
+      }
+      if (ending_ != false) {
+        output.writeBool(5, ending_);
+      }
+      for (int i = 0; i < work_.size(); i++) {
+        output.writeMessage(6, work_.get(i));
+      }
+      for (int i = 0; i < peers_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 7, peers_.getRaw(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (protocol_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(1, protocol_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instance_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, instance_);
+      }
+      if (incarnation_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(3, incarnation_);
+      }
+      if (sequence_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(4, sequence_);
+      }
+      if (ending_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(5, ending_);
+      }
+
+          {
+            final int count = work_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(work_.get(i));
+            }
+            size += 1 * count;
+          }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < peers_.size(); i++) {
+          dataSize += computeStringSizeNoTag(peers_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getPeersList().size();
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof dev.laneworks.wire.proto.Protocol.EntryNews)) {
+        return super.equals(obj);
+      }
+      dev.laneworks.wire.proto.Protocol.EntryNews other = (dev.laneworks.wire.proto.Protocol.EntryNews) obj;
+
+      if (getProtocol()
+          != other.getProtocol()) return false;
+      if (!getInstance()
+          .equals(other.getInstance())) return false;
+      if (getIncarnation()
+          != other.getIncarnation()) return false;
+      if (getSequence()
+          != other.getSequence()) return false;
+      if (getEnding()
+          != other.getEnding()) return false;
+      if (!getWorkList()
+          .equals(other.getWorkList())) return false;
+      if (!getPeersList()
+          .equals(other.getPeersList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + PROTOCOL_FIELD_NUMBER;
+      hash = (53 * hash) + getProtocol();
+      hash = (37 * hash) + INSTANCE_FIELD_NUMBER;
+      hash = (53 * hash) + getInstance().hashCode();
+      hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getIncarnation());
+      hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getSequence());
+      hash = (37 * hash) + ENDING_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getEnding());
+      if (getWorkCount() > 0) {
+        hash = (37 * hash) + WORK_FIELD_NUMBER;
+        hash = (53 * hash) + getWorkList().hashCode();
+      }
+      if (getPeersCount() > 0) {
+        hash = (37 * hash) + PEERS_FIELD_NUMBER;
+        hash = (53 * hash) + getPeersList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.EntryNews parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EntryNews parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EntryNews parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EntryNews parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EntryNews parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EntryNews parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EntryNews parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EntryNews parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.EntryNews parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.EntryNews parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EntryNews parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EntryNews parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(dev.laneworks.wire.proto.Protocol.EntryNews prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * What an entry tells other entries of its work at targets; one datagram, not a frame.
+     * </pre>
+     *
+     * Protobuf type {@code laneworks.EntryNews}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:laneworks.EntryNews)
+        dev.laneworks.wire.proto.Protocol.EntryNewsOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EntryNews_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EntryNews_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                dev.laneworks.wire.proto.Protocol.EntryNews.class, dev.laneworks.wire.proto.Protocol.EntryNews.Builder.class);
+      }
+
+      // Construct using dev.laneworks.wire.proto.Protocol.EntryNews.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        protocol_ = 0;
+        instance_ = "";
+        incarnation_ = 0L;
+        sequence_ = 0L;
+        ending_ = false;
+        if (workBuilder_ == null) {
+          work_ = java.util.Collections.emptyList();
+        } else {
+          work_ = null;
+          workBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000020);
+        peers_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EntryNews_descriptor;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.EntryNews getDefaultInstanceForType() {
+        return dev.laneworks.wire.proto.Protocol.EntryNews.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.EntryNews build() {
+        dev.laneworks.wire.proto.Protocol.EntryNews result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.EntryNews buildPartial() {
+        dev.laneworks.wire.proto.Protocol.EntryNews result = new dev.laneworks.wire.proto.Protocol.EntryNews(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(dev.laneworks.wire.proto.Protocol.EntryNews result) {
+        if (workBuilder_ == null) {
+          if (((bitField0_ & 0x00000020) != 0)) {
+            work_ = java.util.Collections.unmodifiableList(work_);
+            bitField0_ = (bitField0_ & ~0x00000020);
+          }
+          result.work_ = work_;
+        } else {
+          result.work_ = workBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(dev.laneworks.wire.proto.Protocol.EntryNews result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.protocol_ = protocol_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.instance_ = instance_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.incarnation_ = incarnation_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.sequence_ = sequence_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.ending_ = ending_;
+        }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          peers_.makeImmutable();
+          result.peers_ = peers_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof dev.laneworks.wire.proto.Protocol.EntryNews) {
+          return mergeFrom((dev.laneworks.wire.proto.Protocol.EntryNews)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(dev.laneworks.wire.proto.Protocol.EntryNews other) {
+        if (other == dev.laneworks.wire.proto.Protocol.EntryNews.getDefaultInstance()) return this;
+        if (other.getProtocol() != 0) {
+          setProtocol(other.getProtocol());
+        }
+        if (!other.getInstance().isEmpty()) {
+          instance_ = other.instance_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        if (other.getIncarnation() != 0L) {
+          setIncarnation(other.getIncarnation());
+        }
+        if (other.getSequence() != 0L) {
+          setSequence(other.getSequence());
+        }
+        if (other.getEnding() != false) {
+          setEnding(other.getEnding());
+        }
+        if (workBuilder_ == null) {
+          if (!other.work_.isEmpty()) {
+            if (work_.isEmpty()) {
+              work_ = other.work_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+            } else {
+              ensureWorkIsMutable();
+              work_.addAll(other.work_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.work_.isEmpty()) {
+            if (workBuilder_.isEmpty()) {
+              workBuilder_.dispose();
+              workBuilder_ = null;
+              work_ = other.work_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+              workBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetWorkFieldBuilder() : null;
+            } else {
+              workBuilder_.addAllMessages(other.work_);
+            }
+          }
+        }
+        if (!other.peers_.isEmpty()) {
+          if (peers_.isEmpty()) {
+            peers_ = other.peers_;
+            bitField0_ |= 0x00000040;
+          } else {
+            ensurePeersIsMutable();
+            peers_.addAll(other.peers_);
+          }
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                protocol_ = input.readUInt32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 18: {
+                instance_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              case 25: {
+                incarnation_ = input.readFixed64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 25
+              case 32: {
+                sequence_ = input.readUInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 40: {
+                ending_ = input.readBool();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 50: {
+                dev.laneworks.wire.proto.Protocol.WorkAtTarget m =
+                    input.readMessage(
+                        dev.laneworks.wire.proto.Protocol.WorkAtTarget.parser(),
+                        extensionRegistry);
+                if (workBuilder_ == null) {
+                  ensureWorkIsMutable();
+                  work_.add(m);
+                } else {
+                  workBuilder_.addMessage(m);
+                }
+                break;
+              } // case 50
+              case 58: {
+                ensurePeersIsMutable();
+                peers_.add(input.readStringRequireUtf8());
+                break;
+              } // case 58
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private int protocol_ ;
+      /**
+       * <code>uint32 protocol = 1;</code>
+       * @return The protocol.
+       */
+      @java.lang.Override
+      public int getProtocol() {
+        return protocol_;
+      }
+      /**
+       * <code>uint32 protocol = 1;</code>
+       * @param value The protocol to set.
+       * @return This builder for chaining.
+       */
+      public Builder setProtocol(int value) {
+
+        protocol_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 protocol = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearProtocol() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        protocol_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object instance_ = "";
+      /**
+       * <code>string instance = 2;</code>
+       * @return The instance.
+       */
+      public java.lang.String getInstance() {
+        java.lang.Object ref = instance_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          instance_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string instance = 2;</code>
+       * @return The bytes for instance.
+       */
+      public com.google.protobuf.ByteString
+          getInstanceBytes() {
+        java.lang.Object ref = instance_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          instance_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string instance = 2;</code>
+       * @param value The instance to set.
+       * @return This builder for chaining.
+       */
+      public Builder setInstance(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        instance_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string instance = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearInstance() {
+        instance_ = getDefaultInstance().getInstance();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string instance = 2;</code>
+       * @param value The bytes for instance to set.
+       * @return This builder for chaining.
+       */
+      public Builder setInstanceBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        instance_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+
+      private long incarnation_ ;
+      /**
+       * <code>fixed64 incarnation = 3;</code>
+       * @return The incarnation.
+       */
+      @java.lang.Override
+      public long getIncarnation() {
+        return incarnation_;
+      }
+      /**
+       * <code>fixed64 incarnation = 3;</code>
+       * @param value The incarnation to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIncarnation(long value) {
+
+        incarnation_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>fixed64 incarnation = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIncarnation() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        incarnation_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long sequence_ ;
+      /**
+       * <code>uint64 sequence = 4;</code>
+       * @return The sequence.
+       */
+      @java.lang.Override
+      public long getSequence() {
+        return sequence_;
+      }
+      /**
+       * <code>uint64 sequence = 4;</code>
+       * @param value The sequence to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSequence(long value) {
+
+        sequence_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 sequence = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSequence() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        sequence_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private boolean ending_ ;
+      /**
+       * <code>bool ending = 5;</code>
+       * @return The ending.
+       */
+      @java.lang.Override
+      public boolean getEnding() {
+        return ending_;
+      }
+      /**
+       * <code>bool ending = 5;</code>
+       * @param value The ending to set.
+       * @return This builder for chaining.
+       */
+      public Builder setEnding(boolean value) {
+
+        ending_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool ending = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearEnding() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        ending_ = false;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<dev.laneworks.wire.proto.Protocol.WorkAtTarget> work_ =
+        java.util.Collections.emptyList();
+      private void ensureWorkIsMutable() {
+        if (!((bitField0_ & 0x00000020) != 0)) {
+          work_ = new java.util.ArrayList<dev.laneworks.wire.proto.Protocol.WorkAtTarget>(work_);
+          bitField0_ |= 0x00000020;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.WorkAtTarget, dev.laneworks.wire.proto.Protocol.WorkAtTarget.Builder, dev.laneworks.wire.proto.Protocol.WorkAtTargetOrBuilder> workBuilder_;
+
+      /**
+       * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+       */
+      public java.util.List<dev.laneworks.wire.proto.Protocol.WorkAtTarget> getWorkList() {
+        if (workBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(work_);
+        } else {
+          return workBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+       */
+      public int getWorkCount() {
+        if (workBuilder_ == null) {
+          return work_.size();
+        } else {
+          return workBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.WorkAtTarget getWork(int index) {
+        if (workBuilder_ == null) {
+          return work_.get(index);
+        } else {
+          return workBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+       */
+      public Builder setWork(
+          int index, dev.laneworks.wire.proto.Protocol.WorkAtTarget value) {
+        if (workBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureWorkIsMutable();
+          work_.set(index, value);
+          onChanged();
+        } else {
+          workBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+       */
+      public Builder setWork(
+          int index, dev.laneworks.wire.proto.Protocol.WorkAtTarget.Builder builderForValue) {
+        if (workBuilder_ == null) {
+          ensureWorkIsMutable();
+          work_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          workBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+       */
+      public Builder addWork(dev.laneworks.wire.proto.Protocol.WorkAtTarget value) {
+        if (workBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureWorkIsMutable();
+          work_.add(value);
+          onChanged();
+        } else {
+          workBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+       */
+      public Builder addWork(
+          int index, dev.laneworks.wire.proto.Protocol.WorkAtTarget value) {
+        if (workBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureWorkIsMutable();
+          work_.add(index, value);
+          onChanged();
+        } else {
+          workBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+       */
+      public Builder addWork(
+          dev.laneworks.wire.proto.Protocol.WorkAtTarget.Builder builderForValue) {
+        if (workBuilder_ == null) {
+          ensureWorkIsMutable();
+          work_.add(builderForValue.build());
+          onChanged();
+        } else {
+          workBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+       */
+      public Builder addWork(
+          int index, dev.laneworks.wire.proto.Protocol.WorkAtTarget.Builder builderForValue) {
+        if (workBuilder_ == null) {
+          ensureWorkIsMutable();
+          work_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          workBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+       */
+      public Builder addAllWork(
+          java.lang.Iterable<? extends dev.laneworks.wire.proto.Protocol.WorkAtTarget> values) {
+        if (workBuilder_ == null) {
+          ensureWorkIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, work_);
+          onChanged();
+        } else {
+          workBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+       */
+      public Builder clearWork() {
+        if (workBuilder_ == null) {
+          work_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000020);
+          onChanged();
+        } else {
+          workBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+       */
+      public Builder removeWork(int index) {
+        if (workBuilder_ == null) {
+          ensureWorkIsMutable();
+          work_.remove(index);
+          onChanged();
+        } else {
+          workBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.WorkAtTarget.Builder getWorkBuilder(
+          int index) {
+        return internalGetWorkFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.WorkAtTargetOrBuilder getWorkOrBuilder(
+          int index) {
+        if (workBuilder_ == null) {
+          return work_.get(index);  } else {
+          return workBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+       */
+      public java.util.List<? extends dev.laneworks.wire.proto.Protocol.WorkAtTargetOrBuilder> 
+           getWorkOrBuilderList() {
+        if (workBuilder_ != null) {
+          return workBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(work_);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.WorkAtTarget.Builder addWorkBuilder() {
+        return internalGetWorkFieldBuilder().addBuilder(
+            dev.laneworks.wire.proto.Protocol.WorkAtTarget.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.WorkAtTarget.Builder addWorkBuilder(
+          int index) {
+        return internalGetWorkFieldBuilder().addBuilder(
+            index, dev.laneworks.wire.proto.Protocol.WorkAtTarget.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .laneworks.WorkAtTarget work = 6;</code>
+       */
+      public java.util.List<dev.laneworks.wire.proto.Protocol.WorkAtTarget.Builder> 
+           getWorkBuilderList() {
+        return internalGetWorkFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.WorkAtTarget, dev.laneworks.wire.proto.Protocol.WorkAtTarget.Builder, dev.laneworks.wire.proto.Protocol.WorkAtTargetOrBuilder> 
+          internalGetWorkFieldBuilder() {
+        if (workBuilder_ == null) {
+          workBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              dev.laneworks.wire.proto.Protocol.WorkAtTarget, dev.laneworks.wire.proto.Protocol.WorkAtTarget.Builder, dev.laneworks.wire.proto.Protocol.WorkAtTargetOrBuilder>(
+                  work_,
+                  ((bitField0_ & 0x00000020) != 0),
+                  getParentForChildren(),
+                  isClean());
+          work_ = null;
+        }
+        return workBuilder_;
+      }
+
+      private com.google.protobuf.LazyStringArrayList peers_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensurePeersIsMutable() {
+        if (!peers_.isModifiable()) {
+          peers_ = new com.google.protobuf.LazyStringArrayList(peers_);
+        }
+        bitField0_ |= 0x00000040;
+      }
+      /**
+       * <pre>
+       * Addresses of other entries, IP:PORT.
+       * </pre>
+       *
+       * <code>repeated string peers = 7;</code>
+       * @return A list containing the peers.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getPeersList() {
+        peers_.makeImmutable();
+        return peers_;
+      }
+      /**
+       * <pre>
+       * Addresses of other entries, IP:PORT.
+       * </pre>
+       *
+       * <code>repeated string peers = 7;</code>
+       * @return The count of peers.
+       */
+      public int getPeersCount() {
+        return peers_.size();
+      }
+      /**
+       * <pre>
+       * Addresses of other entries, IP:PORT.
+       * </pre>
+       *
+       * <code>repeated string peers = 7;</code>
+       * @param index The index of the element to return.
+       * @return The peers at the given index.
+       */
+      public java.lang.String getPeers(int index) {
+        return peers_.get(index);
+      }
+      /**
+       * <pre>
+       * Addresses of other entries, IP:PORT.
+       * </pre>
+       *
+       * <code>repeated string peers = 7;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the peers at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getPeersBytes(int index) {
+        return peers_.getByteString(index);
+      }
+      /**
+       * <pre>
+       * Addresses of other entries, IP:PORT.
+       * </pre>
+       *
+       * <code>repeated string peers = 7;</code>
+       * @param index The index to set the value at.
+       * @param value The peers to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPeers(
+          int index, java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensurePeersIsMutable();
+        peers_.set(index, value);
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Addresses of other entries, IP:PORT.
+       * </pre>
+       *
+       * <code>repeated string peers = 7;</code>
+       * @param value The peers to add.
+       * @return This builder for chaining.
+       */
+      public Builder addPeers(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensurePeersIsMutable();
+        peers_.add(value);
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Addresses of other entries, IP:PORT.
+       * </pre>
+       *
+       * <code>repeated string peers = 7;</code>
+       * @param values The peers to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllPeers(
+          java.lang.Iterable<java.lang.String> values) {
+        ensurePeersIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, peers_);
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Addresses of other entries, IP:PORT.
+       * </pre>
+       *
+       * <code>repeated string peers = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPeers() {
+        peers_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000040);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Addresses of other entries, IP:PORT.
+       * </pre>
+       *
+       * <code>repeated string peers = 7;</code>
+       * @param value The bytes of the peers to add.
+       * @return This builder for chaining.
+       */
+      public Builder addPeersBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        ensurePeersIsMutable();
+        peers_.add(value);
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:laneworks.EntryNews)
+    }
+
+    // @@protoc_insertion_point(class_scope:laneworks.EntryNews)
+    private static final dev.laneworks.wire.proto.Protocol.EntryNews DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.EntryNews();
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.EntryNews getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<EntryNews>
+        PARSER = new com.google.protobuf.AbstractParser<EntryNews>() {
+      @java.lang.Override
+      public EntryNews parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<EntryNews> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<EntryNews> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.EntryNews getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface WorkAtTargetOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:laneworks.WorkAtTarget)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string target = 1;</code>
+     * @return The target.
+     */
+    java.lang.String getTarget();
+    /**
+     * <code>string target = 1;</code>
+     * @return The bytes for target.
+     */
+    com.google.protobuf.ByteString
+        getTargetBytes();
+
+    /**
+     * <code>uint32 requests = 2;</code>
+     * @return The requests.
+     */
+    int getRequests();
+
+    /**
+     * <code>uint64 held_tokens = 3;</code>
+     * @return The heldTokens.
+     */
+    long getHeldTokens();
+
+    /**
+     * <code>uint64 unread_tokens = 4;</code>
+     * @return The unreadTokens.
+     */
+    long getUnreadTokens();
+
+    /**
+     * <code>uint32 to_move = 5;</code>
+     * @return The toMove.
+     */
+    int getToMove();
+
+    /**
+     * <code>bool copying = 6;</code>
+     * @return The copying.
+     */
+    boolean getCopying();
+  }
+  /**
+   * Protobuf type {@code laneworks.WorkAtTarget}
+   */
+  public static final class WorkAtTarget extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:laneworks.WorkAtTarget)
+      WorkAtTargetOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "WorkAtTarget");
+    }
+    // Use WorkAtTarget.newBuilder() to construct.
+    private WorkAtTarget(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private WorkAtTarget() {
+      target_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_WorkAtTarget_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_WorkAtTarget_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_WorkAtTarget_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              dev.laneworks.wire.proto.Protocol.WorkAtTarget.class, dev.laneworks.wire.proto.Protocol.WorkAtTarget.Builder.class);
+    }
+
+    public static final int TARGET_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object target_ = "";
+    /**
+     * <code>string target = 1;</code>
+     * @return The target.
+     */
+    @java.lang.Override
+    public java.lang.String getTarget() {
+      java.lang.Object ref = target_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        target_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string target = 1;</code>
+     * @return The bytes for target.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getTargetBytes() {
+      java.lang.Object ref = target_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        target_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int REQUESTS_FIELD_NUMBER = 2;
+    private int requests_ = 0;
+    /**
+     * <code>uint32 requests = 2;</code>
+     * @return The requests.
+     */
+    @java.lang.Override
+    public int getRequests() {
+      return requests_;
+    }
+
+    public static final int HELD_TOKENS_FIELD_NUMBER = 3;
+    private long heldTokens_ = 0L;
+    /**
+     * <code>uint64 held_tokens = 3;</code>
+     * @return The heldTokens.
+     */
+    @java.lang.Override
+    public long getHeldTokens() {
+      return heldTokens_;
+    }
+
+    public static final int UNREAD_TOKENS_FIELD_NUMBER = 4;
+    private long unreadTokens_ = 0L;
+    /**
+     * <code>uint64 unread_tokens = 4;</code>
+     * @return The unreadTokens.
+     */
+    @java.lang.Override
+    public long getUnreadTokens() {
+      return unreadTokens_;
+    }
+
+    public static final int TO_MOVE_FIELD_NUMBER = 5;
+    private int toMove_ = 0;
+    /**
+     * <code>uint32 to_move = 5;</code>
+     * @return The toMove.
+     */
+    @java.lang.Override
+    public int getToMove() {
+      return toMove_;
+    }
+
+    public static final int COPYING_FIELD_NUMBER = 6;
+    private boolean copying_ = false;
+    /**
+     * <code>bool copying = 6;</code>
+     * @return The copying.
+     */
+    @java.lang.Override
+    public boolean getCopying() {
+      return copying_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, target_);
+      }
+      if (requests_ != 0) {
+        output.writeUInt32(2, requests_);
+      }
+      if (heldTokens_ != 0L) {
+        output.writeUInt64(3, heldTokens_);
+      }
+      if (unreadTokens_ != 0L) {
+        output.writeUInt64(4, unreadTokens_);
+      }
+      if (toMove_ != 0) {
+        output.writeUInt32(5, toMove_);
+      }
+      if (copying_ != false) {
+        output.writeBool(6, copying_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, target_);
+      }
+      if (requests_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(2, requests_);
+      }
+      if (heldTokens_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, heldTokens_);
+      }
+      if (unreadTokens_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(4, unreadTokens_);
+      }
+      if (toMove_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(5, toMove_);
+      }
+      if (copying_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(6, copying_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof dev.laneworks.wire.proto.Protocol.WorkAtTarget)) {
+        return super.equals(obj);
+      }
+      dev.laneworks.wire.proto.Protocol.WorkAtTarget other = (dev.laneworks.wire.proto.Protocol.WorkAtTarget) obj;
+
+      if (!getTarget()
+          .equals(other.getTarget())) return false;
+      if (getRequests()
+          != other.getRequests()) return false;
+      if (getHeldTokens()
+          != other.getHeldTokens()) return false;
+      if (getUnreadTokens()
+          != other.getUnreadTokens()) return false;
+      if (getToMove()
+          != other.getToMove()) return false;
+      if (getCopying()
+          != other.getCopying()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + TARGET_FIELD_NUMBER;
+      hash = (53 * hash) + getTarget().hashCode();
+      hash = (37 * hash) + REQUESTS_FIELD_NUMBER;
+      hash = (53 * hash) + getRequests();
+      hash = (37 * hash) + HELD_TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getHeldTokens());
+      hash = (37 * hash) + UNREAD_TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getUnreadTokens());
+      hash = (37 * hash) + TO_MOVE_FIELD_NUMBER;
+      hash = (53 * hash) + getToMove();
+      hash = (37 * hash) + COPYING_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getCopying());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.WorkAtTarget parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.WorkAtTarget parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.WorkAtTarget parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.WorkAtTarget parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.WorkAtTarget parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.WorkAtTarget parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.WorkAtTarget parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.WorkAtTarget parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.WorkAtTarget parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.WorkAtTarget parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.WorkAtTarget parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.WorkAtTarget parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(dev.laneworks.wire.proto.Protocol.WorkAtTarget prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code laneworks.WorkAtTarget}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:laneworks.WorkAtTarget)
+        dev.laneworks.wire.proto.Protocol.WorkAtTargetOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_WorkAtTarget_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_WorkAtTarget_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                dev.laneworks.wire.proto.Protocol.WorkAtTarget.class, dev.laneworks.wire.proto.Protocol.WorkAtTarget.Builder.class);
+      }
+
+      // Construct using dev.laneworks.wire.proto.Protocol.WorkAtTarget.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        target_ = "";
+        requests_ = 0;
+        heldTokens_ = 0L;
+        unreadTokens_ = 0L;
+        toMove_ = 0;
+        copying_ = false;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_WorkAtTarget_descriptor;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.WorkAtTarget getDefaultInstanceForType() {
+        return dev.laneworks.wire.proto.Protocol.WorkAtTarget.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.WorkAtTarget build() {
+        dev.laneworks.wire.proto.Protocol.WorkAtTarget result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.WorkAtTarget buildPartial() {
+        dev.laneworks.wire.proto.Protocol.WorkAtTarget result = new dev.laneworks.wire.proto.Protocol.WorkAtTarget(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(dev.laneworks.wire.proto.Protocol.WorkAtTarget result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.target_ = target_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.requests_ = requests_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.heldTokens_ = heldTokens_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.unreadTokens_ = unreadTokens_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.toMove_ = toMove_;
+        }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.copying_ = copying_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof dev.laneworks.wire.proto.Protocol.WorkAtTarget) {
+          return mergeFrom((dev.laneworks.wire.proto.Protocol.WorkAtTarget)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(dev.laneworks.wire.proto.Protocol.WorkAtTarget other) {
+        if (other == dev.laneworks.wire.proto.Protocol.WorkAtTarget.getDefaultInstance()) return this;
+        if (!other.getTarget().isEmpty()) {
+          target_ = other.target_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getRequests() != 0) {
+          setRequests(other.getRequests());
+        }
+        if (other.getHeldTokens() != 0L) {
+          setHeldTokens(other.getHeldTokens());
+        }
+        if (other.getUnreadTokens() != 0L) {
+          setUnreadTokens(other.getUnreadTokens());
+        }
+        if (other.getToMove() != 0) {
+          setToMove(other.getToMove());
+        }
+        if (other.getCopying() != false) {
+          setCopying(other.getCopying());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                target_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                requests_ = input.readUInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                heldTokens_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                unreadTokens_ = input.readUInt64();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 40: {
+                toMove_ = input.readUInt32();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 48: {
+                copying_ = input.readBool();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 48
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object target_ = "";
+      /**
+       * <code>string target = 1;</code>
+       * @return The target.
+       */
+      public java.lang.String getTarget() {
+        java.lang.Object ref = target_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          target_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string target = 1;</code>
+       * @return The bytes for target.
+       */
+      public com.google.protobuf.ByteString
+          getTargetBytes() {
+        java.lang.Object ref = target_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          target_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string target = 1;</code>
+       * @param value The target to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTarget(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        target_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string target = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTarget() {
+        target_ = getDefaultInstance().getTarget();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string target = 1;</code>
+       * @param value The bytes for target to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTargetBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        target_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private int requests_ ;
+      /**
+       * <code>uint32 requests = 2;</code>
+       * @return The requests.
+       */
+      @java.lang.Override
+      public int getRequests() {
+        return requests_;
+      }
+      /**
+       * <code>uint32 requests = 2;</code>
+       * @param value The requests to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRequests(int value) {
+
+        requests_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 requests = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRequests() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        requests_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private long heldTokens_ ;
+      /**
+       * <code>uint64 held_tokens = 3;</code>
+       * @return The heldTokens.
+       */
+      @java.lang.Override
+      public long getHeldTokens() {
+        return heldTokens_;
+      }
+      /**
+       * <code>uint64 held_tokens = 3;</code>
+       * @param value The heldTokens to set.
+       * @return This builder for chaining.
+       */
+      public Builder setHeldTokens(long value) {
+
+        heldTokens_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 held_tokens = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearHeldTokens() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        heldTokens_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long unreadTokens_ ;
+      /**
+       * <code>uint64 unread_tokens = 4;</code>
+       * @return The unreadTokens.
+       */
+      @java.lang.Override
+      public long getUnreadTokens() {
+        return unreadTokens_;
+      }
+      /**
+       * <code>uint64 unread_tokens = 4;</code>
+       * @param value The unreadTokens to set.
+       * @return This builder for chaining.
+       */
+      public Builder setUnreadTokens(long value) {
+
+        unreadTokens_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 unread_tokens = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearUnreadTokens() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        unreadTokens_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private int toMove_ ;
+      /**
+       * <code>uint32 to_move = 5;</code>
+       * @return The toMove.
+       */
+      @java.lang.Override
+      public int getToMove() {
+        return toMove_;
+      }
+      /**
+       * <code>uint32 to_move = 5;</code>
+       * @param value The toMove to set.
+       * @return This builder for chaining.
+       */
+      public Builder setToMove(int value) {
+
+        toMove_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 to_move = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearToMove() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        toMove_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private boolean copying_ ;
+      /**
+       * <code>bool copying = 6;</code>
+       * @return The copying.
+       */
+      @java.lang.Override
+      public boolean getCopying() {
+        return copying_;
+      }
+      /**
+       * <code>bool copying = 6;</code>
+       * @param value The copying to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCopying(boolean value) {
+
+        copying_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool copying = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCopying() {
+        bitField0_ = (bitField0_ & ~0x00000020);
+        copying_ = false;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:laneworks.WorkAtTarget)
+    }
+
+    // @@protoc_insertion_point(class_scope:laneworks.WorkAtTarget)
+    private static final dev.laneworks.wire.proto.Protocol.WorkAtTarget DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.WorkAtTarget();
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.WorkAtTarget getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<WorkAtTarget>
+        PARSER = new com.google.protobuf.AbstractParser<WorkAtTarget>() {
+      @java.lang.Override
+      public WorkAtTarget parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<WorkAtTarget> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<WorkAtTarget> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.WorkAtTarget getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_laneworks_Frame_descriptor;
   private static final 
@@ -20284,6 +22640,16 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_laneworks_ConfigurationText_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_EntryNews_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_EntryNews_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_WorkAtTarget_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_WorkAtTarget_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -20356,8 +22722,15 @@
       "rsion\030\001 \001(\004\022\036\n\026confirmed_age_plus_one\030\002 " +
       "\001(\004\"\026\n\024ConfigurationRequest\"F\n\021Configura" +
       "tionText\022\017\n\007version\030\001 \001(\004\022\020\n\010deflated\030\002 " +
-      "\001(\014\022\016\n\006digest\030\003 \001(\014B&\n\030dev.laneworks.wir" +
-      "e.protoB\010ProtocolP\000b\006proto3"
+      "\001(\014\022\016\n\006digest\030\003 \001(\014\"\234\001\n\tEntryNews\022\020\n\010pro" +
+      "tocol\030\001 \001(\r\022\020\n\010instance\030\002 \001(\t\022\023\n\013incarna" +
+      "tion\030\003 \001(\006\022\020\n\010sequence\030\004 \001(\004\022\016\n\006ending\030\005" +
+      " \001(\010\022%\n\004work\030\006 \003(\0132\027.laneworks.WorkAtTar" +
+      "get\022\r\n\005peers\030\007 \003(\t\"~\n\014WorkAtTarget\022\016\n\006ta" +
+      "rget\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\023\n\013held_tok" +
+      "ens\030\003 \001(\004\022\025\n\runread_tokens\030\004 \001(\004\022\017\n\007to_m" +
+      "ove\030\005 \001(\r\022\017\n\007copying\030\006 \001(\010B&\n\030dev.lanewo" +
+      "rks.wire.protoB\010ProtocolP\000b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -20495,6 +22868,18 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_ConfigurationText_descriptor,
         new java.lang.String[] { "Version", "Deflated", "Digest", });
+    internal_static_laneworks_EntryNews_descriptor =
+      getDescriptor().getMessageType(22);
+    internal_static_laneworks_EntryNews_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_laneworks_EntryNews_descriptor,
+        new java.lang.String[] { "Protocol", "Instance", "Incarnation", "Sequence", "Ending", "Work", "Peers", });
+    internal_static_laneworks_WorkAtTarget_descriptor =
+      getDescriptor().getMessageType(23);
+    internal_static_laneworks_WorkAtTarget_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_laneworks_WorkAtTarget_descriptor,
+        new java.lang.String[] { "Target", "Requests", "HeldTokens", "UnreadTokens", "ToMove", "Copying", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
