--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -28,6 +28,19 @@
 	 */
 	private static final double BACKUP_FULLNESS = 0.75;
 
+	/**
+	 * How full the memory of all engines together may be for new running copies; an engine
+	 * of six is away at any time, and what it ran has to find room.
+	 */
+	private static final double FLEET_FULLNESS = 0.6;
+
+	/**
+	 * How full the memory of an engine may become before running copies there give way.
+	 */
+	private static final double CROWDED_FULLNESS = 0.9;
+
+	private static final double PERCENT = 100;
+
 	private final TargetDirectory directory;
 
 	private final TargetBeliefs beliefs;
@@ -79,7 +92,10 @@
 		Attempt attempt = call.begin(target, resume, backup);
 		this.audit.record(new AuditEvent(AuditKind.ROUTED, call.request().id(), call.request().account(), target.id(),
 				"attempt " + attempt.number() + ", own requests there " + this.beliefs.of(target).inFlight()
-						+ ", all requests " + Math.round(this.beliefs.requests(target, now)) + ", directory of " + this.directory.size()
+						+ ", all requests " + Math.round(this.beliefs.requests(target, now))
+						+ engine.map((e) -> ", memory " + Math.round(PERCENT * this.chooser.fullness(target, e, now)) + "%")
+							.orElse("")
+						+ ", directory of " + this.directory.size()
 						+ backup.map((b) -> ", copy grows at " + b.id()).orElse("")));
 		this.beliefs.change(target, TargetBelief::began);
 		hold(attempt, heldTokens(call, engine));
@@ -108,10 +124,27 @@
 	 * @param call the call
 	 * @param attempt the attempt
 	 * @param engine what the service's engines can do
+	 * @param now the time in milliseconds
 	 */
-	void grew(DirectCall call, Attempt attempt, Optional<EngineSpec> engine) {
+	void grew(DirectCall call, Attempt attempt, Optional<EngineSpec> engine, long now) {
 		unread(attempt, 0);
 		hold(attempt, heldTokens(call, engine));
+		engine.ifPresent((e) -> makeRoom(call, attempt, e, now));
+	}
+
+	// A running copy gives way where its memory is needed for generations.
+	private void makeRoom(DirectCall call, Attempt attempt, EngineSpec engine, long now) {
+		Optional<ListedTarget> backup = attempt.backup()
+			.filter((b) -> this.chooser.fullness(b, engine, now) > CROWDED_FULLNESS);
+		if (backup.isEmpty() || call.successor().isPresent()) {
+			return;
+		}
+		this.audit.record(new AuditEvent(AuditKind.MOVED, call.request().id(), call.request().account(),
+				backup.get().id(), "its running copy gives way: memory there is "
+						+ Math.round(PERCENT * this.chooser.fullness(backup.get(), engine, now)) + "% promised"));
+		this.beliefs.change(backup.get(), (b) -> b.held(-attempt.heldTokens()));
+		attempt.dropBackup();
+		this.outputs.releaseCopy(attempt.target(), call.request().id());
 	}
 
 	/**
@@ -121,6 +154,10 @@
 	 */
 	void abandon(DirectCall call, Attempt attempt) {
 		this.outputs.abandon(call.number(), attempt.number());
+		// The engine keeps the copy of a run that did not end well for seconds.
+		attempt.backup()
+			.filter((b) -> call.successor().filter((s) -> s.target().id().equals(b.id())).isEmpty())
+			.ifPresent((b) -> this.outputs.releaseCopy(b, call.request().id()));
 		end(call, attempt);
 	}
 
@@ -149,7 +186,8 @@
 
 	private Optional<ListedTarget> chooseBackup(DirectCall call, ListedTarget target, EngineSpec engine, long now) {
 		Optional<EngineWork> work = call.request().work();
-		if (!engine.backups() || work.isEmpty() || work.get().maxTokens() < LONG_TOKENS) {
+		if (!engine.backups() || work.isEmpty() || work.get().maxTokens() < LONG_TOKENS
+				|| this.chooser.fleetFullness(target.service(), engine, now) > FLEET_FULLNESS) {
 			return Optional.empty();
 		}
 		long tokens = work.get().heldTokens(0);
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
@@ -222,7 +222,7 @@
 
 		private final Optional<ResumePoint> resume;
 
-		private final Optional<ListedTarget> backup;
+		private Optional<ListedTarget> backup;
 
 		private long heldTokens;
 
@@ -274,6 +274,10 @@
 			return this.backup;
 		}
 
+		void dropBackup() {
+			this.backup = Optional.empty();
+		}
+
 		boolean isSent() {
 			return this.sentAt >= 0;
 		}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -249,7 +249,7 @@
 			this.outputs.startStream(number, attempt);
 		}
 		call.passed(id, now);
-		this.sender.grew(call, found.get(), engine(call));
+		this.sender.grew(call, found.get(), engine(call), now);
 		return true;
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -152,6 +152,17 @@
 				(t) -> engineScore(t, engine, tokens, source.dataCentre(), 0, now));
 	}
 
+	/**
+	 * Return how full the memory of all engines of a service together is believed to be.
+	 * @param service the service's name
+	 * @param engine what its engines can do
+	 * @param now the time in milliseconds
+	 * @return the share in use; 1 where no engine takes work
+	 */
+	public double fleetFullness(String service, EngineSpec engine, long now) {
+		return this.directory.serving(service).stream().mapToDouble((t) -> fullness(t, engine, now)).average().orElse(1);
+	}
+
 	/**
 	 * Return how full an engine's memory is believed to be.
 	 * @param target the engine
