--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -29,8 +29,8 @@
 	private static final double BACKUP_FULLNESS = 0.75;
 
 	/**
-	 * How full the memory of all engines together may be for new running copies; an engine
-	 * of six is away at any time, and what it ran has to find room.
+	 * How full the memory of all engines together may be for new running copies; an
+	 * engine of six is away at any time, and what it ran has to find room.
 	 */
 	private static final double FLEET_FULLNESS = 0.6;
 
@@ -85,7 +85,8 @@
 	 */
 	Attempt send(DirectCall call, ListedTarget target, Optional<EngineSpec> engine, Optional<ResumePoint> resume,
 			long now) {
-		// A generation that has just moved brings no copy along: its whole memory would go
+		// A generation that has just moved brings no copy along: its whole memory would
+		// go
 		// over links that others need to leave the same engine.
 		Optional<ListedTarget> backup = resume.isPresent() ? Optional.empty()
 				: engine.flatMap((e) -> chooseBackup(call, target, e, now));
@@ -93,7 +94,8 @@
 		this.audit.record(new AuditEvent(AuditKind.ROUTED, call.request().id(), call.request().account(), target.id(),
 				"attempt " + attempt.number() + ", own requests there " + this.beliefs.of(target).inFlight()
 						+ ", all requests " + Math.round(this.beliefs.requests(target, now))
-						+ engine.map((e) -> ", memory " + Math.round(PERCENT * this.chooser.fullness(target, e, now)) + "%")
+						+ engine
+							.map((e) -> ", memory " + Math.round(PERCENT * this.chooser.fullness(target, e, now)) + "%")
 							.orElse("")
 						+ ", directory of " + this.directory.size()
 						+ backup.map((b) -> ", copy grows at " + b.id()).orElse("")));
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DispatchSettings.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DispatchSettings.java
@@ -12,6 +12,8 @@
  * @param comeBackMillis when a refused caller may come back
  * @param silenceGoals after how many response-time goals without an answer a target
  * counts as silent
+ * @param timeShareToTryAgain what part of the response-time goal must be left for another
+ * try, as its divisor
  * @since 0.2
  */
 public record DispatchSettings(long connectMillis, int maxAttempts, long answerSlackMillis, long comeBackMillis,
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -69,7 +69,8 @@
 	 * @param audit takes why
 	 */
 	public Dispatcher(DispatchSettings settings, TargetDirectory directory, TargetBeliefs beliefs,
-			TargetChooser chooser, CopyTurn turn, RetryWindow retries, Timers timers, DispatchOutputs outputs, AuditSink audit) {
+			TargetChooser chooser, CopyTurn turn, RetryWindow retries, Timers timers, DispatchOutputs outputs,
+			AuditSink audit) {
 		this.settings = settings;
 		this.directory = directory;
 		this.beliefs = beliefs;
@@ -107,6 +108,7 @@
 		DirectCall call = new DirectCall(number, request, now);
 		this.calls.put(number, call);
 		this.retries.recordRequest(request.service(), now);
+		this.audit.record(new AuditEvent(AuditKind.ACCEPTED, request.id(), request.account(), "", accepted(call)));
 		this.timers.at(call.dueAt() + this.settings.answerSlackMillis(), (t) -> overdue(call, t));
 		offer(call, now);
 	}
@@ -114,8 +116,8 @@
 	/**
 	 * Return the time that a target is given for a request whose connection is up.
 	 * <p>
-	 * To be called right before the first byte goes out; from then on the request may have
-	 * run.
+	 * To be called right before the first byte goes out; from then on the request may
+	 * have run.
 	 * @param number the call
 	 * @param attempt the attempt
 	 * @param now the time in milliseconds
@@ -173,8 +175,8 @@
 	 * @param attempt the attempt
 	 * @param head the head
 	 * @param now the time in milliseconds
-	 * @return whether the body's events are to be given to {@link #event}; otherwise it is
-	 * to be kept whole for {@link #answered}
+	 * @return whether the body's events are to be given to {@link #event}; otherwise it
+	 * is to be kept whole for {@link #answered}
 	 */
 	public boolean headReceived(long number, int attempt, AnswerHead head, long now) {
 		Optional<Attempt> found = find(number, attempt);
@@ -269,9 +271,11 @@
 			failed(call, found.get(), "the stream ended without an event", now);
 			return;
 		}
-		finish(call, AuditKind.ANSWERED, "stream up to event " + call.lastEvent() + " whole after "
-				+ (now - call.openedAt()) + " ms, attempts " + call.attempts() + ", longest pause "
-				+ call.longestPause() + " ms before event " + call.eventAfterPause(), now);
+		finish(call, AuditKind.ANSWERED,
+				"stream up to event " + call.lastEvent() + " whole after " + (now - call.openedAt()) + " ms, attempts "
+						+ call.attempts() + ", longest pause " + call.longestPause() + " ms before event "
+						+ call.eventAfterPause(),
+				now);
 		this.outputs.endStream(number);
 	}
 
@@ -338,6 +342,16 @@
 		}
 	}
 
+	private String accepted(DirectCall call) {
+		DirectRequest request = call.request();
+		return "route " + request.route().name() + " of plan " + this.plan.map(ServingPlan::version).orElse(0L)
+				+ ", service " + request.service() + ", " + request.route().kind() + ", due in "
+				+ (call.dueAt() - call.openedAt()) + " ms"
+				+ request.work()
+					.map((w) -> ", tokens " + w.promptTokens() + " in, " + w.maxTokens() + " out")
+					.orElse("");
+	}
+
 	private void moveAway(DirectCall call, long now) {
 		Optional<EngineSpec> engine = engine(call);
 		if (engine.isEmpty() || (call.isStreaming() && goOnAtBackup(call, "its engine is leaving", now))) {
@@ -354,8 +368,7 @@
 		Optional<ListedTarget> backup = call.attempt()
 			.flatMap(Attempt::backup)
 			.filter((b) -> this.directory.takesWork(b.id()));
-		if (backup.isEmpty() || call.successor().isPresent()
-				|| !this.retries.tryTake(call.request().service(), now)) {
+		if (backup.isEmpty() || call.successor().isPresent() || !this.retries.tryTake(call.request().service(), now)) {
 			return false;
 		}
 		record(AuditKind.MOVED, call, call.attempt().get().target(),
@@ -531,8 +544,7 @@
 		DirectRequest request = call.request();
 		boolean isAllowed = Verdict.MAY_HAVE_RUN.allowsAnotherAttempt(request.route().kind().isRepeatable(),
 				call.isStreaming());
-		return isAllowed && call.runs() < request.route().maxAttempts()
-				&& call.attempts() < this.settings.maxAttempts()
+		return isAllowed && call.runs() < request.route().maxAttempts() && call.attempts() < this.settings.maxAttempts()
 				&& call.dueAt() - now > request.route().goalMillis() / this.settings.timeShareToTryAgain()
 				&& this.sender.hasUntried(call, attempt.target()) && this.retries.tryTake(request.service(), now);
 	}
@@ -553,8 +565,8 @@
 	private void recordBad(ListedTarget target, String cause, long now) {
 		TargetQuality quality = this.beliefs.of(target).quality();
 		if (quality.recordBad(this.beliefs.peersBadShare(target, now), now)) {
-			this.audit.record(AuditEvent.of(AuditKind.TARGET_HEALTH, target.id(), target.id(), "set aside: " + cause
-					+ ", bad answers of late " + Math.round(100 * quality.badShare(now)) + "%"));
+			this.audit.record(AuditEvent.of(AuditKind.TARGET_HEALTH, target.id(), target.id(),
+					"set aside: " + cause + ", bad answers of late " + Math.round(100 * quality.badShare(now)) + "%"));
 		}
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/RetryWindow.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/RetryWindow.java
@@ -21,9 +21,9 @@
 
 	private final long windowMillis;
 
-	private final double ratio;
+	private double ratio;
 
-	private final double fixed;
+	private double fixed;
 
 	private final Map<String, ServiceWindow> services = new HashMap<>();
 
@@ -42,6 +42,16 @@
 		this.fixed = fixed;
 	}
 
+	/**
+	 * Change what is allowed; what was spent counts on.
+	 * @param newRatio the repeated sendings allowed for each request seen
+	 * @param newFixed this process's part of the fixed number
+	 */
+	public void allow(double newRatio, double newFixed) {
+		this.ratio = newRatio;
+		this.fixed = newFixed;
+	}
+
 	/**
 	 * Record a request of a caller.
 	 * @param service the service that it is routed to
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -18,14 +18,14 @@
 import dev.laneworks.core.time.Timers;
 
 /**
- * Moves running generations from an engine that is leaving to others, one after the other.
+ * Moves running generations from an engine that is leaving to others, one after the
+ * other.
  * <p>
  * A generation's memory is copied while the run goes on, until a round finds the links
  * without a queue; then the run is stopped, the little that is new is copied, and the
- * generation goes on at the copy. The engine's link
- * carries one copy at a time anyway, so that a queue of our own costs nothing and spares
- * each generation the wait for the copies behind it. The smallest goes first, since most
- * are saved so.
+ * generation goes on at the copy. The engine's link carries one copy at a time anyway, so
+ * that a queue of our own costs nothing and spares each generation the wait for the
+ * copies behind it. The smallest goes first, since most are saved so.
  */
 final class StreamMover {
 
@@ -36,8 +36,8 @@
 	private static final long SHORT_TOKENS = 100;
 
 	/**
-	 * A copy that took no longer than this met links without a queue, in milliseconds. The
-	 * run is stopped behind such a one, since the pause that callers allow is 180 ms.
+	 * A copy that took no longer than this met links without a queue, in milliseconds.
+	 * The run is stopped behind such a one, since the pause that callers allow is 180 ms.
 	 */
 	private static final long QUICK_MILLIS = 60;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBelief.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBelief.java
@@ -202,8 +202,8 @@
 	}
 
 	/**
-	 * Return how many requests of others are believed to be at the target, by what it told
-	 * itself.
+	 * Return how many requests of others are believed to be at the target, by what it
+	 * told itself.
 	 * @param now the time in milliseconds
 	 * @return the count
 	 */
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBeliefs.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBeliefs.java
@@ -27,8 +27,8 @@
 
 	/**
 	 * Create beliefs.
-	 * @param others gives the work that other entries have at a target, empty where nothing
-	 * is known of others
+	 * @param others gives the work that other entries have at a target, empty where
+	 * nothing is known of others
 	 */
 	public TargetBeliefs(Function<String, Optional<WorkAtTarget>> others) {
 		this.others = others;
@@ -73,8 +73,8 @@
 		return this.byId.values()
 			.stream()
 			.filter((b) -> b.inFlight() > 0 || b.ownTokens() > 0)
-			.map((b) -> new WorkAtTarget(b.target().id(), b.inFlight(), b.ownTokens(), b.ownUnread(),
-					b.toMove(), b.isCopying()))
+			.map((b) -> new WorkAtTarget(b.target().id(), b.inFlight(), b.ownTokens(), b.ownUnread(), b.toMove(),
+					b.isCopying()))
 			.toList();
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -139,8 +139,8 @@
 	}
 
 	/**
-	 * Choose where a running copy of a generation grows; it needs little of a link, so that
-	 * the distance hardly counts.
+	 * Choose where a running copy of a generation grows; it needs little of a link, so
+	 * that the distance hardly counts.
 	 * @param source the engine that runs it
 	 * @param engine what the service's engines can do
 	 * @param tokens the memory that it holds and will hold
@@ -160,7 +160,11 @@
 	 * @return the share in use; 1 where no engine takes work
 	 */
 	public double fleetFullness(String service, EngineSpec engine, long now) {
-		return this.directory.serving(service).stream().mapToDouble((t) -> fullness(t, engine, now)).average().orElse(1);
+		return this.directory.serving(service)
+			.stream()
+			.mapToDouble((t) -> fullness(t, engine, now))
+			.average()
+			.orElse(1);
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetQuality.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetQuality.java
@@ -55,8 +55,11 @@
 	public void recordGood(long millis, long now) {
 		fade(now);
 		this.good++;
-		this.trialUnderWay = false;
-		this.asideMillis = 0;
+		// What was sent before the target was set aside says nothing of its return.
+		if (this.trialUnderWay) {
+			this.trialUnderWay = false;
+			this.asideMillis = 0;
+		}
 		this.responseMillis = (this.responseMillis > 0)
 				? this.responseMillis + NEWEST_WEIGHT * (millis - this.responseMillis) : millis;
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
@@ -21,9 +21,9 @@
  * <p>
  * News carry all of an entry's work, so that a lost or late one is made good by the next.
  * Entries find each other through a few seeds and pass on the addresses that they have
- * heard from. An entry that falls silent counts as gone, with its work: its connections to
- * targets end with it. Nothing here is shared state: each entry's word is its own, ages,
- * and serves as a hint for placing work. Not thread-safe.
+ * heard from. An entry that falls silent counts as gone, with its work: its connections
+ * to targets end with it. Nothing here is shared state: each entry's word is its own,
+ * ages, and serves as a hint for placing work. Not thread-safe.
  *
  * @since 0.2
  */
@@ -163,9 +163,9 @@
 	 * Return whether this entry may copy a generation away from a target now.
 	 * <p>
 	 * A copy under way is not disturbed; otherwise the entries that have generations to
-	 * move go by rank. Every entry ranks the entries alike for a target, and otherwise for
-	 * another target. Entries hear of a leaving at about the same time; until their news
-	 * have had time to arrive, only the first of all may go.
+	 * move go by rank. Every entry ranks the entries alike for a target, and otherwise
+	 * for another target. Entries hear of a leaving at about the same time; until their
+	 * news have had time to arrive, only the first of all may go.
 	 * @param target the target's id
 	 * @param sinceNotice how long ago the target's leaving was heard, in milliseconds
 	 * @return whether it is this entry's turn
@@ -176,9 +176,8 @@
 		for (Peer peer : this.peers.values()) {
 			Optional<WorkAtTarget> work = peer.news.at(target);
 			boolean isBefore = Long.compareUnsigned(Rendezvous.weight(key, peer.news.instance()), own) > 0;
-			if (work.filter(WorkAtTarget::copying).isPresent()
-					|| (isBefore && (sinceNotice < this.settings.newsMillis()
-							|| work.filter((w) -> w.toMove() > 0).isPresent()))) {
+			if (work.filter(WorkAtTarget::copying).isPresent() || (isBefore
+					&& (sinceNotice < this.settings.newsMillis() || work.filter((w) -> w.toMove() > 0).isPresent()))) {
 				return false;
 			}
 		}
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/GossipSettings.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/GossipSettings.java
@@ -15,8 +15,8 @@
  * @param introductions the most addresses of other entries in one news
  * @since 0.2
  */
-public record GossipSettings(long heartbeatMillis, long gapMillis, long silenceMillis, long newsMillis,
-		int fanOut, int introductions) {
+public record GossipSettings(long heartbeatMillis, long gapMillis, long silenceMillis, long newsMillis, int fanOut,
+		int introductions) {
 
 	/**
 	 * Return the settings that were measured on the users' days.
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/WorkAtTarget.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/WorkAtTarget.java
@@ -27,8 +27,7 @@
 	 */
 	public WorkAtTarget plus(WorkAtTarget other) {
 		return new WorkAtTarget(this.target, this.requests + other.requests, this.heldTokens + other.heldTokens,
-				this.unreadTokens + other.unreadTokens, this.toMove + other.toMove,
-				this.copying || other.copying);
+				this.unreadTokens + other.unreadTokens, this.toMove + other.toMove, this.copying || other.copying);
 	}
 
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/serving/EngineSpec.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/serving/EngineSpec.java
@@ -15,8 +15,7 @@
  * @since 0.2
  */
 public record EngineSpec(int slots, long memoryTokens, long tokenBytes, double linkMbps, int tokensPerEvent,
-		boolean moves, boolean backups,
-		long holdMillis) {
+		boolean moves, boolean backups, long holdMillis) {
 
 	private static final double BITS_PER_BYTE = 8;
 
--- /dev/null
+++ b/laneworks-core/src/test/java/dev/laneworks/core/directory/TargetDirectoryTests.java
@@ -0,0 +1,100 @@
+package dev.laneworks.core.directory;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link TargetDirectory}.
+ */
+class TargetDirectoryTests {
+
+	private final List<String> heard = new ArrayList<>();
+
+	private final TargetDirectory directory = new TargetDirectory(new Recorder());
+
+	@Test
+	void aTargetThatSaysItLeavesTakesNoWorkAndIsTold() {
+		this.directory.put(target("a", false));
+		assertThat(this.directory.takesWork("a")).isTrue();
+		this.directory.put(target("a", true));
+		assertThat(this.directory.takesWork("a")).isFalse();
+		assertThat(this.directory.serving("s")).isEmpty();
+		this.directory.remove("a", 0);
+		assertThat(this.heard).containsExactly("joined a", "leaving a SAID_SO", "gone a").inOrder();
+	}
+
+	@Test
+	void aTargetThatIsLeavingDoesNotComeBackByALateEntry() {
+		this.directory.put(target("a", true));
+		this.directory.put(target("a", false));
+		assertThat(this.directory.takesWork("a")).isFalse();
+	}
+
+	@Test
+	void aVanishedEntryIsANotice() {
+		this.directory.put(target("a", false));
+		this.directory.remove("a", 10_000);
+		assertThat(this.heard).containsExactly("joined a", "leaving a VANISHED", "gone a").inOrder();
+	}
+
+	@Test
+	void anEntryThatLapsedWhileTheListWasAwayMayComeBack() {
+		this.directory.put(target("a", false));
+		this.directory.put(target("b", false));
+		this.directory.regained(1_000);
+		this.directory.remove("a", 1_100);
+		this.directory.remove("b", 1_100);
+		assertThat(this.directory.takesWork("a")).isTrue();
+		this.directory.put(target("a", false));
+		this.directory.expire(this.directory.nextExpiry());
+		assertThat(this.directory.takesWork("a")).isTrue();
+		assertThat(this.directory.takesWork("b")).isFalse();
+		assertThat(this.heard).containsExactly("joined a", "joined b", "leaving b LAPSED", "gone b").inOrder();
+		assertThat(this.directory.nextExpiry()).isEqualTo(Long.MAX_VALUE);
+	}
+
+	@Test
+	void aListReadAnewDropsWhatIsMissing() {
+		this.directory.put(target("a", false));
+		this.directory.put(target("b", false));
+		this.directory.replaceAll(List.of(target("b", false), target("c", false)), 50_000);
+		assertThat(this.directory.serving("s").stream().map(ListedTarget::id).toList()).containsExactly("b", "c");
+	}
+
+	@Test
+	void aTargetThatRefusesForBeingAnotherIsLeaving() {
+		this.directory.put(target("a", false));
+		this.directory.refusedWork("a");
+		this.directory.refusedWork("a");
+		assertThat(this.directory.takesWork("a")).isFalse();
+		assertThat(this.heard).containsExactly("joined a", "leaving a REFUSED").inOrder();
+	}
+
+	private static ListedTarget target(String id, boolean leaving) {
+		return new ListedTarget(id, "s", "10.0.0.1", 80, "dc", 4, leaving);
+	}
+
+	private final class Recorder implements DirectoryListener {
+
+		@Override
+		public void joined(ListedTarget target) {
+			TargetDirectoryTests.this.heard.add("joined " + target.id());
+		}
+
+		@Override
+		public void leaving(ListedTarget target, LeavingCause cause) {
+			TargetDirectoryTests.this.heard.add("leaving " + target.id() + ' ' + cause);
+		}
+
+		@Override
+		public void gone(ListedTarget target) {
+			TargetDirectoryTests.this.heard.add("gone " + target.id());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -0,0 +1,255 @@
+package dev.laneworks.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+import dev.laneworks.core.audit.AuditEvent;
+import dev.laneworks.core.directory.DirectoryListener;
+import dev.laneworks.core.directory.LeavingCause;
+import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.directory.TargetDirectory;
+import dev.laneworks.core.serving.EngineSpec;
+import dev.laneworks.core.serving.RequestKind;
+import dev.laneworks.core.serving.RequestLimits;
+import dev.laneworks.core.serving.RouteSpec;
+import dev.laneworks.core.serving.ServiceSpec;
+import dev.laneworks.core.serving.ServingPlan;
+import dev.laneworks.core.serving.WeightedService;
+import dev.laneworks.core.time.Timers;
+import dev.laneworks.core.verdict.Refusal;
+
+/**
+ * A dispatcher with everything around it, whose targets a test plays itself.
+ */
+final class DispatchHarness implements DispatchOutputs {
+
+	static final String PLAIN = "plain";
+
+	static final String ENGINES = "engines";
+
+	final List<Sent> sent = new ArrayList<>();
+
+	final List<String> abandoned = new ArrayList<>();
+
+	final List<CopyOrder> copies = new ArrayList<>();
+
+	final List<String> released = new ArrayList<>();
+
+	final Map<Long, List<String>> answers = new TreeMap<>();
+
+	final Map<Long, Refusal> refusals = new TreeMap<>();
+
+	final List<AuditEvent> audit = new ArrayList<>();
+
+	final Timers timers = new Timers();
+
+	final TargetBeliefs beliefs = new TargetBeliefs((t) -> Optional.empty());
+
+	final TargetDirectory directory = new TargetDirectory(new Members());
+
+	final Dispatcher dispatcher;
+
+	boolean ourTurn = true;
+
+	long now;
+
+	DispatchHarness(double retryRatio, double retryExtra, long seed) {
+		SplittableRandom random = new SplittableRandom(seed);
+		TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, "dc", random);
+		RetryWindow retries = new RetryWindow(10_000, retryRatio, retryExtra);
+		this.dispatcher = new Dispatcher(DispatchSettings.defaults(), this.directory, this.beliefs, chooser,
+				(source, since) -> this.ourTurn, retries, this.timers, this, this.audit::add);
+		EngineSpec engine = new EngineSpec(64, 34_000, 18_432, 2_700, 4, true, true, 2_000);
+		this.dispatcher.use(new ServingPlan(1, List.of(),
+				Map.of(PLAIN, new ServiceSpec(PLAIN, 100, Optional.empty()), ENGINES,
+						new ServiceSpec(ENGINES, 400, Optional.of(engine))),
+				Map.of(), new RequestLimits(16_384, 4_194_304, 3_000, 15_000)));
+	}
+
+	static DispatchHarness create() {
+		return new DispatchHarness(1, 100, 1);
+	}
+
+	ListedTarget join(String service, String id) {
+		ListedTarget target = new ListedTarget(id, service, "10.0.0." + (this.directory.size() + 1), 80, "dc", 6,
+				false);
+		this.directory.put(target);
+		return target;
+	}
+
+	void leave(ListedTarget target) {
+		this.directory.put(new ListedTarget(target.id(), target.service(), target.host(), target.port(),
+				target.dataCentre(), target.slots(), true));
+		settle();
+	}
+
+	void open(long call, RequestKind kind, int maxAttempts) {
+		open(call, kind, maxAttempts, PLAIN, Optional.empty());
+	}
+
+	void openStream(long call) {
+		openStream(call, 3_000);
+	}
+
+	void openStream(long call, long promptTokens) {
+		EngineWork work = new EngineWork("m", promptTokens, 1_000, OptionalLong.empty(), List.of());
+		open(call, RequestKind.STREAMING, 1, ENGINES, Optional.of(work));
+	}
+
+	private void open(long call, RequestKind kind, int maxAttempts, String service, Optional<EngineWork> work) {
+		long timeout = (kind == RequestKind.STREAMING) ? 39_000 : 1_500;
+		RouteSpec route = new RouteSpec("r", "h", "/", kind, timeout, 300, 180, 1, maxAttempts, false,
+				List.of(new WeightedService(service, 1)));
+		this.dispatcher.open(call, new DirectRequest(id(call), route, service, "acme", 2 * timeout, work), this.now);
+		settle();
+	}
+
+	static String id(long call) {
+		return "request-" + call;
+	}
+
+	/**
+	 * Let the last attempt that was ordered reach its target.
+	 * @return the attempt
+	 */
+	Sent arrive() {
+		Sent last = this.sent.get(this.sent.size() - 1);
+		assertReady(last);
+		return last;
+	}
+
+	boolean assertReady(Sent attempt) {
+		OptionalLong left = this.dispatcher.readyToSend(attempt.call(), attempt.attempt(), this.now);
+		settle();
+		return left.isPresent();
+	}
+
+	void answer(Sent to, int status, boolean notRun) {
+		AnswerHead head = new AnswerHead(status, id(to.call()), status < 300, false, notRun, false, Optional.empty());
+		this.dispatcher.headReceived(to.call(), to.attempt(), head, this.now);
+		this.dispatcher.answered(to.call(), to.attempt(), head, this.now);
+		settle();
+	}
+
+	boolean event(Sent from, long id) {
+		boolean passed = this.dispatcher.event(from.call(), from.attempt(), id, this.now);
+		settle();
+		return passed;
+	}
+
+	void breakOff(Sent attempt) {
+		this.dispatcher.broken(attempt.call(), attempt.attempt(), "reset", this.now);
+		settle();
+	}
+
+	void copied(CopyResult.Outcome outcome, String handle) {
+		CopyOrder order = this.copies.get(this.copies.size() - 1);
+		long call = Long.parseLong(order.requestId().substring("request-".length()));
+		this.dispatcher.copied(call, order, new CopyResult(outcome, handle), this.now);
+		settle();
+	}
+
+	void passTime(long millis) {
+		long end = this.now + millis;
+		while (this.timers.nextDue() <= end) {
+			this.now = Math.max(this.now, this.timers.nextDue());
+			this.timers.run(this.now);
+		}
+		this.now = end;
+	}
+
+	private void settle() {
+		this.timers.run(this.now);
+	}
+
+	@Override
+	public void send(long call, int attempt, ListedTarget target, SendOrder order) {
+		this.sent.add(new Sent(call, attempt, target, order));
+	}
+
+	@Override
+	public void abandon(long call, int attempt) {
+		this.abandoned.add(call + "/" + attempt);
+	}
+
+	@Override
+	public void deliver(long call, int attempt) {
+		finalAnswer(call, "delivered " + attempt);
+	}
+
+	@Override
+	public void startStream(long call, int attempt) {
+		this.answers.computeIfAbsent(call, (c) -> new ArrayList<>()).add("started");
+	}
+
+	@Override
+	public void endStream(long call) {
+		finalAnswer(call, "ended");
+	}
+
+	@Override
+	public void cutStream(long call) {
+		finalAnswer(call, "cut");
+	}
+
+	@Override
+	public void refuse(long call, Refusal refusal) {
+		this.refusals.put(call, refusal);
+		finalAnswer(call, "refused " + refusal.reason().status());
+	}
+
+	@Override
+	public void copy(long call, CopyOrder order) {
+		this.copies.add(order);
+	}
+
+	@Override
+	public void releaseCopy(ListedTarget source, String handle) {
+		this.released.add(source.id() + "/" + handle);
+	}
+
+	List<String> answers(long call) {
+		return this.answers.getOrDefault(call, List.of());
+	}
+
+	private void finalAnswer(long call, String answer) {
+		this.answers.computeIfAbsent(call, (c) -> new ArrayList<>()).add(answer);
+	}
+
+	/**
+	 * An attempt that was ordered.
+	 *
+	 * @param call the call
+	 * @param attempt the attempt
+	 * @param target the target
+	 * @param order how it was to be sent
+	 */
+	record Sent(long call, int attempt, ListedTarget target, SendOrder order) {
+
+	}
+
+	private final class Members implements DirectoryListener {
+
+		@Override
+		public void joined(ListedTarget target) {
+			DispatchHarness.this.beliefs.of(target).listed(target);
+		}
+
+		@Override
+		public void leaving(ListedTarget target, LeavingCause cause) {
+			DispatchHarness.this.dispatcher.leaving(target, DispatchHarness.this.now);
+		}
+
+		@Override
+		public void gone(ListedTarget target) {
+			DispatchHarness.this.beliefs.forget(target.id());
+		}
+
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/RetryWindowTests.java
@@ -0,0 +1,48 @@
+package dev.laneworks.core.dispatch;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link RetryWindow}.
+ */
+class RetryWindowTests {
+
+	@Test
+	void allowsAShareOfTheRequestsAndAPartOfTheFixedNumberInEachWindow() {
+		RetryWindow window = new RetryWindow(10_000, 0.2, 3);
+		for (int i = 0; i < 10; i++) {
+			window.recordRequest("s", i);
+		}
+		assertThat(taken(window, 20)).isEqualTo(5);
+	}
+
+	@Test
+	void eachSpanOfTheWindowsLengthHolds() {
+		RetryWindow window = new RetryWindow(10_000, 0, 3);
+		int taken = 0;
+		for (long now = 0; now < 9_900; now += 100) {
+			taken += window.tryTake("s", now) ? 1 : 0;
+		}
+		assertThat(taken).isEqualTo(3);
+		assertThat(window.tryTake("s", 10_001)).isTrue();
+	}
+
+	@Test
+	void servicesHaveTheirOwn() {
+		RetryWindow window = new RetryWindow(10_000, 0, 1);
+		assertThat(window.tryTake("a", 0)).isTrue();
+		assertThat(window.tryTake("b", 0)).isTrue();
+		assertThat(window.tryTake("a", 1)).isFalse();
+	}
+
+	private static int taken(RetryWindow window, int tries) {
+		int taken = 0;
+		for (int i = 0; i < tries; i++) {
+			taken += window.tryTake("s", 100) ? 1 : 0;
+		}
+		return taken;
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
@@ -0,0 +1,223 @@
+package dev.laneworks.core.dispatch;
+
+import java.util.Optional;
+
+import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.dispatch.CopyResult.Outcome;
+import dev.laneworks.core.dispatch.DispatchHarness.Sent;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link Dispatcher} and {@link StreamMover}: streams and their moves.
+ */
+class StreamMovingTests {
+
+	private static final long TOO_LARGE_FOR_A_COPY = 22_000;
+
+	private final DispatchHarness world = DispatchHarness.create();
+
+	@Test
+	void passesEachEventOnceInOrder() {
+		this.world.join(DispatchHarness.ENGINES, "a");
+		this.world.openStream(1);
+		Sent sent = this.world.arrive();
+		assertThat(this.world.event(sent, 0)).isTrue();
+		assertThat(this.world.event(sent, 1)).isTrue();
+		assertThat(this.world.event(sent, 1)).isFalse();
+		this.world.dispatcher.streamEnded(1, sent.attempt(), 50);
+		assertThat(this.world.answers(1)).containsExactly("started", "ended").inOrder();
+	}
+
+	@Test
+	void aMissingEventEndsTheStreamAsNotWhole() {
+		this.world.join(DispatchHarness.ENGINES, "a");
+		this.world.openStream(1);
+		Sent sent = this.world.arrive();
+		this.world.event(sent, 0);
+		assertThat(this.world.event(sent, 2)).isFalse();
+		assertThat(this.world.answers(1)).containsExactly("started", "cut").inOrder();
+	}
+
+	@Test
+	void aStreamNeverBeginsAnew() {
+		this.world.join(DispatchHarness.ENGINES, "a");
+		this.world.openStream(1);
+		this.world.join(DispatchHarness.ENGINES, "b");
+		Sent sent = this.world.arrive();
+		this.world.event(sent, 0);
+		this.world.breakOff(sent);
+		assertThat(this.world.sent).hasSize(1);
+		assertThat(this.world.answers(1)).containsExactly("started", "cut").inOrder();
+	}
+
+	@Test
+	void goesOnAtItsRunningCopyWhenTheEngineLeavesAndEndsTheFirstRunAtTheFirstEvent() {
+		ListedTarget a = this.world.join(DispatchHarness.ENGINES, "a");
+		this.world.join(DispatchHarness.ENGINES, "b");
+		this.world.openStream(1);
+		Sent first = this.world.arrive();
+		ListedTarget source = first.target();
+		assertThat(first.order().backup().isPresent()).isTrue();
+		this.world.event(first, 0);
+		this.world.event(first, 1);
+		this.world.leave(source);
+		Sent second = this.world.arrive();
+		assertThat(second.target().address()).isEqualTo(first.order().backup().get());
+		assertThat(second.order().resume())
+			.isEqualTo(Optional.of(new ResumePoint(second.target().address(), DispatchHarness.id(1), "1")));
+		assertThat(this.world.abandoned).isEmpty();
+		assertThat(this.world.event(first, 2)).isTrue();
+		assertThat(this.world.event(second, 2)).isFalse();
+		assertThat(this.world.abandoned).containsExactly("1/" + first.attempt());
+		assertThat(this.world.event(second, 3)).isTrue();
+		assertThat(this.world.event(first, 3)).isFalse();
+		assertThat(a).isNotNull();
+	}
+
+	@Test
+	void goesOnAtItsRunningCopyWhenTheEngineDies() {
+		this.world.join(DispatchHarness.ENGINES, "a");
+		this.world.join(DispatchHarness.ENGINES, "b");
+		this.world.openStream(1);
+		Sent first = this.world.arrive();
+		this.world.event(first, 0);
+		this.world.breakOff(first);
+		Sent second = this.world.arrive();
+		assertThat(second.order().resume().isPresent()).isTrue();
+		assertThat(this.world.event(second, 1)).isTrue();
+		this.world.dispatcher.streamEnded(1, second.attempt(), this.world.now);
+		assertThat(this.world.answers(1)).containsExactly("started", "ended").inOrder();
+	}
+
+	@Test
+	void whereTheRunningCopyIsOfNoUseTheRunIsCopiedAndStopped() {
+		this.world.join(DispatchHarness.ENGINES, "a");
+		this.world.join(DispatchHarness.ENGINES, "b");
+		this.world.openStream(1);
+		Sent first = this.world.arrive();
+		this.world.event(first, 0);
+		this.world.leave(first.target());
+		this.world.answer(this.world.arrive(), 503, true);
+		this.world.passTime(10);
+		assertThat(this.world.copies).hasSize(1);
+		assertThat(this.world.copies.get(0).stop()).isFalse();
+		assertThat(this.world.event(first, 1)).isTrue();
+	}
+
+	@Test
+	void copiesWhileTheRunGoesOnAndStopsItBehindAQuickRound() {
+		Sent first = streamWithoutRunningCopy();
+		this.world.leave(first.target());
+		assertThat(this.world.copies).hasSize(1);
+		this.world.now += 400;
+		this.world.copied(Outcome.COPIED, "h1");
+		assertThat(this.world.copies.get(1).stop()).isFalse();
+		this.world.now += 20;
+		this.world.copied(Outcome.COPIED, "h1");
+		assertThat(this.world.copies.get(2).stop()).isTrue();
+		assertThat(this.world.event(first, 1)).isTrue();
+		this.world.breakOff(first);
+		assertThat(this.world.answers(1)).containsExactly("started");
+		this.world.now += 10;
+		this.world.copied(Outcome.COPIED, "h1");
+		Sent second = this.world.arrive();
+		assertThat(second.target().id()).isEqualTo(this.world.copies.get(2).destination().id());
+		assertThat(second.order().resume())
+			.isEqualTo(Optional.of(new ResumePoint(first.target().address(), "h1", "1")));
+		assertThat(this.world.event(second, 2)).isTrue();
+	}
+
+	@Test
+	void waitsForTheLastEventsOfAStoppedRunButNotForLong() {
+		Sent first = streamWithoutRunningCopy();
+		this.world.leave(first.target());
+		this.world.copied(Outcome.COPIED, "h1");
+		this.world.copied(Outcome.COPIED, "h1");
+		int sentBefore = this.world.sent.size();
+		assertThat(this.world.event(first, 1)).isTrue();
+		this.world.passTime(100);
+		assertThat(this.world.sent).hasSize(sentBefore + 1);
+		assertThat(this.world.sent.get(sentBefore).order().resume().get().lastEvent()).isEqualTo("1");
+		assertThat(this.world.abandoned).contains("1/" + first.attempt());
+	}
+
+	@Test
+	void triesAnotherEngineWhereOneHasNoRoom() {
+		Sent first = streamWithoutRunningCopy();
+		this.world.join(DispatchHarness.ENGINES, "c");
+		this.world.leave(first.target());
+		String tried = this.world.copies.get(0).destination().id();
+		this.world.copied(Outcome.NO_ROOM, "");
+		assertThat(this.world.copies).hasSize(2);
+		assertThat(this.world.copies.get(1).destination().id()).isNotEqualTo(tried);
+	}
+
+	@Test
+	void aRunThatHasNotBegunIsCopiedOnceItHas() {
+		Sent first = streamWithoutRunningCopy();
+		this.world.leave(first.target());
+		this.world.copied(Outcome.NO_SUCH_RUN, "");
+		this.world.passTime(60);
+		assertThat(this.world.copies).hasSize(2);
+	}
+
+	@Test
+	void copiesOfOneEngineAreMadeOneAfterTheOther() {
+		Sent first = streamWithoutRunningCopy();
+		this.world.openStream(2, 3_000);
+		Sent second = this.world.arrive();
+		if (!second.target().id().equals(first.target().id())) {
+			return;
+		}
+		this.world.event(second, 0);
+		this.world.leave(first.target());
+		assertThat(this.world.copies).hasSize(1);
+	}
+
+	@Test
+	void waitsForItsTurn() {
+		Sent first = streamWithoutRunningCopy();
+		this.world.ourTurn = false;
+		this.world.leave(first.target());
+		this.world.passTime(50);
+		assertThat(this.world.copies).isEmpty();
+		this.world.ourTurn = true;
+		this.world.passTime(10);
+		assertThat(this.world.copies).hasSize(1);
+	}
+
+	@Test
+	void releasesACopyThatIsNotNeededAnyMore() {
+		Sent first = streamWithoutRunningCopy();
+		this.world.leave(first.target());
+		this.world.now += 400;
+		this.world.copied(Outcome.COPIED, "h1");
+		this.world.dispatcher.streamEnded(1, first.attempt(), this.world.now);
+		assertThat(this.world.answers(1)).containsExactly("started", "ended").inOrder();
+		assertThat(this.world.released).contains(first.target().id() + "/h1");
+	}
+
+	@Test
+	void aCallThatIsOverHoldsNothing() {
+		Sent first = streamWithoutRunningCopy();
+		this.world.leave(first.target());
+		this.world.dispatcher.callerLeft(1, this.world.now);
+		this.world.copied(Outcome.COPIED, "h1");
+		assertThat(this.world.released).contains(first.target().id() + "/h1");
+		assertThat(this.world.beliefs.ownWork()).isEmpty();
+	}
+
+	// A prompt so large that no engine has room for a running copy beside it.
+	private Sent streamWithoutRunningCopy() {
+		this.world.join(DispatchHarness.ENGINES, "a");
+		this.world.openStream(1, TOO_LARGE_FOR_A_COPY);
+		Sent first = this.world.arrive();
+		this.world.join(DispatchHarness.ENGINES, "b");
+		assertThat(first.order().backup()).isEqualTo(Optional.empty());
+		this.world.event(first, 0);
+		return first;
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/TargetQualityTests.java
@@ -0,0 +1,56 @@
+package dev.laneworks.core.dispatch;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link TargetQuality}.
+ */
+class TargetQualityTests {
+
+	@Test
+	void aTargetThatFailsPartOfItsRequestsIsSetAside() {
+		TargetQuality quality = new TargetQuality();
+		boolean aside = false;
+		for (int i = 0; i < 10; i++) {
+			quality.recordGood(50, i * 100);
+			aside |= quality.recordBad(0.05, i * 100 + 50);
+		}
+		assertThat(aside).isTrue();
+		assertThat(quality.isUsable(1_000)).isFalse();
+	}
+
+	@Test
+	void aTargetNoWorseThanItsPeersStays() {
+		TargetQuality quality = new TargetQuality();
+		for (int i = 0; i < 20; i++) {
+			quality.recordGood(50, i * 100);
+			assertThat(quality.recordBad(0.4, i * 100 + 50)).isFalse();
+		}
+	}
+
+	@Test
+	void oneTrialDecidesOnItsReturn() {
+		TargetQuality quality = new TargetQuality();
+		quality.recordBad(0, 0);
+		quality.recordBad(0, 0);
+		assertThat(quality.isUsable(1_400)).isFalse();
+		assertThat(quality.isUsable(1_500)).isTrue();
+		quality.recordSent(1_500);
+		assertThat(quality.isUsable(1_510)).isFalse();
+		assertThat(quality.recordBad(0, 1_600)).isTrue();
+		assertThat(quality.isUsable(4_500)).isFalse();
+		quality.recordSent(4_700);
+		quality.recordGood(40, 4_750);
+		assertThat(quality.isUsable(4_760)).isTrue();
+	}
+
+	@Test
+	void failuresFade() {
+		TargetQuality quality = new TargetQuality();
+		quality.recordBad(0, 0);
+		assertThat(quality.recordBad(0, 60_000)).isFalse();
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
@@ -0,0 +1,163 @@
+package dev.laneworks.core.gossip;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import dev.laneworks.core.audit.AuditEvent;
+import dev.laneworks.core.routing.Rendezvous;
+import dev.laneworks.core.time.Timers;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link Gossip}.
+ */
+class GossipTests {
+
+	private static final GossipSettings SETTINGS = new GossipSettings(1_000, 25, 3_200, 20, 40, 16);
+
+	private final Timers timers = new Timers();
+
+	private final List<String> told = new ArrayList<>();
+
+	private final List<AuditEvent> audit = new ArrayList<>();
+
+	private EntryNews lastNews;
+
+	private final Gossip gossip = new Gossip(SETTINGS, "me", "10.0.0.1:7200", Set.of("10.0.0.1:7200", "10.0.0.9:7200"),
+			new Outputs(), this.timers, new SplittableRandom(1), this.audit::add);
+
+	@Test
+	void asksSeedsButNotItself() {
+		this.gossip.start(0);
+		assertThat(this.told).containsExactly("10.0.0.9:7200");
+	}
+
+	@Test
+	void sumsUpTheWorkOfOthersAndReplacesItByTheirNextNews() {
+		assertThat(this.gossip.others("t")).isEqualTo(Optional.empty());
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(3, 900)), 0);
+		this.gossip.received("10.0.0.3:7200", news("three", 3, 1, work(1, 100)), 0);
+		assertThat(this.gossip.others("t").get().heldTokens()).isEqualTo(1_000);
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 2, work(1, 50)), 10);
+		assertThat(this.gossip.others("t").get().heldTokens()).isEqualTo(150);
+		assertThat(this.gossip.others("unknown").get().requests()).isEqualTo(0);
+	}
+
+	@Test
+	void passesOverLateNewsOfTheSameProcessButNotOfANewOne() {
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 7, work(1, 700)), 0);
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 6, work(1, 600)), 1);
+		assertThat(this.gossip.others("t").get().heldTokens()).isEqualTo(700);
+		this.gossip.received("10.0.0.2:7200", news("two", 99, 1, work(0, 0)), 2);
+		assertThat(this.gossip.others("t").get().heldTokens()).isEqualTo(0);
+	}
+
+	@Test
+	void aSilentEntryIsForgottenWithItsWork() {
+		this.gossip.start(0);
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(1, 700)), 0);
+		this.timers.run(3_000);
+		assertThat(this.gossip.peers()).isEqualTo(1);
+		this.timers.run(4_000);
+		assertThat(this.gossip.peers()).isEqualTo(0);
+		assertThat(this.gossip.others("t")).isEqualTo(Optional.empty());
+	}
+
+	@Test
+	void anEntryThatEndsIsForgottenAtOnce() {
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(1, 700)), 0);
+		this.gossip.received("10.0.0.2:7200", new EntryNews("two", 2, 2, true, List.of(), List.of()), 5);
+		assertThat(this.gossip.peers()).isEqualTo(0);
+	}
+
+	@Test
+	void introducesItselfToEntriesThatOthersName() {
+		EntryNews news = new EntryNews("two", 2, 1, false, List.of(), List.of("10.0.0.5:7200", "10.0.0.1:7200"));
+		this.gossip.received("10.0.0.2:7200", news, 0);
+		assertThat(this.told).containsExactly("10.0.0.2:7200", "10.0.0.5:7200").inOrder();
+	}
+
+	@Test
+	void tellsChangesTogetherUnlessOthersWaitForThem() {
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(1, 1)), 100);
+		this.told.clear();
+		this.gossip.changed(false, 110);
+		this.gossip.changed(false, 112);
+		this.timers.run(120);
+		assertThat(this.told).isEmpty();
+		this.timers.run(125);
+		assertThat(this.told).hasSize(1);
+		this.gossip.changed(true, 126);
+		this.timers.run(126);
+		assertThat(this.told).hasSize(2);
+	}
+
+	@Test
+	void entriesTakeTurnsByRankAndDoNotDisturbACopy() {
+		String target = targetWhere("two", "me");
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, moving(target, 1, false)), 0);
+		assertThat(this.gossip.isFirstToMove(target, 100)).isFalse();
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 2, moving(target, 0, false)), 0);
+		assertThat(this.gossip.isFirstToMove(target, 5)).isFalse();
+		assertThat(this.gossip.isFirstToMove(target, 20)).isTrue();
+		String mine = targetWhere("me", "two");
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 3, moving(mine, 2, false)), 0);
+		assertThat(this.gossip.isFirstToMove(mine, 0)).isTrue();
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 4, moving(mine, 2, true)), 0);
+		assertThat(this.gossip.isFirstToMove(mine, 100)).isFalse();
+	}
+
+	@Test
+	void saysGoodbyeOnceAndNoMore() {
+		this.gossip.start(0);
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(1, 1)), 100);
+		this.gossip.end(200);
+		assertThat(this.lastNews.ending()).isTrue();
+		this.told.clear();
+		this.gossip.changed(true, 210);
+		this.timers.run(10_000);
+		assertThat(this.told).isEmpty();
+	}
+
+	private static String targetWhere(String higher, String lower) {
+		for (int i = 0;; i++) {
+			long key = Rendezvous.hash("t" + i);
+			if (Long.compareUnsigned(Rendezvous.weight(key, higher), Rendezvous.weight(key, lower)) > 0) {
+				return "t" + i;
+			}
+		}
+	}
+
+	private static WorkAtTarget work(int requests, long tokens) {
+		return new WorkAtTarget("t", requests, tokens, 0, 0, false);
+	}
+
+	private static WorkAtTarget moving(String target, int toMove, boolean copying) {
+		return new WorkAtTarget(target, 1, 1, 0, toMove, copying);
+	}
+
+	private static EntryNews news(String name, long incarnation, long sequence, WorkAtTarget work) {
+		return new EntryNews(name, incarnation, sequence, false, List.of(work), List.of());
+	}
+
+	private final class Outputs implements GossipOutputs {
+
+		@Override
+		public void send(String address, EntryNews news) {
+			GossipTests.this.told.add(address);
+			GossipTests.this.lastNews = news;
+		}
+
+		@Override
+		public List<WorkAtTarget> ownWork() {
+			return List.of();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/test/java/dev/laneworks/core/serving/ServingPlanTests.java
@@ -0,0 +1,66 @@
+package dev.laneworks.core.serving;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link ServingPlan} and {@link RouteSpec}.
+ */
+class ServingPlanTests {
+
+	private static final RequestLimits LIMITS = new RequestLimits(16_384, 4_194_304, 3_000, 15_000);
+
+	@Test
+	void findsTheRouteWithTheLongestPrefixOfItsHost() {
+		ServingPlan plan = plan(List.of(route("all", "h", "/"), route("deep", "h", "/a/b/"), route("a", "h", "/a/"),
+				route("other", "g", "/a/b/c/")));
+		assertThat(plan.route("h", "/a/b/x").map(RouteSpec::name)).isEqualTo(Optional.of("deep"));
+		assertThat(plan.route("h", "/a/c").map(RouteSpec::name)).isEqualTo(Optional.of("a"));
+		assertThat(plan.route("h", "/a").map(RouteSpec::name)).isEqualTo(Optional.of("all"));
+		assertThat(plan.route("g", "/a/b/x")).isEqualTo(Optional.empty());
+		assertThat(plan.route("unknown", "/a/")).isEqualTo(Optional.empty());
+	}
+
+	@Test
+	void needsKeysOnlyWhereItHasAccounts() {
+		assertThat(plan(List.of()).needsKeys()).isFalse();
+		AccountGrant grant = new AccountGrant("acme", OptionalInt.of(1));
+		ServingPlan plan = new ServingPlan(1, List.of(), Map.of(), Map.of("key", grant), LIMITS);
+		assertThat(plan.needsKeys()).isTrue();
+		assertThat(plan.account("key")).isEqualTo(Optional.of(grant));
+		assertThat(plan.account("taken-away")).isEqualTo(Optional.empty());
+	}
+
+	@Test
+	void splitsARouteByWeight() {
+		RouteSpec route = new RouteSpec("r", "h", "/", RequestKind.SAFE, 1_000, 100, 0, 0, 1, false,
+				List.of(new WeightedService("a", 90), new WeightedService("b", 10), new WeightedService("none", 0)));
+		assertThat(route.serviceAt(0)).isEqualTo("a");
+		assertThat(route.serviceAt(0.899)).isEqualTo("a");
+		assertThat(route.serviceAt(0.901)).isEqualTo("b");
+		assertThat(route.serviceAt(0.9999)).isEqualTo("b");
+	}
+
+	@Test
+	void answersWithTheFirstServiceWhereAllWeightsAreZero() {
+		RouteSpec route = new RouteSpec("r", "h", "/", RequestKind.SAFE, 1_000, 100, 0, 0, 1, false,
+				List.of(new WeightedService("a", 0), new WeightedService("b", 0)));
+		assertThat(route.serviceAt(0.5)).isEqualTo("a");
+	}
+
+	private static ServingPlan plan(List<RouteSpec> routes) {
+		return new ServingPlan(1, routes, Map.of("s", new ServiceSpec("s", 10, Optional.empty())), Map.of(), LIMITS);
+	}
+
+	private static RouteSpec route(String name, String host, String prefix) {
+		return new RouteSpec(name, host, prefix, RequestKind.SAFE, 1_000, 100, 0, 0, 1, false,
+				List.of(new WeightedService("s", 1)));
+	}
+
+}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/EntryMain.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/EntryMain.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 
+import dev.laneworks.entry.explain.ExplainCommand;
 import dev.laneworks.runtime.log.JsonLineWriter;
 import dev.laneworks.runtime.program.ExitCode;
 import dev.laneworks.runtime.program.Program;
@@ -24,7 +25,7 @@
 	public static void main(String[] arguments) {
 		Program<EntrySettings> program = new Program<>("laneworks-entry",
 				"takes callers' requests and streams their answers", EntrySettings::read, EntryMain::run,
-				List.of(new CheckConfigCommand()));
+				List.of(new CheckConfigCommand(), new ExplainCommand()));
 		System.exit(program.run(arguments, System.out, System.err).code());
 	}
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/caller/CallTimes.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/caller/CallTimes.java
@@ -32,14 +32,18 @@
 		this.stall = metrics.histogram("laneworks_stall_micros");
 	}
 
-	Stopwatch start() {
+	/**
+	 * Start to measure a call.
+	 * @return its stopwatch
+	 */
+	public Stopwatch start() {
 		return new Stopwatch();
 	}
 
 	/**
 	 * Measures one call. Used on one thread.
 	 */
-	final class Stopwatch {
+	public final class Stopwatch {
 
 		private long lastNanos = System.nanoTime();
 
@@ -47,7 +51,10 @@
 
 		private boolean first = true;
 
-		void token() {
+		/**
+		 * Record a piece of output.
+		 */
+		public void token() {
 			long now = System.nanoTime();
 			long micros = TimeUnit.NANOSECONDS.toMicros(now - this.lastNanos);
 			this.lastNanos = now;
@@ -62,7 +69,10 @@
 			}
 		}
 
-		void end() {
+		/**
+		 * Record the end of the call.
+		 */
+		public void end() {
 			if (!this.first) {
 				CallTimes.this.stall.update(this.stalledMicros);
 			}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/CallerRequest.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/CallerRequest.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 
 import dev.laneworks.core.verdict.Refusal;
+import dev.laneworks.entry.caller.CallTimes;
 import dev.laneworks.entry.caller.CallerProblem;
 import dev.laneworks.runtime.http.HttpHeader;
 import dev.laneworks.runtime.http.HttpResponseHead;
@@ -39,6 +40,8 @@
 
 	private Optional<StreamWriter> stream = Optional.empty();
 
+	private Optional<CallTimes.Stopwatch> stopwatch = Optional.empty();
+
 	CallerRequest(HttpServerExchange exchange) {
 		this.exchange = exchange;
 		this.headers = headersOf(exchange);
@@ -62,10 +65,8 @@
 		return this.headers;
 	}
 
-	/**
-	 * Return the headers that are passed on: all but those of the connection and those
-	 * that it names.
-	 */
+	// Return the headers that are passed on: all but those of the connection and those
+	// that it names.
 	List<HttpHeader> forwarded() {
 		Set<String> named = new HashSet<>(OF_CONNECTION);
 		this.headers.stream()
@@ -83,7 +84,12 @@
 		this.body = received;
 	}
 
+	void measure(CallTimes.Stopwatch started) {
+		this.stopwatch = Optional.of(started);
+	}
+
 	void deliver(TargetAnswer answer) {
+		this.stopwatch.ifPresent(CallTimes.Stopwatch::token);
 		if (isGone()) {
 			return;
 		}
@@ -96,16 +102,22 @@
 			return;
 		}
 		putHead(head);
+		// Also where the connection ends with the answer: an answer that ends early must
+		// not
+		// look whole.
+		this.exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
 		this.stream = Optional.of(new StreamWriter(this.exchange, broken));
 	}
 
 	void relay(byte[] data) {
 		if (data.length > 0) {
+			this.stopwatch.ifPresent(CallTimes.Stopwatch::token);
 			this.stream.ifPresent((s) -> s.write(data));
 		}
 	}
 
 	void endStream() {
+		this.stopwatch.ifPresent(CallTimes.Stopwatch::end);
 		this.stream.ifPresent(StreamWriter::end);
 	}
 
@@ -142,10 +154,8 @@
 		return found;
 	}
 
-	/**
-	 * Return whether the length of the body is told in one way only, so that nobody can
-	 * take a part of it for a request.
-	 */
+	// Return whether the length of the body is told in one way only, so that nobody can
+	// take a part of it for a request.
 	boolean isFramedClearly() {
 		HeaderValues lengths = this.exchange.getRequestHeaders().get(Headers.CONTENT_LENGTH);
 		HeaderValues codings = this.exchange.getRequestHeaders().get(Headers.TRANSFER_ENCODING);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectCalls.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectCalls.java
@@ -11,6 +11,7 @@
 import dev.laneworks.core.dispatch.Dispatcher;
 import dev.laneworks.core.dispatch.SendOrder;
 import dev.laneworks.core.verdict.Refusal;
+import dev.laneworks.entry.caller.CallTimes;
 import dev.laneworks.runtime.http.HttpCaller;
 
 /**
@@ -27,13 +28,16 @@
 
 	private final EngineOrders engines;
 
+	private final CallTimes times;
+
 	private final Map<Long, OpenCall> open = new HashMap<>();
 
 	private Dispatcher dispatcher;
 
 	private long numbers;
 
-	DirectCalls(EventLoop loop, HttpCaller http, HeaderTranslation translation, EngineOrders engines) {
+	DirectCalls(EventLoop loop, HttpCaller http, HeaderTranslation translation, EngineOrders engines, CallTimes times) {
+		this.times = times;
 		this.loop = loop;
 		this.http = http;
 		this.translation = translation;
@@ -44,12 +48,10 @@
 		this.dispatcher = decides;
 	}
 
-	/**
-	 * Take a request whose body is whole.
-	 * @return the number of its call
-	 */
+	// Take a request whose body is whole.
 	long open(CallerRequest request, DirectRequest admitted) {
 		long number = ++this.numbers;
+		request.measure(this.times.start());
 		this.open.put(number, new OpenCall(request, admitted.id()));
 		this.dispatcher.open(number, admitted, this.loop.now());
 		return number;
@@ -90,7 +92,8 @@
 	@Override
 	public void startStream(long call, int attempt) {
 		OpenCall opened = this.open.get(call);
-		opened.request.startStream(opened.attempts.get(attempt).answer().head(), () -> this.loop.run(() -> callerLeft(call)));
+		opened.request.startStream(opened.attempts.get(attempt).answer().head(),
+				() -> this.loop.run(() -> callerLeft(call)));
 	}
 
 	@Override
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -33,6 +33,7 @@
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.core.retry.Backoff;
 import dev.laneworks.core.time.Timers;
+import dev.laneworks.entry.caller.CallTimes;
 import dev.laneworks.runtime.audit.AuditTrail;
 import dev.laneworks.runtime.http.HttpCaller;
 import dev.laneworks.runtime.http.IoWorker;
@@ -44,6 +45,7 @@
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.StatusCodes;
+import io.vavr.control.Either;
 import org.xnio.XnioIoThread;
 
 /**
@@ -96,6 +98,8 @@
 
 	private final NewsSocket news;
 
+	private final RetryWindow retries;
+
 	private final Dispatcher dispatcher;
 
 	private final PlanAndTargets published;
@@ -123,13 +127,12 @@
 		this.loop = new EventLoop(thread, timers);
 		HttpCaller http = new HttpCaller(this.io.worker(), this.io.buffers());
 		PlatformAdapter adapter = platform.create(settings, http, thread);
-		DirectCalls calls = new DirectCalls(this.loop, http, adapter.headers(), adapter.engines());
+		DirectCalls calls = new DirectCalls(this.loop, http, adapter.headers(), adapter.engines(),
+				new CallTimes(this.metrics));
 		TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, settings.dataCentre(), random);
-		RetryWindow retries = new RetryWindow(settings.retryWindowMillis(), settings.retryRatio(),
-				settings.retryExtra() * settings.retryExtraShare());
+		this.retries = new RetryWindow(settings.retryWindowMillis(), settings.retryRatio(), settings.ownRetryExtra());
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(), this.directory, this.beliefs, chooser,
-				this::isOurTurn, retries,
-				timers, calls, this.audit);
+				this::isOurTurn, this.retries, timers, calls, this.audit);
 		calls.use(this.dispatcher);
 		this.published = new PlanAndTargets(adapter.source(), this.directory, this.dispatcher::use, this.audit);
 		this.follower = new StoreFollower(settings.follow(), adapter.source().calls(this::follower), this.published,
@@ -140,7 +143,7 @@
 		this.news = new NewsSocket(settings.news(),
 				(from, n) -> this.loop.run(() -> this.gossip.received(from, n, this.loop.now())));
 		this.callers = new DirectServer(this.io, settings.callers(), calls, adapter.headers(), this.published::plan,
-				() -> this.stopping, this.loop, random);
+				() -> this.stopping, this.loop, random, this.audit);
 		this.readiness = readiness(adapter);
 		registerMetrics();
 	}
@@ -184,6 +187,25 @@
 		});
 	}
 
+	/**
+	 * Take settings that were read again. Addresses and the store stay as they were until
+	 * the process is started anew.
+	 * @param read the settings, or what is wrong with them
+	 */
+	public void reload(Either<String, DirectSettings> read) {
+		if (read.isLeft()) {
+			LogLine.of("reload").with("outcome", "refused").with("cause", read.getLeft()).warn();
+			return;
+		}
+		DirectSettings fresh = read.get();
+		this.loop.run(() -> this.retries.allow(fresh.retryRatio(), fresh.ownRetryExtra()));
+		boolean needsStart = !fresh.callers().equals(this.settings.callers())
+				|| !fresh.store().equals(this.settings.store());
+		LogLine.of("reload")
+			.with("outcome", needsStart ? "in part: addresses change with the next start" : "taken")
+			.info();
+	}
+
 	private void lookForPlan() {
 		if (this.published.isComplete()) {
 			this.ready = true;
@@ -193,6 +215,22 @@
 		this.loop.timers().at(this.loop.now() + LOOK_MILLIS, (t) -> lookForPlan());
 	}
 
+	/**
+	 * Return where callers connect.
+	 * @return the address
+	 */
+	public InetSocketAddress callersAddress() {
+		return this.callers.address();
+	}
+
+	/**
+	 * Return whether the process takes requests.
+	 * @return whether it is ready
+	 */
+	public boolean isReady() {
+		return this.ready && !this.stopping;
+	}
+
 	private void lookForEnd(long since, long now) {
 		boolean isIdle = this.dispatcher.openCalls() == 0 && this.callers.openAnswers() == 0;
 		boolean isLate = now - since >= this.settings.graceMillis() - END_EARLY_MILLIS;
@@ -222,10 +260,6 @@
 		exchange.endExchange();
 	}
 
-	private boolean isReady() {
-		return this.ready && !this.stopping;
-	}
-
 	private Optional<WorkAtTarget> workOfOthers(String target) {
 		return this.gossip.others(target);
 	}
@@ -259,6 +293,15 @@
 	private void registerMetrics() {
 		this.metrics.register("laneworks_open_calls", (Gauge<Integer>) this.dispatcher::openCalls);
 		this.metrics.register("laneworks_targets", (Gauge<Integer>) this.directory::size);
+		this.metrics.register("laneworks_peers", (Gauge<Integer>) this.gossip::peers);
+		for (AuditKind kind : AuditKind.values()) {
+			this.metrics.counter(counterName(kind));
+		}
+		this.audit.watch((r) -> this.metrics.counter(counterName(r.event().kind())).inc());
+	}
+
+	private static String counterName(AuditKind kind) {
+		return "laneworks_decisions_" + kind.label().replace('-', '_');
 	}
 
 	/**
@@ -269,8 +312,9 @@
 		@Override
 		public void send(String address, EntryNews told) {
 			int colon = address.lastIndexOf(':');
-			DirectEntry.this.news.send(new InetSocketAddress(address.substring(0, colon),
-					Integer.parseInt(address.substring(colon + 1))), told);
+			DirectEntry.this.news.send(
+					new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))),
+					told);
 		}
 
 		@Override
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
@@ -9,6 +9,9 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
+import dev.laneworks.core.audit.AuditEvent;
+import dev.laneworks.core.audit.AuditKind;
+import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.dispatch.DirectRequest;
 import dev.laneworks.core.serving.AccountGrant;
 import dev.laneworks.core.serving.RequestLimits;
@@ -62,16 +65,20 @@
 
 	private final RandomGenerator random;
 
+	private final AuditSink audit;
+
 	private int openAnswers;
 
 	DirectServer(IoWorker io, InetSocketAddress address, DirectCalls calls, HeaderTranslation translation,
-			Supplier<Optional<ServingPlan>> plan, BooleanSupplier stopping, EventLoop loop, RandomGenerator random) {
+			Supplier<Optional<ServingPlan>> plan, BooleanSupplier stopping, EventLoop loop, RandomGenerator random,
+			AuditSink audit) {
 		this.calls = calls;
 		this.translation = translation;
 		this.plan = plan;
 		this.stopping = stopping;
 		this.loop = loop;
 		this.random = random;
+		this.audit = audit;
 		this.server = Undertow.builder()
 			.setWorker(io.worker())
 			.setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEAD_BYTES)
@@ -93,9 +100,11 @@
 		this.server.stop();
 	}
 
-	/**
-	 * Return how many answers are not written to their end.
-	 */
+	InetSocketAddress address() {
+		return (InetSocketAddress) this.server.getListenerInfo().get(0).getAddress();
+	}
+
+	// Return how many answers are not written to their end.
 	int openAnswers() {
 		return this.openAnswers;
 	}
@@ -207,6 +216,9 @@
 	}
 
 	private void refuse(CallerRequest request, Refusal refusal) {
+		this.audit.record(AuditEvent.of(AuditKind.REFUSED, this.translation.requestId(request.headers()), "",
+				"at the door, " + refusal.reason().label() + ", plan "
+						+ this.plan.get().map(ServingPlan::version).orElse(0L) + ": " + refusal.detail()));
 		request.refuse(refusal, this.translation.forRefusal(refusal, ""));
 	}
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
@@ -16,8 +16,8 @@
  * @param readiness where the platform asks for readiness
  * @param operators where operators and scrapers connect
  * @param news where other entries are heard
- * @param seeds addresses of machines on which entries may run, {@code IP:PORT}; their port is
- * not used, since entries hear news on one port everywhere
+ * @param seeds addresses of machines on which entries may run, {@code IP:PORT}; their
+ * port is not used, since entries hear news on one port everywhere
  * @param store the address of the platform's store
  * @param follow how the store is followed
  * @param retryWindowMillis the window in which repeated sendings are counted
@@ -28,9 +28,9 @@
  * @since 0.2
  */
 public record DirectSettings(String instance, String dataCentre, InetSocketAddress callers, InetSocketAddress readiness,
-		InetSocketAddress operators, InetSocketAddress news,
-		List<String> seeds, InetSocketAddress store, FollowSettings follow, long retryWindowMillis,
-		double retryRatio, double retryExtra, double retryExtraShare, long graceMillis) {
+		InetSocketAddress operators, InetSocketAddress news, List<String> seeds, InetSocketAddress store,
+		FollowSettings follow, long retryWindowMillis, double retryRatio, double retryExtra, double retryExtraShare,
+		long graceMillis) {
 
 	/**
 	 * How long the store may hold a watch; see {@link FollowSettings}.
@@ -70,14 +70,22 @@
 				store.integer("gapMillis", 0, ONE_MINUTE, GAP_MILLIS));
 		return new DirectSettings(root.text("instance"), root.text("dataCentre"), Addresses.address(root, "callers"),
 				Addresses.address(root, "readiness"), Addresses.address(root, "operators"),
-				Addresses.address(root, "news"), root.texts("seeds"),
-				Addresses.address(store, "address"), follow,
+				Addresses.address(root, "news"), root.texts("seeds"), Addresses.address(store, "address"), follow,
 				millis(retries.number("windowSeconds", MIN_SECONDS, MAX_SECONDS, 10)),
 				retries.number("ratio", 0, 1, 0.1), retries.number("extra", 0, MAX_REPEATS, 0),
 				retries.number("extraShare", 0, 1, EXTRA_SHARE),
 				millis(root.number("graceSeconds", MIN_SECONDS, MAX_SECONDS, 8)));
 	}
 
+	/**
+	 * Return this entry's part of the repeated sendings that the fleet may make besides a
+	 * share of its requests.
+	 * @return the sendings in each window
+	 */
+	public double ownRetryExtra() {
+		return this.retryExtra * this.retryExtraShare;
+	}
+
 	private static long millis(double seconds) {
 		return Math.round(seconds * MILLIS_PER_SECOND);
 	}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EventFramer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EventFramer.java
@@ -36,9 +36,7 @@
 		}
 	}
 
-	/**
-	 * Return the bytes behind the last whole event.
-	 */
+	// Return the bytes behind the last whole event.
 	byte[] rest() {
 		return this.event.toByteArray();
 	}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EventLoop.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EventLoop.java
@@ -33,9 +33,7 @@
 		return MonotonicClock.millis();
 	}
 
-	/**
-	 * Run an action on the thread, and whatever has become due by it.
-	 */
+	// Run an action on the thread, and whatever has become due by it.
 	void run(Runnable action) {
 		this.thread.execute(() -> {
 			action.run();
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/HeaderTranslation.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/HeaderTranslation.java
@@ -24,6 +24,13 @@
 	 */
 	RequestFacts readRequest(List<HttpHeader> headers);
 
+	/**
+	 * Return the caller's name for a request.
+	 * @param headers the request's headers
+	 * @return the name, or empty text if it gave none
+	 */
+	String requestId(List<HttpHeader> headers);
+
 	/**
 	 * Return the headers that a target is sent.
 	 * @param fromCaller the headers that came from the caller, without those of its
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
@@ -47,9 +47,7 @@
 		return this.plan;
 	}
 
-	/**
-	 * Return whether a plan and the list of targets were read.
-	 */
+	// Return whether a plan and the list of targets were read.
 	boolean isComplete() {
 		return this.hasRead && this.plan.isPresent();
 	}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
@@ -96,9 +96,7 @@
 		return new TargetAnswer(this.head, this.body.toByteArray());
 	}
 
-	/**
-	 * Return the request as it goes out, or nothing if it is not to be sent any more.
-	 */
+	// Return the request as it goes out, or nothing if it is not to be sent any more.
 	Optional<HttpCall> atConnection() {
 		if (this.over) {
 			return Optional.empty();
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/audit/AuditTrail.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/audit/AuditTrail.java
@@ -28,6 +28,9 @@
 
 	private static final Set<AuditKind> MEMORY_ONLY = EnumSet.of(AuditKind.ROUTED, AuditKind.ADMITTED);
 
+	/** What happens to every request that is served. */
+	private static final Set<AuditKind> ROUTINE = EnumSet.of(AuditKind.ACCEPTED, AuditKind.ROUTED, AuditKind.ANSWERED);
+
 	private final int capacity;
 
 	private final Set<AuditKind> memoryOnly;
@@ -63,13 +66,18 @@
 	public void record(AuditEvent event) {
 		AuditRecord record = add(event);
 		if (!this.memoryOnly.contains(event.kind())) {
-			LogLine.of("audit")
+			LogLine line = LogLine.of("audit")
 				.with("kind", event.kind().label())
 				.with("subject", event.subject())
 				.with("account", event.account())
 				.with("target", event.target())
-				.with("cause", event.cause())
-				.info();
+				.with("cause", event.cause());
+			if (ROUTINE.contains(event.kind())) {
+				line.routine();
+			}
+			else {
+				line.info();
+			}
 		}
 		this.watchers.forEach((w) -> w.accept(record));
 	}
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/log/JsonLineWriter.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/log/JsonLineWriter.java
@@ -1,6 +1,5 @@
 package dev.laneworks.runtime.log;
 
-import java.io.PrintStream;
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.time.Instant;
@@ -16,7 +15,8 @@
 import org.tinylog.writers.Writer;
 
 /**
- * Writes each log entry to standard error as one JSON object on one line.
+ * Writes each log entry to standard output as one JSON object on one line, without ever
+ * holding up the thread that logs.
  * <p>
  * tinylog finds the writer by the name {@code json line}. A message made by
  * {@link LogLine} becomes members of the object; any other becomes the member
@@ -31,7 +31,7 @@
 
 	private static volatile String instance = "";
 
-	private final PrintStream out = System.err;
+	private final LineOutput out = LineOutput.toStandardOutput();
 
 	/**
 	 * Create a writer; called by tinylog.
@@ -51,7 +51,7 @@
 	@Override
 	public Collection<LogEntryValue> getRequiredLogEntryValues() {
 		return EnumSet.of(LogEntryValue.DATE, LogEntryValue.LEVEL, LogEntryValue.MESSAGE, LogEntryValue.EXCEPTION,
-				LogEntryValue.THREAD);
+				LogEntryValue.THREAD, LogEntryValue.TAG);
 	}
 
 	@Override
@@ -64,7 +64,7 @@
 		appendText(line, entry.getThread().getName());
 		appendMessage(line, entry.getMessage());
 		appendException(line, entry.getException());
-		this.out.append(line.append("}\n"));
+		this.out.offer(line.append("}\n").toString(), LogLine.ROUTINE.equals(entry.getTag()));
 	}
 
 	@Override
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/log/LogLine.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/log/LogLine.java
@@ -10,6 +10,9 @@
  */
 public final class LogLine {
 
+	/** The tag of lines that may be dropped first. */
+	static final String ROUTINE = "routine";
+
 	private final StringBuilder json = new StringBuilder("{");
 
 	private LogLine(String event) {
@@ -58,6 +61,14 @@
 		Logger.info((Object) this);
 	}
 
+	/**
+	 * Log the line as one of many alike, which are dropped first where there are too
+	 * many.
+	 */
+	public void routine() {
+		Logger.tag(ROUTINE).info((Object) this);
+	}
+
 	/**
 	 * Log the line at the level for what an operator should look at.
 	 */
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/program/Program.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/program/Program.java
@@ -34,7 +34,7 @@
 
 	private final Function<DocumentObject, T> settingsReader;
 
-	private final Function<T, ExitCode> runner;
+	private final ProgramRunner<T> runner;
 
 	private final List<ProgramCommand> commands;
 
@@ -48,6 +48,19 @@
 	 */
 	public Program(String name, String summary, Function<DocumentObject, T> settingsReader,
 			Function<T, ExitCode> runner, List<ProgramCommand> commands) {
+		this(name, summary, settingsReader, (s, again) -> runner.apply(s), commands);
+	}
+
+	/**
+	 * Create a program that may read its settings again while it runs.
+	 * @param name the program's name
+	 * @param summary what it does, in one line
+	 * @param settingsReader reads its settings
+	 * @param runner runs it until it is to end
+	 * @param commands its subcommands
+	 */
+	public Program(String name, String summary, Function<DocumentObject, T> settingsReader, ProgramRunner<T> runner,
+			List<ProgramCommand> commands) {
 		this.name = name;
 		this.summary = summary;
 		this.settingsReader = settingsReader;
@@ -116,24 +129,26 @@
 	}
 
 	private ExitCode start(String file, boolean checkOnly, PrintStream out, PrintStream err) {
-		String text;
-		try {
-			text = Files.readString(Path.of(file), StandardCharsets.UTF_8);
-		}
-		catch (IOException ex) {
-			err.println(file + ": can't be read: " + ex.getMessage());
-			return ExitCode.USAGE;
-		}
-		Either<InvalidDocumentException, T> settings = DocumentReader.read(file, text, this.settingsReader);
+		Either<String, T> settings = read(file);
 		if (settings.isLeft()) {
-			err.println(settings.getLeft().getMessage());
+			err.println(settings.getLeft());
 			return ExitCode.USAGE;
 		}
 		if (checkOnly) {
 			out.println(file + ": the settings are good");
 			return ExitCode.OK;
 		}
-		return this.runner.apply(settings.get());
+		return this.runner.run(settings.get(), () -> read(file));
+	}
+
+	private Either<String, T> read(String file) {
+		try {
+			String text = Files.readString(Path.of(file), StandardCharsets.UTF_8);
+			return DocumentReader.read(file, text, this.settingsReader).mapLeft(InvalidDocumentException::getMessage);
+		}
+		catch (IOException ex) {
+			return Either.left(file + ": can't be read: " + ex.getMessage());
+		}
 	}
 
 	private ExitCode usage(PrintStream err, String problem) {
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/program/StopSignals.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/program/StopSignals.java
@@ -36,6 +36,17 @@
 		});
 	}
 
+	/**
+	 * Do something when the settings are said to have changed, instead of ending.
+	 * @param reload reads the settings again; called on the thread of the signal
+	 */
+	public void handleReload(Runnable reload) {
+		Signal.handle(new Signal("HUP"), (s) -> {
+			LogLine.of("signal").with("signal", "HUP").with("effect", "settings are read again").info();
+			reload.run();
+		});
+	}
+
 	private void onSignal(String name, Runnable stop) {
 		boolean first = this.signals.incrementAndGet() == 1;
 		LogLine.of("signal").with("signal", name).with("effect", first ? "planned stop" : "none").info();
