--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -20,7 +20,7 @@
 	 * The tokens from which a generation is worth a running copy; a shorter one ends
 	 * within any notice.
 	 */
-	private static final long LONG_TOKENS = 200;
+	static final long LONG_TOKENS = 200;
 
 	/**
 	 * How full the memory of an engine may be for a running copy to go there; copies must
@@ -37,7 +37,7 @@
 	/**
 	 * How full the memory of an engine may become before running copies there give way.
 	 */
-	private static final double CROWDED_FULLNESS = 0.9;
+	static final double CROWDED_FULLNESS = 0.9;
 
 	private static final double PERCENT = 100;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
@@ -48,6 +48,8 @@
 
 	private Optional<Copying> copying = Optional.empty();
 
+	private Optional<Standby> standby = Optional.empty();
+
 	DirectCall(long number, DirectRequest request, long openedAt) {
 		this.number = number;
 		this.request = request;
@@ -199,6 +201,15 @@
 		this.lastEventAt = now;
 	}
 
+	// The copy that is kept for when the engine leaves or dies.
+	Optional<Standby> standby() {
+		return this.standby;
+	}
+
+	void standby(Optional<Standby> kept) {
+		this.standby = kept;
+	}
+
 	Optional<Copying> copying() {
 		return this.copying;
 	}
@@ -300,6 +311,62 @@
 
 	}
 
+	/**
+	 * A copy that is kept up to date now and then.
+	 */
+	static final class Standby {
+
+		private final ListedTarget source;
+
+		private final ListedTarget destination;
+
+		private final long promisedTokens;
+
+		private String handle = "";
+
+		private long copiedTokens;
+
+		private long copiedAt;
+
+		Standby(ListedTarget source, ListedTarget destination, long promisedTokens) {
+			this.source = source;
+			this.destination = destination;
+			this.promisedTokens = promisedTokens;
+		}
+
+		ListedTarget source() {
+			return this.source;
+		}
+
+		ListedTarget destination() {
+			return this.destination;
+		}
+
+		long promisedTokens() {
+			return this.promisedTokens;
+		}
+
+		// The copy's name at the source; empty until it was made once.
+		String handle() {
+			return this.handle;
+		}
+
+		long copiedTokens() {
+			return this.copiedTokens;
+		}
+
+		long copiedAt() {
+			return this.copiedAt;
+		}
+
+		void copied(String name, long tokens, long now) {
+			this.handle = name;
+			this.copiedTokens = tokens;
+			this.copiedAt = now;
+		}
+
+	}
+
 	/**
 	 * A copy of the running generation under way to another engine.
 	 */
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -13,6 +13,7 @@
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
 import dev.laneworks.core.dispatch.DirectCall.Attempt;
+import dev.laneworks.core.dispatch.DirectCall.Standby;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.serving.RequestKind;
 import dev.laneworks.core.serving.ServiceSpec;
@@ -50,6 +51,8 @@
 
 	private final AttemptSender sender;
 
+	private final StandbyCopies standbys;
+
 	private final StreamMover mover;
 
 	private final Map<Long, DirectCall> calls = new HashMap<>();
@@ -79,7 +82,8 @@
 		this.outputs = outputs;
 		this.audit = audit;
 		this.sender = new AttemptSender(directory, beliefs, chooser, outputs, audit);
-		this.mover = new StreamMover(chooser, beliefs, turn, timers, outputs, audit, new CallResumption());
+		this.standbys = new StandbyCopies(directory, beliefs, chooser, timers, outputs, audit);
+		this.mover = new StreamMover(chooser, beliefs, this.standbys, turn, timers, outputs, audit, new CallResumption());
 	}
 
 	/**
@@ -235,6 +239,7 @@
 			found.get().answering();
 			recordGood(found.get(), now);
 			call.mayHaveRun();
+			this.standbys.watch(call, found.get(), engine(call), now);
 			if (!this.directory.takesWork(found.get().target().id())) {
 				moveAway(call, now);
 			}
@@ -251,7 +256,9 @@
 			this.outputs.startStream(number, attempt);
 		}
 		call.passed(id, now);
-		this.sender.grew(call, found.get(), engine(call), now);
+		Optional<EngineSpec> engine = engine(call);
+		this.sender.grew(call, found.get(), engine, now);
+		engine.ifPresent((e) -> this.standbys.dropIfUseless(call, e, now));
 		return true;
 	}
 
@@ -321,9 +328,12 @@
 	 */
 	public void copied(long number, CopyOrder order, CopyResult result, long now) {
 		DirectCall call = this.calls.get(number);
-		if (call != null) {
+		if (call != null && this.mover.ordered(call, order)) {
 			this.mover.copied(call, order, result, now);
 		}
+		else if (call != null) {
+			this.standbys.copied(call, order, result, now);
+		}
 		else if (!result.handle().isEmpty()) {
 			this.outputs.releaseCopy(order.source(), result.handle());
 		}
@@ -335,6 +345,7 @@
 	 * @param now the time in milliseconds
 	 */
 	public void leaving(ListedTarget target, long now) {
+		this.standbys.leaving(now);
 		for (DirectCall call : List.copyOf(this.calls.values())) {
 			if (call.attempt().filter((a) -> a.isSent() && a.target().id().equals(target.id())).isPresent()) {
 				moveAway(call, now);
@@ -371,6 +382,7 @@
 		if (backup.isEmpty() || call.successor().isPresent() || !this.retries.tryTake(call.request().service(), now)) {
 			return false;
 		}
+		this.standbys.drop(call);
 		record(AuditKind.MOVED, call, call.attempt().get().target(),
 				cause + ": goes on at its running copy at " + backup.get().id() + " behind event " + call.lastEvent());
 		ResumePoint point = new ResumePoint(backup.get().address(), call.request().id(), call.lastEventText());
@@ -378,8 +390,26 @@
 		return true;
 	}
 
+	// For a run that is lost; one that is only to leave is copied on first.
+	private boolean goOnAtStandby(DirectCall call, String cause, long now) {
+		Optional<Standby> standby = call.standby()
+			.filter((s) -> !s.handle().isEmpty() && this.directory.takesWork(s.destination().id()));
+		if (standby.isEmpty() || !this.retries.tryTake(call.request().service(), now)) {
+			return false;
+		}
+		this.standbys.take(call);
+		ListedTarget destination = standby.get().destination();
+		record(AuditKind.MOVED, call, standby.get().source(), cause + ": goes on at its standby copy of "
+				+ (now - standby.get().copiedAt()) + " ms ago at " + destination.id() + " behind event " + call.lastEvent());
+		ResumePoint point = new ResumePoint(standby.get().source().address(), standby.get().handle(),
+				call.lastEventText());
+		call.succeedBy(begin(call, destination, Optional.of(point), now));
+		return true;
+	}
+
 	private void takeOver(DirectCall call, long now) {
 		call.attempt().ifPresent((a) -> this.sender.abandon(call, a));
+		this.standbys.drop(call);
 		this.mover.ended(call, now);
 		call.promoteSuccessor();
 	}
@@ -518,7 +548,8 @@
 		else if (call.successor().isPresent()) {
 			this.sender.abandon(call, attempt);
 		}
-		else if (call.request().work().isPresent() && goOnAtBackup(call, cause, now)) {
+		else if (call.request().work().isPresent()
+				&& (goOnAtBackup(call, cause, now) || goOnAtStandby(call, cause, now))) {
 			this.sender.abandon(call, attempt);
 		}
 		else if (!call.isStreaming() && mayTryAgain(call, attempt, now)) {
@@ -600,6 +631,7 @@
 
 	private void finish(DirectCall call, AuditKind kind, String cause, long now) {
 		String target = call.attempt().map((a) -> a.target().id()).orElse("");
+		this.standbys.drop(call);
 		this.mover.ended(call, now);
 		call.successor().ifPresent((a) -> this.sender.abandon(call, a));
 		call.attempt().ifPresent((a) -> this.sender.end(call, a));
@@ -635,6 +667,11 @@
 			Dispatcher.this.lost(call, cause, now);
 		}
 
+		@Override
+		public boolean takesWork(ListedTarget target) {
+			return Dispatcher.this.directory.takesWork(target.id());
+		}
+
 		@Override
 		public Optional<EngineSpec> engine(DirectCall call) {
 			return Dispatcher.this.engine(call);
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -14,6 +14,7 @@
 import dev.laneworks.core.dispatch.DirectCall.Attempt;
 import dev.laneworks.core.dispatch.DirectCall.Copying;
 import dev.laneworks.core.dispatch.DirectCall.Phase;
+import dev.laneworks.core.dispatch.DirectCall.Standby;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.time.Timers;
 
@@ -63,6 +64,8 @@
 
 	private final TargetBeliefs beliefs;
 
+	private final StandbyCopies standbys;
+
 	private final CopyTurn turn;
 
 	private final Timers timers;
@@ -75,10 +78,11 @@
 
 	private final Map<String, SourceQueue> queues = new HashMap<>();
 
-	StreamMover(TargetChooser chooser, TargetBeliefs beliefs, CopyTurn turn, Timers timers, DispatchOutputs outputs,
+	StreamMover(TargetChooser chooser, TargetBeliefs beliefs, StandbyCopies standbys, CopyTurn turn, Timers timers, DispatchOutputs outputs,
 			AuditSink audit, Resumption resumption) {
 		this.chooser = chooser;
 		this.beliefs = beliefs;
+		this.standbys = standbys;
 		this.turn = turn;
 		this.timers = timers;
 		this.outputs = outputs;
@@ -117,11 +121,21 @@
 		return true;
 	}
 
+	/**
+	 * Return whether a copy was ordered by the move that is under way.
+	 * @param call the call
+	 * @param order the order
+	 * @return {@code false} if it was ordered otherwise or by an earlier move
+	 */
+	boolean ordered(DirectCall call, CopyOrder order) {
+		return call.copying()
+			.filter((c) -> c.phase() != Phase.WAITING && c.source().id().equals(order.source().id())
+					&& c.destination().id().equals(order.destination().id()))
+			.isPresent();
+	}
+
 	void copied(DirectCall call, CopyOrder order, CopyResult result, long now) {
-		Copying copying = call.copying().orElse(null);
-		if (copying == null || !copying.source().id().equals(order.source().id())) {
-			return;
-		}
+		Copying copying = call.copying().get();
 		record(call, copying, (order.stop() ? "last part" : "first part") + " to " + order.destination().id() + ": "
 				+ result.outcome() + " in " + (now - copying.orderedAt()) + " ms");
 		if (!result.handle().isEmpty()) {
@@ -161,7 +175,7 @@
 		}
 		Optional<DirectCall> next = queue.waiting.stream()
 			.filter((c) -> c.copying().get().notBefore() <= now)
-			.min(Comparator.comparingLong((c) -> c.attempt().map(Attempt::heldTokens).orElse(0L)));
+			.min(Comparator.comparingLong(StreamMover::tokensToCopy));
 		next.ifPresent((c) -> copyAhead(queue, c, now));
 	}
 
@@ -175,12 +189,20 @@
 		}
 	}
 
+	private static long tokensToCopy(DirectCall call) {
+		long tokens = call.attempt().map(Attempt::heldTokens).orElse(0L);
+		return tokens - call.standby().map(Standby::copiedTokens).orElse(0L);
+	}
+
 	private void copyAhead(SourceQueue queue, DirectCall call, long now) {
 		Copying copying = call.copying().get();
 		Optional<EngineSpec> engine = this.resumption.engine(call);
 		long tokens = call.attempt().map(Attempt::heldTokens).orElse(0L);
-		Optional<ListedTarget> destination = engine
-			.flatMap((e) -> this.chooser.chooseDestination(queue.source, e, tokens, copying.tried(), now));
+		Optional<ListedTarget> destination = this.standbys.take(call)
+			.map(Standby::destination)
+			.filter((d) -> !copying.tried().contains(d.id()) && this.resumption.takesWork(d))
+			.or(() -> engine
+				.flatMap((e) -> this.chooser.chooseDestination(queue.source, e, tokens, copying.tried(), now)));
 		if (destination.isEmpty()) {
 			copying.tried().clear();
 			putBack(queue, call, now);
@@ -384,6 +406,13 @@
 		 */
 		void lost(DirectCall call, String cause, long now);
 
+		/**
+		 * Return whether a target may be sent work.
+		 * @param target the target
+		 * @return whether it is listed and not leaving
+		 */
+		boolean takesWork(ListedTarget target);
+
 		/**
 		 * Return what the call's engines can do.
 		 * @param call the call
