--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/CopyTurn.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/CopyTurn.java
@@ -11,7 +11,6 @@
  *
  * @since 0.2
  */
-@FunctionalInterface
 public interface CopyTurn {
 
 	/**
@@ -22,4 +21,11 @@
 	 */
 	boolean isOurs(ListedTarget source, long sinceNotice);
 
+	/**
+	 * Return whether no other process copies anything now, so that a copy which has time
+	 * delays nobody.
+	 * @return whether the links are free, as far as is known
+	 */
+	boolean isQuiet();
+
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -82,7 +82,7 @@
 		this.outputs = outputs;
 		this.audit = audit;
 		this.sender = new AttemptSender(directory, beliefs, chooser, outputs, audit);
-		this.standbys = new StandbyCopies(directory, beliefs, chooser, timers, outputs, audit);
+		this.standbys = new StandbyCopies(directory, beliefs, chooser, turn, timers, outputs, audit);
 		this.mover = new StreamMover(chooser, beliefs, this.standbys, turn, timers, outputs, audit, new CallResumption());
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
@@ -34,6 +34,9 @@
 	/** The wait before it is looked again whether there is room, in milliseconds. */
 	private static final long AGAIN_MILLIS = 400;
 
+	/** The wait while another copy is under way, in milliseconds; a refresh takes 20. */
+	private static final long BUSY_MILLIS = 60;
+
 	/**
 	 * How long links are left to moves after an engine's leaving was heard, in
 	 * milliseconds.
@@ -55,6 +58,8 @@
 
 	private final TargetChooser chooser;
 
+	private final CopyTurn turn;
+
 	private final Timers timers;
 
 	private final DispatchOutputs outputs;
@@ -65,11 +70,12 @@
 
 	private long quietUntil;
 
-	StandbyCopies(TargetDirectory directory, TargetBeliefs beliefs, TargetChooser chooser, Timers timers,
-			DispatchOutputs outputs, AuditSink audit) {
+	StandbyCopies(TargetDirectory directory, TargetBeliefs beliefs, TargetChooser chooser, CopyTurn turn,
+			Timers timers, DispatchOutputs outputs, AuditSink audit) {
 		this.directory = directory;
 		this.beliefs = beliefs;
 		this.chooser = chooser;
+		this.turn = turn;
 		this.timers = timers;
 		this.outputs = outputs;
 		this.audit = audit;
@@ -153,6 +159,7 @@
 	private void endActive(DirectCall call) {
 		if (this.active.filter((c) -> c == call).isPresent()) {
 			this.active = Optional.empty();
+			call.attempt().ifPresent((a) -> this.beliefs.change(a.target(), (b) -> b.copying(false)));
 		}
 	}
 
@@ -170,9 +177,10 @@
 			return;
 		}
 		dropIfUseless(call, engine, now);
-		boolean isBusy = this.active.isPresent() || now < this.quietUntil || call.copying().isPresent();
+		boolean isBusy = this.active.isPresent() || now < this.quietUntil || call.copying().isPresent()
+				|| !this.turn.isQuiet();
 		if (isBusy) {
-			lookAt(call, attempt, engine, now + AGAIN_MILLIS);
+			lookAt(call, attempt, engine, now + BUSY_MILLIS);
 			return;
 		}
 		if (call.standby().isEmpty() && !begin(call, attempt, engine, now)) {
@@ -180,6 +188,7 @@
 			return;
 		}
 		this.active = Optional.of(call);
+		this.beliefs.change(attempt.target(), (b) -> b.copying(true));
 		this.outputs.copy(call.number(),
 				new CopyOrder(call.request().id(), attempt.target(), call.standby().get().destination(), false));
 		lookAt(call, attempt, engine, now + REFRESH_MILLIS);
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
@@ -184,6 +184,14 @@
 		return true;
 	}
 
+	/**
+	 * Return whether any other entry copies a generation now.
+	 * @return whether a copy is under way anywhere, as far as is known
+	 */
+	public boolean isAnyCopying() {
+		return this.sums.values().stream().anyMatch(WorkAtTarget::copying);
+	}
+
 	/**
 	 * Return how many other entries are known.
 	 * @return the count
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -63,7 +63,7 @@
 		TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, "dc", random);
 		RetryWindow retries = new RetryWindow(10_000, retryRatio, retryExtra);
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(), this.directory, this.beliefs, chooser,
-				(source, since) -> this.ourTurn, retries, this.timers, this, this.audit::add);
+				new Turns(), retries, this.timers, this, this.audit::add);
 		EngineSpec engine = new EngineSpec(64, 34_000, 18_432, 2_700, 4, true, true, 2_000);
 		this.dispatcher.use(new ServingPlan(1, List.of(),
 				Map.of(PLAIN, new ServiceSpec(PLAIN, 100, Optional.empty()), ENGINES,
@@ -233,6 +233,20 @@
 
 	}
 
+	private final class Turns implements CopyTurn {
+
+		@Override
+		public boolean isOurs(ListedTarget source, long sinceNotice) {
+			return DispatchHarness.this.ourTurn;
+		}
+
+		@Override
+		public boolean isQuiet() {
+			return DispatchHarness.this.ourTurn;
+		}
+
+	}
+
 	private final class Members implements DirectoryListener {
 
 		@Override
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -20,6 +20,7 @@
 import dev.laneworks.core.directory.LeavingCause;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
+import dev.laneworks.core.dispatch.CopyTurn;
 import dev.laneworks.core.dispatch.DispatchSettings;
 import dev.laneworks.core.dispatch.Dispatcher;
 import dev.laneworks.core.dispatch.RetryWindow;
@@ -132,7 +133,7 @@
 		TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, settings.dataCentre(), random);
 		this.retries = new RetryWindow(settings.retryWindowMillis(), settings.retryRatio(), settings.ownRetryExtra());
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(), this.directory, this.beliefs, chooser,
-				this::isOurTurn, this.retries, timers, calls, this.audit);
+				new Turns(), this.retries, timers, calls, this.audit);
 		calls.use(this.dispatcher);
 		this.published = new PlanAndTargets(adapter.source(), this.directory, this.dispatcher::use, this.audit);
 		this.follower = new StoreFollower(settings.follow(), adapter.source().calls(this::follower), this.published,
@@ -264,10 +265,6 @@
 		return this.gossip.others(target);
 	}
 
-	private boolean isOurTurn(ListedTarget source, long sinceNotice) {
-		return this.gossip.isFirstToMove(source.id(), sinceNotice);
-	}
-
 	private static Set<String> seeds(DirectSettings settings) {
 		return settings.seeds()
 			.stream()
@@ -304,6 +301,23 @@
 		return "laneworks_decisions_" + kind.label().replace('-', '_');
 	}
 
+	/**
+	 * Takes turns with other entries at copying.
+	 */
+	private final class Turns implements CopyTurn {
+
+		@Override
+		public boolean isOurs(ListedTarget source, long sinceNotice) {
+			return DirectEntry.this.gossip.isFirstToMove(source.id(), sinceNotice);
+		}
+
+		@Override
+		public boolean isQuiet() {
+			return !DirectEntry.this.gossip.isAnyCopying();
+		}
+
+	}
+
 	/**
 	 * Carries the gossip between entries.
 	 */
