--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -13,6 +13,7 @@
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
 import dev.laneworks.core.dispatch.DirectCall.Attempt;
+import dev.laneworks.core.dispatch.DirectCall.Copying;
 import dev.laneworks.core.dispatch.DirectCall.Standby;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.serving.RequestKind;
@@ -394,15 +395,18 @@
 	private boolean goOnAtStandby(DirectCall call, String cause, long now) {
 		Optional<Standby> standby = call.standby()
 			.filter((s) -> !s.handle().isEmpty() && this.directory.takesWork(s.destination().id()));
-		if (standby.isEmpty() || !this.retries.tryTake(call.request().service(), now)) {
+		Optional<Copying> copying = this.mover.copyAtHand(call);
+		if ((standby.isEmpty() && copying.isEmpty()) || !this.retries.tryTake(call.request().service(), now)) {
 			return false;
 		}
+		ListedTarget source = call.attempt().get().target();
+		ListedTarget destination = standby.map(Standby::destination).orElseGet(() -> copying.get().destination());
+		String handle = standby.map(Standby::handle).orElseGet(() -> copying.get().handle());
 		this.standbys.take(call);
-		ListedTarget destination = standby.get().destination();
-		record(AuditKind.MOVED, call, standby.get().source(), cause + ": goes on at its standby copy of "
-				+ (now - standby.get().copiedAt()) + " ms ago at " + destination.id() + " behind event " + call.lastEvent());
-		ResumePoint point = new ResumePoint(standby.get().source().address(), standby.get().handle(),
-				call.lastEventText());
+		this.mover.taken(call, now);
+		record(AuditKind.MOVED, call, source,
+				cause + ": goes on at its last copy at " + destination.id() + " behind event " + call.lastEvent());
+		ResumePoint point = new ResumePoint(source.address(), handle, call.lastEventText());
 		call.succeedBy(begin(call, destination, Optional.of(point), now));
 		return true;
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -54,6 +54,12 @@
 	/** The wait before an order that could not be carried out is given again. */
 	private static final long AGAIN_MILLIS = 40;
 
+	/** What is copied within a few milliseconds, in tokens. */
+	private static final long NEARLY_COPIED_TOKENS = 600;
+
+	/** How long after the notice whole copies wait for what is nearly copied. */
+	private static final long NEARLY_COPIED_MILLIS = 70;
+
 	/** How often it is looked whether the turn has come, in milliseconds. */
 	private static final long LOOK_MILLIS = 8;
 
@@ -163,20 +169,53 @@
 		});
 	}
 
+	/**
+	 * Take that a call goes on at what was copied of it.
+	 * @param call the call
+	 * @param now the time in milliseconds
+	 */
+	void taken(DirectCall call, long now) {
+		call.copying().ifPresent((c) -> leaveQueue(call, c, now));
+	}
+
 	// Copies the next generation if none is being copied and it is this process's turn.
 	private void look(SourceQueue queue, long now) {
 		if (queue.active.isPresent() || queue.waiting.isEmpty()) {
 			return;
 		}
-		long sinceNotice = now - queue.noticedAt;
-		if (!this.turn.isOurs(queue.source, sinceNotice)) {
-			lookAgain(queue, now + LOOK_MILLIS);
-			return;
-		}
 		Optional<DirectCall> next = queue.waiting.stream()
 			.filter((c) -> c.copying().get().notBefore() <= now)
 			.min(Comparator.comparingLong(StreamMover::tokensToCopy));
-		next.ifPresent((c) -> copyAhead(queue, c, now));
+		if (next.isEmpty()) {
+			return;
+		}
+		if (mayGo(queue, next.get(), now)) {
+			copyAhead(queue, next.get(), now);
+		}
+		else {
+			lookAgain(queue, now + LOOK_MILLIS);
+		}
+	}
+
+	// What is nearly copied goes first and needs no turn; whole copies wait for it.
+	private boolean mayGo(SourceQueue queue, DirectCall next, long now) {
+		long sinceNotice = now - queue.noticedAt;
+		if (tokensToCopy(next) <= NEARLY_COPIED_TOKENS) {
+			return true;
+		}
+		return sinceNotice >= NEARLY_COPIED_MILLIS && this.turn.isOurs(queue.source, sinceNotice);
+	}
+
+	/**
+	 * Return the copy that a call can go on at though its move is not done, because its
+	 * engine is lost.
+	 * @param call the call
+	 * @return the copying whose destination has a part, if it can be used
+	 */
+	Optional<Copying> copyAtHand(DirectCall call) {
+		return call.copying()
+			.filter((c) -> c.phase() != Phase.WAITING && !c.handle().isEmpty() && c.destination() != null
+					&& this.resumption.takesWork(c.destination()));
 	}
 
 	private void lookAgain(SourceQueue queue, long due) {
@@ -198,8 +237,9 @@
 		Copying copying = call.copying().get();
 		Optional<EngineSpec> engine = this.resumption.engine(call);
 		long tokens = call.attempt().map(Attempt::heldTokens).orElse(0L);
-		Optional<ListedTarget> destination = this.standbys.take(call)
-			.map(Standby::destination)
+		Optional<Standby> standby = this.standbys.take(call);
+		standby.ifPresent((s) -> copying.handle(s.handle()));
+		Optional<ListedTarget> destination = standby.map(Standby::destination)
 			.filter((d) -> !copying.tried().contains(d.id()) && this.resumption.takesWork(d))
 			.or(() -> engine
 				.flatMap((e) -> this.chooser.chooseDestination(queue.source, e, tokens, copying.tried(), now)));
@@ -234,6 +274,7 @@
 			}
 			case NO_ROOM -> {
 				copying.tried().add(copying.destination().id());
+				copying.handle("");
 				release(copying);
 				activate(queue, Optional.empty());
 				copyAhead(queue, call, now);
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
@@ -16,6 +16,9 @@
 
 	private static final long TOO_LARGE_FOR_A_COPY = 22_000;
 
+	/** Longer than whole copies wait for what is nearly copied. */
+	private static final long AFTER_NOTICE = 90;
+
 	private final DispatchHarness world = DispatchHarness.create();
 
 	@Test
@@ -100,7 +103,7 @@
 		this.world.event(first, 0);
 		this.world.leave(first.target());
 		this.world.answer(this.world.arrive(), 503, true);
-		this.world.passTime(10);
+		this.world.passTime(AFTER_NOTICE);
 		assertThat(this.world.copies).hasSize(1);
 		assertThat(this.world.copies.get(0).stop()).isFalse();
 		assertThat(this.world.event(first, 1)).isTrue();
@@ -110,6 +113,7 @@
 	void copiesWhileTheRunGoesOnAndStopsItBehindAQuickRound() {
 		Sent first = streamWithoutRunningCopy();
 		this.world.leave(first.target());
+		this.world.passTime(AFTER_NOTICE);
 		assertThat(this.world.copies).hasSize(1);
 		this.world.now += 400;
 		this.world.copied(Outcome.COPIED, "h1");
@@ -133,6 +137,7 @@
 	void waitsForTheLastEventsOfAStoppedRunButNotForLong() {
 		Sent first = streamWithoutRunningCopy();
 		this.world.leave(first.target());
+		this.world.passTime(AFTER_NOTICE);
 		this.world.copied(Outcome.COPIED, "h1");
 		this.world.copied(Outcome.COPIED, "h1");
 		int sentBefore = this.world.sent.size();
@@ -148,6 +153,7 @@
 		Sent first = streamWithoutRunningCopy();
 		this.world.join(DispatchHarness.ENGINES, "c");
 		this.world.leave(first.target());
+		this.world.passTime(AFTER_NOTICE);
 		String tried = this.world.copies.get(0).destination().id();
 		this.world.copied(Outcome.NO_ROOM, "");
 		assertThat(this.world.copies).hasSize(2);
@@ -158,6 +164,7 @@
 	void aRunThatHasNotBegunIsCopiedOnceItHas() {
 		Sent first = streamWithoutRunningCopy();
 		this.world.leave(first.target());
+		this.world.passTime(AFTER_NOTICE);
 		this.world.copied(Outcome.NO_SUCH_RUN, "");
 		this.world.passTime(60);
 		assertThat(this.world.copies).hasSize(2);
@@ -173,6 +180,7 @@
 		}
 		this.world.event(second, 0);
 		this.world.leave(first.target());
+		this.world.passTime(AFTER_NOTICE);
 		assertThat(this.world.copies).hasSize(1);
 	}
 
@@ -181,18 +189,71 @@
 		Sent first = streamWithoutRunningCopy();
 		this.world.ourTurn = false;
 		this.world.leave(first.target());
-		this.world.passTime(50);
+		this.world.passTime(AFTER_NOTICE);
 		assertThat(this.world.copies).isEmpty();
 		this.world.ourTurn = true;
 		this.world.passTime(10);
 		assertThat(this.world.copies).hasSize(1);
 	}
 
+	@Test
+	void keepsAStandbyCopyWhereThereIsNoRunningOneAndBringsItUpToDate() {
+		Sent first = streamWithStandbyCopy();
+		CopyOrder order = this.world.copies.get(0);
+		assertThat(order.stop()).isFalse();
+		this.world.event(first, 1);
+		this.world.passTime(3_000);
+		assertThat(this.world.copies).hasSize(2);
+		assertThat(this.world.copies.get(1).destination().id()).isEqualTo(order.destination().id());
+	}
+
+	@Test
+	void whatIsNearlyCopiedNeedsNoTurn() {
+		Sent first = streamWithStandbyCopy();
+		this.world.ourTurn = false;
+		this.world.leave(first.target());
+		assertThat(this.world.copies).hasSize(2);
+		assertThat(this.world.copies.get(1).destination().id()).isEqualTo(this.world.copies.get(0).destination().id());
+	}
+
+	@Test
+	void aLostRunGoesOnAtItsStandbyCopy() {
+		Sent first = streamWithStandbyCopy();
+		this.world.event(first, 1);
+		this.world.breakOff(first);
+		Sent second = this.world.arrive();
+		assertThat(second.order().resume())
+			.isEqualTo(Optional.of(new ResumePoint(first.target().address(), "s1", "1")));
+		assertThat(this.world.event(second, 2)).isTrue();
+	}
+
+	@Test
+	void aLostRunGoesOnAtWhatItsMoveHasCopied() {
+		Sent first = streamWithStandbyCopy();
+		this.world.leave(first.target());
+		this.world.event(first, 1);
+		this.world.breakOff(first);
+		Sent second = this.world.arrive();
+		assertThat(second.order().resume().get().handle()).isEqualTo("s1");
+	}
+
+	private Sent streamWithStandbyCopy() {
+		this.world.join(DispatchHarness.ENGINES, "a");
+		this.world.openStream(1, 9_000);
+		Sent first = this.world.arrive();
+		this.world.join(DispatchHarness.ENGINES, "b");
+		this.world.event(first, 0);
+		this.world.passTime(800);
+		assertThat(this.world.copies).hasSize(1);
+		this.world.copied(Outcome.COPIED, "s1");
+		return first;
+	}
+
 	@Test
 	void releasesACopyThatIsNotNeededAnyMore() {
 		Sent first = streamWithoutRunningCopy();
 		this.world.leave(first.target());
-		this.world.now += 400;
+		this.world.passTime(400);
 		this.world.copied(Outcome.COPIED, "h1");
 		this.world.dispatcher.streamEnded(1, first.attempt(), this.world.now);
 		assertThat(this.world.answers(1)).containsExactly("started", "ended").inOrder();
@@ -203,6 +264,7 @@
 	void aCallThatIsOverHoldsNothing() {
 		Sent first = streamWithoutRunningCopy();
 		this.world.leave(first.target());
+		this.world.passTime(AFTER_NOTICE);
 		this.world.dispatcher.callerLeft(1, this.world.now);
 		this.world.copied(Outcome.COPIED, "h1");
 		assertThat(this.world.released).contains(first.target().id() + "/h1");
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -79,8 +79,13 @@
 
 	private static final long LOOK_MILLIS = 50;
 
+	/** How often this entry's part of the retry budget is worked out anew. */
+	private static final long SHARE_MILLIS = 500;
+
 	private final DirectSettings settings;
 
+	private DirectSettings inForce;
+
 	private final IoWorker io = IoWorker.start(1, 1);
 
 	private final AuditTrail audit = new AuditTrail(AUDIT_CAPACITY, EnumSet.noneOf(AuditKind.class));
@@ -122,6 +127,7 @@
 	 */
 	public DirectEntry(DirectSettings settings, PlatformAdapter.Factory platform) {
 		this.settings = settings;
+		this.inForce = settings;
 		SplittableRandom random = new SplittableRandom(ThreadLocalRandom.current().nextLong());
 		XnioIoThread thread = this.io.worker().getIoThread();
 		Timers timers = new Timers();
@@ -131,7 +137,8 @@
 		DirectCalls calls = new DirectCalls(this.loop, http, adapter.headers(), adapter.engines(),
 				new CallTimes(this.metrics));
 		TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, settings.dataCentre(), random);
-		this.retries = new RetryWindow(settings.retryWindowMillis(), settings.retryRatio(), settings.ownRetryExtra());
+		this.retries = new RetryWindow(settings.retryWindowMillis(), settings.retryRatio(),
+				settings.ownRetryExtra(1));
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(), this.directory, this.beliefs, chooser,
 				new Turns(), this.retries, timers, calls, this.audit);
 		calls.use(this.dispatcher);
@@ -163,6 +170,7 @@
 		this.loop.run(() -> this.follower.start(this.loop.now()));
 		this.loop.run(this::lookForPlan);
 		this.loop.run(() -> this.gossip.start(this.loop.now()));
+		this.loop.run(() -> shareRetries(1));
 		try {
 			this.ended.await();
 		}
@@ -199,7 +207,7 @@
 			return;
 		}
 		DirectSettings fresh = read.get();
-		this.loop.run(() -> this.retries.allow(fresh.retryRatio(), fresh.ownRetryExtra()));
+		this.loop.run(() -> this.inForce = fresh);
 		boolean needsStart = !fresh.callers().equals(this.settings.callers())
 				|| !fresh.store().equals(this.settings.store());
 		LogLine.of("reload")
@@ -207,6 +215,14 @@
 			.info();
 	}
 
+	// More entries have smaller parts; a part grows only when an entry has been gone for a
+	// while.
+	private void shareRetries(int entriesBefore) {
+		int entries = Math.max(this.gossip.peers() + 1, entriesBefore - 1);
+		this.retries.allow(this.inForce.retryRatio(), this.inForce.ownRetryExtra(entries));
+		this.loop.timers().at(this.loop.now() + SHARE_MILLIS, (t) -> shareRetries(entries));
+	}
+
 	private void lookForPlan() {
 		if (this.published.isComplete()) {
 			this.ready = true;
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
@@ -23,7 +23,7 @@
  * @param retryWindowMillis the window in which repeated sendings are counted
  * @param retryRatio the repeated sendings that the fleet may make for each request
  * @param retryExtra the repeated sendings that the fleet may make besides
- * @param retryExtraShare this entry's part of them, from 0 to 1
+ * @param retryExtraShare the part of them that all entries together spend, from 0 to 1
  * @param graceMillis the time from the order to stop to the end of the process
  * @since 0.2
  */
@@ -52,10 +52,16 @@
 	private static final int MAX_REPEATS = 1_000_000;
 
 	/**
-	 * An entry's part of the fixed number of repeated sendings: a tenth, which is safe
-	 * for up to ten entries that all spend it in the same window.
+	 * The part of the fixed number of repeated sendings that all entries together spend;
+	 * the rest is for entries that die and start anew with an empty history.
 	 */
-	private static final double EXTRA_SHARE = 0.1;
+	private static final double EXTRA_SHARE = 0.6;
+
+	/**
+	 * The entries that there are taken to be at the least, since one that is cut off knows
+	 * of no other.
+	 */
+	private static final int FEWEST_ENTRIES = 5;
 
 	/**
 	 * Read the settings.
@@ -80,10 +86,11 @@
 	/**
 	 * Return this entry's part of the repeated sendings that the fleet may make besides a
 	 * share of its requests.
+	 * @param entries the entries known, this one included
 	 * @return the sendings in each window
 	 */
-	public double ownRetryExtra() {
-		return this.retryExtra * this.retryExtraShare;
+	public double ownRetryExtra(int entries) {
+		return this.retryExtra * this.retryExtraShare / Math.max(FEWEST_ENTRIES, entries);
 	}
 
 	private static long millis(double seconds) {
