--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/EntryNews.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/EntryNews.java
@@ -12,15 +12,17 @@
  * @param sequence the number of this news, rising within an incarnation
  * @param ending whether the entry ends, so that nothing more comes from it
  * @param work its work at targets
+ * @param spending what it spent of the retry budget in the window, by service
  * @param peers the addresses of other entries that it has heard of lately
  * @since 0.2
  */
 public record EntryNews(String instance, long incarnation, long sequence, boolean ending, List<WorkAtTarget> work,
-		List<String> peers) {
+		List<ServiceSpending> spending, List<String> peers) {
 
 	public EntryNews {
 		Objects.requireNonNull(instance, "instance must not be null");
 		work = List.copyOf(work);
+		spending = List.copyOf(spending);
 		peers = List.copyOf(peers);
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 
 import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
@@ -51,6 +52,9 @@
 
 	private final Map<String, WorkAtTarget> sums = new HashMap<>();
 
+	/** The last news of entries that are gone; what they spent counts on for a window. */
+	private final List<Peer> departed = new ArrayList<>();
+
 	private long sequence;
 
 	private long toldAt = Long.MIN_VALUE / 2;
@@ -138,6 +142,9 @@
 			forget(from, "it ends");
 			return;
 		}
+		if (known != null && known.news.incarnation() != news.incarnation()) {
+			this.departed.add(known);
+		}
 		this.peers.put(from, new Peer(news, now));
 		sumUp();
 		if (known == null) {
@@ -159,6 +166,25 @@
 		return Optional.of(this.sums.getOrDefault(target, new WorkAtTarget(target, 0, 0, 0, 0, false)));
 	}
 
+	/**
+	 * Return what other entries spent of the retry budget, those that went lately
+	 * included.
+	 * @param service the service's name
+	 * @param windowMillis the budget's window
+	 * @param now the time in milliseconds
+	 * @return the sum; empty while no other entry is known
+	 */
+	public Optional<ServiceSpending> spendingOfOthers(String service, long windowMillis, long now) {
+		this.departed.removeIf((p) -> now - p.heardAt > windowMillis);
+		if (this.peers.isEmpty()) {
+			return Optional.empty();
+		}
+		return Optional.of(Stream.concat(this.peers.values().stream(), this.departed.stream())
+			.flatMap((p) -> p.news.spending().stream())
+			.filter((s) -> s.service().equals(service))
+			.reduce(new ServiceSpending(service, 0, 0), ServiceSpending::plus));
+	}
+
 	/**
 	 * Return whether this entry may copy a generation away from a target now.
 	 * <p>
@@ -228,13 +254,14 @@
 		this.sequence++;
 		List<String> heard = someOf(List.copyOf(this.peers.keySet()), this.settings.introductions());
 		EntryNews news = new EntryNews(this.instance, this.incarnation, this.sequence, this.ending,
-				this.outputs.ownWork(), heard);
+				this.outputs.ownWork(), this.outputs.ownSpending(), heard);
 		addresses.forEach((a) -> this.outputs.send(a, news));
 	}
 
 	private void forget(String address, String cause) {
 		Peer peer = this.peers.remove(address);
 		if (peer != null) {
+			this.departed.add(peer);
 			sumUp();
 			this.audit.record(AuditEvent.of(AuditKind.MEMBERSHIP, peer.news.instance(), "", "entry gone: " + cause));
 		}
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/GossipOutputs.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/GossipOutputs.java
@@ -22,4 +22,10 @@
 	 */
 	List<WorkAtTarget> ownWork();
 
+	/**
+	 * Return what this entry spent of the retry budget in the window.
+	 * @return its spending on each service that it saw requests for
+	 */
+	List<ServiceSpending> ownSpending();
+
 }
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -61,7 +61,8 @@
 	DispatchHarness(double retryRatio, double retryExtra, long seed) {
 		SplittableRandom random = new SplittableRandom(seed);
 		TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, "dc", random);
-		RetryWindow retries = new RetryWindow(10_000, retryRatio, retryExtra);
+		RetryWindow retries = new RetryWindow(10_000, retryRatio, retryExtra, retryExtra,
+				(s, w, t) -> Optional.empty());
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(), this.directory, this.beliefs, chooser,
 				new Turns(), retries, this.timers, this, this.audit::add);
 		EngineSpec engine = new EngineSpec(64, 34_000, 18_432, 2_700, 4, true, true, 2_000);
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/RetryWindowTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/RetryWindowTests.java
@@ -1,5 +1,8 @@
 package dev.laneworks.core.dispatch;
 
+import java.util.Optional;
+
+import dev.laneworks.core.gossip.ServiceSpending;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -11,7 +14,7 @@
 
 	@Test
 	void allowsAShareOfTheRequestsAndAPartOfTheFixedNumberInEachWindow() {
-		RetryWindow window = new RetryWindow(10_000, 0.2, 3);
+		RetryWindow window = alone(0.2, 3);
 		for (int i = 0; i < 10; i++) {
 			window.recordRequest("s", i);
 		}
@@ -20,7 +23,7 @@
 
 	@Test
 	void eachSpanOfTheWindowsLengthHolds() {
-		RetryWindow window = new RetryWindow(10_000, 0, 3);
+		RetryWindow window = alone(0, 3);
 		int taken = 0;
 		for (long now = 0; now < 9_900; now += 100) {
 			taken += window.tryTake("s", now) ? 1 : 0;
@@ -31,12 +34,23 @@
 
 	@Test
 	void servicesHaveTheirOwn() {
-		RetryWindow window = new RetryWindow(10_000, 0, 1);
+		RetryWindow window = alone(0, 1);
 		assertThat(window.tryTake("a", 0)).isTrue();
 		assertThat(window.tryTake("b", 0)).isTrue();
 		assertThat(window.tryTake("a", 1)).isFalse();
 	}
 
+	@Test
+	void spendsMoreWhereAllTogetherStayClearOfTheBound() {
+		RetryWindow window = new RetryWindow(10_000, 0, 1, 10,
+				(s, w, now) -> Optional.of(new ServiceSpending(s, 0, 4)));
+		assertThat(taken(window, 20)).isEqualTo(3);
+	}
+
+	private static RetryWindow alone(double ratio, double fixed) {
+		return new RetryWindow(10_000, ratio, fixed, fixed, (s, w, now) -> Optional.empty());
+	}
+
 	private static int taken(RetryWindow window, int tries) {
 		int taken = 0;
 		for (int i = 0; i < tries; i++) {
--- a/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
@@ -71,13 +71,13 @@
 	@Test
 	void anEntryThatEndsIsForgottenAtOnce() {
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(1, 700)), 0);
-		this.gossip.received("10.0.0.2:7200", new EntryNews("two", 2, 2, true, List.of(), List.of()), 5);
+		this.gossip.received("10.0.0.2:7200", new EntryNews("two", 2, 2, true, List.of(), List.of(), List.of()), 5);
 		assertThat(this.gossip.peers()).isEqualTo(0);
 	}
 
 	@Test
 	void introducesItselfToEntriesThatOthersName() {
-		EntryNews news = new EntryNews("two", 2, 1, false, List.of(), List.of("10.0.0.5:7200", "10.0.0.1:7200"));
+		EntryNews news = new EntryNews("two", 2, 1, false, List.of(), List.of(), List.of("10.0.0.5:7200", "10.0.0.1:7200"));
 		this.gossip.received("10.0.0.2:7200", news, 0);
 		assertThat(this.told).containsExactly("10.0.0.2:7200", "10.0.0.5:7200").inOrder();
 	}
@@ -97,6 +97,19 @@
 		assertThat(this.told).hasSize(2);
 	}
 
+	@Test
+	void whatAnEntrySpentCountsOnAfterItIsGoneForAsLongAsTheWindow() {
+		ServiceSpending spent = new ServiceSpending("s", 10, 4);
+		EntryNews two = new EntryNews("two", 2, 1, false, List.of(), List.of(spent), List.of());
+		EntryNews three = new EntryNews("three", 3, 1, false, List.of(), List.of(spent), List.of());
+		assertThat(this.gossip.spendingOfOthers("s", 10_000, 0)).isEqualTo(Optional.empty());
+		this.gossip.received("10.0.0.2:7200", two, 0);
+		this.gossip.received("10.0.0.3:7200", three, 0);
+		this.gossip.received("10.0.0.2:7200", new EntryNews("two", 2, 2, true, List.of(), List.of(), List.of()), 100);
+		assertThat(this.gossip.spendingOfOthers("s", 10_000, 5_000).get().repeats()).isEqualTo(8);
+		assertThat(this.gossip.spendingOfOthers("s", 10_000, 10_001).get().repeats()).isEqualTo(4);
+	}
+
 	@Test
 	void entriesTakeTurnsByRankAndDoNotDisturbACopy() {
 		String target = targetWhere("two", "me");
@@ -142,7 +155,7 @@
 	}
 
 	private static EntryNews news(String name, long incarnation, long sequence, WorkAtTarget work) {
-		return new EntryNews(name, incarnation, sequence, false, List.of(work), List.of());
+		return new EntryNews(name, incarnation, sequence, false, List.of(work), List.of(), List.of());
 	}
 
 	private final class Outputs implements GossipOutputs {
@@ -158,6 +171,11 @@
 			return List.of();
 		}
 
+		@Override
+		public List<ServiceSpending> ownSpending() {
+			return List.of();
+		}
+
 	}
 
 }
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -31,6 +31,7 @@
 import dev.laneworks.core.gossip.Gossip;
 import dev.laneworks.core.gossip.GossipOutputs;
 import dev.laneworks.core.gossip.GossipSettings;
+import dev.laneworks.core.gossip.ServiceSpending;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.core.retry.Backoff;
 import dev.laneworks.core.time.Timers;
@@ -138,7 +139,7 @@
 				new CallTimes(this.metrics));
 		TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, settings.dataCentre(), random);
 		this.retries = new RetryWindow(settings.retryWindowMillis(), settings.retryRatio(),
-				settings.ownRetryExtra(1));
+				settings.ownRetryExtra(1), settings.retryExtra(), this::spendingOfOthers);
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(), this.directory, this.beliefs, chooser,
 				new Turns(), this.retries, timers, calls, this.audit);
 		calls.use(this.dispatcher);
@@ -281,6 +282,10 @@
 		return this.gossip.others(target);
 	}
 
+	private Optional<ServiceSpending> spendingOfOthers(String service, long windowMillis, long now) {
+		return this.gossip.spendingOfOthers(service, windowMillis, now);
+	}
+
 	private static Set<String> seeds(DirectSettings settings) {
 		return settings.seeds()
 			.stream()
@@ -352,6 +357,11 @@
 			return DirectEntry.this.beliefs.ownWork();
 		}
 
+		@Override
+		public List<ServiceSpending> ownSpending() {
+			return DirectEntry.this.retries.spending(DirectEntry.this.loop.now());
+		}
+
 	}
 
 	/**
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/EntryNewsCodec.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/EntryNewsCodec.java
@@ -5,6 +5,7 @@
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import dev.laneworks.core.gossip.EntryNews;
+import dev.laneworks.core.gossip.ServiceSpending;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.wire.proto.Protocol;
 import org.tinylog.Logger;
@@ -28,6 +29,7 @@
 			.setEnding(news.ending())
 			.addAllPeers(news.peers());
 		news.work().forEach((w) -> builder.addWork(encode(w)));
+		news.spending().forEach((s) -> builder.addSpending(encode(s)));
 		return builder.build().toByteArray();
 	}
 
@@ -40,7 +42,8 @@
 			}
 			List<WorkAtTarget> work = news.getWorkList().stream().map(EntryNewsCodec::decode).toList();
 			return Optional.of(new EntryNews(news.getInstance(), news.getIncarnation(), news.getSequence(),
-					news.getEnding(), work, news.getPeersList()));
+					news.getEnding(), work, news.getSpendingList().stream().map(EntryNewsCodec::decode).toList(),
+					news.getPeersList()));
 		}
 		catch (InvalidProtocolBufferException ex) {
 			Logger.info("a datagram that is no news is passed over: {}", ex.getMessage());
@@ -59,6 +62,18 @@
 			.build();
 	}
 
+	private static Protocol.ServiceSpending encode(ServiceSpending spending) {
+		return Protocol.ServiceSpending.newBuilder()
+			.setService(spending.service())
+			.setRequests(spending.requests())
+			.setRepeats(spending.repeats())
+			.build();
+	}
+
+	private static ServiceSpending decode(Protocol.ServiceSpending spending) {
+		return new ServiceSpending(spending.getService(), spending.getRequests(), spending.getRepeats());
+	}
+
 	private static WorkAtTarget decode(Protocol.WorkAtTarget work) {
 		return new WorkAtTarget(work.getTarget(), work.getRequests(), work.getHeldTokens(), work.getUnreadTokens(),
 				work.getToMove(), work.getCopying());
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
@@ -20278,6 +20278,30 @@
      */
     com.google.protobuf.ByteString
         getPeersBytes(int index);
+
+    /**
+     * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+     */
+    java.util.List<dev.laneworks.wire.proto.Protocol.ServiceSpending> 
+        getSpendingList();
+    /**
+     * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.ServiceSpending getSpending(int index);
+    /**
+     * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+     */
+    int getSpendingCount();
+    /**
+     * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+     */
+    java.util.List<? extends dev.laneworks.wire.proto.Protocol.ServiceSpendingOrBuilder> 
+        getSpendingOrBuilderList();
+    /**
+     * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.ServiceSpendingOrBuilder getSpendingOrBuilder(
+        int index);
   }
   /**
    * <pre>
@@ -20309,6 +20333,7 @@
       work_ = java.util.Collections.emptyList();
       peers_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      spending_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -20506,6 +20531,47 @@
       return peers_.getByteString(index);
     }
 
+    public static final int SPENDING_FIELD_NUMBER = 8;
+    @SuppressWarnings("serial")
+    private java.util.List<dev.laneworks.wire.proto.Protocol.ServiceSpending> spending_;
+    /**
+     * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+     */
+    @java.lang.Override
+    public java.util.List<dev.laneworks.wire.proto.Protocol.ServiceSpending> getSpendingList() {
+      return spending_;
+    }
+    /**
+     * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends dev.laneworks.wire.proto.Protocol.ServiceSpendingOrBuilder> 
+        getSpendingOrBuilderList() {
+      return spending_;
+    }
+    /**
+     * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+     */
+    @java.lang.Override
+    public int getSpendingCount() {
+      return spending_.size();
+    }
+    /**
+     * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.ServiceSpending getSpending(int index) {
+      return spending_.get(index);
+    }
+    /**
+     * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.ServiceSpendingOrBuilder getSpendingOrBuilder(
+        int index) {
+      return spending_.get(index);
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -20541,6 +20607,9 @@
       for (int i = 0; i < peers_.size(); i++) {
         com.google.protobuf.GeneratedMessage.writeString(output, 7, peers_.getRaw(i));
       }
+      for (int i = 0; i < spending_.size(); i++) {
+        output.writeMessage(8, spending_.get(i));
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -20586,6 +20655,15 @@
         size += dataSize;
         size += 1 * getPeersList().size();
       }
+
+          {
+            final int count = spending_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(spending_.get(i));
+            }
+            size += 1 * count;
+          }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -20615,6 +20693,8 @@
           .equals(other.getWorkList())) return false;
       if (!getPeersList()
           .equals(other.getPeersList())) return false;
+      if (!getSpendingList()
+          .equals(other.getSpendingList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -20647,6 +20727,10 @@
         hash = (37 * hash) + PEERS_FIELD_NUMBER;
         hash = (53 * hash) + getPeersList().hashCode();
       }
+      if (getSpendingCount() > 0) {
+        hash = (37 * hash) + SPENDING_FIELD_NUMBER;
+        hash = (53 * hash) + getSpendingList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -20796,6 +20880,13 @@
         bitField0_ = (bitField0_ & ~0x00000020);
         peers_ =
             com.google.protobuf.LazyStringArrayList.emptyList();
+        if (spendingBuilder_ == null) {
+          spending_ = java.util.Collections.emptyList();
+        } else {
+          spending_ = null;
+          spendingBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000080);
         return this;
       }
 
@@ -20838,6 +20929,15 @@
         } else {
           result.work_ = workBuilder_.build();
         }
+        if (spendingBuilder_ == null) {
+          if (((bitField0_ & 0x00000080) != 0)) {
+            spending_ = java.util.Collections.unmodifiableList(spending_);
+            bitField0_ = (bitField0_ & ~0x00000080);
+          }
+          result.spending_ = spending_;
+        } else {
+          result.spending_ = spendingBuilder_.build();
+        }
       }
 
       private void buildPartial0(dev.laneworks.wire.proto.Protocol.EntryNews result) {
@@ -20928,6 +21028,32 @@
           }
           onChanged();
         }
+        if (spendingBuilder_ == null) {
+          if (!other.spending_.isEmpty()) {
+            if (spending_.isEmpty()) {
+              spending_ = other.spending_;
+              bitField0_ = (bitField0_ & ~0x00000080);
+            } else {
+              ensureSpendingIsMutable();
+              spending_.addAll(other.spending_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.spending_.isEmpty()) {
+            if (spendingBuilder_.isEmpty()) {
+              spendingBuilder_.dispose();
+              spendingBuilder_ = null;
+              spending_ = other.spending_;
+              bitField0_ = (bitField0_ & ~0x00000080);
+              spendingBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetSpendingFieldBuilder() : null;
+            } else {
+              spendingBuilder_.addAllMessages(other.spending_);
+            }
+          }
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -20997,6 +21123,19 @@
                 peers_.add(input.readStringRequireUtf8());
                 break;
               } // case 58
+              case 66: {
+                dev.laneworks.wire.proto.Protocol.ServiceSpending m =
+                    input.readMessage(
+                        dev.laneworks.wire.proto.Protocol.ServiceSpending.parser(),
+                        extensionRegistry);
+                if (spendingBuilder_ == null) {
+                  ensureSpendingIsMutable();
+                  spending_.add(m);
+                } else {
+                  spendingBuilder_.addMessage(m);
+                }
+                break;
+              } // case 66
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -21601,6 +21740,246 @@
         return this;
       }
 
+      private java.util.List<dev.laneworks.wire.proto.Protocol.ServiceSpending> spending_ =
+        java.util.Collections.emptyList();
+      private void ensureSpendingIsMutable() {
+        if (!((bitField0_ & 0x00000080) != 0)) {
+          spending_ = new java.util.ArrayList<dev.laneworks.wire.proto.Protocol.ServiceSpending>(spending_);
+          bitField0_ |= 0x00000080;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.ServiceSpending, dev.laneworks.wire.proto.Protocol.ServiceSpending.Builder, dev.laneworks.wire.proto.Protocol.ServiceSpendingOrBuilder> spendingBuilder_;
+
+      /**
+       * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+       */
+      public java.util.List<dev.laneworks.wire.proto.Protocol.ServiceSpending> getSpendingList() {
+        if (spendingBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(spending_);
+        } else {
+          return spendingBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+       */
+      public int getSpendingCount() {
+        if (spendingBuilder_ == null) {
+          return spending_.size();
+        } else {
+          return spendingBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.ServiceSpending getSpending(int index) {
+        if (spendingBuilder_ == null) {
+          return spending_.get(index);
+        } else {
+          return spendingBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+       */
+      public Builder setSpending(
+          int index, dev.laneworks.wire.proto.Protocol.ServiceSpending value) {
+        if (spendingBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureSpendingIsMutable();
+          spending_.set(index, value);
+          onChanged();
+        } else {
+          spendingBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+       */
+      public Builder setSpending(
+          int index, dev.laneworks.wire.proto.Protocol.ServiceSpending.Builder builderForValue) {
+        if (spendingBuilder_ == null) {
+          ensureSpendingIsMutable();
+          spending_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          spendingBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+       */
+      public Builder addSpending(dev.laneworks.wire.proto.Protocol.ServiceSpending value) {
+        if (spendingBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureSpendingIsMutable();
+          spending_.add(value);
+          onChanged();
+        } else {
+          spendingBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+       */
+      public Builder addSpending(
+          int index, dev.laneworks.wire.proto.Protocol.ServiceSpending value) {
+        if (spendingBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureSpendingIsMutable();
+          spending_.add(index, value);
+          onChanged();
+        } else {
+          spendingBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+       */
+      public Builder addSpending(
+          dev.laneworks.wire.proto.Protocol.ServiceSpending.Builder builderForValue) {
+        if (spendingBuilder_ == null) {
+          ensureSpendingIsMutable();
+          spending_.add(builderForValue.build());
+          onChanged();
+        } else {
+          spendingBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+       */
+      public Builder addSpending(
+          int index, dev.laneworks.wire.proto.Protocol.ServiceSpending.Builder builderForValue) {
+        if (spendingBuilder_ == null) {
+          ensureSpendingIsMutable();
+          spending_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          spendingBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+       */
+      public Builder addAllSpending(
+          java.lang.Iterable<? extends dev.laneworks.wire.proto.Protocol.ServiceSpending> values) {
+        if (spendingBuilder_ == null) {
+          ensureSpendingIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, spending_);
+          onChanged();
+        } else {
+          spendingBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+       */
+      public Builder clearSpending() {
+        if (spendingBuilder_ == null) {
+          spending_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000080);
+          onChanged();
+        } else {
+          spendingBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+       */
+      public Builder removeSpending(int index) {
+        if (spendingBuilder_ == null) {
+          ensureSpendingIsMutable();
+          spending_.remove(index);
+          onChanged();
+        } else {
+          spendingBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.ServiceSpending.Builder getSpendingBuilder(
+          int index) {
+        return internalGetSpendingFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.ServiceSpendingOrBuilder getSpendingOrBuilder(
+          int index) {
+        if (spendingBuilder_ == null) {
+          return spending_.get(index);  } else {
+          return spendingBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+       */
+      public java.util.List<? extends dev.laneworks.wire.proto.Protocol.ServiceSpendingOrBuilder> 
+           getSpendingOrBuilderList() {
+        if (spendingBuilder_ != null) {
+          return spendingBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(spending_);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.ServiceSpending.Builder addSpendingBuilder() {
+        return internalGetSpendingFieldBuilder().addBuilder(
+            dev.laneworks.wire.proto.Protocol.ServiceSpending.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.ServiceSpending.Builder addSpendingBuilder(
+          int index) {
+        return internalGetSpendingFieldBuilder().addBuilder(
+            index, dev.laneworks.wire.proto.Protocol.ServiceSpending.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .laneworks.ServiceSpending spending = 8;</code>
+       */
+      public java.util.List<dev.laneworks.wire.proto.Protocol.ServiceSpending.Builder> 
+           getSpendingBuilderList() {
+        return internalGetSpendingFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.ServiceSpending, dev.laneworks.wire.proto.Protocol.ServiceSpending.Builder, dev.laneworks.wire.proto.Protocol.ServiceSpendingOrBuilder> 
+          internalGetSpendingFieldBuilder() {
+        if (spendingBuilder_ == null) {
+          spendingBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              dev.laneworks.wire.proto.Protocol.ServiceSpending, dev.laneworks.wire.proto.Protocol.ServiceSpending.Builder, dev.laneworks.wire.proto.Protocol.ServiceSpendingOrBuilder>(
+                  spending_,
+                  ((bitField0_ & 0x00000080) != 0),
+                  getParentForChildren(),
+                  isClean());
+          spending_ = null;
+        }
+        return spendingBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:laneworks.EntryNews)
     }
 
@@ -21652,21 +22031,21 @@
 
   }
 
-  public interface WorkAtTargetOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:laneworks.WorkAtTarget)
+  public interface ServiceSpendingOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:laneworks.ServiceSpending)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>string target = 1;</code>
-     * @return The target.
+     * <code>string service = 1;</code>
+     * @return The service.
      */
-    java.lang.String getTarget();
+    java.lang.String getService();
     /**
-     * <code>string target = 1;</code>
-     * @return The bytes for target.
+     * <code>string service = 1;</code>
+     * @return The bytes for service.
      */
     com.google.protobuf.ByteString
-        getTargetBytes();
+        getServiceBytes();
 
     /**
      * <code>uint32 requests = 2;</code>
@@ -21675,36 +22054,18 @@
     int getRequests();
 
     /**
-     * <code>uint64 held_tokens = 3;</code>
-     * @return The heldTokens.
-     */
-    long getHeldTokens();
-
-    /**
-     * <code>uint64 unread_tokens = 4;</code>
-     * @return The unreadTokens.
-     */
-    long getUnreadTokens();
-
-    /**
-     * <code>uint32 to_move = 5;</code>
-     * @return The toMove.
-     */
-    int getToMove();
-
-    /**
-     * <code>bool copying = 6;</code>
-     * @return The copying.
+     * <code>uint32 repeats = 3;</code>
+     * @return The repeats.
      */
-    boolean getCopying();
+    int getRepeats();
   }
   /**
-   * Protobuf type {@code laneworks.WorkAtTarget}
+   * Protobuf type {@code laneworks.ServiceSpending}
    */
-  public static final class WorkAtTarget extends
+  public static final class ServiceSpending extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:laneworks.WorkAtTarget)
-      WorkAtTargetOrBuilder {
+      // @@protoc_insertion_point(message_implements:laneworks.ServiceSpending)
+      ServiceSpendingOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -21713,67 +22074,67 @@
         /* minor= */ 34,
         /* patch= */ 2,
         /* suffix= */ "",
-        "WorkAtTarget");
+        "ServiceSpending");
     }
-    // Use WorkAtTarget.newBuilder() to construct.
-    private WorkAtTarget(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use ServiceSpending.newBuilder() to construct.
+    private ServiceSpending(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private WorkAtTarget() {
-      target_ = "";
+    private ServiceSpending() {
+      service_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_WorkAtTarget_descriptor;
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_ServiceSpending_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_WorkAtTarget_descriptor;
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_ServiceSpending_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_WorkAtTarget_fieldAccessorTable
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_ServiceSpending_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              dev.laneworks.wire.proto.Protocol.WorkAtTarget.class, dev.laneworks.wire.proto.Protocol.WorkAtTarget.Builder.class);
+              dev.laneworks.wire.proto.Protocol.ServiceSpending.class, dev.laneworks.wire.proto.Protocol.ServiceSpending.Builder.class);
     }
 
-    public static final int TARGET_FIELD_NUMBER = 1;
+    public static final int SERVICE_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
-    private volatile java.lang.Object target_ = "";
+    private volatile java.lang.Object service_ = "";
     /**
-     * <code>string target = 1;</code>
-     * @return The target.
+     * <code>string service = 1;</code>
+     * @return The service.
      */
     @java.lang.Override
-    public java.lang.String getTarget() {
-      java.lang.Object ref = target_;
+    public java.lang.String getService() {
+      java.lang.Object ref = service_;
       if (ref instanceof java.lang.String) {
         return (java.lang.String) ref;
       } else {
         com.google.protobuf.ByteString bs = 
             (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
-        target_ = s;
+        service_ = s;
         return s;
       }
     }
     /**
-     * <code>string target = 1;</code>
-     * @return The bytes for target.
+     * <code>string service = 1;</code>
+     * @return The bytes for service.
      */
     @java.lang.Override
     public com.google.protobuf.ByteString
-        getTargetBytes() {
-      java.lang.Object ref = target_;
+        getServiceBytes() {
+      java.lang.Object ref = service_;
       if (ref instanceof java.lang.String) {
         com.google.protobuf.ByteString b = 
             com.google.protobuf.ByteString.copyFromUtf8(
                 (java.lang.String) ref);
-        target_ = b;
+        service_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
@@ -21791,22 +22152,699 @@
       return requests_;
     }
 
-    public static final int HELD_TOKENS_FIELD_NUMBER = 3;
-    private long heldTokens_ = 0L;
+    public static final int REPEATS_FIELD_NUMBER = 3;
+    private int repeats_ = 0;
     /**
-     * <code>uint64 held_tokens = 3;</code>
-     * @return The heldTokens.
+     * <code>uint32 repeats = 3;</code>
+     * @return The repeats.
      */
     @java.lang.Override
-    public long getHeldTokens() {
-      return heldTokens_;
+    public int getRepeats() {
+      return repeats_;
     }
 
-    public static final int UNREAD_TOKENS_FIELD_NUMBER = 4;
-    private long unreadTokens_ = 0L;
-    /**
-     * <code>uint64 unread_tokens = 4;</code>
-     * @return The unreadTokens.
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, service_);
+      }
+      if (requests_ != 0) {
+        output.writeUInt32(2, requests_);
+      }
+      if (repeats_ != 0) {
+        output.writeUInt32(3, repeats_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, service_);
+      }
+      if (requests_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(2, requests_);
+      }
+      if (repeats_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(3, repeats_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof dev.laneworks.wire.proto.Protocol.ServiceSpending)) {
+        return super.equals(obj);
+      }
+      dev.laneworks.wire.proto.Protocol.ServiceSpending other = (dev.laneworks.wire.proto.Protocol.ServiceSpending) obj;
+
+      if (!getService()
+          .equals(other.getService())) return false;
+      if (getRequests()
+          != other.getRequests()) return false;
+      if (getRepeats()
+          != other.getRepeats()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + SERVICE_FIELD_NUMBER;
+      hash = (53 * hash) + getService().hashCode();
+      hash = (37 * hash) + REQUESTS_FIELD_NUMBER;
+      hash = (53 * hash) + getRequests();
+      hash = (37 * hash) + REPEATS_FIELD_NUMBER;
+      hash = (53 * hash) + getRepeats();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.ServiceSpending parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.ServiceSpending parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.ServiceSpending parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.ServiceSpending parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.ServiceSpending parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.ServiceSpending parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.ServiceSpending parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.ServiceSpending parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.ServiceSpending parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.ServiceSpending parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.ServiceSpending parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.ServiceSpending parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(dev.laneworks.wire.proto.Protocol.ServiceSpending prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code laneworks.ServiceSpending}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:laneworks.ServiceSpending)
+        dev.laneworks.wire.proto.Protocol.ServiceSpendingOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_ServiceSpending_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_ServiceSpending_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                dev.laneworks.wire.proto.Protocol.ServiceSpending.class, dev.laneworks.wire.proto.Protocol.ServiceSpending.Builder.class);
+      }
+
+      // Construct using dev.laneworks.wire.proto.Protocol.ServiceSpending.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        service_ = "";
+        requests_ = 0;
+        repeats_ = 0;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_ServiceSpending_descriptor;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.ServiceSpending getDefaultInstanceForType() {
+        return dev.laneworks.wire.proto.Protocol.ServiceSpending.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.ServiceSpending build() {
+        dev.laneworks.wire.proto.Protocol.ServiceSpending result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.ServiceSpending buildPartial() {
+        dev.laneworks.wire.proto.Protocol.ServiceSpending result = new dev.laneworks.wire.proto.Protocol.ServiceSpending(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(dev.laneworks.wire.proto.Protocol.ServiceSpending result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.service_ = service_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.requests_ = requests_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.repeats_ = repeats_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof dev.laneworks.wire.proto.Protocol.ServiceSpending) {
+          return mergeFrom((dev.laneworks.wire.proto.Protocol.ServiceSpending)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(dev.laneworks.wire.proto.Protocol.ServiceSpending other) {
+        if (other == dev.laneworks.wire.proto.Protocol.ServiceSpending.getDefaultInstance()) return this;
+        if (!other.getService().isEmpty()) {
+          service_ = other.service_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getRequests() != 0) {
+          setRequests(other.getRequests());
+        }
+        if (other.getRepeats() != 0) {
+          setRepeats(other.getRepeats());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                service_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                requests_ = input.readUInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                repeats_ = input.readUInt32();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object service_ = "";
+      /**
+       * <code>string service = 1;</code>
+       * @return The service.
+       */
+      public java.lang.String getService() {
+        java.lang.Object ref = service_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          service_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @return The bytes for service.
+       */
+      public com.google.protobuf.ByteString
+          getServiceBytes() {
+        java.lang.Object ref = service_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          service_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @param value The service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setService(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        service_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearService() {
+        service_ = getDefaultInstance().getService();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @param value The bytes for service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServiceBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        service_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private int requests_ ;
+      /**
+       * <code>uint32 requests = 2;</code>
+       * @return The requests.
+       */
+      @java.lang.Override
+      public int getRequests() {
+        return requests_;
+      }
+      /**
+       * <code>uint32 requests = 2;</code>
+       * @param value The requests to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRequests(int value) {
+
+        requests_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 requests = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRequests() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        requests_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private int repeats_ ;
+      /**
+       * <code>uint32 repeats = 3;</code>
+       * @return The repeats.
+       */
+      @java.lang.Override
+      public int getRepeats() {
+        return repeats_;
+      }
+      /**
+       * <code>uint32 repeats = 3;</code>
+       * @param value The repeats to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRepeats(int value) {
+
+        repeats_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 repeats = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRepeats() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        repeats_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:laneworks.ServiceSpending)
+    }
+
+    // @@protoc_insertion_point(class_scope:laneworks.ServiceSpending)
+    private static final dev.laneworks.wire.proto.Protocol.ServiceSpending DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.ServiceSpending();
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.ServiceSpending getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<ServiceSpending>
+        PARSER = new com.google.protobuf.AbstractParser<ServiceSpending>() {
+      @java.lang.Override
+      public ServiceSpending parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<ServiceSpending> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<ServiceSpending> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.ServiceSpending getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface WorkAtTargetOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:laneworks.WorkAtTarget)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string target = 1;</code>
+     * @return The target.
+     */
+    java.lang.String getTarget();
+    /**
+     * <code>string target = 1;</code>
+     * @return The bytes for target.
+     */
+    com.google.protobuf.ByteString
+        getTargetBytes();
+
+    /**
+     * <code>uint32 requests = 2;</code>
+     * @return The requests.
+     */
+    int getRequests();
+
+    /**
+     * <code>uint64 held_tokens = 3;</code>
+     * @return The heldTokens.
+     */
+    long getHeldTokens();
+
+    /**
+     * <code>uint64 unread_tokens = 4;</code>
+     * @return The unreadTokens.
+     */
+    long getUnreadTokens();
+
+    /**
+     * <code>uint32 to_move = 5;</code>
+     * @return The toMove.
+     */
+    int getToMove();
+
+    /**
+     * <code>bool copying = 6;</code>
+     * @return The copying.
+     */
+    boolean getCopying();
+  }
+  /**
+   * Protobuf type {@code laneworks.WorkAtTarget}
+   */
+  public static final class WorkAtTarget extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:laneworks.WorkAtTarget)
+      WorkAtTargetOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "WorkAtTarget");
+    }
+    // Use WorkAtTarget.newBuilder() to construct.
+    private WorkAtTarget(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private WorkAtTarget() {
+      target_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_WorkAtTarget_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_WorkAtTarget_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_WorkAtTarget_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              dev.laneworks.wire.proto.Protocol.WorkAtTarget.class, dev.laneworks.wire.proto.Protocol.WorkAtTarget.Builder.class);
+    }
+
+    public static final int TARGET_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object target_ = "";
+    /**
+     * <code>string target = 1;</code>
+     * @return The target.
+     */
+    @java.lang.Override
+    public java.lang.String getTarget() {
+      java.lang.Object ref = target_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        target_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string target = 1;</code>
+     * @return The bytes for target.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getTargetBytes() {
+      java.lang.Object ref = target_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        target_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int REQUESTS_FIELD_NUMBER = 2;
+    private int requests_ = 0;
+    /**
+     * <code>uint32 requests = 2;</code>
+     * @return The requests.
+     */
+    @java.lang.Override
+    public int getRequests() {
+      return requests_;
+    }
+
+    public static final int HELD_TOKENS_FIELD_NUMBER = 3;
+    private long heldTokens_ = 0L;
+    /**
+     * <code>uint64 held_tokens = 3;</code>
+     * @return The heldTokens.
+     */
+    @java.lang.Override
+    public long getHeldTokens() {
+      return heldTokens_;
+    }
+
+    public static final int UNREAD_TOKENS_FIELD_NUMBER = 4;
+    private long unreadTokens_ = 0L;
+    /**
+     * <code>uint64 unread_tokens = 4;</code>
+     * @return The unreadTokens.
      */
     @java.lang.Override
     public long getUnreadTokens() {
@@ -22645,6 +23683,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_laneworks_EntryNews_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_ServiceSpending_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_ServiceSpending_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_laneworks_WorkAtTarget_descriptor;
   private static final 
@@ -22722,15 +23765,18 @@
       "rsion\030\001 \001(\004\022\036\n\026confirmed_age_plus_one\030\002 " +
       "\001(\004\"\026\n\024ConfigurationRequest\"F\n\021Configura" +
       "tionText\022\017\n\007version\030\001 \001(\004\022\020\n\010deflated\030\002 " +
-      "\001(\014\022\016\n\006digest\030\003 \001(\014\"\234\001\n\tEntryNews\022\020\n\010pro" +
+      "\001(\014\022\016\n\006digest\030\003 \001(\014\"\312\001\n\tEntryNews\022\020\n\010pro" +
       "tocol\030\001 \001(\r\022\020\n\010instance\030\002 \001(\t\022\023\n\013incarna" +
       "tion\030\003 \001(\006\022\020\n\010sequence\030\004 \001(\004\022\016\n\006ending\030\005" +
       " \001(\010\022%\n\004work\030\006 \003(\0132\027.laneworks.WorkAtTar" +
-      "get\022\r\n\005peers\030\007 \003(\t\"~\n\014WorkAtTarget\022\016\n\006ta" +
-      "rget\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\023\n\013held_tok" +
-      "ens\030\003 \001(\004\022\025\n\runread_tokens\030\004 \001(\004\022\017\n\007to_m" +
-      "ove\030\005 \001(\r\022\017\n\007copying\030\006 \001(\010B&\n\030dev.lanewo" +
-      "rks.wire.protoB\010ProtocolP\000b\006proto3"
+      "get\022\r\n\005peers\030\007 \003(\t\022,\n\010spending\030\010 \003(\0132\032.l" +
+      "aneworks.ServiceSpending\"E\n\017ServiceSpend" +
+      "ing\022\017\n\007service\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\017" +
+      "\n\007repeats\030\003 \001(\r\"~\n\014WorkAtTarget\022\016\n\006targe" +
+      "t\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\023\n\013held_tokens" +
+      "\030\003 \001(\004\022\025\n\runread_tokens\030\004 \001(\004\022\017\n\007to_move" +
+      "\030\005 \001(\r\022\017\n\007copying\030\006 \001(\010B&\n\030dev.laneworks" +
+      ".wire.protoB\010ProtocolP\000b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -22873,9 +23919,15 @@
     internal_static_laneworks_EntryNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_EntryNews_descriptor,
-        new java.lang.String[] { "Protocol", "Instance", "Incarnation", "Sequence", "Ending", "Work", "Peers", });
-    internal_static_laneworks_WorkAtTarget_descriptor =
+        new java.lang.String[] { "Protocol", "Instance", "Incarnation", "Sequence", "Ending", "Work", "Peers", "Spending", });
+    internal_static_laneworks_ServiceSpending_descriptor =
       getDescriptor().getMessageType(23);
+    internal_static_laneworks_ServiceSpending_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_laneworks_ServiceSpending_descriptor,
+        new java.lang.String[] { "Service", "Requests", "Repeats", });
+    internal_static_laneworks_WorkAtTarget_descriptor =
+      getDescriptor().getMessageType(24);
     internal_static_laneworks_WorkAtTarget_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_WorkAtTarget_descriptor,
