--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -84,7 +84,8 @@
 		this.audit = audit;
 		this.sender = new AttemptSender(directory, beliefs, chooser, outputs, audit);
 		this.standbys = new StandbyCopies(directory, beliefs, chooser, turn, timers, outputs, audit);
-		this.mover = new StreamMover(chooser, beliefs, this.standbys, turn, timers, outputs, audit, new CallResumption());
+		this.mover = new StreamMover(chooser, beliefs, this.standbys, turn, timers, outputs, audit,
+				new CallResumption());
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
@@ -70,8 +70,8 @@
 
 	private long quietUntil;
 
-	StandbyCopies(TargetDirectory directory, TargetBeliefs beliefs, TargetChooser chooser, CopyTurn turn,
-			Timers timers, DispatchOutputs outputs, AuditSink audit) {
+	StandbyCopies(TargetDirectory directory, TargetBeliefs beliefs, TargetChooser chooser, CopyTurn turn, Timers timers,
+			DispatchOutputs outputs, AuditSink audit) {
 		this.directory = directory;
 		this.beliefs = beliefs;
 		this.chooser = chooser;
@@ -229,8 +229,8 @@
 	}
 
 	private void record(DirectCall call, ListedTarget target, String cause) {
-		this.audit.record(
-				new AuditEvent(AuditKind.MOVED, call.request().id(), call.request().account(), target.id(), cause));
+		this.audit
+			.record(new AuditEvent(AuditKind.MOVED, call.request().id(), call.request().account(), target.id(), cause));
 	}
 
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -84,8 +84,8 @@
 
 	private final Map<String, SourceQueue> queues = new HashMap<>();
 
-	StreamMover(TargetChooser chooser, TargetBeliefs beliefs, StandbyCopies standbys, CopyTurn turn, Timers timers, DispatchOutputs outputs,
-			AuditSink audit, Resumption resumption) {
+	StreamMover(TargetChooser chooser, TargetBeliefs beliefs, StandbyCopies standbys, CopyTurn turn, Timers timers,
+			DispatchOutputs outputs, AuditSink audit, Resumption resumption) {
 		this.chooser = chooser;
 		this.beliefs = beliefs;
 		this.standbys = standbys;
--- a/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
@@ -77,7 +77,8 @@
 
 	@Test
 	void introducesItselfToEntriesThatOthersName() {
-		EntryNews news = new EntryNews("two", 2, 1, false, List.of(), List.of(), List.of("10.0.0.5:7200", "10.0.0.1:7200"));
+		EntryNews news = new EntryNews("two", 2, 1, false, List.of(), List.of(),
+				List.of("10.0.0.5:7200", "10.0.0.1:7200"));
 		this.gossip.received("10.0.0.2:7200", news, 0);
 		assertThat(this.told).containsExactly("10.0.0.2:7200", "10.0.0.5:7200").inOrder();
 	}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -138,8 +138,8 @@
 		DirectCalls calls = new DirectCalls(this.loop, http, adapter.headers(), adapter.engines(),
 				new CallTimes(this.metrics));
 		TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, settings.dataCentre(), random);
-		this.retries = new RetryWindow(settings.retryWindowMillis(), settings.retryRatio(),
-				settings.ownRetryExtra(1), settings.retryExtra(), this::spendingOfOthers);
+		this.retries = new RetryWindow(settings.retryWindowMillis(), settings.retryRatio(), settings.ownRetryExtra(1),
+				settings.retryExtra(), this::spendingOfOthers);
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(), this.directory, this.beliefs, chooser,
 				new Turns(), this.retries, timers, calls, this.audit);
 		calls.use(this.dispatcher);
@@ -216,7 +216,8 @@
 			.info();
 	}
 
-	// More entries have smaller parts; a part grows only when an entry has been gone for a
+	// More entries have smaller parts; a part grows only when an entry has been gone for
+	// a
 	// while.
 	private void shareRetries(int entriesBefore) {
 		int entries = Math.max(this.gossip.peers() + 1, entriesBefore - 1);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
@@ -58,8 +58,8 @@
 	private static final double EXTRA_SHARE = 0.6;
 
 	/**
-	 * The entries that there are taken to be at the least, since one that is cut off knows
-	 * of no other.
+	 * The entries that there are taken to be at the least, since one that is cut off
+	 * knows of no other.
 	 */
 	private static final int FEWEST_ENTRIES = 5;
 
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/EntryNewsCodec.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/EntryNewsCodec.java
@@ -41,9 +41,9 @@
 				return Optional.empty();
 			}
 			List<WorkAtTarget> work = news.getWorkList().stream().map(EntryNewsCodec::decode).toList();
-			return Optional.of(new EntryNews(news.getInstance(), news.getIncarnation(), news.getSequence(),
-					news.getEnding(), work, news.getSpendingList().stream().map(EntryNewsCodec::decode).toList(),
-					news.getPeersList()));
+			return Optional
+				.of(new EntryNews(news.getInstance(), news.getIncarnation(), news.getSequence(), news.getEnding(), work,
+						news.getSpendingList().stream().map(EntryNewsCodec::decode).toList(), news.getPeersList()));
 		}
 		catch (InvalidProtocolBufferException ex) {
 			Logger.info("a datagram that is no news is passed over: {}", ex.getMessage());
