Leave an engine alone for a second when a copy to it failed; do not ask engines while the store is away

Tried and reverted: engines were asked themselves whether they leave while the store is out of reach (EngineWatch, wired for the measurement, and a store's silence found out after 2.5 s). Engines that drain often live on for seconds; moving all they run at once crowds the rest, and vanished ones tell nothing. Conclusion: not worth its calls as it is.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
@@ -125,6 +125,7 @@
 			return;
 		}
 		record(call, order.destination(), "standby copy ended: " + result.outcome());
+		this.beliefs.of(order.destination()).full(now + StreamMover.AVOID_MILLIS);
 		drop(call);
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -63,6 +63,9 @@
 	/** How often it is looked whether the turn has come, in milliseconds. */
 	private static final long LOOK_MILLIS = 8;
 
+	/** How long an engine that took no copy is left alone, in milliseconds. */
+	static final long AVOID_MILLIS = 1_000;
+
 	/** How long the stopped run's last events are waited for, in milliseconds. */
 	private static final long LAST_EVENTS_MILLIS = 40;
 
@@ -272,14 +275,15 @@
 				}
 				order(call, copying, now);
 			}
-			case NO_ROOM -> {
+			case NO_ROOM, FAILED -> {
+				avoid(copying.destination(), now);
 				copying.tried().add(copying.destination().id());
 				copying.handle("");
 				release(copying);
 				activate(queue, Optional.empty());
 				copyAhead(queue, call, now);
 			}
-			case UNDER_WAY, FAILED, NO_SUCH_RUN -> {
+			case UNDER_WAY, NO_SUCH_RUN -> {
 				release(copying);
 				activate(queue, Optional.empty());
 				putBack(queue, call, now);
@@ -287,6 +291,11 @@
 		}
 	}
 
+	// A destination without room, or one that is dead, is left alone for a moment.
+	private void avoid(ListedTarget destination, long now) {
+		this.beliefs.of(destination).full(now + AVOID_MILLIS);
+	}
+
 	private void putBack(SourceQueue queue, DirectCall call, long now) {
 		Copying copying = call.copying().get();
 		queue.waiting.remove(call);
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
@@ -160,6 +160,18 @@
 		assertThat(this.world.copies.get(1).destination().id()).isNotEqualTo(tried);
 	}
 
+	@Test
+	void triesAnotherEngineWhereACopyFails() {
+		Sent first = streamWithoutRunningCopy();
+		this.world.join(DispatchHarness.ENGINES, "c");
+		this.world.leave(first.target());
+		this.world.passTime(AFTER_NOTICE);
+		String tried = this.world.copies.get(0).destination().id();
+		this.world.copied(Outcome.FAILED, "");
+		assertThat(this.world.copies).hasSize(2);
+		assertThat(this.world.copies.get(1).destination().id()).isNotEqualTo(tried);
+	}
+
 	@Test
 	void aRunThatHasNotBegunIsCopiedOnceItHas() {
 		Sent first = streamWithoutRunningCopy();
