Give the parts of a direct call files of their own

Cause: DirectCall.java held four more types, so that a reader had to scroll through 490 lines to find what a call is. Change: Attempt, Standby, Copying and Phase (now CopyPhase, since it stands by itself and CallPhase exists) move to package-private files; a comment that the formatter had broken in two is joined again. Code is moved only. Checked: mvn -o -pl laneworks-core -am test, Checkstyle included, no failure.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -8,7 +8,6 @@
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
-import dev.laneworks.core.dispatch.DirectCall.Attempt;
 import dev.laneworks.core.serving.EngineSpec;
 
 /**
@@ -86,8 +85,7 @@
 	Attempt send(DirectCall call, ListedTarget target, Optional<EngineSpec> engine, Optional<ResumePoint> resume,
 			long now) {
 		// A generation that has just moved brings no copy along: its whole memory would
-		// go
-		// over links that others need to leave the same engine.
+		// go over links that others need to leave the same engine.
 		Optional<ListedTarget> backup = resume.isPresent() ? Optional.empty()
 				: engine.flatMap((e) -> chooseBackup(call, target, e, now));
 		Attempt attempt = call.begin(target, resume, backup);
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Copying.java
@@ -0,0 +1,109 @@
+package dev.laneworks.core.dispatch;
+
+import java.util.HashSet;
+import java.util.Set;
+
+import dev.laneworks.core.directory.ListedTarget;
+
+/**
+ * The move of one running generation to another engine: how far its copy has come.
+ */
+final class Copying {
+
+	private final ListedTarget source;
+
+	private final Set<String> tried = new HashSet<>();
+
+	private CopyPhase phase = CopyPhase.WAITING;
+
+	private ListedTarget destination;
+
+	private long promisedTokens;
+
+	private long notBefore;
+
+	private long orderedAt;
+
+	private String handle = "";
+
+	private boolean sourceClosed;
+
+	private boolean counted;
+
+	Copying(ListedTarget source) {
+		this.source = source;
+		this.tried.add(source.id());
+	}
+
+	ListedTarget source() {
+		return this.source;
+	}
+
+	Set<String> tried() {
+		return this.tried;
+	}
+
+	CopyPhase phase() {
+		return this.phase;
+	}
+
+	void enter(CopyPhase next) {
+		this.phase = next;
+	}
+
+	ListedTarget destination() {
+		return this.destination;
+	}
+
+	void to(ListedTarget chosen, long tokens) {
+		this.destination = chosen;
+		this.promisedTokens = tokens;
+	}
+
+	long promisedTokens() {
+		return this.promisedTokens;
+	}
+
+	// When the copy may be tried again.
+	long notBefore() {
+		return this.notBefore;
+	}
+
+	void notBefore(long time) {
+		this.notBefore = time;
+	}
+
+	long orderedAt() {
+		return this.orderedAt;
+	}
+
+	void ordered(long now) {
+		this.orderedAt = now;
+	}
+
+	String handle() {
+		return this.handle;
+	}
+
+	void handle(String name) {
+		this.handle = name;
+	}
+
+	// Whether other entries are told that this generation is to be moved.
+	boolean isCounted() {
+		return this.counted;
+	}
+
+	void counted(boolean isCounted) {
+		this.counted = isCounted;
+	}
+
+	boolean isSourceClosed() {
+		return this.sourceClosed;
+	}
+
+	void sourceClosed() {
+		this.sourceClosed = true;
+	}
+
+}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
@@ -7,8 +7,6 @@
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
-import dev.laneworks.core.dispatch.DirectCall.Attempt;
-import dev.laneworks.core.dispatch.DirectCall.Standby;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.time.Timers;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -11,10 +11,6 @@
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
-import dev.laneworks.core.dispatch.DirectCall.Attempt;
-import dev.laneworks.core.dispatch.DirectCall.Copying;
-import dev.laneworks.core.dispatch.DirectCall.Phase;
-import dev.laneworks.core.dispatch.DirectCall.Standby;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.time.Timers;
 
@@ -117,11 +113,12 @@
 	 */
 	boolean expectsEnd(DirectCall call, long now) {
 		Optional<Copying> copying = call.copying();
-		if (copying.isEmpty() || copying.get().phase() == Phase.WAITING || copying.get().phase() == Phase.AHEAD) {
+		if (copying.isEmpty() || copying.get().phase() == CopyPhase.WAITING
+				|| copying.get().phase() == CopyPhase.AHEAD) {
 			return false;
 		}
 		copying.get().sourceClosed();
-		if (copying.get().phase() == Phase.STOPPED) {
+		if (copying.get().phase() == CopyPhase.STOPPED) {
 			goOn(call, copying.get(), now);
 		}
 		return true;
@@ -135,7 +132,7 @@
 	 */
 	boolean ordered(DirectCall call, CopyOrder order) {
 		return call.copying()
-			.filter((c) -> c.phase() != Phase.WAITING && c.source().id().equals(order.source().id())
+			.filter((c) -> c.phase() != CopyPhase.WAITING && c.source().id().equals(order.source().id())
 					&& c.destination().id().equals(order.destination().id()))
 			.isPresent();
 	}
@@ -147,10 +144,10 @@
 		if (!result.handle().isEmpty()) {
 			copying.handle(result.handle());
 		}
-		if (copying.phase() == Phase.AHEAD) {
+		if (copying.phase() == CopyPhase.AHEAD) {
 			copiedAhead(call, copying, result, now);
 		}
-		else if (copying.phase() == Phase.STOPPING) {
+		else if (copying.phase() == CopyPhase.STOPPING) {
 			copiedLast(call, copying, result, now);
 		}
 	}
@@ -162,7 +159,7 @@
 	 */
 	void ended(DirectCall call, long now) {
 		call.copying().ifPresent((c) -> {
-			if (!c.handle().isEmpty() && c.phase() != Phase.STOPPED) {
+			if (!c.handle().isEmpty() && c.phase() != CopyPhase.STOPPED) {
 				this.outputs.releaseCopy(c.source(), c.handle());
 			}
 			leaveQueue(call, c, now);
@@ -214,7 +211,7 @@
 	 */
 	Optional<Copying> copyAtHand(DirectCall call) {
 		return call.copying()
-			.filter((c) -> c.phase() != Phase.WAITING && !c.handle().isEmpty() && c.destination() != null
+			.filter((c) -> c.phase() != CopyPhase.WAITING && !c.handle().isEmpty() && c.destination() != null
 					&& this.resumption.takesWork(c.destination()));
 	}
 
@@ -252,14 +249,14 @@
 		activate(queue, Optional.of(call));
 		copying.to(destination.get(), tokens);
 		this.beliefs.change(destination.get(), (b) -> b.held(tokens));
-		copying.enter(Phase.AHEAD);
+		copying.enter(CopyPhase.AHEAD);
 		order(call, copying, now);
 	}
 
 	private void order(DirectCall call, Copying copying, long now) {
 		copying.ordered(now);
 		this.outputs.copy(call.number(), new CopyOrder(call.request().id(), copying.source(), copying.destination(),
-				copying.phase() == Phase.STOPPING));
+				copying.phase() == CopyPhase.STOPPING));
 	}
 
 	private void copiedAhead(DirectCall call, Copying copying, CopyResult result, long now) {
@@ -268,7 +265,7 @@
 			case COPIED -> {
 				boolean wasQuick = now - copying.orderedAt() <= QUICK_MILLIS;
 				if (wasQuick || now - queue.noticedAt >= LATEST_MILLIS) {
-					copying.enter(Phase.STOPPING);
+					copying.enter(CopyPhase.STOPPING);
 				}
 				order(call, copying, now);
 			}
@@ -294,7 +291,7 @@
 			leaveQueue(call, copying, now);
 			return;
 		}
-		copying.enter(Phase.WAITING);
+		copying.enter(CopyPhase.WAITING);
 		copying.notBefore(now + AGAIN_MILLIS);
 		queue.waiting.add(call);
 		// Others may go ahead of a generation that can't be copied now.
@@ -322,7 +319,7 @@
 
 	private void copiedLast(DirectCall call, Copying copying, CopyResult result, long now) {
 		if (result.outcome() == CopyResult.Outcome.COPIED) {
-			copying.enter(Phase.STOPPED);
+			copying.enter(CopyPhase.STOPPED);
 			if (copying.isSourceClosed()) {
 				goOn(call, copying, now);
 			}
@@ -350,7 +347,7 @@
 		}
 		release(copying);
 		copying.to(copying.source(), 0);
-		copying.enter(Phase.STOPPED);
+		copying.enter(CopyPhase.STOPPED);
 		goOn(call, copying, now);
 	}
 
