Split the dispatcher by what it decides

Change: Continuation holds moveAway, goOnAtBackup, goOnAtStandby, goOnWithoutCopy, takeOver and what CallResumption did; CallEnding holds refuse, cut, lost, finish and abandonAll. Code is moved only; the public API stays. The audit event of a call, which all three build, is made by DirectCall.event.

--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/CallEnding.java
@@ -0,0 +1,96 @@
+package dev.laneworks.core.dispatch;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+
+import dev.laneworks.core.audit.AuditKind;
+import dev.laneworks.core.audit.AuditSink;
+import dev.laneworks.core.verdict.Refusal;
+import dev.laneworks.core.verdict.RefusalReason;
+import dev.laneworks.core.verdict.Verdict;
+
+/**
+ * Ends calls: after an answer, with a refusal or with a cut of the stream.
+ * <p>
+ * Each end lets go of all that the call holds, and is recorded before the caller is told.
+ */
+final class CallEnding {
+
+	private final DispatchSettings settings;
+
+	// The open calls, which the dispatcher adds to.
+	private final Map<Long, DirectCall> calls;
+
+	private final AttemptSender sender;
+
+	private final StandbyCopies standbys;
+
+	private final StreamMover mover;
+
+	private final DispatchOutputs outputs;
+
+	private final AuditSink audit;
+
+	CallEnding(DispatchSettings settings, Map<Long, DirectCall> calls, AttemptSender sender, StandbyCopies standbys,
+			StreamMover mover, DispatchOutputs outputs, AuditSink audit) {
+		this.settings = settings;
+		this.calls = calls;
+		this.sender = sender;
+		this.standbys = standbys;
+		this.mover = mover;
+		this.outputs = outputs;
+		this.audit = audit;
+	}
+
+	// Ends a call whose target, or what ran there, is gone.
+	void lost(DirectCall call, String cause, long now) {
+		if (call.isStreaming()) {
+			cut(call, cause, now);
+		}
+		else {
+			refuse(call, RefusalReason.TARGET_LOST, cause, now);
+		}
+	}
+
+	void refuse(DirectCall call, RefusalReason reason, String detail, long now) {
+		abandonAll(call);
+		Refusal refusal = refusal(call.verdict(), reason, detail);
+		finish(call, AuditKind.REFUSED,
+				refusal.reason().label() + ", " + refusal.verdict().label() + ": " + refusal.detail(), now);
+		this.outputs.refuse(call.number(), refusal);
+	}
+
+	// A reason that promises "not run" is given for nothing else.
+	private Refusal refusal(Verdict verdict, RefusalReason reason, String detail) {
+		if (verdict == Verdict.NOT_RUN) {
+			return Refusal.notRun(reason, detail, Duration.ofMillis(this.settings.comeBackMillis()));
+		}
+		boolean promises = reason != RefusalReason.TARGET_LOST && reason != RefusalReason.LINK_LOST;
+		return new Refusal(verdict, promises ? RefusalReason.TARGET_LOST : reason, detail, Optional.empty());
+	}
+
+	void cut(DirectCall call, String cause, long now) {
+		abandonAll(call);
+		finish(call, AuditKind.CUT, cause + ", after event " + call.lastEvent(), now);
+		this.outputs.cutStream(call.number());
+	}
+
+	// Closes all connections of a call and lets go of what they hold.
+	void abandonAll(DirectCall call) {
+		call.successor().ifPresent((a) -> this.sender.abandon(call, a));
+		call.attempt().ifPresent((a) -> this.sender.abandon(call, a));
+	}
+
+	// Takes a call out of the open ones; what the caller is told is up to the invoker.
+	void finish(DirectCall call, AuditKind kind, String cause, long now) {
+		String target = call.attempt().map((a) -> a.target().id()).orElse("");
+		this.standbys.drop(call);
+		this.mover.ended(call, now);
+		call.successor().ifPresent((a) -> this.sender.abandon(call, a));
+		call.attempt().ifPresent((a) -> this.sender.end(call, a));
+		this.calls.remove(call.number());
+		this.audit.record(call.event(kind, target, cause));
+	}
+
+}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
@@ -5,6 +5,8 @@
 import java.util.Set;
 import java.util.stream.Stream;
 
+import dev.laneworks.core.audit.AuditEvent;
+import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.verdict.Verdict;
 
@@ -222,4 +224,9 @@
 		this.copying = Optional.empty();
 	}
 
+	// A decision on this call; the target is empty where there is none.
+	AuditEvent event(AuditKind kind, String target, String cause) {
+		return new AuditEvent(kind, this.request.id(), this.request.account(), target, cause);
+	}
+
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -1,6 +1,5 @@
 package dev.laneworks.core.dispatch;
 
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,7 +16,6 @@
 import dev.laneworks.core.serving.ServiceSpec;
 import dev.laneworks.core.serving.ServingPlan;
 import dev.laneworks.core.time.Timers;
-import dev.laneworks.core.verdict.Refusal;
 import dev.laneworks.core.verdict.RefusalReason;
 import dev.laneworks.core.verdict.Verdict;
 
@@ -53,6 +51,10 @@
 
 	private final StreamMover mover;
 
+	private final CallEnding ending;
+
+	private final Continuation continuation;
+
 	private final Map<Long, DirectCall> calls = new HashMap<>();
 
 	private Optional<ServingPlan> plan = Optional.empty();
@@ -83,6 +85,9 @@
 		this.standbys = new StandbyCopies(directory, beliefs, chooser, turn, timers, outputs, audit);
 		this.mover = new StreamMover(chooser, beliefs, this.standbys, turn, timers, outputs, audit,
 				new CallResumption());
+		this.ending = new CallEnding(settings, this.calls, this.sender, this.standbys, this.mover, outputs, audit);
+		this.continuation = new Continuation(directory, retries, this.sender, this.standbys, this.mover, this.ending,
+				audit, this::begin, this::engine);
 	}
 
 	/**
@@ -111,7 +116,7 @@
 		DirectCall call = new DirectCall(number, request, now);
 		this.calls.put(number, call);
 		this.retries.recordRequest(request.service(), now);
-		this.audit.record(new AuditEvent(AuditKind.ACCEPTED, request.id(), request.account(), "", accepted(call)));
+		this.audit.record(call.event(AuditKind.ACCEPTED, "", accepted(call)));
 		this.timers.at(call.dueAt() + this.settings.answerSlackMillis(), (t) -> overdue(call, t));
 		offer(call, now);
 	}
@@ -168,7 +173,7 @@
 		if (this.directory.takesWork(target.id())) {
 			this.beliefs.of(target).quality().recordUnreachable(now);
 		}
-		record(AuditKind.RETRIED, call, target, "nothing was sent: " + cause);
+		this.audit.record(call.event(AuditKind.RETRIED, target.id(), "nothing was sent: " + cause));
 		notTaken(call, found.get(), "no connection: " + cause, now);
 	}
 
@@ -232,7 +237,7 @@
 		}
 		DirectCall call = this.calls.get(number);
 		if (call.isSuccessor(found.get())) {
-			takeOver(call, now);
+			this.continuation.takeOver(call, now);
 		}
 		if (!found.get().isAnswering()) {
 			found.get().answering();
@@ -240,14 +245,14 @@
 			call.mayHaveRun();
 			this.standbys.watch(call, found.get(), engine(call), now);
 			if (!this.directory.takesWork(found.get().target().id())) {
-				moveAway(call, now);
+				this.continuation.moveAway(call, now);
 			}
 		}
 		if (call.lastEvent() != DirectCall.NO_EVENT && id <= call.lastEvent()) {
 			return false;
 		}
 		if (call.lastEvent() != DirectCall.NO_EVENT && id != call.lastEvent() + 1) {
-			cut(call, "event " + id + " came after event " + call.lastEvent(), now);
+			this.ending.cut(call, "event " + id + " came after event " + call.lastEvent(), now);
 			return false;
 		}
 		if (!call.isStreaming()) {
@@ -277,7 +282,7 @@
 			failed(call, found.get(), "the stream ended without an event", now);
 			return;
 		}
-		finish(call, AuditKind.ANSWERED,
+		this.ending.finish(call, AuditKind.ANSWERED,
 				"stream up to event " + call.lastEvent() + " whole after " + (now - call.openedAt()) + " ms, attempts "
 						+ call.attempts() + ", longest pause " + call.longestPause() + " ms before event "
 						+ call.eventAfterPause(),
@@ -313,8 +318,9 @@
 	public void callerLeft(long number, long now) {
 		DirectCall call = this.calls.get(number);
 		if (call != null) {
-			abandonAll(call);
-			finish(call, AuditKind.CANCELLED, "the caller left after " + (now - call.openedAt()) + " ms", now);
+			this.ending.abandonAll(call);
+			this.ending.finish(call, AuditKind.CANCELLED, "the caller left after " + (now - call.openedAt()) + " ms",
+					now);
 		}
 	}
 
@@ -347,7 +353,7 @@
 		this.standbys.leaving(now);
 		for (DirectCall call : List.copyOf(this.calls.values())) {
 			if (call.attempt().filter((a) -> a.isSent() && a.target().id().equals(target.id())).isPresent()) {
-				moveAway(call, now);
+				this.continuation.moveAway(call, now);
 			}
 		}
 	}
@@ -362,76 +368,22 @@
 					.orElse("");
 	}
 
-	private void moveAway(DirectCall call, long now) {
-		Optional<EngineSpec> engine = engine(call);
-		if (engine.isEmpty() || (call.isStreaming() && goOnAtBackup(call, "its engine is leaving", now))) {
-			return;
-		}
-		if (engine.get().moves()) {
-			this.mover.start(call, now);
-		}
-	}
-
-	// The run goes on until the copy's engine sends its first event: where there is no
-	// copy nothing is lost by having asked.
-	private boolean goOnAtBackup(DirectCall call, String cause, long now) {
-		Optional<ListedTarget> backup = call.attempt()
-			.flatMap(Attempt::backup)
-			.filter((b) -> this.directory.takesWork(b.id()));
-		if (backup.isEmpty() || call.successor().isPresent() || !this.retries.tryTake(call.request().service(), now)) {
-			return false;
-		}
-		this.standbys.drop(call);
-		record(AuditKind.MOVED, call, call.attempt().get().target(),
-				cause + ": goes on at its running copy at " + backup.get().id() + " behind event " + call.lastEvent());
-		ResumePoint point = new ResumePoint(backup.get().address(), call.request().id(), call.lastEventText());
-		call.succeedBy(begin(call, backup.get(), Optional.of(point), now));
-		return true;
-	}
-
-	// For a run that is lost; one that is only to leave is copied on first.
-	private boolean goOnAtStandby(DirectCall call, String cause, long now) {
-		Optional<Standby> standby = call.standby()
-			.filter((s) -> !s.handle().isEmpty() && this.directory.takesWork(s.destination().id()));
-		Optional<Copying> copying = this.mover.copyAtHand(call);
-		if ((standby.isEmpty() && copying.isEmpty()) || !this.retries.tryTake(call.request().service(), now)) {
-			return false;
-		}
-		ListedTarget source = call.attempt().get().target();
-		ListedTarget destination = standby.map(Standby::destination).orElseGet(() -> copying.get().destination());
-		String handle = standby.map(Standby::handle).orElseGet(() -> copying.get().handle());
-		this.standbys.take(call);
-		this.mover.taken(call, now);
-		record(AuditKind.MOVED, call, source,
-				cause + ": goes on at its last copy at " + destination.id() + " behind event " + call.lastEvent());
-		ResumePoint point = new ResumePoint(source.address(), handle, call.lastEventText());
-		call.succeedBy(begin(call, destination, Optional.of(point), now));
-		return true;
-	}
-
-	private void takeOver(DirectCall call, long now) {
-		call.attempt().ifPresent((a) -> this.sender.abandon(call, a));
-		this.standbys.drop(call);
-		this.mover.ended(call, now);
-		call.promoteSuccessor();
-	}
-
 	private Optional<EngineSpec> engine(DirectCall call) {
 		return this.plan.flatMap((p) -> p.service(call.request().service())).flatMap(ServiceSpec::engine);
 	}
 
 	private void offer(DirectCall call, long now) {
 		if (call.attempts() >= this.settings.maxAttempts()) {
-			refuse(call, RefusalReason.OVERLOADED, "no target took the request", now);
+			this.ending.refuse(call, RefusalReason.OVERLOADED, "no target took the request", now);
 			return;
 		}
 		Optional<ListedTarget> target = this.sender.choose(call.request(), engine(call), call.tried(), now);
 		if (target.isEmpty()) {
-			refuse(call, RefusalReason.NO_TARGET, "no target of the service takes work", now);
+			this.ending.refuse(call, RefusalReason.NO_TARGET, "no target of the service takes work", now);
 			return;
 		}
 		if (call.arrivals() > 0 && !this.retries.tryTake(call.request().service(), now)) {
-			refuse(call, RefusalReason.OVERLOADED, "the budget for repeated sendings is spent", now);
+			this.ending.refuse(call, RefusalReason.OVERLOADED, "the budget for repeated sendings is spent", now);
 			return;
 		}
 		call.use(begin(call, target.get(), Optional.empty(), now));
@@ -467,15 +419,15 @@
 			return;
 		}
 		boolean wasSent = call.verdict() != Verdict.NOT_RUN;
-		abandonAll(call);
+		this.ending.abandonAll(call);
 		if (call.isStreaming()) {
-			cut(call, "the time for the request is over", now);
+			this.ending.cut(call, "the time for the request is over", now);
 		}
 		else if (wasSent) {
-			refuse(call, RefusalReason.LINK_LOST, "the target did not answer in time", now);
+			this.ending.refuse(call, RefusalReason.LINK_LOST, "the target did not answer in time", now);
 		}
 		else {
-			refuse(call, RefusalReason.WAIT_TOO_LONG, "no target could be reached in time", now);
+			this.ending.refuse(call, RefusalReason.WAIT_TOO_LONG, "no target could be reached in time", now);
 		}
 	}
 
@@ -491,7 +443,8 @@
 		else {
 			recordGood(attempt, now);
 		}
-		finish(call, AuditKind.ANSWERED, "status " + head.status() + " after " + (now - call.openedAt()) + " ms", now);
+		this.ending.finish(call, AuditKind.ANSWERED,
+				"status " + head.status() + " after " + (now - call.openedAt()) + " ms", now);
 		this.outputs.deliver(call.number(), attempt.number());
 	}
 
@@ -504,7 +457,7 @@
 		else {
 			this.beliefs.of(target).full(now + this.settings.comeBackMillis());
 		}
-		record(AuditKind.RETRIED, call, target, "not run there: status " + head.status());
+		this.audit.record(call.event(AuditKind.RETRIED, target.id(), "not run there: status " + head.status()));
 		notTaken(call, attempt, "status " + head.status(), now);
 	}
 
@@ -513,10 +466,10 @@
 		boolean wasSuccessor = call.isSuccessor(attempt);
 		this.sender.end(call, attempt);
 		if (wasSuccessor) {
-			goOnWithoutCopy(call, now);
+			this.continuation.goOnWithoutCopy(call, now);
 		}
 		else if (call.isStreaming() || attempt.resume().isPresent()) {
-			lost(call, "the generation could not go on at " + attempt.target().id() + ": " + cause, now);
+			this.ending.lost(call, "the generation could not go on at " + attempt.target().id() + ": " + cause, now);
 		}
 		else {
 			call.tried().add(attempt.target().id());
@@ -524,17 +477,6 @@
 		}
 	}
 
-	// The running copy is of no use; the run itself may still be there.
-	private void goOnWithoutCopy(DirectCall call, long now) {
-		if (call.attempt().isEmpty()) {
-			lost(call, "neither the run nor its copy is left", now);
-			return;
-		}
-		if (engine(call).filter(EngineSpec::moves).isPresent()) {
-			this.mover.start(call, now);
-		}
-	}
-
 	private void failed(DirectCall call, Attempt attempt, String cause, long now) {
 		ListedTarget target = attempt.target();
 		if (this.directory.takesWork(target.id())) {
@@ -545,29 +487,20 @@
 		}
 		if (call.isSuccessor(attempt)) {
 			this.sender.abandon(call, attempt);
-			goOnWithoutCopy(call, now);
+			this.continuation.goOnWithoutCopy(call, now);
 		}
 		else if (call.successor().isPresent()) {
 			this.sender.abandon(call, attempt);
 		}
-		else if (call.request().work().isPresent()
-				&& (goOnAtBackup(call, cause, now) || goOnAtStandby(call, cause, now))) {
+		else if (call.request().work().isPresent() && (this.continuation.goOnAtBackup(call, cause, now)
+				|| this.continuation.goOnAtStandby(call, cause, now))) {
 			this.sender.abandon(call, attempt);
 		}
 		else if (!call.isStreaming() && mayTryAgain(call, attempt, now)) {
 			tryAgain(call, attempt, cause, now);
 		}
 		else {
-			lost(call, cause + " at " + target.id(), now);
-		}
-	}
-
-	private void lost(DirectCall call, String cause, long now) {
-		if (call.isStreaming()) {
-			cut(call, cause, now);
-		}
-		else {
-			refuse(call, RefusalReason.TARGET_LOST, cause, now);
+			this.ending.lost(call, cause + " at " + target.id(), now);
 		}
 	}
 
@@ -583,12 +516,12 @@
 	}
 
 	private void tryAgain(DirectCall call, Attempt attempt, String cause, long now) {
-		record(AuditKind.RETRIED, call, attempt.target(), cause);
+		this.audit.record(call.event(AuditKind.RETRIED, attempt.target().id(), cause));
 		this.sender.abandon(call, attempt);
 		call.tried().add(attempt.target().id());
 		this.sender.choose(call.request(), engine(call), call.tried(), now)
 			.ifPresentOrElse((t) -> call.use(begin(call, t, Optional.empty(), now)),
-					() -> refuse(call, RefusalReason.TARGET_LOST, cause, now));
+					() -> this.ending.refuse(call, RefusalReason.TARGET_LOST, cause, now));
 	}
 
 	private void recordGood(Attempt attempt, long now) {
@@ -603,48 +536,6 @@
 		}
 	}
 
-	private void refuse(DirectCall call, RefusalReason reason, String detail, long now) {
-		abandonAll(call);
-		Refusal refusal = refusal(call.verdict(), reason, detail);
-		finish(call, AuditKind.REFUSED,
-				refusal.reason().label() + ", " + refusal.verdict().label() + ": " + refusal.detail(), now);
-		this.outputs.refuse(call.number(), refusal);
-	}
-
-	// A reason that promises "not run" is given for nothing else.
-	private Refusal refusal(Verdict verdict, RefusalReason reason, String detail) {
-		if (verdict == Verdict.NOT_RUN) {
-			return Refusal.notRun(reason, detail, Duration.ofMillis(this.settings.comeBackMillis()));
-		}
-		boolean promises = reason != RefusalReason.TARGET_LOST && reason != RefusalReason.LINK_LOST;
-		return new Refusal(verdict, promises ? RefusalReason.TARGET_LOST : reason, detail, Optional.empty());
-	}
-
-	private void cut(DirectCall call, String cause, long now) {
-		abandonAll(call);
-		finish(call, AuditKind.CUT, cause + ", after event " + call.lastEvent(), now);
-		this.outputs.cutStream(call.number());
-	}
-
-	private void abandonAll(DirectCall call) {
-		call.successor().ifPresent((a) -> this.sender.abandon(call, a));
-		call.attempt().ifPresent((a) -> this.sender.abandon(call, a));
-	}
-
-	private void finish(DirectCall call, AuditKind kind, String cause, long now) {
-		String target = call.attempt().map((a) -> a.target().id()).orElse("");
-		this.standbys.drop(call);
-		this.mover.ended(call, now);
-		call.successor().ifPresent((a) -> this.sender.abandon(call, a));
-		call.attempt().ifPresent((a) -> this.sender.end(call, a));
-		this.calls.remove(call.number());
-		this.audit.record(new AuditEvent(kind, call.request().id(), call.request().account(), target, cause));
-	}
-
-	private void record(AuditKind kind, DirectCall call, ListedTarget target, String cause) {
-		this.audit.record(new AuditEvent(kind, call.request().id(), call.request().account(), target.id(), cause));
-	}
-
 	private Optional<Attempt> find(long number, int attempt) {
 		return Optional.ofNullable(this.calls.get(number)).flatMap((c) -> c.find(attempt));
 	}
@@ -656,17 +547,12 @@
 
 		@Override
 		public void resume(DirectCall call, ListedTarget destination, ResumePoint from, long now) {
-			call.attempt().ifPresent((a) -> Dispatcher.this.sender.abandon(call, a));
-			if (!Dispatcher.this.retries.tryTake(call.request().service(), now)) {
-				lost(call, "the budget for repeated sendings is spent", now);
-				return;
-			}
-			call.use(begin(call, destination, Optional.of(from), now));
+			Dispatcher.this.continuation.resume(call, destination, from, now);
 		}
 
 		@Override
 		public void lost(DirectCall call, String cause, long now) {
-			Dispatcher.this.lost(call, cause, now);
+			Dispatcher.this.ending.lost(call, cause, now);
 		}
 
 		@Override
