Build a call's audit events in one place

Cause: the attempt sender, the standby copies and the stream mover each took the request's id and account apart for their audit events. Change: they use DirectCall.event; what is recorded stays the same.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -3,7 +3,6 @@
 import java.util.Optional;
 import java.util.Set;
 
-import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
@@ -89,14 +88,13 @@
 		Optional<ListedTarget> backup = resume.isPresent() ? Optional.empty()
 				: engine.flatMap((e) -> chooseBackup(call, target, e, now));
 		Attempt attempt = call.begin(target, resume, backup);
-		this.audit.record(new AuditEvent(AuditKind.ROUTED, call.request().id(), call.request().account(), target.id(),
-				"attempt " + attempt.number() + ", own requests there " + this.beliefs.of(target).inFlight()
-						+ ", all requests " + Math.round(this.beliefs.requests(target, now))
-						+ engine
-							.map((e) -> ", memory " + Math.round(PERCENT * this.chooser.fullness(target, e, now)) + "%")
-							.orElse("")
-						+ ", directory of " + this.directory.size()
-						+ backup.map((b) -> ", copy grows at " + b.id()).orElse("")));
+		this.audit.record(call.event(AuditKind.ROUTED, target.id(), "attempt " + attempt.number()
+				+ ", own requests there " + this.beliefs.of(target).inFlight() + ", all requests "
+				+ Math.round(this.beliefs.requests(target, now))
+				+ engine.map((e) -> ", memory " + Math.round(PERCENT * this.chooser.fullness(target, e, now)) + "%")
+					.orElse("")
+				+ ", directory of " + this.directory.size()
+				+ backup.map((b) -> ", copy grows at " + b.id()).orElse("")));
 		this.beliefs.change(target, TargetBelief::began);
 		hold(attempt, heldTokens(call, engine));
 		if (resume.isEmpty()) {
@@ -139,9 +137,8 @@
 		if (backup.isEmpty() || call.successor().isPresent()) {
 			return;
 		}
-		this.audit.record(new AuditEvent(AuditKind.MOVED, call.request().id(), call.request().account(),
-				backup.get().id(), "its running copy gives way: memory there is "
-						+ Math.round(PERCENT * this.chooser.fullness(backup.get(), engine, now)) + "% promised"));
+		this.audit.record(call.event(AuditKind.MOVED, backup.get().id(), "its running copy gives way: memory there is "
+				+ Math.round(PERCENT * this.chooser.fullness(backup.get(), engine, now)) + "% promised"));
 		this.beliefs.change(backup.get(), (b) -> b.held(-attempt.heldTokens()));
 		attempt.dropBackup();
 		this.outputs.releaseCopy(attempt.target(), call.request().id());
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
@@ -2,7 +2,6 @@
 
 import java.util.Optional;
 
-import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
@@ -227,8 +226,7 @@
 	}
 
 	private void record(DirectCall call, ListedTarget target, String cause) {
-		this.audit
-			.record(new AuditEvent(AuditKind.MOVED, call.request().id(), call.request().account(), target.id(), cause));
+		this.audit.record(call.event(AuditKind.MOVED, target.id(), cause));
 	}
 
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 
-import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
@@ -396,8 +395,7 @@
 	}
 
 	private void record(DirectCall call, Copying copying, String cause) {
-		this.audit.record(new AuditEvent(AuditKind.MOVED, call.request().id(), call.request().account(),
-				copying.source().id(), cause));
+		this.audit.record(call.event(AuditKind.MOVED, copying.source().id(), cause));
 	}
 
 	/**
