Drop the engine report that nobody asks for

Cause: EngineOrders.report and EngineReport have no caller; load comes beside answers and from other entries.

--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EngineOrders.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EngineOrders.java
@@ -1,12 +1,10 @@
 package dev.laneworks.entry.direct;
 
-import java.util.Optional;
 import java.util.function.Consumer;
 
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.dispatch.CopyOrder;
 import dev.laneworks.core.dispatch.CopyResult;
-import dev.laneworks.core.dispatch.EngineReport;
 
 /**
  * Gives orders to engines, besides the requests that they serve.
@@ -29,11 +27,4 @@
 	 */
 	void release(ListedTarget source, String handle);
 
-	/**
-	 * Ask an engine for its load.
-	 * @param target the engine
-	 * @param result takes the report, or nothing if there was none
-	 */
-	void report(ListedTarget target, Consumer<Optional<EngineReport>> result);
-
 }
