Remove what nothing uses

Cause: EngineWork.likelyTokens, the time of a standby's last copy and DirectServer.stop are used by no code and no test. Change: they go, with the parameter that only fed them; two Javadocs that were wrong (what StandbyCopies.leaving does, TargetBelief.full's time) say the truth.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -337,7 +337,7 @@
 			this.mover.copied(call, order, result, now);
 		}
 		else if (call != null) {
-			this.standbys.copied(call, order, result, now);
+			this.standbys.copied(call, order, result);
 		}
 		else if (!result.handle().isEmpty()) {
 			this.outputs.releaseCopy(order.source(), result.handle());
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/EngineWork.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/EngineWork.java
@@ -41,12 +41,4 @@
 		return this.promptTokens + generated + Math.min(GROWTH_TOKENS, Math.max(0, this.maxTokens - generated));
 	}
 
-	/**
-	 * Return how many tokens are likely to be generated.
-	 * @return the caller's estimate within the most allowed, or else half of the most
-	 */
-	public long likelyTokens() {
-		return Math.min(this.maxTokens, this.expectedTokens.orElse(this.maxTokens / 2));
-	}
-
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Standby.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Standby.java
@@ -18,8 +18,6 @@
 
 	private long copiedTokens;
 
-	private long copiedAt;
-
 	Standby(ListedTarget source, ListedTarget destination, long promisedTokens) {
 		this.source = source;
 		this.destination = destination;
@@ -47,14 +45,9 @@
 		return this.copiedTokens;
 	}
 
-	long copiedAt() {
-		return this.copiedAt;
-	}
-
-	void copied(String name, long tokens, long now) {
+	void copied(String name, long tokens) {
 		this.handle = name;
 		this.copiedTokens = tokens;
-		this.copiedAt = now;
 	}
 
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
@@ -79,8 +79,8 @@
 	}
 
 	/**
-	 * Take that an engine is leaving: links are needed for moves, and copies that stand
-	 * there are of no use.
+	 * Take that an engine is leaving: for a while links are left to moves, and no copy is
+	 * begun.
 	 * @param now the time in milliseconds
 	 */
 	void leaving(long now) {
@@ -106,9 +106,8 @@
 	 * @param call the call
 	 * @param order the order
 	 * @param result how it ended
-	 * @param now the time in milliseconds
 	 */
-	void copied(DirectCall call, CopyOrder order, CopyResult result, long now) {
+	void copied(DirectCall call, CopyOrder order, CopyResult result) {
 		endActive(call);
 		Standby standby = call.standby().orElse(null);
 		if (standby == null || !standby.destination().id().equals(order.destination().id())) {
@@ -118,7 +117,7 @@
 			return;
 		}
 		if (result.outcome() == CopyResult.Outcome.COPIED) {
-			standby.copied(result.handle(), call.attempt().map(Attempt::heldTokens).orElse(0L), now);
+			standby.copied(result.handle(), call.attempt().map(Attempt::heldTokens).orElse(0L));
 			return;
 		}
 		record(call, order.destination(), "standby copy ended: " + result.outcome());
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBelief.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBelief.java
@@ -186,7 +186,7 @@
 
 	/**
 	 * Record that the target refused a request because it is full.
-	 * @param until until when others are preferred, in milliseconds
+	 * @param until the time up to which others are preferred, in milliseconds
 	 */
 	public void full(long until) {
 		this.fullUntil = Math.max(this.fullUntil, until);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
@@ -96,15 +96,11 @@
 		this.server.start();
 	}
 
-	void stop() {
-		this.server.stop();
-	}
-
 	InetSocketAddress address() {
 		return (InetSocketAddress) this.server.getListenerInfo().get(0).getAddress();
 	}
 
-	// Return how many answers are not written to their end.
+	// How many answers are not written to their end.
 	int openAnswers() {
 		return this.openAnswers;
 	}
