Give the readiness check a server of its own

Cause: DirectEntry wires an entry up and also answered the platform's readiness checks; constants stood without a line of what they are, and public methods stood between private ones. Change: ReadinessServer answers the checks, by the same code; the constants are told; methods are in order.

--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -44,9 +44,6 @@
 import dev.laneworks.runtime.program.ExitCode;
 import dev.laneworks.wire.NewsSocket;
 import io.undertow.Handlers;
-import io.undertow.Undertow;
-import io.undertow.server.HttpServerExchange;
-import io.undertow.util.StatusCodes;
 import io.vavr.control.Either;
 import org.xnio.XnioIoThread;
 
@@ -61,10 +58,13 @@
  */
 public final class DirectEntry {
 
+	/** How many decisions are kept for operators to look at. */
 	private static final int AUDIT_CAPACITY = 2_000;
 
+	/** The wait before the store is asked again after a first failure. */
 	private static final Duration FIRST_WAIT = Duration.ofMillis(80);
 
+	/** The longest wait before the store is asked again, however often it failed. */
 	private static final Duration LONGEST_WAIT = Duration.ofMillis(800);
 
 	/**
@@ -78,9 +78,16 @@
 	 */
 	private static final long END_EARLY_MILLIS = 250;
 
+	/**
+	 * How often it is looked whether the plan is there or calls are over, in
+	 * milliseconds.
+	 */
 	private static final long LOOK_MILLIS = 50;
 
-	/** How often this entry's part of the retry budget is worked out anew. */
+	/**
+	 * How often this entry's part of the retry budget is worked out anew, in
+	 * milliseconds.
+	 */
 	private static final long SHARE_MILLIS = 500;
 
 	private final DirectSettings settings;
@@ -115,7 +122,7 @@
 
 	private final DirectServer callers;
 
-	private final Undertow readiness;
+	private final ReadinessServer readiness;
 
 	private volatile boolean ready;
 
@@ -153,7 +160,8 @@
 				(from, n) -> this.loop.run(() -> this.gossip.received(from, n, this.loop.now())));
 		this.callers = new DirectServer(this.io, settings.callers(), calls, adapter.headers(), this.published::plan,
 				() -> this.stopping, this.loop, random, this.audit);
-		this.readiness = readiness(adapter);
+		this.readiness = new ReadinessServer(this.io, settings.readiness(), adapter.source()::readinessPaths,
+				this::isReady);
 		registerMetrics();
 	}
 
@@ -216,24 +224,6 @@
 			.info();
 	}
 
-	// More entries have smaller parts; a part grows only when an entry has been gone for
-	// a
-	// while.
-	private void shareRetries(int entriesBefore) {
-		int entries = Math.max(this.gossip.peers() + 1, entriesBefore - 1);
-		this.retries.allow(this.inForce.retryRatio(), this.inForce.ownRetryExtra(entries));
-		this.loop.timers().at(this.loop.now() + SHARE_MILLIS, (t) -> shareRetries(entries));
-	}
-
-	private void lookForPlan() {
-		if (this.published.isComplete()) {
-			this.ready = true;
-			LogLine.of("ready").with("targets", this.directory.size()).info();
-			return;
-		}
-		this.loop.timers().at(this.loop.now() + LOOK_MILLIS, (t) -> lookForPlan());
-	}
-
 	/**
 	 * Return where callers connect.
 	 * @return the address
@@ -250,6 +240,23 @@
 		return this.ready && !this.stopping;
 	}
 
+	// More entries have smaller parts; a part grows only when an entry has been gone
+	// for a while.
+	private void shareRetries(int entriesBefore) {
+		int entries = Math.max(this.gossip.peers() + 1, entriesBefore - 1);
+		this.retries.allow(this.inForce.retryRatio(), this.inForce.ownRetryExtra(entries));
+		this.loop.timers().at(this.loop.now() + SHARE_MILLIS, (t) -> shareRetries(entries));
+	}
+
+	private void lookForPlan() {
+		if (this.published.isComplete()) {
+			this.ready = true;
+			LogLine.of("ready").with("targets", this.directory.size()).info();
+			return;
+		}
+		this.loop.timers().at(this.loop.now() + LOOK_MILLIS, (t) -> lookForPlan());
+	}
+
 	private void lookForEnd(long since, long now) {
 		boolean isIdle = this.dispatcher.openCalls() == 0 && this.callers.openAnswers() == 0;
 		boolean isLate = now - since >= this.settings.graceMillis() - END_EARLY_MILLIS;
@@ -261,24 +268,6 @@
 		this.loop.timers().at(now + LOOK_MILLIS, (t) -> lookForEnd(since, t));
 	}
 
-	private Undertow readiness(PlatformAdapter adapter) {
-		return Undertow.builder()
-			.setWorker(this.io.worker())
-			.addHttpListener(this.settings.readiness().getPort(), this.settings.readiness().getHostString())
-			.setHandler((e) -> answerReadiness(e, adapter))
-			.build();
-	}
-
-	private void answerReadiness(HttpServerExchange exchange, PlatformAdapter adapter) {
-		if (!adapter.source().readinessPaths().contains(exchange.getRequestPath())) {
-			exchange.setStatusCode(StatusCodes.NOT_FOUND);
-		}
-		else if (!isReady()) {
-			exchange.setStatusCode(StatusCodes.SERVICE_UNAVAILABLE);
-		}
-		exchange.endExchange();
-	}
-
 	private Optional<WorkAtTarget> workOfOthers(String target) {
 		return this.gossip.others(target);
 	}
