Shorten the dispatcher's taking of an event

Cause: Dispatcher.event was the longest function there, and held what is done once, at the first event, between what is done at each. Change: the former is beganToAnswer; code is moved only. Checked: mvn -o -pl laneworks-core -am test, and the entry against stand-ins (PlatformEntry*, PlatformNames*, Dispatcher*, StreamMoving*), no failure.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -240,13 +240,7 @@
 			this.continuation.takeOver(call, now);
 		}
 		if (!found.get().isAnswering()) {
-			found.get().answering();
-			recordGood(found.get(), now);
-			call.mayHaveRun();
-			this.standbys.watch(call, found.get(), engine(call), now);
-			if (!this.directory.takesWork(found.get().target().id())) {
-				this.continuation.moveAway(call, now);
-			}
+			beganToAnswer(call, found.get(), now);
 		}
 		if (call.lastEvent() != DirectCall.NO_EVENT && id <= call.lastEvent()) {
 			return false;
@@ -368,6 +362,16 @@
 					.orElse("");
 	}
 
+	private void beganToAnswer(DirectCall call, Attempt attempt, long now) {
+		attempt.answering();
+		recordGood(attempt, now);
+		call.mayHaveRun();
+		this.standbys.watch(call, attempt, engine(call), now);
+		if (!this.directory.takesWork(attempt.target().id())) {
+			this.continuation.moveAway(call, now);
+		}
+	}
+
 	private Optional<EngineSpec> engine(DirectCall call) {
 		return this.plan.flatMap((p) -> p.service(call.request().service())).flatMap(ServiceSpec::engine);
 	}
