Remove two accessors that nothing uses

Cause: TargetBeliefs.all and TargetAttempt.number have no caller, also not in tests; a comment was broken by the formatter and a Javadoc spoke of one path. Change: they go, and the two texts are mended. Checked: mvn -o -pl laneworks-core -am test, and the entry against stand-ins (PlatformEntry*, PlatformNames*, Dispatcher*, StreamMoving*), no failure.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBeliefs.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBeliefs.java
@@ -1,6 +1,5 @@
 package dev.laneworks.core.dispatch;
 
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -136,14 +135,6 @@
 		}
 	}
 
-	/**
-	 * Return all beliefs.
-	 * @return the beliefs
-	 */
-	public Collection<TargetBelief> all() {
-		return this.byId.values();
-	}
-
 	/**
 	 * Return the share of bad answers among the other targets of a target's service.
 	 * @param target the target that is left out
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/CallerRequest.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/CallerRequest.java
@@ -103,8 +103,7 @@
 		}
 		putHead(head);
 		// Also where the connection ends with the answer: an answer that ends early must
-		// not
-		// look whole.
+		// not look whole.
 		this.exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
 		this.stream = Optional.of(new StreamWriter(this.exchange, broken));
 	}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/ServingSource.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/ServingSource.java
@@ -53,7 +53,7 @@
 	Either<String, ListedTarget> target(StoreItem item);
 
 	/**
-	 * Return the path under which the platform asks whether the process is ready.
+	 * Return the paths under which the platform asks whether the process is ready.
 	 * @return the paths, at least one
 	 */
 	List<String> readinessPaths();
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
@@ -69,10 +69,6 @@
 		this.loop = loop;
 	}
 
-	int number() {
-		return this.number;
-	}
-
 	URI server() {
 		return URI.create("http://" + this.target.address());
 	}
