Give what an entry knows of the others a class of its own

Cause: DirectEntry wires an entry up, and also carried the gossip between entries and the turns at copying in nested classes that reached back into it. Change: OtherEntries holds the gossip, its socket and both; DirectEntry keeps the wiring. The socket is opened at the same place as before. Code is moved only.

--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -3,14 +3,11 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.EnumSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.stream.Collectors;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -20,17 +17,12 @@
 import dev.laneworks.core.directory.LeavingCause;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
-import dev.laneworks.core.dispatch.CopyTurn;
 import dev.laneworks.core.dispatch.DispatchSettings;
 import dev.laneworks.core.dispatch.Dispatcher;
 import dev.laneworks.core.dispatch.RetryWindow;
 import dev.laneworks.core.dispatch.TargetBeliefs;
 import dev.laneworks.core.dispatch.TargetChooser;
 import dev.laneworks.core.follow.StoreFollower;
-import dev.laneworks.core.gossip.EntryNews;
-import dev.laneworks.core.gossip.Gossip;
-import dev.laneworks.core.gossip.GossipOutputs;
-import dev.laneworks.core.gossip.GossipSettings;
 import dev.laneworks.core.gossip.ServiceSpending;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.core.retry.Backoff;
@@ -42,7 +34,6 @@
 import dev.laneworks.runtime.log.LogLine;
 import dev.laneworks.runtime.operator.OperatorServer;
 import dev.laneworks.runtime.program.ExitCode;
-import dev.laneworks.wire.NewsSocket;
 import io.undertow.Handlers;
 import io.vavr.control.Either;
 import org.xnio.XnioIoThread;
@@ -108,12 +99,10 @@
 
 	private final TargetBeliefs beliefs = new TargetBeliefs(this::workOfOthers);
 
-	private final Gossip gossip;
-
-	private final NewsSocket news;
-
 	private final RetryWindow retries;
 
+	private final OtherEntries others;
+
 	private final Dispatcher dispatcher;
 
 	private final PlanAndTargets published;
@@ -147,17 +136,14 @@
 		TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, settings.dataCentre(), random);
 		this.retries = new RetryWindow(settings.retryWindowMillis(), settings.retryRatio(), settings.ownRetryExtra(1),
 				settings.retryExtra(), this::spendingOfOthers);
+		this.others = new OtherEntries(settings, this.beliefs, this.retries, this.loop, random, this.audit);
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(), this.directory, this.beliefs, chooser,
-				new Turns(), this.retries, timers, calls, this.audit);
+				this.others, this.retries, timers, calls, this.audit);
 		calls.use(this.dispatcher);
 		this.published = new PlanAndTargets(adapter.source(), this.directory, this.dispatcher::use, this.audit);
 		this.follower = new StoreFollower(settings.follow(), adapter.source().calls(this::follower), this.published,
 				timers, new Backoff(FIRST_WAIT, LONGEST_WAIT, random));
-		this.gossip = new Gossip(GossipSettings.defaults(), settings.instance(), text(settings.news()), seeds(settings),
-				new News(), timers, random, this.audit);
-		this.beliefs.onChange((isUrgent) -> this.gossip.changed(isUrgent, this.loop.now()));
-		this.news = new NewsSocket(settings.news(),
-				(from, n) -> this.loop.run(() -> this.gossip.received(from, n, this.loop.now())));
+		this.others.listen(settings.news());
 		this.callers = new DirectServer(this.io, settings.callers(), calls, adapter.headers(), this.published::plan,
 				() -> this.stopping, this.loop, random, this.audit);
 		this.readiness = new ReadinessServer(this.io, settings.readiness(), adapter.source()::readinessPaths,
@@ -178,7 +164,7 @@
 		LogLine.of("started").with("address", this.settings.callers().toString()).info();
 		this.loop.run(() -> this.follower.start(this.loop.now()));
 		this.loop.run(this::lookForPlan);
-		this.loop.run(() -> this.gossip.start(this.loop.now()));
+		this.loop.run(() -> this.others.start(this.loop.now()));
 		this.loop.run(() -> shareRetries(1));
 		try {
 			this.ended.await();
@@ -243,7 +229,7 @@
 	// More entries have smaller parts; a part grows only when an entry has been gone
 	// for a while.
 	private void shareRetries(int entriesBefore) {
-		int entries = Math.max(this.gossip.peers() + 1, entriesBefore - 1);
+		int entries = Math.max(this.others.count() + 1, entriesBefore - 1);
 		this.retries.allow(this.inForce.retryRatio(), this.inForce.ownRetryExtra(entries));
 		this.loop.timers().at(this.loop.now() + SHARE_MILLIS, (t) -> shareRetries(entries));
 	}
@@ -261,7 +247,7 @@
 		boolean isIdle = this.dispatcher.openCalls() == 0 && this.callers.openAnswers() == 0;
 		boolean isLate = now - since >= this.settings.graceMillis() - END_EARLY_MILLIS;
 		if (isLate || (isIdle && now - since >= BALANCER_MILLIS)) {
-			this.gossip.end(now);
+			this.others.end(now);
 			this.ended.countDown();
 			return;
 		}
@@ -269,22 +255,11 @@
 	}
 
 	private Optional<WorkAtTarget> workOfOthers(String target) {
-		return this.gossip.others(target);
+		return this.others.workAt(target);
 	}
 
 	private Optional<ServiceSpending> spendingOfOthers(String service, long windowMillis, long now) {
-		return this.gossip.spendingOfOthers(service, windowMillis, now);
-	}
-
-	private static Set<String> seeds(DirectSettings settings) {
-		return settings.seeds()
-			.stream()
-			.map((a) -> a.substring(0, a.lastIndexOf(':') + 1) + settings.news().getPort())
-			.collect(Collectors.toSet());
-	}
-
-	private static String text(InetSocketAddress address) {
-		return address.getAddress().getHostAddress() + ':' + address.getPort();
+		return this.others.spending(service, windowMillis, now);
 	}
 
 	private StoreFollower follower() {
@@ -301,7 +276,7 @@
 	private void registerMetrics() {
 		this.metrics.register("laneworks_open_calls", (Gauge<Integer>) this.dispatcher::openCalls);
 		this.metrics.register("laneworks_targets", (Gauge<Integer>) this.directory::size);
-		this.metrics.register("laneworks_peers", (Gauge<Integer>) this.gossip::peers);
+		this.metrics.register("laneworks_peers", (Gauge<Integer>) this.others::count);
 		for (AuditKind kind : AuditKind.values()) {
 			this.metrics.counter(counterName(kind));
 		}
@@ -312,48 +287,6 @@
 		return "laneworks_decisions_" + kind.label().replace('-', '_');
 	}
 
-	/**
-	 * Takes turns with other entries at copying.
-	 */
-	private final class Turns implements CopyTurn {
-
-		@Override
-		public boolean isOurs(ListedTarget source, long sinceNotice) {
-			return DirectEntry.this.gossip.isFirstToMove(source.id(), sinceNotice);
-		}
-
-		@Override
-		public boolean isQuiet() {
-			return !DirectEntry.this.gossip.isAnyCopying();
-		}
-
-	}
-
-	/**
-	 * Carries the gossip between entries.
-	 */
-	private final class News implements GossipOutputs {
-
-		@Override
-		public void send(String address, EntryNews told) {
-			int colon = address.lastIndexOf(':');
-			DirectEntry.this.news.send(
-					new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))),
-					told);
-		}
-
-		@Override
-		public List<WorkAtTarget> ownWork() {
-			return DirectEntry.this.beliefs.ownWork();
-		}
-
-		@Override
-		public List<ServiceSpending> ownSpending() {
-			return DirectEntry.this.retries.spending(DirectEntry.this.loop.now());
-		}
-
-	}
-
 	/**
 	 * Tells the rest of the entry of targets that come and go.
 	 */
--- /dev/null
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
@@ -0,0 +1,119 @@
+package dev.laneworks.entry.direct;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+
+import dev.laneworks.core.audit.AuditSink;
+import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.dispatch.CopyTurn;
+import dev.laneworks.core.dispatch.RetryWindow;
+import dev.laneworks.core.dispatch.TargetBeliefs;
+import dev.laneworks.core.gossip.EntryNews;
+import dev.laneworks.core.gossip.Gossip;
+import dev.laneworks.core.gossip.GossipOutputs;
+import dev.laneworks.core.gossip.GossipSettings;
+import dev.laneworks.core.gossip.ServiceSpending;
+import dev.laneworks.core.gossip.WorkAtTarget;
+import dev.laneworks.wire.NewsSocket;
+
+/**
+ * What this entry knows of the others, and tells them.
+ * <p>
+ * Carries the gossip over the network, and takes turns with the others at copying. Used
+ * on the I/O thread alone, but for {@link #count()}.
+ */
+final class OtherEntries implements GossipOutputs, CopyTurn {
+
+	private final TargetBeliefs beliefs;
+
+	private final RetryWindow retries;
+
+	private final EventLoop loop;
+
+	private final Gossip gossip;
+
+	private NewsSocket socket;
+
+	OtherEntries(DirectSettings settings, TargetBeliefs beliefs, RetryWindow retries, EventLoop loop,
+			RandomGenerator random, AuditSink audit) {
+		this.beliefs = beliefs;
+		this.retries = retries;
+		this.loop = loop;
+		this.gossip = new Gossip(GossipSettings.defaults(), settings.instance(), text(settings.news()), seeds(settings),
+				this, loop.timers(), random, audit);
+		beliefs.onChange((isUrgent) -> this.gossip.changed(isUrgent, loop.now()));
+	}
+
+	// Opens the socket; to be called once, before the start.
+	void listen(InetSocketAddress address) {
+		this.socket = new NewsSocket(address,
+				(from, n) -> this.loop.run(() -> this.gossip.received(from, n, this.loop.now())));
+	}
+
+	void start(long now) {
+		this.gossip.start(now);
+	}
+
+	void end(long now) {
+		this.gossip.end(now);
+	}
+
+	// How many other entries are known.
+	int count() {
+		return this.gossip.peers();
+	}
+
+	// The work that they have at a target; empty while none of them is known.
+	Optional<WorkAtTarget> workAt(String target) {
+		return this.gossip.others(target);
+	}
+
+	// What they spent of the retry budget; empty while none of them is known.
+	Optional<ServiceSpending> spending(String service, long windowMillis, long now) {
+		return this.gossip.spendingOfOthers(service, windowMillis, now);
+	}
+
+	@Override
+	public boolean isOurs(ListedTarget source, long sinceNotice) {
+		return this.gossip.isFirstToMove(source.id(), sinceNotice);
+	}
+
+	@Override
+	public boolean isQuiet() {
+		return !this.gossip.isAnyCopying();
+	}
+
+	@Override
+	public void send(String address, EntryNews told) {
+		int colon = address.lastIndexOf(':');
+		this.socket.send(
+				new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))),
+				told);
+	}
+
+	@Override
+	public List<WorkAtTarget> ownWork() {
+		return this.beliefs.ownWork();
+	}
+
+	@Override
+	public List<ServiceSpending> ownSpending() {
+		return this.retries.spending(this.loop.now());
+	}
+
+	private static Set<String> seeds(DirectSettings settings) {
+		return settings.seeds()
+			.stream()
+			.map((a) -> a.substring(0, a.lastIndexOf(':') + 1) + settings.news().getPort())
+			.collect(Collectors.toSet());
+	}
+
+	private static String text(InetSocketAddress address) {
+		return address.getAddress().getHostAddress() + ':' + address.getPort();
+	}
+
+}
