Bound the fullness of a copy's engine in one place

Cause: the attempt sender and the standby copies worked out alike how full an engine would be with a copy, each behind TargetChooser.chooseBackup. Its Javadoc tells of standby copies too. Checked: mvn -o -pl laneworks-core -am test, and the entry against stand-ins (PlatformEntry*, PlatformNames*, Dispatcher*, StreamMoving*), no failure.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -187,10 +187,7 @@
 				|| this.chooser.fleetFullness(target.service(), engine, now) > FLEET_FULLNESS) {
 			return Optional.empty();
 		}
-		long tokens = work.get().heldTokens(0);
-		return this.chooser.chooseBackup(target, engine, tokens, now)
-			.filter((t) -> this.chooser.fullness(t, engine, now)
-					+ (double) tokens / engine.memoryTokens() <= BACKUP_FULLNESS);
+		return this.chooser.chooseBackup(target, engine, work.get().heldTokens(0), BACKUP_FULLNESS, now);
 	}
 
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
@@ -196,9 +196,7 @@
 		if (this.chooser.fleetFullness(source.service(), engine, now) > FLEET_FULLNESS) {
 			return false;
 		}
-		Optional<ListedTarget> destination = this.chooser.chooseBackup(source, engine, tokens, now)
-			.filter((t) -> this.chooser.fullness(t, engine, now)
-					+ (double) tokens / engine.memoryTokens() <= ENGINE_FULLNESS);
+		Optional<ListedTarget> destination = this.chooser.chooseBackup(source, engine, tokens, ENGINE_FULLNESS, now);
 		destination.ifPresent((d) -> {
 			this.beliefs.change(d, (b) -> b.held(tokens));
 			call.standby(Optional.of(new Standby(source, d, tokens)));
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -139,17 +139,20 @@
 	}
 
 	/**
-	 * Choose where a running copy of a generation grows; it needs little of a link, so
-	 * that the distance hardly counts.
+	 * Choose where a copy is kept of a generation that runs on; it needs little of a
+	 * link, so that the distance hardly counts.
 	 * @param source the engine that runs it
 	 * @param engine what the service's engines can do
 	 * @param tokens the memory that it holds and will hold
+	 * @param fullest how full the memory of the copy's engine may be with the copy
 	 * @param now the time in milliseconds
-	 * @return the engine, or empty if there is no other
+	 * @return the engine, or empty if there is no other or the best one is too full
 	 */
-	public Optional<ListedTarget> chooseBackup(ListedTarget source, EngineSpec engine, long tokens, long now) {
+	public Optional<ListedTarget> chooseBackup(ListedTarget source, EngineSpec engine, long tokens, double fullest,
+			long now) {
 		return lowest(candidates(source.service(), Set.of(source.id()), now),
-				(t) -> engineScore(t, engine, tokens, source.dataCentre(), 0, now));
+				(t) -> engineScore(t, engine, tokens, source.dataCentre(), 0, now))
+			.filter((t) -> fullness(t, engine, now) + (double) tokens / engine.memoryTokens() <= fullest);
 	}
 
 	/**
