--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -3,12 +3,10 @@
 import java.util.Optional;
 import java.util.Set;
 
-import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
-import dev.laneworks.core.dispatch.DirectCall.Attempt;
 import dev.laneworks.core.serving.EngineSpec;
 
 /**
@@ -86,19 +84,17 @@
 	Attempt send(DirectCall call, ListedTarget target, Optional<EngineSpec> engine, Optional<ResumePoint> resume,
 			long now) {
 		// A generation that has just moved brings no copy along: its whole memory would
-		// go
-		// over links that others need to leave the same engine.
+		// go over links that others need to leave the same engine.
 		Optional<ListedTarget> backup = resume.isPresent() ? Optional.empty()
 				: engine.flatMap((e) -> chooseBackup(call, target, e, now));
 		Attempt attempt = call.begin(target, resume, backup);
-		this.audit.record(new AuditEvent(AuditKind.ROUTED, call.request().id(), call.request().account(), target.id(),
-				"attempt " + attempt.number() + ", own requests there " + this.beliefs.of(target).inFlight()
-						+ ", all requests " + Math.round(this.beliefs.requests(target, now))
-						+ engine
-							.map((e) -> ", memory " + Math.round(PERCENT * this.chooser.fullness(target, e, now)) + "%")
-							.orElse("")
-						+ ", directory of " + this.directory.size()
-						+ backup.map((b) -> ", copy grows at " + b.id()).orElse("")));
+		this.audit.record(call.event(AuditKind.ROUTED, target.id(), "attempt " + attempt.number()
+				+ ", own requests there " + this.beliefs.of(target).inFlight() + ", all requests "
+				+ Math.round(this.beliefs.requests(target, now))
+				+ engine.map((e) -> ", memory " + Math.round(PERCENT * this.chooser.fullness(target, e, now)) + "%")
+					.orElse("")
+				+ ", directory of " + this.directory.size()
+				+ backup.map((b) -> ", copy grows at " + b.id()).orElse("")));
 		this.beliefs.change(target, TargetBelief::began);
 		hold(attempt, heldTokens(call, engine));
 		if (resume.isEmpty()) {
@@ -141,9 +137,8 @@
 		if (backup.isEmpty() || call.successor().isPresent()) {
 			return;
 		}
-		this.audit.record(new AuditEvent(AuditKind.MOVED, call.request().id(), call.request().account(),
-				backup.get().id(), "its running copy gives way: memory there is "
-						+ Math.round(PERCENT * this.chooser.fullness(backup.get(), engine, now)) + "% promised"));
+		this.audit.record(call.event(AuditKind.MOVED, backup.get().id(), "its running copy gives way: memory there is "
+				+ Math.round(PERCENT * this.chooser.fullness(backup.get(), engine, now)) + "% promised"));
 		this.beliefs.change(backup.get(), (b) -> b.held(-attempt.heldTokens()));
 		attempt.dropBackup();
 		this.outputs.releaseCopy(attempt.target(), call.request().id());
@@ -192,10 +187,7 @@
 				|| this.chooser.fleetFullness(target.service(), engine, now) > FLEET_FULLNESS) {
 			return Optional.empty();
 		}
-		long tokens = work.get().heldTokens(0);
-		return this.chooser.chooseBackup(target, engine, tokens, now)
-			.filter((t) -> this.chooser.fullness(t, engine, now)
-					+ (double) tokens / engine.memoryTokens() <= BACKUP_FULLNESS);
+		return this.chooser.chooseBackup(target, engine, work.get().heldTokens(0), BACKUP_FULLNESS, now);
 	}
 
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
@@ -2,13 +2,10 @@
 
 import java.util.Optional;
 
-import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
-import dev.laneworks.core.dispatch.DirectCall.Attempt;
-import dev.laneworks.core.dispatch.DirectCall.Standby;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.time.Timers;
 
@@ -82,8 +79,8 @@
 	}
 
 	/**
-	 * Take that an engine is leaving: links are needed for moves, and copies that stand
-	 * there are of no use.
+	 * Take that an engine is leaving: for a while links are left to moves, and no copy is
+	 * begun.
 	 * @param now the time in milliseconds
 	 */
 	void leaving(long now) {
@@ -109,9 +106,8 @@
 	 * @param call the call
 	 * @param order the order
 	 * @param result how it ended
-	 * @param now the time in milliseconds
 	 */
-	void copied(DirectCall call, CopyOrder order, CopyResult result, long now) {
+	void copied(DirectCall call, CopyOrder order, CopyResult result) {
 		endActive(call);
 		Standby standby = call.standby().orElse(null);
 		if (standby == null || !standby.destination().id().equals(order.destination().id())) {
@@ -121,7 +117,7 @@
 			return;
 		}
 		if (result.outcome() == CopyResult.Outcome.COPIED) {
-			standby.copied(result.handle(), call.attempt().map(Attempt::heldTokens).orElse(0L), now);
+			standby.copied(result.handle(), call.attempt().map(Attempt::heldTokens).orElse(0L));
 			return;
 		}
 		record(call, order.destination(), "standby copy ended: " + result.outcome());
@@ -201,9 +197,7 @@
 		if (this.chooser.fleetFullness(source.service(), engine, now) > FLEET_FULLNESS) {
 			return false;
 		}
-		Optional<ListedTarget> destination = this.chooser.chooseBackup(source, engine, tokens, now)
-			.filter((t) -> this.chooser.fullness(t, engine, now)
-					+ (double) tokens / engine.memoryTokens() <= ENGINE_FULLNESS);
+		Optional<ListedTarget> destination = this.chooser.chooseBackup(source, engine, tokens, ENGINE_FULLNESS, now);
 		destination.ifPresent((d) -> {
 			this.beliefs.change(d, (b) -> b.held(tokens));
 			call.standby(Optional.of(new Standby(source, d, tokens)));
@@ -230,8 +224,7 @@
 	}
 
 	private void record(DirectCall call, ListedTarget target, String cause) {
-		this.audit
-			.record(new AuditEvent(AuditKind.MOVED, call.request().id(), call.request().account(), target.id(), cause));
+		this.audit.record(call.event(AuditKind.MOVED, target.id(), cause));
 	}
 
 }
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -3,14 +3,11 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.EnumSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.stream.Collectors;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -20,17 +17,12 @@
 import dev.laneworks.core.directory.LeavingCause;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
-import dev.laneworks.core.dispatch.CopyTurn;
 import dev.laneworks.core.dispatch.DispatchSettings;
 import dev.laneworks.core.dispatch.Dispatcher;
 import dev.laneworks.core.dispatch.RetryWindow;
 import dev.laneworks.core.dispatch.TargetBeliefs;
 import dev.laneworks.core.dispatch.TargetChooser;
 import dev.laneworks.core.follow.StoreFollower;
-import dev.laneworks.core.gossip.EntryNews;
-import dev.laneworks.core.gossip.Gossip;
-import dev.laneworks.core.gossip.GossipOutputs;
-import dev.laneworks.core.gossip.GossipSettings;
 import dev.laneworks.core.gossip.ServiceSpending;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.core.retry.Backoff;
@@ -42,11 +34,7 @@
 import dev.laneworks.runtime.log.LogLine;
 import dev.laneworks.runtime.operator.OperatorServer;
 import dev.laneworks.runtime.program.ExitCode;
-import dev.laneworks.wire.NewsSocket;
 import io.undertow.Handlers;
-import io.undertow.Undertow;
-import io.undertow.server.HttpServerExchange;
-import io.undertow.util.StatusCodes;
 import io.vavr.control.Either;
 import org.xnio.XnioIoThread;
 
@@ -61,10 +49,13 @@
  */
 public final class DirectEntry {
 
+	/** How many decisions are kept for operators to look at. */
 	private static final int AUDIT_CAPACITY = 2_000;
 
+	/** The wait before the store is asked again after a first failure. */
 	private static final Duration FIRST_WAIT = Duration.ofMillis(80);
 
+	/** The longest wait before the store is asked again, however often it failed. */
 	private static final Duration LONGEST_WAIT = Duration.ofMillis(800);
 
 	/**
@@ -78,9 +69,16 @@
 	 */
 	private static final long END_EARLY_MILLIS = 250;
 
+	/**
+	 * How often it is looked whether the plan is there or calls are over, in
+	 * milliseconds.
+	 */
 	private static final long LOOK_MILLIS = 50;
 
-	/** How often this entry's part of the retry budget is worked out anew. */
+	/**
+	 * How often this entry's part of the retry budget is worked out anew, in
+	 * milliseconds.
+	 */
 	private static final long SHARE_MILLIS = 500;
 
 	private final DirectSettings settings;
@@ -101,12 +99,10 @@
 
 	private final TargetBeliefs beliefs = new TargetBeliefs(this::workOfOthers);
 
-	private final Gossip gossip;
-
-	private final NewsSocket news;
-
 	private final RetryWindow retries;
 
+	private final OtherEntries others;
+
 	private final Dispatcher dispatcher;
 
 	private final PlanAndTargets published;
@@ -115,7 +111,7 @@
 
 	private final DirectServer callers;
 
-	private final Undertow readiness;
+	private final ReadinessServer readiness;
 
 	private volatile boolean ready;
 
@@ -140,20 +136,18 @@
 		TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, settings.dataCentre(), random);
 		this.retries = new RetryWindow(settings.retryWindowMillis(), settings.retryRatio(), settings.ownRetryExtra(1),
 				settings.retryExtra(), this::spendingOfOthers);
+		this.others = new OtherEntries(settings, this.beliefs, this.retries, this.loop, random, this.audit);
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(), this.directory, this.beliefs, chooser,
-				new Turns(), this.retries, timers, calls, this.audit);
+				this.others, this.retries, timers, calls, this.audit);
 		calls.use(this.dispatcher);
 		this.published = new PlanAndTargets(adapter.source(), this.directory, this.dispatcher::use, this.audit);
 		this.follower = new StoreFollower(settings.follow(), adapter.source().calls(this::follower), this.published,
 				timers, new Backoff(FIRST_WAIT, LONGEST_WAIT, random));
-		this.gossip = new Gossip(GossipSettings.defaults(), settings.instance(), text(settings.news()), seeds(settings),
-				new News(), timers, random, this.audit);
-		this.beliefs.onChange((isUrgent) -> this.gossip.changed(isUrgent, this.loop.now()));
-		this.news = new NewsSocket(settings.news(),
-				(from, n) -> this.loop.run(() -> this.gossip.received(from, n, this.loop.now())));
+		this.others.listen(settings.news());
 		this.callers = new DirectServer(this.io, settings.callers(), calls, adapter.headers(), this.published::plan,
 				() -> this.stopping, this.loop, random, this.audit);
-		this.readiness = readiness(adapter);
+		this.readiness = new ReadinessServer(this.io, settings.readiness(), adapter.source()::readinessPaths,
+				this::isReady);
 		registerMetrics();
 	}
 
@@ -170,7 +164,7 @@
 		LogLine.of("started").with("address", this.settings.callers().toString()).info();
 		this.loop.run(() -> this.follower.start(this.loop.now()));
 		this.loop.run(this::lookForPlan);
-		this.loop.run(() -> this.gossip.start(this.loop.now()));
+		this.loop.run(() -> this.others.start(this.loop.now()));
 		this.loop.run(() -> shareRetries(1));
 		try {
 			this.ended.await();
@@ -216,24 +210,6 @@
 			.info();
 	}
 
-	// More entries have smaller parts; a part grows only when an entry has been gone for
-	// a
-	// while.
-	private void shareRetries(int entriesBefore) {
-		int entries = Math.max(this.gossip.peers() + 1, entriesBefore - 1);
-		this.retries.allow(this.inForce.retryRatio(), this.inForce.ownRetryExtra(entries));
-		this.loop.timers().at(this.loop.now() + SHARE_MILLIS, (t) -> shareRetries(entries));
-	}
-
-	private void lookForPlan() {
-		if (this.published.isComplete()) {
-			this.ready = true;
-			LogLine.of("ready").with("targets", this.directory.size()).info();
-			return;
-		}
-		this.loop.timers().at(this.loop.now() + LOOK_MILLIS, (t) -> lookForPlan());
-	}
-
 	/**
 	 * Return where callers connect.
 	 * @return the address
@@ -250,52 +226,40 @@
 		return this.ready && !this.stopping;
 	}
 
+	// More entries have smaller parts; a part grows only when an entry has been gone
+	// for a while.
+	private void shareRetries(int entriesBefore) {
+		int entries = Math.max(this.others.count() + 1, entriesBefore - 1);
+		this.retries.allow(this.inForce.retryRatio(), this.inForce.ownRetryExtra(entries));
+		this.loop.timers().at(this.loop.now() + SHARE_MILLIS, (t) -> shareRetries(entries));
+	}
+
+	private void lookForPlan() {
+		if (this.published.isComplete()) {
+			this.ready = true;
+			LogLine.of("ready").with("targets", this.directory.size()).info();
+			return;
+		}
+		this.loop.timers().at(this.loop.now() + LOOK_MILLIS, (t) -> lookForPlan());
+	}
+
 	private void lookForEnd(long since, long now) {
 		boolean isIdle = this.dispatcher.openCalls() == 0 && this.callers.openAnswers() == 0;
 		boolean isLate = now - since >= this.settings.graceMillis() - END_EARLY_MILLIS;
 		if (isLate || (isIdle && now - since >= BALANCER_MILLIS)) {
-			this.gossip.end(now);
+			this.others.end(now);
 			this.ended.countDown();
 			return;
 		}
 		this.loop.timers().at(now + LOOK_MILLIS, (t) -> lookForEnd(since, t));
 	}
 
-	private Undertow readiness(PlatformAdapter adapter) {
-		return Undertow.builder()
-			.setWorker(this.io.worker())
-			.addHttpListener(this.settings.readiness().getPort(), this.settings.readiness().getHostString())
-			.setHandler((e) -> answerReadiness(e, adapter))
-			.build();
-	}
-
-	private void answerReadiness(HttpServerExchange exchange, PlatformAdapter adapter) {
-		if (!adapter.source().readinessPaths().contains(exchange.getRequestPath())) {
-			exchange.setStatusCode(StatusCodes.NOT_FOUND);
-		}
-		else if (!isReady()) {
-			exchange.setStatusCode(StatusCodes.SERVICE_UNAVAILABLE);
-		}
-		exchange.endExchange();
-	}
-
 	private Optional<WorkAtTarget> workOfOthers(String target) {
-		return this.gossip.others(target);
+		return this.others.workAt(target);
 	}
 
 	private Optional<ServiceSpending> spendingOfOthers(String service, long windowMillis, long now) {
-		return this.gossip.spendingOfOthers(service, windowMillis, now);
-	}
-
-	private static Set<String> seeds(DirectSettings settings) {
-		return settings.seeds()
-			.stream()
-			.map((a) -> a.substring(0, a.lastIndexOf(':') + 1) + settings.news().getPort())
-			.collect(Collectors.toSet());
-	}
-
-	private static String text(InetSocketAddress address) {
-		return address.getAddress().getHostAddress() + ':' + address.getPort();
+		return this.others.spending(service, windowMillis, now);
 	}
 
 	private StoreFollower follower() {
@@ -312,7 +276,7 @@
 	private void registerMetrics() {
 		this.metrics.register("laneworks_open_calls", (Gauge<Integer>) this.dispatcher::openCalls);
 		this.metrics.register("laneworks_targets", (Gauge<Integer>) this.directory::size);
-		this.metrics.register("laneworks_peers", (Gauge<Integer>) this.gossip::peers);
+		this.metrics.register("laneworks_peers", (Gauge<Integer>) this.others::count);
 		for (AuditKind kind : AuditKind.values()) {
 			this.metrics.counter(counterName(kind));
 		}
@@ -323,48 +287,6 @@
 		return "laneworks_decisions_" + kind.label().replace('-', '_');
 	}
 
-	/**
-	 * Takes turns with other entries at copying.
-	 */
-	private final class Turns implements CopyTurn {
-
-		@Override
-		public boolean isOurs(ListedTarget source, long sinceNotice) {
-			return DirectEntry.this.gossip.isFirstToMove(source.id(), sinceNotice);
-		}
-
-		@Override
-		public boolean isQuiet() {
-			return !DirectEntry.this.gossip.isAnyCopying();
-		}
-
-	}
-
-	/**
-	 * Carries the gossip between entries.
-	 */
-	private final class News implements GossipOutputs {
-
-		@Override
-		public void send(String address, EntryNews told) {
-			int colon = address.lastIndexOf(':');
-			DirectEntry.this.news.send(
-					new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))),
-					told);
-		}
-
-		@Override
-		public List<WorkAtTarget> ownWork() {
-			return DirectEntry.this.beliefs.ownWork();
-		}
-
-		@Override
-		public List<ServiceSpending> ownSpending() {
-			return DirectEntry.this.retries.spending(DirectEntry.this.loop.now());
-		}
-
-	}
-
 	/**
 	 * Tells the rest of the entry of targets that come and go.
 	 */
