A standby copy under way ends with its call; tell where a stream was cut

Both flags of copying were one boolean that either side could clear. Change: the source is kept with the copy under way, the mark is a count, a call remembers its last target. Checked: aCallerThatLeavesDuringAStandbyCopyEndsIt and aStreamThatIsCutDuringAStandbyCopyEndsItAndTellsWhere (a scratch test of the same was red before), the dispatcher's tests and its fuzz green.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/CallEnding.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/CallEnding.java
@@ -84,13 +84,12 @@
 
 	// Takes a call out of the open ones; what the caller is told is up to the invoker.
 	void finish(DirectCall call, AuditKind kind, String cause, long now) {
-		String target = call.attempt().map((a) -> a.target().id()).orElse("");
 		this.standbys.drop(call);
 		this.mover.ended(call, now);
 		call.successor().ifPresent((a) -> this.sender.abandon(call, a));
 		call.attempt().ifPresent((a) -> this.sender.end(call, a));
 		this.calls.remove(call.number());
-		this.audit.record(call.event(kind, target, cause));
+		this.audit.record(call.event(kind, call.lastTarget(), cause));
 	}
 
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
@@ -32,6 +32,8 @@
 
 	private int attempts;
 
+	private String lastTarget = "";
+
 	private int arrivals;
 
 	private int runs;
@@ -106,6 +108,7 @@
 
 	Attempt begin(ListedTarget target, Optional<ResumePoint> resume, Optional<ListedTarget> backup) {
 		this.attempts++;
+		this.lastTarget = target.id();
 		return new Attempt(this.attempts, target, resume, backup);
 	}
 
@@ -131,6 +134,11 @@
 		}
 	}
 
+	// The target of the attempt begun last, or empty text.
+	String lastTarget() {
+		return this.lastTarget;
+	}
+
 	int attempts() {
 		return this.attempts;
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -331,7 +331,7 @@
 			this.mover.copied(call, order, result, now);
 		}
 		else if (call != null) {
-			this.standbys.copied(call, order, result);
+			this.standbys.copied(call, order, result, now);
 		}
 		else if (!result.handle().isEmpty()) {
 			this.outputs.releaseCopy(order.source(), result.handle());
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
@@ -65,6 +65,9 @@
 
 	private Optional<DirectCall> active = Optional.empty();
 
+	/** The engine that the active call's generation is copied from. */
+	private ListedTarget activeSource;
+
 	private long quietUntil;
 
 	StandbyCopies(TargetDirectory directory, TargetBeliefs beliefs, TargetChooser chooser, CopyTurn turn, Timers timers,
@@ -106,8 +109,9 @@
 	 * @param call the call
 	 * @param order the order
 	 * @param result how it ended
+	 * @param now the time in milliseconds
 	 */
-	void copied(DirectCall call, CopyOrder order, CopyResult result) {
+	void copied(DirectCall call, CopyOrder order, CopyResult result, long now) {
 		endActive(call);
 		Standby standby = call.standby().orElse(null);
 		if (standby == null || !standby.destination().id().equals(order.destination().id())) {
@@ -156,7 +160,7 @@
 	private void endActive(DirectCall call) {
 		if (this.active.filter((c) -> c == call).isPresent()) {
 			this.active = Optional.empty();
-			call.attempt().ifPresent((a) -> this.beliefs.change(a.target(), (b) -> b.copying(false)));
+			this.beliefs.change(this.activeSource, (b) -> b.copying(-1));
 		}
 	}
 
@@ -185,7 +189,8 @@
 			return;
 		}
 		this.active = Optional.of(call);
-		this.beliefs.change(attempt.target(), (b) -> b.copying(true));
+		this.activeSource = attempt.target();
+		this.beliefs.change(this.activeSource, (b) -> b.copying(1));
 		this.outputs.copy(call.number(),
 				new CopyOrder(call.request().id(), attempt.target(), call.standby().get().destination(), false));
 		lookAt(call, attempt, engine, now + REFRESH_MILLIS);
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -314,8 +314,9 @@
 	}
 
 	private void activate(SourceQueue queue, Optional<DirectCall> call) {
+		int change = (call.isPresent() ? 1 : 0) - (queue.active.isPresent() ? 1 : 0);
 		queue.active = call;
-		this.beliefs.change(queue.source, (b) -> b.copying(call.isPresent()));
+		this.beliefs.change(queue.source, (b) -> b.copying(change));
 	}
 
 	private void count(Copying copying, boolean isToMove) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBelief.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBelief.java
@@ -30,7 +30,7 @@
 
 	private int toMove;
 
-	private boolean copying;
+	private int copies;
 
 	private int othersRunning;
 
@@ -154,15 +154,15 @@
 	 * @return whether a copy is under way
 	 */
 	public boolean isCopying() {
-		return this.copying;
+		return this.copies > 0;
 	}
 
 	/**
 	 * Record that a copy away from the target begins or is over.
-	 * @param isCopying whether a copy is under way
+	 * @param change 1 or -1
 	 */
-	public void copying(boolean isCopying) {
-		this.copying = isCopying;
+	public void copying(int change) {
+		this.copies += change;
 	}
 
 	/**
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -214,6 +214,10 @@
 		this.released.add(source.id() + "/" + handle);
 	}
 
+	AuditEvent lastAudit() {
+		return this.audit.get(this.audit.size() - 1);
+	}
+
 	List<String> answers(long call) {
 		return this.answers.getOrDefault(call, List.of());
 	}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
@@ -228,6 +228,35 @@
 		assertThat(this.world.copies.get(1).destination().id()).isEqualTo(this.world.copies.get(0).destination().id());
 	}
 
+	@Test
+	void aCallerThatLeavesDuringAStandbyCopyEndsIt() {
+		Sent sent = streamWithStandbyCopyUnderWay();
+		this.world.dispatcher.callerLeft(1, this.world.now);
+		assertThat(this.world.beliefs.of(sent.target()).isCopying()).isFalse();
+		assertThat(this.world.lastAudit().target()).isEqualTo(sent.target().id());
+	}
+
+	@Test
+	void aStreamThatIsCutDuringAStandbyCopyEndsItAndTellsWhere() {
+		Sent sent = streamWithStandbyCopyUnderWay();
+		this.world.event(sent, 5);
+		assertThat(this.world.answers(1)).contains("cut");
+		assertThat(this.world.beliefs.of(sent.target()).isCopying()).isFalse();
+		assertThat(this.world.lastAudit().target()).isEqualTo(sent.target().id());
+	}
+
+	private Sent streamWithStandbyCopyUnderWay() {
+		this.world.join(DispatchHarness.ENGINES, "a");
+		this.world.openStream(1, 9_000);
+		Sent sent = this.world.arrive();
+		this.world.join(DispatchHarness.ENGINES, "b");
+		this.world.event(sent, 0);
+		this.world.passTime(800);
+		assertThat(this.world.copies).hasSize(1);
+		assertThat(this.world.beliefs.of(sent.target()).isCopying()).isTrue();
+		return sent;
+	}
+
 	@Test
 	void aLostRunGoesOnAtItsStandbyCopy() {
 		Sent first = streamWithStandbyCopy();
@@ -250,13 +279,7 @@
 	}
 
 	private Sent streamWithStandbyCopy() {
-		this.world.join(DispatchHarness.ENGINES, "a");
-		this.world.openStream(1, 9_000);
-		Sent first = this.world.arrive();
-		this.world.join(DispatchHarness.ENGINES, "b");
-		this.world.event(first, 0);
-		this.world.passTime(800);
-		assertThat(this.world.copies).hasSize(1);
+		Sent first = streamWithStandbyCopyUnderWay();
 		this.world.copied(Outcome.COPIED, "s1");
 		return first;
 	}
