--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EventLoop.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EventLoop.java
@@ -41,6 +41,11 @@
 		});
 	}
 
+	// Settle after the input that is being taken now.
+	void settleSoon() {
+		this.thread.execute(this::settle);
+	}
+
 	/**
 	 * Run what is due and see to it that the thread wakes for what is due next. To be
 	 * called on the thread behind each input.
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
@@ -98,8 +98,7 @@
 			return Optional.empty();
 		}
 		OptionalLong left = this.dispatcher.readyToSend(this.call, this.number, this.loop.now());
-		this.loop.run(() -> {
-		});
+		this.loop.settleSoon();
 		if (left.isEmpty()) {
 			return Optional.empty();
 		}
