Wait with the plan for requests that come during a start; a silent entry loses its turn

Ruled out: refusing earlier (callers meet another entry in the same state).

An entry that moves generations tells so every 60 ms, and after 200 ms of silence others go on without it.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/CopyTurn.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/CopyTurn.java
@@ -17,9 +17,10 @@
 	 * Return whether it is this process's turn.
 	 * @param source the engine
 	 * @param sinceNotice how long ago the engine's leaving was heard, in milliseconds
+	 * @param now the time in milliseconds
 	 * @return whether copies may be ordered
 	 */
-	boolean isOurs(ListedTarget source, long sinceNotice);
+	boolean isOurs(ListedTarget source, long sinceNotice, long now);
 
 	/**
 	 * Return whether no other process copies anything now, so that a copy which has time
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -202,7 +202,7 @@
 		if (tokensToCopy(next) <= NEARLY_COPIED_TOKENS) {
 			return true;
 		}
-		return sinceNotice >= NEARLY_COPIED_MILLIS && this.turn.isOurs(queue.source, sinceNotice);
+		return sinceNotice >= NEARLY_COPIED_MILLIS && this.turn.isOurs(queue.source, sinceNotice, now);
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
@@ -63,6 +63,9 @@
 
 	private boolean ending;
 
+	/** Whether it is looked at short intervals if others wait for this entry. */
+	private boolean tellsOfMoving;
+
 	/**
 	 * Create an entry's part of the gossip.
 	 * @param settings its times and bounds
@@ -110,6 +113,10 @@
 	 * @param now the time in milliseconds
 	 */
 	public void changed(boolean isUrgent, long now) {
+		if (isUrgent && !this.tellsOfMoving) {
+			this.tellsOfMoving = true;
+			this.timers.at(now + this.settings.movingMillis(), this::tellOfMoving);
+		}
 		long due = isUrgent ? now : Math.max(now, this.toldAt + this.settings.gapMillis());
 		if (this.ending || due >= this.tellDue) {
 			return;
@@ -191,16 +198,22 @@
 	 * A copy under way is not disturbed; otherwise the entries that have generations to
 	 * move go by rank. Every entry ranks the entries alike for a target, and otherwise
 	 * for another target. Entries hear of a leaving at about the same time; until their
-	 * news have had time to arrive, only the first of all may go.
+	 * news have had time to arrive, only the first of all may go. An entry that has been
+	 * silent for a few tellings is paused or gone, and others don't wait for it.
 	 * @param target the target's id
 	 * @param sinceNotice how long ago the target's leaving was heard, in milliseconds
+	 * @param now the time in milliseconds
 	 * @return whether it is this entry's turn
 	 */
-	public boolean isFirstToMove(String target, long sinceNotice) {
+	public boolean isFirstToMove(String target, long sinceNotice, long now) {
 		long key = Rendezvous.hash(target);
 		long own = Rendezvous.weight(key, this.instance);
 		for (Peer peer : this.peers.values()) {
 			Optional<WorkAtTarget> work = peer.news.at(target);
+			boolean hasClaim = work.filter((w) -> w.copying() || w.toMove() > 0).isPresent();
+			if (hasClaim && now - peer.heardAt > this.settings.turnMillis()) {
+				continue;
+			}
 			boolean isBefore = Long.compareUnsigned(Rendezvous.weight(key, peer.news.instance()), own) > 0;
 			if (work.filter(WorkAtTarget::copying).isPresent() || (isBefore
 					&& (sinceNotice < this.settings.newsMillis() || work.filter((w) -> w.toMove() > 0).isPresent()))) {
@@ -241,6 +254,19 @@
 		this.timers.at(now + this.settings.heartbeatMillis(), this::heartbeat);
 	}
 
+	// Tells others that this entry is awake while they wait for its copies.
+	private void tellOfMoving(long now) {
+		boolean isMoving = this.outputs.ownWork().stream().anyMatch((w) -> w.copying() || w.toMove() > 0);
+		this.tellsOfMoving = isMoving && !this.ending;
+		if (!this.tellsOfMoving) {
+			return;
+		}
+		if (now - this.toldAt >= this.settings.movingMillis()) {
+			tell(someOf(List.copyOf(this.peers.keySet()), this.settings.fanOut()), now);
+		}
+		this.timers.at(now + this.settings.movingMillis(), this::tellOfMoving);
+	}
+
 	private void introduce(List<String> addresses, long now) {
 		for (String address : addresses) {
 			if (!this.peers.containsKey(address) && !address.equals(this.ownAddress)) {
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -241,7 +241,7 @@
 	private final class Turns implements CopyTurn {
 
 		@Override
-		public boolean isOurs(ListedTarget source, long sinceNotice) {
+		public boolean isOurs(ListedTarget source, long sinceNotice, long now) {
 			return DispatchHarness.this.ourTurn;
 		}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
@@ -18,7 +18,7 @@
  */
 class GossipTests {
 
-	private static final GossipSettings SETTINGS = new GossipSettings(1_000, 25, 3_200, 20, 40, 16);
+	private static final GossipSettings SETTINGS = new GossipSettings(1_000, 25, 3_200, 20, 40, 60, 200, 16);
 
 	private final Timers timers = new Timers();
 
@@ -28,6 +28,8 @@
 
 	private EntryNews lastNews;
 
+	private List<WorkAtTarget> ownWork = List.of();
+
 	private final Gossip gossip = new Gossip(SETTINGS, "me", "10.0.0.1:7200", Set.of("10.0.0.1:7200", "10.0.0.9:7200"),
 			new Outputs(), this.timers, new SplittableRandom(1), this.audit::add);
 
@@ -115,15 +117,41 @@
 	void entriesTakeTurnsByRankAndDoNotDisturbACopy() {
 		String target = targetWhere("two", "me");
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, moving(target, 1, false)), 0);
-		assertThat(this.gossip.isFirstToMove(target, 100)).isFalse();
+		assertThat(this.gossip.isFirstToMove(target, 100, 100)).isFalse();
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 2, moving(target, 0, false)), 0);
-		assertThat(this.gossip.isFirstToMove(target, 5)).isFalse();
-		assertThat(this.gossip.isFirstToMove(target, 20)).isTrue();
+		assertThat(this.gossip.isFirstToMove(target, 5, 5)).isFalse();
+		assertThat(this.gossip.isFirstToMove(target, 20, 20)).isTrue();
 		String mine = targetWhere("me", "two");
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 3, moving(mine, 2, false)), 0);
-		assertThat(this.gossip.isFirstToMove(mine, 0)).isTrue();
+		assertThat(this.gossip.isFirstToMove(mine, 0, 0)).isTrue();
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 4, moving(mine, 2, true)), 0);
-		assertThat(this.gossip.isFirstToMove(mine, 100)).isFalse();
+		assertThat(this.gossip.isFirstToMove(mine, 100, 100)).isFalse();
+	}
+
+	@Test
+	void anEntryThatFallsSilentInItsTurnLosesIt() {
+		String target = targetWhere("two", "me");
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, moving(target, 2, true)), 0);
+		assertThat(this.gossip.isFirstToMove(target, 200, 200)).isFalse();
+		assertThat(this.gossip.isFirstToMove(target, 201, 201)).isTrue();
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 2, moving(target, 2, true)), 210);
+		assertThat(this.gossip.isFirstToMove(target, 211, 211)).isFalse();
+	}
+
+	@Test
+	void tellsOftenThatItIsAwakeWhileItMoves() {
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(1, 1)), 0);
+		this.ownWork = List.of(moving("t", 1, true));
+		this.gossip.changed(true, 100);
+		this.timers.run(100);
+		this.told.clear();
+		this.timers.run(160);
+		this.timers.run(220);
+		assertThat(this.told).hasSize(2);
+		this.ownWork = List.of();
+		this.timers.run(280);
+		this.timers.run(400);
+		assertThat(this.told).hasSize(2);
 	}
 
 	@Test
@@ -169,7 +197,7 @@
 
 		@Override
 		public List<WorkAtTarget> ownWork() {
-			return List.of();
+			return GossipTests.this.ownWork;
 		}
 
 		@Override
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -73,7 +73,7 @@
 	 * How often it is looked whether the plan is there or calls are over, in
 	 * milliseconds.
 	 */
-	private static final long LOOK_MILLIS = 50;
+	private static final long LOOK_MILLIS = 10;
 
 	/**
 	 * How often this entry's part of the retry budget is worked out anew, in
@@ -113,6 +113,9 @@
 
 	private final ReadinessServer readiness;
 
+	/** Whether requests are read; used on the I/O thread alone. */
+	private boolean open;
+
 	private volatile boolean ready;
 
 	private volatile boolean stopping;
@@ -143,7 +146,6 @@
 		this.published = new PlanAndTargets(adapter.source(), this.directory, this.dispatcher::use, this.audit);
 		this.follower = new StoreFollower(settings.follow(), adapter.source().calls(this::follower), this.published,
 				timers, new Backoff(FIRST_WAIT, LONGEST_WAIT, random));
-		this.others.listen(settings.news());
 		this.callers = new DirectServer(this.io, settings.callers(), calls, adapter.headers(), this.published::plan,
 				() -> this.stopping, this.loop, random, this.audit);
 		this.readiness = new ReadinessServer(this.io, settings.readiness(), adapter.source()::readinessPaths,
@@ -156,14 +158,17 @@
 	 * @return how the process ends
 	 */
 	public ExitCode run() {
+		// In the order in which callers need it: connections that wait, the plan, the
+		// rest.
+		this.callers.listen();
+		this.loop.run(() -> this.follower.start(this.loop.now()));
+		this.readiness.start();
+		LogLine.of("started").with("address", this.settings.callers().toString()).info();
+		this.loop.run(() -> lookForPlan(this.loop.now()));
 		OperatorServer operators = new OperatorServer(this.io.worker(), this.settings.operators(), this.metrics,
 				this.audit, this::isReady, this::status, Handlers.routing());
 		operators.start();
-		this.readiness.start();
-		this.callers.start();
-		LogLine.of("started").with("address", this.settings.callers().toString()).info();
-		this.loop.run(() -> this.follower.start(this.loop.now()));
-		this.loop.run(this::lookForPlan);
+		this.others.listen(this.settings.news());
 		this.loop.run(() -> this.others.start(this.loop.now()));
 		this.loop.run(() -> shareRetries(1));
 		try {
@@ -234,13 +239,21 @@
 		this.loop.timers().at(this.loop.now() + SHARE_MILLIS, (t) -> shareRetries(entries));
 	}
 
-	private void lookForPlan() {
-		if (this.published.isComplete()) {
+	// Requests that come during the start wait unread for the plan, since callers come
+	// back once at the most; for no longer than they bear.
+	private void lookForPlan(long startedAt) {
+		long now = this.loop.now();
+		boolean isComplete = this.published.isComplete();
+		if (!this.open && (isComplete || now - startedAt >= this.settings.startHoldMillis())) {
+			this.open = true;
+			this.callers.open();
+		}
+		if (isComplete) {
 			this.ready = true;
 			LogLine.of("ready").with("targets", this.directory.size()).info();
 			return;
 		}
-		this.loop.timers().at(this.loop.now() + LOOK_MILLIS, (t) -> lookForPlan());
+		this.loop.timers().at(now + LOOK_MILLIS, (t) -> lookForPlan(startedAt));
 	}
 
 	private void lookForEnd(long since, long now) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
@@ -23,6 +23,7 @@
 import dev.laneworks.runtime.http.HttpHeader;
 import dev.laneworks.runtime.http.IoWorker;
 import io.undertow.Undertow;
+import io.undertow.Undertow.ListenerInfo;
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RequestTooBigException;
@@ -92,8 +93,16 @@
 			.build();
 	}
 
-	void start() {
+	// Listens, but reads no request before open() is called: connections come up and
+	// wait.
+	void listen() {
 		this.server.start();
+		this.server.getListenerInfo().forEach(ListenerInfo::suspend);
+	}
+
+	// Takes requests from now on; to be called on the I/O thread.
+	void open() {
+		this.server.getListenerInfo().forEach(ListenerInfo::resume);
 	}
 
 	InetSocketAddress address() {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
@@ -25,12 +25,14 @@
  * @param retryExtra the repeated sendings that the fleet may make besides
  * @param retryExtraShare the part of them that all entries together spend, from 0 to 1
  * @param graceMillis the time from the order to stop to the end of the process
+ * @param startHoldMillis how long requests that come during the start wait unread for the
+ * plan at the most
  * @since 0.2
  */
 public record DirectSettings(String instance, String dataCentre, InetSocketAddress callers, InetSocketAddress readiness,
 		InetSocketAddress operators, InetSocketAddress news, List<String> seeds, InetSocketAddress store,
 		FollowSettings follow, long retryWindowMillis, double retryRatio, double retryExtra, double retryExtraShare,
-		long graceMillis) {
+		long graceMillis, long startHoldMillis) {
 
 	/**
 	 * How long the store may hold a watch; see {@link FollowSettings}.
@@ -49,6 +51,12 @@
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
+	/**
+	 * Two thirds of the second after which callers give up on an entry that reads
+	 * nothing; a start takes 0.4 to 1.2 s from listening to the plan.
+	 */
+	private static final long START_HOLD_MILLIS = 650;
+
 	private static final int MAX_REPEATS = 1_000_000;
 
 	/**
@@ -80,7 +88,8 @@
 				millis(retries.number("windowSeconds", MIN_SECONDS, MAX_SECONDS, 10)),
 				retries.number("ratio", 0, 1, 0.1), retries.number("extra", 0, MAX_REPEATS, 0),
 				retries.number("extraShare", 0, 1, EXTRA_SHARE),
-				millis(root.number("graceSeconds", MIN_SECONDS, MAX_SECONDS, 8)));
+				millis(root.number("graceSeconds", MIN_SECONDS, MAX_SECONDS, 8)),
+				root.integer("startHoldMillis", 0, ONE_MINUTE, START_HOLD_MILLIS));
 	}
 
 	/**
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
@@ -78,8 +78,8 @@
 	}
 
 	@Override
-	public boolean isOurs(ListedTarget source, long sinceNotice) {
-		return this.gossip.isFirstToMove(source.id(), sinceNotice);
+	public boolean isOurs(ListedTarget source, long sinceNotice, long now) {
+		return this.gossip.isFirstToMove(source.id(), sinceNotice, now);
 	}
 
 	@Override
