--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -37,6 +37,12 @@
 	 */
 	static final double CROWDED_FULLNESS = 0.9;
 
+	/**
+	 * In what steps the growth of a generation is counted, in tokens; half of the room
+	 * that it is given ahead. Each step is told to other entries.
+	 */
+	private static final long GROWTH_STEP_TOKENS = 125;
+
 	private static final double PERCENT = 100;
 
 	private final TargetDirectory directory;
@@ -160,7 +166,8 @@
 
 	private static long heldTokens(DirectCall call, Optional<EngineSpec> engine) {
 		long generated = (call.lastEvent() + 1) * engine.map(EngineSpec::tokensPerEvent).orElse(0);
-		return call.request().work().map((w) -> w.heldTokens(generated)).orElse(0L);
+		long counted = generated - generated % GROWTH_STEP_TOKENS;
+		return call.request().work().map((w) -> w.heldTokens(counted)).orElse(0L);
 	}
 
 	private void hold(Attempt attempt, long tokens) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBeliefs.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBeliefs.java
@@ -21,7 +21,7 @@
 
 	private final Function<String, Optional<WorkAtTarget>> others;
 
-	private ChangeListener changed = (isUrgent) -> {
+	private ChangeListener changed = (target, isUrgent) -> {
 	};
 
 	/**
@@ -55,7 +55,7 @@
 		boolean wasCopying = belief.isCopying();
 		change.accept(belief);
 		forgetIfUnused(belief);
-		this.changed.changed(belief.toMove() != toMove || belief.isCopying() != wasCopying);
+		this.changed.changed(target.id(), belief.toMove() != toMove || belief.isCopying() != wasCopying);
 	}
 
 	private void forgetIfUnused(TargetBelief belief) {
@@ -158,9 +158,10 @@
 
 		/**
 		 * Hear of a change.
+		 * @param target the id of the target at which the work changed
 		 * @param isUrgent whether others wait for it
 		 */
-		void changed(boolean isUrgent);
+		void changed(String target, boolean isUrgent);
 
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/GossipSettings.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/GossipSettings.java
@@ -3,15 +3,15 @@
 /**
  * The times and bounds of {@link Gossip}.
  *
- * @param heartbeatMillis how often an entry tells its work though nothing changed
+ * @param heartbeatMillis how often an entry tells all its work to entries near by though
+ * nothing changed
+ * @param distantBeats after how many heartbeats distant entries are told
  * @param gapMillis the least time between two tellings, so that changes go out together;
  * shorter than the time in which one long prompt is read
- * @param silenceMillis after how long without a word an entry counts as gone; three
- * heartbeats
  * @param newsMillis how long news may be on their way; a few times the way between data
  * centres
- * @param fanOut the most entries told of a change at once; the others hear of it by the
- * heartbeat, which bounds what a large fleet says
+ * @param fanOut the most entries that a change is told to at once; the others hear of it
+ * by the heartbeat. Where there are no more entries than this, all are near
  * @param movingMillis how often an entry tells its work while it has generations to move
  * away from a leaving target, since others wait for their turn
  * @param turnMillis after how long without a word an entry loses its turn, because it is
@@ -19,7 +19,7 @@
  * @param introductions the most addresses of other entries in one news
  * @since 0.2
  */
-public record GossipSettings(long heartbeatMillis, long gapMillis, long silenceMillis, long newsMillis, int fanOut,
+public record GossipSettings(long heartbeatMillis, int distantBeats, long gapMillis, long newsMillis, int fanOut,
 		long movingMillis, long turnMillis, int introductions) {
 
 	/**
@@ -27,7 +27,7 @@
 	 * @return the settings
 	 */
 	public static GossipSettings defaults() {
-		return new GossipSettings(1_000, 25, 3_200, 20, 40, 60, 200, 16);
+		return new GossipSettings(1_000, 3, 25, 20, 8, 80, 260, 6);
 	}
 
 }
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Peer.java
@@ -0,0 +1,94 @@
+package dev.laneworks.core.gossip;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * What is known of another entry.
+ */
+final class Peer {
+
+	/** After how many tellings missed in a row an entry counts as gone. */
+	private static final int TELLINGS_MISSED = 3;
+
+	/** How much later than told a telling may come, in milliseconds. */
+	private static final long LATE_MILLIS = 200;
+
+	private final Map<String, WorkAtTarget> work = new HashMap<>();
+
+	private EntryNews news;
+
+	private long heardAt;
+
+	private long againMillis;
+
+	/**
+	 * Take the entry's news, which are newer than all before.
+	 * @param fresh the news
+	 * @param now the time in milliseconds
+	 * @return the ids of the targets at which its work may have changed
+	 */
+	Set<String> take(EntryNews fresh, long now) {
+		Set<String> touched = new HashSet<>();
+		if (!fresh.partial()) {
+			touched.addAll(this.work.keySet());
+			this.work.clear();
+			this.againMillis = fresh.againMillis();
+		}
+		for (WorkAtTarget told : fresh.work()) {
+			touched.add(told.target());
+			this.work.put(told.target(), told);
+		}
+		this.news = fresh;
+		this.heardAt = now;
+		this.againMillis = Math.max(this.againMillis, fresh.againMillis());
+		return touched;
+	}
+
+	/**
+	 * Return whether news are later than those taken last.
+	 * @param other the news
+	 * @return {@code false} if they are of the same process and not newer
+	 */
+	boolean isOlderThan(EntryNews other) {
+		return this.news.incarnation() != other.incarnation() || this.news.sequence() < other.sequence();
+	}
+
+	/**
+	 * Return whether news come from another process than those taken last.
+	 * @param other the news
+	 * @return whether the entry was started anew
+	 */
+	boolean isOtherProcess(EntryNews other) {
+		return this.news.incarnation() != other.incarnation();
+	}
+
+	boolean isSilent(long now) {
+		return silence(now) > TELLINGS_MISSED * this.againMillis + LATE_MILLIS;
+	}
+
+	long silence(long now) {
+		return now - this.heardAt;
+	}
+
+	EntryNews news() {
+		return this.news;
+	}
+
+	Optional<WorkAtTarget> at(String target) {
+		return Optional.ofNullable(this.work.get(target));
+	}
+
+	boolean worksAtAnyOf(Collection<String> targets) {
+		return targets.stream().anyMatch((t) -> at(t).filter((w) -> w.requests() > 0).isPresent());
+	}
+
+	Set<String> targets() {
+		return this.work.keySet();
+	}
+
+}
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/WorkAtTarget.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/WorkAtTarget.java
@@ -20,6 +20,15 @@
 		Objects.requireNonNull(target, "target must not be null");
 	}
 
+	/**
+	 * Return that there is no work at a target.
+	 * @param target the target's id
+	 * @return work of which every count is zero
+	 */
+	public static WorkAtTarget none(String target) {
+		return new WorkAtTarget(target, 0, 0, 0, 0, false);
+	}
+
 	/**
 	 * Return the sum of this work and other work at the same target.
 	 * @param other the other work
--- a/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
@@ -18,7 +18,7 @@
  */
 class GossipTests {
 
-	private static final GossipSettings SETTINGS = new GossipSettings(1_000, 25, 3_200, 20, 40, 60, 200, 16);
+	private static final GossipSettings SETTINGS = new GossipSettings(1_000, 3, 25, 20, 2, 60, 200, 16);
 
 	private final Timers timers = new Timers();
 
@@ -30,8 +30,9 @@
 
 	private List<WorkAtTarget> ownWork = List.of();
 
-	private final Gossip gossip = new Gossip(SETTINGS, "me", "10.0.0.1:7200", Set.of("10.0.0.1:7200", "10.0.0.9:7200"),
-			new Outputs(), this.timers, new SplittableRandom(1), this.audit::add);
+	private final Gossip gossip = new Gossip(SETTINGS, "me", "z", "10.0.0.1:7200",
+			Set.of("10.0.0.1:7200", "10.0.0.9:7200"), new Outputs(), this.timers, new SplittableRandom(1),
+			this.audit::add);
 
 	@Test
 	void asksSeedsButNotItself() {
@@ -73,13 +74,14 @@
 	@Test
 	void anEntryThatEndsIsForgottenAtOnce() {
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(1, 700)), 0);
-		this.gossip.received("10.0.0.2:7200", new EntryNews("two", 2, 2, true, List.of(), List.of(), List.of()), 5);
+		this.gossip.received("10.0.0.2:7200",
+				new EntryNews("two", "z", 2, 2, true, false, 1_000, List.of(), List.of(), List.of()), 5);
 		assertThat(this.gossip.peers()).isEqualTo(0);
 	}
 
 	@Test
 	void introducesItselfToEntriesThatOthersName() {
-		EntryNews news = new EntryNews("two", 2, 1, false, List.of(), List.of(),
+		EntryNews news = new EntryNews("two", "z", 2, 1, false, false, 1_000, List.of(), List.of(),
 				List.of("10.0.0.5:7200", "10.0.0.1:7200"));
 		this.gossip.received("10.0.0.2:7200", news, 0);
 		assertThat(this.told).containsExactly("10.0.0.2:7200", "10.0.0.5:7200").inOrder();
@@ -89,13 +91,13 @@
 	void tellsChangesTogetherUnlessOthersWaitForThem() {
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(1, 1)), 100);
 		this.told.clear();
-		this.gossip.changed(false, 110);
-		this.gossip.changed(false, 112);
+		this.gossip.changed("t", false, 110);
+		this.gossip.changed("t", false, 112);
 		this.timers.run(120);
 		assertThat(this.told).isEmpty();
 		this.timers.run(125);
 		assertThat(this.told).hasSize(1);
-		this.gossip.changed(true, 126);
+		this.gossip.changed("t", true, 126);
 		this.timers.run(126);
 		assertThat(this.told).hasSize(2);
 	}
@@ -103,12 +105,13 @@
 	@Test
 	void whatAnEntrySpentCountsOnAfterItIsGoneForAsLongAsTheWindow() {
 		ServiceSpending spent = new ServiceSpending("s", 10, 4);
-		EntryNews two = new EntryNews("two", 2, 1, false, List.of(), List.of(spent), List.of());
-		EntryNews three = new EntryNews("three", 3, 1, false, List.of(), List.of(spent), List.of());
+		EntryNews two = new EntryNews("two", "z", 2, 1, false, false, 1_000, List.of(), List.of(spent), List.of());
+		EntryNews three = new EntryNews("three", "z", 3, 1, false, false, 1_000, List.of(), List.of(spent), List.of());
 		assertThat(this.gossip.spendingOfOthers("s", 10_000, 0)).isEqualTo(Optional.empty());
 		this.gossip.received("10.0.0.2:7200", two, 0);
 		this.gossip.received("10.0.0.3:7200", three, 0);
-		this.gossip.received("10.0.0.2:7200", new EntryNews("two", 2, 2, true, List.of(), List.of(), List.of()), 100);
+		this.gossip.received("10.0.0.2:7200",
+				new EntryNews("two", "z", 2, 2, true, false, 1_000, List.of(), List.of(), List.of()), 100);
 		assertThat(this.gossip.spendingOfOthers("s", 10_000, 5_000).get().repeats()).isEqualTo(8);
 		assertThat(this.gossip.spendingOfOthers("s", 10_000, 10_001).get().repeats()).isEqualTo(4);
 	}
@@ -142,7 +145,7 @@
 	void tellsOftenThatItIsAwakeWhileItMoves() {
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(1, 1)), 0);
 		this.ownWork = List.of(moving("t", 1, true));
-		this.gossip.changed(true, 100);
+		this.gossip.changed("t", true, 100);
 		this.timers.run(100);
 		this.told.clear();
 		this.timers.run(160);
@@ -154,6 +157,59 @@
 		assertThat(this.told).hasSize(2);
 	}
 
+	@Test
+	void aChangeIsToldNearByAndTheDistantHearOfItByTheHeartbeat() {
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(0, 0)), 0);
+		this.gossip.received("10.0.0.3:7200", distant("three", 3), 0);
+		this.gossip.received("10.0.0.4:7200", distant("four", 4), 0);
+		this.gossip.start(0);
+		this.told.clear();
+		this.gossip.changed("t", false, 100);
+		this.timers.run(100);
+		assertThat(this.told).containsExactly("10.0.0.2:7200");
+		assertThat(this.lastNews.partial()).isTrue();
+		this.told.clear();
+		this.timers.run(1_000);
+		this.timers.run(2_000);
+		assertThat(this.told).containsAtLeast("10.0.0.3:7200", "10.0.0.4:7200");
+		assertThat(this.lastNews.partial()).isFalse();
+		assertThat(this.lastNews.againMillis()).isEqualTo(3_000);
+	}
+
+	@Test
+	void aMoveIsToldToThoseWhoWorkAtTheTarget() {
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(0, 0)), 0);
+		this.gossip.received("10.0.0.3:7200", distant("three", 3, work(1, 1)), 0);
+		this.gossip.received("10.0.0.4:7200", distant("four", 4), 0);
+		this.told.clear();
+		this.gossip.changed("t", true, 100);
+		this.timers.run(100);
+		assertThat(this.told).containsExactly("10.0.0.2:7200", "10.0.0.3:7200");
+	}
+
+	@Test
+	void partialNewsChangeTheWorkThatTheyNameAlone() {
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(3, 900)), 0);
+		EntryNews partial = new EntryNews("two", "z", 2, 2, false, true, 1_000,
+				List.of(new WorkAtTarget("u", 1, 70, 0, 0, false)), List.of(), List.of());
+		this.gossip.received("10.0.0.2:7200", partial, 10);
+		assertThat(this.gossip.others("t").get().heldTokens()).isEqualTo(900);
+		assertThat(this.gossip.others("u").get().heldTokens()).isEqualTo(70);
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 3, work(1, 40)), 20);
+		assertThat(this.gossip.others("t").get().heldTokens()).isEqualTo(40);
+		assertThat(this.gossip.others("u").get().heldTokens()).isEqualTo(0);
+	}
+
+	@Test
+	void anEntryThatSpeaksSeldomIsWaitedForLonger() {
+		this.gossip.start(0);
+		this.gossip.received("10.0.0.3:7200", distant("three", 3), 0);
+		this.timers.run(9_000);
+		assertThat(this.gossip.peers()).isEqualTo(1);
+		this.timers.run(10_000);
+		assertThat(this.gossip.peers()).isEqualTo(0);
+	}
+
 	@Test
 	void saysGoodbyeOnceAndNoMore() {
 		this.gossip.start(0);
@@ -161,7 +217,7 @@
 		this.gossip.end(200);
 		assertThat(this.lastNews.ending()).isTrue();
 		this.told.clear();
-		this.gossip.changed(true, 210);
+		this.gossip.changed("t", true, 210);
 		this.timers.run(10_000);
 		assertThat(this.told).isEmpty();
 	}
@@ -184,7 +240,13 @@
 	}
 
 	private static EntryNews news(String name, long incarnation, long sequence, WorkAtTarget work) {
-		return new EntryNews(name, incarnation, sequence, false, List.of(work), List.of(), List.of());
+		return new EntryNews(name, "z", incarnation, sequence, false, false, 1_000, List.of(work), List.of(),
+				List.of());
+	}
+
+	private static EntryNews distant(String name, long incarnation, WorkAtTarget... work) {
+		return new EntryNews(name, "elsewhere", incarnation, 1, false, false, 3_000, List.of(work), List.of(),
+				List.of());
 	}
 
 	private final class Outputs implements GossipOutputs {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -91,6 +91,9 @@
 
 	private final MetricRegistry metrics = new MetricRegistry();
 
+	/** Open once requests are read; what callers don't need starts after it. */
+	private final CountDownLatch opened = new CountDownLatch(1);
+
 	private final CountDownLatch ended = new CountDownLatch(1);
 
 	private final EventLoop loop;
@@ -165,17 +168,16 @@
 		this.readiness.start();
 		LogLine.of("started").with("address", this.settings.callers().toString()).info();
 		this.loop.run(() -> lookForPlan(this.loop.now()));
+		this.loop.run(() -> shareRetries(1));
+		if (!await(this.opened)) {
+			return ExitCode.FAILED;
+		}
 		OperatorServer operators = new OperatorServer(this.io.worker(), this.settings.operators(), this.metrics,
 				this.audit, this::isReady, this::status, Handlers.routing());
 		operators.start();
 		this.others.listen(this.settings.news());
 		this.loop.run(() -> this.others.start(this.loop.now()));
-		this.loop.run(() -> shareRetries(1));
-		try {
-			this.ended.await();
-		}
-		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
+		if (!await(this.ended)) {
 			return ExitCode.FAILED;
 		}
 		LogLine.of("ended").with("openCalls", this.dispatcher.openCalls()).info();
@@ -231,6 +233,18 @@
 		return this.ready && !this.stopping;
 	}
 
+	private static boolean await(CountDownLatch latch) {
+		try {
+			latch.await();
+			return true;
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			LogLine.of("interrupted").warn();
+			return false;
+		}
+	}
+
 	// More entries have smaller parts; a part grows only when an entry has been gone
 	// for a while.
 	private void shareRetries(int entriesBefore) {
@@ -247,6 +261,7 @@
 		if (!this.open && (isComplete || now - startedAt >= this.settings.startHoldMillis())) {
 			this.open = true;
 			this.callers.open();
+			this.opened.countDown();
 		}
 		if (isComplete) {
 			this.ready = true;
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
@@ -43,9 +43,9 @@
 		this.beliefs = beliefs;
 		this.retries = retries;
 		this.loop = loop;
-		this.gossip = new Gossip(GossipSettings.defaults(), settings.instance(), text(settings.news()), seeds(settings),
-				this, loop.timers(), random, audit);
-		beliefs.onChange((isUrgent) -> this.gossip.changed(isUrgent, loop.now()));
+		this.gossip = new Gossip(GossipSettings.defaults(), settings.instance(), settings.dataCentre(),
+				text(settings.news()), seeds(settings), this, loop.timers(), random, audit);
+		beliefs.onChange((target, isUrgent) -> this.gossip.changed(target, isUrgent, loop.now()));
 	}
 
 	// Opens the socket; to be called once, before the start.
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/EntryNewsCodec.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/EntryNewsCodec.java
@@ -27,6 +27,9 @@
 			.setIncarnation(news.incarnation())
 			.setSequence(news.sequence())
 			.setEnding(news.ending())
+			.setDataCentre(news.dataCentre())
+			.setPartial(news.partial())
+			.setAgainMillis((int) news.againMillis())
 			.addAllPeers(news.peers());
 		news.work().forEach((w) -> builder.addWork(encode(w)));
 		news.spending().forEach((s) -> builder.addSpending(encode(s)));
@@ -41,9 +44,9 @@
 				return Optional.empty();
 			}
 			List<WorkAtTarget> work = news.getWorkList().stream().map(EntryNewsCodec::decode).toList();
-			return Optional
-				.of(new EntryNews(news.getInstance(), news.getIncarnation(), news.getSequence(), news.getEnding(), work,
-						news.getSpendingList().stream().map(EntryNewsCodec::decode).toList(), news.getPeersList()));
+			return Optional.of(new EntryNews(news.getInstance(), news.getDataCentre(), news.getIncarnation(),
+					news.getSequence(), news.getEnding(), news.getPartial(), news.getAgainMillis(), work,
+					news.getSpendingList().stream().map(EntryNewsCodec::decode).toList(), news.getPeersList()));
 		}
 		catch (InvalidProtocolBufferException ex) {
 			Logger.info("a datagram that is no news is passed over: {}", ex.getMessage());
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
@@ -20302,6 +20302,38 @@
      */
     dev.laneworks.wire.proto.Protocol.ServiceSpendingOrBuilder getSpendingOrBuilder(
         int index);
+
+    /**
+     * <code>string data_centre = 9;</code>
+     * @return The dataCentre.
+     */
+    java.lang.String getDataCentre();
+    /**
+     * <code>string data_centre = 9;</code>
+     * @return The bytes for dataCentre.
+     */
+    com.google.protobuf.ByteString
+        getDataCentreBytes();
+
+    /**
+     * <pre>
+     * Whether the work is that at the targets named alone, and not all of it.
+     * </pre>
+     *
+     * <code>bool partial = 10;</code>
+     * @return The partial.
+     */
+    boolean getPartial();
+
+    /**
+     * <pre>
+     * Within which time the receiver is told again.
+     * </pre>
+     *
+     * <code>uint32 again_millis = 11;</code>
+     * @return The againMillis.
+     */
+    int getAgainMillis();
   }
   /**
    * <pre>
@@ -20334,6 +20366,7 @@
       peers_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
       spending_ = java.util.Collections.emptyList();
+      dataCentre_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -20572,6 +20605,75 @@
       return spending_.get(index);
     }
 
+    public static final int DATA_CENTRE_FIELD_NUMBER = 9;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object dataCentre_ = "";
+    /**
+     * <code>string data_centre = 9;</code>
+     * @return The dataCentre.
+     */
+    @java.lang.Override
+    public java.lang.String getDataCentre() {
+      java.lang.Object ref = dataCentre_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        dataCentre_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string data_centre = 9;</code>
+     * @return The bytes for dataCentre.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getDataCentreBytes() {
+      java.lang.Object ref = dataCentre_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        dataCentre_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int PARTIAL_FIELD_NUMBER = 10;
+    private boolean partial_ = false;
+    /**
+     * <pre>
+     * Whether the work is that at the targets named alone, and not all of it.
+     * </pre>
+     *
+     * <code>bool partial = 10;</code>
+     * @return The partial.
+     */
+    @java.lang.Override
+    public boolean getPartial() {
+      return partial_;
+    }
+
+    public static final int AGAIN_MILLIS_FIELD_NUMBER = 11;
+    private int againMillis_ = 0;
+    /**
+     * <pre>
+     * Within which time the receiver is told again.
+     * </pre>
+     *
+     * <code>uint32 again_millis = 11;</code>
+     * @return The againMillis.
+     */
+    @java.lang.Override
+    public int getAgainMillis() {
+      return againMillis_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -20610,6 +20712,15 @@
       for (int i = 0; i < spending_.size(); i++) {
         output.writeMessage(8, spending_.get(i));
       }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 9, dataCentre_);
+      }
+      if (partial_ != false) {
+        output.writeBool(10, partial_);
+      }
+      if (againMillis_ != 0) {
+        output.writeUInt32(11, againMillis_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -20664,6 +20775,17 @@
             }
             size += 1 * count;
           }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(9, dataCentre_);
+      }
+      if (partial_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(10, partial_);
+      }
+      if (againMillis_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(11, againMillis_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -20695,6 +20817,12 @@
           .equals(other.getPeersList())) return false;
       if (!getSpendingList()
           .equals(other.getSpendingList())) return false;
+      if (!getDataCentre()
+          .equals(other.getDataCentre())) return false;
+      if (getPartial()
+          != other.getPartial()) return false;
+      if (getAgainMillis()
+          != other.getAgainMillis()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -20731,6 +20859,13 @@
         hash = (37 * hash) + SPENDING_FIELD_NUMBER;
         hash = (53 * hash) + getSpendingList().hashCode();
       }
+      hash = (37 * hash) + DATA_CENTRE_FIELD_NUMBER;
+      hash = (53 * hash) + getDataCentre().hashCode();
+      hash = (37 * hash) + PARTIAL_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getPartial());
+      hash = (37 * hash) + AGAIN_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getAgainMillis();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -20887,6 +21022,9 @@
           spendingBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000080);
+        dataCentre_ = "";
+        partial_ = false;
+        againMillis_ = 0;
         return this;
       }
 
@@ -20961,6 +21099,15 @@
           peers_.makeImmutable();
           result.peers_ = peers_;
         }
+        if (((from_bitField0_ & 0x00000100) != 0)) {
+          result.dataCentre_ = dataCentre_;
+        }
+        if (((from_bitField0_ & 0x00000200) != 0)) {
+          result.partial_ = partial_;
+        }
+        if (((from_bitField0_ & 0x00000400) != 0)) {
+          result.againMillis_ = againMillis_;
+        }
       }
 
       @java.lang.Override
@@ -21054,6 +21201,17 @@
             }
           }
         }
+        if (!other.getDataCentre().isEmpty()) {
+          dataCentre_ = other.dataCentre_;
+          bitField0_ |= 0x00000100;
+          onChanged();
+        }
+        if (other.getPartial() != false) {
+          setPartial(other.getPartial());
+        }
+        if (other.getAgainMillis() != 0) {
+          setAgainMillis(other.getAgainMillis());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -21136,6 +21294,21 @@
                 }
                 break;
               } // case 66
+              case 74: {
+                dataCentre_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000100;
+                break;
+              } // case 74
+              case 80: {
+                partial_ = input.readBool();
+                bitField0_ |= 0x00000200;
+                break;
+              } // case 80
+              case 88: {
+                againMillis_ = input.readUInt32();
+                bitField0_ |= 0x00000400;
+                break;
+              } // case 88
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -21980,6 +22153,166 @@
         return spendingBuilder_;
       }
 
+      private java.lang.Object dataCentre_ = "";
+      /**
+       * <code>string data_centre = 9;</code>
+       * @return The dataCentre.
+       */
+      public java.lang.String getDataCentre() {
+        java.lang.Object ref = dataCentre_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          dataCentre_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string data_centre = 9;</code>
+       * @return The bytes for dataCentre.
+       */
+      public com.google.protobuf.ByteString
+          getDataCentreBytes() {
+        java.lang.Object ref = dataCentre_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          dataCentre_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string data_centre = 9;</code>
+       * @param value The dataCentre to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDataCentre(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        dataCentre_ = value;
+        bitField0_ |= 0x00000100;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string data_centre = 9;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearDataCentre() {
+        dataCentre_ = getDefaultInstance().getDataCentre();
+        bitField0_ = (bitField0_ & ~0x00000100);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string data_centre = 9;</code>
+       * @param value The bytes for dataCentre to set.
+       * @return This builder for chaining.
+       */
+      public Builder setDataCentreBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        dataCentre_ = value;
+        bitField0_ |= 0x00000100;
+        onChanged();
+        return this;
+      }
+
+      private boolean partial_ ;
+      /**
+       * <pre>
+       * Whether the work is that at the targets named alone, and not all of it.
+       * </pre>
+       *
+       * <code>bool partial = 10;</code>
+       * @return The partial.
+       */
+      @java.lang.Override
+      public boolean getPartial() {
+        return partial_;
+      }
+      /**
+       * <pre>
+       * Whether the work is that at the targets named alone, and not all of it.
+       * </pre>
+       *
+       * <code>bool partial = 10;</code>
+       * @param value The partial to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPartial(boolean value) {
+
+        partial_ = value;
+        bitField0_ |= 0x00000200;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the work is that at the targets named alone, and not all of it.
+       * </pre>
+       *
+       * <code>bool partial = 10;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPartial() {
+        bitField0_ = (bitField0_ & ~0x00000200);
+        partial_ = false;
+        onChanged();
+        return this;
+      }
+
+      private int againMillis_ ;
+      /**
+       * <pre>
+       * Within which time the receiver is told again.
+       * </pre>
+       *
+       * <code>uint32 again_millis = 11;</code>
+       * @return The againMillis.
+       */
+      @java.lang.Override
+      public int getAgainMillis() {
+        return againMillis_;
+      }
+      /**
+       * <pre>
+       * Within which time the receiver is told again.
+       * </pre>
+       *
+       * <code>uint32 again_millis = 11;</code>
+       * @param value The againMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAgainMillis(int value) {
+
+        againMillis_ = value;
+        bitField0_ |= 0x00000400;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Within which time the receiver is told again.
+       * </pre>
+       *
+       * <code>uint32 again_millis = 11;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAgainMillis() {
+        bitField0_ = (bitField0_ & ~0x00000400);
+        againMillis_ = 0;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:laneworks.EntryNews)
     }
 
@@ -23765,18 +24098,20 @@
       "rsion\030\001 \001(\004\022\036\n\026confirmed_age_plus_one\030\002 " +
       "\001(\004\"\026\n\024ConfigurationRequest\"F\n\021Configura" +
       "tionText\022\017\n\007version\030\001 \001(\004\022\020\n\010deflated\030\002 " +
-      "\001(\014\022\016\n\006digest\030\003 \001(\014\"\312\001\n\tEntryNews\022\020\n\010pro" +
+      "\001(\014\022\016\n\006digest\030\003 \001(\014\"\206\002\n\tEntryNews\022\020\n\010pro" +
       "tocol\030\001 \001(\r\022\020\n\010instance\030\002 \001(\t\022\023\n\013incarna" +
       "tion\030\003 \001(\006\022\020\n\010sequence\030\004 \001(\004\022\016\n\006ending\030\005" +
       " \001(\010\022%\n\004work\030\006 \003(\0132\027.laneworks.WorkAtTar" +
       "get\022\r\n\005peers\030\007 \003(\t\022,\n\010spending\030\010 \003(\0132\032.l" +
-      "aneworks.ServiceSpending\"E\n\017ServiceSpend" +
-      "ing\022\017\n\007service\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\017" +
-      "\n\007repeats\030\003 \001(\r\"~\n\014WorkAtTarget\022\016\n\006targe" +
-      "t\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\023\n\013held_tokens" +
-      "\030\003 \001(\004\022\025\n\runread_tokens\030\004 \001(\004\022\017\n\007to_move" +
-      "\030\005 \001(\r\022\017\n\007copying\030\006 \001(\010B&\n\030dev.laneworks" +
-      ".wire.protoB\010ProtocolP\000b\006proto3"
+      "aneworks.ServiceSpending\022\023\n\013data_centre\030" +
+      "\t \001(\t\022\017\n\007partial\030\n \001(\010\022\024\n\014again_millis\030\013" +
+      " \001(\r\"E\n\017ServiceSpending\022\017\n\007service\030\001 \001(\t" +
+      "\022\020\n\010requests\030\002 \001(\r\022\017\n\007repeats\030\003 \001(\r\"~\n\014W" +
+      "orkAtTarget\022\016\n\006target\030\001 \001(\t\022\020\n\010requests\030" +
+      "\002 \001(\r\022\023\n\013held_tokens\030\003 \001(\004\022\025\n\runread_tok" +
+      "ens\030\004 \001(\004\022\017\n\007to_move\030\005 \001(\r\022\017\n\007copying\030\006 " +
+      "\001(\010B&\n\030dev.laneworks.wire.protoB\010Protoco" +
+      "lP\000b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -23919,7 +24254,7 @@
     internal_static_laneworks_EntryNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_EntryNews_descriptor,
-        new java.lang.String[] { "Protocol", "Instance", "Incarnation", "Sequence", "Ending", "Work", "Peers", "Spending", });
+        new java.lang.String[] { "Protocol", "Instance", "Incarnation", "Sequence", "Ending", "Work", "Peers", "Spending", "DataCentre", "Partial", "AgainMillis", });
     internal_static_laneworks_ServiceSpending_descriptor =
       getDescriptor().getMessageType(23);
     internal_static_laneworks_ServiceSpending_fieldAccessorTable = new
