Move runs that begin behind their engine's notice; an engine without an answer says nothing of others

They were ordered to be copied every 40 ms before they ran (no such run), and once they ran they were copied in full though a running copy stood ready: the look at the notice came before the call counted as streaming. And each entry that ordered copies of an engine that was gone marked ten destinations as full for a second.

Change: a call is moved from its first event on, at its running copy if there is one; the stop is timed from the engine's notice, not from the first order; no answer to an order is told apart from a failure.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Continuation.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Continuation.java
@@ -53,7 +53,8 @@
 	// Takes a call away from an engine that is leaving.
 	void moveAway(DirectCall call, long now) {
 		Optional<EngineSpec> engine = this.engines.apply(call);
-		if (engine.isEmpty() || (call.isStreaming() && goOnAtBackup(call, "its engine is leaving", now))) {
+		if (engine.isEmpty() || call.successor().isPresent()
+				|| (call.isStreaming() && goOnAtBackup(call, "its engine is leaving", now))) {
 			return;
 		}
 		if (engine.get().moves()) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/CopyResult.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/CopyResult.java
@@ -33,8 +33,11 @@
 		/** The destination has no room or can't be reached. */
 		NO_ROOM,
 
-		/** The engine did not answer, or not as expected. */
-		FAILED
+		/** The engine answered otherwise than expected. */
+		FAILED,
+
+		/** The engine that runs the generation did not answer: it is gone or cut off. */
+		NO_ANSWER
 
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -239,7 +239,8 @@
 		if (call.isSuccessor(found.get())) {
 			this.continuation.takeOver(call, now);
 		}
-		if (!found.get().isAnswering()) {
+		boolean isFirst = !found.get().isAnswering();
+		if (isFirst) {
 			beganToAnswer(call, found.get(), now);
 		}
 		if (call.lastEvent() != DirectCall.NO_EVENT && id <= call.lastEvent()) {
@@ -257,6 +258,10 @@
 		Optional<EngineSpec> engine = engine(call);
 		this.sender.grew(call, found.get(), engine, now);
 		engine.ifPresent((e) -> this.standbys.dropIfUseless(call, e, now));
+		// A run that began after its engine's notice; only one that runs can be moved.
+		if (isFirst && !this.directory.takesWork(found.get().target().id())) {
+			this.continuation.moveAway(call, now);
+		}
 		return true;
 	}
 
@@ -345,8 +350,9 @@
 	 */
 	public void leaving(ListedTarget target, long now) {
 		this.standbys.leaving(now);
+		this.beliefs.of(target).leaving(now);
 		for (DirectCall call : List.copyOf(this.calls.values())) {
-			if (call.attempt().filter((a) -> a.isSent() && a.target().id().equals(target.id())).isPresent()) {
+			if (call.attempt().filter((a) -> a.isAnswering() && a.target().id().equals(target.id())).isPresent()) {
 				this.continuation.moveAway(call, now);
 			}
 		}
@@ -367,9 +373,6 @@
 		recordGood(attempt, now);
 		call.mayHaveRun();
 		this.standbys.watch(call, attempt, engine(call), now);
-		if (!this.directory.takesWork(attempt.target().id())) {
-			this.continuation.moveAway(call, now);
-		}
 	}
 
 	private Optional<EngineSpec> engine(DirectCall call) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
@@ -125,7 +125,9 @@
 			return;
 		}
 		record(call, order.destination(), "standby copy ended: " + result.outcome());
-		this.beliefs.of(order.destination()).full(now + StreamMover.AVOID_MILLIS);
+		if (result.outcome() != CopyResult.Outcome.NO_ANSWER) {
+			this.beliefs.of(order.destination()).full(now + StreamMover.AVOID_MILLIS);
+		}
 		drop(call);
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -100,7 +100,8 @@
 		}
 		ListedTarget source = call.attempt().get().target();
 		call.copy(new Copying(source));
-		SourceQueue queue = this.queues.computeIfAbsent(source.id(), (id) -> new SourceQueue(source, now));
+		long noticedAt = this.beliefs.of(source).leavingSince().orElse(now);
+		SourceQueue queue = this.queues.computeIfAbsent(source.id(), (id) -> new SourceQueue(source, noticedAt));
 		queue.waiting.add(call);
 		count(call.copying().get(), true);
 		// All that run there are to be queued before the first is chosen.
@@ -279,7 +280,10 @@
 				activate(queue, Optional.empty());
 				copyAhead(queue, call, now);
 			}
-			case UNDER_WAY, NO_SUCH_RUN -> {
+			// Nothing is wrong with the destination, and the run's own connection tells
+			// what
+			// became of it.
+			case NO_ANSWER, UNDER_WAY, NO_SUCH_RUN -> {
 				release(copying);
 				activate(queue, Optional.empty());
 				putBack(queue, call, now);
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBelief.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBelief.java
@@ -1,5 +1,7 @@
 package dev.laneworks.core.dispatch;
 
+import java.util.OptionalLong;
+
 import dev.laneworks.core.directory.ListedTarget;
 
 /**
@@ -22,6 +24,8 @@
 
 	private boolean gone;
 
+	private OptionalLong leavingSince = OptionalLong.empty();
+
 	private int inFlight;
 
 	private long ownTokens;
@@ -79,6 +83,24 @@
 		return this.gone;
 	}
 
+	/**
+	 * Record that the target is leaving, unless that is known.
+	 * @param now the time in milliseconds
+	 */
+	public void leaving(long now) {
+		if (this.leavingSince.isEmpty()) {
+			this.leavingSince = OptionalLong.of(now);
+		}
+	}
+
+	/**
+	 * Return when the target's leaving was heard.
+	 * @return the time in milliseconds, or empty if it is not leaving as far as is known
+	 */
+	public OptionalLong leavingSince() {
+		return this.leavingSince;
+	}
+
 	/**
 	 * Return how well the target has answered.
 	 * @return the quality
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
@@ -78,6 +78,47 @@
 		assertThat(this.world.event(first, 3)).isFalse();
 	}
 
+	@Test
+	void aRunThatBeginsAfterTheNoticeGoesOnAtItsRunningCopyOnceItRuns() {
+		this.world.join(DispatchHarness.ENGINES, "a");
+		this.world.join(DispatchHarness.ENGINES, "b");
+		this.world.openStream(1);
+		Sent first = this.world.arrive();
+		this.world.leave(first.target());
+		this.world.passTime(AFTER_NOTICE);
+		assertThat(this.world.copies).isEmpty();
+		this.world.event(first, 0);
+		Sent second = this.world.arrive();
+		assertThat(second.target().address()).isEqualTo(first.order().backup().get());
+		assertThat(second.order().resume())
+			.isEqualTo(Optional.of(new ResumePoint(second.target().address(), DispatchHarness.id(1), "0")));
+	}
+
+	@Test
+	void aRunThatBeginsLateIsStoppedInTimeForItsEnginesNotice() {
+		this.world.join(DispatchHarness.ENGINES, "a");
+		this.world.openStream(1, TOO_LARGE_FOR_A_COPY);
+		Sent late = this.world.arrive();
+		this.world.join(DispatchHarness.ENGINES, "b");
+		this.world.leave(late.target());
+		this.world.passTime(1_300);
+		this.world.event(late, 0);
+		this.world.passTime(AFTER_NOTICE);
+		this.world.now += 300;
+		this.world.copied(Outcome.COPIED, "h1");
+		assertThat(this.world.copies.get(1).stop()).isTrue();
+	}
+
+	@Test
+	void anEngineThatDoesNotAnswerAnOrderSaysNothingOfTheDestination() {
+		Sent first = streamWithoutRunningCopy();
+		this.world.leave(first.target());
+		this.world.passTime(AFTER_NOTICE);
+		ListedTarget destination = this.world.copies.get(0).destination();
+		this.world.copied(Outcome.NO_ANSWER, "");
+		assertThat(this.world.beliefs.of(destination).isFull(this.world.now)).isFalse();
+	}
+
 	@Test
 	void goesOnAtItsRunningCopyWhenTheEngineDies() {
 		this.world.join(DispatchHarness.ENGINES, "a");
