--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreChange.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreChange.java
@@ -8,9 +8,10 @@
  *
  * @param key the key
  * @param item the item as it was written; empty if the key went
+ * @param revision the store's revision of the change
  * @since 0.2
  */
-public record StoreChange(String key, Optional<StoreItem> item) {
+public record StoreChange(String key, Optional<StoreItem> item, long revision) {
 
 	public StoreChange {
 		Objects.requireNonNull(key, "key must not be null");
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -14,12 +14,24 @@
  * Pages are no snapshot, so that the watch begins at the revision of the first page; a
  * change may then be heard of twice, and the listener must take it twice. Calls that fail
  * are made again after a wait that grows and is random in part, since all processes come
- * back at once. Pure code over explicit time; not thread-safe.
+ * back at once. Where another process reads for this one no call is made: changes are
+ * taken as it tells them, and a gap in them is filled by a call. Pure code over explicit
+ * time; not thread-safe.
  *
  * @since 0.2
  */
 public final class StoreFollower {
 
+	/** How often it is looked whether another process still reads, in milliseconds. */
+	private static final long REST_MILLIS = 50;
+
+	/**
+	 * How long the store may hold a watch that others rely on, in milliseconds: a reader
+	 * whose link has gone silent is found out within this time and three signs of life,
+	 * well below the two seconds in which a plan has to be in force.
+	 */
+	private static final long SHARED_HOLD_MILLIS = 700;
+
 	private final FollowSettings settings;
 
 	private final FollowOutputs outputs;
@@ -30,6 +42,8 @@
 
 	private final Backoff backoff;
 
+	private final ReadingShare share;
+
 	private final List<StoreItem> pages = new ArrayList<>();
 
 	private long call;
@@ -38,12 +52,17 @@
 
 	private boolean watching;
 
+	/** Whether another process reads for this one. */
+	private boolean resting;
+
 	private long revision;
 
 	private long firstRevision = -1;
 
 	private long watchedAt;
 
+	private long watchWait;
+
 	private int failures;
 
 	private long answeredAt;
@@ -57,14 +76,16 @@
 	 * @param listener takes what was read
 	 * @param timers what is due later
 	 * @param backoff the waits after failures
+	 * @param share shares the reading with other processes
 	 */
 	public StoreFollower(FollowSettings settings, FollowOutputs outputs, FollowListener listener, Timers timers,
-			Backoff backoff) {
+			Backoff backoff, ReadingShare share) {
 		this.settings = settings;
 		this.outputs = outputs;
 		this.listener = listener;
 		this.timers = timers;
 		this.backoff = backoff;
+		this.share = share;
 	}
 
 	/**
@@ -74,6 +95,7 @@
 	public void start(long now) {
 		this.answeredAt = now;
 		readAnew(now);
+		signOfLife(now);
 	}
 
 	/**
@@ -115,12 +137,32 @@
 		if (!answered(number, now)) {
 			return;
 		}
-		this.revision = Math.max(this.revision, at);
-		if (!changes.isEmpty()) {
-			this.listener.changed(changes, now);
+		long before = this.revision;
+		take(changes, at, now);
+		if (this.revision > before) {
+			this.share.tell(before, this.revision, changes);
 		}
 		long next = Math.max(now, this.watchedAt + this.settings.gapMillis());
-		later(next, this::watch);
+		later(next, this::watchUnlessServed);
+	}
+
+	/**
+	 * Take what another process told of the store.
+	 * @param news the news
+	 * @param now the time in milliseconds
+	 */
+	public void told(StoreNews news, long now) {
+		if (!this.watching || news.to() < this.revision) {
+			return;
+		}
+		boolean isComplete = news.to() == this.revision || (news.from() <= this.revision && !news.changes().isEmpty());
+		if (isComplete) {
+			take(news.changes(), news.to(), now);
+		}
+		else if (this.resting) {
+			this.resting = false;
+			watch(now);
+		}
 	}
 
 	/**
@@ -152,7 +194,7 @@
 		}
 		long next = now + this.backoff.delayMillis(this.failures);
 		if (this.watching) {
-			later(next, this::watch);
+			later(next, this::watchUnlessServed);
 		}
 		else {
 			later(next, this::readAnew);
@@ -165,12 +207,45 @@
 		}
 		this.open = false;
 		this.failures = 0;
+		regain(now);
+		return true;
+	}
+
+	private void regain(long now) {
 		if (this.lost) {
 			this.lost = false;
 			this.listener.regained(now - this.answeredAt, now);
 		}
 		this.answeredAt = now;
-		return true;
+	}
+
+	// Changes known already are passed over, since a change may be told twice and late.
+	private void take(List<StoreChange> changes, long at, long now) {
+		List<StoreChange> fresh = changes.stream().filter((c) -> c.revision() > this.revision).toList();
+		this.revision = Math.max(this.revision, at);
+		if (!fresh.isEmpty()) {
+			this.listener.changed(fresh, now);
+		}
+	}
+
+	// Another process that is known to follow the store stands for an answer of it.
+	private void watchUnlessServed(long now) {
+		this.resting = this.share.isServed(this.revision, now);
+		if (!this.resting) {
+			watch(now);
+			return;
+		}
+		this.failures = 0;
+		regain(now);
+		later(now + REST_MILLIS, this::watchUnlessServed);
+	}
+
+	private void signOfLife(long now) {
+		boolean isOverdue = now > this.watchedAt + this.watchWait + SharedReading.SIGN_MILLIS;
+		if (this.watching && this.open && !this.lost && !isOverdue) {
+			this.share.tell(this.revision, this.revision, List.of());
+		}
+		this.timers.at(now + SharedReading.SIGN_MILLIS, this::signOfLife);
 	}
 
 	private void readAnew(long now) {
@@ -189,9 +264,14 @@
 		this.watchedAt = now;
 		// The first watch after a failure is short: it tells soon whether the store is
 		// back.
-		long wait = (this.failures > 0) ? this.settings.gapMillis() : this.settings.waitMillis();
-		begin(now + wait + this.settings.answerMillis());
-		this.outputs.watch(this.call, this.revision, wait);
+		this.watchWait = (this.failures > 0) ? this.settings.gapMillis() : holdMillis();
+		begin(now + this.watchWait + this.settings.answerMillis());
+		this.outputs.watch(this.call, this.revision, this.watchWait);
+	}
+
+	private long holdMillis() {
+		return this.share.isShared() ? Math.min(SHARED_HOLD_MILLIS, this.settings.waitMillis())
+				: this.settings.waitMillis();
 	}
 
 	private void begin(long answerDue) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
@@ -248,6 +248,18 @@
 		return this.sums.values().stream().anyMatch(WorkAtTarget::copying);
 	}
 
+	/**
+	 * Return where the other entries of this data centre hear news.
+	 * @return their addresses, as far as they are known
+	 */
+	public List<String> sameDataCentre() {
+		return this.peers.entrySet()
+			.stream()
+			.filter((p) -> p.getValue().news().dataCentre().equals(this.dataCentre))
+			.map(Map.Entry::getKey)
+			.toList();
+	}
+
 	/**
 	 * Return how many other entries are known.
 	 * @return the count
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
@@ -7,6 +7,7 @@
 import java.util.SplittableRandom;
 
 import dev.laneworks.core.retry.Backoff;
+import dev.laneworks.core.routing.Rendezvous;
 import dev.laneworks.core.time.Timers;
 import org.junit.jupiter.api.Test;
 
@@ -27,8 +28,14 @@
 
 	private long lastCall;
 
+	private final List<StoreNews> told = new ArrayList<>();
+
+	private int others;
+
+	private final SharedReading reading = new SharedReading("me", "z", () -> this.others, this.told::add);
+
 	private final StoreFollower follower = new StoreFollower(SETTINGS, new Calls(), new Listener(), this.timers,
-			new Backoff(Duration.ofMillis(100), Duration.ofMillis(800), new SplittableRandom(1)));
+			new Backoff(Duration.ofMillis(100), Duration.ofMillis(800), new SplittableRandom(1)), this.reading);
 
 	@Test
 	void readsAllPagesAndWatchesFromTheFirstPagesRevision() {
@@ -100,6 +107,83 @@
 		assertThat(this.calls.get(this.calls.size() - 1)).isEqualTo("watch 130 4000");
 	}
 
+	@Test
+	void leavesTheReadingToAReaderOfHigherRankAndTakesItsNews() {
+		this.others = 3;
+		watching();
+		tell(higher(), 100, 100, 10);
+		this.follower.watched(this.lastCall, List.of(change("a", 101)), 101, 20);
+		tell(higher(), 100, 102, 30, change("a", 101), change("b", 102));
+		this.timers.run(400);
+		assertThat(this.calls).containsExactly("page ", "watch 100 700");
+		assertThat(this.heard).containsExactly("all [a]", "changed [a]", "changed [b]").inOrder();
+	}
+
+	@Test
+	void readsItselfAgainWhenTheReaderFallsSilent() {
+		this.others = 3;
+		watching();
+		tell(higher(), 100, 105, 10, change("a", 105));
+		this.follower.watched(this.lastCall, List.of(), 105, 20);
+		this.timers.run(480);
+		assertThat(this.calls).hasSize(2);
+		this.timers.run(560);
+		assertThat(this.calls.get(2)).isEqualTo("watch 105 700");
+	}
+
+	@Test
+	void aGapInWhatTheReaderToldIsFilledByACall() {
+		this.others = 3;
+		watching();
+		tell(higher(), 100, 100, 10);
+		this.follower.watched(this.lastCall, List.of(), 100, 20);
+		this.timers.run(100);
+		assertThat(this.calls).hasSize(2);
+		tell(higher(), 103, 104, 110, change("b", 104));
+		assertThat(this.heard).doesNotContain("changed [b]");
+		assertThat(this.calls.get(2)).isEqualTo("watch 100 700");
+	}
+
+	@Test
+	void goesOnReadingForOthersOfLowerRankAndTellsThem() {
+		this.others = 3;
+		watching();
+		tell(lower(), 100, 100, 10);
+		this.follower.watched(this.lastCall, List.of(change("a", 101)), 101, 20);
+		this.timers.run(150);
+		assertThat(this.calls.get(2)).isEqualTo("watch 101 700");
+		assertThat(this.told).containsExactly(new StoreNews("me", 100, 101, List.of(change("a", 101))),
+				new StoreNews("me", 101, 101, List.of()));
+	}
+
+	@Test
+	void givesNoSignOfLifeWhileItsOwnWatchIsOverdue() {
+		this.others = 3;
+		watching();
+		this.timers.run(850);
+		this.told.clear();
+		this.timers.run(1_300);
+		assertThat(this.told).isEmpty();
+	}
+
+	@Test
+	void changesKnownAlreadyArePassedOver() {
+		watching();
+		this.follower.watched(this.lastCall, List.of(change("old", 100), change("new", 101)), 101, 20);
+		assertThat(this.heard).contains("changed [new]");
+	}
+
+	@Test
+	void readsForItselfWhereTheGroupIsSmall() {
+		this.others = 2;
+		watching();
+		tell(higher(), 100, 100, 10);
+		this.follower.watched(this.lastCall, List.of(), 100, 20);
+		this.timers.run(100);
+		assertThat(this.calls.get(2)).isEqualTo("watch 100 4000");
+		assertThat(this.told).isEmpty();
+	}
+
 	private void watching() {
 		this.follower.start(0);
 		this.follower.pageRead(this.lastCall, List.of(item("a")), false, 100, 5);
@@ -110,7 +194,36 @@
 	}
 
 	private static StoreChange change(String key) {
-		return new StoreChange(key, Optional.of(item(key)));
+		return change(key, 1_000);
+	}
+
+	private static StoreChange change(String key, long revision) {
+		return new StoreChange(key, Optional.of(item(key)), revision);
+	}
+
+	// A name that ranks above this process's own in its group.
+	private static String higher() {
+		return named(true);
+	}
+
+	private static String lower() {
+		return named(false);
+	}
+
+	private static String named(boolean isHigher) {
+		long key = Rendezvous.hash("z");
+		for (int i = 0;; i++) {
+			long weight = Rendezvous.weight(key, "r" + i);
+			if (Long.compareUnsigned(weight, Rendezvous.weight(key, "me")) > 0 == isHigher) {
+				return "r" + i;
+			}
+		}
+	}
+
+	private void tell(String reader, long from, long to, long now, StoreChange... changes) {
+		StoreNews news = new StoreNews(reader, from, to, List.of(changes));
+		this.reading.heard(news, now);
+		this.follower.told(news, now);
 	}
 
 	private final class Calls implements FollowOutputs {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -148,7 +148,8 @@
 		calls.use(this.dispatcher);
 		this.published = new PlanAndTargets(adapter.source(), this.directory, this.dispatcher::use, this.audit);
 		this.follower = new StoreFollower(settings.follow(), adapter.source().calls(this::follower), this.published,
-				timers, new Backoff(FIRST_WAIT, LONGEST_WAIT, random));
+				timers, new Backoff(FIRST_WAIT, LONGEST_WAIT, random), this.others.reading());
+		this.others.onStoreNews((n) -> this.follower.told(n, this.loop.now()));
 		this.callers = new DirectServer(this.io, settings.callers(), calls, adapter.headers(), this.published::plan,
 				() -> this.stopping, this.loop, random, this.audit);
 		this.readiness = new ReadinessServer(this.io, settings.readiness(), adapter.source()::readinessPaths,
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
@@ -12,12 +13,16 @@
 import dev.laneworks.core.dispatch.CopyTurn;
 import dev.laneworks.core.dispatch.RetryWindow;
 import dev.laneworks.core.dispatch.TargetBeliefs;
+import dev.laneworks.core.follow.ReadingShare;
+import dev.laneworks.core.follow.SharedReading;
+import dev.laneworks.core.follow.StoreNews;
 import dev.laneworks.core.gossip.EntryNews;
 import dev.laneworks.core.gossip.Gossip;
 import dev.laneworks.core.gossip.GossipOutputs;
 import dev.laneworks.core.gossip.GossipSettings;
 import dev.laneworks.core.gossip.ServiceSpending;
 import dev.laneworks.core.gossip.WorkAtTarget;
+import dev.laneworks.wire.NewsListener;
 import dev.laneworks.wire.NewsSocket;
 
 /**
@@ -36,6 +41,11 @@
 
 	private final Gossip gossip;
 
+	private final SharedReading reading;
+
+	private Consumer<StoreNews> storeListener = (n) -> {
+	};
+
 	private NewsSocket socket;
 
 	OtherEntries(DirectSettings settings, TargetBeliefs beliefs, RetryWindow retries, EventLoop loop,
@@ -45,13 +55,24 @@
 		this.loop = loop;
 		this.gossip = new Gossip(GossipSettings.defaults(), settings.instance(), settings.dataCentre(),
 				text(settings.news()), seeds(settings), this, loop.timers(), random, audit);
+		this.reading = new SharedReading(settings.instance(), settings.dataCentre(),
+				() -> this.gossip.sameDataCentre().size(), this::tellOfStore);
 		beliefs.onChange((target, isUrgent) -> this.gossip.changed(target, isUrgent, loop.now()));
 	}
 
 	// Opens the socket; to be called once, before the start.
 	void listen(InetSocketAddress address) {
-		this.socket = new NewsSocket(address,
-				(from, n) -> this.loop.run(() -> this.gossip.received(from, n, this.loop.now())));
+		this.socket = new NewsSocket(address, new Receiver());
+	}
+
+	// How this entry shares the reading of the store with others of its data centre.
+	ReadingShare reading() {
+		return this.reading;
+	}
+
+	// Passes on what others read.
+	void onStoreNews(Consumer<StoreNews> listener) {
+		this.storeListener = listener;
 	}
 
 	void start(long now) {
@@ -89,10 +110,7 @@
 
 	@Override
 	public void send(String address, EntryNews told) {
-		int colon = address.lastIndexOf(':');
-		this.socket.send(
-				new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))),
-				told);
+		this.socket.send(socketAddress(address), told);
 	}
 
 	@Override
@@ -112,8 +130,40 @@
 			.collect(Collectors.toSet());
 	}
 
+	private void tellOfStore(StoreNews news) {
+		if (this.socket != null) {
+			this.socket.send(this.gossip.sameDataCentre().stream().map(OtherEntries::socketAddress).toList(), news);
+		}
+	}
+
+	private static InetSocketAddress socketAddress(String address) {
+		int colon = address.lastIndexOf(':');
+		return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+	}
+
 	private static String text(InetSocketAddress address) {
 		return address.getAddress().getHostAddress() + ':' + address.getPort();
 	}
 
+	/**
+	 * Brings what others tell to the I/O thread.
+	 */
+	private final class Receiver implements NewsListener {
+
+		@Override
+		public void work(String from, EntryNews news) {
+			OtherEntries.this.loop
+				.run(() -> OtherEntries.this.gossip.received(from, news, OtherEntries.this.loop.now()));
+		}
+
+		@Override
+		public void store(StoreNews news) {
+			OtherEntries.this.loop.run(() -> {
+				OtherEntries.this.reading.heard(news, OtherEntries.this.loop.now());
+				OtherEntries.this.storeListener.accept(news);
+			});
+		}
+
+	}
+
 }
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/EntryNewsCodec.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/EntryNewsCodec.java
@@ -1,28 +1,22 @@
 package dev.laneworks.wire;
 
 import java.util.List;
-import java.util.Optional;
 
-import com.google.protobuf.InvalidProtocolBufferException;
 import dev.laneworks.core.gossip.EntryNews;
 import dev.laneworks.core.gossip.ServiceSpending;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.wire.proto.Protocol;
-import org.tinylog.Logger;
 
 /**
  * Turns the news of entries into datagrams and back.
  */
 final class EntryNewsCodec {
 
-	private static final int VERSION = 1;
-
 	private EntryNewsCodec() {
 	}
 
 	static byte[] encode(EntryNews news) {
 		Protocol.EntryNews.Builder builder = Protocol.EntryNews.newBuilder()
-			.setProtocol(VERSION)
 			.setInstance(news.instance())
 			.setIncarnation(news.incarnation())
 			.setSequence(news.sequence())
@@ -33,25 +27,14 @@
 			.addAllPeers(news.peers());
 		news.work().forEach((w) -> builder.addWork(encode(w)));
 		news.spending().forEach((s) -> builder.addSpending(encode(s)));
-		return builder.build().toByteArray();
+		return EntryDatagrams.of(builder.build());
 	}
 
-	static Optional<EntryNews> decode(byte[] datagram) {
-		try {
-			Protocol.EntryNews news = Protocol.EntryNews.parseFrom(datagram);
-			if (news.getProtocol() != VERSION) {
-				Logger.info("news of protocol version {} are passed over", news.getProtocol());
-				return Optional.empty();
-			}
-			List<WorkAtTarget> work = news.getWorkList().stream().map(EntryNewsCodec::decode).toList();
-			return Optional.of(new EntryNews(news.getInstance(), news.getDataCentre(), news.getIncarnation(),
-					news.getSequence(), news.getEnding(), news.getPartial(), news.getAgainMillis(), work,
-					news.getSpendingList().stream().map(EntryNewsCodec::decode).toList(), news.getPeersList()));
-		}
-		catch (InvalidProtocolBufferException ex) {
-			Logger.info("a datagram that is no news is passed over: {}", ex.getMessage());
-			return Optional.empty();
-		}
+	static EntryNews decode(Protocol.EntryNews news) {
+		List<WorkAtTarget> work = news.getWorkList().stream().map(EntryNewsCodec::decode).toList();
+		return new EntryNews(news.getInstance(), news.getDataCentre(), news.getIncarnation(), news.getSequence(),
+				news.getEnding(), news.getPartial(), news.getAgainMillis(), work,
+				news.getSpendingList().stream().map(EntryNewsCodec::decode).toList(), news.getPeersList());
 	}
 
 	private static Protocol.WorkAtTarget encode(WorkAtTarget work) {
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/NewsSocket.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/NewsSocket.java
@@ -1,9 +1,10 @@
 package dev.laneworks.wire;
 
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BiConsumer;
 
+import dev.laneworks.core.follow.StoreNews;
 import dev.laneworks.core.gossip.EntryNews;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -39,11 +40,10 @@
 	/**
 	 * Open the socket.
 	 * @param address where news are heard
-	 * @param listener takes the sender's address, {@code IP:PORT}, and its news, on the
-	 * socket's own thread
+	 * @param listener takes the news, on the socket's own thread
 	 * @throws LinkException if the address can't be used
 	 */
-	public NewsSocket(InetSocketAddress address, BiConsumer<String, EntryNews> listener) {
+	public NewsSocket(InetSocketAddress address, NewsListener listener) {
 		Bootstrap bootstrap = new Bootstrap().group(this.group)
 			.channel(NioDatagramChannel.class)
 			.option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
@@ -67,6 +67,23 @@
 			Logger.warn("news of {} bytes are too large to be sent", datagram.length);
 			return;
 		}
+		send(address, datagram);
+	}
+
+	/**
+	 * Send what was read of the platform's store. Changes too large for a datagram are
+	 * left out; the receiver then reads them itself.
+	 * @param addresses the receivers' addresses
+	 * @param news the news
+	 */
+	public void send(List<InetSocketAddress> addresses, StoreNews news) {
+		byte[] whole = EntryDatagrams.of(news);
+		byte[] datagram = (whole.length <= MAX_DATAGRAM_BYTES) ? whole
+				: EntryDatagrams.of(new StoreNews(news.reader(), news.from(), news.to(), List.of()));
+		addresses.forEach((a) -> send(a, datagram));
+	}
+
+	private void send(InetSocketAddress address, byte[] datagram) {
 		this.channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), address));
 	}
 
@@ -80,9 +97,9 @@
 
 	private static final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
 
-		private final BiConsumer<String, EntryNews> listener;
+		private final NewsListener listener;
 
-		Receiver(BiConsumer<String, EntryNews> listener) {
+		Receiver(NewsListener listener) {
 			this.listener = listener;
 		}
 
@@ -90,8 +107,13 @@
 		protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
 			InetSocketAddress sender = packet.sender();
 			String from = sender.getAddress().getHostAddress() + ':' + sender.getPort();
-			EntryNewsCodec.decode(ByteBufUtil.getBytes(packet.content()))
-				.ifPresent((n) -> this.listener.accept(from, n));
+			EntryDatagrams.read(ByteBufUtil.getBytes(packet.content())).ifPresent((d) -> {
+				switch (d.getKindCase()) {
+					case WORK -> this.listener.work(from, EntryNewsCodec.decode(d.getWork()));
+					case STORE -> this.listener.store(EntryDatagrams.decode(d.getStore()));
+					case KIND_NOT_SET -> Logger.info("an empty datagram from {} is passed over", from);
+				}
+			});
 		}
 
 		// A closed port at the other end is told as an error; the peer is missed by its
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
@@ -20178,12 +20178,6 @@
       // @@protoc_insertion_point(interface_extends:laneworks.EntryNews)
       com.google.protobuf.MessageOrBuilder {
 
-    /**
-     * <code>uint32 protocol = 1;</code>
-     * @return The protocol.
-     */
-    int getProtocol();
-
     /**
      * <code>string instance = 2;</code>
      * @return The instance.
@@ -20387,17 +20381,6 @@
               dev.laneworks.wire.proto.Protocol.EntryNews.class, dev.laneworks.wire.proto.Protocol.EntryNews.Builder.class);
     }
 
-    public static final int PROTOCOL_FIELD_NUMBER = 1;
-    private int protocol_ = 0;
-    /**
-     * <code>uint32 protocol = 1;</code>
-     * @return The protocol.
-     */
-    @java.lang.Override
-    public int getProtocol() {
-      return protocol_;
-    }
-
     public static final int INSTANCE_FIELD_NUMBER = 2;
     @SuppressWarnings("serial")
     private volatile java.lang.Object instance_ = "";
@@ -20688,9 +20671,6 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (protocol_ != 0) {
-        output.writeUInt32(1, protocol_);
-      }
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instance_)) {
         com.google.protobuf.GeneratedMessage.writeString(output, 2, instance_);
       }
@@ -20730,10 +20710,6 @@
       if (size != -1) return size;
 
       size = 0;
-      if (protocol_ != 0) {
-        size += com.google.protobuf.CodedOutputStream
-          .computeUInt32Size(1, protocol_);
-      }
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(instance_)) {
         size += com.google.protobuf.GeneratedMessage.computeStringSize(2, instance_);
       }
@@ -20801,8 +20777,6 @@
       }
       dev.laneworks.wire.proto.Protocol.EntryNews other = (dev.laneworks.wire.proto.Protocol.EntryNews) obj;
 
-      if (getProtocol()
-          != other.getProtocol()) return false;
       if (!getInstance()
           .equals(other.getInstance())) return false;
       if (getIncarnation()
@@ -20834,8 +20808,6 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + PROTOCOL_FIELD_NUMBER;
-      hash = (53 * hash) + getProtocol();
       hash = (37 * hash) + INSTANCE_FIELD_NUMBER;
       hash = (53 * hash) + getInstance().hashCode();
       hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
@@ -21001,7 +20973,6 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        protocol_ = 0;
         instance_ = "";
         incarnation_ = 0L;
         sequence_ = 0L;
@@ -21012,7 +20983,7 @@
           work_ = null;
           workBuilder_.clear();
         }
-        bitField0_ = (bitField0_ & ~0x00000020);
+        bitField0_ = (bitField0_ & ~0x00000010);
         peers_ =
             com.google.protobuf.LazyStringArrayList.emptyList();
         if (spendingBuilder_ == null) {
@@ -21021,7 +20992,7 @@
           spending_ = null;
           spendingBuilder_.clear();
         }
-        bitField0_ = (bitField0_ & ~0x00000080);
+        bitField0_ = (bitField0_ & ~0x00000040);
         dataCentre_ = "";
         partial_ = false;
         againMillis_ = 0;
@@ -21059,18 +21030,18 @@
 
       private void buildPartialRepeatedFields(dev.laneworks.wire.proto.Protocol.EntryNews result) {
         if (workBuilder_ == null) {
-          if (((bitField0_ & 0x00000020) != 0)) {
+          if (((bitField0_ & 0x00000010) != 0)) {
             work_ = java.util.Collections.unmodifiableList(work_);
-            bitField0_ = (bitField0_ & ~0x00000020);
+            bitField0_ = (bitField0_ & ~0x00000010);
           }
           result.work_ = work_;
         } else {
           result.work_ = workBuilder_.build();
         }
         if (spendingBuilder_ == null) {
-          if (((bitField0_ & 0x00000080) != 0)) {
+          if (((bitField0_ & 0x00000040) != 0)) {
             spending_ = java.util.Collections.unmodifiableList(spending_);
-            bitField0_ = (bitField0_ & ~0x00000080);
+            bitField0_ = (bitField0_ & ~0x00000040);
           }
           result.spending_ = spending_;
         } else {
@@ -21081,31 +21052,28 @@
       private void buildPartial0(dev.laneworks.wire.proto.Protocol.EntryNews result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.protocol_ = protocol_;
-        }
-        if (((from_bitField0_ & 0x00000002) != 0)) {
           result.instance_ = instance_;
         }
-        if (((from_bitField0_ & 0x00000004) != 0)) {
+        if (((from_bitField0_ & 0x00000002) != 0)) {
           result.incarnation_ = incarnation_;
         }
-        if (((from_bitField0_ & 0x00000008) != 0)) {
+        if (((from_bitField0_ & 0x00000004) != 0)) {
           result.sequence_ = sequence_;
         }
-        if (((from_bitField0_ & 0x00000010) != 0)) {
+        if (((from_bitField0_ & 0x00000008) != 0)) {
           result.ending_ = ending_;
         }
-        if (((from_bitField0_ & 0x00000040) != 0)) {
+        if (((from_bitField0_ & 0x00000020) != 0)) {
           peers_.makeImmutable();
           result.peers_ = peers_;
         }
-        if (((from_bitField0_ & 0x00000100) != 0)) {
+        if (((from_bitField0_ & 0x00000080) != 0)) {
           result.dataCentre_ = dataCentre_;
         }
-        if (((from_bitField0_ & 0x00000200) != 0)) {
+        if (((from_bitField0_ & 0x00000100) != 0)) {
           result.partial_ = partial_;
         }
-        if (((from_bitField0_ & 0x00000400) != 0)) {
+        if (((from_bitField0_ & 0x00000200) != 0)) {
           result.againMillis_ = againMillis_;
         }
       }
@@ -21122,12 +21090,9 @@
 
       public Builder mergeFrom(dev.laneworks.wire.proto.Protocol.EntryNews other) {
         if (other == dev.laneworks.wire.proto.Protocol.EntryNews.getDefaultInstance()) return this;
-        if (other.getProtocol() != 0) {
-          setProtocol(other.getProtocol());
-        }
         if (!other.getInstance().isEmpty()) {
           instance_ = other.instance_;
-          bitField0_ |= 0x00000002;
+          bitField0_ |= 0x00000001;
           onChanged();
         }
         if (other.getIncarnation() != 0L) {
@@ -21143,7 +21108,7 @@
           if (!other.work_.isEmpty()) {
             if (work_.isEmpty()) {
               work_ = other.work_;
-              bitField0_ = (bitField0_ & ~0x00000020);
+              bitField0_ = (bitField0_ & ~0x00000010);
             } else {
               ensureWorkIsMutable();
               work_.addAll(other.work_);
@@ -21156,7 +21121,7 @@
               workBuilder_.dispose();
               workBuilder_ = null;
               work_ = other.work_;
-              bitField0_ = (bitField0_ & ~0x00000020);
+              bitField0_ = (bitField0_ & ~0x00000010);
               workBuilder_ = 
                 com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                    internalGetWorkFieldBuilder() : null;
@@ -21168,7 +21133,7 @@
         if (!other.peers_.isEmpty()) {
           if (peers_.isEmpty()) {
             peers_ = other.peers_;
-            bitField0_ |= 0x00000040;
+            bitField0_ |= 0x00000020;
           } else {
             ensurePeersIsMutable();
             peers_.addAll(other.peers_);
@@ -21179,7 +21144,7 @@
           if (!other.spending_.isEmpty()) {
             if (spending_.isEmpty()) {
               spending_ = other.spending_;
-              bitField0_ = (bitField0_ & ~0x00000080);
+              bitField0_ = (bitField0_ & ~0x00000040);
             } else {
               ensureSpendingIsMutable();
               spending_.addAll(other.spending_);
@@ -21192,7 +21157,7 @@
               spendingBuilder_.dispose();
               spendingBuilder_ = null;
               spending_ = other.spending_;
-              bitField0_ = (bitField0_ & ~0x00000080);
+              bitField0_ = (bitField0_ & ~0x00000040);
               spendingBuilder_ = 
                 com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
                    internalGetSpendingFieldBuilder() : null;
@@ -21203,7 +21168,7 @@
         }
         if (!other.getDataCentre().isEmpty()) {
           dataCentre_ = other.dataCentre_;
-          bitField0_ |= 0x00000100;
+          bitField0_ |= 0x00000080;
           onChanged();
         }
         if (other.getPartial() != false) {
@@ -21238,29 +21203,24 @@
               case 0:
                 done = true;
                 break;
-              case 8: {
-                protocol_ = input.readUInt32();
-                bitField0_ |= 0x00000001;
-                break;
-              } // case 8
               case 18: {
                 instance_ = input.readStringRequireUtf8();
-                bitField0_ |= 0x00000002;
+                bitField0_ |= 0x00000001;
                 break;
               } // case 18
               case 25: {
                 incarnation_ = input.readFixed64();
-                bitField0_ |= 0x00000004;
+                bitField0_ |= 0x00000002;
                 break;
               } // case 25
               case 32: {
                 sequence_ = input.readUInt64();
-                bitField0_ |= 0x00000008;
+                bitField0_ |= 0x00000004;
                 break;
               } // case 32
               case 40: {
                 ending_ = input.readBool();
-                bitField0_ |= 0x00000010;
+                bitField0_ |= 0x00000008;
                 break;
               } // case 40
               case 50: {
@@ -21296,17 +21256,17 @@
               } // case 66
               case 74: {
                 dataCentre_ = input.readStringRequireUtf8();
-                bitField0_ |= 0x00000100;
+                bitField0_ |= 0x00000080;
                 break;
               } // case 74
               case 80: {
                 partial_ = input.readBool();
-                bitField0_ |= 0x00000200;
+                bitField0_ |= 0x00000100;
                 break;
               } // case 80
               case 88: {
                 againMillis_ = input.readUInt32();
-                bitField0_ |= 0x00000400;
+                bitField0_ |= 0x00000200;
                 break;
               } // case 88
               default: {
@@ -21326,38 +21286,6 @@
       }
       private int bitField0_;
 
-      private int protocol_ ;
-      /**
-       * <code>uint32 protocol = 1;</code>
-       * @return The protocol.
-       */
-      @java.lang.Override
-      public int getProtocol() {
-        return protocol_;
-      }
-      /**
-       * <code>uint32 protocol = 1;</code>
-       * @param value The protocol to set.
-       * @return This builder for chaining.
-       */
-      public Builder setProtocol(int value) {
-
-        protocol_ = value;
-        bitField0_ |= 0x00000001;
-        onChanged();
-        return this;
-      }
-      /**
-       * <code>uint32 protocol = 1;</code>
-       * @return This builder for chaining.
-       */
-      public Builder clearProtocol() {
-        bitField0_ = (bitField0_ & ~0x00000001);
-        protocol_ = 0;
-        onChanged();
-        return this;
-      }
-
       private java.lang.Object instance_ = "";
       /**
        * <code>string instance = 2;</code>
@@ -21401,7 +21329,7 @@
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
         instance_ = value;
-        bitField0_ |= 0x00000002;
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
@@ -21411,7 +21339,7 @@
        */
       public Builder clearInstance() {
         instance_ = getDefaultInstance().getInstance();
-        bitField0_ = (bitField0_ & ~0x00000002);
+        bitField0_ = (bitField0_ & ~0x00000001);
         onChanged();
         return this;
       }
@@ -21425,7 +21353,7 @@
         if (value == null) { throw new NullPointerException(); }
         checkByteStringIsUtf8(value);
         instance_ = value;
-        bitField0_ |= 0x00000002;
+        bitField0_ |= 0x00000001;
         onChanged();
         return this;
       }
@@ -21447,7 +21375,7 @@
       public Builder setIncarnation(long value) {
 
         incarnation_ = value;
-        bitField0_ |= 0x00000004;
+        bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
@@ -21456,7 +21384,7 @@
        * @return This builder for chaining.
        */
       public Builder clearIncarnation() {
-        bitField0_ = (bitField0_ & ~0x00000004);
+        bitField0_ = (bitField0_ & ~0x00000002);
         incarnation_ = 0L;
         onChanged();
         return this;
@@ -21479,7 +21407,7 @@
       public Builder setSequence(long value) {
 
         sequence_ = value;
-        bitField0_ |= 0x00000008;
+        bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
@@ -21488,7 +21416,7 @@
        * @return This builder for chaining.
        */
       public Builder clearSequence() {
-        bitField0_ = (bitField0_ & ~0x00000008);
+        bitField0_ = (bitField0_ & ~0x00000004);
         sequence_ = 0L;
         onChanged();
         return this;
@@ -21511,7 +21439,7 @@
       public Builder setEnding(boolean value) {
 
         ending_ = value;
-        bitField0_ |= 0x00000010;
+        bitField0_ |= 0x00000008;
         onChanged();
         return this;
       }
@@ -21520,7 +21448,7 @@
        * @return This builder for chaining.
        */
       public Builder clearEnding() {
-        bitField0_ = (bitField0_ & ~0x00000010);
+        bitField0_ = (bitField0_ & ~0x00000008);
         ending_ = false;
         onChanged();
         return this;
@@ -21529,9 +21457,9 @@
       private java.util.List<dev.laneworks.wire.proto.Protocol.WorkAtTarget> work_ =
         java.util.Collections.emptyList();
       private void ensureWorkIsMutable() {
-        if (!((bitField0_ & 0x00000020) != 0)) {
+        if (!((bitField0_ & 0x00000010) != 0)) {
           work_ = new java.util.ArrayList<dev.laneworks.wire.proto.Protocol.WorkAtTarget>(work_);
-          bitField0_ |= 0x00000020;
+          bitField0_ |= 0x00000010;
          }
       }
 
@@ -21681,7 +21609,7 @@
       public Builder clearWork() {
         if (workBuilder_ == null) {
           work_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000020);
+          bitField0_ = (bitField0_ & ~0x00000010);
           onChanged();
         } else {
           workBuilder_.clear();
@@ -21758,7 +21686,7 @@
           workBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
               dev.laneworks.wire.proto.Protocol.WorkAtTarget, dev.laneworks.wire.proto.Protocol.WorkAtTarget.Builder, dev.laneworks.wire.proto.Protocol.WorkAtTargetOrBuilder>(
                   work_,
-                  ((bitField0_ & 0x00000020) != 0),
+                  ((bitField0_ & 0x00000010) != 0),
                   getParentForChildren(),
                   isClean());
           work_ = null;
@@ -21772,7 +21700,7 @@
         if (!peers_.isModifiable()) {
           peers_ = new com.google.protobuf.LazyStringArrayList(peers_);
         }
-        bitField0_ |= 0x00000040;
+        bitField0_ |= 0x00000020;
       }
       /**
        * <pre>
@@ -21838,7 +21766,7 @@
         if (value == null) { throw new NullPointerException(); }
         ensurePeersIsMutable();
         peers_.set(index, value);
-        bitField0_ |= 0x00000040;
+        bitField0_ |= 0x00000020;
         onChanged();
         return this;
       }
@@ -21856,7 +21784,7 @@
         if (value == null) { throw new NullPointerException(); }
         ensurePeersIsMutable();
         peers_.add(value);
-        bitField0_ |= 0x00000040;
+        bitField0_ |= 0x00000020;
         onChanged();
         return this;
       }
@@ -21874,7 +21802,7 @@
         ensurePeersIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
             values, peers_);
-        bitField0_ |= 0x00000040;
+        bitField0_ |= 0x00000020;
         onChanged();
         return this;
       }
@@ -21889,7 +21817,7 @@
       public Builder clearPeers() {
         peers_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000040);;
+        bitField0_ = (bitField0_ & ~0x00000020);;
         onChanged();
         return this;
       }
@@ -21908,7 +21836,7 @@
         checkByteStringIsUtf8(value);
         ensurePeersIsMutable();
         peers_.add(value);
-        bitField0_ |= 0x00000040;
+        bitField0_ |= 0x00000020;
         onChanged();
         return this;
       }
@@ -21916,9 +21844,9 @@
       private java.util.List<dev.laneworks.wire.proto.Protocol.ServiceSpending> spending_ =
         java.util.Collections.emptyList();
       private void ensureSpendingIsMutable() {
-        if (!((bitField0_ & 0x00000080) != 0)) {
+        if (!((bitField0_ & 0x00000040) != 0)) {
           spending_ = new java.util.ArrayList<dev.laneworks.wire.proto.Protocol.ServiceSpending>(spending_);
-          bitField0_ |= 0x00000080;
+          bitField0_ |= 0x00000040;
          }
       }
 
@@ -22068,7 +21996,7 @@
       public Builder clearSpending() {
         if (spendingBuilder_ == null) {
           spending_ = java.util.Collections.emptyList();
-          bitField0_ = (bitField0_ & ~0x00000080);
+          bitField0_ = (bitField0_ & ~0x00000040);
           onChanged();
         } else {
           spendingBuilder_.clear();
@@ -22145,7 +22073,7 @@
           spendingBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
               dev.laneworks.wire.proto.Protocol.ServiceSpending, dev.laneworks.wire.proto.Protocol.ServiceSpending.Builder, dev.laneworks.wire.proto.Protocol.ServiceSpendingOrBuilder>(
                   spending_,
-                  ((bitField0_ & 0x00000080) != 0),
+                  ((bitField0_ & 0x00000040) != 0),
                   getParentForChildren(),
                   isClean());
           spending_ = null;
@@ -22196,7 +22124,7 @@
           java.lang.String value) {
         if (value == null) { throw new NullPointerException(); }
         dataCentre_ = value;
-        bitField0_ |= 0x00000100;
+        bitField0_ |= 0x00000080;
         onChanged();
         return this;
       }
@@ -22206,7 +22134,7 @@
        */
       public Builder clearDataCentre() {
         dataCentre_ = getDefaultInstance().getDataCentre();
-        bitField0_ = (bitField0_ & ~0x00000100);
+        bitField0_ = (bitField0_ & ~0x00000080);
         onChanged();
         return this;
       }
@@ -22220,7 +22148,7 @@
         if (value == null) { throw new NullPointerException(); }
         checkByteStringIsUtf8(value);
         dataCentre_ = value;
-        bitField0_ |= 0x00000100;
+        bitField0_ |= 0x00000080;
         onChanged();
         return this;
       }
@@ -22250,7 +22178,7 @@
       public Builder setPartial(boolean value) {
 
         partial_ = value;
-        bitField0_ |= 0x00000200;
+        bitField0_ |= 0x00000100;
         onChanged();
         return this;
       }
@@ -22263,7 +22191,7 @@
        * @return This builder for chaining.
        */
       public Builder clearPartial() {
-        bitField0_ = (bitField0_ & ~0x00000200);
+        bitField0_ = (bitField0_ & ~0x00000100);
         partial_ = false;
         onChanged();
         return this;
@@ -22294,7 +22222,7 @@
       public Builder setAgainMillis(int value) {
 
         againMillis_ = value;
-        bitField0_ |= 0x00000400;
+        bitField0_ |= 0x00000200;
         onChanged();
         return this;
       }
@@ -22307,7 +22235,7 @@
        * @return This builder for chaining.
        */
       public Builder clearAgainMillis() {
-        bitField0_ = (bitField0_ & ~0x00000400);
+        bitField0_ = (bitField0_ & ~0x00000200);
         againMillis_ = 0;
         onChanged();
         return this;
@@ -22364,41 +22292,59 @@
 
   }
 
-  public interface ServiceSpendingOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:laneworks.ServiceSpending)
+  public interface EntryDatagramOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:laneworks.EntryDatagram)
       com.google.protobuf.MessageOrBuilder {
 
     /**
-     * <code>string service = 1;</code>
-     * @return The service.
+     * <code>uint32 protocol = 1;</code>
+     * @return The protocol.
      */
-    java.lang.String getService();
+    int getProtocol();
+
     /**
-     * <code>string service = 1;</code>
-     * @return The bytes for service.
+     * <code>.laneworks.EntryNews work = 2;</code>
+     * @return Whether the work field is set.
      */
-    com.google.protobuf.ByteString
-        getServiceBytes();
-
+    boolean hasWork();
     /**
-     * <code>uint32 requests = 2;</code>
-     * @return The requests.
+     * <code>.laneworks.EntryNews work = 2;</code>
+     * @return The work.
      */
-    int getRequests();
+    dev.laneworks.wire.proto.Protocol.EntryNews getWork();
+    /**
+     * <code>.laneworks.EntryNews work = 2;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.EntryNewsOrBuilder getWorkOrBuilder();
 
     /**
-     * <code>uint32 repeats = 3;</code>
-     * @return The repeats.
+     * <code>.laneworks.StoreNews store = 3;</code>
+     * @return Whether the store field is set.
      */
-    int getRepeats();
+    boolean hasStore();
+    /**
+     * <code>.laneworks.StoreNews store = 3;</code>
+     * @return The store.
+     */
+    dev.laneworks.wire.proto.Protocol.StoreNews getStore();
+    /**
+     * <code>.laneworks.StoreNews store = 3;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.StoreNewsOrBuilder getStoreOrBuilder();
+
+    dev.laneworks.wire.proto.Protocol.EntryDatagram.KindCase getKindCase();
   }
   /**
-   * Protobuf type {@code laneworks.ServiceSpending}
+   * <pre>
+   * What one entry tells another in one datagram.
+   * </pre>
+   *
+   * Protobuf type {@code laneworks.EntryDatagram}
    */
-  public static final class ServiceSpending extends
+  public static final class EntryDatagram extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:laneworks.ServiceSpending)
-      ServiceSpendingOrBuilder {
+      // @@protoc_insertion_point(message_implements:laneworks.EntryDatagram)
+      EntryDatagramOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -22407,63 +22353,2880 @@
         /* minor= */ 34,
         /* patch= */ 2,
         /* suffix= */ "",
-        "ServiceSpending");
+        "EntryDatagram");
     }
-    // Use ServiceSpending.newBuilder() to construct.
-    private ServiceSpending(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use EntryDatagram.newBuilder() to construct.
+    private EntryDatagram(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private ServiceSpending() {
-      service_ = "";
+    private EntryDatagram() {
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_ServiceSpending_descriptor;
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EntryDatagram_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_ServiceSpending_descriptor;
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EntryDatagram_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_ServiceSpending_fieldAccessorTable
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EntryDatagram_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              dev.laneworks.wire.proto.Protocol.ServiceSpending.class, dev.laneworks.wire.proto.Protocol.ServiceSpending.Builder.class);
+              dev.laneworks.wire.proto.Protocol.EntryDatagram.class, dev.laneworks.wire.proto.Protocol.EntryDatagram.Builder.class);
     }
 
-    public static final int SERVICE_FIELD_NUMBER = 1;
+    private int kindCase_ = 0;
     @SuppressWarnings("serial")
-    private volatile java.lang.Object service_ = "";
+    private java.lang.Object kind_;
+    public enum KindCase
+        implements com.google.protobuf.Internal.EnumLite,
+            com.google.protobuf.AbstractMessage.InternalOneOfEnum {
+      WORK(2),
+      STORE(3),
+      KIND_NOT_SET(0);
+      private final int value;
+      private KindCase(int value) {
+        this.value = value;
+      }
+      /**
+       * @param value The number of the enum to look for.
+       * @return The enum associated with the given number.
+       * @deprecated Use {@link #forNumber(int)} instead.
+       */
+      @java.lang.Deprecated
+      public static KindCase valueOf(int value) {
+        return forNumber(value);
+      }
+
+      public static KindCase forNumber(int value) {
+        switch (value) {
+          case 2: return WORK;
+          case 3: return STORE;
+          case 0: return KIND_NOT_SET;
+          default: return null;
+        }
+      }
+      public int getNumber() {
+        return this.value;
+      }
+    };
+
+    public KindCase
+    getKindCase() {
+      return KindCase.forNumber(
+          kindCase_);
+    }
+
+    public static final int PROTOCOL_FIELD_NUMBER = 1;
+    private int protocol_ = 0;
     /**
-     * <code>string service = 1;</code>
-     * @return The service.
+     * <code>uint32 protocol = 1;</code>
+     * @return The protocol.
      */
     @java.lang.Override
-    public java.lang.String getService() {
-      java.lang.Object ref = service_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        service_ = s;
-        return s;
+    public int getProtocol() {
+      return protocol_;
+    }
+
+    public static final int WORK_FIELD_NUMBER = 2;
+    /**
+     * <code>.laneworks.EntryNews work = 2;</code>
+     * @return Whether the work field is set.
+     */
+    @java.lang.Override
+    public boolean hasWork() {
+      return kindCase_ == 2;
+    }
+    /**
+     * <code>.laneworks.EntryNews work = 2;</code>
+     * @return The work.
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.EntryNews getWork() {
+      if (kindCase_ == 2) {
+         return (dev.laneworks.wire.proto.Protocol.EntryNews) kind_;
       }
+      return dev.laneworks.wire.proto.Protocol.EntryNews.getDefaultInstance();
     }
     /**
-     * <code>string service = 1;</code>
-     * @return The bytes for service.
+     * <code>.laneworks.EntryNews work = 2;</code>
      */
     @java.lang.Override
-    public com.google.protobuf.ByteString
-        getServiceBytes() {
-      java.lang.Object ref = service_;
-      if (ref instanceof java.lang.String) {
+    public dev.laneworks.wire.proto.Protocol.EntryNewsOrBuilder getWorkOrBuilder() {
+      if (kindCase_ == 2) {
+         return (dev.laneworks.wire.proto.Protocol.EntryNews) kind_;
+      }
+      return dev.laneworks.wire.proto.Protocol.EntryNews.getDefaultInstance();
+    }
+
+    public static final int STORE_FIELD_NUMBER = 3;
+    /**
+     * <code>.laneworks.StoreNews store = 3;</code>
+     * @return Whether the store field is set.
+     */
+    @java.lang.Override
+    public boolean hasStore() {
+      return kindCase_ == 3;
+    }
+    /**
+     * <code>.laneworks.StoreNews store = 3;</code>
+     * @return The store.
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.StoreNews getStore() {
+      if (kindCase_ == 3) {
+         return (dev.laneworks.wire.proto.Protocol.StoreNews) kind_;
+      }
+      return dev.laneworks.wire.proto.Protocol.StoreNews.getDefaultInstance();
+    }
+    /**
+     * <code>.laneworks.StoreNews store = 3;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.StoreNewsOrBuilder getStoreOrBuilder() {
+      if (kindCase_ == 3) {
+         return (dev.laneworks.wire.proto.Protocol.StoreNews) kind_;
+      }
+      return dev.laneworks.wire.proto.Protocol.StoreNews.getDefaultInstance();
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (protocol_ != 0) {
+        output.writeUInt32(1, protocol_);
+      }
+      if (kindCase_ == 2) {
+        output.writeMessage(2, (dev.laneworks.wire.proto.Protocol.EntryNews) kind_);
+      }
+      if (kindCase_ == 3) {
+        output.writeMessage(3, (dev.laneworks.wire.proto.Protocol.StoreNews) kind_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (protocol_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(1, protocol_);
+      }
+      if (kindCase_ == 2) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(2, (dev.laneworks.wire.proto.Protocol.EntryNews) kind_);
+      }
+      if (kindCase_ == 3) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(3, (dev.laneworks.wire.proto.Protocol.StoreNews) kind_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof dev.laneworks.wire.proto.Protocol.EntryDatagram)) {
+        return super.equals(obj);
+      }
+      dev.laneworks.wire.proto.Protocol.EntryDatagram other = (dev.laneworks.wire.proto.Protocol.EntryDatagram) obj;
+
+      if (getProtocol()
+          != other.getProtocol()) return false;
+      if (!getKindCase().equals(other.getKindCase())) return false;
+      switch (kindCase_) {
+        case 2:
+          if (!getWork()
+              .equals(other.getWork())) return false;
+          break;
+        case 3:
+          if (!getStore()
+              .equals(other.getStore())) return false;
+          break;
+        case 0:
+        default:
+      }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + PROTOCOL_FIELD_NUMBER;
+      hash = (53 * hash) + getProtocol();
+      switch (kindCase_) {
+        case 2:
+          hash = (37 * hash) + WORK_FIELD_NUMBER;
+          hash = (53 * hash) + getWork().hashCode();
+          break;
+        case 3:
+          hash = (37 * hash) + STORE_FIELD_NUMBER;
+          hash = (53 * hash) + getStore().hashCode();
+          break;
+        case 0:
+        default:
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.EntryDatagram parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EntryDatagram parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EntryDatagram parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EntryDatagram parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EntryDatagram parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EntryDatagram parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EntryDatagram parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EntryDatagram parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.EntryDatagram parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.EntryDatagram parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EntryDatagram parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EntryDatagram parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(dev.laneworks.wire.proto.Protocol.EntryDatagram prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * What one entry tells another in one datagram.
+     * </pre>
+     *
+     * Protobuf type {@code laneworks.EntryDatagram}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:laneworks.EntryDatagram)
+        dev.laneworks.wire.proto.Protocol.EntryDatagramOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EntryDatagram_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EntryDatagram_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                dev.laneworks.wire.proto.Protocol.EntryDatagram.class, dev.laneworks.wire.proto.Protocol.EntryDatagram.Builder.class);
+      }
+
+      // Construct using dev.laneworks.wire.proto.Protocol.EntryDatagram.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        protocol_ = 0;
+        if (workBuilder_ != null) {
+          workBuilder_.clear();
+        }
+        if (storeBuilder_ != null) {
+          storeBuilder_.clear();
+        }
+        kindCase_ = 0;
+        kind_ = null;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EntryDatagram_descriptor;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.EntryDatagram getDefaultInstanceForType() {
+        return dev.laneworks.wire.proto.Protocol.EntryDatagram.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.EntryDatagram build() {
+        dev.laneworks.wire.proto.Protocol.EntryDatagram result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.EntryDatagram buildPartial() {
+        dev.laneworks.wire.proto.Protocol.EntryDatagram result = new dev.laneworks.wire.proto.Protocol.EntryDatagram(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        buildPartialOneofs(result);
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(dev.laneworks.wire.proto.Protocol.EntryDatagram result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.protocol_ = protocol_;
+        }
+      }
+
+      private void buildPartialOneofs(dev.laneworks.wire.proto.Protocol.EntryDatagram result) {
+        result.kindCase_ = kindCase_;
+        result.kind_ = this.kind_;
+        if (kindCase_ == 2 &&
+            workBuilder_ != null) {
+          result.kind_ = workBuilder_.build();
+        }
+        if (kindCase_ == 3 &&
+            storeBuilder_ != null) {
+          result.kind_ = storeBuilder_.build();
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof dev.laneworks.wire.proto.Protocol.EntryDatagram) {
+          return mergeFrom((dev.laneworks.wire.proto.Protocol.EntryDatagram)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(dev.laneworks.wire.proto.Protocol.EntryDatagram other) {
+        if (other == dev.laneworks.wire.proto.Protocol.EntryDatagram.getDefaultInstance()) return this;
+        if (other.getProtocol() != 0) {
+          setProtocol(other.getProtocol());
+        }
+        switch (other.getKindCase()) {
+          case WORK: {
+            mergeWork(other.getWork());
+            break;
+          }
+          case STORE: {
+            mergeStore(other.getStore());
+            break;
+          }
+          case KIND_NOT_SET: {
+            break;
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                protocol_ = input.readUInt32();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 18: {
+                input.readMessage(
+                    internalGetWorkFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 2;
+                break;
+              } // case 18
+              case 26: {
+                input.readMessage(
+                    internalGetStoreFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 3;
+                break;
+              } // case 26
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int kindCase_ = 0;
+      private java.lang.Object kind_;
+      public KindCase
+          getKindCase() {
+        return KindCase.forNumber(
+            kindCase_);
+      }
+
+      public Builder clearKind() {
+        kindCase_ = 0;
+        kind_ = null;
+        onChanged();
+        return this;
+      }
+
+      private int bitField0_;
+
+      private int protocol_ ;
+      /**
+       * <code>uint32 protocol = 1;</code>
+       * @return The protocol.
+       */
+      @java.lang.Override
+      public int getProtocol() {
+        return protocol_;
+      }
+      /**
+       * <code>uint32 protocol = 1;</code>
+       * @param value The protocol to set.
+       * @return This builder for chaining.
+       */
+      public Builder setProtocol(int value) {
+
+        protocol_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 protocol = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearProtocol() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        protocol_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.EntryNews, dev.laneworks.wire.proto.Protocol.EntryNews.Builder, dev.laneworks.wire.proto.Protocol.EntryNewsOrBuilder> workBuilder_;
+      /**
+       * <code>.laneworks.EntryNews work = 2;</code>
+       * @return Whether the work field is set.
+       */
+      @java.lang.Override
+      public boolean hasWork() {
+        return kindCase_ == 2;
+      }
+      /**
+       * <code>.laneworks.EntryNews work = 2;</code>
+       * @return The work.
+       */
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.EntryNews getWork() {
+        if (workBuilder_ == null) {
+          if (kindCase_ == 2) {
+            return (dev.laneworks.wire.proto.Protocol.EntryNews) kind_;
+          }
+          return dev.laneworks.wire.proto.Protocol.EntryNews.getDefaultInstance();
+        } else {
+          if (kindCase_ == 2) {
+            return workBuilder_.getMessage();
+          }
+          return dev.laneworks.wire.proto.Protocol.EntryNews.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.laneworks.EntryNews work = 2;</code>
+       */
+      public Builder setWork(dev.laneworks.wire.proto.Protocol.EntryNews value) {
+        if (workBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          kind_ = value;
+          onChanged();
+        } else {
+          workBuilder_.setMessage(value);
+        }
+        kindCase_ = 2;
+        return this;
+      }
+      /**
+       * <code>.laneworks.EntryNews work = 2;</code>
+       */
+      public Builder setWork(
+          dev.laneworks.wire.proto.Protocol.EntryNews.Builder builderForValue) {
+        if (workBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          workBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 2;
+        return this;
+      }
+      /**
+       * <code>.laneworks.EntryNews work = 2;</code>
+       */
+      public Builder mergeWork(dev.laneworks.wire.proto.Protocol.EntryNews value) {
+        if (workBuilder_ == null) {
+          if (kindCase_ == 2 &&
+              kind_ != dev.laneworks.wire.proto.Protocol.EntryNews.getDefaultInstance()) {
+            kind_ = dev.laneworks.wire.proto.Protocol.EntryNews.newBuilder((dev.laneworks.wire.proto.Protocol.EntryNews) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 2) {
+            workBuilder_.mergeFrom(value);
+          } else {
+            workBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 2;
+        return this;
+      }
+      /**
+       * <code>.laneworks.EntryNews work = 2;</code>
+       */
+      public Builder clearWork() {
+        if (workBuilder_ == null) {
+          if (kindCase_ == 2) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 2) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          workBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.laneworks.EntryNews work = 2;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.EntryNews.Builder getWorkBuilder() {
+        return internalGetWorkFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.laneworks.EntryNews work = 2;</code>
+       */
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.EntryNewsOrBuilder getWorkOrBuilder() {
+        if ((kindCase_ == 2) && (workBuilder_ != null)) {
+          return workBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 2) {
+            return (dev.laneworks.wire.proto.Protocol.EntryNews) kind_;
+          }
+          return dev.laneworks.wire.proto.Protocol.EntryNews.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.laneworks.EntryNews work = 2;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.EntryNews, dev.laneworks.wire.proto.Protocol.EntryNews.Builder, dev.laneworks.wire.proto.Protocol.EntryNewsOrBuilder> 
+          internalGetWorkFieldBuilder() {
+        if (workBuilder_ == null) {
+          if (!(kindCase_ == 2)) {
+            kind_ = dev.laneworks.wire.proto.Protocol.EntryNews.getDefaultInstance();
+          }
+          workBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              dev.laneworks.wire.proto.Protocol.EntryNews, dev.laneworks.wire.proto.Protocol.EntryNews.Builder, dev.laneworks.wire.proto.Protocol.EntryNewsOrBuilder>(
+                  (dev.laneworks.wire.proto.Protocol.EntryNews) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 2;
+        onChanged();
+        return workBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.StoreNews, dev.laneworks.wire.proto.Protocol.StoreNews.Builder, dev.laneworks.wire.proto.Protocol.StoreNewsOrBuilder> storeBuilder_;
+      /**
+       * <code>.laneworks.StoreNews store = 3;</code>
+       * @return Whether the store field is set.
+       */
+      @java.lang.Override
+      public boolean hasStore() {
+        return kindCase_ == 3;
+      }
+      /**
+       * <code>.laneworks.StoreNews store = 3;</code>
+       * @return The store.
+       */
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StoreNews getStore() {
+        if (storeBuilder_ == null) {
+          if (kindCase_ == 3) {
+            return (dev.laneworks.wire.proto.Protocol.StoreNews) kind_;
+          }
+          return dev.laneworks.wire.proto.Protocol.StoreNews.getDefaultInstance();
+        } else {
+          if (kindCase_ == 3) {
+            return storeBuilder_.getMessage();
+          }
+          return dev.laneworks.wire.proto.Protocol.StoreNews.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.laneworks.StoreNews store = 3;</code>
+       */
+      public Builder setStore(dev.laneworks.wire.proto.Protocol.StoreNews value) {
+        if (storeBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          kind_ = value;
+          onChanged();
+        } else {
+          storeBuilder_.setMessage(value);
+        }
+        kindCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.laneworks.StoreNews store = 3;</code>
+       */
+      public Builder setStore(
+          dev.laneworks.wire.proto.Protocol.StoreNews.Builder builderForValue) {
+        if (storeBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          storeBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.laneworks.StoreNews store = 3;</code>
+       */
+      public Builder mergeStore(dev.laneworks.wire.proto.Protocol.StoreNews value) {
+        if (storeBuilder_ == null) {
+          if (kindCase_ == 3 &&
+              kind_ != dev.laneworks.wire.proto.Protocol.StoreNews.getDefaultInstance()) {
+            kind_ = dev.laneworks.wire.proto.Protocol.StoreNews.newBuilder((dev.laneworks.wire.proto.Protocol.StoreNews) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 3) {
+            storeBuilder_.mergeFrom(value);
+          } else {
+            storeBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.laneworks.StoreNews store = 3;</code>
+       */
+      public Builder clearStore() {
+        if (storeBuilder_ == null) {
+          if (kindCase_ == 3) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 3) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          storeBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.laneworks.StoreNews store = 3;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.StoreNews.Builder getStoreBuilder() {
+        return internalGetStoreFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.laneworks.StoreNews store = 3;</code>
+       */
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StoreNewsOrBuilder getStoreOrBuilder() {
+        if ((kindCase_ == 3) && (storeBuilder_ != null)) {
+          return storeBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 3) {
+            return (dev.laneworks.wire.proto.Protocol.StoreNews) kind_;
+          }
+          return dev.laneworks.wire.proto.Protocol.StoreNews.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.laneworks.StoreNews store = 3;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.StoreNews, dev.laneworks.wire.proto.Protocol.StoreNews.Builder, dev.laneworks.wire.proto.Protocol.StoreNewsOrBuilder> 
+          internalGetStoreFieldBuilder() {
+        if (storeBuilder_ == null) {
+          if (!(kindCase_ == 3)) {
+            kind_ = dev.laneworks.wire.proto.Protocol.StoreNews.getDefaultInstance();
+          }
+          storeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              dev.laneworks.wire.proto.Protocol.StoreNews, dev.laneworks.wire.proto.Protocol.StoreNews.Builder, dev.laneworks.wire.proto.Protocol.StoreNewsOrBuilder>(
+                  (dev.laneworks.wire.proto.Protocol.StoreNews) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 3;
+        onChanged();
+        return storeBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:laneworks.EntryDatagram)
+    }
+
+    // @@protoc_insertion_point(class_scope:laneworks.EntryDatagram)
+    private static final dev.laneworks.wire.proto.Protocol.EntryDatagram DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.EntryDatagram();
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.EntryDatagram getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<EntryDatagram>
+        PARSER = new com.google.protobuf.AbstractParser<EntryDatagram>() {
+      @java.lang.Override
+      public EntryDatagram parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<EntryDatagram> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<EntryDatagram> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.EntryDatagram getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface StoreNewsOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:laneworks.StoreNews)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string reader = 1;</code>
+     * @return The reader.
+     */
+    java.lang.String getReader();
+    /**
+     * <code>string reader = 1;</code>
+     * @return The bytes for reader.
+     */
+    com.google.protobuf.ByteString
+        getReaderBytes();
+
+    /**
+     * <code>uint64 from = 2;</code>
+     * @return The from.
+     */
+    long getFrom();
+
+    /**
+     * <code>uint64 to = 3;</code>
+     * @return The to.
+     */
+    long getTo();
+
+    /**
+     * <code>repeated .laneworks.StoreChange changes = 4;</code>
+     */
+    java.util.List<dev.laneworks.wire.proto.Protocol.StoreChange> 
+        getChangesList();
+    /**
+     * <code>repeated .laneworks.StoreChange changes = 4;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.StoreChange getChanges(int index);
+    /**
+     * <code>repeated .laneworks.StoreChange changes = 4;</code>
+     */
+    int getChangesCount();
+    /**
+     * <code>repeated .laneworks.StoreChange changes = 4;</code>
+     */
+    java.util.List<? extends dev.laneworks.wire.proto.Protocol.StoreChangeOrBuilder> 
+        getChangesOrBuilderList();
+    /**
+     * <code>repeated .laneworks.StoreChange changes = 4;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.StoreChangeOrBuilder getChangesOrBuilder(
+        int index);
+  }
+  /**
+   * <pre>
+   * What an entry read of the platform's store.
+   * </pre>
+   *
+   * Protobuf type {@code laneworks.StoreNews}
+   */
+  public static final class StoreNews extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:laneworks.StoreNews)
+      StoreNewsOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "StoreNews");
+    }
+    // Use StoreNews.newBuilder() to construct.
+    private StoreNews(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private StoreNews() {
+      reader_ = "";
+      changes_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreNews_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreNews_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreNews_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              dev.laneworks.wire.proto.Protocol.StoreNews.class, dev.laneworks.wire.proto.Protocol.StoreNews.Builder.class);
+    }
+
+    public static final int READER_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object reader_ = "";
+    /**
+     * <code>string reader = 1;</code>
+     * @return The reader.
+     */
+    @java.lang.Override
+    public java.lang.String getReader() {
+      java.lang.Object ref = reader_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        reader_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string reader = 1;</code>
+     * @return The bytes for reader.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getReaderBytes() {
+      java.lang.Object ref = reader_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        reader_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int FROM_FIELD_NUMBER = 2;
+    private long from_ = 0L;
+    /**
+     * <code>uint64 from = 2;</code>
+     * @return The from.
+     */
+    @java.lang.Override
+    public long getFrom() {
+      return from_;
+    }
+
+    public static final int TO_FIELD_NUMBER = 3;
+    private long to_ = 0L;
+    /**
+     * <code>uint64 to = 3;</code>
+     * @return The to.
+     */
+    @java.lang.Override
+    public long getTo() {
+      return to_;
+    }
+
+    public static final int CHANGES_FIELD_NUMBER = 4;
+    @SuppressWarnings("serial")
+    private java.util.List<dev.laneworks.wire.proto.Protocol.StoreChange> changes_;
+    /**
+     * <code>repeated .laneworks.StoreChange changes = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<dev.laneworks.wire.proto.Protocol.StoreChange> getChangesList() {
+      return changes_;
+    }
+    /**
+     * <code>repeated .laneworks.StoreChange changes = 4;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends dev.laneworks.wire.proto.Protocol.StoreChangeOrBuilder> 
+        getChangesOrBuilderList() {
+      return changes_;
+    }
+    /**
+     * <code>repeated .laneworks.StoreChange changes = 4;</code>
+     */
+    @java.lang.Override
+    public int getChangesCount() {
+      return changes_.size();
+    }
+    /**
+     * <code>repeated .laneworks.StoreChange changes = 4;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.StoreChange getChanges(int index) {
+      return changes_.get(index);
+    }
+    /**
+     * <code>repeated .laneworks.StoreChange changes = 4;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.StoreChangeOrBuilder getChangesOrBuilder(
+        int index) {
+      return changes_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(reader_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, reader_);
+      }
+      if (from_ != 0L) {
+        output.writeUInt64(2, from_);
+      }
+      if (to_ != 0L) {
+        output.writeUInt64(3, to_);
+      }
+      for (int i = 0; i < changes_.size(); i++) {
+        output.writeMessage(4, changes_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(reader_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, reader_);
+      }
+      if (from_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, from_);
+      }
+      if (to_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, to_);
+      }
+
+          {
+            final int count = changes_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(changes_.get(i));
+            }
+            size += 1 * count;
+          }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof dev.laneworks.wire.proto.Protocol.StoreNews)) {
+        return super.equals(obj);
+      }
+      dev.laneworks.wire.proto.Protocol.StoreNews other = (dev.laneworks.wire.proto.Protocol.StoreNews) obj;
+
+      if (!getReader()
+          .equals(other.getReader())) return false;
+      if (getFrom()
+          != other.getFrom()) return false;
+      if (getTo()
+          != other.getTo()) return false;
+      if (!getChangesList()
+          .equals(other.getChangesList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + READER_FIELD_NUMBER;
+      hash = (53 * hash) + getReader().hashCode();
+      hash = (37 * hash) + FROM_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getFrom());
+      hash = (37 * hash) + TO_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTo());
+      if (getChangesCount() > 0) {
+        hash = (37 * hash) + CHANGES_FIELD_NUMBER;
+        hash = (53 * hash) + getChangesList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StoreNews parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreNews parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreNews parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreNews parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreNews parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreNews parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreNews parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreNews parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StoreNews parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StoreNews parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreNews parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreNews parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(dev.laneworks.wire.proto.Protocol.StoreNews prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * What an entry read of the platform's store.
+     * </pre>
+     *
+     * Protobuf type {@code laneworks.StoreNews}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:laneworks.StoreNews)
+        dev.laneworks.wire.proto.Protocol.StoreNewsOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreNews_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreNews_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                dev.laneworks.wire.proto.Protocol.StoreNews.class, dev.laneworks.wire.proto.Protocol.StoreNews.Builder.class);
+      }
+
+      // Construct using dev.laneworks.wire.proto.Protocol.StoreNews.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        reader_ = "";
+        from_ = 0L;
+        to_ = 0L;
+        if (changesBuilder_ == null) {
+          changes_ = java.util.Collections.emptyList();
+        } else {
+          changes_ = null;
+          changesBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000008);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreNews_descriptor;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StoreNews getDefaultInstanceForType() {
+        return dev.laneworks.wire.proto.Protocol.StoreNews.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StoreNews build() {
+        dev.laneworks.wire.proto.Protocol.StoreNews result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StoreNews buildPartial() {
+        dev.laneworks.wire.proto.Protocol.StoreNews result = new dev.laneworks.wire.proto.Protocol.StoreNews(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(dev.laneworks.wire.proto.Protocol.StoreNews result) {
+        if (changesBuilder_ == null) {
+          if (((bitField0_ & 0x00000008) != 0)) {
+            changes_ = java.util.Collections.unmodifiableList(changes_);
+            bitField0_ = (bitField0_ & ~0x00000008);
+          }
+          result.changes_ = changes_;
+        } else {
+          result.changes_ = changesBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(dev.laneworks.wire.proto.Protocol.StoreNews result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.reader_ = reader_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.from_ = from_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.to_ = to_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof dev.laneworks.wire.proto.Protocol.StoreNews) {
+          return mergeFrom((dev.laneworks.wire.proto.Protocol.StoreNews)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(dev.laneworks.wire.proto.Protocol.StoreNews other) {
+        if (other == dev.laneworks.wire.proto.Protocol.StoreNews.getDefaultInstance()) return this;
+        if (!other.getReader().isEmpty()) {
+          reader_ = other.reader_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getFrom() != 0L) {
+          setFrom(other.getFrom());
+        }
+        if (other.getTo() != 0L) {
+          setTo(other.getTo());
+        }
+        if (changesBuilder_ == null) {
+          if (!other.changes_.isEmpty()) {
+            if (changes_.isEmpty()) {
+              changes_ = other.changes_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+            } else {
+              ensureChangesIsMutable();
+              changes_.addAll(other.changes_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.changes_.isEmpty()) {
+            if (changesBuilder_.isEmpty()) {
+              changesBuilder_.dispose();
+              changesBuilder_ = null;
+              changes_ = other.changes_;
+              bitField0_ = (bitField0_ & ~0x00000008);
+              changesBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetChangesFieldBuilder() : null;
+            } else {
+              changesBuilder_.addAllMessages(other.changes_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                reader_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                from_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                to_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 34: {
+                dev.laneworks.wire.proto.Protocol.StoreChange m =
+                    input.readMessage(
+                        dev.laneworks.wire.proto.Protocol.StoreChange.parser(),
+                        extensionRegistry);
+                if (changesBuilder_ == null) {
+                  ensureChangesIsMutable();
+                  changes_.add(m);
+                } else {
+                  changesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 34
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object reader_ = "";
+      /**
+       * <code>string reader = 1;</code>
+       * @return The reader.
+       */
+      public java.lang.String getReader() {
+        java.lang.Object ref = reader_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          reader_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string reader = 1;</code>
+       * @return The bytes for reader.
+       */
+      public com.google.protobuf.ByteString
+          getReaderBytes() {
+        java.lang.Object ref = reader_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          reader_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string reader = 1;</code>
+       * @param value The reader to set.
+       * @return This builder for chaining.
+       */
+      public Builder setReader(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        reader_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string reader = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearReader() {
+        reader_ = getDefaultInstance().getReader();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string reader = 1;</code>
+       * @param value The bytes for reader to set.
+       * @return This builder for chaining.
+       */
+      public Builder setReaderBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        reader_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long from_ ;
+      /**
+       * <code>uint64 from = 2;</code>
+       * @return The from.
+       */
+      @java.lang.Override
+      public long getFrom() {
+        return from_;
+      }
+      /**
+       * <code>uint64 from = 2;</code>
+       * @param value The from to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFrom(long value) {
+
+        from_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 from = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFrom() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        from_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long to_ ;
+      /**
+       * <code>uint64 to = 3;</code>
+       * @return The to.
+       */
+      @java.lang.Override
+      public long getTo() {
+        return to_;
+      }
+      /**
+       * <code>uint64 to = 3;</code>
+       * @param value The to to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTo(long value) {
+
+        to_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 to = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTo() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        to_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<dev.laneworks.wire.proto.Protocol.StoreChange> changes_ =
+        java.util.Collections.emptyList();
+      private void ensureChangesIsMutable() {
+        if (!((bitField0_ & 0x00000008) != 0)) {
+          changes_ = new java.util.ArrayList<dev.laneworks.wire.proto.Protocol.StoreChange>(changes_);
+          bitField0_ |= 0x00000008;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.StoreChange, dev.laneworks.wire.proto.Protocol.StoreChange.Builder, dev.laneworks.wire.proto.Protocol.StoreChangeOrBuilder> changesBuilder_;
+
+      /**
+       * <code>repeated .laneworks.StoreChange changes = 4;</code>
+       */
+      public java.util.List<dev.laneworks.wire.proto.Protocol.StoreChange> getChangesList() {
+        if (changesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(changes_);
+        } else {
+          return changesBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .laneworks.StoreChange changes = 4;</code>
+       */
+      public int getChangesCount() {
+        if (changesBuilder_ == null) {
+          return changes_.size();
+        } else {
+          return changesBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .laneworks.StoreChange changes = 4;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.StoreChange getChanges(int index) {
+        if (changesBuilder_ == null) {
+          return changes_.get(index);
+        } else {
+          return changesBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.StoreChange changes = 4;</code>
+       */
+      public Builder setChanges(
+          int index, dev.laneworks.wire.proto.Protocol.StoreChange value) {
+        if (changesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureChangesIsMutable();
+          changes_.set(index, value);
+          onChanged();
+        } else {
+          changesBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.StoreChange changes = 4;</code>
+       */
+      public Builder setChanges(
+          int index, dev.laneworks.wire.proto.Protocol.StoreChange.Builder builderForValue) {
+        if (changesBuilder_ == null) {
+          ensureChangesIsMutable();
+          changes_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          changesBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.StoreChange changes = 4;</code>
+       */
+      public Builder addChanges(dev.laneworks.wire.proto.Protocol.StoreChange value) {
+        if (changesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureChangesIsMutable();
+          changes_.add(value);
+          onChanged();
+        } else {
+          changesBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.StoreChange changes = 4;</code>
+       */
+      public Builder addChanges(
+          int index, dev.laneworks.wire.proto.Protocol.StoreChange value) {
+        if (changesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureChangesIsMutable();
+          changes_.add(index, value);
+          onChanged();
+        } else {
+          changesBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.StoreChange changes = 4;</code>
+       */
+      public Builder addChanges(
+          dev.laneworks.wire.proto.Protocol.StoreChange.Builder builderForValue) {
+        if (changesBuilder_ == null) {
+          ensureChangesIsMutable();
+          changes_.add(builderForValue.build());
+          onChanged();
+        } else {
+          changesBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.StoreChange changes = 4;</code>
+       */
+      public Builder addChanges(
+          int index, dev.laneworks.wire.proto.Protocol.StoreChange.Builder builderForValue) {
+        if (changesBuilder_ == null) {
+          ensureChangesIsMutable();
+          changes_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          changesBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.StoreChange changes = 4;</code>
+       */
+      public Builder addAllChanges(
+          java.lang.Iterable<? extends dev.laneworks.wire.proto.Protocol.StoreChange> values) {
+        if (changesBuilder_ == null) {
+          ensureChangesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, changes_);
+          onChanged();
+        } else {
+          changesBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.StoreChange changes = 4;</code>
+       */
+      public Builder clearChanges() {
+        if (changesBuilder_ == null) {
+          changes_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000008);
+          onChanged();
+        } else {
+          changesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.StoreChange changes = 4;</code>
+       */
+      public Builder removeChanges(int index) {
+        if (changesBuilder_ == null) {
+          ensureChangesIsMutable();
+          changes_.remove(index);
+          onChanged();
+        } else {
+          changesBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.StoreChange changes = 4;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.StoreChange.Builder getChangesBuilder(
+          int index) {
+        return internalGetChangesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .laneworks.StoreChange changes = 4;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.StoreChangeOrBuilder getChangesOrBuilder(
+          int index) {
+        if (changesBuilder_ == null) {
+          return changes_.get(index);  } else {
+          return changesBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.StoreChange changes = 4;</code>
+       */
+      public java.util.List<? extends dev.laneworks.wire.proto.Protocol.StoreChangeOrBuilder> 
+           getChangesOrBuilderList() {
+        if (changesBuilder_ != null) {
+          return changesBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(changes_);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.StoreChange changes = 4;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.StoreChange.Builder addChangesBuilder() {
+        return internalGetChangesFieldBuilder().addBuilder(
+            dev.laneworks.wire.proto.Protocol.StoreChange.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .laneworks.StoreChange changes = 4;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.StoreChange.Builder addChangesBuilder(
+          int index) {
+        return internalGetChangesFieldBuilder().addBuilder(
+            index, dev.laneworks.wire.proto.Protocol.StoreChange.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .laneworks.StoreChange changes = 4;</code>
+       */
+      public java.util.List<dev.laneworks.wire.proto.Protocol.StoreChange.Builder> 
+           getChangesBuilderList() {
+        return internalGetChangesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.StoreChange, dev.laneworks.wire.proto.Protocol.StoreChange.Builder, dev.laneworks.wire.proto.Protocol.StoreChangeOrBuilder> 
+          internalGetChangesFieldBuilder() {
+        if (changesBuilder_ == null) {
+          changesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              dev.laneworks.wire.proto.Protocol.StoreChange, dev.laneworks.wire.proto.Protocol.StoreChange.Builder, dev.laneworks.wire.proto.Protocol.StoreChangeOrBuilder>(
+                  changes_,
+                  ((bitField0_ & 0x00000008) != 0),
+                  getParentForChildren(),
+                  isClean());
+          changes_ = null;
+        }
+        return changesBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:laneworks.StoreNews)
+    }
+
+    // @@protoc_insertion_point(class_scope:laneworks.StoreNews)
+    private static final dev.laneworks.wire.proto.Protocol.StoreNews DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.StoreNews();
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StoreNews getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<StoreNews>
+        PARSER = new com.google.protobuf.AbstractParser<StoreNews>() {
+      @java.lang.Override
+      public StoreNews parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<StoreNews> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<StoreNews> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.StoreNews getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface StoreChangeOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:laneworks.StoreChange)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string key = 1;</code>
+     * @return The key.
+     */
+    java.lang.String getKey();
+    /**
+     * <code>string key = 1;</code>
+     * @return The bytes for key.
+     */
+    com.google.protobuf.ByteString
+        getKeyBytes();
+
+    /**
+     * <code>uint64 revision = 2;</code>
+     * @return The revision.
+     */
+    long getRevision();
+
+    /**
+     * <pre>
+     * Absent where the key went.
+     * </pre>
+     *
+     * <code>optional string value = 3;</code>
+     * @return Whether the value field is set.
+     */
+    boolean hasValue();
+    /**
+     * <pre>
+     * Absent where the key went.
+     * </pre>
+     *
+     * <code>optional string value = 3;</code>
+     * @return The value.
+     */
+    java.lang.String getValue();
+    /**
+     * <pre>
+     * Absent where the key went.
+     * </pre>
+     *
+     * <code>optional string value = 3;</code>
+     * @return The bytes for value.
+     */
+    com.google.protobuf.ByteString
+        getValueBytes();
+  }
+  /**
+   * Protobuf type {@code laneworks.StoreChange}
+   */
+  public static final class StoreChange extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:laneworks.StoreChange)
+      StoreChangeOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "StoreChange");
+    }
+    // Use StoreChange.newBuilder() to construct.
+    private StoreChange(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private StoreChange() {
+      key_ = "";
+      value_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreChange_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreChange_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreChange_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              dev.laneworks.wire.proto.Protocol.StoreChange.class, dev.laneworks.wire.proto.Protocol.StoreChange.Builder.class);
+    }
+
+    private int bitField0_;
+    public static final int KEY_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object key_ = "";
+    /**
+     * <code>string key = 1;</code>
+     * @return The key.
+     */
+    @java.lang.Override
+    public java.lang.String getKey() {
+      java.lang.Object ref = key_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        key_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string key = 1;</code>
+     * @return The bytes for key.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getKeyBytes() {
+      java.lang.Object ref = key_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        key_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int REVISION_FIELD_NUMBER = 2;
+    private long revision_ = 0L;
+    /**
+     * <code>uint64 revision = 2;</code>
+     * @return The revision.
+     */
+    @java.lang.Override
+    public long getRevision() {
+      return revision_;
+    }
+
+    public static final int VALUE_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object value_ = "";
+    /**
+     * <pre>
+     * Absent where the key went.
+     * </pre>
+     *
+     * <code>optional string value = 3;</code>
+     * @return Whether the value field is set.
+     */
+    @java.lang.Override
+    public boolean hasValue() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <pre>
+     * Absent where the key went.
+     * </pre>
+     *
+     * <code>optional string value = 3;</code>
+     * @return The value.
+     */
+    @java.lang.Override
+    public java.lang.String getValue() {
+      java.lang.Object ref = value_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        value_ = s;
+        return s;
+      }
+    }
+    /**
+     * <pre>
+     * Absent where the key went.
+     * </pre>
+     *
+     * <code>optional string value = 3;</code>
+     * @return The bytes for value.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getValueBytes() {
+      java.lang.Object ref = value_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        value_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(key_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, key_);
+      }
+      if (revision_ != 0L) {
+        output.writeUInt64(2, revision_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 3, value_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(key_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, key_);
+      }
+      if (revision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, revision_);
+      }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(3, value_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof dev.laneworks.wire.proto.Protocol.StoreChange)) {
+        return super.equals(obj);
+      }
+      dev.laneworks.wire.proto.Protocol.StoreChange other = (dev.laneworks.wire.proto.Protocol.StoreChange) obj;
+
+      if (!getKey()
+          .equals(other.getKey())) return false;
+      if (getRevision()
+          != other.getRevision()) return false;
+      if (hasValue() != other.hasValue()) return false;
+      if (hasValue()) {
+        if (!getValue()
+            .equals(other.getValue())) return false;
+      }
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + KEY_FIELD_NUMBER;
+      hash = (53 * hash) + getKey().hashCode();
+      hash = (37 * hash) + REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRevision());
+      if (hasValue()) {
+        hash = (37 * hash) + VALUE_FIELD_NUMBER;
+        hash = (53 * hash) + getValue().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StoreChange parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreChange parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreChange parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreChange parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreChange parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreChange parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreChange parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreChange parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StoreChange parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StoreChange parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreChange parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreChange parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(dev.laneworks.wire.proto.Protocol.StoreChange prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code laneworks.StoreChange}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:laneworks.StoreChange)
+        dev.laneworks.wire.proto.Protocol.StoreChangeOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreChange_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreChange_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                dev.laneworks.wire.proto.Protocol.StoreChange.class, dev.laneworks.wire.proto.Protocol.StoreChange.Builder.class);
+      }
+
+      // Construct using dev.laneworks.wire.proto.Protocol.StoreChange.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        key_ = "";
+        revision_ = 0L;
+        value_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreChange_descriptor;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StoreChange getDefaultInstanceForType() {
+        return dev.laneworks.wire.proto.Protocol.StoreChange.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StoreChange build() {
+        dev.laneworks.wire.proto.Protocol.StoreChange result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StoreChange buildPartial() {
+        dev.laneworks.wire.proto.Protocol.StoreChange result = new dev.laneworks.wire.proto.Protocol.StoreChange(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(dev.laneworks.wire.proto.Protocol.StoreChange result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.key_ = key_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.revision_ = revision_;
+        }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.value_ = value_;
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof dev.laneworks.wire.proto.Protocol.StoreChange) {
+          return mergeFrom((dev.laneworks.wire.proto.Protocol.StoreChange)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(dev.laneworks.wire.proto.Protocol.StoreChange other) {
+        if (other == dev.laneworks.wire.proto.Protocol.StoreChange.getDefaultInstance()) return this;
+        if (!other.getKey().isEmpty()) {
+          key_ = other.key_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getRevision() != 0L) {
+          setRevision(other.getRevision());
+        }
+        if (other.hasValue()) {
+          value_ = other.value_;
+          bitField0_ |= 0x00000004;
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                key_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                revision_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 26: {
+                value_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 26
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object key_ = "";
+      /**
+       * <code>string key = 1;</code>
+       * @return The key.
+       */
+      public java.lang.String getKey() {
+        java.lang.Object ref = key_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          key_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string key = 1;</code>
+       * @return The bytes for key.
+       */
+      public com.google.protobuf.ByteString
+          getKeyBytes() {
+        java.lang.Object ref = key_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          key_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string key = 1;</code>
+       * @param value The key to set.
+       * @return This builder for chaining.
+       */
+      public Builder setKey(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        key_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string key = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearKey() {
+        key_ = getDefaultInstance().getKey();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string key = 1;</code>
+       * @param value The bytes for key to set.
+       * @return This builder for chaining.
+       */
+      public Builder setKeyBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        key_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long revision_ ;
+      /**
+       * <code>uint64 revision = 2;</code>
+       * @return The revision.
+       */
+      @java.lang.Override
+      public long getRevision() {
+        return revision_;
+      }
+      /**
+       * <code>uint64 revision = 2;</code>
+       * @param value The revision to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRevision(long value) {
+
+        revision_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 revision = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRevision() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        revision_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object value_ = "";
+      /**
+       * <pre>
+       * Absent where the key went.
+       * </pre>
+       *
+       * <code>optional string value = 3;</code>
+       * @return Whether the value field is set.
+       */
+      public boolean hasValue() {
+        return ((bitField0_ & 0x00000004) != 0);
+      }
+      /**
+       * <pre>
+       * Absent where the key went.
+       * </pre>
+       *
+       * <code>optional string value = 3;</code>
+       * @return The value.
+       */
+      public java.lang.String getValue() {
+        java.lang.Object ref = value_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          value_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Absent where the key went.
+       * </pre>
+       *
+       * <code>optional string value = 3;</code>
+       * @return The bytes for value.
+       */
+      public com.google.protobuf.ByteString
+          getValueBytes() {
+        java.lang.Object ref = value_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          value_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <pre>
+       * Absent where the key went.
+       * </pre>
+       *
+       * <code>optional string value = 3;</code>
+       * @param value The value to set.
+       * @return This builder for chaining.
+       */
+      public Builder setValue(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        value_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Absent where the key went.
+       * </pre>
+       *
+       * <code>optional string value = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearValue() {
+        value_ = getDefaultInstance().getValue();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Absent where the key went.
+       * </pre>
+       *
+       * <code>optional string value = 3;</code>
+       * @param value The bytes for value to set.
+       * @return This builder for chaining.
+       */
+      public Builder setValueBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        value_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:laneworks.StoreChange)
+    }
+
+    // @@protoc_insertion_point(class_scope:laneworks.StoreChange)
+    private static final dev.laneworks.wire.proto.Protocol.StoreChange DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.StoreChange();
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StoreChange getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<StoreChange>
+        PARSER = new com.google.protobuf.AbstractParser<StoreChange>() {
+      @java.lang.Override
+      public StoreChange parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<StoreChange> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<StoreChange> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.StoreChange getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface ServiceSpendingOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:laneworks.ServiceSpending)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string service = 1;</code>
+     * @return The service.
+     */
+    java.lang.String getService();
+    /**
+     * <code>string service = 1;</code>
+     * @return The bytes for service.
+     */
+    com.google.protobuf.ByteString
+        getServiceBytes();
+
+    /**
+     * <code>uint32 requests = 2;</code>
+     * @return The requests.
+     */
+    int getRequests();
+
+    /**
+     * <code>uint32 repeats = 3;</code>
+     * @return The repeats.
+     */
+    int getRepeats();
+  }
+  /**
+   * Protobuf type {@code laneworks.ServiceSpending}
+   */
+  public static final class ServiceSpending extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:laneworks.ServiceSpending)
+      ServiceSpendingOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "ServiceSpending");
+    }
+    // Use ServiceSpending.newBuilder() to construct.
+    private ServiceSpending(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private ServiceSpending() {
+      service_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_ServiceSpending_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_ServiceSpending_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_ServiceSpending_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              dev.laneworks.wire.proto.Protocol.ServiceSpending.class, dev.laneworks.wire.proto.Protocol.ServiceSpending.Builder.class);
+    }
+
+    public static final int SERVICE_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object service_ = "";
+    /**
+     * <code>string service = 1;</code>
+     * @return The service.
+     */
+    @java.lang.Override
+    public java.lang.String getService() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        service_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string service = 1;</code>
+     * @return The bytes for service.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getServiceBytes() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
         com.google.protobuf.ByteString b = 
             com.google.protobuf.ByteString.copyFromUtf8(
                 (java.lang.String) ref);
@@ -24016,6 +26779,21 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_laneworks_EntryNews_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_EntryDatagram_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_EntryDatagram_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_StoreNews_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_StoreNews_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_StoreChange_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_StoreChange_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_laneworks_ServiceSpending_descriptor;
   private static final 
@@ -24098,14 +26876,21 @@
       "rsion\030\001 \001(\004\022\036\n\026confirmed_age_plus_one\030\002 " +
       "\001(\004\"\026\n\024ConfigurationRequest\"F\n\021Configura" +
       "tionText\022\017\n\007version\030\001 \001(\004\022\020\n\010deflated\030\002 " +
-      "\001(\014\022\016\n\006digest\030\003 \001(\014\"\206\002\n\tEntryNews\022\020\n\010pro" +
-      "tocol\030\001 \001(\r\022\020\n\010instance\030\002 \001(\t\022\023\n\013incarna" +
-      "tion\030\003 \001(\006\022\020\n\010sequence\030\004 \001(\004\022\016\n\006ending\030\005" +
-      " \001(\010\022%\n\004work\030\006 \003(\0132\027.laneworks.WorkAtTar" +
-      "get\022\r\n\005peers\030\007 \003(\t\022,\n\010spending\030\010 \003(\0132\032.l" +
-      "aneworks.ServiceSpending\022\023\n\013data_centre\030" +
-      "\t \001(\t\022\017\n\007partial\030\n \001(\010\022\024\n\014again_millis\030\013" +
-      " \001(\r\"E\n\017ServiceSpending\022\017\n\007service\030\001 \001(\t" +
+      "\001(\014\022\016\n\006digest\030\003 \001(\014\"\372\001\n\tEntryNews\022\020\n\010ins" +
+      "tance\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\006\022\020\n\010sequ" +
+      "ence\030\004 \001(\004\022\016\n\006ending\030\005 \001(\010\022%\n\004work\030\006 \003(\013" +
+      "2\027.laneworks.WorkAtTarget\022\r\n\005peers\030\007 \003(\t" +
+      "\022,\n\010spending\030\010 \003(\0132\032.laneworks.ServiceSp" +
+      "ending\022\023\n\013data_centre\030\t \001(\t\022\017\n\007partial\030\n" +
+      " \001(\010\022\024\n\014again_millis\030\013 \001(\rJ\004\010\001\020\002\"v\n\rEntr" +
+      "yDatagram\022\020\n\010protocol\030\001 \001(\r\022$\n\004work\030\002 \001(" +
+      "\0132\024.laneworks.EntryNewsH\000\022%\n\005store\030\003 \001(\013" +
+      "2\024.laneworks.StoreNewsH\000B\006\n\004kind\"^\n\tStor" +
+      "eNews\022\016\n\006reader\030\001 \001(\t\022\014\n\004from\030\002 \001(\004\022\n\n\002t" +
+      "o\030\003 \001(\004\022\'\n\007changes\030\004 \003(\0132\026.laneworks.Sto" +
+      "reChange\"J\n\013StoreChange\022\013\n\003key\030\001 \001(\t\022\020\n\010" +
+      "revision\030\002 \001(\004\022\022\n\005value\030\003 \001(\tH\000\210\001\001B\010\n\006_v" +
+      "alue\"E\n\017ServiceSpending\022\017\n\007service\030\001 \001(\t" +
       "\022\020\n\010requests\030\002 \001(\r\022\017\n\007repeats\030\003 \001(\r\"~\n\014W" +
       "orkAtTarget\022\016\n\006target\030\001 \001(\t\022\020\n\010requests\030" +
       "\002 \001(\r\022\023\n\013held_tokens\030\003 \001(\004\022\025\n\runread_tok" +
@@ -24254,15 +27039,33 @@
     internal_static_laneworks_EntryNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_EntryNews_descriptor,
-        new java.lang.String[] { "Protocol", "Instance", "Incarnation", "Sequence", "Ending", "Work", "Peers", "Spending", "DataCentre", "Partial", "AgainMillis", });
-    internal_static_laneworks_ServiceSpending_descriptor =
+        new java.lang.String[] { "Instance", "Incarnation", "Sequence", "Ending", "Work", "Peers", "Spending", "DataCentre", "Partial", "AgainMillis", });
+    internal_static_laneworks_EntryDatagram_descriptor =
       getDescriptor().getMessageType(23);
+    internal_static_laneworks_EntryDatagram_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_laneworks_EntryDatagram_descriptor,
+        new java.lang.String[] { "Protocol", "Work", "Store", "Kind", });
+    internal_static_laneworks_StoreNews_descriptor =
+      getDescriptor().getMessageType(24);
+    internal_static_laneworks_StoreNews_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_laneworks_StoreNews_descriptor,
+        new java.lang.String[] { "Reader", "From", "To", "Changes", });
+    internal_static_laneworks_StoreChange_descriptor =
+      getDescriptor().getMessageType(25);
+    internal_static_laneworks_StoreChange_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_laneworks_StoreChange_descriptor,
+        new java.lang.String[] { "Key", "Revision", "Value", });
+    internal_static_laneworks_ServiceSpending_descriptor =
+      getDescriptor().getMessageType(26);
     internal_static_laneworks_ServiceSpending_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_ServiceSpending_descriptor,
         new java.lang.String[] { "Service", "Requests", "Repeats", });
     internal_static_laneworks_WorkAtTarget_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(27);
     internal_static_laneworks_WorkAtTarget_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_WorkAtTarget_descriptor,
