Standby copies wait for their own links alone; a run that begins late is copied at once

Change: a copy is told for both of its engines; a standby copy waits for copies over its own two links and, for 1.6 s, for moves in its own data centres. A run that begins late is copied at once, and goes on at its running copy only where its engine ends first.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Continuation.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Continuation.java
@@ -57,7 +57,12 @@
 				|| (call.isStreaming() && goOnAtBackup(call, "its engine is leaving", now))) {
 			return;
 		}
-		if (engine.get().moves()) {
+		copyAway(call, now);
+	}
+
+	// Takes a call away that has just begun to run: its running copy is not there yet.
+	void copyAway(DirectCall call, long now) {
+		if (this.engines.apply(call).filter(EngineSpec::moves).isPresent()) {
 			this.mover.start(call, now);
 		}
 	}
@@ -105,9 +110,7 @@
 			this.ending.lost(call, "neither the run nor its copy is left", now);
 			return;
 		}
-		if (this.engines.apply(call).filter(EngineSpec::moves).isPresent()) {
-			this.mover.start(call, now);
-		}
+		copyAway(call, now);
 	}
 
 	// The successor sent its first event: from now on its answer is the caller's.
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/CopyTurn.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/CopyTurn.java
@@ -23,10 +23,12 @@
 	boolean isOurs(ListedTarget source, long sinceNotice, long now);
 
 	/**
-	 * Return whether no other process copies anything now, so that a copy which has time
-	 * delays nobody.
-	 * @return whether the links are free, as far as is known
+	 * Return whether no other process copies anything from or to either of two engines
+	 * now, so that a copy between them which has time delays nobody.
+	 * @param source the engine to be copied from
+	 * @param destination the engine to be copied to
+	 * @return whether their links are free, as far as is known
 	 */
-	boolean isQuiet();
+	boolean isQuiet(ListedTarget source, ListedTarget destination);
 
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -260,7 +260,7 @@
 		engine.ifPresent((e) -> this.standbys.dropIfUseless(call, e, now));
 		// A run that began after its engine's notice; only one that runs can be moved.
 		if (isFirst && !this.directory.takesWork(found.get().target().id())) {
-			this.continuation.moveAway(call, now);
+			this.continuation.copyAway(call, now);
 		}
 		return true;
 	}
@@ -349,7 +349,7 @@
 	 * @param now the time in milliseconds
 	 */
 	public void leaving(ListedTarget target, long now) {
-		this.standbys.leaving(now);
+		this.standbys.leaving(target, now);
 		this.beliefs.of(target).leaving(now);
 		for (DirectCall call : List.copyOf(this.calls.values())) {
 			if (call.attempt().filter((a) -> a.isAnswering() && a.target().id().equals(target.id())).isPresent()) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
@@ -1,5 +1,8 @@
 package dev.laneworks.core.dispatch;
 
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 import dev.laneworks.core.audit.AuditKind;
@@ -65,10 +68,11 @@
 
 	private Optional<DirectCall> active = Optional.empty();
 
-	/** The engine that the active call's generation is copied from. */
-	private ListedTarget activeSource;
+	/** The engines that the active call's generation is copied from and to. */
+	private List<ListedTarget> activeEngines = List.of();
 
-	private long quietUntil;
+	/** When links are left to moves no more, by data centre. */
+	private final Map<String, Long> quietUntil = new HashMap<>();
 
 	StandbyCopies(TargetDirectory directory, TargetBeliefs beliefs, TargetChooser chooser, CopyTurn turn, Timers timers,
 			DispatchOutputs outputs, AuditSink audit) {
@@ -82,12 +86,13 @@
 	}
 
 	/**
-	 * Take that an engine is leaving: for a while links are left to moves, and no copy is
-	 * begun.
+	 * Take that an engine is leaving: for a while the links in its data centre are left
+	 * to moves, and no copy is begun there.
+	 * @param target the engine
 	 * @param now the time in milliseconds
 	 */
-	void leaving(long now) {
-		this.quietUntil = now + QUIET_MILLIS;
+	void leaving(ListedTarget target, long now) {
+		this.quietUntil.put(target.dataCentre(), now + QUIET_MILLIS);
 	}
 
 	/**
@@ -162,7 +167,8 @@
 	private void endActive(DirectCall call) {
 		if (this.active.filter((c) -> c == call).isPresent()) {
 			this.active = Optional.empty();
-			this.beliefs.change(this.activeSource, (b) -> b.copying(-1));
+			this.activeEngines.forEach((e) -> this.beliefs.change(e, (b) -> b.copying(-1)));
+			this.activeEngines = List.of();
 		}
 	}
 
@@ -180,37 +186,54 @@
 			return;
 		}
 		dropIfUseless(call, engine, now);
-		boolean isBusy = this.active.isPresent() || now < this.quietUntil || call.copying().isPresent()
-				|| !this.turn.isQuiet();
-		if (isBusy) {
+		if (this.active.isPresent() || call.copying().isPresent()) {
 			lookAt(call, attempt, engine, now + BUSY_MILLIS);
 			return;
 		}
-		if (call.standby().isEmpty() && !begin(call, attempt, engine, now)) {
+		Optional<ListedTarget> destination = call.standby()
+			.map(Standby::destination)
+			.or(() -> choose(attempt, engine, now));
+		if (destination.isEmpty()) {
 			lookAt(call, attempt, engine, now + AGAIN_MILLIS);
 			return;
 		}
-		this.active = Optional.of(call);
-		this.activeSource = attempt.target();
-		this.beliefs.change(this.activeSource, (b) -> b.copying(1));
-		this.outputs.copy(call.number(),
-				new CopyOrder(call.request().id(), attempt.target(), call.standby().get().destination(), false));
+		if (isBusy(attempt.target(), destination.get(), now)) {
+			lookAt(call, attempt, engine, now + BUSY_MILLIS);
+			return;
+		}
+		if (call.standby().isEmpty()) {
+			begin(call, attempt, destination.get());
+		}
+		order(call, attempt.target(), destination.get());
 		lookAt(call, attempt, engine, now + REFRESH_MILLIS);
 	}
 
-	private boolean begin(DirectCall call, Attempt attempt, EngineSpec engine, long now) {
-		long tokens = attempt.heldTokens();
+	private boolean isBusy(ListedTarget source, ListedTarget destination, long now) {
+		return now < this.quietUntil.getOrDefault(source.dataCentre(), 0L)
+				|| now < this.quietUntil.getOrDefault(destination.dataCentre(), 0L)
+				|| !this.turn.isQuiet(source, destination);
+	}
+
+	private void order(DirectCall call, ListedTarget source, ListedTarget destination) {
+		this.active = Optional.of(call);
+		this.activeEngines = List.of(source, destination);
+		this.activeEngines.forEach((e) -> this.beliefs.change(e, (b) -> b.copying(1)));
+		this.outputs.copy(call.number(), new CopyOrder(call.request().id(), source, destination, false));
+	}
+
+	private Optional<ListedTarget> choose(Attempt attempt, EngineSpec engine, long now) {
 		ListedTarget source = attempt.target();
 		if (this.chooser.fleetFullness(source.service(), engine, now) > FLEET_FULLNESS) {
-			return false;
+			return Optional.empty();
 		}
-		Optional<ListedTarget> destination = this.chooser.chooseBackup(source, engine, tokens, ENGINE_FULLNESS, now);
-		destination.ifPresent((d) -> {
-			this.beliefs.change(d, (b) -> b.held(tokens));
-			call.standby(Optional.of(new Standby(source, d, tokens)));
-			record(call, d, "standby copy begins");
-		});
-		return destination.isPresent();
+		return this.chooser.chooseBackup(source, engine, attempt.heldTokens(), ENGINE_FULLNESS, now);
+	}
+
+	private void begin(DirectCall call, Attempt attempt, ListedTarget destination) {
+		long tokens = attempt.heldTokens();
+		this.beliefs.change(destination, (b) -> b.held(tokens));
+		call.standby(Optional.of(new Standby(attempt.target(), destination, tokens)));
+		record(call, destination, "standby copy begins");
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -249,8 +249,8 @@
 			return;
 		}
 		queue.waiting.remove(call);
-		activate(queue, Optional.of(call));
 		copying.to(destination.get(), tokens);
+		activate(queue, Optional.of(call));
 		this.beliefs.change(destination.get(), (b) -> b.held(tokens));
 		copying.enter(CopyPhase.AHEAD);
 		order(call, copying, now);
@@ -318,9 +318,12 @@
 	}
 
 	private void activate(SourceQueue queue, Optional<DirectCall> call) {
-		int change = (call.isPresent() ? 1 : 0) - (queue.active.isPresent() ? 1 : 0);
+		queue.engines.forEach((e) -> this.beliefs.change(e, (b) -> b.copying(-1)));
 		queue.active = call;
-		this.beliefs.change(queue.source, (b) -> b.copying(change));
+		queue.engines = call.flatMap(DirectCall::copying)
+			.map((c) -> List.of(queue.source, c.destination()))
+			.orElse(List.of());
+		queue.engines.forEach((e) -> this.beliefs.change(e, (b) -> b.copying(1)));
 	}
 
 	private void count(Copying copying, boolean isToMove) {
@@ -425,6 +428,9 @@
 
 		private Optional<DirectCall> active = Optional.empty();
 
+		/** The engines whose links the active copy uses. */
+		private List<ListedTarget> engines = List.of();
+
 		private boolean lookDue;
 
 		SourceQueue(ListedTarget source, long noticedAt) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBelief.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBelief.java
@@ -172,7 +172,7 @@
 	}
 
 	/**
-	 * Return whether this process copies a generation away from the target now.
+	 * Return whether this process copies a generation from or to the target now.
 	 * @return whether a copy is under way
 	 */
 	public boolean isCopying() {
@@ -180,7 +180,7 @@
 	}
 
 	/**
-	 * Record that a copy away from the target begins or is over.
+	 * Record that a copy from or to the target begins or is over.
 	 * @param change 1 or -1
 	 */
 	public void copying(int change) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
@@ -241,11 +241,12 @@
 	}
 
 	/**
-	 * Return whether any other entry copies a generation now.
-	 * @return whether a copy is under way anywhere, as far as is known
+	 * Return whether any other entry copies a generation from or to a target now.
+	 * @param target the target's id
+	 * @return whether a copy is under way there, as far as is known
 	 */
-	public boolean isAnyCopying() {
-		return this.sums.values().stream().anyMatch(WorkAtTarget::copying);
+	public boolean isCopying(String target) {
+		return this.sums.getOrDefault(target, WorkAtTarget.none(target)).copying();
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/WorkAtTarget.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/WorkAtTarget.java
@@ -10,7 +10,7 @@
  * @param heldTokens the engine memory that they hold and will soon hold, copies included
  * @param unreadTokens the tokens of prompts of which no answer has begun
  * @param toMove the generations that are to be moved away because the target is leaving
- * @param copying whether one of them is being copied now
+ * @param copying whether a generation is being copied from or to the target now
  * @since 0.2
  */
 public record WorkAtTarget(String target, int requests, long heldTokens, long unreadTokens, int toMove,
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
@@ -104,8 +104,8 @@
 	}
 
 	@Override
-	public boolean isQuiet() {
-		return !this.gossip.isAnyCopying();
+	public boolean isQuiet(ListedTarget source, ListedTarget destination) {
+		return !this.gossip.isCopying(source.id()) && !this.gossip.isCopying(destination.id());
 	}
 
 	@Override
