Copies at a notice avoid links that another copy uses

Change: since copies are told for both of their engines, a destination whose link is in use counts as 0.3 of a memory fuller. A test fails without it.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBeliefs.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBeliefs.java
@@ -114,6 +114,16 @@
 		return of(target).ownUnread() + this.others.apply(target.id()).map(WorkAtTarget::unreadTokens).orElse(0L);
 	}
 
+	/**
+	 * Return whether a generation is being copied from or to an engine, by this process
+	 * or others.
+	 * @param target the engine
+	 * @return whether its link is in use, as far as is known
+	 */
+	public boolean isCopying(ListedTarget target) {
+		return of(target).isCopying() || this.others.apply(target.id()).map(WorkAtTarget::copying).orElse(false);
+	}
+
 	/**
 	 * Return the belief about a target, which is created when first asked for.
 	 * @param target the target
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -37,6 +37,12 @@
 	 */
 	private static final double DISTANCE_COPY = 0.5;
 
+	/**
+	 * What a copy under way over an engine's link adds to its score as a copy's
+	 * destination; the copies share the link, as two do between data centres.
+	 */
+	private static final double BUSY_LINK_WEIGHT = 0.3;
+
 	/** What a request waiting at an engine adds to its score. */
 	private static final double WAITING_WEIGHT = 0.15;
 
@@ -135,7 +141,8 @@
 		List<ListedTarget> others = candidates(source.service(), tried, now).stream()
 			.filter((t) -> !t.id().equals(source.id()))
 			.toList();
-		return lowest(others, (t) -> engineScore(t, engine, tokens, source.dataCentre(), DISTANCE_COPY, now));
+		return lowest(others, (t) -> engineScore(t, engine, tokens, source.dataCentre(), DISTANCE_COPY, now)
+				+ (this.beliefs.isCopying(t) ? BUSY_LINK_WEIGHT : 0));
 	}
 
 	/**
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
@@ -126,6 +126,18 @@
 		assertThat(this.world.copies).hasSize(1);
 	}
 
+	@Test
+	void aCopyGoesWhereTheLinkIsFree() {
+		Sent first = streamWithoutRunningCopy();
+		ListedTarget free = this.world.join(DispatchHarness.ENGINES, "c");
+		ListedTarget busy = this.world.directory.find("b").get();
+		this.world.beliefs.change(free, (b) -> b.held(5_000));
+		this.world.beliefs.of(busy).copying(1);
+		this.world.leave(first.target());
+		this.world.passTime(AFTER_NOTICE);
+		assertThat(this.world.copies.get(0).destination()).isEqualTo(free);
+	}
+
 	@Test
 	void anEngineThatDoesNotAnswerAnOrderSaysNothingOfTheDestination() {
 		Sent first = streamWithoutRunningCopy();
