Entries that the store turns away hear of it from others; use the part copied before the engine ended

Change: who reads tells changes to all near by, also where each reads for itself; an entry out of reach of the store takes them, and asks for those that it missed, which readers remember. What was not heard for 1.5 s counts as an outage, so that lapsed entries may come back. Where the source gives no answer to the last order the generation goes on at the part copied before. Up to twelve connections are tried for a request that no target has seen.

Tests: four, red without the change.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DispatchSettings.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DispatchSettings.java
@@ -6,7 +6,9 @@
  * @param connectMillis how long a connection may take to come up before another target is
  * tried; links between data centres take a few milliseconds, and a dead target says
  * nothing
- * @param maxAttempts the most targets that one request is offered to
+ * @param maxAttempts the most targets that one request is sent to
+ * @param maxConnections the most targets that a connection is tried to for one request;
+ * many where the list is old and its targets have been replaced
  * @param answerSlackMillis how long after its deadline a target's own answer is waited
  * for
  * @param comeBackMillis when a refused caller may come back
@@ -16,15 +18,15 @@
  * try, as its divisor
  * @since 0.2
  */
-public record DispatchSettings(long connectMillis, int maxAttempts, long answerSlackMillis, long comeBackMillis,
-		double silenceGoals, int timeShareToTryAgain) {
+public record DispatchSettings(long connectMillis, int maxAttempts, int maxConnections, long answerSlackMillis,
+		long comeBackMillis, double silenceGoals, int timeShareToTryAgain) {
 
 	/**
 	 * Return the settings that were measured on the users' days.
 	 * @return the settings
 	 */
 	public static DispatchSettings defaults() {
-		return new DispatchSettings(250, 4, 40, 400, 2.5, 4);
+		return new DispatchSettings(250, 4, 12, 40, 400, 2.5, 4);
 	}
 
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -380,7 +380,7 @@
 	}
 
 	private void offer(DirectCall call, long now) {
-		if (call.attempts() >= this.settings.maxAttempts()) {
+		if (call.arrivals() >= this.settings.maxAttempts() || call.attempts() >= this.settings.maxConnections()) {
 			this.ending.refuse(call, RefusalReason.OVERLOADED, "no target took the request", now);
 			return;
 		}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -344,11 +344,12 @@
 			}
 			return;
 		}
-		stoppedWithoutCopy(call, copying, now);
+		stoppedWithoutCopy(call, copying, result, now);
 	}
 
-	// The run has stopped or not: where its memory stands at the source it goes on there.
-	private void stoppedWithoutCopy(DirectCall call, Copying copying, long now) {
+	// The run has stopped or not: where its memory stands at the source it goes on there,
+	// and where the source is gone at the part that was copied before.
+	private void stoppedWithoutCopy(DirectCall call, Copying copying, CopyResult result, long now) {
 		if (!copying.isSourceClosed()) {
 			SourceQueue queue = this.queues.get(copying.source().id());
 			release(copying);
@@ -361,8 +362,10 @@
 			this.resumption.lost(call, "the generation stopped and its copy can't be used", now);
 			return;
 		}
-		release(copying);
-		copying.to(copying.source(), 0);
+		if (result.outcome() != CopyResult.Outcome.NO_ANSWER) {
+			release(copying);
+			copying.to(copying.source(), 0);
+		}
 		copying.enter(CopyPhase.STOPPED);
 		goOn(call, copying, now);
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/FollowListener.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/FollowListener.java
@@ -29,6 +29,14 @@
 	 */
 	void lost(String cause);
 
+	/**
+	 * Hear that other processes tell of the store, which is still out of reach for this
+	 * one, before what they say is passed on.
+	 * @param silentMillis how long nothing was heard, in milliseconds
+	 * @param now the time in milliseconds
+	 */
+	void heardFromOthers(long silentMillis, long now);
+
 	/**
 	 * Hear that the store is within reach again, before its answer is passed on.
 	 * @param awayMillis how long it was out of reach, in milliseconds
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/ReadingShare.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/ReadingShare.java
@@ -22,6 +22,11 @@
 			return false;
 		}
 
+		@Override
+		public void ask(long revision, long now) {
+			// Nobody answers.
+		}
+
 		@Override
 		public void tell(long from, long to, List<StoreChange> changes) {
 			// Nobody listens.
@@ -45,6 +50,13 @@
 	 */
 	boolean isServed(long revision, long now);
 
+	/**
+	 * Ask others for what happened behind a revision, because the store is out of reach.
+	 * @param revision the revision that this process knows
+	 * @param now the time in milliseconds
+	 */
+	void ask(long revision, long now);
+
 	/**
 	 * Tell others what was read.
 	 * @param from the revision before the changes
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/SharedReading.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/SharedReading.java
@@ -1,9 +1,12 @@
 package dev.laneworks.core.follow;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 
@@ -16,7 +19,9 @@
  * process that hears a reader of higher rank leaves the reading to it, so that one reader
  * remains; when that one has been silent for a few signs of life, or is behind, the
  * others read for themselves, and again one of them remains. No process is elected and
- * none has to agree: two readers at once cost calls and nothing else. Not thread-safe.
+ * none has to agree: two readers at once cost calls and nothing else. Changes are told to
+ * all near by even where each reads for itself: a process that the store turns away hears
+ * of them so, and may ask for those that it missed. Not thread-safe.
  *
  * @since 0.2
  */
@@ -37,6 +42,15 @@
 	 */
 	private static final int FEWEST_OTHERS = 3;
 
+	/** The least time between two questions, in milliseconds. */
+	private static final long ASK_MILLIS = 300;
+
+	/**
+	 * The most changes remembered for those who ask; the store itself keeps twenty
+	 * seconds, in which a fleet of sixty targets makes fewer.
+	 */
+	private static final int MOST_REMEMBERED = 200;
+
 	private final String instance;
 
 	private final long group;
@@ -47,6 +61,15 @@
 
 	private final Map<String, Heard> readers = new HashMap<>();
 
+	/** The changes that this process read itself, without a gap behind readFrom. */
+	private final Deque<StoreChange> read = new ArrayDeque<>();
+
+	private long readFrom;
+
+	private long readTo = -1;
+
+	private long askedAt = Long.MIN_VALUE / 2;
+
 	/**
 	 * Create a process's part.
 	 * @param instance the process's name
@@ -90,10 +113,46 @@
 					&& Long.compareUnsigned(Rendezvous.weight(this.group, r.getKey()), own) > 0);
 	}
 
+	@Override
+	public void ask(long revision, long now) {
+		if (now - this.askedAt >= ASK_MILLIS) {
+			this.askedAt = now;
+			this.teller.accept(new StoreNews(this.instance, revision, revision, List.of(), true));
+		}
+	}
+
+	/**
+	 * Return the answer to another process that asks.
+	 * @param question its news
+	 * @return all that was read behind the revision that it knows, or empty if this
+	 * process has not read that itself
+	 */
+	public Optional<StoreNews> answer(StoreNews question) {
+		if (!question.asks() || this.read.isEmpty() || question.from() < this.readFrom
+				|| question.from() >= this.readTo) {
+			return Optional.empty();
+		}
+		List<StoreChange> missed = this.read.stream().filter((c) -> c.revision() > question.from()).toList();
+		return Optional.of(new StoreNews(this.instance, question.from(), this.readTo, missed, false));
+	}
+
 	@Override
 	public void tell(long from, long to, List<StoreChange> changes) {
-		if (isShared()) {
-			this.teller.accept(new StoreNews(this.instance, from, to, changes));
+		remember(from, to, changes);
+		if (isShared() || !changes.isEmpty()) {
+			this.teller.accept(new StoreNews(this.instance, from, to, changes, false));
+		}
+	}
+
+	private void remember(long from, long to, List<StoreChange> changes) {
+		if (from != this.readTo) {
+			this.read.clear();
+			this.readFrom = from;
+		}
+		this.readTo = to;
+		this.read.addAll(changes);
+		while (this.read.size() > MOST_REMEMBERED) {
+			this.readFrom = this.read.removeFirst().revision();
 		}
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -22,6 +22,12 @@
  */
 public final class StoreFollower {
 
+	/**
+	 * After how long without any word of the store the first word of others counts as its
+	 * return, in milliseconds; less than the time in which entries lapse.
+	 */
+	private static final long LONG_SILENCE_MILLIS = 1_500;
+
 	/** How often it is looked whether another process still reads, in milliseconds. */
 	private static final long REST_MILLIS = 50;
 
@@ -67,6 +73,8 @@
 
 	private long answeredAt;
 
+	private long toldAt = Long.MIN_VALUE / 2;
+
 	private boolean lost;
 
 	/**
@@ -157,12 +165,25 @@
 		}
 		boolean isComplete = news.to() == this.revision || (news.from() <= this.revision && !news.changes().isEmpty());
 		if (isComplete) {
+			heardFromOthers(now);
 			take(news.changes(), news.to(), now);
 		}
 		else if (this.resting) {
 			this.resting = false;
 			watch(now);
 		}
+		else if (this.lost) {
+			this.share.ask(this.revision, now);
+		}
+	}
+
+	// What lapsed while nothing was heard may come back, as it does after an outage.
+	private void heardFromOthers(long now) {
+		long heardBefore = Math.max(this.answeredAt, this.toldAt);
+		this.toldAt = now;
+		if (this.lost && now - heardBefore > LONG_SILENCE_MILLIS) {
+			this.listener.heardFromOthers(now - heardBefore, now);
+		}
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
@@ -249,6 +249,15 @@
 		return this.sums.getOrDefault(target, WorkAtTarget.none(target)).copying();
 	}
 
+	/**
+	 * Return where the entries near by hear news: all where there are few, and otherwise
+	 * those of this data centre.
+	 * @return their addresses, as far as they are known
+	 */
+	public List<String> nearBy() {
+		return this.peers.entrySet().stream().filter((p) -> isNear(p.getValue())).map(Map.Entry::getKey).toList();
+	}
+
 	/**
 	 * Return where the other entries of this data centre hear news.
 	 * @return their addresses, as far as they are known
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
@@ -126,6 +126,22 @@
 		assertThat(this.world.copies).hasSize(1);
 	}
 
+	@Test
+	void whereTheEngineEndsBeforeTheLastPartTheGenerationGoesOnAtThePartCopiedBefore() {
+		Sent first = streamWithoutRunningCopy();
+		this.world.leave(first.target());
+		this.world.passTime(AFTER_NOTICE);
+		ListedTarget destination = this.world.copies.get(0).destination();
+		this.world.copied(Outcome.COPIED, "h1");
+		assertThat(this.world.copies.get(1).stop()).isTrue();
+		this.world.breakOff(first);
+		this.world.copied(Outcome.NO_ANSWER, "");
+		Sent second = this.world.arrive();
+		assertThat(second.target()).isEqualTo(destination);
+		assertThat(second.order().resume())
+			.isEqualTo(Optional.of(new ResumePoint(first.target().address(), "h1", "0")));
+	}
+
 	@Test
 	void aCopyGoesWhereTheLinkIsFree() {
 		Sent first = streamWithoutRunningCopy();
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
@@ -152,8 +152,8 @@
 		this.follower.watched(this.lastCall, List.of(change("a", 101)), 101, 20);
 		this.timers.run(150);
 		assertThat(this.calls.get(2)).isEqualTo("watch 101 700");
-		assertThat(this.told).containsExactly(new StoreNews("me", 100, 101, List.of(change("a", 101))),
-				new StoreNews("me", 101, 101, List.of()));
+		assertThat(this.told).containsExactly(new StoreNews("me", 100, 101, List.of(change("a", 101)), false),
+				new StoreNews("me", 101, 101, List.of(), false));
 	}
 
 	@Test
@@ -184,6 +184,39 @@
 		assertThat(this.told).isEmpty();
 	}
 
+	@Test
+	void hearsFromOthersWhatTheStoreDoesNotTellIt() {
+		watching();
+		this.follower.failed(this.lastCall, "turned away", 1_000);
+		tell(lower(), 100, 101, 1_010, change("a", 101));
+		tell(lower(), 101, 102, 4_000, change("b", 102));
+		assertThat(this.heard)
+			.containsExactly("all [a]", "lost turned away", "changed [a]", "others after 2990", "changed [b]")
+			.inOrder();
+	}
+
+	@Test
+	void asksOthersForWhatItMissedWhileTheStoreIsOutOfReach() {
+		watching();
+		this.follower.failed(this.lastCall, "turned away", 1_000);
+		tell(lower(), 103, 104, 1_010, change("d", 104));
+		tell(lower(), 104, 105, 1_020, change("e", 105));
+		assertThat(this.told).containsExactly(new StoreNews("me", 100, 100, List.of(), true));
+		assertThat(this.heard).containsExactly("all [a]", "lost turned away");
+		tell(lower(), 100, 105, 1_030, change("c", 102), change("d", 104), change("e", 105));
+		assertThat(this.heard).contains("changed [c, d, e]");
+	}
+
+	@Test
+	void answersWithWhatItReadItselfAndNothingElse() {
+		watching();
+		this.follower.watched(this.lastCall, List.of(change("a", 101), change("b", 103)), 103, 20);
+		assertThat(this.reading.answer(new StoreNews("two", 101, 101, List.of(), true)))
+			.isEqualTo(Optional.of(new StoreNews("me", 101, 103, List.of(change("b", 103)), false)));
+		assertThat(this.reading.answer(new StoreNews("two", 99, 99, List.of(), true))).isEqualTo(Optional.empty());
+		assertThat(this.reading.answer(new StoreNews("two", 103, 103, List.of(), true))).isEqualTo(Optional.empty());
+	}
+
 	private void watching() {
 		this.follower.start(0);
 		this.follower.pageRead(this.lastCall, List.of(item("a")), false, 100, 5);
@@ -221,7 +254,7 @@
 	}
 
 	private void tell(String reader, long from, long to, long now, StoreChange... changes) {
-		StoreNews news = new StoreNews(reader, from, to, List.of(changes));
+		StoreNews news = new StoreNews(reader, from, to, List.of(changes), false);
 		this.reading.heard(news, now);
 		this.follower.told(news, now);
 	}
@@ -264,6 +297,11 @@
 			StoreFollowerTests.this.heard.add("lost " + cause);
 		}
 
+		@Override
+		public void heardFromOthers(long silentMillis, long now) {
+			StoreFollowerTests.this.heard.add("others after " + silentMillis);
+		}
+
 		@Override
 		public void regained(long awayMillis, long now) {
 			StoreFollowerTests.this.heard.add("regained " + awayMillis);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
@@ -130,9 +130,18 @@
 			.collect(Collectors.toSet());
 	}
 
+	private void heardOfStore(String from, StoreNews news) {
+		if (news.asks()) {
+			this.reading.answer(news).ifPresent((a) -> this.socket.send(List.of(socketAddress(from)), a));
+			return;
+		}
+		this.reading.heard(news, this.loop.now());
+		this.storeListener.accept(news);
+	}
+
 	private void tellOfStore(StoreNews news) {
 		if (this.socket != null) {
-			this.socket.send(this.gossip.sameDataCentre().stream().map(OtherEntries::socketAddress).toList(), news);
+			this.socket.send(this.gossip.nearBy().stream().map(OtherEntries::socketAddress).toList(), news);
 		}
 	}
 
@@ -157,11 +166,8 @@
 		}
 
 		@Override
-		public void store(StoreNews news) {
-			OtherEntries.this.loop.run(() -> {
-				OtherEntries.this.reading.heard(news, OtherEntries.this.loop.now());
-				OtherEntries.this.storeListener.accept(news);
-			});
+		public void store(String from, StoreNews news) {
+			OtherEntries.this.loop.run(() -> heardOfStore(from, news));
 		}
 
 	}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
@@ -90,6 +90,13 @@
 		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "", "out of reach: " + cause));
 	}
 
+	@Override
+	public void heardFromOthers(long silentMillis, long now) {
+		this.directory.regained(now);
+		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "",
+				"out of reach, but other entries tell of it after " + silentMillis + " ms"));
+	}
+
 	@Override
 	public void regained(long awayMillis, long now) {
 		this.directory.regained(now);
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/EntryDatagrams.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/EntryDatagrams.java
@@ -28,7 +28,8 @@
 		Protocol.StoreNews.Builder store = Protocol.StoreNews.newBuilder()
 			.setReader(news.reader())
 			.setFrom(news.from())
-			.setTo(news.to());
+			.setTo(news.to())
+			.setAsks(news.asks());
 		news.changes().forEach((c) -> store.addChanges(encode(c)));
 		return Protocol.EntryDatagram.newBuilder().setProtocol(VERSION).setStore(store).build().toByteArray();
 	}
@@ -50,7 +51,7 @@
 
 	static StoreNews decode(Protocol.StoreNews news) {
 		List<StoreChange> changes = news.getChangesList().stream().map(EntryDatagrams::decode).toList();
-		return new StoreNews(news.getReader(), news.getFrom(), news.getTo(), changes);
+		return new StoreNews(news.getReader(), news.getFrom(), news.getTo(), changes, news.getAsks());
 	}
 
 	private static Protocol.StoreChange encode(StoreChange change) {
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/NewsListener.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/NewsListener.java
@@ -18,9 +18,10 @@
 	void work(String from, EntryNews news);
 
 	/**
-	 * Hear what an entry read of the platform's store.
+	 * Hear what an entry read of the platform's store, or what it asks.
+	 * @param from the sender's address, {@code IP:PORT}
 	 * @param news the news
 	 */
-	void store(StoreNews news);
+	void store(String from, StoreNews news);
 
 }
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/NewsSocket.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/NewsSocket.java
@@ -79,7 +79,7 @@
 	public void send(List<InetSocketAddress> addresses, StoreNews news) {
 		byte[] whole = EntryDatagrams.of(news);
 		byte[] datagram = (whole.length <= MAX_DATAGRAM_BYTES) ? whole
-				: EntryDatagrams.of(new StoreNews(news.reader(), news.from(), news.to(), List.of()));
+				: EntryDatagrams.of(new StoreNews(news.reader(), news.from(), news.to(), List.of(), news.asks()));
 		addresses.forEach((a) -> send(a, datagram));
 	}
 
@@ -110,7 +110,7 @@
 			EntryDatagrams.read(ByteBufUtil.getBytes(packet.content())).ifPresent((d) -> {
 				switch (d.getKindCase()) {
 					case WORK -> this.listener.work(from, EntryNewsCodec.decode(d.getWork()));
-					case STORE -> this.listener.store(EntryDatagrams.decode(d.getStore()));
+					case STORE -> this.listener.store(from, EntryDatagrams.decode(d.getStore()));
 					case KIND_NOT_SET -> Logger.info("an empty datagram from {} is passed over", from);
 				}
 			});
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
@@ -23313,6 +23313,16 @@
      */
     dev.laneworks.wire.proto.Protocol.StoreChangeOrBuilder getChangesOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * Whether the sender asks for what is behind from, instead of telling.
+     * </pre>
+     *
+     * <code>bool asks = 5;</code>
+     * @return The asks.
+     */
+    boolean getAsks();
   }
   /**
    * <pre>
@@ -23464,6 +23474,21 @@
       return changes_.get(index);
     }
 
+    public static final int ASKS_FIELD_NUMBER = 5;
+    private boolean asks_ = false;
+    /**
+     * <pre>
+     * Whether the sender asks for what is behind from, instead of telling.
+     * </pre>
+     *
+     * <code>bool asks = 5;</code>
+     * @return The asks.
+     */
+    @java.lang.Override
+    public boolean getAsks() {
+      return asks_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -23490,6 +23515,9 @@
       for (int i = 0; i < changes_.size(); i++) {
         output.writeMessage(4, changes_.get(i));
       }
+      if (asks_ != false) {
+        output.writeBool(5, asks_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -23519,6 +23547,10 @@
             }
             size += 1 * count;
           }
+      if (asks_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(5, asks_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -23542,6 +23574,8 @@
           != other.getTo()) return false;
       if (!getChangesList()
           .equals(other.getChangesList())) return false;
+      if (getAsks()
+          != other.getAsks()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -23565,6 +23599,9 @@
         hash = (37 * hash) + CHANGES_FIELD_NUMBER;
         hash = (53 * hash) + getChangesList().hashCode();
       }
+      hash = (37 * hash) + ASKS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getAsks());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -23710,6 +23747,7 @@
           changesBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000008);
+        asks_ = false;
         return this;
       }
 
@@ -23765,6 +23803,9 @@
         if (((from_bitField0_ & 0x00000004) != 0)) {
           result.to_ = to_;
         }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.asks_ = asks_;
+        }
       }
 
       @java.lang.Override
@@ -23816,6 +23857,9 @@
             }
           }
         }
+        if (other.getAsks() != false) {
+          setAsks(other.getAsks());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -23870,6 +23914,11 @@
                 }
                 break;
               } // case 34
+              case 40: {
+                asks_ = input.readBool();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -24263,6 +24312,50 @@
         return changesBuilder_;
       }
 
+      private boolean asks_ ;
+      /**
+       * <pre>
+       * Whether the sender asks for what is behind from, instead of telling.
+       * </pre>
+       *
+       * <code>bool asks = 5;</code>
+       * @return The asks.
+       */
+      @java.lang.Override
+      public boolean getAsks() {
+        return asks_;
+      }
+      /**
+       * <pre>
+       * Whether the sender asks for what is behind from, instead of telling.
+       * </pre>
+       *
+       * <code>bool asks = 5;</code>
+       * @param value The asks to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAsks(boolean value) {
+
+        asks_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the sender asks for what is behind from, instead of telling.
+       * </pre>
+       *
+       * <code>bool asks = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAsks() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        asks_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:laneworks.StoreNews)
     }
 
@@ -26885,18 +26978,18 @@
       " \001(\010\022\024\n\014again_millis\030\013 \001(\rJ\004\010\001\020\002\"v\n\rEntr" +
       "yDatagram\022\020\n\010protocol\030\001 \001(\r\022$\n\004work\030\002 \001(" +
       "\0132\024.laneworks.EntryNewsH\000\022%\n\005store\030\003 \001(\013" +
-      "2\024.laneworks.StoreNewsH\000B\006\n\004kind\"^\n\tStor" +
+      "2\024.laneworks.StoreNewsH\000B\006\n\004kind\"l\n\tStor" +
       "eNews\022\016\n\006reader\030\001 \001(\t\022\014\n\004from\030\002 \001(\004\022\n\n\002t" +
       "o\030\003 \001(\004\022\'\n\007changes\030\004 \003(\0132\026.laneworks.Sto" +
-      "reChange\"J\n\013StoreChange\022\013\n\003key\030\001 \001(\t\022\020\n\010" +
-      "revision\030\002 \001(\004\022\022\n\005value\030\003 \001(\tH\000\210\001\001B\010\n\006_v" +
-      "alue\"E\n\017ServiceSpending\022\017\n\007service\030\001 \001(\t" +
-      "\022\020\n\010requests\030\002 \001(\r\022\017\n\007repeats\030\003 \001(\r\"~\n\014W" +
-      "orkAtTarget\022\016\n\006target\030\001 \001(\t\022\020\n\010requests\030" +
-      "\002 \001(\r\022\023\n\013held_tokens\030\003 \001(\004\022\025\n\runread_tok" +
-      "ens\030\004 \001(\004\022\017\n\007to_move\030\005 \001(\r\022\017\n\007copying\030\006 " +
-      "\001(\010B&\n\030dev.laneworks.wire.protoB\010Protoco" +
-      "lP\000b\006proto3"
+      "reChange\022\014\n\004asks\030\005 \001(\010\"J\n\013StoreChange\022\013\n" +
+      "\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\005value\030\003 " +
+      "\001(\tH\000\210\001\001B\010\n\006_value\"E\n\017ServiceSpending\022\017\n" +
+      "\007service\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\017\n\007repe" +
+      "ats\030\003 \001(\r\"~\n\014WorkAtTarget\022\016\n\006target\030\001 \001(" +
+      "\t\022\020\n\010requests\030\002 \001(\r\022\023\n\013held_tokens\030\003 \001(\004" +
+      "\022\025\n\runread_tokens\030\004 \001(\004\022\017\n\007to_move\030\005 \001(\r" +
+      "\022\017\n\007copying\030\006 \001(\010B&\n\030dev.laneworks.wire." +
+      "protoB\010ProtocolP\000b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -27051,7 +27144,7 @@
     internal_static_laneworks_StoreNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_StoreNews_descriptor,
-        new java.lang.String[] { "Reader", "From", "To", "Changes", });
+        new java.lang.String[] { "Reader", "From", "To", "Changes", "Asks", });
     internal_static_laneworks_StoreChange_descriptor =
       getDescriptor().getMessageType(25);
     internal_static_laneworks_StoreChange_fieldAccessorTable = new
