Keep generations in a data centre that has engines enough

Change: with four or more engines in the own data centre another one's counts as 0.4 of a memory fuller instead of 0.1. Small sites are as before.

Tests: three of the chooser, one red without the change.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -31,6 +31,16 @@
 	 */
 	private static final double DISTANCE_ENGINE = 0.10;
 
+	/**
+	 * What it adds where the own data centre has engines enough: what entries elsewhere
+	 * have sent to a distant engine is heard up to three seconds late, and all of them
+	 * would find the same new engine empty.
+	 */
+	private static final double DISTANCE_ENGINE_ENOUGH_NEAR = 0.4;
+
+	/** From how many engines on a data centre has enough to choose among. */
+	private static final int ENOUGH_NEAR = 4;
+
 	/**
 	 * What another data centre adds to the score of a copy's destination; the copy takes
 	 * twice as long there, and copies wait for each other.
@@ -123,8 +133,13 @@
 			long now) {
 		long tokens = work.heldTokens(0);
 		this.meanTokens += NEWEST_WEIGHT * (tokens - this.meanTokens);
-		return lowest(candidates(service, tried, now),
-				(t) -> engineScore(t, engine, tokens, this.dataCentre, DISTANCE_ENGINE, now));
+		List<ListedTarget> engines = candidates(service, tried, now);
+		double distance = hasEnoughNear(engines) ? DISTANCE_ENGINE_ENOUGH_NEAR : DISTANCE_ENGINE;
+		return lowest(engines, (t) -> engineScore(t, engine, tokens, this.dataCentre, distance, now));
+	}
+
+	private boolean hasEnoughNear(List<ListedTarget> engines) {
+		return engines.stream().filter((t) -> t.dataCentre().equals(this.dataCentre)).count() >= ENOUGH_NEAR;
 	}
 
 	/**
--- /dev/null
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/TargetChooserTests.java
@@ -0,0 +1,106 @@
+package dev.laneworks.core.dispatch;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import dev.laneworks.core.directory.DirectoryListener;
+import dev.laneworks.core.directory.LeavingCause;
+import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.directory.TargetDirectory;
+import dev.laneworks.core.gossip.WorkAtTarget;
+import dev.laneworks.core.serving.EngineSpec;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link TargetChooser}.
+ */
+class TargetChooserTests {
+
+	private static final EngineSpec ENGINE = new EngineSpec(64, 30_000, 18_432, 2_700, 4, true, true, 2_000);
+
+	private static final EngineWork WORK = new EngineWork("m", 3_000, 1_000, OptionalLong.empty(), List.of());
+
+	private final TargetDirectory directory = new TargetDirectory(new Nobody());
+
+	private Map<String, WorkAtTarget> work = Map.of();
+
+	private final TargetBeliefs beliefs = new TargetBeliefs((id) -> Optional.ofNullable(this.work.get(id)));
+
+	private final TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, "here",
+			new SplittableRandom(1));
+
+	@Test
+	void takesAnEmptyEngineElsewhereWhereTheOwnDataCentreHasFew() {
+		join("near", "here");
+		join("far", "there");
+		hold("near", 9_000);
+		assertThat(choose()).isEqualTo("far");
+	}
+
+	@Test
+	void staysInTheOwnDataCentreWhereItHasEnough() {
+		for (String id : List.of("near", "n2", "n3", "n4")) {
+			join(id, "here");
+		}
+		join("far", "there");
+		hold("near", 9_000);
+		this.work = Map.of("near", held("near", 9_000), "n2", held("n2", 10_000), "n3", held("n3", 12_000), "n4",
+				held("n4", 12_000));
+		assertThat(choose()).isEqualTo("near");
+	}
+
+	@Test
+	void leavesTheOwnDataCentreWhereItsEnginesAreFull() {
+		join("near", "here");
+		join("n2", "here");
+		join("n3", "here");
+		join("n4", "here");
+		join("far", "there");
+		this.work = Map.of("near", held("near", 20_000), "n2", held("n2", 21_000), "n3", held("n3", 22_000), "n4",
+				held("n4", 22_000));
+		assertThat(choose()).isEqualTo("far");
+	}
+
+	private String choose() {
+		return this.chooser.chooseEngine("llm", ENGINE, WORK, Set.of(), 0).map(ListedTarget::id).orElse("none");
+	}
+
+	private void join(String id, String dataCentre) {
+		this.directory
+			.put(new ListedTarget(id, "llm", "10.0.0." + (this.directory.size() + 1), 80, dataCentre, 64, false));
+	}
+
+	private void hold(String id, long tokens) {
+		this.work = Map.of(id, held(id, tokens));
+	}
+
+	private static WorkAtTarget held(String id, long tokens) {
+		return new WorkAtTarget(id, 1, tokens, 0, 0, false);
+	}
+
+	private static final class Nobody implements DirectoryListener {
+
+		@Override
+		public void joined(ListedTarget target) {
+			// Not looked at.
+		}
+
+		@Override
+		public void leaving(ListedTarget target, LeavingCause cause) {
+			// Not looked at.
+		}
+
+		@Override
+		public void gone(ListedTarget target) {
+			// Not looked at.
+		}
+
+	}
+
+}
