The settings check tells every fault of a file at once

Cause: reading stopped at the first fault, so that a misspelt instanse was told only as a missing instance.

Change: a fault is recorded and reading goes on with a placeholder that is never used; unknown names are told beside the rest; what is thrown behind other faults may rest on a placeholder and is told once those are mended. Documents of the operators are read by the same code and gain the same.

Tests: two, red without the change; those for single faults are as they were.

--- a/laneworks-core/src/main/java/dev/laneworks/core/document/DocumentObject.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/document/DocumentObject.java
@@ -27,6 +27,9 @@
 
 	private static final Pattern SIZE = Pattern.compile("(\\d{1,9})(B|KiB|MiB|GiB)");
 
+	/** Stands in for a text that is missing or wrong. */
+	private static final String PLACEHOLDER = "?";
+
 	private final String source;
 
 	private final String path;
@@ -37,7 +40,11 @@
 
 	private final List<DocumentObject> children = new ArrayList<>();
 
-	DocumentObject(String source, String path, DocumentNode.ObjectNode node) {
+	/** All faults found in the document so far, shared by its objects. */
+	private final List<InvalidDocumentException> faults;
+
+	DocumentObject(String source, String path, DocumentNode.ObjectNode node, List<InvalidDocumentException> faults) {
+		this.faults = faults;
 		this.source = source;
 		this.path = path;
 		this.node = node;
@@ -63,6 +70,18 @@
 		return new InvalidDocumentException(this.source, line, pathOf(name), problem);
 	}
 
+	/**
+	 * Record that a member is invalid, so that reading goes on and finds other faults.
+	 * @param <T> the type of value
+	 * @param name the member's name
+	 * @param problem what is wrong and what is allowed
+	 * @param placeholder what to go on with; the document's value is never used
+	 * @return the placeholder
+	 */
+	public <T> T invalid(String name, String problem, T placeholder) {
+		return fault(invalid(name, problem), placeholder);
+	}
+
 	/**
 	 * Return whether a member is present.
 	 * @param name the member's name
@@ -80,14 +99,14 @@
 	 * @return the string
 	 */
 	public String text(String name) {
-		DocumentNode member = required(name, "a string");
-		if (!(member instanceof DocumentNode.TextNode text)) {
-			throw wrongType(name, "a string", member);
+		if (!has(name)) {
+			return fault(missing(name, "a string"), PLACEHOLDER);
 		}
-		if (text.value().isBlank()) {
-			throw invalid(name, "must not be empty");
+		DocumentNode member = this.node.members().get(name);
+		if (!(member instanceof DocumentNode.TextNode text)) {
+			return fault(wrongType(name, "a string", member), PLACEHOLDER);
 		}
-		return text.value();
+		return text.value().isBlank() ? invalid(name, "must not be empty", PLACEHOLDER) : text.value();
 	}
 
 	/**
@@ -118,21 +137,21 @@
 	 */
 	public long integer(String name, long min, long max) {
 		String range = "a whole number from " + min + " to " + max;
-		DocumentNode member = required(name, range);
+		if (!has(name)) {
+			return fault(missing(name, range), min);
+		}
+		DocumentNode member = this.node.members().get(name);
 		if (!(member instanceof DocumentNode.NumberNode number)) {
-			throw wrongType(name, range, member);
+			return fault(wrongType(name, range, member), min);
 		}
 		long value;
 		try {
 			value = Long.parseLong(number.text());
 		}
 		catch (NumberFormatException ex) {
-			throw wrongType(name, range, member);
-		}
-		if (value < min || value > max) {
-			throw wrongType(name, range, member);
+			return fault(wrongType(name, range, member), min);
 		}
-		return value;
+		return (value < min || value > max) ? fault(wrongType(name, range, member), min) : value;
 	}
 
 	/**
@@ -160,13 +179,13 @@
 			return fallback;
 		}
 		String range = "a number from " + min + " to " + max;
-		DocumentNode member = required(name, range);
+		DocumentNode member = this.node.members().get(name);
 		if (!(member instanceof DocumentNode.NumberNode number)) {
-			throw wrongType(name, range, member);
+			return fault(wrongType(name, range, member), fallback);
 		}
 		double value = Double.parseDouble(number.text());
 		if (!(value >= min && value <= max)) {
-			throw wrongType(name, range, member);
+			return fault(wrongType(name, range, member), fallback);
 		}
 		return value;
 	}
@@ -181,9 +200,9 @@
 		if (!has(name)) {
 			return fallback;
 		}
-		DocumentNode member = required(name, "true or false");
+		DocumentNode member = this.node.members().get(name);
 		if (!(member instanceof DocumentNode.BooleanNode bool)) {
-			throw wrongType(name, "true or false", member);
+			return fault(wrongType(name, "true or false", member), fallback);
 		}
 		return bool.value();
 	}
@@ -202,17 +221,17 @@
 			return fallback;
 		}
 		String range = "a duration from " + format(min) + " to " + format(max) + " such as \"5s\" (ms, s, m, h, d)";
-		DocumentNode member = required(name, range);
+		DocumentNode member = this.node.members().get(name);
 		if (!(member instanceof DocumentNode.TextNode text)) {
-			throw wrongType(name, range, member);
+			return fault(wrongType(name, range, member), fallback);
 		}
 		Matcher matcher = DURATION.matcher(text.value());
 		if (!matcher.matches()) {
-			throw wrongType(name, range, member);
+			return fault(wrongType(name, range, member), fallback);
 		}
 		Duration value = duration(Long.parseLong(matcher.group(1)), matcher.group(2));
 		if (value.compareTo(min) < 0 || value.compareTo(max) > 0) {
-			throw wrongType(name, range, member);
+			return fault(wrongType(name, range, member), fallback);
 		}
 		return value;
 	}
@@ -230,17 +249,17 @@
 			return fallback;
 		}
 		String range = "a size from " + min + "B to " + max + "B such as \"64KiB\" (B, KiB, MiB, GiB)";
-		DocumentNode member = required(name, range);
+		DocumentNode member = this.node.members().get(name);
 		if (!(member instanceof DocumentNode.TextNode text)) {
-			throw wrongType(name, range, member);
+			return fault(wrongType(name, range, member), fallback);
 		}
 		Matcher matcher = SIZE.matcher(text.value());
 		if (!matcher.matches()) {
-			throw wrongType(name, range, member);
+			return fault(wrongType(name, range, member), fallback);
 		}
 		long value = Long.parseLong(matcher.group(1)) << sizeShift(matcher.group(2));
 		if (value < min || value > max) {
-			throw wrongType(name, range, member);
+			return fault(wrongType(name, range, member), fallback);
 		}
 		return value;
 	}
@@ -260,7 +279,8 @@
 		List<String> words = Arrays.stream(type.getEnumConstants()).map(DocumentObject::label).toList();
 		int index = words.indexOf(text(name));
 		if (index < 0) {
-			throw wrongType(name, "one of " + String.join(", ", words), this.node.members().get(name));
+			return fault(wrongType(name, "one of " + String.join(", ", words), this.node.members().get(name)),
+					fallback);
 		}
 		return type.getEnumConstants()[index];
 	}
@@ -299,7 +319,7 @@
 		List<String> texts = new ArrayList<>();
 		for (DocumentNode element : elements(name)) {
 			if (!(element instanceof DocumentNode.TextNode text)) {
-				throw wrongType(name, "an array of strings", element);
+				return fault(wrongType(name, "an array of strings", element), List.of());
 			}
 			texts.add(text.value());
 		}
@@ -312,17 +332,21 @@
 	public void end() {
 		for (var member : this.node.members().entrySet()) {
 			if (!this.known.contains(member.getKey())) {
-				throw invalid(member.getKey(), "is unknown; allowed here: " + String.join(", ", this.known));
+				fault(invalid(member.getKey(), "is unknown; allowed here: " + String.join(", ", this.known)), null);
 			}
 		}
 		this.children.forEach(DocumentObject::end);
 	}
 
+	// An object in the place of one that is wrong is empty and never looked at for
+	// faults.
 	private DocumentObject child(String name, String childName, DocumentNode member) {
 		if (!(member instanceof DocumentNode.ObjectNode object)) {
-			throw wrongType(name, "an object", member);
+			DocumentNode.ObjectNode empty = new DocumentNode.ObjectNode(member.line(), Map.of());
+			return fault(wrongType(name, "an object", member),
+					new DocumentObject(this.source, pathOf(childName), empty, new ArrayList<>()));
 		}
-		DocumentObject child = new DocumentObject(this.source, pathOf(childName), object);
+		DocumentObject child = new DocumentObject(this.source, pathOf(childName), object, this.faults);
 		this.children.add(child);
 		return child;
 	}
@@ -333,16 +357,20 @@
 		}
 		DocumentNode member = this.node.members().get(name);
 		if (!(member instanceof DocumentNode.ArrayNode array)) {
-			throw wrongType(name, "an array", member);
+			return fault(wrongType(name, "an array", member), List.of());
 		}
 		return array.elements();
 	}
 
-	private DocumentNode required(String name, String expected) {
-		if (!has(name)) {
-			throw invalid(name, "is missing; it must be " + expected);
+	private InvalidDocumentException missing(String name, String expected) {
+		return invalid(name, "is missing; it must be " + expected);
+	}
+
+	private <T> T fault(InvalidDocumentException fault, T placeholder) {
+		if (this.faults.stream().noneMatch((f) -> f.getSetting().equals(fault.getSetting()))) {
+			this.faults.add(fault);
 		}
-		return this.node.members().get(name);
+		return placeholder;
 	}
 
 	private InvalidDocumentException wrongType(String name, String expected, DocumentNode actual) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/document/DocumentReader.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/document/DocumentReader.java
@@ -36,18 +36,34 @@
 	 * @param text the document
 	 * @param mapping turns the object into the type; {@link DocumentObject#end()} is
 	 * called after it
-	 * @return the value, or the first fault found
+	 * @return the value, or all faults that were found in one exception
 	 */
 	public static <T> Either<InvalidDocumentException, T> read(String source, String text,
 			Function<DocumentObject, T> mapping) {
+		List<InvalidDocumentException> faults = new ArrayList<>();
+		T value = null;
 		try {
-			DocumentObject root = new DocumentObject(source, "", parse(source, text));
-			T value = mapping.apply(root);
+			DocumentObject root = new DocumentObject(source, "", parse(source, text), faults);
+			value = mapping.apply(root);
 			root.end();
-			return Either.right(value);
 		}
 		catch (InvalidDocumentException ex) {
-			return Either.left(ex);
+			addUnlessConsequence(faults, ex);
+		}
+		catch (IllegalArgumentException ex) {
+			// A type's own check of a placeholder; the fault behind it was recorded.
+			if (faults.isEmpty()) {
+				throw ex;
+			}
+		}
+		return faults.isEmpty() ? Either.right(value) : Either.left(InvalidDocumentException.of(faults));
+	}
+
+	// What is thrown behind other faults may rest on a placeholder; it is told once those
+	// are mended.
+	private static void addUnlessConsequence(List<InvalidDocumentException> faults, InvalidDocumentException thrown) {
+		if (faults.isEmpty()) {
+			faults.add(thrown);
 		}
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/document/InvalidDocumentException.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/document/InvalidDocumentException.java
@@ -1,5 +1,9 @@
 package dev.laneworks.core.document;
 
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Collectors;
+
 /**
  * Thrown when a document is not what its reader allows.
  *
@@ -27,6 +31,27 @@
 		this.setting = setting;
 	}
 
+	private InvalidDocumentException(InvalidDocumentException first, String message) {
+		super(message);
+		this.source = first.source;
+		this.line = first.line;
+		this.setting = first.setting;
+	}
+
+	/**
+	 * Put all faults of a document into one exception: a line each in its message, in the
+	 * order of the document's lines. Its other details are those of the first.
+	 * @param faults the faults, at least one
+	 * @return the exception
+	 */
+	public static InvalidDocumentException of(List<InvalidDocumentException> faults) {
+		List<InvalidDocumentException> inOrder = faults.stream()
+			.sorted(Comparator.comparingInt(InvalidDocumentException::getLine))
+			.toList();
+		return new InvalidDocumentException(inOrder.get(0),
+				inOrder.stream().map(Throwable::getMessage).collect(Collectors.joining("\n")));
+	}
+
 	/**
 	 * Return the document's name.
 	 * @return a file name or the name of a service
--- a/laneworks-core/src/test/java/dev/laneworks/core/document/DocumentReaderTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/document/DocumentReaderTests.java
@@ -12,6 +12,31 @@
  */
 class DocumentReaderTests {
 
+	@Test
+	void tellsEveryFaultAtOnceInTheOrderOfTheLines() {
+		String text = "{\n\"instanse\": \"a\",\n\"port\": 99999,\n\"wait\": \"soon\",\n\"store\": 5\n}";
+		String message = DocumentReader.read("f", text, (o) -> {
+			o.text("instance");
+			o.integer("port", 1, 65_535);
+			o.duration("wait", Duration.ZERO, Duration.ofSeconds(5), Duration.ZERO);
+			o.object("store").text("address");
+			return o.invalid("instance", "is told once", "?");
+		}).getLeft().getMessage();
+		assertThat(message.lines().map((l) -> l.split(" ")[1]).toList())
+			.containsExactly("instance:", "instanse:", "port:", "wait:", "store:")
+			.inOrder();
+		assertThat(message).contains("f:2: instanse: is unknown; allowed here: instance, port, wait, store");
+	}
+
+	@Test
+	void aFaultThatRestsOnAnotherIsNotTold() {
+		String message = DocumentReader.read("f", "{}", (o) -> {
+			String name = o.text("name");
+			throw o.invalid("name", name + " is not known");
+		}).getLeft().getMessage();
+		assertThat(message).isEqualTo("f:1: name: is missing; it must be a string");
+	}
+
 	@Test
 	void readsCommentsAndTrailingCommas() {
 		String text = "// a comment\n{\"a\": 1, /* another */ \"b\": \"two\",}";
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/program/Addresses.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/program/Addresses.java
@@ -19,6 +19,9 @@
 
 	private static final int MAX_PORT = 65_535;
 
+	/** Stands in for an address that is wrong. */
+	private static final InetSocketAddress NOWHERE = new InetSocketAddress("0.0.0.0", 0);
+
 	private Addresses() {
 	}
 
@@ -29,8 +32,9 @@
 	 * @return the address
 	 */
 	public static InetSocketAddress address(DocumentObject object, String name) {
-		return parse(object.text(name)).orElseThrow(() -> object.invalid(name,
-				"must be an IP number and a port such as \"10.0.0.7:7400\" but is \"" + object.text(name) + '"'));
+		String text = object.text(name);
+		return parse(text).orElseGet(() -> object.invalid(name,
+				"must be an IP number and a port such as \"10.0.0.7:7400\" but is \"" + text + '"', NOWHERE));
 	}
 
 	/**
@@ -42,9 +46,10 @@
 	public static URI server(DocumentObject object, String name) {
 		String text = object.text(name);
 		if (!text.startsWith("http://") || parse(text.substring("http://".length())).isEmpty()) {
-			throw object.invalid(name,
+			return object.invalid(name,
 					"must be \"http://\" with an IP number and a port such as \"http://10.0.0.7:8000\" but is \"" + text
-							+ '"');
+							+ '"',
+					URI.create("http://0.0.0.0:0"));
 		}
 		return URI.create(text);
 	}
