Split what entries tell each other into parts with one job

Gossip had grown to 400 lines and decided, wrote and summed up at once. Who hears what, the own news and the entries known now have package-private classes beside it; Gossip keeps when things are told. Behaviour is unchanged.

--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
@@ -2,17 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
-import java.util.stream.Stream;
 
 import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
@@ -39,10 +35,6 @@
 
 	private final String instance;
 
-	private final String dataCentre;
-
-	private final long incarnation;
-
 	private final String ownAddress;
 
 	private final Set<String> seeds;
@@ -51,35 +43,29 @@
 
 	private final Timers timers;
 
-	private final RandomGenerator random;
-
 	private final AuditSink audit;
 
-	private final Map<String, Peer> peers = new TreeMap<>();
+	private final KnownEntries known = new KnownEntries();
 
-	private final Map<String, WorkAtTarget> sums = new HashMap<>();
+	private final Audience audience;
 
-	/** The last news of entries that are gone; what they spent counts on for a window. */
-	private final List<Peer> departed = new ArrayList<>();
+	private final OwnNews ownNews;
 
 	/** The targets at which the own work changed since changes were told last. */
 	private final Set<String> changed = new HashSet<>();
 
+	/** Whether others wait to hear of a change that was not told yet. */
 	private boolean urgent;
 
 	private List<ServiceSpending> spendingTold = List.of();
 
 	private int beats;
 
-	private long sequence;
-
 	private long toldAt = Long.MIN_VALUE / 2;
 
 	private long tellDue = Long.MAX_VALUE;
 
-	private boolean ending;
-
-	/** Whether it is looked at short intervals if others wait for this entry. */
+	/** Whether others are told at short intervals while they wait for this entry. */
 	private boolean tellsOfMoving;
 
 	/**
@@ -98,14 +84,13 @@
 			GossipOutputs outputs, Timers timers, RandomGenerator random, AuditSink audit) {
 		this.settings = settings;
 		this.instance = instance;
-		this.dataCentre = dataCentre;
-		this.incarnation = random.nextLong();
 		this.ownAddress = ownAddress;
 		this.seeds = Set.copyOf(seeds);
 		this.outputs = outputs;
 		this.timers = timers;
-		this.random = random;
 		this.audit = audit;
+		this.ownNews = new OwnNews(instance, dataCentre, random.nextLong(), outputs);
+		this.audience = new Audience(settings, dataCentre, this.known, random);
 	}
 
 	/**
@@ -121,8 +106,8 @@
 	 * @param now the time in milliseconds
 	 */
 	public void end(long now) {
-		this.ending = true;
-		tellAll(List.copyOf(this.peers.keySet()), now);
+		this.ownNews.end();
+		tellAllWork(this.known.addresses(), now);
 	}
 
 	/**
@@ -132,7 +117,7 @@
 	 * @param now the time in milliseconds
 	 */
 	public void changed(String target, boolean isUrgent, long now) {
-		if (this.ending) {
+		if (this.ownNews.isEnding()) {
 			return;
 		}
 		this.changed.add(target);
@@ -155,25 +140,18 @@
 	 * @param now the time in milliseconds
 	 */
 	public void received(String from, EntryNews news, long now) {
-		if (news.incarnation() == this.incarnation) {
-			return;
-		}
-		Peer known = this.peers.get(from);
-		if (known != null && !known.isOlderThan(news)) {
+		Optional<Peer> former = this.known.at(from);
+		if (this.ownNews.isAuthorOf(news) || former.filter((p) -> !p.isReplacedBy(news)).isPresent()) {
 			return;
 		}
 		if (news.ending()) {
 			forget(from, "it ends");
 			return;
 		}
-		if (known != null && known.isOtherProcess(news)) {
-			depart(this.peers.remove(from));
-		}
-		Peer peer = this.peers.computeIfAbsent(from, (a) -> new Peer());
-		sumUp(peer.take(news, now));
-		if (known == null) {
+		this.known.take(from, news, now);
+		if (former.isEmpty()) {
 			this.audit.record(AuditEvent.of(AuditKind.MEMBERSHIP, news.instance(), "", "entry heard at " + from));
-			tellAll(List.of(from), now);
+			tellAllWork(List.of(from), now);
 		}
 		introduce(news.peers(), now);
 	}
@@ -184,29 +162,19 @@
 	 * @return the sum; empty while no other entry is known, and zero if they have none
 	 */
 	public Optional<WorkAtTarget> others(String target) {
-		if (this.peers.isEmpty()) {
-			return Optional.empty();
-		}
-		return Optional.of(this.sums.getOrDefault(target, WorkAtTarget.none(target)));
+		return (this.known.size() > 0) ? Optional.of(this.known.workAt(target)) : Optional.empty();
 	}
 
 	/**
 	 * Return what other entries spent of the retry budget, those that went lately
 	 * included.
 	 * @param service the service's name
-	 * @param windowMillis the budget's window
+	 * @param windowMillis the budget's window, in milliseconds
 	 * @param now the time in milliseconds
 	 * @return the sum; empty while no other entry is known
 	 */
 	public Optional<ServiceSpending> spendingOfOthers(String service, long windowMillis, long now) {
-		this.departed.removeIf((p) -> p.silence(now) > windowMillis);
-		if (this.peers.isEmpty()) {
-			return Optional.empty();
-		}
-		return Optional.of(Stream.concat(this.peers.values().stream(), this.departed.stream())
-			.flatMap((p) -> p.news().spending().stream())
-			.filter((s) -> s.service().equals(service))
-			.reduce(new ServiceSpending(service, 0, 0), ServiceSpending::plus));
+		return this.known.spending(service, windowMillis, now);
 	}
 
 	/**
@@ -225,7 +193,7 @@
 	public boolean isFirstToMove(String target, long sinceNotice, long now) {
 		long key = Rendezvous.hash(target);
 		long own = Rendezvous.weight(key, this.instance);
-		for (Peer peer : this.peers.values()) {
+		for (Peer peer : this.known.all().values()) {
 			Optional<WorkAtTarget> work = peer.at(target);
 			boolean hasClaim = work.filter((w) -> w.copying() || w.toMove() > 0).isPresent();
 			if (hasClaim && peer.silence(now) > this.settings.turnMillis()) {
@@ -246,7 +214,7 @@
 	 * @return whether a copy is under way there, as far as is known
 	 */
 	public boolean isCopying(String target) {
-		return this.sums.getOrDefault(target, WorkAtTarget.none(target)).copying();
+		return this.known.workAt(target).copying();
 	}
 
 	/**
@@ -254,11 +222,7 @@
 	 * @return their addresses, as far as they are known
 	 */
 	public List<String> sameDataCentre() {
-		return this.peers.entrySet()
-			.stream()
-			.filter((p) -> p.getValue().news().dataCentre().equals(this.dataCentre))
-			.map(Map.Entry::getKey)
-			.toList();
+		return this.audience.sameDataCentre();
 	}
 
 	/**
@@ -266,44 +230,57 @@
 	 * @return the count
 	 */
 	public int peers() {
-		return this.peers.size();
+		return this.known.size();
 	}
 
 	private void heartbeat(long now) {
-		if (this.ending) {
+		if (this.ownNews.isEnding()) {
 			return;
 		}
-		for (Map.Entry<String, Peer> peer : List.copyOf(this.peers.entrySet())) {
-			if (peer.getValue().isSilent(now)) {
-				forget(peer.getKey(), "silent for " + peer.getValue().silence(now) + " ms");
-			}
-		}
+		forgetSilent(now);
 		this.beats++;
 		List<ServiceSpending> spending = this.outputs.ownSpending();
 		boolean hasSpent = !spending.equals(this.spendingTold);
 		this.spendingTold = spending;
-		List<String> near = new ArrayList<>();
-		List<String> distant = new ArrayList<>();
-		this.peers.forEach((a, p) -> (isNear(p) ? near : distant).add(a));
-		this.seeds.stream().filter((s) -> !this.peers.containsKey(s) && !s.equals(this.ownAddress)).forEach(near::add);
-		tellAll(near, now);
-		List<String> due = new ArrayList<>();
-		for (int i = 0; i < distant.size(); i++) {
-			if (hasSpent || (i + this.beats) % this.settings.distantBeats() == 0) {
-				due.add(distant.get(i));
+		List<String> near = nearAndSeeds();
+		List<String> distant = hasSpent ? this.audience.distant() : this.audience.distantAt(this.beats);
+		tellAllWork(near, now);
+		send(distant, allWork(this.settings.heartbeatMillis() * this.settings.distantBeats()), now);
+		this.timers.at(now + this.settings.heartbeatMillis(), this::heartbeat);
+	}
+
+	private void forgetSilent(long now) {
+		for (Map.Entry<String, Peer> peer : List.copyOf(this.known.all().entrySet())) {
+			if (peer.getValue().isSilent(now)) {
+				forget(peer.getKey(), "silent for " + peer.getValue().silence(now) + " ms");
 			}
 		}
-		send(due, allWork(this.settings.heartbeatMillis() * this.settings.distantBeats()), now);
-		this.timers.at(now + this.settings.heartbeatMillis(), this::heartbeat);
+	}
+
+	private void forget(String address, String cause) {
+		this.known.remove(address)
+			.ifPresent((p) -> this.audit
+				.record(AuditEvent.of(AuditKind.MEMBERSHIP, p.news().instance(), "", "entry gone: " + cause)));
+	}
+
+	private List<String> nearAndSeeds() {
+		List<String> receivers = new ArrayList<>(this.audience.near());
+		this.seeds.stream().filter(this::isUnknown).forEach(receivers::add);
+		return receivers;
+	}
+
+	private boolean isUnknown(String address) {
+		return !this.known.contains(address) && !address.equals(this.ownAddress);
 	}
 
 	private void tellChanges(long now) {
-		if (this.tellDue > now || this.ending) {
+		if (this.tellDue > now || this.ownNews.isEnding()) {
 			return;
 		}
 		this.tellDue = Long.MAX_VALUE;
 		Set<String> told = Set.copyOf(this.changed);
-		send(this.urgent ? concerned(told) : someNear(), workAt(told), now);
+		Collection<String> receivers = this.urgent ? this.audience.concernedBy(told) : this.audience.someNear();
+		send(receivers, workAt(told), now);
 		this.changed.clear();
 		this.urgent = false;
 	}
@@ -315,41 +292,31 @@
 			.filter((w) -> w.copying() || w.toMove() > 0)
 			.map(WorkAtTarget::target)
 			.collect(Collectors.toSet());
-		this.tellsOfMoving = !moving.isEmpty() && !this.ending;
+		this.tellsOfMoving = !moving.isEmpty() && !this.ownNews.isEnding();
 		if (this.tellsOfMoving) {
-			send(concerned(moving), workAt(moving), now);
+			send(this.audience.concernedBy(moving), workAt(moving), now);
 			this.timers.at(now + this.settings.movingMillis(), this::tellOfMoving);
 		}
 	}
 
 	private void introduce(List<String> addresses, long now) {
 		for (String address : addresses) {
-			if (!this.peers.containsKey(address) && !address.equals(this.ownAddress)) {
-				tellAll(List.of(address), now);
+			if (isUnknown(address)) {
+				tellAllWork(List.of(address), now);
 			}
 		}
 	}
 
-	private void tellAll(List<String> addresses, long now) {
+	private void tellAllWork(List<String> addresses, long now) {
 		send(addresses, allWork(this.settings.heartbeatMillis()), now);
 	}
 
 	private EntryNews allWork(long againMillis) {
-		List<String> heard = someOf(List.copyOf(this.peers.keySet()), this.settings.introductions());
-		return new EntryNews(this.instance, this.dataCentre, this.incarnation, ++this.sequence, this.ending, false,
-				againMillis, this.outputs.ownWork(), this.outputs.ownSpending(), heard);
+		return this.ownNews.ofAllWork(againMillis, this.audience.toIntroduce());
 	}
 
-	// Partial news promise nothing of the next: the last whole ones do.
 	private EntryNews workAt(Set<String> targets) {
-		Map<String, WorkAtTarget> work = new HashMap<>();
-		targets.forEach((t) -> work.put(t, WorkAtTarget.none(t)));
-		this.outputs.ownWork()
-			.stream()
-			.filter((w) -> targets.contains(w.target()))
-			.forEach((w) -> work.put(w.target(), w));
-		return new EntryNews(this.instance, this.dataCentre, this.incarnation, ++this.sequence, this.ending, true,
-				this.settings.heartbeatMillis(), List.copyOf(work.values()), this.outputs.ownSpending(), List.of());
+		return this.ownNews.ofWorkAt(targets, this.settings.heartbeatMillis());
 	}
 
 	private void send(Collection<String> addresses, EntryNews news, long now) {
@@ -357,63 +324,4 @@
 		addresses.forEach((a) -> this.outputs.send(a, news));
 	}
 
-	// Where there are few entries all of them are near.
-	private boolean isNear(Peer peer) {
-		return this.peers.size() <= this.settings.fanOut() || peer.news().dataCentre().equals(this.dataCentre);
-	}
-
-	private List<String> someNear() {
-		List<String> near = new ArrayList<>();
-		this.peers.forEach((a, p) -> {
-			if (isNear(p)) {
-				near.add(a);
-			}
-		});
-		return someOf(near, this.settings.fanOut());
-	}
-
-	private Set<String> concerned(Set<String> targets) {
-		Set<String> concerned = new HashSet<>(someNear());
-		this.peers.forEach((a, p) -> {
-			if (p.worksAtAnyOf(targets)) {
-				concerned.add(a);
-			}
-		});
-		return concerned;
-	}
-
-	private void forget(String address, String cause) {
-		Peer peer = this.peers.remove(address);
-		if (peer != null) {
-			depart(peer);
-			this.audit.record(AuditEvent.of(AuditKind.MEMBERSHIP, peer.news().instance(), "", "entry gone: " + cause));
-		}
-	}
-
-	private void depart(Peer peer) {
-		this.departed.add(peer);
-		sumUp(peer.targets());
-	}
-
-	private List<String> someOf(List<String> all, int most) {
-		if (all.size() <= most) {
-			return all;
-		}
-		List<String> mixed = new ArrayList<>(all);
-		for (int i = 0; i < most; i++) {
-			Collections.swap(mixed, i, this.random.nextInt(i, mixed.size()));
-		}
-		return List.copyOf(mixed.subList(0, most));
-	}
-
-	private void sumUp(Set<String> targets) {
-		for (String target : targets) {
-			Optional<WorkAtTarget> sum = this.peers.values()
-				.stream()
-				.flatMap((p) -> p.at(target).stream())
-				.reduce(WorkAtTarget::plus);
-			sum.ifPresentOrElse((s) -> this.sums.put(target, s), () -> this.sums.remove(target));
-		}
-	}
-
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Peer.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Peer.java
@@ -9,6 +9,8 @@
 
 /**
  * What is known of another entry.
+ * <p>
+ * Nothing is known before news were taken.
  */
 final class Peer {
 
@@ -50,12 +52,12 @@
 	}
 
 	/**
-	 * Return whether news are later than those taken last.
+	 * Return whether news may replace those taken last.
 	 * @param other the news
 	 * @return {@code false} if they are of the same process and not newer
 	 */
-	boolean isOlderThan(EntryNews other) {
-		return this.news.incarnation() != other.incarnation() || this.news.sequence() < other.sequence();
+	boolean isReplacedBy(EntryNews other) {
+		return isOtherProcess(other) || this.news.sequence() < other.sequence();
 	}
 
 	/**
@@ -67,18 +69,22 @@
 		return this.news.incarnation() != other.incarnation();
 	}
 
+	// Whether too many tellings in a row are missing.
 	boolean isSilent(long now) {
 		return silence(now) > TELLINGS_MISSED * this.againMillis + LATE_MILLIS;
 	}
 
+	// How long ago it was heard last, in milliseconds.
 	long silence(long now) {
 		return now - this.heardAt;
 	}
 
+	// The news taken last, be they partial or not.
 	EntryNews news() {
 		return this.news;
 	}
 
+	// Its work at a target, as told last; empty if it told of none.
 	Optional<WorkAtTarget> at(String target) {
 		return Optional.ofNullable(this.work.get(target));
 	}
@@ -87,6 +93,7 @@
 		return targets.stream().anyMatch((t) -> at(t).filter((w) -> w.requests() > 0).isPresent());
 	}
 
+	// The ids of the targets that it told of.
 	Set<String> targets() {
 		return this.work.keySet();
 	}
