Give the store's news a codec of their own beside that of entries' work

One codec returned datagrams and took messages, and the other stood in the class of the datagrams. Both now turn news into messages and back, and EntryDatagrams alone wraps them. The bytes on the wire are unchanged.

--- a/laneworks-wire/src/main/java/dev/laneworks/wire/EntryDatagrams.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/EntryDatagrams.java
@@ -1,38 +1,45 @@
 package dev.laneworks.wire;
 
-import java.util.List;
 import java.util.Optional;
 
 import com.google.protobuf.InvalidProtocolBufferException;
-import dev.laneworks.core.follow.StoreChange;
-import dev.laneworks.core.follow.StoreItem;
 import dev.laneworks.core.follow.StoreNews;
+import dev.laneworks.core.gossip.EntryNews;
 import dev.laneworks.wire.proto.Protocol;
 import org.tinylog.Logger;
 
 /**
- * Turns what entries tell each other into datagrams and back.
+ * Puts what entries tell each other into datagrams and takes it out again.
  */
 final class EntryDatagrams {
 
+	/** The version of the datagrams' form; entries pass over those of another. */
 	private static final int VERSION = 2;
 
 	private EntryDatagrams() {
 	}
 
-	static byte[] of(Protocol.EntryNews work) {
-		return Protocol.EntryDatagram.newBuilder().setProtocol(VERSION).setWork(work).build().toByteArray();
+	static byte[] of(EntryNews news) {
+		return Protocol.EntryDatagram.newBuilder()
+			.setProtocol(VERSION)
+			.setWork(EntryNewsCodec.encode(news))
+			.build()
+			.toByteArray();
 	}
 
 	static byte[] of(StoreNews news) {
-		Protocol.StoreNews.Builder store = Protocol.StoreNews.newBuilder()
-			.setReader(news.reader())
-			.setFrom(news.from())
-			.setTo(news.to());
-		news.changes().forEach((c) -> store.addChanges(encode(c)));
-		return Protocol.EntryDatagram.newBuilder().setProtocol(VERSION).setStore(store).build().toByteArray();
+		return Protocol.EntryDatagram.newBuilder()
+			.setProtocol(VERSION)
+			.setStore(StoreNewsCodec.encode(news))
+			.build()
+			.toByteArray();
 	}
 
+	/**
+	 * Read a datagram.
+	 * @param datagram its bytes, which may come from anywhere
+	 * @return what it holds; empty if it is of another version or no datagram of an entry
+	 */
 	static Optional<Protocol.EntryDatagram> read(byte[] datagram) {
 		try {
 			Protocol.EntryDatagram read = Protocol.EntryDatagram.parseFrom(datagram);
@@ -48,23 +55,4 @@
 		}
 	}
 
-	static StoreNews decode(Protocol.StoreNews news) {
-		List<StoreChange> changes = news.getChangesList().stream().map(EntryDatagrams::decode).toList();
-		return new StoreNews(news.getReader(), news.getFrom(), news.getTo(), changes);
-	}
-
-	private static Protocol.StoreChange encode(StoreChange change) {
-		Protocol.StoreChange.Builder builder = Protocol.StoreChange.newBuilder()
-			.setKey(change.key())
-			.setRevision(change.revision());
-		change.item().ifPresent((i) -> builder.setValue(i.value()));
-		return builder.build();
-	}
-
-	private static StoreChange decode(Protocol.StoreChange change) {
-		Optional<StoreItem> item = change.hasValue() ? Optional.of(new StoreItem(change.getKey(), change.getValue()))
-				: Optional.empty();
-		return new StoreChange(change.getKey(), item, change.getRevision());
-	}
-
 }
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/EntryNewsCodec.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/EntryNewsCodec.java
@@ -8,14 +8,14 @@
 import dev.laneworks.wire.proto.Protocol;
 
 /**
- * Turns the news of entries into datagrams and back.
+ * Turns an entry's news of its work into their form on the wire and back.
  */
 final class EntryNewsCodec {
 
 	private EntryNewsCodec() {
 	}
 
-	static byte[] encode(EntryNews news) {
+	static Protocol.EntryNews encode(EntryNews news) {
 		Protocol.EntryNews.Builder builder = Protocol.EntryNews.newBuilder()
 			.setInstance(news.instance())
 			.setIncarnation(news.incarnation())
@@ -27,14 +27,14 @@
 			.addAllPeers(news.peers());
 		news.work().forEach((w) -> builder.addWork(encode(w)));
 		news.spending().forEach((s) -> builder.addSpending(encode(s)));
-		return EntryDatagrams.of(builder.build());
+		return builder.build();
 	}
 
 	static EntryNews decode(Protocol.EntryNews news) {
 		List<WorkAtTarget> work = news.getWorkList().stream().map(EntryNewsCodec::decode).toList();
+		List<ServiceSpending> spending = news.getSpendingList().stream().map(EntryNewsCodec::decode).toList();
 		return new EntryNews(news.getInstance(), news.getDataCentre(), news.getIncarnation(), news.getSequence(),
-				news.getEnding(), news.getPartial(), news.getAgainMillis(), work,
-				news.getSpendingList().stream().map(EntryNewsCodec::decode).toList(), news.getPeersList());
+				news.getEnding(), news.getPartial(), news.getAgainMillis(), work, spending, news.getPeersList());
 	}
 
 	private static Protocol.WorkAtTarget encode(WorkAtTarget work) {
@@ -56,13 +56,13 @@
 			.build();
 	}
 
-	private static ServiceSpending decode(Protocol.ServiceSpending spending) {
-		return new ServiceSpending(spending.getService(), spending.getRequests(), spending.getRepeats());
-	}
-
 	private static WorkAtTarget decode(Protocol.WorkAtTarget work) {
 		return new WorkAtTarget(work.getTarget(), work.getRequests(), work.getHeldTokens(), work.getUnreadTokens(),
 				work.getToMove(), work.getCopying());
 	}
 
+	private static ServiceSpending decode(Protocol.ServiceSpending spending) {
+		return new ServiceSpending(spending.getService(), spending.getRequests(), spending.getRepeats());
+	}
+
 }
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/NewsSocket.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/NewsSocket.java
@@ -30,7 +30,7 @@
  */
 public final class NewsSocket {
 
-	/** More than the news of an entry with work at a few hundred targets. */
+	/** In bytes; more than the news of an entry with work at a few hundred targets. */
 	private static final int MAX_DATAGRAM_BYTES = 32 * 1024;
 
 	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -57,22 +57,23 @@
 	}
 
 	/**
-	 * Send news.
+	 * Send news of the own work; those too large for a datagram are dropped.
 	 * @param address the receiver's address
 	 * @param news the news
 	 */
 	public void send(InetSocketAddress address, EntryNews news) {
-		byte[] datagram = EntryNewsCodec.encode(news);
+		byte[] datagram = EntryDatagrams.of(news);
 		if (datagram.length > MAX_DATAGRAM_BYTES) {
 			Logger.warn("news of {} bytes are too large to be sent", datagram.length);
 			return;
 		}
-		send(address, datagram);
+		write(address, datagram);
 	}
 
 	/**
-	 * Send what was read of the platform's store. Changes too large for a datagram are
-	 * left out; the receiver then reads them itself.
+	 * Send what was read of the platform's store.
+	 * <p>
+	 * Changes too large for a datagram are left out; the receiver then reads them itself.
 	 * @param addresses the receivers' addresses
 	 * @param news the news
 	 */
@@ -80,11 +81,7 @@
 		byte[] whole = EntryDatagrams.of(news);
 		byte[] datagram = (whole.length <= MAX_DATAGRAM_BYTES) ? whole
 				: EntryDatagrams.of(new StoreNews(news.reader(), news.from(), news.to(), List.of()));
-		addresses.forEach((a) -> send(a, datagram));
-	}
-
-	private void send(InetSocketAddress address, byte[] datagram) {
-		this.channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), address));
+		addresses.forEach((a) -> write(a, datagram));
 	}
 
 	/**
@@ -95,6 +92,13 @@
 		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
 	}
 
+	private void write(InetSocketAddress address, byte[] datagram) {
+		this.channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(datagram), address));
+	}
+
+	/**
+	 * Reads datagrams and passes them to the listener.
+	 */
 	private static final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
 
 		private final NewsListener listener;
@@ -110,7 +114,7 @@
 			EntryDatagrams.read(ByteBufUtil.getBytes(packet.content())).ifPresent((d) -> {
 				switch (d.getKindCase()) {
 					case WORK -> this.listener.work(from, EntryNewsCodec.decode(d.getWork()));
-					case STORE -> this.listener.store(EntryDatagrams.decode(d.getStore()));
+					case STORE -> this.listener.store(StoreNewsCodec.decode(d.getStore()));
 					case KIND_NOT_SET -> Logger.info("an empty datagram from {} is passed over", from);
 				}
 			});
--- /dev/null
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/StoreNewsCodec.java
@@ -0,0 +1,47 @@
+package dev.laneworks.wire;
+
+import java.util.List;
+import java.util.Optional;
+
+import dev.laneworks.core.follow.StoreChange;
+import dev.laneworks.core.follow.StoreItem;
+import dev.laneworks.core.follow.StoreNews;
+import dev.laneworks.wire.proto.Protocol;
+
+/**
+ * Turns what an entry read of the platform's store into its form on the wire and back.
+ */
+final class StoreNewsCodec {
+
+	private StoreNewsCodec() {
+	}
+
+	static Protocol.StoreNews encode(StoreNews news) {
+		Protocol.StoreNews.Builder builder = Protocol.StoreNews.newBuilder()
+			.setReader(news.reader())
+			.setFrom(news.from())
+			.setTo(news.to());
+		news.changes().forEach((c) -> builder.addChanges(encode(c)));
+		return builder.build();
+	}
+
+	static StoreNews decode(Protocol.StoreNews news) {
+		List<StoreChange> changes = news.getChangesList().stream().map(StoreNewsCodec::decode).toList();
+		return new StoreNews(news.getReader(), news.getFrom(), news.getTo(), changes);
+	}
+
+	private static Protocol.StoreChange encode(StoreChange change) {
+		Protocol.StoreChange.Builder builder = Protocol.StoreChange.newBuilder()
+			.setKey(change.key())
+			.setRevision(change.revision());
+		change.item().ifPresent((i) -> builder.setValue(i.value()));
+		return builder.build();
+	}
+
+	private static StoreChange decode(Protocol.StoreChange change) {
+		Optional<StoreItem> item = change.hasValue() ? Optional.of(new StoreItem(change.getKey(), change.getValue()))
+				: Optional.empty();
+		return new StoreChange(change.getKey(), item, change.getRevision());
+	}
+
+}
