--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/EntryNews.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/EntryNews.java
@@ -11,8 +11,8 @@
  * @param incarnation a random number that differs for each of its processes
  * @param sequence the number of this news, rising within an incarnation
  * @param ending whether the entry ends, so that nothing more comes from it
- * @param partial whether the work is that at the targets named alone; otherwise the entry
- * has none at others
+ * @param partial whether the news tell of the targets named alone; if not, the entry has
+ * no work at any other
  * @param againMillis the time within which the receiver is told again, in milliseconds
  * @param work its work at targets
  * @param spending what it spent of the retry budget in the window, by service
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -83,6 +83,10 @@
 
 	private final DirectSettings settings;
 
+	/**
+	 * The settings that were read last, of which some have effect at once; used on the
+	 * I/O thread alone.
+	 */
 	private DirectSettings inForce;
 
 	private final IoWorker io = IoWorker.start(1, 1);
@@ -255,7 +259,7 @@
 	}
 
 	// Requests that come during the start wait unread for the plan, since callers come
-	// back once at the most; for no longer than they bear.
+	// back once at the most; they wait for no longer than callers bear.
 	private void lookForPlan(long startedAt) {
 		long now = this.loop.now();
 		boolean isComplete = this.published.isComplete();
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
@@ -28,8 +28,9 @@
 /**
  * What this entry knows of the others, and tells them.
  * <p>
- * Carries the gossip over the network, and takes turns with the others at copying. Used
- * on the I/O thread alone, but for {@link #count()}.
+ * Carries the gossip over the network, takes turns with the others at copying, and tells
+ * those of the same data centre what was read of the platform's store. Used on the I/O
+ * thread alone, but for {@link #listen} and {@link #count()}.
  */
 final class OtherEntries implements GossipOutputs, CopyTurn {
 
@@ -70,7 +71,7 @@
 		return this.reading;
 	}
 
-	// Passes on what others read.
+	// Sets who hears what others read of the store.
 	void onStoreNews(Consumer<StoreNews> listener) {
 		this.storeListener = listener;
 	}
@@ -130,6 +131,7 @@
 			.collect(Collectors.toSet());
 	}
 
+	// Before the socket is open there is nobody to tell.
 	private void tellOfStore(StoreNews news) {
 		if (this.socket != null) {
 			this.socket.send(this.gossip.sameDataCentre().stream().map(OtherEntries::socketAddress).toList(), news);
