Park requests that are accepted between the start of the door and its suspension

Cause: aRequestThatComesDuringTheStartWaitsForThePlanAndIsServed failed once, on a busy machine, with 503: the server accepts from its start on, and is suspended a moment later; a connection accepted between the two was answered at once. Ruled out: the wait's end (60 s in that test).

Change: a request read before the door is open is parked and taken when it opens. Trial: with the suspension taken out altogether, so that every early request goes this way, all 15 tests of the entry pass.

--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
@@ -2,6 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
@@ -27,6 +29,7 @@
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RequestTooBigException;
+import io.undertow.util.SameThreadExecutor;
 import io.vavr.control.Either;
 
 /**
@@ -68,6 +71,11 @@
 
 	private final AuditSink audit;
 
+	/** Requests that were read before the server was opened. */
+	private final List<HttpServerExchange> early = new ArrayList<>();
+
+	private boolean open;
+
 	private int openAnswers;
 
 	DirectServer(IoWorker io, InetSocketAddress address, DirectCalls calls, HeaderTranslation translation,
@@ -102,6 +110,9 @@
 
 	// Takes requests from now on; to be called on the I/O thread.
 	void open() {
+		this.open = true;
+		this.early.forEach(this::take);
+		this.early.clear();
 		this.server.getListenerInfo().forEach(ListenerInfo::resume);
 	}
 
@@ -114,7 +125,17 @@
 		return this.openAnswers;
 	}
 
+	// A connection can be accepted between the start of the server and its suspension.
 	private void handle(HttpServerExchange exchange) {
+		if (this.open) {
+			take(exchange);
+		}
+		else {
+			exchange.dispatch(SameThreadExecutor.INSTANCE, () -> this.early.add(exchange));
+		}
+	}
+
+	private void take(HttpServerExchange exchange) {
 		CallerRequest request = new CallerRequest(exchange);
 		if (this.stopping.getAsBoolean()) {
 			exchange.setPersistent(false);
