Split the host of generations into parts with one job each

Arrivals, keyed requests, bars, places, refusals, endings and the target's answers are package-private classes of their own now; the host hands inputs to them. Every decision, the order of side effects and each audit event are unchanged.

--- a/laneworks-core/src/main/java/dev/laneworks/core/host/Admission.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/host/Admission.java
@@ -20,8 +20,10 @@
  */
 final class Admission {
 
-	private static final long LEAST_RETRY_MILLIS = 500;
-
+	/**
+	 * How far below the mark at which somebody yields admission stops, as a share of the
+	 * memory; a chosen figure.
+	 */
 	private static final double YIELD_MARGIN = 0.05;
 
 	/** How long a forecast is used while only tokens came since. */
@@ -72,7 +74,8 @@
 
 	// Return when a refused request of a priority may find a place.
 	Duration retryAfter(int priority, long now) {
-		return Duration.ofMillis(Math.max(LEAST_RETRY_MILLIS, this.waits.waitMillis(this.queue.ahead(priority), now)));
+		long wait = this.waits.waitMillis(this.queue.ahead(priority), now);
+		return Duration.ofMillis(Math.max(HostRefusals.LEAST_RETRY_MILLIS, wait));
 	}
 
 	void enqueue(Generation generation) {
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/host/HostAudit.java
@@ -0,0 +1,41 @@
+package dev.laneworks.core.host;
+
+import dev.laneworks.core.audit.AuditEvent;
+import dev.laneworks.core.audit.AuditKind;
+import dev.laneworks.core.audit.AuditSink;
+import dev.laneworks.core.message.Work;
+import dev.laneworks.core.verdict.Refusal;
+
+/**
+ * Records what a host decides, in the name of its target.
+ */
+final class HostAudit {
+
+	private final String target;
+
+	private final AuditSink sink;
+
+	HostAudit(String target, AuditSink sink) {
+		this.target = target;
+		this.sink = sink;
+	}
+
+	// Records what befell the target as a whole.
+	void record(AuditKind kind, String cause) {
+		record(kind, this.target, cause);
+	}
+
+	void record(AuditKind kind, String subject, String cause) {
+		this.sink.record(AuditEvent.of(kind, subject, this.target, cause));
+	}
+
+	void record(AuditKind kind, Generation generation, String cause) {
+		this.sink.record(new AuditEvent(kind, generation.name(), generation.account(), this.target, cause));
+	}
+
+	void refused(Work work, Refusal refusal) {
+		this.sink.record(new AuditEvent(AuditKind.REFUSED, work.requestId(), work.account(), this.target,
+				refusal.verdict().label() + ", " + refusal.reason().label() + ": " + refusal.detail()));
+	}
+
+}
