Split the coordinator of calls into parts with one job each

CallCoordinator had 614 lines. Attempts, retries, sidecars' answers, refusals and the records of sidecars and targets are package-private classes of their own now; the coordinator hands inputs to them. Every decision, the order of side effects and each audit event are unchanged.

--- a/laneworks-core/src/main/java/dev/laneworks/core/call/CallCoordinator.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/call/CallCoordinator.java
@@ -1,34 +1,17 @@
 package dev.laneworks.core.call;
 
-import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
-import dev.laneworks.core.audit.AuditEvent;
-import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.configuration.FleetConfiguration;
-import dev.laneworks.core.message.BarOutcome;
 import dev.laneworks.core.message.EntryMessage;
 import dev.laneworks.core.message.SidecarMessage;
 import dev.laneworks.core.message.StreamId;
-import dev.laneworks.core.message.Work;
-import dev.laneworks.core.once.ViewHistory;
 import dev.laneworks.core.retry.Backoff;
 import dev.laneworks.core.retry.RetryBudget;
-import dev.laneworks.core.routing.Route;
-import dev.laneworks.core.routing.RouteRequest;
 import dev.laneworks.core.routing.TargetBoard;
 import dev.laneworks.core.routing.TargetSelector;
-import dev.laneworks.core.routing.TargetState;
 import dev.laneworks.core.stream.StreamPosition;
-import dev.laneworks.core.verdict.Refusal;
-import dev.laneworks.core.verdict.RefusalReason;
-import dev.laneworks.core.verdict.Verdict;
 
 /**
  * Takes an entry's calls from their first attempt to their final answer.
@@ -44,35 +27,17 @@
  */
 public final class CallCoordinator {
 
-	private static final Duration NO_TARGET_RETRY = Duration.ofSeconds(1);
+	private final CallParts parts;
 
-	private static final int CREDITS_PER_WINDOW = 4;
+	private final FixedTargets fixedTargets = new FixedTargets();
 
-	private final CallSettings settings;
+	private final CallEnd end;
 
-	private final TargetSelector selector;
+	private final Attempts attempts;
 
-	private final TargetBoard board;
+	private final Retries retries;
 
-	private final RetryBudget budget;
-
-	private final Backoff backoff;
-
-	private final CallOutputs outputs;
-
-	private final AuditSink audit;
-
-	private final CallCounters counters = new CallCounters();
-
-	private final Map<Long, Call> calls = new LinkedHashMap<>();
-
-	/** The sidecars whose links are up. */
-	private final Map<String, Long> incarnations = new HashMap<>();
-
-	/** The sidecars heard last, whether or not their links are up. */
-	private final Map<String, Long> lastIncarnations = new HashMap<>();
-
-	private FleetConfiguration configuration;
+	private final SidecarAnswers answers;
 
 	/**
 	 * Create a coordinator without calls.
@@ -86,13 +51,12 @@
 	 */
 	public CallCoordinator(CallSettings settings, TargetSelector selector, TargetBoard board, RetryBudget budget,
 			Backoff backoff, CallOutputs outputs, AuditSink audit) {
-		this.settings = settings;
-		this.selector = selector;
-		this.board = board;
-		this.budget = budget;
-		this.backoff = backoff;
-		this.outputs = outputs;
-		this.audit = audit;
+		this.parts = new CallParts(settings, outputs, audit, new CallCounters(), new Sidecars(),
+				new TargetRecords(board, audit), new OpenCalls());
+		this.end = new CallEnd(this.parts, backoff);
+		this.attempts = new Attempts(this.parts, selector, this.fixedTargets, this.end);
+		this.retries = new Retries(this.parts, budget, backoff, this.fixedTargets, this.attempts, this.end);
+		this.answers = new SidecarAnswers(this.parts, budget, this.attempts, this.retries, this.end);
 	}
 
 	/**
@@ -100,8 +64,8 @@
 	 * @param newConfiguration the configuration in force
 	 */
 	public void use(FleetConfiguration newConfiguration) {
-		this.configuration = newConfiguration;
-		this.lastIncarnations.keySet().removeIf((t) -> newConfiguration.target(t).isEmpty());
+		this.fixedTargets.use(newConfiguration);
+		this.parts.sidecars().forgetAllBut(newConfiguration);
 	}
 
 	/**
@@ -111,12 +75,7 @@
 	 * @param now the time in milliseconds
 	 */
 	public void open(long number, CallRequest request, long now) {
-		Call call = new Call(number, request, now);
-		if (this.calls.putIfAbsent(number, call) != null) {
-			throw new IllegalArgumentException("call " + number + " is open already");
-		}
-		this.counters.opened().increment();
-		route(call, now);
+		this.attempts.route(add(number, request, now), now);
 	}
 
 	/**
@@ -127,14 +86,10 @@
 	 * @param now the time in milliseconds
 	 */
 	public void resume(long number, CallRequest request, StreamPosition position, long now) {
-		Call call = new Call(number, request, now);
-		if (this.calls.putIfAbsent(number, call) != null) {
-			throw new IllegalArgumentException("call " + number + " is open already");
-		}
-		this.counters.opened().increment();
+		Call call = add(number, request, now);
 		call.routeTo(position.target(), "holds the generation");
 		call.returnTo(position.generation(), position.incarnation(), position.offset());
-		reattach(call, now);
+		this.attempts.reattach(call, now);
 	}
 
 	/**
@@ -143,12 +98,10 @@
 	 * @param offset the first offset that it has not taken
 	 */
 	public void onCallerRead(long number, long offset) {
-		Call call = this.calls.get(number);
-		if (call == null) {
-			return;
-		}
-		call.read(offset);
-		grantCredit(call);
+		this.parts.calls().find(number).ifPresent((c) -> {
+			c.read(offset);
+			this.answers.grantCredit(c);
+		});
 	}
 
 	/**
@@ -156,16 +109,10 @@
 	 * @param number the call's number
 	 */
 	public void onCallerLeft(long number) {
-		Call call = this.calls.get(number);
-		if (call == null) {
-			return;
-		}
-		boolean reachable = this.incarnations.containsKey(call.target());
-		if (reachable && call.phase() != CallPhase.CONNECTING && call.phase() != CallPhase.BACKING_OFF) {
-			boolean mayReturn = call.request().mayReturn() && call.hasOutputBeenSeen();
-			this.outputs.send(call.target(), new EntryMessage.Release(call.stream(), mayReturn));
-		}
-		close(call);
+		this.parts.calls().find(number).ifPresent((c) -> {
+			release(c);
+			this.end.close(c);
+		});
 	}
 
 	/**
@@ -175,14 +122,13 @@
 	 * @param now the time in milliseconds
 	 */
 	public void onLinkUp(String target, long incarnation, long now) {
-		this.incarnations.put(target, incarnation);
-		Long former = this.lastIncarnations.put(target, incarnation);
-		this.board.state(target).recordLinkUp(former == null || former != incarnation);
-		for (Call call : callsAt(target)) {
+		boolean isOther = this.parts.sidecars().linkUp(target, incarnation);
+		this.parts.targets().state(target).recordLinkUp(isOther);
+		for (Call call : this.parts.calls().at(target)) {
 			switch (call.phase()) {
-				case CONNECTING -> submit(call, now);
-				case BARRING -> sendBar(call);
-				case REATTACHING -> sendAttach(call);
+				case CONNECTING -> this.attempts.submit(call, now);
+				case BARRING -> this.attempts.sendBar(call);
+				case REATTACHING -> this.attempts.sendAttach(call);
 				default -> {
 				}
 			}
@@ -195,16 +141,16 @@
 	 * @param now the time in milliseconds
 	 */
 	public void onLinkDown(String target, long now) {
-		if (this.incarnations.remove(target) == null) {
+		if (!this.parts.sidecars().linkDown(target)) {
 			connectFailed(target, now);
 			return;
 		}
-		this.board.state(target).recordLinkDown();
-		recordFailure(target, "link lost", now);
-		for (Call call : callsAt(target)) {
+		this.parts.targets().state(target).recordLinkDown();
+		this.parts.targets().failed(target, "link lost", now);
+		for (Call call : this.parts.calls().at(target)) {
 			switch (call.phase()) {
-				case SUBMITTED -> bar(call, now);
-				case READING -> reattach(call, now);
+				case SUBMITTED -> this.attempts.bar(call, now);
+				case READING -> this.attempts.reattach(call, now);
 				default -> {
 				}
 			}
@@ -219,7 +165,7 @@
 	 */
 	public void onMessage(String target, SidecarMessage message, long now) {
 		if (message instanceof SidecarMessage.Load load) {
-			this.board.state(target).recordReport(load.report(), now);
+			this.parts.targets().state(target).recordReport(load.report(), now);
 			return;
 		}
 		if (message instanceof SidecarMessage.Farewell) {
@@ -227,16 +173,18 @@
 			return;
 		}
 		if (!(message instanceof SidecarMessage.OfStream ofStream)) {
-			this.counters.strays().increment();
+			this.parts.counters().strays().increment();
 			return;
 		}
 		StreamId stream = ofStream.stream();
-		Call call = this.calls.get(stream.call());
-		if (call == null || !call.stream().equals(stream) || !call.target().equals(target)) {
-			this.counters.strays().increment();
+		Optional<Call> call = this.parts.calls()
+			.find(stream.call())
+			.filter((c) -> c.stream().equals(stream) && c.target().equals(target));
+		if (call.isEmpty()) {
+			this.parts.counters().strays().increment();
 			return;
 		}
-		onStreamMessage(call, ofStream, now);
+		this.answers.take(call.get(), ofStream, now);
 	}
 
 	/**
@@ -244,7 +192,7 @@
 	 * @param now the time in milliseconds
 	 */
 	public void tick(long now) {
-		for (Call call : new ArrayList<>(this.calls.values())) {
+		for (Call call : this.parts.calls().copyOfAll()) {
 			if (now >= call.timer()) {
 				onTimer(call, now);
 			}
@@ -256,7 +204,7 @@
 	 * @return the count
 	 */
 	public int openCalls() {
-		return this.calls.size();
+		return this.parts.calls().size();
 	}
 
 	/**
@@ -265,7 +213,7 @@
 	 * @return the incarnation, or empty if its link is down
 	 */
 	public Optional<Long> incarnation(String target) {
-		return Optional.ofNullable(this.incarnations.get(target));
+		return this.parts.sidecars().incarnation(target);
 	}
 
 	/**
@@ -273,342 +221,63 @@
 	 * @return the counters, readable from any thread
 	 */
 	public CallCounters counters() {
-		return this.counters;
+		return this.parts.counters();
 	}
 
-	private void route(Call call, long now) {
-		Optional<Route> route = call.hasFixedTarget() ? home(call)
-				: this.selector.select(new RouteRequest(call.work().model(), call.request().intent(),
-						call.request().prefixHash(), call.excluded()), now);
-		if (route.isEmpty()) {
-			refuse(call,
-					Refusal.notRun(RefusalReason.NO_TARGET, "no target can take the request now", NO_TARGET_RETRY));
-			return;
-		}
-		String target = route.get().target().name();
-		call.routeTo(target, route.get().reason());
-		this.audit.record(new AuditEvent(AuditKind.ROUTED, call.work().requestId(), call.work().account(), target,
-				route.get().reason()));
-		if (this.incarnations.containsKey(target)) {
-			submit(call, now);
-			return;
-		}
-		call.enter(CallPhase.CONNECTING, Math.min(now + this.settings.connectMillis(), call.firstOutputDeadline()));
-		this.outputs.connect(target);
+	private Call add(long number, CallRequest request, long now) {
+		Call call = new Call(number, request, now);
+		this.parts.calls().add(call);
+		this.parts.counters().opened().increment();
+		return call;
 	}
 
-	private Optional<Route> home(Call call) {
-		if (this.configuration == null) {
-			return Optional.empty();
+	// Tells the sidecar that the caller left, if it knows of the call.
+	private void release(Call call) {
+		boolean reachable = this.parts.sidecars().isUp(call.target());
+		if (reachable && call.phase() != CallPhase.CONNECTING && call.phase() != CallPhase.BACKING_OFF) {
+			boolean mayReturn = call.request().mayReturn() && call.hasOutputBeenSeen();
+			this.parts.outputs().send(call.target(), new EntryMessage.Release(call.stream(), mayReturn));
 		}
-		Optional<String> ticketTarget = call.request().ticketTarget();
-		Optional<String> name = ticketTarget.isPresent() ? ticketTarget
-				: ViewHistory.home(this.configuration.targetsServing(call.work().model()), call.work().model(),
-						call.work().generationName(0));
-		String reason = ticketTarget.isPresent() ? "named by the ticket" : "home of the key";
-		return name.flatMap(this.configuration::target).map((t) -> new Route(t, reason));
 	}
 
-	private void submit(Call call, long now) {
-		long patience = call.firstOutputDeadline() - now;
-		if (patience <= 0) {
-			refuse(call, waitTooLong());
-			return;
+	private void connectFailed(String target, long now) {
+		for (Call call : this.parts.calls().at(target)) {
+			switch (call.phase()) {
+				case CONNECTING -> {
+					this.parts.targets().failed(target, "no link", now);
+					this.retries.attemptFailed(call, CallRefusals.notReached(), now);
+				}
+				case BARRING, REATTACHING -> this.parts.outputs().connect(target);
+				default -> {
+				}
+			}
 		}
-		StreamId stream = call.startAttempt(this.incarnations.get(call.target()));
-		Work work = call.work().withPatience(patience);
-		call.setCreditLimit(this.settings.window());
-		call.enter(CallPhase.SUBMITTED, now + this.settings.dispatchMillis());
-		call.setCountedInFlight(true);
-		this.board.state(call.target()).recordSent();
-		this.outputs.send(call.target(), new EntryMessage.Submit(stream, work, call.creditLimit()));
 	}
 
 	private void onFarewell(String target, long now) {
-		this.board.state(target).recordLeaving();
-		for (Call call : callsAt(target)) {
+		this.parts.targets().state(target).recordLeaving();
+		for (Call call : this.parts.calls().at(target)) {
 			if (call.phase() == CallPhase.SUBMITTED || call.phase() == CallPhase.BARRING) {
-				attemptFailed(call, unansweredAtEnd(call), now);
+				this.retries.attemptFailed(call, CallRefusals.unansweredAtEnd(call), now);
 			}
 		}
 	}
 
-	private static Refusal unansweredAtEnd(Call call) {
-		if (call.wasHeardWhileBarring()) {
-			return Refusal.mayHaveRun(RefusalReason.LEAVING, "the sidecar ended after it took the request on");
-		}
-		return Refusal.notRun(RefusalReason.LEAVING, "the sidecar ended without reading the request", NO_TARGET_RETRY);
-	}
-
-	private void onStreamMessage(Call call, SidecarMessage.OfStream message, long now) {
-		if (call.phase() == CallPhase.BARRING) {
-			call.heardWhileBarring();
-		}
-		if (message instanceof SidecarMessage.Accepted) {
-			onAccepted(call, now);
-		}
-		else if (message instanceof SidecarMessage.Chunk chunk) {
-			onChunk(call, chunk, now);
-		}
-		else if (message instanceof SidecarMessage.End end) {
-			onEnd(call, end, now);
-		}
-		else if (message instanceof SidecarMessage.Refused refused) {
-			onRefused(call, refused.refusal(), now);
-		}
-		else if (message instanceof SidecarMessage.BarResult result) {
-			onBarResult(call, result.outcome(), now);
-		}
-	}
-
-	private void onAccepted(Call call, long now) {
-		if (call.phase() != CallPhase.SUBMITTED && call.phase() != CallPhase.REATTACHING) {
-			this.counters.strays().increment();
-			return;
-		}
-		recordSuccess(call.target());
-		call.enter(CallPhase.READING, Call.NO_TIMER);
-		if (call.announce()) {
-			this.outputs.accepted(call.number(), position(call), call.route());
-		}
-		// The caller may have read on while no credit could be sent.
-		grantCredit(call);
-	}
-
-	private void grantCredit(Call call) {
-		long limit = call.readOffset() + this.settings.window();
-		boolean worthSending = limit - call.creditLimit() >= Math.max(1, this.settings.window() / CREDITS_PER_WINDOW);
-		if (call.phase() == CallPhase.READING && worthSending) {
-			call.setCreditLimit(limit);
-			this.outputs.send(call.target(), new EntryMessage.Credit(call.stream(), limit));
-		}
-	}
-
-	private void onChunk(Call call, SidecarMessage.Chunk chunk, long now) {
-		if (call.phase() != CallPhase.READING || chunk.offset() < call.nextOffset()) {
-			this.counters.strays().increment();
-			return;
-		}
-		if (chunk.offset() > call.nextOffset()) {
-			this.counters.strays().increment();
-			reattach(call, now);
-			return;
-		}
-		call.advance();
-		this.counters.delivered().increment();
-		this.outputs.deliver(call.number(), chunk.offset(), chunk.data());
-	}
-
-	private void onEnd(Call call, SidecarMessage.End end, long now) {
-		if (call.phase() != CallPhase.READING) {
-			this.counters.strays().increment();
-			return;
-		}
-		if (end.total() != call.nextOffset()) {
-			this.counters.strays().increment();
-			reattach(call, now);
-			return;
-		}
-		this.budget.recordSuccess();
-		this.counters.finished().increment();
-		close(call);
-		this.outputs.finish(call.number(), end.total(), end.reason());
-	}
-
-	private void onRefused(Call call, Refusal refusal, long now) {
-		if (call.phase() == CallPhase.BARRING) {
-			// The answer to the request crossed the wish to bar it; it says all that the
-			// bar would.
-			attemptFailed(call, refusal, now);
-			return;
-		}
-		if (refusal.reason() == RefusalReason.LEAVING) {
-			this.board.state(call.target()).recordLeaving();
-		}
-		if (refusal.reason() == RefusalReason.TARGET_LOST) {
-			recordFailure(call.target(), refusal.detail(), now);
-		}
-		else {
-			recordSuccess(call.target());
-		}
-		attemptFailed(call, refusal, now);
-	}
-
-	private void onBarResult(Call call, BarOutcome outcome, long now) {
-		if (call.phase() != CallPhase.BARRING) {
-			this.counters.strays().increment();
-			return;
-		}
-		switch (outcome) {
-			case BARRED -> attemptFailed(call, Refusal.notRun(RefusalReason.WITHDRAWN,
-					"the sidecar did not answer in time and the attempt was barred", NO_TARGET_RETRY), now);
-			case HAS_RUN -> reattach(call, now);
-			case UNKNOWN -> attemptFailed(call, Refusal.mayHaveRun(RefusalReason.LINK_LOST,
-					"the sidecar was replaced and can't tell whether the request ran"), now);
-		}
-	}
-
 	private void onTimer(Call call, long now) {
 		switch (call.phase()) {
-			case BACKING_OFF -> route(call, now);
+			case BACKING_OFF -> this.attempts.route(call, now);
 			case CONNECTING -> {
-				recordFailure(call.target(), "no link in time", now);
-				attemptFailed(call, notReached(), now);
+				this.parts.targets().failed(call.target(), "no link in time", now);
+				this.retries.attemptFailed(call, CallRefusals.notReached(), now);
 			}
 			case SUBMITTED -> {
-				recordFailure(call.target(), "no answer in time", now);
-				bar(call, now);
+				this.parts.targets().failed(call.target(), "no answer in time", now);
+				this.attempts.bar(call, now);
 			}
-			case BARRING -> attemptFailed(call, Refusal.mayHaveRun(RefusalReason.LINK_LOST,
-					"the sidecar was lost before it said whether the request runs"), now);
-			case REATTACHING -> attemptFailed(call, lostWhileReading(call), now);
+			case BARRING -> this.retries.attemptFailed(call, CallRefusals.barUnanswered(), now);
+			case REATTACHING -> this.retries.attemptFailed(call, CallRefusals.lostWhileReading(call), now);
 			case READING -> call.enter(CallPhase.READING, Call.NO_TIMER);
 		}
 	}
 
-	private void bar(Call call, long now) {
-		call.enter(CallPhase.BARRING, now + this.settings.barMillis());
-		sendBar(call);
-	}
-
-	private void sendBar(Call call) {
-		if (!this.incarnations.containsKey(call.target())) {
-			this.outputs.connect(call.target());
-			return;
-		}
-		this.outputs.send(call.target(),
-				new EntryMessage.Bar(call.stream(), call.attemptName(), call.generation(), call.incarnation()));
-	}
-
-	private void reattach(Call call, long now) {
-		this.counters.reattached().increment();
-		call.enter(CallPhase.REATTACHING, now + this.settings.reattachMillis());
-		sendAttach(call);
-	}
-
-	private void sendAttach(Call call) {
-		if (!this.incarnations.containsKey(call.target())) {
-			this.outputs.connect(call.target());
-			return;
-		}
-		call.setCreditLimit(call.readOffset() + this.settings.window());
-		this.outputs.send(call.target(), new EntryMessage.Attach(call.nextStream(), call.generation(),
-				call.incarnation(), call.nextOffset(), call.creditLimit()));
-	}
-
-	private void connectFailed(String target, long now) {
-		for (Call call : callsAt(target)) {
-			switch (call.phase()) {
-				case CONNECTING -> {
-					recordFailure(target, "no link", now);
-					attemptFailed(call, notReached(), now);
-				}
-				case BARRING, REATTACHING -> this.outputs.connect(target);
-				default -> {
-				}
-			}
-		}
-	}
-
-	private void attemptFailed(Call call, Refusal refusal, long now) {
-		settle(call);
-		Verdict verdict = call.worsen(refusal.verdict());
-		boolean allowed = refusal.verdict().allowsAnotherAttempt(call.work().repeatable(), call.hasOutputBeenSeen())
-				&& isWorthRetrying(call, refusal);
-		if (!allowed || call.attempts() >= this.settings.maxAttempts() || now >= call.firstOutputDeadline()) {
-			refuse(call, refusal);
-			return;
-		}
-		boolean free = refusal.reason() == RefusalReason.LEAVING;
-		if (!free && !this.budget.tryTake(now)) {
-			refuse(call, refusal);
-			return;
-		}
-		call.excluded().add(call.target());
-		this.counters.retried().increment();
-		this.audit.record(new AuditEvent(AuditKind.RETRIED, call.work().requestId(), call.work().account(),
-				call.target(), verdict.label() + ": " + refusal.detail()));
-		if (free || call.attempts() < 2) {
-			route(call, now);
-			return;
-		}
-		call.enter(CallPhase.BACKING_OFF, now + this.backoff.delayMillis(call.attempts() - 1));
-	}
-
-	private boolean isWorthRetrying(Call call, Refusal refusal) {
-		if (refusal.reason() == RefusalReason.BAD_REQUEST || refusal.reason() == RefusalReason.SUPERSEDED) {
-			return false;
-		}
-		if (!call.hasFixedTarget()) {
-			return true;
-		}
-		boolean homeMoved = home(call).filter((r) -> !r.target().name().equals(call.target())).isPresent();
-		return refusal.verdict() == Verdict.NOT_RUN && homeMoved;
-	}
-
-	private void refuse(Call call, Refusal refusal) {
-		Verdict verdict = call.worsen(refusal.verdict());
-		this.counters.refused().increment();
-		this.audit.record(new AuditEvent(AuditKind.REFUSED, call.work().requestId(), call.work().account(),
-				call.target(), verdict.label() + ", " + refusal.reason().label() + ": " + refusal.detail()));
-		close(call);
-		this.outputs.refuse(call.number(),
-				new Refusal(verdict, refusal.reason(), refusal.detail(), refusal.retryAfter().map(this::spread)));
-	}
-
-	// Callers that were refused together do not come back together, and none comes back
-	// too early.
-	private Duration spread(Duration retryAfter) {
-		return retryAfter.plusMillis(this.backoff.spread(retryAfter.toMillis()) / 2);
-	}
-
-	private void close(Call call) {
-		settle(call);
-		this.calls.remove(call.number());
-	}
-
-	private void settle(Call call) {
-		if (call.isCountedInFlight()) {
-			call.setCountedInFlight(false);
-			this.board.state(call.target()).recordDone();
-		}
-	}
-
-	private void recordFailure(String target, String cause, long now) {
-		if (this.board.state(target).health().recordFailure(now)) {
-			this.audit.record(AuditEvent.of(AuditKind.TARGET_HEALTH, target, target, "set aside: " + cause));
-		}
-	}
-
-	private void recordSuccess(String target) {
-		TargetState state = this.board.state(target);
-		if (state.health().recordSuccess()) {
-			this.audit.record(AuditEvent.of(AuditKind.TARGET_HEALTH, target, target, "taken back"));
-		}
-	}
-
-	private List<Call> callsAt(String target) {
-		return this.calls.values().stream().filter((c) -> c.target().equals(target)).toList();
-	}
-
-	private StreamPosition position(Call call) {
-		return new StreamPosition(call.target(), call.incarnation(), call.generation(), call.work().account(),
-				call.nextOffset());
-	}
-
-	private static Refusal notReached() {
-		return Refusal.notRun(RefusalReason.LINK_LOST, "the sidecar could not be reached", NO_TARGET_RETRY);
-	}
-
-	private static Refusal waitTooLong() {
-		return Refusal.notRun(RefusalReason.WAIT_TOO_LONG, "no place came free within the caller's patience",
-				NO_TARGET_RETRY);
-	}
-
-	private Refusal lostWhileReading(Call call) {
-		String detail = "the sidecar was lost; the generation may go on and can be resumed by its position";
-		return new Refusal(call.hasOutputBeenSeen() ? Verdict.RAN : Verdict.MAY_HAVE_RUN, RefusalReason.LINK_LOST,
-				detail, Optional.of(NO_TARGET_RETRY));
-	}
-
 }
