A process that ends takes no request that it can't finish

Change: from 2.6 s after the order on a request is taken only where the time left is enough for it; the rest is told at once that it has not run and to come back.

--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -125,7 +125,7 @@
 
 	private volatile boolean ready;
 
-	private volatile boolean stopping;
+	private final PlannedStop plannedStop;
 
 	/**
 	 * Create an entry; {@link #run()} starts it.
@@ -135,6 +135,7 @@
 	public DirectEntry(DirectSettings settings, PlatformAdapter.Factory platform) {
 		this.settings = settings;
 		this.inForce = settings;
+		this.plannedStop = new PlannedStop(settings.graceMillis() - END_EARLY_MILLIS);
 		SplittableRandom random = new SplittableRandom(ThreadLocalRandom.current().nextLong());
 		XnioIoThread thread = this.io.worker().getIoThread();
 		Timers timers = new Timers();
@@ -155,7 +156,7 @@
 				timers, new Backoff(FIRST_WAIT, LONGEST_WAIT, random), this.others.reading());
 		this.others.onStoreNews((n) -> this.follower.told(n, this.loop.now()));
 		this.callers = new DirectServer(this.io, settings.callers(), calls, adapter.headers(), this.published::plan,
-				() -> this.stopping, this.loop, random, this.audit);
+				this.plannedStop, this.loop, random, this.audit);
 		this.readiness = new ReadinessServer(this.io, settings.readiness(), adapter.source()::readinessPaths,
 				this::isReady);
 		registerMetrics();
@@ -194,7 +195,7 @@
 	 * then end.
 	 */
 	public void stop() {
-		this.stopping = true;
+		this.plannedStop.order(this.loop.now());
 		this.loop.run(() -> {
 			long now = this.loop.now();
 			this.audit.record(AuditEvent.of(AuditKind.LEAVING, this.settings.instance(), "",
@@ -235,7 +236,7 @@
 	 * @return whether it is ready
 	 */
 	public boolean isReady() {
-		return this.ready && !this.stopping;
+		return this.ready && !this.plannedStop.isOrdered();
 	}
 
 	private static boolean await(CountDownLatch latch) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -52,6 +51,9 @@
 
 	private static final Duration NOT_READY_RETRY = Duration.ofMillis(300);
 
+	/** Callers come back on a new connection, which leads elsewhere. */
+	private static final Duration STOPPING_RETRY = Duration.ofMillis(20);
+
 	/** What a line of a head has besides its name and value: a colon, a blank, an end. */
 	private static final int LINE_EXTRA_BYTES = 4;
 
@@ -63,7 +65,7 @@
 
 	private final Supplier<Optional<ServingPlan>> plan;
 
-	private final BooleanSupplier stopping;
+	private final PlannedStop plannedStop;
 
 	private final EventLoop loop;
 
@@ -79,12 +81,12 @@
 	private int openAnswers;
 
 	DirectServer(IoWorker io, InetSocketAddress address, DirectCalls calls, HeaderTranslation translation,
-			Supplier<Optional<ServingPlan>> plan, BooleanSupplier stopping, EventLoop loop, RandomGenerator random,
+			Supplier<Optional<ServingPlan>> plan, PlannedStop plannedStop, EventLoop loop, RandomGenerator random,
 			AuditSink audit) {
 		this.calls = calls;
 		this.translation = translation;
 		this.plan = plan;
-		this.stopping = stopping;
+		this.plannedStop = plannedStop;
 		this.loop = loop;
 		this.random = random;
 		this.audit = audit;
@@ -137,7 +139,7 @@
 
 	private void take(HttpServerExchange exchange) {
 		CallerRequest request = new CallerRequest(exchange);
-		if (this.stopping.getAsBoolean()) {
+		if (this.plannedStop.isOrdered()) {
 			exchange.setPersistent(false);
 		}
 		Either<Refusal, Admitted> admitted = admit(request);
@@ -188,6 +190,10 @@
 		if (facts.id().isEmpty()) {
 			return Either.left(Refusal.never(RefusalReason.BAD_REQUEST, "the request has no identity"));
 		}
+		if (!this.plannedStop.leavesTimeFor(route.get(), facts.work(), this.loop.now())) {
+			return Either
+				.left(Refusal.notRun(RefusalReason.LEAVING, "this entry ends before the answer would", STOPPING_RETRY));
+		}
 		return Either.right(new Admitted(facts, ranked(route.get(), account), account, inForce.limits()));
 	}
 
--- /dev/null
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlannedStop.java
@@ -0,0 +1,79 @@
+package dev.laneworks.entry.direct;
+
+import java.util.Optional;
+
+import dev.laneworks.core.dispatch.EngineWork;
+import dev.laneworks.core.serving.RequestKind;
+import dev.laneworks.core.serving.RouteSpec;
+
+/**
+ * The planned stop of a process: when it was ordered, and what can still be served to its
+ * end.
+ * <p>
+ * Requests come for a while after the order, since callers keep connections and the
+ * balancer hears of the stop late. Later ones are taken only where the time left is
+ * enough for them; the others have not run and are told to come back, elsewhere.
+ */
+final class PlannedStop {
+
+	/**
+	 * How long after the order all requests are taken, in milliseconds: the balancer goes
+	 * on for two seconds, and a request is taken that was on its way then.
+	 */
+	private static final long TAKES_ALL_MILLIS = 2_600;
+
+	/**
+	 * What a token takes at the most, in milliseconds: 7 ms a step and 0.12 ms for each
+	 * of a dozen requests beside it, and prompts that are read meanwhile.
+	 */
+	private static final long TOKEN_MILLIS = 11;
+
+	/** How many goals a request without tokens is given; its answer takes one or two. */
+	private static final long GOALS = 3;
+
+	private static final long NOT_ORDERED = Long.MIN_VALUE;
+
+	private final long graceMillis;
+
+	// Written by the thread of the signal, read by the I/O thread.
+	private volatile long orderedAt = NOT_ORDERED;
+
+	/**
+	 * Create a stop that is not ordered.
+	 * @param graceMillis the time from the order to the end of the process
+	 */
+	PlannedStop(long graceMillis) {
+		this.graceMillis = graceMillis;
+	}
+
+	void order(long now) {
+		this.orderedAt = now;
+	}
+
+	boolean isOrdered() {
+		return this.orderedAt != NOT_ORDERED;
+	}
+
+	/**
+	 * Return whether a request may be taken.
+	 * @param route its route
+	 * @param work what it asks of an engine, if it does
+	 * @param now the time in milliseconds
+	 * @return {@code false} if the process is likely to end before the answer does
+	 */
+	boolean leavesTimeFor(RouteSpec route, Optional<EngineWork> work, long now) {
+		if (!isOrdered() || now - this.orderedAt < TAKES_ALL_MILLIS) {
+			return true;
+		}
+		long left = this.orderedAt + this.graceMillis - now;
+		return needed(route, work) <= left;
+	}
+
+	private static long needed(RouteSpec route, Optional<EngineWork> work) {
+		if (route.kind() != RequestKind.STREAMING) {
+			return GOALS * route.goalMillis();
+		}
+		return route.goalMillis() + work.map((w) -> TOKEN_MILLIS * w.maxTokens()).orElse(route.timeoutMillis());
+	}
+
+}
