--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -280,9 +280,7 @@
 				activate(queue, Optional.empty());
 				copyAhead(queue, call, now);
 			}
-			// Nothing is wrong with the destination, and the run's own connection tells
-			// what
-			// became of it.
+			// Nothing is wrong with the destination; the run's own connection tells more.
 			case NO_ANSWER, UNDER_WAY, NO_SUCH_RUN -> {
 				release(copying);
 				activate(queue, Optional.empty());
