Give the queue of moves and the offering of requests classes of their own; keep the part of a copy that stands

A move that was put back chose a destination anew and copied all again, though a part stood at the first one; and that part was let go of. Change: MoveQueue and Offers; a move put back goes on where its part stands, and a part is used where the engine ends before the next order. Ruled out: splitting by phase of a move, which would spread one state over several classes.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Copying.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Copying.java
@@ -1,6 +1,7 @@
 package dev.laneworks.core.dispatch;
 
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 
 import dev.laneworks.core.directory.ListedTarget;
@@ -98,6 +99,11 @@
 		this.counted = isCounted;
 	}
 
+	// The engine at which a part of the generation stands already, if there is one.
+	Optional<ListedTarget> partStandsAt() {
+		return Optional.ofNullable(this.destination).filter((d) -> !this.handle.isEmpty());
+	}
+
 	boolean isSourceClosed() {
 		return this.sourceClosed;
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -53,6 +53,8 @@
 
 	private final CallEnding ending;
 
+	private final Offers offers;
+
 	private final Continuation continuation;
 
 	private final Map<Long, DirectCall> calls = new HashMap<>();
@@ -86,8 +88,10 @@
 		this.mover = new StreamMover(chooser, beliefs, this.standbys, turn, timers, outputs, audit,
 				new CallResumption());
 		this.ending = new CallEnding(settings, this.calls, this.sender, this.standbys, this.mover, outputs, audit);
+		this.offers = new Offers(settings, retries, this.sender, this.ending, timers, outputs, audit, this::engine,
+				(c, a, t) -> connectFailed(c.number(), a.number(), "no connection within its time", t));
 		this.continuation = new Continuation(directory, retries, this.sender, this.standbys, this.mover, this.ending,
-				audit, this::begin, this::engine);
+				audit, this.offers::begin, this::engine);
 	}
 
 	/**
@@ -118,7 +122,7 @@
 		this.retries.recordRequest(request.service(), now);
 		this.audit.record(call.event(AuditKind.ACCEPTED, "", accepted(call)));
 		this.timers.at(call.dueAt() + this.settings.answerSlackMillis(), (t) -> overdue(call, t));
-		offer(call, now);
+		this.offers.offer(call, now);
 	}
 
 	/**
@@ -379,36 +383,6 @@
 		return this.plan.flatMap((p) -> p.service(call.request().service())).flatMap(ServiceSpec::engine);
 	}
 
-	private void offer(DirectCall call, long now) {
-		if (call.arrivals() >= this.settings.maxAttempts() || call.attempts() >= this.settings.maxConnections()) {
-			this.ending.refuse(call, RefusalReason.OVERLOADED, "no target took the request", now);
-			return;
-		}
-		Optional<ListedTarget> target = this.sender.choose(call.request(), engine(call), call.tried(), now);
-		if (target.isEmpty()) {
-			this.ending.refuse(call, RefusalReason.NO_TARGET, "no target of the service takes work", now);
-			return;
-		}
-		if (call.arrivals() > 0 && !this.retries.tryTake(call.request().service(), now)) {
-			this.ending.refuse(call, RefusalReason.OVERLOADED, "the budget for repeated sendings is spent", now);
-			return;
-		}
-		call.use(begin(call, target.get(), Optional.empty(), now));
-	}
-
-	private Attempt begin(DirectCall call, ListedTarget target, Optional<ResumePoint> resume, long now) {
-		Attempt attempt = this.sender.send(call, target, engine(call), resume, now);
-		this.timers.at(now + this.settings.connectMillis(), (t) -> connectOverdue(call, attempt, t));
-		return attempt;
-	}
-
-	private void connectOverdue(DirectCall call, Attempt attempt, long now) {
-		if (find(call.number(), attempt.number()).isPresent() && !attempt.isSent()) {
-			this.outputs.abandon(call.number(), attempt.number());
-			connectFailed(call.number(), attempt.number(), "no connection within its time", now);
-		}
-	}
-
 	private void silent(DirectCall call, int number, long now) {
 		Optional<Attempt> attempt = find(call.number(), number);
 		if (attempt.isEmpty()) {
@@ -416,8 +390,8 @@
 		}
 		recordBad(attempt.get().target(), "no answer for " + (now - attempt.get().sentAt()) + " ms", now);
 		call.mayHaveRun();
-		if (mayTryAgain(call, attempt.get(), now)) {
-			tryAgain(call, attempt.get(), "the target is silent", now);
+		if (this.offers.mayTryAgain(call, attempt.get(), now)) {
+			this.offers.tryAgain(call, attempt.get(), "the target is silent", now);
 		}
 	}
 
@@ -442,8 +416,8 @@
 		call.mayHaveRun();
 		if (head.isServerError()) {
 			recordBad(attempt.target(), "status " + head.status(), now);
-			if (mayTryAgain(call, attempt, now)) {
-				tryAgain(call, attempt, "status " + head.status(), now);
+			if (this.offers.mayTryAgain(call, attempt, now)) {
+				this.offers.tryAgain(call, attempt, "status " + head.status(), now);
 				return;
 			}
 		}
@@ -480,7 +454,7 @@
 		}
 		else {
 			call.tried().add(attempt.target().id());
-			offer(call, now);
+			this.offers.offer(call, now);
 		}
 	}
 
@@ -503,34 +477,14 @@
 				|| this.continuation.goOnAtStandby(call, cause, now))) {
 			this.sender.abandon(call, attempt);
 		}
-		else if (!call.isStreaming() && mayTryAgain(call, attempt, now)) {
-			tryAgain(call, attempt, cause, now);
+		else if (!call.isStreaming() && this.offers.mayTryAgain(call, attempt, now)) {
+			this.offers.tryAgain(call, attempt, cause, now);
 		}
 		else {
 			this.ending.lost(call, cause + " at " + target.id(), now);
 		}
 	}
 
-	// Only what may run more than once is sent again, to another target and while there
-	// is time for an answer.
-	private boolean mayTryAgain(DirectCall call, Attempt attempt, long now) {
-		DirectRequest request = call.request();
-		boolean isAllowed = Verdict.MAY_HAVE_RUN.allowsAnotherAttempt(request.route().kind().isRepeatable(),
-				call.isStreaming());
-		return isAllowed && call.runs() < request.route().maxAttempts() && call.attempts() < this.settings.maxAttempts()
-				&& call.dueAt() - now > request.route().goalMillis() / this.settings.timeShareToTryAgain()
-				&& this.sender.hasUntried(call, attempt.target()) && this.retries.tryTake(request.service(), now);
-	}
-
-	private void tryAgain(DirectCall call, Attempt attempt, String cause, long now) {
-		this.audit.record(call.event(AuditKind.RETRIED, attempt.target().id(), cause));
-		this.sender.abandon(call, attempt);
-		call.tried().add(attempt.target().id());
-		this.sender.choose(call.request(), engine(call), call.tried(), now)
-			.ifPresentOrElse((t) -> call.use(begin(call, t, Optional.empty(), now)),
-					() -> this.ending.refuse(call, RefusalReason.TARGET_LOST, cause, now));
-	}
-
 	private void recordGood(Attempt attempt, long now) {
 		this.beliefs.of(attempt.target()).quality().recordGood(now - attempt.sentAt(), now);
 	}
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Offers.java
@@ -0,0 +1,120 @@
+package dev.laneworks.core.dispatch;
+
+import java.util.Optional;
+import java.util.function.Function;
+
+import dev.laneworks.core.audit.AuditKind;
+import dev.laneworks.core.audit.AuditSink;
+import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.serving.EngineSpec;
+import dev.laneworks.core.time.Timers;
+import dev.laneworks.core.verdict.RefusalReason;
+import dev.laneworks.core.verdict.Verdict;
+
+/**
+ * Offers calls to targets, one after the other, within the bounds on attempts and
+ * repeated sendings.
+ */
+final class Offers {
+
+	private final DispatchSettings settings;
+
+	private final RetryWindow retries;
+
+	private final AttemptSender sender;
+
+	private final CallEnding ending;
+
+	private final Timers timers;
+
+	private final DispatchOutputs outputs;
+
+	private final AuditSink audit;
+
+	private final Function<DirectCall, Optional<EngineSpec>> engines;
+
+	private final ConnectFailure connectFailed;
+
+	Offers(DispatchSettings settings, RetryWindow retries, AttemptSender sender, CallEnding ending, Timers timers,
+			DispatchOutputs outputs, AuditSink audit, Function<DirectCall, Optional<EngineSpec>> engines,
+			ConnectFailure connectFailed) {
+		this.settings = settings;
+		this.retries = retries;
+		this.sender = sender;
+		this.ending = ending;
+		this.timers = timers;
+		this.outputs = outputs;
+		this.audit = audit;
+		this.engines = engines;
+		this.connectFailed = connectFailed;
+	}
+
+	// Offers a call that no target has run to the best one left, or refuses it.
+	void offer(DirectCall call, long now) {
+		if (call.arrivals() >= this.settings.maxAttempts() || call.attempts() >= this.settings.maxConnections()) {
+			this.ending.refuse(call, RefusalReason.OVERLOADED, "no target took the request", now);
+			return;
+		}
+		Optional<ListedTarget> target = this.sender.choose(call.request(), this.engines.apply(call), call.tried(), now);
+		if (target.isEmpty()) {
+			this.ending.refuse(call, RefusalReason.NO_TARGET, "no target of the service takes work", now);
+			return;
+		}
+		if (call.arrivals() > 0 && !this.retries.tryTake(call.request().service(), now)) {
+			this.ending.refuse(call, RefusalReason.OVERLOADED, "the budget for repeated sendings is spent", now);
+			return;
+		}
+		call.use(begin(call, target.get(), Optional.empty(), now));
+	}
+
+	// Sends a call to a target and sees to it that its connection comes up in time.
+	Attempt begin(DirectCall call, ListedTarget target, Optional<ResumePoint> resume, long now) {
+		Attempt attempt = this.sender.send(call, target, this.engines.apply(call), resume, now);
+		this.timers.at(now + this.settings.connectMillis(), (t) -> connectOverdue(call, attempt, t));
+		return attempt;
+	}
+
+	private void connectOverdue(DirectCall call, Attempt attempt, long now) {
+		if (call.find(attempt.number()).isPresent() && !attempt.isSent()) {
+			this.outputs.abandon(call.number(), attempt.number());
+			this.connectFailed.failed(call, attempt, now);
+		}
+	}
+
+	// Only what may run more than once is sent again, to another target and while there
+	// is time for an answer.
+	boolean mayTryAgain(DirectCall call, Attempt attempt, long now) {
+		DirectRequest request = call.request();
+		boolean isAllowed = Verdict.MAY_HAVE_RUN.allowsAnotherAttempt(request.route().kind().isRepeatable(),
+				call.isStreaming());
+		return isAllowed && call.runs() < request.route().maxAttempts() && call.attempts() < this.settings.maxAttempts()
+				&& call.dueAt() - now > request.route().goalMillis() / this.settings.timeShareToTryAgain()
+				&& this.sender.hasUntried(call, attempt.target()) && this.retries.tryTake(request.service(), now);
+	}
+
+	void tryAgain(DirectCall call, Attempt attempt, String cause, long now) {
+		this.audit.record(call.event(AuditKind.RETRIED, attempt.target().id(), cause));
+		this.sender.abandon(call, attempt);
+		call.tried().add(attempt.target().id());
+		this.sender.choose(call.request(), this.engines.apply(call), call.tried(), now)
+			.ifPresentOrElse((t) -> call.use(begin(call, t, Optional.empty(), now)),
+					() -> this.ending.refuse(call, RefusalReason.TARGET_LOST, cause, now));
+	}
+
+	/**
+	 * Hears of a connection that did not come up in time.
+	 */
+	@FunctionalInterface
+	interface ConnectFailure {
+
+		/**
+		 * Hear that nothing was sent.
+		 * @param call the call
+		 * @param attempt the attempt
+		 * @param now the time in milliseconds
+		 */
+		void failed(DirectCall call, Attempt attempt, long now);
+
+	}
+
+}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -1,9 +1,6 @@
 package dev.laneworks.core.dispatch;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -80,7 +77,7 @@
 
 	private final Resumption resumption;
 
-	private final Map<String, SourceQueue> queues = new HashMap<>();
+	private final Map<String, MoveQueue> queues = new HashMap<>();
 
 	StreamMover(TargetChooser chooser, TargetBeliefs beliefs, StandbyCopies standbys, CopyTurn turn, Timers timers,
 			DispatchOutputs outputs, AuditSink audit, Resumption resumption) {
@@ -101,9 +98,9 @@
 		ListedTarget source = call.attempt().get().target();
 		call.copy(new Copying(source));
 		long noticedAt = this.beliefs.of(source).leavingSince().orElse(now);
-		SourceQueue queue = this.queues.computeIfAbsent(source.id(), (id) -> new SourceQueue(source, noticedAt));
-		queue.waiting.add(call);
-		count(call.copying().get(), true);
+		MoveQueue queue = this.queues.computeIfAbsent(source.id(),
+				(id) -> new MoveQueue(source, noticedAt, this.beliefs));
+		queue.add(call);
 		// All that run there are to be queued before the first is chosen.
 		lookAgain(queue, now);
 	}
@@ -179,13 +176,8 @@
 	}
 
 	// Copies the next generation if none is being copied and it is this process's turn.
-	private void look(SourceQueue queue, long now) {
-		if (queue.active.isPresent() || queue.waiting.isEmpty()) {
-			return;
-		}
-		Optional<DirectCall> next = queue.waiting.stream()
-			.filter((c) -> c.copying().get().notBefore() <= now)
-			.min(Comparator.comparingLong(StreamMover::tokensToCopy));
+	private void look(MoveQueue queue, long now) {
+		Optional<DirectCall> next = queue.next(now);
 		if (next.isEmpty()) {
 			return;
 		}
@@ -198,12 +190,12 @@
 	}
 
 	// What is nearly copied goes first and needs no turn; whole copies wait for it.
-	private boolean mayGo(SourceQueue queue, DirectCall next, long now) {
-		long sinceNotice = now - queue.noticedAt;
-		if (tokensToCopy(next) <= NEARLY_COPIED_TOKENS) {
+	private boolean mayGo(MoveQueue queue, DirectCall next, long now) {
+		long sinceNotice = queue.sinceNotice(now);
+		if (MoveQueue.tokensToCopy(next) <= NEARLY_COPIED_TOKENS) {
 			return true;
 		}
-		return sinceNotice >= NEARLY_COPIED_MILLIS && this.turn.isOurs(queue.source, sinceNotice, now);
+		return sinceNotice >= NEARLY_COPIED_MILLIS && this.turn.isOurs(queue.source(), sinceNotice, now);
 	}
 
 	/**
@@ -213,49 +205,51 @@
 	 * @return the copying whose destination has a part, if it can be used
 	 */
 	Optional<Copying> copyAtHand(DirectCall call) {
-		return call.copying()
-			.filter((c) -> c.phase() != CopyPhase.WAITING && !c.handle().isEmpty() && c.destination() != null
-					&& this.resumption.takesWork(c.destination()));
+		return call.copying().filter((c) -> c.partStandsAt().filter(this.resumption::takesWork).isPresent());
 	}
 
-	private void lookAgain(SourceQueue queue, long due) {
-		if (!queue.lookDue) {
-			queue.lookDue = true;
+	private void lookAgain(MoveQueue queue, long due) {
+		if (queue.askForLook()) {
 			this.timers.at(due, (t) -> {
-				queue.lookDue = false;
+				queue.looked();
 				look(queue, t);
 			});
 		}
 	}
 
-	private static long tokensToCopy(DirectCall call) {
-		long tokens = call.attempt().map(Attempt::heldTokens).orElse(0L);
-		return tokens - call.standby().map(Standby::copiedTokens).orElse(0L);
-	}
-
-	private void copyAhead(SourceQueue queue, DirectCall call, long now) {
+	private void copyAhead(MoveQueue queue, DirectCall call, long now) {
 		Copying copying = call.copying().get();
 		Optional<EngineSpec> engine = this.resumption.engine(call);
 		long tokens = call.attempt().map(Attempt::heldTokens).orElse(0L);
 		Optional<Standby> standby = this.standbys.take(call);
 		standby.ifPresent((s) -> copying.handle(s.handle()));
-		Optional<ListedTarget> destination = standby.map(Standby::destination)
-			.filter((d) -> !copying.tried().contains(d.id()) && this.resumption.takesWork(d))
-			.or(() -> engine
-				.flatMap((e) -> this.chooser.chooseDestination(queue.source, e, tokens, copying.tried(), now)));
+		Optional<ListedTarget> begun = standby.map(Standby::destination)
+			.or(copying::partStandsAt)
+			.filter((d) -> !copying.tried().contains(d.id()) && this.resumption.takesWork(d));
+		if (begun.isEmpty()) {
+			dropPart(copying);
+		}
+		Optional<ListedTarget> destination = begun.or(() -> engine
+			.flatMap((e) -> this.chooser.chooseDestination(queue.source(), e, tokens, copying.tried(), now)));
 		if (destination.isEmpty()) {
 			copying.tried().clear();
 			putBack(queue, call, now);
 			return;
 		}
-		queue.waiting.remove(call);
 		copying.to(destination.get(), tokens);
-		activate(queue, Optional.of(call));
+		queue.begin(call);
 		this.beliefs.change(destination.get(), (b) -> b.held(tokens));
 		copying.enter(CopyPhase.AHEAD);
 		order(call, copying, now);
 	}
 
+	private void dropPart(Copying copying) {
+		if (!copying.handle().isEmpty()) {
+			this.outputs.releaseCopy(copying.source(), copying.handle());
+			copying.handle("");
+		}
+	}
+
 	private void order(DirectCall call, Copying copying, long now) {
 		copying.ordered(now);
 		this.outputs.copy(call.number(), new CopyOrder(call.request().id(), copying.source(), copying.destination(),
@@ -263,11 +257,11 @@
 	}
 
 	private void copiedAhead(DirectCall call, Copying copying, CopyResult result, long now) {
-		SourceQueue queue = this.queues.get(copying.source().id());
+		MoveQueue queue = this.queues.get(copying.source().id());
 		switch (result.outcome()) {
 			case COPIED -> {
 				boolean wasQuick = now - copying.orderedAt() <= QUICK_MILLIS;
-				if (wasQuick || now - queue.noticedAt >= LATEST_MILLIS) {
+				if (wasQuick || queue.sinceNotice(now) >= LATEST_MILLIS) {
 					copying.enter(CopyPhase.STOPPING);
 				}
 				order(call, copying, now);
@@ -277,13 +271,13 @@
 				copying.tried().add(copying.destination().id());
 				copying.handle("");
 				release(copying);
-				activate(queue, Optional.empty());
+				queue.endActive();
 				copyAhead(queue, call, now);
 			}
 			// Nothing is wrong with the destination; the run's own connection tells more.
 			case NO_ANSWER, UNDER_WAY, NO_SUCH_RUN -> {
 				release(copying);
-				activate(queue, Optional.empty());
+				queue.endActive();
 				putBack(queue, call, now);
 			}
 		}
@@ -294,43 +288,23 @@
 		this.beliefs.of(destination).full(now + AVOID_MILLIS);
 	}
 
-	private void putBack(SourceQueue queue, DirectCall call, long now) {
+	private void putBack(MoveQueue queue, DirectCall call, long now) {
 		Copying copying = call.copying().get();
-		queue.waiting.remove(call);
-		if (now - queue.noticedAt > HOPELESS_MILLIS) {
+		if (queue.sinceNotice(now) > HOPELESS_MILLIS) {
 			leaveQueue(call, copying, now);
 			return;
 		}
 		copying.enter(CopyPhase.WAITING);
 		copying.notBefore(now + AGAIN_MILLIS);
-		queue.waiting.add(call);
-		// Others may go ahead of a generation that can't be copied now.
-		count(copying, false);
+		queue.putBack(call);
 		this.timers.at(copying.notBefore(), (t) -> {
-			if (queue.waiting.contains(call)) {
-				count(copying, true);
+			if (queue.readyAgain(call)) {
 				look(queue, t);
 			}
 		});
 		look(queue, now);
 	}
 
-	private void activate(SourceQueue queue, Optional<DirectCall> call) {
-		queue.engines.forEach((e) -> this.beliefs.change(e, (b) -> b.copying(-1)));
-		queue.active = call;
-		queue.engines = call.flatMap(DirectCall::copying)
-			.map((c) -> List.of(queue.source, c.destination()))
-			.orElse(List.of());
-		queue.engines.forEach((e) -> this.beliefs.change(e, (b) -> b.copying(1)));
-	}
-
-	private void count(Copying copying, boolean isToMove) {
-		if (copying.isCounted() != isToMove) {
-			copying.counted(isToMove);
-			this.beliefs.change(copying.source(), (b) -> b.toMove(isToMove ? 1 : -1));
-		}
-	}
-
 	private void copiedLast(DirectCall call, Copying copying, CopyResult result, long now) {
 		if (result.outcome() == CopyResult.Outcome.COPIED) {
 			copying.enter(CopyPhase.STOPPED);
@@ -349,9 +323,9 @@
 	// and where the source is gone at the part that was copied before.
 	private void stoppedWithoutCopy(DirectCall call, Copying copying, CopyResult result, long now) {
 		if (!copying.isSourceClosed()) {
-			SourceQueue queue = this.queues.get(copying.source().id());
+			MoveQueue queue = this.queues.get(copying.source().id());
 			release(copying);
-			activate(queue, Optional.empty());
+			queue.endActive();
 			putBack(queue, call, now);
 			return;
 		}
@@ -373,7 +347,7 @@
 			return;
 		}
 		ListedTarget destination = copying.destination();
-		long sinceNotice = now - this.queues.get(copying.source().id()).noticedAt;
+		long sinceNotice = this.queues.get(copying.source().id()).sinceNotice(now);
 		record(call, copying, "goes on at " + destination.id() + " behind event " + call.lastEvent() + ", "
 				+ sinceNotice + " ms after the notice");
 		leaveQueue(call, copying, now);
@@ -383,14 +357,10 @@
 
 	private void leaveQueue(DirectCall call, Copying copying, long now) {
 		release(copying);
+		MoveQueue queue = this.queues.get(copying.source().id());
+		queue.remove(call);
 		call.endCopy();
-		SourceQueue queue = this.queues.get(copying.source().id());
-		queue.waiting.remove(call);
-		if (queue.active.filter((c) -> c == call).isPresent()) {
-			activate(queue, Optional.empty());
-		}
-		count(copying, false);
-		if (queue.waiting.isEmpty() && queue.active.isEmpty()) {
+		if (queue.isEmpty()) {
 			this.queues.remove(copying.source().id());
 			return;
 		}
@@ -416,31 +386,6 @@
 		this.audit.record(call.event(AuditKind.MOVED, copying.source().id(), cause));
 	}
 
-	/**
-	 * The generations to be moved away from one engine.
-	 */
-	private static final class SourceQueue {
-
-		private final ListedTarget source;
-
-		private final long noticedAt;
-
-		private final List<DirectCall> waiting = new ArrayList<>();
-
-		private Optional<DirectCall> active = Optional.empty();
-
-		/** The engines whose links the active copy uses. */
-		private List<ListedTarget> engines = List.of();
-
-		private boolean lookDue;
-
-		SourceQueue(ListedTarget source, long noticedAt) {
-			this.source = source;
-			this.noticedAt = noticedAt;
-		}
-
-	}
-
 	/**
 	 * How a call goes on after a move.
 	 */
--- a/laneworks-core/src/main/java/dev/laneworks/core/document/DocumentObject.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/document/DocumentObject.java
@@ -332,7 +332,7 @@
 	public void end() {
 		for (var member : this.node.members().entrySet()) {
 			if (!this.known.contains(member.getKey())) {
-				fault(invalid(member.getKey(), "is unknown; allowed here: " + String.join(", ", this.known)), null);
+				record(invalid(member.getKey(), "is unknown; allowed here: " + String.join(", ", this.known)));
 			}
 		}
 		this.children.forEach(DocumentObject::end);
@@ -367,10 +367,15 @@
 	}
 
 	private <T> T fault(InvalidDocumentException fault, T placeholder) {
+		record(fault);
+		return placeholder;
+	}
+
+	// A setting that is wrong is told once.
+	private void record(InvalidDocumentException fault) {
 		if (this.faults.stream().noneMatch((f) -> f.getSetting().equals(fault.getSetting()))) {
 			this.faults.add(fault);
 		}
-		return placeholder;
 	}
 
 	private InvalidDocumentException wrongType(String name, String expected, DocumentNode actual) {
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherTests.java
@@ -18,6 +18,22 @@
 
 	private final DispatchHarness world = DispatchHarness.create();
 
+	@Test
+	void connectionsAreTriedToManyTargetsWhereTheListIsOld() {
+		for (int i = 0; i < 12; i++) {
+			this.world.join(DispatchHarness.PLAIN, "t" + i);
+		}
+		this.world.open(1, RequestKind.UNSAFE, 1);
+		for (int i = 0; i < 11; i++) {
+			Sent sent = this.world.sent.get(i);
+			this.world.dispatcher.connectFailed(1, sent.attempt(), "refused", this.world.now);
+		}
+		assertThat(this.world.sent).hasSize(12);
+		assertThat(this.world.answers(1)).isEmpty();
+		this.world.dispatcher.connectFailed(1, this.world.sent.get(11).attempt(), "refused", this.world.now);
+		assertThat(this.world.answers(1)).containsExactly("refused 503");
+	}
+
 	@Test
 	void deliversAWholeAnswer() {
 		this.world.join(DispatchHarness.PLAIN, "a");
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
@@ -142,6 +142,37 @@
 			.isEqualTo(Optional.of(new ResumePoint(first.target().address(), "h1", "0")));
 	}
 
+	@Test
+	void aCopyThatHasToBeOrderedAgainGoesWhereAPartOfItStands() {
+		Sent first = streamWithoutRunningCopy();
+		this.world.leave(first.target());
+		this.world.passTime(AFTER_NOTICE);
+		ListedTarget destination = this.world.copies.get(0).destination();
+		this.world.now += 300;
+		this.world.copied(Outcome.COPIED, "h1");
+		this.world.join(DispatchHarness.ENGINES, "c");
+		this.world.beliefs.change(destination, (b) -> b.held(6_000));
+		this.world.copied(Outcome.UNDER_WAY, "");
+		this.world.passTime(100);
+		assertThat(this.world.copies).hasSize(3);
+		assertThat(this.world.copies.get(2).destination()).isEqualTo(destination);
+	}
+
+	@Test
+	void aPartThatStandsIsUsedWhereTheEngineEndsBeforeTheNextOrder() {
+		Sent first = streamWithoutRunningCopy();
+		this.world.leave(first.target());
+		this.world.passTime(AFTER_NOTICE);
+		ListedTarget destination = this.world.copies.get(0).destination();
+		this.world.copied(Outcome.COPIED, "h1");
+		this.world.copied(Outcome.NO_ANSWER, "");
+		this.world.breakOff(first);
+		Sent second = this.world.arrive();
+		assertThat(second.target()).isEqualTo(destination);
+		assertThat(second.order().resume())
+			.isEqualTo(Optional.of(new ResumePoint(first.target().address(), "h1", "0")));
+	}
+
 	@Test
 	void aCopyGoesWhereTheLinkIsFree() {
 		Sent first = streamWithoutRunningCopy();
