News of the store tell of its return and of the reader's group

Cause: entries that the store turned away took any word of others behind 1.5 s of silence for the store's return, and let what had lapsed come back though nothing had been away; a reader of another data centre could be relied on, while it relied on one here. Change: who has the store back lately says so for two seconds; only that counts as its return, and not for a process that follows the store itself. Readers count within their group alone. ReadingShare, an interface of one implementation, goes. Ruled out: a longer silence before the word of others counts; entries lapse within it.

--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/FollowListener.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/FollowListener.java
@@ -30,12 +30,11 @@
 	void lost(String cause);
 
 	/**
-	 * Hear that other processes tell of the store, which is still out of reach for this
-	 * one, before what they say is passed on.
-	 * @param silentMillis how long nothing was heard, in milliseconds
+	 * Hear that the store is back for others though not yet for this process, before what
+	 * they tell is passed on.
 	 * @param now the time in milliseconds
 	 */
-	void heardFromOthers(long silentMillis, long now);
+	void returnHeard(long now);
 
 	/**
 	 * Hear that the store is within reach again, before its answer is passed on.
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/SharedReading.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/SharedReading.java
@@ -25,7 +25,7 @@
  *
  * @since 0.2
  */
-public final class SharedReading implements ReadingShare {
+public final class SharedReading {
 
 	/** How often a reader gives a sign of life, in milliseconds. */
 	public static final long SIGN_MILLIS = 150;
@@ -53,7 +53,9 @@
 
 	private final String instance;
 
-	private final long group;
+	private final String group;
+
+	private final long groupKey;
 
 	private final Consumer<StoreNews> teller;
 
@@ -79,45 +81,61 @@
 	 */
 	public SharedReading(String instance, String group, IntSupplier others, Consumer<StoreNews> teller) {
 		this.instance = Objects.requireNonNull(instance, "instance must not be null");
-		this.group = Rendezvous.hash(group);
+		this.group = Objects.requireNonNull(group, "group must not be null");
+		this.groupKey = Rendezvous.hash(group);
 		this.others = others;
 		this.teller = teller;
 	}
 
 	/**
-	 * Take that another process reads.
+	 * Take that another process reads. Those of other groups read for these: two that
+	 * each ranked the other higher would both rely on it.
 	 * @param news what it told
 	 * @param now the time in milliseconds
 	 */
 	public void heard(StoreNews news, long now) {
-		if (!news.reader().equals(this.instance)) {
+		if (news.group().equals(this.group) && !news.reader().equals(this.instance)) {
 			this.readers.put(news.reader(), new Heard(news.to(), now));
 		}
 	}
 
-	@Override
+	/**
+	 * Return whether others rely on what this process reads, so that it has to find out
+	 * soon when it hears nothing any more.
+	 * @return whether there are others enough
+	 */
 	public boolean isShared() {
 		return this.others.getAsInt() >= FEWEST_OTHERS;
 	}
 
-	@Override
+	/**
+	 * Return whether another process reads for this one now, so that it need not read
+	 * itself.
+	 * @param revision the revision that this process knows
+	 * @param now the time in milliseconds
+	 * @return {@code false} if nobody does, or if the reader is behind
+	 */
 	public boolean isServed(long revision, long now) {
 		if (!isShared()) {
 			return false;
 		}
 		this.readers.values().removeIf((h) -> now - h.at > SILENCE_MILLIS);
-		long own = Rendezvous.weight(this.group, this.instance);
+		long own = Rendezvous.weight(this.groupKey, this.instance);
 		return this.readers.entrySet()
 			.stream()
 			.anyMatch((r) -> r.getValue().revision >= revision
-					&& Long.compareUnsigned(Rendezvous.weight(this.group, r.getKey()), own) > 0);
+					&& Long.compareUnsigned(Rendezvous.weight(this.groupKey, r.getKey()), own) > 0);
 	}
 
-	@Override
+	/**
+	 * Ask others for what happened behind a revision, because the store is out of reach.
+	 * @param revision the revision that this process knows
+	 * @param now the time in milliseconds
+	 */
 	public void ask(long revision, long now) {
 		if (now - this.askedAt >= ASK_MILLIS) {
 			this.askedAt = now;
-			this.teller.accept(new StoreNews(this.instance, revision, revision, List.of(), true));
+			this.teller.accept(new StoreNews(this.instance, this.group, revision, revision, List.of(), false, true));
 		}
 	}
 
@@ -133,14 +151,21 @@
 			return Optional.empty();
 		}
 		List<StoreChange> missed = this.read.stream().filter((c) -> c.revision() > question.from()).toList();
-		return Optional.of(new StoreNews(this.instance, question.from(), this.readTo, missed, false));
+		return Optional
+			.of(new StoreNews(this.instance, this.group, question.from(), this.readTo, missed, false, false));
 	}
 
-	@Override
-	public void tell(long from, long to, List<StoreChange> changes) {
+	/**
+	 * Tell others what was read.
+	 * @param from the revision before the changes
+	 * @param to the revision now known
+	 * @param changes the changes between them, none for a sign of life
+	 * @param returning whether the store is back only lately
+	 */
+	public void tell(long from, long to, List<StoreChange> changes, boolean returning) {
 		remember(from, to, changes);
 		if (isShared() || !changes.isEmpty()) {
-			this.teller.accept(new StoreNews(this.instance, from, to, changes, false));
+			this.teller.accept(new StoreNews(this.instance, this.group, from, to, changes, returning, false));
 		}
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -23,10 +23,10 @@
 public final class StoreFollower {
 
 	/**
-	 * After how long without any word of the store the first word of others counts as its
-	 * return, in milliseconds; less than the time in which entries lapse.
+	 * How long after the store's return items may still be missing which come back, in
+	 * milliseconds; the platform tells about two seconds.
 	 */
-	private static final long LONG_SILENCE_MILLIS = 1_500;
+	private static final long RETURNING_MILLIS = 2_000;
 
 	/** How often it is looked whether another process still reads, in milliseconds. */
 	private static final long REST_MILLIS = 50;
@@ -48,7 +48,7 @@
 
 	private final Backoff backoff;
 
-	private final ReadingShare share;
+	private final SharedReading reading;
 
 	private final List<StoreItem> pages = new ArrayList<>();
 
@@ -73,7 +73,9 @@
 
 	private long answeredAt;
 
-	private long toldAt = Long.MIN_VALUE / 2;
+	private long regainedAt = Long.MIN_VALUE / 2;
+
+	private long returnHeardAt = Long.MIN_VALUE / 2;
 
 	private boolean lost;
 
@@ -84,16 +86,16 @@
 	 * @param listener takes what was read
 	 * @param timers what is due later
 	 * @param backoff the waits after failures
-	 * @param share shares the reading with other processes
+	 * @param reading shares the reading with other processes
 	 */
 	public StoreFollower(FollowSettings settings, FollowOutputs outputs, FollowListener listener, Timers timers,
-			Backoff backoff, ReadingShare share) {
+			Backoff backoff, SharedReading reading) {
 		this.settings = settings;
 		this.outputs = outputs;
 		this.listener = listener;
 		this.timers = timers;
 		this.backoff = backoff;
-		this.share = share;
+		this.reading = reading;
 	}
 
 	/**
@@ -148,7 +150,7 @@
 		long before = this.revision;
 		take(changes, at, now);
 		if (this.revision > before) {
-			this.share.tell(before, this.revision, changes);
+			this.reading.tell(before, this.revision, changes, isReturning(now));
 		}
 		long next = Math.max(now, this.watchedAt + this.settings.gapMillis());
 		later(next, this::watchUnlessServed);
@@ -165,7 +167,9 @@
 		}
 		boolean isComplete = news.to() == this.revision || (news.from() <= this.revision && !news.changes().isEmpty());
 		if (isComplete) {
-			heardFromOthers(now);
+			if (news.returning()) {
+				heardOfReturn(now);
+			}
 			take(news.changes(), news.to(), now);
 		}
 		else if (this.resting) {
@@ -173,16 +177,7 @@
 			watch(now);
 		}
 		else if (this.lost) {
-			this.share.ask(this.revision, now);
-		}
-	}
-
-	// What lapsed while nothing was heard may come back, as it does after an outage.
-	private void heardFromOthers(long now) {
-		long heardBefore = Math.max(this.answeredAt, this.toldAt);
-		this.toldAt = now;
-		if (this.lost && now - heardBefore > LONG_SILENCE_MILLIS) {
-			this.listener.heardFromOthers(now - heardBefore, now);
+			this.reading.ask(this.revision, now);
 		}
 	}
 
@@ -235,11 +230,29 @@
 	private void regain(long now) {
 		if (this.lost) {
 			this.lost = false;
+			this.regainedAt = now;
 			this.listener.regained(now - this.answeredAt, now);
 		}
 		this.answeredAt = now;
 	}
 
+	private boolean isReturning(long now) {
+		return now - this.regainedAt < RETURNING_MILLIS;
+	}
+
+	// A process that follows the store itself knows better whether it was away.
+	private void heardOfReturn(long now) {
+		if (isDeaf(now) && now - this.returnHeardAt >= RETURNING_MILLIS) {
+			this.returnHeardAt = now;
+			this.listener.returnHeard(now);
+		}
+	}
+
+	// Whether the store is out of reach, or its answer overdue.
+	private boolean isDeaf(long now) {
+		return this.lost || (this.open && now > this.watchedAt + this.watchWait + SharedReading.SIGN_MILLIS);
+	}
+
 	// Changes known already are passed over, since a change may be told twice and late.
 	private void take(List<StoreChange> changes, long at, long now) {
 		List<StoreChange> fresh = changes.stream().filter((c) -> c.revision() > this.revision).toList();
@@ -251,7 +264,7 @@
 
 	// Another process that is known to follow the store stands for an answer of it.
 	private void watchUnlessServed(long now) {
-		this.resting = this.share.isServed(this.revision, now);
+		this.resting = this.reading.isServed(this.revision, now);
 		if (!this.resting) {
 			watch(now);
 			return;
@@ -262,9 +275,8 @@
 	}
 
 	private void signOfLife(long now) {
-		boolean isOverdue = now > this.watchedAt + this.watchWait + SharedReading.SIGN_MILLIS;
-		if (this.watching && this.open && !this.lost && !isOverdue) {
-			this.share.tell(this.revision, this.revision, List.of());
+		if (this.watching && this.open && !isDeaf(now)) {
+			this.reading.tell(this.revision, this.revision, List.of(), isReturning(now));
 		}
 		this.timers.at(now + SharedReading.SIGN_MILLIS, this::signOfLife);
 	}
@@ -291,7 +303,7 @@
 	}
 
 	private long holdMillis() {
-		return this.share.isShared() ? Math.min(SHARED_HOLD_MILLIS, this.settings.waitMillis())
+		return this.reading.isShared() ? Math.min(SHARED_HOLD_MILLIS, this.settings.waitMillis())
 				: this.settings.waitMillis();
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreNews.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreNews.java
@@ -4,21 +4,35 @@
 import java.util.Objects;
 
 /**
- * What one process that reads a store tells others of it.
+ * What one process that reads a store tells others of it, or what one asks that can't
+ * read it.
  *
- * @param reader the name of the instance that reads
+ * @param reader the name of the instance that tells or asks
+ * @param group the group that it reads for
  * @param from the revision before the changes
  * @param to the revision that the reader knows
  * @param changes all changes behind {@code from} up to {@code to} in their order; empty
  * if there are none, or if they were too large to be told
+ * @param returning whether the reader has the store back only lately, so that items may
+ * be missing which come back
  * @param asks whether the sender asks for all behind {@code from} instead of telling
  * @since 0.2
  */
-public record StoreNews(String reader, long from, long to, List<StoreChange> changes, boolean asks) {
+public record StoreNews(String reader, String group, long from, long to, List<StoreChange> changes, boolean returning,
+		boolean asks) {
 
 	public StoreNews {
 		Objects.requireNonNull(reader, "reader must not be null");
+		Objects.requireNonNull(group, "group must not be null");
 		changes = List.copyOf(changes);
 	}
 
+	/**
+	 * Return the same news without the changes.
+	 * @return news by which receivers see that they have missed something
+	 */
+	public StoreNews withoutChanges() {
+		return new StoreNews(this.reader, this.group, this.from, this.to, List.of(), this.returning, this.asks);
+	}
+
 }
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
@@ -152,8 +152,9 @@
 		this.follower.watched(this.lastCall, List.of(change("a", 101)), 101, 20);
 		this.timers.run(150);
 		assertThat(this.calls.get(2)).isEqualTo("watch 101 700");
-		assertThat(this.told).containsExactly(new StoreNews("me", 100, 101, List.of(change("a", 101)), false),
-				new StoreNews("me", 101, 101, List.of(), false));
+		assertThat(this.told).containsExactly(
+				new StoreNews("me", "z", 100, 101, List.of(change("a", 101)), false, false),
+				new StoreNews("me", "z", 101, 101, List.of(), false, false));
 	}
 
 	@Test
@@ -190,18 +191,63 @@
 		this.follower.failed(this.lastCall, "turned away", 1_000);
 		tell(lower(), 100, 101, 1_010, change("a", 101));
 		tell(lower(), 101, 102, 4_000, change("b", 102));
+		assertThat(this.heard).containsExactly("all [a]", "lost turned away", "changed [a]", "changed [b]").inOrder();
+	}
+
+	@Test
+	void hearsOfTheStoresReturnFromOthersBeforeWhatTheyTellUnlessItFollowsItself() {
+		watching();
+		this.follower.told(returning(100, 101, change("a", 101)), 100);
+		this.follower.failed(this.lastCall, "no answer", 1_000);
+		this.follower.told(returning(101, 102, change("b", 102)), 5_000);
+		this.follower.told(returning(102, 103, change("c", 103)), 5_500);
 		assertThat(this.heard)
-			.containsExactly("all [a]", "lost turned away", "changed [a]", "others after 2990", "changed [b]")
+			.containsExactly("all [a]", "changed [a]", "lost no answer", "return heard", "changed [b]", "changed [c]")
 			.inOrder();
 	}
 
+	@Test
+	void aProcessThatReliesOnAReaderWasNotAwayWithIt() {
+		this.others = 3;
+		watching();
+		tell(higher(), 100, 100, 10);
+		this.follower.watched(this.lastCall, List.of(), 100, 20);
+		for (long now = 150; now <= 3_000; now += 150) {
+			this.timers.run(now);
+			tell(higher(), 100, 100, now);
+		}
+		this.follower.told(returning(100, 101, change("a", 101)), 3_010);
+		assertThat(this.heard).containsExactly("all [a]", "changed [a]").inOrder();
+	}
+
+	@Test
+	void saysForAWhileThatTheStoreIsBackOnlyLately() {
+		watching();
+		this.follower.failed(this.lastCall, "refused", 1_000);
+		this.timers.run(1_200);
+		this.follower.watched(this.lastCall, List.of(change("b", 101)), 101, 1_210);
+		this.timers.run(1_300);
+		this.follower.watched(this.lastCall, List.of(change("c", 102)), 102, 3_210);
+		assertThat(this.told.stream().map(StoreNews::returning).toList()).containsExactly(true, false).inOrder();
+	}
+
+	@Test
+	void reliesOnNobodyOfAnotherGroup() {
+		this.others = 3;
+		watching();
+		this.reading.heard(new StoreNews(higher(), "y", 100, 100, List.of(), false, false), 10);
+		this.follower.watched(this.lastCall, List.of(), 100, 20);
+		this.timers.run(100);
+		assertThat(this.calls.get(2)).isEqualTo("watch 100 700");
+	}
+
 	@Test
 	void asksOthersForWhatItMissedWhileTheStoreIsOutOfReach() {
 		watching();
 		this.follower.failed(this.lastCall, "turned away", 1_000);
 		tell(lower(), 103, 104, 1_010, change("d", 104));
 		tell(lower(), 104, 105, 1_020, change("e", 105));
-		assertThat(this.told).containsExactly(new StoreNews("me", 100, 100, List.of(), true));
+		assertThat(this.told).containsExactly(new StoreNews("me", "z", 100, 100, List.of(), false, true));
 		assertThat(this.heard).containsExactly("all [a]", "lost turned away");
 		tell(lower(), 100, 105, 1_030, change("c", 102), change("d", 104), change("e", 105));
 		assertThat(this.heard).contains("changed [c, d, e]");
@@ -211,10 +257,10 @@
 	void answersWithWhatItReadItselfAndNothingElse() {
 		watching();
 		this.follower.watched(this.lastCall, List.of(change("a", 101), change("b", 103)), 103, 20);
-		assertThat(this.reading.answer(new StoreNews("two", 101, 101, List.of(), true)))
-			.isEqualTo(Optional.of(new StoreNews("me", 101, 103, List.of(change("b", 103)), false)));
-		assertThat(this.reading.answer(new StoreNews("two", 99, 99, List.of(), true))).isEqualTo(Optional.empty());
-		assertThat(this.reading.answer(new StoreNews("two", 103, 103, List.of(), true))).isEqualTo(Optional.empty());
+		assertThat(this.reading.answer(question(101)))
+			.isEqualTo(Optional.of(new StoreNews("me", "z", 101, 103, List.of(change("b", 103)), false, false)));
+		assertThat(this.reading.answer(question(99))).isEqualTo(Optional.empty());
+		assertThat(this.reading.answer(question(103))).isEqualTo(Optional.empty());
 	}
 
 	private void watching() {
@@ -253,8 +299,16 @@
 		}
 	}
 
+	private static StoreNews question(long revision) {
+		return new StoreNews("two", "z", revision, revision, List.of(), false, true);
+	}
+
+	private static StoreNews returning(long from, long to, StoreChange... changes) {
+		return new StoreNews("two", "z", from, to, List.of(changes), true, false);
+	}
+
 	private void tell(String reader, long from, long to, long now, StoreChange... changes) {
-		StoreNews news = new StoreNews(reader, from, to, List.of(changes), false);
+		StoreNews news = new StoreNews(reader, "z", from, to, List.of(changes), false, false);
 		this.reading.heard(news, now);
 		this.follower.told(news, now);
 	}
@@ -298,8 +352,8 @@
 		}
 
 		@Override
-		public void heardFromOthers(long silentMillis, long now) {
-			StoreFollowerTests.this.heard.add("others after " + silentMillis);
+		public void returnHeard(long now) {
+			StoreFollowerTests.this.heard.add("return heard");
 		}
 
 		@Override
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
@@ -13,7 +13,6 @@
 import dev.laneworks.core.dispatch.CopyTurn;
 import dev.laneworks.core.dispatch.RetryWindow;
 import dev.laneworks.core.dispatch.TargetBeliefs;
-import dev.laneworks.core.follow.ReadingShare;
 import dev.laneworks.core.follow.SharedReading;
 import dev.laneworks.core.follow.StoreNews;
 import dev.laneworks.core.gossip.EntryNews;
@@ -67,7 +66,7 @@
 	}
 
 	// How this entry shares the reading of the store with others of its data centre.
-	ReadingShare reading() {
+	SharedReading reading() {
 		return this.reading;
 	}
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
@@ -91,10 +91,10 @@
 	}
 
 	@Override
-	public void heardFromOthers(long silentMillis, long now) {
+	public void returnHeard(long now) {
 		this.directory.regained(now);
 		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "",
-				"out of reach, but other entries tell of it after " + silentMillis + " ms"));
+				"back for other entries, which tell of it"));
 	}
 
 	@Override
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/NewsSocket.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/NewsSocket.java
@@ -79,8 +79,7 @@
 	 */
 	public void send(List<InetSocketAddress> addresses, StoreNews news) {
 		byte[] whole = EntryDatagrams.of(news);
-		byte[] datagram = (whole.length <= MAX_DATAGRAM_BYTES) ? whole
-				: EntryDatagrams.of(new StoreNews(news.reader(), news.from(), news.to(), List.of(), news.asks()));
+		byte[] datagram = (whole.length <= MAX_DATAGRAM_BYTES) ? whole : EntryDatagrams.of(news.withoutChanges());
 		addresses.forEach((a) -> write(a, datagram));
 	}
 
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/StoreNewsCodec.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/StoreNewsCodec.java
@@ -19,6 +19,8 @@
 	static Protocol.StoreNews encode(StoreNews news) {
 		Protocol.StoreNews.Builder builder = Protocol.StoreNews.newBuilder()
 			.setReader(news.reader())
+			.setGroup(news.group())
+			.setReturning(news.returning())
 			.setFrom(news.from())
 			.setTo(news.to())
 			.setAsks(news.asks());
@@ -28,7 +30,8 @@
 
 	static StoreNews decode(Protocol.StoreNews news) {
 		List<StoreChange> changes = news.getChangesList().stream().map(StoreNewsCodec::decode).toList();
-		return new StoreNews(news.getReader(), news.getFrom(), news.getTo(), changes, news.getAsks());
+		return new StoreNews(news.getReader(), news.getGroup(), news.getFrom(), news.getTo(), changes,
+				news.getReturning(), news.getAsks());
 	}
 
 	private static Protocol.StoreChange encode(StoreChange change) {
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
@@ -23323,6 +23323,28 @@
      * @return The asks.
      */
     boolean getAsks();
+
+    /**
+     * <code>string group = 6;</code>
+     * @return The group.
+     */
+    java.lang.String getGroup();
+    /**
+     * <code>string group = 6;</code>
+     * @return The bytes for group.
+     */
+    com.google.protobuf.ByteString
+        getGroupBytes();
+
+    /**
+     * <pre>
+     * Whether the reader has the store back only lately.
+     * </pre>
+     *
+     * <code>bool returning = 7;</code>
+     * @return The returning.
+     */
+    boolean getReturning();
   }
   /**
    * <pre>
@@ -23352,6 +23374,7 @@
     private StoreNews() {
       reader_ = "";
       changes_ = java.util.Collections.emptyList();
+      group_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -23489,6 +23512,60 @@
       return asks_;
     }
 
+    public static final int GROUP_FIELD_NUMBER = 6;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object group_ = "";
+    /**
+     * <code>string group = 6;</code>
+     * @return The group.
+     */
+    @java.lang.Override
+    public java.lang.String getGroup() {
+      java.lang.Object ref = group_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        group_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string group = 6;</code>
+     * @return The bytes for group.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getGroupBytes() {
+      java.lang.Object ref = group_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        group_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int RETURNING_FIELD_NUMBER = 7;
+    private boolean returning_ = false;
+    /**
+     * <pre>
+     * Whether the reader has the store back only lately.
+     * </pre>
+     *
+     * <code>bool returning = 7;</code>
+     * @return The returning.
+     */
+    @java.lang.Override
+    public boolean getReturning() {
+      return returning_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -23518,6 +23595,12 @@
       if (asks_ != false) {
         output.writeBool(5, asks_);
       }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(group_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 6, group_);
+      }
+      if (returning_ != false) {
+        output.writeBool(7, returning_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -23551,6 +23634,13 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBoolSize(5, asks_);
       }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(group_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(6, group_);
+      }
+      if (returning_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(7, returning_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -23576,6 +23666,10 @@
           .equals(other.getChangesList())) return false;
       if (getAsks()
           != other.getAsks()) return false;
+      if (!getGroup()
+          .equals(other.getGroup())) return false;
+      if (getReturning()
+          != other.getReturning()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -23602,6 +23696,11 @@
       hash = (37 * hash) + ASKS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
           getAsks());
+      hash = (37 * hash) + GROUP_FIELD_NUMBER;
+      hash = (53 * hash) + getGroup().hashCode();
+      hash = (37 * hash) + RETURNING_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getReturning());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -23748,6 +23847,8 @@
         }
         bitField0_ = (bitField0_ & ~0x00000008);
         asks_ = false;
+        group_ = "";
+        returning_ = false;
         return this;
       }
 
@@ -23806,6 +23907,12 @@
         if (((from_bitField0_ & 0x00000010) != 0)) {
           result.asks_ = asks_;
         }
+        if (((from_bitField0_ & 0x00000020) != 0)) {
+          result.group_ = group_;
+        }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.returning_ = returning_;
+        }
       }
 
       @java.lang.Override
@@ -23860,6 +23967,14 @@
         if (other.getAsks() != false) {
           setAsks(other.getAsks());
         }
+        if (!other.getGroup().isEmpty()) {
+          group_ = other.group_;
+          bitField0_ |= 0x00000020;
+          onChanged();
+        }
+        if (other.getReturning() != false) {
+          setReturning(other.getReturning());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -23919,6 +24034,16 @@
                 bitField0_ |= 0x00000010;
                 break;
               } // case 40
+              case 50: {
+                group_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000020;
+                break;
+              } // case 50
+              case 56: {
+                returning_ = input.readBool();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -24356,6 +24481,122 @@
         return this;
       }
 
+      private java.lang.Object group_ = "";
+      /**
+       * <code>string group = 6;</code>
+       * @return The group.
+       */
+      public java.lang.String getGroup() {
+        java.lang.Object ref = group_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          group_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string group = 6;</code>
+       * @return The bytes for group.
+       */
+      public com.google.protobuf.ByteString
+          getGroupBytes() {
+        java.lang.Object ref = group_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          group_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string group = 6;</code>
+       * @param value The group to set.
+       * @return This builder for chaining.
+       */
+      public Builder setGroup(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        group_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string group = 6;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearGroup() {
+        group_ = getDefaultInstance().getGroup();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string group = 6;</code>
+       * @param value The bytes for group to set.
+       * @return This builder for chaining.
+       */
+      public Builder setGroupBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        group_ = value;
+        bitField0_ |= 0x00000020;
+        onChanged();
+        return this;
+      }
+
+      private boolean returning_ ;
+      /**
+       * <pre>
+       * Whether the reader has the store back only lately.
+       * </pre>
+       *
+       * <code>bool returning = 7;</code>
+       * @return The returning.
+       */
+      @java.lang.Override
+      public boolean getReturning() {
+        return returning_;
+      }
+      /**
+       * <pre>
+       * Whether the reader has the store back only lately.
+       * </pre>
+       *
+       * <code>bool returning = 7;</code>
+       * @param value The returning to set.
+       * @return This builder for chaining.
+       */
+      public Builder setReturning(boolean value) {
+
+        returning_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether the reader has the store back only lately.
+       * </pre>
+       *
+       * <code>bool returning = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearReturning() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        returning_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:laneworks.StoreNews)
     }
 
@@ -26978,18 +27219,19 @@
       " \001(\010\022\024\n\014again_millis\030\013 \001(\rJ\004\010\001\020\002\"v\n\rEntr" +
       "yDatagram\022\020\n\010protocol\030\001 \001(\r\022$\n\004work\030\002 \001(" +
       "\0132\024.laneworks.EntryNewsH\000\022%\n\005store\030\003 \001(\013" +
-      "2\024.laneworks.StoreNewsH\000B\006\n\004kind\"l\n\tStor" +
-      "eNews\022\016\n\006reader\030\001 \001(\t\022\014\n\004from\030\002 \001(\004\022\n\n\002t" +
-      "o\030\003 \001(\004\022\'\n\007changes\030\004 \003(\0132\026.laneworks.Sto" +
-      "reChange\022\014\n\004asks\030\005 \001(\010\"J\n\013StoreChange\022\013\n" +
-      "\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\005value\030\003 " +
-      "\001(\tH\000\210\001\001B\010\n\006_value\"E\n\017ServiceSpending\022\017\n" +
-      "\007service\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\017\n\007repe" +
-      "ats\030\003 \001(\r\"~\n\014WorkAtTarget\022\016\n\006target\030\001 \001(" +
-      "\t\022\020\n\010requests\030\002 \001(\r\022\023\n\013held_tokens\030\003 \001(\004" +
-      "\022\025\n\runread_tokens\030\004 \001(\004\022\017\n\007to_move\030\005 \001(\r" +
-      "\022\017\n\007copying\030\006 \001(\010B&\n\030dev.laneworks.wire." +
-      "protoB\010ProtocolP\000b\006proto3"
+      "2\024.laneworks.StoreNewsH\000B\006\n\004kind\"\216\001\n\tSto" +
+      "reNews\022\016\n\006reader\030\001 \001(\t\022\014\n\004from\030\002 \001(\004\022\n\n\002" +
+      "to\030\003 \001(\004\022\'\n\007changes\030\004 \003(\0132\026.laneworks.St" +
+      "oreChange\022\014\n\004asks\030\005 \001(\010\022\r\n\005group\030\006 \001(\t\022\021" +
+      "\n\treturning\030\007 \001(\010\"J\n\013StoreChange\022\013\n\003key\030" +
+      "\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\005value\030\003 \001(\tH\000" +
+      "\210\001\001B\010\n\006_value\"E\n\017ServiceSpending\022\017\n\007serv" +
+      "ice\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\017\n\007repeats\030\003" +
+      " \001(\r\"~\n\014WorkAtTarget\022\016\n\006target\030\001 \001(\t\022\020\n\010" +
+      "requests\030\002 \001(\r\022\023\n\013held_tokens\030\003 \001(\004\022\025\n\ru" +
+      "nread_tokens\030\004 \001(\004\022\017\n\007to_move\030\005 \001(\r\022\017\n\007c" +
+      "opying\030\006 \001(\010B&\n\030dev.laneworks.wire.proto" +
+      "B\010ProtocolP\000b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -27144,7 +27386,7 @@
     internal_static_laneworks_StoreNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_StoreNews_descriptor,
-        new java.lang.String[] { "Reader", "From", "To", "Changes", "Asks", });
+        new java.lang.String[] { "Reader", "From", "To", "Changes", "Asks", "Group", "Returning", });
     internal_static_laneworks_StoreChange_descriptor =
       getDescriptor().getMessageType(25);
     internal_static_laneworks_StoreChange_fieldAccessorTable = new
