--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -135,7 +135,7 @@
 	public DirectEntry(DirectSettings settings, PlatformAdapter.Factory platform) {
 		this.settings = settings;
 		this.inForce = settings;
-		this.plannedStop = new PlannedStop(settings.graceMillis() - END_EARLY_MILLIS);
+		this.plannedStop = new PlannedStop(settings.takeAllMillis(), settings.graceMillis() - END_EARLY_MILLIS);
 		SplittableRandom random = new SplittableRandom(ThreadLocalRandom.current().nextLong());
 		XnioIoThread thread = this.io.worker().getIoThread();
 		Timers timers = new Timers();
@@ -216,10 +216,9 @@
 		}
 		DirectSettings fresh = read.get();
 		this.loop.run(() -> this.inForce = fresh);
-		boolean needsStart = !fresh.callers().equals(this.settings.callers())
-				|| !fresh.store().equals(this.settings.store());
+		boolean isTaken = fresh.equalsButForRetryBounds(this.settings);
 		LogLine.of("reload")
-			.with("outcome", needsStart ? "in part: addresses change with the next start" : "taken")
+			.with("outcome", isTaken ? "taken" : "in part: the rest changes with the next start")
 			.info();
 	}
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
@@ -25,6 +25,8 @@
  * @param retryExtra the repeated sendings that the fleet may make besides
  * @param retryExtraShare the part of them that all entries together spend, from 0 to 1
  * @param graceMillis the time from the order to stop to the end of the process
+ * @param takeAllMillis how long after the order to stop all requests are taken; later
+ * ones only where the time left is enough for them
  * @param startHoldMillis how long requests that come during the start wait unread for the
  * plan at the most
  * @since 0.2
@@ -32,7 +34,7 @@
 public record DirectSettings(String instance, String dataCentre, InetSocketAddress callers, InetSocketAddress readiness,
 		InetSocketAddress operators, InetSocketAddress news, List<String> seeds, InetSocketAddress store,
 		FollowSettings follow, long retryWindowMillis, double retryRatio, double retryExtra, double retryExtraShare,
-		long graceMillis, long startHoldMillis) {
+		long graceMillis, long takeAllMillis, long startHoldMillis) {
 
 	/**
 	 * How long the store may hold a watch; see {@link FollowSettings}.
@@ -51,6 +53,12 @@
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
+	/**
+	 * The balancer goes on for two seconds, and a request is taken that was on its way
+	 * then.
+	 */
+	private static final long TAKE_ALL_MILLIS = 2_600;
+
 	/**
 	 * Two thirds of the second after which callers give up on an entry that reads
 	 * nothing; a start takes 0.4 to 1.2 s from listening to the plan.
@@ -89,6 +97,7 @@
 				retries.number("ratio", 0, 1, 0.1), retries.number("extra", 0, MAX_REPEATS, 0),
 				retries.number("extraShare", 0, 1, EXTRA_SHARE),
 				millis(root.number("graceSeconds", MIN_SECONDS, MAX_SECONDS, 8)),
+				root.integer("takeAllMillis", 0, ONE_MINUTE, TAKE_ALL_MILLIS),
 				root.integer("startHoldMillis", 0, ONE_MINUTE, START_HOLD_MILLIS));
 	}
 
@@ -102,6 +111,19 @@
 		return this.retryExtra * this.retryExtraShare / Math.max(FEWEST_ENTRIES, entries);
 	}
 
+	/**
+	 * Return whether other settings differ from these in nothing but the bounds on
+	 * repeated sendings, which alone may change while the process runs.
+	 * @param other the other settings
+	 * @return whether nothing else differs
+	 */
+	public boolean equalsButForRetryBounds(DirectSettings other) {
+		return equals(new DirectSettings(other.instance, other.dataCentre, other.callers, other.readiness,
+				other.operators, other.news, other.seeds, other.store, other.follow, other.retryWindowMillis,
+				this.retryRatio, this.retryExtra, this.retryExtraShare, other.graceMillis, other.takeAllMillis,
+				other.startHoldMillis));
+	}
+
 	private static long millis(double seconds) {
 		return Math.round(seconds * MILLIS_PER_SECOND);
 	}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EngineOrders.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EngineOrders.java
@@ -1,5 +1,6 @@
 package dev.laneworks.entry.direct;
 
+import java.time.Duration;
 import java.util.function.Consumer;
 
 import dev.laneworks.core.directory.ListedTarget;
@@ -13,6 +14,12 @@
  */
 public interface EngineOrders {
 
+	/**
+	 * How long an engine's answer to an order is waited for: a copy queues behind others
+	 * on its links, and an engine that is taken away lives for about two seconds.
+	 */
+	Duration LIMIT = Duration.ofSeconds(3);
+
 	/**
 	 * Order a copy of a running generation.
 	 * @param order the order
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlannedStop.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlannedStop.java
@@ -16,12 +16,6 @@
  */
 final class PlannedStop {
 
-	/**
-	 * How long after the order all requests are taken, in milliseconds: the balancer goes
-	 * on for two seconds, and a request is taken that was on its way then.
-	 */
-	private static final long TAKES_ALL_MILLIS = 2_600;
-
 	/**
 	 * What a token takes at the most, in milliseconds: 7 ms a step and 0.12 ms for each
 	 * of a dozen requests beside it, and prompts that are read meanwhile.
@@ -33,6 +27,8 @@
 
 	private static final long NOT_ORDERED = Long.MIN_VALUE;
 
+	private final long takeAllMillis;
+
 	private final long graceMillis;
 
 	// Written by the thread of the signal, read by the I/O thread.
@@ -40,9 +36,13 @@
 
 	/**
 	 * Create a stop that is not ordered.
-	 * @param graceMillis the time from the order to the end of the process
+	 * @param takeAllMillis how long after the order all requests are taken, in
+	 * milliseconds
+	 * @param graceMillis the time from the order to the end of the process, in
+	 * milliseconds
 	 */
-	PlannedStop(long graceMillis) {
+	PlannedStop(long takeAllMillis, long graceMillis) {
+		this.takeAllMillis = takeAllMillis;
 		this.graceMillis = graceMillis;
 	}
 
@@ -62,7 +62,7 @@
 	 * @return {@code false} if the process is likely to end before the answer does
 	 */
 	boolean leavesTimeFor(RouteSpec route, Optional<EngineWork> work, long now) {
-		if (!isOrdered() || now - this.orderedAt < TAKES_ALL_MILLIS) {
+		if (!isOrdered() || now - this.orderedAt < this.takeAllMillis) {
 			return true;
 		}
 		long left = this.orderedAt + this.graceMillis - now;
--- /dev/null
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/DirectSettingsTests.java
@@ -0,0 +1,39 @@
+package dev.laneworks.entry.direct;
+
+import dev.laneworks.core.document.DocumentReader;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link DirectSettings}.
+ */
+class DirectSettingsTests {
+
+	private static final String TEXT = """
+			{ "instance": "e1", "dataCentre": "z", "callers": "10.0.0.1:80", "readiness": "10.0.0.1:81",
+			"operators": "10.0.0.1:82", "news": "10.0.0.1:83", "seeds": [], "store": { "address": "10.0.0.9:90" },
+			"retries": { "ratio": 0.2, "extra": 50 }, "graceSeconds": 8 }
+			""";
+
+	private final DirectSettings settings = read(TEXT);
+
+	@Test
+	void boundsOnRepeatedSendingsMayChangeWhileTheProcessRuns() {
+		DirectSettings fresh = read(TEXT.replace("0.2", "0.1").replace("50", "60"));
+		assertThat(fresh.equalsButForRetryBounds(this.settings)).isTrue();
+		assertThat(fresh).isNotEqualTo(this.settings);
+	}
+
+	@Test
+	void allElseChangesWithTheNextStart() {
+		assertThat(read(TEXT.replace(":81", ":91")).equalsButForRetryBounds(this.settings)).isFalse();
+		assertThat(read(TEXT.replace(":83", ":93")).equalsButForRetryBounds(this.settings)).isFalse();
+		assertThat(read(TEXT.replace("8 }", "9 }")).equalsButForRetryBounds(this.settings)).isFalse();
+	}
+
+	private static DirectSettings read(String text) {
+		return DocumentReader.read("test", text, DirectSettings::read).get();
+	}
+
+}
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlannedStopTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlannedStopTests.java
@@ -17,7 +17,7 @@
  */
 class PlannedStopTests {
 
-	private final PlannedStop stop = new PlannedStop(8_000);
+	private final PlannedStop stop = new PlannedStop(2_600, 8_000);
 
 	@Test
 	void takesEverythingBeforeTheOrderAndForAMomentBehindIt() {
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/platform/HttpConfigurationService.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/platform/HttpConfigurationService.java
@@ -3,15 +3,14 @@
 import java.io.IOException;
 import java.net.URI;
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import dev.laneworks.core.peer.ConfigurationService;
 import dev.laneworks.core.peer.PublishedDocument;
+import dev.laneworks.runtime.http.BoundedCalls;
 import dev.laneworks.runtime.http.HttpCall;
 import dev.laneworks.runtime.http.HttpCaller;
-import dev.laneworks.runtime.http.HttpExchange;
 import dev.laneworks.runtime.http.JsonText;
 import dev.laneworks.runtime.http.WholeResponse;
 import io.vavr.control.Either;
@@ -34,9 +33,7 @@
 
 	private static final Duration SLACK = Duration.ofSeconds(3);
 
-	private final HttpCaller caller;
-
-	private final XnioExecutor timer;
+	private final BoundedCalls calls;
 
 	private final URI server;
 
@@ -50,8 +47,7 @@
 	 * @param wait how long the service may hold a watch, in whole seconds
 	 */
 	public HttpConfigurationService(HttpCaller caller, XnioExecutor timer, URI server, Duration wait) {
-		this.caller = caller;
-		this.timer = timer;
+		this.calls = new BoundedCalls(caller, timer);
 		this.server = server;
 		this.wait = wait;
 	}
@@ -59,13 +55,8 @@
 	@Override
 	public void watch(long afterVersion, Consumer<Either<IOException, PublishedDocument>> receiver) {
 		String path = "/configuration?after=" + afterVersion + "&wait=" + this.wait.toSeconds();
-		CallOnce once = new CallOnce(receiver);
-		HttpExchange exchange = this.caller.call(HttpCall.of(this.server, "GET", path),
-				new WholeResponse(MAX_BYTES, (r) -> once.accept(r.flatMap(HttpConfigurationService::document))));
-		this.timer.executeAfter(() -> {
-			exchange.abandon();
-			once.accept(Either.left(new IOException("the configuration service did not answer in time")));
-		}, this.wait.plus(SLACK).toMillis(), TimeUnit.MILLISECONDS);
+		this.calls.call(HttpCall.of(this.server, "GET", path), MAX_BYTES, this.wait.plus(SLACK),
+				(r) -> receiver.accept(r.flatMap(HttpConfigurationService::document)));
 	}
 
 	private static Either<IOException, PublishedDocument> document(WholeResponse.Received received) {
@@ -81,31 +72,4 @@
 		}
 	}
 
-	/**
-	 * Passes on the first of several answers.
-	 */
-	private static final class CallOnce implements Consumer<Either<IOException, PublishedDocument>> {
-
-		private Consumer<Either<IOException, PublishedDocument>> receiver;
-
-		CallOnce(Consumer<Either<IOException, PublishedDocument>> receiver) {
-			this.receiver = receiver;
-		}
-
-		@Override
-		public void accept(Either<IOException, PublishedDocument> answer) {
-			Consumer<Either<IOException, PublishedDocument>> first = take();
-			if (first != null) {
-				first.accept(answer);
-			}
-		}
-
-		private synchronized Consumer<Either<IOException, PublishedDocument>> take() {
-			Consumer<Either<IOException, PublishedDocument>> first = this.receiver;
-			this.receiver = null;
-			return first;
-		}
-
-	}
-
 }
--- a/laneworks-standin/src/main/java/dev/laneworks/standin/engine/EngineServer.java
+++ b/laneworks-standin/src/main/java/dev/laneworks/standin/engine/EngineServer.java
@@ -4,20 +4,9 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
-import java.util.Random;
-import java.util.Set;
-import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import dev.laneworks.runtime.duty.Duty;
 import dev.laneworks.runtime.duty.Supervisor;
 import dev.laneworks.runtime.http.EventStream;
@@ -46,8 +35,6 @@
 
 	private static final int RING = 8192;
 
-	private static final long HOLD_MICROS = TimeUnit.SECONDS.toMicros(60);
-
 	private static final int CHARS_PER_TOKEN = 4;
 
 	private static final int PREFIX_CHARS = 512;
@@ -56,7 +43,7 @@
 
 	private final Undertow server;
 
-	private final Duty<State> duty;
+	private final Duty<EngineState> duty;
 
 	private final Supervisor supervisor;
 
@@ -70,7 +57,7 @@
 	public EngineServer(InetSocketAddress address, EngineSettings settings) {
 		this.settings = settings;
 		this.supervisor = new Supervisor("engine", 3, Duration.ofSeconds(10), (ex) -> Runtime.getRuntime().halt(70));
-		this.duty = new Duty<>("engine", new State(settings), RING, Duration.ofMillis(1), State::run);
+		this.duty = new Duty<>("engine", new EngineState(settings), RING, Duration.ofMillis(1), EngineState::run);
 		this.server = Undertow.builder()
 			.setIoThreads(2)
 			.setWorkerThreads(4)
@@ -83,10 +70,10 @@
 				.delete("/v1/generations/{name}", (e) -> answer(e, (s) -> s.cancel(parameter(e, "name", ""))))
 				.post("/v1/generations/{name}/pause", (e) -> answer(e, (s) -> s.pause(parameter(e, "name", ""))))
 				.post("/v1/generations/{name}/resume", (e) -> answer(e, (s) -> s.resume(parameter(e, "name", ""))))
-				.get("/v1/load", (e) -> answer(e, State::load))
+				.get("/v1/load", (e) -> answer(e, EngineState::load))
 				.get("/v1/cache-events",
 						(e) -> answer(e, (s) -> s.cacheEvents(Long.parseLong(parameter(e, "after", "0")))))
-				.get("/v1/runs", (e) -> answer(e, State::runs)))
+				.get("/v1/runs", (e) -> answer(e, EngineState::runs)))
 			.build();
 	}
 
@@ -129,8 +116,7 @@
 			String name = (given != null) ? given : "anonymous-" + System.nanoTime();
 			String priority = e.getRequestHeaders().getFirst("X-Priority");
 			EngineRequest request = request(name, (priority != null) ? Integer.parseInt(priority) : 1, json);
-			stream(e, new Output(name, json.path("model").asText(""), chat), 0,
-					(s) -> s.submit(request, json.path("model").asText(""), chat));
+			stream(e, name, 0, (s) -> s.submit(request, json.path("model").asText(""), chat));
 		});
 	}
 
@@ -139,17 +125,16 @@
 		int offset = Integer.parseInt(parameter(exchange, "offset", "0"));
 		exchange.dispatch();
 		this.duty.put((s) -> {
-			Output output = s.outputs.get(name);
-			if (output == null) {
+			if (!s.holds(name)) {
 				exchange.setStatusCode(StatusCodes.NOT_FOUND);
 				exchange.getResponseSender().send("{\"error\":\"no such generation\"}");
 				return;
 			}
-			stream(exchange, output, offset, (x) -> true);
+			stream(exchange, name, offset, (x) -> true);
 		});
 	}
 
-	private void stream(HttpServerExchange exchange, Output output, int offset, StartRule rule) {
+	private void stream(HttpServerExchange exchange, String name, int offset, StartRule rule) {
 		exchange.dispatch();
 		this.duty.put((s) -> {
 			if (!rule.start(s)) {
@@ -157,7 +142,7 @@
 				exchange.getResponseSender().send("{\"error\":\"the generation was cancelled\"}");
 				return;
 			}
-			EventStream.open(exchange, (stream) -> this.duty.put((t) -> t.read(output.name, stream, offset)));
+			EventStream.open(exchange, (stream) -> this.duty.put((t) -> t.read(name, stream, offset)));
 		});
 	}
 
@@ -196,7 +181,7 @@
 	@FunctionalInterface
 	private interface StartRule {
 
-		boolean start(State state);
+		boolean start(EngineState state);
 
 	}
 
@@ -206,236 +191,7 @@
 	@FunctionalInterface
 	private interface Answer {
 
-		Object of(State state);
-
-	}
-
-	/**
-	 * A load report.
-	 */
-	private record Load(int running, int waiting, long usedTokens, long capacityTokens, long preemptions) {
-
-	}
-
-	/**
-	 * A prefix stored or dropped.
-	 */
-	private record CacheEvent(long number, long at, long hash, boolean stored) {
-
-	}
-
-	/**
-	 * The output of a generation.
-	 */
-	private static final class Output {
-
-		private final String name;
-
-		private final String model;
-
-		private final boolean chat;
-
-		private final List<String> tokens = new ArrayList<>();
-
-		private final Map<EventStream, Integer> readers = new HashMap<>();
-
-		private String finishReason;
-
-		private long endedAt;
-
-		Output(String name, String model, boolean chat) {
-			this.name = name;
-			this.model = model;
-			this.chat = chat;
-		}
-
-		void pump(EventStream stream) {
-			int offset = this.readers.get(stream);
-			while (offset < this.tokens.size()) {
-				stream.send(chunk(offset, this.tokens.get(offset), null));
-				offset++;
-			}
-			this.readers.put(stream, offset);
-			if (this.finishReason != null) {
-				stream.send(chunk(offset, "", this.finishReason));
-				stream.send("[DONE]");
-				stream.end();
-				this.readers.remove(stream);
-			}
-		}
-
-		private String chunk(int offset, String text, String finish) {
-			ObjectNode json = JsonText.object();
-			json.put("id", this.name);
-			json.put("object", this.chat ? "chat.completion.chunk" : "text_completion");
-			json.put("model", this.model);
-			json.put("offset", offset);
-			ObjectNode choice = json.putArray("choices").addObject();
-			choice.put("index", 0);
-			if (this.chat) {
-				choice.putObject("delta").put("content", text);
-			}
-			else {
-				choice.put("text", text);
-			}
-			choice.put("finish_reason", finish);
-			return json.toString();
-		}
-
-	}
-
-	/**
-	 * What the engine's one thread owns.
-	 */
-	private static final class State implements EngineListener {
-
-		private final EngineSettings settings;
-
-		private final TokenText text;
-
-		private final EngineModel model;
-
-		private final Map<String, Output> outputs = new HashMap<>();
-
-		private final Set<String> cancelled = new HashSet<>();
-
-		private final Map<String, Integer> runs = new HashMap<>();
-
-		private final Deque<CacheEvent> cacheEvents = new ArrayDeque<>();
-
-		private final Random losses;
-
-		private long cacheEventCount;
-
-		private Load reported = new Load(0, 0, 0, 0, 0);
-
-		private Load pending = new Load(0, 0, 0, 0, 0);
-
-		private long reportedAt;
-
-		State(EngineSettings settings) {
-			this.settings = settings;
-			this.text = new TokenText(settings);
-			this.losses = new Random(settings.seed());
-			this.model = new EngineModel(settings, new PrefixCache(settings.prefixCacheTokens(), this::cacheChanged),
-					this);
-		}
-
-		void run() {
-			long now = now();
-			while (this.model.stepEndsAt().filter((t) -> t <= now).isPresent()) {
-				this.model.step();
-			}
-			if (now - this.reportedAt >= TimeUnit.MILLISECONDS.toMicros(this.settings.reportLagMillis())) {
-				this.reportedAt = now;
-				this.reported = this.pending;
-				this.pending = new Load(this.model.runningCount(), this.model.waitingCount(), this.model.usedTokens(),
-						this.settings.capacityTokens(), this.model.preemptions());
-				this.outputs.values().removeIf((o) -> o.finishReason != null && now - o.endedAt > HOLD_MICROS);
-			}
-		}
-
-		boolean submit(EngineRequest request, String modelName, boolean chat) {
-			if (this.cancelled.contains(request.name())) {
-				return false;
-			}
-			if (!this.outputs.containsKey(request.name())) {
-				this.runs.merge(request.name(), 1, Integer::sum);
-				this.outputs.put(request.name(), new Output(request.name(), modelName, chat));
-				this.model.submit(request, now());
-			}
-			return true;
-		}
-
-		void read(String name, EventStream stream, int offset) {
-			Output output = this.outputs.get(name);
-			if (output == null) {
-				stream.end();
-				return;
-			}
-			output.readers.put(stream, offset);
-			output.pump(stream);
-		}
-
-		Object state(String name) {
-			return this.outputs.containsKey(name) ? Map.of("name", name) : null;
-		}
-
-		Object cancel(String name) {
-			this.cancelled.add(name);
-			this.model.cancel(name);
-			Output output = this.outputs.remove(name);
-			if (output == null) {
-				return null;
-			}
-			output.readers.keySet().forEach(EventStream::end);
-			return Map.of("cancelled", name);
-		}
-
-		Object pause(String name) {
-			return this.model.pause(name) ? Map.of("paused", name) : null;
-		}
-
-		Object resume(String name) {
-			return this.model.resume(name, now()) ? Map.of("resumed", name) : null;
-		}
-
-		Object load() {
-			return this.reported;
-		}
-
-		// The names of all generations ever run and how often, for checks.
-		Object runs() {
-			return this.runs;
-		}
-
-		Object cacheEvents(long after) {
-			long visible = now() - TimeUnit.MILLISECONDS.toMicros(this.settings.eventLagMillis());
-			return this.cacheEvents.stream().filter((e) -> e.number() > after && e.at() <= visible).toList();
-		}
-
-		@Override
-		public void onToken(String name, int offset, long atMicros) {
-			Output output = this.outputs.get(name);
-			if (output != null) {
-				output.tokens.add(this.text.token(name, offset));
-				each(output.readers, output::pump);
-			}
-		}
-
-		@Override
-		public void onEnd(String name, int total, boolean byLimit, long atMicros) {
-			Output output = this.outputs.get(name);
-			if (output != null) {
-				output.finishReason = byLimit ? "length" : "stop";
-				output.endedAt = atMicros;
-				each(output.readers, output::pump);
-			}
-		}
-
-		@Override
-		public void onPreempted(String name, long atMicros) {
-			// Counted by the model.
-		}
-
-		private void cacheChanged(long hash, boolean stored) {
-			this.cacheEventCount++;
-			if (this.losses.nextDouble() < this.settings.eventLossShare()) {
-				return;
-			}
-			this.cacheEvents.addLast(new CacheEvent(this.cacheEventCount, now(), hash, stored));
-			if (this.cacheEvents.size() > RING) {
-				this.cacheEvents.removeFirst();
-			}
-		}
-
-		private static void each(Map<EventStream, Integer> readers, Consumer<EventStream> action) {
-			List.copyOf(readers.keySet()).forEach(action);
-		}
-
-		private static long now() {
-			return TimeUnit.NANOSECONDS.toMicros(System.nanoTime());
-		}
+		Object of(EngineState state);
 
 	}
 
