Take a whole change of the list in before anything is decided; move what goes on at an engine that leaves

Cause: two engines reclaimed at once. The first notice was acted on before the second was known, so that a generation went on at a copy on the other engine that left. There its first event was most often one that the caller had already, and the look at whether its engine leaves stood behind the return for such events: it was never moved again and cut 1.5 s later. Change: TargetDirectory.together; the listener hears once all is taken in. The look is made when a run begins to answer. Ruled out: waiting a few milliseconds for further notices, which would delay every move. Test: two in StreamMovingTests; the second failed with "expected 1 copy, was 0".

--- a/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
@@ -36,6 +36,11 @@
 
 	private final DirectoryListener listener;
 
+	/** What the listener is to be told once a change of several targets is taken in. */
+	private final List<Runnable> untold = new ArrayList<>();
+
+	private int changesUnderWay;
+
 	private long settledAt = Long.MIN_VALUE;
 
 	/**
@@ -54,6 +59,27 @@
 		this.settledAt = now + RETURN_MILLIS;
 	}
 
+	/**
+	 * Take changes of several targets as one: the listener hears of them once all are
+	 * taken in, so that no work goes from a target that leaves to one that leaves with
+	 * it.
+	 * @param changes what changes this directory
+	 */
+	public void together(Runnable changes) {
+		this.changesUnderWay++;
+		try {
+			changes.run();
+		}
+		finally {
+			this.changesUnderWay--;
+		}
+		if (this.changesUnderWay == 0) {
+			List<Runnable> due = List.copyOf(this.untold);
+			this.untold.clear();
+			due.forEach(Runnable::run);
+		}
+	}
+
 	/**
 	 * Take a target's entry.
 	 * @param target the target
@@ -64,10 +90,10 @@
 		boolean wasLeaving = this.left.contains(target.id());
 		if (target.leaving() && !wasLeaving) {
 			this.left.add(target.id());
-			this.listener.leaving(target, LeavingCause.SAID_SO);
+			tell(() -> this.listener.leaving(target, LeavingCause.SAID_SO));
 		}
 		if (!target.leaving() && before == null && !wasLeaving) {
-			this.listener.joined(target);
+			tell(() -> this.listener.joined(target));
 		}
 	}
 
@@ -94,6 +120,10 @@
 	 * @param now the time in milliseconds
 	 */
 	public void replaceAll(Collection<ListedTarget> all, long now) {
+		together(() -> replace(all, now));
+	}
+
+	private void replace(Collection<ListedTarget> all, long now) {
 		Set<String> listed = new HashSet<>();
 		for (ListedTarget target : all) {
 			listed.add(target.id());
@@ -113,7 +143,7 @@
 	public void refusedWork(String id) {
 		ListedTarget target = this.targets.get(id);
 		if (target != null && this.left.add(id)) {
-			this.listener.leaving(target, LeavingCause.REFUSED);
+			tell(() -> this.listener.leaving(target, LeavingCause.REFUSED));
 		}
 	}
 
@@ -122,6 +152,10 @@
 	 * @param now the time in milliseconds
 	 */
 	public void expire(long now) {
+		together(() -> dropLapsed(now));
+	}
+
+	private void dropLapsed(long now) {
 		for (Map.Entry<String, Long> lapsed : List.copyOf(this.lapsedUntil.entrySet())) {
 			if (now >= lapsed.getValue()) {
 				this.lapsedUntil.remove(lapsed.getKey());
@@ -182,9 +216,18 @@
 	private void drop(ListedTarget target, LeavingCause cause) {
 		this.targets.remove(target.id());
 		if (!this.left.remove(target.id())) {
-			this.listener.leaving(target, cause);
+			tell(() -> this.listener.leaving(target, cause));
+		}
+		tell(() -> this.listener.gone(target));
+	}
+
+	private void tell(Runnable news) {
+		if (this.changesUnderWay > 0) {
+			this.untold.add(news);
+		}
+		else {
+			news.run();
 		}
-		this.listener.gone(target);
 	}
 
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -243,8 +243,7 @@
 		if (call.isSuccessor(found.get())) {
 			this.continuation.takeOver(call, now);
 		}
-		boolean isFirst = !found.get().isAnswering();
-		if (isFirst) {
+		if (!found.get().isAnswering()) {
 			beganToAnswer(call, found.get(), now);
 		}
 		if (call.lastEvent() != DirectCall.NO_EVENT && id <= call.lastEvent()) {
@@ -262,10 +261,6 @@
 		Optional<EngineSpec> engine = engine(call);
 		this.sender.grew(call, found.get(), engine, now);
 		engine.ifPresent((e) -> this.standbys.dropIfUseless(call, e, now));
-		// A run that began after its engine's notice; only one that runs can be moved.
-		if (isFirst && !this.directory.takesWork(found.get().target().id())) {
-			this.continuation.copyAway(call, now);
-		}
 		return true;
 	}
 
@@ -377,6 +372,12 @@
 		recordGood(attempt, now);
 		call.mayHaveRun();
 		this.standbys.watch(call, attempt, engine(call), now);
+		// A run that began after its engine's notice; only one that runs can be moved.
+		// Its
+		// first event may be one that the caller has already.
+		if (!this.directory.takesWork(attempt.target().id())) {
+			this.continuation.copyAway(call, now);
+		}
 	}
 
 	private Optional<EngineSpec> engine(DirectCall call) {
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
@@ -78,6 +78,44 @@
 		assertThat(this.world.event(first, 3)).isFalse();
 	}
 
+	@Test
+	void aGenerationThatGoesOnAtAnEngineWhichLeavesTooIsMovedFromThere() {
+		this.world.join(DispatchHarness.ENGINES, "a");
+		this.world.join(DispatchHarness.ENGINES, "b");
+		this.world.openStream(1);
+		Sent first = this.world.arrive();
+		this.world.event(first, 0);
+		this.world.leave(first.target());
+		Sent second = this.world.arrive();
+		this.world.join(DispatchHarness.ENGINES, "c");
+		this.world.leave(second.target());
+		this.world.event(first, 1);
+		assertThat(this.world.event(second, 1)).isFalse();
+		this.world.passTime(AFTER_NOTICE);
+		assertThat(this.world.copies).hasSize(1);
+		assertThat(this.world.copies.get(0).source()).isEqualTo(second.target());
+		assertThat(this.world.copies.get(0).destination().id()).isEqualTo("c");
+	}
+
+	@Test
+	void aGenerationDoesNotGoOnAtACopyWhoseEngineLeavesAtTheSameTime() {
+		ListedTarget a = this.world.join(DispatchHarness.ENGINES, "a");
+		ListedTarget b = this.world.join(DispatchHarness.ENGINES, "b");
+		this.world.openStream(1);
+		Sent first = this.world.arrive();
+		this.world.event(first, 0);
+		this.world.join(DispatchHarness.ENGINES, "c");
+		ListedTarget copy = first.target().equals(a) ? b : a;
+		this.world.directory.together(() -> {
+			this.world.leave(first.target());
+			this.world.directory.remove(copy.id(), this.world.now);
+		});
+		this.world.passTime(AFTER_NOTICE);
+		assertThat(this.world.sent).hasSize(1);
+		assertThat(this.world.copies).hasSize(1);
+		assertThat(this.world.copies.get(0).destination().id()).isEqualTo("c");
+	}
+
 	@Test
 	void aRunThatBeginsAfterTheNoticeIsCopiedOnceItRunsSinceItsRunningCopyIsNotThereYet() {
 		this.world.join(DispatchHarness.ENGINES, "a");
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
@@ -69,6 +69,10 @@
 
 	@Override
 	public void changed(List<StoreChange> changes, long now) {
+		this.directory.together(() -> take(changes, now));
+	}
+
+	private void take(List<StoreChange> changes, long now) {
 		for (StoreChange change : changes) {
 			String id = this.source.targetId(change.key());
 			if (change.item().isEmpty()) {
