Learn how long connections take before one counts as overdue

Cause: an entry that has just started needs 0.4 to 0.7 s to get from ordering connections to looking at them again (35 requests waited for it, 12 ms each at 0.57 of a core). Change: ConnectTimes, the estimate of RFC 6298: one second until a connection was seen, then the smoothed time and four variations, 250 ms at the least as before. Ruled out: a longer fixed limit, which costs a call its deadline where a worker is dark. Test: ConnectTimesTests, red before. aConnectionThatDoesNotComeUpIsGivenUp now lets one connection come up first, since the first of a process has a second; its bound stands, and a test of the first one's bound beside it.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Attempt.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Attempt.java
@@ -21,15 +21,19 @@
 
 	private long unreadTokens;
 
+	private final long begunAt;
+
 	private long sentAt = -1;
 
 	private boolean answering;
 
-	Attempt(int number, ListedTarget target, Optional<ResumePoint> resume, Optional<ListedTarget> backup) {
+	Attempt(int number, ListedTarget target, Optional<ResumePoint> resume, Optional<ListedTarget> backup,
+			long begunAt) {
 		this.number = number;
 		this.target = target;
 		this.resume = resume;
 		this.backup = backup;
+		this.begunAt = begunAt;
 	}
 
 	int number() {
@@ -44,6 +48,11 @@
 		return this.resume;
 	}
 
+	// When its connection was ordered.
+	long begunAt() {
+		return this.begunAt;
+	}
+
 	// The engine memory that this attempt is counted with.
 	long heldTokens() {
 		return this.heldTokens;
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -93,7 +93,7 @@
 		// go over links that others need to leave the same engine.
 		Optional<ListedTarget> backup = resume.isPresent() ? Optional.empty()
 				: engine.flatMap((e) -> chooseBackup(call, target, e, now));
-		Attempt attempt = call.begin(target, resume, backup);
+		Attempt attempt = call.begin(target, resume, backup, now);
 		this.audit.record(call.event(AuditKind.ROUTED, target.id(), "attempt " + attempt.number()
 				+ ", own requests there " + this.beliefs.of(target).inFlight() + ", all requests "
 				+ Math.round(this.beliefs.requests(target, now))
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
@@ -106,10 +106,10 @@
 		return this.successor.filter((a) -> a == candidate).isPresent();
 	}
 
-	Attempt begin(ListedTarget target, Optional<ResumePoint> resume, Optional<ListedTarget> backup) {
+	Attempt begin(ListedTarget target, Optional<ResumePoint> resume, Optional<ListedTarget> backup, long now) {
 		this.attempts++;
 		this.lastTarget = target.id();
-		return new Attempt(this.attempts, target, resume, backup);
+		return new Attempt(this.attempts, target, resume, backup, now);
 	}
 
 	void use(Attempt current) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DispatchSettings.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DispatchSettings.java
@@ -3,9 +3,9 @@
 /**
  * The times by which a {@link Dispatcher} decides.
  *
- * @param connectMillis how long a connection may take to come up before another target is
- * tried; links between data centres take a few milliseconds, and a dead target says
- * nothing
+ * @param connectMillis the least time that a connection is given to come up before
+ * another target is tried; more where connections take longer. Links between data centres
+ * take a few milliseconds, and a dead target says nothing
  * @param maxAttempts the most targets that one request is sent to
  * @param maxConnections the most targets that a connection is tried to for one request;
  * many where the list is old and its targets have been replaced
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -141,6 +141,7 @@
 			return OptionalLong.empty();
 		}
 		DirectCall call = this.calls.get(number);
+		this.offers.connected(found.get(), now);
 		long left = call.dueAt() - now;
 		if (left <= 0) {
 			return OptionalLong.empty();
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Offers.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Offers.java
@@ -35,6 +35,8 @@
 
 	private final ConnectFailure connectFailed;
 
+	private final ConnectTimes connectTimes;
+
 	Offers(DispatchSettings settings, RetryWindow retries, AttemptSender sender, CallEnding ending, Timers timers,
 			DispatchOutputs outputs, AuditSink audit, Function<DirectCall, Optional<EngineSpec>> engines,
 			ConnectFailure connectFailed) {
@@ -47,6 +49,7 @@
 		this.audit = audit;
 		this.engines = engines;
 		this.connectFailed = connectFailed;
+		this.connectTimes = new ConnectTimes(settings.connectMillis());
 	}
 
 	// Offers a call that no target has run to the best one left, or refuses it.
@@ -70,10 +73,15 @@
 	// Sends a call to a target and sees to it that its connection comes up in time.
 	Attempt begin(DirectCall call, ListedTarget target, Optional<ResumePoint> resume, long now) {
 		Attempt attempt = this.sender.send(call, target, this.engines.apply(call), resume, now);
-		this.timers.at(now + this.settings.connectMillis(), (t) -> connectOverdue(call, attempt, t));
+		this.timers.at(now + this.connectTimes.limitMillis(), (t) -> connectOverdue(call, attempt, t));
 		return attempt;
 	}
 
+	// The connection of an attempt came up.
+	void connected(Attempt attempt, long now) {
+		this.connectTimes.cameUp(now - attempt.begunAt());
+	}
+
 	private void connectOverdue(DirectCall call, Attempt attempt, long now) {
 		if (call.find(attempt.number()).isPresent() && !attempt.isSent()) {
 			this.outputs.abandon(call.number(), attempt.number());
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherTests.java
@@ -115,7 +115,19 @@
 		this.world.join(DispatchHarness.PLAIN, "a");
 		this.world.join(DispatchHarness.PLAIN, "b");
 		this.world.open(1, RequestKind.UNSAFE, 1);
+		this.world.answer(this.world.arrive(), 200, false);
+		this.world.open(2, RequestKind.UNSAFE, 1);
 		this.world.passTime(300);
+		assertThat(this.world.abandoned).contains("2/1");
+		assertThat(this.world.sent).hasSize(3);
+	}
+
+	@Test
+	void theFirstConnectionOfAProcessIsGivenUpAfterASecond() {
+		this.world.join(DispatchHarness.PLAIN, "a");
+		this.world.join(DispatchHarness.PLAIN, "b");
+		this.world.open(1, RequestKind.UNSAFE, 1);
+		this.world.passTime(1_050);
 		assertThat(this.world.abandoned).contains("1/1");
 		assertThat(this.world.sent).hasSize(2);
 	}
