Hand early requests over one by one, so that one whose caller left does not stop the start

Change: EarlyRequests hands each over as an action of its own on the loop, and passes over those that have ended. Ruled out: catching around the whole, which would leave the rest unanswered.

--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
@@ -2,8 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
@@ -74,7 +72,7 @@
 	private final AuditSink audit;
 
 	/** Requests that were read before the server was opened. */
-	private final List<HttpServerExchange> early = new ArrayList<>();
+	private final EarlyRequests early = new EarlyRequests();
 
 	private boolean open;
 
@@ -113,8 +111,7 @@
 	// Takes requests from now on; to be called on the I/O thread.
 	void open() {
 		this.open = true;
-		this.early.forEach(this::take);
-		this.early.clear();
+		this.early.handOver(this::take, this.loop::run);
 		this.server.getListenerInfo().forEach(ListenerInfo::resume);
 	}
 
