Let each mechanism of an entry be switched off by a setting

Cause: what a mechanism is worth could be measured only by taking its code out on a scratch copy. Change: Mechanism, Mechanisms and the setting `off`; running, standby and notice copies, turns, news, shared reading, near targets, ejection, learned speed, shared budget, learned connection limit. startHoldMillis 0 switches the wait of a start off already. Ruled out: one setting a mechanism, eleven more members of a record. Checked: MechanismsTests, DirectSettingsTests; all tests of core, runtime, wire, entry and platform: no failure.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -7,6 +7,8 @@
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
+import dev.laneworks.core.mechanism.Mechanism;
+import dev.laneworks.core.mechanism.Mechanisms;
 import dev.laneworks.core.serving.EngineSpec;
 
 /**
@@ -55,13 +57,16 @@
 
 	private final AuditSink audit;
 
+	private final Mechanisms mechanisms;
+
 	AttemptSender(TargetDirectory directory, TargetBeliefs beliefs, TargetChooser chooser, DispatchOutputs outputs,
-			AuditSink audit) {
+			AuditSink audit, Mechanisms mechanisms) {
 		this.directory = directory;
 		this.beliefs = beliefs;
 		this.chooser = chooser;
 		this.outputs = outputs;
 		this.audit = audit;
+		this.mechanisms = mechanisms;
 	}
 
 	Optional<ListedTarget> choose(DirectRequest request, Optional<EngineSpec> engine, Set<String> tried, long now) {
@@ -190,7 +195,8 @@
 
 	private Optional<ListedTarget> chooseBackup(DirectCall call, ListedTarget target, EngineSpec engine, long now) {
 		Optional<EngineWork> work = call.request().work();
-		if (!engine.backups() || work.isEmpty() || work.get().maxTokens() < LONG_TOKENS
+		if (!this.mechanisms.use(Mechanism.RUNNING_COPIES) || !engine.backups() || work.isEmpty()
+				|| work.get().maxTokens() < LONG_TOKENS
 				|| this.chooser.fleetFullness(target.service(), engine, now) > FLEET_FULLNESS) {
 			return Optional.empty();
 		}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Continuation.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Continuation.java
@@ -36,9 +36,11 @@
 
 	private final Function<DirectCall, Optional<EngineSpec>> engines;
 
+	private final boolean copiesAtNotice;
+
 	Continuation(TargetDirectory directory, RetryWindow retries, AttemptSender sender, StandbyCopies standbys,
 			StreamMover mover, CallEnding ending, AuditSink audit, Beginning beginning,
-			Function<DirectCall, Optional<EngineSpec>> engines) {
+			Function<DirectCall, Optional<EngineSpec>> engines, boolean copiesAtNotice) {
 		this.directory = directory;
 		this.retries = retries;
 		this.sender = sender;
@@ -48,6 +50,7 @@
 		this.audit = audit;
 		this.beginning = beginning;
 		this.engines = engines;
+		this.copiesAtNotice = copiesAtNotice;
 	}
 
 	// Takes a call away from an engine that is leaving.
@@ -62,7 +65,7 @@
 
 	// Takes a call away that has just begun to run: its running copy is not there yet.
 	void copyAway(DirectCall call, long now) {
-		if (this.engines.apply(call).filter(EngineSpec::moves).isPresent()) {
+		if (this.copiesAtNotice && this.engines.apply(call).filter(EngineSpec::moves).isPresent()) {
 			this.mover.start(call, now);
 		}
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DispatchSettings.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DispatchSettings.java
@@ -1,5 +1,7 @@
 package dev.laneworks.core.dispatch;
 
+import dev.laneworks.core.mechanism.Mechanisms;
+
 /**
  * The times by which a {@link Dispatcher} decides.
  *
@@ -16,17 +18,19 @@
  * counts as silent
  * @param timeShareToTryAgain what part of the response-time goal must be left for another
  * try, as its divisor
+ * @param mechanisms what is used of the mechanisms that can be switched off
  * @since 0.2
  */
 public record DispatchSettings(long connectMillis, int maxAttempts, int maxConnections, long answerSlackMillis,
-		long comeBackMillis, double silenceGoals, int timeShareToTryAgain) {
+		long comeBackMillis, double silenceGoals, int timeShareToTryAgain, Mechanisms mechanisms) {
 
 	/**
 	 * Return the settings that were measured on the users' days.
+	 * @param mechanisms the mechanisms that are used
 	 * @return the settings
 	 */
-	public static DispatchSettings defaults() {
-		return new DispatchSettings(250, 4, 12, 40, 400, 2.5, 4);
+	public static DispatchSettings defaults(Mechanisms mechanisms) {
+		return new DispatchSettings(250, 4, 12, 40, 400, 2.5, 4, mechanisms);
 	}
 
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -11,6 +11,7 @@
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
+import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.serving.RequestKind;
 import dev.laneworks.core.serving.ServiceSpec;
@@ -83,15 +84,16 @@
 		this.timers = timers;
 		this.outputs = outputs;
 		this.audit = audit;
-		this.sender = new AttemptSender(directory, beliefs, chooser, outputs, audit);
-		this.standbys = new StandbyCopies(directory, beliefs, chooser, turn, timers, outputs, audit);
+		this.sender = new AttemptSender(directory, beliefs, chooser, outputs, audit, settings.mechanisms());
+		this.standbys = new StandbyCopies(directory, beliefs, chooser, turn, timers, outputs, audit,
+				settings.mechanisms().use(Mechanism.STANDBY_COPIES));
 		this.mover = new StreamMover(chooser, beliefs, this.standbys, turn, timers, outputs, audit,
 				new CallResumption());
 		this.ending = new CallEnding(settings, this.calls, this.sender, this.standbys, this.mover, outputs, audit);
 		this.offers = new Offers(settings, retries, this.sender, this.ending, timers, outputs, audit, this::engine,
 				(c, a, t) -> connectFailed(c.number(), a.number(), "no connection within its time", t));
 		this.continuation = new Continuation(directory, retries, this.sender, this.standbys, this.mover, this.ending,
-				audit, this.offers::begin, this::engine);
+				audit, this.offers::begin, this::engine, settings.mechanisms().use(Mechanism.COPIES_AT_NOTICE));
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Offers.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Offers.java
@@ -6,6 +6,7 @@
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.time.Timers;
 import dev.laneworks.core.time.UsualTime;
@@ -61,7 +62,9 @@
 		this.audit = audit;
 		this.engines = engines;
 		this.connectFailed = connectFailed;
-		this.connectTime = new UsualTime(settings.connectMillis(), MOST_CONNECT_MILLIS);
+		this.connectTime = new UsualTime(settings.connectMillis(),
+				settings.mechanisms().use(Mechanism.LEARNED_CONNECT_LIMIT) ? MOST_CONNECT_MILLIS
+						: settings.connectMillis());
 	}
 
 	// Offers a call that no target has run to the best one left, or refuses it.
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
@@ -66,6 +66,8 @@
 
 	private final AuditSink audit;
 
+	private final boolean inUse;
+
 	private Optional<DirectCall> active = Optional.empty();
 
 	/** The engines that the active call's generation is copied from and to. */
@@ -75,7 +77,7 @@
 	private final Map<String, Long> quietUntil = new HashMap<>();
 
 	StandbyCopies(TargetDirectory directory, TargetBeliefs beliefs, TargetChooser chooser, CopyTurn turn, Timers timers,
-			DispatchOutputs outputs, AuditSink audit) {
+			DispatchOutputs outputs, AuditSink audit, boolean inUse) {
 		this.directory = directory;
 		this.beliefs = beliefs;
 		this.chooser = chooser;
@@ -83,6 +85,7 @@
 		this.timers = timers;
 		this.outputs = outputs;
 		this.audit = audit;
+		this.inUse = inUse;
 	}
 
 	/**
@@ -104,7 +107,7 @@
 	 */
 	void watch(DirectCall call, Attempt attempt, Optional<EngineSpec> engine, long now) {
 		boolean isLong = call.request().work().filter((w) -> w.maxTokens() >= AttemptSender.LONG_TOKENS).isPresent();
-		if (isLong && engine.filter(EngineSpec::moves).isPresent()) {
+		if (this.inUse && isLong && engine.filter(EngineSpec::moves).isPresent()) {
 			lookAt(call, attempt, engine.get(), now + FIRST_MILLIS);
 		}
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -9,6 +9,8 @@
 
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
+import dev.laneworks.core.mechanism.Mechanism;
+import dev.laneworks.core.mechanism.Mechanisms;
 import dev.laneworks.core.serving.EngineSpec;
 
 /**
@@ -87,6 +89,8 @@
 
 	private final RandomGenerator random;
 
+	private final Mechanisms mechanisms;
+
 	private double meanTokens = FIRST_MEAN_TOKENS;
 
 	/**
@@ -95,12 +99,15 @@
 	 * @param beliefs what is believed of them
 	 * @param dataCentre the data centre of this process
 	 * @param random the source of jitter
+	 * @param mechanisms what is used of the mechanisms that can be switched off
 	 */
-	public TargetChooser(TargetDirectory directory, TargetBeliefs beliefs, String dataCentre, RandomGenerator random) {
+	public TargetChooser(TargetDirectory directory, TargetBeliefs beliefs, String dataCentre, RandomGenerator random,
+			Mechanisms mechanisms) {
 		this.directory = directory;
 		this.beliefs = beliefs;
 		this.dataCentre = dataCentre;
 		this.random = random;
+		this.mechanisms = mechanisms;
 	}
 
 	/**
@@ -208,6 +215,9 @@
 			.stream()
 			.filter((t) -> !tried.contains(t.id()))
 			.toList();
+		if (!this.mechanisms.use(Mechanism.EJECTION)) {
+			return open;
+		}
 		List<ListedTarget> usable = open.stream().filter((t) -> this.beliefs.of(t).quality().isUsable(now)).toList();
 		// A floor: where most look bad the fault is likely to be elsewhere.
 		return (usable.size() * 2 >= open.size() || usable.size() > 1) ? usable : open;
@@ -216,13 +226,13 @@
 	private double plainScore(ListedTarget target, double fastest, long now) {
 		TargetBelief belief = this.beliefs.of(target);
 		double response = Math.max(fastest, belief.quality().responseMillis());
-		double slowness = Math.min(MAX_SLOWNESS, response / fastest);
+		double slowness = this.mechanisms.use(Mechanism.LEARNED_SPEED) ? Math.min(MAX_SLOWNESS, response / fastest) : 1;
 		double load = (this.beliefs.requests(target, now) + 1) / Math.max(1, target.slots());
 		double score = load * slowness + belief.quality().badShare(now) + jitter();
 		if (belief.isFull(now)) {
 			score += FULL_WEIGHT;
 		}
-		return target.dataCentre().equals(this.dataCentre) ? score : score + DISTANCE_PLAIN;
+		return isNear(target, this.dataCentre) ? score : score + DISTANCE_PLAIN;
 	}
 
 	private double engineScore(ListedTarget target, EngineSpec engine, long tokens, String from, double distance,
@@ -234,7 +244,11 @@
 		if (belief.isFull(now)) {
 			score += FULL_WEIGHT;
 		}
-		return target.dataCentre().equals(from) ? score : score + distance;
+		return isNear(target, from) ? score : score + distance;
+	}
+
+	private boolean isNear(ListedTarget target, String from) {
+		return target.dataCentre().equals(from) || !this.mechanisms.use(Mechanism.NEAR_TARGETS);
 	}
 
 	private double jitter() {
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
@@ -13,6 +14,8 @@
 import dev.laneworks.core.directory.LeavingCause;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
+import dev.laneworks.core.mechanism.Mechanism;
+import dev.laneworks.core.mechanism.Mechanisms;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.serving.RequestKind;
 import dev.laneworks.core.serving.RequestLimits;
@@ -59,11 +62,15 @@
 	long now;
 
 	DispatchHarness(double retryRatio, double retryExtra, long seed) {
+		this(retryRatio, retryExtra, seed, Mechanisms.all());
+	}
+
+	private DispatchHarness(double retryRatio, double retryExtra, long seed, Mechanisms mechanisms) {
 		SplittableRandom random = new SplittableRandom(seed);
-		TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, "dc", random);
+		TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, "dc", random, mechanisms);
 		RetryWindow retries = new RetryWindow(10_000, retryRatio, retryExtra, retryExtra,
 				(s, w, t) -> Optional.empty());
-		this.dispatcher = new Dispatcher(DispatchSettings.defaults(), this.directory, this.beliefs, chooser,
+		this.dispatcher = new Dispatcher(DispatchSettings.defaults(mechanisms), this.directory, this.beliefs, chooser,
 				new Turns(), retries, this.timers, this, this.audit::add);
 		EngineSpec engine = new EngineSpec(64, 34_000, 18_432, 2_700, 4, true, true, 2_000);
 		this.dispatcher.use(new ServingPlan(1, List.of(),
@@ -72,6 +79,10 @@
 				Map.of(), new RequestLimits(16_384, 4_194_304, 3_000, 15_000)));
 	}
 
+	static DispatchHarness without(Mechanism mechanism) {
+		return new DispatchHarness(1, 100, 1, new Mechanisms(Set.of(mechanism)));
+	}
+
 	static DispatchHarness create() {
 		return new DispatchHarness(1, 100, 1);
 	}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/TargetChooserTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/TargetChooserTests.java
@@ -12,6 +12,7 @@
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
 import dev.laneworks.core.gossip.WorkAtTarget;
+import dev.laneworks.core.mechanism.Mechanisms;
 import dev.laneworks.core.serving.EngineSpec;
 import org.junit.jupiter.api.Test;
 
@@ -33,7 +34,7 @@
 	private final TargetBeliefs beliefs = new TargetBeliefs((id) -> Optional.ofNullable(this.work.get(id)));
 
 	private final TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, "here",
-			new SplittableRandom(1));
+			new SplittableRandom(1), Mechanisms.all());
 
 	@Test
 	void takesAnEmptyEngineElsewhereWhereTheOwnDataCentreHasFew() {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -25,6 +25,7 @@
 import dev.laneworks.core.follow.StoreFollower;
 import dev.laneworks.core.gossip.ServiceSpending;
 import dev.laneworks.core.gossip.WorkAtTarget;
+import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.retry.Backoff;
 import dev.laneworks.core.time.Timers;
 import dev.laneworks.entry.caller.CallTimes;
@@ -144,12 +145,13 @@
 		PlatformAdapter adapter = platform.create(settings, http, thread);
 		DirectCalls calls = new DirectCalls(this.loop, http, adapter.headers(), adapter.engines(),
 				new CallTimes(this.metrics));
-		TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, settings.dataCentre(), random);
+		TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, settings.dataCentre(), random,
+				settings.mechanisms());
 		this.retries = new RetryWindow(settings.retryWindowMillis(), settings.retryRatio(), settings.ownRetryExtra(1),
 				settings.retryExtra(), this::spendingOfOthers);
 		this.others = new OtherEntries(settings, this.beliefs, this.retries, this.loop, random, this.audit);
-		this.dispatcher = new Dispatcher(DispatchSettings.defaults(), this.directory, this.beliefs, chooser,
-				this.others, this.retries, timers, calls, this.audit);
+		this.dispatcher = new Dispatcher(DispatchSettings.defaults(settings.mechanisms()), this.directory, this.beliefs,
+				chooser, this.others, this.retries, timers, calls, this.audit);
 		calls.use(this.dispatcher);
 		this.published = new PlanAndTargets(adapter.source(), this.directory, this.dispatcher::use, this.audit);
 		this.follower = new StoreFollower(settings.follow(), adapter.source().calls(this::follower), this.published,
@@ -292,7 +294,8 @@
 	}
 
 	private Optional<ServiceSpending> spendingOfOthers(String service, long windowMillis, long now) {
-		return this.others.spending(service, windowMillis, now);
+		return this.settings.mechanisms().use(Mechanism.SHARED_BUDGET)
+				? this.others.spending(service, windowMillis, now) : Optional.empty();
 	}
 
 	private StoreFollower follower() {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
@@ -5,6 +5,7 @@
 
 import dev.laneworks.core.document.DocumentObject;
 import dev.laneworks.core.follow.FollowSettings;
+import dev.laneworks.core.mechanism.Mechanisms;
 import dev.laneworks.runtime.program.Addresses;
 
 /**
@@ -29,12 +30,13 @@
  * ones only where the time left is enough for them
  * @param startHoldMillis how long requests that come during the start wait unread for the
  * plan at the most
+ * @param mechanisms what is used of the mechanisms that can be switched off
  * @since 0.2
  */
 public record DirectSettings(String instance, String dataCentre, InetSocketAddress callers, InetSocketAddress readiness,
 		InetSocketAddress operators, InetSocketAddress news, List<String> seeds, InetSocketAddress store,
 		FollowSettings follow, long retryWindowMillis, double retryRatio, double retryExtra, double retryExtraShare,
-		long graceMillis, long takeAllMillis, long startHoldMillis) {
+		long graceMillis, long takeAllMillis, long startHoldMillis, Mechanisms mechanisms) {
 
 	/**
 	 * How long the store may hold a watch; see {@link FollowSettings}.
@@ -98,7 +100,7 @@
 				retries.number("extraShare", 0, 1, EXTRA_SHARE),
 				millis(root.number("graceSeconds", MIN_SECONDS, MAX_SECONDS, 8)),
 				root.integer("takeAllMillis", 0, ONE_MINUTE, TAKE_ALL_MILLIS),
-				root.integer("startHoldMillis", 0, ONE_MINUTE, START_HOLD_MILLIS));
+				root.integer("startHoldMillis", 0, ONE_MINUTE, START_HOLD_MILLIS), Mechanisms.read(root, "off"));
 	}
 
 	/**
@@ -121,7 +123,7 @@
 		return equals(new DirectSettings(other.instance, other.dataCentre, other.callers, other.readiness,
 				other.operators, other.news, other.seeds, other.store, other.follow, other.retryWindowMillis,
 				this.retryRatio, this.retryExtra, this.retryExtraShare, other.graceMillis, other.takeAllMillis,
-				other.startHoldMillis));
+				other.startHoldMillis, other.mechanisms));
 	}
 
 	private static long millis(double seconds) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
@@ -21,6 +21,8 @@
 import dev.laneworks.core.gossip.GossipSettings;
 import dev.laneworks.core.gossip.ServiceSpending;
 import dev.laneworks.core.gossip.WorkAtTarget;
+import dev.laneworks.core.mechanism.Mechanism;
+import dev.laneworks.core.mechanism.Mechanisms;
 import dev.laneworks.wire.NewsListener;
 import dev.laneworks.wire.NewsSocket;
 
@@ -33,6 +35,8 @@
  */
 final class OtherEntries implements GossipOutputs, CopyTurn {
 
+	private final Mechanisms mechanisms;
+
 	private final TargetBeliefs beliefs;
 
 	private final RetryWindow retries;
@@ -50,14 +54,17 @@
 
 	OtherEntries(DirectSettings settings, TargetBeliefs beliefs, RetryWindow retries, EventLoop loop,
 			RandomGenerator random, AuditSink audit) {
+		this.mechanisms = settings.mechanisms();
 		this.beliefs = beliefs;
 		this.retries = retries;
 		this.loop = loop;
 		this.gossip = new Gossip(GossipSettings.defaults(), settings.instance(), settings.dataCentre(),
 				text(settings.news()), seeds(settings), this, loop.timers(), random, audit);
-		this.reading = new SharedReading(settings.instance(), settings.dataCentre(),
-				() -> this.gossip.sameDataCentre().size(), this::tellOfStore);
-		beliefs.onChange((target, isUrgent) -> this.gossip.changed(target, isUrgent, loop.now()));
+		this.reading = new SharedReading(settings.instance(), settings.dataCentre(), this::sharingReaders,
+				this::tellOfStore);
+		if (this.mechanisms.use(Mechanism.ENTRY_NEWS)) {
+			beliefs.onChange((target, isUrgent) -> this.gossip.changed(target, isUrgent, loop.now()));
+		}
 	}
 
 	// Opens the socket; to be called once, before the start.
@@ -76,7 +83,9 @@
 	}
 
 	void start(long now) {
-		this.gossip.start(now);
+		if (this.mechanisms.use(Mechanism.ENTRY_NEWS)) {
+			this.gossip.start(now);
+		}
 	}
 
 	void end(long now) {
@@ -100,7 +109,7 @@
 
 	@Override
 	public boolean isOurs(ListedTarget source, long sinceNotice, long now) {
-		return this.gossip.isFirstToMove(source.id(), sinceNotice, now);
+		return !this.mechanisms.use(Mechanism.COPY_TURNS) || this.gossip.isFirstToMove(source.id(), sinceNotice, now);
 	}
 
 	@Override
@@ -139,6 +148,10 @@
 		this.storeListener.accept(news);
 	}
 
+	private int sharingReaders() {
+		return this.mechanisms.use(Mechanism.SHARED_READING) ? this.gossip.sameDataCentre().size() : 0;
+	}
+
 	// Before the socket is open there is nobody to tell.
 	private void tellOfStore(StoreNews news) {
 		if (this.socket != null) {
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/DirectSettingsTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/DirectSettingsTests.java
@@ -1,6 +1,8 @@
 package dev.laneworks.entry.direct;
 
 import dev.laneworks.core.document.DocumentReader;
+import dev.laneworks.core.mechanism.Mechanism;
+import dev.laneworks.core.mechanism.Mechanisms;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -32,6 +34,22 @@
 		assertThat(read(TEXT.replace("8 }", "9 }")).equalsButForRetryBounds(this.settings)).isFalse();
 	}
 
+	@Test
+	void mechanismsAreSwitchedOffByTheirLabels() {
+		DirectSettings without = read(TEXT.replace("8 }", "8, \"off\": [\"entry-news\", \"ejection\"] }"));
+		assertThat(without.mechanisms().use(Mechanism.ENTRY_NEWS)).isFalse();
+		assertThat(without.mechanisms().use(Mechanism.EJECTION)).isFalse();
+		assertThat(without.mechanisms().use(Mechanism.COPY_TURNS)).isTrue();
+		assertThat(this.settings.mechanisms()).isEqualTo(Mechanisms.all());
+	}
+
+	@Test
+	void anUnknownMechanismIsRefused() {
+		String text = TEXT.replace("8 }", "8, \"off\": [\"wings\"] }");
+		assertThat(DocumentReader.read("test", text, DirectSettings::read).getLeft())
+			.contains("names the unknown mechanism wings");
+	}
+
 	private static DirectSettings read(String text) {
 		return DocumentReader.read("test", text, DirectSettings::read).get();
 	}
