--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/DirectSettingsTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/DirectSettingsTests.java
@@ -46,7 +46,7 @@
 	@Test
 	void anUnknownMechanismIsRefused() {
 		String text = TEXT.replace("8 }", "8, \"off\": [\"wings\"] }");
-		assertThat(DocumentReader.read("test", text, DirectSettings::read).getLeft())
+		assertThat(DocumentReader.read("test", text, DirectSettings::read).getLeft()).hasMessageThat()
 			.contains("names the unknown mechanism wings");
 	}
 
