--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -3,6 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.SortedMap;
+import java.util.TreeMap;
 
 import dev.laneworks.core.retry.Backoff;
 import dev.laneworks.core.time.Timers;
@@ -52,6 +55,9 @@
 
 	private final List<StoreItem> pages = new ArrayList<>();
 
+	/** All items as they are known, by their keys. */
+	private final SortedMap<String, StoreItem> held = new TreeMap<>();
+
 	private long call;
 
 	private boolean open;
@@ -130,10 +136,54 @@
 		}
 		List<StoreItem> all = List.copyOf(this.pages);
 		this.pages.clear();
-		this.revision = this.firstRevision;
+		takeAll(all, this.firstRevision, now);
+		watch(now);
+	}
+
+	private void takeAll(List<StoreItem> all, long at, long now) {
+		this.revision = at;
 		this.watching = true;
+		this.held.clear();
+		all.forEach((i) -> this.held.put(i.key(), i));
 		this.listener.all(all, now);
-		watch(now);
+	}
+
+	/**
+	 * Return the revision up to which this process knows the store.
+	 * @return the revision, or empty before all items were read
+	 */
+	public OptionalLong knownRevision() {
+		return this.watching ? OptionalLong.of(this.revision) : OptionalLong.empty();
+	}
+
+	/**
+	 * Return all items as this process knows them.
+	 * @return the items, in the order of their keys
+	 */
+	public List<StoreItem> knownItems() {
+		return List.copyOf(this.held.values());
+	}
+
+	/**
+	 * Return how long ago this process last heard of the store.
+	 * @param now the time in milliseconds
+	 * @return milliseconds
+	 */
+	public long ageMillis(long now) {
+		return now - this.answeredAt;
+	}
+
+	/**
+	 * Take all items from another process, before any was read here. The store's word
+	 * replaces them as soon as it can be heard.
+	 * @param items the items
+	 * @param at the revision that they belong to
+	 * @param now the time in milliseconds
+	 */
+	public void adopt(List<StoreItem> items, long at, long now) {
+		if (!this.watching) {
+			takeAll(items, at, now);
+		}
 	}
 
 	/**
@@ -258,10 +308,15 @@
 		List<StoreChange> fresh = changes.stream().filter((c) -> c.revision() > this.revision).toList();
 		this.revision = Math.max(this.revision, at);
 		if (!fresh.isEmpty()) {
+			fresh.forEach(this::hold);
 			this.listener.changed(fresh, now);
 		}
 	}
 
+	private void hold(StoreChange change) {
+		change.item().ifPresentOrElse((i) -> this.held.put(change.key(), i), () -> this.held.remove(change.key()));
+	}
+
 	// Another process that is known to follow the store stands for an answer of it.
 	private void watchUnlessServed(long now) {
 		this.resting = this.reading.isServed(this.revision, now);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
@@ -82,6 +83,13 @@
 	 */
 	private static final long SHARE_MILLIS = 500;
 
+	/**
+	 * How long a start waits for the store before it asks other entries too, in
+	 * milliseconds. The store answers within 30 to 200 ms of a start, the processor time
+	 * of a start included.
+	 */
+	private static final long STORE_ALONE_MILLIS = 300;
+
 	private final DirectSettings settings;
 
 	/**
@@ -117,6 +125,8 @@
 
 	private final StoreFollower follower;
 
+	private final StateHandover handover;
+
 	private final DirectServer callers;
 
 	private final ReadinessServer readiness;
@@ -156,6 +166,8 @@
 		this.published = new PlanAndTargets(adapter.source(), this.directory, this.dispatcher::use, this.audit);
 		this.follower = new StoreFollower(settings.follow(), adapter.source().calls(this::follower), this.published,
 				timers, new Backoff(FIRST_WAIT, LONGEST_WAIT, random), this.others.reading());
+		this.handover = new StateHandover(this.follower, this.others, this.loop, this.audit);
+		this.others.onState(this.handover);
 		this.others.onStoreNews((n) -> this.follower.told(n, this.loop.now()));
 		this.callers = new DirectServer(this.io, settings.callers(), calls, adapter.headers(), this.published::plan,
 				this.plannedStop, this.loop, random, this.audit);
@@ -177,7 +189,7 @@
 		LogLine.of("started").with("address", this.settings.callers().toString()).info();
 		this.loop.run(() -> lookForPlan(this.loop.now()));
 		this.loop.run(() -> shareRetries(1));
-		if (!await(this.opened)) {
+		if (!awaitPlan()) {
 			return ExitCode.FAILED;
 		}
 		OperatorServer operators = new OperatorServer(this.io.worker(), this.settings.operators(), this.metrics,
@@ -246,12 +258,31 @@
 			return true;
 		}
 		catch (InterruptedException ex) {
-			Thread.currentThread().interrupt();
-			LogLine.of("interrupted").warn();
-			return false;
+			return interrupted();
 		}
 	}
 
+	// Waits for the store, then for the store or others, whoever tells first.
+	private boolean awaitPlan() {
+		try {
+			if (!this.opened.await(STORE_ALONE_MILLIS, TimeUnit.MILLISECONDS)) {
+				this.others.listen(this.settings.news());
+				this.loop.run(() -> this.handover.start(this.loop.now()));
+				this.opened.await();
+			}
+			return true;
+		}
+		catch (InterruptedException ex) {
+			return interrupted();
+		}
+	}
+
+	private static boolean interrupted() {
+		Thread.currentThread().interrupt();
+		LogLine.of("interrupted").warn();
+		return false;
+	}
+
 	// More entries have smaller parts; a part grows only when an entry has been gone
 	// for a while.
 	private void shareRetries(int entriesBefore) {
@@ -271,6 +302,7 @@
 			this.opened.countDown();
 		}
 		if (isComplete) {
+			this.handover.stop();
 			this.ready = true;
 			LogLine.of("ready").with("targets", this.directory.size()).info();
 			return;
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
@@ -1,6 +1,7 @@
 package dev.laneworks.entry.direct;
 
 import java.net.InetSocketAddress;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -21,6 +22,8 @@
 import dev.laneworks.core.gossip.GossipSettings;
 import dev.laneworks.core.gossip.ServiceSpending;
 import dev.laneworks.core.gossip.WorkAtTarget;
+import dev.laneworks.core.handover.StatePiece;
+import dev.laneworks.core.handover.StateQuestion;
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.mechanism.Mechanisms;
 import dev.laneworks.wire.NewsListener;
@@ -37,6 +40,8 @@
 
 	private final Mechanisms mechanisms;
 
+	private final String ownAddress;
+
 	private final TargetBeliefs beliefs;
 
 	private final RetryWindow retries;
@@ -47,19 +52,27 @@
 
 	private final SharedReading reading;
 
+	/** Addresses at whose hosts entries may run, the own one left out. */
+	private final Set<String> seeds;
+
 	private Consumer<StoreNews> storeListener = (n) -> {
 	};
 
-	private NewsSocket socket;
+	private Optional<StateHandover> handover = Optional.empty();
+
+	/** Opened by the main thread before anything is sent on the I/O thread. */
+	private volatile NewsSocket socket;
 
 	OtherEntries(DirectSettings settings, TargetBeliefs beliefs, RetryWindow retries, EventLoop loop,
 			RandomGenerator random, AuditSink audit) {
 		this.mechanisms = settings.mechanisms();
+		this.ownAddress = text(settings.news());
 		this.beliefs = beliefs;
 		this.retries = retries;
 		this.loop = loop;
-		this.gossip = new Gossip(GossipSettings.defaults(), settings.instance(), settings.dataCentre(),
-				text(settings.news()), seeds(settings), this, loop.timers(), random, audit);
+		this.seeds = seeds(settings);
+		this.gossip = new Gossip(GossipSettings.defaults(), settings.instance(), settings.dataCentre(), this.ownAddress,
+				this.seeds, this, loop.timers(), random, audit);
 		this.reading = new SharedReading(settings.instance(), settings.dataCentre(), this::sharingReaders,
 				this::tellOfStore);
 		if (this.mechanisms.use(Mechanism.ENTRY_NEWS)) {
@@ -67,9 +80,11 @@
 		}
 	}
 
-	// Opens the socket; to be called once, before the start.
+	// Opens the socket unless it is open; to be called before the start.
 	void listen(InetSocketAddress address) {
-		this.socket = new NewsSocket(address, new Receiver());
+		if (this.socket == null) {
+			this.socket = new NewsSocket(address, new Receiver());
+		}
 	}
 
 	// How this entry shares the reading of the store with others of its data centre.
@@ -77,6 +92,23 @@
 		return this.reading;
 	}
 
+	// Sets who gives and takes the store's state.
+	void onState(StateHandover given) {
+		this.handover = Optional.of(given);
+	}
+
+	// Where those may be who know the store's state.
+	List<String> possible() {
+		Set<String> addresses = new HashSet<>(this.seeds);
+		addresses.addAll(this.gossip.nearBy());
+		addresses.remove(this.ownAddress);
+		return List.copyOf(addresses);
+	}
+
+	void ask(String address, StateQuestion question) {
+		this.socket.send(socketAddress(address), question);
+	}
+
 	// Sets who hears what others read of the store.
 	void onStoreNews(Consumer<StoreNews> listener) {
 		this.storeListener = listener;
@@ -184,6 +216,19 @@
 			OtherEntries.this.loop.run(() -> heardOfStore(from, news));
 		}
 
+		@Override
+		public void question(String from, StateQuestion question) {
+			OtherEntries.this.loop.run(() -> OtherEntries.this.handover.stream()
+				.flatMap((h) -> h.answer(question, OtherEntries.this.loop.now()).stream())
+				.forEach((p) -> OtherEntries.this.socket.send(socketAddress(from), p)));
+		}
+
+		@Override
+		public void piece(String from, StatePiece piece) {
+			OtherEntries.this.loop.run(() -> OtherEntries.this.handover
+				.ifPresent((h) -> h.received(from, piece, OtherEntries.this.loop.now())));
+		}
+
 	}
 
 }
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/EntryDatagrams.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/EntryDatagrams.java
@@ -5,6 +5,8 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import dev.laneworks.core.follow.StoreNews;
 import dev.laneworks.core.gossip.EntryNews;
+import dev.laneworks.core.handover.StatePiece;
+import dev.laneworks.core.handover.StateQuestion;
 import dev.laneworks.wire.proto.Protocol;
 import org.tinylog.Logger;
 
@@ -35,6 +37,22 @@
 			.toByteArray();
 	}
 
+	static byte[] of(StateQuestion question) {
+		return Protocol.EntryDatagram.newBuilder()
+			.setProtocol(VERSION)
+			.setQuestion(StateCodec.encode(question))
+			.build()
+			.toByteArray();
+	}
+
+	static byte[] of(StatePiece piece) {
+		return Protocol.EntryDatagram.newBuilder()
+			.setProtocol(VERSION)
+			.setPiece(StateCodec.encode(piece))
+			.build()
+			.toByteArray();
+	}
+
 	/**
 	 * Read a datagram.
 	 * @param datagram its bytes, which may come from anywhere
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/NewsListener.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/NewsListener.java
@@ -2,6 +2,8 @@
 
 import dev.laneworks.core.follow.StoreNews;
 import dev.laneworks.core.gossip.EntryNews;
+import dev.laneworks.core.handover.StatePiece;
+import dev.laneworks.core.handover.StateQuestion;
 
 /**
  * Hears what other entries tell, on the socket's own thread.
@@ -24,4 +26,18 @@
 	 */
 	void store(String from, StoreNews news);
 
+	/**
+	 * Hear a question for the store's state.
+	 * @param from the sender's address, {@code IP:PORT}
+	 * @param question the question
+	 */
+	void question(String from, StateQuestion question);
+
+	/**
+	 * Hear a piece of the store's state.
+	 * @param from the sender's address, {@code IP:PORT}
+	 * @param piece the piece
+	 */
+	void piece(String from, StatePiece piece);
+
 }
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/NewsSocket.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/NewsSocket.java
@@ -6,6 +6,9 @@
 
 import dev.laneworks.core.follow.StoreNews;
 import dev.laneworks.core.gossip.EntryNews;
+import dev.laneworks.core.handover.StatePiece;
+import dev.laneworks.core.handover.StateQuestion;
+import dev.laneworks.wire.proto.Protocol;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -83,6 +86,24 @@
 		addresses.forEach((a) -> write(a, datagram));
 	}
 
+	/**
+	 * Send a question for the store's state.
+	 * @param address the receiver's address
+	 * @param question the question
+	 */
+	public void send(InetSocketAddress address, StateQuestion question) {
+		write(address, EntryDatagrams.of(question));
+	}
+
+	/**
+	 * Send a piece of the store's state.
+	 * @param address the receiver's address
+	 * @param piece the piece
+	 */
+	public void send(InetSocketAddress address, StatePiece piece) {
+		write(address, EntryDatagrams.of(piece));
+	}
+
 	/**
 	 * Close the socket.
 	 */
@@ -110,13 +131,22 @@
 		protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
 			InetSocketAddress sender = packet.sender();
 			String from = sender.getAddress().getHostAddress() + ':' + sender.getPort();
-			EntryDatagrams.read(ByteBufUtil.getBytes(packet.content())).ifPresent((d) -> {
-				switch (d.getKindCase()) {
-					case WORK -> this.listener.work(from, EntryNewsCodec.decode(d.getWork()));
-					case STORE -> this.listener.store(from, StoreNewsCodec.decode(d.getStore()));
+			EntryDatagrams.read(ByteBufUtil.getBytes(packet.content())).ifPresent((d) -> pass(from, d));
+		}
+
+		private void pass(String from, Protocol.EntryDatagram datagram) {
+			try {
+				switch (datagram.getKindCase()) {
+					case WORK -> this.listener.work(from, EntryNewsCodec.decode(datagram.getWork()));
+					case STORE -> this.listener.store(from, StoreNewsCodec.decode(datagram.getStore()));
+					case QUESTION -> this.listener.question(from, StateCodec.decode(datagram.getQuestion()));
+					case PIECE -> this.listener.piece(from, StateCodec.decode(datagram.getPiece()));
 					case KIND_NOT_SET -> Logger.info("an empty datagram from {} is passed over", from);
 				}
-			});
+			}
+			catch (IllegalArgumentException ex) {
+				Logger.info("a datagram from {} is passed over: {}", from, ex.getMessage());
+			}
 		}
 
 		// A closed port at the other end is told as an error; the peer is missed by its
--- /dev/null
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/StoreItemsForm.java
@@ -0,0 +1,41 @@
+package dev.laneworks.wire;
+
+import java.util.List;
+import java.util.Optional;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import dev.laneworks.core.follow.StoreItem;
+import dev.laneworks.core.handover.StateForm;
+import dev.laneworks.wire.proto.Protocol;
+import org.tinylog.Logger;
+
+/**
+ * Items of a store as protobuf.
+ *
+ * @since 0.2
+ */
+public final class StoreItemsForm implements StateForm {
+
+	@Override
+	public byte[] write(List<StoreItem> items) {
+		Protocol.StoreItems.Builder builder = Protocol.StoreItems.newBuilder();
+		items.forEach((i) -> builder.addItems(Protocol.StoreItem.newBuilder().setKey(i.key()).setValue(i.value())));
+		return builder.build().toByteArray();
+	}
+
+	@Override
+	public Optional<List<StoreItem>> read(byte[] bytes) {
+		try {
+			return Optional.of(Protocol.StoreItems.parseFrom(bytes)
+				.getItemsList()
+				.stream()
+				.map((i) -> new StoreItem(i.getKey(), i.getValue()))
+				.toList());
+		}
+		catch (InvalidProtocolBufferException ex) {
+			Logger.info("a state from another entry can't be read: {}", ex.getMessage());
+			return Optional.empty();
+		}
+	}
+
+}
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
@@ -22332,6 +22332,36 @@
      */
     dev.laneworks.wire.proto.Protocol.StoreNewsOrBuilder getStoreOrBuilder();
 
+    /**
+     * <code>.laneworks.StateQuestion question = 4;</code>
+     * @return Whether the question field is set.
+     */
+    boolean hasQuestion();
+    /**
+     * <code>.laneworks.StateQuestion question = 4;</code>
+     * @return The question.
+     */
+    dev.laneworks.wire.proto.Protocol.StateQuestion getQuestion();
+    /**
+     * <code>.laneworks.StateQuestion question = 4;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.StateQuestionOrBuilder getQuestionOrBuilder();
+
+    /**
+     * <code>.laneworks.StatePiece piece = 5;</code>
+     * @return Whether the piece field is set.
+     */
+    boolean hasPiece();
+    /**
+     * <code>.laneworks.StatePiece piece = 5;</code>
+     * @return The piece.
+     */
+    dev.laneworks.wire.proto.Protocol.StatePiece getPiece();
+    /**
+     * <code>.laneworks.StatePiece piece = 5;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.StatePieceOrBuilder getPieceOrBuilder();
+
     dev.laneworks.wire.proto.Protocol.EntryDatagram.KindCase getKindCase();
   }
   /**
@@ -22388,6 +22418,8 @@
             com.google.protobuf.AbstractMessage.InternalOneOfEnum {
       WORK(2),
       STORE(3),
+      QUESTION(4),
+      PIECE(5),
       KIND_NOT_SET(0);
       private final int value;
       private KindCase(int value) {
@@ -22407,6 +22439,8 @@
         switch (value) {
           case 2: return WORK;
           case 3: return STORE;
+          case 4: return QUESTION;
+          case 5: return PIECE;
           case 0: return KIND_NOT_SET;
           default: return null;
         }
@@ -22495,6 +22529,68 @@
       return dev.laneworks.wire.proto.Protocol.StoreNews.getDefaultInstance();
     }
 
+    public static final int QUESTION_FIELD_NUMBER = 4;
+    /**
+     * <code>.laneworks.StateQuestion question = 4;</code>
+     * @return Whether the question field is set.
+     */
+    @java.lang.Override
+    public boolean hasQuestion() {
+      return kindCase_ == 4;
+    }
+    /**
+     * <code>.laneworks.StateQuestion question = 4;</code>
+     * @return The question.
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.StateQuestion getQuestion() {
+      if (kindCase_ == 4) {
+         return (dev.laneworks.wire.proto.Protocol.StateQuestion) kind_;
+      }
+      return dev.laneworks.wire.proto.Protocol.StateQuestion.getDefaultInstance();
+    }
+    /**
+     * <code>.laneworks.StateQuestion question = 4;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.StateQuestionOrBuilder getQuestionOrBuilder() {
+      if (kindCase_ == 4) {
+         return (dev.laneworks.wire.proto.Protocol.StateQuestion) kind_;
+      }
+      return dev.laneworks.wire.proto.Protocol.StateQuestion.getDefaultInstance();
+    }
+
+    public static final int PIECE_FIELD_NUMBER = 5;
+    /**
+     * <code>.laneworks.StatePiece piece = 5;</code>
+     * @return Whether the piece field is set.
+     */
+    @java.lang.Override
+    public boolean hasPiece() {
+      return kindCase_ == 5;
+    }
+    /**
+     * <code>.laneworks.StatePiece piece = 5;</code>
+     * @return The piece.
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.StatePiece getPiece() {
+      if (kindCase_ == 5) {
+         return (dev.laneworks.wire.proto.Protocol.StatePiece) kind_;
+      }
+      return dev.laneworks.wire.proto.Protocol.StatePiece.getDefaultInstance();
+    }
+    /**
+     * <code>.laneworks.StatePiece piece = 5;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.StatePieceOrBuilder getPieceOrBuilder() {
+      if (kindCase_ == 5) {
+         return (dev.laneworks.wire.proto.Protocol.StatePiece) kind_;
+      }
+      return dev.laneworks.wire.proto.Protocol.StatePiece.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -22518,6 +22614,12 @@
       if (kindCase_ == 3) {
         output.writeMessage(3, (dev.laneworks.wire.proto.Protocol.StoreNews) kind_);
       }
+      if (kindCase_ == 4) {
+        output.writeMessage(4, (dev.laneworks.wire.proto.Protocol.StateQuestion) kind_);
+      }
+      if (kindCase_ == 5) {
+        output.writeMessage(5, (dev.laneworks.wire.proto.Protocol.StatePiece) kind_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -22539,6 +22641,14 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(3, (dev.laneworks.wire.proto.Protocol.StoreNews) kind_);
       }
+      if (kindCase_ == 4) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(4, (dev.laneworks.wire.proto.Protocol.StateQuestion) kind_);
+      }
+      if (kindCase_ == 5) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(5, (dev.laneworks.wire.proto.Protocol.StatePiece) kind_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -22566,6 +22676,14 @@
           if (!getStore()
               .equals(other.getStore())) return false;
           break;
+        case 4:
+          if (!getQuestion()
+              .equals(other.getQuestion())) return false;
+          break;
+        case 5:
+          if (!getPiece()
+              .equals(other.getPiece())) return false;
+          break;
         case 0:
         default:
       }
@@ -22591,6 +22709,14 @@
           hash = (37 * hash) + STORE_FIELD_NUMBER;
           hash = (53 * hash) + getStore().hashCode();
           break;
+        case 4:
+          hash = (37 * hash) + QUESTION_FIELD_NUMBER;
+          hash = (53 * hash) + getQuestion().hashCode();
+          break;
+        case 5:
+          hash = (37 * hash) + PIECE_FIELD_NUMBER;
+          hash = (53 * hash) + getPiece().hashCode();
+          break;
         case 0:
         default:
       }
@@ -22736,6 +22862,12 @@
         if (storeBuilder_ != null) {
           storeBuilder_.clear();
         }
+        if (questionBuilder_ != null) {
+          questionBuilder_.clear();
+        }
+        if (pieceBuilder_ != null) {
+          pieceBuilder_.clear();
+        }
         kindCase_ = 0;
         kind_ = null;
         return this;
@@ -22788,6 +22920,14 @@
             storeBuilder_ != null) {
           result.kind_ = storeBuilder_.build();
         }
+        if (kindCase_ == 4 &&
+            questionBuilder_ != null) {
+          result.kind_ = questionBuilder_.build();
+        }
+        if (kindCase_ == 5 &&
+            pieceBuilder_ != null) {
+          result.kind_ = pieceBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -22814,6 +22954,14 @@
             mergeStore(other.getStore());
             break;
           }
+          case QUESTION: {
+            mergeQuestion(other.getQuestion());
+            break;
+          }
+          case PIECE: {
+            mergePiece(other.getPiece());
+            break;
+          }
           case KIND_NOT_SET: {
             break;
           }
@@ -22863,6 +23011,20 @@
                 kindCase_ = 3;
                 break;
               } // case 26
+              case 34: {
+                input.readMessage(
+                    internalGetQuestionFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 4;
+                break;
+              } // case 34
+              case 42: {
+                input.readMessage(
+                    internalGetPieceFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 5;
+                break;
+              } // case 42
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -23069,165 +23231,3140 @@
         return workBuilder_;
       }
 
-      private com.google.protobuf.SingleFieldBuilder<
-          dev.laneworks.wire.proto.Protocol.StoreNews, dev.laneworks.wire.proto.Protocol.StoreNews.Builder, dev.laneworks.wire.proto.Protocol.StoreNewsOrBuilder> storeBuilder_;
+      private com.google.protobuf.SingleFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.StoreNews, dev.laneworks.wire.proto.Protocol.StoreNews.Builder, dev.laneworks.wire.proto.Protocol.StoreNewsOrBuilder> storeBuilder_;
+      /**
+       * <code>.laneworks.StoreNews store = 3;</code>
+       * @return Whether the store field is set.
+       */
+      @java.lang.Override
+      public boolean hasStore() {
+        return kindCase_ == 3;
+      }
+      /**
+       * <code>.laneworks.StoreNews store = 3;</code>
+       * @return The store.
+       */
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StoreNews getStore() {
+        if (storeBuilder_ == null) {
+          if (kindCase_ == 3) {
+            return (dev.laneworks.wire.proto.Protocol.StoreNews) kind_;
+          }
+          return dev.laneworks.wire.proto.Protocol.StoreNews.getDefaultInstance();
+        } else {
+          if (kindCase_ == 3) {
+            return storeBuilder_.getMessage();
+          }
+          return dev.laneworks.wire.proto.Protocol.StoreNews.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.laneworks.StoreNews store = 3;</code>
+       */
+      public Builder setStore(dev.laneworks.wire.proto.Protocol.StoreNews value) {
+        if (storeBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          kind_ = value;
+          onChanged();
+        } else {
+          storeBuilder_.setMessage(value);
+        }
+        kindCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.laneworks.StoreNews store = 3;</code>
+       */
+      public Builder setStore(
+          dev.laneworks.wire.proto.Protocol.StoreNews.Builder builderForValue) {
+        if (storeBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          storeBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.laneworks.StoreNews store = 3;</code>
+       */
+      public Builder mergeStore(dev.laneworks.wire.proto.Protocol.StoreNews value) {
+        if (storeBuilder_ == null) {
+          if (kindCase_ == 3 &&
+              kind_ != dev.laneworks.wire.proto.Protocol.StoreNews.getDefaultInstance()) {
+            kind_ = dev.laneworks.wire.proto.Protocol.StoreNews.newBuilder((dev.laneworks.wire.proto.Protocol.StoreNews) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 3) {
+            storeBuilder_.mergeFrom(value);
+          } else {
+            storeBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 3;
+        return this;
+      }
+      /**
+       * <code>.laneworks.StoreNews store = 3;</code>
+       */
+      public Builder clearStore() {
+        if (storeBuilder_ == null) {
+          if (kindCase_ == 3) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 3) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          storeBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.laneworks.StoreNews store = 3;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.StoreNews.Builder getStoreBuilder() {
+        return internalGetStoreFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.laneworks.StoreNews store = 3;</code>
+       */
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StoreNewsOrBuilder getStoreOrBuilder() {
+        if ((kindCase_ == 3) && (storeBuilder_ != null)) {
+          return storeBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 3) {
+            return (dev.laneworks.wire.proto.Protocol.StoreNews) kind_;
+          }
+          return dev.laneworks.wire.proto.Protocol.StoreNews.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.laneworks.StoreNews store = 3;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.StoreNews, dev.laneworks.wire.proto.Protocol.StoreNews.Builder, dev.laneworks.wire.proto.Protocol.StoreNewsOrBuilder> 
+          internalGetStoreFieldBuilder() {
+        if (storeBuilder_ == null) {
+          if (!(kindCase_ == 3)) {
+            kind_ = dev.laneworks.wire.proto.Protocol.StoreNews.getDefaultInstance();
+          }
+          storeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              dev.laneworks.wire.proto.Protocol.StoreNews, dev.laneworks.wire.proto.Protocol.StoreNews.Builder, dev.laneworks.wire.proto.Protocol.StoreNewsOrBuilder>(
+                  (dev.laneworks.wire.proto.Protocol.StoreNews) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 3;
+        onChanged();
+        return storeBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.StateQuestion, dev.laneworks.wire.proto.Protocol.StateQuestion.Builder, dev.laneworks.wire.proto.Protocol.StateQuestionOrBuilder> questionBuilder_;
+      /**
+       * <code>.laneworks.StateQuestion question = 4;</code>
+       * @return Whether the question field is set.
+       */
+      @java.lang.Override
+      public boolean hasQuestion() {
+        return kindCase_ == 4;
+      }
+      /**
+       * <code>.laneworks.StateQuestion question = 4;</code>
+       * @return The question.
+       */
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StateQuestion getQuestion() {
+        if (questionBuilder_ == null) {
+          if (kindCase_ == 4) {
+            return (dev.laneworks.wire.proto.Protocol.StateQuestion) kind_;
+          }
+          return dev.laneworks.wire.proto.Protocol.StateQuestion.getDefaultInstance();
+        } else {
+          if (kindCase_ == 4) {
+            return questionBuilder_.getMessage();
+          }
+          return dev.laneworks.wire.proto.Protocol.StateQuestion.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.laneworks.StateQuestion question = 4;</code>
+       */
+      public Builder setQuestion(dev.laneworks.wire.proto.Protocol.StateQuestion value) {
+        if (questionBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          kind_ = value;
+          onChanged();
+        } else {
+          questionBuilder_.setMessage(value);
+        }
+        kindCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.laneworks.StateQuestion question = 4;</code>
+       */
+      public Builder setQuestion(
+          dev.laneworks.wire.proto.Protocol.StateQuestion.Builder builderForValue) {
+        if (questionBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          questionBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.laneworks.StateQuestion question = 4;</code>
+       */
+      public Builder mergeQuestion(dev.laneworks.wire.proto.Protocol.StateQuestion value) {
+        if (questionBuilder_ == null) {
+          if (kindCase_ == 4 &&
+              kind_ != dev.laneworks.wire.proto.Protocol.StateQuestion.getDefaultInstance()) {
+            kind_ = dev.laneworks.wire.proto.Protocol.StateQuestion.newBuilder((dev.laneworks.wire.proto.Protocol.StateQuestion) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 4) {
+            questionBuilder_.mergeFrom(value);
+          } else {
+            questionBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 4;
+        return this;
+      }
+      /**
+       * <code>.laneworks.StateQuestion question = 4;</code>
+       */
+      public Builder clearQuestion() {
+        if (questionBuilder_ == null) {
+          if (kindCase_ == 4) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 4) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          questionBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.laneworks.StateQuestion question = 4;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.StateQuestion.Builder getQuestionBuilder() {
+        return internalGetQuestionFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.laneworks.StateQuestion question = 4;</code>
+       */
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StateQuestionOrBuilder getQuestionOrBuilder() {
+        if ((kindCase_ == 4) && (questionBuilder_ != null)) {
+          return questionBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 4) {
+            return (dev.laneworks.wire.proto.Protocol.StateQuestion) kind_;
+          }
+          return dev.laneworks.wire.proto.Protocol.StateQuestion.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.laneworks.StateQuestion question = 4;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.StateQuestion, dev.laneworks.wire.proto.Protocol.StateQuestion.Builder, dev.laneworks.wire.proto.Protocol.StateQuestionOrBuilder> 
+          internalGetQuestionFieldBuilder() {
+        if (questionBuilder_ == null) {
+          if (!(kindCase_ == 4)) {
+            kind_ = dev.laneworks.wire.proto.Protocol.StateQuestion.getDefaultInstance();
+          }
+          questionBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              dev.laneworks.wire.proto.Protocol.StateQuestion, dev.laneworks.wire.proto.Protocol.StateQuestion.Builder, dev.laneworks.wire.proto.Protocol.StateQuestionOrBuilder>(
+                  (dev.laneworks.wire.proto.Protocol.StateQuestion) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 4;
+        onChanged();
+        return questionBuilder_;
+      }
+
+      private com.google.protobuf.SingleFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.StatePiece, dev.laneworks.wire.proto.Protocol.StatePiece.Builder, dev.laneworks.wire.proto.Protocol.StatePieceOrBuilder> pieceBuilder_;
+      /**
+       * <code>.laneworks.StatePiece piece = 5;</code>
+       * @return Whether the piece field is set.
+       */
+      @java.lang.Override
+      public boolean hasPiece() {
+        return kindCase_ == 5;
+      }
+      /**
+       * <code>.laneworks.StatePiece piece = 5;</code>
+       * @return The piece.
+       */
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StatePiece getPiece() {
+        if (pieceBuilder_ == null) {
+          if (kindCase_ == 5) {
+            return (dev.laneworks.wire.proto.Protocol.StatePiece) kind_;
+          }
+          return dev.laneworks.wire.proto.Protocol.StatePiece.getDefaultInstance();
+        } else {
+          if (kindCase_ == 5) {
+            return pieceBuilder_.getMessage();
+          }
+          return dev.laneworks.wire.proto.Protocol.StatePiece.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.laneworks.StatePiece piece = 5;</code>
+       */
+      public Builder setPiece(dev.laneworks.wire.proto.Protocol.StatePiece value) {
+        if (pieceBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          kind_ = value;
+          onChanged();
+        } else {
+          pieceBuilder_.setMessage(value);
+        }
+        kindCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.laneworks.StatePiece piece = 5;</code>
+       */
+      public Builder setPiece(
+          dev.laneworks.wire.proto.Protocol.StatePiece.Builder builderForValue) {
+        if (pieceBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          pieceBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.laneworks.StatePiece piece = 5;</code>
+       */
+      public Builder mergePiece(dev.laneworks.wire.proto.Protocol.StatePiece value) {
+        if (pieceBuilder_ == null) {
+          if (kindCase_ == 5 &&
+              kind_ != dev.laneworks.wire.proto.Protocol.StatePiece.getDefaultInstance()) {
+            kind_ = dev.laneworks.wire.proto.Protocol.StatePiece.newBuilder((dev.laneworks.wire.proto.Protocol.StatePiece) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 5) {
+            pieceBuilder_.mergeFrom(value);
+          } else {
+            pieceBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 5;
+        return this;
+      }
+      /**
+       * <code>.laneworks.StatePiece piece = 5;</code>
+       */
+      public Builder clearPiece() {
+        if (pieceBuilder_ == null) {
+          if (kindCase_ == 5) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 5) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          pieceBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.laneworks.StatePiece piece = 5;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.StatePiece.Builder getPieceBuilder() {
+        return internalGetPieceFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.laneworks.StatePiece piece = 5;</code>
+       */
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StatePieceOrBuilder getPieceOrBuilder() {
+        if ((kindCase_ == 5) && (pieceBuilder_ != null)) {
+          return pieceBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 5) {
+            return (dev.laneworks.wire.proto.Protocol.StatePiece) kind_;
+          }
+          return dev.laneworks.wire.proto.Protocol.StatePiece.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.laneworks.StatePiece piece = 5;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.StatePiece, dev.laneworks.wire.proto.Protocol.StatePiece.Builder, dev.laneworks.wire.proto.Protocol.StatePieceOrBuilder> 
+          internalGetPieceFieldBuilder() {
+        if (pieceBuilder_ == null) {
+          if (!(kindCase_ == 5)) {
+            kind_ = dev.laneworks.wire.proto.Protocol.StatePiece.getDefaultInstance();
+          }
+          pieceBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              dev.laneworks.wire.proto.Protocol.StatePiece, dev.laneworks.wire.proto.Protocol.StatePiece.Builder, dev.laneworks.wire.proto.Protocol.StatePieceOrBuilder>(
+                  (dev.laneworks.wire.proto.Protocol.StatePiece) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 5;
+        onChanged();
+        return pieceBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:laneworks.EntryDatagram)
+    }
+
+    // @@protoc_insertion_point(class_scope:laneworks.EntryDatagram)
+    private static final dev.laneworks.wire.proto.Protocol.EntryDatagram DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.EntryDatagram();
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.EntryDatagram getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<EntryDatagram>
+        PARSER = new com.google.protobuf.AbstractParser<EntryDatagram>() {
+      @java.lang.Override
+      public EntryDatagram parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<EntryDatagram> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<EntryDatagram> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.EntryDatagram getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface StateQuestionOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:laneworks.StateQuestion)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * The revision whose pieces are missing; -1 for any.
+     * </pre>
+     *
+     * <code>sint64 revision = 1;</code>
+     * @return The revision.
+     */
+    long getRevision();
+
+    /**
+     * <code>uint32 first_piece = 2;</code>
+     * @return The firstPiece.
+     */
+    int getFirstPiece();
+  }
+  /**
+   * <pre>
+   * A question for pieces of the store's state, from an entry that can't read it.
+   * </pre>
+   *
+   * Protobuf type {@code laneworks.StateQuestion}
+   */
+  public static final class StateQuestion extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:laneworks.StateQuestion)
+      StateQuestionOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "StateQuestion");
+    }
+    // Use StateQuestion.newBuilder() to construct.
+    private StateQuestion(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private StateQuestion() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StateQuestion_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StateQuestion_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StateQuestion_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              dev.laneworks.wire.proto.Protocol.StateQuestion.class, dev.laneworks.wire.proto.Protocol.StateQuestion.Builder.class);
+    }
+
+    public static final int REVISION_FIELD_NUMBER = 1;
+    private long revision_ = 0L;
+    /**
+     * <pre>
+     * The revision whose pieces are missing; -1 for any.
+     * </pre>
+     *
+     * <code>sint64 revision = 1;</code>
+     * @return The revision.
+     */
+    @java.lang.Override
+    public long getRevision() {
+      return revision_;
+    }
+
+    public static final int FIRST_PIECE_FIELD_NUMBER = 2;
+    private int firstPiece_ = 0;
+    /**
+     * <code>uint32 first_piece = 2;</code>
+     * @return The firstPiece.
+     */
+    @java.lang.Override
+    public int getFirstPiece() {
+      return firstPiece_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (revision_ != 0L) {
+        output.writeSInt64(1, revision_);
+      }
+      if (firstPiece_ != 0) {
+        output.writeUInt32(2, firstPiece_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (revision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeSInt64Size(1, revision_);
+      }
+      if (firstPiece_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(2, firstPiece_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof dev.laneworks.wire.proto.Protocol.StateQuestion)) {
+        return super.equals(obj);
+      }
+      dev.laneworks.wire.proto.Protocol.StateQuestion other = (dev.laneworks.wire.proto.Protocol.StateQuestion) obj;
+
+      if (getRevision()
+          != other.getRevision()) return false;
+      if (getFirstPiece()
+          != other.getFirstPiece()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRevision());
+      hash = (37 * hash) + FIRST_PIECE_FIELD_NUMBER;
+      hash = (53 * hash) + getFirstPiece();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StateQuestion parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StateQuestion parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StateQuestion parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StateQuestion parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StateQuestion parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StateQuestion parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StateQuestion parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StateQuestion parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StateQuestion parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StateQuestion parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StateQuestion parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StateQuestion parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(dev.laneworks.wire.proto.Protocol.StateQuestion prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * A question for pieces of the store's state, from an entry that can't read it.
+     * </pre>
+     *
+     * Protobuf type {@code laneworks.StateQuestion}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:laneworks.StateQuestion)
+        dev.laneworks.wire.proto.Protocol.StateQuestionOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StateQuestion_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StateQuestion_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                dev.laneworks.wire.proto.Protocol.StateQuestion.class, dev.laneworks.wire.proto.Protocol.StateQuestion.Builder.class);
+      }
+
+      // Construct using dev.laneworks.wire.proto.Protocol.StateQuestion.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        revision_ = 0L;
+        firstPiece_ = 0;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StateQuestion_descriptor;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StateQuestion getDefaultInstanceForType() {
+        return dev.laneworks.wire.proto.Protocol.StateQuestion.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StateQuestion build() {
+        dev.laneworks.wire.proto.Protocol.StateQuestion result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StateQuestion buildPartial() {
+        dev.laneworks.wire.proto.Protocol.StateQuestion result = new dev.laneworks.wire.proto.Protocol.StateQuestion(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(dev.laneworks.wire.proto.Protocol.StateQuestion result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.revision_ = revision_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.firstPiece_ = firstPiece_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof dev.laneworks.wire.proto.Protocol.StateQuestion) {
+          return mergeFrom((dev.laneworks.wire.proto.Protocol.StateQuestion)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(dev.laneworks.wire.proto.Protocol.StateQuestion other) {
+        if (other == dev.laneworks.wire.proto.Protocol.StateQuestion.getDefaultInstance()) return this;
+        if (other.getRevision() != 0L) {
+          setRevision(other.getRevision());
+        }
+        if (other.getFirstPiece() != 0) {
+          setFirstPiece(other.getFirstPiece());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                revision_ = input.readSInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                firstPiece_ = input.readUInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long revision_ ;
+      /**
+       * <pre>
+       * The revision whose pieces are missing; -1 for any.
+       * </pre>
+       *
+       * <code>sint64 revision = 1;</code>
+       * @return The revision.
+       */
+      @java.lang.Override
+      public long getRevision() {
+        return revision_;
+      }
+      /**
+       * <pre>
+       * The revision whose pieces are missing; -1 for any.
+       * </pre>
+       *
+       * <code>sint64 revision = 1;</code>
+       * @param value The revision to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRevision(long value) {
+
+        revision_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * The revision whose pieces are missing; -1 for any.
+       * </pre>
+       *
+       * <code>sint64 revision = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRevision() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        revision_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private int firstPiece_ ;
+      /**
+       * <code>uint32 first_piece = 2;</code>
+       * @return The firstPiece.
+       */
+      @java.lang.Override
+      public int getFirstPiece() {
+        return firstPiece_;
+      }
+      /**
+       * <code>uint32 first_piece = 2;</code>
+       * @param value The firstPiece to set.
+       * @return This builder for chaining.
+       */
+      public Builder setFirstPiece(int value) {
+
+        firstPiece_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 first_piece = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearFirstPiece() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        firstPiece_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:laneworks.StateQuestion)
+    }
+
+    // @@protoc_insertion_point(class_scope:laneworks.StateQuestion)
+    private static final dev.laneworks.wire.proto.Protocol.StateQuestion DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.StateQuestion();
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StateQuestion getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<StateQuestion>
+        PARSER = new com.google.protobuf.AbstractParser<StateQuestion>() {
+      @java.lang.Override
+      public StateQuestion parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<StateQuestion> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<StateQuestion> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.StateQuestion getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface StatePieceOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:laneworks.StatePiece)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>uint64 revision = 1;</code>
+     * @return The revision.
+     */
+    long getRevision();
+
+    /**
+     * <code>uint64 age_millis = 2;</code>
+     * @return The ageMillis.
+     */
+    long getAgeMillis();
+
+    /**
+     * <code>uint32 number = 3;</code>
+     * @return The number.
+     */
+    int getNumber();
+
+    /**
+     * <code>uint32 count = 4;</code>
+     * @return The count.
+     */
+    int getCount();
+
+    /**
+     * <code>bytes data = 5;</code>
+     * @return The data.
+     */
+    com.google.protobuf.ByteString getData();
+  }
+  /**
+   * Protobuf type {@code laneworks.StatePiece}
+   */
+  public static final class StatePiece extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:laneworks.StatePiece)
+      StatePieceOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "StatePiece");
+    }
+    // Use StatePiece.newBuilder() to construct.
+    private StatePiece(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private StatePiece() {
+      data_ = com.google.protobuf.ByteString.EMPTY;
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StatePiece_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StatePiece_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StatePiece_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              dev.laneworks.wire.proto.Protocol.StatePiece.class, dev.laneworks.wire.proto.Protocol.StatePiece.Builder.class);
+    }
+
+    public static final int REVISION_FIELD_NUMBER = 1;
+    private long revision_ = 0L;
+    /**
+     * <code>uint64 revision = 1;</code>
+     * @return The revision.
+     */
+    @java.lang.Override
+    public long getRevision() {
+      return revision_;
+    }
+
+    public static final int AGE_MILLIS_FIELD_NUMBER = 2;
+    private long ageMillis_ = 0L;
+    /**
+     * <code>uint64 age_millis = 2;</code>
+     * @return The ageMillis.
+     */
+    @java.lang.Override
+    public long getAgeMillis() {
+      return ageMillis_;
+    }
+
+    public static final int NUMBER_FIELD_NUMBER = 3;
+    private int number_ = 0;
+    /**
+     * <code>uint32 number = 3;</code>
+     * @return The number.
+     */
+    @java.lang.Override
+    public int getNumber() {
+      return number_;
+    }
+
+    public static final int COUNT_FIELD_NUMBER = 4;
+    private int count_ = 0;
+    /**
+     * <code>uint32 count = 4;</code>
+     * @return The count.
+     */
+    @java.lang.Override
+    public int getCount() {
+      return count_;
+    }
+
+    public static final int DATA_FIELD_NUMBER = 5;
+    private com.google.protobuf.ByteString data_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <code>bytes data = 5;</code>
+     * @return The data.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getData() {
+      return data_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (revision_ != 0L) {
+        output.writeUInt64(1, revision_);
+      }
+      if (ageMillis_ != 0L) {
+        output.writeUInt64(2, ageMillis_);
+      }
+      if (number_ != 0) {
+        output.writeUInt32(3, number_);
+      }
+      if (count_ != 0) {
+        output.writeUInt32(4, count_);
+      }
+      if (!data_.isEmpty()) {
+        output.writeBytes(5, data_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (revision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(1, revision_);
+      }
+      if (ageMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, ageMillis_);
+      }
+      if (number_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(3, number_);
+      }
+      if (count_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(4, count_);
+      }
+      if (!data_.isEmpty()) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBytesSize(5, data_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof dev.laneworks.wire.proto.Protocol.StatePiece)) {
+        return super.equals(obj);
+      }
+      dev.laneworks.wire.proto.Protocol.StatePiece other = (dev.laneworks.wire.proto.Protocol.StatePiece) obj;
+
+      if (getRevision()
+          != other.getRevision()) return false;
+      if (getAgeMillis()
+          != other.getAgeMillis()) return false;
+      if (getNumber()
+          != other.getNumber()) return false;
+      if (getCount()
+          != other.getCount()) return false;
+      if (!getData()
+          .equals(other.getData())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRevision());
+      hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAgeMillis());
+      hash = (37 * hash) + NUMBER_FIELD_NUMBER;
+      hash = (53 * hash) + getNumber();
+      hash = (37 * hash) + COUNT_FIELD_NUMBER;
+      hash = (53 * hash) + getCount();
+      hash = (37 * hash) + DATA_FIELD_NUMBER;
+      hash = (53 * hash) + getData().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StatePiece parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StatePiece parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StatePiece parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StatePiece parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StatePiece parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StatePiece parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StatePiece parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StatePiece parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StatePiece parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StatePiece parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StatePiece parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StatePiece parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(dev.laneworks.wire.proto.Protocol.StatePiece prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code laneworks.StatePiece}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:laneworks.StatePiece)
+        dev.laneworks.wire.proto.Protocol.StatePieceOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StatePiece_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StatePiece_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                dev.laneworks.wire.proto.Protocol.StatePiece.class, dev.laneworks.wire.proto.Protocol.StatePiece.Builder.class);
+      }
+
+      // Construct using dev.laneworks.wire.proto.Protocol.StatePiece.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        revision_ = 0L;
+        ageMillis_ = 0L;
+        number_ = 0;
+        count_ = 0;
+        data_ = com.google.protobuf.ByteString.EMPTY;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StatePiece_descriptor;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StatePiece getDefaultInstanceForType() {
+        return dev.laneworks.wire.proto.Protocol.StatePiece.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StatePiece build() {
+        dev.laneworks.wire.proto.Protocol.StatePiece result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StatePiece buildPartial() {
+        dev.laneworks.wire.proto.Protocol.StatePiece result = new dev.laneworks.wire.proto.Protocol.StatePiece(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(dev.laneworks.wire.proto.Protocol.StatePiece result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.revision_ = revision_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.ageMillis_ = ageMillis_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.number_ = number_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.count_ = count_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.data_ = data_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof dev.laneworks.wire.proto.Protocol.StatePiece) {
+          return mergeFrom((dev.laneworks.wire.proto.Protocol.StatePiece)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(dev.laneworks.wire.proto.Protocol.StatePiece other) {
+        if (other == dev.laneworks.wire.proto.Protocol.StatePiece.getDefaultInstance()) return this;
+        if (other.getRevision() != 0L) {
+          setRevision(other.getRevision());
+        }
+        if (other.getAgeMillis() != 0L) {
+          setAgeMillis(other.getAgeMillis());
+        }
+        if (other.getNumber() != 0) {
+          setNumber(other.getNumber());
+        }
+        if (other.getCount() != 0) {
+          setCount(other.getCount());
+        }
+        if (!other.getData().isEmpty()) {
+          setData(other.getData());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 8: {
+                revision_ = input.readUInt64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 8
+              case 16: {
+                ageMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                number_ = input.readUInt32();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                count_ = input.readUInt32();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 42: {
+                data_ = input.readBytes();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 42
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long revision_ ;
+      /**
+       * <code>uint64 revision = 1;</code>
+       * @return The revision.
+       */
+      @java.lang.Override
+      public long getRevision() {
+        return revision_;
+      }
+      /**
+       * <code>uint64 revision = 1;</code>
+       * @param value The revision to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRevision(long value) {
+
+        revision_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 revision = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRevision() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        revision_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private long ageMillis_ ;
+      /**
+       * <code>uint64 age_millis = 2;</code>
+       * @return The ageMillis.
+       */
+      @java.lang.Override
+      public long getAgeMillis() {
+        return ageMillis_;
+      }
+      /**
+       * <code>uint64 age_millis = 2;</code>
+       * @param value The ageMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAgeMillis(long value) {
+
+        ageMillis_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 age_millis = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAgeMillis() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        ageMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private int number_ ;
+      /**
+       * <code>uint32 number = 3;</code>
+       * @return The number.
+       */
+      @java.lang.Override
+      public int getNumber() {
+        return number_;
+      }
+      /**
+       * <code>uint32 number = 3;</code>
+       * @param value The number to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNumber(int value) {
+
+        number_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 number = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNumber() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        number_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private int count_ ;
+      /**
+       * <code>uint32 count = 4;</code>
+       * @return The count.
+       */
+      @java.lang.Override
+      public int getCount() {
+        return count_;
+      }
+      /**
+       * <code>uint32 count = 4;</code>
+       * @param value The count to set.
+       * @return This builder for chaining.
+       */
+      public Builder setCount(int value) {
+
+        count_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 count = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearCount() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        count_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.ByteString data_ = com.google.protobuf.ByteString.EMPTY;
+      /**
+       * <code>bytes data = 5;</code>
+       * @return The data.
+       */
+      @java.lang.Override
+      public com.google.protobuf.ByteString getData() {
+        return data_;
+      }
+      /**
+       * <code>bytes data = 5;</code>
+       * @param value The data to set.
+       * @return This builder for chaining.
+       */
+      public Builder setData(com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        data_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bytes data = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearData() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        data_ = getDefaultInstance().getData();
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:laneworks.StatePiece)
+    }
+
+    // @@protoc_insertion_point(class_scope:laneworks.StatePiece)
+    private static final dev.laneworks.wire.proto.Protocol.StatePiece DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.StatePiece();
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StatePiece getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<StatePiece>
+        PARSER = new com.google.protobuf.AbstractParser<StatePiece>() {
+      @java.lang.Override
+      public StatePiece parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<StatePiece> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<StatePiece> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.StatePiece getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface StoreItemsOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:laneworks.StoreItems)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>repeated .laneworks.StoreItem items = 1;</code>
+     */
+    java.util.List<dev.laneworks.wire.proto.Protocol.StoreItem> 
+        getItemsList();
+    /**
+     * <code>repeated .laneworks.StoreItem items = 1;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.StoreItem getItems(int index);
+    /**
+     * <code>repeated .laneworks.StoreItem items = 1;</code>
+     */
+    int getItemsCount();
+    /**
+     * <code>repeated .laneworks.StoreItem items = 1;</code>
+     */
+    java.util.List<? extends dev.laneworks.wire.proto.Protocol.StoreItemOrBuilder> 
+        getItemsOrBuilderList();
+    /**
+     * <code>repeated .laneworks.StoreItem items = 1;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.StoreItemOrBuilder getItemsOrBuilder(
+        int index);
+  }
+  /**
+   * <pre>
+   * What the pieces of a state are made of.
+   * </pre>
+   *
+   * Protobuf type {@code laneworks.StoreItems}
+   */
+  public static final class StoreItems extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:laneworks.StoreItems)
+      StoreItemsOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "StoreItems");
+    }
+    // Use StoreItems.newBuilder() to construct.
+    private StoreItems(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private StoreItems() {
+      items_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreItems_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreItems_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreItems_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              dev.laneworks.wire.proto.Protocol.StoreItems.class, dev.laneworks.wire.proto.Protocol.StoreItems.Builder.class);
+    }
+
+    public static final int ITEMS_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private java.util.List<dev.laneworks.wire.proto.Protocol.StoreItem> items_;
+    /**
+     * <code>repeated .laneworks.StoreItem items = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.List<dev.laneworks.wire.proto.Protocol.StoreItem> getItemsList() {
+      return items_;
+    }
+    /**
+     * <code>repeated .laneworks.StoreItem items = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends dev.laneworks.wire.proto.Protocol.StoreItemOrBuilder> 
+        getItemsOrBuilderList() {
+      return items_;
+    }
+    /**
+     * <code>repeated .laneworks.StoreItem items = 1;</code>
+     */
+    @java.lang.Override
+    public int getItemsCount() {
+      return items_.size();
+    }
+    /**
+     * <code>repeated .laneworks.StoreItem items = 1;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.StoreItem getItems(int index) {
+      return items_.get(index);
+    }
+    /**
+     * <code>repeated .laneworks.StoreItem items = 1;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.StoreItemOrBuilder getItemsOrBuilder(
+        int index) {
+      return items_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      for (int i = 0; i < items_.size(); i++) {
+        output.writeMessage(1, items_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+
+          {
+            final int count = items_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(items_.get(i));
+            }
+            size += 1 * count;
+          }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof dev.laneworks.wire.proto.Protocol.StoreItems)) {
+        return super.equals(obj);
+      }
+      dev.laneworks.wire.proto.Protocol.StoreItems other = (dev.laneworks.wire.proto.Protocol.StoreItems) obj;
+
+      if (!getItemsList()
+          .equals(other.getItemsList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (getItemsCount() > 0) {
+        hash = (37 * hash) + ITEMS_FIELD_NUMBER;
+        hash = (53 * hash) + getItemsList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StoreItems parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreItems parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreItems parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreItems parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreItems parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreItems parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreItems parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreItems parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StoreItems parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StoreItems parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreItems parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreItems parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(dev.laneworks.wire.proto.Protocol.StoreItems prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * What the pieces of a state are made of.
+     * </pre>
+     *
+     * Protobuf type {@code laneworks.StoreItems}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:laneworks.StoreItems)
+        dev.laneworks.wire.proto.Protocol.StoreItemsOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreItems_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreItems_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                dev.laneworks.wire.proto.Protocol.StoreItems.class, dev.laneworks.wire.proto.Protocol.StoreItems.Builder.class);
+      }
+
+      // Construct using dev.laneworks.wire.proto.Protocol.StoreItems.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        if (itemsBuilder_ == null) {
+          items_ = java.util.Collections.emptyList();
+        } else {
+          items_ = null;
+          itemsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000001);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreItems_descriptor;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StoreItems getDefaultInstanceForType() {
+        return dev.laneworks.wire.proto.Protocol.StoreItems.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StoreItems build() {
+        dev.laneworks.wire.proto.Protocol.StoreItems result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StoreItems buildPartial() {
+        dev.laneworks.wire.proto.Protocol.StoreItems result = new dev.laneworks.wire.proto.Protocol.StoreItems(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(dev.laneworks.wire.proto.Protocol.StoreItems result) {
+        if (itemsBuilder_ == null) {
+          if (((bitField0_ & 0x00000001) != 0)) {
+            items_ = java.util.Collections.unmodifiableList(items_);
+            bitField0_ = (bitField0_ & ~0x00000001);
+          }
+          result.items_ = items_;
+        } else {
+          result.items_ = itemsBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(dev.laneworks.wire.proto.Protocol.StoreItems result) {
+        int from_bitField0_ = bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof dev.laneworks.wire.proto.Protocol.StoreItems) {
+          return mergeFrom((dev.laneworks.wire.proto.Protocol.StoreItems)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(dev.laneworks.wire.proto.Protocol.StoreItems other) {
+        if (other == dev.laneworks.wire.proto.Protocol.StoreItems.getDefaultInstance()) return this;
+        if (itemsBuilder_ == null) {
+          if (!other.items_.isEmpty()) {
+            if (items_.isEmpty()) {
+              items_ = other.items_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+            } else {
+              ensureItemsIsMutable();
+              items_.addAll(other.items_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.items_.isEmpty()) {
+            if (itemsBuilder_.isEmpty()) {
+              itemsBuilder_.dispose();
+              itemsBuilder_ = null;
+              items_ = other.items_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+              itemsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetItemsFieldBuilder() : null;
+            } else {
+              itemsBuilder_.addAllMessages(other.items_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                dev.laneworks.wire.proto.Protocol.StoreItem m =
+                    input.readMessage(
+                        dev.laneworks.wire.proto.Protocol.StoreItem.parser(),
+                        extensionRegistry);
+                if (itemsBuilder_ == null) {
+                  ensureItemsIsMutable();
+                  items_.add(m);
+                } else {
+                  itemsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 10
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.util.List<dev.laneworks.wire.proto.Protocol.StoreItem> items_ =
+        java.util.Collections.emptyList();
+      private void ensureItemsIsMutable() {
+        if (!((bitField0_ & 0x00000001) != 0)) {
+          items_ = new java.util.ArrayList<dev.laneworks.wire.proto.Protocol.StoreItem>(items_);
+          bitField0_ |= 0x00000001;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.StoreItem, dev.laneworks.wire.proto.Protocol.StoreItem.Builder, dev.laneworks.wire.proto.Protocol.StoreItemOrBuilder> itemsBuilder_;
+
+      /**
+       * <code>repeated .laneworks.StoreItem items = 1;</code>
+       */
+      public java.util.List<dev.laneworks.wire.proto.Protocol.StoreItem> getItemsList() {
+        if (itemsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(items_);
+        } else {
+          return itemsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .laneworks.StoreItem items = 1;</code>
+       */
+      public int getItemsCount() {
+        if (itemsBuilder_ == null) {
+          return items_.size();
+        } else {
+          return itemsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .laneworks.StoreItem items = 1;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.StoreItem getItems(int index) {
+        if (itemsBuilder_ == null) {
+          return items_.get(index);
+        } else {
+          return itemsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.StoreItem items = 1;</code>
+       */
+      public Builder setItems(
+          int index, dev.laneworks.wire.proto.Protocol.StoreItem value) {
+        if (itemsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureItemsIsMutable();
+          items_.set(index, value);
+          onChanged();
+        } else {
+          itemsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.StoreItem items = 1;</code>
+       */
+      public Builder setItems(
+          int index, dev.laneworks.wire.proto.Protocol.StoreItem.Builder builderForValue) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
+          items_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          itemsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.StoreItem items = 1;</code>
+       */
+      public Builder addItems(dev.laneworks.wire.proto.Protocol.StoreItem value) {
+        if (itemsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureItemsIsMutable();
+          items_.add(value);
+          onChanged();
+        } else {
+          itemsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.StoreItem items = 1;</code>
+       */
+      public Builder addItems(
+          int index, dev.laneworks.wire.proto.Protocol.StoreItem value) {
+        if (itemsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureItemsIsMutable();
+          items_.add(index, value);
+          onChanged();
+        } else {
+          itemsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.StoreItem items = 1;</code>
+       */
+      public Builder addItems(
+          dev.laneworks.wire.proto.Protocol.StoreItem.Builder builderForValue) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
+          items_.add(builderForValue.build());
+          onChanged();
+        } else {
+          itemsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.StoreItem items = 1;</code>
+       */
+      public Builder addItems(
+          int index, dev.laneworks.wire.proto.Protocol.StoreItem.Builder builderForValue) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
+          items_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          itemsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.StoreItem items = 1;</code>
+       */
+      public Builder addAllItems(
+          java.lang.Iterable<? extends dev.laneworks.wire.proto.Protocol.StoreItem> values) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, items_);
+          onChanged();
+        } else {
+          itemsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.StoreItem items = 1;</code>
+       */
+      public Builder clearItems() {
+        if (itemsBuilder_ == null) {
+          items_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000001);
+          onChanged();
+        } else {
+          itemsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.StoreItem items = 1;</code>
+       */
+      public Builder removeItems(int index) {
+        if (itemsBuilder_ == null) {
+          ensureItemsIsMutable();
+          items_.remove(index);
+          onChanged();
+        } else {
+          itemsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.StoreItem items = 1;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.StoreItem.Builder getItemsBuilder(
+          int index) {
+        return internalGetItemsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .laneworks.StoreItem items = 1;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.StoreItemOrBuilder getItemsOrBuilder(
+          int index) {
+        if (itemsBuilder_ == null) {
+          return items_.get(index);  } else {
+          return itemsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.StoreItem items = 1;</code>
+       */
+      public java.util.List<? extends dev.laneworks.wire.proto.Protocol.StoreItemOrBuilder> 
+           getItemsOrBuilderList() {
+        if (itemsBuilder_ != null) {
+          return itemsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(items_);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.StoreItem items = 1;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.StoreItem.Builder addItemsBuilder() {
+        return internalGetItemsFieldBuilder().addBuilder(
+            dev.laneworks.wire.proto.Protocol.StoreItem.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .laneworks.StoreItem items = 1;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.StoreItem.Builder addItemsBuilder(
+          int index) {
+        return internalGetItemsFieldBuilder().addBuilder(
+            index, dev.laneworks.wire.proto.Protocol.StoreItem.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .laneworks.StoreItem items = 1;</code>
+       */
+      public java.util.List<dev.laneworks.wire.proto.Protocol.StoreItem.Builder> 
+           getItemsBuilderList() {
+        return internalGetItemsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.StoreItem, dev.laneworks.wire.proto.Protocol.StoreItem.Builder, dev.laneworks.wire.proto.Protocol.StoreItemOrBuilder> 
+          internalGetItemsFieldBuilder() {
+        if (itemsBuilder_ == null) {
+          itemsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              dev.laneworks.wire.proto.Protocol.StoreItem, dev.laneworks.wire.proto.Protocol.StoreItem.Builder, dev.laneworks.wire.proto.Protocol.StoreItemOrBuilder>(
+                  items_,
+                  ((bitField0_ & 0x00000001) != 0),
+                  getParentForChildren(),
+                  isClean());
+          items_ = null;
+        }
+        return itemsBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:laneworks.StoreItems)
+    }
+
+    // @@protoc_insertion_point(class_scope:laneworks.StoreItems)
+    private static final dev.laneworks.wire.proto.Protocol.StoreItems DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.StoreItems();
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StoreItems getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<StoreItems>
+        PARSER = new com.google.protobuf.AbstractParser<StoreItems>() {
+      @java.lang.Override
+      public StoreItems parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<StoreItems> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<StoreItems> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.StoreItems getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface StoreItemOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:laneworks.StoreItem)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string key = 1;</code>
+     * @return The key.
+     */
+    java.lang.String getKey();
+    /**
+     * <code>string key = 1;</code>
+     * @return The bytes for key.
+     */
+    com.google.protobuf.ByteString
+        getKeyBytes();
+
+    /**
+     * <code>string value = 2;</code>
+     * @return The value.
+     */
+    java.lang.String getValue();
+    /**
+     * <code>string value = 2;</code>
+     * @return The bytes for value.
+     */
+    com.google.protobuf.ByteString
+        getValueBytes();
+  }
+  /**
+   * Protobuf type {@code laneworks.StoreItem}
+   */
+  public static final class StoreItem extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:laneworks.StoreItem)
+      StoreItemOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "StoreItem");
+    }
+    // Use StoreItem.newBuilder() to construct.
+    private StoreItem(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private StoreItem() {
+      key_ = "";
+      value_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreItem_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreItem_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreItem_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              dev.laneworks.wire.proto.Protocol.StoreItem.class, dev.laneworks.wire.proto.Protocol.StoreItem.Builder.class);
+    }
+
+    public static final int KEY_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object key_ = "";
+    /**
+     * <code>string key = 1;</code>
+     * @return The key.
+     */
+    @java.lang.Override
+    public java.lang.String getKey() {
+      java.lang.Object ref = key_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        key_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string key = 1;</code>
+     * @return The bytes for key.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getKeyBytes() {
+      java.lang.Object ref = key_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        key_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int VALUE_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object value_ = "";
+    /**
+     * <code>string value = 2;</code>
+     * @return The value.
+     */
+    @java.lang.Override
+    public java.lang.String getValue() {
+      java.lang.Object ref = value_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        value_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string value = 2;</code>
+     * @return The bytes for value.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getValueBytes() {
+      java.lang.Object ref = value_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        value_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(key_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, key_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(value_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 2, value_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(key_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, key_);
+      }
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(value_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(2, value_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof dev.laneworks.wire.proto.Protocol.StoreItem)) {
+        return super.equals(obj);
+      }
+      dev.laneworks.wire.proto.Protocol.StoreItem other = (dev.laneworks.wire.proto.Protocol.StoreItem) obj;
+
+      if (!getKey()
+          .equals(other.getKey())) return false;
+      if (!getValue()
+          .equals(other.getValue())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + KEY_FIELD_NUMBER;
+      hash = (53 * hash) + getKey().hashCode();
+      hash = (37 * hash) + VALUE_FIELD_NUMBER;
+      hash = (53 * hash) + getValue().hashCode();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StoreItem parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreItem parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreItem parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreItem parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreItem parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreItem parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreItem parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreItem parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StoreItem parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.StoreItem parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreItem parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.StoreItem parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(dev.laneworks.wire.proto.Protocol.StoreItem prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code laneworks.StoreItem}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:laneworks.StoreItem)
+        dev.laneworks.wire.proto.Protocol.StoreItemOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreItem_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreItem_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                dev.laneworks.wire.proto.Protocol.StoreItem.class, dev.laneworks.wire.proto.Protocol.StoreItem.Builder.class);
+      }
+
+      // Construct using dev.laneworks.wire.proto.Protocol.StoreItem.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        key_ = "";
+        value_ = "";
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_StoreItem_descriptor;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StoreItem getDefaultInstanceForType() {
+        return dev.laneworks.wire.proto.Protocol.StoreItem.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StoreItem build() {
+        dev.laneworks.wire.proto.Protocol.StoreItem result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.StoreItem buildPartial() {
+        dev.laneworks.wire.proto.Protocol.StoreItem result = new dev.laneworks.wire.proto.Protocol.StoreItem(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(dev.laneworks.wire.proto.Protocol.StoreItem result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.key_ = key_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.value_ = value_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof dev.laneworks.wire.proto.Protocol.StoreItem) {
+          return mergeFrom((dev.laneworks.wire.proto.Protocol.StoreItem)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(dev.laneworks.wire.proto.Protocol.StoreItem other) {
+        if (other == dev.laneworks.wire.proto.Protocol.StoreItem.getDefaultInstance()) return this;
+        if (!other.getKey().isEmpty()) {
+          key_ = other.key_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (!other.getValue().isEmpty()) {
+          value_ = other.value_;
+          bitField0_ |= 0x00000002;
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                key_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 18: {
+                value_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 18
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object key_ = "";
       /**
-       * <code>.laneworks.StoreNews store = 3;</code>
-       * @return Whether the store field is set.
+       * <code>string key = 1;</code>
+       * @return The key.
        */
-      @java.lang.Override
-      public boolean hasStore() {
-        return kindCase_ == 3;
+      public java.lang.String getKey() {
+        java.lang.Object ref = key_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          key_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
       }
       /**
-       * <code>.laneworks.StoreNews store = 3;</code>
-       * @return The store.
+       * <code>string key = 1;</code>
+       * @return The bytes for key.
        */
-      @java.lang.Override
-      public dev.laneworks.wire.proto.Protocol.StoreNews getStore() {
-        if (storeBuilder_ == null) {
-          if (kindCase_ == 3) {
-            return (dev.laneworks.wire.proto.Protocol.StoreNews) kind_;
-          }
-          return dev.laneworks.wire.proto.Protocol.StoreNews.getDefaultInstance();
+      public com.google.protobuf.ByteString
+          getKeyBytes() {
+        java.lang.Object ref = key_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          key_ = b;
+          return b;
         } else {
-          if (kindCase_ == 3) {
-            return storeBuilder_.getMessage();
-          }
-          return dev.laneworks.wire.proto.Protocol.StoreNews.getDefaultInstance();
+          return (com.google.protobuf.ByteString) ref;
         }
       }
       /**
-       * <code>.laneworks.StoreNews store = 3;</code>
+       * <code>string key = 1;</code>
+       * @param value The key to set.
+       * @return This builder for chaining.
        */
-      public Builder setStore(dev.laneworks.wire.proto.Protocol.StoreNews value) {
-        if (storeBuilder_ == null) {
-          if (value == null) {
-            throw new NullPointerException();
-          }
-          kind_ = value;
-          onChanged();
-        } else {
-          storeBuilder_.setMessage(value);
-        }
-        kindCase_ = 3;
+      public Builder setKey(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        key_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
         return this;
       }
       /**
-       * <code>.laneworks.StoreNews store = 3;</code>
+       * <code>string key = 1;</code>
+       * @return This builder for chaining.
        */
-      public Builder setStore(
-          dev.laneworks.wire.proto.Protocol.StoreNews.Builder builderForValue) {
-        if (storeBuilder_ == null) {
-          kind_ = builderForValue.build();
-          onChanged();
-        } else {
-          storeBuilder_.setMessage(builderForValue.build());
-        }
-        kindCase_ = 3;
+      public Builder clearKey() {
+        key_ = getDefaultInstance().getKey();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
         return this;
       }
       /**
-       * <code>.laneworks.StoreNews store = 3;</code>
+       * <code>string key = 1;</code>
+       * @param value The bytes for key to set.
+       * @return This builder for chaining.
        */
-      public Builder mergeStore(dev.laneworks.wire.proto.Protocol.StoreNews value) {
-        if (storeBuilder_ == null) {
-          if (kindCase_ == 3 &&
-              kind_ != dev.laneworks.wire.proto.Protocol.StoreNews.getDefaultInstance()) {
-            kind_ = dev.laneworks.wire.proto.Protocol.StoreNews.newBuilder((dev.laneworks.wire.proto.Protocol.StoreNews) kind_)
-                .mergeFrom(value).buildPartial();
-          } else {
-            kind_ = value;
-          }
-          onChanged();
+      public Builder setKeyBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        key_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private java.lang.Object value_ = "";
+      /**
+       * <code>string value = 2;</code>
+       * @return The value.
+       */
+      public java.lang.String getValue() {
+        java.lang.Object ref = value_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          value_ = s;
+          return s;
         } else {
-          if (kindCase_ == 3) {
-            storeBuilder_.mergeFrom(value);
-          } else {
-            storeBuilder_.setMessage(value);
-          }
+          return (java.lang.String) ref;
         }
-        kindCase_ = 3;
-        return this;
       }
       /**
-       * <code>.laneworks.StoreNews store = 3;</code>
+       * <code>string value = 2;</code>
+       * @return The bytes for value.
        */
-      public Builder clearStore() {
-        if (storeBuilder_ == null) {
-          if (kindCase_ == 3) {
-            kindCase_ = 0;
-            kind_ = null;
-            onChanged();
-          }
+      public com.google.protobuf.ByteString
+          getValueBytes() {
+        java.lang.Object ref = value_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          value_ = b;
+          return b;
         } else {
-          if (kindCase_ == 3) {
-            kindCase_ = 0;
-            kind_ = null;
-          }
-          storeBuilder_.clear();
+          return (com.google.protobuf.ByteString) ref;
         }
-        return this;
       }
       /**
-       * <code>.laneworks.StoreNews store = 3;</code>
+       * <code>string value = 2;</code>
+       * @param value The value to set.
+       * @return This builder for chaining.
        */
-      public dev.laneworks.wire.proto.Protocol.StoreNews.Builder getStoreBuilder() {
-        return internalGetStoreFieldBuilder().getBuilder();
+      public Builder setValue(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        value_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
       }
       /**
-       * <code>.laneworks.StoreNews store = 3;</code>
+       * <code>string value = 2;</code>
+       * @return This builder for chaining.
        */
-      @java.lang.Override
-      public dev.laneworks.wire.proto.Protocol.StoreNewsOrBuilder getStoreOrBuilder() {
-        if ((kindCase_ == 3) && (storeBuilder_ != null)) {
-          return storeBuilder_.getMessageOrBuilder();
-        } else {
-          if (kindCase_ == 3) {
-            return (dev.laneworks.wire.proto.Protocol.StoreNews) kind_;
-          }
-          return dev.laneworks.wire.proto.Protocol.StoreNews.getDefaultInstance();
-        }
+      public Builder clearValue() {
+        value_ = getDefaultInstance().getValue();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
       }
       /**
-       * <code>.laneworks.StoreNews store = 3;</code>
+       * <code>string value = 2;</code>
+       * @param value The bytes for value to set.
+       * @return This builder for chaining.
        */
-      private com.google.protobuf.SingleFieldBuilder<
-          dev.laneworks.wire.proto.Protocol.StoreNews, dev.laneworks.wire.proto.Protocol.StoreNews.Builder, dev.laneworks.wire.proto.Protocol.StoreNewsOrBuilder> 
-          internalGetStoreFieldBuilder() {
-        if (storeBuilder_ == null) {
-          if (!(kindCase_ == 3)) {
-            kind_ = dev.laneworks.wire.proto.Protocol.StoreNews.getDefaultInstance();
-          }
-          storeBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-              dev.laneworks.wire.proto.Protocol.StoreNews, dev.laneworks.wire.proto.Protocol.StoreNews.Builder, dev.laneworks.wire.proto.Protocol.StoreNewsOrBuilder>(
-                  (dev.laneworks.wire.proto.Protocol.StoreNews) kind_,
-                  getParentForChildren(),
-                  isClean());
-          kind_ = null;
-        }
-        kindCase_ = 3;
+      public Builder setValueBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        value_ = value;
+        bitField0_ |= 0x00000002;
         onChanged();
-        return storeBuilder_;
+        return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:laneworks.EntryDatagram)
+      // @@protoc_insertion_point(builder_scope:laneworks.StoreItem)
     }
 
-    // @@protoc_insertion_point(class_scope:laneworks.EntryDatagram)
-    private static final dev.laneworks.wire.proto.Protocol.EntryDatagram DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:laneworks.StoreItem)
+    private static final dev.laneworks.wire.proto.Protocol.StoreItem DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.EntryDatagram();
+      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.StoreItem();
     }
 
-    public static dev.laneworks.wire.proto.Protocol.EntryDatagram getDefaultInstance() {
+    public static dev.laneworks.wire.proto.Protocol.StoreItem getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<EntryDatagram>
-        PARSER = new com.google.protobuf.AbstractParser<EntryDatagram>() {
+    private static final com.google.protobuf.Parser<StoreItem>
+        PARSER = new com.google.protobuf.AbstractParser<StoreItem>() {
       @java.lang.Override
-      public EntryDatagram parsePartialFrom(
+      public StoreItem parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -23246,17 +26383,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<EntryDatagram> parser() {
+    public static com.google.protobuf.Parser<StoreItem> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<EntryDatagram> getParserForType() {
+    public com.google.protobuf.Parser<StoreItem> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public dev.laneworks.wire.proto.Protocol.EntryDatagram getDefaultInstanceForType() {
+    public dev.laneworks.wire.proto.Protocol.StoreItem getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -27118,6 +30255,26 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_laneworks_EntryDatagram_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_StateQuestion_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_StateQuestion_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_StatePiece_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_StatePiece_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_StoreItems_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_StoreItems_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_StoreItem_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_StoreItem_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_laneworks_StoreNews_descriptor;
   private static final 
@@ -27216,22 +30373,30 @@
       "2\027.laneworks.WorkAtTarget\022\r\n\005peers\030\007 \003(\t" +
       "\022,\n\010spending\030\010 \003(\0132\032.laneworks.ServiceSp" +
       "ending\022\023\n\013data_centre\030\t \001(\t\022\017\n\007partial\030\n" +
-      " \001(\010\022\024\n\014again_millis\030\013 \001(\rJ\004\010\001\020\002\"v\n\rEntr" +
-      "yDatagram\022\020\n\010protocol\030\001 \001(\r\022$\n\004work\030\002 \001(" +
-      "\0132\024.laneworks.EntryNewsH\000\022%\n\005store\030\003 \001(\013" +
-      "2\024.laneworks.StoreNewsH\000B\006\n\004kind\"\216\001\n\tSto" +
-      "reNews\022\016\n\006reader\030\001 \001(\t\022\014\n\004from\030\002 \001(\004\022\n\n\002" +
-      "to\030\003 \001(\004\022\'\n\007changes\030\004 \003(\0132\026.laneworks.St" +
-      "oreChange\022\014\n\004asks\030\005 \001(\010\022\r\n\005group\030\006 \001(\t\022\021" +
-      "\n\treturning\030\007 \001(\010\"J\n\013StoreChange\022\013\n\003key\030" +
-      "\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\005value\030\003 \001(\tH\000" +
-      "\210\001\001B\010\n\006_value\"E\n\017ServiceSpending\022\017\n\007serv" +
-      "ice\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\017\n\007repeats\030\003" +
-      " \001(\r\"~\n\014WorkAtTarget\022\016\n\006target\030\001 \001(\t\022\020\n\010" +
-      "requests\030\002 \001(\r\022\023\n\013held_tokens\030\003 \001(\004\022\025\n\ru" +
-      "nread_tokens\030\004 \001(\004\022\017\n\007to_move\030\005 \001(\r\022\017\n\007c" +
-      "opying\030\006 \001(\010B&\n\030dev.laneworks.wire.proto" +
-      "B\010ProtocolP\000b\006proto3"
+      " \001(\010\022\024\n\014again_millis\030\013 \001(\rJ\004\010\001\020\002\"\314\001\n\rEnt" +
+      "ryDatagram\022\020\n\010protocol\030\001 \001(\r\022$\n\004work\030\002 \001" +
+      "(\0132\024.laneworks.EntryNewsH\000\022%\n\005store\030\003 \001(" +
+      "\0132\024.laneworks.StoreNewsH\000\022,\n\010question\030\004 " +
+      "\001(\0132\030.laneworks.StateQuestionH\000\022&\n\005piece" +
+      "\030\005 \001(\0132\025.laneworks.StatePieceH\000B\006\n\004kind\"" +
+      "6\n\rStateQuestion\022\020\n\010revision\030\001 \001(\022\022\023\n\013fi" +
+      "rst_piece\030\002 \001(\r\"_\n\nStatePiece\022\020\n\010revisio" +
+      "n\030\001 \001(\004\022\022\n\nage_millis\030\002 \001(\004\022\016\n\006number\030\003 " +
+      "\001(\r\022\r\n\005count\030\004 \001(\r\022\014\n\004data\030\005 \001(\014\"1\n\nStor" +
+      "eItems\022#\n\005items\030\001 \003(\0132\024.laneworks.StoreI" +
+      "tem\"\'\n\tStoreItem\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002" +
+      " \001(\t\"\216\001\n\tStoreNews\022\016\n\006reader\030\001 \001(\t\022\014\n\004fr" +
+      "om\030\002 \001(\004\022\n\n\002to\030\003 \001(\004\022\'\n\007changes\030\004 \003(\0132\026." +
+      "laneworks.StoreChange\022\014\n\004asks\030\005 \001(\010\022\r\n\005g" +
+      "roup\030\006 \001(\t\022\021\n\treturning\030\007 \001(\010\"J\n\013StoreCh" +
+      "ange\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\005v" +
+      "alue\030\003 \001(\tH\000\210\001\001B\010\n\006_value\"E\n\017ServiceSpen" +
+      "ding\022\017\n\007service\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022" +
+      "\017\n\007repeats\030\003 \001(\r\"~\n\014WorkAtTarget\022\016\n\006targ" +
+      "et\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\023\n\013held_token" +
+      "s\030\003 \001(\004\022\025\n\runread_tokens\030\004 \001(\004\022\017\n\007to_mov" +
+      "e\030\005 \001(\r\022\017\n\007copying\030\006 \001(\010B&\n\030dev.lanework" +
+      "s.wire.protoB\010ProtocolP\000b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -27380,27 +30545,51 @@
     internal_static_laneworks_EntryDatagram_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_EntryDatagram_descriptor,
-        new java.lang.String[] { "Protocol", "Work", "Store", "Kind", });
-    internal_static_laneworks_StoreNews_descriptor =
+        new java.lang.String[] { "Protocol", "Work", "Store", "Question", "Piece", "Kind", });
+    internal_static_laneworks_StateQuestion_descriptor =
       getDescriptor().getMessageType(24);
+    internal_static_laneworks_StateQuestion_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_laneworks_StateQuestion_descriptor,
+        new java.lang.String[] { "Revision", "FirstPiece", });
+    internal_static_laneworks_StatePiece_descriptor =
+      getDescriptor().getMessageType(25);
+    internal_static_laneworks_StatePiece_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_laneworks_StatePiece_descriptor,
+        new java.lang.String[] { "Revision", "AgeMillis", "Number", "Count", "Data", });
+    internal_static_laneworks_StoreItems_descriptor =
+      getDescriptor().getMessageType(26);
+    internal_static_laneworks_StoreItems_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_laneworks_StoreItems_descriptor,
+        new java.lang.String[] { "Items", });
+    internal_static_laneworks_StoreItem_descriptor =
+      getDescriptor().getMessageType(27);
+    internal_static_laneworks_StoreItem_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_laneworks_StoreItem_descriptor,
+        new java.lang.String[] { "Key", "Value", });
+    internal_static_laneworks_StoreNews_descriptor =
+      getDescriptor().getMessageType(28);
     internal_static_laneworks_StoreNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_StoreNews_descriptor,
         new java.lang.String[] { "Reader", "From", "To", "Changes", "Asks", "Group", "Returning", });
     internal_static_laneworks_StoreChange_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(29);
     internal_static_laneworks_StoreChange_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_StoreChange_descriptor,
         new java.lang.String[] { "Key", "Revision", "Value", });
     internal_static_laneworks_ServiceSpending_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(30);
     internal_static_laneworks_ServiceSpending_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_ServiceSpending_descriptor,
         new java.lang.String[] { "Service", "Requests", "Repeats", });
     internal_static_laneworks_WorkAtTarget_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(31);
     internal_static_laneworks_WorkAtTarget_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_WorkAtTarget_descriptor,
