Tell small changes though a large one of the same batch is left out

Cause: news of a batch that holds a plan went out without any change, so that a notice in the same batch was heard only behind the plan. Change: the small changes go out as news behind a gap, which receivers hear at once; they read the whole themselves as before. Test: smallChangesAreHeardAtOnceWhereALargeOneOfTheSameNewsIsLeftOut.

--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreNews.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreNews.java
@@ -27,6 +27,19 @@
 		changes = List.copyOf(changes);
 	}
 
+	/**
+	 * Return news of the small changes alone, which leave a gap before them: receivers
+	 * see that they have missed something, and hear of what they need at once.
+	 * @param most the most characters of a change's value
+	 * @return news whose changes can't be taken for all
+	 */
+	public StoreNews withoutLargeChanges(int most) {
+		List<StoreChange> small = this.changes.stream()
+			.filter((c) -> c.item().filter((i) -> i.value().length() > most).isEmpty())
+			.toList();
+		return new StoreNews(this.reader, this.group, this.to, this.to, small, this.returning, this.asks);
+	}
+
 	/**
 	 * Return how many characters the values of the changes have together.
 	 * @return the count
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
@@ -270,6 +270,20 @@
 		assertThat(this.heard).containsExactly("all [a]", "changed [b]", "changed [plan, b]").inOrder();
 	}
 
+	@Test
+	void smallChangesAreHeardAtOnceWhereALargeOneOfTheSameNewsIsLeftOut() {
+		this.others = 3;
+		watching();
+		tell(higher(), 100, 100, 10);
+		this.follower.watched(this.lastCall, List.of(), 100, 20);
+		this.timers.run(200);
+		StoreChange large = new StoreChange("plan", Optional.of(new StoreItem("plan", "x".repeat(50))), 101);
+		StoreNews all = new StoreNews(higher(), "z", 100, 102, List.of(large, change("b", 102)), false, false);
+		this.follower.told(all.withoutLargeChanges(20), 210);
+		assertThat(this.heard).containsExactly("all [a]", "changed [b]").inOrder();
+		assertThat(this.calls.get(this.calls.size() - 1)).isEqualTo("watch 100 700");
+	}
+
 	@Test
 	void answersWithWhatItReadItselfAndNothingElse() {
 		watching();
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/NewsSocket.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/NewsSocket.java
@@ -36,6 +36,9 @@
 	/** In bytes; more than the news of an entry with work at a few hundred targets. */
 	private static final int MAX_DATAGRAM_BYTES = 32 * 1024;
 
+	/** An entry of the list of targets has a few hundred characters, a plan thousands. */
+	private static final int LARGE_CHANGE_CHARACTERS = 2_000;
+
 	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final Channel channel;
@@ -76,13 +79,15 @@
 	/**
 	 * Send what was read of the platform's store.
 	 * <p>
-	 * Changes too large for a datagram are left out; the receiver then reads them itself.
+	 * Where the changes are too large for a datagram the large ones are left out, and
+	 * where that is not enough all; the receiver then reads them itself.
 	 * @param addresses the receivers' addresses
 	 * @param news the news
 	 */
 	public void send(List<InetSocketAddress> addresses, StoreNews news) {
 		// What is too large in any case is not encoded first; that takes time as well.
-		StoreNews small = (news.characters() <= MAX_DATAGRAM_BYTES) ? news : news.withoutChanges();
+		StoreNews small = (news.characters() <= MAX_DATAGRAM_BYTES) ? news
+				: news.withoutLargeChanges(LARGE_CHANGE_CHARACTERS);
 		byte[] whole = EntryDatagrams.of(small);
 		byte[] datagram = (whole.length <= MAX_DATAGRAM_BYTES) ? whole : EntryDatagrams.of(news.withoutChanges());
 		addresses.forEach((a) -> write(a, datagram));
