--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
@@ -52,7 +52,7 @@
 
 	private final SharedReading reading;
 
-	/** Addresses at whose hosts entries may run, the own one left out. */
+	/** Addresses at which entries may hear news. */
 	private final Set<String> seeds;
 
 	private Consumer<StoreNews> storeListener = (n) -> {
