Drop targets that lapsed and did not come back, and never list again what is gone

Cause: TargetDirectory.expire dropped lapsed targets and was called by nobody, so that a target that left while the store was out of reach stayed listed until the entry's end. The directory now sets its own timer, so that there is nothing to forget to call. Of the other ways by which a list can be wrong: a change heard ahead of a gap was told again in its order, and an older one of the same key in between brought back what was gone (KnownItems keeps the newest of each key); pages read anew undid what was told while they were read; pages older than a state taken from another entry replaced it; an address that another target has now kept its former one.

Ruled out: two readers at different revisions (revisions only rise, changes known are passed over), an entry told twice and late (the same filter).

Tests: MembershipTests play 1,500 seeded orders of joins, leavings, reused addresses, a store that forgets, lapses and turns away, news lost, doubled and late, over the parts as the entry wires them (FollowedStore).

Ruled out by the platform's form: a doubt from a heartbeat that stands still, since an entry of the list changes only when more than the heartbeat's number does.

--- a/laneworks-core/src/main/java/dev/laneworks/core/directory/LeavingCause.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/LeavingCause.java
@@ -16,6 +16,9 @@
 	/** The target's entry did not come back after the list had been out of reach. */
 	LAPSED,
 
+	/** Another target is listed at the target's address. */
+	ADDRESS_TAKEN,
+
 	/** The target refused a request because it is leaving or is another one. */
 	REFUSED
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
@@ -7,15 +7,19 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 
+import dev.laneworks.core.time.Timers;
+
 /**
  * The targets as one process knows them.
  * <p>
  * While the list can't be reached the targets known last stay. Entries can lapse
  * meanwhile though their targets are well; those are back soon after the list is, so that
- * an entry which goes within that time counts as gone only at its end. Not thread-safe.
+ * an entry which goes within that time counts as gone only at its end. An address belongs
+ * to the target that was listed there last. Not thread-safe.
  *
  * @since 0.2
  */
@@ -36,6 +40,8 @@
 
 	private final DirectoryListener listener;
 
+	private final Timers timers;
+
 	/** What the listener is to be told once a change of several targets is taken in. */
 	private final List<Runnable> untold = new ArrayList<>();
 
@@ -46,9 +52,11 @@
 	/**
 	 * Create an empty directory.
 	 * @param listener hears of changes
+	 * @param timers what is due later
 	 */
-	public TargetDirectory(DirectoryListener listener) {
-		this.listener = listener;
+	public TargetDirectory(DirectoryListener listener, Timers timers) {
+		this.listener = Objects.requireNonNull(listener, "listener must not be null");
+		this.timers = Objects.requireNonNull(timers, "timers must not be null");
 	}
 
 	/**
@@ -85,6 +93,27 @@
 	 * @param target the target
 	 */
 	public void put(ListedTarget target) {
+		together(() -> {
+			endFormerAt(target, List.copyOf(this.targets.values()));
+			take(target);
+		});
+	}
+
+	// A target's address is given to another one only after it has ended, even where its
+	// entry is still listed.
+	private void endFormerAt(ListedTarget target, Collection<ListedTarget> known) {
+		if (this.targets.containsKey(target.id())) {
+			return;
+		}
+		for (ListedTarget former : known) {
+			boolean isReplaced = former.address().equals(target.address()) && !former.id().equals(target.id());
+			if (isReplaced && this.left.add(former.id())) {
+				tell(() -> this.listener.leaving(former, LeavingCause.ADDRESS_TAKEN));
+			}
+		}
+	}
+
+	private void take(ListedTarget target) {
 		this.lapsedUntil.remove(target.id());
 		ListedTarget before = this.targets.put(target.id(), target);
 		boolean wasLeaving = this.left.contains(target.id());
@@ -108,9 +137,12 @@
 			return;
 		}
 		if (now < this.settledAt && !this.left.contains(id)) {
-			this.lapsedUntil.putIfAbsent(id, this.settledAt);
+			if (this.lapsedUntil.putIfAbsent(id, this.settledAt) == null) {
+				this.timers.at(this.settledAt, this::dropLapsed);
+			}
 			return;
 		}
+		this.lapsedUntil.remove(id);
 		drop(target, LeavingCause.VANISHED);
 	}
 
@@ -124,10 +156,13 @@
 	}
 
 	private void replace(Collection<ListedTarget> all, long now) {
+		// Of two that are both new it isn't known which was listed first.
+		List<ListedTarget> known = List.copyOf(this.targets.values());
 		Set<String> listed = new HashSet<>();
 		for (ListedTarget target : all) {
 			listed.add(target.id());
-			put(target);
+			endFormerAt(target, known);
+			take(target);
 		}
 		for (String id : List.copyOf(this.targets.keySet())) {
 			if (!listed.contains(id)) {
@@ -147,29 +182,23 @@
 		}
 	}
 
-	/**
-	 * Let go of entries that lapsed and did not come back in time.
-	 * @param now the time in milliseconds
-	 */
-	public void expire(long now) {
-		together(() -> dropLapsed(now));
-	}
-
 	private void dropLapsed(long now) {
-		for (Map.Entry<String, Long> lapsed : List.copyOf(this.lapsedUntil.entrySet())) {
-			if (now >= lapsed.getValue()) {
-				this.lapsedUntil.remove(lapsed.getKey());
-				Optional.ofNullable(this.targets.get(lapsed.getKey())).ifPresent((t) -> drop(t, LeavingCause.LAPSED));
+		together(() -> {
+			for (Map.Entry<String, Long> lapsed : List.copyOf(this.lapsedUntil.entrySet())) {
+				if (now >= lapsed.getValue()) {
+					this.lapsedUntil.remove(lapsed.getKey());
+					find(lapsed.getKey()).ifPresent((t) -> drop(t, LeavingCause.LAPSED));
+				}
 			}
-		}
+		});
 	}
 
 	/**
-	 * Return when {@link #expire(long)} has something to do.
-	 * @return the time in milliseconds, or {@link Long#MAX_VALUE}
+	 * Return how many targets lapsed and may still come back.
+	 * @return the count
 	 */
-	public long nextExpiry() {
-		return this.lapsedUntil.values().stream().mapToLong(Long::longValue).min().orElse(Long.MAX_VALUE);
+	public int lapsed() {
+		return this.lapsedUntil.size();
 	}
 
 	/**
@@ -205,6 +234,14 @@
 		return Optional.ofNullable(this.targets.get(id));
 	}
 
+	/**
+	 * Return all targets that are known.
+	 * @return the targets, those that are leaving included
+	 */
+	public List<ListedTarget> all() {
+		return List.copyOf(this.targets.values());
+	}
+
 	/**
 	 * Return how many targets are known.
 	 * @return the count, those that are leaving included
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -4,8 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.SortedMap;
-import java.util.TreeMap;
 
 import dev.laneworks.core.retry.Backoff;
 import dev.laneworks.core.time.Timers;
@@ -55,8 +53,7 @@
 
 	private final List<StoreItem> pages = new ArrayList<>();
 
-	/** All items as they are known, by their keys. */
-	private final SortedMap<String, StoreItem> held = new TreeMap<>();
+	private final KnownItems known = new KnownItems();
 
 	private long call;
 
@@ -64,11 +61,12 @@
 
 	private boolean watching;
 
+	/** Whether all items were read once. */
+	private boolean hasRead;
+
 	/** Whether another process reads for this one. */
 	private boolean resting;
 
-	private long revision;
-
 	private long firstRevision = -1;
 
 	private long watchedAt;
@@ -136,16 +134,18 @@
 		}
 		List<StoreItem> all = List.copyOf(this.pages);
 		this.pages.clear();
-		takeAll(all, this.firstRevision, now);
+		// What another process told while the pages were read may be newer than they are.
+		boolean isOutdated = this.watching && this.firstRevision < this.known.revision();
+		if (!isOutdated) {
+			takeAll(all, this.firstRevision, now);
+		}
 		watch(now);
 	}
 
 	private void takeAll(List<StoreItem> all, long at, long now) {
-		this.revision = at;
 		this.watching = true;
-		this.held.clear();
-		all.forEach((i) -> this.held.put(i.key(), i));
-		this.listener.all(all, now);
+		this.hasRead = true;
+		this.listener.all(this.known.replace(all, at), now);
 	}
 
 	/**
@@ -153,7 +153,7 @@
 	 * @return the revision, or empty before all items were read
 	 */
 	public OptionalLong knownRevision() {
-		return this.watching ? OptionalLong.of(this.revision) : OptionalLong.empty();
+		return this.watching ? OptionalLong.of(this.known.revision()) : OptionalLong.empty();
 	}
 
 	/**
@@ -161,7 +161,7 @@
 	 * @return the items, in the order of their keys
 	 */
 	public List<StoreItem> knownItems() {
-		return List.copyOf(this.held.values());
+		return this.known.items();
 	}
 
 	/**
@@ -197,10 +197,10 @@
 		if (!answered(number, now)) {
 			return;
 		}
-		long before = this.revision;
+		long before = this.known.revision();
 		take(changes, at, now);
-		if (this.revision > before) {
-			this.reading.tell(before, this.revision, changes, isReturning(now));
+		if (this.known.revision() > before) {
+			this.reading.tell(before, this.known.revision(), changes, isReturning(now));
 		}
 		long next = Math.max(now, this.watchedAt + this.settings.gapMillis());
 		later(next, this::watchUnlessServed);
@@ -212,10 +212,15 @@
 	 * @param now the time in milliseconds
 	 */
 	public void told(StoreNews news, long now) {
-		if (!this.watching || news.to() < this.revision) {
+		if (!this.watching) {
+			hearWhileReading(news, now);
 			return;
 		}
-		boolean isComplete = news.to() == this.revision || (news.from() <= this.revision && !news.changes().isEmpty());
+		long revision = this.known.revision();
+		if (news.to() < revision) {
+			return;
+		}
+		boolean isComplete = news.to() == revision || (news.from() <= revision && !news.changes().isEmpty());
 		if (isComplete) {
 			if (news.returning()) {
 				heardOfReturn(now);
@@ -229,7 +234,15 @@
 			watch(now);
 		}
 		else if (this.lost) {
-			this.reading.ask(this.revision, now);
+			this.reading.ask(revision, now);
+		}
+	}
+
+	// While all items are read anew a change that is told stands for itself: the pages
+	// may be older than it.
+	private void hearWhileReading(StoreNews news, long now) {
+		if (this.hasRead) {
+			hear(news.changes(), now);
 		}
 	}
 
@@ -272,11 +285,11 @@
 	// Changes behind a gap are heard at once, since an engine's leaving can't wait for
 	// what
 	// is missing: that may be a large plan, which takes a small instance up to a second.
-	// They count as unknown until they are read in their order, and are then heard again.
+	// They count as unknown until they are read in their order.
 	private void hear(List<StoreChange> changes, long now) {
-		List<StoreChange> ahead = changes.stream().filter((c) -> c.revision() > this.revision).toList();
-		if (!ahead.isEmpty()) {
-			this.listener.changed(ahead, now);
+		List<StoreChange> fresh = this.known.hear(changes);
+		if (!fresh.isEmpty()) {
+			this.listener.changed(fresh, now);
 		}
 	}
 
@@ -318,21 +331,15 @@
 
 	// Changes known already are passed over, since a change may be told twice and late.
 	private void take(List<StoreChange> changes, long at, long now) {
-		List<StoreChange> fresh = changes.stream().filter((c) -> c.revision() > this.revision).toList();
-		this.revision = Math.max(this.revision, at);
+		List<StoreChange> fresh = this.known.advance(changes, at);
 		if (!fresh.isEmpty()) {
-			fresh.forEach(this::hold);
 			this.listener.changed(fresh, now);
 		}
 	}
 
-	private void hold(StoreChange change) {
-		change.item().ifPresentOrElse((i) -> this.held.put(change.key(), i), () -> this.held.remove(change.key()));
-	}
-
 	// Another process that is known to follow the store stands for an answer of it.
 	private void watchUnlessServed(long now) {
-		this.resting = this.reading.isServed(this.revision, now);
+		this.resting = this.reading.isServed(this.known.revision(), now);
 		if (!this.resting) {
 			watch(now);
 			return;
@@ -344,7 +351,7 @@
 
 	private void signOfLife(long now) {
 		if (this.watching && this.open && !isDeaf(now)) {
-			this.reading.tell(this.revision, this.revision, List.of(), isReturning(now));
+			this.reading.tell(this.known.revision(), this.known.revision(), List.of(), isReturning(now));
 		}
 		this.timers.at(now + SharedReading.SIGN_MILLIS, this::signOfLife);
 	}
@@ -367,7 +374,7 @@
 		// back.
 		this.watchWait = (this.failures > 0) ? this.settings.gapMillis() : holdMillis();
 		begin(now + this.watchWait + this.settings.answerMillis());
-		this.outputs.watch(this.call, this.revision, this.watchWait);
+		this.outputs.watch(this.call, this.known.revision(), this.watchWait);
 	}
 
 	private long holdMillis() {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -1,7 +1,6 @@
 package dev.laneworks.entry.direct;
 
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.EnumSet;
 import java.util.Map;
 import java.util.Optional;
@@ -23,11 +22,10 @@
 import dev.laneworks.core.dispatch.RetryWindow;
 import dev.laneworks.core.dispatch.TargetBeliefs;
 import dev.laneworks.core.dispatch.TargetChooser;
-import dev.laneworks.core.follow.StoreFollower;
 import dev.laneworks.core.gossip.ServiceSpending;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.core.mechanism.Mechanism;
-import dev.laneworks.core.retry.Backoff;
+import dev.laneworks.core.serving.ServingPlan;
 import dev.laneworks.core.time.Timers;
 import dev.laneworks.entry.caller.CallTimes;
 import dev.laneworks.runtime.audit.AuditTrail;
@@ -55,12 +53,6 @@
 	/** How many decisions are kept for operators to look at. */
 	private static final int AUDIT_CAPACITY = 2_000;
 
-	/** The wait before the store is asked again after a first failure. */
-	private static final Duration FIRST_WAIT = Duration.ofMillis(80);
-
-	/** The longest wait before the store is asked again, however often it failed. */
-	private static final Duration LONGEST_WAIT = Duration.ofMillis(800);
-
 	/**
 	 * How long the balancer may go on sending new connections after readiness ends, in
 	 * milliseconds: it asks each second and believes the second miss.
@@ -112,7 +104,7 @@
 
 	private final EventLoop loop;
 
-	private final TargetDirectory directory = new TargetDirectory(new Members());
+	private final TargetDirectory directory;
 
 	private final TargetBeliefs beliefs = new TargetBeliefs(this::workOfOthers);
 
@@ -122,9 +114,7 @@
 
 	private final Dispatcher dispatcher;
 
-	private final PlanAndTargets published;
-
-	private final StoreFollower follower;
+	private final FollowedStore store;
 
 	private final StateHandover handover;
 
@@ -156,23 +146,22 @@
 		PlatformAdapter adapter = platform.create(settings, http, thread);
 		DirectCalls calls = new DirectCalls(this.loop, http, adapter.headers(), adapter.engines(),
 				new CallTimes(this.metrics));
-		TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, settings.dataCentre(), random,
-				settings.mechanisms());
 		this.retries = new RetryWindow(settings.retryWindowMillis(), settings.retryRatio(), settings.ownRetryExtra(1),
 				settings.retryExtra(), this::spendingOfOthers);
 		this.others = new OtherEntries(settings, this.beliefs, this.retries, this.loop, random, this.audit);
+		this.store = new FollowedStore(adapter.source(), settings.follow(), new Members(), this::use,
+				this.others.reading(), timers, random, new DefaultBackgroundWork(thread), this.audit);
+		this.directory = this.store.directory();
+		TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, settings.dataCentre(), random,
+				settings.mechanisms());
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(settings.mechanisms()), this.directory, this.beliefs,
 				chooser, this.others, this.retries, timers, calls, this.audit);
 		calls.use(this.dispatcher);
-		this.published = new PlanAndTargets(adapter.source(), this.directory, this.dispatcher::use, this.audit,
-				new DefaultBackgroundWork(thread));
-		this.follower = new StoreFollower(settings.follow(), adapter.source().calls(this::follower), this.published,
-				timers, new Backoff(FIRST_WAIT, LONGEST_WAIT, random), this.others.reading());
-		this.handover = new StateHandover(this.follower, this.others, this.loop, this.audit);
+		this.handover = new StateHandover(this.store.follower(), this.others, this.loop, this.audit);
 		this.others.onState(this.handover);
-		this.others.onStoreNews((n) -> this.follower.told(n, this.loop.now()));
-		this.callers = new DirectServer(this.io, settings.callers(), calls, adapter.headers(), this.published::plan,
-				this.plannedStop, this.loop, random, this.audit);
+		this.others.onStoreNews((n) -> this.store.follower().told(n, this.loop.now()));
+		this.callers = new DirectServer(this.io, settings.callers(), calls, adapter.headers(),
+				this.store.published()::plan, this.plannedStop, this.loop, random, this.audit);
 		this.readiness = new ReadinessServer(this.io, settings.readiness(), adapter.source()::readinessPaths,
 				this::isReady);
 		registerMetrics();
@@ -186,7 +175,7 @@
 		// In the order in which callers need it: connections that wait, the plan, the
 		// rest.
 		this.callers.listen();
-		this.loop.run(() -> this.follower.start(this.loop.now()));
+		this.loop.run(() -> this.store.follower().start(this.loop.now()));
 		this.readiness.start();
 		LogLine.of("started").with("address", this.settings.callers().toString()).info();
 		this.loop.run(() -> lookForPlan(this.loop.now()));
@@ -297,7 +286,7 @@
 	// back once at the most; they wait for no longer than callers bear.
 	private void lookForPlan(long startedAt) {
 		long now = this.loop.now();
-		boolean isComplete = this.published.isComplete();
+		boolean isComplete = this.store.published().isComplete();
 		if (!this.open && (isComplete || now - startedAt >= this.settings.startHoldMillis())) {
 			this.open = true;
 			this.callers.open();
@@ -332,14 +321,14 @@
 				? this.others.spending(service, windowMillis, now) : Optional.empty();
 	}
 
-	private StoreFollower follower() {
-		return this.follower;
+	private void use(ServingPlan inForce) {
+		this.dispatcher.use(inForce);
 	}
 
 	private Object status() {
 		return Map.of("instance", this.settings.instance(), "ready", isReady(), "openCalls",
 				this.dispatcher.openCalls(), "planVersion",
-				this.published.plan().map((p) -> Long.toString(p.version())).orElse("none"), "targets",
+				this.store.published().plan().map((p) -> Long.toString(p.version())).orElse("none"), "targets",
 				this.directory.size());
 	}
 
--- /dev/null
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipTests.java
@@ -0,0 +1,195 @@
+package dev.laneworks.entry.direct;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+/**
+ * Tests that the list of targets converges, over the parts as an entry wires them.
+ * <p>
+ * Property: an entry that follows the store, or hears one that does, holds just the
+ * targets that the store lists, {@value #CONVERGED_MILLIS} ms after the last fault; and a
+ * target that is gone never joins again.
+ */
+class MembershipTests {
+
+	/** A watch whose answer was lost, a wait, a call, and the time for lapsed entries. */
+	private static final long CONVERGED_MILLIS = 8_200;
+
+	private static final int SEEDS = 1_500;
+
+	private static final int STEPS = 60;
+
+	@Test
+	void targetsThatLeftWhileTheStoreHadForgottenAreDropped() {
+		MembershipWorld world = new MembershipWorld(1, 1);
+		world.list("a", "10.0.0.1", false);
+		world.list("b", "10.0.0.2", false);
+		world.start();
+		world.storeDown();
+		world.pass(6_000);
+		world.unlist("a");
+		world.forgetHistory();
+		world.storeUp();
+		world.pass(CONVERGED_MILLIS);
+		assertThat(world.entries.get(0).knownIds()).containsExactly("b");
+		assertThat(world.entries.get(0).takingWork).containsExactly("b");
+	}
+
+	@Test
+	void aTargetThatLapsedAndDoesNotComeBackIsDroppedTwoSecondsAfterTheReturn() {
+		MembershipWorld world = new MembershipWorld(1, 1);
+		world.list("a", "10.0.0.1", false);
+		world.list("b", "10.0.0.2", false);
+		world.start();
+		world.storeDown();
+		world.pass(5_000);
+		world.unlist("a");
+		world.lapse("b");
+		world.storeUp();
+		world.pass(2_900);
+		assertThat(world.entries.get(0).knownIds()).containsExactly("b");
+		assertThat(world.entries.get(0).joined).containsEntry("b", 1);
+	}
+
+	@Test
+	void aTargetThatJoinsWhileTheStoreIsAwayIsKnownBehindItsReturn() {
+		MembershipWorld world = new MembershipWorld(1, 2);
+		world.list("a", "10.0.0.1", false);
+		world.start();
+		world.entries.get(0).turnedAway = true;
+		world.list("b", "10.0.0.2", false);
+		world.pass(50);
+		assertThat(world.entries.get(0).knownIds()).containsExactly("a", "b");
+	}
+
+	@Test
+	void convergesAfterAnyOrderOfFaults() {
+		for (long seed = 0; seed < SEEDS; seed++) {
+			new Play(seed).run();
+		}
+	}
+
+	/**
+	 * One seeded order of events.
+	 */
+	private static final class Play {
+
+		private final long seed;
+
+		private final SplittableRandom random;
+
+		private final MembershipWorld world;
+
+		private final List<String> live = new ArrayList<>();
+
+		private boolean lapsedAny;
+
+		private int ids;
+
+		Play(long seed) {
+			this.seed = seed;
+			this.random = new SplittableRandom(seed);
+			this.world = new MembershipWorld(seed, 1 + (int) (seed % 5));
+			this.world.newsLost = this.random.nextInt(4) * 100;
+		}
+
+		void run() {
+			for (int i = 0; i < 4; i++) {
+				join();
+			}
+			this.world.start();
+			for (int i = 0; i < STEPS; i++) {
+				step();
+				this.world.pass(this.random.nextInt(300));
+			}
+			this.world.entries.forEach((e) -> e.turnedAway = false);
+			if (!this.world.isUp()) {
+				this.world.storeUp();
+			}
+			this.world.pass(CONVERGED_MILLIS);
+			check();
+		}
+
+		private void check() {
+			for (MembershipWorld.Entry entry : this.world.entries) {
+				assertWithMessage("seed %s, entry %s", this.seed, entry.name).that(entry.knownIds())
+					.isEqualTo(this.world.listedIds());
+				if (!this.lapsedAny) {
+					entry.joined.forEach(
+							(id, times) -> assertWithMessage("seed %s, entry %s, %s joined", this.seed, entry.name, id)
+								.that(times)
+								.isEqualTo(1));
+				}
+			}
+		}
+
+		private void step() {
+			switch (this.random.nextInt(12)) {
+				case 0, 1, 2 -> join();
+				case 3, 4 -> leave();
+				case 5 -> takeAddress();
+				case 6 -> this.world.forgetHistory();
+				case 7 -> this.world.entries.get(this.random.nextInt(this.world.entries.size())).turnedAway ^= true;
+				case 8 -> this.world.storeDown();
+				case 9, 10 -> {
+					if (!this.world.isUp()) {
+						this.world.storeUp();
+					}
+				}
+				default -> lapse();
+			}
+		}
+
+		private void join() {
+			String id = "i" + this.ids++;
+			this.live.add(id);
+			this.world.list(id, "10.0.0." + this.ids, false);
+		}
+
+		private void leave() {
+			if (this.live.size() > 2) {
+				String id = this.live.remove(this.random.nextInt(this.live.size()));
+				if (this.random.nextBoolean()) {
+					this.world.list(id, address(id), true);
+					this.world.pass(this.random.nextInt(100));
+				}
+				this.world.unlist(id);
+			}
+		}
+
+		// A target ends without a word, and another gets its address before its entry
+		// goes.
+		private void takeAddress() {
+			if (this.live.size() > 2) {
+				String former = this.live.remove(this.random.nextInt(this.live.size()));
+				String id = "i" + this.ids++;
+				this.live.add(id);
+				this.world.list(id, address(former), false);
+				this.world.pass(this.random.nextInt(300));
+				this.world.unlist(former);
+			}
+		}
+
+		private void lapse() {
+			if (!this.world.isUp() && !this.live.isEmpty()) {
+				this.lapsedAny = true;
+				String id = this.live.get(this.random.nextInt(this.live.size()));
+				if (this.world.listedIds().contains(id)) {
+					this.world.lapse(id);
+				}
+			}
+		}
+
+		private static String address(String id) {
+			return "10.0.0." + (Integer.parseInt(id.substring(1)) + 1);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipWorld.java
@@ -0,0 +1,339 @@
+package dev.laneworks.entry.direct;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import dev.laneworks.core.directory.DirectoryListener;
+import dev.laneworks.core.directory.LeavingCause;
+import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.follow.FollowOutputs;
+import dev.laneworks.core.follow.FollowSettings;
+import dev.laneworks.core.follow.SharedReading;
+import dev.laneworks.core.follow.StoreChange;
+import dev.laneworks.core.follow.StoreFollower;
+import dev.laneworks.core.follow.StoreItem;
+import dev.laneworks.core.follow.StoreNews;
+import dev.laneworks.core.serving.ServingPlan;
+import dev.laneworks.core.time.Timers;
+import dev.laneworks.runtime.http.BackgroundWork;
+import io.vavr.control.Either;
+
+/**
+ * A store, the targets that list themselves in it and the entries that follow it, wired
+ * as {@link DirectEntry} wires them, in virtual time.
+ */
+final class MembershipWorld {
+
+	static final FollowSettings SETTINGS = new FollowSettings(4_000, 700, 60);
+
+	private static final long STORE_MILLIS = 4;
+
+	final Timers timers = new Timers();
+
+	final SplittableRandom random;
+
+	final List<Entry> entries = new ArrayList<>();
+
+	/** All that stands in the store: the address of each target that is listed. */
+	private final TreeMap<String, String> listed = new TreeMap<>();
+
+	private final List<StoreChange> history = new ArrayList<>();
+
+	/** Entries that lapsed though their targets live: they come back with the store. */
+	private final Map<String, String> lapsed = new TreeMap<>();
+
+	private final List<Runnable> waitingWatches = new ArrayList<>();
+
+	private long forgottenUpTo;
+
+	private long revision = 100;
+
+	private boolean up = true;
+
+	/** How many of a thousand news between entries are lost. */
+	int newsLost;
+
+	long now;
+
+	MembershipWorld(long seed, int entryCount) {
+		this.random = new SplittableRandom(seed);
+		for (int i = 0; i < entryCount; i++) {
+			this.entries.add(new Entry("e" + i));
+		}
+	}
+
+	void start() {
+		this.entries.forEach((e) -> e.store.follower().start(this.now));
+		pass(200);
+	}
+
+	void pass(long millis) {
+		long end = this.now + millis;
+		while (this.timers.nextDue() <= end) {
+			this.now = Math.max(this.now, this.timers.nextDue());
+			this.timers.run(this.now);
+		}
+		this.now = end;
+	}
+
+	void list(String id, String address, boolean leaving) {
+		this.listed.put(id, address + (leaving ? " leaving" : ""));
+		write(new StoreChange("servers/" + id, Optional.of(item(id)), ++this.revision));
+	}
+
+	void unlist(String id) {
+		this.listed.remove(id);
+		write(new StoreChange("servers/" + id, Optional.empty(), ++this.revision));
+	}
+
+	// A target that lives loses its entry; it lists itself again soon after the store is
+	// back.
+	void lapse(String id) {
+		this.lapsed.put(id, this.listed.get(id));
+		unlist(id);
+	}
+
+	Set<String> listedIds() {
+		return new TreeSet<>(this.listed.keySet());
+	}
+
+	boolean isUp() {
+		return this.up;
+	}
+
+	void storeDown() {
+		this.up = false;
+		this.waitingWatches.clear();
+	}
+
+	void storeUp() {
+		this.up = true;
+		for (String id : List.copyOf(this.lapsed.keySet())) {
+			String was = this.lapsed.remove(id);
+			this.timers.at(this.now + this.random.nextInt(1_500), (t) -> {
+				this.listed.put(id, was);
+				write(new StoreChange("servers/" + id, Optional.of(item(id)), ++this.revision));
+			});
+		}
+	}
+
+	void forgetHistory() {
+		this.forgottenUpTo = this.revision;
+		this.history.clear();
+	}
+
+	private void write(StoreChange change) {
+		this.history.add(change);
+		List<Runnable> woken = List.copyOf(this.waitingWatches);
+		this.waitingWatches.clear();
+		woken.forEach(Runnable::run);
+	}
+
+	private StoreItem item(String id) {
+		return new StoreItem("servers/" + id, this.listed.get(id));
+	}
+
+	private List<StoreItem> items() {
+		List<StoreItem> all = new ArrayList<>();
+		all.add(new StoreItem("plan", "1"));
+		this.listed.keySet().forEach((id) -> all.add(item(id)));
+		return all;
+	}
+
+	private void tell(Entry from, StoreNews news) {
+		for (Entry to : this.entries) {
+			boolean isHeard = to != from && this.random.nextInt(1_000) >= this.newsLost;
+			for (int i = 0; isHeard && i < ((this.random.nextInt(20) == 0) ? 2 : 1); i++) {
+				long delay = 1 + ((this.random.nextInt(10) == 0) ? this.random.nextInt(400) : this.random.nextInt(5));
+				this.timers.at(this.now + delay, (t) -> to.hear(from, news));
+			}
+		}
+	}
+
+	/**
+	 * One entry's view of the store.
+	 */
+	final class Entry implements DirectoryListener {
+
+		final String name;
+
+		final FollowedStore store;
+
+		/** How often each target joined, as this entry was told. */
+		final Map<String, Integer> joined = new HashMap<>();
+
+		final Set<String> takingWork = new HashSet<>();
+
+		/** Whether the store turns this entry away. */
+		boolean turnedAway;
+
+		private final SharedReading reading;
+
+		Entry(String name) {
+			this.name = name;
+			this.reading = new SharedReading(name, "dc", () -> MembershipWorld.this.entries.size() - 1,
+					(n) -> MembershipWorld.this.tell(this, n));
+			this.store = new FollowedStore(new Source(this), SETTINGS, this, (p) -> {
+			}, this.reading, MembershipWorld.this.timers, MembershipWorld.this.random.split(), new AtOnce(), (e) -> {
+			});
+		}
+
+		Set<String> knownIds() {
+			Set<String> ids = new TreeSet<>();
+			this.store.directory().all().forEach((t) -> ids.add(t.id()));
+			return ids;
+		}
+
+		private void hear(Entry from, StoreNews news) {
+			if (news.asks()) {
+				this.reading.answer(news)
+					.ifPresent((a) -> MembershipWorld.this.timers.at(MembershipWorld.this.now + 2,
+							(t) -> from.hear(this, a)));
+				return;
+			}
+			this.reading.heard(news, MembershipWorld.this.now);
+			this.store.follower().told(news, MembershipWorld.this.now);
+		}
+
+		@Override
+		public void joined(ListedTarget target) {
+			this.joined.merge(target.id(), 1, Integer::sum);
+			this.takingWork.add(target.id());
+		}
+
+		@Override
+		public void leaving(ListedTarget target, LeavingCause cause) {
+			this.takingWork.remove(target.id());
+		}
+
+		@Override
+		public void gone(ListedTarget target) {
+			this.takingWork.remove(target.id());
+		}
+
+	}
+
+	private final class Source implements ServingSource, FollowOutputs {
+
+		private final Entry entry;
+
+		private Supplier<StoreFollower> follower;
+
+		Source(Entry entry) {
+			this.entry = entry;
+		}
+
+		@Override
+		public FollowOutputs calls(Supplier<StoreFollower> given) {
+			this.follower = given;
+			return this;
+		}
+
+		@Override
+		public void readPage(long call, Optional<String> afterKey) {
+			answer(call, (t) -> {
+				List<StoreItem> all = MembershipWorld.this.items();
+				long at = MembershipWorld.this.revision;
+				MembershipWorld.this.timers.at(t + 1 + MembershipWorld.this.random.nextInt(30),
+						(later) -> this.follower.get().pageRead(call, all, false, at, later));
+			});
+		}
+
+		@Override
+		public void watch(long call, long since, long waitMillis) {
+			answer(call, (t) -> lookFor(call, since, t + waitMillis, t));
+		}
+
+		private void lookFor(long call, long since, long end, long t) {
+			if (!MembershipWorld.this.up || this.entry.turnedAway) {
+				return;
+			}
+			if (since < MembershipWorld.this.forgottenUpTo) {
+				this.follower.get().historyGone(call, t);
+				return;
+			}
+			List<StoreChange> changes = MembershipWorld.this.history.stream()
+				.filter((c) -> c.revision() > since)
+				.toList();
+			if (!changes.isEmpty() || t >= end) {
+				long at = MembershipWorld.this.revision;
+				MembershipWorld.this.timers.at(t + STORE_MILLIS,
+						(later) -> this.follower.get().watched(call, changes, at, later));
+				return;
+			}
+			boolean[] isAnswered = new boolean[1];
+			Consumer<Long> again = (when) -> {
+				if (!isAnswered[0]) {
+					isAnswered[0] = true;
+					lookFor(call, since, end, when);
+				}
+			};
+			MembershipWorld.this.waitingWatches.add(() -> again.accept(MembershipWorld.this.now));
+			MembershipWorld.this.timers.at(end, again::accept);
+		}
+
+		// The store refuses or says nothing where it is down or turns the entry away.
+		private void answer(long call, Timers.TimedAction reply) {
+			MembershipWorld.this.timers.at(MembershipWorld.this.now + STORE_MILLIS, (t) -> {
+				if (MembershipWorld.this.up && !this.entry.turnedAway) {
+					reply.run(t);
+				}
+				else if (MembershipWorld.this.random.nextBoolean()) {
+					this.follower.get().failed(call, "refused", t);
+				}
+			});
+		}
+
+		@Override
+		public void abandon() {
+			// Late answers are passed over by their number.
+		}
+
+		@Override
+		public boolean isPlan(String key) {
+			return key.equals("plan");
+		}
+
+		@Override
+		public String targetId(String key) {
+			return key.startsWith("servers/") ? key.substring("servers/".length()) : "";
+		}
+
+		@Override
+		public Either<String, ServingPlan> plan(StoreItem item) {
+			return Either.left("no plan is needed here");
+		}
+
+		@Override
+		public Either<String, ListedTarget> target(StoreItem item) {
+			String[] words = item.value().split(" ");
+			return Either.right(new ListedTarget(targetId(item.key()), "s", words[0], 80, "dc", 4, words.length > 1));
+		}
+
+		@Override
+		public List<String> readinessPaths() {
+			return List.of("/");
+		}
+
+	}
+
+	private static final class AtOnce implements BackgroundWork {
+
+		@Override
+		public <T> void run(Supplier<T> work, Consumer<T> receiver) {
+			receiver.accept(work.get());
+		}
+
+	}
+
+}
