Doubt targets at which connections are refused, by the refusals of all entries

Each entry now tells its refusals with its work; the second one of any entry takes the target out of placing, copies and goings on until a trial succeeds or the list shows it anew. Where no other target is left a doubted one is tried.

Ruled out: sharing time-outs as well, since a cut link is the matter of one entry alone.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Continuation.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Continuation.java
@@ -6,7 +6,6 @@
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
-import dev.laneworks.core.directory.TargetDirectory;
 import dev.laneworks.core.serving.EngineSpec;
 
 /**
@@ -18,7 +17,7 @@
  */
 final class Continuation {
 
-	private final TargetDirectory directory;
+	private final TargetTrust trust;
 
 	private final RetryWindow retries;
 
@@ -38,10 +37,10 @@
 
 	private final boolean copiesAtNotice;
 
-	Continuation(TargetDirectory directory, RetryWindow retries, AttemptSender sender, StandbyCopies standbys,
+	Continuation(TargetTrust trust, RetryWindow retries, AttemptSender sender, StandbyCopies standbys,
 			StreamMover mover, CallEnding ending, AuditSink audit, Beginning beginning,
 			Function<DirectCall, Optional<EngineSpec>> engines, boolean copiesAtNotice) {
-		this.directory = directory;
+		this.trust = trust;
 		this.retries = retries;
 		this.sender = sender;
 		this.standbys = standbys;
@@ -75,7 +74,7 @@
 	boolean goOnAtBackup(DirectCall call, String cause, long now) {
 		Optional<ListedTarget> backup = call.attempt()
 			.flatMap(Attempt::backup)
-			.filter((b) -> this.directory.takesWork(b.id()));
+			.filter((b) -> this.trust.takesWork(b, now));
 		if (backup.isEmpty() || call.successor().isPresent() || !this.retries.tryTake(call.request().service(), now)) {
 			return false;
 		}
@@ -90,8 +89,8 @@
 	// For a run that is lost; one that is only to leave is copied on first.
 	boolean goOnAtStandby(DirectCall call, String cause, long now) {
 		Optional<Standby> standby = call.standby()
-			.filter((s) -> !s.handle().isEmpty() && this.directory.takesWork(s.destination().id()));
-		Optional<Copying> copying = this.mover.copyAtHand(call);
+			.filter((s) -> !s.handle().isEmpty() && this.trust.takesWork(s.destination(), now));
+		Optional<Copying> copying = this.mover.copyAtHand(call, now);
 		if ((standby.isEmpty() && copying.isEmpty()) || !this.retries.tryTake(call.request().service(), now)) {
 			return false;
 		}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -58,6 +58,8 @@
 
 	private final Continuation continuation;
 
+	private final TargetTrust trust;
+
 	private final Map<Long, DirectCall> calls = new HashMap<>();
 
 	private Optional<ServingPlan> plan = Optional.empty();
@@ -91,8 +93,10 @@
 				new CallResumption());
 		this.ending = new CallEnding(settings, this.calls, this.sender, this.standbys, this.mover, outputs, audit);
 		this.offers = new Offers(settings, retries, this.sender, this.ending, timers, outputs, audit, this::engine,
-				(c, a, t) -> connectFailed(c.number(), a.number(), "no connection within its time", t));
-		this.continuation = new Continuation(directory, retries, this.sender, this.standbys, this.mover, this.ending,
+				(c, a, t) -> connectFailed(c.number(), a.number(), ConnectFault.SILENT, "no connection within its time",
+						t));
+		this.trust = new TargetTrust(directory, beliefs);
+		this.continuation = new Continuation(this.trust, retries, this.sender, this.standbys, this.mover, this.ending,
 				audit, this.offers::begin, this::engine, settings.mechanisms().use(Mechanism.COPIES_AT_NOTICE));
 	}
 
@@ -144,13 +148,14 @@
 		}
 		DirectCall call = this.calls.get(number);
 		this.offers.connected(found.get(), now);
+		this.beliefs.reached(found.get().target());
 		long left = call.dueAt() - now;
 		if (left <= 0) {
 			return OptionalLong.empty();
 		}
 		ListedTarget target = found.get().target();
 		if (found.get().resume().isEmpty() && !this.directory.takesWork(target.id())) {
-			this.timers.at(now, (t) -> connectFailed(number, attempt, "the target is leaving", t));
+			this.timers.at(now, (t) -> connectFailed(number, attempt, ConnectFault.SILENT, "the target is leaving", t));
 			return OptionalLong.empty();
 		}
 		found.get().sent(now);
@@ -167,10 +172,11 @@
 	 * Take that a connection did not come up, so that nothing was sent.
 	 * @param number the call
 	 * @param attempt the attempt
+	 * @param fault the kind of fault
 	 * @param cause what was seen
 	 * @param now the time in milliseconds
 	 */
-	public void connectFailed(long number, int attempt, String cause, long now) {
+	public void connectFailed(long number, int attempt, ConnectFault fault, String cause, long now) {
 		Optional<Attempt> found = find(number, attempt).filter((a) -> !a.isSent());
 		if (found.isEmpty()) {
 			return;
@@ -179,6 +185,9 @@
 		ListedTarget target = found.get().target();
 		if (this.directory.takesWork(target.id())) {
 			this.beliefs.of(target).quality().recordUnreachable(now);
+			if (fault == ConnectFault.REFUSED) {
+				this.beliefs.refused(target);
+			}
 		}
 		this.audit.record(call.event(AuditKind.RETRIED, target.id(), "nothing was sent: " + cause));
 		notTaken(call, found.get(), "no connection: " + cause, now);
@@ -521,8 +530,8 @@
 		}
 
 		@Override
-		public boolean takesWork(ListedTarget target) {
-			return Dispatcher.this.directory.takesWork(target.id());
+		public boolean takesWork(ListedTarget target, long now) {
+			return Dispatcher.this.trust.takesWork(target, now);
 		}
 
 		@Override
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
@@ -54,6 +54,8 @@
 
 	private final TargetDirectory directory;
 
+	private final TargetTrust trust;
+
 	private final TargetBeliefs beliefs;
 
 	private final TargetChooser chooser;
@@ -79,6 +81,7 @@
 	StandbyCopies(TargetDirectory directory, TargetBeliefs beliefs, TargetChooser chooser, CopyTurn turn, Timers timers,
 			DispatchOutputs outputs, AuditSink audit, boolean inUse) {
 		this.directory = directory;
+		this.trust = new TargetTrust(directory, beliefs);
 		this.beliefs = beliefs;
 		this.chooser = chooser;
 		this.turn = turn;
@@ -183,7 +186,7 @@
 		if (call.attempt().orElse(null) != attempt || !this.directory.takesWork(attempt.target().id())) {
 			return;
 		}
-		boolean hasRunningCopy = attempt.backup().filter((b) -> this.directory.takesWork(b.id())).isPresent();
+		boolean hasRunningCopy = attempt.backup().filter((b) -> this.trust.takesWork(b, now)).isPresent();
 		if (hasRunningCopy) {
 			lookAt(call, attempt, engine, now + REFRESH_MILLIS);
 			return;
@@ -247,11 +250,12 @@
 	 */
 	void dropIfUseless(DirectCall call, EngineSpec engine, long now) {
 		boolean isUseless = call.standby()
-			.filter((s) -> !this.directory.takesWork(s.destination().id())
+			.filter((s) -> !this.trust.takesWork(s.destination(), now)
 					|| this.chooser.fullness(s.destination(), engine, now) > AttemptSender.CROWDED_FULLNESS)
 			.isPresent();
 		if (isUseless) {
-			record(call, call.standby().get().destination(), "standby copy given up: its engine is leaving or crowded");
+			record(call, call.standby().get().destination(),
+					"standby copy given up: its engine is leaving, doubted or crowded");
 			drop(call);
 		}
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -202,10 +202,12 @@
 	 * Return the copy that a call can go on at though its move is not done, because its
 	 * engine is lost.
 	 * @param call the call
+	 * @param now the time in milliseconds
 	 * @return the copying whose destination has a part, if it can be used
 	 */
-	Optional<Copying> copyAtHand(DirectCall call) {
-		return call.copying().filter((c) -> c.partStandsAt().filter(this.resumption::takesWork).isPresent());
+	Optional<Copying> copyAtHand(DirectCall call, long now) {
+		return call.copying()
+			.filter((c) -> c.partStandsAt().filter((d) -> this.resumption.takesWork(d, now)).isPresent());
 	}
 
 	private void lookAgain(MoveQueue queue, long due) {
@@ -225,7 +227,7 @@
 		standby.ifPresent((s) -> copying.handle(s.handle()));
 		Optional<ListedTarget> begun = standby.map(Standby::destination)
 			.or(copying::partStandsAt)
-			.filter((d) -> !copying.tried().contains(d.id()) && this.resumption.takesWork(d));
+			.filter((d) -> !copying.tried().contains(d.id()) && this.resumption.takesWork(d, now));
 		if (begun.isEmpty()) {
 			dropPart(copying);
 		}
@@ -411,9 +413,10 @@
 		/**
 		 * Return whether a target may be sent work.
 		 * @param target the target
-		 * @return whether it is listed and not leaving
+		 * @param now the time in milliseconds
+		 * @return whether it is listed, not leaving and not doubted
 		 */
-		boolean takesWork(ListedTarget target);
+		boolean takesWork(ListedTarget target, long now);
 
 		/**
 		 * Return what the call's engines can do.
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBelief.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBelief.java
@@ -44,6 +44,10 @@
 
 	private long fullUntil;
 
+	private int refused;
+
+	private final RefusalDoubt doubt = new RefusalDoubt();
+
 	/**
 	 * Create a belief in which nothing is known.
 	 * @param target the target
@@ -66,6 +70,30 @@
 	 */
 	public void listed(ListedTarget listed) {
 		this.target = listed;
+		this.gone = false;
+		this.leavingSince = OptionalLong.empty();
+	}
+
+	/**
+	 * Return the connections of this process that the target refused.
+	 * @return the count since one came up last
+	 */
+	public int refused() {
+		return this.refused;
+	}
+
+	// A connection was refused.
+	void connectionRefused() {
+		this.refused++;
+	}
+
+	// A connection came up.
+	void connected() {
+		this.refused = 0;
+	}
+
+	RefusalDoubt doubt() {
+		return this.doubt;
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBeliefs.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBeliefs.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.random.RandomGenerator;
 
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.gossip.WorkAtTarget;
@@ -17,20 +18,30 @@
  */
 public final class TargetBeliefs {
 
+	/** The least that a doubt's time is multiplied with; the most is one more. */
+	private static final double LEAST_SPREAD = 0.5;
+
 	private final Map<String, TargetBelief> byId = new HashMap<>();
 
 	private final Function<String, Optional<WorkAtTarget>> others;
 
+	private final RandomGenerator random;
+
 	private ChangeListener changed = (target, isUrgent) -> {
 	};
 
+	private Consumer<ListedTarget> doubted = (target) -> {
+	};
+
 	/**
 	 * Create beliefs.
 	 * @param others gives the work that other entries have at a target, empty where
 	 * nothing is known of others
+	 * @param random the source of what differs from process to process
 	 */
-	public TargetBeliefs(Function<String, Optional<WorkAtTarget>> others) {
+	public TargetBeliefs(Function<String, Optional<WorkAtTarget>> others, RandomGenerator random) {
 		this.others = others;
+		this.random = random;
 	}
 
 	/**
@@ -41,6 +52,60 @@
 		this.changed = listener;
 	}
 
+	/**
+	 * Call a listener whenever a target is newly doubted.
+	 * @param listener the listener
+	 */
+	public void onDoubt(Consumer<ListedTarget> listener) {
+		this.doubted = listener;
+	}
+
+	/**
+	 * Record that a target refused a connection.
+	 * @param target the target
+	 */
+	public void refused(ListedTarget target) {
+		of(target).connectionRefused();
+		this.changed.changed(target.id(), true);
+	}
+
+	/**
+	 * Record that a connection to a target came up, or that it is listed anew.
+	 * @param target the target
+	 */
+	public void reached(ListedTarget target) {
+		TargetBelief belief = of(target);
+		belief.connected();
+		belief.doubt().end(refusedByAll(belief));
+	}
+
+	/**
+	 * Return whether nothing seems to listen at a target, by the refusals of all entries.
+	 * @param target the target
+	 * @param now the time in milliseconds
+	 * @return whether it is to be left alone
+	 */
+	public boolean isDoubted(ListedTarget target, long now) {
+		TargetBelief belief = of(target);
+		if (belief.doubt().observe(refusedByAll(belief), LEAST_SPREAD + this.random.nextDouble(), now)) {
+			this.doubted.accept(target);
+		}
+		return belief.doubt().isDoubted(now);
+	}
+
+	/**
+	 * Return how many targets are doubted.
+	 * @param now the time in milliseconds
+	 * @return the count
+	 */
+	public long doubted(long now) {
+		return this.byId.values().stream().filter((b) -> !b.isGone() && b.doubt().isDoubted(now)).count();
+	}
+
+	private long refusedByAll(TargetBelief belief) {
+		return belief.refused() + this.others.apply(belief.target().id()).map(WorkAtTarget::refused).orElse(0);
+	}
+
 	/**
 	 * Record a change of the own work at a target, unless the target was forgotten.
 	 * @param target the target
@@ -71,9 +136,9 @@
 	public List<WorkAtTarget> ownWork() {
 		return this.byId.values()
 			.stream()
-			.filter((b) -> b.inFlight() > 0 || b.ownTokens() > 0)
+			.filter((b) -> b.inFlight() > 0 || b.ownTokens() > 0 || (b.refused() > 0 && !b.isGone()))
 			.map((b) -> new WorkAtTarget(b.target().id(), b.inFlight(), b.ownTokens(), b.ownUnread(), b.toMove(),
-					b.isCopying()))
+					b.isCopying(), b.refused()))
 			.toList();
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -85,6 +85,8 @@
 
 	private final TargetBeliefs beliefs;
 
+	private final TargetTrust trust;
+
 	private final String dataCentre;
 
 	private final RandomGenerator random;
@@ -105,6 +107,7 @@
 			Mechanisms mechanisms) {
 		this.directory = directory;
 		this.beliefs = beliefs;
+		this.trust = new TargetTrust(directory, beliefs);
 		this.dataCentre = dataCentre;
 		this.random = random;
 		this.mechanisms = mechanisms;
@@ -218,9 +221,17 @@
 		if (!this.mechanisms.use(Mechanism.EJECTION)) {
 			return open;
 		}
-		List<ListedTarget> usable = open.stream().filter((t) -> this.beliefs.of(t).quality().isUsable(now)).toList();
+		List<ListedTarget> listening = orAll(open.stream().filter((t) -> this.trust.takesWork(t, now)).toList(), open);
+		List<ListedTarget> usable = listening.stream()
+			.filter((t) -> this.beliefs.of(t).quality().isUsable(now))
+			.toList();
 		// A floor: where most look bad the fault is likely to be elsewhere.
-		return (usable.size() * 2 >= open.size() || usable.size() > 1) ? usable : open;
+		return (usable.size() * 2 >= listening.size() || usable.size() > 1) ? usable : listening;
+	}
+
+	// A floor: with no target left that is trusted, any may be tried.
+	private static List<ListedTarget> orAll(List<ListedTarget> trusted, List<ListedTarget> all) {
+		return trusted.isEmpty() ? all : trusted;
 	}
 
 	private double plainScore(ListedTarget target, double fastest, long now) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -106,7 +106,7 @@
 
 	private final TargetDirectory directory;
 
-	private final TargetBeliefs beliefs = new TargetBeliefs(this::workOfOthers);
+	private final TargetBeliefs beliefs;
 
 	private final RetryWindow retries;
 
@@ -127,6 +127,9 @@
 
 	private volatile boolean ready;
 
+	/** How many targets are doubted, as it was when it was looked last. */
+	private volatile long doubtedTargets;
+
 	private final PlannedStop plannedStop;
 
 	/**
@@ -139,6 +142,9 @@
 		this.inForce = settings;
 		this.plannedStop = new PlannedStop(settings.takeAllMillis(), settings.graceMillis() - END_EARLY_MILLIS);
 		SplittableRandom random = new SplittableRandom(ThreadLocalRandom.current().nextLong());
+		this.beliefs = new TargetBeliefs(this::workOfOthers, random);
+		this.beliefs.onDoubt((t) -> this.audit.record(AuditEvent.of(AuditKind.TARGET_HEALTH, t.id(), t.id(),
+				"doubted: connections refused, own " + this.beliefs.of(t).refused())));
 		XnioIoThread thread = this.io.worker().getIoThread();
 		Timers timers = new Timers();
 		this.loop = new EventLoop(thread, timers);
@@ -277,6 +283,7 @@
 	// More entries have smaller parts; a part grows only when an entry has been gone
 	// for a while.
 	private void shareRetries(int entriesBefore) {
+		this.doubtedTargets = this.beliefs.doubted(this.loop.now());
 		int entries = Math.max(this.others.count() + 1, entriesBefore - 1);
 		this.retries.allow(this.inForce.retryRatio(), this.inForce.ownRetryExtra(entries));
 		this.loop.timers().at(this.loop.now() + SHARE_MILLIS, (t) -> shareRetries(entries));
@@ -335,6 +342,8 @@
 	private void registerMetrics() {
 		this.metrics.register("laneworks_open_calls", (Gauge<Integer>) this.dispatcher::openCalls);
 		this.metrics.register("laneworks_targets", (Gauge<Integer>) this.directory::size);
+		this.metrics.register("laneworks_targets_lapsed", (Gauge<Integer>) this.directory::lapsed);
+		this.metrics.register("laneworks_targets_doubted", (Gauge<Long>) () -> this.doubtedTargets);
 		this.metrics.register("laneworks_peers", (Gauge<Integer>) this.others::count);
 		for (AuditKind kind : AuditKind.values()) {
 			this.metrics.counter(counterName(kind));
@@ -354,6 +363,7 @@
 		@Override
 		public void joined(ListedTarget target) {
 			DirectEntry.this.beliefs.of(target).listed(target);
+			DirectEntry.this.beliefs.reached(target);
 			record(target, "joined at " + target.address() + " in " + target.dataCentre());
 		}
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.URI;
 import java.nio.ByteBuffer;
 import java.util.Optional;
@@ -9,6 +10,7 @@
 
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.dispatch.AnswerHead;
+import dev.laneworks.core.dispatch.ConnectFault;
 import dev.laneworks.core.dispatch.Dispatcher;
 import dev.laneworks.core.dispatch.SendOrder;
 import dev.laneworks.runtime.http.HttpCall;
@@ -109,7 +111,9 @@
 
 	@Override
 	public void onNotSent(IOException cause) {
-		this.dispatcher.connectFailed(this.call, this.number, String.valueOf(cause.getMessage()), this.loop.now());
+		ConnectFault fault = (cause instanceof ConnectException) ? ConnectFault.REFUSED : ConnectFault.SILENT;
+		this.dispatcher.connectFailed(this.call, this.number, fault, String.valueOf(cause.getMessage()),
+				this.loop.now());
 		this.loop.settle();
 	}
 
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/EntryNewsCodec.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/EntryNewsCodec.java
@@ -45,6 +45,7 @@
 			.setUnreadTokens(work.unreadTokens())
 			.setToMove(work.toMove())
 			.setCopying(work.copying())
+			.setRefused(work.refused())
 			.build();
 	}
 
@@ -58,7 +59,7 @@
 
 	private static WorkAtTarget decode(Protocol.WorkAtTarget work) {
 		return new WorkAtTarget(work.getTarget(), work.getRequests(), work.getHeldTokens(), work.getUnreadTokens(),
-				work.getToMove(), work.getCopying());
+				work.getToMove(), work.getCopying(), work.getRefused());
 	}
 
 	private static ServiceSpending decode(Protocol.ServiceSpending spending) {
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
@@ -29302,6 +29302,12 @@
      * @return The copying.
      */
     boolean getCopying();
+
+    /**
+     * <code>uint32 refused = 7;</code>
+     * @return The refused.
+     */
+    int getRefused();
   }
   /**
    * Protobuf type {@code laneworks.WorkAtTarget}
@@ -29440,6 +29446,17 @@
       return copying_;
     }
 
+    public static final int REFUSED_FIELD_NUMBER = 7;
+    private int refused_ = 0;
+    /**
+     * <code>uint32 refused = 7;</code>
+     * @return The refused.
+     */
+    @java.lang.Override
+    public int getRefused() {
+      return refused_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -29472,6 +29489,9 @@
       if (copying_ != false) {
         output.writeBool(6, copying_);
       }
+      if (refused_ != 0) {
+        output.writeUInt32(7, refused_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -29504,6 +29524,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBoolSize(6, copying_);
       }
+      if (refused_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(7, refused_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -29531,6 +29555,8 @@
           != other.getToMove()) return false;
       if (getCopying()
           != other.getCopying()) return false;
+      if (getRefused()
+          != other.getRefused()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -29557,6 +29583,8 @@
       hash = (37 * hash) + COPYING_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
           getCopying());
+      hash = (37 * hash) + REFUSED_FIELD_NUMBER;
+      hash = (53 * hash) + getRefused();
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -29694,6 +29722,7 @@
         unreadTokens_ = 0L;
         toMove_ = 0;
         copying_ = false;
+        refused_ = 0;
         return this;
       }
 
@@ -29745,6 +29774,9 @@
         if (((from_bitField0_ & 0x00000020) != 0)) {
           result.copying_ = copying_;
         }
+        if (((from_bitField0_ & 0x00000040) != 0)) {
+          result.refused_ = refused_;
+        }
       }
 
       @java.lang.Override
@@ -29779,6 +29811,9 @@
         if (other.getCopying() != false) {
           setCopying(other.getCopying());
         }
+        if (other.getRefused() != 0) {
+          setRefused(other.getRefused());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -29835,6 +29870,11 @@
                 bitField0_ |= 0x00000020;
                 break;
               } // case 48
+              case 56: {
+                refused_ = input.readUInt32();
+                bitField0_ |= 0x00000040;
+                break;
+              } // case 56
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -30084,6 +30124,38 @@
         return this;
       }
 
+      private int refused_ ;
+      /**
+       * <code>uint32 refused = 7;</code>
+       * @return The refused.
+       */
+      @java.lang.Override
+      public int getRefused() {
+        return refused_;
+      }
+      /**
+       * <code>uint32 refused = 7;</code>
+       * @param value The refused to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRefused(int value) {
+
+        refused_ = value;
+        bitField0_ |= 0x00000040;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 refused = 7;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRefused() {
+        bitField0_ = (bitField0_ & ~0x00000040);
+        refused_ = 0;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:laneworks.WorkAtTarget)
     }
 
@@ -30392,11 +30464,12 @@
       "ange\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\005v" +
       "alue\030\003 \001(\tH\000\210\001\001B\010\n\006_value\"E\n\017ServiceSpen" +
       "ding\022\017\n\007service\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022" +
-      "\017\n\007repeats\030\003 \001(\r\"~\n\014WorkAtTarget\022\016\n\006targ" +
-      "et\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\023\n\013held_token" +
-      "s\030\003 \001(\004\022\025\n\runread_tokens\030\004 \001(\004\022\017\n\007to_mov" +
-      "e\030\005 \001(\r\022\017\n\007copying\030\006 \001(\010B&\n\030dev.lanework" +
-      "s.wire.protoB\010ProtocolP\000b\006proto3"
+      "\017\n\007repeats\030\003 \001(\r\"\217\001\n\014WorkAtTarget\022\016\n\006tar" +
+      "get\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\023\n\013held_toke" +
+      "ns\030\003 \001(\004\022\025\n\runread_tokens\030\004 \001(\004\022\017\n\007to_mo" +
+      "ve\030\005 \001(\r\022\017\n\007copying\030\006 \001(\010\022\017\n\007refused\030\007 \001" +
+      "(\rB&\n\030dev.laneworks.wire.protoB\010Protocol" +
+      "P\000b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -30593,7 +30666,7 @@
     internal_static_laneworks_WorkAtTarget_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_WorkAtTarget_descriptor,
-        new java.lang.String[] { "Target", "Requests", "HeldTokens", "UnreadTokens", "ToMove", "Copying", });
+        new java.lang.String[] { "Target", "Requests", "HeldTokens", "UnreadTokens", "ToMove", "Copying", "Refused", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
