Reset the connection of a run that is given up instead of closing it

A server may take a close for the end of the request alone and finds out when it writes; a run that waits, is preempted or is read anew writes nothing. A reset is heard at once.

Ruled out: that the entry did not close (the log shows the going on, and every way from there abandons the first attempt).

--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
@@ -86,7 +86,7 @@
 	void abandon() {
 		this.over = true;
 		if (this.exchange != null) {
-			this.exchange.abandon();
+			this.exchange.reset();
 		}
 	}
 
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpExchange.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpExchange.java
@@ -19,10 +19,12 @@
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import org.tinylog.Logger;
 import org.xnio.ChannelExceptionHandler;
 import org.xnio.ChannelListener;
 import org.xnio.ChannelListeners;
 import org.xnio.IoUtils;
+import org.xnio.Options;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.channels.StreamSourceChannel;
 
@@ -57,12 +59,38 @@
 	 * Give the call up: its listener hears of nothing more, and the connection is closed.
 	 */
 	public void abandon() {
+		giveUp(IoUtils::safeClose);
+	}
+
+	/**
+	 * Give the call up as {@link #abandon()} does, and reset its connection.
+	 * <p>
+	 * A server may take a plain close for the end of the request alone, and finds out
+	 * only when it writes: a run that waits or is read anew would go on beside the one
+	 * that takes its place.
+	 */
+	public void reset() {
+		giveUp(HttpExchange::closeByReset);
+	}
+
+	private void giveUp(Consumer<ClientConnection> closing) {
 		this.abandoned = true;
 		this.over.set(true);
 		ClientConnection open = this.connection;
 		if (open != null) {
-			open.getIoThread().execute(() -> IoUtils.safeClose(open));
+			open.getIoThread().execute(() -> closing.accept(open));
+		}
+	}
+
+	private static void closeByReset(ClientConnection open) {
+		try {
+			open.setOption(Options.CLOSE_ABORT, true);
+		}
+		catch (IOException | IllegalArgumentException ex) {
+			// A connection that is closed already takes no options.
+			Logger.debug("no reset: {}", ex.getMessage());
 		}
+		IoUtils.safeClose(open);
 	}
 
 	void notSent(IOException cause) {
