End one of two runs of a generation in time, and go back where a copy is refused

Two causes, in one place. A generation that goes on at its running copy works at two engines until the copy's first event; nothing bounded that time, where 400 ms are allowed. Now one of the runs is given up 300 ms after the copy was asked without an event: the copy's if the first run still sends events, the first otherwise. And a run that was stopped and whose copy was then refused (no room, a dead engine) was cut, though its memory stands at the engine that stopped it: it now goes back there and is copied away anew.

Tests first, in StreamMovingTests: each failed on the code before (the copy was never given up; the stream was cut at the first refusal).

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Continuation.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Continuation.java
@@ -17,6 +17,19 @@
  */
 final class Continuation {
 
+	/**
+	 * How long a generation may run at its copy without an event while its first engine
+	 * works on it too, in milliseconds: 400 ms are allowed, of which the end of either
+	 * run takes a part.
+	 */
+	static final long FIRST_EVENT_MILLIS = 300;
+
+	/**
+	 * How long ago the first run may have sent its last event if it is to be relied on,
+	 * in milliseconds; a full batch's events come each 60.
+	 */
+	private static final long ALIVE_MILLIS = 180;
+
 	private final TargetTrust trust;
 
 	private final RetryWindow retries;
@@ -115,6 +128,28 @@
 		copyAway(call, now);
 	}
 
+	/**
+	 * Take that a successor has sent no event for as long as two runs of a generation may
+	 * work side by side: only one of them goes on, the first if it still sends events.
+	 * @param call the call
+	 * @param successor the attempt
+	 * @param now the time in milliseconds
+	 */
+	void overdue(DirectCall call, Attempt successor, long now) {
+		if (!call.isSuccessor(successor) || call.attempt().isEmpty()) {
+			return;
+		}
+		boolean isAlive = now - call.lastEventAt() <= ALIVE_MILLIS;
+		Attempt given = isAlive ? successor : call.attempt().get();
+		this.audit.record(call.event(AuditKind.MOVED, given.target().id(),
+				"given up: no event from its copy at " + successor.target().id() + " for " + FIRST_EVENT_MILLIS
+						+ " ms, last event of the first run " + (now - call.lastEventAt()) + " ms ago"));
+		this.sender.abandon(call, given);
+		if (isAlive) {
+			goOnWithoutCopy(call, now);
+		}
+	}
+
 	// The successor sent its first event: from now on its answer is the caller's.
 	void takeOver(DirectCall call, long now) {
 		call.attempt().ifPresent((a) -> this.sender.abandon(call, a));
@@ -125,6 +160,7 @@
 
 	// The move is over: the run has stopped, and goes on where its memory stands now.
 	void resume(DirectCall call, ListedTarget destination, ResumePoint from, long now) {
+		call.stoppedAt(call.attempt().map(Attempt::target).filter((t) -> !t.id().equals(destination.id())));
 		call.attempt().ifPresent((a) -> this.sender.abandon(call, a));
 		if (!this.retries.tryTake(call.request().service(), now)) {
 			this.ending.lost(call, "the budget for repeated sendings is spent", now);
@@ -133,6 +169,27 @@
 		call.use(this.beginning.begin(call, destination, Optional.of(from), now));
 	}
 
+	/**
+	 * Let a stopped run whose copy was refused go on where it stopped: the memory stands
+	 * there still, and the run is copied away anew once it answers.
+	 * @param call the call
+	 * @param refused the attempt at the copy
+	 * @param cause why it was not taken
+	 * @param now the time in milliseconds
+	 * @return whether it was sent there
+	 */
+	boolean goBack(DirectCall call, Attempt refused, String cause, long now) {
+		Optional<ListedTarget> source = call.stoppedAt();
+		call.stoppedAt(Optional.empty());
+		if (source.isEmpty() || refused.resume().isEmpty() || !this.retries.tryTake(call.request().service(), now)) {
+			return false;
+		}
+		this.audit.record(call.event(AuditKind.MOVED, source.get().id(),
+				"goes back behind event " + call.lastEvent() + ": " + cause + " at " + refused.target().id()));
+		call.use(this.beginning.begin(call, source.get(), refused.resume(), now));
+		return true;
+	}
+
 	/**
 	 * How an attempt begins.
 	 */
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
@@ -54,6 +54,8 @@
 
 	private Optional<Standby> standby = Optional.empty();
 
+	private Optional<ListedTarget> stoppedAt = Optional.empty();
+
 	DirectCall(long number, DirectRequest request, long openedAt) {
 		this.number = number;
 		this.request = request;
@@ -220,6 +222,15 @@
 		this.standby = kept;
 	}
 
+	// The engine that stopped the run and holds its memory until it goes on elsewhere.
+	Optional<ListedTarget> stoppedAt() {
+		return this.stoppedAt;
+	}
+
+	void stoppedAt(Optional<ListedTarget> engine) {
+		this.stoppedAt = engine;
+	}
+
 	Optional<Copying> copying() {
 		return this.copying;
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -161,6 +161,10 @@
 		found.get().sent(now);
 		call.arrived();
 		this.beliefs.of(target).quality().recordSent(now);
+		if (call.isSuccessor(found.get())) {
+			long overdueAt = now + Continuation.FIRST_EVENT_MILLIS;
+			this.timers.at(overdueAt, (t) -> this.continuation.overdue(call, found.get(), t));
+		}
 		if (call.request().route().kind() != RequestKind.STREAMING) {
 			long silentAt = now + (long) (call.request().route().goalMillis() * this.settings.silenceGoals());
 			this.timers.at(silentAt, (t) -> silent(call, attempt, t));
@@ -256,6 +260,7 @@
 			this.continuation.takeOver(call, now);
 		}
 		if (!found.get().isAnswering()) {
+			call.stoppedAt(Optional.empty());
 			beganToAnswer(call, found.get(), now);
 		}
 		if (call.lastEvent() != DirectCall.NO_EVENT && id <= call.lastEvent()) {
@@ -462,6 +467,9 @@
 		if (wasSuccessor) {
 			this.continuation.goOnWithoutCopy(call, now);
 		}
+		else if (this.continuation.goBack(call, attempt, cause, now)) {
+			return;
+		}
 		else if (call.isStreaming() || attempt.resume().isPresent()) {
 			this.ending.lost(call, "the generation could not go on at " + attempt.target().id() + ": " + cause, now);
 		}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
@@ -78,6 +78,41 @@
 		assertThat(this.world.event(first, 3)).isFalse();
 	}
 
+	@Test
+	void aCopyThatSendsNothingIsGivenUpWhileTheFirstRunSendsEvents() {
+		Sent first = streamWithCopy();
+		this.world.leave(first.target());
+		Sent second = this.world.arrive();
+		this.world.passTime(250);
+		this.world.event(first, 2);
+		this.world.passTime(60);
+		assertThat(this.world.abandoned).containsExactly("1/" + second.attempt());
+		assertThat(this.world.event(first, 3)).isTrue();
+		this.world.passTime(100);
+		assertThat(this.world.copies).hasSize(1);
+	}
+
+	@Test
+	void aFirstRunThatSendsNothingIsEndedBeforeTwoRunsWorkForTooLong() {
+		Sent first = streamWithCopy();
+		this.world.leave(first.target());
+		Sent second = this.world.arrive();
+		this.world.passTime(310);
+		assertThat(this.world.abandoned).containsExactly("1/" + first.attempt());
+		assertThat(this.world.event(second, 2)).isTrue();
+		assertThat(this.world.answers(1)).containsExactly("started");
+	}
+
+	private Sent streamWithCopy() {
+		this.world.join(DispatchHarness.ENGINES, "a");
+		this.world.join(DispatchHarness.ENGINES, "b");
+		this.world.openStream(1);
+		Sent first = this.world.arrive();
+		this.world.event(first, 0);
+		this.world.event(first, 1);
+		return first;
+	}
+
 	@Test
 	void aGenerationThatGoesOnAtAnEngineWhichLeavesTooIsMovedFromThere() {
 		this.world.join(DispatchHarness.ENGINES, "a");
@@ -287,6 +322,38 @@
 		assertThat(this.world.event(second, 2)).isTrue();
 	}
 
+	@Test
+	void aStoppedRunWhoseCopyIsRefusedGoesOnWhereItStoppedAndIsCopiedAnew() {
+		Sent first = streamWithoutRunningCopy();
+		this.world.leave(first.target());
+		this.world.passTime(AFTER_NOTICE);
+		this.world.copied(Outcome.COPIED, "h1");
+		this.world.breakOff(first);
+		this.world.copied(Outcome.COPIED, "h1");
+		Sent second = this.world.arrive();
+		this.world.answer(second, 503, true);
+		Sent third = this.world.arrive();
+		assertThat(third.target()).isEqualTo(first.target());
+		assertThat(third.order().resume()).isEqualTo(second.order().resume());
+		int copiesBefore = this.world.copies.size();
+		assertThat(this.world.event(third, 1)).isTrue();
+		this.world.passTime(AFTER_NOTICE);
+		assertThat(this.world.copies).hasSize(copiesBefore + 1);
+	}
+
+	@Test
+	void aStoppedRunThatIsRefusedAtBothEnginesIsLost() {
+		Sent first = streamWithoutRunningCopy();
+		this.world.leave(first.target());
+		this.world.passTime(AFTER_NOTICE);
+		this.world.copied(Outcome.COPIED, "h1");
+		this.world.breakOff(first);
+		this.world.copied(Outcome.COPIED, "h1");
+		this.world.answer(this.world.arrive(), 503, true);
+		this.world.answer(this.world.arrive(), 503, true);
+		assertThat(this.world.answers(1)).containsExactly("started", "cut").inOrder();
+	}
+
 	@Test
 	void waitsForTheLastEventsOfAStoppedRunButNotForLong() {
 		Sent first = streamWithoutRunningCopy();
