Share the reading of the store among data centres

The reader of a data centre now leaves the reading to the one that ranks highest among all and passes on what it hears; the highest tells two entries of each other data centre. A reader that falls silent is replaced within three signs of life at either level. News that are passed on don't count as reading for other groups, so that no two rely on each other.

Ruled out: one group of all entries; its reader would tell 32 entries each sign of life, 21 KB/s.

--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -226,9 +226,11 @@
 				heardOfReturn(now);
 			}
 			take(news.changes(), news.to(), now);
+			passOn(news, revision, now);
 			return;
 		}
 		hear(news.changes(), now);
+		this.reading.passOn(news, now);
 		if (this.resting) {
 			this.resting = false;
 			watch(now);
@@ -238,6 +240,13 @@
 		}
 	}
 
+	// What this process knew already it has told.
+	private void passOn(StoreNews news, long before, long now) {
+		if (this.known.revision() > before) {
+			this.reading.passOn(news, now);
+		}
+	}
+
 	// While all items are read anew a change that is told stands for itself: the pages
 	// may be older than it.
 	private void hearWhileReading(StoreNews news, long now) {
@@ -353,6 +362,9 @@
 		if (this.watching && this.open && !isDeaf(now)) {
 			this.reading.tell(this.known.revision(), this.known.revision(), List.of(), isReturning(now));
 		}
+		else if (this.resting) {
+			this.reading.passOnSign(this.known.revision(), now);
+		}
 		this.timers.at(now + SharedReading.SIGN_MILLIS, this::signOfLife);
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreNews.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreNews.java
@@ -15,15 +15,16 @@
  * if there are none, or if they were too large to be told
  * @param returning whether the reader has the store back only lately, so that items may
  * be missing which come back
- * @param asks whether the sender asks for all behind {@code from} instead of telling
+ * @param kind what the news are
  * @since 0.2
  */
 public record StoreNews(String reader, String group, long from, long to, List<StoreChange> changes, boolean returning,
-		boolean asks) {
+		Kind kind) {
 
 	public StoreNews {
 		Objects.requireNonNull(reader, "reader must not be null");
 		Objects.requireNonNull(group, "group must not be null");
+		Objects.requireNonNull(kind, "kind must not be null");
 		changes = List.copyOf(changes);
 	}
 
@@ -37,7 +38,7 @@
 		List<StoreChange> small = this.changes.stream()
 			.filter((c) -> c.item().filter((i) -> i.value().length() > most).isEmpty())
 			.toList();
-		return new StoreNews(this.reader, this.group, this.to, this.to, small, this.returning, this.asks);
+		return new StoreNews(this.reader, this.group, this.to, this.to, small, this.returning, this.kind);
 	}
 
 	/**
@@ -53,7 +54,23 @@
 	 * @return news by which receivers see that they have missed something
 	 */
 	public StoreNews withoutChanges() {
-		return new StoreNews(this.reader, this.group, this.from, this.to, List.of(), this.returning, this.asks);
+		return new StoreNews(this.reader, this.group, this.from, this.to, List.of(), this.returning, this.kind);
+	}
+
+	/**
+	 * What news of the store are.
+	 */
+	public enum Kind {
+
+		/** The sender read it of the store itself. */
+		READ,
+
+		/** The sender asks for all behind {@code from}. */
+		QUESTION,
+
+		/** The sender heard it of a reader of another group, and tells its own. */
+		PASSED_ON
+
 	}
 
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Audience.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Audience.java
@@ -2,11 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.ToLongBiFunction;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 /**
  * Chooses which of the known entries hear what.
@@ -74,6 +78,30 @@
 		return someOf(this.known.addresses(), this.settings.introductions());
 	}
 
+	/**
+	 * Return the first entries of each other data centre.
+	 * @param count how many of each
+	 * @param rank ranks an entry, given its data centre and name, as unsigned; the
+	 * highest is the first
+	 * @return their addresses
+	 */
+	List<String> firstOfOthers(int count, ToLongBiFunction<String, String> rank) {
+		Map<String, List<Map.Entry<String, Peer>>> byDataCentre = this.known.all()
+			.entrySet()
+			.stream()
+			.filter((e) -> !isSameDataCentre(e.getValue()))
+			.collect(Collectors.groupingBy((e) -> e.getValue().news().dataCentre()));
+		Comparator<Map.Entry<String, Peer>> highestFirst = Comparator.comparing((e) -> {
+			EntryNews news = e.getValue().news();
+			return rank.applyAsLong(news.dataCentre(), news.instance());
+		}, (a, b) -> Long.compareUnsigned(b, a));
+		return byDataCentre.values()
+			.stream()
+			.flatMap((all) -> all.stream().sorted(highestFirst).limit(count))
+			.map(Map.Entry::getKey)
+			.toList();
+	}
+
 	List<String> sameDataCentre() {
 		return allThat(this::isSameDataCentre);
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToLongBiFunction;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
@@ -234,6 +235,16 @@
 		return this.audience.sameDataCentre();
 	}
 
+	/**
+	 * Return where the first entries of each other data centre hear news.
+	 * @param count how many of each
+	 * @param rank ranks an entry, given its data centre and name; compared as unsigned
+	 * @return their addresses, as far as they are known
+	 */
+	public List<String> firstOfOtherDataCentres(int count, ToLongBiFunction<String, String> rank) {
+		return this.audience.firstOfOthers(count, rank);
+	}
+
 	/**
 	 * Return how many other entries are known.
 	 * @return the count
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
@@ -74,7 +74,8 @@
 		this.gossip = new Gossip(GossipSettings.defaults(), settings.instance(), settings.dataCentre(), this.ownAddress,
 				this.seeds, this, loop.timers(), random, audit);
 		this.reading = new SharedReading(settings.instance(), settings.dataCentre(), this::sharingReaders,
-				this::tellOfStore);
+				(n) -> tellOfStore(this.gossip.nearBy(), n), (n) -> tellOfStore(
+						this.gossip.firstOfOtherDataCentres(SharedReading.TOLD_IN_EACH_GROUP, SharedReading::rank), n));
 		if (this.mechanisms.use(Mechanism.ENTRY_NEWS)) {
 			beliefs.onChange((target, isUrgent) -> this.gossip.changed(target, isUrgent, loop.now()));
 		}
@@ -172,7 +173,7 @@
 	}
 
 	private void heardOfStore(String from, StoreNews news) {
-		if (news.asks()) {
+		if (news.kind() == StoreNews.Kind.QUESTION) {
 			this.reading.answer(news).ifPresent((a) -> this.socket.send(List.of(socketAddress(from)), a));
 			return;
 		}
@@ -185,9 +186,9 @@
 	}
 
 	// Before the socket is open there is nobody to tell.
-	private void tellOfStore(StoreNews news) {
-		if (this.socket != null) {
-			this.socket.send(this.gossip.nearBy().stream().map(OtherEntries::socketAddress).toList(), news);
+	private void tellOfStore(List<String> addresses, StoreNews news) {
+		if (this.socket != null && !addresses.isEmpty()) {
+			this.socket.send(addresses.stream().map(OtherEntries::socketAddress).toList(), news);
 		}
 	}
 
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/StoreNewsCodec.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/StoreNewsCodec.java
@@ -23,7 +23,7 @@
 			.setReturning(news.returning())
 			.setFrom(news.from())
 			.setTo(news.to())
-			.setAsks(news.asks());
+			.setKind(encode(news.kind()));
 		news.changes().forEach((c) -> builder.addChanges(encode(c)));
 		return builder.build();
 	}
@@ -31,7 +31,24 @@
 	static StoreNews decode(Protocol.StoreNews news) {
 		List<StoreChange> changes = news.getChangesList().stream().map(StoreNewsCodec::decode).toList();
 		return new StoreNews(news.getReader(), news.getGroup(), news.getFrom(), news.getTo(), changes,
-				news.getReturning(), news.getAsks());
+				news.getReturning(), decode(news.getKind()));
+	}
+
+	private static Protocol.StoreNewsKind encode(StoreNews.Kind kind) {
+		return switch (kind) {
+			case READ -> Protocol.StoreNewsKind.STORE_NEWS_READ;
+			case QUESTION -> Protocol.StoreNewsKind.STORE_NEWS_QUESTION;
+			case PASSED_ON -> Protocol.StoreNewsKind.STORE_NEWS_PASSED_ON;
+		};
+	}
+
+	private static StoreNews.Kind decode(Protocol.StoreNewsKind kind) {
+		return switch (kind) {
+			case STORE_NEWS_READ -> StoreNews.Kind.READ;
+			case STORE_NEWS_QUESTION -> StoreNews.Kind.QUESTION;
+			case STORE_NEWS_PASSED_ON -> StoreNews.Kind.PASSED_ON;
+			case UNRECOGNIZED -> throw new IllegalArgumentException("news of an unknown kind");
+		};
 	}
 
 	private static Protocol.StoreChange encode(StoreChange change) {
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
@@ -26,6 +26,160 @@
     registerAllExtensions(
         (com.google.protobuf.ExtensionRegistryLite) registry);
   }
+  /**
+   * <pre>
+   * What an entry read of the platform's store.
+   * </pre>
+   *
+   * Protobuf enum {@code laneworks.StoreNewsKind}
+   */
+  public enum StoreNewsKind
+      implements com.google.protobuf.ProtocolMessageEnum {
+    /**
+     * <pre>
+     * The sender read it of the store itself.
+     * </pre>
+     *
+     * <code>STORE_NEWS_READ = 0;</code>
+     */
+    STORE_NEWS_READ(0),
+    /**
+     * <pre>
+     * The sender asks for what is behind from, instead of telling.
+     * </pre>
+     *
+     * <code>STORE_NEWS_QUESTION = 1;</code>
+     */
+    STORE_NEWS_QUESTION(1),
+    /**
+     * <pre>
+     * The sender heard it of a reader of another group.
+     * </pre>
+     *
+     * <code>STORE_NEWS_PASSED_ON = 2;</code>
+     */
+    STORE_NEWS_PASSED_ON(2),
+    UNRECOGNIZED(-1),
+    ;
+
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "StoreNewsKind");
+    }
+    /**
+     * <pre>
+     * The sender read it of the store itself.
+     * </pre>
+     *
+     * <code>STORE_NEWS_READ = 0;</code>
+     */
+    public static final int STORE_NEWS_READ_VALUE = 0;
+    /**
+     * <pre>
+     * The sender asks for what is behind from, instead of telling.
+     * </pre>
+     *
+     * <code>STORE_NEWS_QUESTION = 1;</code>
+     */
+    public static final int STORE_NEWS_QUESTION_VALUE = 1;
+    /**
+     * <pre>
+     * The sender heard it of a reader of another group.
+     * </pre>
+     *
+     * <code>STORE_NEWS_PASSED_ON = 2;</code>
+     */
+    public static final int STORE_NEWS_PASSED_ON_VALUE = 2;
+
+
+    public final int getNumber() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalArgumentException(
+            "Can't get the number of an unknown enum value.");
+      }
+      return value;
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     * @deprecated Use {@link #forNumber(int)} instead.
+     */
+    @java.lang.Deprecated
+    public static StoreNewsKind valueOf(int value) {
+      return forNumber(value);
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     */
+    public static StoreNewsKind forNumber(int value) {
+      switch (value) {
+        case 0: return STORE_NEWS_READ;
+        case 1: return STORE_NEWS_QUESTION;
+        case 2: return STORE_NEWS_PASSED_ON;
+        default: return null;
+      }
+    }
+
+    public static com.google.protobuf.Internal.EnumLiteMap<StoreNewsKind>
+        internalGetValueMap() {
+      return internalValueMap;
+    }
+    private static final com.google.protobuf.Internal.EnumLiteMap<
+        StoreNewsKind> internalValueMap =
+          new com.google.protobuf.Internal.EnumLiteMap<StoreNewsKind>() {
+            public StoreNewsKind findValueByNumber(int number) {
+              return StoreNewsKind.forNumber(number);
+            }
+          };
+
+    public final com.google.protobuf.Descriptors.EnumValueDescriptor
+        getValueDescriptor() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalStateException(
+            "Can't get the descriptor of an unrecognized enum value.");
+      }
+      return getDescriptor().getValue(ordinal());
+    }
+    public final com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptorForType() {
+      return getDescriptor();
+    }
+    public static com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptor() {
+      return dev.laneworks.wire.proto.Protocol.getDescriptor().getEnumType(0);
+    }
+
+    private static final StoreNewsKind[] VALUES = values();
+
+    public static StoreNewsKind valueOf(
+        com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
+      if (desc.getType() != getDescriptor()) {
+        throw new java.lang.IllegalArgumentException(
+          "EnumValueDescriptor is not for this type.");
+      }
+      if (desc.getIndex() == -1) {
+        return UNRECOGNIZED;
+      }
+      return VALUES[desc.getIndex()];
+    }
+
+    private final int value;
+
+    private StoreNewsKind(int value) {
+      this.value = value;
+    }
+
+    // @@protoc_insertion_point(enum_scope:laneworks.StoreNewsKind)
+  }
+
   public interface FrameOrBuilder extends
       // @@protoc_insertion_point(interface_extends:laneworks.Frame)
       com.google.protobuf.MessageOrBuilder {
@@ -26452,14 +26606,15 @@
         int index);
 
     /**
-     * <pre>
-     * Whether the sender asks for what is behind from, instead of telling.
-     * </pre>
-     *
-     * <code>bool asks = 5;</code>
-     * @return The asks.
+     * <code>.laneworks.StoreNewsKind kind = 5;</code>
+     * @return The enum numeric value on the wire for kind.
      */
-    boolean getAsks();
+    int getKindValue();
+    /**
+     * <code>.laneworks.StoreNewsKind kind = 5;</code>
+     * @return The kind.
+     */
+    dev.laneworks.wire.proto.Protocol.StoreNewsKind getKind();
 
     /**
      * <code>string group = 6;</code>
@@ -26484,10 +26639,6 @@
     boolean getReturning();
   }
   /**
-   * <pre>
-   * What an entry read of the platform's store.
-   * </pre>
-   *
    * Protobuf type {@code laneworks.StoreNews}
    */
   public static final class StoreNews extends
@@ -26511,6 +26662,7 @@
     private StoreNews() {
       reader_ = "";
       changes_ = java.util.Collections.emptyList();
+      kind_ = 0;
       group_ = "";
     }
 
@@ -26634,19 +26786,22 @@
       return changes_.get(index);
     }
 
-    public static final int ASKS_FIELD_NUMBER = 5;
-    private boolean asks_ = false;
+    public static final int KIND_FIELD_NUMBER = 5;
+    private int kind_ = 0;
     /**
-     * <pre>
-     * Whether the sender asks for what is behind from, instead of telling.
-     * </pre>
-     *
-     * <code>bool asks = 5;</code>
-     * @return The asks.
+     * <code>.laneworks.StoreNewsKind kind = 5;</code>
+     * @return The enum numeric value on the wire for kind.
      */
-    @java.lang.Override
-    public boolean getAsks() {
-      return asks_;
+    @java.lang.Override public int getKindValue() {
+      return kind_;
+    }
+    /**
+     * <code>.laneworks.StoreNewsKind kind = 5;</code>
+     * @return The kind.
+     */
+    @java.lang.Override public dev.laneworks.wire.proto.Protocol.StoreNewsKind getKind() {
+      dev.laneworks.wire.proto.Protocol.StoreNewsKind result = dev.laneworks.wire.proto.Protocol.StoreNewsKind.forNumber(kind_);
+      return result == null ? dev.laneworks.wire.proto.Protocol.StoreNewsKind.UNRECOGNIZED : result;
     }
 
     public static final int GROUP_FIELD_NUMBER = 6;
@@ -26729,8 +26884,8 @@
       for (int i = 0; i < changes_.size(); i++) {
         output.writeMessage(4, changes_.get(i));
       }
-      if (asks_ != false) {
-        output.writeBool(5, asks_);
+      if (kind_ != dev.laneworks.wire.proto.Protocol.StoreNewsKind.STORE_NEWS_READ.getNumber()) {
+        output.writeEnum(5, kind_);
       }
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(group_)) {
         com.google.protobuf.GeneratedMessage.writeString(output, 6, group_);
@@ -26767,9 +26922,9 @@
             }
             size += 1 * count;
           }
-      if (asks_ != false) {
+      if (kind_ != dev.laneworks.wire.proto.Protocol.StoreNewsKind.STORE_NEWS_READ.getNumber()) {
         size += com.google.protobuf.CodedOutputStream
-          .computeBoolSize(5, asks_);
+          .computeEnumSize(5, kind_);
       }
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(group_)) {
         size += com.google.protobuf.GeneratedMessage.computeStringSize(6, group_);
@@ -26801,8 +26956,7 @@
           != other.getTo()) return false;
       if (!getChangesList()
           .equals(other.getChangesList())) return false;
-      if (getAsks()
-          != other.getAsks()) return false;
+      if (kind_ != other.kind_) return false;
       if (!getGroup()
           .equals(other.getGroup())) return false;
       if (getReturning()
@@ -26830,9 +26984,8 @@
         hash = (37 * hash) + CHANGES_FIELD_NUMBER;
         hash = (53 * hash) + getChangesList().hashCode();
       }
-      hash = (37 * hash) + ASKS_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-          getAsks());
+      hash = (37 * hash) + KIND_FIELD_NUMBER;
+      hash = (53 * hash) + kind_;
       hash = (37 * hash) + GROUP_FIELD_NUMBER;
       hash = (53 * hash) + getGroup().hashCode();
       hash = (37 * hash) + RETURNING_FIELD_NUMBER;
@@ -26936,10 +27089,6 @@
       return builder;
     }
     /**
-     * <pre>
-     * What an entry read of the platform's store.
-     * </pre>
-     *
      * Protobuf type {@code laneworks.StoreNews}
      */
     public static final class Builder extends
@@ -26983,7 +27132,7 @@
           changesBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000008);
-        asks_ = false;
+        kind_ = 0;
         group_ = "";
         returning_ = false;
         return this;
@@ -27042,7 +27191,7 @@
           result.to_ = to_;
         }
         if (((from_bitField0_ & 0x00000010) != 0)) {
-          result.asks_ = asks_;
+          result.kind_ = kind_;
         }
         if (((from_bitField0_ & 0x00000020) != 0)) {
           result.group_ = group_;
@@ -27101,8 +27250,8 @@
             }
           }
         }
-        if (other.getAsks() != false) {
-          setAsks(other.getAsks());
+        if (other.kind_ != 0) {
+          setKindValue(other.getKindValue());
         }
         if (!other.getGroup().isEmpty()) {
           group_ = other.group_;
@@ -27167,7 +27316,7 @@
                 break;
               } // case 34
               case 40: {
-                asks_ = input.readBool();
+                kind_ = input.readEnum();
                 bitField0_ |= 0x00000010;
                 break;
               } // case 40
@@ -27574,46 +27723,54 @@
         return changesBuilder_;
       }
 
-      private boolean asks_ ;
+      private int kind_ = 0;
       /**
-       * <pre>
-       * Whether the sender asks for what is behind from, instead of telling.
-       * </pre>
-       *
-       * <code>bool asks = 5;</code>
-       * @return The asks.
+       * <code>.laneworks.StoreNewsKind kind = 5;</code>
+       * @return The enum numeric value on the wire for kind.
+       */
+      @java.lang.Override public int getKindValue() {
+        return kind_;
+      }
+      /**
+       * <code>.laneworks.StoreNewsKind kind = 5;</code>
+       * @param value The enum numeric value on the wire for kind to set.
+       * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+       * @return This builder for chaining.
+       */
+      public Builder setKindValue(int value) {
+        kind_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>.laneworks.StoreNewsKind kind = 5;</code>
+       * @return The kind.
        */
       @java.lang.Override
-      public boolean getAsks() {
-        return asks_;
+      public dev.laneworks.wire.proto.Protocol.StoreNewsKind getKind() {
+        dev.laneworks.wire.proto.Protocol.StoreNewsKind result = dev.laneworks.wire.proto.Protocol.StoreNewsKind.forNumber(kind_);
+        return result == null ? dev.laneworks.wire.proto.Protocol.StoreNewsKind.UNRECOGNIZED : result;
       }
       /**
-       * <pre>
-       * Whether the sender asks for what is behind from, instead of telling.
-       * </pre>
-       *
-       * <code>bool asks = 5;</code>
-       * @param value The asks to set.
+       * <code>.laneworks.StoreNewsKind kind = 5;</code>
+       * @param value The kind to set.
        * @return This builder for chaining.
        */
-      public Builder setAsks(boolean value) {
-
-        asks_ = value;
+      public Builder setKind(dev.laneworks.wire.proto.Protocol.StoreNewsKind value) {
+        if (value == null) { throw new NullPointerException(); }
         bitField0_ |= 0x00000010;
+        kind_ = value.getNumber();
         onChanged();
         return this;
       }
       /**
-       * <pre>
-       * Whether the sender asks for what is behind from, instead of telling.
-       * </pre>
-       *
-       * <code>bool asks = 5;</code>
+       * <code>.laneworks.StoreNewsKind kind = 5;</code>
        * @return This builder for chaining.
        */
-      public Builder clearAsks() {
+      public Builder clearKind() {
         bitField0_ = (bitField0_ & ~0x00000010);
-        asks_ = false;
+        kind_ = 0;
         onChanged();
         return this;
       }
@@ -30457,19 +30614,22 @@
       "\001(\r\022\r\n\005count\030\004 \001(\r\022\014\n\004data\030\005 \001(\014\"1\n\nStor" +
       "eItems\022#\n\005items\030\001 \003(\0132\024.laneworks.StoreI" +
       "tem\"\'\n\tStoreItem\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002" +
-      " \001(\t\"\216\001\n\tStoreNews\022\016\n\006reader\030\001 \001(\t\022\014\n\004fr" +
+      " \001(\t\"\250\001\n\tStoreNews\022\016\n\006reader\030\001 \001(\t\022\014\n\004fr" +
       "om\030\002 \001(\004\022\n\n\002to\030\003 \001(\004\022\'\n\007changes\030\004 \003(\0132\026." +
-      "laneworks.StoreChange\022\014\n\004asks\030\005 \001(\010\022\r\n\005g" +
-      "roup\030\006 \001(\t\022\021\n\treturning\030\007 \001(\010\"J\n\013StoreCh" +
-      "ange\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\005v" +
-      "alue\030\003 \001(\tH\000\210\001\001B\010\n\006_value\"E\n\017ServiceSpen" +
-      "ding\022\017\n\007service\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022" +
-      "\017\n\007repeats\030\003 \001(\r\"\217\001\n\014WorkAtTarget\022\016\n\006tar" +
-      "get\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\023\n\013held_toke" +
-      "ns\030\003 \001(\004\022\025\n\runread_tokens\030\004 \001(\004\022\017\n\007to_mo" +
-      "ve\030\005 \001(\r\022\017\n\007copying\030\006 \001(\010\022\017\n\007refused\030\007 \001" +
-      "(\rB&\n\030dev.laneworks.wire.protoB\010Protocol" +
-      "P\000b\006proto3"
+      "laneworks.StoreChange\022&\n\004kind\030\005 \001(\0162\030.la" +
+      "neworks.StoreNewsKind\022\r\n\005group\030\006 \001(\t\022\021\n\t" +
+      "returning\030\007 \001(\010\"J\n\013StoreChange\022\013\n\003key\030\001 " +
+      "\001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\005value\030\003 \001(\tH\000\210\001" +
+      "\001B\010\n\006_value\"E\n\017ServiceSpending\022\017\n\007servic" +
+      "e\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\017\n\007repeats\030\003 \001" +
+      "(\r\"\217\001\n\014WorkAtTarget\022\016\n\006target\030\001 \001(\t\022\020\n\010r" +
+      "equests\030\002 \001(\r\022\023\n\013held_tokens\030\003 \001(\004\022\025\n\run" +
+      "read_tokens\030\004 \001(\004\022\017\n\007to_move\030\005 \001(\r\022\017\n\007co" +
+      "pying\030\006 \001(\010\022\017\n\007refused\030\007 \001(\r*W\n\rStoreNew" +
+      "sKind\022\023\n\017STORE_NEWS_READ\020\000\022\027\n\023STORE_NEWS" +
+      "_QUESTION\020\001\022\030\n\024STORE_NEWS_PASSED_ON\020\002B&\n" +
+      "\030dev.laneworks.wire.protoB\010ProtocolP\000b\006p" +
+      "roto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -30648,7 +30808,7 @@
     internal_static_laneworks_StoreNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_StoreNews_descriptor,
-        new java.lang.String[] { "Reader", "From", "To", "Changes", "Asks", "Group", "Returning", });
+        new java.lang.String[] { "Reader", "From", "To", "Changes", "Kind", "Group", "Returning", });
     internal_static_laneworks_StoreChange_descriptor =
       getDescriptor().getMessageType(29);
     internal_static_laneworks_StoreChange_fieldAccessorTable = new
