Remove what nothing calls

Of the methods that only tests or nobody called: a forecast's peak, the kind's isGeneration, the end of watching an audit trail, a fake's isDown and the count of version conflicts go (the conflict is an outcome, and is refused and recorded by the keeper). recordListedLeaving goes with the field that it set: the list is followed by sidecars, which tell entries of their leaving, so that no entry was ever given it. InvalidDocumentException.getSource stays for embedders and says so.

--- a/laneworks-bench/src/main/java/dev/laneworks/bench/fuzz/FakeEngine.java
+++ b/laneworks-bench/src/main/java/dev/laneworks/bench/fuzz/FakeEngine.java
@@ -78,10 +78,6 @@
 		return !this.down && this.outputs.containsKey(name);
 	}
 
-	boolean isDown() {
-		return this.down;
-	}
-
 	void die(long backAfterMillis) {
 		Map<String, Output> old = this.outputs;
 		this.outputs = new HashMap<>();
--- a/laneworks-core/src/main/java/dev/laneworks/core/admission/MemoryForecast.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/admission/MemoryForecast.java
@@ -97,18 +97,6 @@
 		return true;
 	}
 
-	/**
-	 * Return the greatest mean over all points of the forecast.
-	 * @return tokens
-	 */
-	public double peakMean() {
-		double peak = 0;
-		for (double mean : this.means) {
-			peak = Math.max(peak, mean);
-		}
-		return peak;
-	}
-
 	private double survivalNow(MemoryUser user) {
 		return this.lengths.survival(user.lengthClass(), user.outputTokens());
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/configuration/ConfigurationLedger.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/configuration/ConfigurationLedger.java
@@ -36,8 +36,6 @@
 
 	private long confirmedAt;
 
-	private long rejectedVersionConflicts;
-
 	/**
 	 * Offer a document.
 	 * @param source where it came from, for messages
@@ -118,20 +116,11 @@
 		return this.acceptedAt;
 	}
 
-	/**
-	 * Return how often a document differed from the one in force but bore its version.
-	 * @return the count since the start
-	 */
-	public long versionConflicts() {
-		return this.rejectedVersionConflicts;
-	}
-
 	private Outcome accept(FleetConfiguration candidate, String document, long now) {
 		if (candidate.version() < version()) {
 			return Outcome.OLDER;
 		}
 		if (candidate.version() == version()) {
-			this.rejectedVersionConflicts++;
 			return Outcome.CONFLICT;
 		}
 		this.current = candidate;
--- a/laneworks-core/src/main/java/dev/laneworks/core/document/InvalidDocumentException.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/document/InvalidDocumentException.java
@@ -53,7 +53,8 @@
 	}
 
 	/**
-	 * Return the document's name.
+	 * Return the document's name, for embedders that show faults in a form of their own;
+	 * {@link #getMessage()} begins with it.
 	 * @return a file name or the name of a service
 	 */
 	public String getSource() {
--- a/laneworks-core/src/main/java/dev/laneworks/core/message/WorkKind.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/message/WorkKind.java
@@ -14,14 +14,6 @@
 	CHAT,
 
 	/** A call of a plain service, whose output is one chunk. */
-	SERVICE;
-
-	/**
-	 * Return whether the output is a stream of tokens.
-	 * @return {@code false} for plain services
-	 */
-	public boolean isGeneration() {
-		return this != SERVICE;
-	}
+	SERVICE
 
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/routing/DefaultTargetSelector.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/routing/DefaultTargetSelector.java
@@ -105,7 +105,7 @@
 		List<TargetDescription> usable = new ArrayList<>();
 		for (TargetDescription target : this.subsets.getOrDefault(request.model(), List.of())) {
 			TargetState state = this.board.state(target.name());
-			if (!request.excluded().contains(target.name()) && !state.isLeaving(now) && state.health().isUsable(now)) {
+			if (!request.excluded().contains(target.name()) && !state.isLeaving() && state.health().isUsable(now)) {
 				usable.add(target);
 			}
 		}
--- a/laneworks-core/src/main/java/dev/laneworks/core/routing/TargetState.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/routing/TargetState.java
@@ -13,12 +13,6 @@
  */
 public final class TargetState {
 
-	/**
-	 * After this time a listed leaving that no sidecar confirmed is believed no more, in
-	 * milliseconds.
-	 */
-	private static final long LIST_HINT_MILLIS = 60_000;
-
 	private TargetHealth health = new TargetHealth();
 
 	private LoadReport report = new LoadReport(0, 0, 0, 0, false);
@@ -33,8 +27,6 @@
 
 	private boolean linked;
 
-	private long listedLeavingAt = Long.MIN_VALUE / 2;
-
 	/**
 	 * Return the record of the target's failures.
 	 * @return the health
@@ -78,11 +70,10 @@
 
 	/**
 	 * Return whether the target takes no new work, as far as is known.
-	 * @param now the time in milliseconds
-	 * @return {@code true} if its sidecar said so, or the platform's list did lately
+	 * @return {@code true} if its sidecar said so, which follows the platform's list
 	 */
-	public boolean isLeaving(long now) {
-		return this.leaving || now - this.listedLeavingAt < LIST_HINT_MILLIS;
+	public boolean isLeaving() {
+		return this.leaving;
 	}
 
 	/**
@@ -113,7 +104,6 @@
 		this.linked = true;
 		if (newIncarnation) {
 			this.leaving = false;
-			this.listedLeavingAt = Long.MIN_VALUE / 2;
 			this.health = new TargetHealth();
 		}
 	}
@@ -133,14 +123,6 @@
 		return this.linked;
 	}
 
-	/**
-	 * Record that the platform's list shows the target as leaving.
-	 * @param now the time in milliseconds
-	 */
-	public void recordListedLeaving(long now) {
-		this.listedLeavingAt = now;
-	}
-
 	/**
 	 * Record that a request was sent.
 	 */
--- a/laneworks-core/src/test/java/dev/laneworks/core/configuration/ConfigurationLedgerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/configuration/ConfigurationLedgerTests.java
@@ -23,7 +23,6 @@
 		offer("{\"version\": 5}");
 		assertThat(offer("{\"version\": 5, \"targets\": []}")).isEqualTo(ConfigurationLedger.Outcome.CONFLICT);
 		assertThat(this.ledger.text().orElseThrow()).isEqualTo("{\"version\": 5}");
-		assertThat(this.ledger.versionConflicts()).isEqualTo(1);
 	}
 
 	@Test
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/Entry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/Entry.java
@@ -193,7 +193,7 @@
 	private static EntryStatus.TargetBelief belief(EntryState state, TargetDescription target, long now) {
 		TargetState known = state.board().state(target.name());
 		return new EntryStatus.TargetBelief(target.name(), target.dataCentre(),
-				state.coordinator().incarnation(target.name()).isPresent(), known.isLeaving(now),
+				state.coordinator().incarnation(target.name()).isPresent(), known.isLeaving(),
 				!known.health().isUsable(now), known.inFlight(), known.reportAgeMillis(now), known.report());
 	}
 
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/audit/AuditTrail.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/audit/AuditTrail.java
@@ -109,14 +109,6 @@
 		this.watchers.add(watcher);
 	}
 
-	/**
-	 * End passing events on.
-	 * @param watcher the watcher
-	 */
-	public void unwatch(Consumer<AuditRecord> watcher) {
-		this.watchers.remove(watcher);
-	}
-
 	private synchronized AuditRecord add(AuditEvent event) {
 		AuditRecord record = new AuditRecord(++this.count, System.currentTimeMillis(), event);
 		this.records.addLast(record);
