Ask engines whether they leave while the store is silent

Trial, to be measured: one entry of each data centre asks its engines' reports each 300 ms while the store is out of reach, marks those that say that they are leaving and tells all entries, which then move what runs there. Switched off by the setting off: leaving-inquiry. Tests: LeavingInquiryTests, GossipTests.

--- a/laneworks-core/src/main/java/dev/laneworks/core/directory/LeavingCause.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/LeavingCause.java
@@ -16,6 +16,9 @@
 	/** The target's entry did not come back after the list had been out of reach. */
 	LAPSED,
 
+	/** The target said so to an entry that asked it. */
+	SAID_SO_WHEN_ASKED,
+
 	/** Another target is listed at the target's address. */
 	ADDRESS_TAKEN,
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
@@ -176,9 +176,21 @@
 	 * @param id the target's id
 	 */
 	public void refusedWork(String id) {
+		leaves(id, LeavingCause.REFUSED);
+	}
+
+	/**
+	 * Take that a target said that it is leaving, to this process or to another.
+	 * @param id the target's id
+	 */
+	public void saidLeaving(String id) {
+		leaves(id, LeavingCause.SAID_SO_WHEN_ASKED);
+	}
+
+	private void leaves(String id, LeavingCause cause) {
 		ListedTarget target = this.targets.get(id);
 		if (target != null && this.left.add(id)) {
-			tell(() -> this.listener.leaving(target, LeavingCause.REFUSED));
+			tell(() -> this.listener.leaving(target, cause));
 		}
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBelief.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBelief.java
@@ -46,6 +46,8 @@
 
 	private int refused;
 
+	private boolean saidLeaving;
+
 	private final RefusalDoubt doubt = new RefusalDoubt();
 
 	/**
@@ -82,6 +84,18 @@
 		return this.refused;
 	}
 
+	/**
+	 * Return whether the target itself said to this process that it is leaving.
+	 * @return whether others are to be told
+	 */
+	public boolean hasSaidLeaving() {
+		return this.saidLeaving;
+	}
+
+	void saidLeaving() {
+		this.saidLeaving = true;
+	}
+
 	// A connection was refused.
 	void connectionRefused() {
 		this.refused++;
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBeliefs.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBeliefs.java
@@ -69,6 +69,15 @@
 		this.changed.changed(target, Change.AWAITED);
 	}
 
+	/**
+	 * Record that a target said to this process that it is leaving.
+	 * @param target the target
+	 */
+	public void saidLeaving(ListedTarget target) {
+		of(target).saidLeaving();
+		this.changed.changed(target, Change.LEAVING);
+	}
+
 	/**
 	 * Record that a connection to a target came up, or that it is listed anew.
 	 * @param target the target
@@ -139,12 +148,16 @@
 	public List<WorkAtTarget> ownWork() {
 		return this.byId.values()
 			.stream()
-			.filter((b) -> b.inFlight() > 0 || b.ownTokens() > 0 || (b.refused() > 0 && !b.isGone()))
+			.filter((b) -> b.inFlight() > 0 || b.ownTokens() > 0 || isToTell(b))
 			.map((b) -> new WorkAtTarget(b.target().id(), b.inFlight(), b.ownTokens(), b.ownUnread(), b.toMove(),
-					b.isCopying(), b.refused()))
+					b.isCopying(), b.refused(), b.hasSaidLeaving()))
 			.toList();
 	}
 
+	private static boolean isToTell(TargetBelief belief) {
+		return !belief.isGone() && (belief.refused() > 0 || belief.hasSaidLeaving());
+	}
+
 	/**
 	 * Return how many requests are believed to be at a target, those of others included.
 	 * @param target the target
@@ -239,6 +252,9 @@
 		/** A move or a copy, whose links others wait for, or a connection refused. */
 		AWAITED,
 
+		/** The target said that it is leaving. */
+		LEAVING,
+
 		/** Anything else. */
 		OTHER
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -173,6 +173,15 @@
 		return now - this.answeredAt;
 	}
 
+	/**
+	 * Return whether the store is out of reach, or its answer overdue.
+	 * @param now the time in milliseconds
+	 * @return {@code false} while another process reads for this one
+	 */
+	public boolean isSilent(long now) {
+		return isDeaf(now);
+	}
+
 	/**
 	 * Take all items from another process, before any was read here. The store's word
 	 * replaces them as soon as it can be heard.
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
@@ -36,6 +36,8 @@
 
 	private final String instance;
 
+	private final String dataCentre;
+
 	private final String ownAddress;
 
 	private final Set<String> seeds;
@@ -85,6 +87,7 @@
 			GossipOutputs outputs, Timers timers, RandomGenerator random, AuditSink audit) {
 		this.settings = settings;
 		this.instance = instance;
+		this.dataCentre = dataCentre;
 		this.ownAddress = ownAddress;
 		this.seeds = Set.copyOf(seeds);
 		this.outputs = outputs;
@@ -151,6 +154,7 @@
 			return;
 		}
 		this.known.take(from, news, now);
+		news.work().stream().filter(WorkAtTarget::leaving).forEach((w) -> this.outputs.heardLeaving(w.target()));
 		if (former.isEmpty()) {
 			this.audit.record(AuditEvent.of(AuditKind.MEMBERSHIP, news.instance(), "", "entry heard at " + from));
 			tellAllWork(List.of(from), now);
@@ -236,6 +240,22 @@
 		return this.audience.sameDataCentre();
 	}
 
+	/**
+	 * Return whether this entry comes first in its data centre.
+	 * @param rank ranks an entry, given its data centre and name; compared as unsigned
+	 * @param now the time in milliseconds
+	 * @return {@code false} if one of higher rank was heard within a heartbeat or so
+	 */
+	public boolean isFirstOfDataCentre(ToLongBiFunction<String, String> rank, long now) {
+		long own = rank.applyAsLong(this.dataCentre, this.instance);
+		long silence = this.settings.heartbeatMillis() + this.settings.turnMillis();
+		return this.known.all()
+			.values()
+			.stream()
+			.filter((p) -> p.news().dataCentre().equals(this.dataCentre) && p.silence(now) <= silence)
+			.noneMatch((p) -> Long.compareUnsigned(rank.applyAsLong(this.dataCentre, p.news().instance()), own) > 0);
+	}
+
 	/**
 	 * Return where the first entries of each other data centre hear news.
 	 * @param count how many of each
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/GossipOutputs.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/GossipOutputs.java
@@ -16,6 +16,12 @@
 	 */
 	void send(String address, EntryNews news);
 
+	/**
+	 * Take that a target said to another entry that it is leaving.
+	 * @param target the target's id
+	 */
+	void heardLeaving(String target);
+
 	/**
 	 * Return this entry's own work.
 	 * @return its work at each target where it has any
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/WorkAtTarget.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/WorkAtTarget.java
@@ -12,10 +12,11 @@
  * @param toMove the generations that are to be moved away because the target is leaving
  * @param copying whether a generation is being copied from or to the target now
  * @param refused the connections that the target refused since one came up last
+ * @param leaving whether the target itself said to the entry that it is leaving
  * @since 0.2
  */
 public record WorkAtTarget(String target, int requests, long heldTokens, long unreadTokens, int toMove, boolean copying,
-		int refused) {
+		int refused, boolean leaving) {
 
 	public WorkAtTarget {
 		Objects.requireNonNull(target, "target must not be null");
@@ -27,7 +28,7 @@
 	 * @return work of which every count is zero
 	 */
 	public static WorkAtTarget none(String target) {
-		return new WorkAtTarget(target, 0, 0, 0, 0, false, 0);
+		return new WorkAtTarget(target, 0, 0, 0, 0, false, 0, false);
 	}
 
 	/**
@@ -38,7 +39,7 @@
 	public WorkAtTarget plus(WorkAtTarget other) {
 		return new WorkAtTarget(this.target, this.requests + other.requests, this.heldTokens + other.heldTokens,
 				this.unreadTokens + other.unreadTokens, this.toMove + other.toMove, this.copying || other.copying,
-				this.refused + other.refused);
+				this.refused + other.refused, this.leaving || other.leaving);
 	}
 
 }
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/inquiry/LeavingInquiry.java
@@ -0,0 +1,95 @@
+package dev.laneworks.core.inquiry;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongPredicate;
+import java.util.function.Supplier;
+
+import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.time.Timers;
+
+/**
+ * Asks the engines of a data centre whether they are leaving, while the list of targets
+ * can't be read.
+ * <p>
+ * A notice that is given meanwhile is heard by nobody otherwise: of 540 long streams of a
+ * measured day with eight such seconds 37 ended with their engines. One process of each
+ * data centre asks and tells the others. An engine that does not answer says nothing.
+ * Pure code over explicit time; not thread-safe.
+ *
+ * @since 0.2
+ */
+public final class LeavingInquiry {
+
+	/**
+	 * How often an engine is asked, in milliseconds: a fifth of the shortest notice
+	 * measured (1,540 ms), at a price of 27 questions for an engine in eight seconds.
+	 */
+	private static final long ASK_MILLIS = 300;
+
+	private final LongPredicate isListSilent;
+
+	private final BooleanSupplier isOurs;
+
+	private final Supplier<List<ListedTarget>> engines;
+
+	private final InquiryOutputs outputs;
+
+	private final Timers timers;
+
+	/** The ids of the engines whose answer is awaited. */
+	private final Set<String> asked = new HashSet<>();
+
+	/**
+	 * Create an inquiry; {@link #start} begins it.
+	 * @param isListSilent tells whether the list can't be read at a time, in milliseconds
+	 * @param isOurs tells whether this process asks for its data centre
+	 * @param engines gives the engines of the data centre that take work
+	 * @param outputs asks, and takes what was heard
+	 * @param timers what is due later
+	 */
+	public LeavingInquiry(LongPredicate isListSilent, BooleanSupplier isOurs, Supplier<List<ListedTarget>> engines,
+			InquiryOutputs outputs, Timers timers) {
+		this.isListSilent = Objects.requireNonNull(isListSilent, "isListSilent must not be null");
+		this.isOurs = Objects.requireNonNull(isOurs, "isOurs must not be null");
+		this.engines = Objects.requireNonNull(engines, "engines must not be null");
+		this.outputs = Objects.requireNonNull(outputs, "outputs must not be null");
+		this.timers = Objects.requireNonNull(timers, "timers must not be null");
+	}
+
+	/**
+	 * Look from now on whether engines are to be asked.
+	 * @param now the time in milliseconds
+	 */
+	public void start(long now) {
+		if (this.isListSilent.test(now) && this.isOurs.getAsBoolean()) {
+			for (ListedTarget engine : this.engines.get()) {
+				if (this.asked.add(engine.id())) {
+					this.outputs.ask(engine);
+				}
+			}
+		}
+		this.timers.at(now + ASK_MILLIS, this::start);
+	}
+
+	/**
+	 * Take an engine's answer. It is heard also where the list is back meanwhile, since
+	 * it is the engine's own word.
+	 * @param engine the engine
+	 * @param answer the answer
+	 * @param now the time in milliseconds
+	 */
+	public void answered(ListedTarget engine, EngineAnswer answer, long now) {
+		this.asked.remove(engine.id());
+		switch (answer.outcome()) {
+			case LEAVES -> this.outputs.leaves(engine, answer, now);
+			case REFUSED -> this.outputs.refused(engine, now);
+			case STAYS, UNKNOWN -> {
+			}
+		}
+	}
+
+}
--- a/laneworks-core/src/main/java/dev/laneworks/core/mechanism/Mechanism.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/mechanism/Mechanism.java
@@ -29,6 +29,9 @@
 	/** One reader of the platform's store for several entries. */
 	SHARED_READING,
 
+	/** Asking engines whether they are leaving while the store is silent. */
+	LEAVING_INQUIRY,
+
 	/** Choosing targets of the own data centre before others. */
 	NEAR_TARGETS,
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherFuzzTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherFuzzTests.java
@@ -239,7 +239,7 @@
 		private List<WorkAtTarget> workHeld() {
 			return this.world.beliefs.ownWork()
 				.stream()
-				.filter((w) -> !w.equals(new WorkAtTarget(w.target(), 0, 0, 0, 0, false, w.refused())))
+				.filter((w) -> !w.equals(new WorkAtTarget(w.target(), 0, 0, 0, 0, false, w.refused(), false)))
 				.toList();
 		}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/TargetChooserTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/TargetChooserTests.java
@@ -83,7 +83,7 @@
 	}
 
 	private static WorkAtTarget held(String id, long tokens) {
-		return new WorkAtTarget(id, 1, tokens, 0, 0, false, 0);
+		return new WorkAtTarget(id, 1, tokens, 0, 0, false, 0, false);
 	}
 
 	private static final class Nobody implements DirectoryListener {
--- a/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.function.ToLongBiFunction;
 
 import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.routing.Rendezvous;
@@ -24,6 +25,8 @@
 
 	private final List<String> told = new ArrayList<>();
 
+	private final List<String> leaving = new ArrayList<>();
+
 	private final List<AuditEvent> audit = new ArrayList<>();
 
 	private EntryNews lastNews;
@@ -176,6 +179,24 @@
 		assertThat(this.lastNews.againMillis()).isEqualTo(3_000);
 	}
 
+	@Test
+	void passesOnThatATargetToldAnotherEntryOfItsLeaving() {
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, new WorkAtTarget("t", 0, 0, 0, 0, false, 0, true)), 0);
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 2, work(1, 1)), 1);
+		assertThat(this.leaving).containsExactly("t");
+	}
+
+	@Test
+	void theFirstOfADataCentreIsTheHighestThatIsAwake() {
+		ToLongBiFunction<String, String> rank = (d, i) -> i.equals("two") ? 2 : 1;
+		assertThat(this.gossip.isFirstOfDataCentre(rank, 0)).isTrue();
+		this.gossip.received("10.0.0.3:7200", distant("two", 2), 0);
+		assertThat(this.gossip.isFirstOfDataCentre(rank, 0)).isTrue();
+		this.gossip.received("10.0.0.2:7200", news("two", 3, 1, work(1, 1)), 0);
+		assertThat(this.gossip.isFirstOfDataCentre(rank, 1_200)).isFalse();
+		assertThat(this.gossip.isFirstOfDataCentre(rank, 1_201)).isTrue();
+	}
+
 	@Test
 	void workBegunAtADistantTargetIsToldToAll() {
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(0, 0)), 0);
@@ -207,7 +228,7 @@
 	void partialNewsChangeTheWorkThatTheyNameAlone() {
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(3, 900)), 0);
 		EntryNews partial = new EntryNews("two", "z", 2, 2, false, true, 1_000,
-				List.of(new WorkAtTarget("u", 1, 70, 0, 0, false, 0)), List.of(), List.of());
+				List.of(new WorkAtTarget("u", 1, 70, 0, 0, false, 0, false)), List.of(), List.of());
 		this.gossip.received("10.0.0.2:7200", partial, 10);
 		assertThat(this.gossip.others("t").get().heldTokens()).isEqualTo(900);
 		assertThat(this.gossip.others("u").get().heldTokens()).isEqualTo(70);
@@ -248,11 +269,11 @@
 	}
 
 	private static WorkAtTarget work(int requests, long tokens) {
-		return new WorkAtTarget("t", requests, tokens, 0, 0, false, 0);
+		return new WorkAtTarget("t", requests, tokens, 0, 0, false, 0, false);
 	}
 
 	private static WorkAtTarget moving(String target, int toMove, boolean copying) {
-		return new WorkAtTarget(target, 1, 1, 0, toMove, copying, 0);
+		return new WorkAtTarget(target, 1, 1, 0, toMove, copying, 0, false);
 	}
 
 	private static EntryNews news(String name, long incarnation, long sequence, WorkAtTarget work) {
@@ -273,6 +294,11 @@
 			GossipTests.this.lastNews = news;
 		}
 
+		@Override
+		public void heardLeaving(String target) {
+			GossipTests.this.leaving.add(target);
+		}
+
 		@Override
 		public List<WorkAtTarget> ownWork() {
 			return GossipTests.this.ownWork;
--- /dev/null
+++ b/laneworks-core/src/test/java/dev/laneworks/core/inquiry/LeavingInquiryTests.java
@@ -0,0 +1,87 @@
+package dev.laneworks.core.inquiry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+
+import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.inquiry.EngineAnswer.Outcome;
+import dev.laneworks.core.time.Timers;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests for {@link LeavingInquiry}.
+ */
+class LeavingInquiryTests {
+
+	private final List<String> heard = new ArrayList<>();
+
+	private final Timers timers = new Timers();
+
+	private final List<ListedTarget> engines = new ArrayList<>(List.of(engine("a"), engine("b")));
+
+	private boolean silent;
+
+	private boolean ours = true;
+
+	private final LeavingInquiry inquiry = new LeavingInquiry((t) -> this.silent, () -> this.ours, () -> this.engines,
+			new Recorder(), this.timers);
+
+	@Test
+	void asksEachEngineAgainAndAgainWhileTheListIsSilent() {
+		this.inquiry.start(0);
+		assertThat(this.heard).isEmpty();
+		this.silent = true;
+		this.timers.run(300);
+		assertThat(this.heard).containsExactly("ask a", "ask b").inOrder();
+		this.inquiry.answered(engine("a"), EngineAnswer.of(Outcome.STAYS), 310);
+		this.timers.run(600);
+		assertThat(this.heard).containsExactly("ask a", "ask b", "ask a").inOrder();
+		this.silent = false;
+		this.inquiry.answered(engine("b"), EngineAnswer.of(Outcome.UNKNOWN), 610);
+		this.timers.run(900);
+		assertThat(this.heard).hasSize(3);
+	}
+
+	@Test
+	void leavesTheAskingToAnother() {
+		this.ours = false;
+		this.silent = true;
+		this.inquiry.start(0);
+		this.timers.run(900);
+		assertThat(this.heard).isEmpty();
+	}
+
+	@Test
+	void passesOnWhatAnEngineSaidAndThatNothingListens() {
+		this.inquiry.answered(engine("a"), new EngineAnswer(Outcome.LEAVES, OptionalLong.of(900)), 10);
+		this.inquiry.answered(engine("b"), EngineAnswer.of(Outcome.REFUSED), 10);
+		assertThat(this.heard).containsExactly("a leaves in 900", "b refused").inOrder();
+	}
+
+	private static ListedTarget engine(String id) {
+		return new ListedTarget(id, "s", "10.0.0.1", 80, "dc", 4, false);
+	}
+
+	private final class Recorder implements InquiryOutputs {
+
+		@Override
+		public void ask(ListedTarget engine) {
+			LeavingInquiryTests.this.heard.add("ask " + engine.id());
+		}
+
+		@Override
+		public void leaves(ListedTarget engine, EngineAnswer answer, long now) {
+			LeavingInquiryTests.this.heard.add(engine.id() + " leaves in " + answer.leavesMillis().orElse(-1));
+		}
+
+		@Override
+		public void refused(ListedTarget engine, long now) {
+			LeavingInquiryTests.this.heard.add(engine.id() + " refused");
+		}
+
+	}
+
+}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -118,6 +118,8 @@
 
 	private final StateHandover handover;
 
+	private final EngineInquiry inquiry;
+
 	private final DirectServer callers;
 
 	private final ReadinessServer readiness;
@@ -165,6 +167,8 @@
 		calls.use(this.dispatcher);
 		this.handover = new StateHandover(this.store.follower(), this.others, this.loop, this.audit);
 		this.others.onState(this.handover);
+		this.inquiry = new EngineInquiry(this.store, settings.dataCentre(), this.others, this.beliefs,
+				adapter.engines(), this.loop, this.audit);
 		this.others.onStoreNews((n) -> this.store.follower().told(n, this.loop.now()));
 		this.callers = new DirectServer(this.io, settings.callers(), calls, adapter.headers(),
 				this.store.published()::plan, this.plannedStop, this.loop, random, this.audit);
@@ -194,6 +198,9 @@
 		operators.start();
 		this.others.listen(this.settings.news());
 		this.loop.run(() -> this.others.start(this.loop.now()));
+		if (this.settings.mechanisms().use(Mechanism.LEAVING_INQUIRY)) {
+			this.loop.run(() -> this.inquiry.start(this.loop.now()));
+		}
 		if (!await(this.ended)) {
 			return ExitCode.FAILED;
 		}
--- /dev/null
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EngineInquiry.java
@@ -0,0 +1,90 @@
+package dev.laneworks.entry.direct;
+
+import java.util.List;
+
+import dev.laneworks.core.audit.AuditEvent;
+import dev.laneworks.core.audit.AuditKind;
+import dev.laneworks.core.audit.AuditSink;
+import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.directory.TargetDirectory;
+import dev.laneworks.core.dispatch.TargetBeliefs;
+import dev.laneworks.core.inquiry.EngineAnswer;
+import dev.laneworks.core.inquiry.InquiryOutputs;
+import dev.laneworks.core.inquiry.LeavingInquiry;
+import dev.laneworks.core.serving.ServingPlan;
+
+/**
+ * Asks the engines of this entry's data centre whether they are leaving while the store
+ * is silent, and tells the other entries. Used on the I/O thread alone.
+ */
+final class EngineInquiry implements InquiryOutputs {
+
+	private final FollowedStore store;
+
+	private final String dataCentre;
+
+	private final TargetBeliefs beliefs;
+
+	private final EngineOrders engines;
+
+	private final EventLoop loop;
+
+	private final AuditSink audit;
+
+	private final LeavingInquiry inquiry;
+
+	EngineInquiry(FollowedStore store, String dataCentre, OtherEntries others, TargetBeliefs beliefs,
+			EngineOrders engines, EventLoop loop, AuditSink audit) {
+		this.store = store;
+		this.dataCentre = dataCentre;
+		this.beliefs = beliefs;
+		this.engines = engines;
+		this.loop = loop;
+		this.audit = audit;
+		this.inquiry = new LeavingInquiry(store.follower()::isSilent, others::isFirstOfDataCentre, this::nearEngines,
+				this, loop.timers());
+		others.onLeaving(store.directory()::saidLeaving);
+	}
+
+	void start(long now) {
+		this.inquiry.start(now);
+	}
+
+	private List<ListedTarget> nearEngines() {
+		TargetDirectory directory = this.store.directory();
+		return directory.all()
+			.stream()
+			.filter((t) -> t.dataCentre().equals(this.dataCentre) && directory.takesWork(t.id()) && isEngine(t))
+			.toList();
+	}
+
+	private boolean isEngine(ListedTarget target) {
+		return this.store.published()
+			.plan()
+			.flatMap((ServingPlan p) -> p.service(target.service()))
+			.filter((s) -> s.engine().isPresent())
+			.isPresent();
+	}
+
+	@Override
+	public void ask(ListedTarget engine) {
+		this.engines.ask(engine, (a) -> {
+			this.inquiry.answered(engine, a, this.loop.now());
+			this.loop.settle();
+		});
+	}
+
+	@Override
+	public void leaves(ListedTarget engine, EngineAnswer answer, long now) {
+		this.audit.record(AuditEvent.of(AuditKind.MEMBERSHIP, engine.id(), engine.id(), "says that it is leaving"
+				+ (answer.leavesMillis().isPresent() ? " in " + answer.leavesMillis().getAsLong() + " ms" : "")));
+		this.beliefs.saidLeaving(engine);
+		this.store.directory().saidLeaving(engine.id());
+	}
+
+	@Override
+	public void refused(ListedTarget engine, long now) {
+		this.beliefs.refused(engine);
+	}
+
+}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
@@ -59,6 +59,9 @@
 	private Consumer<StoreNews> storeListener = (n) -> {
 	};
 
+	private Consumer<String> leavingListener = (t) -> {
+	};
+
 	private Optional<StateHandover> handover = Optional.empty();
 
 	/** Opened by the main thread before anything is sent on the I/O thread. */
@@ -91,6 +94,7 @@
 	private static ChangeReach reach(TargetBeliefs.Change change, boolean isDistant) {
 		return switch (change) {
 			case AWAITED -> ChangeReach.CONCERNED;
+			case LEAVING -> ChangeReach.ALL;
 			case BEGUN -> isDistant ? ChangeReach.ALL : ChangeReach.NEAR;
 			case OTHER -> ChangeReach.NEAR;
 		};
@@ -140,6 +144,16 @@
 		this.gossip.end(now);
 	}
 
+	// Whether this entry asks engines for its data centre.
+	boolean isFirstOfDataCentre() {
+		return this.gossip.isFirstOfDataCentre(SharedReading::rank, this.loop.now());
+	}
+
+	// Sets who hears of targets that told other entries of their leaving.
+	void onLeaving(Consumer<String> listener) {
+		this.leavingListener = listener;
+	}
+
 	// How many other entries are known.
 	int count() {
 		return this.gossip.peers();
@@ -170,6 +184,11 @@
 		this.socket.send(socketAddress(address), told);
 	}
 
+	@Override
+	public void heardLeaving(String target) {
+		this.leavingListener.accept(target);
+	}
+
 	@Override
 	public List<WorkAtTarget> ownWork() {
 		return this.beliefs.ownWork();
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/EntryNewsCodec.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/EntryNewsCodec.java
@@ -46,6 +46,7 @@
 			.setToMove(work.toMove())
 			.setCopying(work.copying())
 			.setRefused(work.refused())
+			.setLeaving(work.leaving())
 			.build();
 	}
 
@@ -59,7 +60,7 @@
 
 	private static WorkAtTarget decode(Protocol.WorkAtTarget work) {
 		return new WorkAtTarget(work.getTarget(), work.getRequests(), work.getHeldTokens(), work.getUnreadTokens(),
-				work.getToMove(), work.getCopying(), work.getRefused());
+				work.getToMove(), work.getCopying(), work.getRefused(), work.getLeaving());
 	}
 
 	private static ServiceSpending decode(Protocol.ServiceSpending spending) {
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
@@ -29465,6 +29465,12 @@
      * @return The refused.
      */
     int getRefused();
+
+    /**
+     * <code>bool leaving = 8;</code>
+     * @return The leaving.
+     */
+    boolean getLeaving();
   }
   /**
    * Protobuf type {@code laneworks.WorkAtTarget}
@@ -29614,6 +29620,17 @@
       return refused_;
     }
 
+    public static final int LEAVING_FIELD_NUMBER = 8;
+    private boolean leaving_ = false;
+    /**
+     * <code>bool leaving = 8;</code>
+     * @return The leaving.
+     */
+    @java.lang.Override
+    public boolean getLeaving() {
+      return leaving_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -29649,6 +29666,9 @@
       if (refused_ != 0) {
         output.writeUInt32(7, refused_);
       }
+      if (leaving_ != false) {
+        output.writeBool(8, leaving_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -29685,6 +29705,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(7, refused_);
       }
+      if (leaving_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(8, leaving_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -29714,6 +29738,8 @@
           != other.getCopying()) return false;
       if (getRefused()
           != other.getRefused()) return false;
+      if (getLeaving()
+          != other.getLeaving()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -29742,6 +29768,9 @@
           getCopying());
       hash = (37 * hash) + REFUSED_FIELD_NUMBER;
       hash = (53 * hash) + getRefused();
+      hash = (37 * hash) + LEAVING_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getLeaving());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -29880,6 +29909,7 @@
         toMove_ = 0;
         copying_ = false;
         refused_ = 0;
+        leaving_ = false;
         return this;
       }
 
@@ -29934,6 +29964,9 @@
         if (((from_bitField0_ & 0x00000040) != 0)) {
           result.refused_ = refused_;
         }
+        if (((from_bitField0_ & 0x00000080) != 0)) {
+          result.leaving_ = leaving_;
+        }
       }
 
       @java.lang.Override
@@ -29971,6 +30004,9 @@
         if (other.getRefused() != 0) {
           setRefused(other.getRefused());
         }
+        if (other.getLeaving() != false) {
+          setLeaving(other.getLeaving());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -30032,6 +30068,11 @@
                 bitField0_ |= 0x00000040;
                 break;
               } // case 56
+              case 64: {
+                leaving_ = input.readBool();
+                bitField0_ |= 0x00000080;
+                break;
+              } // case 64
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -30313,6 +30354,38 @@
         return this;
       }
 
+      private boolean leaving_ ;
+      /**
+       * <code>bool leaving = 8;</code>
+       * @return The leaving.
+       */
+      @java.lang.Override
+      public boolean getLeaving() {
+        return leaving_;
+      }
+      /**
+       * <code>bool leaving = 8;</code>
+       * @param value The leaving to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLeaving(boolean value) {
+
+        leaving_ = value;
+        bitField0_ |= 0x00000080;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>bool leaving = 8;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLeaving() {
+        bitField0_ = (bitField0_ & ~0x00000080);
+        leaving_ = false;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:laneworks.WorkAtTarget)
     }
 
@@ -30622,14 +30695,14 @@
       "\001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\005value\030\003 \001(\tH\000\210\001" +
       "\001B\010\n\006_value\"E\n\017ServiceSpending\022\017\n\007servic" +
       "e\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\017\n\007repeats\030\003 \001" +
-      "(\r\"\217\001\n\014WorkAtTarget\022\016\n\006target\030\001 \001(\t\022\020\n\010r" +
+      "(\r\"\240\001\n\014WorkAtTarget\022\016\n\006target\030\001 \001(\t\022\020\n\010r" +
       "equests\030\002 \001(\r\022\023\n\013held_tokens\030\003 \001(\004\022\025\n\run" +
       "read_tokens\030\004 \001(\004\022\017\n\007to_move\030\005 \001(\r\022\017\n\007co" +
-      "pying\030\006 \001(\010\022\017\n\007refused\030\007 \001(\r*W\n\rStoreNew" +
-      "sKind\022\023\n\017STORE_NEWS_READ\020\000\022\027\n\023STORE_NEWS" +
-      "_QUESTION\020\001\022\030\n\024STORE_NEWS_PASSED_ON\020\002B&\n" +
-      "\030dev.laneworks.wire.protoB\010ProtocolP\000b\006p" +
-      "roto3"
+      "pying\030\006 \001(\010\022\017\n\007refused\030\007 \001(\r\022\017\n\007leaving\030" +
+      "\010 \001(\010*W\n\rStoreNewsKind\022\023\n\017STORE_NEWS_REA" +
+      "D\020\000\022\027\n\023STORE_NEWS_QUESTION\020\001\022\030\n\024STORE_NE" +
+      "WS_PASSED_ON\020\002B&\n\030dev.laneworks.wire.pro" +
+      "toB\010ProtocolP\000b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -30826,7 +30899,7 @@
     internal_static_laneworks_WorkAtTarget_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_WorkAtTarget_descriptor,
-        new java.lang.String[] { "Target", "Requests", "HeldTokens", "UnreadTokens", "ToMove", "Copying", "Refused", });
+        new java.lang.String[] { "Target", "Requests", "HeldTokens", "UnreadTokens", "ToMove", "Copying", "Refused", "Leaving", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
