Take a return of the store that is heard twice for one

Cause: the return is heard of other entries and then of the store itself, up to 0.7 s later, and each time began the 1.8 s anew in which a missing entry may come back.

Test: TargetDirectoryTests, red before.

--- a/laneworks-core/src/test/java/dev/laneworks/core/directory/TargetDirectoryTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/directory/TargetDirectoryTests.java
@@ -61,6 +61,15 @@
 		assertThat(this.directory.lapsed()).isEqualTo(0);
 	}
 
+	@Test
+	void aReturnThatIsHeardTwiceIsOne() {
+		this.directory.put(target("a", false));
+		this.directory.regained(1_000);
+		this.directory.regained(1_700);
+		this.directory.remove("a", 2_801);
+		assertThat(this.heard).containsExactly("joined a", "leaving a VANISHED", "gone a").inOrder();
+	}
+
 	@Test
 	void aTargetListedAtTheAddressOfAnotherEndsThatOne() {
 		this.directory.put(target("a", false));
