--- a/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
@@ -62,8 +62,8 @@
 	/**
 	 * Record that the list is followed again after it had been out of reach. A return
 	 * that is heard again within the time in which entries come back, of others and then
-	 * of the list itself, is the same one: entries outlive an outage as short as that, and
-	 * what goes behind the time is a notice.
+	 * of the list itself, is the same one: entries outlive an outage as short as that,
+	 * and what goes behind the time is a notice.
 	 * @param now the time in milliseconds
 	 */
 	public void regained(long now) {
