--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -39,21 +39,6 @@
 	 */
 	private static final long SHARED_HOLD_MILLIS = 700;
 
-	/**
-	 * After how long without a word of the store it is asked for a sign of life, in
-	 * milliseconds. A watch says nothing for up to four seconds, in which notices of 1.5
-	 * to 2 s were given and missed: a store that fell silent was found out after 0.9 to
-	 * 4.2 s, and within one since it is asked. On measured days the store takes a tenth
-	 * of a call's price for it.
-	 */
-	private static final long PROBE_MILLIS = 300;
-
-	/**
-	 * After how long without a word the store counts as silent, in milliseconds: a sign
-	 * of life that was asked for took 4 ms on good days and 240 on bad ones.
-	 */
-	private static final long SILENT_MILLIS = 560;
-
 	private final FollowSettings settings;
 
 	private final FollowOutputs outputs;
@@ -70,6 +55,8 @@
 
 	private final KnownItems known = new KnownItems();
 
+	private final StoreSilence silence = new StoreSilence();
+
 	private long call;
 
 	private boolean open;
@@ -92,11 +79,6 @@
 
 	private long answeredAt;
 
-	/** When the store, or another process that follows it, was heard last. */
-	private long heardAt;
-
-	private long probedAt = Long.MIN_VALUE / 2;
-
 	private long regainedAt = Long.MIN_VALUE / 2;
 
 	private long returnHeardAt = Long.MIN_VALUE / 2;
@@ -128,7 +110,7 @@
 	 */
 	public void start(long now) {
 		this.answeredAt = now;
-		this.heardAt = now;
+		this.silence.heard(now);
 		readAnew(now);
 		signOfLife(now);
 	}
@@ -199,7 +181,7 @@
 	 * @param now the time in milliseconds
 	 */
 	public void probed(long now) {
-		this.heardAt = Math.max(this.heardAt, now);
+		this.silence.heard(now);
 	}
 
 	/**
@@ -209,7 +191,7 @@
 	 * @return {@code false} while another process reads for this one
 	 */
 	public boolean isSilent(long now) {
-		return this.hasRead && !this.resting && now - this.heardAt > SILENT_MILLIS;
+		return this.hasRead && !this.resting && this.silence.isSilent(now);
 	}
 
 	/**
@@ -251,7 +233,7 @@
 	 * @param now the time in milliseconds
 	 */
 	public void told(StoreNews news, long now) {
-		this.heardAt = Math.max(this.heardAt, now);
+		this.silence.heard(now);
 		if (!this.watching) {
 			hearWhileReading(news, now);
 			return;
@@ -348,7 +330,7 @@
 		}
 		this.open = false;
 		this.failures = 0;
-		this.heardAt = Math.max(this.heardAt, now);
+		this.silence.heard(now);
 		regain(now);
 		return true;
 	}
@@ -411,9 +393,7 @@
 	}
 
 	private void probeIfQuiet(long now) {
-		boolean isQuiet = now - Math.max(this.heardAt, this.probedAt) >= PROBE_MILLIS;
-		if (this.watching && this.open && isQuiet) {
-			this.probedAt = now;
+		if (this.watching && this.open && this.silence.askNow(now)) {
 			this.outputs.probe();
 		}
 	}
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreSilence.java
@@ -0,0 +1,50 @@
+package dev.laneworks.core.follow;
+
+/**
+ * Finds out that a store has fallen silent, though a watch may say nothing for seconds.
+ */
+final class StoreSilence {
+
+	/**
+	 * After how long without a word of the store it is asked for a sign of life, in
+	 * milliseconds. A watch says nothing for up to four seconds, in which notices of 1.5
+	 * to 2 s were given and missed: a store that fell silent was found out after 0.9 to
+	 * 4.2 s, and within one since it is asked. On measured days the store takes a tenth
+	 * of a call's price for it.
+	 */
+	private static final long PROBE_MILLIS = 300;
+
+	/**
+	 * After how long without a word the store counts as silent, in milliseconds: a sign
+	 * of life that was asked for took 4 ms on good days and 240 on bad ones.
+	 */
+	private static final long SILENT_MILLIS = 560;
+
+	private long heardAt;
+
+	private long probedAt = Long.MIN_VALUE / 2;
+
+	// The store, or another process that follows it, was heard.
+	void heard(long now) {
+		this.heardAt = Math.max(this.heardAt, now);
+	}
+
+	/**
+	 * Return whether the store is to be asked for a sign of life now; if so it counts as
+	 * asked.
+	 * @param now the time in milliseconds
+	 * @return whether it has said nothing for a while, and wasn't asked lately
+	 */
+	boolean askNow(long now) {
+		boolean isQuiet = now - Math.max(this.heardAt, this.probedAt) >= PROBE_MILLIS;
+		if (isQuiet) {
+			this.probedAt = now;
+		}
+		return isQuiet;
+	}
+
+	boolean isSilent(long now) {
+		return now - this.heardAt > SILENT_MILLIS;
+	}
+
+}
