--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -6,7 +6,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
-import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
@@ -60,6 +59,8 @@
 
 	private final TargetTrust trust;
 
+	private final AttemptOutcomes outcomes;
+
 	private final Map<Long, DirectCall> calls = new HashMap<>();
 
 	private Optional<ServingPlan> plan = Optional.empty();
@@ -98,6 +99,8 @@
 		this.trust = new TargetTrust(directory, beliefs);
 		this.continuation = new Continuation(this.trust, retries, this.sender, this.standbys, this.mover, this.ending,
 				audit, this.offers::begin, this::engine, settings.mechanisms().use(Mechanism.COPIES_AT_NOTICE));
+		this.outcomes = new AttemptOutcomes(settings, directory, beliefs, this.sender, this.offers, this.continuation,
+				this.ending, outputs, audit);
 	}
 
 	/**
@@ -167,7 +170,7 @@
 		}
 		if (call.request().route().kind() != RequestKind.STREAMING) {
 			long silentAt = now + (long) (call.request().route().goalMillis() * this.settings.silenceGoals());
-			this.timers.at(silentAt, (t) -> silent(call, attempt, t));
+			this.timers.at(silentAt, (t) -> find(number, attempt).ifPresent((a) -> this.outcomes.silent(call, a, t)));
 		}
 		return OptionalLong.of(left);
 	}
@@ -194,7 +197,7 @@
 			}
 		}
 		this.audit.record(call.event(AuditKind.RETRIED, target.id(), "nothing was sent: " + cause));
-		notTaken(call, found.get(), "no connection: " + cause, now);
+		this.outcomes.notTaken(call, found.get(), "no connection: " + cause, now);
 	}
 
 	/**
@@ -229,16 +232,17 @@
 		}
 		DirectCall call = this.calls.get(number);
 		if (!head.answers(call.request().id())) {
-			failed(call, found.get(), "the answer is not one to this request: status " + head.status(), now);
+			this.outcomes.failed(call, found.get(), "the answer is not one to this request: status " + head.status(),
+					now);
 		}
 		else if (head.saysNotRun()) {
-			notRun(call, found.get(), head, now);
+			this.outcomes.notRun(call, found.get(), head, now);
 		}
 		else if (call.isStreaming() || call.isSuccessor(found.get())) {
-			failed(call, found.get(), "status " + head.status() + " to a generation that goes on", now);
+			this.outcomes.failed(call, found.get(), "status " + head.status() + " to a generation that goes on", now);
 		}
 		else {
-			ran(call, found.get(), head, now);
+			this.outcomes.ran(call, found.get(), head, now);
 		}
 	}
 
@@ -294,7 +298,7 @@
 		}
 		DirectCall call = this.calls.get(number);
 		if (call.isSuccessor(found.get()) || !call.isStreaming()) {
-			failed(call, found.get(), "the stream ended without an event", now);
+			this.outcomes.failed(call, found.get(), "the stream ended without an event", now);
 			return;
 		}
 		this.ending.finish(call, AuditKind.ANSWERED,
@@ -322,7 +326,7 @@
 		if (!call.isSuccessor(found.get()) && this.mover.expectsEnd(call, now)) {
 			return;
 		}
-		failed(call, found.get(), cause, now);
+		this.outcomes.failed(call, found.get(), cause, now);
 	}
 
 	/**
@@ -386,7 +390,7 @@
 
 	private void beganToAnswer(DirectCall call, Attempt attempt, long now) {
 		attempt.answering();
-		recordGood(attempt, now);
+		this.outcomes.recordGood(attempt, now);
 		call.mayHaveRun();
 		this.standbys.watch(call, attempt, engine(call), now);
 		// A run that began after its engine's notice; only one that runs can be moved.
@@ -401,18 +405,6 @@
 		return this.plan.flatMap((p) -> p.service(call.request().service())).flatMap(ServiceSpec::engine);
 	}
 
-	private void silent(DirectCall call, int number, long now) {
-		Optional<Attempt> attempt = find(call.number(), number);
-		if (attempt.isEmpty()) {
-			return;
-		}
-		recordBad(attempt.get().target(), "no answer for " + (now - attempt.get().sentAt()) + " ms", now);
-		call.mayHaveRun();
-		if (this.offers.mayTryAgain(call, attempt.get(), now)) {
-			this.offers.tryAgain(call, attempt.get(), "the target is silent", now);
-		}
-	}
-
 	private void overdue(DirectCall call, long now) {
 		if (this.calls.get(call.number()) != call) {
 			return;
@@ -430,94 +422,6 @@
 		}
 	}
 
-	private void ran(DirectCall call, Attempt attempt, AnswerHead head, long now) {
-		call.mayHaveRun();
-		if (head.isServerError()) {
-			recordBad(attempt.target(), "status " + head.status(), now);
-			if (this.offers.mayTryAgain(call, attempt, now)) {
-				this.offers.tryAgain(call, attempt, "status " + head.status(), now);
-				return;
-			}
-		}
-		else {
-			recordGood(attempt, now);
-		}
-		this.ending.finish(call, AuditKind.ANSWERED,
-				"status " + head.status() + " after " + (now - call.openedAt()) + " ms", now);
-		this.outputs.deliver(call.number(), attempt.number());
-	}
-
-	private void notRun(DirectCall call, Attempt attempt, AnswerHead head, long now) {
-		ListedTarget target = attempt.target();
-		call.didNotRun();
-		if (head.isMisdirected()) {
-			this.directory.refusedWork(target.id());
-		}
-		else {
-			this.beliefs.of(target).full(now + this.settings.comeBackMillis());
-		}
-		this.audit.record(call.event(AuditKind.RETRIED, target.id(), "not run there: status " + head.status()));
-		notTaken(call, attempt, "status " + head.status(), now);
-	}
-
-	// The target did not run what this attempt asked for.
-	private void notTaken(DirectCall call, Attempt attempt, String cause, long now) {
-		boolean wasSuccessor = call.isSuccessor(attempt);
-		this.sender.end(call, attempt);
-		if (wasSuccessor) {
-			this.continuation.goOnWithoutCopy(call, now);
-		}
-		else if (this.continuation.goBack(call, attempt, cause, now)) {
-			return;
-		}
-		else if (call.isStreaming() || attempt.resume().isPresent()) {
-			this.ending.lost(call, "the generation could not go on at " + attempt.target().id() + ": " + cause, now);
-		}
-		else {
-			call.tried().add(attempt.target().id());
-			this.offers.offer(call, now);
-		}
-	}
-
-	private void failed(DirectCall call, Attempt attempt, String cause, long now) {
-		ListedTarget target = attempt.target();
-		if (this.directory.takesWork(target.id())) {
-			recordBad(target, cause, now);
-		}
-		if (!attempt.isAnswering()) {
-			call.mayHaveRun();
-		}
-		if (call.isSuccessor(attempt)) {
-			this.sender.abandon(call, attempt);
-			this.continuation.goOnWithoutCopy(call, now);
-		}
-		else if (call.successor().isPresent()) {
-			this.sender.abandon(call, attempt);
-		}
-		else if (call.request().work().isPresent() && (this.continuation.goOnAtBackup(call, cause, now)
-				|| this.continuation.goOnAtStandby(call, cause, now))) {
-			this.sender.abandon(call, attempt);
-		}
-		else if (!call.isStreaming() && this.offers.mayTryAgain(call, attempt, now)) {
-			this.offers.tryAgain(call, attempt, cause, now);
-		}
-		else {
-			this.ending.lost(call, cause + " at " + target.id(), now);
-		}
-	}
-
-	private void recordGood(Attempt attempt, long now) {
-		this.beliefs.of(attempt.target()).quality().recordGood(now - attempt.sentAt(), now);
-	}
-
-	private void recordBad(ListedTarget target, String cause, long now) {
-		TargetQuality quality = this.beliefs.of(target).quality();
-		if (quality.recordBad(this.beliefs.peersBadShare(target, now), now)) {
-			this.audit.record(AuditEvent.of(AuditKind.TARGET_HEALTH, target.id(), target.id(),
-					"set aside: " + cause + ", bad answers of late " + Math.round(100 * quality.badShare(now)) + "%"));
-		}
-	}
-
 	private Optional<Attempt> find(long number, int attempt) {
 		return Optional.ofNullable(this.calls.get(number)).flatMap((c) -> c.find(attempt));
 	}
