--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -55,14 +55,6 @@
 	 */
 	private static final double BUSY_LINK_WEIGHT = 0.3;
 
-	/**
-	 * What is added to the score of an engine that reads for short generations, for a
-	 * long one, and to that of any other for a short one; as a part of its memory. It
-	 * weighs as much as 6,000 tokens that wait to be read, 0.45 s: what would wait longer
-	 * goes elsewhere.
-	 */
-	private static final double OTHER_WORK_WEIGHT = 0.25;
-
 	/** What a request waiting at an engine adds to its score. */
 	private static final double WAITING_WEIGHT = 0.15;
 
@@ -153,21 +145,7 @@
 		this.meanTokens += NEWEST_WEIGHT * (tokens - this.meanTokens);
 		List<ListedTarget> engines = candidates(service, tried, now);
 		double distance = hasEnoughNear(engines) ? DISTANCE_ENGINE_ENOUGH_NEAR : DISTANCE_ENGINE;
-		Set<String> reading = readingEngines(service);
-		boolean isShort = work.maxTokens() < AttemptSender.LONG_TOKENS;
-		return lowest(engines,
-				(t) -> engineScore(t, engine, tokens, this.dataCentre, distance, now) + otherWork(reading, t, isShort));
-	}
-
-	private Set<String> readingEngines(String service) {
-		return this.mechanisms.use(Mechanism.READING_ENGINES) ? ReadingEngines.of(this.directory.serving(service))
-				: Set.of();
-	}
-
-	// Nothing where no engine is set apart.
-	private static double otherWork(Set<String> reading, ListedTarget target, boolean isShort) {
-		boolean isOther = !reading.isEmpty() && reading.contains(target.id()) != isShort;
-		return isOther ? OTHER_WORK_WEIGHT : 0;
+		return lowest(engines, (t) -> engineScore(t, engine, tokens, this.dataCentre, distance, now));
 	}
 
 	private boolean hasEnoughNear(List<ListedTarget> engines) {
@@ -188,9 +166,8 @@
 		List<ListedTarget> others = candidates(source.service(), tried, now).stream()
 			.filter((t) -> !t.id().equals(source.id()))
 			.toList();
-		Set<String> reading = readingEngines(source.service());
 		return lowest(others, (t) -> engineScore(t, engine, tokens, source.dataCentre(), DISTANCE_COPY, now)
-				+ otherWork(reading, t, false) + (this.beliefs.isCopying(t) ? BUSY_LINK_WEIGHT : 0));
+				+ (this.beliefs.isCopying(t) ? BUSY_LINK_WEIGHT : 0));
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/mechanism/Mechanism.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/mechanism/Mechanism.java
@@ -35,9 +35,6 @@
 	/** Choosing targets of the own data centre before others. */
 	NEAR_TARGETS,
 
-	/** Reading the prompts of short generations on engines of their own. */
-	READING_ENGINES,
-
 	/** Setting targets aside that answer worse than their peers. */
 	EJECTION,
 
