Spread the copies of engines that leave together, and bound an entry's turn

The entry in turn waited 1,858 ms for its first part to i-5a385609d4, an engine that had joined half a second before and was the emptiest, so that all six engines that left at that moment copied there, over one link; the other entries waited for their turn. As a destination an engine with room is now as good as an empty one, and which is preferred differs from source to source by a hash; an entry whose copies have taken over 500 ms is not waited for.

Ruled out: to tell all entries of each copy that begins, 10 KB/s an entry in a wave of moves (worked out).

Tests, red before: TargetChooserTests, copies of 24 engines that leave together all went to the one empty engine of 28, now 4 at the most meet; GossipTests.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -11,6 +11,7 @@
 import dev.laneworks.core.directory.TargetDirectory;
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.mechanism.Mechanisms;
+import dev.laneworks.core.routing.Rendezvous;
 import dev.laneworks.core.serving.EngineSpec;
 
 /**
@@ -55,6 +56,22 @@
 	 */
 	private static final double BUSY_LINK_WEIGHT = 0.3;
 
+	/**
+	 * The greatest part of a score as a copy's destination that differs from source to
+	 * source. Engines that leave together would otherwise all copy to the emptiest
+	 * engine, whose link takes one copy at a time: the copies of six engines queued for
+	 * 1.9 s at one that had joined half a second before.
+	 */
+	private static final double SPREAD_COPIES = 0.5;
+
+	private static final double HALF_RANGE = 0x1p63;
+
+	/**
+	 * Up to how full an engine's memory may be with a copy to be as good a destination as
+	 * any: there is room then, even where what is believed errs by a tenth.
+	 */
+	private static final double ROOM_FULLNESS = 0.75;
+
 	/** What a request waiting at an engine adds to its score. */
 	private static final double WAITING_WEIGHT = 0.15;
 
@@ -166,8 +183,24 @@
 		List<ListedTarget> others = candidates(source.service(), tried, now).stream()
 			.filter((t) -> !t.id().equals(source.id()))
 			.toList();
-		return lowest(others, (t) -> engineScore(t, engine, tokens, source.dataCentre(), DISTANCE_COPY, now)
-				+ (this.beliefs.isCopying(t) ? BUSY_LINK_WEIGHT : 0));
+		return lowest(others, (t) -> destinationScore(source, t, engine, tokens, now));
+	}
+
+	// A copy has to be made within a notice: what counts is a free link, and room.
+	private double destinationScore(ListedTarget source, ListedTarget target, EngineSpec engine, long tokens,
+			long now) {
+		double score = engineScore(target, engine, tokens, source.dataCentre(), DISTANCE_COPY, now);
+		score -= Math.min(ROOM_FULLNESS, fullness(target, engine, now) + (double) tokens / engine.memoryTokens());
+		if (this.beliefs.isCopying(target)) {
+			score += BUSY_LINK_WEIGHT;
+		}
+		return score + SPREAD_COPIES * share(source, target);
+	}
+
+	// A number from 0 to 1 that each process works out alike for two engines.
+	private static double share(ListedTarget source, ListedTarget destination) {
+		long weight = Rendezvous.weight(Rendezvous.hash(source.id()), destination.id());
+		return (weight >>> 1) / HALF_RANGE;
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
@@ -32,6 +32,14 @@
  */
 public final class Gossip {
 
+	/**
+	 * For how long an entry's copies away from a target are waited for, in milliseconds:
+	 * a whole copy takes 170 ms over a free link and twice that between data centres. One
+	 * that waited 1.9 s for its destination's link held up seven generations of four
+	 * entries until their engine ended.
+	 */
+	private static final long TURN_BOUND_MILLIS = 500;
+
 	private final GossipSettings settings;
 
 	private final String instance;
@@ -190,7 +198,8 @@
 	 * move go by rank. Every entry ranks the entries alike for a target, and otherwise
 	 * for another target. Entries hear of a leaving at about the same time; until their
 	 * news have had time to arrive, only the first of all may go. An entry that has been
-	 * silent for a few tellings is paused or gone, and others don't wait for it.
+	 * silent for a few tellings is paused or gone, and one whose copies take long waits
+	 * for some other link; others don't wait for them.
 	 * @param target the target's id
 	 * @param sinceNotice how long ago the target's leaving was heard, in milliseconds
 	 * @param now the time in milliseconds
@@ -202,7 +211,7 @@
 		for (Peer peer : this.known.all().values()) {
 			Optional<WorkAtTarget> work = peer.at(target);
 			boolean hasClaim = work.filter((w) -> w.copying() || w.toMove() > 0).isPresent();
-			if (hasClaim && peer.silence(now) > this.settings.turnMillis()) {
+			if (hasClaim && hasLostTurn(peer, target, now)) {
 				continue;
 			}
 			boolean isBefore = Long.compareUnsigned(Rendezvous.weight(key, peer.news().instance()), own) > 0;
@@ -214,6 +223,10 @@
 		return true;
 	}
 
+	private boolean hasLostTurn(Peer peer, String target, long now) {
+		return peer.silence(now) > this.settings.turnMillis() || peer.copyingFor(target, now) > TURN_BOUND_MILLIS;
+	}
+
 	/**
 	 * Return whether any other entry copies a generation from or to a target now.
 	 * @param target the target's id
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Peer.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Peer.java
@@ -22,6 +22,9 @@
 
 	private final Map<String, WorkAtTarget> work = new HashMap<>();
 
+	/** Since when it has copied from or to a target, as told without a break. */
+	private final Map<String, Long> copyingSince = new HashMap<>();
+
 	private EntryNews news;
 
 	private long heardAt;
@@ -45,12 +48,27 @@
 			touched.add(told.target());
 			this.work.put(told.target(), told);
 		}
+		touched.forEach((t) -> followCopying(t, now));
 		this.news = fresh;
 		this.heardAt = now;
 		this.againMillis = Math.max(this.againMillis, fresh.againMillis());
 		return touched;
 	}
 
+	private void followCopying(String target, long now) {
+		if (at(target).filter(WorkAtTarget::copying).isPresent()) {
+			this.copyingSince.putIfAbsent(target, now);
+		}
+		else {
+			this.copyingSince.remove(target);
+		}
+	}
+
+	// For how long it has copied from or to a target, in milliseconds; 0 if it does not.
+	long copyingFor(String target, long now) {
+		return now - this.copyingSince.getOrDefault(target, now);
+	}
+
 	/**
 	 * Return whether news may replace those taken last.
 	 * @param other the news
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/TargetChooserTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/TargetChooserTests.java
@@ -1,5 +1,7 @@
 package dev.laneworks.core.dispatch;
 
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -69,6 +71,42 @@
 		assertThat(choose()).isEqualTo("far");
 	}
 
+	/**
+	 * All of 24 engines that left together chose the one empty engine of 28 before; 4 of
+	 * them at the most meet at one since the copies are spread.
+	 */
+	@Test
+	void copiesOfEnginesThatLeaveTogetherAreSpread() {
+		Map<String, WorkAtTarget> held = new HashMap<>();
+		for (int i = 0; i < 27; i++) {
+			join("i" + i, "here");
+			held.put("i" + i, held("i" + i, 17_000));
+		}
+		join("empty", "here");
+		this.work = held;
+		Map<String, Integer> chosen = new HashMap<>();
+		for (int i = 0; i < 24; i++) {
+			ListedTarget source = new ListedTarget("leaving" + i, "llm", "10.0.1." + i, 80, "here", 64, true);
+			chosen.merge(destination(source), 1, Integer::sum);
+		}
+		assertThat(Collections.max(chosen.values())).isAtMost(4);
+	}
+
+	@Test
+	void aCopyGoesWhereItHasRoom() {
+		join("full", "here");
+		join("empty", "here");
+		this.work = Map.of("full", held("full", 32_000));
+		for (int i = 0; i < 20; i++) {
+			ListedTarget source = new ListedTarget("leaving" + i, "llm", "10.0.1." + i, 80, "here", 64, true);
+			assertThat(destination(source)).isEqualTo("empty");
+		}
+	}
+
+	private String destination(ListedTarget source) {
+		return this.chooser.chooseDestination(source, ENGINE, 3_000, Set.of(), 0).map(ListedTarget::id).orElse("none");
+	}
+
 	private String choose() {
 		return this.chooser.chooseEngine("llm", ENGINE, WORK, Set.of(), 0).map(ListedTarget::id).orElse("none");
 	}
--- a/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
@@ -160,6 +160,19 @@
 		assertThat(this.told).hasSize(2);
 	}
 
+	@Test
+	void anEntryWhoseCopiesTakeLongIsNotWaitedFor() {
+		String target = "t";
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, moving(target, 1, true)), 0);
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 2, moving(target, 1, true)), 400);
+		assertThat(this.gossip.isFirstToMove(target, 500, 500)).isFalse();
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 3, moving(target, 1, true)), 490);
+		assertThat(this.gossip.isFirstToMove(target, 501, 501)).isTrue();
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 4, moving(target, 0, false)), 510);
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 5, moving(target, 1, true)), 520);
+		assertThat(this.gossip.isFirstToMove(target, 530, 530)).isFalse();
+	}
+
 	@Test
 	void aChangeIsToldNearByAndTheDistantHearOfItByTheHeartbeat() {
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(0, 0)), 0);
