--- a/laneworks-core/src/main/java/dev/laneworks/core/serving/EngineSpec.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/serving/EngineSpec.java
@@ -31,7 +31,8 @@
 	}
 
 	/**
-	 * Return how long a copy takes on an idle link.
+	 * Return how long a copy takes on an idle link, for embedders that plan copies ahead.
+	 * Moves don't ask it: they judge a link by what the copies before took.
 	 * @param tokens the tokens to copy
 	 * @return milliseconds; 0 where the link's rate is not known
 	 */
