--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -393,9 +393,8 @@
 		this.outcomes.recordGood(attempt, now);
 		call.mayHaveRun();
 		this.standbys.watch(call, attempt, engine(call), now);
-		// A run that began after its engine's notice; only one that runs can be moved.
-		// Its
-		// first event may be one that the caller has already.
+		// The run may have begun after its engine's notice, and only one that runs can
+		// be moved. Its first event may be one that the caller has already.
 		if (!this.directory.takesWork(attempt.target().id())) {
 			this.continuation.copyAway(call, now);
 		}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
@@ -86,11 +86,9 @@
 		}
 	}
 
-	// Entries of other data centres hear of work at their own engines each three
-	// seconds; those that
-	// all find the same distant engine empty meanwhile send it more prompts than it reads
-	// in time: 14 generations in 0.8 s, of which the last waited 4.4 s for its first
-	// event.
+	// Entries of other data centres hear of work at their engines each three seconds.
+	// Those that found the same distant engine empty meanwhile sent it 14 generations in
+	// 0.8 s; the last of them waited 4.4 s for its first event.
 	private static ChangeReach reach(TargetBeliefs.Change change, boolean isDistant) {
 		return switch (change) {
 			case AWAITED -> ChangeReach.CONCERNED;
