Ask the engines of data centres without entries too

Cause: each data centre's first entry asked its own engines while the store was silent, so that engines in a data centre without an entry, or whose last entry had been stopped, were asked by nobody. The first of all entries asks them now. Not seen on the deployments at hand, whose data centres all have entries; a deployment of the kinds described need not.

Test: GossipTests, red before (no such question could be asked).

--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -314,8 +314,7 @@
 	}
 
 	// Changes behind a gap are heard at once, since an engine's leaving can't wait for
-	// what
-	// is missing: that may be a large plan, which takes a small instance up to a second.
+	// the rest: that may be a large plan, which takes a small instance up to a second.
 	// They count as unknown until they are read in their order.
 	private void hear(List<StoreChange> changes, long now) {
 		List<StoreChange> fresh = this.known.hear(changes);
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
@@ -254,19 +254,30 @@
 	}
 
 	/**
-	 * Return whether this entry comes first in its data centre.
-	 * @param rank ranks an entry, given its data centre and name; compared as unsigned
+	 * Return whether it is up to this entry to ask the targets of a data centre: to the
+	 * first of its entries that is awake, and where it has no entry to the first of all.
+	 * @param place the data centre of the targets
+	 * @param rank ranks an entry, given a data centre and its name; compared as unsigned
 	 * @param now the time in milliseconds
-	 * @return {@code false} if one of higher rank was heard within a heartbeat or so
+	 * @return {@code false} if another entry asks them, as far as is known
 	 */
-	public boolean isFirstOfDataCentre(ToLongBiFunction<String, String> rank, long now) {
-		long own = rank.applyAsLong(this.dataCentre, this.instance);
-		long silence = this.settings.heartbeatMillis() + this.settings.turnMillis();
-		return this.known.all()
-			.values()
-			.stream()
-			.filter((p) -> p.news().dataCentre().equals(this.dataCentre) && p.silence(now) <= silence)
-			.noneMatch((p) -> Long.compareUnsigned(rank.applyAsLong(this.dataCentre, p.news().instance()), own) > 0);
+	public boolean asksIn(String place, ToLongBiFunction<String, String> rank, long now) {
+		List<Peer> there = this.known.all().values().stream().filter((p) -> isIn(place, p)).toList();
+		if (place.equals(this.dataCentre)) {
+			long awake = this.settings.heartbeatMillis() + this.settings.turnMillis();
+			return isFirst(place, there.stream().filter((p) -> p.silence(now) <= awake).toList(), rank);
+		}
+		return there.isEmpty() && isFirst(place, this.known.all().values(), rank);
+	}
+
+	private static boolean isIn(String place, Peer peer) {
+		return peer.news().dataCentre().equals(place);
+	}
+
+	private boolean isFirst(String place, Collection<Peer> others, ToLongBiFunction<String, String> rank) {
+		long own = rank.applyAsLong(place, this.instance);
+		return others.stream()
+			.noneMatch((p) -> Long.compareUnsigned(rank.applyAsLong(place, p.news().instance()), own) > 0);
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/inquiry/LeavingInquiry.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/inquiry/LeavingInquiry.java
@@ -4,20 +4,19 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import java.util.function.LongPredicate;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.time.Timers;
 
 /**
- * Asks the engines of a data centre whether they are leaving, while the list of targets
- * can't be read.
+ * Asks engines whether they are leaving, while the list of targets can't be read.
  * <p>
  * A notice that is given meanwhile is heard by nobody otherwise: of 540 long streams of a
- * measured day with eight such seconds 37 ended with their engines. One process of each
- * data centre asks and tells the others. An engine that does not answer says nothing.
+ * measured day with eight such seconds 37 ended with their engines. Each engine is asked
+ * by one process, which tells the others. An engine that does not answer says nothing.
  * Pure code over explicit time; not thread-safe.
  *
  * @since 0.2
@@ -32,7 +31,7 @@
 
 	private final LongPredicate isListSilent;
 
-	private final BooleanSupplier isOurs;
+	private final Predicate<ListedTarget> isOurs;
 
 	private final Supplier<List<ListedTarget>> engines;
 
@@ -46,13 +45,13 @@
 	/**
 	 * Create an inquiry; {@link #start} begins it.
 	 * @param isListSilent tells whether the list can't be read at a time, in milliseconds
-	 * @param isOurs tells whether this process asks for its data centre
-	 * @param engines gives the engines of the data centre that take work
+	 * @param isOurs tells whether it is up to this process to ask an engine
+	 * @param engines gives the engines that take work
 	 * @param outputs asks, and takes what was heard
 	 * @param timers what is due later
 	 */
-	public LeavingInquiry(LongPredicate isListSilent, BooleanSupplier isOurs, Supplier<List<ListedTarget>> engines,
-			InquiryOutputs outputs, Timers timers) {
+	public LeavingInquiry(LongPredicate isListSilent, Predicate<ListedTarget> isOurs,
+			Supplier<List<ListedTarget>> engines, InquiryOutputs outputs, Timers timers) {
 		this.isListSilent = Objects.requireNonNull(isListSilent, "isListSilent must not be null");
 		this.isOurs = Objects.requireNonNull(isOurs, "isOurs must not be null");
 		this.engines = Objects.requireNonNull(engines, "engines must not be null");
@@ -65,16 +64,19 @@
 	 * @param now the time in milliseconds
 	 */
 	public void start(long now) {
-		if (this.isListSilent.test(now) && this.isOurs.getAsBoolean()) {
-			for (ListedTarget engine : this.engines.get()) {
-				if (this.asked.add(engine.id())) {
-					this.outputs.ask(engine);
-				}
-			}
+		if (this.isListSilent.test(now)) {
+			this.engines.get().stream().filter(this.isOurs).forEach(this::ask);
 		}
 		this.timers.at(now + ASK_MILLIS, this::start);
 	}
 
+	// An engine whose answer is awaited isn't asked again.
+	private void ask(ListedTarget engine) {
+		if (this.asked.add(engine.id())) {
+			this.outputs.ask(engine);
+		}
+	}
+
 	/**
 	 * Take an engine's answer. It is heard also where the list is back meanwhile, since
 	 * it is the engine's own word.
--- a/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
@@ -200,14 +200,26 @@
 	}
 
 	@Test
-	void theFirstOfADataCentreIsTheHighestThatIsAwake() {
+	void theFirstThatIsAwakeAsksTheTargetsOfItsDataCentre() {
 		ToLongBiFunction<String, String> rank = (d, i) -> i.equals("two") ? 2 : 1;
-		assertThat(this.gossip.isFirstOfDataCentre(rank, 0)).isTrue();
+		assertThat(this.gossip.asksIn("z", rank, 0)).isTrue();
 		this.gossip.received("10.0.0.3:7200", distant("two", 2), 0);
-		assertThat(this.gossip.isFirstOfDataCentre(rank, 0)).isTrue();
+		assertThat(this.gossip.asksIn("z", rank, 0)).isTrue();
 		this.gossip.received("10.0.0.2:7200", news("two", 3, 1, work(1, 1)), 0);
-		assertThat(this.gossip.isFirstOfDataCentre(rank, 1_200)).isFalse();
-		assertThat(this.gossip.isFirstOfDataCentre(rank, 1_201)).isTrue();
+		assertThat(this.gossip.asksIn("z", rank, 1_200)).isFalse();
+		assertThat(this.gossip.asksIn("z", rank, 1_201)).isTrue();
+	}
+
+	@Test
+	void whereADataCentreHasNoEntryTheFirstOfAllAsksItsTargets() {
+		ToLongBiFunction<String, String> rank = (d, i) -> (i.equals("two") == d.equals("far")) ? 2 : 1;
+		assertThat(this.gossip.asksIn("far", rank, 0)).isTrue();
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(1, 1)), 0);
+		assertThat(this.gossip.asksIn("far", rank, 0)).isFalse();
+		assertThat(this.gossip.asksIn("elsewhere", rank, 0)).isTrue();
+		this.gossip.received("10.0.0.3:7200", distant("three", 3), 0);
+		String place = distant("three", 3).dataCentre();
+		assertThat(this.gossip.asksIn(place, rank, 0)).isFalse();
 	}
 
 	@Test
--- a/laneworks-core/src/test/java/dev/laneworks/core/inquiry/LeavingInquiryTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/inquiry/LeavingInquiryTests.java
@@ -1,8 +1,10 @@
 package dev.laneworks.core.inquiry;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Set;
 
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.inquiry.EngineAnswer.Outcome;
@@ -24,10 +26,10 @@
 
 	private boolean silent;
 
-	private boolean ours = true;
+	private final Set<String> ours = new HashSet<>(Set.of("a", "b"));
 
-	private final LeavingInquiry inquiry = new LeavingInquiry((t) -> this.silent, () -> this.ours, () -> this.engines,
-			new Recorder(), this.timers);
+	private final LeavingInquiry inquiry = new LeavingInquiry((t) -> this.silent, (e) -> this.ours.contains(e.id()),
+			() -> this.engines, new Recorder(), this.timers);
 
 	@Test
 	void asksEachEngineAgainAndAgainWhileTheListIsSilent() {
@@ -47,11 +49,10 @@
 
 	@Test
 	void leavesTheAskingToAnother() {
-		this.ours = false;
+		this.ours.remove("a");
 		this.silent = true;
 		this.inquiry.start(0);
-		this.timers.run(900);
-		assertThat(this.heard).isEmpty();
+		assertThat(this.heard).containsExactly("ask b");
 	}
 
 	@Test
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -167,8 +167,8 @@
 		calls.use(this.dispatcher);
 		this.handover = new StateHandover(this.store.follower(), this.others, this.loop, this.audit);
 		this.others.onState(this.handover);
-		this.inquiry = new EngineInquiry(this.store, settings.dataCentre(), this.others, this.beliefs,
-				adapter.engines(), this.loop, this.audit);
+		this.inquiry = new EngineInquiry(this.store, this.others, this.beliefs, adapter.engines(), this.loop,
+				this.audit);
 		this.others.onStoreNews((n) -> this.store.follower().told(n, this.loop.now()));
 		this.callers = new DirectServer(this.io, settings.callers(), calls, adapter.headers(),
 				this.store.published()::plan, this.plannedStop, this.loop, random, this.audit);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EngineInquiry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EngineInquiry.java
@@ -14,15 +14,13 @@
 import dev.laneworks.core.serving.ServingPlan;
 
 /**
- * Asks the engines of this entry's data centre whether they are leaving while the store
- * is silent, and tells the other entries. Used on the I/O thread alone.
+ * Asks engines whether they are leaving while the store is silent, and tells the other
+ * entries. Used on the I/O thread alone.
  */
 final class EngineInquiry implements InquiryOutputs {
 
 	private final FollowedStore store;
 
-	private final String dataCentre;
-
 	private final TargetBeliefs beliefs;
 
 	private final EngineOrders engines;
@@ -33,16 +31,15 @@
 
 	private final LeavingInquiry inquiry;
 
-	EngineInquiry(FollowedStore store, String dataCentre, OtherEntries others, TargetBeliefs beliefs,
-			EngineOrders engines, EventLoop loop, AuditSink audit) {
+	EngineInquiry(FollowedStore store, OtherEntries others, TargetBeliefs beliefs, EngineOrders engines, EventLoop loop,
+			AuditSink audit) {
 		this.store = store;
-		this.dataCentre = dataCentre;
 		this.beliefs = beliefs;
 		this.engines = engines;
 		this.loop = loop;
 		this.audit = audit;
-		this.inquiry = new LeavingInquiry(store.follower()::isSilent, others::isFirstOfDataCentre, this::nearEngines,
-				this, loop.timers());
+		this.inquiry = new LeavingInquiry(store.follower()::isSilent, (e) -> others.asksIn(e.dataCentre()),
+				this::engines, this, loop.timers());
 		others.onLeaving(store.directory()::saidLeaving);
 	}
 
@@ -50,12 +47,9 @@
 		this.inquiry.start(now);
 	}
 
-	private List<ListedTarget> nearEngines() {
+	private List<ListedTarget> engines() {
 		TargetDirectory directory = this.store.directory();
-		return directory.all()
-			.stream()
-			.filter((t) -> t.dataCentre().equals(this.dataCentre) && directory.takesWork(t.id()) && isEngine(t))
-			.toList();
+		return directory.all().stream().filter((t) -> directory.takesWork(t.id()) && isEngine(t)).toList();
 	}
 
 	private boolean isEngine(ListedTarget target) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
@@ -142,9 +142,9 @@
 		this.gossip.end(now);
 	}
 
-	// Whether this entry asks engines for its data centre.
-	boolean isFirstOfDataCentre() {
-		return this.gossip.isFirstOfDataCentre(SharedReading::rank, this.loop.now());
+	// Whether it is up to this entry to ask the engines of a data centre.
+	boolean asksIn(String dataCentre) {
+		return this.gossip.asksIn(dataCentre, SharedReading::rank, this.loop.now());
 	}
 
 	// Sets who hears of targets that told other entries of their leaving.
