--- a/laneworks-runtime/src/test/java/dev/laneworks/runtime/http/BoundedCallsTests.java
+++ b/laneworks-runtime/src/test/java/dev/laneworks/runtime/http/BoundedCallsTests.java
@@ -1,18 +1,13 @@
 package dev.laneworks.runtime.http;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 
 import io.vavr.control.Either;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -22,27 +17,11 @@
  * Tests for {@link BoundedCalls}.
  */
 @Timeout(60)
-class BoundedCallsTests {
+class BoundedCallsTests extends LoopbackCalls {
 
 	private final BlockingQueue<Either<IOException, WholeResponse.Received>> answers = new ArrayBlockingQueue<>(10);
 
-	private final IoWorker io = IoWorker.start(1, 1);
-
-	private final BoundedCalls calls = new BoundedCalls(new HttpCaller(this.io.worker(), this.io.buffers()),
-			this.io.worker().getIoThread());
-
-	private ServerSocket server;
-
-	@BeforeEach
-	void listen() throws IOException {
-		this.server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
-	}
-
-	@AfterEach
-	void close() throws IOException {
-		this.server.close();
-		this.io.worker().shutdownNow();
-	}
+	private final BoundedCalls calls = new BoundedCalls(this.caller, this.io.worker().getIoThread());
 
 	@Test
 	void aCallWithoutAnswerEndsAtItsLimitAndItsConnectionCloses() throws Exception {
@@ -66,8 +45,7 @@
 	}
 
 	private void call(Duration limit) {
-		URI uri = URI.create("http://127.0.0.1:" + this.server.getLocalPort());
-		this.calls.call(HttpCall.of(uri, "GET", "/"), 100, limit, this.answers::add);
+		this.calls.call(get(), 100, limit, this.answers::add);
 	}
 
 }
--- a/laneworks-runtime/src/test/java/dev/laneworks/runtime/http/HttpExchangeTests.java
+++ b/laneworks-runtime/src/test/java/dev/laneworks/runtime/http/HttpExchangeTests.java
@@ -1,15 +1,9 @@
 package dev.laneworks.runtime.http;
 
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
-import java.net.URI;
 import java.util.concurrent.CountDownLatch;
 
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -20,24 +14,7 @@
  * Tests for {@link HttpExchange}.
  */
 @Timeout(60)
-class HttpExchangeTests {
-
-	private final IoWorker io = IoWorker.start(1, 1);
-
-	private final HttpCaller caller = new HttpCaller(this.io.worker(), this.io.buffers());
-
-	private ServerSocket server;
-
-	@BeforeEach
-	void listen() throws IOException {
-		this.server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
-	}
-
-	@AfterEach
-	void close() throws IOException {
-		this.server.close();
-		this.io.worker().shutdownNow();
-	}
+class HttpExchangeTests extends LoopbackCalls {
 
 	@Test
 	void aServerThatWritesNothingHearsOfAReset() throws Exception {
@@ -60,8 +37,7 @@
 	}
 
 	private HttpExchange call() {
-		URI uri = URI.create("http://127.0.0.1:" + this.server.getLocalPort());
-		return this.caller.call(HttpCall.of(uri, "GET", "/"), new WholeResponse(100, (r) -> {
+		return this.caller.call(get(), new WholeResponse(100, (r) -> {
 		}));
 	}
 
--- /dev/null
+++ b/laneworks-runtime/src/test/java/dev/laneworks/runtime/http/LoopbackCalls.java
@@ -0,0 +1,37 @@
+package dev.laneworks.runtime.http;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+
+/**
+ * A caller and a server's socket on the loopback address, which a test answers itself.
+ */
+abstract class LoopbackCalls {
+
+	final IoWorker io = IoWorker.start(1, 1);
+
+	final HttpCaller caller = new HttpCaller(this.io.worker(), this.io.buffers());
+
+	ServerSocket server;
+
+	@BeforeEach
+	void listen() throws IOException {
+		this.server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+	}
+
+	@AfterEach
+	void close() throws IOException {
+		this.server.close();
+		this.io.worker().shutdownNow();
+	}
+
+	HttpCall get() {
+		return HttpCall.of(URI.create("http://127.0.0.1:" + this.server.getLocalPort()), "GET", "/");
+	}
+
+}
