--- a/laneworks-core/src/main/java/dev/laneworks/core/audit/AuditKind.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/audit/AuditKind.java
@@ -66,6 +66,9 @@
 	/** A target came, is leaving or is gone. */
 	MEMBERSHIP,
 
+	/** A data centre's targets are to be sent nothing more, or take work again. */
+	EVACUATION,
+
 	/** A request was accepted at the door. */
 	ACCEPTED,
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/directory/DirectoryListener.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/DirectoryListener.java
@@ -7,6 +7,12 @@
  */
 public interface DirectoryListener {
 
+	/**
+	 * Hear of a target's entry that is new or differs from the one before.
+	 * @param target the target
+	 */
+	void listed(ListedTarget target);
+
 	/**
 	 * Hear of a target that takes new work.
 	 * @param target the target
--- a/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
@@ -40,6 +40,8 @@
 
 	private final DirectoryListener listener;
 
+	private final Evacuations evacuations;
+
 	private final Timers timers;
 
 	/** What the listener is to be told once a change of several targets is taken in. */
@@ -52,10 +54,12 @@
 	/**
 	 * Create an empty directory.
 	 * @param listener hears of changes
+	 * @param evacuations the data centres whose targets take no work
 	 * @param timers what is due later
 	 */
-	public TargetDirectory(DirectoryListener listener, Timers timers) {
+	public TargetDirectory(DirectoryListener listener, Evacuations evacuations, Timers timers) {
 		this.listener = Objects.requireNonNull(listener, "listener must not be null");
+		this.evacuations = Objects.requireNonNull(evacuations, "evacuations must not be null");
 		this.timers = Objects.requireNonNull(timers, "timers must not be null");
 	}
 
@@ -129,6 +133,9 @@
 		if (!target.leaving() && before == null && !wasLeaving) {
 			tell(() -> this.listener.joined(target));
 		}
+		if (!target.equals(before)) {
+			tell(() -> this.listener.listed(target));
+		}
 	}
 
 	/**
@@ -221,12 +228,21 @@
 	/**
 	 * Return the targets of a service that take new work.
 	 * @param service the service's name
-	 * @return the targets
+	 * @return the targets, without those in data centres that are evacuated
 	 */
 	public List<ListedTarget> serving(String service) {
+		return staying(service).stream().filter((t) -> !this.evacuations.holdsFor(t)).toList();
+	}
+
+	/**
+	 * Return the targets of a service that are not leaving.
+	 * @param service the service's name
+	 * @return the targets, those in data centres that are evacuated included
+	 */
+	public List<ListedTarget> staying(String service) {
 		List<ListedTarget> found = new ArrayList<>();
 		for (ListedTarget target : this.targets.values()) {
-			if (target.service().equals(service) && !this.left.contains(target.id())) {
+			if (target.service().equals(service) && isStaying(target.id())) {
 				found.add(target);
 			}
 		}
@@ -239,9 +255,29 @@
 	 * @return whether work may be sent to it
 	 */
 	public boolean takesWork(String id) {
+		return isStaying(id) && !this.evacuations.holdsFor(this.targets.get(id));
+	}
+
+	/**
+	 * Return whether a target is known and is not leaving, so that it goes on with what
+	 * it runs.
+	 * @param id the target's id
+	 * @return whether it stays; one in a data centre that is evacuated may stay and yet
+	 * take no work
+	 */
+	public boolean isStaying(String id) {
 		return this.targets.containsKey(id) && !this.left.contains(id);
 	}
 
+	/**
+	 * Return whether a target is in a data centre that is evacuated.
+	 * @param target the target
+	 * @return whether nothing may be sent to it
+	 */
+	public boolean isEvacuated(ListedTarget target) {
+		return this.evacuations.holdsFor(target);
+	}
+
 	/**
 	 * Return a target that is listed or was when it was last heard of.
 	 * @param id the target's id
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AnswerHead.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AnswerHead.java
@@ -2,6 +2,7 @@
 
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * What an answer's head says, once translated from the target's protocol.
@@ -13,10 +14,11 @@
  * @param notRun whether the target says that it did not run the request
  * @param events whether the body is a stream of events
  * @param load what the target tells of its load
+ * @param coldMillis for how much longer the target is cold, in milliseconds, if it tells
  * @since 0.2
  */
 public record AnswerHead(int status, String requestId, boolean sealed, boolean encoded, boolean notRun, boolean events,
-		Optional<TargetLoad> load) {
+		Optional<TargetLoad> load, OptionalLong coldMillis) {
 
 	private static final int FIRST_SUCCESS = 200;
 
@@ -30,6 +32,7 @@
 	public AnswerHead {
 		Objects.requireNonNull(requestId, "requestId must not be null");
 		Objects.requireNonNull(load, "load must not be null");
+		Objects.requireNonNull(coldMillis, "coldMillis must not be null");
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -49,6 +49,8 @@
 
 	private final TargetDirectory directory;
 
+	private final Eligibility eligibility;
+
 	private final TargetBeliefs beliefs;
 
 	private final TargetChooser chooser;
@@ -59,9 +61,10 @@
 
 	private final Mechanisms mechanisms;
 
-	AttemptSender(TargetDirectory directory, TargetBeliefs beliefs, TargetChooser chooser, DispatchOutputs outputs,
-			AuditSink audit, Mechanisms mechanisms) {
+	AttemptSender(TargetDirectory directory, Eligibility eligibility, TargetBeliefs beliefs, TargetChooser chooser,
+			DispatchOutputs outputs, AuditSink audit, Mechanisms mechanisms) {
 		this.directory = directory;
+		this.eligibility = eligibility;
 		this.beliefs = beliefs;
 		this.chooser = chooser;
 		this.outputs = outputs;
@@ -69,17 +72,21 @@
 		this.mechanisms = mechanisms;
 	}
 
-	Optional<ListedTarget> choose(DirectRequest request, Optional<EngineSpec> engine, Set<String> tried, long now) {
-		if (engine.isPresent() && request.work().isPresent()) {
-			return this.chooser.chooseEngine(request.service(), engine.get(), request.work().get(), tried, now);
+	Optional<ListedTarget> choose(DirectCall call, Optional<EngineSpec> engine, long now) {
+		Optional<EngineWork> work = call.request().work();
+		if (engine.isPresent() && work.isPresent()) {
+			return this.chooser.chooseEngine(call.scope(), engine.get(), work.get(), now);
 		}
-		return this.chooser.choosePlain(request.service(), tried, now);
+		return this.chooser.choosePlain(call.scope(), now);
 	}
 
-	boolean hasUntried(DirectCall call, ListedTarget current) {
-		return this.directory.serving(call.request().service())
-			.stream()
-			.anyMatch((t) -> !t.id().equals(current.id()) && !call.tried().contains(t.id()));
+	// Why no target is left for a call.
+	Shortage shortage(DirectCall call, long now) {
+		return this.eligibility.shortage(call.scope(), now);
+	}
+
+	boolean hasUntried(DirectCall call, ListedTarget current, long now) {
+		return this.eligibility.targets(call.scope(), now).stream().anyMatch((t) -> !t.id().equals(current.id()));
 	}
 
 	/**
@@ -107,6 +114,7 @@
 				+ ", directory of " + this.directory.size()
 				+ backup.map((b) -> ", copy grows at " + b.id()).orElse("")));
 		this.beliefs.change(target, TargetBelief::began);
+		this.eligibility.sent(target, now);
 		hold(attempt, heldTokens(call, engine));
 		if (resume.isEmpty()) {
 			unread(attempt, call.request().work().map(EngineWork::promptTokens).orElse(0L));
@@ -143,14 +151,25 @@
 
 	// A running copy gives way where its memory is needed for generations.
 	private void makeRoom(DirectCall call, Attempt attempt, EngineSpec engine, long now) {
-		Optional<ListedTarget> backup = attempt.backup()
-			.filter((b) -> this.chooser.fullness(b, engine, now) > CROWDED_FULLNESS);
-		if (backup.isEmpty() || call.successor().isPresent()) {
+		attempt.backup()
+			.filter((b) -> this.chooser.fullness(b, engine, now) > CROWDED_FULLNESS)
+			.ifPresent((b) -> dropBackup(call, attempt,
+					"memory there is " + Math.round(PERCENT * this.chooser.fullness(b, engine, now)) + "% promised"));
+	}
+
+	/**
+	 * Give up a running copy that its generation does not go on at.
+	 * @param call the call
+	 * @param attempt the attempt whose copy it is
+	 * @param cause why it gives way
+	 */
+	void dropBackup(DirectCall call, Attempt attempt, String cause) {
+		if (attempt.backup().isEmpty() || call.successor().isPresent()) {
 			return;
 		}
-		this.audit.record(call.event(AuditKind.MOVED, backup.get().id(), "its running copy gives way: memory there is "
-				+ Math.round(PERCENT * this.chooser.fullness(backup.get(), engine, now)) + "% promised"));
-		this.beliefs.change(backup.get(), (b) -> b.held(-attempt.heldTokens()));
+		ListedTarget backup = attempt.backup().get();
+		this.audit.record(call.event(AuditKind.MOVED, backup.id(), "its running copy gives way: " + cause));
+		this.beliefs.change(backup, (b) -> b.held(-attempt.heldTokens()));
 		attempt.dropBackup();
 		this.outputs.releaseCopy(attempt.target(), call.request().id());
 	}
@@ -200,7 +219,8 @@
 				|| this.chooser.fleetFullness(target.service(), engine, now) > FLEET_FULLNESS) {
 			return Optional.empty();
 		}
-		return this.chooser.chooseBackup(target, engine, work.get().heldTokens(0), BACKUP_FULLNESS, now);
+		return this.chooser.chooseBackup(target, call.scopeWithout(Set.of()), engine, work.get().heldTokens(0),
+				BACKUP_FULLNESS, now);
 	}
 
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/CallEnding.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/CallEnding.java
@@ -53,18 +53,28 @@
 		}
 	}
 
+	// Refuses a call that no target is left for.
+	void refuse(DirectCall call, Shortage shortage, long now) {
+		refuse(call, RefusalReason.NO_TARGET, shortage.detail(),
+				shortage.comeBackMillis().orElse(this.settings.comeBackMillis()), now);
+	}
+
 	void refuse(DirectCall call, RefusalReason reason, String detail, long now) {
+		refuse(call, reason, detail, this.settings.comeBackMillis(), now);
+	}
+
+	private void refuse(DirectCall call, RefusalReason reason, String detail, long comeBackMillis, long now) {
 		abandonAll(call);
-		Refusal refusal = refusal(call.verdict(), reason, detail);
+		Refusal refusal = refusal(call.verdict(), reason, detail, comeBackMillis);
 		finish(call, AuditKind.REFUSED,
 				refusal.reason().label() + ", " + refusal.verdict().label() + ": " + refusal.detail(), now);
 		this.outputs.refuse(call.number(), refusal);
 	}
 
 	// A reason that promises "not run" is given for nothing else.
-	private Refusal refusal(Verdict verdict, RefusalReason reason, String detail) {
+	private static Refusal refusal(Verdict verdict, RefusalReason reason, String detail, long comeBackMillis) {
 		if (verdict == Verdict.NOT_RUN) {
-			return Refusal.notRun(reason, detail, Duration.ofMillis(this.settings.comeBackMillis()));
+			return Refusal.notRun(reason, detail, Duration.ofMillis(comeBackMillis));
 		}
 		boolean promises = reason != RefusalReason.TARGET_LOST && reason != RefusalReason.LINK_LOST;
 		return new Refusal(verdict, promises ? RefusalReason.TARGET_LOST : reason, detail, Optional.empty());
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Continuation.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Continuation.java
@@ -30,7 +30,7 @@
 	 */
 	private static final long ALIVE_MILLIS = 180;
 
-	private final TargetTrust trust;
+	private final Eligibility eligibility;
 
 	private final RetryWindow retries;
 
@@ -50,10 +50,10 @@
 
 	private final boolean copiesAtNotice;
 
-	Continuation(TargetTrust trust, RetryWindow retries, AttemptSender sender, StandbyCopies standbys,
+	Continuation(Eligibility eligibility, RetryWindow retries, AttemptSender sender, StandbyCopies standbys,
 			StreamMover mover, CallEnding ending, AuditSink audit, Beginning beginning,
 			Function<DirectCall, Optional<EngineSpec>> engines, boolean copiesAtNotice) {
-		this.trust = trust;
+		this.eligibility = eligibility;
 		this.retries = retries;
 		this.sender = sender;
 		this.standbys = standbys;
@@ -87,7 +87,7 @@
 	boolean goOnAtBackup(DirectCall call, String cause, long now) {
 		Optional<ListedTarget> backup = call.attempt()
 			.flatMap(Attempt::backup)
-			.filter((b) -> this.trust.takesWork(b, now));
+			.filter((b) -> this.eligibility.takesWork(b, now));
 		if (backup.isEmpty() || call.successor().isPresent() || !this.retries.tryTake(call.request().service(), now)) {
 			return false;
 		}
@@ -102,7 +102,7 @@
 	// For a run that is lost; one that is only to leave is copied on first.
 	boolean goOnAtStandby(DirectCall call, String cause, long now) {
 		Optional<Standby> standby = call.standby()
-			.filter((s) -> !s.handle().isEmpty() && this.trust.takesWork(s.destination(), now));
+			.filter((s) -> !s.handle().isEmpty() && this.eligibility.takesWork(s.destination(), now));
 		Optional<Copying> copying = this.mover.copyAtHand(call, now);
 		if ((standby.isEmpty() && copying.isEmpty()) || !this.retries.tryTake(call.request().service(), now)) {
 			return false;
@@ -162,6 +162,10 @@
 	void resume(DirectCall call, ListedTarget destination, ResumePoint from, long now) {
 		call.stoppedAt(call.attempt().map(Attempt::target).filter((t) -> !t.id().equals(destination.id())));
 		call.attempt().ifPresent((a) -> this.sender.abandon(call, a));
+		if (this.eligibility.isEvacuated(destination)) {
+			this.ending.lost(call, "the data centre of what is left of it is evacuated", now);
+			return;
+		}
 		if (!this.retries.tryTake(call.request().service(), now)) {
 			this.ending.lost(call, "the budget for repeated sendings is spent", now);
 			return;
@@ -179,7 +183,7 @@
 	 * @return whether it was sent there
 	 */
 	boolean goBack(DirectCall call, Attempt refused, String cause, long now) {
-		Optional<ListedTarget> source = call.stoppedAt();
+		Optional<ListedTarget> source = call.stoppedAt().filter((s) -> !this.eligibility.isEvacuated(s));
 		call.stoppedAt(Optional.empty());
 		if (source.isEmpty() || refused.resume().isEmpty() || !this.retries.tryTake(call.request().service(), now)) {
 			return false;
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
@@ -90,6 +90,16 @@
 		return this.tried;
 	}
 
+	// The targets that come into question for the next attempt.
+	Scope scope() {
+		return scopeWithout(this.tried);
+	}
+
+	// The targets that come into question, but for some.
+	Scope scopeWithout(Set<String> leftOut) {
+		return new Scope(this.request.service(), this.request.regions(), leftOut);
+	}
+
 	// The attempt whose answer the caller gets.
 	Optional<Attempt> attempt() {
 		return this.attempt;
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -57,7 +57,7 @@
 
 	private final Continuation continuation;
 
-	private final TargetTrust trust;
+	private final Eligibility eligibility;
 
 	private final AttemptOutcomes outcomes;
 
@@ -70,6 +70,7 @@
 	 * @param settings the times that it decides by
 	 * @param directory the targets
 	 * @param beliefs what is believed of them
+	 * @param eligibility tells which of them may be sent work
 	 * @param chooser chooses among them
 	 * @param turn whose turn it is to copy generations away from an engine
 	 * @param retries the process's part of the bound on repeated sendings
@@ -78,17 +79,19 @@
 	 * @param audit takes why
 	 */
 	public Dispatcher(DispatchSettings settings, TargetDirectory directory, TargetBeliefs beliefs,
-			TargetChooser chooser, CopyTurn turn, RetryWindow retries, Timers timers, DispatchOutputs outputs,
-			AuditSink audit) {
+			Eligibility eligibility, TargetChooser chooser, CopyTurn turn, RetryWindow retries, Timers timers,
+			DispatchOutputs outputs, AuditSink audit) {
 		this.settings = settings;
 		this.directory = directory;
 		this.beliefs = beliefs;
+		this.eligibility = eligibility;
 		this.retries = retries;
 		this.timers = timers;
 		this.outputs = outputs;
 		this.audit = audit;
-		this.sender = new AttemptSender(directory, beliefs, chooser, outputs, audit, settings.mechanisms());
-		this.standbys = new StandbyCopies(directory, beliefs, chooser, turn, timers, outputs, audit,
+		this.sender = new AttemptSender(directory, eligibility, beliefs, chooser, outputs, audit,
+				settings.mechanisms());
+		this.standbys = new StandbyCopies(directory, eligibility, beliefs, chooser, turn, timers, outputs, audit,
 				settings.mechanisms().use(Mechanism.STANDBY_COPIES));
 		this.mover = new StreamMover(chooser, beliefs, this.standbys, turn, timers, outputs, audit,
 				new CallResumption());
@@ -96,8 +99,7 @@
 		this.offers = new Offers(settings, retries, this.sender, this.ending, timers, outputs, audit, this::engine,
 				(c, a, t) -> connectFailed(c.number(), a.number(), ConnectFault.SILENT, "no connection within its time",
 						t));
-		this.trust = new TargetTrust(directory, beliefs);
-		this.continuation = new Continuation(this.trust, retries, this.sender, this.standbys, this.mover, this.ending,
+		this.continuation = new Continuation(eligibility, retries, this.sender, this.standbys, this.mover, this.ending,
 				audit, this.offers::begin, this::engine, settings.mechanisms().use(Mechanism.COPIES_AT_NOTICE));
 		this.outcomes = new AttemptOutcomes(settings, directory, beliefs, this.sender, this.offers, this.continuation,
 				this.ending, outputs, audit);
@@ -158,7 +160,8 @@
 		}
 		ListedTarget target = found.get().target();
 		if (found.get().resume().isEmpty() && !this.directory.takesWork(target.id())) {
-			this.timers.at(now, (t) -> connectFailed(number, attempt, ConnectFault.SILENT, "the target is leaving", t));
+			this.timers.at(now, (t) -> connectFailed(number, attempt, ConnectFault.SILENT,
+					"the target is leaving or evacuated", t));
 			return OptionalLong.empty();
 		}
 		found.get().sent(now);
@@ -190,7 +193,7 @@
 		}
 		DirectCall call = this.calls.get(number);
 		ListedTarget target = found.get().target();
-		if (this.directory.takesWork(target.id())) {
+		if (this.directory.isStaying(target.id())) {
 			this.beliefs.of(target).quality().recordUnreachable(now);
 			if (fault == ConnectFault.REFUSED) {
 				this.beliefs.refused(target);
@@ -214,7 +217,9 @@
 		if (found.isEmpty()) {
 			return false;
 		}
-		head.load().ifPresent((l) -> this.beliefs.of(found.get().target()).told(l, now));
+		ListedTarget target = found.get().target();
+		head.load().ifPresent((l) -> this.beliefs.of(target).told(l, now));
+		head.coldMillis().ifPresent((c) -> this.eligibility.toldCold(target, c, now));
 		return head.isSuccess() && head.events() && head.answers(this.calls.get(number).request().id());
 	}
 
@@ -378,6 +383,21 @@
 		}
 	}
 
+	/**
+	 * Give up the copies at the targets of a data centre that is evacuated. What runs
+	 * there goes on.
+	 * @param dataCentre the data centre
+	 * @param now the time in milliseconds
+	 */
+	public void evacuated(String dataCentre, long now) {
+		for (DirectCall call : List.copyOf(this.calls.values())) {
+			call.attempt()
+				.filter((a) -> a.backup().filter((b) -> b.dataCentre().equals(dataCentre)).isPresent())
+				.ifPresent((a) -> this.sender.dropBackup(call, a, "its data centre is evacuated"));
+			engine(call).ifPresent((e) -> this.standbys.dropIfUseless(call, e, now));
+		}
+	}
+
 	private String accepted(DirectCall call) {
 		DirectRequest request = call.request();
 		return "route " + request.route().name() + " of plan " + this.plan.map(ServingPlan::version).orElse(0L)
@@ -395,7 +415,7 @@
 		this.standbys.watch(call, attempt, engine(call), now);
 		// The run may have begun after its engine's notice, and only one that runs can
 		// be moved. Its first event may be one that the caller has already.
-		if (!this.directory.takesWork(attempt.target().id())) {
+		if (!this.directory.isStaying(attempt.target().id())) {
 			this.continuation.copyAway(call, now);
 		}
 	}
@@ -442,7 +462,12 @@
 
 		@Override
 		public boolean takesWork(ListedTarget target, long now) {
-			return Dispatcher.this.trust.takesWork(target, now);
+			return Dispatcher.this.eligibility.takesWork(target, now);
+		}
+
+		@Override
+		public boolean isEvacuated(ListedTarget target) {
+			return Dispatcher.this.eligibility.isEvacuated(target);
 		}
 
 		@Override
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Eligibility.java
@@ -0,0 +1,160 @@
+package dev.laneworks.core.dispatch;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.directory.TargetDirectory;
+
+/**
+ * Tells which targets may be sent a request, and why there is none where that is so.
+ * <p>
+ * What is left out here is never used, whatever becomes of the request: targets that are
+ * leaving, that are in a data centre being evacuated or in a region that the request may
+ * not be served in, and cold ones that have had all they bear. What of the rest is better
+ * is the chooser's to say.
+ *
+ * @since 0.3
+ */
+public final class Eligibility {
+
+	/**
+	 * When a caller may come back that finds all targets evacuated, in milliseconds.
+	 * Nothing tells when an evacuation ends. Callers wait for up to a third of their
+	 * time, which is a second for plain calls and two for short generations: less would
+	 * use up their one repetition while nothing can have changed.
+	 */
+	private static final long EVACUATED_MILLIS = 1_500;
+
+	private final TargetDirectory directory;
+
+	private final TargetBeliefs beliefs;
+
+	private final ColdTargets cold;
+
+	private final Map<String, String> regions;
+
+	/**
+	 * Create the rules.
+	 * @param directory the targets
+	 * @param beliefs what is believed of them
+	 * @param cold bounds what cold targets are sent
+	 * @param regions the region of each data centre
+	 */
+	public Eligibility(TargetDirectory directory, TargetBeliefs beliefs, ColdTargets cold,
+			Map<String, String> regions) {
+		this.directory = directory;
+		this.beliefs = beliefs;
+		this.cold = cold;
+		this.regions = Map.copyOf(regions);
+	}
+
+	/**
+	 * Return the targets that may be sent a request now.
+	 * @param scope which come into question
+	 * @param now the time in milliseconds
+	 * @return the targets, those that are doubted included
+	 */
+	public List<ListedTarget> targets(Scope scope, long now) {
+		return this.directory.serving(scope.service())
+			.stream()
+			.filter((t) -> !scope.tried().contains(t.id()) && isAllowed(scope, t) && this.cold.takes(t, now))
+			.toList();
+	}
+
+	/**
+	 * Return the targets of a service that take work at all.
+	 * @param service the service's name
+	 * @return the targets
+	 */
+	public List<ListedTarget> serving(String service) {
+		return this.directory.serving(service);
+	}
+
+	/**
+	 * Return whether a target holds copies: it is listed, it is neither leaving nor
+	 * evacuated, and it takes connections, as far as is known. A copy is trusted no more
+	 * than the engine that holds it.
+	 * @param target the target
+	 * @param now the time in milliseconds
+	 * @return whether copies are safe there
+	 */
+	public boolean isSound(ListedTarget target, long now) {
+		return this.directory.takesWork(target.id()) && !this.beliefs.isDoubted(target, now);
+	}
+
+	/**
+	 * Return whether a target may be sent new work, or a generation that goes on at a
+	 * copy.
+	 * @param target the target
+	 * @param now the time in milliseconds
+	 * @return whether it is sound and, if it is cold, has not had all it bears
+	 */
+	public boolean takesWork(ListedTarget target, long now) {
+		return isSound(target, now) && this.cold.takes(target, now);
+	}
+
+	/**
+	 * Return whether nothing may be sent to a target though it stays.
+	 * @param target the target
+	 * @return whether its data centre is evacuated
+	 */
+	public boolean isEvacuated(ListedTarget target) {
+		return this.directory.isEvacuated(target);
+	}
+
+	/**
+	 * Take for how much longer a target says that it is cold.
+	 * @param target the target
+	 * @param millis the time in milliseconds; 0 where it is warm
+	 * @param now the time in milliseconds
+	 */
+	void toldCold(ListedTarget target, long millis, long now) {
+		this.cold.told(target, millis, now);
+	}
+
+	/**
+	 * Record that a request is sent to a target.
+	 * @param target the target
+	 * @param now the time in milliseconds
+	 */
+	void sent(ListedTarget target, long now) {
+		this.cold.sent(target, now);
+	}
+
+	/**
+	 * Return why no target is left for a request.
+	 * @param scope which come into question
+	 * @param now the time in milliseconds
+	 * @return the reason, and when to come back
+	 */
+	Shortage shortage(Scope scope, long now) {
+		List<ListedTarget> staying = this.directory.staying(scope.service());
+		if (staying.isEmpty()) {
+			return Shortage.of("no target of the service takes work");
+		}
+		List<ListedTarget> allowed = staying.stream().filter((t) -> isAllowed(scope, t)).toList();
+		if (allowed.isEmpty()) {
+			return Shortage.of("no target of the service is in a region that the request may be served in");
+		}
+		List<ListedTarget> open = allowed.stream().filter((t) -> !isEvacuated(t)).toList();
+		if (open.isEmpty()) {
+			return Shortage.until("all targets of the service are in data centres being evacuated", EVACUATED_MILLIS);
+		}
+		return open.stream()
+			.filter((t) -> !scope.tried().contains(t.id()))
+			.mapToLong((t) -> this.cold.freeInMillis(t, now))
+			.min()
+			.stream()
+			.mapToObj(
+					(free) -> Shortage.until("all targets left are cold and have had all they bear", Math.max(1, free)))
+			.findFirst()
+			.orElseGet(() -> Shortage.of("no target of the service is left"));
+	}
+
+	private boolean isAllowed(Scope scope, ListedTarget target) {
+		return scope.regions().allow(Optional.ofNullable(this.regions.get(target.dataCentre())));
+	}
+
+}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Offers.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Offers.java
@@ -73,9 +73,9 @@
 			this.ending.refuse(call, RefusalReason.OVERLOADED, "no target took the request", now);
 			return;
 		}
-		Optional<ListedTarget> target = this.sender.choose(call.request(), this.engines.apply(call), call.tried(), now);
+		Optional<ListedTarget> target = this.sender.choose(call, this.engines.apply(call), now);
 		if (target.isEmpty()) {
-			this.ending.refuse(call, RefusalReason.NO_TARGET, "no target of the service takes work", now);
+			this.ending.refuse(call, this.sender.shortage(call, now), now);
 			return;
 		}
 		if (call.arrivals() > 0 && !this.retries.tryTake(call.request().service(), now)) {
@@ -112,14 +112,14 @@
 				call.isStreaming());
 		return isAllowed && call.runs() < request.route().maxAttempts() && call.attempts() < this.settings.maxAttempts()
 				&& call.dueAt() - now > request.route().goalMillis() / this.settings.timeShareToTryAgain()
-				&& this.sender.hasUntried(call, attempt.target()) && this.retries.tryTake(request.service(), now);
+				&& this.sender.hasUntried(call, attempt.target(), now) && this.retries.tryTake(request.service(), now);
 	}
 
 	void tryAgain(DirectCall call, Attempt attempt, String cause, long now) {
 		this.audit.record(call.event(AuditKind.RETRIED, attempt.target().id(), cause));
 		this.sender.abandon(call, attempt);
 		call.tried().add(attempt.target().id());
-		this.sender.choose(call.request(), this.engines.apply(call), call.tried(), now)
+		this.sender.choose(call, this.engines.apply(call), now)
 			.ifPresentOrElse((t) -> call.use(begin(call, t, Optional.empty(), now)),
 					() -> this.ending.refuse(call, RefusalReason.TARGET_LOST, cause, now));
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
@@ -54,7 +55,7 @@
 
 	private final TargetDirectory directory;
 
-	private final TargetTrust trust;
+	private final Eligibility eligibility;
 
 	private final TargetBeliefs beliefs;
 
@@ -78,10 +79,10 @@
 	/** When links are left to moves no more, by data centre. */
 	private final Map<String, Long> quietUntil = new HashMap<>();
 
-	StandbyCopies(TargetDirectory directory, TargetBeliefs beliefs, TargetChooser chooser, CopyTurn turn, Timers timers,
-			DispatchOutputs outputs, AuditSink audit, boolean inUse) {
+	StandbyCopies(TargetDirectory directory, Eligibility eligibility, TargetBeliefs beliefs, TargetChooser chooser,
+			CopyTurn turn, Timers timers, DispatchOutputs outputs, AuditSink audit, boolean inUse) {
 		this.directory = directory;
-		this.trust = new TargetTrust(directory, beliefs);
+		this.eligibility = eligibility;
 		this.beliefs = beliefs;
 		this.chooser = chooser;
 		this.turn = turn;
@@ -183,10 +184,10 @@
 	}
 
 	private void look(DirectCall call, Attempt attempt, EngineSpec engine, long now) {
-		if (call.attempt().orElse(null) != attempt || !this.directory.takesWork(attempt.target().id())) {
+		if (call.attempt().orElse(null) != attempt || !this.directory.isStaying(attempt.target().id())) {
 			return;
 		}
-		boolean hasRunningCopy = attempt.backup().filter((b) -> this.trust.takesWork(b, now)).isPresent();
+		boolean hasRunningCopy = attempt.backup().filter((b) -> this.eligibility.isSound(b, now)).isPresent();
 		if (hasRunningCopy) {
 			lookAt(call, attempt, engine, now + REFRESH_MILLIS);
 			return;
@@ -198,7 +199,7 @@
 		}
 		Optional<ListedTarget> destination = call.standby()
 			.map(Standby::destination)
-			.or(() -> choose(attempt, engine, now));
+			.or(() -> choose(call, attempt, engine, now));
 		if (destination.isEmpty()) {
 			lookAt(call, attempt, engine, now + AGAIN_MILLIS);
 			return;
@@ -227,12 +228,13 @@
 		this.outputs.copy(call.number(), new CopyOrder(call.request().id(), source, destination, false));
 	}
 
-	private Optional<ListedTarget> choose(Attempt attempt, EngineSpec engine, long now) {
+	private Optional<ListedTarget> choose(DirectCall call, Attempt attempt, EngineSpec engine, long now) {
 		ListedTarget source = attempt.target();
 		if (this.chooser.fleetFullness(source.service(), engine, now) > FLEET_FULLNESS) {
 			return Optional.empty();
 		}
-		return this.chooser.chooseBackup(source, engine, attempt.heldTokens(), ENGINE_FULLNESS, now);
+		return this.chooser.chooseBackup(source, call.scopeWithout(Set.of()), engine, attempt.heldTokens(),
+				ENGINE_FULLNESS, now);
 	}
 
 	private void begin(DirectCall call, Attempt attempt, ListedTarget destination) {
@@ -243,19 +245,20 @@
 	}
 
 	/**
-	 * Give a call's copy up if its engine is leaving or its memory is needed.
+	 * Give a call's copy up if its engine is leaving or evacuated, or its memory is
+	 * needed.
 	 * @param call the call
 	 * @param engine what the service's engines can do
 	 * @param now the time in milliseconds
 	 */
 	void dropIfUseless(DirectCall call, EngineSpec engine, long now) {
 		boolean isUseless = call.standby()
-			.filter((s) -> !this.trust.takesWork(s.destination(), now)
+			.filter((s) -> !this.eligibility.isSound(s.destination(), now)
 					|| this.chooser.fullness(s.destination(), engine, now) > AttemptSender.CROWDED_FULLNESS)
 			.isPresent();
 		if (isUseless) {
 			record(call, call.standby().get().destination(),
-					"standby copy given up: its engine is leaving, doubted or crowded");
+					"standby copy given up: its engine is leaving, evacuated, doubted or crowded");
 			drop(call);
 		}
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -231,8 +231,8 @@
 		if (begun.isEmpty()) {
 			dropPart(copying);
 		}
-		Optional<ListedTarget> destination = begun.or(() -> engine
-			.flatMap((e) -> this.chooser.chooseDestination(queue.source(), e, tokens, copying.tried(), now)));
+		Optional<ListedTarget> destination = begun.or(() -> engine.flatMap((e) -> this.chooser
+			.chooseDestination(queue.source(), call.scopeWithout(copying.tried()), e, tokens, now)));
 		if (destination.isEmpty()) {
 			copying.tried().clear();
 			putBack(queue, call, now);
@@ -262,6 +262,10 @@
 		MoveQueue queue = this.queues.get(copying.source().id());
 		switch (result.outcome()) {
 			case COPIED -> {
+				if (this.resumption.isEvacuated(copying.destination())) {
+					copyElsewhere(queue, call, copying, now);
+					return;
+				}
 				boolean wasQuick = now - copying.orderedAt() <= QUICK_MILLIS;
 				if (wasQuick || queue.sinceNotice(now) >= LATEST_MILLIS) {
 					copying.enter(CopyPhase.STOPPING);
@@ -270,11 +274,8 @@
 			}
 			case NO_ROOM, FAILED -> {
 				avoid(copying.destination(), now);
-				copying.tried().add(copying.destination().id());
 				copying.handle("");
-				release(copying);
-				queue.endActive();
-				copyAhead(queue, call, now);
+				copyElsewhere(queue, call, copying, now);
 			}
 			// Nothing is wrong with the destination; the run's own connection tells more.
 			case NO_ANSWER, UNDER_WAY, NO_SUCH_RUN -> {
@@ -285,6 +286,14 @@
 		}
 	}
 
+	private void copyElsewhere(MoveQueue queue, DirectCall call, Copying copying, long now) {
+		copying.tried().add(copying.destination().id());
+		dropPart(copying);
+		release(copying);
+		queue.endActive();
+		copyAhead(queue, call, now);
+	}
+
 	// A destination without room, or one that is dead, is left alone for a moment.
 	private void avoid(ListedTarget destination, long now) {
 		this.beliefs.of(destination).full(now + AVOID_MILLIS);
@@ -418,6 +427,13 @@
 		 */
 		boolean takesWork(ListedTarget target, long now);
 
+		/**
+		 * Return whether nothing may be sent to a target though it stays.
+		 * @param target the target
+		 * @return whether its data centre is evacuated
+		 */
+		boolean isEvacuated(ListedTarget target);
+
 		/**
 		 * Return what the call's engines can do.
 		 * @param call the call
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -4,11 +4,9 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 
 import dev.laneworks.core.directory.ListedTarget;
-import dev.laneworks.core.directory.TargetDirectory;
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.mechanism.Mechanisms;
 import dev.laneworks.core.routing.Rendezvous;
@@ -98,12 +96,10 @@
 	/** The weight of the newest generation in the average held. */
 	private static final double NEWEST_WEIGHT = 0.05;
 
-	private final TargetDirectory directory;
+	private final Eligibility eligibility;
 
 	private final TargetBeliefs beliefs;
 
-	private final TargetTrust trust;
-
 	private final String dataCentre;
 
 	private final RandomGenerator random;
@@ -114,17 +110,16 @@
 
 	/**
 	 * Create a chooser.
-	 * @param directory the targets
+	 * @param eligibility tells which targets come into question
 	 * @param beliefs what is believed of them
 	 * @param dataCentre the data centre of this process
 	 * @param random the source of jitter
 	 * @param mechanisms what is used of the mechanisms that can be switched off
 	 */
-	public TargetChooser(TargetDirectory directory, TargetBeliefs beliefs, String dataCentre, RandomGenerator random,
+	public TargetChooser(Eligibility eligibility, TargetBeliefs beliefs, String dataCentre, RandomGenerator random,
 			Mechanisms mechanisms) {
-		this.directory = directory;
+		this.eligibility = eligibility;
 		this.beliefs = beliefs;
-		this.trust = new TargetTrust(directory, beliefs);
 		this.dataCentre = dataCentre;
 		this.random = random;
 		this.mechanisms = mechanisms;
@@ -132,13 +127,12 @@
 
 	/**
 	 * Choose a target for a request to a plain service.
-	 * @param service the service's name
-	 * @param tried the ids of targets that are left out
+	 * @param scope which targets come into question
 	 * @param now the time in milliseconds
 	 * @return the target, or empty if there is none left
 	 */
-	public Optional<ListedTarget> choosePlain(String service, Set<String> tried, long now) {
-		List<ListedTarget> candidates = candidates(service, tried, now);
+	public Optional<ListedTarget> choosePlain(Scope scope, long now) {
+		List<ListedTarget> candidates = candidates(scope, now);
 		double fastest = candidates.stream()
 			.mapToDouble((t) -> this.beliefs.of(t).quality().responseMillis())
 			.filter((millis) -> millis > 0)
@@ -149,18 +143,16 @@
 
 	/**
 	 * Choose an engine for a generation.
-	 * @param service the service's name
-	 * @param engine what its engines can do
+	 * @param scope which engines come into question
+	 * @param engine what they can do
 	 * @param work what the generation asks for
-	 * @param tried the ids of targets that are left out
 	 * @param now the time in milliseconds
 	 * @return the engine, or empty if there is none left
 	 */
-	public Optional<ListedTarget> chooseEngine(String service, EngineSpec engine, EngineWork work, Set<String> tried,
-			long now) {
+	public Optional<ListedTarget> chooseEngine(Scope scope, EngineSpec engine, EngineWork work, long now) {
 		long tokens = work.heldTokens(0);
 		this.meanTokens += NEWEST_WEIGHT * (tokens - this.meanTokens);
-		List<ListedTarget> engines = candidates(service, tried, now);
+		List<ListedTarget> engines = candidates(scope, now);
 		double distance = hasEnoughNear(engines) ? DISTANCE_ENGINE_ENOUGH_NEAR : DISTANCE_ENGINE;
 		return lowest(engines, (t) -> engineScore(t, engine, tokens, this.dataCentre, distance, now));
 	}
@@ -172,17 +164,15 @@
 	/**
 	 * Choose where a running generation is copied to.
 	 * @param source the engine that runs it
+	 * @param scope which engines come into question
 	 * @param engine what the service's engines can do
 	 * @param tokens the memory that it holds and will hold
-	 * @param tried the ids of engines that are left out
 	 * @param now the time in milliseconds
 	 * @return the engine, or empty if none has room
 	 */
-	public Optional<ListedTarget> chooseDestination(ListedTarget source, EngineSpec engine, long tokens,
-			Set<String> tried, long now) {
-		List<ListedTarget> others = candidates(source.service(), tried, now).stream()
-			.filter((t) -> !t.id().equals(source.id()))
-			.toList();
+	public Optional<ListedTarget> chooseDestination(ListedTarget source, Scope scope, EngineSpec engine, long tokens,
+			long now) {
+		List<ListedTarget> others = candidates(scope, now).stream().filter((t) -> !t.id().equals(source.id())).toList();
 		return lowest(others, (t) -> destinationScore(source, t, engine, tokens, now));
 	}
 
@@ -207,16 +197,17 @@
 	 * Choose where a copy is kept of a generation that runs on; it needs little of a
 	 * link, so that the distance hardly counts.
 	 * @param source the engine that runs it
+	 * @param scope which engines come into question
 	 * @param engine what the service's engines can do
 	 * @param tokens the memory that it holds and will hold
 	 * @param fullest how full the memory of the copy's engine may be with the copy
 	 * @param now the time in milliseconds
 	 * @return the engine, or empty if there is no other or the best one is too full
 	 */
-	public Optional<ListedTarget> chooseBackup(ListedTarget source, EngineSpec engine, long tokens, double fullest,
-			long now) {
-		return lowest(candidates(source.service(), Set.of(source.id()), now),
-				(t) -> engineScore(t, engine, tokens, source.dataCentre(), 0, now))
+	public Optional<ListedTarget> chooseBackup(ListedTarget source, Scope scope, EngineSpec engine, long tokens,
+			double fullest, long now) {
+		List<ListedTarget> others = candidates(scope, now).stream().filter((t) -> !t.id().equals(source.id())).toList();
+		return lowest(others, (t) -> engineScore(t, engine, tokens, source.dataCentre(), 0, now))
 			.filter((t) -> fullness(t, engine, now) + (double) tokens / engine.memoryTokens() <= fullest);
 	}
 
@@ -228,7 +219,7 @@
 	 * @return the share in use; 1 where no engine takes work
 	 */
 	public double fleetFullness(String service, EngineSpec engine, long now) {
-		return this.directory.serving(service)
+		return this.eligibility.serving(service)
 			.stream()
 			.mapToDouble((t) -> fullness(t, engine, now))
 			.average()
@@ -246,15 +237,13 @@
 		return this.beliefs.heldTokens(target, this.meanTokens, now) / engine.memoryTokens();
 	}
 
-	private List<ListedTarget> candidates(String service, Set<String> tried, long now) {
-		List<ListedTarget> open = this.directory.serving(service)
-			.stream()
-			.filter((t) -> !tried.contains(t.id()))
-			.toList();
+	private List<ListedTarget> candidates(Scope scope, long now) {
+		List<ListedTarget> open = this.eligibility.targets(scope, now);
 		if (!this.mechanisms.use(Mechanism.EJECTION)) {
 			return open;
 		}
-		List<ListedTarget> listening = orAll(open.stream().filter((t) -> this.trust.takesWork(t, now)).toList(), open);
+		List<ListedTarget> listening = orAll(open.stream().filter((t) -> this.eligibility.isSound(t, now)).toList(),
+				open);
 		List<ListedTarget> usable = listening.stream()
 			.filter((t) -> this.beliefs.of(t).quality().isUsable(now))
 			.toList();
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
@@ -227,6 +227,22 @@
 		return peer.silence(now) > this.settings.turnMillis() || peer.copyingFor(target, now) > TURN_BOUND_MILLIS;
 	}
 
+	/**
+	 * Return how many other entries rank before this one for a target. Entries that know
+	 * each other rank themselves alike.
+	 * @param target the target's id
+	 * @return the count
+	 */
+	public int before(String target) {
+		long key = Rendezvous.hash(target);
+		long own = Rendezvous.weight(key, this.instance);
+		return (int) this.known.all()
+			.values()
+			.stream()
+			.filter((p) -> Long.compareUnsigned(Rendezvous.weight(key, p.news().instance()), own) > 0)
+			.count();
+	}
+
 	/**
 	 * Return whether any other entry copies a generation from or to a target now.
 	 * @param target the target's id
--- a/laneworks-core/src/main/java/dev/laneworks/core/serving/RouteSpec.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/serving/RouteSpec.java
@@ -19,16 +19,19 @@
  * @param maxAttempts the most targets that one request may run on
  * @param open whether requests need no key
  * @param services who answers, at least one
+ * @param regions where requests may be served
  * @since 0.2
  */
 public record RouteSpec(String name, String host, String prefix, RequestKind kind, long timeoutMillis, long goalMillis,
-		long gapGoalMillis, int priority, int maxAttempts, boolean open, List<WeightedService> services) {
+		long gapGoalMillis, int priority, int maxAttempts, boolean open, List<WeightedService> services,
+		AllowedRegions regions) {
 
 	public RouteSpec {
 		Objects.requireNonNull(name, "name must not be null");
 		Objects.requireNonNull(host, "host must not be null");
 		Objects.requireNonNull(prefix, "prefix must not be null");
 		Objects.requireNonNull(kind, "kind must not be null");
+		Objects.requireNonNull(regions, "regions must not be null");
 		services = List.copyOf(services);
 		if (services.isEmpty()) {
 			throw new IllegalArgumentException("route " + name + " must have at least one service");
@@ -45,7 +48,7 @@
 	 */
 	public RouteSpec withPriority(int rank) {
 		return new RouteSpec(this.name, this.host, this.prefix, this.kind, this.timeoutMillis, this.goalMillis,
-				this.gapGoalMillis, rank, this.maxAttempts, this.open, this.services);
+				this.gapGoalMillis, rank, this.maxAttempts, this.open, this.services, this.regions);
 	}
 
 	/**
--- a/laneworks-core/src/test/java/dev/laneworks/core/directory/TargetDirectoryTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/directory/TargetDirectoryTests.java
@@ -17,7 +17,9 @@
 
 	private final Timers timers = new Timers();
 
-	private final TargetDirectory directory = new TargetDirectory(new Recorder(), this.timers);
+	private final Evacuations evacuations = new Evacuations(new EvacuationRecorder());
+
+	private final TargetDirectory directory = new TargetDirectory(new Recorder(), this.evacuations, this.timers);
 
 	@Test
 	void aTargetThatSaysItLeavesTakesNoWorkAndIsTold() {
@@ -115,8 +117,61 @@
 		return new ListedTarget(id, "s", host, 80, "dc", 4, false);
 	}
 
+	@Test
+	void targetsOfAnEvacuatedDataCentreTakeNoWorkAndStay() {
+		this.directory.put(target("a", false));
+		this.evacuations.begin("dc");
+		assertThat(this.directory.takesWork("a")).isFalse();
+		assertThat(this.directory.isStaying("a")).isTrue();
+		assertThat(this.directory.serving("s")).isEmpty();
+		this.directory.put(target("b", false));
+		assertThat(this.directory.takesWork("b")).isFalse();
+		assertThat(this.directory.staying("s")).hasSize(2);
+		this.evacuations.end("dc");
+		assertThat(this.directory.takesWork("a")).isTrue();
+		assertThat(this.heard).containsExactly("joined a", "evacuated dc", "joined b", "taken back dc").inOrder();
+	}
+
+	@Test
+	void aTargetThatLeavesWhileItsDataCentreIsEvacuatedIsNoticed() {
+		this.directory.put(target("a", false));
+		this.evacuations.begin("dc");
+		this.directory.put(target("a", true));
+		this.evacuations.end("dc");
+		assertThat(this.directory.takesWork("a")).isFalse();
+		assertThat(this.heard).contains("leaving a SAID_SO");
+	}
+
+	@Test
+	void evacuationsReadAnewReplaceThoseKnown() {
+		this.evacuations.replaceAll(List.of("dc", "dc2"));
+		this.evacuations.replaceAll(List.of("dc2", "dc3"));
+		assertThat(this.evacuations.count()).isEqualTo(2);
+		this.evacuations.begin("dc2");
+		assertThat(this.heard).containsExactly("evacuated dc", "evacuated dc2", "taken back dc", "evacuated dc3");
+	}
+
+	private final class EvacuationRecorder implements EvacuationListener {
+
+		@Override
+		public void evacuated(String dataCentre) {
+			TargetDirectoryTests.this.heard.add("evacuated " + dataCentre);
+		}
+
+		@Override
+		public void takenBack(String dataCentre) {
+			TargetDirectoryTests.this.heard.add("taken back " + dataCentre);
+		}
+
+	}
+
 	private final class Recorder implements DirectoryListener {
 
+		@Override
+		public void listed(ListedTarget target) {
+			// Each entry put here is listed.
+		}
+
 		@Override
 		public void joined(ListedTarget target) {
 			TargetDirectoryTests.this.heard.add("joined " + target.id());
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -11,12 +11,15 @@
 
 import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.directory.DirectoryListener;
+import dev.laneworks.core.directory.EvacuationListener;
+import dev.laneworks.core.directory.Evacuations;
 import dev.laneworks.core.directory.LeavingCause;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.mechanism.Mechanisms;
+import dev.laneworks.core.serving.AllowedRegions;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.serving.RequestKind;
 import dev.laneworks.core.serving.RequestLimits;
@@ -57,7 +60,26 @@
 
 	final TargetBeliefs beliefs = new TargetBeliefs(this::workOfOthers, new SplittableRandom(3));
 
-	final TargetDirectory directory = new TargetDirectory(new Members(), this.timers);
+	final Evacuations evacuations = new Evacuations(new Evacuated());
+
+	final TargetDirectory directory = new TargetDirectory(new Members(), this.evacuations, this.timers);
+
+	/** The requests a second that a cold target bears. */
+	double coldPerSecond;
+
+	/** How many entries there are, and how many of them rank before this one. */
+	int entries = 1;
+
+	int before;
+
+	final ColdTargets cold = new ColdTargets(new ColdBound(1.5, 5), new Ranks(), (s) -> this.coldPerSecond,
+			(e) -> this.audit.add(e));
+
+	final Eligibility eligibility = new Eligibility(this.directory, this.beliefs, this.cold,
+			Map.of("dc", "north", "dc2", "north", "dc3", "south"));
+
+	/** Where requests may be served that are opened from now on. */
+	AllowedRegions regions = AllowedRegions.any();
 
 	final Dispatcher dispatcher;
 
@@ -71,15 +93,15 @@
 
 	private DispatchHarness(double retryRatio, double retryExtra, long seed, Mechanisms mechanisms) {
 		SplittableRandom random = new SplittableRandom(seed);
-		TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, "dc", random, mechanisms);
+		TargetChooser chooser = new TargetChooser(this.eligibility, this.beliefs, "dc", random, mechanisms);
 		RetryWindow retries = new RetryWindow(10_000, retryRatio, retryExtra, retryExtra,
 				(s, w, t) -> Optional.empty());
-		this.dispatcher = new Dispatcher(DispatchSettings.defaults(mechanisms), this.directory, this.beliefs, chooser,
-				new Turns(), retries, this.timers, this, this.audit::add);
+		this.dispatcher = new Dispatcher(DispatchSettings.defaults(mechanisms), this.directory, this.beliefs,
+				this.eligibility, chooser, new Turns(), retries, this.timers, this, this.audit::add);
 		EngineSpec engine = new EngineSpec(64, 34_000, 18_432, 2_700, 4, true, true, 2_000);
 		this.dispatcher.use(new ServingPlan(1, List.of(),
-				Map.of(PLAIN, new ServiceSpec(PLAIN, 100, Optional.empty()), ENGINES,
-						new ServiceSpec(ENGINES, 400, Optional.of(engine))),
+				Map.of(PLAIN, new ServiceSpec(PLAIN, 100, 0, Optional.empty()), ENGINES,
+						new ServiceSpec(ENGINES, 400, 0, Optional.of(engine))),
 				Map.of(), new RequestLimits(16_384, 4_194_304, 3_000, 15_000)));
 	}
 
@@ -92,7 +114,11 @@
 	}
 
 	ListedTarget join(String service, String id) {
-		ListedTarget target = new ListedTarget(id, service, "10.0.0." + (this.directory.size() + 1), 80, "dc", 6,
+		return join(service, id, "dc");
+	}
+
+	ListedTarget join(String service, String id, String dataCentre) {
+		ListedTarget target = new ListedTarget(id, service, "10.0.0." + (this.directory.size() + 1), 80, dataCentre, 6,
 				false);
 		this.directory.put(target);
 		return target;
@@ -120,8 +146,9 @@
 	private void open(long call, RequestKind kind, int maxAttempts, String service, Optional<EngineWork> work) {
 		long timeout = (kind == RequestKind.STREAMING) ? 39_000 : 1_500;
 		RouteSpec route = new RouteSpec("r", "h", "/", kind, timeout, 300, 180, 1, maxAttempts, false,
-				List.of(new WeightedService(service, 1)));
-		this.dispatcher.open(call, new DirectRequest(id(call), route, service, "acme", 2 * timeout, work), this.now);
+				List.of(new WeightedService(service, 1)), AllowedRegions.any());
+		this.dispatcher.open(call, new DirectRequest(id(call), route, service, "acme", 2 * timeout, this.regions, work),
+				this.now);
 		settle();
 	}
 
@@ -150,7 +177,8 @@
 	}
 
 	void answer(Sent to, int status, boolean notRun) {
-		AnswerHead head = new AnswerHead(status, id(to.call()), status < 300, false, notRun, false, Optional.empty());
+		AnswerHead head = new AnswerHead(status, id(to.call()), status < 300, false, notRun, false, Optional.empty(),
+				OptionalLong.empty());
 		this.dispatcher.headReceived(to.call(), to.attempt(), head, this.now);
 		this.dispatcher.answered(to.call(), to.attempt(), head, this.now);
 		settle();
@@ -271,8 +299,41 @@
 
 	}
 
+	private final class Ranks implements EntryRanks {
+
+		@Override
+		public int entries() {
+			return DispatchHarness.this.entries;
+		}
+
+		@Override
+		public int before(String target) {
+			return DispatchHarness.this.before;
+		}
+
+	}
+
+	private final class Evacuated implements EvacuationListener {
+
+		@Override
+		public void evacuated(String dataCentre) {
+			DispatchHarness.this.dispatcher.evacuated(dataCentre, DispatchHarness.this.now);
+		}
+
+		@Override
+		public void takenBack(String dataCentre) {
+			// Targets take work again without more.
+		}
+
+	}
+
 	private final class Members implements DirectoryListener {
 
+		@Override
+		public void listed(ListedTarget target) {
+			target.coldMillis().ifPresent((c) -> DispatchHarness.this.cold.told(target, c, DispatchHarness.this.now));
+		}
+
 		@Override
 		public void joined(ListedTarget target) {
 			DispatchHarness.this.beliefs.of(target).listed(target);
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherFuzzTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherFuzzTests.java
@@ -5,12 +5,14 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.dispatch.DispatchHarness.Sent;
 import dev.laneworks.core.gossip.WorkAtTarget;
+import dev.laneworks.core.serving.AllowedRegions;
 import dev.laneworks.core.serving.RequestKind;
 import dev.laneworks.core.verdict.Verdict;
 import org.junit.jupiter.api.Test;
@@ -38,8 +40,30 @@
 		}
 	}
 
+	@Test
+	void sendsNothingWhereNothingMayGo() {
+		for (long seed = 0; seed < SEEDS; seed++) {
+			Play play = new Play(seed);
+			play.places = Optional.of(new SplittableRandom(~seed));
+			play.run();
+		}
+	}
+
 	private static final class Play {
 
+		private static final List<String> DATA_CENTRES = List.of("dc", "dc2", "dc3");
+
+		private static final Map<String, String> REGIONS = Map.of("dc", "north", "dc2", "north", "dc3", "south");
+
+		/**
+		 * Evacuates data centres, and restricts requests to regions, where it is there.
+		 */
+		private Optional<SplittableRandom> places = Optional.empty();
+
+		private final Set<String> evacuated = new HashSet<>();
+
+		private final Map<Long, String> onlyIn = new HashMap<>();
+
 		private final String name;
 
 		private final SplittableRandom random;
@@ -85,6 +109,7 @@
 			for (long step = 1; step <= STEPS; step++) {
 				step(step);
 				collect();
+				this.places.ifPresent(this::change);
 			}
 			this.world.passTime(60_000);
 			check();
@@ -101,7 +126,42 @@
 			}
 		}
 
+		private void change(SplittableRandom place) {
+			String dataCentre = DATA_CENTRES.get(place.nextInt(DATA_CENTRES.size()));
+			switch (place.nextInt(30)) {
+				case 0, 1 -> {
+					this.evacuated.add(dataCentre);
+					this.world.evacuations.begin(dataCentre);
+				}
+				case 2, 3, 4 -> {
+					this.evacuated.remove(dataCentre);
+					this.world.evacuations.end(dataCentre);
+				}
+				case 5 -> this.world.evacuations.replaceAll(this.evacuated);
+				default -> {
+				}
+			}
+			collect();
+		}
+
+		private void checkPlace(long call, ListedTarget target) {
+			assertWithMessage("%s: call %s at %s", this.name, call, target).that(this.evacuated)
+				.doesNotContain(target.dataCentre());
+			String region = REGIONS.get(target.dataCentre());
+			assertWithMessage("%s: region of call %s", this.name, call).that(region)
+				.isEqualTo(this.onlyIn.getOrDefault(call, region));
+		}
+
+		private void restrict(long call, SplittableRandom place) {
+			this.world.regions = AllowedRegions.any();
+			if (place.nextInt(3) == 0) {
+				this.onlyIn.put(call, "north");
+				this.world.regions = AllowedRegions.of(List.of("north"));
+			}
+		}
+
 		private void open(long call) {
+			this.places.ifPresent((p) -> restrict(call, p));
 			RequestKind kind = RequestKind.values()[this.random.nextInt(3)];
 			this.kinds.put(call, kind);
 			if (kind == RequestKind.STREAMING) {
@@ -218,16 +278,21 @@
 
 		private void join() {
 			this.joined++;
-			this.targets.add(this.world.join(DispatchHarness.PLAIN, "p" + this.joined));
-			this.targets.add(this.world.join(DispatchHarness.ENGINES, "e" + this.joined));
+			String dataCentre = this.places.map((p) -> DATA_CENTRES.get(p.nextInt(DATA_CENTRES.size()))).orElse("dc");
+			this.targets.add(this.world.join(DispatchHarness.PLAIN, "p" + this.joined, dataCentre));
+			this.targets.add(this.world.join(DispatchHarness.ENGINES, "e" + this.joined, dataCentre));
 		}
 
 		private void collect() {
 			while (this.seenSent < this.world.sent.size()) {
-				this.connecting.add(this.world.sent.get(this.seenSent++));
+				Sent sent = this.world.sent.get(this.seenSent++);
+				checkPlace(sent.call(), sent.target());
+				this.connecting.add(sent);
 			}
 			while (this.seenCopies < this.world.copies.size()) {
-				this.copying.add(this.world.copies.get(this.seenCopies++));
+				CopyOrder order = this.world.copies.get(this.seenCopies++);
+				checkPlace(Long.parseLong(order.requestId().substring("request-".length())), order.destination());
+				this.copying.add(order);
 			}
 		}
 
--- /dev/null
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/EvacuationTests.java
@@ -0,0 +1,183 @@
+package dev.laneworks.core.dispatch;
+
+import java.util.List;
+import java.util.Optional;
+
+import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.serving.AllowedRegions;
+import dev.laneworks.core.serving.RequestKind;
+import dev.laneworks.core.verdict.Refusal;
+import dev.laneworks.core.verdict.Verdict;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of what a {@link Dispatcher} sends to targets of data centres that are evacuated,
+ * and to regions that requests may not be served in.
+ */
+class EvacuationTests {
+
+	private final DispatchHarness harness = DispatchHarness.create();
+
+	@Test
+	void noRequestGoesToAnEvacuatedDataCentre() {
+		this.harness.join(DispatchHarness.PLAIN, "near");
+		this.harness.join(DispatchHarness.PLAIN, "far", "dc2");
+		this.harness.evacuations.begin("dc");
+		for (long call = 1; call <= 20; call++) {
+			this.harness.open(call, RequestKind.SAFE, 2);
+		}
+		assertThat(this.harness.sent.stream().map((s) -> s.target().id()).distinct()).containsExactly("far");
+	}
+
+	@Test
+	void noRetryGoesToAnEvacuatedDataCentre() {
+		ListedTarget far = this.harness.join(DispatchHarness.PLAIN, "far", "dc2");
+		this.harness.open(1, RequestKind.SAFE, 2);
+		assertThat(this.harness.arrive().target()).isEqualTo(far);
+		this.harness.join(DispatchHarness.PLAIN, "near");
+		this.harness.evacuations.begin("dc");
+		this.harness.breakOff(this.harness.sent.get(0));
+		assertThat(this.harness.sent).hasSize(1);
+	}
+
+	@Test
+	void aRequestWhoseConnectionIsNotUpYetGoesElsewhere() {
+		this.harness.join(DispatchHarness.PLAIN, "near");
+		this.harness.open(1, RequestKind.UNSAFE, 1);
+		this.harness.join(DispatchHarness.PLAIN, "far", "dc2");
+		this.harness.evacuations.begin("dc");
+		assertThat(this.harness.assertReady(this.harness.sent.get(0))).isFalse();
+		assertThat(this.harness.arrive().target().id()).isEqualTo("far");
+	}
+
+	@Test
+	void withAllDataCentresEvacuatedARequestIsRefusedAtOnceAndServedOnceOneIsTakenBack() {
+		this.harness.join(DispatchHarness.PLAIN, "near");
+		this.harness.join(DispatchHarness.PLAIN, "far", "dc2");
+		this.harness.evacuations.replaceAll(List.of("dc", "dc2"));
+		this.harness.open(1, RequestKind.UNSAFE, 1);
+		Refusal refusal = this.harness.refusals.get(1L);
+		assertThat(refusal.verdict()).isEqualTo(Verdict.NOT_RUN);
+		assertThat(refusal.reason().status()).isEqualTo(503);
+		assertThat(refusal.detail()).contains("evacuated");
+		assertThat(refusal.retryAfter().get().toMillis()).isEqualTo(1_500);
+		this.harness.evacuations.end("dc2");
+		this.harness.open(2, RequestKind.UNSAFE, 1);
+		assertThat(this.harness.arrive().target().id()).isEqualTo("far");
+	}
+
+	@Test
+	void aGenerationGoesOnInAnEvacuatedDataCentreUntilItsEngineLeaves() {
+		ListedTarget near = this.harness.join(DispatchHarness.ENGINES, "near");
+		this.harness.openStream(1);
+		DispatchHarness.Sent first = this.harness.arrive();
+		this.harness.event(first, 0);
+		this.harness.join(DispatchHarness.ENGINES, "near2");
+		this.harness.join(DispatchHarness.ENGINES, "far", "dc2");
+		this.harness.evacuations.begin("dc");
+		assertThat(this.harness.event(first, 1)).isTrue();
+		assertThat(this.harness.copies).isEmpty();
+		this.harness.leave(near);
+		this.harness.passTime(100);
+		assertThat(this.harness.copies.get(0).destination().id()).isEqualTo("far");
+	}
+
+	@Test
+	void aRunningCopyInAnEvacuatedDataCentreIsGivenUp() {
+		this.harness.join(DispatchHarness.ENGINES, "near");
+		this.harness.join(DispatchHarness.ENGINES, "far", "dc2");
+		this.harness.openStream(1);
+		DispatchHarness.Sent first = this.harness.arrive();
+		this.harness.event(first, 0);
+		assertThat(first.order().backup()).isPresent();
+		String copyIn = first.target().dataCentre().equals("dc") ? "dc2" : "dc";
+		this.harness.evacuations.begin(copyIn);
+		assertThat(this.harness.released).containsExactly(first.target().id() + "/request-1");
+		this.harness.breakOff(first);
+		assertThat(this.harness.sent).hasSize(1);
+		assertThat(this.harness.answers(1)).contains("cut");
+	}
+
+	@Test
+	void aMoveWhoseDestinationIsEvacuatedMeanwhileGoesElsewhere() {
+		ListedTarget near = this.harness.join(DispatchHarness.ENGINES, "near");
+		this.harness.openStream(1);
+		this.harness.event(this.harness.arrive(), 0);
+		this.harness.join(DispatchHarness.ENGINES, "far", "dc2");
+		this.harness.leave(near);
+		this.harness.passTime(100);
+		this.harness.join(DispatchHarness.ENGINES, "farther", "dc3");
+		this.harness.evacuations.begin("dc2");
+		this.harness.copied(CopyResult.Outcome.COPIED, "h1");
+		this.harness.passTime(100);
+		assertThat(this.harness.released).contains("near/h1");
+		assertThat(this.harness.copies.get(this.harness.copies.size() - 1).destination().id()).isEqualTo("farther");
+	}
+
+	@Test
+	void aStoppedGenerationDoesNotGoBackToAnEvacuatedDataCentre() {
+		ListedTarget near = this.harness.join(DispatchHarness.ENGINES, "near");
+		this.harness.openStream(1);
+		DispatchHarness.Sent first = this.harness.arrive();
+		this.harness.event(first, 0);
+		this.harness.join(DispatchHarness.ENGINES, "far", "dc2");
+		this.harness.evacuations.begin("dc");
+		this.harness.leave(near);
+		this.harness.passTime(100);
+		this.harness.copied(CopyResult.Outcome.COPIED, "h1");
+		this.harness.breakOff(first);
+		this.harness.copied(CopyResult.Outcome.COPIED, "h1");
+		DispatchHarness.Sent second = this.harness.arrive();
+		assertThat(second.target().id()).isEqualTo("far");
+		this.harness.answer(second, 503, true);
+		assertThat(this.harness.sent).hasSize(2);
+		assertThat(this.harness.answers(1)).contains("cut");
+	}
+
+	@Test
+	void aRequestIsServedInTheRegionsThatRouteAndAccountAllow() {
+		this.harness.join(DispatchHarness.PLAIN, "north");
+		this.harness.join(DispatchHarness.PLAIN, "south", "dc3");
+		this.harness.regions = AllowedRegions.of(List.of("south", "north")).and(AllowedRegions.of(List.of("south")));
+		for (long call = 1; call <= 10; call++) {
+			this.harness.open(call, RequestKind.SAFE, 2);
+		}
+		assertThat(this.harness.sent.stream().map((s) -> s.target().id()).distinct()).containsExactly("south");
+		this.harness.breakOff(this.harness.arrive());
+		assertThat(this.harness.sent).hasSize(10);
+	}
+
+	@Test
+	void aRequestThatMayBeServedInNoRegionThereIsIsRefused() {
+		this.harness.join(DispatchHarness.PLAIN, "north");
+		this.harness.regions = AllowedRegions.of(List.of("north")).and(AllowedRegions.of(List.of("south")));
+		this.harness.open(1, RequestKind.SAFE, 2);
+		assertThat(this.harness.refusals.get(1L).detail()).contains("region");
+		assertThat(this.harness.refusals.get(1L).verdict()).isEqualTo(Verdict.NOT_RUN);
+	}
+
+	@Test
+	void aDataCentreOfUnknownRegionServesOnlyWhatMayBeServedAnywhere() {
+		assertThat(AllowedRegions.of(List.of("north")).allow(Optional.empty())).isFalse();
+		assertThat(AllowedRegions.any().allow(Optional.empty())).isTrue();
+		assertThat(AllowedRegions.of(List.of())).isEqualTo(AllowedRegions.any());
+	}
+
+	@Test
+	void aGenerationMovesWithinItsRegions() {
+		ListedTarget near = this.harness.join(DispatchHarness.ENGINES, "near");
+		this.harness.regions = AllowedRegions.of(List.of("north"));
+		this.harness.openStream(1);
+		this.harness.event(this.harness.arrive(), 0);
+		this.harness.join(DispatchHarness.ENGINES, "south", "dc3");
+		this.harness.leave(near);
+		this.harness.passTime(1_000);
+		assertThat(this.harness.copies).isEmpty();
+		this.harness.join(DispatchHarness.ENGINES, "north2", "dc2");
+		this.harness.passTime(1_000);
+		assertThat(this.harness.copies.get(0).destination().id()).isEqualTo("north2");
+	}
+
+}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/TargetChooserTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/TargetChooserTests.java
@@ -10,11 +10,14 @@
 import java.util.SplittableRandom;
 
 import dev.laneworks.core.directory.DirectoryListener;
+import dev.laneworks.core.directory.EvacuationListener;
+import dev.laneworks.core.directory.Evacuations;
 import dev.laneworks.core.directory.LeavingCause;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.core.mechanism.Mechanisms;
+import dev.laneworks.core.serving.AllowedRegions;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.time.Timers;
 import org.junit.jupiter.api.Test;
@@ -30,15 +33,20 @@
 
 	private static final EngineWork WORK = new EngineWork("m", 3_000, 1_000, OptionalLong.empty(), List.of());
 
-	private final TargetDirectory directory = new TargetDirectory(new Nobody(), new Timers());
+	private static final Scope SCOPE = new Scope("llm", AllowedRegions.any(), Set.of());
+
+	private final Evacuations evacuations = new Evacuations(new NoEvacuations());
+
+	private final TargetDirectory directory = new TargetDirectory(new Nobody(), this.evacuations, new Timers());
 
 	private Map<String, WorkAtTarget> work = Map.of();
 
 	private final TargetBeliefs beliefs = new TargetBeliefs((id) -> Optional.ofNullable(this.work.get(id)),
 			new SplittableRandom(2));
 
-	private final TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, "here",
-			new SplittableRandom(1), Mechanisms.all());
+	private final TargetChooser chooser = new TargetChooser(new Eligibility(this.directory, this.beliefs,
+			new ColdTargets(new ColdBound(1, 0), new Alone(), (s) -> 0, (e) -> {
+			}), Map.of()), this.beliefs, "here", new SplittableRandom(1), Mechanisms.all());
 
 	@Test
 	void takesAnEmptyEngineElsewhereWhereTheOwnDataCentreHasFew() {
@@ -104,11 +112,11 @@
 	}
 
 	private String destination(ListedTarget source) {
-		return this.chooser.chooseDestination(source, ENGINE, 3_000, Set.of(), 0).map(ListedTarget::id).orElse("none");
+		return this.chooser.chooseDestination(source, SCOPE, ENGINE, 3_000, 0).map(ListedTarget::id).orElse("none");
 	}
 
 	private String choose() {
-		return this.chooser.chooseEngine("llm", ENGINE, WORK, Set.of(), 0).map(ListedTarget::id).orElse("none");
+		return this.chooser.chooseEngine(SCOPE, ENGINE, WORK, 0).map(ListedTarget::id).orElse("none");
 	}
 
 	private void join(String id, String dataCentre) {
@@ -124,8 +132,27 @@
 		return new WorkAtTarget(id, 1, tokens, 0, 0, false, 0, false);
 	}
 
+	private static final class Alone implements EntryRanks {
+
+		@Override
+		public int entries() {
+			return 1;
+		}
+
+		@Override
+		public int before(String target) {
+			return 0;
+		}
+
+	}
+
 	private static final class Nobody implements DirectoryListener {
 
+		@Override
+		public void listed(ListedTarget target) {
+			// Not looked at.
+		}
+
 		@Override
 		public void joined(ListedTarget target) {
 			// Not looked at.
@@ -143,4 +170,18 @@
 
 	}
 
+	private static final class NoEvacuations implements EvacuationListener {
+
+		@Override
+		public void evacuated(String dataCentre) {
+			// Not looked at.
+		}
+
+		@Override
+		public void takenBack(String dataCentre) {
+			// Not looked at.
+		}
+
+	}
+
 }
--- a/laneworks-core/src/test/java/dev/laneworks/core/serving/ServingPlanTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/serving/ServingPlanTests.java
@@ -30,7 +30,7 @@
 	@Test
 	void needsKeysOnlyWhereItHasAccounts() {
 		assertThat(plan(List.of()).needsKeys()).isFalse();
-		AccountGrant grant = new AccountGrant("acme", OptionalInt.of(1));
+		AccountGrant grant = new AccountGrant("acme", OptionalInt.of(1), AllowedRegions.any());
 		ServingPlan plan = new ServingPlan(1, List.of(), Map.of(), Map.of("key", grant), LIMITS);
 		assertThat(plan.needsKeys()).isTrue();
 		assertThat(plan.account("key")).isEqualTo(Optional.of(grant));
@@ -40,7 +40,8 @@
 	@Test
 	void splitsARouteByWeight() {
 		RouteSpec route = new RouteSpec("r", "h", "/", RequestKind.SAFE, 1_000, 100, 0, 0, 1, false,
-				List.of(new WeightedService("a", 90), new WeightedService("b", 10), new WeightedService("none", 0)));
+				List.of(new WeightedService("a", 90), new WeightedService("b", 10), new WeightedService("none", 0)),
+				AllowedRegions.any());
 		assertThat(route.serviceAt(0)).isEqualTo("a");
 		assertThat(route.serviceAt(0.899)).isEqualTo("a");
 		assertThat(route.serviceAt(0.901)).isEqualTo("b");
@@ -50,17 +51,17 @@
 	@Test
 	void answersWithTheFirstServiceWhereAllWeightsAreZero() {
 		RouteSpec route = new RouteSpec("r", "h", "/", RequestKind.SAFE, 1_000, 100, 0, 0, 1, false,
-				List.of(new WeightedService("a", 0), new WeightedService("b", 0)));
+				List.of(new WeightedService("a", 0), new WeightedService("b", 0)), AllowedRegions.any());
 		assertThat(route.serviceAt(0.5)).isEqualTo("a");
 	}
 
 	private static ServingPlan plan(List<RouteSpec> routes) {
-		return new ServingPlan(1, routes, Map.of("s", new ServiceSpec("s", 10, Optional.empty())), Map.of(), LIMITS);
+		return new ServingPlan(1, routes, Map.of("s", new ServiceSpec("s", 10, 0, Optional.empty())), Map.of(), LIMITS);
 	}
 
 	private static RouteSpec route(String name, String host, String prefix) {
 		return new RouteSpec(name, host, prefix, RequestKind.SAFE, 1_000, 100, 0, 0, 1, false,
-				List.of(new WeightedService("s", 1)));
+				List.of(new WeightedService("s", 1)), AllowedRegions.any());
 	}
 
 }
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -14,17 +14,21 @@
 import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.directory.DirectoryListener;
+import dev.laneworks.core.directory.EvacuationListener;
 import dev.laneworks.core.directory.LeavingCause;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
+import dev.laneworks.core.dispatch.ColdTargets;
 import dev.laneworks.core.dispatch.DispatchSettings;
 import dev.laneworks.core.dispatch.Dispatcher;
+import dev.laneworks.core.dispatch.Eligibility;
 import dev.laneworks.core.dispatch.RetryWindow;
 import dev.laneworks.core.dispatch.TargetBeliefs;
 import dev.laneworks.core.dispatch.TargetChooser;
 import dev.laneworks.core.gossip.ServiceSpending;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.core.mechanism.Mechanism;
+import dev.laneworks.core.serving.ServiceSpec;
 import dev.laneworks.core.serving.ServingPlan;
 import dev.laneworks.core.time.Timers;
 import dev.laneworks.entry.caller.CallTimes;
@@ -112,6 +116,8 @@
 
 	private final OtherEntries others;
 
+	private final ColdTargets cold;
+
 	private final Dispatcher dispatcher;
 
 	private final FollowedStore store;
@@ -132,6 +138,12 @@
 	/** How many targets are doubted, as it was when it was looked last. */
 	private volatile long doubtedTargets;
 
+	/** How many targets are cold, as it was when it was looked last. */
+	private volatile long coldTargets;
+
+	/** How many data centres are evacuated. */
+	private volatile int evacuatedDataCentres;
+
 	private final PlannedStop plannedStop;
 
 	/**
@@ -157,13 +169,16 @@
 		this.retries = new RetryWindow(settings.retryWindowMillis(), settings.retryRatio(), settings.ownRetryExtra(1),
 				settings.retryExtra(), this::spendingOfOthers);
 		this.others = new OtherEntries(settings, this.beliefs, this.retries, this.loop, random, this.audit);
-		this.store = new FollowedStore(adapter.source(), settings.follow(), new Members(), this::use,
+		Members members = new Members();
+		this.store = new FollowedStore(adapter.source(), settings.follow(), members, members, this::use,
 				this.others.reading(), timers, random, new DefaultBackgroundWork(thread), this.audit);
 		this.directory = this.store.directory();
-		TargetChooser chooser = new TargetChooser(this.directory, this.beliefs, settings.dataCentre(), random,
+		this.cold = new ColdTargets(settings.coldBound(), this.others, this::coldPerSecond, this.audit);
+		Eligibility eligibility = new Eligibility(this.directory, this.beliefs, this.cold, settings.regions());
+		TargetChooser chooser = new TargetChooser(eligibility, this.beliefs, settings.dataCentre(), random,
 				settings.mechanisms());
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(settings.mechanisms()), this.directory, this.beliefs,
-				chooser, this.others, this.retries, timers, calls, this.audit);
+				eligibility, chooser, this.others, this.retries, timers, calls, this.audit);
 		calls.use(this.dispatcher);
 		this.handover = new StateHandover(this.store.follower(), this.others, this.loop, this.audit);
 		this.others.onState(this.handover);
@@ -291,6 +306,7 @@
 	// for a while.
 	private void shareRetries(int entriesBefore) {
 		this.doubtedTargets = this.beliefs.doubted(this.loop.now());
+		this.coldTargets = this.cold.count(this.loop.now());
 		int entries = Math.max(this.others.count() + 1, entriesBefore - 1);
 		this.retries.allow(this.inForce.retryRatio(), this.inForce.ownRetryExtra(entries));
 		this.loop.timers().at(this.loop.now() + SHARE_MILLIS, (t) -> shareRetries(entries));
@@ -335,6 +351,14 @@
 				? this.others.spending(service, windowMillis, now) : Optional.empty();
 	}
 
+	private double coldPerSecond(String service) {
+		return this.store.published()
+			.plan()
+			.flatMap((p) -> p.service(service))
+			.map(ServiceSpec::coldPerSecond)
+			.orElse(0.0);
+	}
+
 	private void use(ServingPlan inForce) {
 		this.dispatcher.use(inForce);
 	}
@@ -351,6 +375,8 @@
 		this.metrics.register("laneworks_targets", (Gauge<Integer>) this.directory::size);
 		this.metrics.register("laneworks_targets_lapsed", (Gauge<Integer>) this.directory::lapsed);
 		this.metrics.register("laneworks_targets_doubted", (Gauge<Long>) () -> this.doubtedTargets);
+		this.metrics.register("laneworks_targets_cold", (Gauge<Long>) () -> this.coldTargets);
+		this.metrics.register("laneworks_data_centres_evacuated", (Gauge<Integer>) () -> this.evacuatedDataCentres);
 		this.metrics.register("laneworks_peers", (Gauge<Integer>) this.others::count);
 		for (AuditKind kind : AuditKind.values()) {
 			this.metrics.counter(counterName(kind));
@@ -363,9 +389,34 @@
 	}
 
 	/**
-	 * Tells the rest of the entry of targets that come and go.
+	 * Tells the rest of the entry of targets that come and go, and of data centres that
+	 * are evacuated.
 	 */
-	private final class Members implements DirectoryListener {
+	private final class Members implements DirectoryListener, EvacuationListener {
+
+		@Override
+		public void evacuated(String dataCentre) {
+			long there = targetsIn(dataCentre);
+			record(dataCentre, "evacuated: nothing more goes to its " + there + " targets"
+					+ ((there > 0) ? "" : ", none of which is known"));
+			DirectEntry.this.evacuatedDataCentres = DirectEntry.this.store.evacuations().count();
+			DirectEntry.this.dispatcher.evacuated(dataCentre, DirectEntry.this.loop.now());
+		}
+
+		@Override
+		public void takenBack(String dataCentre) {
+			DirectEntry.this.evacuatedDataCentres = DirectEntry.this.store.evacuations().count();
+			record(dataCentre, "taken back: its " + targetsIn(dataCentre) + " targets take work again");
+		}
+
+		private long targetsIn(String dataCentre) {
+			return DirectEntry.this.directory.all().stream().filter((t) -> t.dataCentre().equals(dataCentre)).count();
+		}
+
+		@Override
+		public void listed(ListedTarget target) {
+			target.coldMillis().ifPresent((c) -> DirectEntry.this.cold.told(target, c, DirectEntry.this.loop.now()));
+		}
 
 		@Override
 		public void joined(ListedTarget target) {
@@ -384,12 +435,17 @@
 		public void gone(ListedTarget target) {
 			record(target, "gone");
 			DirectEntry.this.beliefs.forget(target.id());
+			DirectEntry.this.cold.forget(target.id());
 		}
 
 		private void record(ListedTarget target, String cause) {
 			DirectEntry.this.audit.record(AuditEvent.of(AuditKind.MEMBERSHIP, target.id(), target.id(), cause));
 		}
 
+		private void record(String dataCentre, String cause) {
+			DirectEntry.this.audit.record(AuditEvent.of(AuditKind.EVACUATION, dataCentre, "", cause));
+		}
+
 	}
 
 }
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
@@ -13,6 +13,7 @@
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.dispatch.DirectRequest;
 import dev.laneworks.core.serving.AccountGrant;
+import dev.laneworks.core.serving.AllowedRegions;
 import dev.laneworks.core.serving.RequestLimits;
 import dev.laneworks.core.serving.RouteSpec;
 import dev.laneworks.core.serving.ServingPlan;
@@ -232,8 +233,11 @@
 		long patience = admitted.facts().patienceMillis().orElse(route.timeoutMillis());
 		long left = Math.max(1, patience - (this.loop.now() - arrived));
 		String account = admitted.account().map(AccountGrant::account).orElse("");
+		AllowedRegions regions = admitted.account()
+			.map((a) -> a.regions().and(route.regions()))
+			.orElse(route.regions());
 		DirectRequest direct = new DirectRequest(admitted.facts().id(), route,
-				route.serviceAt(this.random.nextDouble()), account, left, admitted.facts().work());
+				route.serviceAt(this.random.nextDouble()), account, left, regions, admitted.facts().work());
 		this.openAnswers++;
 		request.exchange().addExchangeCompleteListener((e, next) -> {
 			this.openAnswers--;
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
@@ -2,7 +2,10 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
 
+import dev.laneworks.core.dispatch.ColdBound;
 import dev.laneworks.core.document.DocumentObject;
 import dev.laneworks.core.follow.FollowSettings;
 import dev.laneworks.core.mechanism.Mechanisms;
@@ -13,6 +16,7 @@
  *
  * @param instance the instance's name
  * @param dataCentre the data centre that it is in
+ * @param regions the region of each data centre
  * @param callers where callers connect
  * @param readiness where the platform asks for readiness
  * @param operators where operators and scrapers connect
@@ -25,6 +29,7 @@
  * @param retryRatio the repeated sendings that the fleet may make for each request
  * @param retryExtra the repeated sendings that the fleet may make besides
  * @param retryExtraShare the part of them that all entries together spend, from 0 to 1
+ * @param coldBound how far the fleet may go beyond what a cold target bears
  * @param graceMillis the time from the order to stop to the end of the process
  * @param takeAllMillis how long after the order to stop all requests are taken; later
  * ones only where the time left is enough for them
@@ -33,10 +38,11 @@
  * @param mechanisms what is used of the mechanisms that can be switched off
  * @since 0.2
  */
-public record DirectSettings(String instance, String dataCentre, InetSocketAddress callers, InetSocketAddress readiness,
-		InetSocketAddress operators, InetSocketAddress news, List<String> seeds, InetSocketAddress store,
-		FollowSettings follow, long retryWindowMillis, double retryRatio, double retryExtra, double retryExtraShare,
-		long graceMillis, long takeAllMillis, long startHoldMillis, Mechanisms mechanisms) {
+public record DirectSettings(String instance, String dataCentre, Map<String, String> regions, InetSocketAddress callers,
+		InetSocketAddress readiness, InetSocketAddress operators, InetSocketAddress news, List<String> seeds,
+		InetSocketAddress store, FollowSettings follow, long retryWindowMillis, double retryRatio, double retryExtra,
+		double retryExtraShare, ColdBound coldBound, long graceMillis, long takeAllMillis, long startHoldMillis,
+		Mechanisms mechanisms) {
 
 	/**
 	 * How long the store may hold a watch; see {@link FollowSettings}.
@@ -92,12 +98,13 @@
 		FollowSettings follow = new FollowSettings(store.integer("waitMillis", 1, ONE_MINUTE, WAIT_MILLIS),
 				store.integer("answerMillis", 1, ONE_MINUTE, ANSWER_MILLIS),
 				store.integer("gapMillis", 0, ONE_MINUTE, GAP_MILLIS));
-		return new DirectSettings(root.text("instance"), root.text("dataCentre"), Addresses.address(root, "callers"),
-				Addresses.address(root, "readiness"), Addresses.address(root, "operators"),
-				Addresses.address(root, "news"), root.texts("seeds"), Addresses.address(store, "address"), follow,
+		return new DirectSettings(root.text("instance"), root.text("dataCentre"), regions(root),
+				Addresses.address(root, "callers"), Addresses.address(root, "readiness"),
+				Addresses.address(root, "operators"), Addresses.address(root, "news"), root.texts("seeds"),
+				Addresses.address(store, "address"), follow,
 				millis(retries.number("windowSeconds", MIN_SECONDS, MAX_SECONDS, 10)),
 				retries.number("ratio", 0, 1, 0.1), retries.number("extra", 0, MAX_REPEATS, 0),
-				retries.number("extraShare", 0, 1, EXTRA_SHARE),
+				retries.number("extraShare", 0, 1, EXTRA_SHARE), coldBound(root),
 				millis(root.number("graceSeconds", MIN_SECONDS, MAX_SECONDS, 8)),
 				root.integer("takeAllMillis", 0, ONE_MINUTE, TAKE_ALL_MILLIS),
 				root.integer("startHoldMillis", 0, ONE_MINUTE, START_HOLD_MILLIS), Mechanisms.read(root, "off"));
@@ -120,10 +127,24 @@
 	 * @return whether nothing else differs
 	 */
 	public boolean equalsButForRetryBounds(DirectSettings other) {
-		return equals(new DirectSettings(other.instance, other.dataCentre, other.callers, other.readiness,
-				other.operators, other.news, other.seeds, other.store, other.follow, other.retryWindowMillis,
-				this.retryRatio, this.retryExtra, this.retryExtraShare, other.graceMillis, other.takeAllMillis,
-				other.startHoldMillis, other.mechanisms));
+		return equals(new DirectSettings(other.instance, other.dataCentre, other.regions, other.callers,
+				other.readiness, other.operators, other.news, other.seeds, other.store, other.follow,
+				other.retryWindowMillis, this.retryRatio, this.retryExtra, this.retryExtraShare, other.coldBound,
+				other.graceMillis, other.takeAllMillis, other.startHoldMillis, other.mechanisms));
+	}
+
+	private static Map<String, String> regions(DocumentObject root) {
+		return root.objects("dataCentres")
+			.stream()
+			.collect(Collectors.toMap((d) -> d.text("name"), (d) -> d.text("region"), (a, b) -> b));
+	}
+
+	private static ColdBound coldBound(DocumentObject root) {
+		if (!root.has("coldTargets")) {
+			return new ColdBound(1, 0);
+		}
+		DocumentObject cold = root.object("coldTargets");
+		return new ColdBound(cold.number("overage", 0, MAX_REPEATS, 1), cold.number("slack", 0, MAX_REPEATS, 0));
 	}
 
 	private static long millis(double seconds) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EngineInquiry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EngineInquiry.java
@@ -49,7 +49,7 @@
 
 	private List<ListedTarget> engines() {
 		TargetDirectory directory = this.store.directory();
-		return directory.all().stream().filter((t) -> directory.takesWork(t.id()) && isEngine(t)).toList();
+		return directory.all().stream().filter((t) -> directory.isStaying(t.id()) && isEngine(t)).toList();
 	}
 
 	private boolean isEngine(ListedTarget target) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/FollowedStore.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/FollowedStore.java
@@ -6,6 +6,8 @@
 
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.DirectoryListener;
+import dev.laneworks.core.directory.EvacuationListener;
+import dev.laneworks.core.directory.Evacuations;
 import dev.laneworks.core.directory.TargetDirectory;
 import dev.laneworks.core.follow.FollowSettings;
 import dev.laneworks.core.follow.SharedReading;
@@ -16,8 +18,8 @@
 import dev.laneworks.runtime.http.BackgroundWork;
 
 /**
- * The platform's store as this entry follows it, with the plan and the targets that stand
- * in it.
+ * The platform's store as this entry follows it, with the plan, the targets and the
+ * evacuations that stand in it.
  * <p>
  * An entry that follows the store, or hears one that does, holds just the targets that
  * the store lists, at the latest 8.2 s after the last fault: a watch whose answer was
@@ -31,6 +33,8 @@
 	/** The longest wait before the store is asked again, however often it failed. */
 	private static final Duration LONGEST_WAIT = Duration.ofMillis(800);
 
+	private final Evacuations evacuations;
+
 	private final TargetDirectory directory;
 
 	private final PlanAndTargets published;
@@ -42,6 +46,7 @@
 	 * @param source the store
 	 * @param settings the times that it is asked by
 	 * @param members hears of targets that come and go
+	 * @param evacuationListener hears of data centres that are evacuated and taken back
 	 * @param inForce takes each plan that comes into force
 	 * @param reading shares the reading with other entries
 	 * @param timers what is due later
@@ -50,10 +55,11 @@
 	 * @param audit takes what was believed and why
 	 */
 	FollowedStore(ServingSource source, FollowSettings settings, DirectoryListener members,
-			Consumer<ServingPlan> inForce, SharedReading reading, Timers timers, RandomGenerator random,
-			BackgroundWork background, AuditSink audit) {
-		this.directory = new TargetDirectory(members, timers);
-		this.published = new PlanAndTargets(source, this.directory, inForce, audit, background);
+			EvacuationListener evacuationListener, Consumer<ServingPlan> inForce, SharedReading reading, Timers timers,
+			RandomGenerator random, BackgroundWork background, AuditSink audit) {
+		this.evacuations = new Evacuations(evacuationListener);
+		this.directory = new TargetDirectory(members, this.evacuations, timers);
+		this.published = new PlanAndTargets(source, this.directory, this.evacuations, inForce, audit, background);
 		this.follower = new StoreFollower(settings, source.calls(this::follower), this.published, timers,
 				new Backoff(FIRST_WAIT, LONGEST_WAIT, random), reading);
 	}
@@ -62,6 +68,10 @@
 		return this.directory;
 	}
 
+	Evacuations evacuations() {
+		return this.evacuations;
+	}
+
 	PlanAndTargets published() {
 		return this.published;
 	}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
@@ -12,6 +12,7 @@
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.dispatch.CopyTurn;
+import dev.laneworks.core.dispatch.EntryRanks;
 import dev.laneworks.core.dispatch.RetryWindow;
 import dev.laneworks.core.dispatch.TargetBeliefs;
 import dev.laneworks.core.follow.SharedReading;
@@ -37,7 +38,7 @@
  * those of the same data centre what was read of the platform's store. Used on the I/O
  * thread alone, but for {@link #listen} and {@link #count()}.
  */
-final class OtherEntries implements GossipOutputs, CopyTurn {
+final class OtherEntries implements GossipOutputs, CopyTurn, EntryRanks {
 
 	private final Mechanisms mechanisms;
 
@@ -167,6 +168,16 @@
 		return this.gossip.spendingOfOthers(service, windowMillis, now);
 	}
 
+	@Override
+	public int entries() {
+		return this.gossip.peers() + 1;
+	}
+
+	@Override
+	public int before(String target) {
+		return this.gossip.before(target);
+	}
+
 	@Override
 	public boolean isOurs(ListedTarget source, long sinceNotice, long now) {
 		return !this.mechanisms.use(Mechanism.COPY_TURNS) || this.gossip.isFirstToMove(source.id(), sinceNotice, now);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
@@ -8,6 +8,7 @@
 import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
+import dev.laneworks.core.directory.Evacuations;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
 import dev.laneworks.core.follow.FollowListener;
@@ -18,7 +19,8 @@
 import io.vavr.control.Either;
 
 /**
- * Keeps the plan in force and the directory of targets as the store tells them.
+ * Keeps the plan in force, the directory of targets and the evacuations as the store
+ * tells them.
  * <p>
  * Only a plan with a higher version replaces the one in force, so that a late or repeated
  * read changes nothing.
@@ -37,6 +39,8 @@
 
 	private final TargetDirectory directory;
 
+	private final Evacuations evacuations;
+
 	private final Consumer<ServingPlan> inForce;
 
 	private final AuditSink audit;
@@ -47,10 +51,11 @@
 
 	private boolean hasRead;
 
-	PlanAndTargets(ServingSource source, TargetDirectory directory, Consumer<ServingPlan> inForce, AuditSink audit,
-			BackgroundWork background) {
+	PlanAndTargets(ServingSource source, TargetDirectory directory, Evacuations evacuations,
+			Consumer<ServingPlan> inForce, AuditSink audit, BackgroundWork background) {
 		this.source = source;
 		this.directory = directory;
+		this.evacuations = evacuations;
 		this.inForce = inForce;
 		this.audit = audit;
 		this.background = background;
@@ -68,6 +73,11 @@
 	@Override
 	public void all(List<StoreItem> items, long now) {
 		List<ListedTarget> targets = new ArrayList<>();
+		// Before the targets, so that work goes to none that is not to be sent any.
+		this.evacuations.replaceAll(items.stream()
+			.map((i) -> this.source.evacuatedDataCentre(i.key()))
+			.filter((d) -> !d.isEmpty())
+			.toList());
 		for (StoreItem item : items) {
 			if (this.source.isPlan(item.key())) {
 				takePlan(item);
@@ -87,6 +97,7 @@
 
 	private void take(List<StoreChange> changes, long now) {
 		for (StoreChange change : changes) {
+			takeEvacuation(change);
 			String id = this.source.targetId(change.key());
 			if (change.item().isEmpty()) {
 				if (!id.isEmpty()) {
@@ -102,6 +113,20 @@
 		}
 	}
 
+	// What stands under the key does not matter: it asks for as long as it is there.
+	private void takeEvacuation(StoreChange change) {
+		String dataCentre = this.source.evacuatedDataCentre(change.key());
+		if (dataCentre.isEmpty()) {
+			return;
+		}
+		if (change.item().isPresent()) {
+			this.evacuations.begin(dataCentre);
+		}
+		else {
+			this.evacuations.end(dataCentre);
+		}
+	}
+
 	@Override
 	public void lost(String cause) {
 		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "", "out of reach: " + cause));
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/ServingSource.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/ServingSource.java
@@ -38,6 +38,13 @@
 	 */
 	String targetId(String key);
 
+	/**
+	 * Return the data centre that a key, while it stands in the store, asks to evacuate.
+	 * @param key the key
+	 * @return the data centre, or empty text if the key asks for no evacuation
+	 */
+	String evacuatedDataCentre(String key);
+
 	/**
 	 * Read the plan.
 	 * @param item the item
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipTests.java
@@ -23,6 +23,8 @@
 
 	private static final int SEEDS = 1_500;
 
+	private static final int EVACUATION_SEEDS = 500;
+
 	private static final int STEPS = 60;
 
 	@Test
@@ -103,6 +105,44 @@
 		}
 	}
 
+	@Test
+	void evacuationsConvergeAfterAnyOrderOfFaults() {
+		for (long seed = 0; seed < EVACUATION_SEEDS; seed++) {
+			Play play = new Play(seed);
+			play.evacuates = true;
+			play.run();
+		}
+	}
+
+	@Test
+	void anEvacuationAndItsEndAreKnownToAllEntriesWithinASecond() {
+		MembershipWorld world = new MembershipWorld(1, 9, 2);
+		world.newsLost = 100;
+		world.list("a", "10.0.0.1", false);
+		world.start();
+		world.entries.get(0).turnedAway = true;
+		world.evacuate("dc");
+		world.pass(1_000);
+		world.entries.forEach((e) -> assertThat(e.store.directory().takesWork("a")).isFalse());
+		world.takeBack("dc");
+		world.pass(1_000);
+		world.entries.forEach((e) -> assertThat(e.store.directory().takesWork("a")).isTrue());
+	}
+
+	@Test
+	void anEvacuationAskedForWhileTheStoreIsSilentIsKnownBehindItsReturn() {
+		MembershipWorld world = new MembershipWorld(1, 4, 1);
+		world.list("a", "10.0.0.1", false);
+		world.start();
+		world.storeDown();
+		world.pass(3_000);
+		world.evacuate("dc");
+		world.forgetHistory();
+		world.storeUp();
+		world.pass(3_000);
+		world.entries.forEach((e) -> assertThat(e.store.directory().takesWork("a")).isFalse());
+	}
+
 	/**
 	 * One seeded order of events.
 	 */
@@ -116,6 +156,11 @@
 
 		private final List<String> live = new ArrayList<>();
 
+		/** Whether data centres are evacuated and taken back, by a random of its own. */
+		private boolean evacuates;
+
+		private final SplittableRandom evacuations;
+
 		private boolean lapsedAny;
 
 		private int ids;
@@ -123,6 +168,7 @@
 		Play(long seed) {
 			this.seed = seed;
 			this.random = new SplittableRandom(seed);
+			this.evacuations = new SplittableRandom(~seed);
 			this.world = (seed % 4 == 0) ? new MembershipWorld(seed, 9, 2)
 					: new MembershipWorld(seed, 1 + (int) (seed % 5), 1);
 			this.world.newsLost = this.random.nextInt(4) * 100;
@@ -135,6 +181,7 @@
 			this.world.start();
 			for (int i = 0; i < STEPS; i++) {
 				step();
+				evacuate();
 				this.world.pass(this.random.nextInt(300));
 			}
 			this.world.entries.forEach((e) -> e.turnedAway = false);
@@ -149,6 +196,8 @@
 			for (MembershipWorld.Entry entry : this.world.entries) {
 				assertWithMessage("seed %s, entry %s", this.seed, entry.name).that(entry.knownIds())
 					.isEqualTo(this.world.listedIds());
+				assertWithMessage("seed %s, entry %s, evacuated", this.seed, entry.name).that(entry.evacuated)
+					.isEqualTo(this.world.evacuated());
 				if (!this.lapsedAny) {
 					entry.joined.forEach(
 							(id, times) -> assertWithMessage("seed %s, entry %s, %s joined", this.seed, entry.name, id)
@@ -158,6 +207,19 @@
 			}
 		}
 
+		private void evacuate() {
+			if (!this.evacuates) {
+				return;
+			}
+			String dataCentre = "dc" + this.evacuations.nextInt(3);
+			switch (this.evacuations.nextInt(6)) {
+				case 0 -> this.world.evacuate(dataCentre);
+				case 1 -> this.world.takeBack(dataCentre);
+				default -> {
+				}
+			}
+		}
+
 		private void step() {
 			switch (this.random.nextInt(12)) {
 				case 0, 1, 2 -> join();
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipWorld.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipWorld.java
@@ -16,6 +16,7 @@
 import java.util.stream.Collectors;
 
 import dev.laneworks.core.directory.DirectoryListener;
+import dev.laneworks.core.directory.EvacuationListener;
 import dev.laneworks.core.directory.LeavingCause;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.follow.FollowOutputs;
@@ -38,6 +39,8 @@
 
 	static final FollowSettings SETTINGS = new FollowSettings(4_000, 700, 60);
 
+	private static final String EVACUATIONS = "evacuate/";
+
 	private static final long STORE_MILLIS = 4;
 
 	final Timers timers = new Timers();
@@ -49,6 +52,9 @@
 	/** All that stands in the store: the address of each target that is listed. */
 	private final TreeMap<String, String> listed = new TreeMap<>();
 
+	/** The data centres that are to be evacuated. */
+	private final Set<String> evacuated = new TreeSet<>();
+
 	private final List<StoreChange> history = new ArrayList<>();
 
 	/** Entries that lapsed though their targets live: they come back with the store. */
@@ -104,6 +110,26 @@
 		write(new StoreChange("servers/" + id, Optional.empty(), ++this.revision));
 	}
 
+	void evacuate(String dataCentre) {
+		if (this.evacuated.add(dataCentre)) {
+			write(new StoreChange(EVACUATIONS + dataCentre, Optional.of(evacuation(dataCentre)), ++this.revision));
+		}
+	}
+
+	void takeBack(String dataCentre) {
+		if (this.evacuated.remove(dataCentre)) {
+			write(new StoreChange(EVACUATIONS + dataCentre, Optional.empty(), ++this.revision));
+		}
+	}
+
+	Set<String> evacuated() {
+		return new TreeSet<>(this.evacuated);
+	}
+
+	private static StoreItem evacuation(String dataCentre) {
+		return new StoreItem(EVACUATIONS + dataCentre, "{}");
+	}
+
 	// A target that lives loses its entry; it lists itself again soon after the store is
 	// back.
 	void lapse(String id) {
@@ -154,6 +180,7 @@
 	private List<StoreItem> items() {
 		List<StoreItem> all = new ArrayList<>();
 		all.add(new StoreItem("plan", "1"));
+		this.evacuated.forEach((d) -> all.add(evacuation(d)));
 		this.listed.keySet().forEach((id) -> all.add(item(id)));
 		return all;
 	}
@@ -185,7 +212,7 @@
 	/**
 	 * One entry's view of the store.
 	 */
-	final class Entry implements DirectoryListener {
+	final class Entry implements DirectoryListener, EvacuationListener {
 
 		static final Comparator<Entry> FIRST_BY_RANK = Comparator
 			.comparing((e) -> SharedReading.rank(e.dataCentre, e.name), (a, b) -> Long.compareUnsigned(b, a));
@@ -201,6 +228,9 @@
 
 		final Set<String> takingWork = new HashSet<>();
 
+		/** The data centres that are evacuated, as this entry was told. */
+		final Set<String> evacuated = new TreeSet<>();
+
 		/** Whether the store turns this entry away. */
 		boolean turnedAway;
 
@@ -211,7 +241,7 @@
 			this.dataCentre = dataCentre;
 			this.reading = new SharedReading(name, dataCentre, this::others,
 					(n) -> MembershipWorld.this.tellNear(this, n), (n) -> MembershipWorld.this.tellFarAway(this, n));
-			this.store = new FollowedStore(new Source(this), SETTINGS, this, (p) -> {
+			this.store = new FollowedStore(new Source(this), SETTINGS, this, this, (p) -> {
 			}, this.reading, MembershipWorld.this.timers, MembershipWorld.this.random.split(), new AtOnce(), (e) -> {
 			});
 		}
@@ -239,6 +269,21 @@
 			this.store.follower().told(news, MembershipWorld.this.now);
 		}
 
+		@Override
+		public void evacuated(String dataCentre) {
+			this.evacuated.add(dataCentre);
+		}
+
+		@Override
+		public void takenBack(String dataCentre) {
+			this.evacuated.remove(dataCentre);
+		}
+
+		@Override
+		public void listed(ListedTarget target) {
+			// Not looked at.
+		}
+
 		@Override
 		public void joined(ListedTarget target) {
 			this.joined.merge(target.id(), 1, Integer::sum);
@@ -353,6 +398,11 @@
 			return key.startsWith("servers/") ? key.substring("servers/".length()) : "";
 		}
 
+		@Override
+		public String evacuatedDataCentre(String key) {
+			return key.startsWith(EVACUATIONS) ? key.substring(EVACUATIONS.length()) : "";
+		}
+
 		@Override
 		public Either<String, ServingPlan> plan(StoreItem item) {
 			return Either.left("no plan is needed here");
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlanAndTargetsTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlanAndTargetsTests.java
@@ -8,6 +8,8 @@
 import java.util.function.Supplier;
 
 import dev.laneworks.core.directory.DirectoryListener;
+import dev.laneworks.core.directory.EvacuationListener;
+import dev.laneworks.core.directory.Evacuations;
 import dev.laneworks.core.directory.LeavingCause;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
@@ -35,8 +37,11 @@
 
 	private final List<Long> inForce = new ArrayList<>();
 
+	private final Evacuations evacuations = new Evacuations(new NoEvacuations());
+
 	private final PlanAndTargets published = new PlanAndTargets(new Plans(),
-			new TargetDirectory(new Nobody(), new Timers()), (p) -> this.inForce.add(p.version()), (e) -> {
+			new TargetDirectory(new Nobody(), this.evacuations, new Timers()), this.evacuations,
+			(p) -> this.inForce.add(p.version()), (e) -> {
 			}, new Later());
 
 	@Test
@@ -98,6 +103,11 @@
 			return "";
 		}
 
+		@Override
+		public String evacuatedDataCentre(String key) {
+			return key.startsWith("evacuate/") ? key.substring("evacuate/".length()) : "";
+		}
+
 		@Override
 		public Either<String, ServingPlan> plan(StoreItem item) {
 			return Either.right(new ServingPlan(Long.parseLong(item.value().trim()), List.of(), Map.of(), Map.of(),
@@ -118,6 +128,11 @@
 
 	private static final class Nobody implements DirectoryListener {
 
+		@Override
+		public void listed(ListedTarget target) {
+			// Not looked at.
+		}
+
 		@Override
 		public void joined(ListedTarget target) {
 			// Nobody listens.
@@ -135,4 +150,18 @@
 
 	}
 
+	private static final class NoEvacuations implements EvacuationListener {
+
+		@Override
+		public void evacuated(String dataCentre) {
+			// Not looked at.
+		}
+
+		@Override
+		public void takenBack(String dataCentre) {
+			// Not looked at.
+		}
+
+	}
+
 }
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlannedStopTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlannedStopTests.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 
 import dev.laneworks.core.dispatch.EngineWork;
+import dev.laneworks.core.serving.AllowedRegions;
 import dev.laneworks.core.serving.RequestKind;
 import dev.laneworks.core.serving.RouteSpec;
 import dev.laneworks.core.serving.WeightedService;
@@ -54,7 +55,7 @@
 
 	private static RouteSpec route(RequestKind kind, long goalMillis) {
 		return new RouteSpec("r", "h", "/", kind, 39_000, goalMillis, 180, 1, 1, false,
-				List.of(new WeightedService("s", 1)));
+				List.of(new WeightedService("s", 1)), AllowedRegions.any());
 	}
 
 }
