Refuse a generation only where the engine with the most room is too full

The engine with the most room decides now, and takes the generation where it would begin it.

Red first: aGenerationGoesWhereThereIsRoomThoughAnotherEngineWouldReadItSooner.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -74,6 +74,11 @@
 		return this.chooser.choosePlain(call.scope(), now);
 	}
 
+	// The engine with the most room for a call's generation.
+	Optional<ListedTarget> chooseLeastFull(DirectCall call, EngineSpec engine, long now) {
+		return this.chooser.chooseLeastFull(call.scope(), engine, now);
+	}
+
 	/**
 	 * Return how full an engine's memory would be with a call's generation.
 	 * @param call the call
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Offers.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Offers.java
@@ -84,11 +84,15 @@
 			this.ending.refuse(call, RefusalReason.NO_TARGET, this.sender.shortage(call, now), now);
 			return;
 		}
-		OptionalLong hopeless = comeBackMillis(call, target.get(), now);
-		if (hopeless.isPresent()) {
-			this.ending.refuse(call, RefusalReason.OVERLOADED,
-					Shortage.until("no engine would begin the generation in time", hopeless.getAsLong()), now);
-			return;
+		Optional<EngineSpec> engine = this.engines.apply(call).filter((e) -> isBounded(call));
+		if (engine.isPresent() && comeBackMillis(call, target.get(), engine.get(), now).isPresent()) {
+			target = this.sender.chooseLeastFull(call, engine.get(), now);
+			OptionalLong comeBack = comeBackMillis(call, target.get(), engine.get(), now);
+			if (comeBack.isPresent()) {
+				this.ending.refuse(call, RefusalReason.OVERLOADED,
+						Shortage.until("no engine would begin the generation in time", comeBack.getAsLong()), now);
+				return;
+			}
 		}
 		if (call.arrivals() > 0 && !this.retries.tryTake(call.request().service(), now)) {
 			this.ending.refuse(call, RefusalReason.OVERLOADED, "the budget for repeated sendings is spent", now);
@@ -97,13 +101,14 @@
 		call.use(begin(call, target.get(), Optional.empty(), now));
 	}
 
-	// When the caller may come back of a generation that no engine would begin in time.
-	private OptionalLong comeBackMillis(DirectCall call, ListedTarget best, long now) {
-		Optional<EngineSpec> engine = this.engines.apply(call);
-		if (!this.refusesHopeless || engine.isEmpty() || call.request().work().isEmpty()) {
-			return OptionalLong.empty();
-		}
-		return this.admission.comeBackMillis(this.sender.fullnessWith(call, best, engine.get(), now),
+	private boolean isBounded(DirectCall call) {
+		return this.refusesHopeless && call.request().work().isPresent();
+	}
+
+	// When the caller may come back of a generation that an engine would not begin in
+	// time.
+	private OptionalLong comeBackMillis(DirectCall call, ListedTarget target, EngineSpec engine, long now) {
+		return this.admission.comeBackMillis(this.sender.fullnessWith(call, target, engine, now),
 				call.request().route().priority(), call.request().route().goalMillis(), call.dueAt() - now);
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -159,6 +159,17 @@
 		return lowest(engines, (t) -> engineScore(t, engine, tokens, this.dataCentre, distance, now));
 	}
 
+	/**
+	 * Choose the engine whose memory is the least full, whatever else speaks for others.
+	 * @param scope which engines come into question
+	 * @param engine what they can do
+	 * @param now the time in milliseconds
+	 * @return the engine, or empty if there is none left
+	 */
+	public Optional<ListedTarget> chooseLeastFull(Scope scope, EngineSpec engine, long now) {
+		return lowest(candidates(scope, now), (t) -> fullness(t, engine, now));
+	}
+
 	private boolean hasEnoughNear(List<ListedTarget> engines) {
 		return engines.stream().filter((t) -> t.dataCentre().equals(this.dataCentre)).count() >= ENOUGH_NEAR;
 	}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/EngineAdmissionTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/EngineAdmissionTests.java
@@ -63,4 +63,16 @@
 		assertThat(harness.sent).hasSize(1);
 	}
 
+	@Test
+	void aGenerationGoesWhereThereIsRoomThoughAnotherEngineWouldReadItSooner() {
+		DispatchHarness harness = DispatchHarness.create();
+		harness.join(DispatchHarness.ENGINES, "full");
+		harness.join(DispatchHarness.ENGINES, "reading");
+		harness.others.put("full", new WorkAtTarget("full", 12, 45_000, 0, 0, false, 0, false));
+		harness.others.put("reading", new WorkAtTarget("reading", 4, 20_000, 12_000, 0, false, 0, false));
+		harness.openStream(1);
+		assertThat(harness.refusals).isEmpty();
+		assertThat(harness.sent.get(0).target().id()).isEqualTo("reading");
+	}
+
 }
