Log what an entry missed, that it is behind, and how old an order to stop may be

Needed to tell hypotheses apart for two reported faults: whether an entry was told of a change or found it out by reading all items anew, that others know of changes it has not read, and whether the process was held up when it heard an order to stop. No decision changes.

--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/FollowListener.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/FollowListener.java
@@ -23,6 +23,21 @@
 	 */
 	void changed(List<StoreChange> changes, long now);
 
+	/**
+	 * Hear what a reading of all items found that this process had not heard of, before
+	 * the items are passed on.
+	 * @param missed the changes, as if made at the revision that was read
+	 */
+	void missed(List<StoreChange> missed);
+
+	/**
+	 * Hear that others know of changes that this process has not read yet, the first time
+	 * and when it has caught up.
+	 * @param known the revision up to which this process knows all changes
+	 * @param told the revision that others told of
+	 */
+	void behind(long known, long told);
+
 	/**
 	 * Hear that the store is out of reach.
 	 * @param cause what was seen
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/KnownItems.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/KnownItems.java
@@ -5,9 +5,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.TreeSet;
 
 /**
  * The items of a store as one process knows them: all up to a revision, and single
@@ -52,6 +55,29 @@
 		return List.copyOf(known.values());
 	}
 
+	/**
+	 * Return how all items, read anew, differ from those known here.
+	 * @param all the items
+	 * @param at the revision that they belong to at least
+	 * @return the changes that were missed, as if made at the revision; none for keys of
+	 * which a later change was heard
+	 */
+	List<StoreChange> missedOf(Collection<StoreItem> all, long at) {
+		Map<String, StoreItem> before = new TreeMap<>(this.held);
+		this.ahead.values().forEach((c) -> apply(c, before));
+		Map<String, StoreItem> read = new TreeMap<>();
+		all.forEach((i) -> read.put(i.key(), i));
+		Set<String> keys = new TreeSet<>(before.keySet());
+		keys.addAll(read.keySet());
+		List<StoreChange> missed = new ArrayList<>();
+		for (String key : keys) {
+			if (revisionAhead(key) <= at && !Objects.equals(before.get(key), read.get(key))) {
+				missed.add(new StoreChange(key, Optional.ofNullable(read.get(key)), at));
+			}
+		}
+		return missed;
+	}
+
 	/**
 	 * Take all changes up to a revision.
 	 * @param changes the changes in their order; those known already are passed over
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -85,6 +85,9 @@
 
 	private boolean lost;
 
+	/** The highest revision that others told of while this process was behind it. */
+	private long behindUpTo = Long.MIN_VALUE;
+
 	/**
 	 * Create a follower.
 	 * @param settings the times that it calls by
@@ -146,6 +149,10 @@
 	}
 
 	private void takeAll(List<StoreItem> all, long at, long now) {
+		List<StoreChange> missed = this.hasRead ? this.known.missedOf(all, at) : List.of();
+		if (!missed.isEmpty()) {
+			this.listener.missed(missed);
+		}
 		this.watching = true;
 		this.hasRead = true;
 		this.listener.all(this.known.replace(all, at), now);
@@ -251,6 +258,7 @@
 			passOn(news, revision, now);
 			return;
 		}
+		tellThatBehind(news.to());
 		hear(news.changes(), now);
 		this.reading.passOn(news, now);
 		if (this.resting) {
@@ -262,6 +270,13 @@
 		}
 	}
 
+	private void tellThatBehind(long told) {
+		if (this.known.revision() >= this.behindUpTo) {
+			this.listener.behind(this.known.revision(), told);
+		}
+		this.behindUpTo = Math.max(this.behindUpTo, told);
+	}
+
 	// What this process knew already it has told.
 	private void passOn(StoreNews news, long before, long now) {
 		if (this.known.revision() > before) {
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
@@ -24,6 +24,10 @@
 
 	private final List<String> heard = new ArrayList<>();
 
+	private final List<StoreChange> missed = new ArrayList<>();
+
+	private final List<String> gaps = new ArrayList<>();
+
 	private final Timers timers = new Timers();
 
 	private long lastCall;
@@ -123,6 +127,37 @@
 		assertThat(this.calls.get(this.calls.size() - 1)).isEqualTo("watch 120 4000");
 	}
 
+	@Test
+	void tellsWhatAReadingOfAllItemsFoundThatWasNotHeardOf() {
+		watching();
+		tell(lower(), 150, 160, 500, change("heard", 160));
+		this.follower.historyGone(this.lastCall, 1_000);
+		this.timers.run(1_100);
+		this.follower.pageRead(this.lastCall, List.of(item("b"), item("heard")), false, 500, 1_110);
+		assertThat(this.missed).containsExactly(gone("a", 500), change("b", 500)).inOrder();
+	}
+
+	@Test
+	void aKeyOfWhichALaterChangeWasHeardIsNotMissed() {
+		watching();
+		tell(lower(), 600, 601, 500, gone("a", 601));
+		this.follower.historyGone(this.lastCall, 1_000);
+		this.timers.run(1_100);
+		this.follower.pageRead(this.lastCall, List.of(item("a")), false, 500, 1_110);
+		assertThat(this.missed).isEmpty();
+	}
+
+	@Test
+	void tellsThatItIsBehindOnceUntilItHasCaughtUp() {
+		watching();
+		tell(lower(), 150, 160, 500, change("x", 160));
+		tell(lower(), 170, 180, 510, change("y", 180));
+		assertThat(this.gaps).containsExactly("100 to 160");
+		this.follower.watched(this.lastCall, List.of(change("x", 160), change("y", 180)), 180, 600);
+		tell(lower(), 190, 200, 700, change("z", 200));
+		assertThat(this.gaps).containsExactly("100 to 160", "180 to 200").inOrder();
+	}
+
 	@Test
 	void startsOverWhereAPageFails() {
 		this.follower.start(0);
@@ -493,6 +528,16 @@
 			StoreFollowerTests.this.heard.add("changed " + changes.stream().map(StoreChange::key).toList());
 		}
 
+		@Override
+		public void missed(List<StoreChange> missed) {
+			StoreFollowerTests.this.missed.addAll(missed);
+		}
+
+		@Override
+		public void behind(long known, long told) {
+			StoreFollowerTests.this.gaps.add(known + " to " + told);
+		}
+
 		@Override
 		public void lost(String cause) {
 			StoreFollowerTests.this.heard.add("lost " + cause);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -225,11 +225,12 @@
 	 * then end.
 	 */
 	public void stop() {
-		this.plannedStop.order(this.loop.now());
+		this.plannedStop.order(this.loop.now(), this.loop.earliest());
 		this.loop.run(() -> {
 			long now = this.loop.now();
 			this.audit.record(AuditEvent.of(AuditKind.LEAVING, this.settings.instance(), "",
-					"planned stop with " + this.dispatcher.openCalls() + " open calls"));
+					"planned stop with " + this.dispatcher.openCalls() + " open calls, ordered up to "
+							+ this.plannedStop.uncertainMillis() + " ms before it was heard"));
 			lookForEnd(now, now);
 		});
 	}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EventLoop.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EventLoop.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 
+import dev.laneworks.core.time.PauseDetector;
 import dev.laneworks.core.time.Timers;
 import dev.laneworks.runtime.program.MonotonicClock;
 import org.xnio.XnioExecutor;
@@ -16,6 +17,8 @@
 
 	private final Timers timers;
 
+	private final PauseDetector pauses = new PauseDetector();
+
 	private XnioExecutor.Key wake;
 
 	private long wakeAt = Long.MAX_VALUE;
@@ -33,6 +36,12 @@
 		return MonotonicClock.millis();
 	}
 
+	// When something that is heard now may have happened at the earliest; callable from
+	// any thread.
+	long earliest() {
+		return this.pauses.earliest(now());
+	}
+
 	// Run an action on the thread, and whatever has become due by it.
 	void run(Runnable action) {
 		this.thread.execute(() -> {
@@ -51,6 +60,7 @@
 	 * called on the thread behind each input.
 	 */
 	void settle() {
+		this.pauses.alive(now());
 		this.timers.run(now());
 		long next = this.timers.nextDue();
 		if (next >= this.wakeAt || next == Long.MAX_VALUE) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
@@ -35,6 +36,9 @@
 	 */
 	private static final int LARGE_PLAN = 16 * 1024;
 
+	/** How many of the items that were missed a line names; a line stays short. */
+	private static final int MISSED_NAMED = 8;
+
 	private final ServingSource source;
 
 	private final TargetDirectory directory;
@@ -127,6 +131,22 @@
 		}
 	}
 
+	@Override
+	public void missed(List<StoreChange> missed) {
+		String keys = missed.stream()
+			.limit(MISSED_NAMED)
+			.map((c) -> c.key() + (c.item().isPresent() ? "" : " gone"))
+			.collect(Collectors.joining(", "));
+		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "",
+				"read anew; " + missed.size() + " changes had not been heard of: " + keys));
+	}
+
+	@Override
+	public void behind(long known, long told) {
+		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "",
+				"behind: others know revision " + told + ", here all up to " + known + " is known"));
+	}
+
 	@Override
 	public void lost(String cause) {
 		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "", "out of reach: " + cause));
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlannedStop.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlannedStop.java
@@ -34,6 +34,8 @@
 	// Written by the thread of the signal, read by the I/O thread.
 	private volatile long orderedAt = NOT_ORDERED;
 
+	private volatile long earliest = NOT_ORDERED;
+
 	/**
 	 * Create a stop that is not ordered.
 	 * @param takeAllMillis how long after the order all requests are taken, in
@@ -46,8 +48,19 @@
 		this.graceMillis = graceMillis;
 	}
 
-	void order(long now) {
-		this.orderedAt = now;
+	/**
+	 * Take the order to stop.
+	 * @param heardAt when it was heard, in milliseconds
+	 * @param earliest when it may have been given at the earliest, in milliseconds
+	 */
+	void order(long heardAt, long earliest) {
+		this.earliest = earliest;
+		this.orderedAt = heardAt;
+	}
+
+	// By how much the order may be older than it seems, in milliseconds.
+	long uncertainMillis() {
+		return this.orderedAt - this.earliest;
 	}
 
 	boolean isOrdered() {
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlannedStopTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlannedStopTests.java
@@ -23,13 +23,13 @@
 	@Test
 	void takesEverythingBeforeTheOrderAndForAMomentBehindIt() {
 		assertThat(takesStream(2_000, 1_000_000)).isTrue();
-		this.stop.order(10_000);
+		this.stop.order(10_000, 10_000);
 		assertThat(takesStream(2_000, 12_599)).isTrue();
 	}
 
 	@Test
 	void takesNoStreamLaterThatOutlastsTheProcess() {
-		this.stop.order(10_000);
+		this.stop.order(10_000, 10_000);
 		assertThat(takesStream(2_000, 12_600)).isFalse();
 		assertThat(takesStream(60, 12_600)).isTrue();
 		assertThat(takesStream(60, 16_000)).isFalse();
@@ -37,14 +37,14 @@
 
 	@Test
 	void takesPlainRequestsUntilTheEndIsNear() {
-		this.stop.order(10_000);
+		this.stop.order(10_000, 10_000);
 		assertThat(this.stop.leavesTimeFor(route(RequestKind.UNSAFE, 300), Optional.empty(), 17_100)).isTrue();
 		assertThat(this.stop.leavesTimeFor(route(RequestKind.UNSAFE, 300), Optional.empty(), 17_101)).isFalse();
 	}
 
 	@Test
 	void takesNoStreamOfUnknownLength() {
-		this.stop.order(10_000);
+		this.stop.order(10_000, 10_000);
 		assertThat(this.stop.leavesTimeFor(route(RequestKind.STREAMING, 1_800), Optional.empty(), 12_600)).isFalse();
 	}
 
