--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipWorld.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipWorld.java
@@ -76,6 +76,12 @@
 
 	long now;
 
+	/** Whether all entries are told what one reads, as where there are few. */
+	boolean allNear;
+
+	/** Whether watches hear nothing of what changes. */
+	private boolean quiet;
+
 	/** How many calls the store was asked. */
 	int calls;
 
@@ -161,6 +167,18 @@
 		}
 	}
 
+	// Until the history is forgotten watches hear nothing.
+	void keepQuiet() {
+		this.quiet = true;
+	}
+
+	// Forgets what watches did not hear, and cuts them.
+	void forgetAndCutWatches() {
+		this.quiet = false;
+		forgetHistory();
+		this.entries.stream().filter((e) -> !e.turnedAway).forEach((e) -> e.source.cut());
+	}
+
 	void forgetHistory() {
 		this.forgottenUpTo = this.revision;
 		this.history.clear();
@@ -168,6 +186,9 @@
 
 	private void write(StoreChange change) {
 		this.history.add(change);
+		if (this.quiet) {
+			return;
+		}
 		List<Runnable> woken = List.copyOf(this.waitingWatches);
 		this.waitingWatches.clear();
 		woken.forEach(Runnable::run);
@@ -186,7 +207,8 @@
 	}
 
 	private void tellNear(Entry from, StoreNews news) {
-		tell(from, news, this.entries.stream().filter((e) -> e.dataCentre.equals(from.dataCentre)).toList());
+		tell(from, news,
+				this.entries.stream().filter((e) -> this.allNear || e.dataCentre.equals(from.dataCentre)).toList());
 	}
 
 	private void tellFarAway(Entry from, StoreNews news) {
@@ -234,14 +256,23 @@
 		/** Whether the store turns this entry away. */
 		boolean turnedAway;
 
+		/** Whether the answer to the next watch that may be held for long is lost. */
+		boolean losesNextLongWatch;
+
+		/** Whether this entry hears no other. */
+		boolean deaf;
+
 		private final SharedReading reading;
 
+		private final Source source;
+
 		Entry(String name, String dataCentre) {
 			this.name = name;
 			this.dataCentre = dataCentre;
 			this.reading = new SharedReading(name, dataCentre, this::others,
 					(n) -> MembershipWorld.this.tellNear(this, n), (n) -> MembershipWorld.this.tellFarAway(this, n));
-			this.store = new FollowedStore(new Source(this), SETTINGS, this, this, (p) -> {
+			this.source = new Source(this);
+			this.store = new FollowedStore(this.source, SETTINGS, this, this, (p) -> {
 			}, this.reading, MembershipWorld.this.timers, MembershipWorld.this.random.split(), new AtOnce(), (e) -> {
 			});
 		}
@@ -259,6 +290,9 @@
 		}
 
 		private void hear(Entry from, StoreNews news) {
+			if (this.deaf) {
+				return;
+			}
 			if (news.kind() == StoreNews.Kind.QUESTION) {
 				this.reading.answer(news)
 					.ifPresent((a) -> MembershipWorld.this.timers.at(MembershipWorld.this.now + 2,
@@ -308,6 +342,8 @@
 
 		private Supplier<StoreFollower> follower;
 
+		private long watchCall;
+
 		Source(Entry entry) {
 			this.entry = entry;
 		}
@@ -330,9 +366,20 @@
 
 		@Override
 		public void watch(long call, long since, long waitMillis) {
+			this.watchCall = call;
+			if (this.entry.losesNextLongWatch && waitMillis > SETTINGS.gapMillis()) {
+				this.entry.losesNextLongWatch = false;
+				MembershipWorld.this.calls++;
+				return;
+			}
 			answer(call, (t) -> lookFor(call, since, t + waitMillis, t));
 		}
 
+		// Resets the connection of the watch that is open.
+		void cut() {
+			this.follower.get().failed(this.watchCall, "reset", MembershipWorld.this.now);
+		}
+
 		private void lookFor(long call, long since, long end, long t) {
 			if (!MembershipWorld.this.up || this.entry.turnedAway) {
 				return;
@@ -341,11 +388,10 @@
 				this.follower.get().historyGone(call, t);
 				return;
 			}
-			List<StoreChange> changes = MembershipWorld.this.history.stream()
-				.filter((c) -> c.revision() > since)
-				.toList();
+			List<StoreChange> changes = MembershipWorld.this.quiet ? List.of()
+					: MembershipWorld.this.history.stream().filter((c) -> c.revision() > since).toList();
 			if (!changes.isEmpty() || t >= end) {
-				long at = MembershipWorld.this.revision;
+				long at = MembershipWorld.this.quiet ? since : MembershipWorld.this.revision;
 				MembershipWorld.this.timers.at(t + STORE_MILLIS,
 						(later) -> this.follower.get().watched(call, changes, at, later));
 				return;
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlannedStopTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlannedStopTests.java
@@ -48,6 +48,24 @@
 		assertThat(this.stop.leavesTimeFor(route(RequestKind.STREAMING, 1_800), Optional.empty(), 12_600)).isFalse();
 	}
 
+	/**
+	 * What was seen: a stream was taken 4.55 s after an entry had been ordered to stop,
+	 * and cut when the process was killed at the end of its grace of 8 s, though an entry
+	 * that knows of its order refuses such streams from 2.6 s on and ends a quarter of a
+	 * second before its grace. The cause supposed: the process was held up while the
+	 * order came and counted from when it heard it. The evidence: with an order that is
+	 * heard two seconds late the stream is taken and the entry means to end 1.75 s behind
+	 * its own kill; in plays of the whole system stops always waited until an entry had
+	 * been awake for a second, so that the order of events was made here only.
+	 */
+	@Test
+	void countsFromWhenTheOrderMayHaveBeenGivenAndNotFromWhenItWasHeard() {
+		this.stop.order(51_100, 49_000);
+		assertThat(takesStream(2_000, 53_554)).isFalse();
+		assertThat(takesStream(60, 53_554)).isTrue();
+		assertThat(takesStream(60, 55_000)).isFalse();
+	}
+
 	private boolean takesStream(long maxTokens, long now) {
 		EngineWork work = new EngineWork("m", 3_000, maxTokens, OptionalLong.empty(), List.of());
 		return this.stop.leavesTimeFor(route(RequestKind.STREAMING, 1_800), Optional.of(work), now);
