Judge what a stopping entry takes by the earliest time of its order

Cause: the grace was counted from when the process heard the order. What runs still goes on until the latest time at which the kill may come.

--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlannedStop.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlannedStop.java
@@ -13,6 +13,11 @@
  * Requests come for a while after the order, since callers keep connections and the
  * balancer hears of the stop late. Later ones are taken only where the time left is
  * enough for them; the others have not run and are told to come back, elsewhere.
+ * <p>
+ * Whoever gives the order counts from when it is given. A process that was held up hears
+ * it late: one that counted from then took a stream of 2,224 tokens 4.55 s behind the
+ * order, and was killed under it 3.45 s later. What is taken is judged by the earliest
+ * time at which the order may have been given; what runs goes on until the latest.
  */
 final class PlannedStop {
 
@@ -31,11 +36,12 @@
 
 	private final long graceMillis;
 
-	// Written by the thread of the signal, read by the I/O thread.
-	private volatile long orderedAt = NOT_ORDERED;
-
+	// Both are written by the thread of the signal and read by the I/O thread; the order
+	// counts once the second is set.
 	private volatile long earliest = NOT_ORDERED;
 
+	private volatile long orderedAt = NOT_ORDERED;
+
 	/**
 	 * Create a stop that is not ordered.
 	 * @param takeAllMillis how long after the order all requests are taken, in
@@ -75,10 +81,10 @@
 	 * @return {@code false} if the process is likely to end before the answer does
 	 */
 	boolean leavesTimeFor(RouteSpec route, Optional<EngineWork> work, long now) {
-		if (!isOrdered() || now - this.orderedAt < this.takeAllMillis) {
+		if (!isOrdered() || now - this.earliest < this.takeAllMillis) {
 			return true;
 		}
-		long left = this.orderedAt + this.graceMillis - now;
+		long left = this.earliest + this.graceMillis - now;
 		return needed(route, work) <= left;
 	}
 
