Go on following the store where a listener has thrown

Cause: a listener that throws ended the step which was to begin the follower's next call; nothing began one later, so that the entry heard the store no more. Read in the code as a further hypothesis for a target that one entry went on using; no run showed it. Change: a call that is a second late is begun anew by a reading of all items, and the event loop sets its next wake also where an action or a task has thrown. Test: StoreFollowerTests.aListenerThatFailsDoesNotEndTheFollowing, red before (the last call stayed the first watch), green after.

--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -37,6 +37,13 @@
 	 */
 	private static final long OUTLIVED_MILLIS = 1_000;
 
+	/**
+	 * How long behind its time a call counts as forgotten, in milliseconds. Where it is
+	 * only late, since the process was held up, one reading of all items is made too
+	 * many.
+	 */
+	private static final long STALLED_MILLIS = 1_000;
+
 	/**
 	 * After how long a watch is overdue that says nothing of a change others know of, in
 	 * milliseconds: the store's answers take 4 ms on good days and 240 on bad ones.
@@ -85,6 +92,9 @@
 
 	private long firstRevision = -1;
 
+	/** When the next call is due, while none is open. */
+	private long nextDue;
+
 	private long watchedAt;
 
 	private long watchWait;
@@ -390,6 +400,7 @@
 			return false;
 		}
 		this.open = false;
+		this.nextDue = now;
 		this.failures = 0;
 		regain(this.silence.answered(now) >= OUTLIVED_MILLIS, now);
 		return true;
@@ -444,6 +455,8 @@
 	}
 
 	private void signOfLife(long now) {
+		this.timers.at(now + SharedReading.SIGN_MILLIS, this::signOfLife);
+		goOnIfStalled(now);
 		probeIfQuiet(now);
 		if (this.watching && this.open && !isDeaf(now) && !isSilent(now)) {
 			this.reading.tell(this.known.revision(), this.known.revision(), List.of(), isReturning(now));
@@ -451,7 +464,14 @@
 		else if (this.resting) {
 			this.reading.passOnSign(this.known.revision(), now);
 		}
-		this.timers.at(now + SharedReading.SIGN_MILLIS, this::signOfLife);
+	}
+
+	// A listener that throws ends the step that was to begin the next call. What it did
+	// not take is read again with all else.
+	private void goOnIfStalled(long now) {
+		if (!this.open && now - this.nextDue >= STALLED_MILLIS) {
+			readAnew(now);
+		}
 	}
 
 	private void probeIfQuiet(long now) {
@@ -500,6 +520,7 @@
 
 	private void later(long due, Timers.TimedAction action) {
 		long number = this.call;
+		this.nextDue = due;
 		this.timers.at(due, (t) -> {
 			if (number == this.call && !this.open) {
 				action.run(t);
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 /**
  * Tests for {@link StoreFollower}.
@@ -28,6 +29,8 @@
 
 	private final List<String> gaps = new ArrayList<>();
 
+	private boolean fails;
+
 	private final Timers timers = new Timers();
 
 	private long lastCall;
@@ -158,6 +161,31 @@
 		assertThat(this.gaps).containsExactly("100 to 160", "180 to 200").inOrder();
 	}
 
+	/**
+	 * An exception that a listener throws used to leave the follower without a call and
+	 * without a time for the next one: it heard nothing of the store any more, and work
+	 * went to targets that had left. Read in the code while a target was looked for that
+	 * one entry went on using; not seen in a run.
+	 */
+	@Test
+	void aListenerThatFailsDoesNotEndTheFollowing() {
+		watching();
+		this.fails = true;
+		assertThrows(IllegalStateException.class,
+				() -> this.follower.watched(this.lastCall, List.of(change("b", 101)), 101, 1_000));
+		this.fails = false;
+		this.timers.run(3_000);
+		assertThat(this.calls.get(this.calls.size() - 1)).isEqualTo("page ");
+		this.follower.pageRead(this.lastCall, List.of(item("a"), item("b")), false, 101, 3_010);
+		assertThat(this.heard).contains("all [a, b]");
+		this.fails = true;
+		this.timers.run(3_100);
+		assertThrows(IllegalStateException.class,
+				() -> this.follower.watched(this.lastCall, List.of(change("c", 102)), 102, 3_200));
+		this.timers.run(6_000);
+		assertThat(this.calls.get(this.calls.size() - 1)).isEqualTo("page ");
+	}
+
 	@Test
 	void startsOverWhereAPageFails() {
 		this.follower.start(0);
@@ -525,6 +553,9 @@
 
 		@Override
 		public void changed(List<StoreChange> changes, long now) {
+			if (StoreFollowerTests.this.fails) {
+				throw new IllegalStateException("the listener fails");
+			}
 			StoreFollowerTests.this.heard.add("changed " + changes.stream().map(StoreChange::key).toList());
 		}
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EventLoop.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EventLoop.java
@@ -45,8 +45,12 @@
 	// Run an action on the thread, and whatever has become due by it.
 	void run(Runnable action) {
 		this.thread.execute(() -> {
-			action.run();
-			settle();
+			try {
+				action.run();
+			}
+			finally {
+				settle();
+			}
 		});
 	}
 
@@ -61,7 +65,16 @@
 	 */
 	void settle() {
 		this.pauses.alive(now());
-		this.timers.run(now());
+		try {
+			this.timers.run(now());
+		}
+		finally {
+			wakeForNext();
+		}
+	}
+
+	// Also where a task has thrown: those behind it are not to wait for the next input.
+	private void wakeForNext() {
 		long next = this.timers.nextDue();
 		if (next >= this.wakeAt || next == Long.MAX_VALUE) {
 			return;
