--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
@@ -454,6 +454,15 @@
 		assertThat(this.reading.answer(question(103))).isEqualTo(Optional.empty());
 	}
 
+	@Test
+	void answersWithWhatOthersToldToo() {
+		watching();
+		tell(lower(), 100, 101, 20, change("a", 101));
+		this.follower.watched(this.lastCall, List.of(change("a", 101), change("b", 102)), 102, 30);
+		assertThat(this.reading.answer(question(100)).map(StoreNews::to)).isEqualTo(Optional.of(102L));
+		assertThat(this.reading.answer(question(100)).map((n) -> n.changes().get(0).key())).isEqualTo(Optional.of("a"));
+	}
+
 	private void watching() {
 		this.follower.start(0);
 		this.follower.pageRead(this.lastCall, List.of(item("a")), false, 100, 5);
