Tell refused callers times to come back one after the other

Cause: where no engine would begin a generation in time, its caller was told the wait that stands in the way now. All who were refused within a second were told about the same time, came back together with new callers and were refused again.

Change: each refusal books a part of the room that running generations set free (ReturnTimes), and the next one of the same service and rank is told the time behind it; an entry reckons with its part of what all engines set free. Nothing is reserved or held back, and nobody is told to wait for others for longer than a third of its time.

Ruled out, with figures in docs/design/shifted-work.md: random times, room kept for those who come back, lower ranks refused as soon as no engine has room.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -92,6 +92,11 @@
 				+ (double) heldTokens(call, Optional.of(engine)) / engine.memoryTokens();
 	}
 
+	// The memory of all engines of a service that take work, in tokens.
+	double memoryTokens(String service, EngineSpec engine) {
+		return (double) this.eligibility.serving(service).size() * engine.memoryTokens();
+	}
+
 	// Why no target is left for a call.
 	Shortage shortage(DirectCall call, long now) {
 		return this.eligibility.shortage(call.scope(), now);
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -73,14 +73,15 @@
 	 * @param eligibility tells which of them may be sent work
 	 * @param chooser chooses among them
 	 * @param turn whose turn it is to copy generations away from an engine
+	 * @param entries tells how many entries there are
 	 * @param retries the process's part of the bound on repeated sendings
 	 * @param timers what is due later
 	 * @param outputs takes what was decided
 	 * @param audit takes why
 	 */
 	public Dispatcher(DispatchSettings settings, TargetDirectory directory, TargetBeliefs beliefs,
-			Eligibility eligibility, TargetChooser chooser, CopyTurn turn, RetryWindow retries, Timers timers,
-			DispatchOutputs outputs, AuditSink audit) {
+			Eligibility eligibility, TargetChooser chooser, CopyTurn turn, EntryRanks entries, RetryWindow retries,
+			Timers timers, DispatchOutputs outputs, AuditSink audit) {
 		this.settings = settings;
 		this.directory = directory;
 		this.beliefs = beliefs;
@@ -97,8 +98,8 @@
 				new CallResumption());
 		this.ending = new CallEnding(settings, this.calls, this.sender, this.standbys, this.mover, outputs, audit);
 		this.offers = new Offers(settings, retries, this.sender, this.ending, timers, outputs, audit, this::engine,
-				(c, a, t) -> connectFailed(c.number(), a.number(), ConnectFault.SILENT, "no connection within its time",
-						t));
+				entries, (c, a, t) -> connectFailed(c.number(), a.number(), ConnectFault.SILENT,
+						"no connection within its time", t));
 		this.continuation = new Continuation(eligibility, retries, this.sender, this.standbys, this.mover, this.ending,
 				audit, this.offers::begin, this::engine, settings.mechanisms().use(Mechanism.COPIES_AT_NOTICE));
 		this.outcomes = new AttemptOutcomes(settings, directory, beliefs, this.sender, this.offers, this.continuation,
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/EngineAdmission.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/EngineAdmission.java
@@ -19,6 +19,12 @@
 	 */
 	private static final double FIRST_LIFE_MILLIS = 9_000;
 
+	/**
+	 * How long a short one holds it until one was seen, in milliseconds: the time until
+	 * its first event and three events.
+	 */
+	private static final double FIRST_SHORT_LIFE_MILLIS = 1_500;
+
 	/** The weight of the newest generation in the usual time. */
 	private static final double NEWEST_WEIGHT = 0.05;
 
@@ -37,16 +43,37 @@
 
 	private double lifeMillis = FIRST_LIFE_MILLIS;
 
+	private double shortLifeMillis = FIRST_SHORT_LIFE_MILLIS;
+
 	/**
-	 * Take how long a long generation took from its opening to its end.
+	 * Take how long a generation took from its opening to its end.
+	 * @param work what it asked for
 	 * @param millis the time in milliseconds
 	 */
-	void took(long millis) {
-		this.lifeMillis += NEWEST_WEIGHT * (millis - this.lifeMillis);
+	void took(EngineWork work, long millis) {
+		if (work.isShort()) {
+			this.shortLifeMillis += NEWEST_WEIGHT * (millis - this.shortLifeMillis);
+		}
+		else {
+			this.lifeMillis += NEWEST_WEIGHT * (millis - this.lifeMillis);
+		}
+	}
+
+	/**
+	 * Return how long it takes until the room that a generation needs is set free by
+	 * others that end.
+	 * @param work what it asks for
+	 * @param memoryTokens the memory that is set free within the life of a long
+	 * generation, in tokens
+	 * @return milliseconds
+	 */
+	double freedInMillis(EngineWork work, double memoryTokens) {
+		double life = work.isShort() ? this.shortLifeMillis : this.lifeMillis;
+		return work.heldTokens(0) * life / memoryTokens;
 	}
 
 	/**
-	 * Return when the caller of a generation that is refused may come back.
+	 * Return for how long there will be no room for a generation that is refused.
 	 * @param fullness how full the best engine's memory would be with it
 	 * @param rank its rank, 0 being the highest
 	 * @param goalMillis the goal for its first event, in milliseconds
@@ -54,7 +81,7 @@
 	 * @return after how many milliseconds there is likely to be room, or empty if the
 	 * generation is to be sent
 	 */
-	OptionalLong comeBackMillis(double fullness, int rank, long goalMillis, long leftMillis) {
+	OptionalLong waitMillis(double fullness, int rank, long goalMillis, long leftMillis) {
 		double wait = (fullness - 1) * this.lifeMillis;
 		double bound = Math.min(((rank == 0) ? MOST_GOALS : LOWER_RANK_GOALS) * goalMillis,
 				MOST_OF_PATIENCE * leftMillis);
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Offers.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Offers.java
@@ -53,11 +53,15 @@
 
 	private final EngineAdmission admission = new EngineAdmission();
 
+	private final ReturnTimes returnTimes = new ReturnTimes();
+
+	private final EntryRanks entries;
+
 	private final boolean refusesHopeless;
 
 	Offers(DispatchSettings settings, RetryWindow retries, AttemptSender sender, CallEnding ending, Timers timers,
 			DispatchOutputs outputs, AuditSink audit, Function<DirectCall, Optional<EngineSpec>> engines,
-			ConnectFailure connectFailed) {
+			EntryRanks entries, ConnectFailure connectFailed) {
 		this.settings = settings;
 		this.retries = retries;
 		this.sender = sender;
@@ -66,6 +70,7 @@
 		this.outputs = outputs;
 		this.audit = audit;
 		this.engines = engines;
+		this.entries = entries;
 		this.connectFailed = connectFailed;
 		this.connectTime = new UsualTime(settings.connectMillis(),
 				settings.mechanisms().use(Mechanism.LEARNED_CONNECT_LIMIT) ? MOST_CONNECT_MILLIS
@@ -85,12 +90,13 @@
 			return;
 		}
 		Optional<EngineSpec> engine = this.engines.apply(call).filter((e) -> isBounded(call));
-		if (engine.isPresent() && comeBackMillis(call, target.get(), engine.get(), now).isPresent()) {
+		if (engine.isPresent() && waitForRoom(call, target.get(), engine.get(), now).isPresent()) {
 			target = this.sender.chooseLeastFull(call, engine.get(), now);
-			OptionalLong comeBack = comeBackMillis(call, target.get(), engine.get(), now);
-			if (comeBack.isPresent()) {
+			OptionalLong wait = waitForRoom(call, target.get(), engine.get(), now);
+			if (wait.isPresent()) {
+				long comeBack = comeBackMillis(call, wait.getAsLong(), engine.get(), now);
 				this.ending.refuse(call, RefusalReason.OVERLOADED,
-						Shortage.until("no engine would begin the generation in time", comeBack.getAsLong()), now);
+						Shortage.until("no engine would begin the generation in time", comeBack), now);
 				return;
 			}
 		}
@@ -105,16 +111,25 @@
 		return this.refusesHopeless && call.request().work().isPresent();
 	}
 
-	// When the caller may come back of a generation that an engine would not begin in
+	// For how long there is no room for a generation that an engine would not begin in
 	// time.
-	private OptionalLong comeBackMillis(DirectCall call, ListedTarget target, EngineSpec engine, long now) {
-		return this.admission.comeBackMillis(this.sender.fullnessWith(call, target, engine, now),
+	private OptionalLong waitForRoom(DirectCall call, ListedTarget target, EngineSpec engine, long now) {
+		return this.admission.waitMillis(this.sender.fullnessWith(call, target, engine, now),
 				call.request().route().priority(), call.request().route().goalMillis(), call.dueAt() - now);
 	}
 
+	// When the caller of a refused generation may come back. Entries don't know whom
+	// others refuse: each tells times for its part of the room.
+	private long comeBackMillis(DirectCall call, long waitMillis, EngineSpec engine, long now) {
+		double ownMemory = this.sender.memoryTokens(call.request().service(), engine) / this.entries.entries();
+		double freedIn = call.request().work().map((w) -> this.admission.freedInMillis(w, ownMemory)).orElse(0.0);
+		return this.returnTimes.book(call.request().service(), call.request().route().priority(), waitMillis, freedIn,
+				call.patienceEndsAt() - now, now);
+	}
+
 	// A generation ended whole.
 	void ended(DirectCall call, long now) {
-		call.request().work().filter((w) -> !w.isShort()).ifPresent((w) -> this.admission.took(now - call.openedAt()));
+		call.request().work().ifPresent((w) -> this.admission.took(w, now - call.openedAt()));
 	}
 
 	// Sends a call to a target and sees to it that its connection comes up in time.
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -97,7 +97,7 @@
 		RetryWindow retries = new RetryWindow(10_000, retryRatio, retryExtra, retryExtra,
 				(s, w, t) -> Optional.empty());
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(mechanisms), this.directory, this.beliefs,
-				this.eligibility, chooser, new Turns(), retries, this.timers, this, this.audit::add);
+				this.eligibility, chooser, new Turns(), new Ranks(), retries, this.timers, this, this.audit::add);
 		EngineSpec engine = new EngineSpec(64, 34_000, 18_432, 2_700, 4, true, true, 2_000);
 		this.dispatcher.use(new ServingPlan(1, List.of(),
 				Map.of(PLAIN, new ServiceSpec(PLAIN, 100, 0, Optional.empty()), ENGINES,
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/EngineAdmissionTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/EngineAdmissionTests.java
@@ -1,5 +1,6 @@
 package dev.laneworks.core.dispatch;
 
+import java.util.List;
 import java.util.OptionalLong;
 
 import dev.laneworks.core.gossip.WorkAtTarget;
@@ -15,36 +16,63 @@
  */
 class EngineAdmissionTests {
 
+	private static final EngineWork LONG = new EngineWork("m", 3_000, 1_000, OptionalLong.empty(), List.of());
+
 	private final EngineAdmission admission = new EngineAdmission();
 
 	@Test
 	void whatFitsOrWaitsForLessThanItsGoalIsSent() {
-		assertThat(this.admission.comeBackMillis(0.2, 0, 1_800, 39_000)).isEqualTo(OptionalLong.empty());
-		assertThat(this.admission.comeBackMillis(1.19, 0, 1_800, 39_000)).isEqualTo(OptionalLong.empty());
+		assertThat(this.admission.waitMillis(0.2, 0, 1_800, 39_000)).isEqualTo(OptionalLong.empty());
+		assertThat(this.admission.waitMillis(1.19, 0, 1_800, 39_000)).isEqualTo(OptionalLong.empty());
 	}
 
 	@Test
 	void whatWouldWaitForLongerIsRefusedUntilThereIsRoom() {
-		assertThat(this.admission.comeBackMillis(1.3, 0, 1_800, 39_000)).isEqualTo(OptionalLong.of(2_700));
-		assertThat(this.admission.comeBackMillis(1.3, 0, 3_000, 3_000)).isEqualTo(OptionalLong.of(2_700));
+		assertThat(this.admission.waitMillis(1.3, 0, 1_800, 39_000)).isEqualTo(OptionalLong.of(2_700));
+		assertThat(this.admission.waitMillis(1.3, 0, 3_000, 3_000)).isEqualTo(OptionalLong.of(2_700));
 	}
 
 	@Test
 	void aLowerRankIsRefusedBeforeTheHighest() {
-		assertThat(this.admission.comeBackMillis(1.15, 0, 1_800, 39_000)).isEqualTo(OptionalLong.empty());
-		assertThat(this.admission.comeBackMillis(1.15, 1, 1_800, 39_000)).isEqualTo(OptionalLong.of(1_350));
+		assertThat(this.admission.waitMillis(1.15, 0, 1_800, 39_000)).isEqualTo(OptionalLong.empty());
+		assertThat(this.admission.waitMillis(1.15, 1, 1_800, 39_000)).isEqualTo(OptionalLong.of(1_350));
 	}
 
 	@Test
 	void theWaitFollowsHowLongGenerationsTake() {
 		for (int i = 0; i < 200; i++) {
-			this.admission.took(2_000);
+			this.admission.took(LONG, 2_000);
+		}
+		assertThat(this.admission.waitMillis(1.8, 0, 1_800, 39_000)).isEqualTo(OptionalLong.empty());
+		for (int i = 0; i < 200; i++) {
+			this.admission.took(LONG, 20_000);
 		}
-		assertThat(this.admission.comeBackMillis(1.8, 0, 1_800, 39_000)).isEqualTo(OptionalLong.empty());
+		assertThat(this.admission.waitMillis(1.3, 0, 1_800, 39_000).getAsLong()).isAtLeast(5_900);
+	}
+
+	@Test
+	void theRoomOfAGenerationIsSetFreeInThePartOfALifeThatItsMemoryIsOfAll() {
+		assertThat(this.admission.freedInMillis(LONG, 32_500)).isWithin(0.001).of(900);
+	}
+
+	@Test
+	void theRoomOfAShortGenerationIsFreeSooner() {
+		EngineWork shortWork = new EngineWork("m", 3_210, 40, OptionalLong.empty(), List.of());
 		for (int i = 0; i < 200; i++) {
-			this.admission.took(20_000);
+			this.admission.took(shortWork, 1_000);
 		}
-		assertThat(this.admission.comeBackMillis(1.3, 0, 1_800, 39_000).getAsLong()).isAtLeast(5_900);
+		assertThat(this.admission.freedInMillis(shortWork, 32_500)).isWithin(1).of(100);
+	}
+
+	@Test
+	void callersThatAreRefusedTogetherAreToldDifferentTimes() {
+		DispatchHarness harness = DispatchHarness.create();
+		harness.join(DispatchHarness.ENGINES, "a");
+		harness.others.put("a", new WorkAtTarget("a", 20, 60_000, 0, 0, false, 0, false));
+		harness.openStream(1);
+		harness.openStream(2);
+		long first = harness.refusals.get(1L).retryAfter().get().toMillis();
+		assertThat(harness.refusals.get(2L).retryAfter().get().toMillis()).isAtLeast(first + 3_000);
 	}
 
 	@Test
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -174,7 +174,7 @@
 		TargetChooser chooser = new TargetChooser(eligibility, this.beliefs, settings.dataCentre(), random,
 				settings.mechanisms());
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(settings.mechanisms()), this.directory, this.beliefs,
-				eligibility, chooser, this.others, this.retries, timers, calls, this.audit);
+				eligibility, chooser, this.others, this.others, this.retries, timers, calls, this.audit);
 		calls.use(this.dispatcher);
 		members.use(this.dispatcher, this.store);
 		this.handover = new StateHandover(this.store.follower(), this.others, this.loop, this.audit);
