--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/JsonText.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/JsonText.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -18,6 +19,7 @@
 
 	private static final ObjectMapper MAPPER = JsonMapper.builder()
 		.serializationInclusion(JsonInclude.Include.NON_NULL)
+		.enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
 		.build();
 
 	private JsonText() {
@@ -49,7 +51,7 @@
 	 * Read any JSON.
 	 * @param text the JSON
 	 * @return the value
-	 * @throws IOException if it is not JSON
+	 * @throws IOException if it is not JSON, or if something follows it
 	 */
 	public static JsonNode read(byte[] text) throws IOException {
 		return MAPPER.readTree(text);
@@ -59,7 +61,7 @@
 	 * Read any JSON.
 	 * @param text the JSON
 	 * @return the value
-	 * @throws IOException if it is not JSON
+	 * @throws IOException if it is not JSON, or if something follows it
 	 */
 	public static JsonNode read(String text) throws IOException {
 		return MAPPER.readTree(text);
