Use no target whose entry can't be used, and leave all others as they are

Cause: a target whose entry became unreadable was dropped by the next reading of the list, as if it had gone, and kept its work by a watch. A target of a service that no plan names came into the directory; at the address of another target it counted as the one that took the address over, and ended that one. A fault was told at every reading.

TargetEntries withholds a known target while its entry can't be used: it is sent nothing new and goes on with what it runs (Evacuations holds for it). It holds back targets of services that no plan names and takes them as soon as a plan does. RefusedItems tells each fault once: the audit kind item-refused with its counter, and laneworks_items_refused, how many stand there now.

Ruled out: taking an unreadable entry for gone or for leaving (its streams would all move, though nothing says that the target ends); leaving it as it was last read (it may have said since that it leaves); filtering targets of unnamed services only where work is placed (their addresses would count).

Before: 10 of the 12 new tests of PlanAndTargets red on the code as it was.

--- a/laneworks-core/src/main/java/dev/laneworks/core/audit/AuditKind.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/audit/AuditKind.java
@@ -69,6 +69,9 @@
 	/** A data centre's targets are to be sent nothing more, or take work again. */
 	EVACUATION,
 
+	/** What stands under a key of the store can't be used. */
+	ITEM_REFUSED,
+
 	/** A request was accepted at the door. */
 	ACCEPTED,
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/directory/Evacuations.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/Evacuations.java
@@ -6,11 +6,13 @@
 import java.util.Set;
 
 /**
- * The data centres whose targets are to be sent nothing more, as the operator asks.
+ * The targets that are to be sent nothing more though they stay: those in data centres
+ * that the operator evacuates, and single ones that are withheld.
  * <p>
  * An evacuation holds from the moment it is heard until it is taken back, whatever the
  * targets say of themselves. Targets go on with what they run. Any number of data centres
- * may be evacuated at once, all of them included. Not thread-safe.
+ * may be evacuated at once, all of them included. A target is withheld while what it says
+ * of itself can't be read. Not thread-safe.
  *
  * @since 0.3
  */
@@ -18,6 +20,8 @@
 
 	private final Set<String> evacuated = new HashSet<>();
 
+	private final Set<String> withheld = new HashSet<>();
+
 	private final EvacuationListener listener;
 
 	/**
@@ -58,12 +62,38 @@
 	}
 
 	/**
-	 * Return whether a target is in a data centre that is evacuated.
+	 * Take that a single target is to be sent nothing more.
+	 * @param id the target's id
+	 * @return whether that is news
+	 */
+	public boolean withhold(String id) {
+		return this.withheld.add(id);
+	}
+
+	/**
+	 * Take that a target may be sent work again, or is gone.
+	 * @param id the target's id
+	 * @return whether it was withheld
+	 */
+	public boolean release(String id) {
+		return this.withheld.remove(id);
+	}
+
+	/**
+	 * Return the targets that are withheld.
+	 * @return their ids
+	 */
+	public Set<String> withheld() {
+		return Set.copyOf(this.withheld);
+	}
+
+	/**
+	 * Return whether a target is withheld or in a data centre that is evacuated.
 	 * @param target the target
 	 * @return whether nothing may be sent to it
 	 */
 	public boolean holdsFor(ListedTarget target) {
-		return this.evacuated.contains(target.dataCentre());
+		return this.withheld.contains(target.id()) || this.evacuated.contains(target.dataCentre());
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Continuation.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Continuation.java
@@ -163,7 +163,8 @@
 		call.stoppedAt(call.attempt().map(Attempt::target).filter((t) -> !t.id().equals(destination.id())));
 		call.attempt().ifPresent((a) -> this.sender.abandon(call, a));
 		if (this.eligibility.isEvacuated(destination)) {
-			this.ending.lost(call, "the data centre of what is left of it is evacuated", now);
+			this.ending.lost(call,
+					"what is left of it is at a target that is withheld or in a data centre that is evacuated", now);
 			return;
 		}
 		if (!this.retries.tryTake(call.request().service(), now)) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Eligibility.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Eligibility.java
@@ -11,9 +11,9 @@
  * Tells which targets may be sent a request, and why there is none where that is so.
  * <p>
  * What is left out here is never used, whatever becomes of the request: targets that are
- * leaving, that are in a data centre being evacuated or in a region that the request may
- * not be served in, and cold ones that have had all they bear. What of the rest is better
- * is the chooser's to say.
+ * leaving, that are withheld, in a data centre being evacuated or in a region that the
+ * request may not be served in, and cold ones that have had all they bear. What of the
+ * rest is better is the chooser's to say.
  *
  * @since 0.3
  */
@@ -98,7 +98,7 @@
 	/**
 	 * Return whether nothing may be sent to a target though it stays.
 	 * @param target the target
-	 * @return whether its data centre is evacuated
+	 * @return whether its data centre is evacuated, or it is withheld
 	 */
 	public boolean isEvacuated(ListedTarget target) {
 		return this.directory.isEvacuated(target);
@@ -140,7 +140,8 @@
 		}
 		List<ListedTarget> open = allowed.stream().filter((t) -> !isEvacuated(t)).toList();
 		if (open.isEmpty()) {
-			return Shortage.until("all targets of the service are in data centres being evacuated", EVACUATED_MILLIS);
+			return Shortage.until("all targets of the service are withheld or in data centres being evacuated",
+					EVACUATED_MILLIS);
 		}
 		return open.stream()
 			.filter((t) -> !scope.tried().contains(t.id()))
--- a/laneworks-core/src/main/java/dev/laneworks/core/serving/ServingPlan.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/serving/ServingPlan.java
@@ -2,9 +2,11 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Stream;
 
 /**
@@ -22,6 +24,8 @@
 
 	private final Map<String, ServiceSpec> services;
 
+	private final Set<String> serviceNames = new HashSet<>();
+
 	private final Map<String, AccountGrant> accountsByKey;
 
 	private final RequestLimits limits;
@@ -40,6 +44,8 @@
 		this.version = version;
 		this.routesByHost = byHost(routes);
 		this.services = Map.copyOf(services);
+		this.serviceNames.addAll(services.keySet());
+		routes.forEach((r) -> r.services().forEach((s) -> this.serviceNames.add(s.service())));
 		this.accountsByKey = Map.copyOf(accountsByKey);
 		this.limits = limits;
 	}
@@ -83,6 +89,17 @@
 		return Optional.ofNullable(this.services.get(name));
 	}
 
+	/**
+	 * Return whether the plan names a service, be it with what its targets can do or as
+	 * one that a route sends requests to.
+	 * @param name the service's name
+	 * @return whether a target of the service may be needed
+	 * @since 0.3
+	 */
+	public boolean namesService(String name) {
+		return this.serviceNames.contains(name);
+	}
+
 	/**
 	 * Return whether requests need a key, but on open routes.
 	 * @return whether the plan has client accounts
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -375,6 +375,7 @@
 		this.metrics.register("laneworks_targets_doubted", (Gauge<Long>) () -> this.doubtedTargets);
 		this.metrics.register("laneworks_targets_cold", (Gauge<Long>) () -> this.coldTargets);
 		this.metrics.register("laneworks_data_centres_evacuated", (Gauge<Integer>) () -> this.evacuatedDataCentres);
+		this.metrics.register("laneworks_items_refused", (Gauge<Integer>) this.store.published()::refusedItems);
 		this.metrics.register("laneworks_peers", (Gauge<Integer>) this.others::count);
 		for (AuditKind kind : AuditKind.values()) {
 			this.metrics.counter(counterName(kind));
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
@@ -1,15 +1,14 @@
 package dev.laneworks.entry.direct;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.Evacuations;
-import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
 import dev.laneworks.core.follow.FollowListener;
 import dev.laneworks.core.follow.StoreChange;
@@ -23,7 +22,8 @@
  * tells them.
  * <p>
  * Only a plan with a higher version replaces the one in force, so that a late or repeated
- * read changes nothing.
+ * read changes nothing, and neither does one that can't be read. What stands under one
+ * key never touches what stands under another.
  */
 final class PlanAndTargets implements FollowListener {
 
@@ -47,6 +47,10 @@
 
 	private final BackgroundWork background;
 
+	private final RefusedItems refused;
+
+	private final TargetEntries targets;
+
 	private Optional<ServingPlan> plan = Optional.empty();
 
 	private boolean hasRead;
@@ -59,6 +63,8 @@
 		this.inForce = inForce;
 		this.audit = audit;
 		this.background = background;
+		this.refused = new RefusedItems(audit);
+		this.targets = new TargetEntries(source, directory, evacuations, this.refused, audit);
 	}
 
 	Optional<ServingPlan> plan() {
@@ -70,47 +76,55 @@
 		return this.hasRead && this.plan.isPresent();
 	}
 
+	// How many items of the store can't be used.
+	int refusedItems() {
+		return this.refused.count();
+	}
+
 	@Override
 	public void all(List<StoreItem> items, long now) {
-		List<ListedTarget> targets = new ArrayList<>();
+		this.refused.retain(items.stream().map(StoreItem::key).collect(Collectors.toSet()));
 		// Before the targets, so that work goes to none that is not to be sent any.
 		this.evacuations.replaceAll(items.stream()
 			.map((i) -> this.source.evacuatedDataCentre(i.key()))
 			.filter((d) -> !d.isEmpty())
 			.toList());
-		for (StoreItem item : items) {
-			if (this.source.isPlan(item.key())) {
-				takePlan(item);
-			}
-			else if (!this.source.targetId(item.key()).isEmpty()) {
-				readTarget(item).ifPresent(targets::add);
-			}
-		}
-		this.directory.replaceAll(targets, now);
+		items.forEach((i) -> tellKeyFault(i.key()));
+		items.stream().filter((i) -> this.source.isPlan(i.key())).forEach(this::takePlan);
+		this.targets.replaceAll(items.stream().filter((i) -> isTarget(i.key())).toList(), now);
 		this.hasRead = true;
 	}
 
 	@Override
 	public void changed(List<StoreChange> changes, long now) {
-		this.directory.together(() -> take(changes, now));
+		this.directory.together(() -> changes.forEach((c) -> take(c, now)));
 	}
 
-	private void take(List<StoreChange> changes, long now) {
-		for (StoreChange change : changes) {
-			takeEvacuation(change);
-			String id = this.source.targetId(change.key());
-			if (change.item().isEmpty()) {
-				if (!id.isEmpty()) {
-					this.directory.remove(id, now);
-				}
-			}
-			else if (this.source.isPlan(change.key())) {
-				takePlan(change.item().get());
-			}
-			else if (!id.isEmpty()) {
-				readTarget(change.item().get()).ifPresent(this.directory::put);
+	private void take(StoreChange change, long now) {
+		takeEvacuation(change);
+		if (change.item().isEmpty()) {
+			this.refused.forget(change.key());
+			if (isTarget(change.key())) {
+				this.targets.remove(change.key(), now);
 			}
+			return;
 		}
+		tellKeyFault(change.key());
+		if (this.source.isPlan(change.key())) {
+			takePlan(change.item().get());
+		}
+		else if (isTarget(change.key())) {
+			this.targets.put(change.item().get());
+		}
+	}
+
+	private boolean isTarget(String key) {
+		return !this.source.targetId(key).isEmpty();
+	}
+
+	private void tellKeyFault(String key) {
+		this.source.keyFault(key)
+			.ifPresent((f) -> this.refused.refuse(key, AuditEvent.of(AuditKind.ITEM_REFUSED, key, "", f)));
 	}
 
 	// What stands under the key does not matter: it asks for as long as it is there.
@@ -149,18 +163,19 @@
 	// The first plan is waited for, and nothing is held up by it.
 	private void takePlan(StoreItem item) {
 		if (this.plan.isPresent() && item.value().length() > LARGE_PLAN) {
-			this.background.run(() -> this.source.plan(item), this::planRead);
+			this.background.run(() -> this.source.plan(item), (read) -> planRead(item.key(), read));
 		}
 		else {
-			planRead(this.source.plan(item));
+			planRead(item.key(), this.source.plan(item));
 		}
 	}
 
-	private void planRead(Either<String, ServingPlan> read) {
+	private void planRead(String key, Either<String, ServingPlan> read) {
 		if (read.isLeft()) {
-			this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_REFUSED, "plan", "", read.getLeft()));
+			this.refused.refuse(key, AuditEvent.of(AuditKind.CONFIGURATION_REFUSED, "plan", "", read.getLeft()));
 			return;
 		}
+		this.refused.forget(key);
 		ServingPlan fresh = read.get();
 		if (this.plan.isPresent() && fresh.version() <= this.plan.get().version()) {
 			return;
@@ -168,15 +183,7 @@
 		this.plan = Optional.of(fresh);
 		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_ACCEPTED, "plan", "", "version " + fresh.version()));
 		this.inForce.accept(fresh);
-	}
-
-	private Optional<ListedTarget> readTarget(StoreItem item) {
-		Either<String, ListedTarget> read = this.source.target(item);
-		if (read.isLeft()) {
-			this.audit.record(AuditEvent.of(AuditKind.MEMBERSHIP, item.key(), "", "not understood: " + read.getLeft()));
-			return Optional.empty();
-		}
-		return Optional.of(read.get());
+		this.targets.use(fresh);
 	}
 
 }
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/ServingSource.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/ServingSource.java
@@ -1,6 +1,7 @@
 package dev.laneworks.entry.direct;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.function.Supplier;
 
 import dev.laneworks.core.directory.ListedTarget;
@@ -45,6 +46,18 @@
 	 */
 	String evacuatedDataCentre(String key);
 
+	/**
+	 * Return what is wrong with a key that is of a known kind and yet names nothing of
+	 * it, such as an evacuation of no data centre.
+	 * @param key the key
+	 * @return the fault, or empty if there is none; {@link #targetId} and
+	 * {@link #evacuatedDataCentre} give empty text for a key with a fault
+	 * @since 0.3
+	 */
+	default Optional<String> keyFault(String key) {
+		return Optional.empty();
+	}
+
 	/**
 	 * Read the plan.
 	 * @param item the item
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipWorld.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipWorld.java
@@ -26,6 +26,8 @@
 import dev.laneworks.core.follow.StoreFollower;
 import dev.laneworks.core.follow.StoreItem;
 import dev.laneworks.core.follow.StoreNews;
+import dev.laneworks.core.serving.RequestLimits;
+import dev.laneworks.core.serving.ServiceSpec;
 import dev.laneworks.core.serving.ServingPlan;
 import dev.laneworks.core.time.Timers;
 import dev.laneworks.runtime.http.BackgroundWork;
@@ -405,7 +407,9 @@
 
 		@Override
 		public Either<String, ServingPlan> plan(StoreItem item) {
-			return Either.left("no plan is needed here");
+			return Either.right(new ServingPlan(1, List.of(),
+					Map.of("s", new ServiceSpec("s", Integer.MAX_VALUE, 0, Optional.empty())), Map.of(),
+					new RequestLimits(1, 1, 1, 1)));
 		}
 
 		@Override
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlanAndTargetsTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlanAndTargetsTests.java
@@ -6,7 +6,11 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
+import dev.laneworks.core.audit.AuditEvent;
+import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.directory.DirectoryListener;
 import dev.laneworks.core.directory.EvacuationListener;
 import dev.laneworks.core.directory.Evacuations;
@@ -18,6 +22,7 @@
 import dev.laneworks.core.follow.StoreFollower;
 import dev.laneworks.core.follow.StoreItem;
 import dev.laneworks.core.serving.RequestLimits;
+import dev.laneworks.core.serving.ServiceSpec;
 import dev.laneworks.core.serving.ServingPlan;
 import dev.laneworks.core.time.Timers;
 import dev.laneworks.runtime.http.BackgroundWork;
@@ -37,12 +42,16 @@
 
 	private final List<Long> inForce = new ArrayList<>();
 
+	private final List<AuditEvent> told = new ArrayList<>();
+
+	private final List<String> news = new ArrayList<>();
+
 	private final Evacuations evacuations = new Evacuations(new NoEvacuations());
 
-	private final PlanAndTargets published = new PlanAndTargets(new Plans(),
-			new TargetDirectory(new Nobody(), this.evacuations, new Timers()), this.evacuations,
-			(p) -> this.inForce.add(p.version()), (e) -> {
-			}, new Later());
+	private final TargetDirectory directory = new TargetDirectory(new Recorder(), this.evacuations, new Timers());
+
+	private final PlanAndTargets published = new PlanAndTargets(new Plans(), this.directory, this.evacuations,
+			(p) -> this.inForce.add(p.version()), this.told::add, new Later());
 
 	@Test
 	void aLargePlanIsReadBesideTheIoThread() {
@@ -63,14 +72,178 @@
 		assertThat(this.inForce).containsExactly(1L, 3L).inOrder();
 	}
 
+	@Test
+	void anEntryThatCanNotBeReadNamesNoTargetAndTheOthersHold() {
+		this.published.all(List.of(plan("1 s"), entry("a", "s 10.0.0.1"), entry("b", "?"), entry("c", "s 10.0.0.3")),
+				0);
+		assertThat(this.directory.serving("s").stream().map(ListedTarget::id)).containsExactly("a", "c");
+		changed(entry("d", "?"), entry("e", "s 10.0.0.5"));
+		assertThat(this.directory.serving("s").stream().map(ListedTarget::id)).containsExactly("a", "c", "e");
+		assertThat(refused()).containsExactly("servers/b", "servers/d").inOrder();
+	}
+
+	@Test
+	void aTargetWhoseEntryCanNotBeReadAnyMoreIsSentNothingNewAndStays() {
+		this.published.all(List.of(plan("1 s"), entry("a", "s 10.0.0.1")), 0);
+		changed(entry("a", "?"));
+		assertThat(this.directory.takesWork("a")).isFalse();
+		assertThat(this.directory.serving("s")).isEmpty();
+		assertThat(this.directory.isStaying("a")).isTrue();
+		this.published.all(List.of(plan("1 s"), entry("a", "?")), 1);
+		assertThat(this.directory.takesWork("a")).isFalse();
+		assertThat(this.directory.isStaying("a")).isTrue();
+		changed(entry("a", "s 10.0.0.1"));
+		assertThat(this.directory.takesWork("a")).isTrue();
+		assertThat(this.news).containsExactly("joined a");
+	}
+
+	@Test
+	void aReadingOfAllTakesATargetBackWhoseEntryCanBeReadAgain() {
+		this.published.all(List.of(plan("1 s"), entry("a", "s 10.0.0.1")), 0);
+		this.published.all(List.of(plan("1 s"), entry("a", "?")), 1);
+		assertThat(this.directory.takesWork("a")).isFalse();
+		this.published.all(List.of(plan("1 s"), entry("a", "s 10.0.0.1")), 2);
+		assertThat(this.directory.takesWork("a")).isTrue();
+		assertThat(this.news).containsExactly("joined a");
+	}
+
+	@Test
+	void aTargetWhoseEntryCouldNotBeReadAndWentIsGone() {
+		this.published.all(List.of(plan("1 s"), entry("a", "s 10.0.0.1")), 0);
+		changed(entry("a", "?"));
+		gone("servers/a");
+		assertThat(this.news).containsExactly("joined a", "leaving a", "gone a").inOrder();
+		changed(entry("a", "s 10.0.0.1"));
+		assertThat(this.directory.takesWork("a")).isTrue();
+	}
+
+	@Test
+	void aTargetThatLapsesWhileItsEntryCanNotBeReadIsSentNothingMeanwhile() {
+		this.published.all(List.of(plan("1 s"), entry("a", "s 10.0.0.1")), 0);
+		changed(entry("a", "?"));
+		this.published.regained(5, 10);
+		gone("servers/a");
+		assertThat(this.directory.isStaying("a")).isTrue();
+		assertThat(this.directory.takesWork("a")).isFalse();
+		this.published.all(List.of(plan("1 s")), 20);
+		assertThat(this.directory.takesWork("a")).isFalse();
+	}
+
+	@Test
+	void aTargetOfAServiceThatNoPlanNamesIsHeldUntilOneDoes() {
+		this.published.all(List.of(plan("1 s"), entry("a", "s 10.0.0.1"), entry("b", "t 10.0.0.2")), 0);
+		changed(entry("c", "t 10.0.0.1"));
+		assertThat(this.directory.takesWork("a")).isTrue();
+		assertThat(this.directory.size()).isEqualTo(1);
+		assertThat(refused()).containsExactly("servers/b", "servers/c").inOrder();
+		gone("servers/c");
+		changed(plan("2 s t"));
+		assertThat(this.directory.serving("t").stream().map(ListedTarget::id)).containsExactly("b");
+		assertThat(this.directory.takesWork("a")).isTrue();
+		changed(plan("3 s"), entry("b", "t 10.0.0.2 leaving"));
+		assertThat(this.directory.isStaying("b")).isFalse();
+		assertThat(this.news).containsExactly("joined a", "joined b", "leaving b").inOrder();
+	}
+
+	@Test
+	void aTargetThatIsHeldAndNotListedAnyMoreIsNotTakenByALaterPlan() {
+		this.published.all(List.of(plan("1 s"), entry("b", "t 10.0.0.2")), 0);
+		this.published.all(List.of(plan("1 s")), 1);
+		changed(plan("2 s t"));
+		assertThat(this.directory.size()).isEqualTo(0);
+	}
+
+	@Test
+	void aTargetThatPassesToAServiceThatNoPlanNamesIsSentNothingNew() {
+		this.published.all(List.of(plan("1 s"), entry("a", "s 10.0.0.1")), 0);
+		changed(entry("a", "t 10.0.0.1"));
+		assertThat(this.directory.takesWork("a")).isFalse();
+		assertThat(this.directory.isStaying("a")).isTrue();
+		changed(plan("2 s t"));
+		assertThat(this.directory.serving("t")).hasSize(1);
+	}
+
+	@Test
+	void targetsThatAreListedBeforeThePlanServeOnceItIsThere() {
+		this.published.all(List.of(entry("a", "s 10.0.0.1"), entry("b", "t 10.0.0.2")), 0);
+		assertThat(refused()).isEmpty();
+		changed(plan("1 s"));
+		assertThat(this.directory.all().stream().map(ListedTarget::id)).containsExactly("a");
+		assertThat(refused()).containsExactly("servers/b");
+	}
+
+	@Test
+	void aPlanThatCanNotBeReadChangesNothing() {
+		this.published.all(List.of(plan("1 s"), entry("a", "s 10.0.0.1")), 0);
+		changed(plan("?"));
+		this.published.all(List.of(plan("?"), entry("a", "s 10.0.0.1")), 1);
+		assertThat(this.published.plan().orElseThrow().version()).isEqualTo(1);
+		assertThat(this.directory.takesWork("a")).isTrue();
+		assertThat(told(AuditKind.CONFIGURATION_REFUSED)).hasSize(1);
+		gone("plan");
+		assertThat(this.published.plan().orElseThrow().version()).isEqualTo(1);
+		changed(plan("2 s"));
+		assertThat(this.inForce).containsExactly(1L, 2L).inOrder();
+	}
+
+	@Test
+	void aFaultIsToldOnceForEachKeyUntilItChanges() {
+		for (int i = 0; i < 5; i++) {
+			this.published.all(List.of(plan("1 s"), entry("a", "?"), entry("b", "t 10.0.0.2")), i);
+			changed(entry("a", "?"), entry("b", "t 10.0.0.2"), plan((2 + i) + " s"));
+		}
+		assertThat(refused()).containsExactly("servers/a", "servers/b");
+		assertThat(this.published.refusedItems()).isEqualTo(2);
+		changed(entry("a", "s 10.0.0.1"));
+		changed(entry("a", "?"));
+		gone("servers/b");
+		assertThat(refused()).containsExactly("servers/a", "servers/b", "servers/a").inOrder();
+		assertThat(this.published.refusedItems()).isEqualTo(1);
+		this.published.all(List.of(plan("1 s")), 9);
+		assertThat(this.published.refusedItems()).isEqualTo(0);
+	}
+
+	@Test
+	void anEvacuationOfNoDataCentreIsToldAndChangesNothing() {
+		this.published.all(List.of(new StoreItem("evacuate/!", "{}"), new StoreItem("evacuate/z", "?"), plan("1 s"),
+				entry("a", "s 10.0.0.1")), 0);
+		assertThat(this.evacuations.count()).isEqualTo(1);
+		changed(new StoreItem("evacuate/!", "{}"), new StoreItem("evacuate/y", "?"));
+		assertThat(this.evacuations.count()).isEqualTo(2);
+		gone("evacuate/!");
+		gone("evacuate/z");
+		assertThat(this.evacuations.count()).isEqualTo(1);
+		assertThat(refused()).containsExactly("evacuate/!");
+	}
+
+	private List<String> refused() {
+		return told(AuditKind.ITEM_REFUSED);
+	}
+
+	private List<String> told(AuditKind kind) {
+		return this.told.stream().filter((e) -> e.kind() == kind).map(AuditEvent::subject).toList();
+	}
+
 	private void change(String value) {
-		this.published.changed(List.of(new StoreChange("plan", Optional.of(plan(value)), 1)), 0);
+		changed(plan(value));
+	}
+
+	private void changed(StoreItem... items) {
+		this.published.changed(Stream.of(items).map((i) -> new StoreChange(i.key(), Optional.of(i), 1)).toList(), 0);
+	}
+
+	private void gone(String key) {
+		this.published.changed(List.of(new StoreChange(key, Optional.empty(), 1)), 20);
 	}
 
 	private static StoreItem plan(String value) {
 		return new StoreItem("plan", value);
 	}
 
+	private static StoreItem entry(String id, String value) {
+		return new StoreItem("servers/" + id, value);
+	}
+
 	/**
 	 * Does nothing before it is told to.
 	 */
@@ -84,7 +257,8 @@
 	}
 
 	/**
-	 * Plans that consist of their version.
+	 * Plans that consist of their version and services, and targets of service, host and
+	 * perhaps a word that they leave. A question mark can't be read.
 	 */
 	private static final class Plans implements ServingSource {
 
@@ -100,23 +274,41 @@
 
 		@Override
 		public String targetId(String key) {
-			return "";
+			return key.startsWith("servers/") ? key.substring("servers/".length()) : "";
 		}
 
 		@Override
 		public String evacuatedDataCentre(String key) {
-			return key.startsWith("evacuate/") ? key.substring("evacuate/".length()) : "";
+			boolean isOne = key.startsWith("evacuate/") && keyFault(key).isEmpty();
+			return isOne ? key.substring("evacuate/".length()) : "";
+		}
+
+		@Override
+		public Optional<String> keyFault(String key) {
+			return key.endsWith("!") ? Optional.of("no data centre") : Optional.empty();
 		}
 
 		@Override
 		public Either<String, ServingPlan> plan(StoreItem item) {
-			return Either.right(new ServingPlan(Long.parseLong(item.value().trim()), List.of(), Map.of(), Map.of(),
+			if (item.value().equals("?")) {
+				return Either.left("no plan");
+			}
+			String[] words = item.value().trim().split(" ");
+			Map<String, ServiceSpec> services = Stream.of(words)
+				.skip(1)
+				.collect(Collectors.toMap((w) -> w, (w) -> new ServiceSpec(w, 1, 0, Optional.empty())));
+			return Either.right(new ServingPlan(Long.parseLong(words[0]), List.of(), services, Map.of(),
 					new RequestLimits(1, 1, 1, 1)));
 		}
 
 		@Override
 		public Either<String, ListedTarget> target(StoreItem item) {
-			return Either.left("no target");
+			if (item.value().equals("?")) {
+				return Either.left("no target");
+			}
+			String[] words = item.value().split(" ");
+			return Either
+				.right(new ListedTarget(targetId(item.key()), words[0], words[1], 80, "dc", 4, words.length > 2));
 		}
 
 		@Override
@@ -126,7 +318,7 @@
 
 	}
 
-	private static final class Nobody implements DirectoryListener {
+	private final class Recorder implements DirectoryListener {
 
 		@Override
 		public void listed(ListedTarget target) {
@@ -135,17 +327,17 @@
 
 		@Override
 		public void joined(ListedTarget target) {
-			// Nobody listens.
+			PlanAndTargetsTests.this.news.add("joined " + target.id());
 		}
 
 		@Override
 		public void leaving(ListedTarget target, LeavingCause cause) {
-			// Nobody listens.
+			PlanAndTargetsTests.this.news.add("leaving " + target.id());
 		}
 
 		@Override
 		public void gone(ListedTarget target) {
-			// Nobody listens.
+			PlanAndTargetsTests.this.news.add("gone " + target.id());
 		}
 
 	}
