Forget targets that are held back before a list is read anew

Cause: a list read anew brings a plan and entries together. The plan came first and took the targets held back from the list before, also those that are listed no more: such a one joined and went, and behind a return of the store would have lapsed, and been sent work, for 1.8 s.

The test of it is red without the change.

--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
@@ -90,6 +90,8 @@
 			.filter((d) -> !d.isEmpty())
 			.toList());
 		items.forEach((i) -> tellKeyFault(i.key()));
+		// Before a plan that may name their services: some may be listed no more.
+		this.targets.forgetUnnamed();
 		items.stream().filter((i) -> this.source.isPlan(i.key())).forEach(this::takePlan);
 		this.targets.replaceAll(items.stream().filter((i) -> isTarget(i.key())).toList(), now);
 		this.hasRead = true;
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetEntries.java
@@ -69,13 +69,18 @@
 		}));
 	}
 
+	// Forget the targets that are held back, since all entries are to be read anew.
+	void forgetUnnamed() {
+		this.unnamed.clear();
+	}
+
 	/**
 	 * Take all entries, read anew.
 	 * @param entries the items that are targets' entries
 	 * @param now the time in milliseconds
 	 */
 	void replaceAll(List<StoreItem> entries, long now) {
-		this.unnamed.clear();
+		forgetUnnamed();
 		List<ListedTarget> listed = new ArrayList<>();
 		for (StoreItem entry : entries) {
 			usable(entry).or(() -> withheld(entry)).ifPresent(listed::add);
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlanAndTargetsTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlanAndTargetsTests.java
@@ -153,6 +153,13 @@
 		assertThat(this.directory.size()).isEqualTo(0);
 	}
 
+	@Test
+	void aTargetThatIsHeldAndNotListedAnyMoreIsNotTakenByThePlanThatIsReadWithTheList() {
+		this.published.all(List.of(plan("1 s"), entry("b", "t 10.0.0.2")), 0);
+		this.published.all(List.of(plan("2 s t"), entry("c", "t 10.0.0.3")), 1);
+		assertThat(this.news).containsExactly("joined c");
+	}
+
 	@Test
 	void aTargetThatPassesToAServiceThatNoPlanNamesIsSentNothingNew() {
 		this.published.all(List.of(plan("1 s"), entry("a", "s 10.0.0.1")), 0);
@@ -208,6 +215,7 @@
 		this.published.all(List.of(new StoreItem("evacuate/!", "{}"), new StoreItem("evacuate/z", "?"), plan("1 s"),
 				entry("a", "s 10.0.0.1")), 0);
 		assertThat(this.evacuations.count()).isEqualTo(1);
+		assertThat(refused()).containsExactly("evacuate/!");
 		changed(new StoreItem("evacuate/!", "{}"), new StoreItem("evacuate/y", "?"));
 		assertThat(this.evacuations.count()).isEqualTo(2);
 		gone("evacuate/!");
