--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlanAndTargetsTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlanAndTargetsTests.java
@@ -121,7 +121,7 @@
 	void aTargetThatLapsesWhileItsEntryCanNotBeReadIsSentNothingMeanwhile() {
 		this.published.all(List.of(plan("1 s"), entry("a", "s 10.0.0.1")), 0);
 		changed(entry("a", "?"));
-		this.published.regained(5, 10);
+		this.published.regained(5, true, 10);
 		gone("servers/a");
 		assertThat(this.directory.isStaying("a")).isTrue();
 		assertThat(this.directory.takesWork("a")).isFalse();
