--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/ReturnTimes.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/ReturnTimes.java
@@ -11,9 +11,9 @@
  * is and many callers are refused within seconds. Told only when the room in their way is
  * gone, all of them are told about the same time, come back together and are refused
  * again. Here each one that is refused books a part of the room that running generations
- * set free, and the next one is told the time at which that part is behind it. A rank has
- * bookings of its own, so that the highest does not wait for lower ones. Nothing is
- * reserved: who comes first at that time is served first. Not thread-safe.
+ * set free, and the next one is told the time at which that part is behind it. Each rank
+ * of a service has a queue of its own, so that the highest does not wait for lower ones.
+ * Nothing is reserved: who comes first at that time is served first. Not thread-safe.
  */
 final class ReturnTimes {
 
@@ -28,13 +28,13 @@
 	private static final double PART_FOR_RETURNS = 0.25;
 
 	/**
-	 * The part of the time left to a caller up to which it waits when told to. One whose
-	 * turn is later books nothing.
+	 * The part of the time left to a caller up to which it waits when told to, by the
+	 * protocol of the platform. One whose turn is later books nothing.
 	 */
 	private static final double HEEDED_PART = 1.0 / 3;
 
-	/** When the next caller of a line may come back, in milliseconds. */
-	private final Map<Line, Double> nextByLine = new HashMap<>();
+	/** When the next caller of a queue may come back, in milliseconds. */
+	private final Map<Queue, Double> nextByQueue = new HashMap<>();
 
 	/**
 	 * Return when a caller that is refused may come back, and book room for it.
@@ -51,17 +51,17 @@
 	 * @return after how many milliseconds it may come back, no less than the wait
 	 */
 	long book(String service, int rank, long waitMillis, double freedInMillis, long patienceMillis, long now) {
-		Line line = new Line(service, rank);
-		double at = Math.max(now + waitMillis, this.nextByLine.getOrDefault(line, 0.0));
+		Queue queue = new Queue(service, rank);
+		double at = Math.max(now + waitMillis, this.nextByQueue.getOrDefault(queue, 0.0));
 		double heeded = HEEDED_PART * patienceMillis;
 		if (at - now > heeded) {
 			return Math.max(waitMillis, Math.round(heeded));
 		}
-		this.nextByLine.put(line, at + freedInMillis / PART_FOR_RETURNS);
+		this.nextByQueue.put(queue, at + freedInMillis / PART_FOR_RETURNS);
 		return Math.round(at - now);
 	}
 
-	private record Line(String service, int rank) {
+	private record Queue(String service, int rank) {
 
 	}
 
