Know the run of a target, and end the former where another is listed

Cause: a target was its id. The mark of leaving stayed under the id, an id joined once, and neither a second run's entry was a new target nor did it end the first: a target that said that it leaves, ended and started again under its id took no work any more, and one that was back before its entry went kept the streams of its first run. The list's revision orders what is heard of an id; the start time tells runs apart and orders nothing. The later of two at one address is there now, by revision.

--- a/laneworks-core/src/main/java/dev/laneworks/core/directory/DirectoryListener.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/DirectoryListener.java
@@ -27,7 +27,10 @@
 	void leaving(ListedTarget target, LeavingCause cause);
 
 	/**
-	 * Hear that a target which was leaving is not listed any more.
+	 * Hear that a target which was leaving is not listed any more, or that a run of it is
+	 * over because another one is listed. Of two runs of a target the former is gone
+	 * before the newer joins, both heard in one, and the directory knows the newer one
+	 * meanwhile.
 	 * @param target the target
 	 */
 	void gone(ListedTarget target);
--- a/laneworks-core/src/main/java/dev/laneworks/core/directory/LeavingCause.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/LeavingCause.java
@@ -22,6 +22,9 @@
 	/** Another target is listed at the target's address. */
 	ADDRESS_TAKEN,
 
+	/** The target started again under its id: a newer run is listed. */
+	STARTED_AGAIN,
+
 	/** The target refused a request because it is leaving or is another one. */
 	REFUSED
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
@@ -19,7 +19,11 @@
  * While the list can't be reached the targets known last stay. Entries can lapse
  * meanwhile though their targets are well; those are back soon after the list is, so that
  * an entry which goes within that time counts as gone only at its end. An address belongs
- * to the target that was listed there last. Not thread-safe.
+ * to the target that was listed there last.
+ * <p>
+ * Of each target one run is known, the one that was listed last by the list's revisions.
+ * A run that is listed ends the run before it and all that is known of that one. What is
+ * heard late of a former run changes nothing. Not thread-safe.
  *
  * @since 0.2
  */
@@ -36,8 +40,11 @@
 
 	private final Map<String, Long> lapsedUntil = new HashMap<>();
 
+	/** The targets whose known run takes no new work. */
 	private final Set<String> left = new HashSet<>();
 
+	private final ListOrder order = new ListOrder();
+
 	private final DirectoryListener listener;
 
 	private final Evacuations evacuations;
@@ -102,26 +109,67 @@
 	 * @param target the target
 	 */
 	public void put(ListedTarget target) {
-		together(() -> {
-			endFormerAt(target, List.copyOf(this.targets.values()));
+		put(new Listing(target, Listing.UNKNOWN_REVISION));
+	}
+
+	/**
+	 * Take an entry as it was written.
+	 * @param listing the entry
+	 */
+	public void put(Listing listing) {
+		together(() -> take(listing, List.copyOf(this.targets.values())));
+	}
+
+	private void take(Listing listing, Collection<ListedTarget> known) {
+		if (this.order.isInOrder(listing.target().id(), listing.revision())) {
+			ListedTarget target = ofKnownRun(listing.target());
+			boolean isKnown = isKnownRun(target);
+			endFormerRun(target);
+			if (!isKnown) {
+				endFormerAt(new Listing(target, listing.revision()), known);
+			}
 			take(target);
-		});
+		}
+	}
+
+	// An entry that does not tell when its target started says nothing of another run.
+	private ListedTarget ofKnownRun(ListedTarget listed) {
+		return (listed.startMillis().isPresent()) ? listed
+				: find(listed.id()).map((k) -> listed.startedAt(k.startMillis())).orElse(listed);
 	}
 
 	// A target's address is given to another one only after it has ended, even where its
-	// entry is still listed.
-	private void endFormerAt(ListedTarget target, Collection<ListedTarget> known) {
-		if (this.targets.containsKey(target.id())) {
-			return;
-		}
-		for (ListedTarget former : known) {
-			boolean isReplaced = former.address().equals(target.address()) && !former.id().equals(target.id());
-			if (isReplaced && this.left.add(former.id())) {
-				tell(() -> this.listener.leaving(former, LeavingCause.ADDRESS_TAKEN));
+	// entry is still listed. Of two at one address the one that was listed there later is
+	// there, whichever is heard first.
+	private void endFormerAt(Listing listing, Collection<ListedTarget> known) {
+		ListedTarget target = listing.target();
+		for (ListedTarget other : known) {
+			boolean isReplaced = other.address().equals(target.address()) && !other.id().equals(target.id());
+			if (isReplaced) {
+				boolean isOtherThere = !this.lapsedUntil.containsKey(other.id())
+						&& this.order.isKnownBehind(other.id(), listing.revision());
+				addressTaken(isOtherThere ? target : other);
 			}
 		}
 	}
 
+	private void addressTaken(ListedTarget former) {
+		if (this.left.add(former.id())) {
+			tell(() -> this.listener.leaving(former, LeavingCause.ADDRESS_TAKEN));
+		}
+	}
+
+	// What the new run tells is heard first, since what the former one ran may go there.
+	private void endFormerRun(ListedTarget target) {
+		Optional<ListedTarget> former = find(target.id()).filter((k) -> !k.isSameRun(target));
+		if (former.isEmpty()) {
+			return;
+		}
+		tell(() -> this.listener.listed(target));
+		this.lapsedUntil.remove(target.id());
+		drop(former.get(), LeavingCause.STARTED_AGAIN);
+	}
+
 	private void take(ListedTarget target) {
 		this.lapsedUntil.remove(target.id());
 		ListedTarget before = this.targets.put(target.id(), target);
@@ -158,23 +206,34 @@
 		drop(target, LeavingCause.VANISHED);
 	}
 
+	/**
+	 * Take that a target's entry went.
+	 * @param id the target's id
+	 * @param revision the list's revision of that
+	 * @param now the time in milliseconds
+	 */
+	public void remove(String id, long revision, long now) {
+		if (this.order.isInOrder(id, revision)) {
+			remove(id, now);
+		}
+	}
+
 	/**
 	 * Take the whole list, read anew.
 	 * @param all the targets listed
 	 * @param now the time in milliseconds
 	 */
-	public void replaceAll(Collection<ListedTarget> all, long now) {
+	public void replaceAll(Collection<Listing> all, long now) {
 		together(() -> replace(all, now));
 	}
 
-	private void replace(Collection<ListedTarget> all, long now) {
+	private void replace(Collection<Listing> all, long now) {
 		// Of two that are both new it isn't known which was listed first.
 		List<ListedTarget> known = List.copyOf(this.targets.values());
 		Set<String> listed = new HashSet<>();
-		for (ListedTarget target : all) {
-			listed.add(target.id());
-			endFormerAt(target, known);
-			take(target);
+		for (Listing listing : all) {
+			listed.add(listing.target().id());
+			take(listing, known);
 		}
 		for (String id : List.copyOf(this.targets.keySet())) {
 			if (!listed.contains(id)) {
@@ -185,25 +244,23 @@
 
 	/**
 	 * Take that a target itself showed that it takes no new work.
-	 * @param id the target's id
+	 * @param run the run of the target that showed it
 	 */
-	public void refusedWork(String id) {
-		leaves(id, LeavingCause.REFUSED);
+	public void refusedWork(TargetRun run) {
+		leaves(run, LeavingCause.REFUSED);
 	}
 
 	/**
 	 * Take that a target said that it is leaving, to this process or to another.
-	 * @param id the target's id
+	 * @param run the run of the target that said it
 	 */
-	public void saidLeaving(String id) {
-		leaves(id, LeavingCause.SAID_SO_WHEN_ASKED);
+	public void saidLeaving(TargetRun run) {
+		leaves(run, LeavingCause.SAID_SO_WHEN_ASKED);
 	}
 
-	private void leaves(String id, LeavingCause cause) {
-		ListedTarget target = this.targets.get(id);
-		if (target != null && this.left.add(id)) {
-			tell(() -> this.listener.leaving(target, cause));
-		}
+	private void leaves(TargetRun run, LeavingCause cause) {
+		find(run.id()).filter((t) -> t.run().equals(run) && this.left.add(run.id()))
+			.ifPresent((t) -> tell(() -> this.listener.leaving(t, cause)));
 	}
 
 	private void dropLapsed(long now) {
@@ -269,6 +326,38 @@
 		return this.targets.containsKey(id) && !this.left.contains(id);
 	}
 
+	/**
+	 * Return whether the run of a target is the one that is known, and takes new work.
+	 * @param target the target
+	 * @return whether work may be sent to it
+	 */
+	public boolean takesWork(ListedTarget target) {
+		return isKnownRun(target) && takesWork(target.id());
+	}
+
+	/**
+	 * Return whether the run of a target is the one that is known, and is not leaving.
+	 * @param target the target
+	 * @return whether it stays
+	 */
+	public boolean isStaying(ListedTarget target) {
+		return isKnownRun(target) && isStaying(target.id());
+	}
+
+	private boolean isKnownRun(ListedTarget target) {
+		return find(target.id()).filter((k) -> k.isSameRun(target)).isPresent();
+	}
+
+	/**
+	 * Return whether a target is known to have started again, so that nothing of its
+	 * former run is left.
+	 * @param target the target
+	 * @return whether another run of it is listed
+	 */
+	public boolean isFormerRun(ListedTarget target) {
+		return find(target.id()).filter((k) -> !k.isSameRun(target)).isPresent();
+	}
+
 	/**
 	 * Return whether a target is in a data centre that is evacuated.
 	 * @param target the target
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptOutcomes.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptOutcomes.java
@@ -92,7 +92,7 @@
 		ListedTarget target = attempt.target();
 		call.didNotRun();
 		if (head.isMisdirected()) {
-			this.directory.refusedWork(target.id());
+			this.directory.refusedWork(target.run());
 		}
 		else {
 			this.beliefs.of(target).full(now + this.settings.comeBackMillis());
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreItem.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreItem.java
@@ -7,13 +7,26 @@
  *
  * @param key the item's key
  * @param value what it holds
+ * @param revision the store's revision of its last change; 0 where that is not known
  * @since 0.2
  */
-public record StoreItem(String key, String value) {
+public record StoreItem(String key, String value, long revision) {
+
+	/** The revision of an item of which it is not known. */
+	public static final long UNKNOWN_REVISION = 0;
 
 	public StoreItem {
 		Objects.requireNonNull(key, "key must not be null");
 		Objects.requireNonNull(value, "value must not be null");
 	}
 
+	/**
+	 * Create an item of which it is not known when it changed last.
+	 * @param key the item's key
+	 * @param value what it holds
+	 */
+	public StoreItem(String key, String value) {
+		this(key, value, UNKNOWN_REVISION);
+	}
+
 }
--- a/laneworks-core/src/test/java/dev/laneworks/core/directory/TargetDirectoryTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/directory/TargetDirectoryTests.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 
 import dev.laneworks.core.time.Timers;
 import org.junit.jupiter.api.Test;
@@ -87,7 +88,7 @@
 	@Test
 	void aListReadAnewEndsOnlyTheTargetThatWasKnownBeforeTheOtherAtItsAddress() {
 		this.directory.put(target("b", false));
-		this.directory.replaceAll(List.of(at("10.0.0.2", "a"), target("b", false)), 10);
+		this.directory.replaceAll(listings(at("10.0.0.2", "a"), target("b", false)), 10);
 		assertThat(this.directory.takesWork("a")).isTrue();
 		assertThat(this.directory.takesWork("b")).isFalse();
 	}
@@ -96,15 +97,15 @@
 	void aListReadAnewDropsWhatIsMissing() {
 		this.directory.put(target("a", false));
 		this.directory.put(target("b", false));
-		this.directory.replaceAll(List.of(target("b", false), target("c", false)), 50_000);
+		this.directory.replaceAll(listings(target("b", false), target("c", false)), 50_000);
 		assertThat(this.directory.serving("s").stream().map(ListedTarget::id).toList()).containsExactly("b", "c");
 	}
 
 	@Test
 	void aTargetThatRefusesForBeingAnotherIsLeaving() {
 		this.directory.put(target("a", false));
-		this.directory.refusedWork("a");
-		this.directory.refusedWork("a");
+		this.directory.refusedWork(TargetRun.of("a"));
+		this.directory.refusedWork(TargetRun.of("a"));
 		assertThat(this.directory.takesWork("a")).isFalse();
 		assertThat(this.heard).containsExactly("joined a", "leaving a REFUSED").inOrder();
 	}
@@ -151,6 +152,10 @@
 		assertThat(this.heard).containsExactly("evacuated dc", "evacuated dc2", "taken back dc", "evacuated dc3");
 	}
 
+	private static List<Listing> listings(ListedTarget... targets) {
+		return Stream.of(targets).map((t) -> new Listing(t, Listing.UNKNOWN_REVISION)).toList();
+	}
+
 	private final class EvacuationRecorder implements EvacuationListener {
 
 		@Override
--- /dev/null
+++ b/laneworks-core/src/test/java/dev/laneworks/core/directory/TargetRunsTests.java
@@ -0,0 +1,224 @@
+package dev.laneworks.core.directory;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+
+import dev.laneworks.core.time.Timers;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of {@link TargetDirectory} with targets that start again under their id.
+ */
+class TargetRunsTests {
+
+	private static final long FIRST = 1_700_000_000_000L;
+
+	private static final long SECOND = FIRST + 60_000;
+
+	private final List<String> heard = new ArrayList<>();
+
+	private final Timers timers = new Timers();
+
+	private final Evacuations evacuations = new Evacuations(new NoEvacuations());
+
+	private final TargetDirectory directory = new TargetDirectory(new Recorder(), this.evacuations, this.timers);
+
+	@Test
+	void aNewRunOfAnIdEndsTheFormerOne() {
+		list(FIRST, false, 5);
+		list(SECOND, false, 6);
+		assertThat(this.heard)
+			.containsExactly("joined a/0", "leaving a/0 STARTED_AGAIN, known a/60000", "gone a/0", "joined a/60000")
+			.inOrder();
+		assertThat(this.directory.takesWork(target(FIRST, false))).isFalse();
+		assertThat(this.directory.isStaying(target(FIRST, false))).isFalse();
+		assertThat(this.directory.isFormerRun(target(FIRST, false))).isTrue();
+		assertThat(this.directory.takesWork(target(SECOND, false))).isTrue();
+		assertThat(this.directory.isFormerRun(target(SECOND, false))).isFalse();
+	}
+
+	@Test
+	void whatANewRunListsIsHeardBeforeTheFormerEnds() {
+		this.directory.put(new Listing(target(FIRST, false), 5));
+		this.heard.clear();
+		this.directory.put(new Listing(new ListedTarget("a", "s", "10.0.0.1", 80, "dc", 4, false, OptionalLong.of(700),
+				OptionalLong.of(SECOND)), 6));
+		assertThat(this.heard.get(0)).isEqualTo("cold a/60000 700");
+	}
+
+	@Test
+	void aRunThatStartsBehindOneThatWasLeavingTakesWork() {
+		list(FIRST, false, 5);
+		list(FIRST, true, 6);
+		list(SECOND, false, 7);
+		assertThat(this.directory.takesWork("a")).isTrue();
+		assertThat(this.heard)
+			.containsExactly("joined a/0", "leaving a/0 SAID_SO, known a/0", "gone a/0", "joined a/60000")
+			.inOrder();
+	}
+
+	@Test
+	void theLeavingOfARunIsKnownAlsoBehindTheLeavingOfAnother() {
+		list(FIRST, true, 5);
+		list(SECOND, false, 6);
+		list(SECOND, true, 7);
+		assertThat(this.directory.takesWork("a")).isFalse();
+		assertThat(this.heard).contains("leaving a/60000 SAID_SO, known a/60000");
+	}
+
+	@Test
+	void aLateEntryOfAFormerRunChangesNothing() {
+		list(SECOND, false, 9);
+		list(FIRST, false, 5);
+		list(FIRST, true, 6);
+		this.directory.remove("a", 7, 50_000);
+		assertThat(this.directory.takesWork(target(SECOND, false))).isTrue();
+		assertThat(this.heard).containsExactly("joined a/60000");
+	}
+
+	@Test
+	void aRunThatIsGoneDoesNotComeBackByALateEntry() {
+		list(FIRST, false, 5);
+		list(SECOND, false, 6);
+		this.directory.remove("a", 8, 50_000);
+		list(SECOND, false, 7);
+		list(FIRST, false, 5);
+		assertThat(this.directory.size()).isEqualTo(0);
+	}
+
+	@Test
+	void aListReadEarlierDoesNotBringAFormerRunBack() {
+		list(FIRST, false, 5);
+		list(SECOND, false, 6);
+		this.directory.replaceAll(List.of(new Listing(target(FIRST, false), 5)), 50_000);
+		assertThat(this.directory.takesWork(target(SECOND, false))).isTrue();
+	}
+
+	@Test
+	void aRunThatStartedEarlierByItsOwnTimeOfDayMayBeTheNewer() {
+		list(SECOND, false, 5);
+		list(FIRST, false, 6);
+		assertThat(this.directory.takesWork(target(FIRST, false))).isTrue();
+		assertThat(this.directory.takesWork(target(SECOND, false))).isFalse();
+	}
+
+	@Test
+	void anEntryWithoutARevisionIsAsNewAsItsArrivalAndHidesNothingThatHasOne() {
+		list(FIRST, false, 6);
+		list(SECOND, false, Listing.UNKNOWN_REVISION);
+		assertThat(this.directory.takesWork(target(SECOND, false))).isTrue();
+		list(FIRST, false, 5);
+		assertThat(this.directory.takesWork(target(SECOND, false))).isTrue();
+		list(FIRST, false, 7);
+		assertThat(this.directory.takesWork(target(FIRST, false))).isTrue();
+	}
+
+	@Test
+	void anEntryThatDoesNotTellItsStartIsOfTheRunThatIsKnown() {
+		list(FIRST, false, 5);
+		this.directory.put(new Listing(target(FIRST, true).startedAt(OptionalLong.empty()), 6));
+		assertThat(this.directory.takesWork("a")).isFalse();
+		assertThat(this.directory.isStaying(target(FIRST, true))).isFalse();
+		assertThat(this.directory.isFormerRun(target(FIRST, true))).isFalse();
+		assertThat(this.heard).containsExactly("joined a/0", "leaving a/0 SAID_SO, known a/0").inOrder();
+	}
+
+	@Test
+	void whatAFormerRunSaidDoesNotFallOnTheNewOne() {
+		list(FIRST, false, 5);
+		list(SECOND, false, 6);
+		this.directory.refusedWork(TargetRun.of("a", FIRST));
+		this.directory.saidLeaving(TargetRun.of("a", FIRST));
+		assertThat(this.directory.takesWork("a")).isTrue();
+		this.directory.saidLeaving(TargetRun.of("a", SECOND));
+		assertThat(this.directory.takesWork("a")).isFalse();
+	}
+
+	@Test
+	void theLapseOfAFormerRunDoesNotFallOnTheNewOne() {
+		list(FIRST, false, 5);
+		this.directory.regained(1_000);
+		this.directory.remove("a", 6, 1_100);
+		list(SECOND, false, 7);
+		this.timers.run(this.timers.nextDue());
+		assertThat(this.directory.takesWork(target(SECOND, false))).isTrue();
+	}
+
+	@Test
+	void aRunThatStartsAtTheAddressOfAnotherTargetEndsThatOne() {
+		list(FIRST, false, 5);
+		ListedTarget other = new ListedTarget("b", "s", "10.0.0.2", 80, "dc", 4, false);
+		this.directory.put(new Listing(other, 6));
+		this.directory.put(new Listing(new ListedTarget("a", "s", "10.0.0.2", 80, "dc", 4, false, OptionalLong.empty(),
+				OptionalLong.of(SECOND)), 7));
+		assertThat(this.directory.takesWork("b")).isFalse();
+		assertThat(this.directory.takesWork("a")).isTrue();
+	}
+
+	@Test
+	void aTargetThatIsHeardLateAtAnAddressDoesNotEndTheOneThatGotItSince() {
+		list(FIRST, false, 9);
+		this.directory.put(new Listing(new ListedTarget("former", "s", "10.0.0.1", 80, "dc", 4, false), 5));
+		assertThat(this.directory.takesWork("a")).isTrue();
+		assertThat(this.directory.takesWork("former")).isFalse();
+		this.directory.remove("former", 8, 50_000);
+		assertThat(this.directory.takesWork("a")).isTrue();
+		assertThat(this.directory.size()).isEqualTo(1);
+	}
+
+	private void list(long startMillis, boolean isLeaving, long revision) {
+		this.directory.put(new Listing(target(startMillis, isLeaving), revision));
+	}
+
+	private static ListedTarget target(long startMillis, boolean isLeaving) {
+		return new ListedTarget("a", "s", "10.0.0.1", 80, "dc", 4, isLeaving, OptionalLong.empty(),
+				OptionalLong.of(startMillis));
+	}
+
+	private static String text(ListedTarget target) {
+		return target.id() + '/' + (target.startMillis().orElse(FIRST) - FIRST);
+	}
+
+	private static final class NoEvacuations implements EvacuationListener {
+
+		@Override
+		public void evacuated(String dataCentre) {
+			throw new AssertionError("nothing is evacuated here");
+		}
+
+		@Override
+		public void takenBack(String dataCentre) {
+			throw new AssertionError("nothing is evacuated here");
+		}
+
+	}
+
+	private final class Recorder implements DirectoryListener {
+
+		@Override
+		public void listed(ListedTarget target) {
+			target.coldMillis().ifPresent((c) -> TargetRunsTests.this.heard.add("cold " + text(target) + ' ' + c));
+		}
+
+		@Override
+		public void joined(ListedTarget target) {
+			TargetRunsTests.this.heard.add("joined " + text(target));
+		}
+
+		@Override
+		public void leaving(ListedTarget target, LeavingCause cause) {
+			String known = TargetRunsTests.this.directory.find(target.id()).map(TargetRunsTests::text).orElse("");
+			TargetRunsTests.this.heard.add("leaving " + text(target) + ' ' + cause + ", known " + known);
+		}
+
+		@Override
+		public void gone(ListedTarget target) {
+			TargetRunsTests.this.heard.add("gone " + text(target));
+		}
+
+	}
+
+}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EngineInquiry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EngineInquiry.java
@@ -7,6 +7,7 @@
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
+import dev.laneworks.core.directory.TargetRun;
 import dev.laneworks.core.dispatch.TargetBeliefs;
 import dev.laneworks.core.inquiry.EngineAnswer;
 import dev.laneworks.core.inquiry.InquiryOutputs;
@@ -40,7 +41,7 @@
 		this.audit = audit;
 		this.inquiry = new LeavingInquiry(store.follower()::isSilent, (e) -> others.asksIn(e.dataCentre()),
 				this::engines, this, loop.timers());
-		others.onLeaving(store.directory()::saidLeaving);
+		others.onLeaving((id) -> store.directory().saidLeaving(TargetRun.of(id)));
 	}
 
 	void start(long now) {
@@ -73,7 +74,7 @@
 		this.audit.record(AuditEvent.of(AuditKind.MEMBERSHIP, engine.id(), engine.id(),
 				"says that it is leaving in " + answer.leavesMillis().orElse(0) + " ms"));
 		this.beliefs.saidLeaving(engine);
-		this.store.directory().saidLeaving(engine.id());
+		this.store.directory().saidLeaving(engine.run());
 	}
 
 	@Override
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
@@ -10,6 +10,7 @@
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.Evacuations;
 import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.directory.Listing;
 import dev.laneworks.core.directory.TargetDirectory;
 import dev.laneworks.core.follow.FollowListener;
 import dev.laneworks.core.follow.StoreChange;
@@ -72,7 +73,7 @@
 
 	@Override
 	public void all(List<StoreItem> items, long now) {
-		List<ListedTarget> targets = new ArrayList<>();
+		List<Listing> targets = new ArrayList<>();
 		// Before the targets, so that work goes to none that is not to be sent any.
 		this.evacuations.replaceAll(items.stream()
 			.map((i) -> this.source.evacuatedDataCentre(i.key()))
@@ -83,7 +84,7 @@
 				takePlan(item);
 			}
 			else if (!this.source.targetId(item.key()).isEmpty()) {
-				readTarget(item).ifPresent(targets::add);
+				readTarget(item).ifPresent((t) -> targets.add(new Listing(t, item.revision())));
 			}
 		}
 		this.directory.replaceAll(targets, now);
@@ -101,14 +102,14 @@
 			String id = this.source.targetId(change.key());
 			if (change.item().isEmpty()) {
 				if (!id.isEmpty()) {
-					this.directory.remove(id, now);
+					this.directory.remove(id, change.revision(), now);
 				}
 			}
 			else if (this.source.isPlan(change.key())) {
 				takePlan(change.item().get());
 			}
 			else if (!id.isEmpty()) {
-				readTarget(change.item().get()).ifPresent(this.directory::put);
+				readTarget(change.item().get()).ifPresent((t) -> this.directory.put(new Listing(t, change.revision())));
 			}
 		}
 	}
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipTests.java
@@ -25,8 +25,19 @@
 
 	private static final int EVACUATION_SEEDS = 500;
 
+	private static final int RESTART_SEEDS = 3_000;
+
+	/** The targets' time of day at the start of a play, in milliseconds. */
+	private static final long TIME_OF_DAY = 1_700_000_000_000L;
+
+	/** By how much a machine's time of day steps at the most, in milliseconds. */
+	private static final int MOST_STEP_MILLIS = 300_000;
+
 	private static final int STEPS = 60;
 
+	/** The most entries that there are once others started. */
+	private static final int MOST_ENTRIES = 10;
+
 	@Test
 	void targetsThatLeftWhileTheStoreHadForgottenAreDropped() {
 		MembershipWorld world = new MembershipWorld(1, 1, 1);
@@ -114,6 +125,20 @@
 		}
 	}
 
+	/**
+	 * A target that starts again under its id is a new run, which is known as such and
+	 * takes work, whatever was said of the run before it and whatever its machine's time
+	 * of day is.
+	 */
+	@Test
+	void runsConvergeAfterAnyOrderOfFaults() {
+		for (long seed = 0; seed < RESTART_SEEDS; seed++) {
+			Play play = new Play(seed);
+			play.restarts = true;
+			play.run();
+		}
+	}
+
 	@Test
 	void anEvacuationAndItsEndAreKnownToAllEntriesWithinASecond() {
 		MembershipWorld world = new MembershipWorld(1, 9, 2);
@@ -161,6 +186,11 @@
 
 		private final SplittableRandom evacuations;
 
+		/** Whether targets start again under their id, by a random of its own. */
+		private boolean restarts;
+
+		private final SplittableRandom starts;
+
 		private boolean lapsedAny;
 
 		private int ids;
@@ -169,6 +199,7 @@
 			this.seed = seed;
 			this.random = new SplittableRandom(seed);
 			this.evacuations = new SplittableRandom(~seed);
+			this.starts = new SplittableRandom(seed * 31 + 7);
 			this.world = (seed % 4 == 0) ? new MembershipWorld(seed, 9, 2)
 					: new MembershipWorld(seed, 1 + (int) (seed % 5), 1);
 			this.world.newsLost = this.random.nextInt(4) * 100;
@@ -182,6 +213,7 @@
 			for (int i = 0; i < STEPS; i++) {
 				step();
 				evacuate();
+				startAgain();
 				this.world.pass(this.random.nextInt(300));
 			}
 			this.world.entries.forEach((e) -> e.turnedAway = false);
@@ -198,7 +230,19 @@
 					.isEqualTo(this.world.listedIds());
 				assertWithMessage("seed %s, entry %s, evacuated", this.seed, entry.name).that(entry.evacuated)
 					.isEqualTo(this.world.evacuated());
+				assertWithMessage("seed %s, entry %s, runs", this.seed, entry.name).that(entry.knownStarts())
+					.isEqualTo(this.world.listedStarts());
+				if (this.restarts) {
+					assertWithMessage("seed %s, entry %s, taking work", this.seed, entry.name).that(entry.takingWork)
+						.isEqualTo(this.world.listedTakingWork());
+				}
 				if (!this.lapsedAny) {
+					entry.runsJoined.forEach((run,
+							times) -> assertWithMessage("seed %s, entry %s, %s joined", this.seed, entry.name, run)
+								.that(times)
+								.isEqualTo(1));
+				}
+				if (!this.lapsedAny && !this.restarts) {
 					entry.joined.forEach(
 							(id, times) -> assertWithMessage("seed %s, entry %s, %s joined", this.seed, entry.name, id)
 								.that(times)
@@ -220,11 +264,50 @@
 			}
 		}
 
+		private void startAgain() {
+			if (!this.restarts) {
+				return;
+			}
+			switch (this.starts.nextInt(4)) {
+				case 0 -> startAgain(this.live.get(this.starts.nextInt(this.live.size())));
+				case 1 -> startEntry();
+				default -> {
+				}
+			}
+		}
+
+		// A target ends without a word or behind its notice, and lists itself again
+		// before
+		// its entry went or behind that; its machine's time of day may have stepped.
+		private void startAgain(String id) {
+			if (!this.world.listedIds().contains(id)) {
+				return;
+			}
+			if (this.starts.nextBoolean()) {
+				this.world.list(id, address(id), true);
+				this.world.pass(this.starts.nextInt(100));
+			}
+			if (this.starts.nextInt(3) == 0) {
+				this.world.unlist(id);
+				this.world.pass(this.starts.nextInt(100));
+			}
+			int stepped = this.starts.nextBoolean() ? 0 : this.starts.nextInt(-MOST_STEP_MILLIS, MOST_STEP_MILLIS);
+			this.world.starts(id, TIME_OF_DAY + this.world.now + stepped);
+			this.world.list(id, address(id), false);
+		}
+
+		private void startEntry() {
+			int entries = this.world.entries.size();
+			if (entries < MOST_ENTRIES && this.starts.nextInt(6) == 0) {
+				this.world.startWithStateOf(this.world.entries.get(this.starts.nextInt(entries)));
+			}
+		}
+
 		private void step() {
 			switch (this.random.nextInt(12)) {
 				case 0, 1, 2 -> join();
 				case 3, 4 -> leave();
-				case 5 -> takeAddress();
+				case 5 -> takeAddressUnlessTargetsStartAgain();
 				case 6 -> this.world.forgetHistory();
 				case 7 -> this.world.entries.get(this.random.nextInt(this.world.entries.size())).turnedAway ^= true;
 				case 8 -> this.world.storeDown();
@@ -246,6 +329,12 @@
 		private void leave() {
 			if (this.live.size() > 2) {
 				String id = this.live.remove(this.random.nextInt(this.live.size()));
+				// One that lapsed lists itself again as it was, also behind its notice.
+				boolean hasLapsed = !this.world.listedIds().contains(id);
+				if (this.restarts && hasLapsed) {
+					this.live.add(id);
+					return;
+				}
 				if (this.random.nextBoolean()) {
 					this.world.list(id, address(id), true);
 					this.world.pass(this.random.nextInt(100));
@@ -254,6 +343,15 @@
 			}
 		}
 
+		// Plays with restarts also look at what takes work, and two targets at one
+		// address
+		// are a matter of their own: which of them takes work is not said by their runs.
+		private void takeAddressUnlessTargetsStartAgain() {
+			if (!this.restarts) {
+				takeAddress();
+			}
+		}
+
 		// A target ends without a word, and another gets its address before its entry
 		// goes.
 		private void takeAddress() {
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipWorld.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipWorld.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -19,6 +20,7 @@
 import dev.laneworks.core.directory.EvacuationListener;
 import dev.laneworks.core.directory.LeavingCause;
 import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.directory.TargetRun;
 import dev.laneworks.core.follow.FollowOutputs;
 import dev.laneworks.core.follow.FollowSettings;
 import dev.laneworks.core.follow.SharedReading;
@@ -52,6 +54,12 @@
 	/** All that stands in the store: the address of each target that is listed. */
 	private final TreeMap<String, String> listed = new TreeMap<>();
 
+	/** The revision at which each of them was written last. */
+	private final Map<String, Long> writtenAt = new HashMap<>();
+
+	/** When the run of each target started, in milliseconds of its own time of day. */
+	private final Map<String, Long> starts = new HashMap<>();
+
 	/** The data centres that are to be evacuated. */
 	private final Set<String> evacuated = new TreeSet<>();
 
@@ -91,6 +99,14 @@
 		pass(200);
 	}
 
+	// An entry starts, and takes what another one knows before the store has answered it.
+	void startWithStateOf(Entry giver) {
+		Entry started = new Entry("e" + this.entries.size(), giver.dataCentre);
+		this.entries.add(started);
+		started.store.follower().start(this.now);
+		giver.store.follower().knownRevision().ifPresent((at) -> started.adopt(giver, at));
+	}
+
 	void pass(long millis) {
 		long end = this.now + millis;
 		while (this.timers.nextDue() <= end) {
@@ -101,8 +117,34 @@
 	}
 
 	void list(String id, String address, boolean leaving) {
-		this.listed.put(id, address + (leaving ? " leaving" : ""));
-		write(new StoreChange("servers/" + id, Optional.of(item(id)), ++this.revision));
+		write(id, address + " " + this.starts.getOrDefault(id, 0L) + (leaving ? " leaving" : ""));
+	}
+
+	private void write(String id, String value) {
+		this.listed.put(id, value);
+		this.writtenAt.put(id, ++this.revision);
+		write(new StoreChange("servers/" + id, Optional.of(item(id)), this.revision));
+	}
+
+	// From now on a target lists itself with this start time.
+	void starts(String id, long millis) {
+		this.starts.put(id, millis);
+	}
+
+	// The run that each target listed itself with last.
+	Map<String, Long> listedStarts() {
+		Map<String, Long> runs = new TreeMap<>();
+		this.listed.forEach((id, value) -> runs.put(id, Long.parseLong(value.split(" ")[1])));
+		return runs;
+	}
+
+	// The targets that are listed and have not said that they leave.
+	Set<String> listedTakingWork() {
+		return this.listed.entrySet()
+			.stream()
+			.filter((e) -> !e.getValue().endsWith("leaving"))
+			.map(Map.Entry::getKey)
+			.collect(Collectors.toCollection(TreeSet::new));
 	}
 
 	void unlist(String id) {
@@ -154,10 +196,7 @@
 		this.up = true;
 		for (String id : List.copyOf(this.lapsed.keySet())) {
 			String was = this.lapsed.remove(id);
-			this.timers.at(this.now + this.random.nextInt(1_500), (t) -> {
-				this.listed.put(id, was);
-				write(new StoreChange("servers/" + id, Optional.of(item(id)), ++this.revision));
-			});
+			this.timers.at(this.now + this.random.nextInt(1_500), (t) -> write(id, was));
 		}
 	}
 
@@ -174,7 +213,7 @@
 	}
 
 	private StoreItem item(String id) {
-		return new StoreItem("servers/" + id, this.listed.get(id));
+		return new StoreItem("servers/" + id, this.listed.get(id), this.writtenAt.get(id));
 	}
 
 	private List<StoreItem> items() {
@@ -226,6 +265,9 @@
 		/** How often each target joined, as this entry was told. */
 		final Map<String, Integer> joined = new HashMap<>();
 
+		/** How often each run of a target joined, as this entry was told. */
+		final Map<TargetRun, Integer> runsJoined = new HashMap<>();
+
 		final Set<String> takingWork = new HashSet<>();
 
 		/** The data centres that are evacuated, as this entry was told. */
@@ -252,6 +294,23 @@
 			return ids;
 		}
 
+		// The form in which a state is handed over tells no revision of an item.
+		private void adopt(Entry giver, long at) {
+			List<StoreItem> handed = giver.store.follower()
+				.knownItems()
+				.stream()
+				.map((i) -> new StoreItem(i.key(), i.value()))
+				.toList();
+			this.store.follower().adopt(handed, at, MembershipWorld.this.now);
+		}
+
+		// The run that is known of each target.
+		Map<String, Long> knownStarts() {
+			Map<String, Long> runs = new TreeMap<>();
+			this.store.directory().all().forEach((t) -> runs.put(t.id(), t.startMillis().orElse(-1)));
+			return runs;
+		}
+
 		private int others() {
 			return (int) MembershipWorld.this.entries.stream()
 				.filter((e) -> e.dataCentre.equals(this.dataCentre))
@@ -287,6 +346,7 @@
 		@Override
 		public void joined(ListedTarget target) {
 			this.joined.merge(target.id(), 1, Integer::sum);
+			this.runsJoined.merge(target.run(), 1, Integer::sum);
 			this.takingWork.add(target.id());
 		}
 
@@ -411,7 +471,8 @@
 		@Override
 		public Either<String, ListedTarget> target(StoreItem item) {
 			String[] words = item.value().split(" ");
-			return Either.right(new ListedTarget(targetId(item.key()), "s", words[0], 80, "dc", 4, words.length > 1));
+			return Either.right(new ListedTarget(targetId(item.key()), "s", words[0], 80, "dc", 4, words.length > 2,
+					OptionalLong.empty(), OptionalLong.of(Long.parseLong(words[1]))));
 		}
 
 		@Override
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/StoreNewsCodec.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/StoreNewsCodec.java
@@ -60,7 +60,8 @@
 	}
 
 	private static StoreChange decode(Protocol.StoreChange change) {
-		Optional<StoreItem> item = change.hasValue() ? Optional.of(new StoreItem(change.getKey(), change.getValue()))
+		Optional<StoreItem> item = change.hasValue()
+				? Optional.of(new StoreItem(change.getKey(), change.getValue(), change.getRevision()))
 				: Optional.empty();
 		return new StoreChange(change.getKey(), item, change.getRevision());
 	}
