--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptOutcomes.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptOutcomes.java
@@ -135,7 +135,7 @@
 	 */
 	void failed(DirectCall call, Attempt attempt, String cause, long now) {
 		ListedTarget target = attempt.target();
-		if (this.directory.isStaying(target.id())) {
+		if (this.directory.isStaying(target)) {
 			recordBad(target, cause, now);
 		}
 		if (!attempt.isAnswering()) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/ColdTargets.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/ColdTargets.java
@@ -11,6 +11,7 @@
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.directory.TargetRun;
 
 /**
  * Bounds by rate what this entry sends to targets that are cold, as its part of what all
@@ -60,7 +61,7 @@
 
 	private final AuditSink audit;
 
-	private final Map<String, ColdTarget> byId = new HashMap<>();
+	private final Map<TargetRun, ColdTarget> byRun = new HashMap<>();
 
 	/**
 	 * Create a bound; no target is cold.
@@ -90,10 +91,10 @@
 			return;
 		}
 		if (millis == 0) {
-			this.byId.remove(target.id());
+			this.byRun.remove(target.run());
 			return;
 		}
-		ColdTarget known = this.byId.computeIfAbsent(target.id(), (id) -> new ColdTarget());
+		ColdTarget known = this.byRun.computeIfAbsent(target.run(), (run) -> new ColdTarget());
 		if (now >= known.until) {
 			record(target, "cold for " + millis + " ms, takes "
 					+ this.bound.requests(this.coldPerSecond.applyAsDouble(target.service())) + " requests a second");
@@ -118,7 +119,7 @@
 	 * @return milliseconds; 0 if it does now
 	 */
 	public long freeInMillis(ListedTarget target, long now) {
-		ColdTarget cold = this.byId.get(target.id());
+		ColdTarget cold = this.byRun.get(target.run());
 		double perSecond = this.coldPerSecond.applyAsDouble(target.service());
 		if (cold == null || now >= cold.until || perSecond <= 0) {
 			return 0;
@@ -138,7 +139,7 @@
 	 * @param now the time in milliseconds
 	 */
 	public void sent(ListedTarget target, long now) {
-		ColdTarget cold = this.byId.get(target.id());
+		ColdTarget cold = this.byRun.get(target.run());
 		if (cold != null && now < cold.until) {
 			cold.sent.add(now);
 		}
@@ -146,10 +147,10 @@
 
 	/**
 	 * Forget a target that is gone.
-	 * @param id the target's id
+	 * @param target the target
 	 */
-	public void forget(String id) {
-		this.byId.remove(id);
+	public void forget(ListedTarget target) {
+		this.byRun.remove(target.run());
 	}
 
 	/**
@@ -158,7 +159,7 @@
 	 * @return the count
 	 */
 	public long count(long now) {
-		return this.byId.values().stream().filter((c) -> now < c.until).count();
+		return this.byRun.values().stream().filter((c) -> now < c.until).count();
 	}
 
 	private int part(ListedTarget target, double perSecond) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Continuation.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Continuation.java
@@ -173,6 +173,20 @@
 		call.use(this.beginning.begin(call, destination, Optional.of(from), now));
 	}
 
+	/**
+	 * Let go of the copies of a call that a run of an engine held, and of what it stopped
+	 * there: the run is over, and the one after it holds nothing.
+	 * @param call the call
+	 * @param former the run that is over
+	 */
+	void forget(DirectCall call, ListedTarget former) {
+		call.attempt()
+			.filter((a) -> a.backup().filter(former::isSameRun).isPresent())
+			.ifPresent((a) -> this.sender.dropBackup(call, a, "its engine started again"));
+		call.standby().filter((s) -> s.destination().isSameRun(former)).ifPresent((s) -> this.standbys.drop(call));
+		call.stoppedAt(call.stoppedAt().filter((t) -> !t.isSameRun(former)));
+	}
+
 	/**
 	 * Let a stopped run whose copy was refused go on where it stopped: the memory stands
 	 * there still, and the run is copied away anew once it answers.
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -31,6 +31,9 @@
  */
 public final class Dispatcher {
 
+	/** Why an attempt ends at a target of which another run is listed. */
+	private static final String STARTED_AGAIN = "the target started again";
+
 	private final DispatchSettings settings;
 
 	private final TargetDirectory directory;
@@ -159,7 +162,7 @@
 			return OptionalLong.empty();
 		}
 		ListedTarget target = found.get().target();
-		if (found.get().resume().isEmpty() && !this.directory.takesWork(target.id())) {
+		if (found.get().resume().isEmpty() && !this.directory.takesWork(target)) {
 			this.timers.at(now, (t) -> connectFailed(number, attempt, ConnectFault.SILENT,
 					"the target is leaving or evacuated", t));
 			return OptionalLong.empty();
@@ -193,7 +196,7 @@
 		}
 		DirectCall call = this.calls.get(number);
 		ListedTarget target = found.get().target();
-		if (this.directory.isStaying(target.id())) {
+		if (this.directory.isStaying(target)) {
 			this.beliefs.of(target).quality().recordUnreachable(now);
 			if (fault == ConnectFault.REFUSED) {
 				this.beliefs.refused(target);
@@ -370,20 +373,55 @@
 	}
 
 	/**
-	 * Move the generations that run at a target that is leaving.
+	 * Move the generations that run at a target that is leaving. Where it has started
+	 * again already there is nothing to be moved.
 	 * @param target the target
 	 * @param now the time in milliseconds
 	 */
 	public void leaving(ListedTarget target, long now) {
+		if (this.directory.isFormerRun(target)) {
+			return;
+		}
 		this.standbys.leaving(target, now);
 		this.beliefs.of(target).leaving(now);
 		for (DirectCall call : List.copyOf(this.calls.values())) {
-			if (call.attempt().filter((a) -> a.isAnswering() && a.target().id().equals(target.id())).isPresent()) {
+			if (call.attempt().filter((a) -> a.isAnswering() && a.target().isSameRun(target)).isPresent()) {
 				this.continuation.moveAway(call, now);
 			}
 		}
 	}
 
+	/**
+	 * Take that a target is not listed any more. Where another run of it is, nothing is
+	 * left of what ran, stopped or was copied at the former one: its generations go on
+	 * elsewhere from their copies, and requests without an answer may have run.
+	 * @param target the target
+	 * @param now the time in milliseconds
+	 */
+	public void gone(ListedTarget target, long now) {
+		if (!this.directory.isFormerRun(target)) {
+			return;
+		}
+		for (DirectCall call : List.copyOf(this.calls.values())) {
+			this.continuation.forget(call, target);
+			call.successor().ifPresent((a) -> endWithRun(call, a, target, now));
+			call.attempt().ifPresent((a) -> endWithRun(call, a, target, now));
+		}
+	}
+
+	private void endWithRun(DirectCall call, Attempt attempt, ListedTarget former, long now) {
+		if (!attempt.target().isSameRun(former)) {
+			return;
+		}
+		if (attempt.isSent()) {
+			broken(call.number(), attempt.number(), STARTED_AGAIN, now);
+		}
+		else {
+			this.outputs.abandon(call.number(), attempt.number());
+			connectFailed(call.number(), attempt.number(), ConnectFault.SILENT, STARTED_AGAIN, now);
+		}
+	}
+
 	/**
 	 * Give up the copies at the targets of a data centre that is evacuated. What runs
 	 * there goes on.
@@ -416,7 +454,7 @@
 		this.standbys.watch(call, attempt, engine(call), now);
 		// The run may have begun after its engine's notice, and only one that runs can
 		// be moved. Its first event may be one that the caller has already.
-		if (!this.directory.isStaying(attempt.target().id())) {
+		if (!this.directory.isStaying(attempt.target())) {
 			this.continuation.copyAway(call, now);
 		}
 	}
@@ -471,6 +509,11 @@
 			return Dispatcher.this.eligibility.isEvacuated(target);
 		}
 
+		@Override
+		public boolean isOver(ListedTarget target) {
+			return Dispatcher.this.directory.isFormerRun(target);
+		}
+
 		@Override
 		public Optional<EngineSpec> engine(DirectCall call) {
 			return Dispatcher.this.engine(call);
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Eligibility.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Eligibility.java
@@ -81,7 +81,7 @@
 	 * @return whether copies are safe there
 	 */
 	public boolean isSound(ListedTarget target, long now) {
-		return this.directory.takesWork(target.id()) && !this.beliefs.isDoubted(target, now);
+		return this.directory.takesWork(target) && !this.beliefs.isDoubted(target, now);
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
@@ -130,7 +130,7 @@
 	void copied(DirectCall call, CopyOrder order, CopyResult result, long now) {
 		endActive(call);
 		Standby standby = call.standby().orElse(null);
-		if (standby == null || !standby.destination().id().equals(order.destination().id())) {
+		if (standby == null || !standby.destination().isSameRun(order.destination())) {
 			if (!result.handle().isEmpty()) {
 				this.outputs.releaseCopy(order.source(), result.handle());
 			}
@@ -188,7 +188,7 @@
 	}
 
 	private void look(DirectCall call, Attempt attempt, EngineSpec engine, long now) {
-		if (call.attempt().orElse(null) != attempt || !this.directory.isStaying(attempt.target().id())) {
+		if (call.attempt().orElse(null) != attempt || !this.directory.isStaying(attempt.target())) {
 			return;
 		}
 		boolean hasRunningCopy = attempt.backup().filter((b) -> this.eligibility.isSound(b, now)).isPresent();
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -7,6 +7,7 @@
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.directory.TargetRun;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.time.Timers;
 
@@ -77,7 +78,7 @@
 
 	private final Resumption resumption;
 
-	private final Map<String, MoveQueue> queues = new HashMap<>();
+	private final Map<TargetRun, MoveQueue> queues = new HashMap<>();
 
 	StreamMover(TargetChooser chooser, TargetBeliefs beliefs, StandbyCopies standbys, CopyTurn turn, Timers timers,
 			DispatchOutputs outputs, AuditSink audit, Resumption resumption) {
@@ -98,8 +99,8 @@
 		ListedTarget source = call.attempt().get().target();
 		call.copy(new Copying(source));
 		long noticedAt = this.beliefs.of(source).leavingSince().orElse(now);
-		MoveQueue queue = this.queues.computeIfAbsent(source.id(),
-				(id) -> new MoveQueue(source, noticedAt, this.beliefs));
+		MoveQueue queue = this.queues.computeIfAbsent(source.run(),
+				(run) -> new MoveQueue(source, noticedAt, this.beliefs));
 		queue.add(call);
 		// All that run there are to be queued before the first is chosen.
 		lookAgain(queue, now);
@@ -132,8 +133,8 @@
 	 */
 	boolean ordered(DirectCall call, CopyOrder order) {
 		return call.copying()
-			.filter((c) -> c.phase() != CopyPhase.WAITING && c.source().id().equals(order.source().id())
-					&& c.destination().id().equals(order.destination().id()))
+			.filter((c) -> c.phase() != CopyPhase.WAITING && c.source().isSameRun(order.source())
+					&& c.destination().isSameRun(order.destination()))
 			.isPresent();
 	}
 
@@ -259,10 +260,11 @@
 	}
 
 	private void copiedAhead(DirectCall call, Copying copying, CopyResult result, long now) {
-		MoveQueue queue = this.queues.get(copying.source().id());
+		MoveQueue queue = this.queues.get(copying.source().run());
 		switch (result.outcome()) {
 			case COPIED -> {
-				if (this.resumption.isEvacuated(copying.destination())) {
+				if (this.resumption.isEvacuated(copying.destination())
+						|| this.resumption.isOver(copying.destination())) {
 					copyElsewhere(queue, call, copying, now);
 					return;
 				}
@@ -334,7 +336,7 @@
 	// and where the source is gone at the part that was copied before.
 	private void stoppedWithoutCopy(DirectCall call, Copying copying, CopyResult result, long now) {
 		if (!copying.isSourceClosed()) {
-			MoveQueue queue = this.queues.get(copying.source().id());
+			MoveQueue queue = this.queues.get(copying.source().run());
 			release(copying);
 			queue.endActive();
 			putBack(queue, call, now);
@@ -345,20 +347,33 @@
 			this.resumption.lost(call, "the generation stopped and its copy can't be used", now);
 			return;
 		}
-		if (result.outcome() != CopyResult.Outcome.NO_ANSWER) {
-			release(copying);
-			copying.to(copying.source(), 0);
+		if (result.outcome() != CopyResult.Outcome.NO_ANSWER && !this.resumption.isOver(copying.source())) {
+			goBackToSource(copying);
 		}
 		copying.enter(CopyPhase.STOPPED);
 		goOn(call, copying, now);
 	}
 
+	// The run that was stopped stands at the source until it goes on.
+	private void goBackToSource(Copying copying) {
+		release(copying);
+		copying.to(copying.source(), 0);
+	}
+
 	private void goOn(DirectCall call, Copying copying, long now) {
 		if (call.copying().orElse(null) != copying) {
 			return;
 		}
+		if (this.resumption.isOver(copying.destination())) {
+			goBackToSource(copying);
+		}
+		if (this.resumption.isOver(copying.destination())) {
+			leaveQueue(call, copying, now);
+			this.resumption.lost(call, "both engines of its move started again", now);
+			return;
+		}
 		ListedTarget destination = copying.destination();
-		long sinceNotice = this.queues.get(copying.source().id()).sinceNotice(now);
+		long sinceNotice = this.queues.get(copying.source().run()).sinceNotice(now);
 		record(call, copying, "goes on at " + destination.id() + " behind event " + call.lastEvent() + ", "
 				+ sinceNotice + " ms after the notice");
 		leaveQueue(call, copying, now);
@@ -368,11 +383,11 @@
 
 	private void leaveQueue(DirectCall call, Copying copying, long now) {
 		release(copying);
-		MoveQueue queue = this.queues.get(copying.source().id());
+		MoveQueue queue = this.queues.get(copying.source().run());
 		queue.remove(call);
 		call.endCopy();
 		if (queue.isEmpty()) {
-			this.queues.remove(copying.source().id());
+			this.queues.remove(copying.source().run());
 			return;
 		}
 		look(queue, now);
@@ -434,6 +449,13 @@
 		 */
 		boolean isEvacuated(ListedTarget target);
 
+		/**
+		 * Return whether the run of a target is over because another one is listed.
+		 * @param target the target
+		 * @return whether nothing of what ran or was copied there is left
+		 */
+		boolean isOver(ListedTarget target);
+
 		/**
 		 * Return what the call's engines can do.
 		 * @param call the call
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBeliefs.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBeliefs.java
@@ -9,10 +9,14 @@
 import java.util.random.RandomGenerator;
 
 import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.directory.TargetRun;
 import dev.laneworks.core.gossip.WorkAtTarget;
 
 /**
- * What this process believes of all targets. Not thread-safe.
+ * What this process believes of all targets.
+ * <p>
+ * Each belief is of one run: of a target that starts again nothing is believed. Not
+ * thread-safe.
  *
  * @since 0.2
  */
@@ -21,9 +25,9 @@
 	/** The least that a doubt's time is multiplied with; the most is one more. */
 	private static final double LEAST_SPREAD = 0.5;
 
-	private final Map<String, TargetBelief> byId = new HashMap<>();
+	private final Map<TargetRun, TargetBelief> byRun = new HashMap<>();
 
-	private final Function<String, Optional<WorkAtTarget>> others;
+	private final Function<TargetRun, Optional<WorkAtTarget>> others;
 
 	private final RandomGenerator random;
 
@@ -35,11 +39,11 @@
 
 	/**
 	 * Create beliefs.
-	 * @param others gives the work that other entries have at a target, empty where
-	 * nothing is known of others
+	 * @param others gives the work that other entries have at the run of a target, empty
+	 * where nothing is known of others
 	 * @param random the source of what differs from process to process
 	 */
-	public TargetBeliefs(Function<String, Optional<WorkAtTarget>> others, RandomGenerator random) {
+	public TargetBeliefs(Function<TargetRun, Optional<WorkAtTarget>> others, RandomGenerator random) {
 		this.others = others;
 		this.random = random;
 	}
@@ -108,11 +112,11 @@
 	 * @return the count
 	 */
 	public long doubted(long now) {
-		return this.byId.values().stream().filter((b) -> !b.isGone() && b.doubt().isDoubted(now)).count();
+		return this.byRun.values().stream().filter((b) -> !b.isGone() && b.doubt().isDoubted(now)).count();
 	}
 
 	private long refusedByAll(TargetBelief belief) {
-		return belief.refused() + this.others.apply(belief.target().id()).map(WorkAtTarget::refused).orElse(0);
+		return belief.refused() + this.others.apply(belief.target().run()).map(WorkAtTarget::refused).orElse(0);
 	}
 
 	/**
@@ -121,7 +125,7 @@
 	 * @param change what changes
 	 */
 	public void change(ListedTarget target, Consumer<TargetBelief> change) {
-		TargetBelief belief = this.byId.get(target.id());
+		TargetBelief belief = this.byRun.get(target.run());
 		if (belief == null) {
 			return;
 		}
@@ -137,7 +141,7 @@
 
 	private void forgetIfUnused(TargetBelief belief) {
 		if (belief.isGone() && belief.inFlight() <= 0 && belief.toMove() <= 0) {
-			this.byId.remove(belief.target().id());
+			this.byRun.remove(belief.target().run());
 		}
 	}
 
@@ -146,10 +150,10 @@
 	 * @return the work
 	 */
 	public List<WorkAtTarget> ownWork() {
-		return this.byId.values()
+		return this.byRun.values()
 			.stream()
 			.filter((b) -> b.inFlight() > 0 || b.ownTokens() > 0 || isToTell(b))
-			.map((b) -> new WorkAtTarget(b.target().id(), b.inFlight(), b.ownTokens(), b.ownUnread(), b.toMove(),
+			.map((b) -> new WorkAtTarget(b.target().run(), b.inFlight(), b.ownTokens(), b.ownUnread(), b.toMove(),
 					b.isCopying(), b.refused(), b.hasSaidLeaving()))
 			.toList();
 	}
@@ -166,7 +170,7 @@
 	 */
 	public double requests(ListedTarget target, long now) {
 		TargetBelief belief = of(target);
-		return belief.inFlight() + this.others.apply(target.id())
+		return belief.inFlight() + this.others.apply(target.run())
 			.map((w) -> (double) w.requests())
 			.orElseGet(() -> belief.othersTold(now));
 	}
@@ -181,7 +185,7 @@
 	 */
 	public double heldTokens(ListedTarget target, double tokensOfOthers, long now) {
 		TargetBelief belief = of(target);
-		return belief.ownTokens() + this.others.apply(target.id())
+		return belief.ownTokens() + this.others.apply(target.run())
 			.map((w) -> (double) w.heldTokens())
 			.orElseGet(() -> belief.othersTold(now) * tokensOfOthers);
 	}
@@ -192,7 +196,7 @@
 	 * @return tokens
 	 */
 	public long unreadTokens(ListedTarget target) {
-		return of(target).ownUnread() + this.others.apply(target.id()).map(WorkAtTarget::unreadTokens).orElse(0L);
+		return of(target).ownUnread() + this.others.apply(target.run()).map(WorkAtTarget::unreadTokens).orElse(0L);
 	}
 
 	/**
@@ -202,7 +206,7 @@
 	 * @return whether its link is in use, as far as is known
 	 */
 	public boolean isCopying(ListedTarget target) {
-		return of(target).isCopying() || this.others.apply(target.id()).map(WorkAtTarget::copying).orElse(false);
+		return of(target).isCopying() || this.others.apply(target.run()).map(WorkAtTarget::copying).orElse(false);
 	}
 
 	/**
@@ -211,15 +215,15 @@
 	 * @return the belief
 	 */
 	public TargetBelief of(ListedTarget target) {
-		return this.byId.computeIfAbsent(target.id(), (id) -> new TargetBelief(target));
+		return this.byRun.computeIfAbsent(target.run(), (run) -> new TargetBelief(target));
 	}
 
 	/**
 	 * Forget a target that is gone, once nothing of this process is there any more.
-	 * @param id the target's id
+	 * @param target the target
 	 */
-	public void forget(String id) {
-		TargetBelief belief = this.byId.get(id);
+	public void forget(ListedTarget target) {
+		TargetBelief belief = this.byRun.get(target.run());
 		if (belief != null) {
 			belief.gone();
 			forgetIfUnused(belief);
@@ -233,7 +237,7 @@
 	 * @return the mean share, from 0 to 1
 	 */
 	public double peersBadShare(ListedTarget target, long now) {
-		return this.byId.values()
+		return this.byRun.values()
 			.stream()
 			.filter((b) -> b.target().service().equals(target.service()) && !b.target().id().equals(target.id()))
 			.mapToDouble((b) -> b.quality().badShare(now))
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Audience.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Audience.java
@@ -12,6 +12,8 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
+import dev.laneworks.core.directory.TargetRun;
+
 /**
  * Chooses which of the known entries hear what.
  * <p>
@@ -67,14 +69,14 @@
 	}
 
 	// Some entries near by, and all that work at any of the targets.
-	Set<String> concernedBy(Set<String> targets) {
+	Set<String> concernedBy(Set<TargetRun> targets) {
 		Set<String> concerned = new HashSet<>(someNear());
 		concerned.addAll(allThat((p) -> p.worksAtAnyOf(targets)));
 		return concerned;
 	}
 
 	// All entries if they are few, and otherwise those concerned and others at random.
-	Set<String> wide(Set<String> targets) {
+	Set<String> wide(Set<TargetRun> targets) {
 		Set<String> wide = concernedBy(targets);
 		wide.addAll(someOf(this.known.addresses(), this.settings.mostTold()));
 		return wide;
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
@@ -14,6 +14,7 @@
 import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
+import dev.laneworks.core.directory.TargetRun;
 import dev.laneworks.core.routing.Rendezvous;
 import dev.laneworks.core.time.Timers;
 
@@ -63,7 +64,7 @@
 	private final OwnNews ownNews;
 
 	/** The targets at which the own work changed since changes were told last. */
-	private final Set<String> changed = new HashSet<>();
+	private final Set<TargetRun> changed = new HashSet<>();
 
 	/** The widest reach of a change that was not told yet. */
 	private ChangeReach reach = ChangeReach.NEAR;
@@ -124,11 +125,11 @@
 
 	/**
 	 * Take that the own work at a target changed.
-	 * @param target the target's id
+	 * @param target the run of the target
 	 * @param heardBy who is to hear of it
 	 * @param now the time in milliseconds
 	 */
-	public void changed(String target, ChangeReach heardBy, long now) {
+	public void changed(TargetRun target, ChangeReach heardBy, long now) {
 		if (this.ownNews.isEnding()) {
 			return;
 		}
@@ -172,10 +173,10 @@
 
 	/**
 	 * Return the work that other entries have at a target.
-	 * @param target the target's id
+	 * @param target the run of the target
 	 * @return the sum; empty while no other entry is known, and zero if they have none
 	 */
-	public Optional<WorkAtTarget> others(String target) {
+	public Optional<WorkAtTarget> others(TargetRun target) {
 		return (this.known.size() > 0) ? Optional.of(this.known.workAt(target)) : Optional.empty();
 	}
 
@@ -200,13 +201,13 @@
 	 * news have had time to arrive, only the first of all may go. An entry that has been
 	 * silent for a few tellings is paused or gone, and one whose copies take long waits
 	 * for some other link; others don't wait for them.
-	 * @param target the target's id
+	 * @param target the run of the target
 	 * @param sinceNotice how long ago the target's leaving was heard, in milliseconds
 	 * @param now the time in milliseconds
 	 * @return whether it is this entry's turn
 	 */
-	public boolean isFirstToMove(String target, long sinceNotice, long now) {
-		long key = Rendezvous.hash(target);
+	public boolean isFirstToMove(TargetRun target, long sinceNotice, long now) {
+		long key = Rendezvous.hash(target.id());
 		long own = Rendezvous.weight(key, this.instance);
 		for (Peer peer : this.known.all().values()) {
 			Optional<WorkAtTarget> work = peer.at(target);
@@ -223,7 +224,7 @@
 		return true;
 	}
 
-	private boolean hasLostTurn(Peer peer, String target, long now) {
+	private boolean hasLostTurn(Peer peer, TargetRun target, long now) {
 		return peer.silence(now) > this.settings.turnMillis() || peer.copyingFor(target, now) > TURN_BOUND_MILLIS;
 	}
 
@@ -245,10 +246,10 @@
 
 	/**
 	 * Return whether any other entry copies a generation from or to a target now.
-	 * @param target the target's id
+	 * @param target the run of the target
 	 * @return whether a copy is under way there, as far as is known
 	 */
-	public boolean isCopying(String target) {
+	public boolean isCopying(TargetRun target) {
 		return this.known.workAt(target).copying();
 	}
 
@@ -359,13 +360,13 @@
 			return;
 		}
 		this.tellDue = Long.MAX_VALUE;
-		Set<String> told = Set.copyOf(this.changed);
+		Set<TargetRun> told = Set.copyOf(this.changed);
 		send(receivers(told), workAt(told), now);
 		this.changed.clear();
 		this.reach = ChangeReach.NEAR;
 	}
 
-	private Collection<String> receivers(Set<String> told) {
+	private Collection<String> receivers(Set<TargetRun> told) {
 		return switch (this.reach) {
 			case NEAR -> this.audience.someNear();
 			case CONCERNED -> this.audience.concernedBy(told);
@@ -376,7 +377,7 @@
 
 	// Tells others that this entry is awake while they wait for its copies.
 	private void tellOfMoving(long now) {
-		Set<String> moving = this.outputs.ownWork()
+		Set<TargetRun> moving = this.outputs.ownWork()
 			.stream()
 			.filter((w) -> w.copying() || w.toMove() > 0)
 			.map(WorkAtTarget::target)
@@ -404,7 +405,7 @@
 		return this.ownNews.ofAllWork(againMillis, this.audience.toIntroduce());
 	}
 
-	private EntryNews workAt(Set<String> targets) {
+	private EntryNews workAt(Set<TargetRun> targets) {
 		return this.ownNews.ofWorkAt(targets, this.settings.heartbeatMillis());
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/GossipOutputs.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/GossipOutputs.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import dev.laneworks.core.directory.TargetRun;
+
 /**
  * What {@link Gossip} needs from its process.
  *
@@ -18,9 +20,9 @@
 
 	/**
 	 * Take that a target said to another entry that it is leaving.
-	 * @param target the target's id
+	 * @param target the run of the target that said so
 	 */
-	void heardLeaving(String target);
+	void heardLeaving(TargetRun target);
 
 	/**
 	 * Return this entry's own work.
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/KnownEntries.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/KnownEntries.java
@@ -9,6 +9,8 @@
 import java.util.TreeMap;
 import java.util.stream.Stream;
 
+import dev.laneworks.core.directory.TargetRun;
+
 /**
  * Holds the other entries by the address that their news come from, and sums up their
  * work.
@@ -17,7 +19,7 @@
 
 	private final Map<String, Peer> peers = new TreeMap<>();
 
-	private final Map<String, WorkAtTarget> sums = new HashMap<>();
+	private final Map<TargetRun, WorkAtTarget> sums = new HashMap<>();
 
 	/** The last news of entries that are gone; what they spent counts on for a window. */
 	private final List<Peer> departed = new ArrayList<>();
@@ -72,7 +74,7 @@
 	}
 
 	// The work that all of them have at a target; zero if they have none.
-	WorkAtTarget workAt(String target) {
+	WorkAtTarget workAt(TargetRun target) {
 		return this.sums.getOrDefault(target, WorkAtTarget.none(target));
 	}
 
@@ -94,8 +96,8 @@
 			.reduce(new ServiceSpending(service, 0, 0), ServiceSpending::plus));
 	}
 
-	private void sumUp(Set<String> targets) {
-		for (String target : targets) {
+	private void sumUp(Set<TargetRun> targets) {
+		for (TargetRun target : targets) {
 			Optional<WorkAtTarget> sum = this.peers.values()
 				.stream()
 				.flatMap((p) -> p.at(target).stream())
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/OwnNews.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/OwnNews.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.Set;
 
+import dev.laneworks.core.directory.TargetRun;
+
 /**
  * Writes what this entry tells of its own work, each news with a number of its own.
  */
@@ -65,13 +67,13 @@
 	 * Write of the work at a few targets alone.
 	 * <p>
 	 * Such news promise nothing of the next that the last whole ones don't.
-	 * @param targets the ids of the targets
+	 * @param targets the runs of the targets
 	 * @param againMillis the time within which the receivers are told again, in
 	 * milliseconds
 	 * @return the news; they say of each target without work that there is none
 	 */
-	EntryNews ofWorkAt(Set<String> targets, long againMillis) {
-		Map<String, WorkAtTarget> work = new HashMap<>();
+	EntryNews ofWorkAt(Set<TargetRun> targets, long againMillis) {
+		Map<TargetRun, WorkAtTarget> work = new HashMap<>();
 		targets.forEach((t) -> work.put(t, WorkAtTarget.none(t)));
 		this.outputs.ownWork()
 			.stream()
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Peer.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Peer.java
@@ -7,6 +7,8 @@
 import java.util.Optional;
 import java.util.Set;
 
+import dev.laneworks.core.directory.TargetRun;
+
 /**
  * What is known of another entry.
  * <p>
@@ -20,10 +22,10 @@
 	/** How much later than told a telling may come, in milliseconds. */
 	private static final long LATE_MILLIS = 200;
 
-	private final Map<String, WorkAtTarget> work = new HashMap<>();
+	private final Map<TargetRun, WorkAtTarget> work = new HashMap<>();
 
 	/** Since when it has copied from or to a target, as told without a break. */
-	private final Map<String, Long> copyingSince = new HashMap<>();
+	private final Map<TargetRun, Long> copyingSince = new HashMap<>();
 
 	private EntryNews news;
 
@@ -35,10 +37,10 @@
 	 * Take the entry's news, which are newer than all before.
 	 * @param fresh the news
 	 * @param now the time in milliseconds
-	 * @return the ids of the targets at which its work may have changed
+	 * @return the runs of the targets at which its work may have changed
 	 */
-	Set<String> take(EntryNews fresh, long now) {
-		Set<String> touched = new HashSet<>();
+	Set<TargetRun> take(EntryNews fresh, long now) {
+		Set<TargetRun> touched = new HashSet<>();
 		if (!fresh.partial()) {
 			touched.addAll(this.work.keySet());
 			this.work.clear();
@@ -55,7 +57,7 @@
 		return touched;
 	}
 
-	private void followCopying(String target, long now) {
+	private void followCopying(TargetRun target, long now) {
 		if (at(target).filter(WorkAtTarget::copying).isPresent()) {
 			this.copyingSince.putIfAbsent(target, now);
 		}
@@ -65,7 +67,7 @@
 	}
 
 	// For how long it has copied from or to a target, in milliseconds; 0 if it does not.
-	long copyingFor(String target, long now) {
+	long copyingFor(TargetRun target, long now) {
 		return now - this.copyingSince.getOrDefault(target, now);
 	}
 
@@ -103,16 +105,16 @@
 	}
 
 	// Its work at a target, as told last; empty if it told of none.
-	Optional<WorkAtTarget> at(String target) {
+	Optional<WorkAtTarget> at(TargetRun target) {
 		return Optional.ofNullable(this.work.get(target));
 	}
 
-	boolean worksAtAnyOf(Collection<String> targets) {
+	boolean worksAtAnyOf(Collection<TargetRun> targets) {
 		return targets.stream().anyMatch((t) -> at(t).filter((w) -> w.requests() > 0).isPresent());
 	}
 
-	// The ids of the targets that it told of.
-	Set<String> targets() {
+	// The runs of the targets that it told of.
+	Set<TargetRun> targets() {
 		return this.work.keySet();
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/WorkAtTarget.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/WorkAtTarget.java
@@ -2,10 +2,12 @@
 
 import java.util.Objects;
 
+import dev.laneworks.core.directory.TargetRun;
+
 /**
  * The work that one entry has, or several have, at a target.
  *
- * @param target the target's id
+ * @param target the run of the target that the work is at
  * @param requests the requests sent there that have not ended
  * @param heldTokens the engine memory that they hold and will soon hold, copies included
  * @param unreadTokens the tokens of prompts of which no answer has begun
@@ -15,8 +17,8 @@
  * @param leaving whether the target itself said to the entry that it is leaving
  * @since 0.2
  */
-public record WorkAtTarget(String target, int requests, long heldTokens, long unreadTokens, int toMove, boolean copying,
-		int refused, boolean leaving) {
+public record WorkAtTarget(TargetRun target, int requests, long heldTokens, long unreadTokens, int toMove,
+		boolean copying, int refused, boolean leaving) {
 
 	public WorkAtTarget {
 		Objects.requireNonNull(target, "target must not be null");
@@ -24,10 +26,10 @@
 
 	/**
 	 * Return that there is no work at a target.
-	 * @param target the target's id
+	 * @param target the run of the target
 	 * @return work of which every count is zero
 	 */
-	public static WorkAtTarget none(String target) {
+	public static WorkAtTarget none(TargetRun target) {
 		return new WorkAtTarget(target, 0, 0, 0, 0, false, 0, false);
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/inquiry/EngineAnswer.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/inquiry/EngineAnswer.java
@@ -8,13 +8,26 @@
  *
  * @param outcome what became of the question
  * @param leavesMillis in how many milliseconds it leaves; empty where it does not tell
+ * @param startMillis when the run that answers started, in milliseconds of its own time
+ * of day; empty where it does not tell
  * @since 0.2
  */
-public record EngineAnswer(Outcome outcome, OptionalLong leavesMillis) {
+public record EngineAnswer(Outcome outcome, OptionalLong leavesMillis, OptionalLong startMillis) {
 
 	public EngineAnswer {
 		Objects.requireNonNull(outcome, "outcome must not be null");
 		Objects.requireNonNull(leavesMillis, "leavesMillis must not be null");
+		Objects.requireNonNull(startMillis, "startMillis must not be null");
+	}
+
+	/**
+	 * Create an answer that does not tell when the run that answers started.
+	 * @param outcome what became of the question
+	 * @param leavesMillis in how many milliseconds it leaves; empty where it does not
+	 * tell
+	 */
+	public EngineAnswer(Outcome outcome, OptionalLong leavesMillis) {
+		this(outcome, leavesMillis, OptionalLong.empty());
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/inquiry/LeavingInquiry.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/inquiry/LeavingInquiry.java
@@ -9,6 +9,7 @@
 import java.util.function.Supplier;
 
 import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.directory.TargetRun;
 import dev.laneworks.core.time.Timers;
 
 /**
@@ -42,8 +43,8 @@
 
 	private final Timers timers;
 
-	/** The ids of the engines whose answer is awaited. */
-	private final Set<String> asked = new HashSet<>();
+	/** The runs of engines whose answer is awaited. */
+	private final Set<TargetRun> asked = new HashSet<>();
 
 	/**
 	 * Create an inquiry; {@link #start} begins it.
@@ -75,7 +76,7 @@
 
 	// An engine whose answer is awaited isn't asked again.
 	private void ask(ListedTarget engine) {
-		if (this.asked.add(engine.id())) {
+		if (this.asked.add(engine.run())) {
 			this.outputs.ask(engine);
 		}
 	}
@@ -88,7 +89,7 @@
 	 * @param now the time in milliseconds
 	 */
 	public void answered(ListedTarget engine, EngineAnswer answer, long now) {
-		this.asked.remove(engine.id());
+		this.asked.remove(engine.run());
 		switch (answer.outcome()) {
 			case LEAVES -> takeLeaving(engine, answer, now);
 			case REFUSED -> this.outputs.refused(engine, now);
@@ -97,8 +98,15 @@
 		}
 	}
 
+	// The engine may have started again since it was listed, and another may have got its
+	// address: neither speaks for the run that was asked.
+	private static boolean isOfRunAsked(ListedTarget engine, EngineAnswer answer) {
+		return answer.startMillis().isEmpty() || engine.startMillis().isEmpty()
+				|| answer.startMillis().equals(engine.startMillis());
+	}
+
 	private void takeLeaving(ListedTarget engine, EngineAnswer answer, long now) {
-		if (answer.leavesMillis().isPresent()) {
+		if (answer.leavesMillis().isPresent() && isOfRunAsked(engine, answer)) {
 			this.outputs.leaves(engine, answer, now);
 		}
 	}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -16,6 +16,7 @@
 import dev.laneworks.core.directory.LeavingCause;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
+import dev.laneworks.core.directory.TargetRun;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.mechanism.Mechanisms;
@@ -130,6 +131,18 @@
 		settle();
 	}
 
+	/**
+	 * Let a target start again under its id.
+	 * @param target the run of it that is over
+	 * @return the run that is listed now
+	 */
+	ListedTarget startAgain(ListedTarget target) {
+		ListedTarget started = target.startedAt(OptionalLong.of(target.startMillis().orElse(0) + 1));
+		this.directory.put(started);
+		settle();
+		return started;
+	}
+
 	void open(long call, RequestKind kind, int maxAttempts) {
 		open(call, kind, maxAttempts, PLAIN, Optional.empty());
 	}
@@ -152,8 +165,8 @@
 		settle();
 	}
 
-	private Optional<WorkAtTarget> workOfOthers(String target) {
-		return Optional.ofNullable(this.others.get(target));
+	private Optional<WorkAtTarget> workOfOthers(TargetRun target) {
+		return Optional.ofNullable(this.others.get(target.id())).filter((w) -> w.target().equals(target));
 	}
 
 	static String id(long call) {
@@ -346,7 +359,9 @@
 
 		@Override
 		public void gone(ListedTarget target) {
-			DispatchHarness.this.beliefs.forget(target.id());
+			DispatchHarness.this.dispatcher.gone(target, DispatchHarness.this.now);
+			DispatchHarness.this.beliefs.forget(target);
+			DispatchHarness.this.cold.forget(target);
 		}
 
 	}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/EngineAdmissionTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/EngineAdmissionTests.java
@@ -2,6 +2,7 @@
 
 import java.util.OptionalLong;
 
+import dev.laneworks.core.directory.TargetRun;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.core.verdict.Refusal;
 import dev.laneworks.core.verdict.RefusalReason;
@@ -51,14 +52,14 @@
 	void aGenerationIsRefusedAtOnceWhereAllEnginesArePromisedFarBeyondTheirMemory() {
 		DispatchHarness harness = DispatchHarness.create();
 		harness.join(DispatchHarness.ENGINES, "a");
-		harness.others.put("a", new WorkAtTarget("a", 20, 60_000, 0, 0, false, 0, false));
+		harness.others.put("a", new WorkAtTarget(TargetRun.of("a"), 20, 60_000, 0, 0, false, 0, false));
 		harness.openStream(1);
 		Refusal refusal = harness.refusals.get(1L);
 		assertThat(refusal.reason()).isEqualTo(RefusalReason.OVERLOADED);
 		assertThat(refusal.verdict()).isEqualTo(Verdict.NOT_RUN);
 		assertThat(refusal.retryAfter().get().toMillis()).isGreaterThan(5_000L);
 		assertThat(harness.sent).isEmpty();
-		harness.others.put("a", new WorkAtTarget("a", 8, 29_000, 0, 0, false, 0, false));
+		harness.others.put("a", new WorkAtTarget(TargetRun.of("a"), 8, 29_000, 0, 0, false, 0, false));
 		harness.openStream(2);
 		assertThat(harness.sent).hasSize(1);
 	}
@@ -68,8 +69,8 @@
 		DispatchHarness harness = DispatchHarness.create();
 		harness.join(DispatchHarness.ENGINES, "full");
 		harness.join(DispatchHarness.ENGINES, "reading");
-		harness.others.put("full", new WorkAtTarget("full", 12, 45_000, 0, 0, false, 0, false));
-		harness.others.put("reading", new WorkAtTarget("reading", 4, 20_000, 12_000, 0, false, 0, false));
+		harness.others.put("full", new WorkAtTarget(TargetRun.of("full"), 12, 45_000, 0, 0, false, 0, false));
+		harness.others.put("reading", new WorkAtTarget(TargetRun.of("reading"), 4, 20_000, 12_000, 0, false, 0, false));
 		harness.openStream(1);
 		assertThat(harness.refusals).isEmpty();
 		assertThat(harness.sent.get(0).target().id()).isEqualTo("reading");
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/RefusalDoubtTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/RefusalDoubtTests.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 
 import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.directory.TargetRun;
 import dev.laneworks.core.dispatch.DispatchHarness.Sent;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.core.serving.RequestKind;
@@ -63,7 +64,7 @@
 	@Test
 	void aTargetThatRefusedAnotherEntryAndThenThisOneTakesNoWork() {
 		ListedTarget dead = this.world.join(DispatchHarness.PLAIN, "a");
-		this.world.others.put("a", new WorkAtTarget("a", 0, 0, 0, 0, false, 1, false));
+		this.world.others.put("a", new WorkAtTarget(TargetRun.of("a"), 0, 0, 0, 0, false, 1, false));
 		this.world.open(1, RequestKind.UNSAFE, 1);
 		Sent sent = this.world.sent.get(0);
 		this.world.join(DispatchHarness.PLAIN, "b");
@@ -85,7 +86,7 @@
 		this.world.event(run, 0);
 		String backup = run.target().id().equals("a") ? "b" : "a";
 		assertThat(run.order().backup()).isNotEqualTo(Optional.empty());
-		this.world.others.put(backup, new WorkAtTarget(backup, 0, 0, 0, 0, false, 2, false));
+		this.world.others.put(backup, new WorkAtTarget(TargetRun.of(backup), 0, 0, 0, 0, false, 2, false));
 		this.world.breakOff(run);
 		assertThat(this.world.sent).hasSize(1);
 		assertThat(this.world.answers(1)).contains("cut");
@@ -94,7 +95,7 @@
 	@Test
 	void whereEveryTargetIsDoubtedAnyIsTried() {
 		this.world.join(DispatchHarness.PLAIN, "a");
-		this.world.others.put("a", new WorkAtTarget("a", 0, 0, 0, 0, false, 2, false));
+		this.world.others.put("a", new WorkAtTarget(TargetRun.of("a"), 0, 0, 0, 0, false, 2, false));
 		this.world.open(1, RequestKind.UNSAFE, 1);
 		assertThat(this.world.sent).hasSize(1);
 	}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.directory.TargetRun;
 import dev.laneworks.core.dispatch.CopyResult.Outcome;
 import dev.laneworks.core.dispatch.DispatchHarness.Sent;
 import dev.laneworks.core.gossip.WorkAtTarget;
@@ -476,7 +477,8 @@
 	// Lets other entries hold a part of the memory of both engines.
 	private void fill(double part) {
 		for (String id : List.of("a", "b")) {
-			this.world.others.put(id, new WorkAtTarget(id, 1, (long) (part * 34_000), 0, 0, false, 0, false));
+			this.world.others.put(id,
+					new WorkAtTarget(TargetRun.of(id), 1, (long) (part * 34_000), 0, 0, false, 0, false));
 		}
 	}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
@@ -8,6 +8,7 @@
 import java.util.function.ToLongBiFunction;
 
 import dev.laneworks.core.audit.AuditEvent;
+import dev.laneworks.core.directory.TargetRun;
 import dev.laneworks.core.routing.Rendezvous;
 import dev.laneworks.core.time.Timers;
 import org.junit.jupiter.api.Test;
@@ -45,22 +46,22 @@
 
 	@Test
 	void sumsUpTheWorkOfOthersAndReplacesItByTheirNextNews() {
-		assertThat(this.gossip.others("t")).isEqualTo(Optional.empty());
+		assertThat(this.gossip.others(TargetRun.of("t"))).isEqualTo(Optional.empty());
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(3, 900)), 0);
 		this.gossip.received("10.0.0.3:7200", news("three", 3, 1, work(1, 100)), 0);
-		assertThat(this.gossip.others("t").get().heldTokens()).isEqualTo(1_000);
+		assertThat(this.gossip.others(TargetRun.of("t")).get().heldTokens()).isEqualTo(1_000);
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 2, work(1, 50)), 10);
-		assertThat(this.gossip.others("t").get().heldTokens()).isEqualTo(150);
-		assertThat(this.gossip.others("unknown").get().requests()).isEqualTo(0);
+		assertThat(this.gossip.others(TargetRun.of("t")).get().heldTokens()).isEqualTo(150);
+		assertThat(this.gossip.others(TargetRun.of("unknown")).get().requests()).isEqualTo(0);
 	}
 
 	@Test
 	void passesOverLateNewsOfTheSameProcessButNotOfANewOne() {
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 7, work(1, 700)), 0);
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 6, work(1, 600)), 1);
-		assertThat(this.gossip.others("t").get().heldTokens()).isEqualTo(700);
+		assertThat(this.gossip.others(TargetRun.of("t")).get().heldTokens()).isEqualTo(700);
 		this.gossip.received("10.0.0.2:7200", news("two", 99, 1, work(0, 0)), 2);
-		assertThat(this.gossip.others("t").get().heldTokens()).isEqualTo(0);
+		assertThat(this.gossip.others(TargetRun.of("t")).get().heldTokens()).isEqualTo(0);
 	}
 
 	@Test
@@ -71,7 +72,7 @@
 		assertThat(this.gossip.peers()).isEqualTo(1);
 		this.timers.run(4_000);
 		assertThat(this.gossip.peers()).isEqualTo(0);
-		assertThat(this.gossip.others("t")).isEqualTo(Optional.empty());
+		assertThat(this.gossip.others(TargetRun.of("t"))).isEqualTo(Optional.empty());
 	}
 
 	@Test
@@ -94,13 +95,13 @@
 	void tellsChangesTogetherUnlessOthersWaitForThem() {
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(1, 1)), 100);
 		this.told.clear();
-		this.gossip.changed("t", ChangeReach.NEAR, 110);
-		this.gossip.changed("t", ChangeReach.NEAR, 112);
+		this.gossip.changed(TargetRun.of("t"), ChangeReach.NEAR, 110);
+		this.gossip.changed(TargetRun.of("t"), ChangeReach.NEAR, 112);
 		this.timers.run(120);
 		assertThat(this.told).isEmpty();
 		this.timers.run(125);
 		assertThat(this.told).hasSize(1);
-		this.gossip.changed("t", ChangeReach.CONCERNED, 126);
+		this.gossip.changed(TargetRun.of("t"), ChangeReach.CONCERNED, 126);
 		this.timers.run(126);
 		assertThat(this.told).hasSize(2);
 	}
@@ -123,32 +124,32 @@
 	void entriesTakeTurnsByRankAndDoNotDisturbACopy() {
 		String target = targetWhere("two", "me");
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, moving(target, 1, false)), 0);
-		assertThat(this.gossip.isFirstToMove(target, 100, 100)).isFalse();
+		assertThat(this.gossip.isFirstToMove(TargetRun.of(target), 100, 100)).isFalse();
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 2, moving(target, 0, false)), 0);
-		assertThat(this.gossip.isFirstToMove(target, 5, 5)).isFalse();
-		assertThat(this.gossip.isFirstToMove(target, 20, 20)).isTrue();
+		assertThat(this.gossip.isFirstToMove(TargetRun.of(target), 5, 5)).isFalse();
+		assertThat(this.gossip.isFirstToMove(TargetRun.of(target), 20, 20)).isTrue();
 		String mine = targetWhere("me", "two");
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 3, moving(mine, 2, false)), 0);
-		assertThat(this.gossip.isFirstToMove(mine, 0, 0)).isTrue();
+		assertThat(this.gossip.isFirstToMove(TargetRun.of(mine), 0, 0)).isTrue();
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 4, moving(mine, 2, true)), 0);
-		assertThat(this.gossip.isFirstToMove(mine, 100, 100)).isFalse();
+		assertThat(this.gossip.isFirstToMove(TargetRun.of(mine), 100, 100)).isFalse();
 	}
 
 	@Test
 	void anEntryThatFallsSilentInItsTurnLosesIt() {
 		String target = targetWhere("two", "me");
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, moving(target, 2, true)), 0);
-		assertThat(this.gossip.isFirstToMove(target, 200, 200)).isFalse();
-		assertThat(this.gossip.isFirstToMove(target, 201, 201)).isTrue();
+		assertThat(this.gossip.isFirstToMove(TargetRun.of(target), 200, 200)).isFalse();
+		assertThat(this.gossip.isFirstToMove(TargetRun.of(target), 201, 201)).isTrue();
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 2, moving(target, 2, true)), 210);
-		assertThat(this.gossip.isFirstToMove(target, 211, 211)).isFalse();
+		assertThat(this.gossip.isFirstToMove(TargetRun.of(target), 211, 211)).isFalse();
 	}
 
 	@Test
 	void tellsOftenThatItIsAwakeWhileItMoves() {
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(1, 1)), 0);
 		this.ownWork = List.of(moving("t", 1, true));
-		this.gossip.changed("t", ChangeReach.CONCERNED, 100);
+		this.gossip.changed(TargetRun.of("t"), ChangeReach.CONCERNED, 100);
 		this.timers.run(100);
 		this.told.clear();
 		this.timers.run(160);
@@ -165,12 +166,12 @@
 		String target = "t";
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, moving(target, 1, true)), 0);
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 2, moving(target, 1, true)), 400);
-		assertThat(this.gossip.isFirstToMove(target, 500, 500)).isFalse();
+		assertThat(this.gossip.isFirstToMove(TargetRun.of(target), 500, 500)).isFalse();
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 3, moving(target, 1, true)), 490);
-		assertThat(this.gossip.isFirstToMove(target, 501, 501)).isTrue();
+		assertThat(this.gossip.isFirstToMove(TargetRun.of(target), 501, 501)).isTrue();
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 4, moving(target, 0, false)), 510);
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 5, moving(target, 1, true)), 520);
-		assertThat(this.gossip.isFirstToMove(target, 530, 530)).isFalse();
+		assertThat(this.gossip.isFirstToMove(TargetRun.of(target), 530, 530)).isFalse();
 	}
 
 	@Test
@@ -180,7 +181,7 @@
 		this.gossip.received("10.0.0.4:7200", distant("four", 4), 0);
 		this.gossip.start(0);
 		this.told.clear();
-		this.gossip.changed("t", ChangeReach.NEAR, 100);
+		this.gossip.changed(TargetRun.of("t"), ChangeReach.NEAR, 100);
 		this.timers.run(100);
 		assertThat(this.told).containsExactly("10.0.0.2:7200");
 		assertThat(this.lastNews.partial()).isTrue();
@@ -194,11 +195,24 @@
 
 	@Test
 	void passesOnThatATargetToldAnotherEntryOfItsLeaving() {
-		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, new WorkAtTarget("t", 0, 0, 0, 0, false, 0, true)), 0);
+		this.gossip.received("10.0.0.2:7200",
+				news("two", 2, 1, new WorkAtTarget(TargetRun.of("t"), 0, 0, 0, 0, false, 0, true)), 0);
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 2, work(1, 1)), 1);
 		assertThat(this.leaving).containsExactly("t");
 	}
 
+	@Test
+	void whatOthersTellOfOneRunOfATargetDoesNotFallOnAnother() {
+		TargetRun former = TargetRun.of("t", 1_000);
+		WorkAtTarget work = new WorkAtTarget(former, 3, 70, 10, 1, true, 2, true);
+		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work), 0);
+		assertThat(this.gossip.others(former)).isEqualTo(Optional.of(work));
+		TargetRun started = TargetRun.of("t", 900);
+		assertThat(this.gossip.others(started)).isEqualTo(Optional.of(WorkAtTarget.none(started)));
+		assertThat(this.gossip.isCopying(started)).isFalse();
+		assertThat(this.gossip.isFirstToMove(started, 500, 500)).isTrue();
+	}
+
 	@Test
 	void theFirstThatIsAwakeAsksTheTargetsOfItsDataCentre() {
 		ToLongBiFunction<String, String> rank = (d, i) -> i.equals("two") ? 2 : 1;
@@ -228,7 +242,7 @@
 			this.gossip.received("10.0.0." + i + ":7200", distant("e" + i, i), 0);
 		}
 		this.told.clear();
-		this.gossip.changed("t", ChangeReach.WIDE, 100);
+		this.gossip.changed(TargetRun.of("t"), ChangeReach.WIDE, 100);
 		this.timers.run(100);
 		assertThat(this.told).hasSize(10);
 		this.gossip.received("10.0.0.77:7200", distant("worker", 77, work(1, 1)), 150);
@@ -236,7 +250,7 @@
 			this.gossip.received("10.0.1." + i + ":7200", distant("e" + i, i), 150);
 		}
 		this.told.clear();
-		this.gossip.changed("t", ChangeReach.WIDE, 200);
+		this.gossip.changed(TargetRun.of("t"), ChangeReach.WIDE, 200);
 		this.timers.run(200);
 		assertThat(this.told.size()).isAtMost(SETTINGS.mostTold() + 1);
 		assertThat(this.told.size()).isAtLeast(SETTINGS.mostTold());
@@ -249,12 +263,12 @@
 		this.gossip.received("10.0.0.3:7200", distant("three", 3), 0);
 		this.gossip.received("10.0.0.4:7200", distant("four", 4), 0);
 		this.told.clear();
-		this.gossip.changed("t", ChangeReach.ALL, 100);
-		this.gossip.changed("u", ChangeReach.NEAR, 100);
+		this.gossip.changed(TargetRun.of("t"), ChangeReach.ALL, 100);
+		this.gossip.changed(TargetRun.of("u"), ChangeReach.NEAR, 100);
 		this.timers.run(100);
 		assertThat(this.told).containsExactly("10.0.0.2:7200", "10.0.0.3:7200", "10.0.0.4:7200");
 		this.told.clear();
-		this.gossip.changed("u", ChangeReach.NEAR, 200);
+		this.gossip.changed(TargetRun.of("u"), ChangeReach.NEAR, 200);
 		this.timers.run(200);
 		assertThat(this.told).containsExactly("10.0.0.2:7200");
 	}
@@ -265,7 +279,7 @@
 		this.gossip.received("10.0.0.3:7200", distant("three", 3, work(1, 1)), 0);
 		this.gossip.received("10.0.0.4:7200", distant("four", 4), 0);
 		this.told.clear();
-		this.gossip.changed("t", ChangeReach.CONCERNED, 100);
+		this.gossip.changed(TargetRun.of("t"), ChangeReach.CONCERNED, 100);
 		this.timers.run(100);
 		assertThat(this.told).containsExactly("10.0.0.2:7200", "10.0.0.3:7200");
 	}
@@ -274,13 +288,13 @@
 	void partialNewsChangeTheWorkThatTheyNameAlone() {
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(3, 900)), 0);
 		EntryNews partial = new EntryNews("two", "z", 2, 2, false, true, 1_000,
-				List.of(new WorkAtTarget("u", 1, 70, 0, 0, false, 0, false)), List.of(), List.of());
+				List.of(new WorkAtTarget(TargetRun.of("u"), 1, 70, 0, 0, false, 0, false)), List.of(), List.of());
 		this.gossip.received("10.0.0.2:7200", partial, 10);
-		assertThat(this.gossip.others("t").get().heldTokens()).isEqualTo(900);
-		assertThat(this.gossip.others("u").get().heldTokens()).isEqualTo(70);
+		assertThat(this.gossip.others(TargetRun.of("t")).get().heldTokens()).isEqualTo(900);
+		assertThat(this.gossip.others(TargetRun.of("u")).get().heldTokens()).isEqualTo(70);
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 3, work(1, 40)), 20);
-		assertThat(this.gossip.others("t").get().heldTokens()).isEqualTo(40);
-		assertThat(this.gossip.others("u").get().heldTokens()).isEqualTo(0);
+		assertThat(this.gossip.others(TargetRun.of("t")).get().heldTokens()).isEqualTo(40);
+		assertThat(this.gossip.others(TargetRun.of("u")).get().heldTokens()).isEqualTo(0);
 	}
 
 	@Test
@@ -300,7 +314,7 @@
 		this.gossip.end(200);
 		assertThat(this.lastNews.ending()).isTrue();
 		this.told.clear();
-		this.gossip.changed("t", ChangeReach.CONCERNED, 210);
+		this.gossip.changed(TargetRun.of("t"), ChangeReach.CONCERNED, 210);
 		this.timers.run(10_000);
 		assertThat(this.told).isEmpty();
 	}
@@ -315,11 +329,11 @@
 	}
 
 	private static WorkAtTarget work(int requests, long tokens) {
-		return new WorkAtTarget("t", requests, tokens, 0, 0, false, 0, false);
+		return new WorkAtTarget(TargetRun.of("t"), requests, tokens, 0, 0, false, 0, false);
 	}
 
 	private static WorkAtTarget moving(String target, int toMove, boolean copying) {
-		return new WorkAtTarget(target, 1, 1, 0, toMove, copying, 0, false);
+		return new WorkAtTarget(TargetRun.of(target), 1, 1, 0, toMove, copying, 0, false);
 	}
 
 	private static EntryNews news(String name, long incarnation, long sequence, WorkAtTarget work) {
@@ -341,8 +355,8 @@
 		}
 
 		@Override
-		public void heardLeaving(String target) {
-			GossipTests.this.leaving.add(target);
+		public void heardLeaving(TargetRun target) {
+			GossipTests.this.leaving.add(target.id());
 		}
 
 		@Override
--- a/laneworks-core/src/test/java/dev/laneworks/core/inquiry/LeavingInquiryTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/inquiry/LeavingInquiryTests.java
@@ -68,6 +68,26 @@
 		assertThat(this.heard).containsExactly("a leaves in 900", "b refused").inOrder();
 	}
 
+	@Test
+	void whatAnotherRunSaysDoesNotFallOnTheOneThatWasAsked() {
+		ListedTarget asked = engine("a").startedAt(OptionalLong.of(5));
+		OptionalLong soon = OptionalLong.of(900);
+		this.inquiry.answered(asked, new EngineAnswer(Outcome.LEAVES, soon, OptionalLong.of(4)), 10);
+		assertThat(this.heard).isEmpty();
+		this.inquiry.answered(asked, new EngineAnswer(Outcome.LEAVES, soon, OptionalLong.of(5)), 20);
+		assertThat(this.heard).containsExactly("a leaves in 900");
+	}
+
+	@Test
+	void aRunIsAskedThoughTheAnswerOfTheFormerOneIsAwaited() {
+		this.engines.remove(1);
+		this.silent = true;
+		this.inquiry.start(0);
+		this.engines.set(0, engine("a").startedAt(OptionalLong.of(5)));
+		this.timers.run(300);
+		assertThat(this.heard).containsExactly("ask a", "ask a");
+	}
+
 	private static ListedTarget engine(String id) {
 		return new ListedTarget(id, "s", "10.0.0.1", 80, "dc", 4, false);
 	}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -14,6 +14,7 @@
 import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.directory.TargetDirectory;
+import dev.laneworks.core.directory.TargetRun;
 import dev.laneworks.core.dispatch.ColdTargets;
 import dev.laneworks.core.dispatch.DispatchSettings;
 import dev.laneworks.core.dispatch.Dispatcher;
@@ -340,7 +341,7 @@
 		this.loop.timers().at(now + LOOK_MILLIS, (t) -> lookForEnd(since, t));
 	}
 
-	private Optional<WorkAtTarget> workOfOthers(String target) {
+	private Optional<WorkAtTarget> workOfOthers(TargetRun target) {
 		return this.others.workAt(target);
 	}
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EngineInquiry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EngineInquiry.java
@@ -7,7 +7,6 @@
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
-import dev.laneworks.core.directory.TargetRun;
 import dev.laneworks.core.dispatch.TargetBeliefs;
 import dev.laneworks.core.inquiry.EngineAnswer;
 import dev.laneworks.core.inquiry.InquiryOutputs;
@@ -41,7 +40,7 @@
 		this.audit = audit;
 		this.inquiry = new LeavingInquiry(store.follower()::isSilent, (e) -> others.asksIn(e.dataCentre()),
 				this::engines, this, loop.timers());
-		others.onLeaving((id) -> store.directory().saidLeaving(TargetRun.of(id)));
+		others.onLeaving(store.directory()::saidLeaving);
 	}
 
 	void start(long now) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/MembershipEvents.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/MembershipEvents.java
@@ -77,8 +77,9 @@
 	@Override
 	public void gone(ListedTarget target) {
 		record(target, "gone");
-		this.beliefs.forget(target.id());
-		this.cold.forget(target.id());
+		this.dispatcher.gone(target, this.loop.now());
+		this.beliefs.forget(target);
+		this.cold.forget(target);
 	}
 
 	private long targetsIn(String dataCentre) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
@@ -11,6 +11,7 @@
 
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.directory.TargetRun;
 import dev.laneworks.core.dispatch.CopyTurn;
 import dev.laneworks.core.dispatch.EntryRanks;
 import dev.laneworks.core.dispatch.RetryWindow;
@@ -60,7 +61,7 @@
 	private Consumer<StoreNews> storeListener = (n) -> {
 	};
 
-	private Consumer<String> leavingListener = (t) -> {
+	private Consumer<TargetRun> leavingListener = (t) -> {
 	};
 
 	private Optional<StateHandover> handover = Optional.empty();
@@ -82,7 +83,7 @@
 				(n) -> tellOfStore(this.gossip.nearBy(), n), (n) -> tellOfStore(
 						this.gossip.firstOfOtherDataCentres(SharedReading.TOLD_IN_EACH_GROUP, SharedReading::rank), n));
 		if (this.mechanisms.use(Mechanism.ENTRY_NEWS)) {
-			beliefs.onChange((target, change) -> this.gossip.changed(target.id(), reach(change), loop.now()));
+			beliefs.onChange((target, change) -> this.gossip.changed(target.run(), reach(change), loop.now()));
 		}
 	}
 
@@ -149,7 +150,7 @@
 	}
 
 	// Sets who hears of targets that told other entries of their leaving.
-	void onLeaving(Consumer<String> listener) {
+	void onLeaving(Consumer<TargetRun> listener) {
 		this.leavingListener = listener;
 	}
 
@@ -159,7 +160,7 @@
 	}
 
 	// The work that they have at a target; empty while none of them is known.
-	Optional<WorkAtTarget> workAt(String target) {
+	Optional<WorkAtTarget> workAt(TargetRun target) {
 		return this.gossip.others(target);
 	}
 
@@ -180,12 +181,12 @@
 
 	@Override
 	public boolean isOurs(ListedTarget source, long sinceNotice, long now) {
-		return !this.mechanisms.use(Mechanism.COPY_TURNS) || this.gossip.isFirstToMove(source.id(), sinceNotice, now);
+		return !this.mechanisms.use(Mechanism.COPY_TURNS) || this.gossip.isFirstToMove(source.run(), sinceNotice, now);
 	}
 
 	@Override
 	public boolean isQuiet(ListedTarget source, ListedTarget destination) {
-		return !this.gossip.isCopying(source.id()) && !this.gossip.isCopying(destination.id());
+		return !this.gossip.isCopying(source.run()) && !this.gossip.isCopying(destination.run());
 	}
 
 	@Override
@@ -194,7 +195,7 @@
 	}
 
 	@Override
-	public void heardLeaving(String target) {
+	public void heardLeaving(TargetRun target) {
 		this.leavingListener.accept(target);
 	}
 
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/EntryNewsCodec.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/EntryNewsCodec.java
@@ -39,7 +39,7 @@
 
 	private static Protocol.WorkAtTarget encode(WorkAtTarget work) {
 		return Protocol.WorkAtTarget.newBuilder()
-			.setTarget(work.target())
+			.setTarget(TargetRunForm.write(work.target()))
 			.setRequests(work.requests())
 			.setHeldTokens(work.heldTokens())
 			.setUnreadTokens(work.unreadTokens())
@@ -59,8 +59,8 @@
 	}
 
 	private static WorkAtTarget decode(Protocol.WorkAtTarget work) {
-		return new WorkAtTarget(work.getTarget(), work.getRequests(), work.getHeldTokens(), work.getUnreadTokens(),
-				work.getToMove(), work.getCopying(), work.getRefused(), work.getLeaving());
+		return new WorkAtTarget(TargetRunForm.read(work.getTarget()), work.getRequests(), work.getHeldTokens(),
+				work.getUnreadTokens(), work.getToMove(), work.getCopying(), work.getRefused(), work.getLeaving());
 	}
 
 	private static ServiceSpending decode(Protocol.ServiceSpending spending) {
