--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptOutcomes.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptOutcomes.java
@@ -92,7 +92,7 @@
 		ListedTarget target = attempt.target();
 		call.didNotRun();
 		if (head.isMisdirected()) {
-			this.directory.refusedWork(target.id());
+			this.directory.refusedWork(target.run());
 		}
 		else {
 			this.beliefs.of(target).full(now + this.settings.comeBackMillis());
@@ -135,7 +135,7 @@
 	 */
 	void failed(DirectCall call, Attempt attempt, String cause, long now) {
 		ListedTarget target = attempt.target();
-		if (this.directory.isStaying(target.id())) {
+		if (this.directory.isStaying(target)) {
 			recordBad(target, cause, now);
 		}
 		if (!attempt.isAnswering()) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/KnownItems.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/KnownItems.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SortedMap;
@@ -71,7 +70,7 @@
 		keys.addAll(read.keySet());
 		List<StoreChange> missed = new ArrayList<>();
 		for (String key : keys) {
-			if (revisionAhead(key) <= at && !Objects.equals(before.get(key), read.get(key))) {
+			if (revisionAhead(key) <= at && !holdsTheSame(before.get(key), read.get(key))) {
 				missed.add(new StoreChange(key, Optional.ofNullable(read.get(key)), at));
 			}
 		}
@@ -115,6 +114,11 @@
 		return fresh;
 	}
 
+	// Of an item that another process handed over the revision is not known.
+	private static boolean holdsTheSame(StoreItem one, StoreItem other) {
+		return (one == null || other == null) ? one == other : one.value().equals(other.value());
+	}
+
 	private long revisionAhead(String key) {
 		return Optional.ofNullable(this.ahead.get(key)).map(StoreChange::revision).orElse(Long.MIN_VALUE);
 	}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/CrowdedFleet.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/CrowdedFleet.java
@@ -11,6 +11,7 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 
+import dev.laneworks.core.directory.TargetRun;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.core.serving.AllowedRegions;
 import dev.laneworks.core.serving.RequestKind;
@@ -116,17 +117,18 @@
 		for (DispatchHarness entry : this.entries) {
 			Map<String, WorkAtTarget> own = work.computeIfAbsent(entry, (e) -> new HashMap<>());
 			entry.beliefs.ownWork().forEach((w) -> {
-				own.put(w.target(), w);
-				all.merge(w.target(), w, WorkAtTarget::plus);
+				own.put(w.target().id(), w);
+				all.merge(w.target().id(), w, WorkAtTarget::plus);
 			});
 		}
 		for (DispatchHarness entry : this.entries) {
 			for (String engine : this.engines.keySet()) {
-				WorkAtTarget none = WorkAtTarget.none(engine);
+				TargetRun run = TargetRun.of(engine);
+				WorkAtTarget none = WorkAtTarget.none(run);
 				WorkAtTarget sum = all.getOrDefault(engine, none);
 				WorkAtTarget own = work.get(entry).getOrDefault(engine, none);
 				entry.others.put(engine,
-						new WorkAtTarget(engine, sum.requests() - own.requests(), sum.heldTokens() - own.heldTokens(),
+						new WorkAtTarget(run, sum.requests() - own.requests(), sum.heldTokens() - own.heldTokens(),
 								sum.unreadTokens() - own.unreadTokens(), 0, false, 0, false));
 			}
 		}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EngineInquiry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EngineInquiry.java
@@ -73,7 +73,7 @@
 		this.audit.record(AuditEvent.of(AuditKind.MEMBERSHIP, engine.id(), engine.id(),
 				"says that it is leaving in " + answer.leavesMillis().orElse(0) + " ms"));
 		this.beliefs.saidLeaving(engine);
-		this.store.directory().saidLeaving(engine.id());
+		this.store.directory().saidLeaving(engine.run());
 	}
 
 	@Override
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
@@ -110,7 +110,7 @@
 		if (change.item().isEmpty()) {
 			this.refused.forget(change.key());
 			if (isTarget(change.key())) {
-				this.targets.remove(change.key(), now);
+				this.targets.remove(change.key(), change.revision(), now);
 			}
 			return;
 		}
@@ -119,7 +119,7 @@
 			takePlan(change.item().get());
 		}
 		else if (isTarget(change.key())) {
-			this.targets.put(change.item().get());
+			this.targets.put(change.item().get(), change.revision());
 		}
 	}
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetEntries.java
@@ -11,6 +11,7 @@
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.Evacuations;
 import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.directory.Listing;
 import dev.laneworks.core.directory.TargetDirectory;
 import dev.laneworks.core.follow.StoreItem;
 import dev.laneworks.core.serving.ServingPlan;
@@ -41,7 +42,7 @@
 	private final AuditSink audit;
 
 	/** The targets of services that no plan names, by the keys of their entries. */
-	private final Map<String, ListedTarget> unnamed = new HashMap<>();
+	private final Map<String, Listing> unnamed = new HashMap<>();
 
 	private Optional<ServingPlan> plan = Optional.empty();
 
@@ -57,14 +58,14 @@
 	// Take a plan that came in force.
 	void use(ServingPlan inForce) {
 		this.plan = Optional.of(inForce);
-		this.directory.together(() -> Map.copyOf(this.unnamed).forEach((key, target) -> {
-			if (isNamed(target)) {
+		this.directory.together(() -> Map.copyOf(this.unnamed).forEach((key, listing) -> {
+			if (isNamed(listing.target())) {
 				this.unnamed.remove(key);
-				take(key, target);
-				this.directory.put(target);
+				take(key, listing.target());
+				this.directory.put(listing);
 			}
 			else {
-				tellUnnamed(key, target);
+				tellUnnamed(key, listing.target());
 			}
 		}));
 	}
@@ -81,9 +82,11 @@
 	 */
 	void replaceAll(List<StoreItem> entries, long now) {
 		forgetUnnamed();
-		List<ListedTarget> listed = new ArrayList<>();
+		List<Listing> listed = new ArrayList<>();
 		for (StoreItem entry : entries) {
-			usable(entry).or(() -> withheld(entry)).ifPresent(listed::add);
+			long revision = entry.revision();
+			usable(entry, revision).or(() -> withheld(entry).map((t) -> new Listing(t, revision)))
+				.ifPresent(listed::add);
 		}
 		this.directory.replaceAll(listed, now);
 		this.evacuations.withheld().forEach(this::releaseIfGone);
@@ -92,21 +95,23 @@
 	/**
 	 * Take an entry that was written.
 	 * @param entry the item
+	 * @param revision the store's revision of that
 	 */
-	void put(StoreItem entry) {
+	void put(StoreItem entry, long revision) {
 		this.unnamed.remove(entry.key());
-		usable(entry).ifPresentOrElse(this.directory::put, () -> withheld(entry));
+		usable(entry, revision).ifPresentOrElse(this.directory::put, () -> withheld(entry));
 	}
 
 	/**
 	 * Take that an entry went.
 	 * @param key its key
+	 * @param revision the store's revision of that
 	 * @param now the time in milliseconds
 	 */
-	void remove(String key, long now) {
+	void remove(String key, long revision, long now) {
 		String id = this.source.targetId(key);
 		this.unnamed.remove(key);
-		this.directory.remove(id, now);
+		this.directory.remove(id, revision, now);
 		releaseIfGone(id);
 	}
 
@@ -117,7 +122,7 @@
 		}
 	}
 
-	private Optional<ListedTarget> usable(StoreItem entry) {
+	private Optional<Listing> usable(StoreItem entry, long revision) {
 		Either<String, ListedTarget> read = this.source.target(entry);
 		if (read.isLeft()) {
 			refuse(entry.key(), read.getLeft());
@@ -125,12 +130,12 @@
 		}
 		ListedTarget target = read.get();
 		if (!isNamed(target) && !isKnownAs(target)) {
-			this.unnamed.put(entry.key(), target);
+			this.unnamed.put(entry.key(), new Listing(target, revision));
 			tellUnnamed(entry.key(), target);
 			return Optional.empty();
 		}
 		take(entry.key(), target);
-		return read.toJavaOptional();
+		return Optional.of(new Listing(target, revision));
 	}
 
 	private void take(String key, ListedTarget target) {
