A late entry of a target that is gone does not end the one at its address

Change: the runs that are gone are remembered in their order, and who was at an address first is known by that; a belief is kept until nothing of this process is there, copies included.

--- a/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
@@ -45,6 +45,8 @@
 
 	private final ListOrder order = new ListOrder();
 
+	private final EndedRuns endedRuns = new EndedRuns();
+
 	private final DirectoryListener listener;
 
 	private final Evacuations evacuations;
@@ -147,7 +149,8 @@
 			boolean isReplaced = other.address().equals(target.address()) && !other.id().equals(target.id());
 			if (isReplaced) {
 				boolean isOtherThere = !this.lapsedUntil.containsKey(other.id())
-						&& this.order.isKnownBehind(other.id(), listing.revision());
+						&& this.order.isKnownBehind(other.id(), listing.revision())
+						|| this.endedRuns.wasBefore(target, other);
 				addressTaken(isOtherThere ? target : other);
 			}
 		}
@@ -394,6 +397,7 @@
 
 	private void drop(ListedTarget target, LeavingCause cause) {
 		this.targets.remove(target.id());
+		this.endedRuns.add(target);
 		if (!this.left.remove(target.id())) {
 			tell(() -> this.listener.leaving(target, cause));
 		}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBeliefs.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetBeliefs.java
@@ -140,7 +140,7 @@
 	}
 
 	private void forgetIfUnused(TargetBelief belief) {
-		if (belief.isGone() && belief.inFlight() <= 0 && belief.toMove() <= 0) {
+		if (belief.isGone() && belief.inFlight() <= 0 && belief.toMove() <= 0 && belief.ownTokens() <= 0) {
 			this.byRun.remove(belief.target().run());
 		}
 	}
--- a/laneworks-core/src/test/java/dev/laneworks/core/directory/TargetDirectoryTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/directory/TargetDirectoryTests.java
@@ -85,6 +85,36 @@
 		assertThat(this.heard).containsExactly("joined a", "leaving a ADDRESS_TAKEN", "joined b").inOrder();
 	}
 
+	/**
+	 * In a run of the whole system an entry that was written late brought an ended target
+	 * back to the list, at an address where another one had joined 2.8 s before: that one
+	 * counted as ended and took no work to the end, and requests went to the former one
+	 * until each entry had been refused.
+	 */
+	@Test
+	void aLateEntryOfATargetThatIsGoneDoesNotEndTheOneAtItsAddress() {
+		this.directory.put(target("a", false));
+		this.directory.remove("a", 10_000);
+		this.directory.put(at("10.0.0.1", "b"));
+		this.directory.put(target("a", false));
+		assertThat(this.directory.takesWork("b")).isTrue();
+		assertThat(this.directory.takesWork("a")).isFalse();
+		this.directory.remove("a", 20_000);
+		assertThat(this.directory.takesWork("b")).isTrue();
+	}
+
+	@Test
+	void ofTwoThatWereGoneTheOneThatWentLaterIsAtTheAddress() {
+		this.directory.put(target("a", false));
+		this.directory.remove("a", 10_000);
+		this.directory.put(at("10.0.0.1", "b"));
+		this.directory.remove("b", 20_000);
+		this.directory.put(target("a", false));
+		this.directory.put(at("10.0.0.1", "b"));
+		assertThat(this.directory.takesWork("b")).isTrue();
+		assertThat(this.directory.takesWork("a")).isFalse();
+	}
+
 	@Test
 	void aListReadAnewEndsOnlyTheTargetThatWasKnownBeforeTheOtherAtItsAddress() {
 		this.directory.put(target("b", false));
