--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -78,9 +78,7 @@
 
 	private final StoreSilence silence = new StoreSilence();
 
-	private long call;
-
-	private boolean open;
+	private final CallSlot call;
 
 	private boolean watching;
 
@@ -92,12 +90,6 @@
 
 	private long firstRevision = -1;
 
-	/** The number of the last watch. */
-	private long watchCall = -1;
-
-	/** The number of the last call of which an answer arrived that is still read. */
-	private long arrivedCall = -1;
-
 	/** The number of the last watch that was to tell of a change known to others. */
 	private long expectedOf = -1;
 
@@ -107,16 +99,9 @@
 	/** How many signs of life in a row found no call open and none due. */
 	private int stalledSigns;
 
-	/** When the next call is due, while none is open. */
-	private long nextDue;
-
 	/** When all items were begun to be read last. */
 	private long readAt;
 
-	private long watchedAt;
-
-	private long watchWait;
-
 	private int failures;
 
 	private long answeredAt;
@@ -145,6 +130,7 @@
 		this.outputs = outputs;
 		this.listener = listener;
 		this.timers = timers;
+		this.call = new CallSlot(timers);
 		this.backoff = backoff;
 		this.reading = reading;
 	}
@@ -242,10 +228,11 @@
 		if (!this.watching || this.resting) {
 			return;
 		}
-		if (this.open && at > this.known.revision()) {
+		if (this.call.isOpen() && at > this.known.revision()) {
 			expect(now);
 		}
-		if (isBack && (!this.open || isWatchOverdue(this.settings.gapMillis() + OVERDUE_MILLIS, now))) {
+		if (isBack
+				&& (!this.call.isOpen() || this.call.isWatchUnheard(this.settings.gapMillis() + OVERDUE_MILLIS, now))) {
 			watchAnew(now);
 		}
 	}
@@ -256,12 +243,7 @@
 	 * @param number the number of the call
 	 */
 	public void answerArrived(long number) {
-		this.arrivedCall = number;
-	}
-
-	private boolean isWatchOverdue(long millis, long now) {
-		return this.open && this.watchCall == this.call && this.arrivedCall != this.call
-				&& now - this.watchedAt >= millis;
+		this.call.arrived(number);
 	}
 
 	private void watchAnew(long now) {
@@ -309,8 +291,8 @@
 		if (this.known.revision() > before) {
 			this.reading.tell(before, this.known.revision(), changes, isReturning(now));
 		}
-		long next = Math.max(now, this.watchedAt + this.settings.gapMillis());
-		later(next, this::watchUnlessServed);
+		long next = Math.max(now, this.call.watchedAt() + this.settings.gapMillis());
+		this.call.later(next, this::watchUnlessServed);
 	}
 
 	/**
@@ -358,14 +340,14 @@
 	// What others have read the own watch tells within milliseconds; a watch that does
 	// not is one whose answer was lost.
 	private void expect(long now) {
-		long number = this.call;
+		long number = this.call.number();
 		if (this.expectedOf == number) {
 			return;
 		}
 		this.expectedOf = number;
 		long before = this.known.revision();
 		this.timers.at(now + OVERDUE_MILLIS, (t) -> {
-			if (number == this.call && this.known.revision() == before && isWatchOverdue(0, t)) {
+			if (number == this.call.number() && this.known.revision() == before && this.call.isWatchUnheard(0, t)) {
 				watchAnew(t);
 			}
 		});
@@ -400,7 +382,7 @@
 	 */
 	public void historyGone(long number, long now) {
 		if (answered(number, now)) {
-			later(now + this.backoff.spread(this.settings.gapMillis()), this::readAnew);
+			this.call.later(now + this.backoff.spread(this.settings.gapMillis()), this::readAnew);
 		}
 	}
 
@@ -411,10 +393,9 @@
 	 * @param now the time in milliseconds
 	 */
 	public void failed(long number, String cause, long now) {
-		if (number != this.call || !this.open) {
+		if (!this.call.end(number, now)) {
 			return;
 		}
-		this.open = false;
 		this.failures++;
 		if (!this.lost) {
 			this.lost = true;
@@ -422,10 +403,10 @@
 		}
 		long next = now + this.backoff.delayMillis(this.failures);
 		if (this.watching) {
-			later(next, this::watchUnlessServed);
+			this.call.later(next, this::watchUnlessServed);
 		}
 		else {
-			later(next, this::readAnew);
+			this.call.later(next, this::readAnew);
 		}
 	}
 
@@ -437,11 +418,9 @@
 	}
 
 	private boolean answered(long number, long now) {
-		if (number != this.call || !this.open) {
+		if (!this.call.end(number, now)) {
 			return false;
 		}
-		this.open = false;
-		this.nextDue = now;
 		this.failures = 0;
 		regain(this.silence.answered(now) >= OUTLIVED_MILLIS, now);
 		return true;
@@ -472,7 +451,7 @@
 
 	// Whether the store is out of reach, or its answer overdue.
 	private boolean isDeaf(long now) {
-		return this.lost || (this.open && now > this.watchedAt + this.watchWait + SharedReading.SIGN_MILLIS);
+		return this.lost || this.call.isPastWait(SharedReading.SIGN_MILLIS, now);
 	}
 
 	// Changes known already are passed over, since a change may be told twice and late.
@@ -499,14 +478,14 @@
 		}
 		this.failures = 0;
 		regain(this.silence.takeLongest(now) >= OUTLIVED_MILLIS, now);
-		later(now + REST_MILLIS, this::watchUnlessServed);
+		this.call.later(now + REST_MILLIS, this::watchUnlessServed);
 	}
 
 	private void signOfLife(long now) {
 		this.timers.at(now + SharedReading.SIGN_MILLIS, this::signOfLife);
 		goOnIfStalled(now);
 		probeIfQuiet(now);
-		if (this.watching && this.open && !isDeaf(now) && !isSilent(now)) {
+		if (this.watching && this.call.isOpen() && !isDeaf(now) && !isSilent(now)) {
 			this.reading.tell(this.known.revision(), this.known.revision(), List.of(), isReturning(now));
 		}
 		else if (this.resting) {
@@ -518,7 +497,7 @@
 	// have taken all it was told; both are read again. A process that was held up finds
 	// calls late for one sign of life.
 	private void goOnIfStalled(long now) {
-		boolean isStalled = !this.open && now - this.nextDue >= STALLED_MILLIS;
+		boolean isStalled = this.call.isForgotten(STALLED_MILLIS, now);
 		this.stalledSigns = isStalled ? this.stalledSigns + 1 : 0;
 		boolean isIncomplete = this.mustReadAnew && now - this.readAt >= STALLED_MILLIS;
 		if (isIncomplete || this.stalledSigns > 1) {
@@ -529,7 +508,7 @@
 	}
 
 	private void probeIfQuiet(long now) {
-		if (this.hasRead && !this.resting && (this.open || this.lost) && this.silence.askNow(now)) {
+		if (this.hasRead && !this.resting && (this.call.isOpen() || this.lost) && this.silence.askNow(now)) {
 			this.outputs.probe();
 		}
 	}
@@ -544,18 +523,16 @@
 	}
 
 	private void readPage(Optional<String> afterKey, long now) {
-		begin(now + this.settings.answerMillis());
-		this.outputs.readPage(this.call, afterKey);
+		this.outputs.readPage(begin(now + this.settings.answerMillis()), afterKey);
 	}
 
 	private void watch(long now) {
-		this.watchedAt = now;
 		// The first watch after a failure is short: it tells soon whether the store is
 		// back.
-		this.watchWait = (this.failures > 0) ? this.settings.gapMillis() : holdMillis();
-		begin(now + this.watchWait + this.settings.answerMillis());
-		this.watchCall = this.call;
-		this.outputs.watch(this.call, this.known.revision(), this.watchWait);
+		long wait = (this.failures > 0) ? this.settings.gapMillis() : holdMillis();
+		long number = begin(now + wait + this.settings.answerMillis());
+		this.call.watches(wait, now);
+		this.outputs.watch(number, this.known.revision(), wait);
 	}
 
 	private long holdMillis() {
@@ -563,25 +540,10 @@
 				: this.settings.waitMillis();
 	}
 
-	private void begin(long answerDue) {
-		this.call++;
-		this.open = true;
-		long number = this.call;
-		this.timers.at(answerDue, (t) -> {
-			if (number == this.call && this.open) {
-				this.outputs.abandon();
-				failed(number, "no answer within its time", t);
-			}
-		});
-	}
-
-	private void later(long due, Timers.TimedAction action) {
-		long number = this.call;
-		this.nextDue = due;
-		this.timers.at(due, (t) -> {
-			if (number == this.call && !this.open) {
-				action.run(t);
-			}
+	private long begin(long answerDue) {
+		return this.call.begin(answerDue, (t) -> {
+			this.outputs.abandon();
+			failed(this.call.number(), "no answer within its time", t);
 		});
 	}
 
