--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipTests.java
@@ -343,9 +343,8 @@
 			}
 		}
 
-		// Plays with restarts also look at what takes work, and two targets at one
-		// address
-		// are a matter of their own: which of them takes work is not said by their runs.
+		// Plays with restarts also look at what takes work. Which of two targets at one
+		// address does is not said by their runs.
 		private void takeAddressUnlessTargetsStartAgain() {
 			if (!this.restarts) {
 				takeAddress();
