Record what targets say in their answers that they need

Cause: logs could not tell whether an entry had been told a limit, a rest or a leaving. Nothing is decided by it yet. Change: the platform's headers become TargetNeeds of an answer's head; TargetsInNeed records a line where one changes, one a run where it can't be true (negative, not a number, a date, there twice). An answer with status 421 or of another request is not the target's word. The package core.limit, which held nothing but its description, is gone.

--- a/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
@@ -347,7 +347,12 @@
 		return isKnownRun(target) && isStaying(target.id());
 	}
 
-	private boolean isKnownRun(ListedTarget target) {
+	/**
+	 * Return whether the run of a target is the one that is known.
+	 * @param target the target
+	 * @return {@code false} if it is gone, or has started again
+	 */
+	public boolean isKnownRun(ListedTarget target) {
 		return find(target.id()).filter((k) -> k.isSameRun(target)).isPresent();
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AnswerHead.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AnswerHead.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import dev.laneworks.core.backpressure.TargetNeeds;
+
 /**
  * What an answer's head says, once translated from the target's protocol.
  *
@@ -15,10 +17,11 @@
  * @param events whether the body is a stream of events
  * @param load what the target tells of its load
  * @param coldMillis for how much longer the target is cold, in milliseconds, if it tells
+ * @param needs what the target says that it needs
  * @since 0.2
  */
 public record AnswerHead(int status, String requestId, boolean sealed, boolean encoded, boolean notRun, boolean events,
-		Optional<TargetLoad> load, OptionalLong coldMillis) {
+		Optional<TargetLoad> load, OptionalLong coldMillis, TargetNeeds needs) {
 
 	private static final int FIRST_SUCCESS = 200;
 
@@ -33,6 +36,7 @@
 		Objects.requireNonNull(requestId, "requestId must not be null");
 		Objects.requireNonNull(load, "load must not be null");
 		Objects.requireNonNull(coldMillis, "coldMillis must not be null");
+		Objects.requireNonNull(needs, "needs must not be null");
 	}
 
 	/**
@@ -67,6 +71,17 @@
 		return this.notRun || isMisdirected();
 	}
 
+	/**
+	 * Return whether what the answer says of its sender is said of the target asked. One
+	 * that is meant for another request, or comes from another target at the same
+	 * address, says nothing of it.
+	 * @param id the request
+	 * @return whether the target itself speaks
+	 */
+	public boolean speaksForTarget(String id) {
+		return !isMisdirected() && (this.requestId.isEmpty() || this.requestId.equals(id));
+	}
+
 	/**
 	 * Return whether this can be the target's answer to a request.
 	 * @param id the request
--- a/laneworks-core/src/main/java/dev/laneworks/core/limit/package-info.java
+++ /dev/null
@@ -1,4 +0,0 @@
-/**
- * Limits each client account without shared state.
- */
-package dev.laneworks.core.limit;
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -11,6 +11,8 @@
 import java.util.function.Consumer;
 
 import dev.laneworks.core.audit.AuditEvent;
+import dev.laneworks.core.backpressure.TargetNeeds;
+import dev.laneworks.core.backpressure.TargetsInNeed;
 import dev.laneworks.core.directory.DirectoryListener;
 import dev.laneworks.core.directory.EvacuationListener;
 import dev.laneworks.core.directory.Evacuations;
@@ -87,6 +89,8 @@
 	final Eligibility eligibility = new Eligibility(this.directory, this.beliefs, this.cold,
 			Map.of("dc", "north", "dc2", "north", "dc3", "south"));
 
+	final TargetsInNeed needs = new TargetsInNeed((e) -> this.audit.add(e));
+
 	/** Where requests may be served that are opened from now on. */
 	AllowedRegions regions = AllowedRegions.any();
 
@@ -123,8 +127,8 @@
 		RetryWindow retries = new RetryWindow(10_000, retryRatio, retryExtra, retryExtra,
 				(s, w, t) -> Optional.empty());
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(mechanisms), this.directory, this.beliefs,
-				this.eligibility, chooser, new Turns(), new Ranks(), this.suspects, retries, this.timers, this,
-				this.audit::add);
+				this.eligibility, this.needs, chooser, new Turns(), new Ranks(), this.suspects, retries, this.timers,
+				this, this.audit::add);
 		EngineSpec engine = new EngineSpec(64, 34_000, 18_432, 2_700, 4, true, true, 2_000);
 		this.dispatcher.use(new ServingPlan(1, List.of(),
 				Map.of(PLAIN, new ServiceSpec(PLAIN, 100, 0, Optional.empty()), ENGINES,
@@ -240,7 +244,7 @@
 
 	void answer(Sent to, int status, boolean notRun) {
 		AnswerHead head = new AnswerHead(status, id(to.call()), status < 300, false, notRun, false, Optional.empty(),
-				OptionalLong.empty());
+				OptionalLong.empty(), TargetNeeds.NONE);
 		this.dispatcher.headReceived(to.call(), to.attempt(), head, this.now);
 		this.dispatcher.answered(to.call(), to.attempt(), head, this.now);
 		settle();
@@ -437,6 +441,7 @@
 			DispatchHarness.this.dispatcher.gone(target, DispatchHarness.this.now);
 			DispatchHarness.this.beliefs.forget(target);
 			DispatchHarness.this.cold.forget(target);
+			DispatchHarness.this.needs.forget(target);
 		}
 
 	}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherTests.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 
+import dev.laneworks.core.backpressure.TargetNeeds;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.dispatch.DispatchHarness.Sent;
 import dev.laneworks.core.serving.RequestKind;
@@ -165,16 +166,19 @@
 		this.world.open(1, RequestKind.UNSAFE, 1);
 		Sent sent = this.world.arrive();
 		AnswerHead other = new AnswerHead(200, "request-77", true, false, false, false, Optional.empty(),
-				OptionalLong.empty());
+				OptionalLong.empty(), TargetNeeds.NONE);
 		this.world.dispatcher.answered(sent.call(), sent.attempt(), other, 10);
 		assertThat(this.world.answers(1)).containsExactly("refused 502");
 	}
 
 	@Test
 	void aSuccessWithoutItsDigestOrWithAnEncodingIsNotDelivered() {
-		AnswerHead bare = new AnswerHead(200, "r", false, false, false, false, Optional.empty(), OptionalLong.empty());
-		AnswerHead encoded = new AnswerHead(200, "r", true, true, false, false, Optional.empty(), OptionalLong.empty());
-		AnswerHead good = new AnswerHead(200, "r", true, false, false, false, Optional.empty(), OptionalLong.empty());
+		AnswerHead bare = new AnswerHead(200, "r", false, false, false, false, Optional.empty(), OptionalLong.empty(),
+				TargetNeeds.NONE);
+		AnswerHead encoded = new AnswerHead(200, "r", true, true, false, false, Optional.empty(), OptionalLong.empty(),
+				TargetNeeds.NONE);
+		AnswerHead good = new AnswerHead(200, "r", true, false, false, false, Optional.empty(), OptionalLong.empty(),
+				TargetNeeds.NONE);
 		assertThat(bare.answers("r")).isFalse();
 		assertThat(encoded.answers("r")).isFalse();
 		assertThat(good.answers("r")).isTrue();
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -14,6 +14,7 @@
 import com.codahale.metrics.MetricRegistry;
 import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
+import dev.laneworks.core.backpressure.TargetsInNeed;
 import dev.laneworks.core.directory.TargetDirectory;
 import dev.laneworks.core.directory.TargetRun;
 import dev.laneworks.core.dispatch.ColdTargets;
@@ -191,7 +192,8 @@
 		this.others = new OtherEntries(settings, this.beliefs, this.retries, this.loop, random, this.audit);
 		this.cold = new ColdTargets(settings.coldBound(), this.others, this::coldPerSecond, this.audit);
 		this.suspicions = new Suspicions(this.others, this.loop, random, this.audit);
-		MembershipEvents members = new MembershipEvents(this.beliefs, this.cold, this.loop, this.audit);
+		TargetsInNeed needs = new TargetsInNeed(this.audit);
+		MembershipEvents members = new MembershipEvents(this.beliefs, this.cold, needs, this.loop, this.audit);
 		this.store = new FollowedStore(adapter.source(), settings.follow(), members, members, this::use,
 				this.others.reading(), timers, random, new DefaultBackgroundWork(thread), this.audit);
 		this.directory = this.store.directory();
@@ -199,8 +201,8 @@
 		TargetChooser chooser = new TargetChooser(eligibility, this.beliefs, settings.dataCentre(), random,
 				settings.mechanisms());
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(settings.mechanisms()), this.directory, this.beliefs,
-				eligibility, chooser, this.others, this.others, this.suspicions.requests(), this.retries, timers, calls,
-				this.audit);
+				eligibility, needs, chooser, this.others, this.others, this.suspicions.requests(), this.retries, timers,
+				calls, this.audit);
 		calls.use(this.dispatcher);
 		this.suspicions.use(this.dispatcher);
 		members.use(this.dispatcher, this.store);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/MembershipEvents.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/MembershipEvents.java
@@ -3,6 +3,7 @@
 import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
+import dev.laneworks.core.backpressure.TargetsInNeed;
 import dev.laneworks.core.directory.DirectoryListener;
 import dev.laneworks.core.directory.EvacuationListener;
 import dev.laneworks.core.directory.LeavingCause;
@@ -21,6 +22,8 @@
 
 	private final ColdTargets cold;
 
+	private final TargetsInNeed needs;
+
 	private final EventLoop loop;
 
 	private final AuditSink audit;
@@ -29,9 +32,10 @@
 
 	private FollowedStore store;
 
-	MembershipEvents(TargetBeliefs beliefs, ColdTargets cold, EventLoop loop, AuditSink audit) {
+	MembershipEvents(TargetBeliefs beliefs, ColdTargets cold, TargetsInNeed needs, EventLoop loop, AuditSink audit) {
 		this.beliefs = beliefs;
 		this.cold = cold;
+		this.needs = needs;
 		this.loop = loop;
 		this.audit = audit;
 	}
@@ -80,6 +84,7 @@
 		this.dispatcher.gone(target, this.loop.now());
 		this.beliefs.forget(target);
 		this.cold.forget(target);
+		this.needs.forget(target);
 	}
 
 	private long targetsIn(String dataCentre) {
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpResponseHead.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpResponseHead.java
@@ -25,6 +25,15 @@
 		return this.headers.stream().filter((h) -> h.name().equalsIgnoreCase(name)).map(HttpHeader::value).findFirst();
 	}
 
+	/**
+	 * Return all values of a header.
+	 * @param name the header's name, in any case
+	 * @return the values in the order they came; none if the header is not there
+	 */
+	public List<String> all(String name) {
+		return this.headers.stream().filter((h) -> h.name().equalsIgnoreCase(name)).map(HttpHeader::value).toList();
+	}
+
 	/**
 	 * Return the type of the body.
 	 * @return the type, or empty text
