--- a/laneworks-core/src/main/java/dev/laneworks/core/backpressure/TargetsInNeed.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/backpressure/TargetsInNeed.java
@@ -1,8 +1,6 @@
 package dev.laneworks.core.backpressure;
 
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Map;
 import java.util.Objects;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
@@ -15,18 +13,19 @@
 import dev.laneworks.core.directory.TargetRun;
 
 /**
- * Records what targets say in their answers that they need.
+ * Tells whether targets may be sent more, by what they say in their answers that they
+ * need.
  * <p>
- * A line is recorded where what a target says changes, and one a run of it where it can't
- * be true. Not thread-safe.
+ * What is known is bound to a run of a target. A line is recorded where what a target
+ * says changes, and one a run of it where it can't be true. Not thread-safe.
  *
  * @since 0.4
  */
 public final class TargetsInNeed {
 
-	private final AuditSink audit;
+	private final TargetLimits limits;
 
-	private final Map<TargetRun, Double> limits = new HashMap<>();
+	private final AuditSink audit;
 
 	private final Set<TargetRun> leaving = new HashSet<>();
 
@@ -35,9 +34,11 @@
 
 	/**
 	 * Create a record in which no target needs anything.
+	 * @param limits the limits that targets name
 	 * @param audit hears of what targets say
 	 */
-	public TargetsInNeed(AuditSink audit) {
+	public TargetsInNeed(TargetLimits limits, AuditSink audit) {
+		this.limits = Objects.requireNonNull(limits, "limits must not be null");
 		this.audit = Objects.requireNonNull(audit, "audit must not be null");
 	}
 
@@ -45,40 +46,71 @@
 	 * Take what a target says in an answer.
 	 * @param target the target
 	 * @param needs what it says
+	 * @param askedAt when the request was sent that it answers, in milliseconds
+	 * @param now the time in milliseconds
 	 */
-	public void told(ListedTarget target, TargetNeeds needs) {
-		toldLimit(target, needs.limitPerSecond());
+	public void told(ListedTarget target, TargetNeeds needs, long askedAt, long now) {
+		toldLimit(target, needs.limitPerSecond(), askedAt, now);
 		toldRest(target, needs.restMillis());
 		if (needs.leaving() && this.leaving.add(target.run())) {
 			record(target, "says in an answer that it is leaving");
 		}
 	}
 
+	/**
+	 * Return whether a target takes one more request of this entry.
+	 * @param target the target
+	 * @param now the time in milliseconds
+	 * @return whether it may be sent one now
+	 */
+	public boolean takes(ListedTarget target, long now) {
+		return freeInMillis(target, now) <= 0;
+	}
+
+	/**
+	 * Return after which time a target takes one more request of this entry.
+	 * @param target the target
+	 * @param now the time in milliseconds
+	 * @return milliseconds; 0 if it does now
+	 */
+	public long freeInMillis(ListedTarget target, long now) {
+		return this.limits.freeInMillis(target, now);
+	}
+
+	/**
+	 * Record that a request is sent to a target.
+	 * @param target the target
+	 * @param now the time in milliseconds
+	 */
+	public void sent(ListedTarget target, long now) {
+		this.limits.sent(target, now);
+	}
+
 	/**
 	 * Forget a target that is gone.
 	 * @param target the target
 	 */
 	public void forget(ListedTarget target) {
-		this.limits.remove(target.run());
+		this.limits.forget(target.run());
 		this.leaving.remove(target.run());
 		this.absurd.remove(target.run());
 	}
 
-	private void toldLimit(ListedTarget target, OptionalDouble perSecond) {
-		if (perSecond.isEmpty()) {
-			if (this.limits.remove(target.run()) != null) {
-				record(target, "names no limit any more");
-			}
-			return;
-		}
-		double limit = perSecond.getAsDouble();
-		if (!Double.isFinite(limit) || limit < 0) {
+	/**
+	 * Return how many targets have named a limit.
+	 * @return the count
+	 */
+	public int limited() {
+		return this.limits.count();
+	}
+
+	private void toldLimit(ListedTarget target, OptionalDouble perSecond, long askedAt, long now) {
+		if (perSecond.isPresent() && !TargetLimits.canBe(perSecond.getAsDouble())) {
 			recordAbsurd(target, "names a limit that can't be");
-			return;
 		}
-		Double before = this.limits.put(target.run(), limit);
-		if (before == null || before != limit) {
-			record(target, "names a limit of " + limit + " requests a second");
+		else if (this.limits.told(target, perSecond, askedAt, now)) {
+			record(target, perSecond.isPresent() ? "names a limit of " + perSecond.getAsDouble() + " requests a second"
+					: "names no limit any more");
 		}
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
@@ -356,6 +356,15 @@
 		return find(target.id()).filter((k) -> k.isSameRun(target)).isPresent();
 	}
 
+	/**
+	 * Return whether a run of a target is the one that is known.
+	 * @param run the run
+	 * @return {@code false} if it is gone, not heard of yet, or another one is listed
+	 */
+	public boolean isKnownRun(TargetRun run) {
+		return find(run.id()).filter((k) -> k.run().equals(run)).isPresent();
+	}
+
 	/**
 	 * Return whether a target is known to have started again, so that nothing of its
 	 * former run is left.
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -128,7 +128,8 @@
 				+ Math.round(this.beliefs.requests(target, now))
 				+ engine.map((e) -> ", memory " + Math.round(PERCENT * this.chooser.fullness(target, e, now)) + "%")
 					.orElse("")
-				+ ", directory of " + this.directory.size()
+				+ ", directory of " + this.directory.size() + ", left out "
+				+ this.eligibility.leftOut(call.scope(), now)
 				+ backup.map((b) -> ", copy grows at " + b.id()).orElse("")));
 		this.beliefs.change(target, TargetBelief::began);
 		this.eligibility.sent(target, now);
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -8,7 +8,6 @@
 
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
-import dev.laneworks.core.backpressure.TargetsInNeed;
 import dev.laneworks.core.directory.LeavingCause;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
@@ -66,8 +65,6 @@
 
 	private final Eligibility eligibility;
 
-	private final TargetsInNeed needs;
-
 	private final AttemptOutcomes outcomes;
 
 	private final PoisonGuard poison;
@@ -82,7 +79,6 @@
 	 * @param directory the targets
 	 * @param beliefs what is believed of them
 	 * @param eligibility tells which of them may be sent work
-	 * @param needs what they say that they need
 	 * @param chooser chooses among them
 	 * @param turn whose turn it is to copy generations away from an engine
 	 * @param entries tells how many entries there are
@@ -93,13 +89,12 @@
 	 * @param audit takes why
 	 */
 	public Dispatcher(DispatchSettings settings, TargetDirectory directory, TargetBeliefs beliefs,
-			Eligibility eligibility, TargetsInNeed needs, TargetChooser chooser, CopyTurn turn, EntryRanks entries,
-			SuspectRequests suspects, RetryWindow retries, Timers timers, DispatchOutputs outputs, AuditSink audit) {
+			Eligibility eligibility, TargetChooser chooser, CopyTurn turn, EntryRanks entries, SuspectRequests suspects,
+			RetryWindow retries, Timers timers, DispatchOutputs outputs, AuditSink audit) {
 		this.settings = settings;
 		this.directory = directory;
 		this.beliefs = beliefs;
 		this.eligibility = eligibility;
-		this.needs = needs;
 		this.retries = retries;
 		this.timers = timers;
 		this.outputs = outputs;
@@ -248,7 +243,7 @@
 		head.load().ifPresent((l) -> this.beliefs.of(target).told(l, now));
 		head.coldMillis().ifPresent((c) -> this.eligibility.toldCold(target, c, now));
 		if (head.speaksForTarget(this.calls.get(number).request().id()) && this.directory.isKnownRun(target)) {
-			this.needs.told(target, head.needs());
+			this.eligibility.told(target, head.needs(), found.get().sentAt(), now);
 		}
 		return head.isSuccess() && head.events() && head.answers(this.calls.get(number).request().id());
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Eligibility.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Eligibility.java
@@ -4,6 +4,8 @@
 import java.util.Map;
 import java.util.Optional;
 
+import dev.laneworks.core.backpressure.TargetNeeds;
+import dev.laneworks.core.backpressure.TargetsInNeed;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
 
@@ -12,8 +14,8 @@
  * <p>
  * What is left out here is never used, whatever becomes of the request: targets that are
  * leaving, that are withheld, in a data centre being evacuated or in a region that the
- * request may not be served in, and cold ones that have had all they bear. What of the
- * rest is better is the chooser's to say.
+ * request may not be served in, and those that are cold, or say that they are in need,
+ * and have had all they take for now. What of the rest is better is the chooser's to say.
  *
  * @since 0.3
  */
@@ -33,6 +35,8 @@
 
 	private final ColdTargets cold;
 
+	private final TargetsInNeed needs;
+
 	private final Map<String, String> regions;
 
 	/**
@@ -40,13 +44,15 @@
 	 * @param directory the targets
 	 * @param beliefs what is believed of them
 	 * @param cold bounds what cold targets are sent
+	 * @param needs bounds what targets are sent that say that they are in need
 	 * @param regions the region of each data centre
 	 */
-	public Eligibility(TargetDirectory directory, TargetBeliefs beliefs, ColdTargets cold,
+	public Eligibility(TargetDirectory directory, TargetBeliefs beliefs, ColdTargets cold, TargetsInNeed needs,
 			Map<String, String> regions) {
 		this.directory = directory;
 		this.beliefs = beliefs;
 		this.cold = cold;
+		this.needs = needs;
 		this.regions = Map.copyOf(regions);
 	}
 
@@ -59,7 +65,7 @@
 	public List<ListedTarget> targets(Scope scope, long now) {
 		return this.directory.serving(scope.service())
 			.stream()
-			.filter((t) -> !scope.tried().contains(t.id()) && isAllowed(scope, t) && this.cold.takes(t, now))
+			.filter((t) -> !scope.tried().contains(t.id()) && isAllowed(scope, t) && freeInMillis(t, now) <= 0)
 			.toList();
 	}
 
@@ -89,10 +95,10 @@
 	 * copy.
 	 * @param target the target
 	 * @param now the time in milliseconds
-	 * @return whether it is sound and, if it is cold, has not had all it bears
+	 * @return whether it is sound and has not had all it takes for now
 	 */
 	public boolean takesWork(ListedTarget target, long now) {
-		return isSound(target, now) && this.cold.takes(target, now);
+		return isSound(target, now) && freeInMillis(target, now) <= 0;
 	}
 
 	/**
@@ -114,6 +120,17 @@
 		this.cold.told(target, millis, now);
 	}
 
+	/**
+	 * Take what a target says in an answer that it needs.
+	 * @param target the target
+	 * @param told what it says
+	 * @param askedAt when the request was sent that it answers, in milliseconds
+	 * @param now the time in milliseconds
+	 */
+	void told(ListedTarget target, TargetNeeds told, long askedAt, long now) {
+		this.needs.told(target, told, askedAt, now);
+	}
+
 	/**
 	 * Record that a request is sent to a target.
 	 * @param target the target
@@ -121,6 +138,21 @@
 	 */
 	void sent(ListedTarget target, long now) {
 		this.cold.sent(target, now);
+		this.needs.sent(target, now);
+	}
+
+	/**
+	 * Return how many targets may not be sent a request now because they are cold or in
+	 * need, and have had all they take.
+	 * @param scope which come into question
+	 * @param now the time in milliseconds
+	 * @return the count
+	 */
+	long leftOut(Scope scope, long now) {
+		return this.directory.serving(scope.service())
+			.stream()
+			.filter((t) -> isAllowed(scope, t) && freeInMillis(t, now) > 0)
+			.count();
 	}
 
 	/**
@@ -145,15 +177,19 @@
 		}
 		return open.stream()
 			.filter((t) -> !scope.tried().contains(t.id()))
-			.mapToLong((t) -> this.cold.freeInMillis(t, now))
+			.mapToLong((t) -> freeInMillis(t, now))
 			.min()
 			.stream()
-			.mapToObj(
-					(free) -> Shortage.until("all targets left are cold and have had all they bear", Math.max(1, free)))
+			.mapToObj((free) -> Shortage
+				.until("all targets left are cold or in need and have had all they take for now", Math.max(1, free)))
 			.findFirst()
 			.orElseGet(() -> Shortage.of("no target of the service is left"));
 	}
 
+	private long freeInMillis(ListedTarget target, long now) {
+		return Math.max(this.cold.freeInMillis(target, now), this.needs.freeInMillis(target, now));
+	}
+
 	private boolean isAllowed(Scope scope, ListedTarget target) {
 		return scope.regions().allow(Optional.ofNullable(this.regions.get(target.dataCentre())));
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/GossipOutputs.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/GossipOutputs.java
@@ -24,6 +24,18 @@
 	 */
 	void heardLeaving(TargetRun target);
 
+	/**
+	 * Take what a target said to another entry, or to one that this heard it from.
+	 * @param news what it said of the requests that it takes
+	 */
+	void heardLimit(LimitNews news);
+
+	/**
+	 * Return what targets said last of the requests that they take.
+	 * @return what is known of that, heard from others included
+	 */
+	List<LimitNews> limits();
+
 	/**
 	 * Return this entry's own work.
 	 * @return its work at each target where it has any
--- /dev/null
+++ b/laneworks-core/src/test/java/dev/laneworks/core/backpressure/RequestShareTests.java
@@ -0,0 +1,37 @@
+package dev.laneworks.core.backpressure;
+
+import java.util.OptionalLong;
+
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests an entry's part of what all may send together.
+ */
+class RequestShareTests {
+
+	@Test
+	void anEntryThatHearsOfNoOtherSharesWithThoseThereWereOfLate() {
+		assertThat(share(1, 40, OptionalLong.empty())).isEqualTo(1);
+		assertThat(share(4, 40, OptionalLong.empty())).isEqualTo(0.25);
+		assertThat(share(0, 40, OptionalLong.empty())).isEqualTo(1);
+	}
+
+	@Test
+	void partsFollowRequestsAndAddUpToOne() {
+		double many = share(3, 90, OptionalLong.of(10));
+		assertThat(many).isWithin(0.02).of(0.9);
+		assertThat(many + share(3, 10, OptionalLong.of(90)) + share(3, 0, OptionalLong.of(100))).isWithin(1e-9).of(1);
+	}
+
+	@Test
+	void entriesWithoutRequestsHaveEqualParts() {
+		assertThat(share(300, 0, OptionalLong.of(0))).isWithin(1e-9).of(1.0 / 300);
+	}
+
+	private static double share(int entries, long own, OptionalLong others) {
+		return new RequestShare(() -> entries, (s, t) -> OptionalLong.of(own), (s, t) -> others).of("s", 0);
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/test/java/dev/laneworks/core/backpressure/TargetLimitsTests.java
@@ -0,0 +1,166 @@
+package dev.laneworks.core.backpressure;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalDouble;
+
+import com.google.common.collect.Range;
+import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.directory.TargetRun;
+import dev.laneworks.core.gossip.LimitNews;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests what one entry sends to a target that names a limit.
+ */
+class TargetLimitsTests {
+
+	private final ListedTarget target = new ListedTarget("t", "s", "10.0.0.1", 80, "dc", 6, false);
+
+	private final List<TargetRun> toTell = new ArrayList<>();
+
+	private double share = 0.25;
+
+	private double phase;
+
+	private final TargetLimits limits = new TargetLimits((s, t) -> this.share, (t) -> this.phase, this.toTell::add);
+
+	@Test
+	void aTargetThatNamesNoLimitTakesAll() {
+		assertThat(sentIn(0, 1_000, 1)).isEqualTo(1_000);
+		told(3, 1_000);
+		told(OptionalDouble.empty(), 1_001, 1_001);
+		assertThat(sentIn(1_001, 2_001, 1)).isEqualTo(1_000);
+	}
+
+	@Test
+	void anEntrySendsItsPartWhileCallersWait() {
+		told(20, 0);
+		assertThat(sentIn(0, 60_000, 10)).isIn(Range.closed(280, 300));
+	}
+
+	// Four seconds bear one and a half times what the limit allows, and five.
+	@Test
+	void whatIsNotUsedDoesNotAddUpToMoreThanATargetBearsAtOnce() {
+		for (double limit : new double[] { 0.2, 3, 30 }) {
+			this.share = 1;
+			told(limit, 0);
+			sentIn(0, 1, 1);
+			assertThat((double) sentIn(120_000, 124_000, 1)).isAtMost(1.5 * 4 * limit + 5);
+			told(OptionalDouble.empty(), 130_000, 130_000);
+		}
+	}
+
+	@Test
+	void entriesThatHaveAPermitOnceInALongWhileGetItAtDifferentTimes() {
+		this.share = 0.01;
+		int all = 0;
+		for (int i = 0; i < 100; i++) {
+			this.phase = i / 100.0;
+			TargetLimits one = new TargetLimits((s, t) -> this.share, (t) -> this.phase, this.toTell::add);
+			one.told(this.target, OptionalDouble.of(3), 0, 0);
+			all += sentIn(one, 0, 4_000, 10);
+		}
+		assertThat(all).isIn(Range.closed(11, 13));
+	}
+
+	@Test
+	void whatHasToGoThereIsTakenFromWhatIsSentNext() {
+		told(4, 0);
+		for (int i = 0; i < 3; i++) {
+			this.limits.sent(this.target, 0);
+		}
+		assertThat(sentIn(0, 3_000, 10)).isEqualTo(0);
+		assertThat(sentIn(3_000, 8_000, 10)).isAtLeast(3);
+	}
+
+	@Test
+	void anAnswerToARequestThatWasSentBeforeTheLimitWasToldDoesNotEndIt() {
+		told(3, 1_000);
+		told(OptionalDouble.empty(), 999, 1_500);
+		assertThat(this.limits.count()).isEqualTo(1);
+		told(OptionalDouble.empty(), 1_000, 1_501);
+		assertThat(this.limits.count()).isEqualTo(0);
+	}
+
+	@Test
+	void theNewestWordHoldsWhoeverHeardItAndDoesNotComeBackAsANewerOne() {
+		told(3, 1_000);
+		assertThat(this.limits.heard(news(OptionalDouble.of(9), 700), 1_600)).isFalse();
+		assertThat(this.limits.heard(news(OptionalDouble.of(9), 600), 1_640)).isFalse();
+		assertThat(this.limits.heard(news(OptionalDouble.of(9), 100), 1_600)).isTrue();
+		assertThat(this.limits.news(1_600)).containsExactly(news(OptionalDouble.of(9), 100));
+		assertThat(this.limits.heard(news(OptionalDouble.empty(), 0), 1_700)).isTrue();
+		assertThat(this.limits.freeInMillis(this.target, 1_700)).isEqualTo(0);
+	}
+
+	@Test
+	void othersAreToldAtOnceOfWhatIsNewAndForAWhileThatALimitIsOver() {
+		told(3, 0);
+		told(3, 10);
+		told(4, 20);
+		this.limits.heard(news(OptionalDouble.of(5), 0), 1_000);
+		assertThat(this.toTell).hasSize(2);
+		told(OptionalDouble.empty(), 2_000, 2_000);
+		assertThat(this.toTell).hasSize(3);
+		assertThat(this.limits.news(12_000)).containsExactly(news(OptionalDouble.empty(), 10_000));
+		assertThat(this.limits.news(12_001)).isEmpty();
+	}
+
+	@Test
+	void aTargetThatTakesNothingIsAskedNowAndThen() {
+		this.share = 1;
+		told(0, 0);
+		int sent = sentIn(0, 100_000, 10);
+		assertThat(sent).isIn(Range.closed(8, 11));
+	}
+
+	@Test
+	void whatCannotBeTrueOfOthersChangesNothing() {
+		for (double absurd : new double[] { -1, Double.NaN, Double.POSITIVE_INFINITY, 1e9 }) {
+			assertThat(TargetLimits.canBe(absurd)).isFalse();
+			assertThat(this.limits.heard(news(OptionalDouble.of(absurd), 0), 100)).isFalse();
+		}
+		assertThat(this.limits.count()).isEqualTo(0);
+	}
+
+	@Test
+	void aCallerIsToldNoLaterTimeThanUntilAnyEntryHasAPermit() {
+		this.share = 0.001;
+		told(2, 0);
+		assertThat(this.limits.freeInMillis(this.target, 0)).isEqualTo(527);
+		this.limits.forget(this.target.run());
+		assertThat(this.limits.freeInMillis(this.target, 0)).isEqualTo(0);
+	}
+
+	private void told(double perSecond, long now) {
+		told(OptionalDouble.of(perSecond), now, now);
+	}
+
+	private void told(OptionalDouble perSecond, long askedAt, long now) {
+		this.limits.told(this.target, perSecond, askedAt, now);
+	}
+
+	private LimitNews news(OptionalDouble perSecond, long ageMillis) {
+		return new LimitNews(this.target.run(), perSecond, ageMillis);
+	}
+
+	private int sentIn(long from, long to, long step) {
+		return sentIn(this.limits, from, to, step);
+	}
+
+	// How many requests go out of one that comes each few milliseconds.
+	private int sentIn(TargetLimits asked, long from, long to, long step) {
+		int sent = 0;
+		for (long now = from; now < to; now += step) {
+			if (asked.freeInMillis(this.target, now) <= 0) {
+				asked.sent(this.target, now);
+				sent++;
+			}
+		}
+		return sent;
+	}
+
+}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 
 import dev.laneworks.core.audit.AuditEvent;
+import dev.laneworks.core.backpressure.TargetLimits;
 import dev.laneworks.core.backpressure.TargetNeeds;
 import dev.laneworks.core.backpressure.TargetsInNeed;
 import dev.laneworks.core.directory.DirectoryListener;
@@ -86,10 +87,16 @@
 	final ColdTargets cold = new ColdTargets(new ColdBound(1.5, 5), new Ranks(), (s) -> this.coldPerSecond,
 			(e) -> this.audit.add(e));
 
-	final Eligibility eligibility = new Eligibility(this.directory, this.beliefs, this.cold,
-			Map.of("dc", "north", "dc2", "north", "dc3", "south"));
+	/** This entry's part of what all may send to targets that name a limit. */
+	double share = 1;
+
+	final TargetLimits limits = new TargetLimits((s, t) -> this.share, (t) -> 0, (t) -> {
+	});
+
+	final TargetsInNeed needs = new TargetsInNeed(this.limits, (e) -> this.audit.add(e));
 
-	final TargetsInNeed needs = new TargetsInNeed((e) -> this.audit.add(e));
+	final Eligibility eligibility = new Eligibility(this.directory, this.beliefs, this.cold, this.needs,
+			Map.of("dc", "north", "dc2", "north", "dc3", "south"));
 
 	/** Where requests may be served that are opened from now on. */
 	AllowedRegions regions = AllowedRegions.any();
@@ -127,8 +134,8 @@
 		RetryWindow retries = new RetryWindow(10_000, retryRatio, retryExtra, retryExtra,
 				(s, w, t) -> Optional.empty());
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(mechanisms), this.directory, this.beliefs,
-				this.eligibility, this.needs, chooser, new Turns(), new Ranks(), this.suspects, retries, this.timers,
-				this, this.audit::add);
+				this.eligibility, chooser, new Turns(), new Ranks(), this.suspects, retries, this.timers, this,
+				this.audit::add);
 		EngineSpec engine = new EngineSpec(64, 34_000, 18_432, 2_700, 4, true, true, 2_000);
 		this.dispatcher.use(new ServingPlan(1, List.of(),
 				Map.of(PLAIN, new ServiceSpec(PLAIN, 100, 0, Optional.empty()), ENGINES,
@@ -243,8 +250,12 @@
 	}
 
 	void answer(Sent to, int status, boolean notRun) {
+		answer(to, status, notRun, TargetNeeds.NONE);
+	}
+
+	void answer(Sent to, int status, boolean notRun, TargetNeeds told) {
 		AnswerHead head = new AnswerHead(status, id(to.call()), status < 300, false, notRun, false, Optional.empty(),
-				OptionalLong.empty(), TargetNeeds.NONE);
+				OptionalLong.empty(), told);
 		this.dispatcher.headReceived(to.call(), to.attempt(), head, this.now);
 		this.dispatcher.answered(to.call(), to.attempt(), head, this.now);
 		settle();
--- /dev/null
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/NeedyTargetTests.java
@@ -0,0 +1,127 @@
+package dev.laneworks.core.dispatch;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
+
+import dev.laneworks.core.backpressure.TargetNeeds;
+import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.dispatch.DispatchHarness.Sent;
+import dev.laneworks.core.serving.RequestKind;
+import dev.laneworks.core.verdict.Verdict;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of what a {@link Dispatcher} sends to targets that say in their answers what they
+ * need.
+ */
+class NeedyTargetTests {
+
+	private final DispatchHarness world = DispatchHarness.create();
+
+	private long calls;
+
+	@Test
+	void whatALimitedTargetDoesNotTakeGoesElsewhereAndIsRefusedWithATrueTimeWhereThereIsNone() {
+		ListedTarget limited = this.world.join(DispatchHarness.PLAIN, "limited");
+		tell(limit(2));
+		this.world.open(++this.calls, RequestKind.UNSAFE, 1);
+		assertThat(this.world.refusals.get(this.calls).verdict()).isEqualTo(Verdict.NOT_RUN);
+		assertThat(this.world.refusals.get(this.calls).retryAfter()).hasValue(Duration.ofMillis(527));
+		this.world.join(DispatchHarness.PLAIN, "other");
+		for (int i = 0; i < 10; i++) {
+			assertThat(askAndAnswer(TargetNeeds.NONE, false).target().id()).isEqualTo("other");
+		}
+		this.world.passTime(527);
+		assertThat(this.world.eligibility.takesWork(limited, this.world.now)).isTrue();
+	}
+
+	@Test
+	void aRepeatedSendingGoesToNoTargetThatHasHadAllItTakes() {
+		ListedTarget limited = this.world.join(DispatchHarness.PLAIN, "limited");
+		tell(limit(1));
+		ListedTarget bad = this.world.join(DispatchHarness.PLAIN, "bad");
+		this.world.open(++this.calls, RequestKind.SAFE, 2);
+		Sent first = this.world.arrive();
+		assertThat(first.target()).isEqualTo(bad);
+		this.world.answer(first, 500, false);
+		assertThat(this.world.sent.stream().filter((s) -> s.target().equals(limited))).hasSize(1);
+		assertThat(this.world.answers(this.calls)).containsExactly("delivered 1");
+	}
+
+	@Test
+	void aGenerationGoesOnAtNoCopyWhoseEngineHasHadAllItTakes() {
+		ListedTarget a = this.world.join(DispatchHarness.ENGINES, "a");
+		ListedTarget b = this.world.join(DispatchHarness.ENGINES, "b");
+		this.world.openStream(++this.calls);
+		Sent run = this.world.arrive();
+		this.world.event(run, 0);
+		ListedTarget backup = run.target().equals(a) ? b : a;
+		assertThat(run.order().backup()).hasValue(backup.address());
+		this.world.needs.told(backup, limit(0.2), 0, 0);
+		this.world.leave(run.target());
+		assertThat(this.world.sent.stream().filter((s) -> s.target().equals(backup))).isEmpty();
+	}
+
+	@Test
+	void anAnswerOfAnotherTargetOrToAnotherRequestOrOfAFormerRunSaysNothing() {
+		ListedTarget target = this.world.join(DispatchHarness.PLAIN, "target");
+		this.world.join(DispatchHarness.PLAIN, "other");
+		while (this.world.sent.stream().noneMatch((s) -> s.target().equals(target))) {
+			this.world.open(++this.calls, RequestKind.SAFE, 2);
+			this.world.arrive();
+		}
+		Sent sent = this.world.sent.get(this.world.sent.size() - 1);
+		headOf(sent, 421, "");
+		headOf(sent, 200, "request-999");
+		assertThat(this.world.needs.limited()).isEqualTo(0);
+		this.world.end(target);
+		headOf(sent, 200, DispatchHarness.id(sent.call()));
+		assertThat(this.world.needs.limited()).isEqualTo(0);
+	}
+
+	@Test
+	void whatCannotBeTrueIsRecordedOnceAndChangesNothing() {
+		ListedTarget target = this.world.join(DispatchHarness.PLAIN, "target");
+		tell(limit(1));
+		for (double absurd : new double[] { -1, Double.NaN, 1e9 }) {
+			this.world.needs.told(target, limit(absurd), this.world.now, this.world.now);
+		}
+		assertThat(this.world.needs.limited()).isEqualTo(1);
+		assertThat(this.world.audit.stream().filter((e) -> e.cause().contains("passed over"))).hasSize(1);
+	}
+
+	@Test
+	void aTargetThatStartsAgainNeedsNothing() {
+		ListedTarget target = this.world.join(DispatchHarness.PLAIN, "target");
+		tell(limit(0));
+		ListedTarget again = this.world.startAgain(target);
+		assertThat(this.world.eligibility.takesWork(again, this.world.now)).isTrue();
+		assertThat(this.world.needs.limited()).isEqualTo(0);
+	}
+
+	private void headOf(Sent sent, int status, String request) {
+		this.world.dispatcher.headReceived(sent.call(), sent.attempt(), new AnswerHead(status, request, true, false,
+				false, false, Optional.empty(), OptionalLong.empty(), limit(1)), this.world.now);
+	}
+
+	private static TargetNeeds limit(double perSecond) {
+		return new TargetNeeds(OptionalDouble.of(perSecond), OptionalLong.empty(), false);
+	}
+
+	// Lets the one target there is answer and say what it needs.
+	private void tell(TargetNeeds needs) {
+		askAndAnswer(needs, false);
+	}
+
+	private Sent askAndAnswer(TargetNeeds needs, boolean isTurnedAway) {
+		this.world.open(++this.calls, RequestKind.UNSAFE, 1);
+		Sent sent = this.world.arrive();
+		this.world.answer(sent, isTurnedAway ? 503 : 200, isTurnedAway, needs);
+		return sent;
+	}
+
+}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/TargetChooserTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/TargetChooserTests.java
@@ -9,6 +9,8 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 
+import dev.laneworks.core.backpressure.TargetLimits;
+import dev.laneworks.core.backpressure.TargetsInNeed;
 import dev.laneworks.core.directory.DirectoryListener;
 import dev.laneworks.core.directory.EvacuationListener;
 import dev.laneworks.core.directory.Evacuations;
@@ -47,6 +49,8 @@
 
 	private final TargetChooser chooser = new TargetChooser(new Eligibility(this.directory, this.beliefs,
 			new ColdTargets(new ColdBound(1, 0), new Alone(), (s) -> 0, (e) -> {
+			}), new TargetsInNeed(new TargetLimits((s, t) -> 1, (t) -> 0, (t) -> {
+			}), (e) -> {
 			}), Map.of()), this.beliefs, "here", new SplittableRandom(1), Mechanisms.all());
 
 	@Test
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -4,6 +4,7 @@
 import java.util.EnumSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
@@ -14,6 +15,8 @@
 import com.codahale.metrics.MetricRegistry;
 import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
+import dev.laneworks.core.backpressure.RequestShare;
+import dev.laneworks.core.backpressure.TargetLimits;
 import dev.laneworks.core.backpressure.TargetsInNeed;
 import dev.laneworks.core.directory.TargetDirectory;
 import dev.laneworks.core.directory.TargetRun;
@@ -118,6 +121,8 @@
 
 	private final ColdTargets cold;
 
+	private final TargetsInNeed needs;
+
 	private final Suspicions suspicions;
 
 	private final Dispatcher dispatcher;
@@ -137,6 +142,12 @@
 	/** The time of suspensions that was told already; used on the I/O thread alone. */
 	private long suspendedTold;
 
+	/**
+	 * How many entries there were of late, one that was gone only for a moment included;
+	 * used on the I/O thread alone.
+	 */
+	private int entriesOfLate = 1;
+
 	/** Whether requests are read; used on the I/O thread alone. */
 	private boolean open;
 
@@ -145,6 +156,9 @@
 	/** How many targets are doubted, as it was when it was looked last. */
 	private volatile long doubtedTargets;
 
+	/** How many targets name a limit, as it was when it was looked last. */
+	private volatile int limitedTargets;
+
 	/** How many targets are cold, as it was when it was looked last. */
 	private volatile long coldTargets;
 
@@ -192,17 +206,22 @@
 		this.others = new OtherEntries(settings, this.beliefs, this.retries, this.loop, random, this.audit);
 		this.cold = new ColdTargets(settings.coldBound(), this.others, this::coldPerSecond, this.audit);
 		this.suspicions = new Suspicions(this.others, this.loop, random, this.audit);
-		TargetsInNeed needs = new TargetsInNeed(this.audit);
-		MembershipEvents members = new MembershipEvents(this.beliefs, this.cold, needs, this.loop, this.audit);
+		TargetLimits limits = new TargetLimits(
+				new RequestShare(() -> this.entriesOfLate, this::ownRequests, this::requestsOfOthers),
+				this.others::phase, this.others::tellLimit);
+		this.needs = new TargetsInNeed(limits, this.audit);
+		MembershipEvents members = new MembershipEvents(this.beliefs, this.cold, this.needs, this.loop, this.audit);
 		this.store = new FollowedStore(adapter.source(), settings.follow(), members, members, this::use,
 				this.others.reading(), timers, random, new DefaultBackgroundWork(thread), this.audit);
 		this.directory = this.store.directory();
-		Eligibility eligibility = new Eligibility(this.directory, this.beliefs, this.cold, settings.regions());
+		Eligibility eligibility = new Eligibility(this.directory, this.beliefs, this.cold, this.needs,
+				settings.regions());
+		this.others.share(limits, this.directory::isKnownRun);
 		TargetChooser chooser = new TargetChooser(eligibility, this.beliefs, settings.dataCentre(), random,
 				settings.mechanisms());
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(settings.mechanisms()), this.directory, this.beliefs,
-				eligibility, needs, chooser, this.others, this.others, this.suspicions.requests(), this.retries, timers,
-				calls, this.audit);
+				eligibility, chooser, this.others, this.others, this.suspicions.requests(), this.retries, timers, calls,
+				this.audit);
 		calls.use(this.dispatcher);
 		this.suspicions.use(this.dispatcher);
 		members.use(this.dispatcher, this.store);
@@ -232,7 +251,7 @@
 		this.readiness.start();
 		LogLine.of("started").with("address", this.settings.callers().toString()).info();
 		this.loop.run(() -> lookForPlan(this.loop.now()));
-		this.loop.run(() -> shareRetries(1));
+		this.loop.run(this::lookAtShares);
 		if (!awaitPlan()) {
 			return ExitCode.FAILED;
 		}
@@ -358,15 +377,16 @@
 
 	// More entries have smaller parts; a part grows only when an entry has been gone
 	// for a while.
-	private void shareRetries(int entriesBefore) {
+	private void lookAtShares() {
 		MonotonicClock.look();
 		this.doubtedTargets = this.beliefs.doubted(this.loop.now());
 		this.quarantinedRequests = this.suspicions.requests().quarantined(this.loop.now());
 		this.coldTargets = this.cold.count(this.loop.now());
 		this.evacuatedDataCentres = this.store.evacuations().count();
-		int entries = Math.max(this.others.count() + 1, entriesBefore - 1);
-		this.retries.allow(this.inForce.retryRatio(), this.inForce.ownRetryExtra(entries));
-		this.loop.timers().at(this.loop.now() + SHARE_MILLIS, (t) -> shareRetries(entries));
+		this.limitedTargets = this.needs.limited();
+		this.entriesOfLate = Math.max(this.others.count() + 1, this.entriesOfLate - 1);
+		this.retries.allow(this.inForce.retryRatio(), this.inForce.ownRetryExtra(this.entriesOfLate));
+		this.loop.timers().at(this.loop.now() + SHARE_MILLIS, (t) -> lookAtShares());
 	}
 
 	// Requests that come during the start wait unread for the plan, since callers come
@@ -412,6 +432,21 @@
 				? this.others.spending(service, windowMillis, now) : Optional.empty();
 	}
 
+	private OptionalLong ownRequests(String service, long now) {
+		return this.retries.spending(now)
+			.stream()
+			.filter((s) -> s.service().equals(service))
+			.mapToLong(ServiceSpending::requests)
+			.findFirst();
+	}
+
+	private OptionalLong requestsOfOthers(String service, long now) {
+		return this.others.spending(service, this.settings.retryWindowMillis(), now)
+			.stream()
+			.mapToLong(ServiceSpending::requests)
+			.findFirst();
+	}
+
 	private double coldPerSecond(String service) {
 		return this.store.published()
 			.plan()
@@ -437,6 +472,7 @@
 		this.metrics.register("laneworks_suspended_millis", (Gauge<Long>) MonotonicClock::suspendedMillis);
 		this.metrics.register("laneworks_targets_lapsed", (Gauge<Integer>) this.directory::lapsed);
 		this.metrics.register("laneworks_targets_doubted", (Gauge<Long>) () -> this.doubtedTargets);
+		this.metrics.register("laneworks_targets_limited", (Gauge<Integer>) () -> this.limitedTargets);
 		this.metrics.register("laneworks_targets_cold", (Gauge<Long>) () -> this.coldTargets);
 		this.metrics.register("laneworks_requests_quarantined", (Gauge<Long>) () -> this.quarantinedRequests);
 		this.metrics.register("laneworks_data_centres_evacuated", (Gauge<Integer>) () -> this.evacuatedDataCentres);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
@@ -7,10 +7,12 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
 import dev.laneworks.core.audit.AuditSink;
+import dev.laneworks.core.backpressure.TargetLimits;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetRun;
 import dev.laneworks.core.dispatch.CopyTurn;
@@ -24,6 +26,7 @@
 import dev.laneworks.core.gossip.Gossip;
 import dev.laneworks.core.gossip.GossipOutputs;
 import dev.laneworks.core.gossip.GossipSettings;
+import dev.laneworks.core.gossip.LimitNews;
 import dev.laneworks.core.gossip.ServiceSpending;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.core.handover.StatePiece;
@@ -69,6 +72,10 @@
 	private Consumer<SuspectReport> suspectListener = (r) -> {
 	};
 
+	private Predicate<TargetRun> listed = (t) -> false;
+
+	private Optional<TargetLimits> limits = Optional.empty();
+
 	private Optional<StateHandover> handover = Optional.empty();
 
 	/** Opened by the main thread before anything is sent on the I/O thread. */
@@ -174,6 +181,19 @@
 		this.leavingListener = listener;
 	}
 
+	// Sets the limits that entries tell each other, and which runs of targets are listed.
+	void share(TargetLimits shared, Predicate<TargetRun> isListed) {
+		this.limits = Optional.of(shared);
+		this.listed = isListed;
+	}
+
+	// Tells all other entries at once what a target said of its limit.
+	void tellLimit(TargetRun target) {
+		if (this.mechanisms.use(Mechanism.ENTRY_NEWS)) {
+			this.gossip.changed(target, ChangeReach.ALL, this.loop.now());
+		}
+	}
+
 	// How many other entries are known.
 	int count() {
 		return this.gossip.peers();
@@ -194,6 +214,11 @@
 		return this.gossip.peers() + 1;
 	}
 
+	// Where among the entries this one stands for a target, from 0 to 1.
+	double phase(String target) {
+		return (before(target) + 0.5) / entries();
+	}
+
 	@Override
 	public int before(String target) {
 		return this.gossip.before(target);
@@ -219,6 +244,19 @@
 		this.leavingListener.accept(target);
 	}
 
+	// Others may name a target a while longer than it is listed here.
+	@Override
+	public void heardLimit(LimitNews news) {
+		if (this.listed.test(news.target())) {
+			this.limits.ifPresent((l) -> l.heard(news, this.loop.now()));
+		}
+	}
+
+	@Override
+	public List<LimitNews> limits() {
+		return this.limits.map((l) -> l.news(this.loop.now())).orElse(List.of());
+	}
+
 	@Override
 	public List<WorkAtTarget> ownWork() {
 		return this.beliefs.ownWork();
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/EntryNewsCodec.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/EntryNewsCodec.java
@@ -1,8 +1,10 @@
 package dev.laneworks.wire;
 
 import java.util.List;
+import java.util.OptionalDouble;
 
 import dev.laneworks.core.gossip.EntryNews;
+import dev.laneworks.core.gossip.LimitNews;
 import dev.laneworks.core.gossip.ServiceSpending;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.wire.proto.Protocol;
@@ -27,14 +29,17 @@
 			.addAllPeers(news.peers());
 		news.work().forEach((w) -> builder.addWork(encode(w)));
 		news.spending().forEach((s) -> builder.addSpending(encode(s)));
+		news.limits().forEach((l) -> builder.addLimits(encode(l)));
 		return builder.build();
 	}
 
 	static EntryNews decode(Protocol.EntryNews news) {
 		List<WorkAtTarget> work = news.getWorkList().stream().map(EntryNewsCodec::decode).toList();
 		List<ServiceSpending> spending = news.getSpendingList().stream().map(EntryNewsCodec::decode).toList();
+		List<LimitNews> limits = news.getLimitsList().stream().map(EntryNewsCodec::decode).toList();
 		return new EntryNews(news.getInstance(), news.getDataCentre(), news.getIncarnation(), news.getSequence(),
-				news.getEnding(), news.getPartial(), news.getAgainMillis(), work, spending, news.getPeersList());
+				news.getEnding(), news.getPartial(), news.getAgainMillis(), work, spending, limits,
+				news.getPeersList());
 	}
 
 	private static Protocol.WorkAtTarget encode(WorkAtTarget work) {
@@ -58,6 +63,21 @@
 			.build();
 	}
 
+	private static Protocol.TargetLimit encode(LimitNews limit) {
+		return Protocol.TargetLimit.newBuilder()
+			.setTarget(TargetRunForm.write(limit.target()))
+			.setOver(limit.perSecond().isEmpty())
+			.setPerSecond(limit.perSecond().orElse(0))
+			.setAgeMillis((int) limit.ageMillis())
+			.build();
+	}
+
+	private static LimitNews decode(Protocol.TargetLimit limit) {
+		return new LimitNews(TargetRunForm.read(limit.getTarget()),
+				limit.getOver() ? OptionalDouble.empty() : OptionalDouble.of(limit.getPerSecond()),
+				Integer.toUnsignedLong(limit.getAgeMillis()));
+	}
+
 	private static WorkAtTarget decode(Protocol.WorkAtTarget work) {
 		return new WorkAtTarget(TargetRunForm.read(work.getTarget()), work.getRequests(), work.getHeldTokens(),
 				work.getUnreadTokens(), work.getToMove(), work.getCopying(), work.getRefused(), work.getLeaving());
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
@@ -20482,6 +20482,30 @@
      * @return The againMillis.
      */
     int getAgainMillis();
+
+    /**
+     * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+     */
+    java.util.List<dev.laneworks.wire.proto.Protocol.TargetLimit> 
+        getLimitsList();
+    /**
+     * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.TargetLimit getLimits(int index);
+    /**
+     * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+     */
+    int getLimitsCount();
+    /**
+     * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+     */
+    java.util.List<? extends dev.laneworks.wire.proto.Protocol.TargetLimitOrBuilder> 
+        getLimitsOrBuilderList();
+    /**
+     * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.TargetLimitOrBuilder getLimitsOrBuilder(
+        int index);
   }
   /**
    * <pre>
@@ -20515,6 +20539,7 @@
           com.google.protobuf.LazyStringArrayList.emptyList();
       spending_ = java.util.Collections.emptyList();
       dataCentre_ = "";
+      limits_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -20811,6 +20836,47 @@
       return againMillis_;
     }
 
+    public static final int LIMITS_FIELD_NUMBER = 12;
+    @SuppressWarnings("serial")
+    private java.util.List<dev.laneworks.wire.proto.Protocol.TargetLimit> limits_;
+    /**
+     * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+     */
+    @java.lang.Override
+    public java.util.List<dev.laneworks.wire.proto.Protocol.TargetLimit> getLimitsList() {
+      return limits_;
+    }
+    /**
+     * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends dev.laneworks.wire.proto.Protocol.TargetLimitOrBuilder> 
+        getLimitsOrBuilderList() {
+      return limits_;
+    }
+    /**
+     * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+     */
+    @java.lang.Override
+    public int getLimitsCount() {
+      return limits_.size();
+    }
+    /**
+     * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.TargetLimit getLimits(int index) {
+      return limits_.get(index);
+    }
+    /**
+     * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.TargetLimitOrBuilder getLimitsOrBuilder(
+        int index) {
+      return limits_.get(index);
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -20855,6 +20921,9 @@
       if (againMillis_ != 0) {
         output.writeUInt32(11, againMillis_);
       }
+      for (int i = 0; i < limits_.size(); i++) {
+        output.writeMessage(12, limits_.get(i));
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -20916,6 +20985,15 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(11, againMillis_);
       }
+
+          {
+            final int count = limits_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(limits_.get(i));
+            }
+            size += 1 * count;
+          }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -20951,6 +21029,8 @@
           != other.getPartial()) return false;
       if (getAgainMillis()
           != other.getAgainMillis()) return false;
+      if (!getLimitsList()
+          .equals(other.getLimitsList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -20992,6 +21072,10 @@
           getPartial());
       hash = (37 * hash) + AGAIN_MILLIS_FIELD_NUMBER;
       hash = (53 * hash) + getAgainMillis();
+      if (getLimitsCount() > 0) {
+        hash = (37 * hash) + LIMITS_FIELD_NUMBER;
+        hash = (53 * hash) + getLimitsList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -21150,6 +21234,13 @@
         dataCentre_ = "";
         partial_ = false;
         againMillis_ = 0;
+        if (limitsBuilder_ == null) {
+          limits_ = java.util.Collections.emptyList();
+        } else {
+          limits_ = null;
+          limitsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000400);
         return this;
       }
 
@@ -21201,6 +21292,15 @@
         } else {
           result.spending_ = spendingBuilder_.build();
         }
+        if (limitsBuilder_ == null) {
+          if (((bitField0_ & 0x00000400) != 0)) {
+            limits_ = java.util.Collections.unmodifiableList(limits_);
+            bitField0_ = (bitField0_ & ~0x00000400);
+          }
+          result.limits_ = limits_;
+        } else {
+          result.limits_ = limitsBuilder_.build();
+        }
       }
 
       private void buildPartial0(dev.laneworks.wire.proto.Protocol.EntryNews result) {
@@ -21331,6 +21431,32 @@
         if (other.getAgainMillis() != 0) {
           setAgainMillis(other.getAgainMillis());
         }
+        if (limitsBuilder_ == null) {
+          if (!other.limits_.isEmpty()) {
+            if (limits_.isEmpty()) {
+              limits_ = other.limits_;
+              bitField0_ = (bitField0_ & ~0x00000400);
+            } else {
+              ensureLimitsIsMutable();
+              limits_.addAll(other.limits_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.limits_.isEmpty()) {
+            if (limitsBuilder_.isEmpty()) {
+              limitsBuilder_.dispose();
+              limitsBuilder_ = null;
+              limits_ = other.limits_;
+              bitField0_ = (bitField0_ & ~0x00000400);
+              limitsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetLimitsFieldBuilder() : null;
+            } else {
+              limitsBuilder_.addAllMessages(other.limits_);
+            }
+          }
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -21423,6 +21549,19 @@
                 bitField0_ |= 0x00000200;
                 break;
               } // case 88
+              case 98: {
+                dev.laneworks.wire.proto.Protocol.TargetLimit m =
+                    input.readMessage(
+                        dev.laneworks.wire.proto.Protocol.TargetLimit.parser(),
+                        extensionRegistry);
+                if (limitsBuilder_ == null) {
+                  ensureLimitsIsMutable();
+                  limits_.add(m);
+                } else {
+                  limitsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 98
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -22395,6 +22534,246 @@
         return this;
       }
 
+      private java.util.List<dev.laneworks.wire.proto.Protocol.TargetLimit> limits_ =
+        java.util.Collections.emptyList();
+      private void ensureLimitsIsMutable() {
+        if (!((bitField0_ & 0x00000400) != 0)) {
+          limits_ = new java.util.ArrayList<dev.laneworks.wire.proto.Protocol.TargetLimit>(limits_);
+          bitField0_ |= 0x00000400;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.TargetLimit, dev.laneworks.wire.proto.Protocol.TargetLimit.Builder, dev.laneworks.wire.proto.Protocol.TargetLimitOrBuilder> limitsBuilder_;
+
+      /**
+       * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+       */
+      public java.util.List<dev.laneworks.wire.proto.Protocol.TargetLimit> getLimitsList() {
+        if (limitsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(limits_);
+        } else {
+          return limitsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+       */
+      public int getLimitsCount() {
+        if (limitsBuilder_ == null) {
+          return limits_.size();
+        } else {
+          return limitsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.TargetLimit getLimits(int index) {
+        if (limitsBuilder_ == null) {
+          return limits_.get(index);
+        } else {
+          return limitsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+       */
+      public Builder setLimits(
+          int index, dev.laneworks.wire.proto.Protocol.TargetLimit value) {
+        if (limitsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureLimitsIsMutable();
+          limits_.set(index, value);
+          onChanged();
+        } else {
+          limitsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+       */
+      public Builder setLimits(
+          int index, dev.laneworks.wire.proto.Protocol.TargetLimit.Builder builderForValue) {
+        if (limitsBuilder_ == null) {
+          ensureLimitsIsMutable();
+          limits_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          limitsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+       */
+      public Builder addLimits(dev.laneworks.wire.proto.Protocol.TargetLimit value) {
+        if (limitsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureLimitsIsMutable();
+          limits_.add(value);
+          onChanged();
+        } else {
+          limitsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+       */
+      public Builder addLimits(
+          int index, dev.laneworks.wire.proto.Protocol.TargetLimit value) {
+        if (limitsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureLimitsIsMutable();
+          limits_.add(index, value);
+          onChanged();
+        } else {
+          limitsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+       */
+      public Builder addLimits(
+          dev.laneworks.wire.proto.Protocol.TargetLimit.Builder builderForValue) {
+        if (limitsBuilder_ == null) {
+          ensureLimitsIsMutable();
+          limits_.add(builderForValue.build());
+          onChanged();
+        } else {
+          limitsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+       */
+      public Builder addLimits(
+          int index, dev.laneworks.wire.proto.Protocol.TargetLimit.Builder builderForValue) {
+        if (limitsBuilder_ == null) {
+          ensureLimitsIsMutable();
+          limits_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          limitsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+       */
+      public Builder addAllLimits(
+          java.lang.Iterable<? extends dev.laneworks.wire.proto.Protocol.TargetLimit> values) {
+        if (limitsBuilder_ == null) {
+          ensureLimitsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, limits_);
+          onChanged();
+        } else {
+          limitsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+       */
+      public Builder clearLimits() {
+        if (limitsBuilder_ == null) {
+          limits_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000400);
+          onChanged();
+        } else {
+          limitsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+       */
+      public Builder removeLimits(int index) {
+        if (limitsBuilder_ == null) {
+          ensureLimitsIsMutable();
+          limits_.remove(index);
+          onChanged();
+        } else {
+          limitsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.TargetLimit.Builder getLimitsBuilder(
+          int index) {
+        return internalGetLimitsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.TargetLimitOrBuilder getLimitsOrBuilder(
+          int index) {
+        if (limitsBuilder_ == null) {
+          return limits_.get(index);  } else {
+          return limitsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+       */
+      public java.util.List<? extends dev.laneworks.wire.proto.Protocol.TargetLimitOrBuilder> 
+           getLimitsOrBuilderList() {
+        if (limitsBuilder_ != null) {
+          return limitsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(limits_);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.TargetLimit.Builder addLimitsBuilder() {
+        return internalGetLimitsFieldBuilder().addBuilder(
+            dev.laneworks.wire.proto.Protocol.TargetLimit.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.TargetLimit.Builder addLimitsBuilder(
+          int index) {
+        return internalGetLimitsFieldBuilder().addBuilder(
+            index, dev.laneworks.wire.proto.Protocol.TargetLimit.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+       */
+      public java.util.List<dev.laneworks.wire.proto.Protocol.TargetLimit.Builder> 
+           getLimitsBuilderList() {
+        return internalGetLimitsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.TargetLimit, dev.laneworks.wire.proto.Protocol.TargetLimit.Builder, dev.laneworks.wire.proto.Protocol.TargetLimitOrBuilder> 
+          internalGetLimitsFieldBuilder() {
+        if (limitsBuilder_ == null) {
+          limitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              dev.laneworks.wire.proto.Protocol.TargetLimit, dev.laneworks.wire.proto.Protocol.TargetLimit.Builder, dev.laneworks.wire.proto.Protocol.TargetLimitOrBuilder>(
+                  limits_,
+                  ((bitField0_ & 0x00000400) != 0),
+                  getParentForChildren(),
+                  isClean());
+          limits_ = null;
+        }
+        return limitsBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:laneworks.EntryNews)
     }
 
@@ -32087,8 +32466,8 @@
 
   }
 
-  public interface WorkAtTargetOrBuilder extends
-      // @@protoc_insertion_point(interface_extends:laneworks.WorkAtTarget)
+  public interface TargetLimitOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:laneworks.TargetLimit)
       com.google.protobuf.MessageOrBuilder {
 
     /**
@@ -32104,54 +32483,42 @@
         getTargetBytes();
 
     /**
-     * <code>uint32 requests = 2;</code>
-     * @return The requests.
-     */
-    int getRequests();
-
-    /**
-     * <code>uint64 held_tokens = 3;</code>
-     * @return The heldTokens.
-     */
-    long getHeldTokens();
-
-    /**
-     * <code>uint64 unread_tokens = 4;</code>
-     * @return The unreadTokens.
-     */
-    long getUnreadTokens();
-
-    /**
-     * <code>uint32 to_move = 5;</code>
-     * @return The toMove.
-     */
-    int getToMove();
-
-    /**
-     * <code>bool copying = 6;</code>
-     * @return The copying.
+     * <pre>
+     * Whether it said that it names no limit any more.
+     * </pre>
+     *
+     * <code>bool over = 2;</code>
+     * @return The over.
      */
-    boolean getCopying();
+    boolean getOver();
 
     /**
-     * <code>uint32 refused = 7;</code>
-     * @return The refused.
+     * <code>double per_second = 3;</code>
+     * @return The perSecond.
      */
-    int getRefused();
+    double getPerSecond();
 
     /**
-     * <code>bool leaving = 8;</code>
-     * @return The leaving.
+     * <pre>
+     * How long ago it said so.
+     * </pre>
+     *
+     * <code>uint32 age_millis = 4;</code>
+     * @return The ageMillis.
      */
-    boolean getLeaving();
+    int getAgeMillis();
   }
   /**
-   * Protobuf type {@code laneworks.WorkAtTarget}
+   * <pre>
+   * What a target said last of the requests that it takes from all entries together.
+   * </pre>
+   *
+   * Protobuf type {@code laneworks.TargetLimit}
    */
-  public static final class WorkAtTarget extends
+  public static final class TargetLimit extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:laneworks.WorkAtTarget)
-      WorkAtTargetOrBuilder {
+      // @@protoc_insertion_point(message_implements:laneworks.TargetLimit)
+      TargetLimitOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -32160,32 +32527,32 @@
         /* minor= */ 34,
         /* patch= */ 2,
         /* suffix= */ "",
-        "WorkAtTarget");
+        "TargetLimit");
     }
-    // Use WorkAtTarget.newBuilder() to construct.
-    private WorkAtTarget(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use TargetLimit.newBuilder() to construct.
+    private TargetLimit(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private WorkAtTarget() {
+    private TargetLimit() {
       target_ = "";
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_WorkAtTarget_descriptor;
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_TargetLimit_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_WorkAtTarget_descriptor;
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_TargetLimit_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_WorkAtTarget_fieldAccessorTable
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_TargetLimit_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              dev.laneworks.wire.proto.Protocol.WorkAtTarget.class, dev.laneworks.wire.proto.Protocol.WorkAtTarget.Builder.class);
+              dev.laneworks.wire.proto.Protocol.TargetLimit.class, dev.laneworks.wire.proto.Protocol.TargetLimit.Builder.class);
     }
 
     public static final int TARGET_FIELD_NUMBER = 1;
@@ -32227,11 +32594,805 @@
       }
     }
 
-    public static final int REQUESTS_FIELD_NUMBER = 2;
-    private int requests_ = 0;
+    public static final int OVER_FIELD_NUMBER = 2;
+    private boolean over_ = false;
     /**
-     * <code>uint32 requests = 2;</code>
-     * @return The requests.
+     * <pre>
+     * Whether it said that it names no limit any more.
+     * </pre>
+     *
+     * <code>bool over = 2;</code>
+     * @return The over.
+     */
+    @java.lang.Override
+    public boolean getOver() {
+      return over_;
+    }
+
+    public static final int PER_SECOND_FIELD_NUMBER = 3;
+    private double perSecond_ = 0D;
+    /**
+     * <code>double per_second = 3;</code>
+     * @return The perSecond.
+     */
+    @java.lang.Override
+    public double getPerSecond() {
+      return perSecond_;
+    }
+
+    public static final int AGE_MILLIS_FIELD_NUMBER = 4;
+    private int ageMillis_ = 0;
+    /**
+     * <pre>
+     * How long ago it said so.
+     * </pre>
+     *
+     * <code>uint32 age_millis = 4;</code>
+     * @return The ageMillis.
+     */
+    @java.lang.Override
+    public int getAgeMillis() {
+      return ageMillis_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, target_);
+      }
+      if (over_ != false) {
+        output.writeBool(2, over_);
+      }
+      if (java.lang.Double.doubleToRawLongBits(perSecond_) != 0) {
+        output.writeDouble(3, perSecond_);
+      }
+      if (ageMillis_ != 0) {
+        output.writeUInt32(4, ageMillis_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, target_);
+      }
+      if (over_ != false) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeBoolSize(2, over_);
+      }
+      if (java.lang.Double.doubleToRawLongBits(perSecond_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeDoubleSize(3, perSecond_);
+      }
+      if (ageMillis_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(4, ageMillis_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof dev.laneworks.wire.proto.Protocol.TargetLimit)) {
+        return super.equals(obj);
+      }
+      dev.laneworks.wire.proto.Protocol.TargetLimit other = (dev.laneworks.wire.proto.Protocol.TargetLimit) obj;
+
+      if (!getTarget()
+          .equals(other.getTarget())) return false;
+      if (getOver()
+          != other.getOver()) return false;
+      if (java.lang.Double.doubleToLongBits(getPerSecond())
+          != java.lang.Double.doubleToLongBits(
+              other.getPerSecond())) return false;
+      if (getAgeMillis()
+          != other.getAgeMillis()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + TARGET_FIELD_NUMBER;
+      hash = (53 * hash) + getTarget().hashCode();
+      hash = (37 * hash) + OVER_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+          getOver());
+      hash = (37 * hash) + PER_SECOND_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          java.lang.Double.doubleToLongBits(getPerSecond()));
+      hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getAgeMillis();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.TargetLimit parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.TargetLimit parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.TargetLimit parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.TargetLimit parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.TargetLimit parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.TargetLimit parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.TargetLimit parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.TargetLimit parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.TargetLimit parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.TargetLimit parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.TargetLimit parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.TargetLimit parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(dev.laneworks.wire.proto.Protocol.TargetLimit prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * What a target said last of the requests that it takes from all entries together.
+     * </pre>
+     *
+     * Protobuf type {@code laneworks.TargetLimit}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:laneworks.TargetLimit)
+        dev.laneworks.wire.proto.Protocol.TargetLimitOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_TargetLimit_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_TargetLimit_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                dev.laneworks.wire.proto.Protocol.TargetLimit.class, dev.laneworks.wire.proto.Protocol.TargetLimit.Builder.class);
+      }
+
+      // Construct using dev.laneworks.wire.proto.Protocol.TargetLimit.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        target_ = "";
+        over_ = false;
+        perSecond_ = 0D;
+        ageMillis_ = 0;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_TargetLimit_descriptor;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.TargetLimit getDefaultInstanceForType() {
+        return dev.laneworks.wire.proto.Protocol.TargetLimit.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.TargetLimit build() {
+        dev.laneworks.wire.proto.Protocol.TargetLimit result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.TargetLimit buildPartial() {
+        dev.laneworks.wire.proto.Protocol.TargetLimit result = new dev.laneworks.wire.proto.Protocol.TargetLimit(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(dev.laneworks.wire.proto.Protocol.TargetLimit result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.target_ = target_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.over_ = over_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.perSecond_ = perSecond_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.ageMillis_ = ageMillis_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof dev.laneworks.wire.proto.Protocol.TargetLimit) {
+          return mergeFrom((dev.laneworks.wire.proto.Protocol.TargetLimit)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(dev.laneworks.wire.proto.Protocol.TargetLimit other) {
+        if (other == dev.laneworks.wire.proto.Protocol.TargetLimit.getDefaultInstance()) return this;
+        if (!other.getTarget().isEmpty()) {
+          target_ = other.target_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getOver() != false) {
+          setOver(other.getOver());
+        }
+        if (java.lang.Double.doubleToRawLongBits(other.getPerSecond()) != 0) {
+          setPerSecond(other.getPerSecond());
+        }
+        if (other.getAgeMillis() != 0) {
+          setAgeMillis(other.getAgeMillis());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                target_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                over_ = input.readBool();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 25: {
+                perSecond_ = input.readDouble();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 25
+              case 32: {
+                ageMillis_ = input.readUInt32();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object target_ = "";
+      /**
+       * <code>string target = 1;</code>
+       * @return The target.
+       */
+      public java.lang.String getTarget() {
+        java.lang.Object ref = target_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          target_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string target = 1;</code>
+       * @return The bytes for target.
+       */
+      public com.google.protobuf.ByteString
+          getTargetBytes() {
+        java.lang.Object ref = target_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          target_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string target = 1;</code>
+       * @param value The target to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTarget(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        target_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string target = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTarget() {
+        target_ = getDefaultInstance().getTarget();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string target = 1;</code>
+       * @param value The bytes for target to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTargetBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        target_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private boolean over_ ;
+      /**
+       * <pre>
+       * Whether it said that it names no limit any more.
+       * </pre>
+       *
+       * <code>bool over = 2;</code>
+       * @return The over.
+       */
+      @java.lang.Override
+      public boolean getOver() {
+        return over_;
+      }
+      /**
+       * <pre>
+       * Whether it said that it names no limit any more.
+       * </pre>
+       *
+       * <code>bool over = 2;</code>
+       * @param value The over to set.
+       * @return This builder for chaining.
+       */
+      public Builder setOver(boolean value) {
+
+        over_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Whether it said that it names no limit any more.
+       * </pre>
+       *
+       * <code>bool over = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearOver() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        over_ = false;
+        onChanged();
+        return this;
+      }
+
+      private double perSecond_ ;
+      /**
+       * <code>double per_second = 3;</code>
+       * @return The perSecond.
+       */
+      @java.lang.Override
+      public double getPerSecond() {
+        return perSecond_;
+      }
+      /**
+       * <code>double per_second = 3;</code>
+       * @param value The perSecond to set.
+       * @return This builder for chaining.
+       */
+      public Builder setPerSecond(double value) {
+
+        perSecond_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>double per_second = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearPerSecond() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        perSecond_ = 0D;
+        onChanged();
+        return this;
+      }
+
+      private int ageMillis_ ;
+      /**
+       * <pre>
+       * How long ago it said so.
+       * </pre>
+       *
+       * <code>uint32 age_millis = 4;</code>
+       * @return The ageMillis.
+       */
+      @java.lang.Override
+      public int getAgeMillis() {
+        return ageMillis_;
+      }
+      /**
+       * <pre>
+       * How long ago it said so.
+       * </pre>
+       *
+       * <code>uint32 age_millis = 4;</code>
+       * @param value The ageMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAgeMillis(int value) {
+
+        ageMillis_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * How long ago it said so.
+       * </pre>
+       *
+       * <code>uint32 age_millis = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAgeMillis() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        ageMillis_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:laneworks.TargetLimit)
+    }
+
+    // @@protoc_insertion_point(class_scope:laneworks.TargetLimit)
+    private static final dev.laneworks.wire.proto.Protocol.TargetLimit DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.TargetLimit();
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.TargetLimit getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<TargetLimit>
+        PARSER = new com.google.protobuf.AbstractParser<TargetLimit>() {
+      @java.lang.Override
+      public TargetLimit parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<TargetLimit> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<TargetLimit> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.TargetLimit getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface WorkAtTargetOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:laneworks.WorkAtTarget)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string target = 1;</code>
+     * @return The target.
+     */
+    java.lang.String getTarget();
+    /**
+     * <code>string target = 1;</code>
+     * @return The bytes for target.
+     */
+    com.google.protobuf.ByteString
+        getTargetBytes();
+
+    /**
+     * <code>uint32 requests = 2;</code>
+     * @return The requests.
+     */
+    int getRequests();
+
+    /**
+     * <code>uint64 held_tokens = 3;</code>
+     * @return The heldTokens.
+     */
+    long getHeldTokens();
+
+    /**
+     * <code>uint64 unread_tokens = 4;</code>
+     * @return The unreadTokens.
+     */
+    long getUnreadTokens();
+
+    /**
+     * <code>uint32 to_move = 5;</code>
+     * @return The toMove.
+     */
+    int getToMove();
+
+    /**
+     * <code>bool copying = 6;</code>
+     * @return The copying.
+     */
+    boolean getCopying();
+
+    /**
+     * <code>uint32 refused = 7;</code>
+     * @return The refused.
+     */
+    int getRefused();
+
+    /**
+     * <code>bool leaving = 8;</code>
+     * @return The leaving.
+     */
+    boolean getLeaving();
+  }
+  /**
+   * Protobuf type {@code laneworks.WorkAtTarget}
+   */
+  public static final class WorkAtTarget extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:laneworks.WorkAtTarget)
+      WorkAtTargetOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "WorkAtTarget");
+    }
+    // Use WorkAtTarget.newBuilder() to construct.
+    private WorkAtTarget(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private WorkAtTarget() {
+      target_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_WorkAtTarget_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_WorkAtTarget_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_WorkAtTarget_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              dev.laneworks.wire.proto.Protocol.WorkAtTarget.class, dev.laneworks.wire.proto.Protocol.WorkAtTarget.Builder.class);
+    }
+
+    public static final int TARGET_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object target_ = "";
+    /**
+     * <code>string target = 1;</code>
+     * @return The target.
+     */
+    @java.lang.Override
+    public java.lang.String getTarget() {
+      java.lang.Object ref = target_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        target_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string target = 1;</code>
+     * @return The bytes for target.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getTargetBytes() {
+      java.lang.Object ref = target_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        target_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int REQUESTS_FIELD_NUMBER = 2;
+    private int requests_ = 0;
+    /**
+     * <code>uint32 requests = 2;</code>
+     * @return The requests.
      */
     @java.lang.Override
     public int getRequests() {
@@ -33280,6 +34441,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_laneworks_ServiceSpending_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_TargetLimit_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_TargetLimit_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_laneworks_WorkAtTarget_descriptor;
   private static final 
@@ -33357,13 +34523,14 @@
       "rsion\030\001 \001(\004\022\036\n\026confirmed_age_plus_one\030\002 " +
       "\001(\004\"\026\n\024ConfigurationRequest\"F\n\021Configura" +
       "tionText\022\017\n\007version\030\001 \001(\004\022\020\n\010deflated\030\002 " +
-      "\001(\014\022\016\n\006digest\030\003 \001(\014\"\372\001\n\tEntryNews\022\020\n\010ins" +
+      "\001(\014\022\016\n\006digest\030\003 \001(\014\"\242\002\n\tEntryNews\022\020\n\010ins" +
       "tance\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\006\022\020\n\010sequ" +
       "ence\030\004 \001(\004\022\016\n\006ending\030\005 \001(\010\022%\n\004work\030\006 \003(\013" +
       "2\027.laneworks.WorkAtTarget\022\r\n\005peers\030\007 \003(\t" +
       "\022,\n\010spending\030\010 \003(\0132\032.laneworks.ServiceSp" +
       "ending\022\023\n\013data_centre\030\t \001(\t\022\017\n\007partial\030\n" +
-      " \001(\010\022\024\n\014again_millis\030\013 \001(\rJ\004\010\001\020\002\"\370\001\n\rEnt" +
+      " \001(\010\022\024\n\014again_millis\030\013 \001(\r\022&\n\006limits\030\014 \003" +
+      "(\0132\026.laneworks.TargetLimitJ\004\010\001\020\002\"\370\001\n\rEnt" +
       "ryDatagram\022\020\n\010protocol\030\001 \001(\r\022$\n\004work\030\002 \001" +
       "(\0132\024.laneworks.EntryNewsH\000\022%\n\005store\030\003 \001(" +
       "\0132\024.laneworks.StoreNewsH\000\022,\n\010question\030\004 " +
@@ -33390,14 +34557,17 @@
       "reChange\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022" +
       "\022\n\005value\030\003 \001(\tH\000\210\001\001B\010\n\006_value\"E\n\017Service" +
       "Spending\022\017\n\007service\030\001 \001(\t\022\020\n\010requests\030\002 " +
-      "\001(\r\022\017\n\007repeats\030\003 \001(\r\"\240\001\n\014WorkAtTarget\022\016\n" +
-      "\006target\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\023\n\013held_" +
-      "tokens\030\003 \001(\004\022\025\n\runread_tokens\030\004 \001(\004\022\017\n\007t" +
-      "o_move\030\005 \001(\r\022\017\n\007copying\030\006 \001(\010\022\017\n\007refused" +
-      "\030\007 \001(\r\022\017\n\007leaving\030\010 \001(\010*W\n\rStoreNewsKind" +
-      "\022\023\n\017STORE_NEWS_READ\020\000\022\027\n\023STORE_NEWS_QUES" +
-      "TION\020\001\022\030\n\024STORE_NEWS_PASSED_ON\020\002B&\n\030dev." +
-      "laneworks.wire.protoB\010ProtocolP\000b\006proto3"
+      "\001(\r\022\017\n\007repeats\030\003 \001(\r\"S\n\013TargetLimit\022\016\n\006t" +
+      "arget\030\001 \001(\t\022\014\n\004over\030\002 \001(\010\022\022\n\nper_second\030" +
+      "\003 \001(\001\022\022\n\nage_millis\030\004 \001(\r\"\240\001\n\014WorkAtTarg" +
+      "et\022\016\n\006target\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\023\n\013" +
+      "held_tokens\030\003 \001(\004\022\025\n\runread_tokens\030\004 \001(\004" +
+      "\022\017\n\007to_move\030\005 \001(\r\022\017\n\007copying\030\006 \001(\010\022\017\n\007re" +
+      "fused\030\007 \001(\r\022\017\n\007leaving\030\010 \001(\010*W\n\rStoreNew" +
+      "sKind\022\023\n\017STORE_NEWS_READ\020\000\022\027\n\023STORE_NEWS" +
+      "_QUESTION\020\001\022\030\n\024STORE_NEWS_PASSED_ON\020\002B&\n" +
+      "\030dev.laneworks.wire.protoB\010ProtocolP\000b\006p" +
+      "roto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -33540,7 +34710,7 @@
     internal_static_laneworks_EntryNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_EntryNews_descriptor,
-        new java.lang.String[] { "Instance", "Incarnation", "Sequence", "Ending", "Work", "Peers", "Spending", "DataCentre", "Partial", "AgainMillis", });
+        new java.lang.String[] { "Instance", "Incarnation", "Sequence", "Ending", "Work", "Peers", "Spending", "DataCentre", "Partial", "AgainMillis", "Limits", });
     internal_static_laneworks_EntryDatagram_descriptor =
       getDescriptor().getMessageType(23);
     internal_static_laneworks_EntryDatagram_fieldAccessorTable = new
@@ -33607,8 +34777,14 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_ServiceSpending_descriptor,
         new java.lang.String[] { "Service", "Requests", "Repeats", });
-    internal_static_laneworks_WorkAtTarget_descriptor =
+    internal_static_laneworks_TargetLimit_descriptor =
       getDescriptor().getMessageType(34);
+    internal_static_laneworks_TargetLimit_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_laneworks_TargetLimit_descriptor,
+        new java.lang.String[] { "Target", "Over", "PerSecond", "AgeMillis", });
+    internal_static_laneworks_WorkAtTarget_descriptor =
+      getDescriptor().getMessageType(35);
     internal_static_laneworks_WorkAtTarget_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_WorkAtTarget_descriptor,
