--- a/laneworks-core/src/main/java/dev/laneworks/core/backpressure/TargetLimits.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/backpressure/TargetLimits.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.OptionalDouble;
-import java.util.function.Consumer;
 import java.util.function.ToDoubleFunction;
 
 import dev.laneworks.core.directory.ListedTarget;
@@ -68,8 +67,6 @@
 
 	private final ToDoubleFunction<String> phase;
 
-	private final Consumer<TargetRun> toTell;
-
 	private final Map<TargetRun, Limit> byRun = new HashMap<>();
 
 	/**
@@ -77,12 +74,10 @@
 	 * @param share tells this entry's part
 	 * @param phase gives a number from 0 to 1 for a target's id that differs from entry
 	 * to entry
-	 * @param toTell hears of targets of which others are to be told at once
 	 */
-	public TargetLimits(DemandShare share, ToDoubleFunction<String> phase, Consumer<TargetRun> toTell) {
+	public TargetLimits(DemandShare share, ToDoubleFunction<String> phase) {
 		this.share = Objects.requireNonNull(share, "share must not be null");
 		this.phase = Objects.requireNonNull(phase, "phase must not be null");
-		this.toTell = Objects.requireNonNull(toTell, "toTell must not be null");
 	}
 
 	/**
@@ -107,11 +102,7 @@
 		if (perSecond.isEmpty() && (known == null || askedAt < known.toldAt)) {
 			return false;
 		}
-		boolean isNew = take(target.run(), perSecond, now);
-		if (isNew) {
-			this.toTell.accept(target.run());
-		}
-		return isNew;
+		return take(target.run(), perSecond, now);
 	}
 
 	/**
@@ -120,7 +111,7 @@
 	 * @param now the time in milliseconds
 	 * @return whether that is new
 	 */
-	public boolean heard(LimitNews news, long now) {
+	boolean heard(LimitNews news, long now) {
 		Limit known = this.byRun.get(news.target());
 		long toldAt = now - news.ageMillis();
 		boolean isOlder = known != null && toldAt <= known.toldAt + NEWER_MILLIS;
@@ -143,7 +134,7 @@
 	 * @param now the time in milliseconds
 	 * @return the last word of each target that names a limit, or did a moment ago
 	 */
-	public List<LimitNews> news(long now) {
+	List<LimitNews> news(long now) {
 		this.byRun.values().removeIf((l) -> l.perSecond.isEmpty() && now - l.toldAt > OVER_TOLD_MILLIS);
 		List<LimitNews> all = new ArrayList<>();
 		this.byRun.forEach((run, l) -> all.add(new LimitNews(run, l.perSecond, Math.max(0, now - l.toldAt))));
--- a/laneworks-core/src/main/java/dev/laneworks/core/backpressure/TargetsInNeed.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/backpressure/TargetsInNeed.java
@@ -5,12 +5,15 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetRun;
+import dev.laneworks.core.gossip.NeedsNews;
 
 /**
  * Tells whether targets may be sent more, by what they say in their answers that they
@@ -25,9 +28,11 @@
 
 	private final TargetLimits limits;
 
+	private final Consumer<TargetRun> toTell;
+
 	private final AuditSink audit;
 
-	private final Set<TargetRun> leaving = new HashSet<>();
+	private final LeavingTargets leaving = new LeavingTargets();
 
 	/** Runs of targets that said something that can't be true. */
 	private final Set<TargetRun> absurd = new HashSet<>();
@@ -35,9 +40,11 @@
 	/**
 	 * Create a record in which no target needs anything.
 	 * @param limits the limits that targets name
+	 * @param toTell hears of targets of which others are to be told at once
 	 * @param audit hears of what targets say
 	 */
-	public TargetsInNeed(TargetLimits limits, AuditSink audit) {
+	public TargetsInNeed(TargetLimits limits, Consumer<TargetRun> toTell, AuditSink audit) {
+		this.toTell = Objects.requireNonNull(toTell, "toTell must not be null");
 		this.limits = Objects.requireNonNull(limits, "limits must not be null");
 		this.audit = Objects.requireNonNull(audit, "audit must not be null");
 	}
@@ -52,11 +59,42 @@
 	public void told(ListedTarget target, TargetNeeds needs, long askedAt, long now) {
 		toldLimit(target, needs.limitPerSecond(), askedAt, now);
 		toldRest(target, needs.restMillis());
-		if (needs.leaving() && this.leaving.add(target.run())) {
-			record(target, "says in an answer that it is leaving");
+		if (needs.leaving() && this.leaving.said(target.run(), now)) {
+			record(target, "says in an answer that it is leaving: nothing new goes there");
+			this.toTell.accept(target.run());
 		}
 	}
 
+	/**
+	 * Take what targets said to another entry.
+	 * @param news what they said
+	 * @param isListed whether a run of a target is listed; others may name one for a
+	 * while longer than it is here
+	 * @param now the time in milliseconds
+	 */
+	public void heard(NeedsNews news, Predicate<TargetRun> isListed, long now) {
+		news.limits().stream().filter((l) -> isListed.test(l.target())).forEach((l) -> this.limits.heard(l, now));
+		news.leaving().forEach((t) -> heardLeaving(t, now));
+	}
+
+	/**
+	 * Return what others are to be told.
+	 * @param now the time in milliseconds
+	 * @return what targets said last, limits heard from others included
+	 */
+	public NeedsNews news(long now) {
+		return new NeedsNews(this.limits.news(now), this.leaving.toTell(now));
+	}
+
+	/**
+	 * Return whether a target said that it is leaving, to this entry or another.
+	 * @param target the target
+	 * @return whether it takes nothing new
+	 */
+	public boolean isLeaving(ListedTarget target) {
+		return this.leaving.contains(target.run());
+	}
+
 	/**
 	 * Return whether a target takes one more request of this entry.
 	 * @param target the target
@@ -92,7 +130,6 @@
 	 */
 	public void forget(ListedTarget target) {
 		this.limits.forget(target.run());
-		this.leaving.remove(target.run());
 		this.absurd.remove(target.run());
 	}
 
@@ -104,6 +141,13 @@
 		return this.limits.count();
 	}
 
+	private void heardLeaving(TargetRun target, long now) {
+		if (this.leaving.heard(target, now)) {
+			this.audit.record(AuditEvent.of(AuditKind.TARGET_HEALTH, target.id(), target.id(),
+					"said to another entry that it is leaving: nothing new goes there"));
+		}
+	}
+
 	private void toldLimit(ListedTarget target, OptionalDouble perSecond, long askedAt, long now) {
 		if (perSecond.isPresent() && !TargetLimits.canBe(perSecond.getAsDouble())) {
 			recordAbsurd(target, "names a limit that can't be");
@@ -111,6 +155,7 @@
 		else if (this.limits.told(target, perSecond, askedAt, now)) {
 			record(target, perSecond.isPresent() ? "names a limit of " + perSecond.getAsDouble() + " requests a second"
 					: "names no limit any more");
+			this.toTell.accept(target.run());
 		}
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -106,8 +106,8 @@
 		this.mover = new StreamMover(chooser, beliefs, this.standbys, turn, timers, outputs, audit,
 				new CallResumption());
 		this.ending = new CallEnding(settings, this.calls, this.sender, this.standbys, this.mover, outputs, audit);
-		this.poison = new PoisonGuard(suspects, directory, this.ending, timers, outputs, audit,
-				settings.mechanisms().use(Mechanism.REQUEST_QUARANTINE));
+		this.poison = new PoisonGuard(suspects, directory, eligibility::saidLeaving, this.ending, timers, outputs,
+				audit, settings.mechanisms().use(Mechanism.REQUEST_QUARANTINE));
 		this.offers = new Offers(settings, retries, this.sender, this.ending, this.poison, timers, outputs, audit,
 				this::engine, entries, (c, a, t) -> connectFailed(c.number(), a.number(), ConnectFault.SILENT,
 						"no connection within its time", t));
@@ -176,7 +176,7 @@
 			this.timers.at(now, (t) -> connectFailed(number, attempt, ConnectFault.SILENT, "it is quarantined", t));
 			return OptionalLong.empty();
 		}
-		if (found.get().resume().isEmpty() && !this.directory.takesWork(target)) {
+		if (found.get().resume().isEmpty() && !this.eligibility.takesNew(target)) {
 			this.timers.at(now, (t) -> connectFailed(number, attempt, ConnectFault.SILENT,
 					"the target is leaving or evacuated", t));
 			return OptionalLong.empty();
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Eligibility.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Eligibility.java
@@ -63,8 +63,7 @@
 	 * @return the targets, those that are doubted included
 	 */
 	public List<ListedTarget> targets(Scope scope, long now) {
-		return this.directory.serving(scope.service())
-			.stream()
+		return serving(scope.service()).stream()
 			.filter((t) -> !scope.tried().contains(t.id()) && isAllowed(scope, t) && freeInMillis(t, now) <= 0)
 			.toList();
 	}
@@ -75,7 +74,7 @@
 	 * @return the targets
 	 */
 	public List<ListedTarget> serving(String service) {
-		return this.directory.serving(service);
+		return this.directory.serving(service).stream().filter((t) -> !this.needs.isLeaving(t)).toList();
 	}
 
 	/**
@@ -87,7 +86,26 @@
 	 * @return whether copies are safe there
 	 */
 	public boolean isSound(ListedTarget target, long now) {
-		return this.directory.takesWork(target) && !this.beliefs.isDoubted(target, now);
+		return takesNew(target) && !this.beliefs.isDoubted(target, now);
+	}
+
+	/**
+	 * Return whether a target takes new work at all: it is listed, and neither leaving,
+	 * by the list or its own word, nor evacuated.
+	 * @param target the target
+	 * @return whether work may be sent there that is not there yet
+	 */
+	boolean takesNew(ListedTarget target) {
+		return this.directory.takesWork(target) && !this.needs.isLeaving(target);
+	}
+
+	/**
+	 * Return whether a target said in an answer that it is leaving.
+	 * @param target the target
+	 * @return whether it said so, to this entry or another
+	 */
+	boolean saidLeaving(ListedTarget target) {
+		return this.needs.isLeaving(target);
 	}
 
 	/**
@@ -149,10 +167,7 @@
 	 * @return the count
 	 */
 	long leftOut(Scope scope, long now) {
-		return this.directory.serving(scope.service())
-			.stream()
-			.filter((t) -> isAllowed(scope, t) && freeInMillis(t, now) > 0)
-			.count();
+		return serving(scope.service()).stream().filter((t) -> isAllowed(scope, t) && freeInMillis(t, now) > 0).count();
 	}
 
 	/**
@@ -162,7 +177,10 @@
 	 * @return the reason, and when to come back
 	 */
 	Shortage shortage(Scope scope, long now) {
-		List<ListedTarget> staying = this.directory.staying(scope.service());
+		List<ListedTarget> staying = this.directory.staying(scope.service())
+			.stream()
+			.filter((t) -> !this.needs.isLeaving(t))
+			.toList();
 		if (staying.isEmpty()) {
 			return Shortage.of("no target of the service takes work");
 		}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/PoisonGuard.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/PoisonGuard.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 import dev.laneworks.core.audit.AuditEvent;
@@ -48,6 +49,8 @@
 
 	private final TargetDirectory directory;
 
+	private final Predicate<ListedTarget> saidLeaving;
+
 	private final CallEnding ending;
 
 	private final Timers timers;
@@ -63,10 +66,11 @@
 
 	private final BrokenRequests broken = new BrokenRequests();
 
-	PoisonGuard(SuspectRequests suspects, TargetDirectory directory, CallEnding ending, Timers timers,
-			DispatchOutputs outputs, AuditSink audit, boolean isOn) {
+	PoisonGuard(SuspectRequests suspects, TargetDirectory directory, Predicate<ListedTarget> saidLeaving,
+			CallEnding ending, Timers timers, DispatchOutputs outputs, AuditSink audit, boolean isOn) {
 		this.suspects = suspects;
 		this.directory = directory;
+		this.saidLeaving = saidLeaving;
 		this.ending = ending;
 		this.timers = timers;
 		this.outputs = outputs;
@@ -127,7 +131,8 @@
 	void brokeOff(DirectCall call, Attempt attempt, long now) {
 		ListedTarget target = attempt.target();
 		boolean wasToStay = this.directory.isStaying(target) || this.directory.isFormerRun(target);
-		if (!this.isOn || call.isCleared() || !wasToStay || this.announced.contains(target.run())) {
+		if (!this.isOn || call.isCleared() || !wasToStay || this.announced.contains(target.run())
+				|| this.saidLeaving.test(target)) {
 			return;
 		}
 		if (this.broken.add(call.request().digest(), call.request().id(), target.run(), now)) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/EntryNews.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/EntryNews.java
@@ -16,20 +16,20 @@
  * @param againMillis the time within which the receiver is told again, in milliseconds
  * @param work its work at targets
  * @param spending what it spent of the retry budget in the window, by service
- * @param limits what targets said last of what they take from all entries together
+ * @param needs what targets said that they need, to it or to one that it heard it from
  * @param peers the addresses of other entries that it has heard of lately
  * @since 0.2
  */
 public record EntryNews(String instance, String dataCentre, long incarnation, long sequence, boolean ending,
-		boolean partial, long againMillis, List<WorkAtTarget> work, List<ServiceSpending> spending,
-		List<LimitNews> limits, List<String> peers) {
+		boolean partial, long againMillis, List<WorkAtTarget> work, List<ServiceSpending> spending, NeedsNews needs,
+		List<String> peers) {
 
 	public EntryNews {
 		Objects.requireNonNull(instance, "instance must not be null");
 		Objects.requireNonNull(dataCentre, "dataCentre must not be null");
+		Objects.requireNonNull(needs, "needs must not be null");
 		work = List.copyOf(work);
 		spending = List.copyOf(spending);
-		limits = List.copyOf(limits);
 		peers = List.copyOf(peers);
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
@@ -20,7 +20,7 @@
 
 /**
  * Tells other entries of this one's work at targets and of what targets say that they
- * take, and sums up theirs.
+ * need, and sums up theirs.
  * <p>
  * Every heartbeat carries all of an entry's work, so that lost or late news are made good
  * by the next; in between, changes are told at once to the entries near by, which use the
@@ -165,7 +165,7 @@
 		}
 		this.known.take(from, news, now);
 		news.work().stream().filter(WorkAtTarget::leaving).forEach((w) -> this.outputs.heardLeaving(w.target()));
-		news.limits().forEach(this.outputs::heardLimit);
+		this.outputs.heardNeeds(news.needs());
 		if (former.isEmpty()) {
 			this.audit.record(AuditEvent.of(AuditKind.MEMBERSHIP, news.instance(), "", "entry heard at " + from));
 			tellAllWork(List.of(from), now);
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/GossipOutputs.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/GossipOutputs.java
@@ -25,16 +25,16 @@
 	void heardLeaving(TargetRun target);
 
 	/**
-	 * Take what a target said to another entry, or to one that this heard it from.
-	 * @param news what it said of the requests that it takes
+	 * Take what targets said that they need, as another entry tells.
+	 * @param news what they said to it, or to one that it heard it from
 	 */
-	void heardLimit(LimitNews news);
+	void heardNeeds(NeedsNews news);
 
 	/**
-	 * Return what targets said last of the requests that they take.
+	 * Return what targets said that they need.
 	 * @return what is known of that, heard from others included
 	 */
-	List<LimitNews> limits();
+	NeedsNews needs();
 
 	/**
 	 * Return this entry's own work.
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/OwnNews.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/OwnNews.java
@@ -85,7 +85,7 @@
 	private EntryNews write(boolean isPartial, long againMillis, List<WorkAtTarget> work, List<String> heard) {
 		this.sequence++;
 		return new EntryNews(this.instance, this.dataCentre, this.incarnation, this.sequence, this.ending, isPartial,
-				againMillis, work, this.outputs.ownSpending(), this.outputs.limits(), heard);
+				againMillis, work, this.outputs.ownSpending(), this.outputs.needs(), heard);
 	}
 
 }
--- a/laneworks-core/src/test/java/dev/laneworks/core/backpressure/LimitedFleet.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/backpressure/LimitedFleet.java
@@ -9,7 +9,6 @@
 import java.util.SplittableRandom;
 
 import dev.laneworks.core.directory.ListedTarget;
-import dev.laneworks.core.directory.TargetRun;
 import dev.laneworks.core.gossip.LimitNews;
 import dev.laneworks.core.time.Timers;
 
@@ -62,9 +61,6 @@
 	/** The requests that callers made behind the time at which the limit binds. */
 	int asked;
 
-	/** What entries told each other at once, in datagrams. */
-	long toldAtOnce;
-
 	LimitedFleet(Way way, int entries, double limit, double lost, long seed) {
 		this.way = way;
 		this.limit = limit;
@@ -210,7 +206,7 @@
 				case EQUAL -> (s, t) -> 1.0 / up();
 				case REQUESTS, REQUESTS_RANDOM -> byRequests;
 			};
-			this.limits = new TargetLimits(share, (t) -> this.phase, this::tellAtOnce);
+			this.limits = new TargetLimits(share, (t) -> this.phase);
 		}
 
 		void startAgain() {
@@ -233,11 +229,6 @@
 			LimitedFleet.this.timers.at(at + HEARTBEAT_MILLIS, this::heartbeat);
 		}
 
-		private void tellAtOnce(TargetRun run) {
-			LimitedFleet.this.toldAtOnce += LimitedFleet.this.entries.size() - 1;
-			tell(this.limits.news(LimitedFleet.this.now));
-		}
-
 		private void tell(List<LimitNews> news) {
 			if (news.isEmpty()) {
 				return;
@@ -270,8 +261,15 @@
 			this.limits.sent(LimitedFleet.this.target, at);
 			LimitedFleet.this.arrivals.add(at);
 			TargetLimits asking = this.limits;
-			LimitedFleet.this.timers.at(at + ANSWER_MILLIS, (t) -> asking.told(LimitedFleet.this.target,
-					(t >= NAMED_MILLIS) ? OptionalDouble.of(LimitedFleet.this.limit) : OptionalDouble.empty(), at, t));
+			LimitedFleet.this.timers.at(at + ANSWER_MILLIS, (t) -> answered(asking, at, t));
+		}
+
+		private void answered(TargetLimits asking, long askedAt, long at) {
+			OptionalDouble named = (at >= NAMED_MILLIS) ? OptionalDouble.of(LimitedFleet.this.limit)
+					: OptionalDouble.empty();
+			if (asking.told(LimitedFleet.this.target, named, askedAt, at)) {
+				tell(this.limits.news(at));
+			}
 		}
 
 	}
--- a/laneworks-core/src/test/java/dev/laneworks/core/backpressure/TargetLimitsTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/backpressure/TargetLimitsTests.java
@@ -1,12 +1,9 @@
 package dev.laneworks.core.backpressure;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.OptionalDouble;
 
 import com.google.common.collect.Range;
 import dev.laneworks.core.directory.ListedTarget;
-import dev.laneworks.core.directory.TargetRun;
 import dev.laneworks.core.gossip.LimitNews;
 import org.junit.jupiter.api.Test;
 
@@ -19,13 +16,11 @@
 
 	private final ListedTarget target = new ListedTarget("t", "s", "10.0.0.1", 80, "dc", 6, false);
 
-	private final List<TargetRun> toTell = new ArrayList<>();
-
 	private double share = 0.25;
 
 	private double phase;
 
-	private final TargetLimits limits = new TargetLimits((s, t) -> this.share, (t) -> this.phase, this.toTell::add);
+	private final TargetLimits limits = new TargetLimits((s, t) -> this.share, (t) -> this.phase);
 
 	@Test
 	void aTargetThatNamesNoLimitTakesAll() {
@@ -59,7 +54,7 @@
 		int all = 0;
 		for (int i = 0; i < 100; i++) {
 			this.phase = i / 100.0;
-			TargetLimits one = new TargetLimits((s, t) -> this.share, (t) -> this.phase, this.toTell::add);
+			TargetLimits one = new TargetLimits((s, t) -> this.share, (t) -> this.phase);
 			one.told(this.target, OptionalDouble.of(3), 0, 0);
 			all += sentIn(one, 0, 4_000, 10);
 		}
@@ -97,14 +92,11 @@
 	}
 
 	@Test
-	void othersAreToldAtOnceOfWhatIsNewAndForAWhileThatALimitIsOver() {
-		told(3, 0);
-		told(3, 10);
-		told(4, 20);
-		this.limits.heard(news(OptionalDouble.of(5), 0), 1_000);
-		assertThat(this.toTell).hasSize(2);
-		told(OptionalDouble.empty(), 2_000, 2_000);
-		assertThat(this.toTell).hasSize(3);
+	void othersAreToldForAWhileThatALimitIsOver() {
+		assertThat(this.limits.told(this.target, OptionalDouble.of(3), 0, 0)).isTrue();
+		assertThat(this.limits.told(this.target, OptionalDouble.of(3), 10, 10)).isFalse();
+		assertThat(this.limits.told(this.target, OptionalDouble.of(4), 20, 20)).isTrue();
+		assertThat(this.limits.told(this.target, OptionalDouble.empty(), 2_000, 2_000)).isTrue();
 		assertThat(this.limits.news(12_000)).containsExactly(news(OptionalDouble.empty(), 10_000));
 		assertThat(this.limits.news(12_001)).isEmpty();
 	}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -90,10 +90,12 @@
 	/** This entry's part of what all may send to targets that name a limit. */
 	double share = 1;
 
-	final TargetLimits limits = new TargetLimits((s, t) -> this.share, (t) -> 0, (t) -> {
-	});
+	final TargetLimits limits = new TargetLimits((s, t) -> this.share, (t) -> 0);
 
-	final TargetsInNeed needs = new TargetsInNeed(this.limits, (e) -> this.audit.add(e));
+	/** Runs of targets of which others were to be told at once. */
+	final List<TargetRun> needsToTell = new ArrayList<>();
+
+	final TargetsInNeed needs = new TargetsInNeed(this.limits, this.needsToTell::add, (e) -> this.audit.add(e));
 
 	final Eligibility eligibility = new Eligibility(this.directory, this.beliefs, this.cold, this.needs,
 			Map.of("dc", "north", "dc2", "north", "dc3", "south"));
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/NeedyTargetTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/NeedyTargetTests.java
@@ -1,6 +1,7 @@
 package dev.laneworks.core.dispatch;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
@@ -8,6 +9,7 @@
 import dev.laneworks.core.backpressure.TargetNeeds;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.dispatch.DispatchHarness.Sent;
+import dev.laneworks.core.gossip.NeedsNews;
 import dev.laneworks.core.serving.RequestKind;
 import dev.laneworks.core.verdict.Verdict;
 import org.junit.jupiter.api.Test;
@@ -20,6 +22,8 @@
  */
 class NeedyTargetTests {
 
+	private static final TargetNeeds LEAVING = new TargetNeeds(OptionalDouble.empty(), OptionalLong.empty(), true);
+
 	private final DispatchHarness world = DispatchHarness.create();
 
 	private long calls;
@@ -103,6 +107,87 @@
 		assertThat(this.world.needs.limited()).isEqualTo(0);
 	}
 
+	@Test
+	void nothingNewGoesToATargetThatSaidInAnAnswerThatItLeavesWhateverTheListSays() {
+		ListedTarget target = this.world.join(DispatchHarness.PLAIN, "target");
+		tell(LEAVING);
+		assertThat(this.world.needsToTell).containsExactly(target.run());
+		refusedAtOnce();
+		this.world.directory.put(target);
+		refusedAtOnce();
+		this.world.end(target);
+		this.world.directory.put(target);
+		refusedAtOnce();
+		assertThat(this.world.eligibility.takesWork(this.world.startAgain(target), this.world.now)).isTrue();
+	}
+
+	@Test
+	void aRequestWhoseConnectionCameUpBehindTheWordGoesElsewhere() {
+		ListedTarget target = this.world.join(DispatchHarness.PLAIN, "target");
+		this.world.open(++this.calls, RequestKind.UNSAFE, 1);
+		Sent chosen = this.world.sent.get(0);
+		this.world.join(DispatchHarness.PLAIN, "other");
+		this.world.needs.told(target, LEAVING, 0, 0);
+		assertThat(this.world.assertReady(chosen)).isFalse();
+		assertThat(this.world.arrive().target().id()).isEqualTo("other");
+	}
+
+	@Test
+	void aGenerationStaysAtAnEngineThatSaidSoUntilTheListSaysItAndGoesOnAtNoneThatDid() {
+		ListedTarget a = this.world.join(DispatchHarness.ENGINES, "a");
+		ListedTarget b = this.world.join(DispatchHarness.ENGINES, "b");
+		this.world.openStream(++this.calls);
+		Sent run = this.world.arrive();
+		this.world.event(run, 0);
+		ListedTarget backup = run.target().equals(a) ? b : a;
+		this.world.needs.told(run.target(), LEAVING, 0, 0);
+		this.world.passTime(1_000);
+		assertThat(this.world.sent).hasSize(1);
+		this.world.needs.told(backup, LEAVING, 0, 0);
+		this.world.leave(run.target());
+		assertThat(this.world.sent).hasSize(1);
+	}
+
+	@Test
+	void whatAnotherEntryWasToldHoldsHereAndIsNotPassedOn() {
+		ListedTarget target = this.world.join(DispatchHarness.PLAIN, "target");
+		NeedsNews news = new NeedsNews(List.of(), List.of(target.run()));
+		this.world.needs.heard(news, (t) -> true, 0);
+		this.world.open(++this.calls, RequestKind.UNSAFE, 1);
+		assertThat(this.world.answers(this.calls)).containsExactly("refused 503");
+		assertThat(this.world.needs.news(1)).isEqualTo(NeedsNews.NONE);
+	}
+
+	@Test
+	void othersAreToldAtOnceOfNeedsThatAreNew() {
+		ListedTarget target = this.world.join(DispatchHarness.PLAIN, "target");
+		this.world.needs.told(target, limit(3), 0, 0);
+		this.world.needs.told(target, limit(3), 1, 1);
+		this.world.needs.told(target, limit(4), 2, 2);
+		this.world.needs.told(target, LEAVING, 3, 3);
+		this.world.needs.told(target, LEAVING, 4, 4);
+		assertThat(this.world.needsToTell).hasSize(4);
+		assertThat(this.world.needs.news(60_004).leaving()).containsExactly(target.run());
+		assertThat(this.world.needs.news(60_005).leaving()).isEmpty();
+	}
+
+	@Test
+	void aTargetThatSaidSoAndEndsUnderARequestIsNotHeldAgainstTheRequest() {
+		ListedTarget target = this.world.join(DispatchHarness.PLAIN, "target");
+		this.world.open(++this.calls, RequestKind.UNSAFE, 1);
+		Sent sent = this.world.arrive();
+		this.world.needs.told(target, LEAVING, 0, 0);
+		this.world.breakOff(sent);
+		this.world.dispatcher.checked(target, true, this.world.now);
+		assertThat(this.world.suspected).isEmpty();
+	}
+
+	private void refusedAtOnce() {
+		this.world.open(++this.calls, RequestKind.UNSAFE, 1);
+		assertThat(this.world.answers(this.calls)).containsExactly("refused 503");
+		assertThat(this.world.refusals.get(this.calls).verdict()).isEqualTo(Verdict.NOT_RUN);
+	}
+
 	private void headOf(Sent sent, int status, String request) {
 		this.world.dispatcher.headReceived(sent.call(), sent.attempt(), new AnswerHead(status, request, true, false,
 				false, false, Optional.empty(), OptionalLong.empty(), limit(1)), this.world.now);
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/TargetChooserTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/TargetChooserTests.java
@@ -49,8 +49,8 @@
 
 	private final TargetChooser chooser = new TargetChooser(new Eligibility(this.directory, this.beliefs,
 			new ColdTargets(new ColdBound(1, 0), new Alone(), (s) -> 0, (e) -> {
-			}), new TargetsInNeed(new TargetLimits((s, t) -> 1, (t) -> 0, (t) -> {
-			}), (e) -> {
+			}), new TargetsInNeed(new TargetLimits((s, t) -> 1, (t) -> 0), (t) -> {
+			}, (e) -> {
 			}), Map.of()), this.beliefs, "here", new SplittableRandom(1), Mechanisms.all());
 
 	@Test
--- a/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
@@ -29,9 +29,9 @@
 
 	private final List<String> leaving = new ArrayList<>();
 
-	private final List<LimitNews> limitsHeard = new ArrayList<>();
+	private final List<NeedsNews> needsHeard = new ArrayList<>();
 
-	private List<LimitNews> limits = List.of();
+	private NeedsNews needs = NeedsNews.NONE;
 
 	private final List<AuditEvent> audit = new ArrayList<>();
 
@@ -84,13 +84,14 @@
 	void anEntryThatEndsIsForgottenAtOnce() {
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(1, 700)), 0);
 		this.gossip.received("10.0.0.2:7200",
-				new EntryNews("two", "z", 2, 2, true, false, 1_000, List.of(), List.of(), List.of(), List.of()), 5);
+				new EntryNews("two", "z", 2, 2, true, false, 1_000, List.of(), List.of(), NeedsNews.NONE, List.of()),
+				5);
 		assertThat(this.gossip.peers()).isEqualTo(0);
 	}
 
 	@Test
 	void introducesItselfToEntriesThatOthersName() {
-		EntryNews news = new EntryNews("two", "z", 2, 1, false, false, 1_000, List.of(), List.of(), List.of(),
+		EntryNews news = new EntryNews("two", "z", 2, 1, false, false, 1_000, List.of(), List.of(), NeedsNews.NONE,
 				List.of("10.0.0.5:7200", "10.0.0.1:7200"));
 		this.gossip.received("10.0.0.2:7200", news, 0);
 		assertThat(this.told).containsExactly("10.0.0.2:7200", "10.0.0.5:7200").inOrder();
@@ -114,32 +115,32 @@
 	@Test
 	void whatAnEntrySpentCountsOnAfterItIsGoneForAsLongAsTheWindow() {
 		ServiceSpending spent = new ServiceSpending("s", 10, 4);
-		EntryNews two = new EntryNews("two", "z", 2, 1, false, false, 1_000, List.of(), List.of(spent), List.of(),
-				List.of());
-		EntryNews three = new EntryNews("three", "z", 3, 1, false, false, 1_000, List.of(), List.of(spent), List.of(),
+		EntryNews two = new EntryNews("two", "z", 2, 1, false, false, 1_000, List.of(), List.of(spent), NeedsNews.NONE,
 				List.of());
+		EntryNews three = new EntryNews("three", "z", 3, 1, false, false, 1_000, List.of(), List.of(spent),
+				NeedsNews.NONE, List.of());
 		assertThat(this.gossip.spendingOfOthers("s", 10_000, 0)).isEqualTo(Optional.empty());
 		this.gossip.received("10.0.0.2:7200", two, 0);
 		this.gossip.received("10.0.0.3:7200", three, 0);
 		this.gossip.received("10.0.0.2:7200",
-				new EntryNews("two", "z", 2, 2, true, false, 1_000, List.of(), List.of(), List.of(), List.of()), 100);
+				new EntryNews("two", "z", 2, 2, true, false, 1_000, List.of(), List.of(), NeedsNews.NONE, List.of()),
+				100);
 		assertThat(this.gossip.spendingOfOthers("s", 10_000, 5_000).get().repeats()).isEqualTo(8);
 		assertThat(this.gossip.spendingOfOthers("s", 10_000, 10_001).get().repeats()).isEqualTo(4);
 	}
 
 	@Test
-	void whatTargetsTakeIsToldAndHeardWithAllNews() {
-		LimitNews limit = new LimitNews(TargetRun.of("t"), OptionalDouble.of(3), 40);
-		this.limits = List.of(limit);
+	void whatTargetsNeedIsToldAndHeardWithAllNews() {
+		this.needs = new NeedsNews(List.of(new LimitNews(TargetRun.of("t"), OptionalDouble.of(3), 40)),
+				List.of(TargetRun.of("u")));
 		this.gossip.received("10.0.0.2:7200",
-				new EntryNews("two", "z", 2, 1, false, true, 1_000, List.of(), List.of(), List.of(limit), List.of()),
-				0);
-		assertThat(this.limitsHeard).containsExactly(limit);
-		assertThat(this.lastNews.limits()).containsExactly(limit);
+				new EntryNews("two", "z", 2, 1, false, true, 1_000, List.of(), List.of(), this.needs, List.of()), 0);
+		assertThat(this.needsHeard).containsExactly(this.needs);
+		assertThat(this.lastNews.needs()).isEqualTo(this.needs);
 		this.gossip.changed(TargetRun.of("t"), ChangeReach.ALL, 100);
 		this.timers.run(200);
 		assertThat(this.lastNews.partial()).isTrue();
-		assertThat(this.lastNews.limits()).containsExactly(limit);
+		assertThat(this.lastNews.needs()).isEqualTo(this.needs);
 	}
 
 	@Test
@@ -310,7 +311,7 @@
 	void partialNewsChangeTheWorkThatTheyNameAlone() {
 		this.gossip.received("10.0.0.2:7200", news("two", 2, 1, work(3, 900)), 0);
 		EntryNews partial = new EntryNews("two", "z", 2, 2, false, true, 1_000,
-				List.of(new WorkAtTarget(TargetRun.of("u"), 1, 70, 0, 0, false, 0, false)), List.of(), List.of(),
+				List.of(new WorkAtTarget(TargetRun.of("u"), 1, 70, 0, 0, false, 0, false)), List.of(), NeedsNews.NONE,
 				List.of());
 		this.gossip.received("10.0.0.2:7200", partial, 10);
 		assertThat(this.gossip.others(TargetRun.of("t")).get().heldTokens()).isEqualTo(900);
@@ -360,13 +361,13 @@
 	}
 
 	private static EntryNews news(String name, long incarnation, long sequence, WorkAtTarget work) {
-		return new EntryNews(name, "z", incarnation, sequence, false, false, 1_000, List.of(work), List.of(), List.of(),
-				List.of());
+		return new EntryNews(name, "z", incarnation, sequence, false, false, 1_000, List.of(work), List.of(),
+				NeedsNews.NONE, List.of());
 	}
 
 	private static EntryNews distant(String name, long incarnation, WorkAtTarget... work) {
 		return new EntryNews(name, "elsewhere", incarnation, 1, false, false, 3_000, List.of(work), List.of(),
-				List.of(), List.of());
+				NeedsNews.NONE, List.of());
 	}
 
 	private final class Outputs implements GossipOutputs {
@@ -383,13 +384,13 @@
 		}
 
 		@Override
-		public void heardLimit(LimitNews news) {
-			GossipTests.this.limitsHeard.add(news);
+		public void heardNeeds(NeedsNews news) {
+			GossipTests.this.needsHeard.add(news);
 		}
 
 		@Override
-		public List<LimitNews> limits() {
-			return GossipTests.this.limits;
+		public NeedsNews needs() {
+			return GossipTests.this.needs;
 		}
 
 		@Override
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -208,15 +208,15 @@
 		this.suspicions = new Suspicions(this.others, this.loop, random, this.audit);
 		TargetLimits limits = new TargetLimits(
 				new RequestShare(() -> this.entriesOfLate, this::ownRequests, this::requestsOfOthers),
-				this.others::phase, this.others::tellLimit);
-		this.needs = new TargetsInNeed(limits, this.audit);
+				this.others::phase);
+		this.needs = new TargetsInNeed(limits, this.others::tellNeeds, this.audit);
 		MembershipEvents members = new MembershipEvents(this.beliefs, this.cold, this.needs, this.loop, this.audit);
 		this.store = new FollowedStore(adapter.source(), settings.follow(), members, members, this::use,
 				this.others.reading(), timers, random, new DefaultBackgroundWork(thread), this.audit);
 		this.directory = this.store.directory();
 		Eligibility eligibility = new Eligibility(this.directory, this.beliefs, this.cold, this.needs,
 				settings.regions());
-		this.others.share(limits, this.directory::isKnownRun);
+		this.others.share(this.needs, this.directory::isKnownRun);
 		TargetChooser chooser = new TargetChooser(eligibility, this.beliefs, settings.dataCentre(), random,
 				settings.mechanisms());
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(settings.mechanisms()), this.directory, this.beliefs,
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
@@ -12,7 +12,7 @@
 import java.util.stream.Collectors;
 
 import dev.laneworks.core.audit.AuditSink;
-import dev.laneworks.core.backpressure.TargetLimits;
+import dev.laneworks.core.backpressure.TargetsInNeed;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetRun;
 import dev.laneworks.core.dispatch.CopyTurn;
@@ -26,7 +26,7 @@
 import dev.laneworks.core.gossip.Gossip;
 import dev.laneworks.core.gossip.GossipOutputs;
 import dev.laneworks.core.gossip.GossipSettings;
-import dev.laneworks.core.gossip.LimitNews;
+import dev.laneworks.core.gossip.NeedsNews;
 import dev.laneworks.core.gossip.ServiceSpending;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.core.handover.StatePiece;
@@ -74,7 +74,7 @@
 
 	private Predicate<TargetRun> listed = (t) -> false;
 
-	private Optional<TargetLimits> limits = Optional.empty();
+	private Optional<TargetsInNeed> needs = Optional.empty();
 
 	private Optional<StateHandover> handover = Optional.empty();
 
@@ -181,14 +181,14 @@
 		this.leavingListener = listener;
 	}
 
-	// Sets the limits that entries tell each other, and which runs of targets are listed.
-	void share(TargetLimits shared, Predicate<TargetRun> isListed) {
-		this.limits = Optional.of(shared);
+	// Sets what entries tell each other of targets in need, and which runs are listed.
+	void share(TargetsInNeed shared, Predicate<TargetRun> isListed) {
+		this.needs = Optional.of(shared);
 		this.listed = isListed;
 	}
 
-	// Tells all other entries at once what a target said of its limit.
-	void tellLimit(TargetRun target) {
+	// Tells all other entries at once what a target said that it needs.
+	void tellNeeds(TargetRun target) {
 		if (this.mechanisms.use(Mechanism.ENTRY_NEWS)) {
 			this.gossip.changed(target, ChangeReach.ALL, this.loop.now());
 		}
@@ -244,17 +244,14 @@
 		this.leavingListener.accept(target);
 	}
 
-	// Others may name a target a while longer than it is listed here.
 	@Override
-	public void heardLimit(LimitNews news) {
-		if (this.listed.test(news.target())) {
-			this.limits.ifPresent((l) -> l.heard(news, this.loop.now()));
-		}
+	public void heardNeeds(NeedsNews news) {
+		this.needs.ifPresent((n) -> n.heard(news, this.listed, this.loop.now()));
 	}
 
 	@Override
-	public List<LimitNews> limits() {
-		return this.limits.map((l) -> l.news(this.loop.now())).orElse(List.of());
+	public NeedsNews needs() {
+		return this.needs.map((n) -> n.news(this.loop.now())).orElse(NeedsNews.NONE);
 	}
 
 	@Override
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/EntryNewsCodec.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/EntryNewsCodec.java
@@ -5,6 +5,7 @@
 
 import dev.laneworks.core.gossip.EntryNews;
 import dev.laneworks.core.gossip.LimitNews;
+import dev.laneworks.core.gossip.NeedsNews;
 import dev.laneworks.core.gossip.ServiceSpending;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.wire.proto.Protocol;
@@ -29,17 +30,18 @@
 			.addAllPeers(news.peers());
 		news.work().forEach((w) -> builder.addWork(encode(w)));
 		news.spending().forEach((s) -> builder.addSpending(encode(s)));
-		news.limits().forEach((l) -> builder.addLimits(encode(l)));
+		news.needs().limits().forEach((l) -> builder.addLimits(encode(l)));
+		news.needs().leaving().forEach((t) -> builder.addLeaving(TargetRunForm.write(t)));
 		return builder.build();
 	}
 
 	static EntryNews decode(Protocol.EntryNews news) {
 		List<WorkAtTarget> work = news.getWorkList().stream().map(EntryNewsCodec::decode).toList();
 		List<ServiceSpending> spending = news.getSpendingList().stream().map(EntryNewsCodec::decode).toList();
-		List<LimitNews> limits = news.getLimitsList().stream().map(EntryNewsCodec::decode).toList();
+		NeedsNews needs = new NeedsNews(news.getLimitsList().stream().map(EntryNewsCodec::decode).toList(),
+				news.getLeavingList().stream().map(TargetRunForm::read).toList());
 		return new EntryNews(news.getInstance(), news.getDataCentre(), news.getIncarnation(), news.getSequence(),
-				news.getEnding(), news.getPartial(), news.getAgainMillis(), work, spending, limits,
-				news.getPeersList());
+				news.getEnding(), news.getPartial(), news.getAgainMillis(), work, spending, needs, news.getPeersList());
 	}
 
 	private static Protocol.WorkAtTarget encode(WorkAtTarget work) {
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
@@ -20506,6 +20506,47 @@
      */
     dev.laneworks.wire.proto.Protocol.TargetLimitOrBuilder getLimitsOrBuilder(
         int index);
+
+    /**
+     * <pre>
+     * Targets that said that they are leaving.
+     * </pre>
+     *
+     * <code>repeated string leaving = 13;</code>
+     * @return A list containing the leaving.
+     */
+    java.util.List<java.lang.String>
+        getLeavingList();
+    /**
+     * <pre>
+     * Targets that said that they are leaving.
+     * </pre>
+     *
+     * <code>repeated string leaving = 13;</code>
+     * @return The count of leaving.
+     */
+    int getLeavingCount();
+    /**
+     * <pre>
+     * Targets that said that they are leaving.
+     * </pre>
+     *
+     * <code>repeated string leaving = 13;</code>
+     * @param index The index of the element to return.
+     * @return The leaving at the given index.
+     */
+    java.lang.String getLeaving(int index);
+    /**
+     * <pre>
+     * Targets that said that they are leaving.
+     * </pre>
+     *
+     * <code>repeated string leaving = 13;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the leaving at the given index.
+     */
+    com.google.protobuf.ByteString
+        getLeavingBytes(int index);
   }
   /**
    * <pre>
@@ -20540,6 +20581,8 @@
       spending_ = java.util.Collections.emptyList();
       dataCentre_ = "";
       limits_ = java.util.Collections.emptyList();
+      leaving_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -20877,6 +20920,59 @@
       return limits_.get(index);
     }
 
+    public static final int LEAVING_FIELD_NUMBER = 13;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.LazyStringArrayList leaving_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    /**
+     * <pre>
+     * Targets that said that they are leaving.
+     * </pre>
+     *
+     * <code>repeated string leaving = 13;</code>
+     * @return A list containing the leaving.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getLeavingList() {
+      return leaving_;
+    }
+    /**
+     * <pre>
+     * Targets that said that they are leaving.
+     * </pre>
+     *
+     * <code>repeated string leaving = 13;</code>
+     * @return The count of leaving.
+     */
+    public int getLeavingCount() {
+      return leaving_.size();
+    }
+    /**
+     * <pre>
+     * Targets that said that they are leaving.
+     * </pre>
+     *
+     * <code>repeated string leaving = 13;</code>
+     * @param index The index of the element to return.
+     * @return The leaving at the given index.
+     */
+    public java.lang.String getLeaving(int index) {
+      return leaving_.get(index);
+    }
+    /**
+     * <pre>
+     * Targets that said that they are leaving.
+     * </pre>
+     *
+     * <code>repeated string leaving = 13;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the leaving at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getLeavingBytes(int index) {
+      return leaving_.getByteString(index);
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -20924,6 +21020,9 @@
       for (int i = 0; i < limits_.size(); i++) {
         output.writeMessage(12, limits_.get(i));
       }
+      for (int i = 0; i < leaving_.size(); i++) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 13, leaving_.getRaw(i));
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -20994,6 +21093,14 @@
             }
             size += 1 * count;
           }
+      {
+        int dataSize = 0;
+        for (int i = 0; i < leaving_.size(); i++) {
+          dataSize += computeStringSizeNoTag(leaving_.getRaw(i));
+        }
+        size += dataSize;
+        size += 1 * getLeavingList().size();
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -21031,6 +21138,8 @@
           != other.getAgainMillis()) return false;
       if (!getLimitsList()
           .equals(other.getLimitsList())) return false;
+      if (!getLeavingList()
+          .equals(other.getLeavingList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -21076,6 +21185,10 @@
         hash = (37 * hash) + LIMITS_FIELD_NUMBER;
         hash = (53 * hash) + getLimitsList().hashCode();
       }
+      if (getLeavingCount() > 0) {
+        hash = (37 * hash) + LEAVING_FIELD_NUMBER;
+        hash = (53 * hash) + getLeavingList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -21241,6 +21354,8 @@
           limitsBuilder_.clear();
         }
         bitField0_ = (bitField0_ & ~0x00000400);
+        leaving_ =
+            com.google.protobuf.LazyStringArrayList.emptyList();
         return this;
       }
 
@@ -21330,6 +21445,10 @@
         if (((from_bitField0_ & 0x00000200) != 0)) {
           result.againMillis_ = againMillis_;
         }
+        if (((from_bitField0_ & 0x00000800) != 0)) {
+          leaving_.makeImmutable();
+          result.leaving_ = leaving_;
+        }
       }
 
       @java.lang.Override
@@ -21457,6 +21576,16 @@
             }
           }
         }
+        if (!other.leaving_.isEmpty()) {
+          if (leaving_.isEmpty()) {
+            leaving_ = other.leaving_;
+            bitField0_ |= 0x00000800;
+          } else {
+            ensureLeavingIsMutable();
+            leaving_.addAll(other.leaving_);
+          }
+          onChanged();
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -21562,6 +21691,11 @@
                 }
                 break;
               } // case 98
+              case 106: {
+                ensureLeavingIsMutable();
+                leaving_.add(input.readStringRequireUtf8());
+                break;
+              } // case 106
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -22774,6 +22908,153 @@
         return limitsBuilder_;
       }
 
+      private com.google.protobuf.LazyStringArrayList leaving_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureLeavingIsMutable() {
+        if (!leaving_.isModifiable()) {
+          leaving_ = new com.google.protobuf.LazyStringArrayList(leaving_);
+        }
+        bitField0_ |= 0x00000800;
+      }
+      /**
+       * <pre>
+       * Targets that said that they are leaving.
+       * </pre>
+       *
+       * <code>repeated string leaving = 13;</code>
+       * @return A list containing the leaving.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getLeavingList() {
+        leaving_.makeImmutable();
+        return leaving_;
+      }
+      /**
+       * <pre>
+       * Targets that said that they are leaving.
+       * </pre>
+       *
+       * <code>repeated string leaving = 13;</code>
+       * @return The count of leaving.
+       */
+      public int getLeavingCount() {
+        return leaving_.size();
+      }
+      /**
+       * <pre>
+       * Targets that said that they are leaving.
+       * </pre>
+       *
+       * <code>repeated string leaving = 13;</code>
+       * @param index The index of the element to return.
+       * @return The leaving at the given index.
+       */
+      public java.lang.String getLeaving(int index) {
+        return leaving_.get(index);
+      }
+      /**
+       * <pre>
+       * Targets that said that they are leaving.
+       * </pre>
+       *
+       * <code>repeated string leaving = 13;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the leaving at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getLeavingBytes(int index) {
+        return leaving_.getByteString(index);
+      }
+      /**
+       * <pre>
+       * Targets that said that they are leaving.
+       * </pre>
+       *
+       * <code>repeated string leaving = 13;</code>
+       * @param index The index to set the value at.
+       * @param value The leaving to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLeaving(
+          int index, java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureLeavingIsMutable();
+        leaving_.set(index, value);
+        bitField0_ |= 0x00000800;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Targets that said that they are leaving.
+       * </pre>
+       *
+       * <code>repeated string leaving = 13;</code>
+       * @param value The leaving to add.
+       * @return This builder for chaining.
+       */
+      public Builder addLeaving(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureLeavingIsMutable();
+        leaving_.add(value);
+        bitField0_ |= 0x00000800;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Targets that said that they are leaving.
+       * </pre>
+       *
+       * <code>repeated string leaving = 13;</code>
+       * @param values The leaving to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllLeaving(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureLeavingIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, leaving_);
+        bitField0_ |= 0x00000800;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Targets that said that they are leaving.
+       * </pre>
+       *
+       * <code>repeated string leaving = 13;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLeaving() {
+        leaving_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000800);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Targets that said that they are leaving.
+       * </pre>
+       *
+       * <code>repeated string leaving = 13;</code>
+       * @param value The bytes of the leaving to add.
+       * @return This builder for chaining.
+       */
+      public Builder addLeavingBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        ensureLeavingIsMutable();
+        leaving_.add(value);
+        bitField0_ |= 0x00000800;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:laneworks.EntryNews)
     }
 
@@ -34523,51 +34804,51 @@
       "rsion\030\001 \001(\004\022\036\n\026confirmed_age_plus_one\030\002 " +
       "\001(\004\"\026\n\024ConfigurationRequest\"F\n\021Configura" +
       "tionText\022\017\n\007version\030\001 \001(\004\022\020\n\010deflated\030\002 " +
-      "\001(\014\022\016\n\006digest\030\003 \001(\014\"\242\002\n\tEntryNews\022\020\n\010ins" +
+      "\001(\014\022\016\n\006digest\030\003 \001(\014\"\263\002\n\tEntryNews\022\020\n\010ins" +
       "tance\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\006\022\020\n\010sequ" +
       "ence\030\004 \001(\004\022\016\n\006ending\030\005 \001(\010\022%\n\004work\030\006 \003(\013" +
       "2\027.laneworks.WorkAtTarget\022\r\n\005peers\030\007 \003(\t" +
       "\022,\n\010spending\030\010 \003(\0132\032.laneworks.ServiceSp" +
       "ending\022\023\n\013data_centre\030\t \001(\t\022\017\n\007partial\030\n" +
       " \001(\010\022\024\n\014again_millis\030\013 \001(\r\022&\n\006limits\030\014 \003" +
-      "(\0132\026.laneworks.TargetLimitJ\004\010\001\020\002\"\370\001\n\rEnt" +
-      "ryDatagram\022\020\n\010protocol\030\001 \001(\r\022$\n\004work\030\002 \001" +
-      "(\0132\024.laneworks.EntryNewsH\000\022%\n\005store\030\003 \001(" +
-      "\0132\024.laneworks.StoreNewsH\000\022,\n\010question\030\004 " +
-      "\001(\0132\030.laneworks.StateQuestionH\000\022&\n\005piece" +
-      "\030\005 \001(\0132\025.laneworks.StatePieceH\000\022*\n\010suspe" +
-      "cts\030\006 \001(\0132\026.laneworks.SuspectNewsH\000B\006\n\004k" +
-      "ind\"8\n\013SuspectNews\022)\n\007reports\030\001 \003(\0132\030.la" +
-      "neworks.SuspectReport\"\221\001\n\rSuspectReport\022" +
-      "\016\n\006caller\030\001 \001(\006\022\014\n\004high\030\002 \001(\006\022\013\n\003low\030\003 \001" +
-      "(\006\022!\n\004ends\030\004 \003(\0132\023.laneworks.EndedRun\022\035\n" +
-      "\020sound_age_millis\030\005 \001(\004H\000\210\001\001B\023\n\021_sound_a" +
-      "ge_millis\".\n\010EndedRun\022\016\n\006target\030\001 \001(\t\022\022\n" +
-      "\nage_millis\030\002 \001(\004\"6\n\rStateQuestion\022\020\n\010re" +
-      "vision\030\001 \001(\022\022\023\n\013first_piece\030\002 \001(\r\"_\n\nSta" +
-      "tePiece\022\020\n\010revision\030\001 \001(\004\022\022\n\nage_millis\030" +
-      "\002 \001(\004\022\016\n\006number\030\003 \001(\r\022\r\n\005count\030\004 \001(\r\022\014\n\004" +
-      "data\030\005 \001(\014\"1\n\nStoreItems\022#\n\005items\030\001 \003(\0132" +
-      "\024.laneworks.StoreItem\"\'\n\tStoreItem\022\013\n\003ke" +
-      "y\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\250\001\n\tStoreNews\022\016\n\006" +
-      "reader\030\001 \001(\t\022\014\n\004from\030\002 \001(\004\022\n\n\002to\030\003 \001(\004\022\'" +
-      "\n\007changes\030\004 \003(\0132\026.laneworks.StoreChange\022" +
-      "&\n\004kind\030\005 \001(\0162\030.laneworks.StoreNewsKind\022" +
-      "\r\n\005group\030\006 \001(\t\022\021\n\treturning\030\007 \001(\010\"J\n\013Sto" +
-      "reChange\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022" +
-      "\022\n\005value\030\003 \001(\tH\000\210\001\001B\010\n\006_value\"E\n\017Service" +
-      "Spending\022\017\n\007service\030\001 \001(\t\022\020\n\010requests\030\002 " +
-      "\001(\r\022\017\n\007repeats\030\003 \001(\r\"S\n\013TargetLimit\022\016\n\006t" +
-      "arget\030\001 \001(\t\022\014\n\004over\030\002 \001(\010\022\022\n\nper_second\030" +
-      "\003 \001(\001\022\022\n\nage_millis\030\004 \001(\r\"\240\001\n\014WorkAtTarg" +
-      "et\022\016\n\006target\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\023\n\013" +
-      "held_tokens\030\003 \001(\004\022\025\n\runread_tokens\030\004 \001(\004" +
-      "\022\017\n\007to_move\030\005 \001(\r\022\017\n\007copying\030\006 \001(\010\022\017\n\007re" +
-      "fused\030\007 \001(\r\022\017\n\007leaving\030\010 \001(\010*W\n\rStoreNew" +
-      "sKind\022\023\n\017STORE_NEWS_READ\020\000\022\027\n\023STORE_NEWS" +
-      "_QUESTION\020\001\022\030\n\024STORE_NEWS_PASSED_ON\020\002B&\n" +
-      "\030dev.laneworks.wire.protoB\010ProtocolP\000b\006p" +
-      "roto3"
+      "(\0132\026.laneworks.TargetLimit\022\017\n\007leaving\030\r " +
+      "\003(\tJ\004\010\001\020\002\"\370\001\n\rEntryDatagram\022\020\n\010protocol\030" +
+      "\001 \001(\r\022$\n\004work\030\002 \001(\0132\024.laneworks.EntryNew" +
+      "sH\000\022%\n\005store\030\003 \001(\0132\024.laneworks.StoreNews" +
+      "H\000\022,\n\010question\030\004 \001(\0132\030.laneworks.StateQu" +
+      "estionH\000\022&\n\005piece\030\005 \001(\0132\025.laneworks.Stat" +
+      "ePieceH\000\022*\n\010suspects\030\006 \001(\0132\026.laneworks.S" +
+      "uspectNewsH\000B\006\n\004kind\"8\n\013SuspectNews\022)\n\007r" +
+      "eports\030\001 \003(\0132\030.laneworks.SuspectReport\"\221" +
+      "\001\n\rSuspectReport\022\016\n\006caller\030\001 \001(\006\022\014\n\004high" +
+      "\030\002 \001(\006\022\013\n\003low\030\003 \001(\006\022!\n\004ends\030\004 \003(\0132\023.lane" +
+      "works.EndedRun\022\035\n\020sound_age_millis\030\005 \001(\004" +
+      "H\000\210\001\001B\023\n\021_sound_age_millis\".\n\010EndedRun\022\016" +
+      "\n\006target\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\004\"6\n\rSt" +
+      "ateQuestion\022\020\n\010revision\030\001 \001(\022\022\023\n\013first_p" +
+      "iece\030\002 \001(\r\"_\n\nStatePiece\022\020\n\010revision\030\001 \001" +
+      "(\004\022\022\n\nage_millis\030\002 \001(\004\022\016\n\006number\030\003 \001(\r\022\r" +
+      "\n\005count\030\004 \001(\r\022\014\n\004data\030\005 \001(\014\"1\n\nStoreItem" +
+      "s\022#\n\005items\030\001 \003(\0132\024.laneworks.StoreItem\"\'" +
+      "\n\tStoreItem\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"" +
+      "\250\001\n\tStoreNews\022\016\n\006reader\030\001 \001(\t\022\014\n\004from\030\002 " +
+      "\001(\004\022\n\n\002to\030\003 \001(\004\022\'\n\007changes\030\004 \003(\0132\026.lanew" +
+      "orks.StoreChange\022&\n\004kind\030\005 \001(\0162\030.lanewor" +
+      "ks.StoreNewsKind\022\r\n\005group\030\006 \001(\t\022\021\n\tretur" +
+      "ning\030\007 \001(\010\"J\n\013StoreChange\022\013\n\003key\030\001 \001(\t\022\020" +
+      "\n\010revision\030\002 \001(\004\022\022\n\005value\030\003 \001(\tH\000\210\001\001B\010\n\006" +
+      "_value\"E\n\017ServiceSpending\022\017\n\007service\030\001 \001" +
+      "(\t\022\020\n\010requests\030\002 \001(\r\022\017\n\007repeats\030\003 \001(\r\"S\n" +
+      "\013TargetLimit\022\016\n\006target\030\001 \001(\t\022\014\n\004over\030\002 \001" +
+      "(\010\022\022\n\nper_second\030\003 \001(\001\022\022\n\nage_millis\030\004 \001" +
+      "(\r\"\240\001\n\014WorkAtTarget\022\016\n\006target\030\001 \001(\t\022\020\n\010r" +
+      "equests\030\002 \001(\r\022\023\n\013held_tokens\030\003 \001(\004\022\025\n\run" +
+      "read_tokens\030\004 \001(\004\022\017\n\007to_move\030\005 \001(\r\022\017\n\007co" +
+      "pying\030\006 \001(\010\022\017\n\007refused\030\007 \001(\r\022\017\n\007leaving\030" +
+      "\010 \001(\010*W\n\rStoreNewsKind\022\023\n\017STORE_NEWS_REA" +
+      "D\020\000\022\027\n\023STORE_NEWS_QUESTION\020\001\022\030\n\024STORE_NE" +
+      "WS_PASSED_ON\020\002B&\n\030dev.laneworks.wire.pro" +
+      "toB\010ProtocolP\000b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -34710,7 +34991,7 @@
     internal_static_laneworks_EntryNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_EntryNews_descriptor,
-        new java.lang.String[] { "Instance", "Incarnation", "Sequence", "Ending", "Work", "Peers", "Spending", "DataCentre", "Partial", "AgainMillis", "Limits", });
+        new java.lang.String[] { "Instance", "Incarnation", "Sequence", "Ending", "Work", "Peers", "Spending", "DataCentre", "Partial", "AgainMillis", "Limits", "Leaving", });
     internal_static_laneworks_EntryDatagram_descriptor =
       getDescriptor().getMessageType(23);
     internal_static_laneworks_EntryDatagram_fieldAccessorTable = new
--- a/laneworks-wire/src/test/java/dev/laneworks/wire/EntryNewsCodecTests.java
+++ b/laneworks-wire/src/test/java/dev/laneworks/wire/EntryNewsCodecTests.java
@@ -6,6 +6,7 @@
 import dev.laneworks.core.directory.TargetRun;
 import dev.laneworks.core.gossip.EntryNews;
 import dev.laneworks.core.gossip.LimitNews;
+import dev.laneworks.core.gossip.NeedsNews;
 import dev.laneworks.core.gossip.ServiceSpending;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import org.junit.jupiter.api.Test;
@@ -22,9 +23,11 @@
 		TargetRun run = TargetRun.of("t", 1_700_000_000_000L);
 		EntryNews news = new EntryNews("e", "z", 7, 3, true, true, 1_000,
 				List.of(new WorkAtTarget(run, 1, 2, 3, 4, true, 5, true)), List.of(new ServiceSpending("s", 6, 7)),
-				List.of(new LimitNews(run, OptionalDouble.of(2.7), 40),
-						new LimitNews(TargetRun.of("u"), OptionalDouble.empty(), 0),
-						new LimitNews(TargetRun.of("v"), OptionalDouble.of(0), 5)),
+				new NeedsNews(
+						List.of(new LimitNews(run, OptionalDouble.of(2.7), 40),
+								new LimitNews(TargetRun.of("u"), OptionalDouble.empty(), 0),
+								new LimitNews(TargetRun.of("v"), OptionalDouble.of(0), 5)),
+						List.of(run, TargetRun.of("w"))),
 				List.of("10.0.0.1:7200"));
 		assertThat(EntryNewsCodec.decode(EntryNewsCodec.encode(news))).isEqualTo(news);
 	}
