--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherFuzzTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherFuzzTests.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 
+import dev.laneworks.core.backpressure.TargetNeeds;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetRun;
 import dev.laneworks.core.dispatch.DispatchHarness.Sent;
@@ -63,6 +64,15 @@
 		}
 	}
 
+	@Test
+	void keepsToWhatTargetsSayThatTheyNeed() {
+		for (long seed = 0; seed < SEEDS; seed++) {
+			Play play = new Play(seed);
+			play.needs = Optional.of(new NeedsOracle(play.name, new SplittableRandom(seed * 17 + 3)));
+			play.run();
+		}
+	}
+
 	private static final class Play {
 
 		private static final List<String> DATA_CENTRES = List.of("dc", "dc2", "dc3");
@@ -79,6 +89,9 @@
 		 */
 		private Optional<SplittableRandom> suspicions = Optional.empty();
 
+		/** Lets targets say what they need, where it is there. */
+		private Optional<NeedsOracle> needs = Optional.empty();
+
 		private final Map<Long, RequestDigest> digests = new HashMap<>();
 
 		private final Set<String> evacuated = new HashSet<>();
@@ -234,6 +247,7 @@
 					.ifPresent((d) -> assertWithMessage("%s: call %s is quarantined", this.name, sent.call())
 						.that(this.world.suspects.quarantinedFor(d, this.world.now).isPresent())
 						.isFalse());
+				this.needs.ifPresent((n) -> n.goesOut(sent, this.world.now));
 				this.arrivals.merge(sent.call(), 1, Integer::sum);
 				this.atTarget.add(sent);
 			}
@@ -254,7 +268,7 @@
 			}
 			else if (choice <= 2 && !this.nextEvent.containsKey(key(sent))) {
 				this.atTarget.remove(index);
-				this.world.answer(sent, 503, true);
+				answer(sent, 503, true);
 			}
 			else if (isStream) {
 				stream(sent, index, choice);
@@ -262,10 +276,18 @@
 			else {
 				runs(sent);
 				this.atTarget.remove(index);
-				this.world.answer(sent, (choice < 5) ? 500 : 200, false);
+				answer(sent, (choice < 5) ? 500 : 200, false);
 			}
 		}
 
+		private void answer(Sent sent, int status, boolean isTurnedAway) {
+			boolean isHeard = !this.world.abandoned.contains(sent.call() + "/" + sent.attempt());
+			TargetNeeds needs = this.needs.filter((n) -> isHeard)
+				.map((n) -> n.say(sent.target().run(), isTurnedAway, this.world.now))
+				.orElse(TargetNeeds.NONE);
+			this.world.answer(sent, status, isTurnedAway, needs);
+		}
+
 		private void stream(Sent sent, int index, int choice) {
 			runs(sent);
 			long next = this.nextEvent.computeIfAbsent(key(sent), (k) -> firstEvent(sent));
@@ -339,6 +361,7 @@
 			while (this.seenSent < this.world.sent.size()) {
 				Sent sent = this.world.sent.get(this.seenSent++);
 				checkPlace(sent.call(), sent.target());
+				this.needs.ifPresent((n) -> n.ordered(sent, this.world.now));
 				this.connecting.add(sent);
 			}
 			while (this.seenCopies < this.world.copies.size()) {
