Count the parts of a store's answer as progress, and begin an overdue watch anew after longer times

Callers got 404 on paths of a new plan, and keys that had been taken away still worked, for as long as load went on: five of eight entries of a data centre never got a plan of 1,704 more routes. Cause: a watch was given up 0.3 s after others were known to be ahead unless its whole answer was there; all began again together, and each small change started the next round. Class: a time-out shorter than its work, without progress and backing off, shared by a fleet. Change: head and parts of an answer are progress; a call that makes some is given up neither then nor at its time's end. An overdue watch is begun anew after 0.3 s, 0.6 s up to 4.8 s. A line for each, and a gauge of how long changes are known to be missing. Ruled out: the gap taken for filled (the lines show that it was known), the outcome of reading beside the I/O thread dropped.

--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/CallSlot.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/CallSlot.java
@@ -27,6 +27,9 @@
 	/** The number of the last call of which an answer arrived that is still read. */
 	private long arrived = NONE;
 
+	/** When a part of the open call's answer arrived last, or the call began. */
+	private long progressAt;
+
 	private long watchedAt;
 
 	private long watchWait;
@@ -50,20 +53,48 @@
 
 	/**
 	 * Begin a call, in place of one that may be open.
+	 * <p>
+	 * A call whose answer goes on arriving is not over however long it takes: given up,
+	 * it would begin from its first byte again, and a large answer would never be whole.
 	 * @param answerDue when its time is over, in milliseconds
-	 * @param overdue what is done then, unless it has ended
+	 * @param partMillis how long the next part of an answer may take that has begun to
+	 * arrive, in milliseconds
+	 * @param overdue what is done when either time is over, unless the call has ended
+	 * @param now the time in milliseconds
 	 * @return its number
 	 */
-	long begin(long answerDue, Timers.TimedAction overdue) {
+	long begin(long answerDue, long partMillis, Timers.TimedAction overdue, long now) {
 		this.number++;
 		this.open = true;
-		long begun = this.number;
-		this.timers.at(answerDue, (t) -> {
-			if (begun == this.number && this.open) {
-				overdue.run(t);
+		this.progressAt = now;
+		endAt(answerDue, partMillis, overdue, this.number);
+		return this.number;
+	}
+
+	private void endAt(long due, long partMillis, Timers.TimedAction overdue, long begun) {
+		this.timers.at(due, (t) -> {
+			boolean isOver = begun != this.number || !this.open;
+			if (isOver) {
+				return;
+			}
+			long partDue = this.progressAt + partMillis;
+			if (partDue > t) {
+				endAt(partDue, partMillis, overdue, begun);
+				return;
 			}
+			overdue.run(t);
 		});
-		return begun;
+	}
+
+	/**
+	 * Take that a part of an answer has arrived.
+	 * @param answered the number of the call
+	 * @param now the time in milliseconds
+	 */
+	void progressed(long answered, long now) {
+		if (answered == this.number) {
+			this.progressAt = now;
+		}
 	}
 
 	/**
@@ -105,12 +136,13 @@
 	 */
 	boolean isWatchUnheard(long millis, long now) {
 		boolean isWatch = this.open && this.watch == this.number;
-		return isWatch && this.arrived != this.number && now - this.watchedAt >= millis;
+		return isWatch && this.arrived != this.number && now - this.progressAt >= millis;
 	}
 
-	// Whether the open call has had the time that a watch may take, and more.
+	// Whether the open call has had the time that a watch may take, and more, and no part
+	// of its answer arrived in that.
 	boolean isPastWait(long moreMillis, long now) {
-		return this.open && now > this.watchedAt + this.watchWait + moreMillis;
+		return this.open && now > Math.max(this.watchedAt + this.watchWait, this.progressAt) + moreMillis;
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/FollowListener.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/FollowListener.java
@@ -44,6 +44,14 @@
 	 */
 	void lost(String cause);
 
+	/**
+	 * Take that a change which others know of is asked for anew, since nothing of an
+	 * answer arrived.
+	 * @param inARow how often that was so in a row
+	 * @param waitedMillis how long an answer was waited for, in milliseconds
+	 */
+	void askedAnew(int inARow, long waitedMillis);
+
 	/**
 	 * Hear that the store is back for others though not yet for this process, before what
 	 * they tell is passed on.
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -46,10 +46,17 @@
 
 	/**
 	 * After how long a watch is overdue that says nothing of a change others know of, in
-	 * milliseconds: the store's answers take 4 ms on good days and 240 on bad ones.
+	 * milliseconds; longer than the store takes for its first byte on bad days.
 	 */
 	private static final long OVERDUE_MILLIS = 300;
 
+	/**
+	 * How often that time doubles at the most, for watches that were begun anew in a row:
+	 * all processes ask for the same large answer at once, and each that begins again
+	 * holds up the others.
+	 */
+	private static final int MOST_DOUBLINGS = 4;
+
 	/** How often it is looked whether another process still reads, in milliseconds. */
 	private static final long REST_MILLIS = 50;
 
@@ -93,6 +100,9 @@
 	/** The number of the last watch that was to tell of a change known to others. */
 	private long expectedOf = -1;
 
+	/** How many watches were overdue in a row. */
+	private int overdueWatches;
+
 	/** Whether the listener threw, so that something it was told may be missing there. */
 	private boolean mustReadAnew;
 
@@ -115,6 +125,9 @@
 	/** The highest revision that others told of while this process was behind it. */
 	private long behindUpTo = Long.MIN_VALUE;
 
+	/** Since when it is behind that. */
+	private long behindSince;
+
 	/**
 	 * Create a follower.
 	 * @param settings the times that it calls by
@@ -259,6 +272,16 @@
 		this.call.arrived(number);
 	}
 
+	/**
+	 * Take that a part of an answer has arrived. A call that makes progress is not given
+	 * up.
+	 * @param number the number of the call
+	 * @param now the time in milliseconds
+	 */
+	public void progressed(long number, long now) {
+		this.call.progressed(number, now);
+	}
+
 	private void watchAnew(long now) {
 		this.outputs.abandon();
 		this.failures = Math.max(1, this.failures);
@@ -335,7 +358,7 @@
 			passOn(news, revision, now);
 			return;
 		}
-		tellThatBehind(news.to());
+		tellThatBehind(news.to(), now);
 		hear(news.changes(), now);
 		this.reading.passOn(news, now);
 		if (this.resting) {
@@ -350,24 +373,44 @@
 		}
 	}
 
-	// What others have read the own watch tells within milliseconds; a watch that does
-	// not is one whose answer was lost.
+	// What others have read the own watch tells within milliseconds; a watch of which
+	// nothing arrives is one whose answer was lost.
 	private void expect(long now) {
 		long number = this.call.number();
-		if (this.expectedOf == number) {
-			return;
+		if (this.expectedOf != number) {
+			this.expectedOf = number;
+			expect(number, this.known.revision(), OVERDUE_MILLIS << Math.min(this.overdueWatches, MOST_DOUBLINGS), now);
 		}
-		this.expectedOf = number;
-		long before = this.known.revision();
-		this.timers.at(now + OVERDUE_MILLIS, (t) -> {
-			if (number == this.call.number() && this.known.revision() == before && this.call.isWatchUnheard(0, t)) {
+	}
+
+	private void expect(long number, long before, long withinMillis, long now) {
+		this.timers.at(now + withinMillis, (t) -> {
+			boolean isTold = number != this.call.number() || !this.call.isOpen() || this.known.revision() != before;
+			if (isTold) {
+				return;
+			}
+			if (this.call.isWatchUnheard(withinMillis, t)) {
+				this.overdueWatches++;
+				this.listener.askedAnew(this.overdueWatches, withinMillis);
 				watchAnew(t);
+				return;
 			}
+			expect(number, before, withinMillis, t);
 		});
 	}
 
-	private void tellThatBehind(long told) {
+	/**
+	 * Return for how long this process has known that it lacks changes which others know.
+	 * @param now the time in milliseconds
+	 * @return milliseconds; 0 if it lacks none
+	 */
+	public long behindMillis(long now) {
+		return (this.known.revision() < this.behindUpTo) ? now - this.behindSince : 0;
+	}
+
+	private void tellThatBehind(long told, long now) {
 		if (this.known.revision() >= this.behindUpTo) {
+			this.behindSince = now;
 			this.listener.behind(this.known.revision(), told);
 		}
 		this.behindUpTo = Math.max(this.behindUpTo, told);
@@ -435,6 +478,7 @@
 			return false;
 		}
 		this.failures = 0;
+		this.overdueWatches = 0;
 		regain(this.silence.answered(now) >= OUTLIVED_MILLIS, now);
 		return true;
 	}
@@ -536,14 +580,14 @@
 	}
 
 	private void readPage(Optional<String> afterKey, long now) {
-		this.outputs.readPage(begin(now + this.settings.answerMillis()), afterKey);
+		this.outputs.readPage(begin(now + this.settings.answerMillis(), now), afterKey);
 	}
 
 	private void watch(long now) {
 		// The first watch after a failure is short: it tells soon whether the store is
 		// back.
 		long wait = (this.failures > 0) ? this.settings.gapMillis() : holdMillis();
-		long number = begin(now + wait + this.settings.answerMillis());
+		long number = begin(now + wait + this.settings.answerMillis(), now);
 		this.call.watches(wait, now);
 		this.outputs.watch(number, this.known.revision(), wait);
 	}
@@ -553,11 +597,11 @@
 				: this.settings.waitMillis();
 	}
 
-	private long begin(long answerDue) {
-		return this.call.begin(answerDue, (t) -> {
+	private long begin(long answerDue, long now) {
+		return this.call.begin(answerDue, this.settings.answerMillis(), (t) -> {
 			this.outputs.abandon();
 			failed(this.call.number(), "no answer within its time", t);
-		});
+		}, now);
 	}
 
 }
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
@@ -29,6 +29,8 @@
 
 	private final List<String> gaps = new ArrayList<>();
 
+	private final List<String> anew = new ArrayList<>();
+
 	private boolean fails;
 
 	private final Timers timers = new Timers();
@@ -444,6 +446,33 @@
 		assertThat(this.calls.get(this.calls.size() - 1)).isEqualTo("watch 100 700");
 	}
 
+	@Test
+	void aWatchOfWhichNothingArrivesIsBegunAnewAfterLongerTimes() {
+		watching();
+		tell(lower(), 150, 160, 500, change("x", 160));
+		for (long now = 500; now <= 1_500; now += 100) {
+			tell(lower(), 150 + now, 160 + now, now, change("y", 160 + now));
+			this.timers.run(now);
+		}
+		assertThat(this.anew).containsExactly("1 after 300", "2 after 600").inOrder();
+		assertThat(this.follower.behindMillis(1_500)).isEqualTo(1_000);
+		this.follower.watched(this.lastCall, List.of(change("x", 160)), 2_000, 1_510);
+		assertThat(this.follower.behindMillis(1_520)).isEqualTo(0);
+	}
+
+	@Test
+	void aWatchWhoseAnswerGoesOnArrivingIsNotGivenUp() {
+		watching();
+		tell(lower(), 150, 160, 500, change("x", 160));
+		for (long now = 600; now <= 9_000; now += 200) {
+			this.follower.progressed(this.lastCall, now);
+			this.timers.run(now);
+		}
+		assertThat(this.calls).doesNotContain("abandon");
+		this.timers.run(9_500);
+		assertThat(this.calls).contains("abandon");
+	}
+
 	@Test
 	void answersWithWhatItReadItselfAndNothingElse() {
 		watching();
@@ -607,6 +636,11 @@
 			StoreFollowerTests.this.gaps.add(known + " to " + told);
 		}
 
+		@Override
+		public void askedAnew(int inARow, long waitedMillis) {
+			StoreFollowerTests.this.anew.add(inARow + " after " + waitedMillis);
+		}
+
 		@Override
 		public void lost(String cause) {
 			StoreFollowerTests.this.heard.add("lost " + cause);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -156,6 +156,11 @@
 	/** How many targets are doubted, as it was when it was looked last. */
 	private volatile long doubtedTargets;
 
+	/**
+	 * For how long changes of the store were missing, as it was when it was looked last.
+	 */
+	private volatile long storeBehindMillis;
+
 	/** How many targets name a limit, as it was when it was looked last. */
 	private volatile int limitedTargets;
 
@@ -386,6 +391,7 @@
 		this.quarantinedRequests = this.suspicions.requests().quarantined(this.loop.now());
 		this.coldTargets = this.cold.count(this.loop.now());
 		this.evacuatedDataCentres = this.store.evacuations().count();
+		this.storeBehindMillis = this.store.follower().behindMillis(this.loop.now());
 		this.limitedTargets = this.needs.limited();
 		this.restingTargets = this.needs.resting(this.loop.now());
 		this.entriesOfLate = Math.max(this.others.count() + 1, this.entriesOfLate - 1);
@@ -477,6 +483,7 @@
 		this.metrics.register("laneworks_targets_lapsed", (Gauge<Integer>) this.directory::lapsed);
 		this.metrics.register("laneworks_targets_doubted", (Gauge<Long>) () -> this.doubtedTargets);
 		this.metrics.register("laneworks_targets_limited", (Gauge<Integer>) () -> this.limitedTargets);
+		this.metrics.register("laneworks_store_behind_millis", (Gauge<Long>) () -> this.storeBehindMillis);
 		this.metrics.register("laneworks_targets_resting", (Gauge<Integer>) () -> this.restingTargets);
 		this.metrics.register("laneworks_targets_cold", (Gauge<Long>) () -> this.coldTargets);
 		this.metrics.register("laneworks_requests_quarantined", (Gauge<Long>) () -> this.quarantinedRequests);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
@@ -162,6 +162,13 @@
 				"behind: others know revision " + told + ", here all up to " + known + " is known"));
 	}
 
+	@Override
+	public void askedAnew(int inARow, long waitedMillis) {
+		this.audit
+			.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "", "asked anew for what others know: "
+					+ "nothing arrived for " + waitedMillis + " ms, " + inARow + " times in a row"));
+	}
+
 	@Override
 	public void lost(String cause) {
 		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "", "out of reach: " + cause));
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/WholeResponse.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/WholeResponse.java
@@ -19,6 +19,8 @@
 
 	private final Consumer<Either<IOException, Received>> receiver;
 
+	private final Runnable progress;
+
 	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
 	private int status;
@@ -33,8 +35,20 @@
 	 * @param receiver takes the response, or why there is none
 	 */
 	public WholeResponse(int maxBytes, Consumer<Either<IOException, Received>> receiver) {
+		this(maxBytes, receiver, () -> {
+		});
+	}
+
+	/**
+	 * Create a listener that tells of each part of the response.
+	 * @param maxBytes the largest body accepted, in bytes
+	 * @param receiver takes the response, or why there is none
+	 * @param progress hears that the head or a part of the body has arrived
+	 */
+	public WholeResponse(int maxBytes, Consumer<Either<IOException, Received>> receiver, Runnable progress) {
 		this.maxBytes = maxBytes;
 		this.receiver = receiver;
+		this.progress = progress;
 	}
 
 	@Override
@@ -46,10 +60,12 @@
 	public void onHead(HttpResponseHead head) {
 		this.status = head.status();
 		this.contentType = head.contentType();
+		this.progress.run();
 	}
 
 	@Override
 	public void onBody(ByteBuffer data) {
+		this.progress.run();
 		if (this.body.size() + data.remaining() > this.maxBytes) {
 			this.tooLarge = true;
 			return;
