--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DispatchSettings.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DispatchSettings.java
@@ -25,7 +25,7 @@
 		long comeBackMillis, double silenceGoals, int timeShareToTryAgain, Mechanisms mechanisms) {
 
 	/**
-	 * Return the settings that were measured on the users' days.
+	 * Return the settings in use.
 	 * @param mechanisms the mechanisms that are used
 	 * @return the settings
 	 */
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/EngineAdmission.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/EngineAdmission.java
@@ -14,8 +14,7 @@
 final class EngineAdmission {
 
 	/**
-	 * How long a generation holds its memory until one was seen, in milliseconds; the
-	 * long ones of the measured days take 8 s at the mean.
+	 * How long a generation holds its memory until one was seen, in milliseconds.
 	 */
 	private static final double FIRST_LIFE_MILLIS = 9_000;
 
@@ -30,8 +29,7 @@
 
 	/**
 	 * Up to how many goals a generation of the highest rank may wait for memory. Sent all
-	 * the same, it would be late, and so would all behind it: of 442 short and 200 long
-	 * generations that were late in 34 s of such a load none was refused.
+	 * the same, it would be late, and so would all behind it.
 	 */
 	private static final double MOST_GOALS = 1;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Offers.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Offers.java
@@ -47,9 +47,9 @@
 	private final ConnectFailure connectFailed;
 
 	/**
-	 * How long connections take. A process that has just started takes up to 0.7 s to
-	 * look at its connections again; targets given up meanwhile cost it the time in which
-	 * it could have served: 51 calls of a restart failed so, and 7 since it is learned.
+	 * How long connections take. A process that has just started takes long to look at
+	 * its connections again; targets given up meanwhile would cost it the time in which
+	 * it could have served.
 	 */
 	private final UsualTime connectTime;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/RefusalDoubt.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/RefusalDoubt.java
@@ -21,8 +21,8 @@
 
 	/**
 	 * The first doubt's time, in milliseconds. An engine that is gone and still listed is
-	 * so for the time that the list is out of reach, eight seconds on measured days; a
-	 * plain target that goes down and up by turns is back within a few.
+	 * so for the time that the list is out of reach; a plain target that goes down and up
+	 * by turns is back within a few seconds.
 	 */
 	private static final long FIRST_MILLIS = 3_000;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/ReturnTimes.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/ReturnTimes.java
@@ -19,11 +19,8 @@
 
 	/**
 	 * The part of the room set free that callers are told to come back to; new ones take
-	 * the rest. Of 1,377 long generations that came to 10 engines within 39 s, 1.6 times
-	 * what they bear for 15 s of it, 121 were refused twice where all were told the wait
-	 * in their way, 97 at the whole of the room, 68 at a half, 37 at a quarter and 26 at
-	 * an eighth, which doubles the times told; of 2,683 short ones 1,215, then 1,254,
-	 * 1,209, 1,185 and 1,164.
+	 * the rest. A larger part has more callers refused twice, a smaller one lets them
+	 * wait for room that is there.
 	 */
 	private static final double PART_FOR_RETURNS = 0.25;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
@@ -46,8 +46,8 @@
 
 	/**
 	 * How full the fleet's memory may be for new copies: what the copies hold is missing
-	 * to generations, since one engine in six is away at any time. With a limit of 0.78 a
-	 * fleet whose generations hold two thirds of its memory had 28 of 740 preempted.
+	 * to generations, which engines preempt for it, since some engine is away at any
+	 * time.
 	 */
 	private static final double FLEET_FULLNESS = 0.5;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -37,7 +37,7 @@
 
 	/**
 	 * How long after the notice the run is stopped whatever the links' queues, in
-	 * milliseconds; the shortest notice measured is 1,540 ms.
+	 * milliseconds; leaves time for the last part within a notice of a second and a half.
 	 */
 	private static final long LATEST_MILLIS = 1_250;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -56,8 +56,7 @@
 	/**
 	 * The greatest part of a score as a copy's destination that differs from source to
 	 * source. Engines that leave together would otherwise all copy to the emptiest
-	 * engine, whose link takes one copy at a time: the copies of six engines queued for
-	 * 1.9 s at one that had joined half a second before.
+	 * engine, whose link takes one copy at a time.
 	 */
 	private static final double SPREAD_COPIES = 0.5;
 
@@ -74,10 +73,8 @@
 
 	/**
 	 * What a prompt that is to be read first adds to an engine's score, for each thousand
-	 * tokens: half of the memory for a prompt of 2,300, which holds a first event up for
-	 * 150 ms at an engine that only reads and for 310 at one that decodes too. At 0.04 an
-	 * engine with more room was preferred to one that reads nothing, and first events of
-	 * long generations took 980 ms at the median, 800 now.
+	 * tokens: enough that an engine which reads nothing is preferred to one with somewhat
+	 * more room.
 	 */
 	private static final double UNREAD_WEIGHT = 0.22;
 
@@ -90,10 +87,9 @@
 	private static final double JITTER = 0.05;
 
 	/**
-	 * The greatest random part where a generation begins: of 17 that met one sent there
-	 * by another process in the 30 ms before, in which that is not heard, 15 had been
-	 * chosen in ignorance of it. Engines that read nothing count as alike so, unless one
-	 * is fuller by a generation or two.
+	 * The greatest random part where a generation begins: what other processes sent in
+	 * the last milliseconds is not heard yet. Engines that read nothing count as alike
+	 * so, unless one is fuller by a generation or two.
 	 */
 	private static final double SPREAD_NEW = 0.25;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetQuality.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetQuality.java
@@ -12,8 +12,8 @@
 public final class TargetQuality {
 
 	/**
-	 * The time in which an answer's weight halves, in milliseconds; a faulty target of
-	 * the measured days stays faulty for about five seconds.
+	 * The time in which an answer's weight halves, in milliseconds; about as long as a
+	 * target's passing fault.
 	 */
 	private static final double HALF_LIFE_MILLIS = 4_000;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/SharedReading.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/SharedReading.java
@@ -236,8 +236,7 @@
 	/**
 	 * Tell others what a reading of all items found that this process had not heard of.
 	 * It stands for itself, like changes behind a gap: a process that can't reach the
-	 * store hears of a leaving so that no watch has told, 1.8 s earlier in a measured
-	 * case and by no other way in general.
+	 * store hears so of a leaving that no watch has told.
 	 * @param at the revision that was read
 	 * @param missed the changes, none to tell nothing
 	 * @param returning whether the store is back only lately
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -33,7 +33,7 @@
 	 * How long a silence of the store entries of targets outlive, in milliseconds: they
 	 * go after three missed heartbeats, which is 3.6 s where one comes each 1.2 s. Where
 	 * the store was silent for less, what is missing in it has left; taking it for lapsed
-	 * held leavings up by 1.8 s.
+	 * would hold leavings up.
 	 */
 	private static final long OUTLIVED_MILLIS = 1_000;
 
@@ -229,9 +229,8 @@
 
 	/**
 	 * Take that the store answered a probe. A watch that says nothing of a change begins
-	 * anew: it would end by its time limit only, 4.7 s after an answer that was lost, and
-	 * work was sent for as long to targets that had left. So does one that waits for a
-	 * store which is back.
+	 * anew: it would end by its time limit only, and work would be sent for as long to
+	 * targets that have left. So does one that waits for a store which is back.
 	 * @param at the revision of the store, which may be seconds old
 	 * @param now the time in milliseconds
 	 */
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreSilence.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreSilence.java
@@ -7,16 +7,14 @@
 
 	/**
 	 * After how long without a word of the store it is asked for a sign of life, in
-	 * milliseconds. A watch says nothing for up to four seconds, in which notices of 1.5
-	 * to 2 s were given and missed: a store that fell silent was found out after 0.9 to
-	 * 4.2 s, and within one since it is asked. On measured days the store takes a tenth
-	 * of a call's price for it.
+	 * milliseconds. A watch says nothing for up to four seconds, in which notices are
+	 * given and missed.
 	 */
 	private static final long PROBE_MILLIS = 300;
 
 	/**
-	 * After how long without a word the store counts as silent, in milliseconds: a sign
-	 * of life that was asked for took 4 ms on good days and 240 on bad ones.
+	 * After how long without a word the store counts as silent, in milliseconds: the time
+	 * after which it is asked, and that of a slow answer.
 	 */
 	private static final long SILENT_MILLIS = 560;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
@@ -35,10 +35,9 @@
 public final class Gossip {
 
 	/**
-	 * For how long an entry's copies away from a target are waited for, in milliseconds:
-	 * a whole copy takes 170 ms over a free link and twice that between data centres. One
-	 * that waited 1.9 s for its destination's link held up seven generations of four
-	 * entries until their engine ended.
+	 * For how long an entry's copies away from a target are waited for, in milliseconds;
+	 * longer than a whole copy takes between data centres over a free link. One that
+	 * waits for its destination's link would hold up the others until their engine ends.
 	 */
 	private static final long TURN_BOUND_MILLIS = 500;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/GossipSettings.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/GossipSettings.java
@@ -25,7 +25,7 @@
 		int mostTold, long movingMillis, long turnMillis, int introductions) {
 
 	/**
-	 * Return the settings that were measured on the users' days.
+	 * Return the settings in use.
 	 * @return the settings
 	 */
 	public static GossipSettings defaults() {
--- a/laneworks-core/src/main/java/dev/laneworks/core/inquiry/LeavingInquiry.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/inquiry/LeavingInquiry.java
@@ -15,21 +15,19 @@
 /**
  * Asks engines whether they are leaving, while the list of targets can't be read.
  * <p>
- * A notice that is given meanwhile is heard by nobody otherwise: of 540 long streams of a
- * measured day with eight such seconds 37 ended with their engines. Each engine is asked
- * by one process, which tells the others. An engine that does not answer says nothing,
- * and one that does not say when it leaves waits for the list itself: it serves on until
- * the list has taken its word. Generations moved away from two such engines of eleven
- * crowded the others so that 63 copies found no room and 14 streams were lost. Pure code
- * over explicit time; not thread-safe.
+ * A notice that is given meanwhile is heard by nobody otherwise, and generations end with
+ * their engines. Each engine is asked by one process, which tells the others. An engine
+ * that does not answer says nothing, and one that does not say when it leaves waits for
+ * the list itself: it serves on until the list has taken its word, and generations moved
+ * away from several at once would crowd the other engines. Pure code over explicit time;
+ * not thread-safe.
  *
  * @since 0.2
  */
 public final class LeavingInquiry {
 
 	/**
-	 * How often an engine is asked, in milliseconds: a fifth of the shortest notice
-	 * measured (1,540 ms), at a price of 27 questions for an engine in eight seconds.
+	 * How often an engine is asked, in milliseconds: a fifth of a short notice.
 	 */
 	private static final long ASK_MILLIS = 300;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/poison/BrokenRequests.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/poison/BrokenRequests.java
@@ -23,8 +23,7 @@
 
 	/**
 	 * For how long after a break the end of the target explains it, in milliseconds: the
-	 * list drops a target after three heartbeats of silence, 3.6 s on the measured
-	 * platforms, 2.6 to 3.5 s after its end.
+	 * list drops a target after three heartbeats of silence.
 	 */
 	static final long EXPLAINED_MILLIS = 4_500;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/poison/PoisonSettings.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/poison/PoisonSettings.java
@@ -23,11 +23,9 @@
 	 * <p>
 	 * Three ends: targets end of other causes too, with all that they work on; three in a
 	 * row under one request that never ran whole are no chance, and a fourth is not
-	 * risked. Two seconds of events: harmful requests ended their engines 60 to 80 ms
-	 * after they began, measured over two of them, and a sound generation lasts eight
-	 * seconds. Ten minutes: long enough for people to see it and to mend the caller or
-	 * the target; a harmful request that comes each second costs three targets in this
-	 * time and not a hundred.
+	 * risked. Two seconds of events: a harmful request ends its engine as it begins, and
+	 * a sound generation lasts longer. Ten minutes: long enough for people to see it and
+	 * to mend the caller or the target.
 	 * @return the settings
 	 */
 	public static PoisonSettings defaults() {
--- a/laneworks-core/src/main/java/dev/laneworks/core/poison/SoundRequests.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/poison/SoundRequests.java
@@ -8,8 +8,8 @@
 final class SoundRequests {
 
 	/**
-	 * How many requests are remembered at the most, a power of two: 64 KB, some ten
-	 * minutes of an entry of the measured fleets, which serves ten requests a second.
+	 * How many requests are remembered at the most, a power of two: 64 KB, and some ten
+	 * minutes of an entry that serves ten requests a second.
 	 */
 	private static final int PLACES = 8_192;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/time/PauseDetector.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/time/PauseDetector.java
@@ -13,8 +13,8 @@
 	/**
 	 * The shortest gap between two signs of life that counts as a pause, in milliseconds:
 	 * three signs of an idle entry, which gives one each 150 ms since it looks that often
-	 * whether the store is silent, and a third of one more. The gaps of busy entries were
-	 * not measured; one that is taken for a pause costs streams refused in a stop.
+	 * whether the store is silent, and a third of one more. A gap of a busy entry that is
+	 * taken for a pause costs streams refused in a stop.
 	 */
 	private static final long PAUSE_MILLIS = 500;
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -85,8 +85,7 @@
 
 	/**
 	 * How long a start waits for the store before it asks other entries too, in
-	 * milliseconds. The store answers within 30 to 200 ms of a start, the processor time
-	 * of a start included.
+	 * milliseconds; longer than the store's answers and the start's own work take.
 	 */
 	private static final long STORE_ALONE_MILLIS = 300;
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/OtherEntries.java
@@ -99,10 +99,8 @@
 		}
 	}
 
-	// Entries of other data centres hear of work each three seconds otherwise. Those that
-	// found the same distant engine empty meanwhile sent it 14 generations in 0.8 s; the
-	// last of them waited 4.4 s for its first event. Of 423 generations that went to
-	// distant engines 224 met more there than their entry knew of.
+	// Entries of other data centres hear of work each three seconds otherwise, and would
+	// all find the same distant engine empty meanwhile.
 	private static ChangeReach reach(TargetBeliefs.Change change) {
 		return switch (change) {
 			case AWAITED -> ChangeReach.CONCERNED;
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
@@ -28,10 +28,8 @@
 final class PlanAndTargets implements FollowListener {
 
 	/**
-	 * From how many characters on a plan is read beside the I/O thread. One of 350 routes
-	 * takes 20 ms of processor time with its answer, 0.08 s on a quarter of a core. Of
-	 * 445 streams of such entries 74 paused for longer than callers allow (0.18 s) in the
-	 * day of such a plan, and 19 since it is read aside.
+	 * From how many characters on a plan is read beside the I/O thread, on which streams
+	 * would pause for longer than callers allow meanwhile.
 	 */
 	private static final int LARGE_PLAN = 16 * 1024;
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/StreamWriter.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/StreamWriter.java
@@ -16,8 +16,8 @@
 final class StreamWriter {
 
 	/**
-	 * The most bytes kept for a caller that reads slowly; a stream of the measured days
-	 * has 50 KB in all.
+	 * The most bytes kept for a caller that reads slowly; many times what a long stream
+	 * has in all.
 	 */
 	private static final long MAX_QUEUED_BYTES = 1024 * 1024;
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/WakeGate.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/WakeGate.java
@@ -14,13 +14,13 @@
 
 	/**
 	 * The shortest pause behind which requests wait, in milliseconds: half of the two
-	 * seconds after which a leaving or an evacuation binds on the measured platforms.
+	 * seconds after which a leaving or an evacuation binds.
 	 */
 	private static final long LONG_PAUSE_MILLIS = 1_000;
 
 	/**
 	 * For how long requests wait at the most, in milliseconds: less than the goal of the
-	 * quickest calls (386 ms), and longer than the store takes on bad days (240 ms).
+	 * quickest calls, and longer than the store takes on bad days.
 	 */
 	private static final long WAIT_MILLIS = 300;
 
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/log/LineOutput.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/log/LineOutput.java
@@ -16,8 +16,7 @@
 final class LineOutput {
 
 	/**
-	 * The lines a second and at once that are logged; a busy entry of the measured days
-	 * writes about a hundred a second.
+	 * The lines a second that are logged; a few times what a busy entry writes.
 	 */
 	private static final double LINES_PER_SECOND = 400;
 
