Take how far a process lags behind others out of StoreFollower

Lag holds what is known to be missing, since when, and how long a watch is given; no logic changes. Tests of the follower, the storm and shared reading (42) green.

--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -44,19 +44,6 @@
 	 */
 	private static final long STALLED_MILLIS = 1_000;
 
-	/**
-	 * After how long a watch is overdue that says nothing of a change others know of, in
-	 * milliseconds; longer than the store takes for its first byte on bad days.
-	 */
-	private static final long OVERDUE_MILLIS = 300;
-
-	/**
-	 * How often that time doubles at the most, for watches that were begun anew in a row:
-	 * all processes ask for the same large answer at once, and each that begins again
-	 * holds up the others.
-	 */
-	private static final int MOST_DOUBLINGS = 4;
-
 	/** How often it is looked whether another process still reads, in milliseconds. */
 	private static final long REST_MILLIS = 50;
 
@@ -85,6 +72,8 @@
 
 	private final StoreSilence silence = new StoreSilence();
 
+	private final Lag lag = new Lag();
+
 	private final CallSlot call;
 
 	private boolean watching;
@@ -97,12 +86,6 @@
 
 	private long firstRevision = -1;
 
-	/** The number of the last watch that was to tell of a change known to others. */
-	private long expectedOf = -1;
-
-	/** How many watches were overdue in a row. */
-	private int overdueWatches;
-
 	/** Whether the listener threw, so that something it was told may be missing there. */
 	private boolean mustReadAnew;
 
@@ -122,12 +105,6 @@
 
 	private boolean lost;
 
-	/** The highest revision that others told of while this process was behind it. */
-	private long behindUpTo = Long.MIN_VALUE;
-
-	/** Since when it is behind that. */
-	private long behindSince;
-
 	/**
 	 * Create a follower.
 	 * @param settings the times that it calls by
@@ -243,8 +220,8 @@
 		if (this.call.isOpen() && at > this.known.revision()) {
 			expect(now);
 		}
-		if (isBack
-				&& (!this.call.isOpen() || this.call.isWatchUnheard(this.settings.gapMillis() + OVERDUE_MILLIS, now))) {
+		if (isBack && (!this.call.isOpen()
+				|| this.call.isWatchUnheard(this.settings.gapMillis() + Lag.OVERDUE_MILLIS, now))) {
 			watchAnew(now);
 		}
 	}
@@ -376,9 +353,8 @@
 	// nothing arrives is one whose answer was lost.
 	private void expect(long now) {
 		long number = this.call.number();
-		if (this.expectedOf != number) {
-			this.expectedOf = number;
-			expect(number, this.known.revision(), OVERDUE_MILLIS << Math.min(this.overdueWatches, MOST_DOUBLINGS), now);
+		if (this.lag.expects(number)) {
+			expect(number, this.known.revision(), this.lag.waitMillis(), now);
 		}
 	}
 
@@ -389,8 +365,7 @@
 				return;
 			}
 			if (this.call.isWatchUnheard(withinMillis, t)) {
-				this.overdueWatches++;
-				this.listener.askedAnew(this.overdueWatches, withinMillis);
+				this.listener.askedAnew(this.lag.watchIsOverdue(), withinMillis);
 				watchAnew(t);
 				return;
 			}
@@ -404,15 +379,14 @@
 	 * @return milliseconds; 0 if it lacks none
 	 */
 	public long behindMillis(long now) {
-		return (this.known.revision() < this.behindUpTo) ? now - this.behindSince : 0;
+		return this.lag.millis(this.known.revision(), now);
 	}
 
 	private void tellThatBehind(long told, long now) {
-		if (this.known.revision() >= this.behindUpTo) {
-			this.behindSince = now;
-			this.listener.behind(this.known.revision(), told);
+		long revision = this.known.revision();
+		if (this.lag.heard(told, revision, now)) {
+			this.listener.behind(revision, told);
 		}
-		this.behindUpTo = Math.max(this.behindUpTo, told);
 	}
 
 	// What this process knew already it has told.
@@ -477,7 +451,7 @@
 			return false;
 		}
 		this.failures = 0;
-		this.overdueWatches = 0;
+		this.lag.answered();
 		regain(this.silence.answered(now) >= OUTLIVED_MILLIS, now);
 		return true;
 	}
