Keep what gauges tell of an entry in one value

Cause: seven volatile fields of DirectEntry, three of them new with the targets in need and the large plan, each with a line that looked it up. EntryFigures is looked up as one each half second. No logic changes.

--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -152,28 +152,8 @@
 
 	private volatile boolean ready;
 
-	/** How many targets are doubted, as it was when it was looked last. */
-	private volatile long doubtedTargets;
-
-	/**
-	 * For how long changes of the store were missing, as it was when it was looked last.
-	 */
-	private volatile long storeBehindMillis;
-
-	/** How many targets name a limit, as it was when it was looked last. */
-	private volatile int limitedTargets;
-
-	/** How many targets want rest, as it was when it was looked last. */
-	private volatile int restingTargets;
-
-	/** How many targets are cold, as it was when it was looked last. */
-	private volatile long coldTargets;
-
-	/** How many requests are quarantined, as it was when it was looked last. */
-	private volatile long quarantinedRequests;
-
-	/** How many data centres are evacuated, as it was when it was looked last. */
-	private volatile int evacuatedDataCentres;
+	/** What is told of the entry in gauges, as it was when it was looked last. */
+	private volatile EntryFigures figures = EntryFigures.NONE;
 
 	private final PlannedStop plannedStop;
 
@@ -386,18 +366,18 @@
 	// for a while.
 	private void lookAtShares() {
 		MonotonicClock.look();
-		this.doubtedTargets = this.beliefs.doubted(this.loop.now());
-		this.quarantinedRequests = this.suspicions.requests().quarantined(this.loop.now());
-		this.coldTargets = this.cold.count(this.loop.now());
-		this.evacuatedDataCentres = this.store.evacuations().count();
-		this.storeBehindMillis = this.store.follower().behindMillis(this.loop.now());
-		this.limitedTargets = this.needs.limited();
-		this.restingTargets = this.needs.resting(this.loop.now());
+		this.figures = look(this.loop.now());
 		this.entriesOfLate = Math.max(this.others.count() + 1, this.entriesOfLate - 1);
 		this.retries.allow(this.inForce.retryRatio(), this.inForce.ownRetryExtra(this.entriesOfLate));
 		this.loop.timers().at(this.loop.now() + SHARE_MILLIS, (t) -> lookAtShares());
 	}
 
+	private EntryFigures look(long now) {
+		return new EntryFigures(this.beliefs.doubted(now), this.cold.count(now), this.needs.limited(),
+				this.needs.resting(now), this.suspicions.requests().quarantined(now), this.store.evacuations().count(),
+				this.store.follower().behindMillis(now));
+	}
+
 	// Requests that come during the start wait unread for the plan, since callers come
 	// back once at the most; they wait for no longer than callers bear.
 	private void lookForPlan(long startedAt) {
@@ -480,13 +460,14 @@
 		this.metrics.register("laneworks_targets", (Gauge<Integer>) this.directory::size);
 		this.metrics.register("laneworks_suspended_millis", (Gauge<Long>) MonotonicClock::suspendedMillis);
 		this.metrics.register("laneworks_targets_lapsed", (Gauge<Integer>) this.directory::lapsed);
-		this.metrics.register("laneworks_targets_doubted", (Gauge<Long>) () -> this.doubtedTargets);
-		this.metrics.register("laneworks_targets_limited", (Gauge<Integer>) () -> this.limitedTargets);
-		this.metrics.register("laneworks_store_behind_millis", (Gauge<Long>) () -> this.storeBehindMillis);
-		this.metrics.register("laneworks_targets_resting", (Gauge<Integer>) () -> this.restingTargets);
-		this.metrics.register("laneworks_targets_cold", (Gauge<Long>) () -> this.coldTargets);
-		this.metrics.register("laneworks_requests_quarantined", (Gauge<Long>) () -> this.quarantinedRequests);
-		this.metrics.register("laneworks_data_centres_evacuated", (Gauge<Integer>) () -> this.evacuatedDataCentres);
+		this.metrics.register("laneworks_targets_doubted", (Gauge<Long>) () -> this.figures.doubtedTargets());
+		this.metrics.register("laneworks_targets_limited", (Gauge<Integer>) () -> this.figures.limitedTargets());
+		this.metrics.register("laneworks_store_behind_millis", (Gauge<Long>) () -> this.figures.storeBehindMillis());
+		this.metrics.register("laneworks_targets_resting", (Gauge<Integer>) () -> this.figures.restingTargets());
+		this.metrics.register("laneworks_targets_cold", (Gauge<Long>) () -> this.figures.coldTargets());
+		this.metrics.register("laneworks_requests_quarantined", (Gauge<Long>) () -> this.figures.quarantinedRequests());
+		this.metrics.register("laneworks_data_centres_evacuated",
+				(Gauge<Integer>) () -> this.figures.evacuatedDataCentres());
 		this.metrics.register("laneworks_items_refused", (Gauge<Integer>) this.store.published()::refusedItems);
 		this.metrics.register("laneworks_peers", (Gauge<Integer>) this.others::count);
 		for (AuditKind kind : AuditKind.values()) {
