Keep rests and limits of a target whose item was gone for a moment, and bound what is told of them

Cause, read in the change of this work: what a target had asked for was forgotten with its item, which lapses and comes back while the store is away; a rest of three seconds then ended early, and a limit held again only behind the next answer. News named every limit there is: 600 of them would have made heartbeats too large to be sent, and their entries gone for the others. Change: rests end by their time alone, limits are known for a minute without an item; at most 64 limits and 64 leavings are told, the newest first. Where no target is cold or in need nothing more is looked up for a request.

--- a/laneworks-core/src/main/java/dev/laneworks/core/backpressure/LeavingTargets.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/backpressure/LeavingTargets.java
@@ -27,6 +27,9 @@
 	 */
 	private static final long TOLD_MILLIS = 60_000;
 
+	/** The most runs that others are told of at once, so that news stay small. */
+	private static final int MOST_TOLD = 64;
+
 	/** When each run was last heard to be leaving, by its own word or another entry's. */
 	private final Map<TargetRun, Long> heardAt = new HashMap<>();
 
@@ -60,11 +63,13 @@
 		return this.heardAt.containsKey(target);
 	}
 
-	// The runs of which others are told.
+	// The runs of which others are told, the newest ones first.
 	List<TargetRun> toTell(long now) {
 		return this.saidAt.entrySet()
 			.stream()
 			.filter((e) -> now - e.getValue() <= TOLD_MILLIS)
+			.sorted(Map.Entry.<TargetRun, Long>comparingByValue().reversed())
+			.limit(MOST_TOLD)
 			.map(Map.Entry::getKey)
 			.toList();
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/backpressure/TargetLimits.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/backpressure/TargetLimits.java
@@ -1,11 +1,12 @@
 package dev.laneworks.core.backpressure;
 
-import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.function.ToDoubleFunction;
 
 import dev.laneworks.core.directory.ListedTarget;
@@ -54,6 +55,15 @@
 	/** For how long others are told that a limit is over, in milliseconds. */
 	private static final long OVER_TOLD_MILLIS = 10_000;
 
+	/**
+	 * For how long the limit of a target is known that is not listed any more, in
+	 * milliseconds: it may have lapsed alone, and be back as it was.
+	 */
+	private static final long GONE_KNOWN_MILLIS = 60_000;
+
+	/** The most limits that others are told of at once, so that news stay small. */
+	private static final int MOST_TOLD = 64;
+
 	/**
 	 * How much newer the word of another entry must be than the one known, in
 	 * milliseconds. The time that news are on their way makes them look newer than they
@@ -122,23 +132,30 @@
 	}
 
 	private boolean take(TargetRun target, OptionalDouble perSecond, long toldAt) {
+		this.byRun.values().removeIf((l) -> l.isForgotten(toldAt));
 		Limit limit = this.byRun.computeIfAbsent(target, (run) -> new Limit());
 		boolean isNew = !limit.perSecond.equals(perSecond);
 		limit.perSecond = perSecond;
 		limit.toldAt = toldAt;
+		limit.goneAt = OptionalLong.empty();
 		return isNew;
 	}
 
 	/**
 	 * Return what others are to be told.
 	 * @param now the time in milliseconds
-	 * @return the last word of each target that names a limit, or did a moment ago
+	 * @return the last word of each target that names a limit, or did a moment ago, the
+	 * newest ones first
 	 */
 	List<LimitNews> news(long now) {
-		this.byRun.values().removeIf((l) -> l.perSecond.isEmpty() && now - l.toldAt > OVER_TOLD_MILLIS);
-		List<LimitNews> all = new ArrayList<>();
-		this.byRun.forEach((run, l) -> all.add(new LimitNews(run, l.perSecond, Math.max(0, now - l.toldAt))));
-		return all;
+		this.byRun.values().removeIf((l) -> l.isForgotten(now));
+		return this.byRun.entrySet()
+			.stream()
+			.filter((e) -> e.getValue().goneAt.isEmpty())
+			.sorted(Comparator.comparingLong((e) -> -e.getValue().toldAt))
+			.limit(MOST_TOLD)
+			.map((e) -> new LimitNews(e.getKey(), e.getValue().perSecond, Math.max(0, now - e.getValue().toldAt)))
+			.toList();
 	}
 
 	/**
@@ -165,17 +182,26 @@
 	void sent(ListedTarget target, long now) {
 		Limit limit = this.byRun.get(target.run());
 		if (limit != null && limit.perSecond.isPresent()) {
+			limit.goneAt = OptionalLong.empty();
 			advance(limit, target, now);
 			limit.permits.take();
 		}
 	}
 
 	/**
-	 * Forget a run of a target that is over.
+	 * Take that a run of a target is not listed any more.
 	 * @param target the run
+	 * @param now the time in milliseconds
 	 */
-	void forget(TargetRun target) {
-		this.byRun.remove(target);
+	void gone(TargetRun target, long now) {
+		Limit limit = this.byRun.get(target);
+		if (limit != null) {
+			limit.goneAt = OptionalLong.of(now);
+		}
+	}
+
+	boolean isEmpty() {
+		return this.byRun.isEmpty();
 	}
 
 	/**
@@ -183,7 +209,7 @@
 	 * @return the count
 	 */
 	int count() {
-		return (int) this.byRun.values().stream().filter((l) -> l.perSecond.isPresent()).count();
+		return (int) this.byRun.values().stream().filter((l) -> l.perSecond.isPresent() && l.goneAt.isEmpty()).count();
 	}
 
 	private void advance(Limit limit, ListedTarget target, long now) {
@@ -204,6 +230,9 @@
 
 		private long toldAt;
 
+		/** Since when the target is not listed, if it is not. */
+		private OptionalLong goneAt = OptionalLong.empty();
+
 		private double part;
 
 		private long sharedAt = Long.MIN_VALUE / 2;
@@ -212,6 +241,11 @@
 
 		private PermitBucket permits;
 
+		boolean isForgotten(long now) {
+			boolean isOver = this.perSecond.isEmpty() && now - this.toldAt > OVER_TOLD_MILLIS;
+			return isOver || (this.goneAt.isPresent() && now - this.goneAt.getAsLong() > GONE_KNOWN_MILLIS);
+		}
+
 		// What all entries send together.
 		double allPerSecond() {
 			return Math.max(LEAST_PER_SECOND, TOGETHER * this.perSecond.orElse(0));
--- a/laneworks-core/src/main/java/dev/laneworks/core/backpressure/TargetRests.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/backpressure/TargetRests.java
@@ -8,8 +8,8 @@
 /**
  * Leaves targets alone that turned a request of this entry away and asked for rest.
  * <p>
- * The rest is for the entry that was told; others may find the target with room. Not
- * thread-safe.
+ * The rest is for the entry that was told; others may find the target with room. It goes
+ * on while the target is not listed, which may be back before its end. Not thread-safe.
  */
 final class TargetRests {
 
@@ -40,7 +40,7 @@
 	 * @param now the time in milliseconds
 	 */
 	void asked(TargetRun target, long millis, long now) {
-		this.byRun.values().removeIf((r) -> r.until <= now);
+		forgetOver(now);
 		Rest rest = this.byRun.computeIfAbsent(target, (run) -> new Rest());
 		rest.until = Math.max(rest.until, now + millis);
 	}
@@ -73,13 +73,18 @@
 		}
 	}
 
-	void forget(TargetRun target) {
-		this.byRun.remove(target);
+	boolean isEmpty() {
+		return this.byRun.isEmpty();
 	}
 
 	// How many targets rest.
 	int count(long now) {
-		return (int) this.byRun.values().stream().filter((r) -> r.until > now).count();
+		forgetOver(now);
+		return this.byRun.size();
+	}
+
+	private void forgetOver(long now) {
+		this.byRun.values().removeIf((r) -> r.until <= now);
 	}
 
 	private static final class Rest {
--- a/laneworks-core/src/main/java/dev/laneworks/core/backpressure/TargetsInNeed.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/backpressure/TargetsInNeed.java
@@ -114,7 +114,8 @@
 	 * @return milliseconds; 0 if it does now
 	 */
 	public long freeInMillis(ListedTarget target, long now) {
-		return Math.max(this.limits.freeInMillis(target, now), this.rests.leftMillis(target.run(), now));
+		return isQuiet() ? 0
+				: Math.max(this.limits.freeInMillis(target, now), this.rests.leftMillis(target.run(), now));
 	}
 
 	/**
@@ -128,15 +129,23 @@
 	}
 
 	/**
-	 * Forget a target that is gone.
+	 * Take that a target is not listed any more. What it said is known for a while still.
 	 * @param target the target
+	 * @param now the time in milliseconds
 	 */
-	public void forget(ListedTarget target) {
-		this.limits.forget(target.run());
-		this.rests.forget(target.run());
+	public void gone(ListedTarget target, long now) {
+		this.limits.gone(target.run(), now);
 		this.absurd.remove(target.run());
 	}
 
+	/**
+	 * Return whether no target has named a limit or asked for rest lately.
+	 * @return whether all take what they are sent, as far as is known
+	 */
+	public boolean isQuiet() {
+		return this.limits.isEmpty() && this.rests.isEmpty();
+	}
+
 	/**
 	 * Return whether a target has asked this entry for rest that is not over.
 	 * @param target the target
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/ColdTargets.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/ColdTargets.java
@@ -153,6 +153,14 @@
 		this.byRun.remove(target.run());
 	}
 
+	/**
+	 * Return whether no target has told lately that it is cold.
+	 * @return whether none is bounded
+	 */
+	public boolean isQuiet() {
+		return this.byRun.isEmpty();
+	}
+
 	/**
 	 * Return how many targets are cold.
 	 * @param now the time in milliseconds
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Eligibility.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Eligibility.java
@@ -193,6 +193,9 @@
 	 * @return the count
 	 */
 	long leftOut(Scope scope, long now) {
+		if (this.needs.isQuiet() && this.cold.isQuiet()) {
+			return 0;
+		}
 		return serving(scope.service()).stream().filter((t) -> isAllowed(scope, t) && freeInMillis(t, now) > 0).count();
 	}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/NeedyTargetTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/NeedyTargetTests.java
@@ -198,6 +198,16 @@
 		assertThat(this.world.arrive().target()).isEqualTo(target);
 	}
 
+	@Test
+	void aRestGoesOnThoughTheTargetsItemWasGoneForAMoment() {
+		ListedTarget target = this.world.join(DispatchHarness.PLAIN, "target");
+		askAndAnswer(rest(3_000), true);
+		this.world.end(target);
+		this.world.directory.put(target);
+		refusedAtOnce();
+		assertThat(this.world.sent).hasSize(1);
+	}
+
 	@Test
 	void aRestThatIsAskedForAgainDoesNotEndAnEarlierOneBeforeItsTime() {
 		ListedTarget target = this.world.join(DispatchHarness.PLAIN, "target");
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/MembershipEvents.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/MembershipEvents.java
@@ -84,7 +84,7 @@
 		this.dispatcher.gone(target, this.loop.now());
 		this.beliefs.forget(target);
 		this.cold.forget(target);
-		this.needs.forget(target);
+		this.needs.gone(target, this.loop.now());
 	}
 
 	private long targetsIn(String dataCentre) {
