--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/PlanStormTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/PlanStormTests.java
@@ -34,6 +34,12 @@
 		}
 	}
 
+	@Test
+	void threeHundredProcessesHaveItOverTheLinkOfTheStore() {
+		PlanStorm storm = new PlanStorm(300, PLAN_BYTES, 1_000, 4, 1);
+		assertThat(storm.untilAllHaveThePlan(10_000).get()).isAtMost(2 * 1_200 + 2_000);
+	}
+
 	// Waiting as long as the first time for each answer, none would ever hear one.
 	@Test
 	void aStoreThatIsSlowToBeginItsAnswersIsWaitedForLongerEachTime() {
