Order what is known of the store by era first, so that an older copy takes nothing back

Callers were sent to a target that had left: the store came back from a copy and told the leaving at a revision that it had given out before. Cause: everything heard of the store was ordered by revision, as if it only rose. Class: a number taken for a clock that never goes back. Behind the return what the copy lacks counts as lapsed, ended runs that it holds are left out for 4 s unless they write again, evacuations that it lacks go on for 4 s, and nothing that it lacks is told to other entries as gone. A line and a counter for each return. Ruled out: a value of two fields in every interface (the same order, in some hundred more places).

--- a/laneworks-core/src/main/java/dev/laneworks/core/directory/EndedRuns.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/EndedRuns.java
@@ -30,6 +30,11 @@
 		}
 	}
 
+	// Whether a run of a target went, as far as is remembered.
+	boolean contains(TargetRun run) {
+		return this.ended.containsKey(run);
+	}
+
 	/**
 	 * Return whether a target that is listed had its address before another one that is
 	 * known there.
--- a/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
@@ -36,8 +36,21 @@
 	 */
 	private static final long RETURN_MILLIS = 1_800;
 
+	/**
+	 * How long an ended run that an older copy of the list brings back is left out, in
+	 * milliseconds: the list drops what is not renewed within three heartbeats, and what
+	 * lives writes itself again before.
+	 */
+	private static final long COPY_DOUBTED_MILLIS = 4_000;
+
 	private final Map<String, ListedTarget> targets = new LinkedHashMap<>();
 
+	/** Entries of ended runs that an older copy of the list holds, by id. */
+	private final Map<String, Listing> doubted = new HashMap<>();
+
+	/** Whether the next whole list is that of an older copy. */
+	private boolean readsCopy;
+
 	private final Map<String, Long> lapsedUntil = new HashMap<>();
 
 	/** The targets whose known run takes no new work. */
@@ -119,6 +132,7 @@
 	 * @param listing the entry
 	 */
 	public void put(Listing listing) {
+		this.doubted.remove(listing.target().id());
 		together(() -> take(listing, List.copyOf(this.targets.values())));
 	}
 
@@ -195,6 +209,7 @@
 	 * @param now the time in milliseconds
 	 */
 	public void remove(String id, long now) {
+		this.doubted.remove(id);
 		ListedTarget target = this.targets.get(id);
 		if (target == null) {
 			return;
@@ -236,8 +251,12 @@
 		Set<String> listed = new HashSet<>();
 		for (Listing listing : all) {
 			listed.add(listing.target().id());
-			take(listing, known);
+			if (!isDoubted(listing, now)) {
+				take(listing, known);
+			}
 		}
+		this.readsCopy = false;
+		this.doubted.keySet().retainAll(listed);
 		for (String id : List.copyOf(this.targets.keySet())) {
 			if (!listed.contains(id)) {
 				remove(id, now);
@@ -245,6 +264,39 @@
 		}
 	}
 
+	// An older copy may hold runs that have ended since. Those that live are written
+	// again, which is heard as a change of its own.
+	private boolean isDoubted(Listing listing, long now) {
+		String id = listing.target().id();
+		if (listing.equals(this.doubted.get(id))) {
+			return true;
+		}
+		this.doubted.remove(id);
+		boolean isBroughtBack = this.readsCopy && !this.targets.containsKey(id)
+				&& this.endedRuns.contains(listing.target().run());
+		if (isBroughtBack) {
+			this.doubted.put(id, listing);
+			this.timers.at(now + COPY_DOUBTED_MILLIS, (t) -> believe(listing));
+		}
+		return isBroughtBack;
+	}
+
+	private void believe(Listing listing) {
+		if (this.doubted.remove(listing.target().id(), listing)) {
+			put(listing);
+		}
+	}
+
+	/**
+	 * Take that the list is read next as it stood some time ago. What it lacks counts as
+	 * lapsed, and runs that have ended are not brought back by it.
+	 * @param now the time in milliseconds
+	 */
+	public void historyReplaced(long now) {
+		this.readsCopy = true;
+		regained(now);
+	}
+
 	/**
 	 * Take that a target itself showed that it takes no new work.
 	 * @param run the run of the target that showed it
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/FollowListener.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/FollowListener.java
@@ -38,6 +38,15 @@
 	 */
 	void behind(long known, long told);
 
+	/**
+	 * Hear that the store has come back from an older copy, before all its items are
+	 * given. What it lacks may be written again soon; what it holds may be outdated.
+	 * @param known the position up to which it was known before
+	 * @param at the position that is read now
+	 * @param now the time in milliseconds
+	 */
+	void historyReplaced(long known, long at, long now);
+
 	/**
 	 * Hear that the store is out of reach.
 	 * @param cause what was seen
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -167,7 +167,12 @@
 	}
 
 	private void takeAll(List<StoreItem> all, long at, long now) {
+		boolean isOtherHistory = this.hasRead && !StorePosition.areOfOneEra(this.known.revision(), at);
 		List<StoreChange> missed = this.hasRead ? this.known.missedOf(all, at) : List.of();
+		if (isOtherHistory) {
+			this.regainedAt = now;
+			this.listener.historyReplaced(this.known.revision(), at, now);
+		}
 		if (!missed.isEmpty()) {
 			this.listener.missed(missed);
 		}
@@ -176,7 +181,10 @@
 		this.mustReadAnew = true;
 		this.listener.all(this.known.replace(all, at), now);
 		this.mustReadAnew = false;
-		this.reading.tellMissed(at, missed, isReturning(now));
+		// What an older copy lacks is not gone: others read it themselves.
+		if (!isOtherHistory) {
+			this.reading.tellMissed(at, missed, isReturning(now));
+		}
 	}
 
 	/**
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/PlanStorm.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/PlanStorm.java
@@ -259,6 +259,11 @@
 			// What was given up is counted where the link sends it.
 		}
 
+		@Override
+		public void historyReplaced(long known, long at, long now) {
+			// The store has one history.
+		}
+
 		@Override
 		public void lost(String cause) {
 			// The store is within reach.
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
@@ -641,6 +641,11 @@
 			StoreFollowerTests.this.anew.add(inARow + " after " + waitedMillis);
 		}
 
+		@Override
+		public void historyReplaced(long known, long at, long now) {
+			StoreFollowerTests.this.heard.add("history " + StorePosition.of(known) + " to " + StorePosition.of(at));
+		}
+
 		@Override
 		public void lost(String cause) {
 			StoreFollowerTests.this.heard.add("lost " + cause);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -468,6 +468,7 @@
 		this.metrics.register("laneworks_requests_quarantined", (Gauge<Long>) () -> this.figures.quarantinedRequests());
 		this.metrics.register("laneworks_data_centres_evacuated",
 				(Gauge<Integer>) () -> this.figures.evacuatedDataCentres());
+		this.metrics.register("laneworks_store_histories", (Gauge<Integer>) this.store.published()::histories);
 		this.metrics.register("laneworks_items_refused", (Gauge<Integer>) this.store.published()::refusedItems);
 		this.metrics.register("laneworks_peers", (Gauge<Integer>) this.others::count);
 		for (AuditKind kind : AuditKind.values()) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/FollowedStore.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/FollowedStore.java
@@ -59,7 +59,8 @@
 			RandomGenerator random, BackgroundWork background, AuditSink audit) {
 		this.evacuations = new Evacuations(evacuationListener);
 		this.directory = new TargetDirectory(members, this.evacuations, timers);
-		this.published = new PlanAndTargets(source, this.directory, this.evacuations, inForce, audit, background);
+		this.published = new PlanAndTargets(source, this.directory, this.evacuations, inForce, audit, background,
+				timers);
 		this.follower = new StoreFollower(settings, source.calls(this::follower), this.published, timers,
 				new Backoff(FIRST_WAIT, LONGEST_WAIT, random), reading);
 	}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
@@ -1,7 +1,9 @@
 package dev.laneworks.entry.direct;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
@@ -13,7 +15,9 @@
 import dev.laneworks.core.follow.FollowListener;
 import dev.laneworks.core.follow.StoreChange;
 import dev.laneworks.core.follow.StoreItem;
+import dev.laneworks.core.follow.StorePosition;
 import dev.laneworks.core.serving.ServingPlan;
+import dev.laneworks.core.time.Timers;
 import dev.laneworks.runtime.http.BackgroundWork;
 import io.vavr.control.Either;
 
@@ -33,6 +37,12 @@
 	 */
 	private static final int LARGE_PLAN = 16 * 1024;
 
+	/**
+	 * For how long an evacuation goes on that an older copy of the store lacks, in
+	 * milliseconds: the operator writes it again within that time, or has taken it back.
+	 */
+	private static final long EVACUATIONS_KEPT_MILLIS = 4_000;
+
 	/** How many of the items that were missed a line names; a line stays short. */
 	private static final int MISSED_NAMED = 8;
 
@@ -56,8 +66,19 @@
 
 	private boolean hasRead;
 
+	private final Timers timers;
+
+	/** The data centres that the store says are evacuated. */
+	private final Set<String> evacuationsListed = new HashSet<>();
+
+	/** Up to when evacuations that an older copy lacks go on, in milliseconds. */
+	private long evacuationsKeptUntil = Long.MIN_VALUE;
+
+	private volatile int histories;
+
 	PlanAndTargets(ServingSource source, TargetDirectory directory, Evacuations evacuations,
-			Consumer<ServingPlan> inForce, AuditSink audit, BackgroundWork background) {
+			Consumer<ServingPlan> inForce, AuditSink audit, BackgroundWork background, Timers timers) {
+		this.timers = timers;
 		this.source = source;
 		this.directory = directory;
 		this.evacuations = evacuations;
@@ -86,10 +107,13 @@
 	public void all(List<StoreItem> items, long now) {
 		this.refused.retain(items.stream().map(StoreItem::key).collect(Collectors.toSet()));
 		// Before the targets, so that work goes to none that is not to be sent any.
-		this.evacuations.replaceAll(items.stream()
+		this.evacuationsListed.clear();
+		items.stream()
 			.map((i) -> this.source.evacuatedDataCentre(i.key()))
 			.filter((d) -> !d.isEmpty())
-			.toList());
+			.forEach(this.evacuationsListed::add);
+		this.evacuationsListed.forEach(this.evacuations::begin);
+		endEvacuationsNotListed(now);
 		items.forEach((i) -> tellKeyFault(i.key()));
 		// Before a plan that may name their services: some may be listed no more.
 		this.targets.forgetUnnamed();
@@ -137,13 +161,37 @@
 			return;
 		}
 		if (change.item().isPresent()) {
+			this.evacuationsListed.add(dataCentre);
 			this.evacuations.begin(dataCentre);
 		}
 		else {
+			this.evacuationsListed.remove(dataCentre);
 			this.evacuations.end(dataCentre);
 		}
 	}
 
+	private void endEvacuationsNotListed(long now) {
+		if (now >= this.evacuationsKeptUntil) {
+			this.evacuations.replaceAll(Set.copyOf(this.evacuationsListed));
+		}
+	}
+
+	// How often the store has come back from an older copy.
+	int histories() {
+		return this.histories;
+	}
+
+	@Override
+	public void historyReplaced(long known, long at, long now) {
+		this.histories++;
+		this.audit
+			.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "", "back from an older copy: revision "
+					+ StorePosition.of(at) + ", known before up to revision " + StorePosition.of(known)));
+		this.directory.historyReplaced(now);
+		this.evacuationsKeptUntil = now + EVACUATIONS_KEPT_MILLIS;
+		this.timers.at(this.evacuationsKeptUntil, this::endEvacuationsNotListed);
+	}
+
 	@Override
 	public void missed(List<StoreChange> missed) {
 		String keys = missed.stream()
@@ -156,8 +204,8 @@
 
 	@Override
 	public void behind(long known, long told) {
-		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "",
-				"behind: others know revision " + told + ", here all up to " + known + " is known"));
+		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "", "behind: others know revision "
+				+ StorePosition.of(told) + ", here all up to " + StorePosition.of(known) + " is known"));
 	}
 
 	@Override
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/StateHandover.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/StateHandover.java
@@ -8,6 +8,7 @@
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.follow.StoreFollower;
+import dev.laneworks.core.follow.StorePosition;
 import dev.laneworks.core.handover.StateGiver;
 import dev.laneworks.core.handover.StatePiece;
 import dev.laneworks.core.handover.StateQuestion;
@@ -73,8 +74,9 @@
 
 	private void take(StateTaker.Taken taken) {
 		StoreState state = taken.state();
-		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "", "out of reach; revision "
-				+ state.revision() + " taken from " + taken.from() + ", heard " + state.ageMillis() + " ms before"));
+		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "",
+				"out of reach; revision " + StorePosition.of(state.revision()) + " taken from " + taken.from()
+						+ ", heard " + state.ageMillis() + " ms before"));
 		this.follower.adopt(state.items(), state.revision(), this.loop.now());
 	}
 
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipTests.java
@@ -27,6 +27,8 @@
 
 	private static final int RESTART_SEEDS = 3_000;
 
+	private static final int COPY_SEEDS = 3_000;
+
 	/** The targets' time of day at the start of a play, in milliseconds. */
 	private static final long TIME_OF_DAY = 1_700_000_000_000L;
 
@@ -139,6 +141,43 @@
 		}
 	}
 
+	/**
+	 * A store that comes back from an older copy, once or several times, among all other
+	 * faults: what it lost is not taken for gone, what has ended does not come back, what
+	 * left stays so, and all converge behind the return as behind any other.
+	 */
+	@Test
+	void listsConvergeThoughTheStoreComesBackFromOlderCopies() {
+		for (long seed = 0; seed < COPY_SEEDS; seed++) {
+			Play play = new Play(seed);
+			play.copies = true;
+			play.evacuates = seed % 2 == 0;
+			play.run();
+		}
+	}
+
+	@Test
+	void aTargetThatAnOlderCopyLacksIsNotDroppedAndOneThatLeftStaysSo() {
+		MembershipWorld world = new MembershipWorld(1, 4, 1);
+		world.list("a", "10.0.0.1", false);
+		world.list("b", "10.0.0.2", false);
+		world.list("gone", "10.0.0.3", false);
+		world.start();
+		world.copy();
+		world.list("late", "10.0.0.4", false);
+		world.list("b", "10.0.0.2", true);
+		world.unlist("gone");
+		world.evacuate("dc9");
+		world.pass(100);
+		world.comeBackFromCopy();
+		for (int i = 0; i < 60; i++) {
+			world.pass(50);
+			world.entries.forEach((e) -> assertThat(e.takingWork).containsExactly("a", "late"));
+			world.entries.forEach((e) -> assertThat(e.evacuated).containsExactly("dc9"));
+			world.entries.forEach((e) -> assertThat(e.joined).doesNotContainEntry("gone", 2));
+		}
+	}
+
 	@Test
 	void anEvacuationAndItsEndAreKnownToAllEntriesWithinASecond() {
 		MembershipWorld world = new MembershipWorld(1, 9, 2);
@@ -191,6 +230,11 @@
 
 		private final SplittableRandom starts;
 
+		/** Whether the store comes back from older copies, by a random of its own. */
+		private boolean copies;
+
+		private final SplittableRandom returns;
+
 		private boolean lapsedAny;
 
 		private int ids;
@@ -200,6 +244,7 @@
 			this.random = new SplittableRandom(seed);
 			this.evacuations = new SplittableRandom(~seed);
 			this.starts = new SplittableRandom(seed * 31 + 7);
+			this.returns = new SplittableRandom(seed * 13 + 5);
 			this.world = (seed % 4 == 0) ? new MembershipWorld(seed, 9, 2)
 					: new MembershipWorld(seed, 1 + (int) (seed % 5), 1);
 			this.world.newsLost = this.random.nextInt(4) * 100;
@@ -214,6 +259,7 @@
 				step();
 				evacuate();
 				startAgain();
+				comeBack();
 				this.world.pass(this.random.nextInt(300));
 			}
 			this.world.entries.forEach((e) -> e.turnedAway = false);
@@ -296,6 +342,27 @@
 			this.world.list(id, address(id), false);
 		}
 
+		// A copy is some seconds old, and the store away for a moment before it is used.
+		private void comeBack() {
+			if (!this.copies) {
+				return;
+			}
+			switch (this.returns.nextInt(8)) {
+				case 0 -> this.world.copy();
+				case 1 -> {
+					if (this.world.isUp() && this.world.hasCopy()) {
+						this.lapsedAny = true;
+						this.world.storeDown();
+						this.world.pass(this.returns.nextInt(400));
+						this.world.storeUp();
+						this.world.comeBackFromCopy();
+					}
+				}
+				default -> {
+				}
+			}
+		}
+
 		private void startEntry() {
 			int entries = this.world.entries.size();
 			if (entries < MOST_ENTRIES && this.starts.nextInt(6) == 0) {
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipWorld.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipWorld.java
@@ -28,6 +28,7 @@
 import dev.laneworks.core.follow.StoreFollower;
 import dev.laneworks.core.follow.StoreItem;
 import dev.laneworks.core.follow.StoreNews;
+import dev.laneworks.core.follow.StorePosition;
 import dev.laneworks.core.serving.RequestLimits;
 import dev.laneworks.core.serving.ServiceSpec;
 import dev.laneworks.core.serving.ServingPlan;
@@ -62,6 +63,9 @@
 	/** When the run of each target started, in milliseconds of its own time of day. */
 	private final Map<String, Long> starts = new HashMap<>();
 
+	/** The targets that were written since the store came back from a copy. */
+	private final Set<String> rewritten = new HashSet<>();
+
 	/** The data centres that are to be evacuated. */
 	private final Set<String> evacuated = new TreeSet<>();
 
@@ -72,6 +76,8 @@
 
 	private final List<Runnable> waitingWatches = new ArrayList<>();
 
+	private Copy copy;
+
 	private long forgottenUpTo;
 
 	private long revision = 100;
@@ -128,6 +134,7 @@
 	}
 
 	void list(String id, String address, boolean leaving) {
+		this.rewritten.add(id);
 		write(id, address + " " + this.starts.getOrDefault(id, 0L) + (leaving ? " leaving" : ""));
 	}
 
@@ -159,6 +166,7 @@
 	}
 
 	void unlist(String id) {
+		this.rewritten.add(id);
 		this.listed.remove(id);
 		write(new StoreChange("servers/" + id, Optional.empty(), ++this.revision));
 	}
@@ -223,6 +231,58 @@
 		this.entries.stream().filter((e) -> !e.turnedAway).forEach((e) -> e.source.cut());
 	}
 
+	// Makes a copy of all that stands in the store.
+	void copy() {
+		this.copy = new Copy(new TreeMap<>(this.listed), Map.copyOf(this.writtenAt), Set.copyOf(this.evacuated),
+				this.revision);
+	}
+
+	boolean hasCopy() {
+		return this.copy != null;
+	}
+
+	// The store comes back as it was when the copy was made, in a new era. What lives and
+	// the operator write again what was lost; what has ended lapses three heartbeats
+	// later.
+	void comeBackFromCopy() {
+		TreeMap<String, String> truth = new TreeMap<>(this.listed);
+		Set<String> asked = Set.copyOf(this.evacuated);
+		long era = StorePosition.of(this.revision).era() + 1;
+		this.revision = inEra(era, this.copy.revision);
+		this.listed.clear();
+		this.listed.putAll(this.copy.listed);
+		this.writtenAt.clear();
+		this.copy.writtenAt.forEach((id, at) -> this.writtenAt.put(id, inEra(era, at)));
+		this.evacuated.clear();
+		this.evacuated.addAll(this.copy.evacuated);
+		this.history.clear();
+		this.forgottenUpTo = this.revision;
+		truth.forEach((id, value) -> this.timers.at(this.now + this.random.nextInt(1_500), (t) -> {
+			if (!this.rewritten.contains(id)) {
+				write(id, value);
+			}
+		}));
+		this.copy.listed.keySet()
+			.stream()
+			.filter((id) -> !truth.containsKey(id))
+			.forEach((id) -> this.timers.at(this.now + 2_400 + this.random.nextInt(1_200), (t) -> {
+				if (this.listed.containsKey(id) && !this.rewritten.contains(id)) {
+					unlist(id);
+				}
+			}));
+		this.timers.at(this.now + this.random.nextInt(1_000), (t) -> {
+			asked.forEach(this::evacuate);
+			Set.copyOf(this.evacuated).stream().filter((d) -> !asked.contains(d)).forEach(this::takeBack);
+		});
+		this.rewritten.clear();
+		this.copy = null;
+		this.entries.stream().filter((e) -> !e.turnedAway).forEach((e) -> e.source.cut());
+	}
+
+	private static long inEra(long era, long position) {
+		return new StorePosition(era, StorePosition.of(position).revision()).number();
+	}
+
 	void forgetHistory() {
 		this.forgottenUpTo = this.revision;
 		this.history.clear();
@@ -275,6 +335,19 @@
 		}
 	}
 
+	/**
+	 * What stood in the store when a copy of it was made.
+	 *
+	 * @param listed the targets
+	 * @param writtenAt when each of them was written
+	 * @param evacuated the data centres that were evacuated
+	 * @param revision the position
+	 */
+	private record Copy(TreeMap<String, String> listed, Map<String, Long> writtenAt, Set<String> evacuated,
+			long revision) {
+
+	}
+
 	/**
 	 * One entry's view of the store.
 	 */
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlanAndTargetsTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlanAndTargetsTests.java
@@ -51,7 +51,7 @@
 	private final TargetDirectory directory = new TargetDirectory(new Recorder(), this.evacuations, new Timers());
 
 	private final PlanAndTargets published = new PlanAndTargets(new Plans(), this.directory, this.evacuations,
-			(p) -> this.inForce.add(p.version()), this.told::add, new Later());
+			(p) -> this.inForce.add(p.version()), this.told::add, new Later(), new Timers());
 
 	@Test
 	void aLargePlanIsReadBesideTheIoThread() {
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/WholeResponse.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/WholeResponse.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.function.Consumer;
 
 import io.vavr.control.Either;
@@ -23,9 +24,7 @@
 
 	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
-	private int status;
-
-	private String contentType = "";
+	private HttpResponseHead head = new HttpResponseHead(0, List.of());
 
 	private boolean tooLarge;
 
@@ -57,9 +56,8 @@
 	}
 
 	@Override
-	public void onHead(HttpResponseHead head) {
-		this.status = head.status();
-		this.contentType = head.contentType();
+	public void onHead(HttpResponseHead received) {
+		this.head = received;
 		this.progress.run();
 	}
 
@@ -82,7 +80,7 @@
 				.accept(Either.left(new IOException("the response is larger than " + this.maxBytes + " bytes")));
 			return;
 		}
-		this.receiver.accept(Either.right(new Received(this.status, this.contentType, this.body.toByteArray())));
+		this.receiver.accept(Either.right(new Received(this.head, this.body.toByteArray())));
 	}
 
 	@Override
@@ -93,11 +91,26 @@
 	/**
 	 * A whole response.
 	 *
-	 * @param status the status code
-	 * @param contentType the type of the body, or empty text
-	 * @param body the body
+	 * @param head its head
+	 * @param body its body
 	 */
-	public record Received(int status, String contentType, byte[] body) {
+	public record Received(HttpResponseHead head, byte[] body) {
+
+		/**
+		 * Return the status.
+		 * @return the status code
+		 */
+		public int status() {
+			return this.head.status();
+		}
+
+		/**
+		 * Return the type of the body.
+		 * @return the type, or empty text
+		 */
+		public String contentType() {
+			return this.head.contentType();
+		}
 
 		/**
 		 * Return the body as text.
