--- a/laneworks-core/src/main/java/dev/laneworks/core/backpressure/LeavingTargets.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/backpressure/LeavingTargets.java
@@ -60,7 +60,11 @@
 	}
 
 	boolean contains(TargetRun target) {
-		return this.heardAt.containsKey(target);
+		return !this.heardAt.isEmpty() && this.heardAt.containsKey(target);
+	}
+
+	boolean isEmpty() {
+		return this.heardAt.isEmpty();
 	}
 
 	// The runs of which others are told, the newest ones first.
--- a/laneworks-core/src/main/java/dev/laneworks/core/backpressure/TargetsInNeed.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/backpressure/TargetsInNeed.java
@@ -97,6 +97,14 @@
 		return this.leaving.contains(target.run());
 	}
 
+	/**
+	 * Return whether no target has said of late that it is leaving.
+	 * @return whether {@link #isLeaving} is true of none
+	 */
+	public boolean isNoneLeaving() {
+		return this.leaving.isEmpty();
+	}
+
 	/**
 	 * Return whether a target takes one more request of this entry.
 	 * @param target the target
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Eligibility.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Eligibility.java
@@ -74,7 +74,8 @@
 	 * @return the targets
 	 */
 	public List<ListedTarget> serving(String service) {
-		return this.directory.serving(service).stream().filter((t) -> !this.needs.isLeaving(t)).toList();
+		List<ListedTarget> serving = this.directory.serving(service);
+		return this.needs.isNoneLeaving() ? serving : serving.stream().filter((t) -> !this.needs.isLeaving(t)).toList();
 	}
 
 	/**
