Play restarts and entries that start beside returns from older copies, and say what each rule is seen by

A third of the 3,000 orders now also has targets that start again under their id and entries that start with another's state: green. Eight mutations of what holds behind a return, each seen red (design/older-copies.md).

--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipTests.java
@@ -152,6 +152,7 @@
 			Play play = new Play(seed);
 			play.copies = true;
 			play.evacuates = seed % 2 == 0;
+			play.restarts = seed % 3 == 0;
 			play.run();
 		}
 	}
