Forget a limit that is over though answers go on

Cause, read in the change of this work: each answer without a limit renewed the word that there is none, so that it was told to others with every heartbeat and looked up for every request for good. Such an answer changes nothing now. Test first: aLimitThatIsOverIsForgottenThoughAnswersGoOn, red before.

--- a/laneworks-core/src/main/java/dev/laneworks/core/backpressure/TargetLimits.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/backpressure/TargetLimits.java
@@ -109,7 +109,8 @@
 	 */
 	boolean told(ListedTarget target, OptionalDouble perSecond, long askedAt, long now) {
 		Limit known = this.byRun.get(target.run());
-		if (perSecond.isEmpty() && (known == null || askedAt < known.toldAt)) {
+		boolean isKnownOver = known == null || known.perSecond.isEmpty();
+		if (perSecond.isEmpty() && (isKnownOver || askedAt < known.toldAt)) {
 			return false;
 		}
 		return take(target.run(), perSecond, now);
--- a/laneworks-core/src/test/java/dev/laneworks/core/backpressure/TargetLimitsTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/backpressure/TargetLimitsTests.java
@@ -102,6 +102,16 @@
 		assertThat(this.limits.news(12_001)).isEmpty();
 	}
 
+	@Test
+	void aLimitThatIsOverIsForgottenThoughAnswersGoOn() {
+		told(3, 0);
+		for (long now = 1_000; now <= 30_000; now += 100) {
+			told(OptionalDouble.empty(), now, now);
+		}
+		assertThat(this.limits.news(30_000)).isEmpty();
+		assertThat(this.limits.isEmpty()).isTrue();
+	}
+
 	@Test
 	void aTargetThatTakesNothingIsAskedNowAndThen() {
 		this.share = 1;
