--- a/laneworks-core/src/main/java/dev/laneworks/core/backpressure/PermitBucket.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/backpressure/PermitBucket.java
@@ -36,10 +36,6 @@
 		this.spent = Math.max(this.spent, Math.floor(this.accrued - perMilli * lifeMillis));
 	}
 
-	boolean hasPermit() {
-		return missing() <= 0;
-	}
-
 	// Takes a permit; where none is there the next ones are owed.
 	void take() {
 		this.spent++;
--- a/laneworks-core/src/main/java/dev/laneworks/core/backpressure/TargetsInNeed.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/backpressure/TargetsInNeed.java
@@ -105,16 +105,6 @@
 		return this.leaving.isEmpty();
 	}
 
-	/**
-	 * Return whether a target takes one more request of this entry.
-	 * @param target the target
-	 * @param now the time in milliseconds
-	 * @return whether it may be sent one now
-	 */
-	public boolean takes(ListedTarget target, long now) {
-		return freeInMillis(target, now) <= 0;
-	}
-
 	/**
 	 * Return after which time a target takes one more request of this entry.
 	 * @param target the target
