--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
@@ -195,6 +195,27 @@
 		return this.known.budgetUsage(service, windowMillis, now);
 	}
 
+	/**
+	 * Return the total demand of other entries for a service that is not served yet.
+	 * @param service the name of the service
+	 * @return the sum of all known entries
+	 * @since 0.4
+	 */
+	public ServiceDemand demandOfOthers(String service) {
+		return this.known.demand(service, (dataCentre) -> true);
+	}
+
+	/**
+	 * Return the total demand for a service at the other entries of this data centre,
+	 * which compete for the same engines first.
+	 * @param service the name of the service
+	 * @return the sum of the known entries of the same data centre
+	 * @since 0.4
+	 */
+	public ServiceDemand demandNearby(String service) {
+		return this.known.demand(service, this.dataCentre::equals);
+	}
+
 	/**
 	 * Determine whether this entry may copy a generation away from a target now.
 	 * <p>
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/GossipOutputs.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/GossipOutputs.java
@@ -48,4 +48,11 @@
 	 */
 	List<RetryBudgetUsage> ownBudgetUsage();
 
+	/**
+	 * Return the demand for engine memory that this entry could not serve yet.
+	 * @return the demand for each service with queued or returning requests
+	 * @since 0.4
+	 */
+	List<ServiceDemand> localDemand();
+
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/LoadUpdateWriter.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/LoadUpdateWriter.java
@@ -82,7 +82,8 @@
 	private LoadUpdate build(boolean isPartial, long nextWithinMillis, List<WorkAtTarget> work, List<String> peers) {
 		this.sequence++;
 		return new LoadUpdate(this.instance, this.dataCentre, this.incarnation, this.sequence, this.shuttingDown,
-				isPartial, nextWithinMillis, work, this.outputs.ownBudgetUsage(), this.outputs.signals(), peers);
+				isPartial, nextWithinMillis, work, this.outputs.ownBudgetUsage(), this.outputs.signals(),
+				this.outputs.localDemand(), peers);
 	}
 
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/PeerTable.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/PeerTable.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 
 import dev.laneworks.core.directory.TargetIncarnation;
@@ -98,6 +99,22 @@
 			.reduce(new RetryBudgetUsage(service, 0, 0), RetryBudgetUsage::plus));
 	}
 
+	/**
+	 * Return the total demand for a service at the peers of a data centre.
+	 * @param service the name of the service
+	 * @param dataCentre tests the data centre of a peer
+	 * @return the sum; no demand if no such peer is known
+	 */
+	ServiceDemand demand(String service, Predicate<String> dataCentre) {
+		return this.peers.values()
+			.stream()
+			.map(Peer::latest)
+			.filter((u) -> dataCentre.test(u.dataCentre()))
+			.flatMap((u) -> u.demand().stream())
+			.filter((d) -> d.service().equals(service))
+			.reduce(ServiceDemand.none(service), ServiceDemand::plus);
+	}
+
 	private void updateTotals(Set<TargetIncarnation> targets) {
 		for (TargetIncarnation target : targets) {
 			Optional<WorkAtTarget> sum = this.peers.values()
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/ServiceDemand.java
@@ -0,0 +1,53 @@
+package dev.laneworks.core.gossip;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * Demand for the engine memory of a service that is not served yet, at one entry or
+ * several.
+ *
+ * @param service the name of the service
+ * @param queuedRequests the number of queued requests
+ * @param queuedTokens the memory that they need, in tokens
+ * @param returningRequests the number of refused requests whose callers were told to
+ * return within the next seconds
+ * @param returningTokens the memory that they need, in tokens
+ * @param accounts the usage by client account, each account at most once
+ * @since 0.4
+ */
+public record ServiceDemand(String service, int queuedRequests, long queuedTokens, int returningRequests,
+		long returningTokens, List<AccountUsage> accounts) {
+
+	public ServiceDemand {
+		Objects.requireNonNull(service, "service must not be null");
+		accounts = List.copyOf(accounts);
+	}
+
+	/**
+	 * Return the absence of demand.
+	 * @param service the name of the service
+	 * @return demand with all counts at zero
+	 */
+	public static ServiceDemand none(String service) {
+		return new ServiceDemand(service, 0, 0, 0, 0, List.of());
+	}
+
+	/**
+	 * Add the demand at other entries.
+	 * @param other the demand for the same service
+	 * @return the sum of each count, with the usage of each client account added up
+	 */
+	public ServiceDemand plus(ServiceDemand other) {
+		Map<String, AccountUsage> sums = new LinkedHashMap<>();
+		this.accounts.forEach((a) -> sums.merge(a.account(), a, AccountUsage::plus));
+		other.accounts.forEach((a) -> sums.merge(a.account(), a, AccountUsage::plus));
+		return new ServiceDemand(this.service, this.queuedRequests + other.queuedRequests,
+				this.queuedTokens + other.queuedTokens, this.returningRequests + other.returningRequests,
+				this.returningTokens + other.returningTokens, new ArrayList<>(sums.values()));
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/headroom/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Engine memory that is kept free for running generations and urgent requests.
+ */
+package dev.laneworks.core.headroom;
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/shares/AccountOveruse.java
@@ -0,0 +1,24 @@
+package dev.laneworks.core.shares;
+
+/**
+ * Use of scarce engine memory by a client account in relation to its fair share.
+ *
+ * @since 0.4
+ */
+@FunctionalInterface
+public interface AccountOveruse {
+
+	/** Treats all client accounts as within their fair shares. */
+	AccountOveruse NONE = (service, account, now) -> 0;
+
+	/**
+	 * Return the use of a client account divided by its fair share.
+	 * @param service the name of the service
+	 * @param account the name of the client account
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return the quotient, above 1 if the account uses more than its share; 0 while no
+	 * memory is contended
+	 */
+	double of(String service, String account, long now);
+
+}
--- a/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
@@ -359,6 +359,22 @@
 		return new WorkAtTarget(TargetIncarnation.of(target), 1, 1, 0, toMove, copying, 0, false);
 	}
 
+	@Test
+	void sumsDemandByDataCentre() {
+		ServiceDemand demand = new ServiceDemand("s", 2, 600, 1, 300, List.of(new AccountUsage("a", 900, 600)));
+		this.gossip.handleUpdate("10.0.0.2:7200", demandUpdate("two", "z", demand), 0);
+		this.gossip.handleUpdate("10.0.0.3:7200", demandUpdate("three", "elsewhere", demand), 0);
+		assertThat(this.gossip.demandNearby("s")).isEqualTo(demand);
+		assertThat(this.gossip.demandOfOthers("s"))
+			.isEqualTo(new ServiceDemand("s", 4, 1_200, 2, 600, List.of(new AccountUsage("a", 1_800, 1_200))));
+		assertThat(this.gossip.demandOfOthers("t")).isEqualTo(ServiceDemand.none("t"));
+	}
+
+	private LoadUpdate demandUpdate(String name, String dataCentre, ServiceDemand demand) {
+		return new LoadUpdate(name, dataCentre, name.hashCode(), 1, false, false, 1_000, List.of(), List.of(),
+				this.signals, List.of(demand), List.of());
+	}
+
 	private static LoadUpdate update(String name, long incarnation, long sequence, WorkAtTarget work) {
 		return new LoadUpdate(name, "z", incarnation, sequence, false, false, 1_000, List.of(work), List.of(),
 				BackpressureUpdate.NONE, List.of());
@@ -402,6 +418,11 @@
 			return List.of();
 		}
 
+		@Override
+		public List<ServiceDemand> localDemand() {
+			return List.of();
+		}
+
 	}
 
 }
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PeerEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PeerEntries.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 
@@ -27,6 +28,7 @@
 import dev.laneworks.core.gossip.GossipSettings;
 import dev.laneworks.core.gossip.LoadUpdate;
 import dev.laneworks.core.gossip.RetryBudgetUsage;
+import dev.laneworks.core.gossip.ServiceDemand;
 import dev.laneworks.core.gossip.UpdateScope;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.core.handover.SnapshotChunk;
@@ -74,6 +76,8 @@
 
 	private Predicate<TargetIncarnation> listed = (t) -> false;
 
+	private Supplier<List<ServiceDemand>> demand = List::of;
+
 	private Optional<TargetBackpressure> backpressure = Optional.empty();
 
 	private Optional<SnapshotTransfer> snapshots = Optional.empty();
@@ -269,6 +273,16 @@
 		return this.retryBudget.usage(this.loop.now());
 	}
 
+	@Override
+	public List<ServiceDemand> localDemand() {
+		return this.demand.get();
+	}
+
+	// Set the source of the demand that this entry could not serve yet.
+	void useDemand(Supplier<List<ServiceDemand>> source) {
+		this.demand = source;
+	}
+
 	private static Set<String> seeds(DirectSettings settings) {
 		return settings.seeds()
 			.stream()
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/LoadUpdateCodec.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/LoadUpdateCodec.java
@@ -3,10 +3,12 @@
 import java.util.List;
 import java.util.OptionalDouble;
 
+import dev.laneworks.core.gossip.AccountUsage;
 import dev.laneworks.core.gossip.BackpressureUpdate;
 import dev.laneworks.core.gossip.LoadUpdate;
 import dev.laneworks.core.gossip.RateLimitUpdate;
 import dev.laneworks.core.gossip.RetryBudgetUsage;
+import dev.laneworks.core.gossip.ServiceDemand;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.wire.proto.Protocol;
 
@@ -30,6 +32,7 @@
 			.addAllPeers(update.peers());
 		update.work().forEach((w) -> builder.addWork(encode(w)));
 		update.budgetUsage().forEach((u) -> builder.addSpending(encode(u)));
+		update.demand().forEach((d) -> builder.addDemand(encode(d)));
 		update.signals().limits().forEach((l) -> builder.addLimits(encode(l)));
 		update.signals().draining().forEach((t) -> builder.addLeaving(TargetIncarnationFormat.format(t)));
 		return builder.build();
@@ -43,7 +46,7 @@
 				update.getLeavingList().stream().map(TargetIncarnationFormat::parse).toList());
 		return new LoadUpdate(update.getInstance(), update.getDataCentre(), update.getIncarnation(),
 				update.getSequence(), update.getEnding(), update.getPartial(), update.getAgainMillis(), work, usage,
-				signals, update.getPeersList());
+				signals, update.getDemandList().stream().map(LoadUpdateCodec::decode).toList(), update.getPeersList());
 	}
 
 	private static Protocol.WorkAtTarget encode(WorkAtTarget work) {
@@ -88,6 +91,30 @@
 				work.getLeaving());
 	}
 
+	private static Protocol.ServiceDemand encode(ServiceDemand demand) {
+		Protocol.ServiceDemand.Builder builder = Protocol.ServiceDemand.newBuilder()
+			.setService(demand.service())
+			.setQueuedRequests(demand.queuedRequests())
+			.setQueuedTokens(demand.queuedTokens())
+			.setReturningRequests(demand.returningRequests())
+			.setReturningTokens(demand.returningTokens());
+		demand.accounts()
+			.forEach((a) -> builder.addAccounts(Protocol.AccountUsage.newBuilder()
+				.setAccount(a.account())
+				.setUsedTokens(a.usedTokens())
+				.setQueuedTokens(a.queuedTokens())));
+		return builder.build();
+	}
+
+	private static ServiceDemand decode(Protocol.ServiceDemand demand) {
+		return new ServiceDemand(demand.getService(), demand.getQueuedRequests(), demand.getQueuedTokens(),
+				demand.getReturningRequests(), demand.getReturningTokens(),
+				demand.getAccountsList()
+					.stream()
+					.map((a) -> new AccountUsage(a.getAccount(), a.getUsedTokens(), a.getQueuedTokens()))
+					.toList());
+	}
+
 	private static RetryBudgetUsage decode(Protocol.ServiceSpending spending) {
 		return new RetryBudgetUsage(spending.getService(), spending.getRequests(), spending.getRepeats());
 	}
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
@@ -20547,6 +20547,50 @@
      */
     com.google.protobuf.ByteString
         getLeavingBytes(int index);
+
+    /**
+     * <pre>
+     * Demand for engine memory, by service; only services with queued requests or contended accounts.
+     * </pre>
+     *
+     * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+     */
+    java.util.List<dev.laneworks.wire.proto.Protocol.ServiceDemand> 
+        getDemandList();
+    /**
+     * <pre>
+     * Demand for engine memory, by service; only services with queued requests or contended accounts.
+     * </pre>
+     *
+     * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.ServiceDemand getDemand(int index);
+    /**
+     * <pre>
+     * Demand for engine memory, by service; only services with queued requests or contended accounts.
+     * </pre>
+     *
+     * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+     */
+    int getDemandCount();
+    /**
+     * <pre>
+     * Demand for engine memory, by service; only services with queued requests or contended accounts.
+     * </pre>
+     *
+     * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+     */
+    java.util.List<? extends dev.laneworks.wire.proto.Protocol.ServiceDemandOrBuilder> 
+        getDemandOrBuilderList();
+    /**
+     * <pre>
+     * Demand for engine memory, by service; only services with queued requests or contended accounts.
+     * </pre>
+     *
+     * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.ServiceDemandOrBuilder getDemandOrBuilder(
+        int index);
   }
   /**
    * <pre>
@@ -20583,6 +20627,7 @@
       limits_ = java.util.Collections.emptyList();
       leaving_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      demand_ = java.util.Collections.emptyList();
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
@@ -20973,6 +21018,67 @@
       return leaving_.getByteString(index);
     }
 
+    public static final int DEMAND_FIELD_NUMBER = 14;
+    @SuppressWarnings("serial")
+    private java.util.List<dev.laneworks.wire.proto.Protocol.ServiceDemand> demand_;
+    /**
+     * <pre>
+     * Demand for engine memory, by service; only services with queued requests or contended accounts.
+     * </pre>
+     *
+     * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+     */
+    @java.lang.Override
+    public java.util.List<dev.laneworks.wire.proto.Protocol.ServiceDemand> getDemandList() {
+      return demand_;
+    }
+    /**
+     * <pre>
+     * Demand for engine memory, by service; only services with queued requests or contended accounts.
+     * </pre>
+     *
+     * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends dev.laneworks.wire.proto.Protocol.ServiceDemandOrBuilder> 
+        getDemandOrBuilderList() {
+      return demand_;
+    }
+    /**
+     * <pre>
+     * Demand for engine memory, by service; only services with queued requests or contended accounts.
+     * </pre>
+     *
+     * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+     */
+    @java.lang.Override
+    public int getDemandCount() {
+      return demand_.size();
+    }
+    /**
+     * <pre>
+     * Demand for engine memory, by service; only services with queued requests or contended accounts.
+     * </pre>
+     *
+     * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.ServiceDemand getDemand(int index) {
+      return demand_.get(index);
+    }
+    /**
+     * <pre>
+     * Demand for engine memory, by service; only services with queued requests or contended accounts.
+     * </pre>
+     *
+     * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.ServiceDemandOrBuilder getDemandOrBuilder(
+        int index) {
+      return demand_.get(index);
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -21023,6 +21129,9 @@
       for (int i = 0; i < leaving_.size(); i++) {
         com.google.protobuf.GeneratedMessage.writeString(output, 13, leaving_.getRaw(i));
       }
+      for (int i = 0; i < demand_.size(); i++) {
+        output.writeMessage(14, demand_.get(i));
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -21101,6 +21210,15 @@
         size += dataSize;
         size += 1 * getLeavingList().size();
       }
+
+          {
+            final int count = demand_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(demand_.get(i));
+            }
+            size += 1 * count;
+          }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -21140,6 +21258,8 @@
           .equals(other.getLimitsList())) return false;
       if (!getLeavingList()
           .equals(other.getLeavingList())) return false;
+      if (!getDemandList()
+          .equals(other.getDemandList())) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -21189,6 +21309,10 @@
         hash = (37 * hash) + LEAVING_FIELD_NUMBER;
         hash = (53 * hash) + getLeavingList().hashCode();
       }
+      if (getDemandCount() > 0) {
+        hash = (37 * hash) + DEMAND_FIELD_NUMBER;
+        hash = (53 * hash) + getDemandList().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -21356,6 +21480,13 @@
         bitField0_ = (bitField0_ & ~0x00000400);
         leaving_ =
             com.google.protobuf.LazyStringArrayList.emptyList();
+        if (demandBuilder_ == null) {
+          demand_ = java.util.Collections.emptyList();
+        } else {
+          demand_ = null;
+          demandBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00001000);
         return this;
       }
 
@@ -21416,6 +21547,15 @@
         } else {
           result.limits_ = limitsBuilder_.build();
         }
+        if (demandBuilder_ == null) {
+          if (((bitField0_ & 0x00001000) != 0)) {
+            demand_ = java.util.Collections.unmodifiableList(demand_);
+            bitField0_ = (bitField0_ & ~0x00001000);
+          }
+          result.demand_ = demand_;
+        } else {
+          result.demand_ = demandBuilder_.build();
+        }
       }
 
       private void buildPartial0(dev.laneworks.wire.proto.Protocol.EntryNews result) {
@@ -21586,6 +21726,32 @@
           }
           onChanged();
         }
+        if (demandBuilder_ == null) {
+          if (!other.demand_.isEmpty()) {
+            if (demand_.isEmpty()) {
+              demand_ = other.demand_;
+              bitField0_ = (bitField0_ & ~0x00001000);
+            } else {
+              ensureDemandIsMutable();
+              demand_.addAll(other.demand_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.demand_.isEmpty()) {
+            if (demandBuilder_.isEmpty()) {
+              demandBuilder_.dispose();
+              demandBuilder_ = null;
+              demand_ = other.demand_;
+              bitField0_ = (bitField0_ & ~0x00001000);
+              demandBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetDemandFieldBuilder() : null;
+            } else {
+              demandBuilder_.addAllMessages(other.demand_);
+            }
+          }
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -21696,6 +21862,19 @@
                 leaving_.add(input.readStringRequireUtf8());
                 break;
               } // case 106
+              case 114: {
+                dev.laneworks.wire.proto.Protocol.ServiceDemand m =
+                    input.readMessage(
+                        dev.laneworks.wire.proto.Protocol.ServiceDemand.parser(),
+                        extensionRegistry);
+                if (demandBuilder_ == null) {
+                  ensureDemandIsMutable();
+                  demand_.add(m);
+                } else {
+                  demandBuilder_.addMessage(m);
+                }
+                break;
+              } // case 114
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -22879,199 +23058,2396 @@
             dev.laneworks.wire.proto.Protocol.TargetLimit.getDefaultInstance());
       }
       /**
-       * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+       * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.TargetLimit.Builder addLimitsBuilder(
+          int index) {
+        return internalGetLimitsFieldBuilder().addBuilder(
+            index, dev.laneworks.wire.proto.Protocol.TargetLimit.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+       */
+      public java.util.List<dev.laneworks.wire.proto.Protocol.TargetLimit.Builder> 
+           getLimitsBuilderList() {
+        return internalGetLimitsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.TargetLimit, dev.laneworks.wire.proto.Protocol.TargetLimit.Builder, dev.laneworks.wire.proto.Protocol.TargetLimitOrBuilder> 
+          internalGetLimitsFieldBuilder() {
+        if (limitsBuilder_ == null) {
+          limitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              dev.laneworks.wire.proto.Protocol.TargetLimit, dev.laneworks.wire.proto.Protocol.TargetLimit.Builder, dev.laneworks.wire.proto.Protocol.TargetLimitOrBuilder>(
+                  limits_,
+                  ((bitField0_ & 0x00000400) != 0),
+                  getParentForChildren(),
+                  isClean());
+          limits_ = null;
+        }
+        return limitsBuilder_;
+      }
+
+      private com.google.protobuf.LazyStringArrayList leaving_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      private void ensureLeavingIsMutable() {
+        if (!leaving_.isModifiable()) {
+          leaving_ = new com.google.protobuf.LazyStringArrayList(leaving_);
+        }
+        bitField0_ |= 0x00000800;
+      }
+      /**
+       * <pre>
+       * Targets that said that they are leaving.
+       * </pre>
+       *
+       * <code>repeated string leaving = 13;</code>
+       * @return A list containing the leaving.
+       */
+      public com.google.protobuf.ProtocolStringList
+          getLeavingList() {
+        leaving_.makeImmutable();
+        return leaving_;
+      }
+      /**
+       * <pre>
+       * Targets that said that they are leaving.
+       * </pre>
+       *
+       * <code>repeated string leaving = 13;</code>
+       * @return The count of leaving.
+       */
+      public int getLeavingCount() {
+        return leaving_.size();
+      }
+      /**
+       * <pre>
+       * Targets that said that they are leaving.
+       * </pre>
+       *
+       * <code>repeated string leaving = 13;</code>
+       * @param index The index of the element to return.
+       * @return The leaving at the given index.
+       */
+      public java.lang.String getLeaving(int index) {
+        return leaving_.get(index);
+      }
+      /**
+       * <pre>
+       * Targets that said that they are leaving.
+       * </pre>
+       *
+       * <code>repeated string leaving = 13;</code>
+       * @param index The index of the value to return.
+       * @return The bytes of the leaving at the given index.
+       */
+      public com.google.protobuf.ByteString
+          getLeavingBytes(int index) {
+        return leaving_.getByteString(index);
+      }
+      /**
+       * <pre>
+       * Targets that said that they are leaving.
+       * </pre>
+       *
+       * <code>repeated string leaving = 13;</code>
+       * @param index The index to set the value at.
+       * @param value The leaving to set.
+       * @return This builder for chaining.
+       */
+      public Builder setLeaving(
+          int index, java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureLeavingIsMutable();
+        leaving_.set(index, value);
+        bitField0_ |= 0x00000800;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Targets that said that they are leaving.
+       * </pre>
+       *
+       * <code>repeated string leaving = 13;</code>
+       * @param value The leaving to add.
+       * @return This builder for chaining.
+       */
+      public Builder addLeaving(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        ensureLeavingIsMutable();
+        leaving_.add(value);
+        bitField0_ |= 0x00000800;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Targets that said that they are leaving.
+       * </pre>
+       *
+       * <code>repeated string leaving = 13;</code>
+       * @param values The leaving to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllLeaving(
+          java.lang.Iterable<java.lang.String> values) {
+        ensureLeavingIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, leaving_);
+        bitField0_ |= 0x00000800;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Targets that said that they are leaving.
+       * </pre>
+       *
+       * <code>repeated string leaving = 13;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearLeaving() {
+        leaving_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000800);;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Targets that said that they are leaving.
+       * </pre>
+       *
+       * <code>repeated string leaving = 13;</code>
+       * @param value The bytes of the leaving to add.
+       * @return This builder for chaining.
+       */
+      public Builder addLeavingBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        ensureLeavingIsMutable();
+        leaving_.add(value);
+        bitField0_ |= 0x00000800;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<dev.laneworks.wire.proto.Protocol.ServiceDemand> demand_ =
+        java.util.Collections.emptyList();
+      private void ensureDemandIsMutable() {
+        if (!((bitField0_ & 0x00001000) != 0)) {
+          demand_ = new java.util.ArrayList<dev.laneworks.wire.proto.Protocol.ServiceDemand>(demand_);
+          bitField0_ |= 0x00001000;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.ServiceDemand, dev.laneworks.wire.proto.Protocol.ServiceDemand.Builder, dev.laneworks.wire.proto.Protocol.ServiceDemandOrBuilder> demandBuilder_;
+
+      /**
+       * <pre>
+       * Demand for engine memory, by service; only services with queued requests or contended accounts.
+       * </pre>
+       *
+       * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+       */
+      public java.util.List<dev.laneworks.wire.proto.Protocol.ServiceDemand> getDemandList() {
+        if (demandBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(demand_);
+        } else {
+          return demandBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * Demand for engine memory, by service; only services with queued requests or contended accounts.
+       * </pre>
+       *
+       * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+       */
+      public int getDemandCount() {
+        if (demandBuilder_ == null) {
+          return demand_.size();
+        } else {
+          return demandBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * Demand for engine memory, by service; only services with queued requests or contended accounts.
+       * </pre>
+       *
+       * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.ServiceDemand getDemand(int index) {
+        if (demandBuilder_ == null) {
+          return demand_.get(index);
+        } else {
+          return demandBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * Demand for engine memory, by service; only services with queued requests or contended accounts.
+       * </pre>
+       *
+       * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+       */
+      public Builder setDemand(
+          int index, dev.laneworks.wire.proto.Protocol.ServiceDemand value) {
+        if (demandBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureDemandIsMutable();
+          demand_.set(index, value);
+          onChanged();
+        } else {
+          demandBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Demand for engine memory, by service; only services with queued requests or contended accounts.
+       * </pre>
+       *
+       * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+       */
+      public Builder setDemand(
+          int index, dev.laneworks.wire.proto.Protocol.ServiceDemand.Builder builderForValue) {
+        if (demandBuilder_ == null) {
+          ensureDemandIsMutable();
+          demand_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          demandBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Demand for engine memory, by service; only services with queued requests or contended accounts.
+       * </pre>
+       *
+       * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+       */
+      public Builder addDemand(dev.laneworks.wire.proto.Protocol.ServiceDemand value) {
+        if (demandBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureDemandIsMutable();
+          demand_.add(value);
+          onChanged();
+        } else {
+          demandBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Demand for engine memory, by service; only services with queued requests or contended accounts.
+       * </pre>
+       *
+       * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+       */
+      public Builder addDemand(
+          int index, dev.laneworks.wire.proto.Protocol.ServiceDemand value) {
+        if (demandBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureDemandIsMutable();
+          demand_.add(index, value);
+          onChanged();
+        } else {
+          demandBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Demand for engine memory, by service; only services with queued requests or contended accounts.
+       * </pre>
+       *
+       * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+       */
+      public Builder addDemand(
+          dev.laneworks.wire.proto.Protocol.ServiceDemand.Builder builderForValue) {
+        if (demandBuilder_ == null) {
+          ensureDemandIsMutable();
+          demand_.add(builderForValue.build());
+          onChanged();
+        } else {
+          demandBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Demand for engine memory, by service; only services with queued requests or contended accounts.
+       * </pre>
+       *
+       * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+       */
+      public Builder addDemand(
+          int index, dev.laneworks.wire.proto.Protocol.ServiceDemand.Builder builderForValue) {
+        if (demandBuilder_ == null) {
+          ensureDemandIsMutable();
+          demand_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          demandBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Demand for engine memory, by service; only services with queued requests or contended accounts.
+       * </pre>
+       *
+       * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+       */
+      public Builder addAllDemand(
+          java.lang.Iterable<? extends dev.laneworks.wire.proto.Protocol.ServiceDemand> values) {
+        if (demandBuilder_ == null) {
+          ensureDemandIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, demand_);
+          onChanged();
+        } else {
+          demandBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Demand for engine memory, by service; only services with queued requests or contended accounts.
+       * </pre>
+       *
+       * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+       */
+      public Builder clearDemand() {
+        if (demandBuilder_ == null) {
+          demand_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00001000);
+          onChanged();
+        } else {
+          demandBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Demand for engine memory, by service; only services with queued requests or contended accounts.
+       * </pre>
+       *
+       * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+       */
+      public Builder removeDemand(int index) {
+        if (demandBuilder_ == null) {
+          ensureDemandIsMutable();
+          demand_.remove(index);
+          onChanged();
+        } else {
+          demandBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Demand for engine memory, by service; only services with queued requests or contended accounts.
+       * </pre>
+       *
+       * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.ServiceDemand.Builder getDemandBuilder(
+          int index) {
+        return internalGetDemandFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Demand for engine memory, by service; only services with queued requests or contended accounts.
+       * </pre>
+       *
+       * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.ServiceDemandOrBuilder getDemandOrBuilder(
+          int index) {
+        if (demandBuilder_ == null) {
+          return demand_.get(index);  } else {
+          return demandBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Demand for engine memory, by service; only services with queued requests or contended accounts.
+       * </pre>
+       *
+       * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+       */
+      public java.util.List<? extends dev.laneworks.wire.proto.Protocol.ServiceDemandOrBuilder> 
+           getDemandOrBuilderList() {
+        if (demandBuilder_ != null) {
+          return demandBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(demand_);
+        }
+      }
+      /**
+       * <pre>
+       * Demand for engine memory, by service; only services with queued requests or contended accounts.
+       * </pre>
+       *
+       * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.ServiceDemand.Builder addDemandBuilder() {
+        return internalGetDemandFieldBuilder().addBuilder(
+            dev.laneworks.wire.proto.Protocol.ServiceDemand.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Demand for engine memory, by service; only services with queued requests or contended accounts.
+       * </pre>
+       *
+       * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.ServiceDemand.Builder addDemandBuilder(
+          int index) {
+        return internalGetDemandFieldBuilder().addBuilder(
+            index, dev.laneworks.wire.proto.Protocol.ServiceDemand.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Demand for engine memory, by service; only services with queued requests or contended accounts.
+       * </pre>
+       *
+       * <code>repeated .laneworks.ServiceDemand demand = 14;</code>
+       */
+      public java.util.List<dev.laneworks.wire.proto.Protocol.ServiceDemand.Builder> 
+           getDemandBuilderList() {
+        return internalGetDemandFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.ServiceDemand, dev.laneworks.wire.proto.Protocol.ServiceDemand.Builder, dev.laneworks.wire.proto.Protocol.ServiceDemandOrBuilder> 
+          internalGetDemandFieldBuilder() {
+        if (demandBuilder_ == null) {
+          demandBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              dev.laneworks.wire.proto.Protocol.ServiceDemand, dev.laneworks.wire.proto.Protocol.ServiceDemand.Builder, dev.laneworks.wire.proto.Protocol.ServiceDemandOrBuilder>(
+                  demand_,
+                  ((bitField0_ & 0x00001000) != 0),
+                  getParentForChildren(),
+                  isClean());
+          demand_ = null;
+        }
+        return demandBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:laneworks.EntryNews)
+    }
+
+    // @@protoc_insertion_point(class_scope:laneworks.EntryNews)
+    private static final dev.laneworks.wire.proto.Protocol.EntryNews DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.EntryNews();
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.EntryNews getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<EntryNews>
+        PARSER = new com.google.protobuf.AbstractParser<EntryNews>() {
+      @java.lang.Override
+      public EntryNews parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<EntryNews> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<EntryNews> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.EntryNews getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface ServiceDemandOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:laneworks.ServiceDemand)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string service = 1;</code>
+     * @return The service.
+     */
+    java.lang.String getService();
+    /**
+     * <code>string service = 1;</code>
+     * @return The bytes for service.
+     */
+    com.google.protobuf.ByteString
+        getServiceBytes();
+
+    /**
+     * <code>uint32 queued_requests = 2;</code>
+     * @return The queuedRequests.
+     */
+    int getQueuedRequests();
+
+    /**
+     * <code>uint64 queued_tokens = 3;</code>
+     * @return The queuedTokens.
+     */
+    long getQueuedTokens();
+
+    /**
+     * <pre>
+     * Refused requests whose callers were told to return within the next seconds.
+     * </pre>
+     *
+     * <code>uint32 returning_requests = 4;</code>
+     * @return The returningRequests.
+     */
+    int getReturningRequests();
+
+    /**
+     * <code>uint64 returning_tokens = 5;</code>
+     * @return The returningTokens.
+     */
+    long getReturningTokens();
+
+    /**
+     * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+     */
+    java.util.List<dev.laneworks.wire.proto.Protocol.AccountUsage> 
+        getAccountsList();
+    /**
+     * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.AccountUsage getAccounts(int index);
+    /**
+     * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+     */
+    int getAccountsCount();
+    /**
+     * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+     */
+    java.util.List<? extends dev.laneworks.wire.proto.Protocol.AccountUsageOrBuilder> 
+        getAccountsOrBuilderList();
+    /**
+     * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.AccountUsageOrBuilder getAccountsOrBuilder(
+        int index);
+  }
+  /**
+   * <pre>
+   * Demand of one entry's callers for the engine memory of a service.
+   * </pre>
+   *
+   * Protobuf type {@code laneworks.ServiceDemand}
+   */
+  public static final class ServiceDemand extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:laneworks.ServiceDemand)
+      ServiceDemandOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "ServiceDemand");
+    }
+    // Use ServiceDemand.newBuilder() to construct.
+    private ServiceDemand(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private ServiceDemand() {
+      service_ = "";
+      accounts_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_ServiceDemand_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_ServiceDemand_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_ServiceDemand_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              dev.laneworks.wire.proto.Protocol.ServiceDemand.class, dev.laneworks.wire.proto.Protocol.ServiceDemand.Builder.class);
+    }
+
+    public static final int SERVICE_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object service_ = "";
+    /**
+     * <code>string service = 1;</code>
+     * @return The service.
+     */
+    @java.lang.Override
+    public java.lang.String getService() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        service_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string service = 1;</code>
+     * @return The bytes for service.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getServiceBytes() {
+      java.lang.Object ref = service_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        service_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int QUEUED_REQUESTS_FIELD_NUMBER = 2;
+    private int queuedRequests_ = 0;
+    /**
+     * <code>uint32 queued_requests = 2;</code>
+     * @return The queuedRequests.
+     */
+    @java.lang.Override
+    public int getQueuedRequests() {
+      return queuedRequests_;
+    }
+
+    public static final int QUEUED_TOKENS_FIELD_NUMBER = 3;
+    private long queuedTokens_ = 0L;
+    /**
+     * <code>uint64 queued_tokens = 3;</code>
+     * @return The queuedTokens.
+     */
+    @java.lang.Override
+    public long getQueuedTokens() {
+      return queuedTokens_;
+    }
+
+    public static final int RETURNING_REQUESTS_FIELD_NUMBER = 4;
+    private int returningRequests_ = 0;
+    /**
+     * <pre>
+     * Refused requests whose callers were told to return within the next seconds.
+     * </pre>
+     *
+     * <code>uint32 returning_requests = 4;</code>
+     * @return The returningRequests.
+     */
+    @java.lang.Override
+    public int getReturningRequests() {
+      return returningRequests_;
+    }
+
+    public static final int RETURNING_TOKENS_FIELD_NUMBER = 5;
+    private long returningTokens_ = 0L;
+    /**
+     * <code>uint64 returning_tokens = 5;</code>
+     * @return The returningTokens.
+     */
+    @java.lang.Override
+    public long getReturningTokens() {
+      return returningTokens_;
+    }
+
+    public static final int ACCOUNTS_FIELD_NUMBER = 6;
+    @SuppressWarnings("serial")
+    private java.util.List<dev.laneworks.wire.proto.Protocol.AccountUsage> accounts_;
+    /**
+     * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<dev.laneworks.wire.proto.Protocol.AccountUsage> getAccountsList() {
+      return accounts_;
+    }
+    /**
+     * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends dev.laneworks.wire.proto.Protocol.AccountUsageOrBuilder> 
+        getAccountsOrBuilderList() {
+      return accounts_;
+    }
+    /**
+     * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+     */
+    @java.lang.Override
+    public int getAccountsCount() {
+      return accounts_.size();
+    }
+    /**
+     * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.AccountUsage getAccounts(int index) {
+      return accounts_.get(index);
+    }
+    /**
+     * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.AccountUsageOrBuilder getAccountsOrBuilder(
+        int index) {
+      return accounts_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, service_);
+      }
+      if (queuedRequests_ != 0) {
+        output.writeUInt32(2, queuedRequests_);
+      }
+      if (queuedTokens_ != 0L) {
+        output.writeUInt64(3, queuedTokens_);
+      }
+      if (returningRequests_ != 0) {
+        output.writeUInt32(4, returningRequests_);
+      }
+      if (returningTokens_ != 0L) {
+        output.writeUInt64(5, returningTokens_);
+      }
+      for (int i = 0; i < accounts_.size(); i++) {
+        output.writeMessage(6, accounts_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, service_);
+      }
+      if (queuedRequests_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(2, queuedRequests_);
+      }
+      if (queuedTokens_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, queuedTokens_);
+      }
+      if (returningRequests_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(4, returningRequests_);
+      }
+      if (returningTokens_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(5, returningTokens_);
+      }
+
+          {
+            final int count = accounts_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(accounts_.get(i));
+            }
+            size += 1 * count;
+          }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof dev.laneworks.wire.proto.Protocol.ServiceDemand)) {
+        return super.equals(obj);
+      }
+      dev.laneworks.wire.proto.Protocol.ServiceDemand other = (dev.laneworks.wire.proto.Protocol.ServiceDemand) obj;
+
+      if (!getService()
+          .equals(other.getService())) return false;
+      if (getQueuedRequests()
+          != other.getQueuedRequests()) return false;
+      if (getQueuedTokens()
+          != other.getQueuedTokens()) return false;
+      if (getReturningRequests()
+          != other.getReturningRequests()) return false;
+      if (getReturningTokens()
+          != other.getReturningTokens()) return false;
+      if (!getAccountsList()
+          .equals(other.getAccountsList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + SERVICE_FIELD_NUMBER;
+      hash = (53 * hash) + getService().hashCode();
+      hash = (37 * hash) + QUEUED_REQUESTS_FIELD_NUMBER;
+      hash = (53 * hash) + getQueuedRequests();
+      hash = (37 * hash) + QUEUED_TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getQueuedTokens());
+      hash = (37 * hash) + RETURNING_REQUESTS_FIELD_NUMBER;
+      hash = (53 * hash) + getReturningRequests();
+      hash = (37 * hash) + RETURNING_TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getReturningTokens());
+      if (getAccountsCount() > 0) {
+        hash = (37 * hash) + ACCOUNTS_FIELD_NUMBER;
+        hash = (53 * hash) + getAccountsList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.ServiceDemand parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.ServiceDemand parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.ServiceDemand parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.ServiceDemand parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.ServiceDemand parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.ServiceDemand parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.ServiceDemand parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.ServiceDemand parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.ServiceDemand parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.ServiceDemand parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.ServiceDemand parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.ServiceDemand parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(dev.laneworks.wire.proto.Protocol.ServiceDemand prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Demand of one entry's callers for the engine memory of a service.
+     * </pre>
+     *
+     * Protobuf type {@code laneworks.ServiceDemand}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:laneworks.ServiceDemand)
+        dev.laneworks.wire.proto.Protocol.ServiceDemandOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_ServiceDemand_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_ServiceDemand_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                dev.laneworks.wire.proto.Protocol.ServiceDemand.class, dev.laneworks.wire.proto.Protocol.ServiceDemand.Builder.class);
+      }
+
+      // Construct using dev.laneworks.wire.proto.Protocol.ServiceDemand.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        service_ = "";
+        queuedRequests_ = 0;
+        queuedTokens_ = 0L;
+        returningRequests_ = 0;
+        returningTokens_ = 0L;
+        if (accountsBuilder_ == null) {
+          accounts_ = java.util.Collections.emptyList();
+        } else {
+          accounts_ = null;
+          accountsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000020);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_ServiceDemand_descriptor;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.ServiceDemand getDefaultInstanceForType() {
+        return dev.laneworks.wire.proto.Protocol.ServiceDemand.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.ServiceDemand build() {
+        dev.laneworks.wire.proto.Protocol.ServiceDemand result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.ServiceDemand buildPartial() {
+        dev.laneworks.wire.proto.Protocol.ServiceDemand result = new dev.laneworks.wire.proto.Protocol.ServiceDemand(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(dev.laneworks.wire.proto.Protocol.ServiceDemand result) {
+        if (accountsBuilder_ == null) {
+          if (((bitField0_ & 0x00000020) != 0)) {
+            accounts_ = java.util.Collections.unmodifiableList(accounts_);
+            bitField0_ = (bitField0_ & ~0x00000020);
+          }
+          result.accounts_ = accounts_;
+        } else {
+          result.accounts_ = accountsBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(dev.laneworks.wire.proto.Protocol.ServiceDemand result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.service_ = service_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.queuedRequests_ = queuedRequests_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.queuedTokens_ = queuedTokens_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.returningRequests_ = returningRequests_;
+        }
+        if (((from_bitField0_ & 0x00000010) != 0)) {
+          result.returningTokens_ = returningTokens_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof dev.laneworks.wire.proto.Protocol.ServiceDemand) {
+          return mergeFrom((dev.laneworks.wire.proto.Protocol.ServiceDemand)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(dev.laneworks.wire.proto.Protocol.ServiceDemand other) {
+        if (other == dev.laneworks.wire.proto.Protocol.ServiceDemand.getDefaultInstance()) return this;
+        if (!other.getService().isEmpty()) {
+          service_ = other.service_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getQueuedRequests() != 0) {
+          setQueuedRequests(other.getQueuedRequests());
+        }
+        if (other.getQueuedTokens() != 0L) {
+          setQueuedTokens(other.getQueuedTokens());
+        }
+        if (other.getReturningRequests() != 0) {
+          setReturningRequests(other.getReturningRequests());
+        }
+        if (other.getReturningTokens() != 0L) {
+          setReturningTokens(other.getReturningTokens());
+        }
+        if (accountsBuilder_ == null) {
+          if (!other.accounts_.isEmpty()) {
+            if (accounts_.isEmpty()) {
+              accounts_ = other.accounts_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+            } else {
+              ensureAccountsIsMutable();
+              accounts_.addAll(other.accounts_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.accounts_.isEmpty()) {
+            if (accountsBuilder_.isEmpty()) {
+              accountsBuilder_.dispose();
+              accountsBuilder_ = null;
+              accounts_ = other.accounts_;
+              bitField0_ = (bitField0_ & ~0x00000020);
+              accountsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetAccountsFieldBuilder() : null;
+            } else {
+              accountsBuilder_.addAllMessages(other.accounts_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                service_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                queuedRequests_ = input.readUInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                queuedTokens_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              case 32: {
+                returningRequests_ = input.readUInt32();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              case 40: {
+                returningTokens_ = input.readUInt64();
+                bitField0_ |= 0x00000010;
+                break;
+              } // case 40
+              case 50: {
+                dev.laneworks.wire.proto.Protocol.AccountUsage m =
+                    input.readMessage(
+                        dev.laneworks.wire.proto.Protocol.AccountUsage.parser(),
+                        extensionRegistry);
+                if (accountsBuilder_ == null) {
+                  ensureAccountsIsMutable();
+                  accounts_.add(m);
+                } else {
+                  accountsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 50
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object service_ = "";
+      /**
+       * <code>string service = 1;</code>
+       * @return The service.
+       */
+      public java.lang.String getService() {
+        java.lang.Object ref = service_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          service_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @return The bytes for service.
+       */
+      public com.google.protobuf.ByteString
+          getServiceBytes() {
+        java.lang.Object ref = service_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          service_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @param value The service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setService(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        service_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearService() {
+        service_ = getDefaultInstance().getService();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string service = 1;</code>
+       * @param value The bytes for service to set.
+       * @return This builder for chaining.
+       */
+      public Builder setServiceBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        service_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private int queuedRequests_ ;
+      /**
+       * <code>uint32 queued_requests = 2;</code>
+       * @return The queuedRequests.
+       */
+      @java.lang.Override
+      public int getQueuedRequests() {
+        return queuedRequests_;
+      }
+      /**
+       * <code>uint32 queued_requests = 2;</code>
+       * @param value The queuedRequests to set.
+       * @return This builder for chaining.
+       */
+      public Builder setQueuedRequests(int value) {
+
+        queuedRequests_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 queued_requests = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearQueuedRequests() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        queuedRequests_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private long queuedTokens_ ;
+      /**
+       * <code>uint64 queued_tokens = 3;</code>
+       * @return The queuedTokens.
+       */
+      @java.lang.Override
+      public long getQueuedTokens() {
+        return queuedTokens_;
+      }
+      /**
+       * <code>uint64 queued_tokens = 3;</code>
+       * @param value The queuedTokens to set.
+       * @return This builder for chaining.
+       */
+      public Builder setQueuedTokens(long value) {
+
+        queuedTokens_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 queued_tokens = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearQueuedTokens() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        queuedTokens_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private int returningRequests_ ;
+      /**
+       * <pre>
+       * Refused requests whose callers were told to return within the next seconds.
+       * </pre>
+       *
+       * <code>uint32 returning_requests = 4;</code>
+       * @return The returningRequests.
+       */
+      @java.lang.Override
+      public int getReturningRequests() {
+        return returningRequests_;
+      }
+      /**
+       * <pre>
+       * Refused requests whose callers were told to return within the next seconds.
+       * </pre>
+       *
+       * <code>uint32 returning_requests = 4;</code>
+       * @param value The returningRequests to set.
+       * @return This builder for chaining.
+       */
+      public Builder setReturningRequests(int value) {
+
+        returningRequests_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Refused requests whose callers were told to return within the next seconds.
+       * </pre>
+       *
+       * <code>uint32 returning_requests = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearReturningRequests() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        returningRequests_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private long returningTokens_ ;
+      /**
+       * <code>uint64 returning_tokens = 5;</code>
+       * @return The returningTokens.
+       */
+      @java.lang.Override
+      public long getReturningTokens() {
+        return returningTokens_;
+      }
+      /**
+       * <code>uint64 returning_tokens = 5;</code>
+       * @param value The returningTokens to set.
+       * @return This builder for chaining.
+       */
+      public Builder setReturningTokens(long value) {
+
+        returningTokens_ = value;
+        bitField0_ |= 0x00000010;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 returning_tokens = 5;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearReturningTokens() {
+        bitField0_ = (bitField0_ & ~0x00000010);
+        returningTokens_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<dev.laneworks.wire.proto.Protocol.AccountUsage> accounts_ =
+        java.util.Collections.emptyList();
+      private void ensureAccountsIsMutable() {
+        if (!((bitField0_ & 0x00000020) != 0)) {
+          accounts_ = new java.util.ArrayList<dev.laneworks.wire.proto.Protocol.AccountUsage>(accounts_);
+          bitField0_ |= 0x00000020;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.AccountUsage, dev.laneworks.wire.proto.Protocol.AccountUsage.Builder, dev.laneworks.wire.proto.Protocol.AccountUsageOrBuilder> accountsBuilder_;
+
+      /**
+       * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+       */
+      public java.util.List<dev.laneworks.wire.proto.Protocol.AccountUsage> getAccountsList() {
+        if (accountsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(accounts_);
+        } else {
+          return accountsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+       */
+      public int getAccountsCount() {
+        if (accountsBuilder_ == null) {
+          return accounts_.size();
+        } else {
+          return accountsBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.AccountUsage getAccounts(int index) {
+        if (accountsBuilder_ == null) {
+          return accounts_.get(index);
+        } else {
+          return accountsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+       */
+      public Builder setAccounts(
+          int index, dev.laneworks.wire.proto.Protocol.AccountUsage value) {
+        if (accountsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureAccountsIsMutable();
+          accounts_.set(index, value);
+          onChanged();
+        } else {
+          accountsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+       */
+      public Builder setAccounts(
+          int index, dev.laneworks.wire.proto.Protocol.AccountUsage.Builder builderForValue) {
+        if (accountsBuilder_ == null) {
+          ensureAccountsIsMutable();
+          accounts_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          accountsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+       */
+      public Builder addAccounts(dev.laneworks.wire.proto.Protocol.AccountUsage value) {
+        if (accountsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureAccountsIsMutable();
+          accounts_.add(value);
+          onChanged();
+        } else {
+          accountsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+       */
+      public Builder addAccounts(
+          int index, dev.laneworks.wire.proto.Protocol.AccountUsage value) {
+        if (accountsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureAccountsIsMutable();
+          accounts_.add(index, value);
+          onChanged();
+        } else {
+          accountsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+       */
+      public Builder addAccounts(
+          dev.laneworks.wire.proto.Protocol.AccountUsage.Builder builderForValue) {
+        if (accountsBuilder_ == null) {
+          ensureAccountsIsMutable();
+          accounts_.add(builderForValue.build());
+          onChanged();
+        } else {
+          accountsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+       */
+      public Builder addAccounts(
+          int index, dev.laneworks.wire.proto.Protocol.AccountUsage.Builder builderForValue) {
+        if (accountsBuilder_ == null) {
+          ensureAccountsIsMutable();
+          accounts_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          accountsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+       */
+      public Builder addAllAccounts(
+          java.lang.Iterable<? extends dev.laneworks.wire.proto.Protocol.AccountUsage> values) {
+        if (accountsBuilder_ == null) {
+          ensureAccountsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, accounts_);
+          onChanged();
+        } else {
+          accountsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+       */
+      public Builder clearAccounts() {
+        if (accountsBuilder_ == null) {
+          accounts_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000020);
+          onChanged();
+        } else {
+          accountsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+       */
+      public Builder removeAccounts(int index) {
+        if (accountsBuilder_ == null) {
+          ensureAccountsIsMutable();
+          accounts_.remove(index);
+          onChanged();
+        } else {
+          accountsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.AccountUsage.Builder getAccountsBuilder(
+          int index) {
+        return internalGetAccountsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.AccountUsageOrBuilder getAccountsOrBuilder(
+          int index) {
+        if (accountsBuilder_ == null) {
+          return accounts_.get(index);  } else {
+          return accountsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+       */
+      public java.util.List<? extends dev.laneworks.wire.proto.Protocol.AccountUsageOrBuilder> 
+           getAccountsOrBuilderList() {
+        if (accountsBuilder_ != null) {
+          return accountsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(accounts_);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.AccountUsage.Builder addAccountsBuilder() {
+        return internalGetAccountsFieldBuilder().addBuilder(
+            dev.laneworks.wire.proto.Protocol.AccountUsage.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.AccountUsage.Builder addAccountsBuilder(
+          int index) {
+        return internalGetAccountsFieldBuilder().addBuilder(
+            index, dev.laneworks.wire.proto.Protocol.AccountUsage.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .laneworks.AccountUsage accounts = 6;</code>
+       */
+      public java.util.List<dev.laneworks.wire.proto.Protocol.AccountUsage.Builder> 
+           getAccountsBuilderList() {
+        return internalGetAccountsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.AccountUsage, dev.laneworks.wire.proto.Protocol.AccountUsage.Builder, dev.laneworks.wire.proto.Protocol.AccountUsageOrBuilder> 
+          internalGetAccountsFieldBuilder() {
+        if (accountsBuilder_ == null) {
+          accountsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              dev.laneworks.wire.proto.Protocol.AccountUsage, dev.laneworks.wire.proto.Protocol.AccountUsage.Builder, dev.laneworks.wire.proto.Protocol.AccountUsageOrBuilder>(
+                  accounts_,
+                  ((bitField0_ & 0x00000020) != 0),
+                  getParentForChildren(),
+                  isClean());
+          accounts_ = null;
+        }
+        return accountsBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:laneworks.ServiceDemand)
+    }
+
+    // @@protoc_insertion_point(class_scope:laneworks.ServiceDemand)
+    private static final dev.laneworks.wire.proto.Protocol.ServiceDemand DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.ServiceDemand();
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.ServiceDemand getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<ServiceDemand>
+        PARSER = new com.google.protobuf.AbstractParser<ServiceDemand>() {
+      @java.lang.Override
+      public ServiceDemand parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<ServiceDemand> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<ServiceDemand> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.ServiceDemand getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface AccountUsageOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:laneworks.AccountUsage)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string account = 1;</code>
+     * @return The account.
+     */
+    java.lang.String getAccount();
+    /**
+     * <code>string account = 1;</code>
+     * @return The bytes for account.
+     */
+    com.google.protobuf.ByteString
+        getAccountBytes();
+
+    /**
+     * <code>uint64 used_tokens = 2;</code>
+     * @return The usedTokens.
+     */
+    long getUsedTokens();
+
+    /**
+     * <code>uint64 queued_tokens = 3;</code>
+     * @return The queuedTokens.
+     */
+    long getQueuedTokens();
+  }
+  /**
+   * <pre>
+   * Engine memory that the requests of one client account use and wait for.
+   * </pre>
+   *
+   * Protobuf type {@code laneworks.AccountUsage}
+   */
+  public static final class AccountUsage extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:laneworks.AccountUsage)
+      AccountUsageOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "AccountUsage");
+    }
+    // Use AccountUsage.newBuilder() to construct.
+    private AccountUsage(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private AccountUsage() {
+      account_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_AccountUsage_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_AccountUsage_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_AccountUsage_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              dev.laneworks.wire.proto.Protocol.AccountUsage.class, dev.laneworks.wire.proto.Protocol.AccountUsage.Builder.class);
+    }
+
+    public static final int ACCOUNT_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object account_ = "";
+    /**
+     * <code>string account = 1;</code>
+     * @return The account.
+     */
+    @java.lang.Override
+    public java.lang.String getAccount() {
+      java.lang.Object ref = account_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        account_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string account = 1;</code>
+     * @return The bytes for account.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getAccountBytes() {
+      java.lang.Object ref = account_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        account_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int USED_TOKENS_FIELD_NUMBER = 2;
+    private long usedTokens_ = 0L;
+    /**
+     * <code>uint64 used_tokens = 2;</code>
+     * @return The usedTokens.
+     */
+    @java.lang.Override
+    public long getUsedTokens() {
+      return usedTokens_;
+    }
+
+    public static final int QUEUED_TOKENS_FIELD_NUMBER = 3;
+    private long queuedTokens_ = 0L;
+    /**
+     * <code>uint64 queued_tokens = 3;</code>
+     * @return The queuedTokens.
+     */
+    @java.lang.Override
+    public long getQueuedTokens() {
+      return queuedTokens_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, account_);
+      }
+      if (usedTokens_ != 0L) {
+        output.writeUInt64(2, usedTokens_);
+      }
+      if (queuedTokens_ != 0L) {
+        output.writeUInt64(3, queuedTokens_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, account_);
+      }
+      if (usedTokens_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, usedTokens_);
+      }
+      if (queuedTokens_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, queuedTokens_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof dev.laneworks.wire.proto.Protocol.AccountUsage)) {
+        return super.equals(obj);
+      }
+      dev.laneworks.wire.proto.Protocol.AccountUsage other = (dev.laneworks.wire.proto.Protocol.AccountUsage) obj;
+
+      if (!getAccount()
+          .equals(other.getAccount())) return false;
+      if (getUsedTokens()
+          != other.getUsedTokens()) return false;
+      if (getQueuedTokens()
+          != other.getQueuedTokens()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + ACCOUNT_FIELD_NUMBER;
+      hash = (53 * hash) + getAccount().hashCode();
+      hash = (37 * hash) + USED_TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getUsedTokens());
+      hash = (37 * hash) + QUEUED_TOKENS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getQueuedTokens());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.AccountUsage parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.AccountUsage parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.AccountUsage parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.AccountUsage parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.AccountUsage parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.AccountUsage parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.AccountUsage parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.AccountUsage parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.AccountUsage parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.AccountUsage parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.AccountUsage parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.AccountUsage parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(dev.laneworks.wire.proto.Protocol.AccountUsage prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Engine memory that the requests of one client account use and wait for.
+     * </pre>
+     *
+     * Protobuf type {@code laneworks.AccountUsage}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:laneworks.AccountUsage)
+        dev.laneworks.wire.proto.Protocol.AccountUsageOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_AccountUsage_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_AccountUsage_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                dev.laneworks.wire.proto.Protocol.AccountUsage.class, dev.laneworks.wire.proto.Protocol.AccountUsage.Builder.class);
+      }
+
+      // Construct using dev.laneworks.wire.proto.Protocol.AccountUsage.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        account_ = "";
+        usedTokens_ = 0L;
+        queuedTokens_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_AccountUsage_descriptor;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.AccountUsage getDefaultInstanceForType() {
+        return dev.laneworks.wire.proto.Protocol.AccountUsage.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.AccountUsage build() {
+        dev.laneworks.wire.proto.Protocol.AccountUsage result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.AccountUsage buildPartial() {
+        dev.laneworks.wire.proto.Protocol.AccountUsage result = new dev.laneworks.wire.proto.Protocol.AccountUsage(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(dev.laneworks.wire.proto.Protocol.AccountUsage result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.account_ = account_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.usedTokens_ = usedTokens_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.queuedTokens_ = queuedTokens_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof dev.laneworks.wire.proto.Protocol.AccountUsage) {
+          return mergeFrom((dev.laneworks.wire.proto.Protocol.AccountUsage)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(dev.laneworks.wire.proto.Protocol.AccountUsage other) {
+        if (other == dev.laneworks.wire.proto.Protocol.AccountUsage.getDefaultInstance()) return this;
+        if (!other.getAccount().isEmpty()) {
+          account_ = other.account_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getUsedTokens() != 0L) {
+          setUsedTokens(other.getUsedTokens());
+        }
+        if (other.getQueuedTokens() != 0L) {
+          setQueuedTokens(other.getQueuedTokens());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                account_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                usedTokens_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 24: {
+                queuedTokens_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object account_ = "";
+      /**
+       * <code>string account = 1;</code>
+       * @return The account.
        */
-      public dev.laneworks.wire.proto.Protocol.TargetLimit.Builder addLimitsBuilder(
-          int index) {
-        return internalGetLimitsFieldBuilder().addBuilder(
-            index, dev.laneworks.wire.proto.Protocol.TargetLimit.getDefaultInstance());
+      public java.lang.String getAccount() {
+        java.lang.Object ref = account_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          account_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
       }
       /**
-       * <code>repeated .laneworks.TargetLimit limits = 12;</code>
+       * <code>string account = 1;</code>
+       * @return The bytes for account.
        */
-      public java.util.List<dev.laneworks.wire.proto.Protocol.TargetLimit.Builder> 
-           getLimitsBuilderList() {
-        return internalGetLimitsFieldBuilder().getBuilderList();
-      }
-      private com.google.protobuf.RepeatedFieldBuilder<
-          dev.laneworks.wire.proto.Protocol.TargetLimit, dev.laneworks.wire.proto.Protocol.TargetLimit.Builder, dev.laneworks.wire.proto.Protocol.TargetLimitOrBuilder> 
-          internalGetLimitsFieldBuilder() {
-        if (limitsBuilder_ == null) {
-          limitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-              dev.laneworks.wire.proto.Protocol.TargetLimit, dev.laneworks.wire.proto.Protocol.TargetLimit.Builder, dev.laneworks.wire.proto.Protocol.TargetLimitOrBuilder>(
-                  limits_,
-                  ((bitField0_ & 0x00000400) != 0),
-                  getParentForChildren(),
-                  isClean());
-          limits_ = null;
-        }
-        return limitsBuilder_;
-      }
-
-      private com.google.protobuf.LazyStringArrayList leaving_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
-      private void ensureLeavingIsMutable() {
-        if (!leaving_.isModifiable()) {
-          leaving_ = new com.google.protobuf.LazyStringArrayList(leaving_);
+      public com.google.protobuf.ByteString
+          getAccountBytes() {
+        java.lang.Object ref = account_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          account_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
         }
-        bitField0_ |= 0x00000800;
       }
       /**
-       * <pre>
-       * Targets that said that they are leaving.
-       * </pre>
-       *
-       * <code>repeated string leaving = 13;</code>
-       * @return A list containing the leaving.
+       * <code>string account = 1;</code>
+       * @param value The account to set.
+       * @return This builder for chaining.
        */
-      public com.google.protobuf.ProtocolStringList
-          getLeavingList() {
-        leaving_.makeImmutable();
-        return leaving_;
+      public Builder setAccount(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        account_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
       }
       /**
-       * <pre>
-       * Targets that said that they are leaving.
-       * </pre>
-       *
-       * <code>repeated string leaving = 13;</code>
-       * @return The count of leaving.
+       * <code>string account = 1;</code>
+       * @return This builder for chaining.
        */
-      public int getLeavingCount() {
-        return leaving_.size();
+      public Builder clearAccount() {
+        account_ = getDefaultInstance().getAccount();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
       }
       /**
-       * <pre>
-       * Targets that said that they are leaving.
-       * </pre>
-       *
-       * <code>repeated string leaving = 13;</code>
-       * @param index The index of the element to return.
-       * @return The leaving at the given index.
+       * <code>string account = 1;</code>
+       * @param value The bytes for account to set.
+       * @return This builder for chaining.
        */
-      public java.lang.String getLeaving(int index) {
-        return leaving_.get(index);
+      public Builder setAccountBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        account_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
       }
+
+      private long usedTokens_ ;
       /**
-       * <pre>
-       * Targets that said that they are leaving.
-       * </pre>
-       *
-       * <code>repeated string leaving = 13;</code>
-       * @param index The index of the value to return.
-       * @return The bytes of the leaving at the given index.
+       * <code>uint64 used_tokens = 2;</code>
+       * @return The usedTokens.
        */
-      public com.google.protobuf.ByteString
-          getLeavingBytes(int index) {
-        return leaving_.getByteString(index);
+      @java.lang.Override
+      public long getUsedTokens() {
+        return usedTokens_;
       }
       /**
-       * <pre>
-       * Targets that said that they are leaving.
-       * </pre>
-       *
-       * <code>repeated string leaving = 13;</code>
-       * @param index The index to set the value at.
-       * @param value The leaving to set.
+       * <code>uint64 used_tokens = 2;</code>
+       * @param value The usedTokens to set.
        * @return This builder for chaining.
        */
-      public Builder setLeaving(
-          int index, java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        ensureLeavingIsMutable();
-        leaving_.set(index, value);
-        bitField0_ |= 0x00000800;
+      public Builder setUsedTokens(long value) {
+
+        usedTokens_ = value;
+        bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
-       * <pre>
-       * Targets that said that they are leaving.
-       * </pre>
-       *
-       * <code>repeated string leaving = 13;</code>
-       * @param value The leaving to add.
+       * <code>uint64 used_tokens = 2;</code>
        * @return This builder for chaining.
        */
-      public Builder addLeaving(
-          java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        ensureLeavingIsMutable();
-        leaving_.add(value);
-        bitField0_ |= 0x00000800;
+      public Builder clearUsedTokens() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        usedTokens_ = 0L;
         onChanged();
         return this;
       }
+
+      private long queuedTokens_ ;
       /**
-       * <pre>
-       * Targets that said that they are leaving.
-       * </pre>
-       *
-       * <code>repeated string leaving = 13;</code>
-       * @param values The leaving to add.
-       * @return This builder for chaining.
+       * <code>uint64 queued_tokens = 3;</code>
+       * @return The queuedTokens.
        */
-      public Builder addAllLeaving(
-          java.lang.Iterable<java.lang.String> values) {
-        ensureLeavingIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, leaving_);
-        bitField0_ |= 0x00000800;
-        onChanged();
-        return this;
+      @java.lang.Override
+      public long getQueuedTokens() {
+        return queuedTokens_;
       }
       /**
-       * <pre>
-       * Targets that said that they are leaving.
-       * </pre>
-       *
-       * <code>repeated string leaving = 13;</code>
+       * <code>uint64 queued_tokens = 3;</code>
+       * @param value The queuedTokens to set.
        * @return This builder for chaining.
        */
-      public Builder clearLeaving() {
-        leaving_ =
-          com.google.protobuf.LazyStringArrayList.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000800);;
+      public Builder setQueuedTokens(long value) {
+
+        queuedTokens_ = value;
+        bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
       /**
-       * <pre>
-       * Targets that said that they are leaving.
-       * </pre>
-       *
-       * <code>repeated string leaving = 13;</code>
-       * @param value The bytes of the leaving to add.
+       * <code>uint64 queued_tokens = 3;</code>
        * @return This builder for chaining.
        */
-      public Builder addLeavingBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        ensureLeavingIsMutable();
-        leaving_.add(value);
-        bitField0_ |= 0x00000800;
+      public Builder clearQueuedTokens() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        queuedTokens_ = 0L;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:laneworks.EntryNews)
+      // @@protoc_insertion_point(builder_scope:laneworks.AccountUsage)
     }
 
-    // @@protoc_insertion_point(class_scope:laneworks.EntryNews)
-    private static final dev.laneworks.wire.proto.Protocol.EntryNews DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:laneworks.AccountUsage)
+    private static final dev.laneworks.wire.proto.Protocol.AccountUsage DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.EntryNews();
+      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.AccountUsage();
     }
 
-    public static dev.laneworks.wire.proto.Protocol.EntryNews getDefaultInstance() {
+    public static dev.laneworks.wire.proto.Protocol.AccountUsage getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<EntryNews>
-        PARSER = new com.google.protobuf.AbstractParser<EntryNews>() {
+    private static final com.google.protobuf.Parser<AccountUsage>
+        PARSER = new com.google.protobuf.AbstractParser<AccountUsage>() {
       @java.lang.Override
-      public EntryNews parsePartialFrom(
+      public AccountUsage parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -23090,17 +25466,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<EntryNews> parser() {
+    public static com.google.protobuf.Parser<AccountUsage> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<EntryNews> getParserForType() {
+    public com.google.protobuf.Parser<AccountUsage> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public dev.laneworks.wire.proto.Protocol.EntryNews getDefaultInstanceForType() {
+    public dev.laneworks.wire.proto.Protocol.AccountUsage getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -34667,6 +37043,16 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_laneworks_EntryNews_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_ServiceDemand_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_ServiceDemand_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_AccountUsage_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_AccountUsage_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_laneworks_EntryDatagram_descriptor;
   private static final 
@@ -34804,7 +37190,7 @@
       "rsion\030\001 \001(\004\022\036\n\026confirmed_age_plus_one\030\002 " +
       "\001(\004\"\026\n\024ConfigurationRequest\"F\n\021Configura" +
       "tionText\022\017\n\007version\030\001 \001(\004\022\020\n\010deflated\030\002 " +
-      "\001(\014\022\016\n\006digest\030\003 \001(\014\"\263\002\n\tEntryNews\022\020\n\010ins" +
+      "\001(\014\022\016\n\006digest\030\003 \001(\014\"\335\002\n\tEntryNews\022\020\n\010ins" +
       "tance\030\002 \001(\t\022\023\n\013incarnation\030\003 \001(\006\022\020\n\010sequ" +
       "ence\030\004 \001(\004\022\016\n\006ending\030\005 \001(\010\022%\n\004work\030\006 \003(\013" +
       "2\027.laneworks.WorkAtTarget\022\r\n\005peers\030\007 \003(\t" +
@@ -34812,43 +37198,51 @@
       "ending\022\023\n\013data_centre\030\t \001(\t\022\017\n\007partial\030\n" +
       " \001(\010\022\024\n\014again_millis\030\013 \001(\r\022&\n\006limits\030\014 \003" +
       "(\0132\026.laneworks.TargetLimit\022\017\n\007leaving\030\r " +
-      "\003(\tJ\004\010\001\020\002\"\370\001\n\rEntryDatagram\022\020\n\010protocol\030" +
-      "\001 \001(\r\022$\n\004work\030\002 \001(\0132\024.laneworks.EntryNew" +
-      "sH\000\022%\n\005store\030\003 \001(\0132\024.laneworks.StoreNews" +
-      "H\000\022,\n\010question\030\004 \001(\0132\030.laneworks.StateQu" +
-      "estionH\000\022&\n\005piece\030\005 \001(\0132\025.laneworks.Stat" +
-      "ePieceH\000\022*\n\010suspects\030\006 \001(\0132\026.laneworks.S" +
-      "uspectNewsH\000B\006\n\004kind\"8\n\013SuspectNews\022)\n\007r" +
-      "eports\030\001 \003(\0132\030.laneworks.SuspectReport\"\221" +
-      "\001\n\rSuspectReport\022\016\n\006caller\030\001 \001(\006\022\014\n\004high" +
-      "\030\002 \001(\006\022\013\n\003low\030\003 \001(\006\022!\n\004ends\030\004 \003(\0132\023.lane" +
-      "works.EndedRun\022\035\n\020sound_age_millis\030\005 \001(\004" +
-      "H\000\210\001\001B\023\n\021_sound_age_millis\".\n\010EndedRun\022\016" +
-      "\n\006target\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(\004\"6\n\rSt" +
-      "ateQuestion\022\020\n\010revision\030\001 \001(\022\022\023\n\013first_p" +
-      "iece\030\002 \001(\r\"_\n\nStatePiece\022\020\n\010revision\030\001 \001" +
-      "(\004\022\022\n\nage_millis\030\002 \001(\004\022\016\n\006number\030\003 \001(\r\022\r" +
-      "\n\005count\030\004 \001(\r\022\014\n\004data\030\005 \001(\014\"1\n\nStoreItem" +
-      "s\022#\n\005items\030\001 \003(\0132\024.laneworks.StoreItem\"\'" +
-      "\n\tStoreItem\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"" +
-      "\250\001\n\tStoreNews\022\016\n\006reader\030\001 \001(\t\022\014\n\004from\030\002 " +
-      "\001(\004\022\n\n\002to\030\003 \001(\004\022\'\n\007changes\030\004 \003(\0132\026.lanew" +
-      "orks.StoreChange\022&\n\004kind\030\005 \001(\0162\030.lanewor" +
-      "ks.StoreNewsKind\022\r\n\005group\030\006 \001(\t\022\021\n\tretur" +
-      "ning\030\007 \001(\010\"J\n\013StoreChange\022\013\n\003key\030\001 \001(\t\022\020" +
-      "\n\010revision\030\002 \001(\004\022\022\n\005value\030\003 \001(\tH\000\210\001\001B\010\n\006" +
-      "_value\"E\n\017ServiceSpending\022\017\n\007service\030\001 \001" +
-      "(\t\022\020\n\010requests\030\002 \001(\r\022\017\n\007repeats\030\003 \001(\r\"S\n" +
-      "\013TargetLimit\022\016\n\006target\030\001 \001(\t\022\014\n\004over\030\002 \001" +
-      "(\010\022\022\n\nper_second\030\003 \001(\001\022\022\n\nage_millis\030\004 \001" +
-      "(\r\"\240\001\n\014WorkAtTarget\022\016\n\006target\030\001 \001(\t\022\020\n\010r" +
-      "equests\030\002 \001(\r\022\023\n\013held_tokens\030\003 \001(\004\022\025\n\run" +
-      "read_tokens\030\004 \001(\004\022\017\n\007to_move\030\005 \001(\r\022\017\n\007co" +
-      "pying\030\006 \001(\010\022\017\n\007refused\030\007 \001(\r\022\017\n\007leaving\030" +
-      "\010 \001(\010*W\n\rStoreNewsKind\022\023\n\017STORE_NEWS_REA" +
-      "D\020\000\022\027\n\023STORE_NEWS_QUESTION\020\001\022\030\n\024STORE_NE" +
-      "WS_PASSED_ON\020\002B&\n\030dev.laneworks.wire.pro" +
-      "toB\010ProtocolP\000b\006proto3"
+      "\003(\t\022(\n\006demand\030\016 \003(\0132\030.laneworks.ServiceD" +
+      "emandJ\004\010\001\020\002\"\261\001\n\rServiceDemand\022\017\n\007service" +
+      "\030\001 \001(\t\022\027\n\017queued_requests\030\002 \001(\r\022\025\n\rqueue" +
+      "d_tokens\030\003 \001(\004\022\032\n\022returning_requests\030\004 \001" +
+      "(\r\022\030\n\020returning_tokens\030\005 \001(\004\022)\n\010accounts" +
+      "\030\006 \003(\0132\027.laneworks.AccountUsage\"K\n\014Accou" +
+      "ntUsage\022\017\n\007account\030\001 \001(\t\022\023\n\013used_tokens\030" +
+      "\002 \001(\004\022\025\n\rqueued_tokens\030\003 \001(\004\"\370\001\n\rEntryDa" +
+      "tagram\022\020\n\010protocol\030\001 \001(\r\022$\n\004work\030\002 \001(\0132\024" +
+      ".laneworks.EntryNewsH\000\022%\n\005store\030\003 \001(\0132\024." +
+      "laneworks.StoreNewsH\000\022,\n\010question\030\004 \001(\0132" +
+      "\030.laneworks.StateQuestionH\000\022&\n\005piece\030\005 \001" +
+      "(\0132\025.laneworks.StatePieceH\000\022*\n\010suspects\030" +
+      "\006 \001(\0132\026.laneworks.SuspectNewsH\000B\006\n\004kind\"" +
+      "8\n\013SuspectNews\022)\n\007reports\030\001 \003(\0132\030.lanewo" +
+      "rks.SuspectReport\"\221\001\n\rSuspectReport\022\016\n\006c" +
+      "aller\030\001 \001(\006\022\014\n\004high\030\002 \001(\006\022\013\n\003low\030\003 \001(\006\022!" +
+      "\n\004ends\030\004 \003(\0132\023.laneworks.EndedRun\022\035\n\020sou" +
+      "nd_age_millis\030\005 \001(\004H\000\210\001\001B\023\n\021_sound_age_m" +
+      "illis\".\n\010EndedRun\022\016\n\006target\030\001 \001(\t\022\022\n\nage" +
+      "_millis\030\002 \001(\004\"6\n\rStateQuestion\022\020\n\010revisi" +
+      "on\030\001 \001(\022\022\023\n\013first_piece\030\002 \001(\r\"_\n\nStatePi" +
+      "ece\022\020\n\010revision\030\001 \001(\004\022\022\n\nage_millis\030\002 \001(" +
+      "\004\022\016\n\006number\030\003 \001(\r\022\r\n\005count\030\004 \001(\r\022\014\n\004data" +
+      "\030\005 \001(\014\"1\n\nStoreItems\022#\n\005items\030\001 \003(\0132\024.la" +
+      "neworks.StoreItem\"\'\n\tStoreItem\022\013\n\003key\030\001 " +
+      "\001(\t\022\r\n\005value\030\002 \001(\t\"\250\001\n\tStoreNews\022\016\n\006read" +
+      "er\030\001 \001(\t\022\014\n\004from\030\002 \001(\004\022\n\n\002to\030\003 \001(\004\022\'\n\007ch" +
+      "anges\030\004 \003(\0132\026.laneworks.StoreChange\022&\n\004k" +
+      "ind\030\005 \001(\0162\030.laneworks.StoreNewsKind\022\r\n\005g" +
+      "roup\030\006 \001(\t\022\021\n\treturning\030\007 \001(\010\"J\n\013StoreCh" +
+      "ange\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004\022\022\n\005v" +
+      "alue\030\003 \001(\tH\000\210\001\001B\010\n\006_value\"E\n\017ServiceSpen" +
+      "ding\022\017\n\007service\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022" +
+      "\017\n\007repeats\030\003 \001(\r\"S\n\013TargetLimit\022\016\n\006targe" +
+      "t\030\001 \001(\t\022\014\n\004over\030\002 \001(\010\022\022\n\nper_second\030\003 \001(" +
+      "\001\022\022\n\nage_millis\030\004 \001(\r\"\240\001\n\014WorkAtTarget\022\016" +
+      "\n\006target\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\023\n\013held" +
+      "_tokens\030\003 \001(\004\022\025\n\runread_tokens\030\004 \001(\004\022\017\n\007" +
+      "to_move\030\005 \001(\r\022\017\n\007copying\030\006 \001(\010\022\017\n\007refuse" +
+      "d\030\007 \001(\r\022\017\n\007leaving\030\010 \001(\010*W\n\rStoreNewsKin" +
+      "d\022\023\n\017STORE_NEWS_READ\020\000\022\027\n\023STORE_NEWS_QUE" +
+      "STION\020\001\022\030\n\024STORE_NEWS_PASSED_ON\020\002B&\n\030dev" +
+      ".laneworks.wire.protoB\010ProtocolP\000b\006proto" +
+      "3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -34991,81 +37385,93 @@
     internal_static_laneworks_EntryNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_EntryNews_descriptor,
-        new java.lang.String[] { "Instance", "Incarnation", "Sequence", "Ending", "Work", "Peers", "Spending", "DataCentre", "Partial", "AgainMillis", "Limits", "Leaving", });
-    internal_static_laneworks_EntryDatagram_descriptor =
+        new java.lang.String[] { "Instance", "Incarnation", "Sequence", "Ending", "Work", "Peers", "Spending", "DataCentre", "Partial", "AgainMillis", "Limits", "Leaving", "Demand", });
+    internal_static_laneworks_ServiceDemand_descriptor =
       getDescriptor().getMessageType(23);
+    internal_static_laneworks_ServiceDemand_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_laneworks_ServiceDemand_descriptor,
+        new java.lang.String[] { "Service", "QueuedRequests", "QueuedTokens", "ReturningRequests", "ReturningTokens", "Accounts", });
+    internal_static_laneworks_AccountUsage_descriptor =
+      getDescriptor().getMessageType(24);
+    internal_static_laneworks_AccountUsage_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_laneworks_AccountUsage_descriptor,
+        new java.lang.String[] { "Account", "UsedTokens", "QueuedTokens", });
+    internal_static_laneworks_EntryDatagram_descriptor =
+      getDescriptor().getMessageType(25);
     internal_static_laneworks_EntryDatagram_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_EntryDatagram_descriptor,
         new java.lang.String[] { "Protocol", "Work", "Store", "Question", "Piece", "Suspects", "Kind", });
     internal_static_laneworks_SuspectNews_descriptor =
-      getDescriptor().getMessageType(24);
+      getDescriptor().getMessageType(26);
     internal_static_laneworks_SuspectNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_SuspectNews_descriptor,
         new java.lang.String[] { "Reports", });
     internal_static_laneworks_SuspectReport_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(27);
     internal_static_laneworks_SuspectReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_SuspectReport_descriptor,
         new java.lang.String[] { "Caller", "High", "Low", "Ends", "SoundAgeMillis", });
     internal_static_laneworks_EndedRun_descriptor =
-      getDescriptor().getMessageType(26);
+      getDescriptor().getMessageType(28);
     internal_static_laneworks_EndedRun_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_EndedRun_descriptor,
         new java.lang.String[] { "Target", "AgeMillis", });
     internal_static_laneworks_StateQuestion_descriptor =
-      getDescriptor().getMessageType(27);
+      getDescriptor().getMessageType(29);
     internal_static_laneworks_StateQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_StateQuestion_descriptor,
         new java.lang.String[] { "Revision", "FirstPiece", });
     internal_static_laneworks_StatePiece_descriptor =
-      getDescriptor().getMessageType(28);
+      getDescriptor().getMessageType(30);
     internal_static_laneworks_StatePiece_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_StatePiece_descriptor,
         new java.lang.String[] { "Revision", "AgeMillis", "Number", "Count", "Data", });
     internal_static_laneworks_StoreItems_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(31);
     internal_static_laneworks_StoreItems_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_StoreItems_descriptor,
         new java.lang.String[] { "Items", });
     internal_static_laneworks_StoreItem_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(32);
     internal_static_laneworks_StoreItem_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_StoreItem_descriptor,
         new java.lang.String[] { "Key", "Value", });
     internal_static_laneworks_StoreNews_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(33);
     internal_static_laneworks_StoreNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_StoreNews_descriptor,
         new java.lang.String[] { "Reader", "From", "To", "Changes", "Kind", "Group", "Returning", });
     internal_static_laneworks_StoreChange_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(34);
     internal_static_laneworks_StoreChange_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_StoreChange_descriptor,
         new java.lang.String[] { "Key", "Revision", "Value", });
     internal_static_laneworks_ServiceSpending_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(35);
     internal_static_laneworks_ServiceSpending_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_ServiceSpending_descriptor,
         new java.lang.String[] { "Service", "Requests", "Repeats", });
     internal_static_laneworks_TargetLimit_descriptor =
-      getDescriptor().getMessageType(34);
+      getDescriptor().getMessageType(36);
     internal_static_laneworks_TargetLimit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_TargetLimit_descriptor,
         new java.lang.String[] { "Target", "Over", "PerSecond", "AgeMillis", });
     internal_static_laneworks_WorkAtTarget_descriptor =
-      getDescriptor().getMessageType(35);
+      getDescriptor().getMessageType(37);
     internal_static_laneworks_WorkAtTarget_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_WorkAtTarget_descriptor,
--- a/laneworks-wire/src/test/java/dev/laneworks/wire/LoadUpdateCodecTests.java
+++ b/laneworks-wire/src/test/java/dev/laneworks/wire/LoadUpdateCodecTests.java
@@ -4,10 +4,12 @@
 import java.util.OptionalDouble;
 
 import dev.laneworks.core.directory.TargetIncarnation;
+import dev.laneworks.core.gossip.AccountUsage;
 import dev.laneworks.core.gossip.BackpressureUpdate;
 import dev.laneworks.core.gossip.LoadUpdate;
 import dev.laneworks.core.gossip.RateLimitUpdate;
 import dev.laneworks.core.gossip.RetryBudgetUsage;
+import dev.laneworks.core.gossip.ServiceDemand;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import org.junit.jupiter.api.Test;
 
@@ -29,6 +31,7 @@
 								new RateLimitUpdate(TargetIncarnation.of("u"), OptionalDouble.empty(), 0),
 								new RateLimitUpdate(TargetIncarnation.of("v"), OptionalDouble.of(0), 5)),
 						List.of(incarnation, TargetIncarnation.of("w"))),
+				List.of(new ServiceDemand("s", 8, 9, 10, 11, List.of(new AccountUsage("a", 12, 13)))),
 				List.of("10.0.0.1:7200"));
 		assertThat(LoadUpdateCodec.decode(LoadUpdateCodec.encode(update))).isEqualTo(update);
 	}
