--- a/laneworks-core/src/main/java/dev/laneworks/core/audit/AuditKind.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/audit/AuditKind.java
@@ -18,6 +18,9 @@
 	/** The configuration service became unreachable or reachable again. */
 	CONFIGURATION_SERVICE,
 
+	/** A generation waits for engine memory. */
+	QUEUED,
+
 	/** A target was selected for an attempt. */
 	ROUTED,
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/serving/ServingPlan.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/serving/ServingPlan.java
@@ -1,5 +1,6 @@
 package dev.laneworks.core.serving;
 
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -20,6 +21,8 @@
 
 	private final long version;
 
+	private final List<RouteSpec> routes;
+
 	private final Map<String, List<RouteSpec>> routesByHost;
 
 	private final Map<String, ServiceSpec> services;
@@ -41,6 +44,7 @@
 	public ServingPlan(long version, List<RouteSpec> routes, Map<String, ServiceSpec> services,
 			Map<String, AccountGrant> accountsByKey, RequestLimits limits) {
 		this.version = version;
+		this.routes = List.copyOf(routes);
 		this.routesByHost = groupByHost(routes);
 		this.services = Map.copyOf(services);
 		this.serviceNames.addAll(services.keySet());
@@ -65,6 +69,24 @@
 		return this.limits;
 	}
 
+	/**
+	 * Return all routes.
+	 * @return the routes in the order of the plan
+	 * @since 0.4
+	 */
+	public List<RouteSpec> routes() {
+		return this.routes;
+	}
+
+	/**
+	 * Return the services that the plan defines.
+	 * @return the services in any order
+	 * @since 0.4
+	 */
+	public Collection<ServiceSpec> services() {
+		return this.services.values();
+	}
+
 	/**
 	 * Find the route of a request: the route of its host with the longest matching path
 	 * prefix.
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/waiting/GenerationQueues.java
@@ -0,0 +1,282 @@
+package dev.laneworks.core.waiting;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+import dev.laneworks.core.gossip.ServiceDemand;
+import dev.laneworks.core.headroom.StartLimit;
+import dev.laneworks.core.serving.ServingPlan;
+import dev.laneworks.core.shares.AccountOveruse;
+
+/**
+ * Queues of the generations that wait at this entry for engine memory, one for each
+ * governed service.
+ * <p>
+ * Decides who waits, in which order, until when, and when to check for released memory.
+ * Selecting engines and sending requests is left to the invoker. Without settings, no
+ * service is governed. Not thread-safe.
+ *
+ * @since 0.4
+ */
+public final class GenerationQueues {
+
+	private final Optional<WaitingSettings> settings;
+
+	private final StartLimit limit;
+
+	private final AccountOveruse overuse;
+
+	private final PeerDemand peers;
+
+	private final CheckPacing pacing;
+
+	private final CallerAges callerAges = new CallerAges();
+
+	private final Map<String, ServiceQueue> queues = new HashMap<>();
+
+	private GovernedServices governed = GovernedServices.NONE;
+
+	private long refused;
+
+	/**
+	 * Create empty queues.
+	 * @param settings the settings; empty to govern no service
+	 * @param limit the utilization up to which generations start
+	 * @param overuse the use of memory by client accounts
+	 * @param peers the demand at other entries
+	 * @param random the source of the check intervals
+	 */
+	public GenerationQueues(Optional<WaitingSettings> settings, StartLimit limit, AccountOveruse overuse,
+			PeerDemand peers, RandomGenerator random) {
+		this.settings = settings;
+		this.limit = limit;
+		this.overuse = overuse;
+		this.peers = peers;
+		this.pacing = new CheckPacing(random);
+	}
+
+	/**
+	 * Create queues that govern no service.
+	 * @return queues that stay empty
+	 */
+	public static GenerationQueues off() {
+		return new GenerationQueues(Optional.empty(), (s, p, t) -> 1, AccountOveruse.NONE, PeerDemand.NONE,
+				RandomGenerator.getDefault());
+	}
+
+	/**
+	 * Determine the governed services of a new plan. Generations of a service that is no
+	 * longer governed stay queued until they start or are refused.
+	 * @param plan the plan that replaces the current one
+	 */
+	public void applyPlan(ServingPlan plan) {
+		this.governed = this.settings.map((s) -> GovernedServices.of(plan, s.minGoalMillis()))
+			.orElse(GovernedServices.NONE);
+	}
+
+	/**
+	 * Return the services whose generations wait for engine memory.
+	 * @return the governed services of the current plan
+	 */
+	public GovernedServices governed() {
+		return this.governed;
+	}
+
+	/**
+	 * Return the highest utilization of an engine up to which a generation may start
+	 * there.
+	 * @param service the name of the service
+	 * @param priority the priority of the generation, 0 being the highest
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return a fraction of the engine's memory, from 0 to 1
+	 */
+	public double maxUtilization(String service, int priority, long now) {
+		return this.limit.maxUtilization(service, priority, now);
+	}
+
+	/**
+	 * Estimate the time of the first arrival of a request that arrives now.
+	 * @param route the name of the route
+	 * @param timeoutMillis the time left to the caller in milliseconds
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return the time in milliseconds of the monotonic clock, earlier than {@code now}
+	 * if the caller was refused before and returned
+	 */
+	public long firstArrivalAt(String route, long timeoutMillis, long now) {
+		return this.callerAges.firstArrivalAt(route, timeoutMillis, now);
+	}
+
+	/**
+	 * Determine whether a generation goes before all others that may start at the same
+	 * engines.
+	 * @param service the name of the service
+	 * @param generation the generation, in the queue or not
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return {@code true} if it may start if an engine has memory
+	 */
+	public boolean isNext(String service, QueuedGeneration generation, long now) {
+		return queue(service).isNext(generation, now);
+	}
+
+	/**
+	 * Queue a generation that no engine has memory for.
+	 * @param service the name of the service
+	 * @param generation the generation, which is not in the queue
+	 * @param memory the memory of the engines
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return the refusal of this generation or of the one that made room for it, or
+	 * empty if nothing is refused
+	 */
+	public Optional<QueueRefusal> enqueue(String service, QueuedGeneration generation, EngineMemory memory, long now) {
+		Optional<QueueRefusal> refusal = queue(service).add(generation,
+				expectedWaitMillis(service, generation, memory, now), now);
+		this.refused += refusal.isPresent() ? 1 : 0;
+		return refusal;
+	}
+
+	/**
+	 * Remove the generations that can no longer be served in time. To be called before
+	 * any is started, since the process may have been paused.
+	 * @param service the name of the service
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return the generations to refuse
+	 */
+	public List<QueueRefusal> removeExpired(String service, long now) {
+		List<QueueRefusal> expired = queue(service).removeExpired(now);
+		this.refused += expired.size();
+		return expired;
+	}
+
+	/**
+	 * Return the queued generations in the order in which they are to start.
+	 * @param service the name of the service
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return a copy of the queue
+	 */
+	public List<QueuedGeneration> inOrder(String service, long now) {
+		return queue(service).inOrder(now);
+	}
+
+	/**
+	 * Describe the place of a generation.
+	 * @param service the name of the service
+	 * @param generation the generation, in the queue or not
+	 * @param memory the memory of the engines
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return its position with the inputs of the decision
+	 */
+	public QueuePosition position(String service, QueuedGeneration generation, EngineMemory memory, long now) {
+		return queue(service).position(generation, expectedWaitMillis(service, generation, memory, now), now);
+	}
+
+	/**
+	 * Remove a generation that starts or whose call ends.
+	 * @param service the name of the service
+	 * @param call the number of its call
+	 * @return {@code true} if it was queued
+	 */
+	public boolean remove(String service, long call) {
+		ServiceQueue queue = this.queues.get(service);
+		return queue != null && queue.remove(call);
+	}
+
+	/**
+	 * Determine whether any generation waits.
+	 * @param service the name of the service
+	 * @return {@code true} if the queue of the service is not empty
+	 */
+	public boolean isWaiting(String service) {
+		ServiceQueue queue = this.queues.get(service);
+		return queue != null && queue.size() > 0;
+	}
+
+	/**
+	 * Return the delay of the next check for released memory.
+	 * @param service the name of a service with queued generations
+	 * @return the delay in milliseconds, at least 1
+	 */
+	public long nextCheckMillis(String service) {
+		return this.pacing.nextDelayMillis(Math.max(1, queue(service).size()),
+				this.peers.demandNearby(service).queuedRequests(), this.peers.entries() <= 1);
+	}
+
+	/**
+	 * Record the first event of a generation.
+	 * @param service the name of the service
+	 * @param priority the priority of the generation, 0 being the highest
+	 * @param millis the time since it was sent to its engine, in milliseconds
+	 */
+	public void recordFirstEvent(String service, int priority, long millis) {
+		queue(service).startTimes().recordFirstEvent(priority, millis);
+	}
+
+	/**
+	 * Record a generation that completed.
+	 * @param service the name of the service
+	 * @param heldTokens the memory that it held, in tokens
+	 * @param generatedTokens the tokens that it generated
+	 * @param millis the time since it was sent to its engine, in milliseconds
+	 */
+	public void recordCompleted(String service, long heldTokens, long generatedTokens, long millis) {
+		queue(service).release().record(heldTokens, millis);
+		queue(service).startTimes().recordStream(generatedTokens, millis);
+	}
+
+	/**
+	 * Return the demand that waits at this entry, for gossip updates to other entries.
+	 * @return the demand for each service with queued generations
+	 */
+	public List<ServiceDemand> demand() {
+		return this.queues.entrySet()
+			.stream()
+			.filter((e) -> e.getValue().size() > 0)
+			.map((e) -> new ServiceDemand(e.getKey(), e.getValue().size(), e.getValue().tokens(), 0, 0, List.of()))
+			.toList();
+	}
+
+	/**
+	 * Return the queued generations of all services by priority.
+	 * @return the counts and the arrivals of the oldest
+	 */
+	public SortedMap<Integer, WaitingCount> countByPriority() {
+		SortedMap<Integer, WaitingCount> counts = new TreeMap<>();
+		this.queues.values()
+			.stream()
+			.map(ServiceQueue::generations)
+			.flatMap(Collection::stream)
+			.forEach((g) -> counts.merge(g.priority(), new WaitingCount(1, g.arrivedAt()), WaitingCount::plus));
+		return counts;
+	}
+
+	/**
+	 * Return how many generations were refused instead of waiting, or after waiting.
+	 * @return the count since the start of the process
+	 */
+	public long refused() {
+		return this.refused;
+	}
+
+	private long expectedWaitMillis(String service, QueuedGeneration generation, EngineMemory memory, long now) {
+		return queue(service).expectedWaitMillis(generation, memory,
+				maxUtilization(service, generation.priority(), now), this.peers.demandOfOthers(service),
+				this.peers.entries(), now);
+	}
+
+	private ServiceQueue queue(String service) {
+		return this.queues.computeIfAbsent(service, this::createQueue);
+	}
+
+	private ServiceQueue createQueue(String service) {
+		WaitingSettings inForce = this.settings.orElseThrow();
+		StartTimes startTimes = new StartTimes();
+		return new ServiceQueue(inForce.maxQueued(), startTimes,
+				new QueueRanking(service, inForce.order(), startTimes, this.overuse));
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/waiting/ServiceQueue.java
@@ -0,0 +1,149 @@
+package dev.laneworks.core.waiting;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+import dev.laneworks.core.gossip.ServiceDemand;
+
+/**
+ * Bounded queue of the generations that wait for the engines of one service. Not
+ * thread-safe.
+ */
+final class ServiceQueue {
+
+	private final Map<Long, QueuedGeneration> byCall = new LinkedHashMap<>();
+
+	private final int maxQueued;
+
+	private final StartTimes startTimes;
+
+	private final MemoryRelease release = new MemoryRelease();
+
+	private final QueueRanking ranking;
+
+	ServiceQueue(int maxQueued, StartTimes startTimes, QueueRanking ranking) {
+		this.maxQueued = maxQueued;
+		this.startTimes = startTimes;
+		this.ranking = ranking;
+	}
+
+	StartTimes startTimes() {
+		return this.startTimes;
+	}
+
+	MemoryRelease release() {
+		return this.release;
+	}
+
+	Collection<QueuedGeneration> generations() {
+		return this.byCall.values();
+	}
+
+	int size() {
+		return this.byCall.size();
+	}
+
+	long tokens() {
+		return this.byCall.values().stream().mapToLong(QueuedGeneration::memoryTokens).sum();
+	}
+
+	List<QueuedGeneration> inOrder(long now) {
+		return this.ranking.sort(this.byCall.values(), now);
+	}
+
+	boolean remove(long call) {
+		return this.byCall.remove(call) != null;
+	}
+
+	// Whether no other generation that may start at the same engines goes first.
+	boolean isNext(QueuedGeneration generation, long now) {
+		return ahead(generation, now).stream().noneMatch((g) -> g.regions().equals(generation.regions()));
+	}
+
+	/**
+	 * Add a generation unless it is not to wait. In a full queue, the last generation
+	 * makes room.
+	 * @param generation the generation
+	 * @param expectedWaitMillis the estimated time until it starts, in milliseconds
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return the refusal of this generation or of the one that made room for it
+	 */
+	Optional<QueueRefusal> add(QueuedGeneration generation, long expectedWaitMillis, long now) {
+		Optional<QueueRefusal> refusal = expired(generation, now);
+		if (refusal.isPresent()) {
+			return refusal;
+		}
+		if (now + expectedWaitMillis > generation.waitsUntil()) {
+			return Optional.of(new QueueRefusal(generation, QueueRefusal.Cause.STARTS_TOO_LATE, expectedWaitMillis));
+		}
+		this.byCall.put(generation.call(), generation);
+		return (size() > this.maxQueued) ? Optional.of(removeLast(expectedWaitMillis, now)) : Optional.empty();
+	}
+
+	private QueueRefusal removeLast(long expectedWaitMillis, long now) {
+		List<QueuedGeneration> ordered = inOrder(now);
+		QueuedGeneration last = ordered.get(ordered.size() - 1);
+		remove(last.call());
+		return new QueueRefusal(last, QueueRefusal.Cause.QUEUE_FULL, expectedWaitMillis);
+	}
+
+	List<QueueRefusal> removeExpired(long now) {
+		List<QueueRefusal> refusals = this.byCall.values().stream().flatMap((g) -> expired(g, now).stream()).toList();
+		refusals.forEach((r) -> remove(r.generation().call()));
+		return refusals;
+	}
+
+	private Optional<QueueRefusal> expired(QueuedGeneration generation, long now) {
+		if (now >= generation.waitsUntil()) {
+			return Optional.of(new QueueRefusal(generation, QueueRefusal.Cause.WAITED_TOO_LONG, 0));
+		}
+		if (now + this.startTimes.completeMillis(generation) > generation.dueAt()) {
+			return Optional.of(new QueueRefusal(generation, QueueRefusal.Cause.COMPLETES_TOO_LATE, 0));
+		}
+		return Optional.empty();
+	}
+
+	/**
+	 * Estimate the time until a generation starts.
+	 * @param generation the generation, in the queue or not
+	 * @param memory the memory of the engines
+	 * @param maxUtilization the utilization up to which the generation may start
+	 * @param others the demand at other entries
+	 * @param entries the number of known entries
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return the time in milliseconds
+	 */
+	long expectedWaitMillis(QueuedGeneration generation, EngineMemory memory, double maxUtilization,
+			ServiceDemand others, int entries, long now) {
+		double ahead = ahead(generation, now).stream().mapToLong(QueuedGeneration::memoryTokens).sum();
+		double own = generation.memoryTokens() + (double) tokens()
+				- (this.byCall.containsKey(generation.call()) ? generation.memoryTokens() : 0);
+		// Entries claim released memory in proportion to their queues.
+		double share = Math.max(1.0 / entries, own / (own + others.queuedTokens()));
+		double excess = Math.max(0, memory.utilization() - maxUtilization) * memory.totalTokens();
+		return this.release.millisUntilReleased((ahead + generation.memoryTokens()) / share + excess,
+				memory.totalTokens());
+	}
+
+	QueuePosition position(QueuedGeneration generation, long expectedWaitMillis, long now) {
+		SortedMap<Integer, Integer> counts = new TreeMap<>();
+		ahead(generation, now).forEach((g) -> counts.merge(g.priority(), 1, Integer::sum));
+		return new QueuePosition(counts, this.ranking.slackMillis(generation, now), expectedWaitMillis);
+	}
+
+	private List<QueuedGeneration> ahead(QueuedGeneration generation, long now) {
+		List<QueuedGeneration> all = new ArrayList<>(this.byCall.values());
+		if (!this.byCall.containsKey(generation.call())) {
+			all.add(generation);
+		}
+		List<QueuedGeneration> ordered = this.ranking.sort(all, now);
+		return ordered.subList(0, ordered.indexOf(generation));
+	}
+
+}
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/waiting/StartTimes.java
@@ -0,0 +1,45 @@
+package dev.laneworks.core.waiting;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Learned time from the start of a generation at an engine to its first event, and per
+ * generated token. Not thread-safe.
+ */
+final class StartTimes {
+
+	/** Initial estimate: a prompt of 3,000 tokens beside running generations. */
+	private static final double INITIAL_FIRST_EVENT_MILLIS = 400;
+
+	private static final double INITIAL_TOKEN_MILLIS = 10;
+
+	/** Weight of the newest generation in the moving averages. */
+	private static final double NEWEST_SAMPLE_WEIGHT = 0.05;
+
+	private final Map<Integer, Double> firstEventMillis = new HashMap<>();
+
+	private double tokenMillis = INITIAL_TOKEN_MILLIS;
+
+	void recordFirstEvent(int priority, long millis) {
+		double mean = this.firstEventMillis.getOrDefault(priority, INITIAL_FIRST_EVENT_MILLIS);
+		this.firstEventMillis.put(priority, mean + NEWEST_SAMPLE_WEIGHT * (millis - mean));
+	}
+
+	void recordStream(long tokens, long millis) {
+		if (tokens > 0) {
+			this.tokenMillis += NEWEST_SAMPLE_WEIGHT * ((double) millis / tokens - this.tokenMillis);
+		}
+	}
+
+	// The typical time to the first event at a priority, in milliseconds.
+	long firstEventMillis(int priority) {
+		return Math.round(this.firstEventMillis.getOrDefault(priority, INITIAL_FIRST_EVENT_MILLIS));
+	}
+
+	// The time from the start to the last event, in milliseconds.
+	long completeMillis(QueuedGeneration generation) {
+		return firstEventMillis(generation.priority()) + Math.round(this.tokenMillis * generation.expectedTokens());
+	}
+
+}
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/audit/AuditTrail.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/audit/AuditTrail.java
@@ -29,7 +29,8 @@
 	private static final Set<AuditKind> NOT_LOGGED = EnumSet.of(AuditKind.ROUTED, AuditKind.ADMITTED);
 
 	/** Kinds that occur for every request and are dropped first under load. */
-	private static final Set<AuditKind> ROUTINE = EnumSet.of(AuditKind.ACCEPTED, AuditKind.ROUTED, AuditKind.ANSWERED);
+	private static final Set<AuditKind> ROUTINE = EnumSet.of(AuditKind.ACCEPTED, AuditKind.QUEUED, AuditKind.ROUTED,
+			AuditKind.ANSWERED);
 
 	private final int capacity;
 
