--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptScheduler.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptScheduler.java
@@ -18,7 +18,7 @@
  * Dispatches the attempts of a call, one target after another, within the limits on
  * attempts and retries.
  */
-final class AttemptScheduler {
+final class AttemptScheduler implements QueuedStarts.Starter {
 
 	/**
 	 * Upper bound of the learned connect timeout. Equals the initial retransmission
@@ -58,12 +58,14 @@
 
 	private final EntryRanks entries;
 
+	private final QueuedStarts queuedStarts;
+
 	private final boolean admissionEnabled;
 
 	AttemptScheduler(DispatchSettings settings, SharedRetryBudget retryBudget, AttemptSender sender,
 			CallCompletion completion, PoisonRequestGuard poison, Timers timers, DispatchOutputs outputs,
 			AuditSink audit, Function<DirectCall, Optional<EngineSpec>> engines, EntryRanks entries,
-			ConnectFailureHandler connectFailure) {
+			QueuedStarts queuedStarts, ConnectFailureHandler connectFailure) {
 		this.settings = settings;
 		this.retryBudget = retryBudget;
 		this.sender = sender;
@@ -74,6 +76,8 @@
 		this.audit = audit;
 		this.engines = engines;
 		this.entries = entries;
+		this.queuedStarts = queuedStarts;
+		queuedStarts.use(this);
 		this.connectFailure = connectFailure;
 		this.connectTimeout = new AdaptiveTimeout(settings.connectMillis(),
 				settings.mechanisms().isEnabled(Mechanism.LEARNED_CONNECT_LIMIT) ? MAX_CONNECT_MILLIS
@@ -96,22 +100,51 @@
 			this.completion.refuse(call, RefusalReason.NO_TARGET, this.sender.findNoTargetReason(call, now), now);
 			return;
 		}
+		if (this.queuedStarts.governs(call)) {
+			this.queuedStarts.offer(call, now);
+			return;
+		}
 		Optional<EngineSpec> engine = this.engines.apply(call).filter((e) -> isSubjectToAdmission(call));
 		if (engine.isPresent() && memoryWaitMillis(call, target.get(), engine.get(), now).isPresent()) {
 			target = this.sender.chooseLeastUtilized(call, engine.get(), now);
 			OptionalLong wait = memoryWaitMillis(call, target.get(), engine.get(), now);
 			if (wait.isPresent()) {
-				long retryAfter = retryAfterMillis(call, wait.getAsLong(), engine.get(), now);
-				this.completion.refuse(call, RefusalReason.OVERLOADED,
-						NoTargetReason.until("no engine has memory to start the generation in time", retryAfter), now);
+				refuse(call, "no engine has memory to start the generation in time", wait.getAsLong(), now);
 				return;
 			}
 		}
+		send(call, target.get(), now);
+	}
+
+	private void send(DirectCall call, ListedTarget target, long now) {
 		if (call.timesSent() > 0 && !this.retryBudget.tryAcquire(call.request().service(), now)) {
 			this.completion.refuse(call, RefusalReason.OVERLOADED, "the retry budget is exhausted", now);
 			return;
 		}
-		call.setAttempt(startAttempt(call, target.get(), Optional.empty(), now));
+		call.setAttempt(startAttempt(call, target, Optional.empty(), now));
+	}
+
+	@Override
+	public void start(DirectCall call, ListedTarget target, long now) {
+		if (!this.poison.refuse(call, now)) {
+			send(call, target, now);
+		}
+	}
+
+	@Override
+	public void refuse(DirectCall call, String detail, long waitMillis, long now) {
+		NoTargetReason reason = this.engines.apply(call)
+			.map((e) -> NoTargetReason.until(detail, retryAfterMillis(call, waitMillis, e, now)))
+			.orElse(NoTargetReason.of(detail));
+		this.completion.refuse(call, RefusalReason.OVERLOADED, reason, now);
+	}
+
+	@Override
+	public void refuseLeaving(DirectCall call, long now) {
+		this.completion.refuse(call, RefusalReason.LEAVING,
+				NoTargetReason
+					.until("the generation waited for engine memory at an entry that ends before it could complete", 0),
+				now);
 	}
 
 	private boolean isSubjectToAdmission(DirectCall call) {
@@ -139,6 +172,7 @@
 	// Records the duration of a generation that completed.
 	void recordCompleted(DirectCall call, long now) {
 		call.request().size().ifPresent((w) -> this.admission.recordLifetime(w, now - call.openedAt()));
+		this.queuedStarts.recordCompleted(call, now);
 	}
 
 	// Sends a call to a target and starts the connect timeout.
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -10,6 +10,7 @@
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.mechanism.Mechanisms;
 import dev.laneworks.core.serving.EngineSpec;
+import dev.laneworks.core.waiting.EngineMemory;
 
 /**
  * Selects targets for attempts, sends the attempts, and accounts for the engine memory
@@ -70,6 +71,11 @@
 		return this.chooser.choosePlain(call.filter(), now);
 	}
 
+	Optional<ListedTarget> chooseWithRoom(DirectCall call, EngineSpec engine, double maxUtilization, long now) {
+		return this.chooser.chooseEngineWithRoom(call.filter(), engine, call.request().size().orElseThrow(),
+				maxUtilization, now);
+	}
+
 	Optional<ListedTarget> chooseLeastUtilized(DirectCall call, EngineSpec engine, long now) {
 		return this.chooser.chooseLeastUtilized(call.filter(), engine, now);
 	}
@@ -93,6 +99,10 @@
 		return (double) this.eligibility.acceptingTargets(service).size() * engine.memoryTokens();
 	}
 
+	EngineMemory memory(String service, EngineSpec engine, long now) {
+		return new EngineMemory(memoryTokens(service, engine), this.chooser.fleetUtilization(service, engine, now));
+	}
+
 	NoTargetReason findNoTargetReason(DirectCall call, long now) {
 		return this.eligibility.findNoTargetReason(call.filter(), now);
 	}
@@ -125,7 +135,7 @@
 					.orElse("")
 				+ ", directory of " + this.directory.size() + ", left out "
 				+ this.eligibility.countExcluded(call.filter(), now)
-				+ backup.map((b) -> ", copy grows at " + b.id()).orElse("")));
+				+ backup.map((b) -> ", copy grows at " + b.id()).orElse("") + call.endWait(now)));
 		this.estimates.update(target, TargetEstimate::requestStarted);
 		this.eligibility.recordSent(target, now);
 		reserve(attempt, reservedTokens(call, engine));
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/CallCompletion.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/CallCompletion.java
@@ -33,6 +33,9 @@
 
 	private final AuditSink audit;
 
+	private EndListener endListener = (call, now) -> {
+	};
+
 	CallCompletion(DispatchSettings settings, Map<Long, DirectCall> calls, AttemptSender sender, StandbyCopies standbys,
 			StreamMover mover, DispatchOutputs outputs, AuditSink audit) {
 		this.settings = settings;
@@ -44,6 +47,11 @@
 		this.audit = audit;
 	}
 
+	// Sets the listener for calls that end in any way.
+	void onEnd(EndListener listener) {
+		this.endListener = listener;
+	}
+
 	// Ends a call whose target, or whose execution there, is lost.
 	void endAsLost(DirectCall call, String cause, long now) {
 		if (call.isStreaming()) {
@@ -100,6 +108,20 @@
 		call.attempt().ifPresent((a) -> this.sender.release(call, a));
 		this.calls.remove(call.number());
 		this.audit.record(call.event(kind, call.lastTarget(), cause));
+		this.endListener.ended(call, now);
+	}
+
+	/** Listener for the end of calls. */
+	@FunctionalInterface
+	interface EndListener {
+
+		/**
+		 * Handle a call that has released everything it held.
+		 * @param call the call that ended
+		 * @param now the current time in milliseconds of the monotonic clock
+		 */
+		void ended(DirectCall call, long now);
+
 	}
 
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
@@ -2,13 +2,16 @@
 
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 
 import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.verdict.Verdict;
+import dev.laneworks.core.waiting.QueuedGeneration;
 
 /**
  * State of one request from its admission to its final answer.
@@ -60,6 +63,12 @@
 
 	private Optional<ListedTarget> stoppedAt = Optional.empty();
 
+	private Optional<QueuedGeneration> place = Optional.empty();
+
+	private OptionalInt queuedBehind = OptionalInt.empty();
+
+	private long startedAt;
+
 	DirectCall(long number, DirectRequest request, long openedAt) {
 		this.number = number;
 		this.request = request;
@@ -124,6 +133,9 @@
 	Attempt begin(ListedTarget target, Optional<ResumePoint> resume, Optional<ListedTarget> backup, long now) {
 		this.attempts++;
 		this.lastTarget = target.id();
+		if (resume.isEmpty()) {
+			this.startedAt = now;
+		}
 		return new Attempt(this.attempts, target, resume, backup, now);
 	}
 
@@ -158,6 +170,33 @@
 		return this.attempts;
 	}
 
+	// When the generation was last started from its prompt.
+	long startedAt() {
+		return this.startedAt;
+	}
+
+	// The facts that decide its place in the queue for engine memory.
+	QueuedGeneration place(Supplier<QueuedGeneration> description) {
+		if (this.place.isEmpty()) {
+			this.place = Optional.of(description.get());
+		}
+		return this.place.get();
+	}
+
+	// Records how many generations go first when the call is queued.
+	void waitBehind(int count) {
+		this.queuedBehind = OptionalInt.of(count);
+	}
+
+	// Returns the wait in the queue that ends now, for the audit log; empty if there is
+	// none.
+	String endWait(long now) {
+		OptionalInt behind = this.queuedBehind;
+		this.queuedBehind = OptionalInt.empty();
+		return behind.isPresent()
+				? ", queued until " + (now - this.openedAt) + " ms after arrival behind " + behind.getAsInt() : "";
+	}
+
 	// How many times the request was written to a target.
 	int timesSent() {
 		return this.timesSent;
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Predicate;
 
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
@@ -21,6 +22,7 @@
 import dev.laneworks.core.time.Timers;
 import dev.laneworks.core.verdict.RefusalReason;
 import dev.laneworks.core.verdict.Verdict;
+import dev.laneworks.core.waiting.GenerationQueues;
 
 /**
  * Carries each request through its attempts to exactly one final answer.
@@ -69,6 +71,10 @@
 
 	private final PoisonRequestGuard poison;
 
+	private final GenerationQueues queues;
+
+	private final QueuedStarts queuedStarts;
+
 	private final Map<Long, DirectCall> calls = new HashMap<>();
 
 	private Optional<ServingPlan> plan = Optional.empty();
@@ -83,6 +89,7 @@
 	 * @param coordination the coordination of copies away from an engine with other
 	 * processes
 	 * @param entries the number and ranks of the entries
+	 * @param queues the queues of generations that wait for engine memory
 	 * @param suspects the requests that were in progress when targets crashed
 	 * @param retries the share of this process in the retry budget
 	 * @param timers the scheduler of delayed tasks
@@ -91,8 +98,8 @@
 	 */
 	public Dispatcher(DispatchSettings settings, TargetDirectory directory, TargetEstimates estimates,
 			Eligibility eligibility, TargetChooser chooser, CopyCoordination coordination, EntryRanks entries,
-			SuspectRequests suspects, SharedRetryBudget retries, Timers timers, DispatchOutputs outputs,
-			AuditSink audit) {
+			GenerationQueues queues, SuspectRequests suspects, SharedRetryBudget retries, Timers timers,
+			DispatchOutputs outputs, AuditSink audit) {
 		this.settings = settings;
 		this.directory = directory;
 		this.estimates = estimates;
@@ -111,9 +118,12 @@
 				audit);
 		this.poison = new PoisonRequestGuard(suspects, directory, eligibility::isDraining, this.completion, timers,
 				outputs, audit, settings.mechanisms().isEnabled(Mechanism.REQUEST_QUARANTINE));
+		this.queues = queues;
+		this.queuedStarts = new QueuedStarts(queues, this.calls, this.sender, timers, audit, this::engine);
+		this.completion.onEnd(this.queuedStarts::handleEnd);
 		this.scheduler = new AttemptScheduler(settings, retries, this.sender, this.completion, this.poison, timers,
-				outputs, audit, this::engine, entries, (c, a, t) -> connectFailed(c.number(), a.number(),
-						ConnectFault.TIMED_OUT, "connect timeout expired", t));
+				outputs, audit, this::engine, entries, this.queuedStarts, (c, a, t) -> connectFailed(c.number(),
+						a.number(), ConnectFault.TIMED_OUT, "connect timeout expired", t));
 		this.continuation = new Continuation(eligibility, retries, this.sender, this.standbys, this.mover,
 				this.completion, this.poison, audit, this.scheduler::startAttempt, this::engine,
 				settings.mechanisms().isEnabled(Mechanism.COPIES_AT_NOTICE));
@@ -127,6 +137,7 @@
 	 */
 	public void applyPlan(ServingPlan inForce) {
 		this.plan = Optional.of(inForce);
+		this.queues.applyPlan(inForce);
 	}
 
 	/**
@@ -137,6 +148,16 @@
 		return this.calls.size();
 	}
 
+	/**
+	 * Refuse the generations that wait for engine memory and cannot complete before this
+	 * process ends. The others stay queued.
+	 * @param canFinish whether a request that starts now completes in time
+	 * @param now the current time in milliseconds of the monotonic clock
+	 */
+	public void refuseUnfinishable(Predicate<DirectRequest> canFinish, long now) {
+		this.queuedStarts.refuseUnfinishable(canFinish, now);
+	}
+
 	/**
 	 * Accept a request and begin its first attempt.
 	 * @param number the number that identifies the call; not used before
@@ -523,6 +544,7 @@
 	private void handleFirstEvent(DirectCall call, Attempt attempt, long now) {
 		attempt.markAnswering(now);
 		this.outcomes.recordSuccess(attempt, now);
+		this.queuedStarts.recordFirstEvent(call, attempt, now);
 		call.recordPossibleRun();
 		this.standbys.schedule(call, attempt, engine(call), now);
 		// The request may have started after the reclaim notice of its engine, and only a
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -156,11 +156,45 @@
 	 */
 	public Optional<ListedTarget> chooseEngine(CandidateFilter filter, EngineSpec engine, GenerationSize size,
 			long now) {
-		long tokens = size.reservedTokens(0);
-		this.meanTokens += NEWEST_SAMPLE_WEIGHT * (tokens - this.meanTokens);
+		recordSize(size);
+		List<ListedTarget> engines = candidates(filter, now);
+		return lowestScoredEngine(engines, engines, engine, size, now);
+	}
+
+	/**
+	 * Choose an engine for a generation among those that have memory for it. Updates from
+	 * other data centres are older, so an engine there must have memory for two such
+	 * generations.
+	 * @param filter the candidate filter of the generation
+	 * @param engine the capabilities of the service's engines
+	 * @param size the size of the generation
+	 * @param maxUtilization the maximum memory utilization of the engine including the
+	 * generation
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return the engine with the lowest score, or empty if none has memory
+	 * @since 0.4
+	 */
+	public Optional<ListedTarget> chooseEngineWithRoom(CandidateFilter filter, EngineSpec engine, GenerationSize size,
+			double maxUtilization, long now) {
 		List<ListedTarget> engines = candidates(filter, now);
+		double own = (double) size.reservedTokens(0) / engine.memoryTokens();
+		List<ListedTarget> withRoom = engines.stream()
+			.filter((t) -> utilization(t, engine, now) + own * (isLocal(t, this.dataCentre) ? 1 : 2) <= maxUtilization)
+			.toList();
+		Optional<ListedTarget> chosen = lowestScoredEngine(withRoom, engines, engine, size, now);
+		chosen.ifPresent((t) -> recordSize(size));
+		return chosen;
+	}
+
+	private void recordSize(GenerationSize size) {
+		this.meanTokens += NEWEST_SAMPLE_WEIGHT * (size.reservedTokens(0) - this.meanTokens);
+	}
+
+	private Optional<ListedTarget> lowestScoredEngine(List<ListedTarget> choice, List<ListedTarget> engines,
+			EngineSpec engine, GenerationSize size, long now) {
+		long tokens = size.reservedTokens(0);
 		double remotePenalty = hasLocalChoice(engines) ? REMOTE_PENALTY_ENGINE_LOCAL_CHOICE : REMOTE_PENALTY_ENGINE;
-		return lowestScored(engines,
+		return lowestScored(choice,
 				(t) -> engineScore(t, engine, tokens, this.dataCentre, remotePenalty, now) + placementSpread());
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/waiting/GenerationQueues.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/waiting/GenerationQueues.java
@@ -186,6 +186,27 @@
 		return queue != null && queue.remove(call);
 	}
 
+	/**
+	 * Determine whether a generation waits.
+	 * @param service the name of the service
+	 * @param call the number of its call
+	 * @return {@code true} if it is queued
+	 */
+	public boolean isQueued(String service, long call) {
+		ServiceQueue queue = this.queues.get(service);
+		return queue != null && queue.contains(call);
+	}
+
+	/**
+	 * Describe for the audit log what other entries report.
+	 * @param service the name of the service
+	 * @return the known entries and their queued requests
+	 */
+	public String describePeers(String service) {
+		return this.peers.demandOfOthers(service).queuedRequests() + " queued at " + (this.peers.entries() - 1)
+				+ " other entries";
+	}
+
 	/**
 	 * Determine whether any generation waits.
 	 * @param service the name of the service
--- a/laneworks-core/src/main/java/dev/laneworks/core/waiting/ServiceQueue.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/waiting/ServiceQueue.java
@@ -57,6 +57,10 @@
 		return this.ranking.sort(this.byCall.values(), now);
 	}
 
+	boolean contains(long call) {
+		return this.byCall.containsKey(call);
+	}
+
 	boolean remove(long call) {
 		return this.byCall.remove(call) != null;
 	}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -38,6 +38,7 @@
 import dev.laneworks.core.serving.WeightedService;
 import dev.laneworks.core.time.Timers;
 import dev.laneworks.core.verdict.Refusal;
+import dev.laneworks.core.waiting.GenerationQueues;
 
 /**
  * Dispatcher with real collaborators and recorded outputs, whose targets are simulated by
@@ -138,19 +139,28 @@
 	}
 
 	DispatchHarness(double retryRatio, double retryExtra, long seed, Mechanisms mechanisms, PoisonSettings poison) {
+		this(retryRatio, retryExtra, seed, mechanisms, poison, GenerationQueues.off(), defaultPlan());
+	}
+
+	DispatchHarness(double retryRatio, double retryExtra, long seed, Mechanisms mechanisms, PoisonSettings poison,
+			GenerationQueues queues, ServingPlan plan) {
 		this.suspects = new SuspectRequests(poison, new SuspicionRecorder());
 		SplittableRandom random = new SplittableRandom(seed);
 		TargetChooser chooser = new TargetChooser(this.eligibility, this.estimates, "dc", random, mechanisms);
 		SharedRetryBudget retries = new SharedRetryBudget(10_000, retryRatio, retryExtra, retryExtra,
 				(s, w, t) -> Optional.empty());
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(mechanisms), this.directory, this.estimates,
-				this.eligibility, chooser, new FixedCopyTurn(), new FixedRanks(), this.suspects, retries, this.timers,
-				this, this.audit::add);
+				this.eligibility, chooser, new FixedCopyTurn(), new FixedRanks(), queues, this.suspects, retries,
+				this.timers, this, this.audit::add);
+		this.dispatcher.applyPlan(plan);
+	}
+
+	private static ServingPlan defaultPlan() {
 		EngineSpec engine = new EngineSpec(64, 34_000, 18_432, 2_700, 4, true, true, 2_000);
-		this.dispatcher.applyPlan(new ServingPlan(1, List.of(),
+		return new ServingPlan(1, List.of(),
 				Map.of(PLAIN, new ServiceSpec(PLAIN, 100, 0, Optional.empty()), ENGINES,
 						new ServiceSpec(ENGINES, 400, 0, Optional.of(engine))),
-				Map.of(), new RequestLimits(16_384, 4_194_304, 3_000, 15_000)));
+				Map.of(), new RequestLimits(16_384, 4_194_304, 3_000, 15_000));
 	}
 
 	static DispatchHarness without(Mechanism mechanism) {
