--- a/laneworks-core/src/main/java/dev/laneworks/core/waiting/WaitingCount.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/waiting/WaitingCount.java
@@ -14,7 +14,7 @@
 	 * @param other the other count
 	 * @return the sum, with the earlier one of the arrivals
 	 */
-	WaitingCount plus(WaitingCount other) {
+	public WaitingCount plus(WaitingCount other) {
 		return new WaitingCount(this.requests + other.requests, Math.min(this.oldestArrivedAt, other.oldestArrivedAt));
 	}
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -32,7 +32,11 @@
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.serving.ServiceSpec;
 import dev.laneworks.core.serving.ServingPlan;
+import dev.laneworks.core.shares.AccountOveruse;
 import dev.laneworks.core.time.Timers;
+import dev.laneworks.core.waiting.FixedStartLimit;
+import dev.laneworks.core.waiting.GenerationQueues;
+import dev.laneworks.core.waiting.GovernedServices;
 import dev.laneworks.entry.caller.CallLatencyMetrics;
 import dev.laneworks.runtime.audit.AuditTrail;
 import dev.laneworks.runtime.http.AsyncHttpClient;
@@ -121,6 +125,8 @@
 
 	private final SuspectTracking suspects;
 
+	private final GenerationQueues queues;
+
 	private final Dispatcher dispatcher;
 
 	private final StoreView store;
@@ -204,8 +210,11 @@
 		this.peers.shareSignals(this.backpressure, this.directory::isCurrentIncarnation);
 		TargetChooser chooser = new TargetChooser(eligibility, this.estimates, settings.dataCentre(), random,
 				settings.mechanisms());
+		this.queues = new GenerationQueues(settings.waiting(), new FixedStartLimit(this::governedServices),
+				AccountOveruse.NONE, this.peers, random);
+		this.peers.useDemand(this.queues::demand);
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(settings.mechanisms()), this.directory,
-				this.estimates, eligibility, chooser, this.peers, this.peers, this.suspects.requests(),
+				this.estimates, eligibility, chooser, this.peers, this.peers, this.queues, this.suspects.requests(),
 				this.retryBudget, timers, calls, this.audit);
 		calls.use(this.dispatcher);
 		this.suspects.use(this.dispatcher);
@@ -376,7 +385,8 @@
 		return new EntryGauges(this.estimates.countUnreachable(now), this.cold.count(now),
 				this.backpressure.limitCount(), this.backpressure.backoffCount(now),
 				this.suspects.requests().quarantined(now), this.store.evacuations().count(),
-				this.store.follower().behindMillis(now));
+				this.store.follower().behindMillis(now), this.queues.refused(),
+				WaitingGauge.of(this.queues.countByPriority(), now));
 	}
 
 	// Requests that arrive during the start stay unread until the plan is active, since
@@ -398,7 +408,12 @@
 		this.loop.timers().schedule(now + POLL_INTERVAL_MILLIS, (t) -> pollPlan(startedAt));
 	}
 
+	private GovernedServices governedServices() {
+		return this.queues.governed();
+	}
+
 	private void pollShutdown(long since, long now) {
+		this.dispatcher.refuseUnfinishable((r) -> this.shutdown.isTimeSufficient(r.route(), r.size(), now), now);
 		boolean isIdle = this.dispatcher.openCalls() == 0 && this.callers.unfinishedAnswers() == 0;
 		boolean isGraceOver = now - since >= this.settings.graceMillis() - EXIT_MARGIN_MILLIS;
 		if (isGraceOver || (isIdle && now - since >= BALANCER_DRAIN_MILLIS)) {
@@ -472,6 +487,8 @@
 		this.metrics.register("laneworks_store_histories", (Gauge<Integer>) this.store.published()::restoreCount);
 		this.metrics.register("laneworks_items_refused", (Gauge<Integer>) this.store.published()::refusedItems);
 		this.metrics.register("laneworks_peers", (Gauge<Integer>) this.peers::count);
+		this.metrics.register("laneworks_queue_refused", (Gauge<Long>) () -> this.gauges.refusedFromQueue());
+		WaitingGauge.register(this.metrics, () -> this.gauges.waiting());
 		for (AuditKind kind : AuditKind.values()) {
 			this.metrics.counter(counterName(kind));
 		}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
@@ -3,12 +3,14 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.Collectors;
 
 import dev.laneworks.core.dispatch.ColdRateLimit;
 import dev.laneworks.core.document.DocumentObject;
 import dev.laneworks.core.follow.FollowSettings;
 import dev.laneworks.core.mechanism.Mechanisms;
+import dev.laneworks.core.waiting.WaitingSettings;
 import dev.laneworks.runtime.program.Addresses;
 
 /**
@@ -39,13 +41,14 @@
  * @param maxStartWaitMillis the longest time for which requests that arrive during the
  * start wait unread for the plan, in milliseconds
  * @param mechanisms the mechanisms that are switched on
+ * @param waiting the settings of the queue for engine memory; empty if nothing waits
  * @since 0.2
  */
 public record DirectSettings(String instance, String dataCentre, Map<String, String> regions, InetSocketAddress callers,
 		InetSocketAddress readiness, InetSocketAddress operators, InetSocketAddress gossipAddress, List<String> seeds,
 		InetSocketAddress store, FollowSettings follow, long retryWindowMillis, double retryRatio, double retryExtra,
 		double retryExtraShare, ColdRateLimit coldBound, long graceMillis, long acceptAllMillis,
-		long maxStartWaitMillis, Mechanisms mechanisms) {
+		long maxStartWaitMillis, Mechanisms mechanisms, Optional<WaitingSettings> waiting) {
 
 	/** Longest time for which the store holds a watch; see {@link FollowSettings}. */
 	private static final long DEFAULT_WAIT_MILLIS = 4_000;
@@ -99,8 +102,8 @@
 				retries.number("extraShare", 0, 1, DEFAULT_EXTRA_SHARE), coldBound(root),
 				millis(root.number("graceSeconds", MIN_SECONDS, MAX_SECONDS, 8)),
 				root.integer("takeAllMillis", 0, ONE_MINUTE, DEFAULT_TAKE_ALL_MILLIS),
-				root.integer("startHoldMillis", 0, ONE_MINUTE, DEFAULT_START_HOLD_MILLIS),
-				Mechanisms.read(root, "off"));
+				root.integer("startHoldMillis", 0, ONE_MINUTE, DEFAULT_START_HOLD_MILLIS), Mechanisms.read(root, "off"),
+				WaitingSettings.read(root, "waiting"));
 	}
 
 	/**
@@ -122,7 +125,7 @@
 		return equals(new DirectSettings(other.instance, other.dataCentre, other.regions, other.callers,
 				other.readiness, other.operators, other.gossipAddress, other.seeds, other.store, other.follow,
 				other.retryWindowMillis, this.retryRatio, this.retryExtra, this.retryExtraShare, other.coldBound,
-				other.graceMillis, other.acceptAllMillis, other.maxStartWaitMillis, other.mechanisms));
+				other.graceMillis, other.acceptAllMillis, other.maxStartWaitMillis, other.mechanisms, other.waiting));
 	}
 
 	private static Map<String, String> regions(DocumentObject root) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EntryGauges.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EntryGauges.java
@@ -1,5 +1,7 @@
 package dev.laneworks.entry.direct;
 
+import java.util.Map;
+
 /**
  * Gauge values that the I/O thread collects at intervals for readers on other threads.
  *
@@ -11,11 +13,14 @@
  * @param evacuatedDataCentres the data centres that receive no requests
  * @param storeBehindMillis for how long changes of the store have been known to be
  * missing, in milliseconds
+ * @param refusedFromQueue the generations refused instead of waiting, or after waiting
+ * @param waiting the generations that wait for engine memory, by priority
  */
 record EntryGauges(long suspectedTargets, long coldTargets, int rateLimitedTargets, int targetsInBackoff,
-		long quarantinedRequests, int evacuatedDataCentres, long storeBehindMillis) {
+		long quarantinedRequests, int evacuatedDataCentres, long storeBehindMillis, long refusedFromQueue,
+		Map<Integer, WaitingGauge> waiting) {
 
 	/** The values before the first collection. */
-	static final EntryGauges NONE = new EntryGauges(0, 0, 0, 0, 0, 0, 0);
+	static final EntryGauges NONE = new EntryGauges(0, 0, 0, 0, 0, 0, 0, 0, Map.of());
 
 }
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/GracefulShutdown.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/GracefulShutdown.java
@@ -83,6 +83,20 @@
 		if (!isRequested() || now - this.earliestSentAt < this.acceptAllMillis) {
 			return true;
 		}
+		return isTimeSufficient(route, size, now);
+	}
+
+	/**
+	 * Determine whether a request that starts now completes before the process ends.
+	 * @param route the route of the request
+	 * @param size the size of the generation; empty for a plain service
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return {@code false} if the process is likely to end before the answer is complete
+	 */
+	boolean isTimeSufficient(RouteSpec route, Optional<GenerationSize> size, long now) {
+		if (!isRequested()) {
+			return true;
+		}
 		long remainingMillis = this.earliestSentAt + this.graceMillis - now;
 		return expectedMillis(route, size) <= remainingMillis;
 	}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PeerEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PeerEntries.java
@@ -36,6 +36,7 @@
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.mechanism.Mechanisms;
 import dev.laneworks.core.poison.SuspectReport;
+import dev.laneworks.core.waiting.PeerDemand;
 import dev.laneworks.wire.GossipListener;
 import dev.laneworks.wire.GossipSocket;
 
@@ -46,7 +47,7 @@
  * updates of the platform's store within the data centre, and transfers snapshots. Used
  * on the I/O thread alone, except for {@link #listen} and {@link #count()}.
  */
-final class PeerEntries implements GossipOutputs, CopyCoordination, EntryRanks {
+final class PeerEntries implements GossipOutputs, CopyCoordination, EntryRanks, PeerDemand {
 
 	private final Mechanisms mechanisms;
 
@@ -227,6 +228,16 @@
 		return (rankFor(target) + 0.5) / entries();
 	}
 
+	@Override
+	public ServiceDemand demandOfOthers(String service) {
+		return this.gossip.demandOfOthers(service);
+	}
+
+	@Override
+	public ServiceDemand demandNearby(String service) {
+		return this.gossip.demandNearby(service);
+	}
+
 	@Override
 	public int rankFor(String target) {
 		return this.gossip.rankFor(target);
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/DirectSettingsTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/DirectSettingsTests.java
@@ -3,6 +3,8 @@
 import dev.laneworks.core.document.DocumentReader;
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.mechanism.Mechanisms;
+import dev.laneworks.core.waiting.WaitingOrder;
+import dev.laneworks.core.waiting.WaitingSettings;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -50,6 +52,32 @@
 			.contains("names the unknown mechanism wings");
 	}
 
+	@Test
+	void readsQueueForEngineMemoryOnlyIfPresent() {
+		assertThat(this.settings.waiting()).isEmpty();
+		assertThat(read(TEXT.replace("8 }", "8, \"waiting\": {} }")).waiting())
+			.hasValue(new WaitingSettings(3_000, WaitingOrder.LEAST_SLACK, 512, false));
+		String text = TEXT.replace("8 }",
+				"""
+						8, "waiting": { "minGoalMillis": 2500, "order": "shortest-first", "maxQueued": 9, "accountShares": true } }
+						""");
+		assertThat(read(text).waiting()).hasValue(new WaitingSettings(2_500, WaitingOrder.SHORTEST_FIRST, 9, true));
+	}
+
+	@Test
+	void rejectsInvalidQueueSettingsWithTheirLine() {
+		assertInvalidQueue("\"order\": \"first\"", "waiting.order: must be one of least-slack, shortest-first");
+		assertInvalidQueue("\"maxQueued\": 0", "waiting.maxQueued: must be a whole number from 1 to 100000");
+		assertInvalidQueue("\"minGoalMillis\": -1", "waiting.minGoalMillis: must be a whole number from 1 to 600000");
+		assertInvalidQueue("\"size\": 3", "waiting.size: is unknown");
+	}
+
+	private static void assertInvalidQueue(String member, String problem) {
+		String text = TEXT.replace("8 }", "8,\n\"waiting\": { " + member + " } }");
+		assertThat(DocumentReader.read("test", text, DirectSettings::read).getLeft()).hasMessageThat()
+			.contains("test:4: " + problem);
+	}
+
 	private static DirectSettings read(String text) {
 		return DocumentReader.read("test", text, DirectSettings::read).get();
 	}
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/GracefulShutdownTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/GracefulShutdownTests.java
@@ -60,6 +60,19 @@
 		assertThat(canFinishStream(60, 55_000)).isFalse();
 	}
 
+	/**
+	 * Guards against generations that wait for engine memory until the process ends, in
+	 * the time in which all new requests are accepted.
+	 */
+	@Test
+	void judgesQueuedStreamsByTheTimeLeftFromTheSignalOn() {
+		GenerationSize size = new GenerationSize("m", 3_000, 2_000, OptionalLong.empty(), List.of());
+		RouteSpec route = route(RequestKind.STREAMING, 1_800);
+		assertThat(this.shutdown.isTimeSufficient(route, Optional.of(size), 10_000)).isTrue();
+		this.shutdown.request(10_000, 10_000);
+		assertThat(this.shutdown.isTimeSufficient(route, Optional.of(size), 10_000)).isFalse();
+	}
+
 	private boolean canFinishStream(long maxTokens, long now) {
 		GenerationSize size = new GenerationSize("m", 3_000, maxTokens, OptionalLong.empty(), List.of());
 		return this.shutdown.canFinish(route(RequestKind.STREAMING, 1_800), Optional.of(size), now);
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/explain/ExplainCommandTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/explain/ExplainCommandTests.java
@@ -40,6 +40,18 @@
 			.inOrder();
 	}
 
+	@Test
+	void printsWaitForEngineMemoryInOrder() throws IOException {
+		Path log = log("one", line("10:00:01", "e1", "routed", "r1", "t1", "attempt 1, queued until 1000 ms"),
+				line("10:00:00", "e1", "accepted", "r1", "", "route r"),
+				line("10:00:00", "e1", "queued", "r1", "", "position 1"));
+		run("--log", log.toString(), "r1");
+		assertThat(this.out.toString().lines().limit(3).toList())
+			.containsExactly("10:00:00 e1 accepted: route r", "10:00:00 e1 queued: position 1",
+					"10:00:01 e1 routed t1: attempt 1, queued until 1000 ms")
+			.inOrder();
+	}
+
 	@Test
 	void reportsGapsInTheLogs() throws IOException {
 		Path log = log("one", line("10:00:00", "e1", "routed", "r1", "t1", "attempt 1"),
