--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -11,6 +11,7 @@
 import dev.laneworks.core.directory.DrainingCause;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
+import dev.laneworks.core.headroom.EngineHeadroom;
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.poison.RequestDigest;
 import dev.laneworks.core.poison.SuspectRequests;
@@ -69,6 +70,8 @@
 
 	private final PoisonRequestGuard poison;
 
+	private final HeadroomRecorder headroom;
+
 	private final Map<Long, DirectCall> calls = new HashMap<>();
 
 	private Optional<ServingPlan> plan = Optional.empty();
@@ -117,6 +120,7 @@
 		this.continuation = new Continuation(eligibility, retries, this.sender, this.standbys, this.mover,
 				this.completion, this.poison, audit, this.scheduler::startAttempt, this::engine,
 				settings.mechanisms().isEnabled(Mechanism.COPIES_AT_NOTICE));
+		this.headroom = new HeadroomRecorder(new ServiceEngines(() -> this.plan, eligibility, chooser, entries));
 		this.outcomes = new AttemptOutcomes(settings, directory, estimates, this.sender, this.scheduler,
 				this.continuation, this.completion, this.poison, outputs, audit);
 	}
@@ -129,6 +133,15 @@
 		this.plan = Optional.of(inForce);
 	}
 
+	/**
+	 * Return the limit of engine memory up to which generations may start.
+	 * @return the limit, which follows the events of this dispatcher
+	 * @since 0.4
+	 */
+	public EngineHeadroom headroom() {
+		return this.headroom.headroom();
+	}
+
 	/**
 	 * Return the number of requests without a final answer.
 	 * @return the number of open calls
@@ -147,6 +160,7 @@
 		DirectCall call = new DirectCall(number, request, now);
 		this.calls.put(number, call);
 		this.retries.recordRequest(request.service(), now);
+		this.headroom.recordArrival(call, now);
 		this.audit.record(call.event(AuditKind.ACCEPTED, "", describe(call)));
 		this.timers.schedule(call.dueAt() + this.settings.answerSlackMillis(), (t) -> handleDeadline(call, t));
 		this.scheduler.dispatch(call, now);
@@ -346,6 +360,7 @@
 		}
 		this.scheduler.recordCompleted(call, now);
 		this.poison.recordCompleted(call, now);
+		this.headroom.recordEnd(call, found.get(), now);
 		this.completion.finish(call, AuditKind.ANSWERED,
 				"stream up to event " + call.lastEvent() + " whole after " + (now - call.openedAt()) + " ms, attempts "
 						+ call.attempts() + ", first event after " + call.firstEventMillis() + " ms, longest pause "
@@ -447,6 +462,7 @@
 	 * @param now the current time in milliseconds of the monotonic clock
 	 */
 	public void targetDraining(ListedTarget target, DrainingCause cause, long now) {
+		this.headroom.recordDeparture(target, now);
 		this.poison.handleDraining(target, cause, now);
 		if (this.directory.isFormerIncarnation(target)) {
 			return;
@@ -468,6 +484,7 @@
 	 * @param now the current time in milliseconds of the monotonic clock
 	 */
 	public void targetRemoved(ListedTarget target, long now) {
+		this.headroom.recordDeparture(target, now);
 		if (this.directory.isFormerIncarnation(target)) {
 			failAfterRestart(target, now);
 		}
--- a/laneworks-core/src/main/java/dev/laneworks/core/serving/ServingPlan.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/serving/ServingPlan.java
@@ -26,6 +26,8 @@
 
 	private final Set<String> serviceNames = new HashSet<>();
 
+	private final Map<String, Integer> mostUrgentPriorities = new HashMap<>();
+
 	private final Map<String, AccountGrant> accountsByKey;
 
 	private final RequestLimits limits;
@@ -45,6 +47,7 @@
 		this.services = Map.copyOf(services);
 		this.serviceNames.addAll(services.keySet());
 		routes.forEach((r) -> r.services().forEach((s) -> this.serviceNames.add(s.service())));
+		routes.stream().filter((r) -> r.kind() == RequestKind.STREAMING).forEach(this::addPriority);
 		this.accountsByKey = Map.copyOf(accountsByKey);
 		this.limits = limits;
 	}
@@ -99,6 +102,16 @@
 		return this.serviceNames.contains(name);
 	}
 
+	/**
+	 * Return the most urgent priority among the streaming routes of a service.
+	 * @param service the service's name
+	 * @return the lowest number; 0, the highest priority, if it has no such route
+	 * @since 0.4
+	 */
+	public int mostUrgentPriority(String service) {
+		return this.mostUrgentPriorities.getOrDefault(service, 0);
+	}
+
 	/**
 	 * Determine whether requests need a key on routes that are not open.
 	 * @return {@code true} if the plan has client accounts
@@ -116,6 +129,10 @@
 		return Optional.ofNullable(this.accountsByKey.get(key));
 	}
 
+	private void addPriority(RouteSpec route) {
+		route.services().forEach((s) -> this.mostUrgentPriorities.merge(s.service(), route.priority(), Math::min));
+	}
+
 	private static Map<String, List<RouteSpec>> groupByHost(List<RouteSpec> routes) {
 		Comparator<RouteSpec> longestFirst = (a, b) -> Integer.compare(b.prefix().length(), a.prefix().length());
 		Map<String, List<RouteSpec>> grouped = new HashMap<>();
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -343,6 +343,7 @@
 		long suspended = MonotonicClock.suspendedMillis() - this.reportedSuspendedMillis;
 		this.reportedSuspendedMillis += suspended;
 		boolean isGateClosed = this.resumeGate.paused(millis, now);
+		this.dispatcher.headroom().recordPause(millis, now);
 		this.audit.record(AuditEvent.of(AuditKind.PAUSED, this.settings.instance(), "",
 				"process paused for " + millis + " ms, the machine suspended for " + suspended + " ms of them; "
 						+ this.dispatcher.openCalls() + " open calls"
@@ -376,7 +377,8 @@
 		return new EntryGauges(this.estimates.countUnreachable(now), this.cold.count(now),
 				this.backpressure.limitCount(), this.backpressure.backoffCount(now),
 				this.suspects.requests().quarantined(now), this.store.evacuations().count(),
-				this.store.follower().behindMillis(now));
+				this.store.follower().behindMillis(now), this.dispatcher.headroom().lowestLimit(now),
+				this.dispatcher.headroom().largestDisplacedShare(now));
 	}
 
 	// Requests that arrive during the start stay unread until the plan is active, since
@@ -469,6 +471,8 @@
 		this.metrics.register("laneworks_requests_quarantined", (Gauge<Long>) () -> this.gauges.quarantinedRequests());
 		this.metrics.register("laneworks_data_centres_evacuated",
 				(Gauge<Integer>) () -> this.gauges.evacuatedDataCentres());
+		this.metrics.register("laneworks_start_limit", (Gauge<Double>) () -> this.gauges.startLimit());
+		this.metrics.register("laneworks_displaced_share", (Gauge<Double>) () -> this.gauges.displacedShare());
 		this.metrics.register("laneworks_store_histories", (Gauge<Integer>) this.store.published()::restoreCount);
 		this.metrics.register("laneworks_items_refused", (Gauge<Integer>) this.store.published()::refusedItems);
 		this.metrics.register("laneworks_peers", (Gauge<Integer>) this.peers::count);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EntryGauges.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EntryGauges.java
@@ -11,11 +11,16 @@
  * @param evacuatedDataCentres the data centres that receive no requests
  * @param storeBehindMillis for how long changes of the store have been known to be
  * missing, in milliseconds
+ * @param startLimit the lowest limit of engine memory utilization of any service up to
+ * which less urgent generations start
+ * @param displacedShare the largest share of the remaining engine memory of any service
+ * that recently had to move at once
  */
 record EntryGauges(long suspectedTargets, long coldTargets, int rateLimitedTargets, int targetsInBackoff,
-		long quarantinedRequests, int evacuatedDataCentres, long storeBehindMillis) {
+		long quarantinedRequests, int evacuatedDataCentres, long storeBehindMillis, double startLimit,
+		double displacedShare) {
 
 	/** The values before the first collection. */
-	static final EntryGauges NONE = new EntryGauges(0, 0, 0, 0, 0, 0, 0);
+	static final EntryGauges NONE = new EntryGauges(0, 0, 0, 0, 0, 0, 0, 1, 0);
 
 }
