--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -34,9 +34,7 @@
 import dev.laneworks.core.serving.ServingPlan;
 import dev.laneworks.core.shares.AccountOveruse;
 import dev.laneworks.core.time.Timers;
-import dev.laneworks.core.waiting.FixedStartLimit;
 import dev.laneworks.core.waiting.GenerationQueues;
-import dev.laneworks.core.waiting.GovernedServices;
 import dev.laneworks.entry.caller.CallLatencyMetrics;
 import dev.laneworks.runtime.audit.AuditTrail;
 import dev.laneworks.runtime.http.AsyncHttpClient;
@@ -210,8 +208,8 @@
 		this.peers.shareSignals(this.backpressure, this.directory::isCurrentIncarnation);
 		TargetChooser chooser = new TargetChooser(eligibility, this.estimates, settings.dataCentre(), random,
 				settings.mechanisms());
-		this.queues = new GenerationQueues(settings.waiting(), new FixedStartLimit(this::governedServices),
-				AccountOveruse.NONE, this.peers, random);
+		this.queues = new GenerationQueues(settings.waiting(), this::startLimit, AccountOveruse.NONE, this.peers,
+				random);
 		this.peers.useDemand(this.queues::demand);
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(settings.mechanisms()), this.directory,
 				this.estimates, eligibility, chooser, this.peers, this.peers, this.queues, this.suspects.requests(),
@@ -352,6 +350,7 @@
 		long suspended = MonotonicClock.suspendedMillis() - this.reportedSuspendedMillis;
 		this.reportedSuspendedMillis += suspended;
 		boolean isGateClosed = this.resumeGate.paused(millis, now);
+		this.dispatcher.headroom().recordPause(millis, now);
 		this.audit.record(AuditEvent.of(AuditKind.PAUSED, this.settings.instance(), "",
 				"process paused for " + millis + " ms, the machine suspended for " + suspended + " ms of them; "
 						+ this.dispatcher.openCalls() + " open calls"
@@ -385,7 +384,8 @@
 		return new EntryGauges(this.estimates.countUnreachable(now), this.cold.count(now),
 				this.backpressure.limitCount(), this.backpressure.backoffCount(now),
 				this.suspects.requests().quarantined(now), this.store.evacuations().count(),
-				this.store.follower().behindMillis(now), this.queues.refused(),
+				this.store.follower().behindMillis(now), this.dispatcher.headroom().lowestLimit(now),
+				this.dispatcher.headroom().largestDisplacedShare(now), this.queues.refused(),
 				WaitingGauge.of(this.queues.countByPriority(), now));
 	}
 
@@ -408,8 +408,8 @@
 		this.loop.timers().schedule(now + POLL_INTERVAL_MILLIS, (t) -> pollPlan(startedAt));
 	}
 
-	private GovernedServices governedServices() {
-		return this.queues.governed();
+	private double startLimit(String service, int priority, long now) {
+		return this.dispatcher.headroom().maxUtilization(service, priority, now);
 	}
 
 	private void pollShutdown(long since, long now) {
@@ -484,6 +484,8 @@
 		this.metrics.register("laneworks_requests_quarantined", (Gauge<Long>) () -> this.gauges.quarantinedRequests());
 		this.metrics.register("laneworks_data_centres_evacuated",
 				(Gauge<Integer>) () -> this.gauges.evacuatedDataCentres());
+		this.metrics.register("laneworks_start_limit", (Gauge<Double>) () -> this.gauges.startLimit());
+		this.metrics.register("laneworks_displaced_share", (Gauge<Double>) () -> this.gauges.displacedShare());
 		this.metrics.register("laneworks_store_histories", (Gauge<Integer>) this.store.published()::restoreCount);
 		this.metrics.register("laneworks_items_refused", (Gauge<Integer>) this.store.published()::refusedItems);
 		this.metrics.register("laneworks_peers", (Gauge<Integer>) this.peers::count);
