--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AnswerHead.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AnswerHead.java
@@ -16,13 +16,15 @@
  * @param notRun whether the target states that it did not execute the request
  * @param events whether the body is a stream of events
  * @param load the load that the target reports, if any
+ * @param malformedLoad whether the target sent a load report that cannot be read
  * @param coldMillis the remaining time in milliseconds for which the target is cold, if
  * it reports one
  * @param signals the back-pressure signals of the target
  * @since 0.2
  */
 public record AnswerHead(int status, String requestId, boolean digested, boolean encoded, boolean notRun,
-		boolean events, Optional<TargetLoad> load, OptionalLong coldMillis, BackpressureSignals signals) {
+		boolean events, Optional<TargetLoad> load, boolean malformedLoad, OptionalLong coldMillis,
+		BackpressureSignals signals) {
 
 	private static final int FIRST_SUCCESS = 200;
 
@@ -40,6 +42,23 @@
 		Objects.requireNonNull(signals, "signals must not be null");
 	}
 
+	/**
+	 * Create the head of an answer without a malformed load report.
+	 * @param status the HTTP status code
+	 * @param requestId the id of the request that the target answers, or empty text
+	 * @param digested whether the answer carries a digest of its body
+	 * @param encoded whether the body has a content encoding
+	 * @param notRun whether the target states that it did not execute the request
+	 * @param events whether the body is a stream of events
+	 * @param load the load that the target reports, if any
+	 * @param coldMillis the remaining time in milliseconds for which the target is cold
+	 * @param signals the back-pressure signals of the target
+	 */
+	public AnswerHead(int status, String requestId, boolean digested, boolean encoded, boolean notRun, boolean events,
+			Optional<TargetLoad> load, OptionalLong coldMillis, BackpressureSignals signals) {
+		this(status, requestId, digested, encoded, notRun, events, load, false, coldMillis, signals);
+	}
+
 	/**
 	 * Determine whether the request succeeded.
 	 * @return {@code true} for a status from 200 to 299
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -18,6 +18,7 @@
 import dev.laneworks.core.serving.RequestKind;
 import dev.laneworks.core.serving.ServiceSpec;
 import dev.laneworks.core.serving.ServingPlan;
+import dev.laneworks.core.speed.MalformedLoads;
 import dev.laneworks.core.time.Timers;
 import dev.laneworks.core.verdict.RefusalReason;
 import dev.laneworks.core.verdict.Verdict;
@@ -69,6 +70,8 @@
 
 	private final PoisonRequestGuard poison;
 
+	private final MalformedLoads malformedLoads;
+
 	private final Map<Long, DirectCall> calls = new HashMap<>();
 
 	private Optional<ServingPlan> plan = Optional.empty();
@@ -101,6 +104,7 @@
 		this.timers = timers;
 		this.outputs = outputs;
 		this.audit = audit;
+		this.malformedLoads = new MalformedLoads(audit);
 		this.sender = new AttemptSender(directory, eligibility, estimates, chooser, outputs, audit,
 				settings.mechanisms());
 		this.standbys = new StandbyCopies(directory, eligibility, estimates, chooser, coordination, timers, outputs,
@@ -137,6 +141,15 @@
 		return this.calls.size();
 	}
 
+	/**
+	 * Return the number of answers whose load report could not be read.
+	 * @return the count since the start
+	 * @since 0.4
+	 */
+	public long malformedLoads() {
+		return this.malformedLoads.count();
+	}
+
 	/**
 	 * Accept a request and begin its first attempt.
 	 * @param number the number that identifies the call; not used before
@@ -250,6 +263,9 @@
 			return false;
 		}
 		ListedTarget target = found.get().target();
+		if (head.malformedLoad()) {
+			this.malformedLoads.record(target.id(), now);
+		}
 		head.load().ifPresent((l) -> this.estimates.of(target).recordLoad(l, now));
 		head.coldMillis().ifPresent((c) -> this.eligibility.recordCold(target, c, now));
 		if (head.appliesToTarget(this.calls.get(number).request().id())
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetEstimate.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetEstimate.java
@@ -3,6 +3,7 @@
 import java.util.OptionalLong;
 
 import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.speed.TargetSpeed;
 
 /**
  * Recorded state of one target incarnation: this process's own work there and the
@@ -19,6 +20,8 @@
 
 	private final TargetQuality quality = new TargetQuality();
 
+	private final TargetSpeed speed = new TargetSpeed();
+
 	private ListedTarget target;
 
 	private boolean removed;
@@ -147,6 +150,14 @@
 		return this.quality;
 	}
 
+	/**
+	 * Return the processing speed of the target.
+	 * @return the speed, as reported and as learned from answers
+	 */
+	public TargetSpeed speed() {
+		return this.speed;
+	}
+
 	/**
 	 * Return the number of this process's requests at the target.
 	 * @return the count of requests in flight
@@ -239,6 +250,7 @@
 		this.waiting = load.waiting();
 		this.othersRunning = Math.max(0, load.running() + load.waiting() - this.inFlight);
 		this.loadReportedAt = now;
+		load.slowness().ifPresent((s) -> this.speed.recordReport(s, now));
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetEstimates.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetEstimates.java
@@ -7,10 +7,12 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetIncarnation;
 import dev.laneworks.core.gossip.WorkAtTarget;
+import dev.laneworks.core.speed.SpeedReport;
 
 /**
  * Registry of the recorded state of all targets, which combines the work of this process
@@ -158,18 +160,51 @@
 	}
 
 	/**
-	 * Return this process's work at all targets, for gossip updates to other entries.
+	 * Return this process's work at all targets, without their speeds.
 	 * @return the work per incarnation, without targets that have nothing to report
 	 */
 	public List<WorkAtTarget> localWork() {
 		return this.byIncarnation.values()
 			.stream()
-			.filter((b) -> b.inFlight() > 0 || b.reservedTokens() > 0 || hasSignalsToReport(b))
-			.map((b) -> new WorkAtTarget(b.target().incarnation(), b.inFlight(), b.reservedTokens(),
-					b.pendingPromptTokens(), b.pendingMoves(), b.isCopying(), b.refused(), b.hasAnnouncedDraining()))
+			.filter(TargetEstimates::hasWorkOrSignals)
+			.map((b) -> work(b, Optional.empty()))
 			.toList();
 	}
 
+	/**
+	 * Return this process's work at all targets and the speeds that they reported to it,
+	 * for gossip updates to other entries.
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return the work per incarnation, without targets that have nothing to report
+	 */
+	public List<WorkAtTarget> localWork(long now) {
+		return this.byIncarnation.values().stream().flatMap((b) -> {
+			Optional<SpeedReport> speed = b.speed().report(now);
+			return (speed.isPresent() || hasWorkOrSignals(b)) ? Stream.of(work(b, speed)) : Stream.empty();
+		}).toList();
+	}
+
+	private static WorkAtTarget work(TargetEstimate estimate, Optional<SpeedReport> speed) {
+		return new WorkAtTarget(estimate.target().incarnation(), estimate.inFlight(), estimate.reservedTokens(),
+				estimate.pendingPromptTokens(), estimate.pendingMoves(), estimate.isCopying(), estimate.refused(),
+				estimate.hasAnnouncedDraining(), speed);
+	}
+
+	private static boolean hasWorkOrSignals(TargetEstimate estimate) {
+		return estimate.inFlight() > 0 || estimate.reservedTokens() > 0 || hasSignalsToReport(estimate);
+	}
+
+	/**
+	 * Merge the speed of a target as another entry reports it. A target without recorded
+	 * state is ignored, since it was removed or has not been considered here yet.
+	 * @param target the incarnation of the target
+	 * @param report the report as received
+	 * @param now the current time in milliseconds of the monotonic clock
+	 */
+	public void mergeSpeed(TargetIncarnation target, SpeedReport report, long now) {
+		Optional.ofNullable(this.byIncarnation.get(target)).ifPresent((e) -> e.speed().merge(report, now));
+	}
+
 	private static boolean hasSignalsToReport(TargetEstimate estimate) {
 		return !estimate.isRemoved() && (estimate.refused() > 0 || estimate.hasAnnouncedDraining());
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
@@ -166,6 +166,7 @@
 		this.known.apply(from, update, now);
 		update.work().stream().filter(WorkAtTarget::draining).forEach((w) -> this.outputs.targetDraining(w.target()));
 		this.outputs.signalsReceived(update.signals());
+		this.outputs.speedsReceived(update.work());
 		if (knownPeer.isEmpty()) {
 			this.audit
 				.record(AuditEvent.of(AuditKind.MEMBERSHIP, update.instance(), "", "entry discovered at " + from));
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/GossipOutputs.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/GossipOutputs.java
@@ -36,6 +36,14 @@
 	 */
 	BackpressureUpdate signals();
 
+	/**
+	 * Handle the speeds of targets that another entry reports.
+	 * @param work the work in its update
+	 * @since 0.4
+	 */
+	default void speedsReceived(List<WorkAtTarget> work) {
+	}
+
 	/**
 	 * Return the current work of this entry.
 	 * @return its work at each target where it has any
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/speed/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Current and learned processing speed of targets.
+ */
+package dev.laneworks.core.speed;
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PeerEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PeerEntries.java
@@ -263,9 +263,15 @@
 		return this.backpressure.map((b) -> b.signals(this.loop.now())).orElse(BackpressureUpdate.NONE);
 	}
 
+	@Override
+	public void speedsReceived(List<WorkAtTarget> work) {
+		long now = this.loop.now();
+		work.forEach((w) -> w.speed().ifPresent((s) -> this.estimates.mergeSpeed(w.target(), s, now)));
+	}
+
 	@Override
 	public List<WorkAtTarget> localWork() {
-		return this.estimates.localWork();
+		return this.estimates.localWork(this.loop.now());
 	}
 
 	@Override
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/LoadUpdateCodec.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/LoadUpdateCodec.java
@@ -1,6 +1,7 @@
 package dev.laneworks.wire;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 
 import dev.laneworks.core.gossip.AccountUsage;
@@ -10,6 +11,7 @@
 import dev.laneworks.core.gossip.RetryBudgetUsage;
 import dev.laneworks.core.gossip.ServiceDemand;
 import dev.laneworks.core.gossip.WorkAtTarget;
+import dev.laneworks.core.speed.SpeedReport;
 import dev.laneworks.wire.proto.Protocol;
 
 /**
@@ -50,7 +52,7 @@
 	}
 
 	private static Protocol.WorkAtTarget encode(WorkAtTarget work) {
-		return Protocol.WorkAtTarget.newBuilder()
+		Protocol.WorkAtTarget.Builder builder = Protocol.WorkAtTarget.newBuilder()
 			.setTarget(TargetIncarnationFormat.format(work.target()))
 			.setRequests(work.requests())
 			.setHeldTokens(work.reservedTokens())
@@ -58,10 +60,29 @@
 			.setToMove(work.toMove())
 			.setCopying(work.copying())
 			.setRefused(work.refused())
-			.setLeaving(work.draining())
+			.setLeaving(work.draining());
+		work.speed().ifPresent((s) -> builder.setSpeed(encode(s)));
+		return builder.build();
+	}
+
+	private static Protocol.SpeedReport encode(SpeedReport speed) {
+		return Protocol.SpeedReport.newBuilder()
+			.setSlowness((float) speed.slowness())
+			.setAgeMillis(millis(speed.ageMillis()))
+			.setMillisPerToken((float) speed.millisPerToken())
+			.setIntervalAgeMillis(millis(speed.intervalAgeMillis()))
 			.build();
 	}
 
+	private static int millis(long age) {
+		return (int) Math.min(Integer.MAX_VALUE, age);
+	}
+
+	private static SpeedReport decode(Protocol.SpeedReport speed) {
+		return new SpeedReport(speed.getSlowness(), Integer.toUnsignedLong(speed.getAgeMillis()),
+				speed.getMillisPerToken(), Integer.toUnsignedLong(speed.getIntervalAgeMillis()));
+	}
+
 	private static Protocol.ServiceSpending encode(RetryBudgetUsage usage) {
 		return Protocol.ServiceSpending.newBuilder()
 			.setService(usage.service())
@@ -88,7 +109,7 @@
 	private static WorkAtTarget decode(Protocol.WorkAtTarget work) {
 		return new WorkAtTarget(TargetIncarnationFormat.parse(work.getTarget()), work.getRequests(),
 				work.getHeldTokens(), work.getUnreadTokens(), work.getToMove(), work.getCopying(), work.getRefused(),
-				work.getLeaving());
+				work.getLeaving(), work.hasSpeed() ? Optional.of(decode(work.getSpeed())) : Optional.empty());
 	}
 
 	private static Protocol.ServiceDemand encode(ServiceDemand demand) {
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
@@ -35962,6 +35962,33 @@
      * @return The leaving.
      */
     boolean getLeaving();
+
+    /**
+     * <pre>
+     * Speed as the target reported it to the sender; absent without a recent report.
+     * </pre>
+     *
+     * <code>.laneworks.SpeedReport speed = 9;</code>
+     * @return Whether the speed field is set.
+     */
+    boolean hasSpeed();
+    /**
+     * <pre>
+     * Speed as the target reported it to the sender; absent without a recent report.
+     * </pre>
+     *
+     * <code>.laneworks.SpeedReport speed = 9;</code>
+     * @return The speed.
+     */
+    dev.laneworks.wire.proto.Protocol.SpeedReport getSpeed();
+    /**
+     * <pre>
+     * Speed as the target reported it to the sender; absent without a recent report.
+     * </pre>
+     *
+     * <code>.laneworks.SpeedReport speed = 9;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.SpeedReportOrBuilder getSpeedOrBuilder();
   }
   /**
    * Protobuf type {@code laneworks.WorkAtTarget}
@@ -36006,6 +36033,7 @@
               dev.laneworks.wire.proto.Protocol.WorkAtTarget.class, dev.laneworks.wire.proto.Protocol.WorkAtTarget.Builder.class);
     }
 
+    private int bitField0_;
     public static final int TARGET_FIELD_NUMBER = 1;
     @SuppressWarnings("serial")
     private volatile java.lang.Object target_ = "";
@@ -36122,6 +36150,44 @@
       return leaving_;
     }
 
+    public static final int SPEED_FIELD_NUMBER = 9;
+    private dev.laneworks.wire.proto.Protocol.SpeedReport speed_;
+    /**
+     * <pre>
+     * Speed as the target reported it to the sender; absent without a recent report.
+     * </pre>
+     *
+     * <code>.laneworks.SpeedReport speed = 9;</code>
+     * @return Whether the speed field is set.
+     */
+    @java.lang.Override
+    public boolean hasSpeed() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <pre>
+     * Speed as the target reported it to the sender; absent without a recent report.
+     * </pre>
+     *
+     * <code>.laneworks.SpeedReport speed = 9;</code>
+     * @return The speed.
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.SpeedReport getSpeed() {
+      return speed_ == null ? dev.laneworks.wire.proto.Protocol.SpeedReport.getDefaultInstance() : speed_;
+    }
+    /**
+     * <pre>
+     * Speed as the target reported it to the sender; absent without a recent report.
+     * </pre>
+     *
+     * <code>.laneworks.SpeedReport speed = 9;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.SpeedReportOrBuilder getSpeedOrBuilder() {
+      return speed_ == null ? dev.laneworks.wire.proto.Protocol.SpeedReport.getDefaultInstance() : speed_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -36160,6 +36226,9 @@
       if (leaving_ != false) {
         output.writeBool(8, leaving_);
       }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        output.writeMessage(9, getSpeed());
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -36200,6 +36269,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeBoolSize(8, leaving_);
       }
+      if (((bitField0_ & 0x00000001) != 0)) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(9, getSpeed());
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -36231,6 +36304,11 @@
           != other.getRefused()) return false;
       if (getLeaving()
           != other.getLeaving()) return false;
+      if (hasSpeed() != other.hasSpeed()) return false;
+      if (hasSpeed()) {
+        if (!getSpeed()
+            .equals(other.getSpeed())) return false;
+      }
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -36262,6 +36340,10 @@
       hash = (37 * hash) + LEAVING_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
           getLeaving());
+      if (hasSpeed()) {
+        hash = (37 * hash) + SPEED_FIELD_NUMBER;
+        hash = (53 * hash) + getSpeed().hashCode();
+      }
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -36381,13 +36463,19 @@
 
       // Construct using dev.laneworks.wire.proto.Protocol.WorkAtTarget.newBuilder()
       private Builder() {
-
+        maybeForceBuilderInitialization();
       }
 
       private Builder(
           com.google.protobuf.GeneratedMessage.BuilderParent parent) {
         super(parent);
-
+        maybeForceBuilderInitialization();
+      }
+      private void maybeForceBuilderInitialization() {
+        if (com.google.protobuf.GeneratedMessage
+                .alwaysUseFieldBuilders) {
+          internalGetSpeedFieldBuilder();
+        }
       }
       @java.lang.Override
       public Builder clear() {
@@ -36401,6 +36489,11 @@
         copying_ = false;
         refused_ = 0;
         leaving_ = false;
+        speed_ = null;
+        if (speedBuilder_ != null) {
+          speedBuilder_.dispose();
+          speedBuilder_ = null;
+        }
         return this;
       }
 
@@ -36458,6 +36551,14 @@
         if (((from_bitField0_ & 0x00000080) != 0)) {
           result.leaving_ = leaving_;
         }
+        int to_bitField0_ = 0;
+        if (((from_bitField0_ & 0x00000100) != 0)) {
+          result.speed_ = speedBuilder_ == null
+              ? speed_
+              : speedBuilder_.build();
+          to_bitField0_ |= 0x00000001;
+        }
+        result.bitField0_ |= to_bitField0_;
       }
 
       @java.lang.Override
@@ -36498,6 +36599,9 @@
         if (other.getLeaving() != false) {
           setLeaving(other.getLeaving());
         }
+        if (other.hasSpeed()) {
+          mergeSpeed(other.getSpeed());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -36564,6 +36668,13 @@
                 bitField0_ |= 0x00000080;
                 break;
               } // case 64
+              case 74: {
+                input.readMessage(
+                    internalGetSpeedFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                bitField0_ |= 0x00000100;
+                break;
+              } // case 74
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -36877,6 +36988,163 @@
         return this;
       }
 
+      private dev.laneworks.wire.proto.Protocol.SpeedReport speed_;
+      private com.google.protobuf.SingleFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.SpeedReport, dev.laneworks.wire.proto.Protocol.SpeedReport.Builder, dev.laneworks.wire.proto.Protocol.SpeedReportOrBuilder> speedBuilder_;
+      /**
+       * <pre>
+       * Speed as the target reported it to the sender; absent without a recent report.
+       * </pre>
+       *
+       * <code>.laneworks.SpeedReport speed = 9;</code>
+       * @return Whether the speed field is set.
+       */
+      public boolean hasSpeed() {
+        return ((bitField0_ & 0x00000100) != 0);
+      }
+      /**
+       * <pre>
+       * Speed as the target reported it to the sender; absent without a recent report.
+       * </pre>
+       *
+       * <code>.laneworks.SpeedReport speed = 9;</code>
+       * @return The speed.
+       */
+      public dev.laneworks.wire.proto.Protocol.SpeedReport getSpeed() {
+        if (speedBuilder_ == null) {
+          return speed_ == null ? dev.laneworks.wire.proto.Protocol.SpeedReport.getDefaultInstance() : speed_;
+        } else {
+          return speedBuilder_.getMessage();
+        }
+      }
+      /**
+       * <pre>
+       * Speed as the target reported it to the sender; absent without a recent report.
+       * </pre>
+       *
+       * <code>.laneworks.SpeedReport speed = 9;</code>
+       */
+      public Builder setSpeed(dev.laneworks.wire.proto.Protocol.SpeedReport value) {
+        if (speedBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          speed_ = value;
+        } else {
+          speedBuilder_.setMessage(value);
+        }
+        bitField0_ |= 0x00000100;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Speed as the target reported it to the sender; absent without a recent report.
+       * </pre>
+       *
+       * <code>.laneworks.SpeedReport speed = 9;</code>
+       */
+      public Builder setSpeed(
+          dev.laneworks.wire.proto.Protocol.SpeedReport.Builder builderForValue) {
+        if (speedBuilder_ == null) {
+          speed_ = builderForValue.build();
+        } else {
+          speedBuilder_.setMessage(builderForValue.build());
+        }
+        bitField0_ |= 0x00000100;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Speed as the target reported it to the sender; absent without a recent report.
+       * </pre>
+       *
+       * <code>.laneworks.SpeedReport speed = 9;</code>
+       */
+      public Builder mergeSpeed(dev.laneworks.wire.proto.Protocol.SpeedReport value) {
+        if (speedBuilder_ == null) {
+          if (((bitField0_ & 0x00000100) != 0) &&
+            speed_ != null &&
+            speed_ != dev.laneworks.wire.proto.Protocol.SpeedReport.getDefaultInstance()) {
+            getSpeedBuilder().mergeFrom(value);
+          } else {
+            speed_ = value;
+          }
+        } else {
+          speedBuilder_.mergeFrom(value);
+        }
+        if (speed_ != null) {
+          bitField0_ |= 0x00000100;
+          onChanged();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Speed as the target reported it to the sender; absent without a recent report.
+       * </pre>
+       *
+       * <code>.laneworks.SpeedReport speed = 9;</code>
+       */
+      public Builder clearSpeed() {
+        bitField0_ = (bitField0_ & ~0x00000100);
+        speed_ = null;
+        if (speedBuilder_ != null) {
+          speedBuilder_.dispose();
+          speedBuilder_ = null;
+        }
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Speed as the target reported it to the sender; absent without a recent report.
+       * </pre>
+       *
+       * <code>.laneworks.SpeedReport speed = 9;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.SpeedReport.Builder getSpeedBuilder() {
+        bitField0_ |= 0x00000100;
+        onChanged();
+        return internalGetSpeedFieldBuilder().getBuilder();
+      }
+      /**
+       * <pre>
+       * Speed as the target reported it to the sender; absent without a recent report.
+       * </pre>
+       *
+       * <code>.laneworks.SpeedReport speed = 9;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.SpeedReportOrBuilder getSpeedOrBuilder() {
+        if (speedBuilder_ != null) {
+          return speedBuilder_.getMessageOrBuilder();
+        } else {
+          return speed_ == null ?
+              dev.laneworks.wire.proto.Protocol.SpeedReport.getDefaultInstance() : speed_;
+        }
+      }
+      /**
+       * <pre>
+       * Speed as the target reported it to the sender; absent without a recent report.
+       * </pre>
+       *
+       * <code>.laneworks.SpeedReport speed = 9;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.SpeedReport, dev.laneworks.wire.proto.Protocol.SpeedReport.Builder, dev.laneworks.wire.proto.Protocol.SpeedReportOrBuilder> 
+          internalGetSpeedFieldBuilder() {
+        if (speedBuilder_ == null) {
+          speedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              dev.laneworks.wire.proto.Protocol.SpeedReport, dev.laneworks.wire.proto.Protocol.SpeedReport.Builder, dev.laneworks.wire.proto.Protocol.SpeedReportOrBuilder>(
+                  getSpeed(),
+                  getParentForChildren(),
+                  isClean());
+          speed_ = null;
+        }
+        return speedBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:laneworks.WorkAtTarget)
     }
 
@@ -36928,104 +37196,811 @@
 
   }
 
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_laneworks_Frame_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_laneworks_Frame_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_laneworks_Hello_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_laneworks_Hello_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_laneworks_Stream_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_laneworks_Stream_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_laneworks_OnceKey_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_laneworks_OnceKey_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_laneworks_Submit_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_laneworks_Submit_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_laneworks_Attach_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_laneworks_Attach_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_laneworks_Bar_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_laneworks_Bar_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_laneworks_Release_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_laneworks_Release_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_laneworks_Credit_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_laneworks_Credit_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_laneworks_Probe_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_laneworks_Probe_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_laneworks_BarKey_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_laneworks_BarKey_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_laneworks_Accepted_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_laneworks_Accepted_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_laneworks_Chunk_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_laneworks_Chunk_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_laneworks_End_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_laneworks_End_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_laneworks_Refused_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_laneworks_Refused_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_laneworks_BarResult_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_laneworks_BarResult_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_laneworks_Load_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_laneworks_Load_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_laneworks_Farewell_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_laneworks_Farewell_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_laneworks_KeyBarResult_descriptor;
-  private static final 
-    com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_laneworks_KeyBarResult_fieldAccessorTable;
-  private static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_laneworks_ConfigurationNotice_descriptor;
-  private static final 
+  public interface SpeedReportOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:laneworks.SpeedReport)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * How long work takes there, relative to the usual time.
+     * </pre>
+     *
+     * <code>float slowness = 1;</code>
+     * @return The slowness.
+     */
+    float getSlowness();
+
+    /**
+     * <code>uint32 age_millis = 2;</code>
+     * @return The ageMillis.
+     */
+    int getAgeMillis();
+
+    /**
+     * <pre>
+     * Learned time for each token of an engine in milliseconds; 0 if none is known.
+     * </pre>
+     *
+     * <code>float millis_per_token = 3;</code>
+     * @return The millisPerToken.
+     */
+    float getMillisPerToken();
+
+    /**
+     * <code>uint32 interval_age_millis = 4;</code>
+     * @return The intervalAgeMillis.
+     */
+    int getIntervalAgeMillis();
+  }
+  /**
+   * <pre>
+   * Speed of a target.
+   * </pre>
+   *
+   * Protobuf type {@code laneworks.SpeedReport}
+   */
+  public static final class SpeedReport extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:laneworks.SpeedReport)
+      SpeedReportOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "SpeedReport");
+    }
+    // Use SpeedReport.newBuilder() to construct.
+    private SpeedReport(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private SpeedReport() {
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_SpeedReport_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_SpeedReport_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_SpeedReport_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              dev.laneworks.wire.proto.Protocol.SpeedReport.class, dev.laneworks.wire.proto.Protocol.SpeedReport.Builder.class);
+    }
+
+    public static final int SLOWNESS_FIELD_NUMBER = 1;
+    private float slowness_ = 0F;
+    /**
+     * <pre>
+     * How long work takes there, relative to the usual time.
+     * </pre>
+     *
+     * <code>float slowness = 1;</code>
+     * @return The slowness.
+     */
+    @java.lang.Override
+    public float getSlowness() {
+      return slowness_;
+    }
+
+    public static final int AGE_MILLIS_FIELD_NUMBER = 2;
+    private int ageMillis_ = 0;
+    /**
+     * <code>uint32 age_millis = 2;</code>
+     * @return The ageMillis.
+     */
+    @java.lang.Override
+    public int getAgeMillis() {
+      return ageMillis_;
+    }
+
+    public static final int MILLIS_PER_TOKEN_FIELD_NUMBER = 3;
+    private float millisPerToken_ = 0F;
+    /**
+     * <pre>
+     * Learned time for each token of an engine in milliseconds; 0 if none is known.
+     * </pre>
+     *
+     * <code>float millis_per_token = 3;</code>
+     * @return The millisPerToken.
+     */
+    @java.lang.Override
+    public float getMillisPerToken() {
+      return millisPerToken_;
+    }
+
+    public static final int INTERVAL_AGE_MILLIS_FIELD_NUMBER = 4;
+    private int intervalAgeMillis_ = 0;
+    /**
+     * <code>uint32 interval_age_millis = 4;</code>
+     * @return The intervalAgeMillis.
+     */
+    @java.lang.Override
+    public int getIntervalAgeMillis() {
+      return intervalAgeMillis_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (java.lang.Float.floatToRawIntBits(slowness_) != 0) {
+        output.writeFloat(1, slowness_);
+      }
+      if (ageMillis_ != 0) {
+        output.writeUInt32(2, ageMillis_);
+      }
+      if (java.lang.Float.floatToRawIntBits(millisPerToken_) != 0) {
+        output.writeFloat(3, millisPerToken_);
+      }
+      if (intervalAgeMillis_ != 0) {
+        output.writeUInt32(4, intervalAgeMillis_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (java.lang.Float.floatToRawIntBits(slowness_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFloatSize(1, slowness_);
+      }
+      if (ageMillis_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(2, ageMillis_);
+      }
+      if (java.lang.Float.floatToRawIntBits(millisPerToken_) != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFloatSize(3, millisPerToken_);
+      }
+      if (intervalAgeMillis_ != 0) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt32Size(4, intervalAgeMillis_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof dev.laneworks.wire.proto.Protocol.SpeedReport)) {
+        return super.equals(obj);
+      }
+      dev.laneworks.wire.proto.Protocol.SpeedReport other = (dev.laneworks.wire.proto.Protocol.SpeedReport) obj;
+
+      if (java.lang.Float.floatToIntBits(getSlowness())
+          != java.lang.Float.floatToIntBits(
+              other.getSlowness())) return false;
+      if (getAgeMillis()
+          != other.getAgeMillis()) return false;
+      if (java.lang.Float.floatToIntBits(getMillisPerToken())
+          != java.lang.Float.floatToIntBits(
+              other.getMillisPerToken())) return false;
+      if (getIntervalAgeMillis()
+          != other.getIntervalAgeMillis()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + SLOWNESS_FIELD_NUMBER;
+      hash = (53 * hash) + java.lang.Float.floatToIntBits(
+          getSlowness());
+      hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getAgeMillis();
+      hash = (37 * hash) + MILLIS_PER_TOKEN_FIELD_NUMBER;
+      hash = (53 * hash) + java.lang.Float.floatToIntBits(
+          getMillisPerToken());
+      hash = (37 * hash) + INTERVAL_AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + getIntervalAgeMillis();
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.SpeedReport parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.SpeedReport parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.SpeedReport parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.SpeedReport parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.SpeedReport parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.SpeedReport parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.SpeedReport parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.SpeedReport parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.SpeedReport parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.SpeedReport parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.SpeedReport parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.SpeedReport parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(dev.laneworks.wire.proto.Protocol.SpeedReport prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Speed of a target.
+     * </pre>
+     *
+     * Protobuf type {@code laneworks.SpeedReport}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:laneworks.SpeedReport)
+        dev.laneworks.wire.proto.Protocol.SpeedReportOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_SpeedReport_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_SpeedReport_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                dev.laneworks.wire.proto.Protocol.SpeedReport.class, dev.laneworks.wire.proto.Protocol.SpeedReport.Builder.class);
+      }
+
+      // Construct using dev.laneworks.wire.proto.Protocol.SpeedReport.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        slowness_ = 0F;
+        ageMillis_ = 0;
+        millisPerToken_ = 0F;
+        intervalAgeMillis_ = 0;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_SpeedReport_descriptor;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.SpeedReport getDefaultInstanceForType() {
+        return dev.laneworks.wire.proto.Protocol.SpeedReport.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.SpeedReport build() {
+        dev.laneworks.wire.proto.Protocol.SpeedReport result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.SpeedReport buildPartial() {
+        dev.laneworks.wire.proto.Protocol.SpeedReport result = new dev.laneworks.wire.proto.Protocol.SpeedReport(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(dev.laneworks.wire.proto.Protocol.SpeedReport result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.slowness_ = slowness_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.ageMillis_ = ageMillis_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.millisPerToken_ = millisPerToken_;
+        }
+        if (((from_bitField0_ & 0x00000008) != 0)) {
+          result.intervalAgeMillis_ = intervalAgeMillis_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof dev.laneworks.wire.proto.Protocol.SpeedReport) {
+          return mergeFrom((dev.laneworks.wire.proto.Protocol.SpeedReport)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(dev.laneworks.wire.proto.Protocol.SpeedReport other) {
+        if (other == dev.laneworks.wire.proto.Protocol.SpeedReport.getDefaultInstance()) return this;
+        if (java.lang.Float.floatToRawIntBits(other.getSlowness()) != 0) {
+          setSlowness(other.getSlowness());
+        }
+        if (other.getAgeMillis() != 0) {
+          setAgeMillis(other.getAgeMillis());
+        }
+        if (java.lang.Float.floatToRawIntBits(other.getMillisPerToken()) != 0) {
+          setMillisPerToken(other.getMillisPerToken());
+        }
+        if (other.getIntervalAgeMillis() != 0) {
+          setIntervalAgeMillis(other.getIntervalAgeMillis());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 13: {
+                slowness_ = input.readFloat();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 13
+              case 16: {
+                ageMillis_ = input.readUInt32();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 29: {
+                millisPerToken_ = input.readFloat();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 29
+              case 32: {
+                intervalAgeMillis_ = input.readUInt32();
+                bitField0_ |= 0x00000008;
+                break;
+              } // case 32
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private float slowness_ ;
+      /**
+       * <pre>
+       * How long work takes there, relative to the usual time.
+       * </pre>
+       *
+       * <code>float slowness = 1;</code>
+       * @return The slowness.
+       */
+      @java.lang.Override
+      public float getSlowness() {
+        return slowness_;
+      }
+      /**
+       * <pre>
+       * How long work takes there, relative to the usual time.
+       * </pre>
+       *
+       * <code>float slowness = 1;</code>
+       * @param value The slowness to set.
+       * @return This builder for chaining.
+       */
+      public Builder setSlowness(float value) {
+
+        slowness_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * How long work takes there, relative to the usual time.
+       * </pre>
+       *
+       * <code>float slowness = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearSlowness() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        slowness_ = 0F;
+        onChanged();
+        return this;
+      }
+
+      private int ageMillis_ ;
+      /**
+       * <code>uint32 age_millis = 2;</code>
+       * @return The ageMillis.
+       */
+      @java.lang.Override
+      public int getAgeMillis() {
+        return ageMillis_;
+      }
+      /**
+       * <code>uint32 age_millis = 2;</code>
+       * @param value The ageMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAgeMillis(int value) {
+
+        ageMillis_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 age_millis = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAgeMillis() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        ageMillis_ = 0;
+        onChanged();
+        return this;
+      }
+
+      private float millisPerToken_ ;
+      /**
+       * <pre>
+       * Learned time for each token of an engine in milliseconds; 0 if none is known.
+       * </pre>
+       *
+       * <code>float millis_per_token = 3;</code>
+       * @return The millisPerToken.
+       */
+      @java.lang.Override
+      public float getMillisPerToken() {
+        return millisPerToken_;
+      }
+      /**
+       * <pre>
+       * Learned time for each token of an engine in milliseconds; 0 if none is known.
+       * </pre>
+       *
+       * <code>float millis_per_token = 3;</code>
+       * @param value The millisPerToken to set.
+       * @return This builder for chaining.
+       */
+      public Builder setMillisPerToken(float value) {
+
+        millisPerToken_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Learned time for each token of an engine in milliseconds; 0 if none is known.
+       * </pre>
+       *
+       * <code>float millis_per_token = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearMillisPerToken() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        millisPerToken_ = 0F;
+        onChanged();
+        return this;
+      }
+
+      private int intervalAgeMillis_ ;
+      /**
+       * <code>uint32 interval_age_millis = 4;</code>
+       * @return The intervalAgeMillis.
+       */
+      @java.lang.Override
+      public int getIntervalAgeMillis() {
+        return intervalAgeMillis_;
+      }
+      /**
+       * <code>uint32 interval_age_millis = 4;</code>
+       * @param value The intervalAgeMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setIntervalAgeMillis(int value) {
+
+        intervalAgeMillis_ = value;
+        bitField0_ |= 0x00000008;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint32 interval_age_millis = 4;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearIntervalAgeMillis() {
+        bitField0_ = (bitField0_ & ~0x00000008);
+        intervalAgeMillis_ = 0;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:laneworks.SpeedReport)
+    }
+
+    // @@protoc_insertion_point(class_scope:laneworks.SpeedReport)
+    private static final dev.laneworks.wire.proto.Protocol.SpeedReport DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.SpeedReport();
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.SpeedReport getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<SpeedReport>
+        PARSER = new com.google.protobuf.AbstractParser<SpeedReport>() {
+      @java.lang.Override
+      public SpeedReport parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<SpeedReport> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<SpeedReport> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.SpeedReport getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_Frame_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_Frame_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_Hello_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_Hello_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_Stream_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_Stream_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_OnceKey_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_OnceKey_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_Submit_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_Submit_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_Attach_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_Attach_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_Bar_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_Bar_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_Release_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_Release_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_Credit_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_Credit_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_Probe_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_Probe_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_BarKey_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_BarKey_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_Accepted_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_Accepted_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_Chunk_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_Chunk_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_End_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_End_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_Refused_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_Refused_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_BarResult_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_BarResult_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_Load_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_Load_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_Farewell_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_Farewell_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_KeyBarResult_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_KeyBarResult_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_ConfigurationNotice_descriptor;
+  private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_laneworks_ConfigurationNotice_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
@@ -37118,6 +38093,11 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_laneworks_WorkAtTarget_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_SpeedReport_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_SpeedReport_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -37234,15 +38214,18 @@
       "ding\022\017\n\007service\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022" +
       "\017\n\007repeats\030\003 \001(\r\"S\n\013TargetLimit\022\016\n\006targe" +
       "t\030\001 \001(\t\022\014\n\004over\030\002 \001(\010\022\022\n\nper_second\030\003 \001(" +
-      "\001\022\022\n\nage_millis\030\004 \001(\r\"\240\001\n\014WorkAtTarget\022\016" +
+      "\001\022\022\n\nage_millis\030\004 \001(\r\"\307\001\n\014WorkAtTarget\022\016" +
       "\n\006target\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\023\n\013held" +
       "_tokens\030\003 \001(\004\022\025\n\runread_tokens\030\004 \001(\004\022\017\n\007" +
       "to_move\030\005 \001(\r\022\017\n\007copying\030\006 \001(\010\022\017\n\007refuse" +
-      "d\030\007 \001(\r\022\017\n\007leaving\030\010 \001(\010*W\n\rStoreNewsKin" +
-      "d\022\023\n\017STORE_NEWS_READ\020\000\022\027\n\023STORE_NEWS_QUE" +
-      "STION\020\001\022\030\n\024STORE_NEWS_PASSED_ON\020\002B&\n\030dev" +
-      ".laneworks.wire.protoB\010ProtocolP\000b\006proto" +
-      "3"
+      "d\030\007 \001(\r\022\017\n\007leaving\030\010 \001(\010\022%\n\005speed\030\t \001(\0132" +
+      "\026.laneworks.SpeedReport\"j\n\013SpeedReport\022\020" +
+      "\n\010slowness\030\001 \001(\002\022\022\n\nage_millis\030\002 \001(\r\022\030\n\020" +
+      "millis_per_token\030\003 \001(\002\022\033\n\023interval_age_m" +
+      "illis\030\004 \001(\r*W\n\rStoreNewsKind\022\023\n\017STORE_NE" +
+      "WS_READ\020\000\022\027\n\023STORE_NEWS_QUESTION\020\001\022\030\n\024ST" +
+      "ORE_NEWS_PASSED_ON\020\002B&\n\030dev.laneworks.wi" +
+      "re.protoB\010ProtocolP\000b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -37475,7 +38458,13 @@
     internal_static_laneworks_WorkAtTarget_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_WorkAtTarget_descriptor,
-        new java.lang.String[] { "Target", "Requests", "HeldTokens", "UnreadTokens", "ToMove", "Copying", "Refused", "Leaving", });
+        new java.lang.String[] { "Target", "Requests", "HeldTokens", "UnreadTokens", "ToMove", "Copying", "Refused", "Leaving", "Speed", });
+    internal_static_laneworks_SpeedReport_descriptor =
+      getDescriptor().getMessageType(38);
+    internal_static_laneworks_SpeedReport_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_laneworks_SpeedReport_descriptor,
+        new java.lang.String[] { "Slowness", "AgeMillis", "MillisPerToken", "IntervalAgeMillis", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/laneworks-wire/src/test/java/dev/laneworks/wire/LoadUpdateCodecTests.java
+++ b/laneworks-wire/src/test/java/dev/laneworks/wire/LoadUpdateCodecTests.java
@@ -1,6 +1,7 @@
 package dev.laneworks.wire;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 
 import dev.laneworks.core.directory.TargetIncarnation;
@@ -11,6 +12,7 @@
 import dev.laneworks.core.gossip.RetryBudgetUsage;
 import dev.laneworks.core.gossip.ServiceDemand;
 import dev.laneworks.core.gossip.WorkAtTarget;
+import dev.laneworks.core.speed.SpeedReport;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -24,7 +26,9 @@
 	void decodesWhatWasEncoded() {
 		TargetIncarnation incarnation = TargetIncarnation.of("t", 1_700_000_000_000L);
 		LoadUpdate update = new LoadUpdate("e", "z", 7, 3, true, true, 1_000,
-				List.of(new WorkAtTarget(incarnation, 1, 2, 3, 4, true, 5, true)),
+				List.of(new WorkAtTarget(incarnation, 1, 2, 3, 4, true, 5, true),
+						new WorkAtTarget(TargetIncarnation.of("u"), 1, 2, 3, 4, true, 5, true,
+								Optional.of(new SpeedReport(2.5, 40, 10.5, 300)))),
 				List.of(new RetryBudgetUsage("s", 6, 7)),
 				new BackpressureUpdate(
 						List.of(new RateLimitUpdate(incarnation, OptionalDouble.of(2.7), 40),
