Choose targets by their speed where they report it

Plain targets are compared by the expected time there, and pending prompt tokens count by the speed of their engine. Streams with an event interval goal avoid engines where an event beside a prefill in a slow phase would exceed it, as long as another engine has free memory; generations of few events prefer these engines. Moves and copies prefer faster engines. Services without reports are scored as before.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptOutcomes.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptOutcomes.java
@@ -168,7 +168,9 @@
 	}
 
 	void recordSuccess(Attempt attempt, long now) {
-		this.estimates.of(attempt.target()).quality().recordSuccess(now - attempt.sentAt(), now);
+		TargetEstimate estimate = this.estimates.of(attempt.target());
+		estimate.quality().recordSuccess(now - attempt.sentAt(), now);
+		estimate.speed().recordResponse(now - attempt.sentAt(), now);
 	}
 
 	private void recordFailure(ListedTarget target, String cause, long now) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -10,6 +10,7 @@
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.mechanism.Mechanisms;
 import dev.laneworks.core.serving.EngineSpec;
+import dev.laneworks.core.speed.GenerationNeeds;
 
 /**
  * Selects targets for attempts, sends the attempts, and accounts for the engine memory
@@ -65,11 +66,18 @@
 	Optional<ListedTarget> choose(DirectCall call, Optional<EngineSpec> engine, long now) {
 		Optional<GenerationSize> size = call.request().size();
 		if (engine.isPresent() && size.isPresent()) {
-			return this.chooser.chooseEngine(call.filter(), engine.get(), size.get(), now);
+			return this.chooser.chooseEngine(call.filter(), engine.get(), size.get(),
+					needs(call, engine.get(), size.get()), now);
 		}
 		return this.chooser.choosePlain(call.filter(), now);
 	}
 
+	private static GenerationNeeds needs(DirectCall call, EngineSpec engine, GenerationSize size) {
+		long tokens = size.expectedTokens().orElse(size.maxTokens());
+		return new GenerationNeeds(tokens / Math.max(1, engine.tokensPerEvent()),
+				call.request().route().eventIntervalGoalMillis());
+	}
+
 	Optional<ListedTarget> chooseLeastUtilized(DirectCall call, EngineSpec engine, long now) {
 		return this.chooser.chooseLeastUtilized(call.filter(), engine, now);
 	}
@@ -149,6 +157,20 @@
 		call.end(attempt);
 	}
 
+	/**
+	 * Record the interval since the previous event of the same attempt, which shows the
+	 * speed of its engine.
+	 * @param call the request being dispatched
+	 * @param attempt the attempt that sent the event
+	 * @param engine the capacity of the engines of the service
+	 * @param now the current time in milliseconds of the monotonic clock
+	 */
+	void recordInterval(DirectCall call, Attempt attempt, EngineSpec engine, long now) {
+		this.estimates.of(attempt.target())
+			.speed()
+			.recordInterval(now - call.lastEventAt(), engine.tokensPerEvent(), now);
+	}
+
 	/**
 	 * Record an event of a generation: its prompt has been read, and its memory has
 	 * grown.
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -321,7 +321,8 @@
 		if (call.isSuccessor(found.get())) {
 			this.continuation.switchToSuccessor(call, now);
 		}
-		if (!found.get().isAnswering()) {
+		boolean isFirstOfAttempt = !found.get().isAnswering();
+		if (isFirstOfAttempt) {
 			call.stoppedAt(Optional.empty());
 			handleFirstEvent(call, found.get(), now);
 		}
@@ -337,8 +338,11 @@
 			call.startStreaming();
 			this.outputs.startStream(number, attempt);
 		}
-		call.recordEvent(id, now);
 		Optional<EngineSpec> engine = engine(call);
+		if (!isFirstOfAttempt) {
+			engine.ifPresent((e) -> this.sender.recordInterval(call, found.get(), e, now));
+		}
+		call.recordEvent(id, now);
 		this.sender.recordGrowth(call, found.get(), engine, now);
 		engine.ifPresent((e) -> this.standbys.releaseIfUnusable(call, e, now));
 		return true;
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -11,13 +11,19 @@
 import dev.laneworks.core.mechanism.Mechanisms;
 import dev.laneworks.core.routing.Rendezvous;
 import dev.laneworks.core.serving.EngineSpec;
+import dev.laneworks.core.speed.EnginePlacement;
+import dev.laneworks.core.speed.GenerationNeeds;
+import dev.laneworks.core.speed.PlainTime;
+import dev.laneworks.core.speed.ServiceSpeed;
+import dev.laneworks.core.speed.TargetSpeed;
 
 /**
  * Scores candidate targets and selects the best one for a request, a generation or a copy
  * of a generation's KV cache.
  * <p>
  * A lower score is better. Plain services are compared by request load and response time,
- * engines by memory utilization and unread prompt tokens. Not thread-safe.
+ * engines by memory utilization and unread prompt tokens. The speed of targets counts for
+ * services whose targets report it. Not thread-safe.
  *
  * @since 0.2
  */
@@ -76,6 +82,12 @@
 
 	private static final double THOUSAND = 1_000;
 
+	/**
+	 * Memory utilization, including the generation, up to which an engine counts as
+	 * having free memory.
+	 */
+	private static final double ROOM_UTILIZATION = 0.9;
+
 	/**
 	 * Score penalty of a target that recently rejected a request because it was full.
 	 */
@@ -143,11 +155,12 @@
 			.filter((millis) -> millis > 0)
 			.min()
 			.orElse(1);
-		return lowestScored(candidates, (t) -> plainScore(t, fastest, now));
+		ServiceSpeed speeds = speeds(candidates, now);
+		return lowestScored(candidates, (t) -> plainScore(t, fastest, speeds, now));
 	}
 
 	/**
-	 * Choose an engine for a generation.
+	 * Choose an engine for a generation whose needs are not known.
 	 * @param filter the candidate filter of the generation
 	 * @param engine the capabilities of the service's engines
 	 * @param size the size of the generation
@@ -156,12 +169,30 @@
 	 */
 	public Optional<ListedTarget> chooseEngine(CandidateFilter filter, EngineSpec engine, GenerationSize size,
 			long now) {
+		return chooseEngine(filter, engine, size, GenerationNeeds.UNKNOWN, now);
+	}
+
+	/**
+	 * Choose an engine for a generation.
+	 * @param filter the candidate filter of the generation
+	 * @param engine the capabilities of the service's engines
+	 * @param size the size of the generation
+	 * @param needs the speed that the generation needs
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return the engine with the lowest score, or empty if no engine is eligible
+	 */
+	public Optional<ListedTarget> chooseEngine(CandidateFilter filter, EngineSpec engine, GenerationSize size,
+			GenerationNeeds needs, long now) {
 		long tokens = size.reservedTokens(0);
 		this.meanTokens += NEWEST_SAMPLE_WEIGHT * (tokens - this.meanTokens);
 		List<ListedTarget> engines = candidates(filter, now);
 		double remotePenalty = hasLocalChoice(engines) ? REMOTE_PENALTY_ENGINE_LOCAL_CHOICE : REMOTE_PENALTY_ENGINE;
-		return lowestScored(engines,
-				(t) -> engineScore(t, engine, tokens, this.dataCentre, remotePenalty, now) + placementSpread());
+		EnginePlacement placement = new EnginePlacement(speeds(engines, now), needs);
+		List<ListedTarget> suitable = placement.suitable(engines, this::speed, engine.tokensPerEvent(),
+				(t) -> utilization(t, engine, now) + (double) tokens / engine.memoryTokens() <= ROOM_UTILIZATION);
+		return lowestScored(suitable,
+				(t) -> engineScore(t, engine, tokens, placement, now) + distanceScore(t, this.dataCentre, remotePenalty)
+						+ placement.startScore(speed(t)) + placementSpread());
 	}
 
 	private double placementSpread() {
@@ -198,14 +229,17 @@
 		List<ListedTarget> others = candidates(filter, now).stream()
 			.filter((t) -> !t.id().equals(source.id()))
 			.toList();
-		return lowestScored(others, (t) -> destinationScore(source, t, engine, tokens, now));
+		EnginePlacement placement = placement(others, now);
+		return lowestScored(others, (t) -> destinationScore(source, t, engine, tokens, placement, now));
 	}
 
 	// Favours free links and sufficient memory over low utilization, since the copy must
 	// complete within the reclaim notice.
 	private double destinationScore(ListedTarget source, ListedTarget target, EngineSpec engine, long tokens,
-			long now) {
-		double score = engineScore(target, engine, tokens, source.dataCentre(), REMOTE_PENALTY_COPY, now);
+			EnginePlacement placement, long now) {
+		double score = engineScore(target, engine, tokens, placement, now)
+				+ distanceScore(target, source.dataCentre(), REMOTE_PENALTY_COPY)
+				+ placement.destinationScore(speed(target));
 		score -= Math.min(AMPLE_MEMORY_UTILIZATION,
 				utilization(target, engine, now) + (double) tokens / engine.memoryTokens());
 		if (this.estimates.isCopying(target)) {
@@ -238,7 +272,9 @@
 		List<ListedTarget> others = candidates(filter, now).stream()
 			.filter((t) -> !t.id().equals(source.id()))
 			.toList();
-		return lowestScored(others, (t) -> engineScore(t, engine, tokens, source.dataCentre(), 0, now))
+		EnginePlacement placement = placement(others, now);
+		return lowestScored(others,
+				(t) -> engineScore(t, engine, tokens, placement, now) + placement.destinationScore(speed(t)))
 			.filter((t) -> utilization(t, engine, now) + (double) tokens / engine.memoryTokens() <= maxUtilization);
 	}
 
@@ -288,29 +324,49 @@
 		return preferred.isEmpty() ? all : preferred;
 	}
 
-	private double plainScore(ListedTarget target, double fastest, long now) {
+	private TargetSpeed speed(ListedTarget target) {
+		return this.estimates.of(target).speed();
+	}
+
+	private ServiceSpeed speeds(List<ListedTarget> targets, long now) {
+		return this.mechanisms.isEnabled(Mechanism.LEARNED_SPEED)
+				? ServiceSpeed.of(targets.stream().map(this::speed).toList(), now) : ServiceSpeed.UNKNOWN;
+	}
+
+	private EnginePlacement placement(List<ListedTarget> targets, long now) {
+		return new EnginePlacement(speeds(targets, now), GenerationNeeds.UNKNOWN);
+	}
+
+	private double plainScore(ListedTarget target, double fastest, ServiceSpeed speeds, long now) {
 		TargetEstimate estimate = this.estimates.of(target);
 		double response = Math.max(fastest, estimate.quality().responseMillis());
 		double slowness = this.mechanisms.isEnabled(Mechanism.LEARNED_SPEED)
 				? Math.min(MAX_SLOWNESS_FACTOR, response / fastest) : 1;
-		double load = (this.estimates.requests(target, now) + 1) / Math.max(1, target.slots());
-		double score = load * slowness + estimate.quality().failureRate(now) + jitter();
+		double requests = this.estimates.requests(target, now);
+		double time = speeds.isActive() ? PlainTime.of(requests, target.slots(), speeds.plainFactor(estimate.speed()))
+				: (requests + 1) / Math.max(1, target.slots()) * slowness;
+		double score = time + estimate.quality().failureRate(now) + jitter();
 		if (estimate.isFull(now)) {
 			score += FULL_PENALTY;
 		}
-		return isLocal(target, this.dataCentre) ? score : score + REMOTE_PENALTY_PLAIN;
+		return score + distanceScore(target, this.dataCentre, REMOTE_PENALTY_PLAIN);
 	}
 
-	private double engineScore(ListedTarget target, EngineSpec engine, long tokens, String from, double remotePenalty,
+	private double engineScore(ListedTarget target, EngineSpec engine, long tokens, EnginePlacement placement,
 			long now) {
 		TargetEstimate estimate = this.estimates.of(target);
 		double score = (this.estimates.reservedTokens(target, this.meanTokens, now) + tokens) / engine.memoryTokens();
-		score += this.estimates.pendingPromptTokens(target) / THOUSAND * UNREAD_KILOTOKEN_PENALTY;
+		score += placement.weighPromptTokens(estimate.speed(), this.estimates.pendingPromptTokens(target)) / THOUSAND
+				* UNREAD_KILOTOKEN_PENALTY;
 		score += estimate.waiting(now) * QUEUED_REQUEST_PENALTY + estimate.quality().failureRate(now) + jitter();
 		if (estimate.isFull(now)) {
 			score += FULL_PENALTY;
 		}
-		return isLocal(target, from) ? score : score + remotePenalty;
+		return score;
+	}
+
+	private double distanceScore(ListedTarget target, String from, double remotePenalty) {
+		return isLocal(target, from) ? 0 : remotePenalty;
 	}
 
 	private boolean isLocal(ListedTarget target, String from) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/speed/CurrentSlowness.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/speed/CurrentSlowness.java
@@ -17,11 +17,17 @@
 	 * state of a target 300 ms ago predicts its current state in fewer than half of the
 	 * cases.
 	 */
-	private static final double DECAY_MILLIS = 400;
+	private static final double DECAY_MILLIS = 380;
 
 	/** Time constant of the longer-term mean; covers several slow phases. */
 	private static final double MEAN_MILLIS = 10_000;
 
+	/**
+	 * Longest time that one report stands for in the mean, about the length of a slow
+	 * phase.
+	 */
+	private static final long MAX_SPAN_MILLIS = 600;
+
 	/**
 	 * Minimum weight of a report in the mean, so that reports in quick succession count.
 	 */
@@ -51,7 +57,7 @@
 		if (elapsed > MAX_AGE_MILLIS) {
 			this.mean = 1;
 		}
-		double weight = 1 - Math.exp(-Math.min(elapsed, MAX_AGE_MILLIS) / MEAN_MILLIS);
+		double weight = 1 - Math.exp(-Math.min(elapsed, MAX_SPAN_MILLIS) / MEAN_MILLIS);
 		this.mean += Math.max(MIN_WEIGHT, weight) * (bounded - this.mean);
 		this.latest = bounded;
 		this.reportedAt = reportedAt;
--- a/laneworks-core/src/main/java/dev/laneworks/core/speed/EnginePlacement.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/speed/EnginePlacement.java
@@ -17,9 +17,9 @@
 
 	/**
 	 * Score bonus of an engine of half the usual speed for a generation of few events, as
-	 * a fraction of engine memory. Smaller than the penalty of two unread prompts there.
+	 * a fraction of engine memory. Smaller than the penalty of one unread prompt there.
 	 */
-	private static final double FEW_EVENTS_BONUS = 0.5;
+	private static final double FEW_EVENTS_BONUS = 0.3;
 
 	/**
 	 * Score penalty of an engine of half the usual speed as the destination of a copy.
--- a/laneworks-core/src/main/java/dev/laneworks/core/speed/ServiceSpeed.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/speed/ServiceSpeed.java
@@ -19,6 +19,9 @@
 	 */
 	private static final double PREFILL_FACTOR = 1.5;
 
+	/** Speeds of a service whose targets report none. */
+	public static final ServiceSpeed UNKNOWN = new ServiceSpeed(List.of(), 0);
+
 	private final boolean active;
 
 	private final double millisPerToken;
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/OverloadedFleet.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/OverloadedFleet.java
@@ -7,10 +7,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 
+import dev.laneworks.core.backpressure.BackpressureSignals;
 import dev.laneworks.core.directory.TargetIncarnation;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.core.serving.AllowedRegions;
@@ -24,7 +26,9 @@
  * <p>
  * Callers wait for the advertised retry delay, but for at most a third of their remaining
  * time. Engines start a generation once its memory is free, read one prompt at a time and
- * send an event of each executing generation at a fixed interval.
+ * send an event of each executing generation at a fixed interval. Engines of uneven speed
+ * work in steps instead, each of which generates a token of every generation and reads a
+ * part of one prompt.
  */
 final class OverloadedFleet {
 
@@ -39,8 +43,21 @@
 
 	private static final int TOKENS_PER_EVENT = 4;
 
+	private static final int SLOTS = 24;
+
+	/** The prompt tokens that an engine reads in one step. */
+	private static final int CHUNK_TOKENS = 112;
+
+	/** The goal for the longest pause between events. */
+	private static final long MAX_PAUSE_MILLIS = 180;
+
 	private final SplittableRandom random;
 
+	/** The speeds of engines that work in steps. */
+	private Optional<UnevenSpeeds> speeds = Optional.empty();
+
+	private boolean reportsSlowness;
+
 	private final List<DispatchHarness> entries = new ArrayList<>();
 
 	private final Map<String, Engine> engines = new HashMap<>();
@@ -66,11 +83,21 @@
 		}
 		for (int i = 0; i < engines; i++) {
 			String id = "e" + i;
-			this.engines.put(id, new Engine());
+			this.engines.put(id, new Engine(i));
 			this.entries.forEach((e) -> e.join(DispatchHarness.ENGINES, id));
 		}
 	}
 
+	/**
+	 * Let the engines work in steps of uneven duration.
+	 * @param uneven the speeds of the engines
+	 * @param reported whether the engines report their slowness
+	 */
+	void useSpeeds(UnevenSpeeds uneven, boolean reported) {
+		this.speeds = Optional.of(uneven);
+		this.reportsSlowness = reported;
+	}
+
 	/**
 	 * Schedule the arrival of callers at random times.
 	 * @param kind the kind of generation that they request
@@ -115,7 +142,9 @@
 		Map<String, WorkAtTarget> all = new HashMap<>();
 		for (DispatchHarness entry : this.entries) {
 			Map<String, WorkAtTarget> own = work.computeIfAbsent(entry, (e) -> new HashMap<>());
-			entry.estimates.localWork().forEach((w) -> {
+			entry.estimates.localWork(this.now).forEach((w) -> {
+				this.entries
+					.forEach((e) -> w.speed().ifPresent((s) -> e.estimates.mergeSpeed(w.target(), s, this.now)));
 				own.put(w.target().id(), w);
 				all.merge(w.target().id(), w, WorkAtTarget::plus);
 			});
@@ -203,7 +232,7 @@
 	 */
 	enum Outcome {
 
-		ALL, IN_TIME, LATE, REFUSED, REFUSED_AGAIN;
+		ALL, IN_TIME, STEADY, LATE, REFUSED, REFUSED_AGAIN;
 
 		private boolean matches(Caller caller) {
 			boolean isServed = caller.firstEventAt > 0 && caller.firstEventAt <= caller.givesUpAt;
@@ -211,6 +240,7 @@
 			return switch (this) {
 				case ALL -> true;
 				case IN_TIME -> isInTime;
+				case STEADY -> isInTime && caller.longestPauseMillis <= MAX_PAUSE_MILLIS;
 				case LATE -> isServed && !isInTime;
 				case REFUSED -> caller.refusals > 0;
 				case REFUSED_AGAIN -> caller.refusals > 1;
@@ -237,6 +267,10 @@
 
 		private long firstEventAt;
 
+		private long lastEventAt;
+
+		private long longestPauseMillis;
+
 		private Caller(Kind kind, DispatchHarness entry, int events, long at) {
 			this.kind = kind;
 			this.entry = entry;
@@ -260,6 +294,8 @@
 
 		private int passed;
 
+		private int tokensOfEvent;
+
 		private Execution(Caller caller, DispatchHarness.Sent sent) {
 			this.caller = caller;
 			this.sent = sent;
@@ -278,15 +314,65 @@
 
 		private final List<Execution> running = new ArrayList<>();
 
+		private final int number;
+
+		private long stepEndsAt;
+
+		private Engine(int number) {
+			this.number = number;
+		}
+
 		private void step() {
+			if (OverloadedFleet.this.speeds.isPresent()) {
+				unevenStep(OverloadedFleet.this.speeds.get());
+				return;
+			}
+			admit();
+			this.running.stream().filter((r) -> r.unreadPromptTokens > 0).findFirst().ifPresent(this::read);
+			List.copyOf(this.running).forEach(this::generate);
+		}
+
+		private double slowness(UnevenSpeeds uneven) {
+			return uneven.slowness("e" + this.number, OverloadedFleet.this.now);
+		}
+
+		private void unevenStep(UnevenSpeeds uneven) {
+			if (OverloadedFleet.this.now < this.stepEndsAt) {
+				return;
+			}
+			List<Execution> generating = this.running.stream().filter((r) -> r.unreadPromptTokens <= 0).toList();
+			this.running.stream()
+				.filter((r) -> r.unreadPromptTokens > 0)
+				.findFirst()
+				.ifPresent((r) -> r.unreadPromptTokens -= CHUNK_TOKENS);
+			generating.stream()
+				.filter((r) -> r.passed == 0 || ++r.tokensOfEvent % TOKENS_PER_EVENT == 0)
+				.forEach(this::generate);
+			admit();
+			boolean reads = this.running.stream().anyMatch((r) -> r.unreadPromptTokens > 0);
+			double millis = 7 + 0.12 * this.running.size() + (reads ? 8 : 0);
+			this.stepEndsAt = OverloadedFleet.this.now
+					+ Math.round(millis * UnevenSpeeds.usual(this.number) * slowness(uneven));
+		}
+
+		private void report(Execution execution) {
+			OptionalDouble slowness = OverloadedFleet.this.reportsSlowness
+					? OptionalDouble.of(slowness(OverloadedFleet.this.speeds.get())) : OptionalDouble.empty();
+			TargetLoad load = new TargetLoad(this.running.size(), this.waiting.size(), SLOTS, slowness);
+			AnswerHead head = new AnswerHead(200, DispatchHarness.id(execution.sent.call()), true, false, false, true,
+					Optional.of(load), OptionalLong.empty(), BackpressureSignals.NONE);
+			execution.caller.entry.dispatcher.headReceived(execution.sent.call(), execution.sent.attempt(), head,
+					OverloadedFleet.this.now);
+		}
+
+		private void admit() {
 			long used = this.running.stream().mapToLong(Execution::tokens).sum();
-			while (!this.waiting.isEmpty() && used + this.waiting.peek().tokens() <= MEMORY_TOKENS) {
+			while (!this.waiting.isEmpty() && used + this.waiting.peek().tokens() <= MEMORY_TOKENS
+					&& this.running.size() < SLOTS) {
 				Execution next = this.waiting.poll();
 				used += next.tokens();
 				this.running.add(next);
 			}
-			this.running.stream().filter((r) -> r.unreadPromptTokens > 0).findFirst().ifPresent(this::read);
-			List.copyOf(this.running).forEach(this::generate);
 		}
 
 		private void read(Execution execution) {
@@ -301,12 +387,20 @@
 				return;
 			}
 			DispatchHarness entry = execution.caller.entry;
-			execution.caller.firstEventAt = (execution.passed == 0) ? OverloadedFleet.this.now
-					: execution.caller.firstEventAt;
+			if (execution.passed == 0) {
+				execution.caller.firstEventAt = OverloadedFleet.this.now;
+				OverloadedFleet.this.speeds.ifPresent((s) -> report(execution));
+			}
+			else {
+				execution.caller.longestPauseMillis = Math.max(execution.caller.longestPauseMillis,
+						OverloadedFleet.this.now - execution.caller.lastEventAt);
+			}
+			execution.caller.lastEventAt = OverloadedFleet.this.now;
 			boolean isOpen = entry.dispatcher.eventReceived(execution.sent.call(), execution.sent.attempt(),
 					execution.passed, OverloadedFleet.this.now);
 			execution.passed++;
-			execution.nextEventAt = OverloadedFleet.this.now + EVENT_INTERVAL_MILLIS;
+			execution.nextEventAt = OverloadedFleet.this.now
+					+ (OverloadedFleet.this.speeds.isPresent() ? 0 : EVENT_INTERVAL_MILLIS);
 			if (!isOpen || execution.passed >= execution.caller.events) {
 				this.running.remove(execution);
 				entry.dispatcher.streamEnded(execution.sent.call(), execution.sent.attempt(), OverloadedFleet.this.now);
