--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Attempt.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Attempt.java
@@ -21,6 +21,8 @@
 
 	private long pendingPromptTokens;
 
+	private long promptTokensAhead;
+
 	private final long startedAt;
 
 	private long sentAt = -1;
@@ -48,6 +50,16 @@
 		return this.resume;
 	}
 
+	// The prompt tokens that its engine had yet to read when it was sent; negative if it
+	// also waited for memory.
+	long promptTokensAhead() {
+		return this.promptTokensAhead;
+	}
+
+	void setPromptTokensAhead(long tokens) {
+		this.promptTokensAhead = tokens;
+	}
+
 	// The time at which its connection was ordered.
 	long startedAt() {
 		return this.startedAt;
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptOutcomes.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptOutcomes.java
@@ -170,7 +170,8 @@
 	void recordSuccess(Attempt attempt, long now) {
 		TargetEstimate estimate = this.estimates.of(attempt.target());
 		estimate.quality().recordSuccess(now - attempt.sentAt(), now);
-		estimate.speed().recordResponse(now - attempt.sentAt(), now);
+		double load = this.estimates.requests(attempt.target(), now) / Math.max(1, attempt.target().slots());
+		estimate.speed().recordResponse(now - attempt.sentAt(), load, now);
 	}
 
 	private void recordFailure(ListedTarget target, String cause, long now) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -69,13 +69,13 @@
 			return this.chooser.chooseEngine(call.filter(), engine.get(), size.get(),
 					needs(call, engine.get(), size.get()), now);
 		}
-		return this.chooser.choosePlain(call.filter(), now);
+		return this.chooser.choosePlain(call.filter(), call.request().route().goalMillis(), now);
 	}
 
 	private static GenerationNeeds needs(DirectCall call, EngineSpec engine, GenerationSize size) {
 		long tokens = size.expectedTokens().orElse(size.maxTokens());
 		return new GenerationNeeds(tokens / Math.max(1, engine.tokensPerEvent()),
-				call.request().route().eventIntervalGoalMillis());
+				call.request().route().eventIntervalGoalMillis(), call.request().route().goalMillis());
 	}
 
 	Optional<ListedTarget> chooseLeastUtilized(DirectCall call, EngineSpec engine, long now) {
@@ -132,12 +132,14 @@
 				+ engine.map((e) -> ", memory " + Math.round(PERCENT * this.chooser.utilization(target, e, now)) + "%")
 					.orElse("")
 				+ ", directory of " + this.directory.size() + ", left out "
-				+ this.eligibility.countExcluded(call.filter(), now)
+				+ this.eligibility.countExcluded(call.filter(), now) + this.chooser.describe(target, now)
 				+ backup.map((b) -> ", copy grows at " + b.id()).orElse("")));
 		this.estimates.update(target, TargetEstimate::requestStarted);
 		this.eligibility.recordSent(target, now);
 		reserve(attempt, reservedTokens(call, engine));
 		if (resume.isEmpty()) {
+			this.chooser.recordSent(target);
+			recordPromptTokensAhead(attempt, engine, now);
 			updatePendingPromptTokens(attempt, call.request().size().map(GenerationSize::promptTokens).orElse(0L));
 		}
 		this.outputs.send(call.number(), attempt.number(), target, new SendParameters(call.request().account(),
@@ -145,6 +147,27 @@
 		return attempt;
 	}
 
+	private void recordPromptTokensAhead(Attempt attempt, Optional<EngineSpec> engine, long now) {
+		boolean hasMemory = engine.filter((e) -> this.chooser.utilization(attempt.target(), e, now) <= 1).isPresent();
+		attempt.setPromptTokensAhead(hasMemory ? this.estimates.pendingPromptTokens(attempt.target()) : -1);
+	}
+
+	/**
+	 * Record the first event of an attempt, which shows how fast its engine reads
+	 * prompts.
+	 * @param call the request being dispatched
+	 * @param attempt the attempt that sent the event
+	 * @param now the current time in milliseconds of the monotonic clock
+	 */
+	void recordPromptRead(DirectCall call, Attempt attempt, long now) {
+		if (attempt.resume().isEmpty() && attempt.promptTokensAhead() >= 0) {
+			long own = call.request().size().map(GenerationSize::promptTokens).orElse(0L);
+			this.estimates.of(attempt.target())
+				.speed()
+				.recordPrompt(now - attempt.sentAt(), own + attempt.promptTokensAhead(), now);
+		}
+	}
+
 	/**
 	 * Release the resources that an attempt reserves.
 	 * @param call the request being dispatched
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -542,6 +542,7 @@
 
 	private void handleFirstEvent(DirectCall call, Attempt attempt, long now) {
 		attempt.markAnswering(now);
+		this.sender.recordPromptRead(call, attempt, now);
 		this.outcomes.recordSuccess(attempt, now);
 		call.recordPossibleRun();
 		this.standbys.schedule(call, attempt, engine(call), now);
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -4,14 +4,19 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 
 import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.locality.DataCentreUpdates;
+import dev.laneworks.core.locality.Locality;
+import dev.laneworks.core.locality.TargetWait;
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.mechanism.Mechanisms;
 import dev.laneworks.core.routing.Rendezvous;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.speed.EnginePlacement;
+import dev.laneworks.core.speed.EngineTime;
 import dev.laneworks.core.speed.GenerationNeeds;
 import dev.laneworks.core.speed.PlainTime;
 import dev.laneworks.core.speed.ServiceSpeed;
@@ -123,10 +128,12 @@
 
 	private final Mechanisms mechanisms;
 
+	private final NearTargets nearTargets;
+
 	private double meanTokens = INITIAL_MEAN_TOKENS;
 
 	/**
-	 * Create a chooser.
+	 * Create a chooser for a process that knows no other entries.
 	 * @param eligibility the candidate filter
 	 * @param estimates the recorded state of all targets
 	 * @param dataCentre the data centre of this process
@@ -135,20 +142,37 @@
 	 */
 	public TargetChooser(Eligibility eligibility, TargetEstimates estimates, String dataCentre, RandomGenerator random,
 			Mechanisms mechanisms) {
+		this(eligibility, estimates, dataCentre, (name, now) -> 0, random, mechanisms);
+	}
+
+	/**
+	 * Create a chooser.
+	 * @param eligibility the candidate filter
+	 * @param estimates the recorded state of all targets
+	 * @param dataCentre the data centre of this process
+	 * @param updates returns when entries of other data centres were last heard
+	 * @param random the source of jitter
+	 * @param mechanisms the optional mechanisms that are enabled
+	 */
+	public TargetChooser(Eligibility eligibility, TargetEstimates estimates, String dataCentre,
+			DataCentreUpdates updates, RandomGenerator random, Mechanisms mechanisms) {
 		this.eligibility = eligibility;
 		this.estimates = estimates;
 		this.dataCentre = dataCentre;
 		this.random = random;
 		this.mechanisms = mechanisms;
+		this.nearTargets = new NearTargets(new Locality(dataCentre, updates, random));
 	}
 
 	/**
 	 * Choose a target for a request to a plain service.
 	 * @param filter the candidate filter of the request
+	 * @param goalMillis the response-time goal of the request, in milliseconds; 0 if
+	 * there is none
 	 * @param now the current time in milliseconds of the monotonic clock
 	 * @return the target with the lowest score, or empty if no target is eligible
 	 */
-	public Optional<ListedTarget> choosePlain(CandidateFilter filter, long now) {
+	public Optional<ListedTarget> choosePlain(CandidateFilter filter, long goalMillis, long now) {
 		List<ListedTarget> candidates = candidates(filter, now);
 		double fastest = candidates.stream()
 			.mapToDouble((t) -> this.estimates.of(t).quality().responseMillis())
@@ -156,7 +180,8 @@
 			.min()
 			.orElse(1);
 		ServiceSpeed speeds = speeds(candidates, now);
-		return lowestScored(candidates, (t) -> plainScore(t, fastest, speeds, now));
+		List<ListedTarget> near = narrow(candidates, speeds, goalMillis, (t) -> plainWait(t, speeds, now), now);
+		return lowestScored(near, (t) -> plainScore(t, fastest, speeds, now));
 	}
 
 	/**
@@ -187,8 +212,11 @@
 		this.meanTokens += NEWEST_SAMPLE_WEIGHT * (tokens - this.meanTokens);
 		List<ListedTarget> engines = candidates(filter, now);
 		double remotePenalty = hasLocalChoice(engines) ? REMOTE_PENALTY_ENGINE_LOCAL_CHOICE : REMOTE_PENALTY_ENGINE;
-		EnginePlacement placement = new EnginePlacement(speeds(engines, now), needs);
-		List<ListedTarget> suitable = placement.suitable(engines, this::speed, engine.tokensPerEvent(),
+		ServiceSpeed speeds = speeds(engines, now);
+		EnginePlacement placement = new EnginePlacement(speeds, needs);
+		List<ListedTarget> near = narrow(engines, speeds, needs.goalMillis(),
+				(t) -> engineWait(t, engine, size, speeds, now), now);
+		List<ListedTarget> suitable = placement.suitable(near, this::speed, engine.tokensPerEvent(),
 				(t) -> utilization(t, engine, now) + (double) tokens / engine.memoryTokens() <= ROOM_UTILIZATION);
 		return lowestScored(suitable,
 				(t) -> engineScore(t, engine, tokens, placement, now) + distanceScore(t, this.dataCentre, remotePenalty)
@@ -333,6 +361,59 @@
 				? ServiceSpeed.of(targets.stream().map(this::speed).toList(), now) : ServiceSpeed.UNKNOWN;
 	}
 
+	private List<ListedTarget> narrow(List<ListedTarget> candidates, ServiceSpeed speeds, long goalMillis,
+			Function<ListedTarget, TargetWait> wait, long now) {
+		this.nearTargets.reset();
+		boolean isActive = goalMillis > 0 && speeds.isActive() && this.mechanisms.isEnabled(Mechanism.NEAR_TARGETS)
+				&& this.mechanisms.isEnabled(Mechanism.WAIT_BASED_LOCALITY);
+		return isActive ? this.nearTargets.narrow(candidates, goalMillis, wait, now) : candidates;
+	}
+
+	private TargetWait plainWait(ListedTarget target, ServiceSpeed speeds, long now) {
+		double factor = speeds.plainFactor(speed(target));
+		double requests = this.estimates.requests(target, now);
+		return new TargetWait(target.dataCentre(),
+				PlainTime.waitMillis(requests, target.slots(), factor, speeds.responseMillis()),
+				Math.max(0, target.slots() - requests) / factor);
+	}
+
+	private TargetWait engineWait(ListedTarget target, EngineSpec engine, GenerationSize size, ServiceSpeed speeds,
+			long now) {
+		double factor = speeds.engineFactor(speed(target));
+		double utilization = utilization(target, engine, now) + (double) size.reservedTokens(0) / engine.memoryTokens();
+		return new TargetWait(
+				target.dataCentre(), EngineTime.waitMillis(this.estimates.pendingPromptTokens(target),
+						size.promptTokens(), factor, speeds.millisPerPromptToken(), utilization),
+				Math.max(0, 1 - utilization) / factor);
+	}
+
+	/**
+	 * Describe the speed of a target and why a request was sent to its data centre.
+	 * @param target the target that was chosen last
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return the text for the audit log, which begins with a comma or is empty
+	 */
+	String describe(ListedTarget target, long now) {
+		return speed(target).describe(now) + this.nearTargets.describe(target);
+	}
+
+	/**
+	 * Record that a new request was sent to a target.
+	 * @param target the target
+	 */
+	void recordSent(ListedTarget target) {
+		this.nearTargets.recordSent(target.dataCentre().equals(this.dataCentre));
+	}
+
+	/**
+	 * Return how many requests were sent to targets of other data centres.
+	 * @return the count since the start, without resumed generations
+	 * @since 0.4
+	 */
+	public long sentElsewhere() {
+		return this.nearTargets.sentElsewhere();
+	}
+
 	private EnginePlacement placement(List<ListedTarget> targets, long now) {
 		return new EnginePlacement(speeds(targets, now), GenerationNeeds.UNKNOWN);
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetEstimates.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetEstimates.java
@@ -1,5 +1,6 @@
 package dev.laneworks.core.dispatch;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -184,6 +185,22 @@
 		}).toList();
 	}
 
+	/**
+	 * Return the listed targets that currently take longest compared with their usual
+	 * time.
+	 * @param count the maximum number of targets
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return the targets with a recent report, slowest first
+	 */
+	public List<TargetEstimate> slowest(int count, long now) {
+		return this.byIncarnation.values()
+			.stream()
+			.filter((b) -> !b.isRemoved() && b.speed().isReporting(now))
+			.sorted(Comparator.comparingDouble((TargetEstimate b) -> b.speed().factor(now)).reversed())
+			.limit(count)
+			.toList();
+	}
+
 	private static WorkAtTarget work(TargetEstimate estimate, Optional<SpeedReport> speed) {
 		return new WorkAtTarget(estimate.target().incarnation(), estimate.inFlight(), estimate.reservedTokens(),
 				estimate.pendingPromptTokens(), estimate.pendingMoves(), estimate.isCopying(), estimate.refused(),
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
@@ -184,6 +184,17 @@
 		return (this.known.size() > 0) ? Optional.of(this.known.workAt(target)) : Optional.empty();
 	}
 
+	/**
+	 * Return the time since the latest update from any entry of a data centre.
+	 * @param otherDataCentre the name of the data centre
+	 * @param now the current time in milliseconds
+	 * @return the time in milliseconds; 0 if no entry there was ever known
+	 * @since 0.4
+	 */
+	public long silentMillis(String otherDataCentre, long now) {
+		return this.known.silentMillis(otherDataCentre, now);
+	}
+
 	/**
 	 * Return the total use of the retry budget by other entries, including those that
 	 * left within the window.
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/PeerTable.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/PeerTable.java
@@ -21,6 +21,9 @@
 
 	private final Map<TargetIncarnation, WorkAtTarget> totals = new HashMap<>();
 
+	/** The time of the latest update by data centre, including those of removed peers. */
+	private final Map<String, Long> heardAt = new HashMap<>();
+
 	/**
 	 * Peers that were removed. Their use of the retry budget counts for one more window.
 	 */
@@ -59,6 +62,13 @@
 		}
 		Peer peer = this.peers.computeIfAbsent(address, (a) -> new Peer());
 		updateTotals(peer.apply(update, now));
+		this.heardAt.put(update.dataCentre(), now);
+	}
+
+	// The time since the latest update from a data centre in milliseconds; 0 if there was
+	// none.
+	long silentMillis(String dataCentre, long now) {
+		return now - this.heardAt.getOrDefault(dataCentre, now);
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/mechanism/Mechanism.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/mechanism/Mechanism.java
@@ -43,6 +43,11 @@
 	/** Selection of the targets of plain services by their response times. */
 	LEARNED_SPEED,
 
+	/**
+	 * Choice of the data centre by the expected waits where targets report their speed.
+	 */
+	WAIT_BASED_LOCALITY,
+
 	/** Inclusion of the retries of other entries in the retry budget. */
 	SHARED_BUDGET,
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/speed/GenerationNeeds.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/speed/GenerationNeeds.java
@@ -6,9 +6,10 @@
  * @param expectedEvents the expected number of events
  * @param eventIntervalGoalMillis the goal for the longest pause between events, in
  * milliseconds; 0 if there is none
+ * @param goalMillis the goal for the first event, in milliseconds; 0 if there is none
  * @since 0.4
  */
-public record GenerationNeeds(long expectedEvents, long eventIntervalGoalMillis) {
+public record GenerationNeeds(long expectedEvents, long eventIntervalGoalMillis, long goalMillis) {
 
 	/**
 	 * Number of events from which a stream is likely to run beside a prefill and through
@@ -17,7 +18,7 @@
 	private static final int MANY_EVENTS = 16;
 
 	/** Needs of a generation about which nothing is known. */
-	public static final GenerationNeeds UNKNOWN = new GenerationNeeds(0, 0);
+	public static final GenerationNeeds UNKNOWN = new GenerationNeeds(0, 0, 0);
 
 	/**
 	 * Determine whether a slow engine would delay events of the stream beyond its goal.
--- a/laneworks-core/src/main/java/dev/laneworks/core/speed/PlainTime.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/speed/PlainTime.java
@@ -29,4 +29,17 @@
 		return factor * (SHARED_PART * load + (1 - SHARED_PART) * Math.max(1, load));
 	}
 
+	/**
+	 * Return the expected delay of one more request compared with an idle target of usual
+	 * speed.
+	 * @param requests the estimated number of requests at the target
+	 * @param slots the number of requests that it executes at once
+	 * @param factor the time that a request takes there relative to the usual time
+	 * @param usualMillis the usual response time, in milliseconds
+	 * @return the delay in milliseconds
+	 */
+	public static double waitMillis(double requests, int slots, double factor, double usualMillis) {
+		return usualMillis * Math.max(0, factor * Math.max(1, (requests + 1) / Math.max(1, slots)) - 1);
+	}
+
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/speed/ServiceSpeed.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/speed/ServiceSpeed.java
@@ -28,6 +28,8 @@
 
 	private final double responseMillis;
 
+	private final double millisPerPromptToken;
+
 	private final double slowPhase;
 
 	private final long now;
@@ -36,6 +38,7 @@
 		this.active = targets.stream().anyMatch((t) -> t.isReporting(now));
 		this.millisPerToken = mean(targets, TargetSpeed::millisPerToken);
 		this.responseMillis = mean(targets, TargetSpeed::responseMillis);
+		this.millisPerPromptToken = mean(targets, TargetSpeed::millisPerPromptToken);
 		this.slowPhase = targets.stream().mapToDouble((t) -> t.slowPhase(now)).max().orElse(1);
 		this.now = now;
 	}
@@ -116,6 +119,14 @@
 		return this.responseMillis;
 	}
 
+	/**
+	 * Return the usual time in which the engines read a prompt token.
+	 * @return the time in milliseconds; 0 if unknown
+	 */
+	public double millisPerPromptToken() {
+		return this.millisPerPromptToken;
+	}
+
 	// A target without a figure counts as the mean of the others.
 	private static double relative(LearnedMean own, double mean) {
 		return (own.isKnown() && mean > 0) ? own.mean() / mean : 1;
--- a/laneworks-core/src/main/java/dev/laneworks/core/speed/TargetSpeed.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/speed/TargetSpeed.java
@@ -1,5 +1,6 @@
 package dev.laneworks.core.speed;
 
+import java.util.Locale;
 import java.util.Optional;
 
 /**
@@ -24,7 +25,7 @@
 	/** Weight of the newest interval; evens out prompts that are read meanwhile. */
 	private static final double INTERVAL_WEIGHT = 0.02;
 
-	/** Weight of the newest answer of a plain target. */
+	/** Weight of the newest answer. */
 	private static final double RESPONSE_WEIGHT = 0.1;
 
 	/** Time constant by which a former slow phase is forgotten. */
@@ -36,6 +37,8 @@
 
 	private final LearnedMean responseMillis = new LearnedMean(RESPONSE_WEIGHT);
 
+	private final LearnedMean millisPerPromptToken = new LearnedMean(RESPONSE_WEIGHT);
+
 	private double peak = 1;
 
 	private long peakAt;
@@ -77,10 +80,23 @@
 	/**
 	 * Record the answer of a plain target.
 	 * @param millis the response time in milliseconds
+	 * @param load the number of requests at the target relative to its slots
 	 * @param now the current time in milliseconds of the monotonic clock
 	 */
-	public void recordResponse(long millis, long now) {
-		this.responseMillis.add(Math.max(1, millis) / factor(now));
+	public void recordResponse(long millis, double load, long now) {
+		this.responseMillis.add(Math.max(1, millis) / (factor(now) * Math.max(1, load)));
+	}
+
+	/**
+	 * Record the first event of a generation that started with free memory.
+	 * @param millis the time to the event in milliseconds
+	 * @param tokens the number of prompt tokens that the engine read until then
+	 * @param now the current time in milliseconds of the monotonic clock
+	 */
+	public void recordPrompt(long millis, long tokens, long now) {
+		if (tokens > 0) {
+			this.millisPerPromptToken.add(Math.max(1, millis) / (tokens * factor(now)));
+		}
 	}
 
 	/**
@@ -151,4 +167,19 @@
 		return this.responseMillis;
 	}
 
+	LearnedMean millisPerPromptToken() {
+		return this.millisPerPromptToken;
+	}
+
+	/**
+	 * Describe the current slowness for the audit log.
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return the text, which begins with a comma; empty text without a recent report
+	 */
+	public String describe(long now) {
+		long age = ageMillis(now);
+		return (age > CurrentSlowness.MAX_AGE_MILLIS) ? ""
+				: String.format(Locale.ROOT, ", slowness %.2f reported %d ms ago", factor(now), age);
+	}
+
 }
--- a/laneworks-core/src/test/java/dev/laneworks/core/speed/TargetSpeedTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/speed/TargetSpeedTests.java
@@ -56,9 +56,9 @@
 		TargetSpeed honest = new TargetSpeed();
 		for (int at = 0; at < 5_000; at += 100) {
 			this.target.recordReport(0.25, at);
-			this.target.recordResponse(100, at);
+			this.target.recordResponse(100, 0, at);
 			honest.recordReport(1, at);
-			honest.recordResponse(100, at);
+			honest.recordResponse(100, 0, at);
 		}
 		ServiceSpeed service = ServiceSpeed.of(List.of(this.target, honest), 5_000);
 		assertThat(service.plainFactor(this.target)).isAtLeast(0.9 * service.plainFactor(honest));
@@ -124,10 +124,10 @@
 		this.target.recordInterval(40, 4, 0);
 		ServiceSpeed service = ServiceSpeed.of(List.of(slow, this.target), 0);
 		List<TargetSpeed> both = List.of(slow, this.target);
-		EnginePlacement stream = new EnginePlacement(service, new GenerationNeeds(187, 180));
+		EnginePlacement stream = new EnginePlacement(service, new GenerationNeeds(187, 180, 0));
 		assertThat(stream.suitable(both, (t) -> t, 4, (t) -> true)).containsExactly(this.target);
 		assertThat(stream.suitable(both, (t) -> t, 4, (t) -> t == slow)).isEqualTo(both);
-		EnginePlacement shortWork = new EnginePlacement(service, new GenerationNeeds(2, 180));
+		EnginePlacement shortWork = new EnginePlacement(service, new GenerationNeeds(2, 180, 0));
 		assertThat(shortWork.suitable(both, (t) -> t, 4, (t) -> true)).isEqualTo(both);
 		assertThat(shortWork.startScore(slow)).isLessThan(shortWork.startScore(this.target));
 	}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -121,8 +121,12 @@
 
 	private final SuspectTracking suspects;
 
+	private final TargetChooser chooser;
+
 	private final Dispatcher dispatcher;
 
+	private final SpeedMetrics speedMetrics = new SpeedMetrics();
+
 	private final StoreView store;
 
 	private final SnapshotTransfer snapshots;
@@ -202,10 +206,10 @@
 		Eligibility eligibility = new Eligibility(this.directory, this.estimates, this.cold, this.backpressure,
 				settings.regions());
 		this.peers.shareSignals(this.backpressure, this.directory::isCurrentIncarnation);
-		TargetChooser chooser = new TargetChooser(eligibility, this.estimates, settings.dataCentre(), random,
-				settings.mechanisms());
+		this.chooser = new TargetChooser(eligibility, this.estimates, settings.dataCentre(), this.peers::silentMillis,
+				random, settings.mechanisms());
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(settings.mechanisms()), this.directory,
-				this.estimates, eligibility, chooser, this.peers, this.peers, this.suspects.requests(),
+				this.estimates, eligibility, this.chooser, this.peers, this.peers, this.suspects.requests(),
 				this.retryBudget, timers, calls, this.audit);
 		calls.use(this.dispatcher);
 		this.suspects.use(this.dispatcher);
@@ -366,6 +370,7 @@
 	private void updateRetryShare() {
 		MonotonicClock.detectSuspension();
 		this.gauges = collectGauges(this.loop.now());
+		this.speedMetrics.collect(this.estimates, this.dispatcher, this.chooser, this.loop.now());
 		this.recentEntryCount = Math.max(this.peers.count() + 1, this.recentEntryCount - 1);
 		this.retryBudget.setLimits(this.activeSettings.retryRatio(),
 				this.activeSettings.ownRetryExtra(this.recentEntryCount));
@@ -453,7 +458,7 @@
 		return Map.of("instance", this.settings.instance(), "ready", isReady(), "openCalls",
 				this.dispatcher.openCalls(), "planVersion",
 				this.store.published().plan().map((p) -> Long.toString(p.version())).orElse("none"), "targets",
-				this.directory.size());
+				this.directory.size(), "slowestTargets", this.speedMetrics.slowest());
 	}
 
 	private void registerMetrics() {
@@ -472,6 +477,7 @@
 		this.metrics.register("laneworks_store_histories", (Gauge<Integer>) this.store.published()::restoreCount);
 		this.metrics.register("laneworks_items_refused", (Gauge<Integer>) this.store.published()::refusedItems);
 		this.metrics.register("laneworks_peers", (Gauge<Integer>) this.peers::count);
+		this.speedMetrics.register(this.metrics);
 		for (AuditKind kind : AuditKind.values()) {
 			this.metrics.counter(counterName(kind));
 		}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PeerEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PeerEntries.java
@@ -205,6 +205,11 @@
 		return this.gossip.peerCount();
 	}
 
+	// Return the time since any entry of a data centre was heard; 0 if none ever was.
+	long silentMillis(String dataCentre, long now) {
+		return this.gossip.silentMillis(dataCentre, now);
+	}
+
 	// Return the other entries' work at a target; empty while no other entry is known.
 	Optional<WorkAtTarget> workAt(TargetIncarnation target) {
 		return this.gossip.workOfOthers(target);
