Test the choice of the data centre under swinging demand and false figures of speed

OverloadedFleet passes work between entries of different data centres every 300 ms; with one data centre it passes the same sums as before.

--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -131,6 +131,9 @@
 
 	boolean mayCopy = true;
 
+	/** The time since other data centres were heard, by name. */
+	final Map<String, Long> silentMillis = new TreeMap<>();
+
 	long now;
 
 	DispatchHarness(double retryRatio, double retryExtra, long seed) {
@@ -138,9 +141,15 @@
 	}
 
 	DispatchHarness(double retryRatio, double retryExtra, long seed, Mechanisms mechanisms, PoisonSettings poison) {
+		this(retryRatio, retryExtra, seed, mechanisms, poison, "dc");
+	}
+
+	DispatchHarness(double retryRatio, double retryExtra, long seed, Mechanisms mechanisms, PoisonSettings poison,
+			String dataCentre) {
 		this.suspects = new SuspectRequests(poison, new SuspicionRecorder());
 		SplittableRandom random = new SplittableRandom(seed);
-		TargetChooser chooser = new TargetChooser(this.eligibility, this.estimates, "dc", random, mechanisms);
+		TargetChooser chooser = new TargetChooser(this.eligibility, this.estimates, dataCentre,
+				(d, t) -> this.silentMillis.getOrDefault(d, 0L), random, mechanisms);
 		SharedRetryBudget retries = new SharedRetryBudget(10_000, retryRatio, retryExtra, retryExtra,
 				(s, w, t) -> Optional.empty());
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(mechanisms), this.directory, this.estimates,
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/OverloadedFleet.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/OverloadedFleet.java
@@ -11,10 +11,13 @@
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 
 import dev.laneworks.core.backpressure.BackpressureSignals;
 import dev.laneworks.core.directory.TargetIncarnation;
 import dev.laneworks.core.gossip.WorkAtTarget;
+import dev.laneworks.core.mechanism.Mechanisms;
+import dev.laneworks.core.poison.PoisonSettings;
 import dev.laneworks.core.serving.AllowedRegions;
 import dev.laneworks.core.serving.RequestKind;
 import dev.laneworks.core.serving.RouteSpec;
@@ -51,8 +54,26 @@
 	/** The goal for the longest pause between events. */
 	private static final long MAX_PAUSE_MILLIS = 180;
 
+	/**
+	 * The number of gossip intervals between updates to entries of other data centres.
+	 */
+	private static final int DISTANT_INTERVALS = 10;
+
+	private static final List<String> DATA_CENTRES = List.of("dc", "dc2", "dc3");
+
+	/** The period for which the direction of a data centre's requests is determined. */
+	private static final long DIRECTION_MILLIS = 500;
+
+	/** The share sent elsewhere from which a data centre counts as overflowing. */
+	private static final double OVERFLOWING_SHARE = 0.2;
+
 	private final SplittableRandom random;
 
+	private final int dataCentres;
+
+	/** Requests that stayed and that were sent elsewhere, by data centre and period. */
+	private final Map<Integer, Map<Long, int[]>> directions = new TreeMap<>();
+
 	/** The speeds of engines that work in steps. */
 	private Optional<UnevenSpeeds> speeds = Optional.empty();
 
@@ -62,6 +83,9 @@
 
 	private final Map<String, Engine> engines = new HashMap<>();
 
+	/** The latest work that each entry received, by sender. */
+	private final Map<DispatchHarness, Map<DispatchHarness, List<WorkAtTarget>>> received = new HashMap<>();
+
 	private final PriorityQueue<Caller> due = new PriorityQueue<>((a, b) -> Long.compare(a.dueAt, b.dueAt));
 
 	private final Map<DispatchHarness, Map<Long, Caller>> open = new HashMap<>();
@@ -73,9 +97,23 @@
 	private long now;
 
 	OverloadedFleet(int entries, int engines, long seed) {
+		this(entries, engines, 1, Mechanisms.all(), seed);
+	}
+
+	/**
+	 * Create a fleet whose entries and engines are distributed over data centres.
+	 * @param entries the number of entries
+	 * @param engines the number of engines
+	 * @param dataCentres the number of data centres, at most 3
+	 * @param mechanisms the mechanisms that the entries use
+	 * @param seed the seed of all random choices
+	 */
+	OverloadedFleet(int entries, int engines, int dataCentres, Mechanisms mechanisms, long seed) {
 		this.random = new SplittableRandom(seed);
+		this.dataCentres = dataCentres;
 		for (int i = 0; i < entries; i++) {
-			DispatchHarness entry = new DispatchHarness(1, 100, seed * 100 + i);
+			DispatchHarness entry = new DispatchHarness(1, 100, seed * 100 + i, mechanisms, PoisonSettings.defaults(),
+					DATA_CENTRES.get(i % dataCentres));
 			entry.entries = entries;
 			entry.rank = i;
 			this.entries.add(entry);
@@ -84,7 +122,8 @@
 		for (int i = 0; i < engines; i++) {
 			String id = "e" + i;
 			this.engines.put(id, new Engine(i));
-			this.entries.forEach((e) -> e.join(DispatchHarness.ENGINES, id));
+			String dataCentre = DATA_CENTRES.get(i % dataCentres);
+			this.entries.forEach((e) -> e.join(DispatchHarness.ENGINES, id, dataCentre));
 		}
 	}
 
@@ -120,6 +159,66 @@
 		}
 	}
 
+	/**
+	 * Schedule the arrival of callers whose rate swings in each data centre at another
+	 * phase.
+	 * @param kind the kind of generation that they request
+	 * @param perSecond the average number of arrivals per second in all data centres
+	 * @param swing the deviation of the rate relative to its mean
+	 * @param periodMillis the period of the rate
+	 * @param to the end of the arrivals, in milliseconds
+	 */
+	void scheduleSwingingArrivals(Kind kind, double perSecond, double swing, long periodMillis, long to) {
+		int before = this.callers.size();
+		scheduleArrivals(kind, perSecond * (1 + swing), 0, to);
+		List<Caller> added = List.copyOf(this.callers.subList(before, this.callers.size()));
+		for (Caller caller : added) {
+			double phase = (double) dataCentre(caller.entry) / this.dataCentres
+					+ (double) caller.arrivedAt / periodMillis;
+			double rate = 1 + swing * Math.sin(2 * Math.PI * phase);
+			if (this.random.nextDouble() * (1 + swing) > rate) {
+				this.callers.remove(caller);
+				this.due.remove(caller);
+			}
+		}
+	}
+
+	private int dataCentre(DispatchHarness entry) {
+		return this.entries.indexOf(entry) % this.dataCentres;
+	}
+
+	// The share of requests that were sent to another data centre.
+	double shareElsewhere() {
+		long[] sums = new long[2];
+		this.directions.values().forEach((d) -> d.values().forEach((c) -> {
+			sums[0] += c[0];
+			sums[1] += c[1];
+		}));
+		return (double) sums[1] / Math.max(1, sums[0] + sums[1]);
+	}
+
+	// How often a data centre began or ceased to send many requests elsewhere.
+	int changesOfDirection() {
+		int changes = 0;
+		for (Map<Long, int[]> periods : this.directions.values()) {
+			boolean overflows = false;
+			for (int[] counts : periods.values()) {
+				boolean now = counts[1] > OVERFLOWING_SHARE * (counts[0] + counts[1]);
+				changes += (now != overflows) ? 1 : 0;
+				overflows = now;
+			}
+		}
+		return changes;
+	}
+
+	private void recordDirection(DispatchHarness entry, DispatchHarness.Sent sent) {
+		int from = dataCentre(entry);
+		boolean isLocal = sent.target().dataCentre().equals(DATA_CENTRES.get(from));
+		int[] counts = this.directions.computeIfAbsent(from, (d) -> new TreeMap<>())
+			.computeIfAbsent(this.now / DIRECTION_MILLIS, (p) -> new int[2]);
+		counts[isLocal ? 0 : 1]++;
+	}
+
 	void run(long until) {
 		for (; this.now < until; this.now++) {
 			if (this.now % GOSSIP_INTERVAL_MILLIS == 0) {
@@ -138,29 +237,23 @@
 	}
 
 	private void exchangeWork() {
-		Map<DispatchHarness, Map<String, WorkAtTarget>> work = new HashMap<>();
-		Map<String, WorkAtTarget> all = new HashMap<>();
-		for (DispatchHarness entry : this.entries) {
-			Map<String, WorkAtTarget> own = work.computeIfAbsent(entry, (e) -> new HashMap<>());
-			entry.estimates.localWork(this.now).forEach((w) -> {
-				this.entries
-					.forEach((e) -> w.speed().ifPresent((s) -> e.estimates.mergeSpeed(w.target(), s, this.now)));
-				own.put(w.target().id(), w);
-				all.merge(w.target().id(), w, WorkAtTarget::plus);
-			});
-		}
-		for (DispatchHarness entry : this.entries) {
-			for (String engine : this.engines.keySet()) {
-				TargetIncarnation incarnation = TargetIncarnation.of(engine);
-				WorkAtTarget none = WorkAtTarget.none(incarnation);
-				WorkAtTarget sum = all.getOrDefault(engine, none);
-				WorkAtTarget own = work.get(entry).getOrDefault(engine, none);
-				entry.workOfOthers.put(engine,
-						new WorkAtTarget(incarnation, sum.requests() - own.requests(),
-								sum.reservedTokens() - own.reservedTokens(),
-								sum.pendingPromptTokens() - own.pendingPromptTokens(), 0, false, 0, false));
+		boolean isDistantDue = this.now % (DISTANT_INTERVALS * GOSSIP_INTERVAL_MILLIS) == 0;
+		for (DispatchHarness from : this.entries) {
+			List<WorkAtTarget> work = from.estimates.localWork(this.now);
+			for (DispatchHarness to : this.entries) {
+				if (to != from && (isDistantDue || dataCentre(to) == dataCentre(from))) {
+					this.received.computeIfAbsent(to, (e) -> new HashMap<>()).put(from, work);
+					work.forEach((w) -> w.speed().ifPresent((s) -> to.estimates.mergeSpeed(w.target(), s, this.now)));
+				}
 			}
 		}
+		this.received.forEach(this::sumWork);
+	}
+
+	private void sumWork(DispatchHarness entry, Map<DispatchHarness, List<WorkAtTarget>> ofOthers) {
+		this.engines.keySet().forEach((e) -> entry.workOfOthers.put(e, WorkAtTarget.none(TargetIncarnation.of(e))));
+		ofOthers.values()
+			.forEach((l) -> l.forEach((w) -> entry.workOfOthers.merge(w.target().id(), w, WorkAtTarget::plus)));
 	}
 
 	private void open(Caller caller) {
@@ -180,6 +273,7 @@
 				this.now);
 		entry.passTime(0);
 		for (DispatchHarness.Sent sent : List.copyOf(entry.sent.subList(before, entry.sent.size()))) {
+			recordDirection(entry, sent);
 			if (entry.assertReady(sent)) {
 				this.engines.get(sent.target().id()).waiting.add(new Execution(caller, sent));
 			}
--- a/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/gossip/GossipTests.java
@@ -80,6 +80,17 @@
 		assertThat(this.gossip.workOfOthers(TargetIncarnation.of("t"))).isEqualTo(Optional.empty());
 	}
 
+	/** Guards against a cut-off data centre that is forgotten with its last entry. */
+	@Test
+	void silenceOfDataCentreIsKnownAfterItsEntriesAreRemoved() {
+		assertThat(this.gossip.silentMillis("elsewhere", 5_000)).isEqualTo(0);
+		this.gossip.start(0);
+		this.gossip.handleUpdate("10.0.0.2:7200", distant("two", 2, work(1, 700)), 0);
+		this.timers.run(12_000);
+		assertThat(this.gossip.peerCount()).isEqualTo(0);
+		assertThat(this.gossip.silentMillis("elsewhere", 12_000)).isEqualTo(12_000);
+	}
+
 	@Test
 	void peerThatShutsDownIsRemovedAtOnce() {
 		this.gossip.handleUpdate("10.0.0.2:7200", update("two", 2, 1, work(1, 700)), 0);
--- a/laneworks-wire/src/test/java/dev/laneworks/wire/LoadUpdateCodecTests.java
+++ b/laneworks-wire/src/test/java/dev/laneworks/wire/LoadUpdateCodecTests.java
@@ -38,6 +38,7 @@
 				List.of(new ServiceDemand("s", 8, 9, 10, 11, List.of(new AccountUsage("a", 12, 13)))),
 				List.of("10.0.0.1:7200"));
 		assertThat(LoadUpdateCodec.decode(LoadUpdateCodec.encode(update))).isEqualTo(update);
+		assertThat(LoadUpdateCodec.encode(update).getWork(0).hasSpeed()).isFalse();
 	}
 
 }
