Merge the speed of targets and the choice of the data centre by waits

The queue's choice among engines with room uses the same speeds and waits as the direct choice. Engine figures of services whose targets report no slowness stay neutral, so that their scores are those of before.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -10,6 +10,7 @@
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.mechanism.Mechanisms;
 import dev.laneworks.core.serving.EngineSpec;
+import dev.laneworks.core.speed.GenerationNeeds;
 import dev.laneworks.core.waiting.EngineMemory;
 
 /**
@@ -66,14 +67,22 @@
 	Optional<ListedTarget> choose(DirectCall call, Optional<EngineSpec> engine, long now) {
 		Optional<GenerationSize> size = call.request().size();
 		if (engine.isPresent() && size.isPresent()) {
-			return this.chooser.chooseEngine(call.filter(), engine.get(), size.get(), now);
+			return this.chooser.chooseEngine(call.filter(), engine.get(), size.get(),
+					needs(call, engine.get(), size.get()), now);
 		}
-		return this.chooser.choosePlain(call.filter(), now);
+		return this.chooser.choosePlain(call.filter(), call.request().route().goalMillis(), now);
+	}
+
+	private static GenerationNeeds needs(DirectCall call, EngineSpec engine, GenerationSize size) {
+		long tokens = size.expectedTokens().orElse(size.maxTokens());
+		return new GenerationNeeds(tokens / Math.max(1, engine.tokensPerEvent()),
+				call.request().route().eventIntervalGoalMillis(), call.request().route().goalMillis());
 	}
 
 	Optional<ListedTarget> chooseWithRoom(DirectCall call, EngineSpec engine, double maxUtilization, long now) {
-		return this.chooser.chooseEngineWithRoom(call.filter(), engine, call.request().size().orElseThrow(),
-				maxUtilization, now);
+		GenerationSize size = call.request().size().orElseThrow();
+		return this.chooser.chooseEngineWithRoom(call.filter(), engine, size, needs(call, engine, size), maxUtilization,
+				now);
 	}
 
 	Optional<ListedTarget> chooseLeastUtilized(DirectCall call, EngineSpec engine, long now) {
@@ -134,12 +143,14 @@
 				+ engine.map((e) -> ", memory " + Math.round(PERCENT * this.chooser.utilization(target, e, now)) + "%")
 					.orElse("")
 				+ ", directory of " + this.directory.size() + ", left out "
-				+ this.eligibility.countExcluded(call.filter(), now)
+				+ this.eligibility.countExcluded(call.filter(), now) + this.chooser.describe(target, now)
 				+ backup.map((b) -> ", copy grows at " + b.id()).orElse("") + call.endWait(now)));
 		this.estimates.update(target, TargetEstimate::requestStarted);
 		this.eligibility.recordSent(target, now);
 		reserve(attempt, reservedTokens(call, engine));
 		if (resume.isEmpty()) {
+			this.chooser.recordSent(target);
+			recordPromptTokensAhead(attempt, engine, now);
 			updatePendingPromptTokens(attempt, call.request().size().map(GenerationSize::promptTokens).orElse(0L));
 		}
 		this.outputs.send(call.number(), attempt.number(), target, new SendParameters(call.request().account(),
@@ -147,6 +158,27 @@
 		return attempt;
 	}
 
+	private void recordPromptTokensAhead(Attempt attempt, Optional<EngineSpec> engine, long now) {
+		boolean hasMemory = engine.filter((e) -> this.chooser.utilization(attempt.target(), e, now) <= 1).isPresent();
+		attempt.setPromptTokensAhead(hasMemory ? this.estimates.pendingPromptTokens(attempt.target()) : -1);
+	}
+
+	/**
+	 * Record the first event of an attempt, which shows how fast its engine reads
+	 * prompts.
+	 * @param call the request being dispatched
+	 * @param attempt the attempt that sent the event
+	 * @param now the current time in milliseconds of the monotonic clock
+	 */
+	void recordPromptRead(DirectCall call, Attempt attempt, long now) {
+		if (attempt.resume().isEmpty() && attempt.promptTokensAhead() >= 0) {
+			long own = call.request().size().map(GenerationSize::promptTokens).orElse(0L);
+			this.estimates.of(attempt.target())
+				.speed()
+				.recordPrompt(now - attempt.sentAt(), own + attempt.promptTokensAhead(), now);
+		}
+	}
+
 	/**
 	 * Release the resources that an attempt reserves.
 	 * @param call the request being dispatched
@@ -159,6 +191,20 @@
 		call.end(attempt);
 	}
 
+	/**
+	 * Record the interval since the previous event of the same attempt, which shows the
+	 * speed of its engine.
+	 * @param call the request being dispatched
+	 * @param attempt the attempt that sent the event
+	 * @param engine the capacity of the engines of the service
+	 * @param now the current time in milliseconds of the monotonic clock
+	 */
+	void recordInterval(DirectCall call, Attempt attempt, EngineSpec engine, long now) {
+		this.estimates.of(attempt.target())
+			.speed()
+			.recordInterval(now - call.lastEventAt(), engine.tokensPerEvent(), now);
+	}
+
 	/**
 	 * Record an event of a generation: its prompt has been read, and its memory has
 	 * grown.
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -20,6 +20,7 @@
 import dev.laneworks.core.serving.RequestKind;
 import dev.laneworks.core.serving.ServiceSpec;
 import dev.laneworks.core.serving.ServingPlan;
+import dev.laneworks.core.speed.MalformedLoads;
 import dev.laneworks.core.time.Timers;
 import dev.laneworks.core.verdict.RefusalReason;
 import dev.laneworks.core.verdict.Verdict;
@@ -78,6 +79,8 @@
 
 	private final HeadroomRecorder headroom;
 
+	private final MalformedLoads malformedLoads;
+
 	private final Map<Long, DirectCall> calls = new HashMap<>();
 
 	private Optional<ServingPlan> plan = Optional.empty();
@@ -111,6 +114,7 @@
 		this.timers = timers;
 		this.outputs = outputs;
 		this.audit = audit;
+		this.malformedLoads = new MalformedLoads(audit);
 		this.sender = new AttemptSender(directory, eligibility, estimates, chooser, outputs, audit,
 				settings.mechanisms());
 		this.standbys = new StandbyCopies(directory, eligibility, estimates, chooser, coordination, timers, outputs,
@@ -171,6 +175,15 @@
 		this.queuedStarts.refuseUnfinishable(canFinish, now);
 	}
 
+	/**
+	 * Return the number of answers whose load report could not be read.
+	 * @return the count since the start
+	 * @since 0.4
+	 */
+	public long malformedLoads() {
+		return this.malformedLoads.count();
+	}
+
 	/**
 	 * Accept a request and begin its first attempt.
 	 * @param number the number that identifies the call; not used before
@@ -285,6 +298,9 @@
 			return false;
 		}
 		ListedTarget target = found.get().target();
+		if (head.malformedLoad()) {
+			this.malformedLoads.record(target.id(), now);
+		}
 		head.load().ifPresent((l) -> this.estimates.of(target).recordLoad(l, now));
 		head.coldMillis().ifPresent((c) -> this.eligibility.recordCold(target, c, now));
 		if (head.appliesToTarget(this.calls.get(number).request().id())
@@ -340,7 +356,8 @@
 		if (call.isSuccessor(found.get())) {
 			this.continuation.switchToSuccessor(call, now);
 		}
-		if (!found.get().isAnswering()) {
+		boolean isFirstOfAttempt = !found.get().isAnswering();
+		if (isFirstOfAttempt) {
 			call.stoppedAt(Optional.empty());
 			handleFirstEvent(call, found.get(), now);
 		}
@@ -356,8 +373,11 @@
 			call.startStreaming();
 			this.outputs.startStream(number, attempt);
 		}
-		call.recordEvent(id, now);
 		Optional<EngineSpec> engine = engine(call);
+		if (!isFirstOfAttempt) {
+			engine.ifPresent((e) -> this.sender.recordInterval(call, found.get(), e, now));
+		}
+		call.recordEvent(id, now);
 		this.sender.recordGrowth(call, found.get(), engine, now);
 		engine.ifPresent((e) -> this.standbys.releaseIfUnusable(call, e, now));
 		return true;
@@ -560,6 +580,7 @@
 
 	private void handleFirstEvent(DirectCall call, Attempt attempt, long now) {
 		attempt.markAnswering(now);
+		this.sender.recordPromptRead(call, attempt, now);
 		this.outcomes.recordSuccess(attempt, now);
 		this.queuedStarts.recordFirstEvent(call, attempt, now);
 		call.recordPossibleRun();
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -4,20 +4,31 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
 
 import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.locality.DataCentreUpdates;
+import dev.laneworks.core.locality.Locality;
+import dev.laneworks.core.locality.TargetWait;
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.mechanism.Mechanisms;
 import dev.laneworks.core.routing.Rendezvous;
 import dev.laneworks.core.serving.EngineSpec;
+import dev.laneworks.core.speed.EnginePlacement;
+import dev.laneworks.core.speed.EngineTime;
+import dev.laneworks.core.speed.GenerationNeeds;
+import dev.laneworks.core.speed.PlainTime;
+import dev.laneworks.core.speed.ServiceSpeed;
+import dev.laneworks.core.speed.TargetSpeed;
 
 /**
  * Scores candidate targets and selects the best one for a request, a generation or a copy
  * of a generation's KV cache.
  * <p>
  * A lower score is better. Plain services are compared by request load and response time,
- * engines by memory utilization and unread prompt tokens. Not thread-safe.
+ * engines by memory utilization and unread prompt tokens. The speed of targets counts for
+ * services whose targets report it. Not thread-safe.
  *
  * @since 0.2
  */
@@ -76,6 +87,12 @@
 
 	private static final double THOUSAND = 1_000;
 
+	/**
+	 * Memory utilization, including the generation, up to which an engine counts as
+	 * having free memory.
+	 */
+	private static final double ROOM_UTILIZATION = 0.9;
+
 	/**
 	 * Score penalty of a target that recently rejected a request because it was full.
 	 */
@@ -111,10 +128,12 @@
 
 	private final Mechanisms mechanisms;
 
+	private final NearTargets nearTargets;
+
 	private double meanTokens = INITIAL_MEAN_TOKENS;
 
 	/**
-	 * Create a chooser.
+	 * Create a chooser for a process that knows no other entries.
 	 * @param eligibility the candidate filter
 	 * @param estimates the recorded state of all targets
 	 * @param dataCentre the data centre of this process
@@ -123,31 +142,50 @@
 	 */
 	public TargetChooser(Eligibility eligibility, TargetEstimates estimates, String dataCentre, RandomGenerator random,
 			Mechanisms mechanisms) {
+		this(eligibility, estimates, dataCentre, (name, now) -> 0, random, mechanisms);
+	}
+
+	/**
+	 * Create a chooser.
+	 * @param eligibility the candidate filter
+	 * @param estimates the recorded state of all targets
+	 * @param dataCentre the data centre of this process
+	 * @param updates returns when entries of other data centres were last heard
+	 * @param random the source of jitter
+	 * @param mechanisms the optional mechanisms that are enabled
+	 */
+	public TargetChooser(Eligibility eligibility, TargetEstimates estimates, String dataCentre,
+			DataCentreUpdates updates, RandomGenerator random, Mechanisms mechanisms) {
 		this.eligibility = eligibility;
 		this.estimates = estimates;
 		this.dataCentre = dataCentre;
 		this.random = random;
 		this.mechanisms = mechanisms;
+		this.nearTargets = new NearTargets(new Locality(dataCentre, updates, random));
 	}
 
 	/**
 	 * Choose a target for a request to a plain service.
 	 * @param filter the candidate filter of the request
+	 * @param goalMillis the response-time goal of the request, in milliseconds; 0 if
+	 * there is none
 	 * @param now the current time in milliseconds of the monotonic clock
 	 * @return the target with the lowest score, or empty if no target is eligible
 	 */
-	public Optional<ListedTarget> choosePlain(CandidateFilter filter, long now) {
+	public Optional<ListedTarget> choosePlain(CandidateFilter filter, long goalMillis, long now) {
 		List<ListedTarget> candidates = candidates(filter, now);
 		double fastest = candidates.stream()
 			.mapToDouble((t) -> this.estimates.of(t).quality().responseMillis())
 			.filter((millis) -> millis > 0)
 			.min()
 			.orElse(1);
-		return lowestScored(candidates, (t) -> plainScore(t, fastest, now));
+		ServiceSpeed speeds = speeds(candidates, now);
+		List<ListedTarget> near = narrow(candidates, speeds, goalMillis, (t) -> plainWait(t, speeds, now), now);
+		return lowestScored(near, (t) -> plainScore(t, fastest, speeds, now));
 	}
 
 	/**
-	 * Choose an engine for a generation.
+	 * Choose an engine for a generation whose needs are not known.
 	 * @param filter the candidate filter of the generation
 	 * @param engine the capabilities of the service's engines
 	 * @param size the size of the generation
@@ -156,9 +194,23 @@
 	 */
 	public Optional<ListedTarget> chooseEngine(CandidateFilter filter, EngineSpec engine, GenerationSize size,
 			long now) {
+		return chooseEngine(filter, engine, size, GenerationNeeds.UNKNOWN, now);
+	}
+
+	/**
+	 * Choose an engine for a generation.
+	 * @param filter the candidate filter of the generation
+	 * @param engine the capabilities of the service's engines
+	 * @param size the size of the generation
+	 * @param needs the speed that the generation needs
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return the engine with the lowest score, or empty if no engine is eligible
+	 */
+	public Optional<ListedTarget> chooseEngine(CandidateFilter filter, EngineSpec engine, GenerationSize size,
+			GenerationNeeds needs, long now) {
 		recordSize(size);
 		List<ListedTarget> engines = candidates(filter, now);
-		return lowestScoredEngine(engines, engines, engine, size, now);
+		return lowestScoredEngine(engines, engines, engine, size, needs, now);
 	}
 
 	/**
@@ -168,6 +220,7 @@
 	 * @param filter the candidate filter of the generation
 	 * @param engine the capabilities of the service's engines
 	 * @param size the size of the generation
+	 * @param needs the speed that the generation needs
 	 * @param maxUtilization the maximum memory utilization of the engine including the
 	 * generation
 	 * @param now the current time in milliseconds of the monotonic clock
@@ -175,13 +228,13 @@
 	 * @since 0.4
 	 */
 	public Optional<ListedTarget> chooseEngineWithRoom(CandidateFilter filter, EngineSpec engine, GenerationSize size,
-			double maxUtilization, long now) {
+			GenerationNeeds needs, double maxUtilization, long now) {
 		List<ListedTarget> engines = candidates(filter, now);
 		double own = (double) size.reservedTokens(0) / engine.memoryTokens();
 		List<ListedTarget> withRoom = engines.stream()
 			.filter((t) -> utilization(t, engine, now) + own * (isLocal(t, this.dataCentre) ? 1 : 2) <= maxUtilization)
 			.toList();
-		Optional<ListedTarget> chosen = lowestScoredEngine(withRoom, engines, engine, size, now);
+		Optional<ListedTarget> chosen = lowestScoredEngine(withRoom, engines, engine, size, needs, now);
 		chosen.ifPresent((t) -> recordSize(size));
 		return chosen;
 	}
@@ -191,11 +244,18 @@
 	}
 
 	private Optional<ListedTarget> lowestScoredEngine(List<ListedTarget> choice, List<ListedTarget> engines,
-			EngineSpec engine, GenerationSize size, long now) {
+			EngineSpec engine, GenerationSize size, GenerationNeeds needs, long now) {
 		long tokens = size.reservedTokens(0);
 		double remotePenalty = hasLocalChoice(engines) ? REMOTE_PENALTY_ENGINE_LOCAL_CHOICE : REMOTE_PENALTY_ENGINE;
-		return lowestScored(choice,
-				(t) -> engineScore(t, engine, tokens, this.dataCentre, remotePenalty, now) + placementSpread());
+		ServiceSpeed speeds = speeds(engines, now);
+		EnginePlacement placement = new EnginePlacement(speeds, needs);
+		List<ListedTarget> near = narrow(choice, speeds, needs.goalMillis(),
+				(t) -> engineWait(t, engine, size, speeds, now), now);
+		List<ListedTarget> suitable = placement.suitable(near, this::speed, engine.tokensPerEvent(),
+				(t) -> utilization(t, engine, now) + (double) tokens / engine.memoryTokens() <= ROOM_UTILIZATION);
+		return lowestScored(suitable,
+				(t) -> engineScore(t, engine, tokens, placement, now) + distanceScore(t, this.dataCentre, remotePenalty)
+						+ placement.startScore(speed(t)) + placementSpread());
 	}
 
 	private double placementSpread() {
@@ -232,14 +292,17 @@
 		List<ListedTarget> others = candidates(filter, now).stream()
 			.filter((t) -> !t.id().equals(source.id()))
 			.toList();
-		return lowestScored(others, (t) -> destinationScore(source, t, engine, tokens, now));
+		EnginePlacement placement = placement(others, now);
+		return lowestScored(others, (t) -> destinationScore(source, t, engine, tokens, placement, now));
 	}
 
 	// Favours free links and sufficient memory over low utilization, since the copy must
 	// complete within the reclaim notice.
 	private double destinationScore(ListedTarget source, ListedTarget target, EngineSpec engine, long tokens,
-			long now) {
-		double score = engineScore(target, engine, tokens, source.dataCentre(), REMOTE_PENALTY_COPY, now);
+			EnginePlacement placement, long now) {
+		double score = engineScore(target, engine, tokens, placement, now)
+				+ distanceScore(target, source.dataCentre(), REMOTE_PENALTY_COPY)
+				+ placement.destinationScore(speed(target));
 		score -= Math.min(AMPLE_MEMORY_UTILIZATION,
 				utilization(target, engine, now) + (double) tokens / engine.memoryTokens());
 		if (this.estimates.isCopying(target)) {
@@ -272,7 +335,9 @@
 		List<ListedTarget> others = candidates(filter, now).stream()
 			.filter((t) -> !t.id().equals(source.id()))
 			.toList();
-		return lowestScored(others, (t) -> engineScore(t, engine, tokens, source.dataCentre(), 0, now))
+		EnginePlacement placement = placement(others, now);
+		return lowestScored(others,
+				(t) -> engineScore(t, engine, tokens, placement, now) + placement.destinationScore(speed(t)))
 			.filter((t) -> utilization(t, engine, now) + (double) tokens / engine.memoryTokens() <= maxUtilization);
 	}
 
@@ -322,29 +387,102 @@
 		return preferred.isEmpty() ? all : preferred;
 	}
 
-	private double plainScore(ListedTarget target, double fastest, long now) {
+	private TargetSpeed speed(ListedTarget target) {
+		return this.estimates.of(target).speed();
+	}
+
+	private ServiceSpeed speeds(List<ListedTarget> targets, long now) {
+		return this.mechanisms.isEnabled(Mechanism.LEARNED_SPEED)
+				? ServiceSpeed.of(targets.stream().map(this::speed).toList(), now) : ServiceSpeed.UNKNOWN;
+	}
+
+	private List<ListedTarget> narrow(List<ListedTarget> candidates, ServiceSpeed speeds, long goalMillis,
+			Function<ListedTarget, TargetWait> wait, long now) {
+		this.nearTargets.reset();
+		boolean isActive = goalMillis > 0 && speeds.isActive() && this.mechanisms.isEnabled(Mechanism.NEAR_TARGETS)
+				&& this.mechanisms.isEnabled(Mechanism.WAIT_BASED_LOCALITY);
+		return isActive ? this.nearTargets.narrow(candidates, goalMillis, wait, now) : candidates;
+	}
+
+	private TargetWait plainWait(ListedTarget target, ServiceSpeed speeds, long now) {
+		double factor = speeds.plainFactor(speed(target));
+		double requests = this.estimates.requests(target, now);
+		return new TargetWait(target.dataCentre(),
+				PlainTime.waitMillis(requests, target.slots(), factor, speeds.responseMillis()),
+				Math.max(0, target.slots() - requests) / factor);
+	}
+
+	private TargetWait engineWait(ListedTarget target, EngineSpec engine, GenerationSize size, ServiceSpeed speeds,
+			long now) {
+		double factor = speeds.engineFactor(speed(target));
+		double utilization = utilization(target, engine, now) + (double) size.reservedTokens(0) / engine.memoryTokens();
+		return new TargetWait(
+				target.dataCentre(), EngineTime.waitMillis(this.estimates.pendingPromptTokens(target),
+						size.promptTokens(), factor, speeds.millisPerPromptToken(), utilization),
+				Math.max(0, 1 - utilization) / factor);
+	}
+
+	/**
+	 * Describe the speed of a target and why a request was sent to its data centre.
+	 * @param target the target that was chosen last
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return the text for the audit log, which begins with a comma or is empty
+	 */
+	String describe(ListedTarget target, long now) {
+		return speed(target).describe(now) + this.nearTargets.describe(target);
+	}
+
+	/**
+	 * Record that a new request was sent to a target.
+	 * @param target the target
+	 */
+	void recordSent(ListedTarget target) {
+		this.nearTargets.recordSent(target.dataCentre().equals(this.dataCentre));
+	}
+
+	/**
+	 * Return how many requests were sent to targets of other data centres.
+	 * @return the count since the start, without resumed generations
+	 * @since 0.4
+	 */
+	public long sentElsewhere() {
+		return this.nearTargets.sentElsewhere();
+	}
+
+	private EnginePlacement placement(List<ListedTarget> targets, long now) {
+		return new EnginePlacement(speeds(targets, now), GenerationNeeds.UNKNOWN);
+	}
+
+	private double plainScore(ListedTarget target, double fastest, ServiceSpeed speeds, long now) {
 		TargetEstimate estimate = this.estimates.of(target);
 		double response = Math.max(fastest, estimate.quality().responseMillis());
 		double slowness = this.mechanisms.isEnabled(Mechanism.LEARNED_SPEED)
 				? Math.min(MAX_SLOWNESS_FACTOR, response / fastest) : 1;
-		double load = (this.estimates.requests(target, now) + 1) / Math.max(1, target.slots());
-		double score = load * slowness + estimate.quality().failureRate(now) + jitter();
+		double requests = this.estimates.requests(target, now);
+		double time = speeds.isActive() ? PlainTime.of(requests, target.slots(), speeds.plainFactor(estimate.speed()))
+				: (requests + 1) / Math.max(1, target.slots()) * slowness;
+		double score = time + estimate.quality().failureRate(now) + jitter();
 		if (estimate.isFull(now)) {
 			score += FULL_PENALTY;
 		}
-		return isLocal(target, this.dataCentre) ? score : score + REMOTE_PENALTY_PLAIN;
+		return score + distanceScore(target, this.dataCentre, REMOTE_PENALTY_PLAIN);
 	}
 
-	private double engineScore(ListedTarget target, EngineSpec engine, long tokens, String from, double remotePenalty,
+	private double engineScore(ListedTarget target, EngineSpec engine, long tokens, EnginePlacement placement,
 			long now) {
 		TargetEstimate estimate = this.estimates.of(target);
 		double score = (this.estimates.reservedTokens(target, this.meanTokens, now) + tokens) / engine.memoryTokens();
-		score += this.estimates.pendingPromptTokens(target) / THOUSAND * UNREAD_KILOTOKEN_PENALTY;
+		score += placement.weighPromptTokens(estimate.speed(), this.estimates.pendingPromptTokens(target)) / THOUSAND
+				* UNREAD_KILOTOKEN_PENALTY;
 		score += estimate.waiting(now) * QUEUED_REQUEST_PENALTY + estimate.quality().failureRate(now) + jitter();
 		if (estimate.isFull(now)) {
 			score += FULL_PENALTY;
 		}
-		return isLocal(target, from) ? score : score + remotePenalty;
+		return score;
+	}
+
+	private double distanceScore(ListedTarget target, String from, double remotePenalty) {
+		return isLocal(target, from) ? 0 : remotePenalty;
 	}
 
 	private boolean isLocal(ListedTarget target, String from) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -125,8 +125,12 @@
 
 	private final GenerationQueues queues;
 
+	private final TargetChooser chooser;
+
 	private final Dispatcher dispatcher;
 
+	private final SpeedMetrics speedMetrics = new SpeedMetrics();
+
 	private final StoreView store;
 
 	private final SnapshotTransfer snapshots;
@@ -206,14 +210,14 @@
 		Eligibility eligibility = new Eligibility(this.directory, this.estimates, this.cold, this.backpressure,
 				settings.regions());
 		this.peers.shareSignals(this.backpressure, this.directory::isCurrentIncarnation);
-		TargetChooser chooser = new TargetChooser(eligibility, this.estimates, settings.dataCentre(), random,
-				settings.mechanisms());
+		this.chooser = new TargetChooser(eligibility, this.estimates, settings.dataCentre(), this.peers::silentMillis,
+				random, settings.mechanisms());
 		this.queues = new GenerationQueues(settings.waiting(), this::startLimit, AccountOveruse.NONE, this.peers,
 				random);
 		this.peers.useDemand(this.queues::demand);
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(settings.mechanisms()), this.directory,
-				this.estimates, eligibility, chooser, this.peers, this.peers, this.queues, this.suspects.requests(),
-				this.retryBudget, timers, calls, this.audit);
+				this.estimates, eligibility, this.chooser, this.peers, this.peers, this.queues,
+				this.suspects.requests(), this.retryBudget, timers, calls, this.audit);
 		calls.use(this.dispatcher);
 		this.suspects.use(this.dispatcher);
 		members.use(this.dispatcher, this.store);
@@ -374,6 +378,7 @@
 	private void updateRetryShare() {
 		MonotonicClock.detectSuspension();
 		this.gauges = collectGauges(this.loop.now());
+		this.speedMetrics.collect(this.estimates, this.dispatcher, this.chooser, this.loop.now());
 		this.recentEntryCount = Math.max(this.peers.count() + 1, this.recentEntryCount - 1);
 		this.retryBudget.setLimits(this.activeSettings.retryRatio(),
 				this.activeSettings.ownRetryExtra(this.recentEntryCount));
@@ -468,7 +473,7 @@
 		return Map.of("instance", this.settings.instance(), "ready", isReady(), "openCalls",
 				this.dispatcher.openCalls(), "planVersion",
 				this.store.published().plan().map((p) -> Long.toString(p.version())).orElse("none"), "targets",
-				this.directory.size());
+				this.directory.size(), "slowestTargets", this.speedMetrics.slowest());
 	}
 
 	private void registerMetrics() {
@@ -491,6 +496,7 @@
 		this.metrics.register("laneworks_peers", (Gauge<Integer>) this.peers::count);
 		this.metrics.register("laneworks_queue_refused", (Gauge<Long>) () -> this.gauges.refusedFromQueue());
 		WaitingGauge.register(this.metrics, () -> this.gauges.waiting());
+		this.speedMetrics.register(this.metrics);
 		for (AuditKind kind : AuditKind.values()) {
 			this.metrics.counter(counterName(kind));
 		}
