--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/ingress/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Refusal of new requests at an entry whose own capacity is exhausted.
+ */
+package dev.laneworks.core.ingress;
--- a/laneworks-core/src/main/java/dev/laneworks/core/verdict/RefusalReason.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/verdict/RefusalReason.java
@@ -33,7 +33,7 @@
 	/** The account exceeded one of its own limits. */
 	ACCOUNT_LIMIT(429),
 
-	/** No target can accept the request now. */
+	/** No target can accept the request now, or this process cannot. */
 	OVERLOADED(503),
 
 	/** No slot would become free before the caller's timeout. */
