Bind the operator port of tests' entries to a free port instead of choosing one before

Cause: EntryTestSupport.freePort found a UDP port that was free and used its number for the TCP operator server.

--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -149,6 +149,8 @@
 
 	private volatile boolean ready;
 
+	private volatile Optional<InetSocketAddress> operatorsAddress = Optional.empty();
+
 	/** The gauge values as last collected on the I/O thread. */
 	private volatile EntryGauges gauges = EntryGauges.NONE;
 
@@ -242,6 +244,7 @@
 		OperatorServer operators = new OperatorServer(this.io.worker(), this.settings.operators(), this.metrics,
 				this.audit, this::isReady, this::status, Handlers.routing());
 		operators.start();
+		this.operatorsAddress = Optional.of(operators.address());
 		this.peers.listen(this.settings.gossipAddress());
 		this.loop.run(() -> this.peers.start(this.loop.now()));
 		this.loop.run(() -> this.suspects.start(this.loop.now()));
@@ -298,6 +301,14 @@
 		return this.callers.address();
 	}
 
+	/**
+	 * Return the address that operators and metric scrapers connect to.
+	 * @return the bound address, or empty before the port is open
+	 */
+	public Optional<InetSocketAddress> operatorsAddress() {
+		return this.operatorsAddress;
+	}
+
 	/**
 	 * Determine whether the process accepts requests.
 	 * @return {@code true} from the first complete plan until a shutdown is requested
