Let engineCrashEndsStreamWithProblem use a generation that outlasts its waits

Cause: the generation of 150 tokens takes 1.5 s. If the test is held up for more than about 1.3 s between its 20th token and the question which engine runs it, no engine does any more and the wait of 30 s cannot end. The generation now has 6,500 tokens (65 s), longer than both waits of 30 s together; the crash ends it, and a run that did not end with the crash would still end and fail the assertions. findRunningTarget asked the first engine twice and concluded "the second" if the generation had ended between the questions; it now decides by the answer that ended the wait. Ruled out: that the engine crash or the entry matters; the wait fails before the crash.

--- a/laneworks-processtests/src/test/java/dev/laneworks/processtests/FailureTests.java
+++ b/laneworks-processtests/src/test/java/dev/laneworks/processtests/FailureTests.java
@@ -30,6 +30,12 @@
 
 	private static final int OUTPUT_LENGTH = 150;
 
+	/**
+	 * Length of an output that takes longer than all waits of a test before it ends the
+	 * generation.
+	 */
+	private static final int UNFINISHED_OUTPUT_LENGTH = 6_500;
+
 	private final StreamClient client = new StreamClient(Fleet.KEY);
 
 	private Fleet fleet;
@@ -79,7 +85,8 @@
 	@Test
 	void engineCrashEndsStreamWithProblem() {
 		AtomicInteger receivedTokens = new AtomicInteger();
-		CompletableFuture<StreamResult> stream = ask(0, "{}", receivedTokens);
+		CompletableFuture<StreamResult> stream = ask(0, "{\"standin_length\": " + UNFINISHED_OUTPUT_LENGTH + "}",
+				receivedTokens);
 		Fleet.await("more than 20 tokens are received", () -> receivedTokens.get() > 20);
 		this.fleet.engine(findRunningTarget()).stop();
 		StreamResult result = stream.join();
@@ -212,9 +219,10 @@
 	}
 
 	private int findRunningTarget() {
+		AtomicInteger target = new AtomicInteger();
 		Fleet.await("an engine runs the generation",
-				() -> this.fleet.load(0).path("running").asInt() + this.fleet.load(1).path("running").asInt() > 0);
-		return (this.fleet.load(0).path("running").asInt() > 0) ? 0 : 1;
+				() -> this.fleet.load(target.updateAndGet((t) -> 1 - t)).path("running").asInt() > 0);
+		return target.get();
 	}
 
 	private int totalExecutions() {
