Refuse requests at an entry that is short of processor time, if configured

With "ingress": { "maxDelayShare": 0.25 } in the settings, IngressGate probes the event loop every 20 ms and DirectServer asks core.ingress before it accepts a request. A refusal is 503, not run, with Retry-After 0.020 on a connection that closes, which leads the caller to another entry. Probes are tasks of the I/O thread, since timers also run between the inputs of one turn and show only what one input takes. The bytes queued to callers are summed for the refusal's log line and for telling an idle entry, which refuses nothing. Without the setting nothing changes; deploy/entry.json does not set it. Links and connections are not judged yet; see docs/design/entry-capacity.md.

--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/CallerRequest.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/CallerRequest.java
@@ -104,7 +104,7 @@
 		this.exchange.getResponseSender().send(ByteBuffer.wrap(answer.body()));
 	}
 
-	void startStream(HttpResponseHead head, Runnable writeFailed) {
+	void startStream(HttpResponseHead head, OutputBacklog backlog, Runnable writeFailed) {
 		if (isAnsweredOrClosed()) {
 			return;
 		}
@@ -112,7 +112,7 @@
 		// Chunked even if the connection closes after the answer, so that a truncated
 		// answer is detectable.
 		this.exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
-		this.stream = Optional.of(new StreamWriter(this.exchange, writeFailed));
+		this.stream = Optional.of(new StreamWriter(this.exchange, backlog, writeFailed));
 	}
 
 	void relay(byte[] data) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectCalls.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectCalls.java
@@ -11,6 +11,7 @@
 import dev.laneworks.core.dispatch.DispatchOutputs;
 import dev.laneworks.core.dispatch.Dispatcher;
 import dev.laneworks.core.dispatch.SendParameters;
+import dev.laneworks.core.ingress.IngressLoad;
 import dev.laneworks.core.verdict.Refusal;
 import dev.laneworks.entry.caller.CallLatencyMetrics;
 import dev.laneworks.runtime.http.AsyncHttpClient;
@@ -33,6 +34,8 @@
 
 	private final Map<Long, OpenCall> open = new HashMap<>();
 
+	private final OutputBacklog backlog = new OutputBacklog();
+
 	private Dispatcher dispatcher;
 
 	private long lastCallNumber;
@@ -50,6 +53,10 @@
 		this.dispatcher = callDispatcher;
 	}
 
+	IngressLoad load() {
+		return new IngressLoad(this.open.size(), this.backlog.bytes());
+	}
+
 	// Open a call for a request whose body has been received completely.
 	long open(CallerRequest request, DirectRequest admitted) {
 		long number = ++this.lastCallNumber;
@@ -94,7 +101,7 @@
 	@Override
 	public void startStream(long call, int attempt) {
 		OpenCall openCall = this.open.get(call);
-		openCall.request.startStream(openCall.attempts.get(attempt).answer().head(),
+		openCall.request.startStream(openCall.attempts.get(attempt).answer().head(), this.backlog,
 				() -> this.loop.run(() -> callerLeft(call)));
 	}
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -129,6 +129,8 @@
 
 	private final EngineDrainingQuery drainingQuery;
 
+	private final Optional<IngressGate> ingress;
+
 	private final DirectServer callers;
 
 	private final ReadinessServer readiness;
@@ -219,8 +221,10 @@
 		this.peers.onStoreUpdate((u) -> this.store.follower().updateReceived(u, this.loop.now()));
 		this.resumeGate = new ResumeGate(this.store.follower()::ageMillis);
 		this.loop.onPause(this::paused);
+		this.ingress = IngressGate.create(settings.maxDelayShare(), this.loop, calls::load, this.metrics);
 		this.callers = new DirectServer(this.io, settings.callers(), calls, adapter.headers(),
-				this.store.published()::plan, this.shutdown, this.loop, this.resumeGate::isClosed, random, this.audit);
+				this.store.published()::plan, this.shutdown, (r) -> this.ingress.flatMap((g) -> g.refuse(r)), this.loop,
+				this.resumeGate::isClosed, random, this.audit);
 		this.readiness = new ReadinessServer(this.io, settings.readiness(), adapter.source()::readinessPaths,
 				this::isReady);
 		registerMetrics();
@@ -235,6 +239,7 @@
 		this.callers.listen();
 		this.loop.run(() -> this.store.follower().start(this.loop.now()));
 		this.readiness.start();
+		this.ingress.ifPresent((g) -> this.loop.run(g::start));
 		LogLine.of("started").with("address", this.settings.callers().toString()).info();
 		this.loop.run(() -> pollPlan(this.loop.now()));
 		this.loop.run(this::updateRetryShare);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.LongPredicate;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -73,6 +74,9 @@
 
 	private final AuditSink audit;
 
+	/** Refuses requests of a route that this entry has no capacity for. */
+	private final Function<RouteSpec, Optional<Refusal>> capacity;
+
 	/** Whether requests have to wait after a process pause. */
 	private final LongPredicate isDeferring;
 
@@ -84,8 +88,10 @@
 	private int unfinishedAnswers;
 
 	DirectServer(IoWorker io, InetSocketAddress address, DirectCalls calls, HeaderTranslator translator,
-			Supplier<Optional<ServingPlan>> plan, GracefulShutdown shutdown, EventLoop loop, LongPredicate isDeferring,
+			Supplier<Optional<ServingPlan>> plan, GracefulShutdown shutdown,
+			Function<RouteSpec, Optional<Refusal>> capacity, EventLoop loop, LongPredicate isDeferring,
 			RandomGenerator random, AuditSink audit) {
+		this.capacity = capacity;
 		this.isDeferring = isDeferring;
 		this.calls = calls;
 		this.translator = translator;
@@ -206,6 +212,12 @@
 			return Either.left(Refusal.notRun(RefusalReason.LEAVING, "this entry ends before the answer would",
 					STOPPING_RETRY_DELAY));
 		}
+		Optional<Refusal> overload = this.capacity.apply(route.get());
+		if (overload.isPresent()) {
+			// Only a new connection leads to another entry.
+			request.exchange().setPersistent(false);
+			return Either.left(overload.get());
+		}
 		return Either
 			.right(new Admitted(metadata, withAccountPriority(route.get(), account), account, activePlan.limits()));
 	}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.stream.Collectors;
 
 import dev.laneworks.core.dispatch.ColdRateLimit;
@@ -39,13 +40,15 @@
  * @param maxStartWaitMillis the longest time for which requests that arrive during the
  * start wait unread for the plan, in milliseconds
  * @param mechanisms the mechanisms that are switched on
+ * @param maxDelayShare the share of a route's goal above which the delay of the event
+ * loop leads to refusals; empty if requests are not refused for it
  * @since 0.2
  */
 public record DirectSettings(String instance, String dataCentre, Map<String, String> regions, InetSocketAddress callers,
 		InetSocketAddress readiness, InetSocketAddress operators, InetSocketAddress gossipAddress, List<String> seeds,
 		InetSocketAddress store, FollowSettings follow, long retryWindowMillis, double retryRatio, double retryExtra,
 		double retryExtraShare, ColdRateLimit coldBound, long graceMillis, long acceptAllMillis,
-		long maxStartWaitMillis, Mechanisms mechanisms) {
+		long maxStartWaitMillis, Mechanisms mechanisms, OptionalDouble maxDelayShare) {
 
 	/** Longest time for which the store holds a watch; see {@link FollowSettings}. */
 	private static final long DEFAULT_WAIT_MILLIS = 4_000;
@@ -70,6 +73,11 @@
 
 	private static final int MAX_LIMIT = 1_000_000;
 
+	private static final double MIN_DELAY_SHARE = 0.01;
+
+	/** A request and its answer wait for two to three turns of the event loop. */
+	private static final double DEFAULT_DELAY_SHARE = 0.25;
+
 	/** The remainder is reserved for entries that restart with an empty history. */
 	private static final double DEFAULT_EXTRA_SHARE = 0.6;
 
@@ -99,8 +107,8 @@
 				retries.number("extraShare", 0, 1, DEFAULT_EXTRA_SHARE), coldBound(root),
 				millis(root.number("graceSeconds", MIN_SECONDS, MAX_SECONDS, 8)),
 				root.integer("takeAllMillis", 0, ONE_MINUTE, DEFAULT_TAKE_ALL_MILLIS),
-				root.integer("startHoldMillis", 0, ONE_MINUTE, DEFAULT_START_HOLD_MILLIS),
-				Mechanisms.read(root, "off"));
+				root.integer("startHoldMillis", 0, ONE_MINUTE, DEFAULT_START_HOLD_MILLIS), Mechanisms.read(root, "off"),
+				maxDelayShare(root));
 	}
 
 	/**
@@ -122,7 +130,8 @@
 		return equals(new DirectSettings(other.instance, other.dataCentre, other.regions, other.callers,
 				other.readiness, other.operators, other.gossipAddress, other.seeds, other.store, other.follow,
 				other.retryWindowMillis, this.retryRatio, this.retryExtra, this.retryExtraShare, other.coldBound,
-				other.graceMillis, other.acceptAllMillis, other.maxStartWaitMillis, other.mechanisms));
+				other.graceMillis, other.acceptAllMillis, other.maxStartWaitMillis, other.mechanisms,
+				other.maxDelayShare));
 	}
 
 	private static Map<String, String> regions(DocumentObject root) {
@@ -139,6 +148,14 @@
 		return new ColdRateLimit(cold.number("overage", 0, MAX_LIMIT, 1), cold.number("slack", 0, MAX_LIMIT, 0));
 	}
 
+	private static OptionalDouble maxDelayShare(DocumentObject root) {
+		if (!root.has("ingress")) {
+			return OptionalDouble.empty();
+		}
+		return OptionalDouble
+			.of(root.object("ingress").number("maxDelayShare", MIN_DELAY_SHARE, 1, DEFAULT_DELAY_SHARE));
+	}
+
 	private static long millis(double seconds) {
 		return Math.round(seconds * MILLIS_PER_SECOND);
 	}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EventLoop.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EventLoop.java
@@ -82,6 +82,12 @@
 		});
 	}
 
+	// Run an action after a delay, at most once in each turn of the thread. Timers also
+	// run between the inputs of one turn and therefore do not show how long it takes.
+	void runInOwnTurn(Runnable action, long delayMillis) {
+		this.thread.executeAfter(action, delayMillis, TimeUnit.MILLISECONDS);
+	}
+
 	// Run due timers after the current input has been handled.
 	void runTimersSoon() {
 		this.thread.execute(this::runTimers);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/StreamWriter.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/StreamWriter.java
@@ -24,6 +24,8 @@
 
 	private final Runnable writeFailed;
 
+	private final OutputBacklog backlog;
+
 	private final Deque<ByteBuffer> queue = new ArrayDeque<>();
 
 	private long queuedBytes;
@@ -32,11 +34,17 @@
 
 	private boolean closed;
 
-	StreamWriter(HttpServerExchange exchange, Runnable writeFailed) {
+	StreamWriter(HttpServerExchange exchange, OutputBacklog backlog, Runnable writeFailed) {
 		this.exchange = exchange;
+		this.backlog = backlog;
 		this.writeFailed = writeFailed;
 		this.channel = exchange.getResponseChannel();
 		this.channel.getWriteSetter().set((c) -> flush());
+		// Covers connections that close without a failed write.
+		exchange.addExchangeCompleteListener((e, next) -> {
+			discard();
+			next.proceed();
+		});
 	}
 
 	void write(byte[] data) {
@@ -44,7 +52,7 @@
 			return;
 		}
 		this.queue.add(ByteBuffer.wrap(data));
-		this.queuedBytes += data.length;
+		addQueuedBytes(data.length);
 		if (this.queuedBytes > MAX_QUEUED_BYTES) {
 			fail();
 			return;
@@ -63,10 +71,21 @@
 	 * Close the connection so that the caller detects the truncated body.
 	 */
 	void cut() {
-		this.closed = true;
+		discard();
 		IoUtils.safeClose(this.exchange.getConnection());
 	}
 
+	private void discard() {
+		this.closed = true;
+		this.queue.clear();
+		addQueuedBytes(-this.queuedBytes);
+	}
+
+	private void addQueuedBytes(long count) {
+		this.queuedBytes += count;
+		this.backlog.add(count);
+	}
+
 	private void flush() {
 		if (this.closed) {
 			return;
@@ -75,7 +94,7 @@
 			while (!this.queue.isEmpty()) {
 				ByteBuffer next = this.queue.peek();
 				int written = this.channel.write(next);
-				this.queuedBytes -= written;
+				addQueuedBytes(-written);
 				if (next.hasRemaining()) {
 					this.channel.resumeWrites();
 					return;
@@ -111,7 +130,7 @@
 	}
 
 	private void fail() {
-		this.closed = true;
+		discard();
 		IoUtils.safeClose(this.exchange.getConnection());
 		this.writeFailed.run();
 	}
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/DirectSettingsTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/DirectSettingsTests.java
@@ -8,7 +8,8 @@
 import static com.google.common.truth.Truth.assertThat;
 
 /**
- * Tests for the reload rule and the mechanism labels of {@link DirectSettings}.
+ * Tests for the reload rule, the mechanism labels and the ingress settings of
+ * {@link DirectSettings}.
  */
 class DirectSettingsTests {
 
@@ -50,6 +51,17 @@
 			.contains("names the unknown mechanism wings");
 	}
 
+	@Test
+	void readsIngressOnlyIfPresentAndRejectsInvalidShare() {
+		assertThat(this.settings.maxDelayShare().isPresent()).isFalse();
+		String valid = TEXT.replace("8 }", "8, \"ingress\": { \"maxDelayShare\": 0.5 } }");
+		assertThat(read(valid).maxDelayShare().getAsDouble()).isEqualTo(0.5);
+		assertThat(read(valid).equalsExceptRetryBounds(this.settings)).isFalse();
+		assertThat(DocumentReader.read("test", valid.replace("0.5", "0"), DirectSettings::read).getLeft())
+			.hasMessageThat()
+			.contains("test:3: ingress.maxDelayShare: must be a number from 0.01 to 1");
+	}
+
 	private static DirectSettings read(String text) {
 		return DocumentReader.read("test", text, DirectSettings::read).get();
 	}
