--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -137,6 +137,8 @@
 
 	private final EngineDrainingQuery drainingQuery;
 
+	private final Optional<IngressGate> ingress;
+
 	private final DirectServer callers;
 
 	private final ReadinessServer readiness;
@@ -157,6 +159,8 @@
 
 	private volatile boolean ready;
 
+	private volatile Optional<InetSocketAddress> operatorsAddress = Optional.empty();
+
 	/** The gauge values as last collected on the I/O thread. */
 	private volatile EntryGauges gauges = EntryGauges.NONE;
 
@@ -228,8 +232,10 @@
 		this.peers.onStoreUpdate((u) -> this.store.follower().updateReceived(u, this.loop.now()));
 		this.resumeGate = new ResumeGate(this.store.follower()::ageMillis);
 		this.loop.onPause(this::paused);
+		this.ingress = IngressGate.create(settings.maxDelayShare(), this.loop, calls::load, this.metrics);
 		this.callers = new DirectServer(this.io, settings.callers(), calls, adapter.headers(),
-				this.store.published()::plan, this.shutdown, this.loop, this.resumeGate::isClosed, random, this.audit);
+				this.store.published()::plan, this.shutdown, (r) -> this.ingress.flatMap((g) -> g.refuse(r)), this.loop,
+				this.resumeGate::isClosed, random, this.audit);
 		this.readiness = new ReadinessServer(this.io, settings.readiness(), adapter.source()::readinessPaths,
 				this::isReady);
 		registerMetrics();
@@ -244,6 +250,7 @@
 		this.callers.listen();
 		this.loop.run(() -> this.store.follower().start(this.loop.now()));
 		this.readiness.start();
+		this.ingress.ifPresent((g) -> this.loop.run(g::start));
 		LogLine.of("started").with("address", this.settings.callers().toString()).info();
 		this.loop.run(() -> pollPlan(this.loop.now()));
 		this.loop.run(this::updateRetryShare);
@@ -253,6 +260,7 @@
 		OperatorServer operators = new OperatorServer(this.io.worker(), this.settings.operators(), this.metrics,
 				this.audit, this::isReady, this::status, Handlers.routing());
 		operators.start();
+		this.operatorsAddress = Optional.of(operators.address());
 		this.peers.listen(this.settings.gossipAddress());
 		this.loop.run(() -> this.peers.start(this.loop.now()));
 		this.loop.run(() -> this.suspects.start(this.loop.now()));
@@ -309,6 +317,14 @@
 		return this.callers.address();
 	}
 
+	/**
+	 * Return the address that operators and metric scrapers connect to.
+	 * @return the bound address, or empty before the port is open
+	 */
+	public Optional<InetSocketAddress> operatorsAddress() {
+		return this.operatorsAddress;
+	}
+
 	/**
 	 * Determine whether the process accepts requests.
 	 * @return {@code true} from the first complete plan until a shutdown is requested
