--- a/laneworks-core/src/test/java/dev/laneworks/core/returns/ReturningFleet.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/returns/ReturningFleet.java
@@ -155,28 +155,12 @@
 
 	}
 
-	/** Kinds of generations of the first customer. */
-	enum Kind {
+	/** Kind of generations, with the share of memory up to which they start. */
+	record Kind(int priority, long tokens, long millis, long timeoutMillis, double limit) {
 
-		LONG(2, 3_500, 8_000, 39_054, 0.75), SHORT(0, 2_590, 450, 6_016, 0.97);
+		static final Kind LONG = new Kind(2, 3_500, 8_000, 39_054, 0.75);
 
-		private final int priority;
-
-		private final long tokens;
-
-		private final long millis;
-
-		private final long timeoutMillis;
-
-		private final double limit;
-
-		Kind(int priority, long tokens, long millis, long timeoutMillis, double limit) {
-			this.priority = priority;
-			this.tokens = tokens;
-			this.millis = millis;
-			this.timeoutMillis = timeoutMillis;
-			this.limit = limit;
-		}
+		static final Kind SHORT = new Kind(0, 2_590, 450, 6_016, 0.97);
 
 	}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/returns/ReturningFleetTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/returns/ReturningFleetTests.java
@@ -65,16 +65,11 @@
 
 	// The share of the refused callers that was refused again.
 	private static double refusedTwice(List<ReturningFleet> fleets, Kind kind) {
-		double r = count(fleets, kind, (c) -> c.refusals > 1) / count(fleets, kind, (c) -> c.refusals > 0);
-		System.out.println("TWICE " + kind + " " + r + " refused "
-				+ count(fleets, kind, (c) -> c.refusals > 0) / count(fleets, kind, (c) -> true));
-		return r;
+		return count(fleets, kind, (c) -> c.refusals > 1) / count(fleets, kind, (c) -> c.refusals > 0);
 	}
 
 	private static double served(List<ReturningFleet> fleets, Kind kind) {
-		double r = count(fleets, kind, (c) -> c.served) / count(fleets, kind, (c) -> true);
-		System.out.println("SERVED " + kind + " " + r);
-		return r;
+		return count(fleets, kind, (c) -> c.served) / count(fleets, kind, (c) -> true);
 	}
 
 	private static double count(List<ReturningFleet> fleets, Kind kind, Predicate<Caller> which) {
