--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -380,7 +380,8 @@
 	private TargetWait engineWait(ListedTarget target, EngineSpec engine, GenerationSize size, ServiceSpeed speeds,
 			long now) {
 		double factor = speeds.engineFactor(speed(target));
-		double utilization = utilization(target, engine, now) + (double) size.reservedTokens(0) / engine.memoryTokens();
+		double utilization = Math.max((this.estimates.requests(target, now) + 1) / engine.slots(),
+				utilization(target, engine, now) + (double) size.reservedTokens(0) / engine.memoryTokens());
 		return new TargetWait(
 				target.dataCentre(), EngineTime.waitMillis(this.estimates.pendingPromptTokens(target),
 						size.promptTokens(), factor, speeds.millisPerPromptToken(), utilization),
--- a/laneworks-core/src/main/java/dev/laneworks/core/speed/EngineTime.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/speed/EngineTime.java
@@ -21,7 +21,8 @@
 	 * @param promptTokens the prompt tokens of the generation
 	 * @param factor the time that work takes there relative to the usual time
 	 * @param millisPerPromptToken the usual time to read a prompt token, in milliseconds
-	 * @param utilization the memory utilization including the generation
+	 * @param utilization the utilization of memory or slots, whichever is higher,
+	 * including the generation
 	 * @return the delay in milliseconds
 	 */
 	public static double waitMillis(long pendingTokens, long promptTokens, double factor, double millisPerPromptToken,
--- a/laneworks-core/src/main/java/dev/laneworks/core/speed/PlainTime.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/speed/PlainTime.java
@@ -18,7 +18,8 @@
 	}
 
 	/**
-	 * Return the expected time of one more request.
+	 * Return the expected time of one more request. A queue counts by its square, since
+	 * other entries send requests that are not known here yet.
 	 * @param requests the estimated number of requests at the target
 	 * @param slots the number of requests that it executes at once
 	 * @param factor the time that a request takes there relative to the usual time
@@ -26,7 +27,7 @@
 	 */
 	public static double of(double requests, int slots, double factor) {
 		double load = (requests + 1) / Math.max(1, slots);
-		return factor * (SHARED_PART * load + (1 - SHARED_PART) * Math.max(1, load));
+		return factor * (SHARED_PART * load + (1 - SHARED_PART) * Math.max(1, load * load));
 	}
 
 	/**
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/SwingingDemandTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/SwingingDemandTests.java
@@ -41,10 +41,8 @@
 	private static OverloadedFleet simulate(int seed, Mechanisms mechanisms) {
 		OverloadedFleet fleet = new OverloadedFleet(9, 12, 3, mechanisms, seed);
 		fleet.useSpeeds(new UnevenSpeeds(seed), true);
-		fleet.scheduleSwingingArrivals(Kind.LONG, 6, 0.55, 15_000,
-				MILLIS);
-		fleet.scheduleSwingingArrivals(Kind.SHORT, 7, 0.55,
-				15_000, MILLIS);
+		fleet.scheduleSwingingArrivals(Kind.LONG, 6, 0.55, 15_000, MILLIS);
+		fleet.scheduleSwingingArrivals(Kind.SHORT, 7, 0.55, 15_000, MILLIS);
 		fleet.run(MILLIS + 10_000);
 		return fleet;
 	}
