--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/HeadroomRecorderTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/HeadroomRecorderTests.java
@@ -35,6 +35,8 @@
 		this.harness.passTime(200);
 		this.harness.drain(sent.target());
 		assertThat(displaced()).isWithin(1e-9).of((2 * 3_400 + 3_250) / (2 * MEMORY));
+		assertThat(this.harness.dispatcher.headroom().lowestLimit(this.harness.now)).isWithin(1e-9)
+			.of(0.97 - (2 * 3_400 + 3_250) / (2 * MEMORY));
 		this.harness.passTime(500);
 		this.harness.remove(sent.target());
 		this.harness.remove(other);
@@ -67,6 +69,14 @@
 		assertThat(displaced()).isWithin(1e-9).of(0.1);
 	}
 
+	/** Guards against plain services being treated as engine memory. */
+	@Test
+	void plainTargetsDisplaceNothing() {
+		this.harness.drain(this.harness.join(DispatchHarness.PLAIN, "p"));
+		assertThat(this.harness.dispatcher.headroom().largestDisplacedShare(this.harness.now)).isEqualTo(0);
+		assertThat(this.harness.dispatcher.headroom().lowestLimit(this.harness.now)).isEqualTo(1);
+	}
+
 	private ListedTarget join(String id) {
 		return this.harness.join(DispatchHarness.ENGINES, id);
 	}
