--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/OverloadedFleet.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/OverloadedFleet.java
@@ -166,14 +166,8 @@
 		}
 	}
 
-	// DEBUG
-	Map<String, Long> causes() {
-		return this.entries.stream()
-			.flatMap((e) -> e.audit.stream())
-			.filter((a) -> List.of("refused", "cut", "retried", "moved").contains(a.kind().label()))
-			.collect(java.util.stream.Collectors.groupingBy(
-					(a) -> a.kind().label() + " " + a.cause().replaceAll("(e?[0-9]+)", "#"), java.util.TreeMap::new,
-					java.util.stream.Collectors.counting()));
+	int openCalls() {
+		return this.entries.stream().mapToInt((e) -> e.dispatcher.openCalls()).sum();
 	}
 
 	long count(Kind kind, Outcome outcome) {
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/ReclaimedFleetTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/ReclaimedFleetTests.java
@@ -1,56 +1,40 @@
 package dev.laneworks.core.dispatch;
 
-import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
-import java.util.stream.LongStream;
 
 import dev.laneworks.core.dispatch.OverloadedFleet.Kind;
 import dev.laneworks.core.dispatch.OverloadedFleet.Outcome;
 import dev.laneworks.core.waiting.WaitingOrder;
-import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests of what callers get from entries with a queue, while engines are reclaimed and
+ * long generations come in a burst.
+ */
 class ReclaimedFleetTests {
 
-	@Test
-	void table() {
-		int seeds = Integer.getInteger("seeds", 2);
-		for (Optional<WaitingOrder> order : List.of(Optional.<WaitingOrder>empty(),
-				Optional.of(WaitingOrder.LEAST_SLACK), Optional.of(WaitingOrder.SHORTEST_FIRST))) {
-			long t = System.nanoTime();
-			List<OverloadedFleet> fleets = LongStream.rangeClosed(1, seeds)
-				.parallel()
-				.mapToObj((s) -> simulate(order, s))
-				.toList();
-			for (Kind kind : List.of(Kind.PAGE_LONG, Kind.PAGE_SHORT)) {
-				StringBuilder line = new StringBuilder(order + " " + kind);
-				for (Outcome o : Arrays.asList(Outcome.ALL, Outcome.IN_TIME, Outcome.COMPLETE_IN_TIME,
-						Outcome.COMPLETE_LATE, Outcome.REFUSED_FINALLY, Outcome.FAILED, Outcome.REFUSED)) {
-					line.append(" ")
-						.append(o)
-						.append("=")
-						.append(fleets.stream().mapToLong((f) -> f.count(kind, o)).sum());
-				}
-				System.out.println("TABLE " + line);
-			}
-			fleets.get(0)
-				.causes()
-				.entrySet()
-				.stream()
-				.filter((e) -> e.getValue() > 5)
-				.forEach((e) -> System.out.println("TABLE   " + e.getValue() + " " + e.getKey()));
-			System.out.println("TABLE took " + (System.nanoTime() - t) / 1_000_000);
-		}
+	private static final int SEEDS = 2;
+
+	// Guards against a queue that refuses the most urgent kind first, as admission by
+	// utilization does, and against callers whose generation is lost in the queue.
+	@ParameterizedTest
+	@EnumSource(WaitingOrder.class)
+	void urgentCallersAreServedBeforeOthersAndEachCallerGetsOneAnswer(WaitingOrder order) {
+		List<OverloadedFleet> fleets = ReclaimedFleetReport.simulate(Optional.of(order), SEEDS);
+		assertThat(share(fleets, Kind.PAGE_SHORT, Outcome.REFUSED))
+			.isAtMost(share(fleets, Kind.PAGE_LONG, Outcome.REFUSED));
+		assertThat(share(fleets, Kind.PAGE_SHORT, Outcome.REFUSED_FINALLY)).isLessThan(0.01);
+		assertThat(share(fleets, Kind.PAGE_SHORT, Outcome.IN_TIME)).isGreaterThan(0.5);
+		assertThat(share(fleets, Kind.PAGE_LONG, Outcome.IN_TIME)).isGreaterThan(0.1);
+		assertThat(fleets.stream().mapToLong(OverloadedFleet::openCalls).sum()).isEqualTo(0);
 	}
 
-	private static OverloadedFleet simulate(Optional<WaitingOrder> order, long seed) {
-		OverloadedFleet fleet = new OverloadedFleet(10, 29, order, seed);
-		fleet.scheduleArrivals(Kind.PAGE_LONG, 16.3, 0, 10_000);
-		fleet.scheduleArrivals(Kind.PAGE_LONG, 2.4 * 16.3, 10_000, 17_000);
-		fleet.scheduleArrivals(Kind.PAGE_LONG, 16.3, 17_000, 35_000);
-		fleet.scheduleArrivals(Kind.PAGE_SHORT, 18.2, 0, 35_000);
-		fleet.run(75_000);
-		return fleet;
+	private static double share(List<OverloadedFleet> fleets, Kind kind, Outcome outcome) {
+		return ReclaimedFleetReport.share(fleets, kind, outcome);
 	}
 
 }
