--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
@@ -67,6 +67,8 @@
 
 	private OptionalInt queuedBehind = OptionalInt.empty();
 
+	private long queuedAt;
+
 	private long startedAt;
 
 	DirectCall(long number, DirectRequest request, long openedAt) {
@@ -184,8 +186,9 @@
 	}
 
 	// Records how many generations go first when the call is queued.
-	void waitBehind(int count) {
+	void waitBehind(int count, long now) {
 		this.queuedBehind = OptionalInt.of(count);
+		this.queuedAt = now;
 	}
 
 	// Returns the wait in the queue that ends now, for the audit log; empty if there is
@@ -194,7 +197,7 @@
 		OptionalInt behind = this.queuedBehind;
 		this.queuedBehind = OptionalInt.empty();
 		return behind.isPresent()
-				? ", queued until " + (now - this.openedAt) + " ms after arrival behind " + behind.getAsInt() : "";
+				? ", queued for " + (now - this.queuedAt) + " ms behind " + behind.getAsInt() + " others" : "";
 	}
 
 	// How many times the request was written to a target.
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/QueuedStarts.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/QueuedStarts.java
@@ -81,7 +81,7 @@
 		QueuePosition position = this.queues.position(service, generation, memory, now);
 		Optional<QueueRefusal> refusal = this.queues.enqueue(service, generation, memory, now);
 		if (refusal.filter((r) -> r.generation().equals(generation)).isEmpty()) {
-			call.waitBehind(position.countAhead());
+			call.waitBehind(position.countAhead(), now);
 			recordQueued(call, position, now);
 			scheduleChecks(service, generation, now);
 		}
--- a/laneworks-core/src/main/java/dev/laneworks/core/waiting/GenerationQueues.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/waiting/GenerationQueues.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.random.RandomGenerator;
@@ -218,13 +219,17 @@
 	}
 
 	/**
-	 * Return the delay of the next check for released memory.
+	 * Return the delay of the next check for released memory. The queues of other entries
+	 * do not prolong it while a generation of the most urgent priority waits, since they
+	 * hold mostly less urgent ones.
 	 * @param service the name of a service with queued generations
 	 * @return the delay in milliseconds, at least 1
 	 */
 	public long nextCheckMillis(String service) {
-		return this.pacing.nextDelayMillis(Math.max(1, queue(service).size()),
-				this.peers.demandNearby(service).queuedRequests(), this.peers.entries() <= 1);
+		OptionalInt mostUrgent = this.governed.mostUrgentPriority(service);
+		boolean isUrgent = mostUrgent.isPresent() && queue(service).hasPriority(mostUrgent.getAsInt());
+		int nearby = isUrgent ? 0 : this.peers.demandNearby(service).queuedRequests();
+		return this.pacing.nextDelayMillis(Math.max(1, queue(service).size()), nearby, this.peers.entries() <= 1);
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/waiting/QueueRanking.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/waiting/QueueRanking.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 
 import dev.laneworks.core.shares.AccountOveruse;
 
@@ -41,12 +42,23 @@
 	}
 
 	List<QueuedGeneration> sort(Collection<QueuedGeneration> generations, long now) {
+		return ranks(generations, now).sorted(RANKS).map(Rank::generation).toList();
+	}
+
+	QueuedGeneration findLast(Collection<QueuedGeneration> generations, long now) {
+		return ranks(generations, now).max(RANKS).orElseThrow().generation();
+	}
+
+	// The generations that go before a given one.
+	List<QueuedGeneration> ahead(QueuedGeneration generation, Collection<QueuedGeneration> others, long now) {
+		Rank own = ranks(List.of(generation), now).findFirst().orElseThrow();
+		return ranks(others, now).filter((r) -> RANKS.compare(r, own) < 0).map(Rank::generation).toList();
+	}
+
+	private Stream<Rank> ranks(Collection<QueuedGeneration> generations, long now) {
 		Map<String, Boolean> overShare = new HashMap<>();
 		return generations.stream()
-			.map((g) -> rank(g, overShare.computeIfAbsent(g.account(), (a) -> isOverShare(a, now)), now))
-			.sorted(RANKS)
-			.map(Rank::generation)
-			.toList();
+			.map((g) -> rank(g, overShare.computeIfAbsent(g.account(), (a) -> isOverShare(a, now)), now));
 	}
 
 	// The time left until a generation must start, in milliseconds; negative if it can't
--- a/laneworks-core/src/main/java/dev/laneworks/core/waiting/ServiceQueue.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/waiting/ServiceQueue.java
@@ -1,6 +1,5 @@
 package dev.laneworks.core.waiting;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -57,6 +56,10 @@
 		return this.ranking.sort(this.byCall.values(), now);
 	}
 
+	boolean hasPriority(int lowest) {
+		return this.byCall.values().stream().anyMatch((g) -> g.priority() <= lowest);
+	}
+
 	boolean contains(long call) {
 		return this.byCall.containsKey(call);
 	}
@@ -91,8 +94,7 @@
 	}
 
 	private QueueRefusal removeLast(long expectedWaitMillis, long now) {
-		List<QueuedGeneration> ordered = inOrder(now);
-		QueuedGeneration last = ordered.get(ordered.size() - 1);
+		QueuedGeneration last = this.ranking.findLast(this.byCall.values(), now);
 		remove(last.call());
 		return new QueueRefusal(last, QueueRefusal.Cause.QUEUE_FULL, expectedWaitMillis);
 	}
@@ -142,12 +144,7 @@
 	}
 
 	private List<QueuedGeneration> ahead(QueuedGeneration generation, long now) {
-		List<QueuedGeneration> all = new ArrayList<>(this.byCall.values());
-		if (!this.byCall.containsKey(generation.call())) {
-			all.add(generation);
-		}
-		List<QueuedGeneration> ordered = this.ranking.sort(all, now);
-		return ordered.subList(0, ordered.indexOf(generation));
+		return this.ranking.ahead(generation, this.byCall.values(), now);
 	}
 
 }
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/QueuedStartsTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/QueuedStartsTests.java
@@ -88,7 +88,7 @@
 		assertThat(story.get(1))
 			.contains("limit 75%, least used engine e1 at 82% with it, 0 queued at 0 other entries");
 		assertThat(story.get(2)).startsWith("routed: attempt 1");
-		assertThat(story.get(2)).endsWith(", queued until 10 ms after arrival behind 0");
+		assertThat(story.get(2)).endsWith(", queued for 10 ms behind 0 others");
 	}
 
 	@Test
@@ -133,6 +133,23 @@
 		assertThat(last().attempt()).isEqualTo(2);
 	}
 
+	// Guards against endless attempts of an entry that does not see the work of others.
+	@Test
+	void fullEnginesLimitTheStartsWhileGossipIsSilent() {
+		fill();
+		for (int i = 2; i <= 6; i++) {
+			this.harness.join(DispatchHarness.ENGINES, "e" + i);
+		}
+		openLong(7);
+		for (int attempt = 1; attempt <= 4; attempt++) {
+			assertThat(last().attempt()).isEqualTo(attempt);
+			this.harness.answer(this.harness.sendLast(), 503, true);
+		}
+		assertThat(this.harness.sent).hasSize(10);
+		assertThat(this.harness.refusals.get(7L).verdict()).isEqualTo(Verdict.NOT_RUN);
+		assertThat(this.queues.isWaiting(DispatchHarness.ENGINES)).isFalse();
+	}
+
 	// Guards against a generation that is lost between the queue and its engine.
 	@Test
 	void engineThatLeavesBetweenCheckAndSendReturnsGenerationToTheQueue() {
