--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -12,6 +12,7 @@
 import dev.laneworks.core.directory.DrainingCause;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
+import dev.laneworks.core.headroom.EngineHeadroom;
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.poison.RequestDigest;
 import dev.laneworks.core.poison.SuspectRequests;
@@ -19,6 +20,7 @@
 import dev.laneworks.core.serving.RequestKind;
 import dev.laneworks.core.serving.ServiceSpec;
 import dev.laneworks.core.serving.ServingPlan;
+import dev.laneworks.core.speed.MalformedLoads;
 import dev.laneworks.core.time.Timers;
 import dev.laneworks.core.verdict.RefusalReason;
 import dev.laneworks.core.verdict.Verdict;
@@ -75,6 +77,10 @@
 
 	private final QueuedStarts queuedStarts;
 
+	private final HeadroomRecorder headroom;
+
+	private final MalformedLoads malformedLoads;
+
 	private final Map<Long, DirectCall> calls = new HashMap<>();
 
 	private Optional<ServingPlan> plan = Optional.empty();
@@ -108,6 +114,7 @@
 		this.timers = timers;
 		this.outputs = outputs;
 		this.audit = audit;
+		this.malformedLoads = new MalformedLoads(audit);
 		this.sender = new AttemptSender(directory, eligibility, estimates, chooser, outputs, audit,
 				settings.mechanisms());
 		this.standbys = new StandbyCopies(directory, eligibility, estimates, chooser, coordination, timers, outputs,
@@ -127,6 +134,7 @@
 		this.continuation = new Continuation(eligibility, retries, this.sender, this.standbys, this.mover,
 				this.completion, this.poison, audit, this.scheduler::startAttempt, this::engine,
 				settings.mechanisms().isEnabled(Mechanism.COPIES_AT_NOTICE));
+		this.headroom = new HeadroomRecorder(new ServiceEngines(() -> this.plan, eligibility, chooser, entries));
 		this.outcomes = new AttemptOutcomes(settings, directory, estimates, this.sender, this.scheduler,
 				this.continuation, this.completion, this.poison, outputs, audit);
 	}
@@ -140,6 +148,15 @@
 		this.queues.applyPlan(inForce);
 	}
 
+	/**
+	 * Return the limit of engine memory up to which generations may start.
+	 * @return the limit, which follows the events of this dispatcher
+	 * @since 0.4
+	 */
+	public EngineHeadroom headroom() {
+		return this.headroom.headroom();
+	}
+
 	/**
 	 * Return the number of requests without a final answer.
 	 * @return the number of open calls
@@ -158,6 +175,15 @@
 		this.queuedStarts.refuseUnfinishable(canFinish, now);
 	}
 
+	/**
+	 * Return the number of answers whose load report could not be read.
+	 * @return the count since the start
+	 * @since 0.4
+	 */
+	public long malformedLoads() {
+		return this.malformedLoads.count();
+	}
+
 	/**
 	 * Accept a request and begin its first attempt.
 	 * @param number the number that identifies the call; not used before
@@ -168,6 +194,7 @@
 		DirectCall call = new DirectCall(number, request, now);
 		this.calls.put(number, call);
 		this.retries.recordRequest(request.service(), now);
+		this.headroom.recordArrival(call, now);
 		this.audit.record(call.event(AuditKind.ACCEPTED, "", describe(call)));
 		this.timers.schedule(call.dueAt() + this.settings.answerSlackMillis(), (t) -> handleDeadline(call, t));
 		this.scheduler.dispatch(call, now);
@@ -271,6 +298,9 @@
 			return false;
 		}
 		ListedTarget target = found.get().target();
+		if (head.malformedLoad()) {
+			this.malformedLoads.record(target.id(), now);
+		}
 		head.load().ifPresent((l) -> this.estimates.of(target).recordLoad(l, now));
 		head.coldMillis().ifPresent((c) -> this.eligibility.recordCold(target, c, now));
 		if (head.appliesToTarget(this.calls.get(number).request().id())
@@ -326,7 +356,8 @@
 		if (call.isSuccessor(found.get())) {
 			this.continuation.switchToSuccessor(call, now);
 		}
-		if (!found.get().isAnswering()) {
+		boolean isFirstOfAttempt = !found.get().isAnswering();
+		if (isFirstOfAttempt) {
 			call.stoppedAt(Optional.empty());
 			handleFirstEvent(call, found.get(), now);
 		}
@@ -342,8 +373,11 @@
 			call.startStreaming();
 			this.outputs.startStream(number, attempt);
 		}
-		call.recordEvent(id, now);
 		Optional<EngineSpec> engine = engine(call);
+		if (!isFirstOfAttempt) {
+			engine.ifPresent((e) -> this.sender.recordInterval(call, found.get(), e, now));
+		}
+		call.recordEvent(id, now);
 		this.sender.recordGrowth(call, found.get(), engine, now);
 		engine.ifPresent((e) -> this.standbys.releaseIfUnusable(call, e, now));
 		return true;
@@ -367,6 +401,7 @@
 		}
 		this.scheduler.recordCompleted(call, now);
 		this.poison.recordCompleted(call, now);
+		this.headroom.recordEnd(call, found.get(), now);
 		this.completion.finish(call, AuditKind.ANSWERED,
 				"stream up to event " + call.lastEvent() + " whole after " + (now - call.openedAt()) + " ms, attempts "
 						+ call.attempts() + ", first event after " + call.firstEventMillis() + " ms, longest pause "
@@ -468,6 +503,7 @@
 	 * @param now the current time in milliseconds of the monotonic clock
 	 */
 	public void targetDraining(ListedTarget target, DrainingCause cause, long now) {
+		this.headroom.recordDeparture(target, now);
 		this.poison.handleDraining(target, cause, now);
 		if (this.directory.isFormerIncarnation(target)) {
 			return;
@@ -489,6 +525,7 @@
 	 * @param now the current time in milliseconds of the monotonic clock
 	 */
 	public void targetRemoved(ListedTarget target, long now) {
+		this.headroom.recordDeparture(target, now);
 		if (this.directory.isFormerIncarnation(target)) {
 			failAfterRestart(target, now);
 		}
@@ -543,6 +580,7 @@
 
 	private void handleFirstEvent(DirectCall call, Attempt attempt, long now) {
 		attempt.markAnswering(now);
+		this.sender.recordPromptRead(call, attempt, now);
 		this.outcomes.recordSuccess(attempt, now);
 		this.queuedStarts.recordFirstEvent(call, attempt, now);
 		call.recordPossibleRun();
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/OverloadedFleet.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/OverloadedFleet.java
@@ -8,12 +8,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.TreeMap;
 import java.util.function.Supplier;
 
+import dev.laneworks.core.backpressure.BackpressureSignals;
 import dev.laneworks.core.directory.TargetIncarnation;
 import dev.laneworks.core.gossip.ServiceDemand;
 import dev.laneworks.core.gossip.WorkAtTarget;
@@ -38,8 +41,10 @@
  * <p>
  * Callers wait for the advertised retry delay, but for at most a third of their remaining
  * time. Engines start a generation once its memory is free, read one prompt at a time and
- * send an event of each executing generation at a fixed interval. In a fleet whose
- * engines are reclaimed, they are {@link StepwiseEngine}s.
+ * send an event of each executing generation at a fixed interval. Engines of uneven speed
+ * work in steps instead, each of which generates a token of every generation and reads a
+ * part of one prompt. In a fleet whose engines are reclaimed, they are
+ * {@link StepwiseEngine}s.
  */
 final class OverloadedFleet {
 
@@ -54,8 +59,39 @@
 
 	private static final int TOKENS_PER_EVENT = 4;
 
+	private static final int SLOTS = 24;
+
+	/** The prompt tokens that an engine reads in one step. */
+	private static final int CHUNK_TOKENS = 112;
+
+	/** The goal for the longest pause between events. */
+	private static final long MAX_PAUSE_MILLIS = 180;
+
+	/**
+	 * The number of gossip intervals between updates to entries of other data centres.
+	 */
+	private static final int DISTANT_INTERVALS = 10;
+
+	private static final List<String> DATA_CENTRES = List.of("dc", "dc2", "dc3");
+
+	/** The period for which the direction of a data centre's requests is determined. */
+	private static final long DIRECTION_MILLIS = 500;
+
+	/** The share sent elsewhere from which a data centre counts as overflowing. */
+	private static final double OVERFLOWING_SHARE = 0.2;
+
 	private final SplittableRandom random;
 
+	private final int dataCentres;
+
+	/** Requests that stayed and that were sent elsewhere, by data centre and period. */
+	private final Map<Integer, Map<Long, int[]>> directions = new TreeMap<>();
+
+	/** The speeds of engines that work in steps. */
+	private Optional<UnevenSpeeds> speeds = Optional.empty();
+
+	private boolean reportsSlowness;
+
 	private final List<DispatchHarness> entries = new ArrayList<>();
 
 	private final Map<String, FleetEngine> engines = new LinkedHashMap<>();
@@ -67,6 +103,9 @@
 
 	private Optional<ReclaimedEngines> reclaimed = Optional.empty();
 
+	/** The latest work that each entry received, by sender. */
+	private final Map<DispatchHarness, Map<DispatchHarness, List<WorkAtTarget>>> received = new HashMap<>();
+
 	private final PriorityQueue<Caller> due = new PriorityQueue<>((a, b) -> Long.compare(a.dueAt, b.dueAt));
 
 	private final Map<DispatchHarness, Map<Long, Caller>> open = new HashMap<>();
@@ -78,9 +117,23 @@
 	private long now;
 
 	OverloadedFleet(int entries, int engines, long seed) {
+		this(entries, engines, 1, Mechanisms.all(), seed);
+	}
+
+	/**
+	 * Create a fleet whose entries and engines are distributed over data centres.
+	 * @param entries the number of entries
+	 * @param engines the number of engines
+	 * @param dataCentres the number of data centres, at most 3
+	 * @param mechanisms the mechanisms that the entries use
+	 * @param seed the seed of all random choices
+	 */
+	OverloadedFleet(int entries, int engines, int dataCentres, Mechanisms mechanisms, long seed) {
 		this.random = new SplittableRandom(seed);
+		this.dataCentres = dataCentres;
 		for (int i = 0; i < entries; i++) {
-			DispatchHarness entry = new DispatchHarness(1, 100, seed * 100 + i);
+			DispatchHarness entry = new DispatchHarness(1, 100, seed * 100 + i, mechanisms, PoisonSettings.defaults(),
+					DATA_CENTRES.get(i % dataCentres));
 			entry.entries = entries;
 			entry.rank = i;
 			this.entries.add(entry);
@@ -88,11 +141,22 @@
 		}
 		for (int i = 0; i < engines; i++) {
 			String id = "e" + i;
-			this.engines.put(id, new Engine());
-			this.entries.forEach((e) -> e.join(DispatchHarness.ENGINES, id));
+			this.engines.put(id, new Engine(i));
+			String dataCentre = DATA_CENTRES.get(i % dataCentres);
+			this.entries.forEach((e) -> e.join(DispatchHarness.ENGINES, id, dataCentre));
 		}
 	}
 
+	/**
+	 * Let the engines work in steps of uneven duration.
+	 * @param uneven the speeds of the engines
+	 * @param reported whether the engines report their slowness
+	 */
+	void useSpeeds(UnevenSpeeds uneven, boolean reported) {
+		this.speeds = Optional.of(uneven);
+		this.reportsSlowness = reported;
+	}
+
 	/**
 	 * Create a fleet whose engines are reclaimed at intervals.
 	 * @param entries the number of entries
@@ -102,6 +166,7 @@
 	 */
 	OverloadedFleet(int entries, int engines, Optional<WaitingOrder> order, long seed) {
 		this.random = new SplittableRandom(seed);
+		this.dataCentres = 1;
 		for (int i = 0; i < entries; i++) {
 			addEntry(entries, i, order, seed * 100 + i);
 		}
@@ -151,6 +216,66 @@
 		}
 	}
 
+	/**
+	 * Schedule the arrival of callers whose rate swings in each data centre at another
+	 * phase.
+	 * @param kind the kind of generation that they request
+	 * @param perSecond the average number of arrivals per second in all data centres
+	 * @param swing the deviation of the rate relative to its mean
+	 * @param periodMillis the period of the rate
+	 * @param to the end of the arrivals, in milliseconds
+	 */
+	void scheduleSwingingArrivals(Kind kind, double perSecond, double swing, long periodMillis, long to) {
+		int before = this.callers.size();
+		scheduleArrivals(kind, perSecond * (1 + swing), 0, to);
+		List<Caller> added = List.copyOf(this.callers.subList(before, this.callers.size()));
+		for (Caller caller : added) {
+			double phase = (double) dataCentre(caller.entry) / this.dataCentres
+					+ (double) caller.arrivedAt / periodMillis;
+			double rate = 1 + swing * Math.sin(2 * Math.PI * phase);
+			if (this.random.nextDouble() * (1 + swing) > rate) {
+				this.callers.remove(caller);
+				this.due.remove(caller);
+			}
+		}
+	}
+
+	private int dataCentre(DispatchHarness entry) {
+		return this.entries.indexOf(entry) % this.dataCentres;
+	}
+
+	// The share of requests that were sent to another data centre.
+	double shareElsewhere() {
+		long[] sums = new long[2];
+		this.directions.values().forEach((d) -> d.values().forEach((c) -> {
+			sums[0] += c[0];
+			sums[1] += c[1];
+		}));
+		return (double) sums[1] / Math.max(1, sums[0] + sums[1]);
+	}
+
+	// How often a data centre began or ceased to send many requests elsewhere.
+	int changesOfDirection() {
+		int changes = 0;
+		for (Map<Long, int[]> periods : this.directions.values()) {
+			boolean overflows = false;
+			for (int[] counts : periods.values()) {
+				boolean now = counts[1] > OVERFLOWING_SHARE * (counts[0] + counts[1]);
+				changes += (now != overflows) ? 1 : 0;
+				overflows = now;
+			}
+		}
+		return changes;
+	}
+
+	private void recordDirection(DispatchHarness entry, DispatchHarness.Sent sent) {
+		int from = dataCentre(entry);
+		boolean isLocal = sent.target().dataCentre().equals(DATA_CENTRES.get(from));
+		int[] counts = this.directions.computeIfAbsent(from, (d) -> new TreeMap<>())
+			.computeIfAbsent(this.now / DIRECTION_MILLIS, (p) -> new int[2]);
+		counts[isLocal ? 0 : 1]++;
+	}
+
 	void run(long until) {
 		for (; this.now < until; this.now++) {
 			if (this.now % GOSSIP_INTERVAL_MILLIS == 0) {
@@ -175,29 +300,25 @@
 	}
 
 	private void exchangeWork() {
-		Map<DispatchHarness, Map<String, WorkAtTarget>> work = new HashMap<>();
-		Map<String, WorkAtTarget> all = new HashMap<>();
-		for (DispatchHarness entry : this.entries) {
-			Map<String, WorkAtTarget> own = work.computeIfAbsent(entry, (e) -> new HashMap<>());
-			entry.estimates.localWork().forEach((w) -> {
-				own.put(w.target().id(), w);
-				all.merge(w.target().id(), w, WorkAtTarget::plus);
-			});
+		boolean isDistantDue = this.now % (DISTANT_INTERVALS * GOSSIP_INTERVAL_MILLIS) == 0;
+		for (DispatchHarness from : this.entries) {
+			List<WorkAtTarget> work = from.estimates.localWork(this.now);
+			for (DispatchHarness to : this.entries) {
+				if (to != from && (isDistantDue || dataCentre(to) == dataCentre(from))) {
+					this.received.computeIfAbsent(to, (e) -> new HashMap<>()).put(from, work);
+					work.forEach((w) -> w.speed().ifPresent((s) -> to.estimates.mergeSpeed(w.target(), s, this.now)));
+				}
+			}
 		}
+		this.received.forEach(this::sumWork);
 		this.queues.forEach((e, q) -> this.demand.put(e,
 				q.demand().stream().findFirst().orElse(ServiceDemand.none(DispatchHarness.ENGINES))));
-		for (DispatchHarness entry : this.entries) {
-			for (String engine : this.engines.keySet()) {
-				TargetIncarnation incarnation = TargetIncarnation.of(engine);
-				WorkAtTarget none = WorkAtTarget.none(incarnation);
-				WorkAtTarget sum = all.getOrDefault(engine, none);
-				WorkAtTarget own = work.get(entry).getOrDefault(engine, none);
-				entry.workOfOthers.put(engine,
-						new WorkAtTarget(incarnation, sum.requests() - own.requests(),
-								sum.reservedTokens() - own.reservedTokens(),
-								sum.pendingPromptTokens() - own.pendingPromptTokens(), 0, false, 0, false));
-			}
-		}
+	}
+
+	private void sumWork(DispatchHarness entry, Map<DispatchHarness, List<WorkAtTarget>> ofOthers) {
+		this.engines.keySet().forEach((e) -> entry.workOfOthers.put(e, WorkAtTarget.none(TargetIncarnation.of(e))));
+		ofOthers.values()
+			.forEach((l) -> l.forEach((w) -> entry.workOfOthers.merge(w.target().id(), w, WorkAtTarget::plus)));
 	}
 
 	private void open(Caller caller) {
@@ -222,6 +343,7 @@
 		List<DispatchHarness.Sent> sent = List.copyOf(entry.sent);
 		entry.sent.clear();
 		for (DispatchHarness.Sent attempt : sent) {
+			recordDirection(entry, attempt);
 			FleetEngine engine = this.engines.get(attempt.target().id());
 			if (engine == null) {
 				entry.dispatcher.connectFailed(attempt.call(), attempt.attempt(), ConnectFault.TIMED_OUT, "ended",
@@ -294,10 +416,7 @@
 	 */
 	enum Outcome {
 
-		ALL, IN_TIME, LATE, REFUSED, REFUSED_AGAIN, COMPLETE_IN_TIME, COMPLETE_LATE, REFUSED_FINALLY, FAILED;
-
-		/** The goal of the longest pause between events. */
-		private static final long MAX_PAUSE_MILLIS = 180;
+		ALL, IN_TIME, STEADY, LATE, REFUSED, REFUSED_AGAIN, COMPLETE_IN_TIME, COMPLETE_LATE, REFUSED_FINALLY, FAILED;
 
 		private boolean matches(Caller caller) {
 			boolean isServed = caller.firstEventAt > 0 && caller.firstEventAt <= caller.givesUpAt;
@@ -305,11 +424,12 @@
 			return switch (this) {
 				case ALL -> true;
 				case IN_TIME -> isInTime;
+				case STEADY -> isInTime && caller.longestPauseMillis <= MAX_PAUSE_MILLIS;
 				case LATE -> isServed && !isInTime;
 				case REFUSED -> caller.refusals > 0;
 				case REFUSED_AGAIN -> caller.refusals > 1;
-				case COMPLETE_IN_TIME -> caller.complete && isInTime && caller.longestPause <= MAX_PAUSE_MILLIS;
-				case COMPLETE_LATE -> caller.complete && !(isInTime && caller.longestPause <= MAX_PAUSE_MILLIS);
+				case COMPLETE_IN_TIME -> caller.complete && STEADY.matches(caller);
+				case COMPLETE_LATE -> caller.complete && !STEADY.matches(caller);
 				case REFUSED_FINALLY -> !caller.complete && !caller.failed && caller.refusals > 1;
 				case FAILED -> !caller.complete && (caller.failed || caller.refusals <= 1);
 			};
@@ -337,7 +457,7 @@
 
 		private long lastEventAt;
 
-		private long longestPause;
+		private long longestPauseMillis;
 
 		private boolean complete;
 
@@ -368,6 +488,8 @@
 
 		int passed;
 
+		private int tokensOfEvent;
+
 		private Execution(Caller caller, DispatchHarness.Sent sent) {
 			this.caller = caller;
 			this.sent = sent;
@@ -398,7 +520,7 @@
 				return false;
 			}
 			to.firstEventAt = (this.passed == 0) ? now : to.firstEventAt;
-			to.longestPause = (this.passed == 0) ? 0 : Math.max(to.longestPause, now - to.lastEventAt);
+			to.longestPauseMillis = (this.passed == 0) ? 0 : Math.max(to.longestPauseMillis, now - to.lastEventAt);
 			to.lastEventAt = now;
 			this.passed++;
 			if (this.passed < to.events) {
@@ -459,6 +581,14 @@
 
 		private final List<Execution> running = new ArrayList<>();
 
+		private final int number;
+
+		private long stepEndsAt;
+
+		private Engine(int number) {
+			this.number = number;
+		}
+
 		@Override
 		public void add(Execution execution) {
 			this.waiting.add(execution);
@@ -466,14 +596,56 @@
 
 		@Override
 		public void step(long now) {
+			if (OverloadedFleet.this.speeds.isPresent()) {
+				unevenStep(OverloadedFleet.this.speeds.get());
+				return;
+			}
+			admit();
+			this.running.stream().filter((r) -> r.unreadPromptTokens > 0).findFirst().ifPresent(this::read);
+			List.copyOf(this.running).forEach(this::generate);
+		}
+
+		private double slowness(UnevenSpeeds uneven) {
+			return uneven.slowness("e" + this.number, OverloadedFleet.this.now);
+		}
+
+		private void unevenStep(UnevenSpeeds uneven) {
+			if (OverloadedFleet.this.now < this.stepEndsAt) {
+				return;
+			}
+			List<Execution> generating = this.running.stream().filter((r) -> r.unreadPromptTokens <= 0).toList();
+			this.running.stream()
+				.filter((r) -> r.unreadPromptTokens > 0)
+				.findFirst()
+				.ifPresent((r) -> r.unreadPromptTokens -= CHUNK_TOKENS);
+			generating.stream()
+				.filter((r) -> r.passed == 0 || ++r.tokensOfEvent % TOKENS_PER_EVENT == 0)
+				.forEach(this::generate);
+			admit();
+			boolean reads = this.running.stream().anyMatch((r) -> r.unreadPromptTokens > 0);
+			double millis = 7 + 0.12 * this.running.size() + (reads ? 8 : 0);
+			this.stepEndsAt = OverloadedFleet.this.now
+					+ Math.round(millis * UnevenSpeeds.usual(this.number) * slowness(uneven));
+		}
+
+		private void report(Execution execution) {
+			OptionalDouble slowness = OverloadedFleet.this.reportsSlowness
+					? OptionalDouble.of(slowness(OverloadedFleet.this.speeds.get())) : OptionalDouble.empty();
+			TargetLoad load = new TargetLoad(this.running.size(), this.waiting.size(), SLOTS, slowness);
+			AnswerHead head = new AnswerHead(200, DispatchHarness.id(execution.sent.call()), true, false, false, true,
+					Optional.of(load), OptionalLong.empty(), BackpressureSignals.NONE);
+			execution.caller.entry.dispatcher.headReceived(execution.sent.call(), execution.sent.attempt(), head,
+					OverloadedFleet.this.now);
+		}
+
+		private void admit() {
 			long used = this.running.stream().mapToLong(Execution::tokens).sum();
-			while (!this.waiting.isEmpty() && used + this.waiting.peek().tokens() <= MEMORY_TOKENS) {
+			while (!this.waiting.isEmpty() && used + this.waiting.peek().tokens() <= MEMORY_TOKENS
+					&& this.running.size() < SLOTS) {
 				Execution next = this.waiting.poll();
 				used += next.tokens();
 				this.running.add(next);
 			}
-			this.running.stream().filter((r) -> r.unreadPromptTokens > 0).findFirst().ifPresent(this::read);
-			List.copyOf(this.running).forEach(this::generate);
 		}
 
 		private void read(Execution execution) {
@@ -488,12 +660,20 @@
 				return;
 			}
 			DispatchHarness entry = execution.caller.entry;
-			execution.caller.firstEventAt = (execution.passed == 0) ? OverloadedFleet.this.now
-					: execution.caller.firstEventAt;
+			if (execution.passed == 0) {
+				execution.caller.firstEventAt = OverloadedFleet.this.now;
+				OverloadedFleet.this.speeds.ifPresent((s) -> report(execution));
+			}
+			else {
+				execution.caller.longestPauseMillis = Math.max(execution.caller.longestPauseMillis,
+						OverloadedFleet.this.now - execution.caller.lastEventAt);
+			}
+			execution.caller.lastEventAt = OverloadedFleet.this.now;
 			boolean isOpen = entry.dispatcher.eventReceived(execution.sent.call(), execution.sent.attempt(),
 					execution.passed, OverloadedFleet.this.now);
 			execution.passed++;
-			execution.nextEventAt = OverloadedFleet.this.now + EVENT_INTERVAL_MILLIS;
+			execution.nextEventAt = OverloadedFleet.this.now
+					+ (OverloadedFleet.this.speeds.isPresent() ? 0 : EVENT_INTERVAL_MILLIS);
 			if (!isOpen || execution.passed >= execution.caller.events) {
 				this.running.remove(execution);
 				entry.dispatcher.streamEnded(execution.sent.call(), execution.sent.attempt(), OverloadedFleet.this.now);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -34,9 +34,7 @@
 import dev.laneworks.core.serving.ServingPlan;
 import dev.laneworks.core.shares.AccountOveruse;
 import dev.laneworks.core.time.Timers;
-import dev.laneworks.core.waiting.FixedStartLimit;
 import dev.laneworks.core.waiting.GenerationQueues;
-import dev.laneworks.core.waiting.GovernedServices;
 import dev.laneworks.entry.caller.CallLatencyMetrics;
 import dev.laneworks.runtime.audit.AuditTrail;
 import dev.laneworks.runtime.http.AsyncHttpClient;
@@ -127,14 +125,20 @@
 
 	private final GenerationQueues queues;
 
+	private final TargetChooser chooser;
+
 	private final Dispatcher dispatcher;
 
+	private final SpeedMetrics speedMetrics = new SpeedMetrics();
+
 	private final StoreView store;
 
 	private final SnapshotTransfer snapshots;
 
 	private final EngineDrainingQuery drainingQuery;
 
+	private final Optional<IngressGate> ingress;
+
 	private final DirectServer callers;
 
 	private final ReadinessServer readiness;
@@ -155,6 +159,8 @@
 
 	private volatile boolean ready;
 
+	private volatile Optional<InetSocketAddress> operatorsAddress = Optional.empty();
+
 	/** The gauge values as last collected on the I/O thread. */
 	private volatile EntryGauges gauges = EntryGauges.NONE;
 
@@ -208,14 +214,14 @@
 		Eligibility eligibility = new Eligibility(this.directory, this.estimates, this.cold, this.backpressure,
 				settings.regions());
 		this.peers.shareSignals(this.backpressure, this.directory::isCurrentIncarnation);
-		TargetChooser chooser = new TargetChooser(eligibility, this.estimates, settings.dataCentre(), random,
-				settings.mechanisms());
-		this.queues = new GenerationQueues(settings.waiting(), new FixedStartLimit(this::governedServices),
-				AccountOveruse.NONE, this.peers, random);
+		this.chooser = new TargetChooser(eligibility, this.estimates, settings.dataCentre(), this.peers::silentMillis,
+				random, settings.mechanisms());
+		this.queues = new GenerationQueues(settings.waiting(), this::startLimit, AccountOveruse.NONE, this.peers,
+				random);
 		this.peers.useDemand(this.queues::demand);
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(settings.mechanisms()), this.directory,
-				this.estimates, eligibility, chooser, this.peers, this.peers, this.queues, this.suspects.requests(),
-				this.retryBudget, timers, calls, this.audit);
+				this.estimates, eligibility, this.chooser, this.peers, this.peers, this.queues,
+				this.suspects.requests(), this.retryBudget, timers, calls, this.audit);
 		calls.use(this.dispatcher);
 		this.suspects.use(this.dispatcher);
 		members.use(this.dispatcher, this.store);
@@ -226,8 +232,10 @@
 		this.peers.onStoreUpdate((u) -> this.store.follower().updateReceived(u, this.loop.now()));
 		this.resumeGate = new ResumeGate(this.store.follower()::ageMillis);
 		this.loop.onPause(this::paused);
+		this.ingress = IngressGate.create(settings.maxDelayShare(), this.loop, calls::load, this.metrics);
 		this.callers = new DirectServer(this.io, settings.callers(), calls, adapter.headers(),
-				this.store.published()::plan, this.shutdown, this.loop, this.resumeGate::isClosed, random, this.audit);
+				this.store.published()::plan, this.shutdown, (r) -> this.ingress.flatMap((g) -> g.refuse(r)), this.loop,
+				this.resumeGate::isClosed, random, this.audit);
 		this.readiness = new ReadinessServer(this.io, settings.readiness(), adapter.source()::readinessPaths,
 				this::isReady);
 		registerMetrics();
@@ -242,6 +250,7 @@
 		this.callers.listen();
 		this.loop.run(() -> this.store.follower().start(this.loop.now()));
 		this.readiness.start();
+		this.ingress.ifPresent((g) -> this.loop.run(g::start));
 		LogLine.of("started").with("address", this.settings.callers().toString()).info();
 		this.loop.run(() -> pollPlan(this.loop.now()));
 		this.loop.run(this::updateRetryShare);
@@ -251,6 +260,7 @@
 		OperatorServer operators = new OperatorServer(this.io.worker(), this.settings.operators(), this.metrics,
 				this.audit, this::isReady, this::status, Handlers.routing());
 		operators.start();
+		this.operatorsAddress = Optional.of(operators.address());
 		this.peers.listen(this.settings.gossipAddress());
 		this.loop.run(() -> this.peers.start(this.loop.now()));
 		this.loop.run(() -> this.suspects.start(this.loop.now()));
@@ -307,6 +317,14 @@
 		return this.callers.address();
 	}
 
+	/**
+	 * Return the address that operators and metric scrapers connect to.
+	 * @return the bound address, or empty before the port is open
+	 */
+	public Optional<InetSocketAddress> operatorsAddress() {
+		return this.operatorsAddress;
+	}
+
 	/**
 	 * Determine whether the process accepts requests.
 	 * @return {@code true} from the first complete plan until a shutdown is requested
@@ -352,6 +370,7 @@
 		long suspended = MonotonicClock.suspendedMillis() - this.reportedSuspendedMillis;
 		this.reportedSuspendedMillis += suspended;
 		boolean isGateClosed = this.resumeGate.paused(millis, now);
+		this.dispatcher.headroom().recordPause(millis, now);
 		this.audit.record(AuditEvent.of(AuditKind.PAUSED, this.settings.instance(), "",
 				"process paused for " + millis + " ms, the machine suspended for " + suspended + " ms of them; "
 						+ this.dispatcher.openCalls() + " open calls"
@@ -375,6 +394,7 @@
 	private void updateRetryShare() {
 		MonotonicClock.detectSuspension();
 		this.gauges = collectGauges(this.loop.now());
+		this.speedMetrics.collect(this.estimates, this.dispatcher, this.chooser, this.loop.now());
 		this.recentEntryCount = Math.max(this.peers.count() + 1, this.recentEntryCount - 1);
 		this.retryBudget.setLimits(this.activeSettings.retryRatio(),
 				this.activeSettings.ownRetryExtra(this.recentEntryCount));
@@ -385,7 +405,8 @@
 		return new EntryGauges(this.estimates.countUnreachable(now), this.cold.count(now),
 				this.backpressure.limitCount(), this.backpressure.backoffCount(now),
 				this.suspects.requests().quarantined(now), this.store.evacuations().count(),
-				this.store.follower().behindMillis(now), this.queues.refused(),
+				this.store.follower().behindMillis(now), this.dispatcher.headroom().lowestLimit(now),
+				this.dispatcher.headroom().largestDisplacedShare(now), this.queues.refused(),
 				WaitingGauge.of(this.queues.countByPriority(), now));
 	}
 
@@ -408,8 +429,8 @@
 		this.loop.timers().schedule(now + POLL_INTERVAL_MILLIS, (t) -> pollPlan(startedAt));
 	}
 
-	private GovernedServices governedServices() {
-		return this.queues.governed();
+	private double startLimit(String service, int priority, long now) {
+		return this.dispatcher.headroom().maxUtilization(service, priority, now);
 	}
 
 	private void pollShutdown(long since, long now) {
@@ -468,7 +489,7 @@
 		return Map.of("instance", this.settings.instance(), "ready", isReady(), "openCalls",
 				this.dispatcher.openCalls(), "planVersion",
 				this.store.published().plan().map((p) -> Long.toString(p.version())).orElse("none"), "targets",
-				this.directory.size());
+				this.directory.size(), "slowestTargets", this.speedMetrics.slowest());
 	}
 
 	private void registerMetrics() {
@@ -484,11 +505,14 @@
 		this.metrics.register("laneworks_requests_quarantined", (Gauge<Long>) () -> this.gauges.quarantinedRequests());
 		this.metrics.register("laneworks_data_centres_evacuated",
 				(Gauge<Integer>) () -> this.gauges.evacuatedDataCentres());
+		this.metrics.register("laneworks_start_limit", (Gauge<Double>) () -> this.gauges.startLimit());
+		this.metrics.register("laneworks_displaced_share", (Gauge<Double>) () -> this.gauges.displacedShare());
 		this.metrics.register("laneworks_store_histories", (Gauge<Integer>) this.store.published()::restoreCount);
 		this.metrics.register("laneworks_items_refused", (Gauge<Integer>) this.store.published()::refusedItems);
 		this.metrics.register("laneworks_peers", (Gauge<Integer>) this.peers::count);
 		this.metrics.register("laneworks_queue_refused", (Gauge<Long>) () -> this.gauges.refusedFromQueue());
 		WaitingGauge.register(this.metrics, () -> this.gauges.waiting());
+		this.speedMetrics.register(this.metrics);
 		for (AuditKind kind : AuditKind.values()) {
 			this.metrics.counter(counterName(kind));
 		}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EntryGauges.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EntryGauges.java
@@ -13,14 +13,18 @@
  * @param evacuatedDataCentres the data centres that receive no requests
  * @param storeBehindMillis for how long changes of the store have been known to be
  * missing, in milliseconds
+ * @param startLimit the lowest limit of engine memory utilization of any service up to
+ * which less urgent generations start
+ * @param displacedShare the largest share of the remaining engine memory of any service
+ * that recently had to move at once
  * @param refusedFromQueue the generations refused instead of waiting, or after waiting
  * @param waiting the generations that wait for engine memory, by priority
  */
 record EntryGauges(long suspectedTargets, long coldTargets, int rateLimitedTargets, int targetsInBackoff,
-		long quarantinedRequests, int evacuatedDataCentres, long storeBehindMillis, long refusedFromQueue,
-		Map<Integer, WaitingGauge> waiting) {
+		long quarantinedRequests, int evacuatedDataCentres, long storeBehindMillis, double startLimit,
+		double displacedShare, long refusedFromQueue, Map<Integer, WaitingGauge> waiting) {
 
 	/** The values before the first collection. */
-	static final EntryGauges NONE = new EntryGauges(0, 0, 0, 0, 0, 0, 0, 0, Map.of());
+	static final EntryGauges NONE = new EntryGauges(0, 0, 0, 0, 0, 0, 0, 1, 0, 0, Map.of());
 
 }
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PeerEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PeerEntries.java
@@ -206,6 +206,11 @@
 		return this.gossip.peerCount();
 	}
 
+	// Return the time since any entry of a data centre was heard; 0 if none ever was.
+	long silentMillis(String dataCentre, long now) {
+		return this.gossip.silentMillis(dataCentre, now);
+	}
+
 	// Return the other entries' work at a target; empty while no other entry is known.
 	Optional<WorkAtTarget> workAt(TargetIncarnation target) {
 		return this.gossip.workOfOthers(target);
@@ -274,9 +279,15 @@
 		return this.backpressure.map((b) -> b.signals(this.loop.now())).orElse(BackpressureUpdate.NONE);
 	}
 
+	@Override
+	public void speedsReceived(List<WorkAtTarget> work) {
+		long now = this.loop.now();
+		work.forEach((w) -> w.speed().ifPresent((s) -> this.estimates.mergeSpeed(w.target(), s, now)));
+	}
+
 	@Override
 	public List<WorkAtTarget> localWork() {
-		return this.estimates.localWork();
+		return this.estimates.localWork(this.loop.now());
 	}
 
 	@Override
