--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptScheduler.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptScheduler.java
@@ -171,7 +171,9 @@
 
 	// Records the duration of a generation that completed.
 	void recordCompleted(DirectCall call, long now) {
-		call.request().size().ifPresent((w) -> this.admission.recordLifetime(w, now - call.openedAt()));
+		// The wait in a queue holds no memory.
+		long since = this.queuedStarts.governs(call) ? call.startedAt() : call.openedAt();
+		call.request().size().ifPresent((w) -> this.admission.recordLifetime(w, now - since));
 		this.queuedStarts.recordCompleted(call, now);
 	}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/OverloadedFleet.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/OverloadedFleet.java
@@ -29,7 +29,6 @@
 import dev.laneworks.core.serving.WeightedService;
 import dev.laneworks.core.shares.AccountOveruse;
 import dev.laneworks.core.verdict.Refusal;
-import dev.laneworks.core.waiting.FixedStartLimit;
 import dev.laneworks.core.waiting.GenerationQueues;
 import dev.laneworks.core.waiting.PeerDemand;
 import dev.laneworks.core.waiting.WaitingOrder;
@@ -177,7 +176,7 @@
 		GenerationQueues[] own = new GenerationQueues[1];
 		DispatchHarness[] entry = new DispatchHarness[1];
 		own[0] = new GenerationQueues(order.map((o) -> new WaitingSettings(3_000, o, 512, false)),
-				new FixedStartLimit(() -> own[0].governed()), AccountOveruse.NONE,
+				(s, p, t) -> entry[0].dispatcher.headroom().maxUtilization(s, p, t), AccountOveruse.NONE,
 				new ReportedDemand(() -> entry[0], entries), new SplittableRandom(seed));
 		entry[0] = new DispatchHarness(1, 100, seed,
 				new Mechanisms(Set.of(Mechanism.RUNNING_COPIES, Mechanism.STANDBY_COPIES)), PoisonSettings.defaults(),
