Move the waits of the locality rule out of TargetChooser

NearTargets calculates the waits, so that the chooser keeps the scores only. The slowness in an answer of another target at the same address is ignored, as its back-pressure signals are; the other load figures count as before. TargetSpeedFailureTests.slownessOfMisdirectedAnswerIsIgnored covers it.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -132,13 +132,14 @@
 				+ engine.map((e) -> ", memory " + Math.round(PERCENT * this.chooser.utilization(target, e, now)) + "%")
 					.orElse("")
 				+ ", directory of " + this.directory.size() + ", left out "
-				+ this.eligibility.countExcluded(call.filter(), now) + this.chooser.describe(target, now)
+				+ this.eligibility.countExcluded(call.filter(), now) + this.estimates.of(target).speed().describe(now)
+				+ this.chooser.nearTargets().describe(target)
 				+ backup.map((b) -> ", copy grows at " + b.id()).orElse("")));
 		this.estimates.update(target, TargetEstimate::requestStarted);
 		this.eligibility.recordSent(target, now);
 		reserve(attempt, reservedTokens(call, engine));
 		if (resume.isEmpty()) {
-			this.chooser.recordSent(target);
+			this.chooser.nearTargets().recordSent(target);
 			recordPromptTokensAhead(attempt, engine, now);
 			updatePendingPromptTokens(attempt, call.request().size().map(GenerationSize::promptTokens).orElse(0L));
 		}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -266,10 +266,12 @@
 		if (head.malformedLoad()) {
 			this.malformedLoads.record(target.id(), now);
 		}
-		head.load().ifPresent((l) -> this.estimates.of(target).recordLoad(l, now));
+		boolean isFromTarget = head.appliesToTarget(this.calls.get(number).request().id());
+		head.load()
+			.map((l) -> isFromTarget ? l : l.withoutSlowness())
+			.ifPresent((l) -> this.estimates.of(target).recordLoad(l, now));
 		head.coldMillis().ifPresent((c) -> this.eligibility.recordCold(target, c, now));
-		if (head.appliesToTarget(this.calls.get(number).request().id())
-				&& this.directory.isCurrentIncarnation(target)) {
+		if (isFromTarget && this.directory.isCurrentIncarnation(target)) {
 			this.eligibility.recordSignals(target, head.signals(), found.get().sentAt(), now);
 		}
 		return head.isSuccess() && head.events() && head.isValidAnswerTo(this.calls.get(number).request().id());
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -4,19 +4,16 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Function;
 import java.util.random.RandomGenerator;
 
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.locality.DataCentreUpdates;
 import dev.laneworks.core.locality.Locality;
-import dev.laneworks.core.locality.TargetWait;
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.mechanism.Mechanisms;
 import dev.laneworks.core.routing.Rendezvous;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.speed.EnginePlacement;
-import dev.laneworks.core.speed.EngineTime;
 import dev.laneworks.core.speed.GenerationNeeds;
 import dev.laneworks.core.speed.PlainTime;
 import dev.laneworks.core.speed.ServiceSpeed;
@@ -161,7 +158,8 @@
 		this.dataCentre = dataCentre;
 		this.random = random;
 		this.mechanisms = mechanisms;
-		this.nearTargets = new NearTargets(new Locality(dataCentre, updates, random));
+		this.nearTargets = new NearTargets(new Locality(dataCentre, updates, random), estimates, dataCentre,
+				mechanisms);
 	}
 
 	/**
@@ -180,7 +178,7 @@
 			.min()
 			.orElse(1);
 		ServiceSpeed speeds = speeds(candidates, now);
-		List<ListedTarget> near = narrow(candidates, speeds, goalMillis, (t) -> plainWait(t, speeds, now), now);
+		List<ListedTarget> near = this.nearTargets.forRequest(candidates, speeds, goalMillis, now);
 		return lowestScored(near, (t) -> plainScore(t, fastest, speeds, now));
 	}
 
@@ -214,8 +212,8 @@
 		double remotePenalty = hasLocalChoice(engines) ? REMOTE_PENALTY_ENGINE_LOCAL_CHOICE : REMOTE_PENALTY_ENGINE;
 		ServiceSpeed speeds = speeds(engines, now);
 		EnginePlacement placement = new EnginePlacement(speeds, needs);
-		List<ListedTarget> near = narrow(engines, speeds, needs.goalMillis(),
-				(t) -> engineWait(t, engine, size, speeds, now), now);
+		List<ListedTarget> near = this.nearTargets.forGeneration(engines, speeds, needs.goalMillis(), engine, size,
+				(t) -> utilization(t, engine, now) + (double) tokens / engine.memoryTokens(), now);
 		List<ListedTarget> suitable = placement.suitable(near, this::speed, engine.tokensPerEvent(),
 				(t) -> utilization(t, engine, now) + (double) tokens / engine.memoryTokens() <= ROOM_UTILIZATION);
 		return lowestScored(suitable,
@@ -361,49 +359,9 @@
 				? ServiceSpeed.of(targets.stream().map(this::speed).toList(), now) : ServiceSpeed.UNKNOWN;
 	}
 
-	private List<ListedTarget> narrow(List<ListedTarget> candidates, ServiceSpeed speeds, long goalMillis,
-			Function<ListedTarget, TargetWait> wait, long now) {
-		this.nearTargets.reset();
-		boolean isActive = goalMillis > 0 && speeds.isActive() && this.mechanisms.isEnabled(Mechanism.NEAR_TARGETS)
-				&& this.mechanisms.isEnabled(Mechanism.WAIT_BASED_LOCALITY);
-		return isActive ? this.nearTargets.narrow(candidates, goalMillis, wait, now) : candidates;
-	}
-
-	private TargetWait plainWait(ListedTarget target, ServiceSpeed speeds, long now) {
-		double factor = speeds.plainFactor(speed(target));
-		double requests = this.estimates.requests(target, now);
-		return new TargetWait(target.dataCentre(),
-				PlainTime.waitMillis(requests, target.slots(), factor, speeds.responseMillis()),
-				Math.max(0, target.slots() - requests) / factor);
-	}
-
-	private TargetWait engineWait(ListedTarget target, EngineSpec engine, GenerationSize size, ServiceSpeed speeds,
-			long now) {
-		double factor = speeds.engineFactor(speed(target));
-		double utilization = Math.max((this.estimates.requests(target, now) + 1) / engine.slots(),
-				utilization(target, engine, now) + (double) size.reservedTokens(0) / engine.memoryTokens());
-		return new TargetWait(
-				target.dataCentre(), EngineTime.waitMillis(this.estimates.pendingPromptTokens(target),
-						size.promptTokens(), factor, speeds.millisPerPromptToken(), utilization),
-				Math.max(0, 1 - utilization) / factor);
-	}
-
-	/**
-	 * Describe the speed of a target and why a request was sent to its data centre.
-	 * @param target the target that was chosen last
-	 * @param now the current time in milliseconds of the monotonic clock
-	 * @return the text for the audit log, which begins with a comma or is empty
-	 */
-	String describe(ListedTarget target, long now) {
-		return speed(target).describe(now) + this.nearTargets.describe(target);
-	}
-
-	/**
-	 * Record that a new request was sent to a target.
-	 * @param target the target
-	 */
-	void recordSent(ListedTarget target) {
-		this.nearTargets.recordSent(target.dataCentre().equals(this.dataCentre));
+	// Returns the rule that keeps requests in this data centre, with its records.
+	NearTargets nearTargets() {
+		return this.nearTargets;
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetLoad.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetLoad.java
@@ -29,4 +29,12 @@
 		this(running, waiting, slots, OptionalDouble.empty());
 	}
 
+	/**
+	 * Create a copy without the slowness.
+	 * @return a copy that differs in the slowness only
+	 */
+	public TargetLoad withoutSlowness() {
+		return new TargetLoad(this.running, this.waiting, this.slots);
+	}
+
 }
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/TargetSpeedFailureTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/TargetSpeedFailureTests.java
@@ -41,6 +41,18 @@
 		assertThat(this.harness.audit.stream().filter((e) -> e.kind() == AuditKind.TARGET_HEALTH).count()).isEqualTo(1);
 	}
 
+	/** Guards against figures of another target that answers at the same address. */
+	@Test
+	void slownessOfMisdirectedAnswerIsIgnored() {
+		ListedTarget target = this.harness.join(DispatchHarness.PLAIN, "a");
+		this.harness.open(1, RequestKind.SAFE, 1);
+		DispatchHarness.Sent sent = this.harness.sendLast();
+		TargetLoad load = new TargetLoad(0, 0, 6, OptionalDouble.of(2.5));
+		this.harness.dispatcher.headReceived(1, sent.attempt(), new AnswerHead(421, "", false, false, true, false,
+				Optional.of(load), OptionalLong.empty(), BackpressureSignals.NONE), this.harness.now);
+		assertThat(this.harness.estimates.of(target).speed().isReporting(this.harness.now)).isFalse();
+	}
+
 	/** Guards against the speed of a former incarnation that is applied to a new one. */
 	@Test
 	void newIncarnationHasUsualSpeed() {
