Order queued generations by their route within the priority of the client account

A route keeps its own priority beside that of the account. It decides within one priority of accounts, in the queue and in the priority sent to engines, and selects the start limit and the learned times. A generation that finds no memory no longer holds back more urgent routes, which may use the memory kept for them. Ruled out: the reserve for urgent generations (limits were 77 to 81 %).

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToIntFunction;
 
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
@@ -53,8 +54,10 @@
 
 	private final Mechanisms mechanisms;
 
+	private final ToIntFunction<DirectCall> enginePriority;
+
 	AttemptSender(TargetDirectory directory, Eligibility eligibility, TargetEstimates estimates, TargetChooser chooser,
-			DispatchOutputs outputs, AuditSink audit, Mechanisms mechanisms) {
+			DispatchOutputs outputs, AuditSink audit, Mechanisms mechanisms, ToIntFunction<DirectCall> enginePriority) {
 		this.directory = directory;
 		this.eligibility = eligibility;
 		this.estimates = estimates;
@@ -62,6 +65,7 @@
 		this.outputs = outputs;
 		this.audit = audit;
 		this.mechanisms = mechanisms;
+		this.enginePriority = enginePriority;
 	}
 
 	Optional<ListedTarget> choose(DirectCall call, Optional<EngineSpec> engine, long now) {
@@ -155,7 +159,7 @@
 			updatePendingPromptTokens(attempt, call.request().size().map(GenerationSize::promptTokens).orElse(0L));
 		}
 		this.outputs.send(call.number(), attempt.number(), target, new SendParameters(call.request().account(),
-				call.request().route().priority(), resume, backup.map(ListedTarget::address)));
+				this.enginePriority.applyAsInt(call), resume, backup.map(ListedTarget::address)));
 		return attempt;
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -116,7 +116,7 @@
 		this.audit = audit;
 		this.malformedLoads = new MalformedLoads(audit);
 		this.sender = new AttemptSender(directory, eligibility, estimates, chooser, outputs, audit,
-				settings.mechanisms());
+				settings.mechanisms(), (c) -> queues.enginePriority(c.request().service(), c.request().route()));
 		this.standbys = new StandbyCopies(directory, eligibility, estimates, chooser, coordination, timers, outputs,
 				audit, settings.mechanisms().isEnabled(Mechanism.STANDBY_COPIES));
 		this.mover = new StreamMover(chooser, estimates, this.standbys, coordination, timers, outputs, audit,
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/HeadroomRecorder.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/HeadroomRecorder.java
@@ -25,7 +25,7 @@
 		DirectRequest request = call.request();
 		request.size()
 			.filter((s) -> this.engines.engine(request.service()).isPresent())
-			.ifPresent((s) -> this.headroom.recordArrival(request.service(), request.route().priority(),
+			.ifPresent((s) -> this.headroom.recordArrival(request.service(), request.route().routePriority(),
 					s.reservedTokens(0), now));
 	}
 
@@ -33,7 +33,7 @@
 	void recordEnd(DirectCall call, Attempt attempt, long now) {
 		DirectRequest request = call.request();
 		if (attempt.resume().isEmpty() && this.engines.engine(request.service()).isPresent()) {
-			this.headroom.recordEnd(request.service(), request.route().priority(), now - attempt.sentAt());
+			this.headroom.recordEnd(request.service(), request.route().routePriority(), now - attempt.sentAt());
 		}
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/QueuedStarts.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/QueuedStarts.java
@@ -1,5 +1,6 @@
 package dev.laneworks.core.dispatch;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -12,7 +13,6 @@
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
-import dev.laneworks.core.serving.AllowedRegions;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.time.Timers;
 import dev.laneworks.core.waiting.EngineMemory;
@@ -138,7 +138,7 @@
 
 	void recordFirstEvent(DirectCall call, Attempt attempt, long now) {
 		if (governs(call) && attempt.resume().isEmpty()) {
-			this.queues.recordFirstEvent(call.request().service(), call.request().route().priority(),
+			this.queues.recordFirstEvent(call.request().service(), call.request().route().routePriority(),
 					now - attempt.startedAt());
 		}
 	}
@@ -154,16 +154,16 @@
 	}
 
 	// Starts at most one generation, the first in order for which an engine has memory.
-	// Those behind one that finds no memory at the same engines do not overtake it.
+	// Those behind one that finds no memory do not overtake it in the same memory.
 	private void startNext(String service, long now) {
 		refuseExpired(service, now);
-		Set<AllowedRegions> occupied = new HashSet<>();
+		List<QueuedGeneration> waiting = new ArrayList<>();
 		for (QueuedGeneration generation : this.queues.inOrder(service, now)) {
-			if (!occupied.contains(generation.regions())
+			if (waiting.stream().noneMatch((w) -> w.holdsBack(generation))
 					&& tryStart(this.calls.get(generation.call()), generation, now)) {
 				return;
 			}
-			occupied.add(generation.regions());
+			waiting.add(generation);
 		}
 	}
 
@@ -172,7 +172,7 @@
 	}
 
 	private boolean tryStart(DirectCall call, QueuedGeneration generation, long now) {
-		double limit = this.queues.maxUtilization(call.request().service(), generation.priority(), now);
+		double limit = this.queues.maxUtilization(call.request().service(), generation.routePriority(), now);
 		Optional<ListedTarget> target = this.engines.apply(call)
 			.flatMap((e) -> this.sender.chooseWithRoom(call, e, limit, now));
 		target.ifPresent((t) -> {
@@ -197,8 +197,8 @@
 		OptionalLong hint = size.expectedTokens();
 		long expected = hint.isPresent() ? Math.min(hint.getAsLong(), size.maxTokens()) : size.maxTokens();
 		long timeout = call.dueAt() - call.openedAt();
-		return new QueuedGeneration(call.number(), request.route().priority(), request.account(), request.regions(),
-				size.reservedTokens(0), expected, call.openedAt(),
+		return new QueuedGeneration(call.number(), request.route().priority(), request.route().routePriority(),
+				request.account(), request.regions(), size.reservedTokens(0), expected, call.openedAt(),
 				this.queues.firstArrivalAt(request.route().name(), timeout, call.openedAt()),
 				request.route().goalMillis(), call.dueAt());
 	}
@@ -210,7 +210,8 @@
 	}
 
 	private void recordQueued(DirectCall call, QueuePosition position, long now) {
-		double limit = this.queues.maxUtilization(call.request().service(), call.request().route().priority(), now);
+		double limit = this.queues.maxUtilization(call.request().service(), call.request().route().routePriority(),
+				now);
 		String best = this.engines.apply(call)
 			.flatMap((e) -> this.sender.chooseLeastUtilized(call, e, now)
 				.map((t) -> t.id() + " at " + percent(this.sender.utilizationWith(call, t, e, now)) + "% with it"))
--- a/laneworks-core/src/main/java/dev/laneworks/core/serving/RouteSpec.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/serving/RouteSpec.java
@@ -14,7 +14,10 @@
  * @param goalMillis the response-time goal, in milliseconds
  * @param eventIntervalGoalMillis the goal for the longest pause between events, in
  * milliseconds; 0 if answers are not streams
- * @param priority the priority, 0 being the highest
+ * @param priority the priority of its requests, 0 being the highest; that of the client
+ * account if it has one
+ * @param routePriority the priority of the route itself, which orders the requests of
+ * client accounts of the same priority
  * @param maxAttempts the maximum number of targets that one request may run on
  * @param open whether requests are accepted without a key
  * @param services the services that answer the requests, at least one
@@ -22,8 +25,8 @@
  * @since 0.2
  */
 public record RouteSpec(String name, String host, String prefix, RequestKind kind, long timeoutMillis, long goalMillis,
-		long eventIntervalGoalMillis, int priority, int maxAttempts, boolean open, List<WeightedService> services,
-		AllowedRegions regions) {
+		long eventIntervalGoalMillis, int priority, int routePriority, int maxAttempts, boolean open,
+		List<WeightedService> services, AllowedRegions regions) {
 
 	public RouteSpec {
 		Objects.requireNonNull(name, "name must not be null");
@@ -41,13 +44,37 @@
 	}
 
 	/**
-	 * Create a copy with another priority.
+	 * Create a route whose requests have its own priority.
+	 * @param name the route's name
+	 * @param host the host name of matching requests
+	 * @param prefix the path prefix of matching requests
+	 * @param kind the kind of the requests
+	 * @param timeoutMillis the maximum duration of a request, in milliseconds; positive
+	 * @param goalMillis the response-time goal, in milliseconds
+	 * @param eventIntervalGoalMillis the goal for the longest pause between events, in
+	 * milliseconds; 0 if answers are not streams
+	 * @param priority the priority, 0 being the highest
+	 * @param maxAttempts the maximum number of targets that one request may run on
+	 * @param open whether requests are accepted without a key
+	 * @param services the services that answer the requests, at least one
+	 * @param regions the regions in which requests may be served
+	 */
+	public RouteSpec(String name, String host, String prefix, RequestKind kind, long timeoutMillis, long goalMillis,
+			long eventIntervalGoalMillis, int priority, int maxAttempts, boolean open, List<WeightedService> services,
+			AllowedRegions regions) {
+		this(name, host, prefix, kind, timeoutMillis, goalMillis, eventIntervalGoalMillis, priority, priority,
+				maxAttempts, open, services, regions);
+	}
+
+	/**
+	 * Create a copy with the priority of a client account.
 	 * @param newPriority the priority, 0 being the highest
 	 * @return a copy that differs in the priority only
 	 */
 	public RouteSpec withPriority(int newPriority) {
 		return new RouteSpec(this.name, this.host, this.prefix, this.kind, this.timeoutMillis, this.goalMillis,
-				this.eventIntervalGoalMillis, newPriority, this.maxAttempts, this.open, this.services, this.regions);
+				this.eventIntervalGoalMillis, newPriority, this.routePriority, this.maxAttempts, this.open,
+				this.services, this.regions);
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/waiting/GenerationQueues.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/waiting/GenerationQueues.java
@@ -12,6 +12,7 @@
 
 import dev.laneworks.core.gossip.ServiceDemand;
 import dev.laneworks.core.headroom.StartLimit;
+import dev.laneworks.core.serving.RouteSpec;
 import dev.laneworks.core.serving.ServingPlan;
 import dev.laneworks.core.shares.AccountOveruse;
 
@@ -89,11 +90,24 @@
 		return this.governed;
 	}
 
+	/**
+	 * Return the priority with which a generation is sent to its engine. Engines know no
+	 * routes, so the order of the routes is expressed within the priority of the client
+	 * account.
+	 * @param service the name of the service
+	 * @param route the route of the request, with the priority of the client account
+	 * @return the priority, 0 being the highest
+	 */
+	public int enginePriority(String service, RouteSpec route) {
+		return (route.priority() != route.routePriority())
+				? route.priority() + this.governed.rankOf(service, route.routePriority()) : route.priority();
+	}
+
 	/**
 	 * Return the highest utilization of an engine up to which a generation may start
 	 * there.
 	 * @param service the name of the service
-	 * @param priority the priority of the generation, 0 being the highest
+	 * @param priority the priority of the generation's route, 0 being the highest
 	 * @param now the current time in milliseconds of the monotonic clock
 	 * @return a fraction of the engine's memory, from 0 to 1
 	 */
@@ -235,7 +249,7 @@
 	/**
 	 * Record the first event of a generation.
 	 * @param service the name of the service
-	 * @param priority the priority of the generation, 0 being the highest
+	 * @param priority the priority of the generation's route, 0 being the highest
 	 * @param millis the time since it was sent to its engine, in milliseconds
 	 */
 	public void recordFirstEvent(String service, int priority, long millis) {
@@ -275,7 +289,7 @@
 	}
 
 	/**
-	 * Return the queued generations of all services by priority.
+	 * Return the queued generations of all services by priority of their routes.
 	 * @return the counts and the arrivals of the oldest
 	 */
 	public SortedMap<Integer, WaitingCount> countByPriority() {
@@ -284,7 +298,7 @@
 			.stream()
 			.map(ServiceQueue::generations)
 			.flatMap(Collection::stream)
-			.forEach((g) -> counts.merge(g.priority(), new WaitingCount(1, g.arrivedAt()), WaitingCount::plus));
+			.forEach((g) -> counts.merge(g.routePriority(), new WaitingCount(1, g.arrivedAt()), WaitingCount::plus));
 		return counts;
 	}
 
@@ -298,7 +312,7 @@
 
 	private long expectedWaitMillis(String service, QueuedGeneration generation, EngineMemory memory, long now) {
 		return queue(service).expectedWaitMillis(generation, memory,
-				maxUtilization(service, generation.priority(), now), this.peers.demandOfOthers(service),
+				maxUtilization(service, generation.routePriority(), now), this.peers.demandOfOthers(service),
 				this.peers.entries(), now);
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/waiting/GovernedServices.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/waiting/GovernedServices.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
+import java.util.SortedSet;
+import java.util.TreeSet;
 
 import dev.laneworks.core.serving.RequestKind;
 import dev.laneworks.core.serving.RouteSpec;
@@ -24,10 +26,11 @@
 	/** No services. */
 	public static final GovernedServices NONE = new GovernedServices(Map.of());
 
-	private final Map<String, Integer> mostUrgentPriorities;
+	/** The different priorities of the streaming routes of each service. */
+	private final Map<String, SortedSet<Integer>> priorities;
 
-	private GovernedServices(Map<String, Integer> mostUrgentPriorities) {
-		this.mostUrgentPriorities = Map.copyOf(mostUrgentPriorities);
+	private GovernedServices(Map<String, SortedSet<Integer>> priorities) {
+		this.priorities = Map.copyOf(priorities);
 	}
 
 	/**
@@ -37,13 +40,13 @@
 	 * @return the services that meet the condition
 	 */
 	public static GovernedServices of(ServingPlan plan, long minGoalMillis) {
-		Map<String, Integer> found = new HashMap<>();
+		Map<String, SortedSet<Integer>> found = new HashMap<>();
 		plan.services().forEach((s) -> {
 			List<RouteSpec> routes = plan.routes().stream().filter((r) -> isStreamingTo(r, s.name())).toList();
-			int mostUrgent = routes.stream().mapToInt(RouteSpec::priority).min().orElse(0);
+			SortedSet<Integer> all = new TreeSet<>(routes.stream().map(RouteSpec::priority).toList());
 			if (s.engine().isPresent()
-					&& routes.stream().anyMatch((r) -> r.priority() > mostUrgent && r.goalMillis() >= minGoalMillis)) {
-				found.put(s.name(), mostUrgent);
+					&& routes.stream().anyMatch((r) -> r.priority() > all.first() && r.goalMillis() >= minGoalMillis)) {
+				found.put(s.name(), all);
 			}
 		});
 		return new GovernedServices(found);
@@ -55,7 +58,7 @@
 	 * @return {@code false} if they are sent or refused at once
 	 */
 	public boolean contains(String service) {
-		return this.mostUrgentPriorities.containsKey(service);
+		return this.priorities.containsKey(service);
 	}
 
 	/**
@@ -64,8 +67,19 @@
 	 * @return the priority, 0 being the highest, or empty if the service is not governed
 	 */
 	public OptionalInt mostUrgentPriority(String service) {
-		Integer priority = this.mostUrgentPriorities.get(service);
-		return (priority != null) ? OptionalInt.of(priority) : OptionalInt.empty();
+		SortedSet<Integer> all = this.priorities.get(service);
+		return (all != null) ? OptionalInt.of(all.first()) : OptionalInt.empty();
+	}
+
+	/**
+	 * Return the number of more urgent priorities on the routes of a service.
+	 * @param service the name of the service
+	 * @param priority the priority of one of its routes
+	 * @return the count; 0 if the service is not governed
+	 */
+	int rankOf(String service, int priority) {
+		SortedSet<Integer> all = this.priorities.get(service);
+		return (all != null) ? all.headSet(priority).size() : 0;
 	}
 
 	private static boolean isStreamingTo(RouteSpec route, String service) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/waiting/QueueRanking.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/waiting/QueueRanking.java
@@ -10,8 +10,9 @@
 import dev.laneworks.core.shares.AccountOveruse;
 
 /**
- * Sort key of the waiting generations of one service: priority, timeliness, share of the
- * client account, returned callers, then the order of the settings.
+ * Sort key of the waiting generations of one service: priority, priority of the route,
+ * timeliness, share of the client account, returned callers, then the order of the
+ * settings.
  */
 final class QueueRanking {
 
@@ -19,6 +20,7 @@
 	private static final double MAX_USE_OF_SHARE = 1.05;
 
 	private static final Comparator<Rank> RANKS = Comparator.comparingInt(Rank::priority)
+		.thenComparingInt(Rank::routePriority)
 		.thenComparing(Rank::isLate)
 		.thenComparing(Rank::isOverShare)
 		.thenComparing(Rank::isNew)
@@ -64,14 +66,14 @@
 	// The time left until a generation must start, in milliseconds; negative if it can't
 	// meet its goal any more.
 	long slackMillis(QueuedGeneration generation, long now) {
-		return generation.goalAt() - this.startTimes.firstEventMillis(generation.priority()) - now;
+		return generation.goalAt() - this.startTimes.firstEventMillis(generation.routePriority()) - now;
 	}
 
 	private Rank rank(QueuedGeneration generation, boolean isOverShare, long now) {
 		boolean isLate = slackMillis(generation, now) < 0;
 		QueueOrder.Slack slack = isLate ? untilDeadline(generation, now) : untilGoal(generation, now);
-		return new Rank(generation, generation.priority(), isLate, isOverShare, !generation.isReturned(),
-				this.order.rank(generation, slack));
+		return new Rank(generation, generation.priority(), generation.routePriority(), isLate, isOverShare,
+				!generation.isReturned(), this.order.rank(generation, slack));
 	}
 
 	private QueueOrder.Slack untilGoal(QueuedGeneration generation, long now) {
@@ -90,8 +92,8 @@
 		return this.overuse.of(this.service, account, now) > MAX_USE_OF_SHARE;
 	}
 
-	private record Rank(QueuedGeneration generation, int priority, boolean isLate, boolean isOverShare, boolean isNew,
-			double order) {
+	private record Rank(QueuedGeneration generation, int priority, int routePriority, boolean isLate,
+			boolean isOverShare, boolean isNew, double order) {
 
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/waiting/QueueRefusal.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/waiting/QueueRefusal.java
@@ -23,11 +23,11 @@
 	 */
 	public enum Cause {
 
-		/** It is not expected to start in half of the time left on arrival. */
+		/** It is not expected to start within its longest wait. */
 		STARTS_TOO_LATE("no engine is expected to have memory for the generation in time"),
 
-		/** It has waited for half of the time left on arrival. */
-		WAITED_TOO_LONG("no engine had memory for the generation in half of the time left on arrival"),
+		/** It has waited as long as its caller can be kept waiting. */
+		WAITED_TOO_LONG("no engine had memory for the generation before its longest wait passed"),
 
 		/** It could not complete before its deadline. */
 		COMPLETES_TOO_LATE("the generation could not complete before its deadline"),
--- a/laneworks-core/src/main/java/dev/laneworks/core/waiting/ServiceQueue.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/waiting/ServiceQueue.java
@@ -57,7 +57,7 @@
 	}
 
 	boolean hasPriority(int lowest) {
-		return this.byCall.values().stream().anyMatch((g) -> g.priority() <= lowest);
+		return this.byCall.values().stream().anyMatch((g) -> g.routePriority() <= lowest);
 	}
 
 	boolean contains(long call) {
@@ -70,7 +70,7 @@
 
 	// Whether no other generation that may start at the same engines goes first.
 	boolean isNext(QueuedGeneration generation, long now) {
-		return ahead(generation, now).stream().noneMatch((g) -> g.regions().equals(generation.regions()));
+		return ahead(generation, now).stream().noneMatch((g) -> g.holdsBack(generation));
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/waiting/StartTimes.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/waiting/StartTimes.java
@@ -37,7 +37,7 @@
 		this.meanStreamMillis += NEWEST_SAMPLE_WEIGHT * (millis - this.meanStreamMillis);
 	}
 
-	// The typical time to the first event at a priority, in milliseconds.
+	// The typical time to the first event at a route priority, in milliseconds.
 	long firstEventMillis(int priority) {
 		return Math.round(this.firstEventMillis.getOrDefault(priority, INITIAL_FIRST_EVENT_MILLIS));
 	}
@@ -45,7 +45,7 @@
 	// The time from the start to the last event, in milliseconds.
 	long completeMillis(QueuedGeneration generation) {
 		double tokenMillis = this.meanStreamMillis / Math.max(1, this.meanTokens);
-		return firstEventMillis(generation.priority()) + Math.round(tokenMillis * generation.expectedTokens());
+		return firstEventMillis(generation.routePriority()) + Math.round(tokenMillis * generation.expectedTokens());
 	}
 
 }
