--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/AccountUsage.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/AccountUsage.java
@@ -20,11 +20,16 @@
 	/**
 	 * Add the usage at other entries.
 	 * @param other the usage of the same client account
-	 * @return the sum of each count
+	 * @return the sum of each count, which does not overflow for a false report
 	 */
 	public AccountUsage plus(AccountUsage other) {
-		return new AccountUsage(this.account, this.usedTokens + other.usedTokens,
-				this.queuedTokens + other.queuedTokens);
+		return new AccountUsage(this.account, sum(this.usedTokens, other.usedTokens),
+				sum(this.queuedTokens, other.queuedTokens));
+	}
+
+	static long sum(long first, long second) {
+		long sum = first + second;
+		return (first > 0 && second > 0 && sum < 0) ? Long.MAX_VALUE : sum;
 	}
 
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/ServiceDemand.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/ServiceDemand.java
@@ -39,15 +39,21 @@
 	/**
 	 * Add the demand at other entries.
 	 * @param other the demand for the same service
-	 * @return the sum of each count, with the usage of each client account added up
+	 * @return the sum of each count, which does not overflow for a false report, with the
+	 * usage of each client account added up
 	 */
 	public ServiceDemand plus(ServiceDemand other) {
 		Map<String, AccountUsage> sums = new LinkedHashMap<>();
 		this.accounts.forEach((a) -> sums.merge(a.account(), a, AccountUsage::plus));
 		other.accounts.forEach((a) -> sums.merge(a.account(), a, AccountUsage::plus));
-		return new ServiceDemand(this.service, this.queuedRequests + other.queuedRequests,
-				this.queuedTokens + other.queuedTokens, this.returningRequests + other.returningRequests,
-				this.returningTokens + other.returningTokens, new ArrayList<>(sums.values()));
+		return new ServiceDemand(this.service, sum(this.queuedRequests, other.queuedRequests),
+				AccountUsage.sum(this.queuedTokens, other.queuedTokens),
+				sum(this.returningRequests, other.returningRequests),
+				AccountUsage.sum(this.returningTokens, other.returningTokens), new ArrayList<>(sums.values()));
+	}
+
+	private static int sum(int first, int second) {
+		return (int) Math.min(Integer.MAX_VALUE, (long) first + second);
 	}
 
 }
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/LoadUpdateCodec.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/LoadUpdateCodec.java
@@ -107,14 +107,26 @@
 	}
 
 	private static ServiceDemand decode(Protocol.ServiceDemand demand) {
-		return new ServiceDemand(demand.getService(), demand.getQueuedRequests(), demand.getQueuedTokens(),
-				demand.getReturningRequests(), demand.getReturningTokens(),
+		return new ServiceDemand(demand.getService(), nonNegative(demand.getQueuedRequests()),
+				nonNegative(demand.getQueuedTokens()), nonNegative(demand.getReturningRequests()),
+				nonNegative(demand.getReturningTokens()),
 				demand.getAccountsList()
 					.stream()
-					.map((a) -> new AccountUsage(a.getAccount(), a.getUsedTokens(), a.getQueuedTokens()))
+					.map((a) -> new AccountUsage(a.getAccount(), nonNegative(a.getUsedTokens()),
+							nonNegative(a.getQueuedTokens())))
 					.toList());
 	}
 
+	// An unsigned figure that overflows would be subtracted from what other entries
+	// report.
+	private static long nonNegative(long figure) {
+		return Math.max(0, figure);
+	}
+
+	private static int nonNegative(int figure) {
+		return Math.max(0, figure);
+	}
+
 	private static RetryBudgetUsage decode(Protocol.ServiceSpending spending) {
 		return new RetryBudgetUsage(spending.getService(), spending.getRequests(), spending.getRepeats());
 	}
--- a/laneworks-wire/src/test/java/dev/laneworks/wire/LoadUpdateCodecTests.java
+++ b/laneworks-wire/src/test/java/dev/laneworks/wire/LoadUpdateCodecTests.java
@@ -11,6 +11,7 @@
 import dev.laneworks.core.gossip.RetryBudgetUsage;
 import dev.laneworks.core.gossip.ServiceDemand;
 import dev.laneworks.core.gossip.WorkAtTarget;
+import dev.laneworks.wire.proto.Protocol;
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -36,4 +37,21 @@
 		assertThat(LoadUpdateCodec.decode(LoadUpdateCodec.encode(update))).isEqualTo(update);
 	}
 
+	// Guards against a false report that cancels those of other entries in their sums.
+	@Test
+	void takesOverflowingFiguresOfDemandAsZero() {
+		Protocol.EntryNews update = Protocol.EntryNews.newBuilder()
+			.addDemand(Protocol.ServiceDemand.newBuilder()
+				.setService("s")
+				.setQueuedRequests(-1)
+				.setQueuedTokens(-1)
+				.addAccounts(Protocol.AccountUsage.newBuilder()
+					.setAccount("a")
+					.setUsedTokens(Long.MIN_VALUE)
+					.setQueuedTokens(Long.MAX_VALUE)))
+			.build();
+		assertThat(LoadUpdateCodec.decode(update).demand())
+			.containsExactly(new ServiceDemand("s", 0, 0, 0, 0, List.of(new AccountUsage("a", 0, Long.MAX_VALUE))));
+	}
+
 }
