--- a/laneworks-core/src/main/java/dev/laneworks/core/serving/ServingPlan.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/serving/ServingPlan.java
@@ -28,6 +28,8 @@
 
 	private final Map<String, AccountGrant> accountsByKey;
 
+	private final Map<String, Double> weights = new HashMap<>();
+
 	private final RequestLimits limits;
 
 	/**
@@ -46,6 +48,8 @@
 		this.serviceNames.addAll(services.keySet());
 		routes.forEach((r) -> r.services().forEach((s) -> this.serviceNames.add(s.service())));
 		this.accountsByKey = Map.copyOf(accountsByKey);
+		// The plan may name an account twice; the result must not depend on the order.
+		accountsByKey.values().forEach((a) -> this.weights.merge(a.account(), a.weight(), Math::max));
 		this.limits = limits;
 	}
 
@@ -116,6 +120,16 @@
 		return Optional.ofNullable(this.accountsByKey.get(key));
 	}
 
+	/**
+	 * Return the weight of a client account in the division of scarce engine memory.
+	 * @param account the name of the account, which may be in no plan any more
+	 * @return the weight, above 0
+	 * @since 0.4
+	 */
+	public double accountWeight(String account) {
+		return this.weights.getOrDefault(account, AccountGrant.DEFAULT_WEIGHT);
+	}
+
 	private static Map<String, List<RouteSpec>> groupByHost(List<RouteSpec> routes) {
 		Comparator<RouteSpec> longestFirst = (a, b) -> Integer.compare(b.prefix().length(), a.prefix().length());
 		Map<String, List<RouteSpec>> grouped = new HashMap<>();
