--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -10,6 +10,7 @@
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.mechanism.Mechanisms;
 import dev.laneworks.core.serving.EngineSpec;
+import dev.laneworks.core.shares.ReservationListener;
 
 /**
  * Selects targets for attempts, sends the attempts, and accounts for the engine memory
@@ -51,6 +52,8 @@
 
 	private final Mechanisms mechanisms;
 
+	private ReservationListener reservations = ReservationListener.NONE;
+
 	AttemptSender(TargetDirectory directory, Eligibility eligibility, TargetEstimates estimates, TargetChooser chooser,
 			DispatchOutputs outputs, AuditSink audit, Mechanisms mechanisms) {
 		this.directory = directory;
@@ -62,6 +65,11 @@
 		this.mechanisms = mechanisms;
 	}
 
+	// Registers the listener for changes of the memory that attempts reserve.
+	void onReservation(ReservationListener listener) {
+		this.reservations = listener;
+	}
+
 	Optional<ListedTarget> choose(DirectCall call, Optional<EngineSpec> engine, long now) {
 		Optional<GenerationSize> size = call.request().size();
 		if (engine.isPresent() && size.isPresent()) {
@@ -128,7 +136,7 @@
 				+ backup.map((b) -> ", copy grows at " + b.id()).orElse("")));
 		this.estimates.update(target, TargetEstimate::requestStarted);
 		this.eligibility.recordSent(target, now);
-		reserve(attempt, reservedTokens(call, engine));
+		reserve(call, attempt, reservedTokens(call, engine));
 		if (resume.isEmpty()) {
 			updatePendingPromptTokens(attempt, call.request().size().map(GenerationSize::promptTokens).orElse(0L));
 		}
@@ -143,7 +151,7 @@
 	 * @param attempt the attempt that ended
 	 */
 	void release(DirectCall call, Attempt attempt) {
-		reserve(attempt, 0);
+		reserve(call, attempt, 0);
 		updatePendingPromptTokens(attempt, 0);
 		this.estimates.update(attempt.target(), TargetEstimate::requestEnded);
 		call.end(attempt);
@@ -159,7 +167,7 @@
 	 */
 	void recordGrowth(DirectCall call, Attempt attempt, Optional<EngineSpec> engine, long now) {
 		updatePendingPromptTokens(attempt, 0);
-		reserve(attempt, reservedTokens(call, engine));
+		reserve(call, attempt, reservedTokens(call, engine));
 		engine.ifPresent((e) -> dropBackupIfCrowded(call, attempt, e, now));
 	}
 
@@ -208,12 +216,13 @@
 		return call.request().size().map((w) -> w.reservedTokens(roundedDown)).orElse(0L);
 	}
 
-	private void reserve(Attempt attempt, long tokens) {
+	private void reserve(DirectCall call, Attempt attempt, long tokens) {
 		long change = tokens - attempt.reservedTokens();
 		if (change == 0) {
 			return;
 		}
 		attempt.setReservedTokens(tokens);
+		this.reservations.reservationChanged(call.request().service(), call.request().account(), change);
 		this.estimates.update(attempt.target(), (b) -> b.addReservedTokens(change));
 		attempt.backup().ifPresent((t) -> this.estimates.update(t, (b) -> b.addReservedTokens(change)));
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -18,6 +18,7 @@
 import dev.laneworks.core.serving.RequestKind;
 import dev.laneworks.core.serving.ServiceSpec;
 import dev.laneworks.core.serving.ServingPlan;
+import dev.laneworks.core.shares.ReservationListener;
 import dev.laneworks.core.time.Timers;
 import dev.laneworks.core.verdict.RefusalReason;
 import dev.laneworks.core.verdict.Verdict;
@@ -129,6 +130,16 @@
 		this.plan = Optional.of(inForce);
 	}
 
+	/**
+	 * Register the listener for changes of the engine memory that attempts reserve,
+	 * replacing any earlier one. To be called before the first request.
+	 * @param listener the listener to notify
+	 * @since 0.4
+	 */
+	public void onReservation(ReservationListener listener) {
+		this.sender.onReservation(listener);
+	}
+
 	/**
 	 * Return the number of requests without a final answer.
 	 * @return the number of open calls
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.EnumSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -30,8 +31,10 @@
 import dev.laneworks.core.gossip.RetryBudgetUsage;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.core.mechanism.Mechanism;
+import dev.laneworks.core.serving.AccountGrant;
 import dev.laneworks.core.serving.ServiceSpec;
 import dev.laneworks.core.serving.ServingPlan;
+import dev.laneworks.core.shares.AccountShares;
 import dev.laneworks.core.time.Timers;
 import dev.laneworks.entry.caller.CallLatencyMetrics;
 import dev.laneworks.runtime.audit.AuditTrail;
@@ -123,6 +126,10 @@
 
 	private final Dispatcher dispatcher;
 
+	private final AccountShares shares;
+
+	private final AccountGauges accountGauges = new AccountGauges(this.metrics);
+
 	private final StoreView store;
 
 	private final SnapshotTransfer snapshots;
@@ -207,6 +214,12 @@
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(settings.mechanisms()), this.directory,
 				this.estimates, eligibility, chooser, this.peers, this.peers, this.suspects.requests(),
 				this.retryBudget, timers, calls, this.audit);
+		this.shares = new AccountShares(this.peers::demand, this::accountWeight,
+				(s) -> engineMemoryTokens(s, eligibility));
+		if (settings.accountShares()) {
+			this.dispatcher.onReservation(this.shares);
+			this.peers.useDemand(() -> this.shares.addAccounts(List.of(), this.loop.now()));
+		}
 		calls.use(this.dispatcher);
 		this.suspects.use(this.dispatcher);
 		members.use(this.dispatcher, this.store);
@@ -373,6 +386,7 @@
 	}
 
 	private EntryGauges collectGauges(long now) {
+		this.accountGauges.update(this.shares.shares(AccountGauges.MAX_ACCOUNTS, now));
 		return new EntryGauges(this.estimates.countUnreachable(now), this.cold.count(now),
 				this.backpressure.limitCount(), this.backpressure.backoffCount(now),
 				this.suspects.requests().quarantined(now), this.store.evacuations().count(),
@@ -445,6 +459,19 @@
 			.orElse(0.0);
 	}
 
+	private double accountWeight(String account) {
+		return this.store.published().plan().map((p) -> p.accountWeight(account)).orElse(AccountGrant.DEFAULT_WEIGHT);
+	}
+
+	private long engineMemoryTokens(String service, Eligibility eligibility) {
+		return this.store.published()
+			.plan()
+			.flatMap((p) -> p.findService(service))
+			.flatMap(ServiceSpec::engine)
+			.map((e) -> (long) ((double) e.memoryTokens() * eligibility.acceptingTargets(service).size()))
+			.orElse(0L);
+	}
+
 	private void use(ServingPlan activePlan) {
 		this.dispatcher.applyPlan(activePlan);
 	}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
@@ -39,13 +39,14 @@
  * @param maxStartWaitMillis the longest time for which requests that arrive during the
  * start wait unread for the plan, in milliseconds
  * @param mechanisms the mechanisms that are switched on
+ * @param accountShares whether client accounts have fair shares of scarce engine memory
  * @since 0.2
  */
 public record DirectSettings(String instance, String dataCentre, Map<String, String> regions, InetSocketAddress callers,
 		InetSocketAddress readiness, InetSocketAddress operators, InetSocketAddress gossipAddress, List<String> seeds,
 		InetSocketAddress store, FollowSettings follow, long retryWindowMillis, double retryRatio, double retryExtra,
 		double retryExtraShare, ColdRateLimit coldBound, long graceMillis, long acceptAllMillis,
-		long maxStartWaitMillis, Mechanisms mechanisms) {
+		long maxStartWaitMillis, Mechanisms mechanisms, boolean accountShares) {
 
 	/** Longest time for which the store holds a watch; see {@link FollowSettings}. */
 	private static final long DEFAULT_WAIT_MILLIS = 4_000;
@@ -79,6 +80,38 @@
 	 */
 	private static final int MIN_ENTRIES = 5;
 
+	/**
+	 * Create settings without fair shares of client accounts.
+	 * @param instance the name of the instance
+	 * @param dataCentre the data centre of the instance
+	 * @param regions the region of each data centre
+	 * @param callers the address that callers connect to
+	 * @param readiness the address of the readiness check
+	 * @param operators the address for operators and metric scrapes
+	 * @param gossipAddress the address at which other entries send gossip
+	 * @param seeds addresses of instances on which entries may run
+	 * @param store the address of the platform's store
+	 * @param follow the intervals and timeouts of store calls
+	 * @param retryWindowMillis the window over which retries are counted
+	 * @param retryRatio the retries that the fleet may make per request
+	 * @param retryExtra the retries that the fleet may make in addition
+	 * @param retryExtraShare the part of {@code retryExtra} that all entries spend
+	 * @param coldBound how far the fleet may exceed the rate of a cold target
+	 * @param graceMillis the time from the shutdown request to the end of the process
+	 * @param acceptAllMillis the time during which all requests are accepted
+	 * @param maxStartWaitMillis the longest time for which requests wait for the plan
+	 * @param mechanisms the mechanisms that are switched on
+	 */
+	public DirectSettings(String instance, String dataCentre, Map<String, String> regions, InetSocketAddress callers,
+			InetSocketAddress readiness, InetSocketAddress operators, InetSocketAddress gossipAddress,
+			List<String> seeds, InetSocketAddress store, FollowSettings follow, long retryWindowMillis,
+			double retryRatio, double retryExtra, double retryExtraShare, ColdRateLimit coldBound, long graceMillis,
+			long acceptAllMillis, long maxStartWaitMillis, Mechanisms mechanisms) {
+		this(instance, dataCentre, regions, callers, readiness, operators, gossipAddress, seeds, store, follow,
+				retryWindowMillis, retryRatio, retryExtra, retryExtraShare, coldBound, graceMillis, acceptAllMillis,
+				maxStartWaitMillis, mechanisms, false);
+	}
+
 	/**
 	 * Read the settings from a document.
 	 * @param root the root object of the settings document
@@ -99,8 +132,8 @@
 				retries.number("extraShare", 0, 1, DEFAULT_EXTRA_SHARE), coldBound(root),
 				millis(root.number("graceSeconds", MIN_SECONDS, MAX_SECONDS, 8)),
 				root.integer("takeAllMillis", 0, ONE_MINUTE, DEFAULT_TAKE_ALL_MILLIS),
-				root.integer("startHoldMillis", 0, ONE_MINUTE, DEFAULT_START_HOLD_MILLIS),
-				Mechanisms.read(root, "off"));
+				root.integer("startHoldMillis", 0, ONE_MINUTE, DEFAULT_START_HOLD_MILLIS), Mechanisms.read(root, "off"),
+				root.has("waiting") && root.object("waiting").bool("accountShares", false));
 	}
 
 	/**
@@ -122,7 +155,8 @@
 		return equals(new DirectSettings(other.instance, other.dataCentre, other.regions, other.callers,
 				other.readiness, other.operators, other.gossipAddress, other.seeds, other.store, other.follow,
 				other.retryWindowMillis, this.retryRatio, this.retryExtra, this.retryExtraShare, other.coldBound,
-				other.graceMillis, other.acceptAllMillis, other.maxStartWaitMillis, other.mechanisms));
+				other.graceMillis, other.acceptAllMillis, other.maxStartWaitMillis, other.mechanisms,
+				other.accountShares));
 	}
 
 	private static Map<String, String> regions(DocumentObject root) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PeerEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PeerEntries.java
@@ -216,6 +216,11 @@
 		return this.gossip.budgetUsageOfOthers(service, windowMillis, now);
 	}
 
+	// Return the other entries' total demand for a service that is not served yet.
+	ServiceDemand demand(String service) {
+		return this.gossip.demandOfOthers(service);
+	}
+
 	@Override
 	public int entries() {
 		return this.gossip.peerCount() + 1;
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/DirectSettingsTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/DirectSettingsTests.java
@@ -43,6 +43,17 @@
 		assertThat(this.settings.mechanisms()).isEqualTo(Mechanisms.all());
 	}
 
+	@Test
+	void sharesMemoryAmongAccountsOnlyIfAsked() {
+		String text = TEXT.replace("8 }", "8, \"waiting\": { \"accountShares\": true } }");
+		assertThat(this.settings.accountShares()).isFalse();
+		assertThat(read(text).accountShares()).isTrue();
+		assertThat(read(text).equalsExceptRetryBounds(this.settings)).isFalse();
+		assertThat(DocumentReader.read("test", text.replace("true", "1"), DirectSettings::read).getLeft())
+			.hasMessageThat()
+			.contains("waiting.accountShares");
+	}
+
 	@Test
 	void rejectsUnknownMechanism() {
 		String text = TEXT.replace("8 }", "8, \"off\": [\"wings\"] }");
