--- a/laneworks-core/src/main/java/dev/laneworks/core/shares/AccountShares.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/shares/AccountShares.java
@@ -33,6 +33,17 @@
 	 */
 	private static final long MAX_AGE_MILLIS = 50;
 
+	/**
+	 * The use in relation to the share above which an account is placed behind others.
+	 */
+	public static final double MAX_OVERUSE = 1.05;
+
+	/**
+	 * The largest part of the memory that is left free for other entries; bounds what
+	 * late reports can leave unused.
+	 */
+	private static final double MAX_FREE_SHARE = 0.05;
+
 	private static final Comparator<AccountUsage> LARGEST_FIRST = Comparator
 		.comparingLong((AccountUsage a) -> a.usedTokens() + a.queuedTokens())
 		.reversed()
@@ -104,6 +115,28 @@
 		return relativeToShare(service, usage, usage.queuedTokens(), now);
 	}
 
+	/**
+	 * Return the memory that a new request of a client account must leave free for
+	 * requests that are queued at other entries: those of accounts within their shares,
+	 * if the account is above its own. Without it, an entry at which only such an account
+	 * waits would use the memory that comes free before the others check their queues.
+	 * @param service the name of the service
+	 * @param account the name of the client account
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return the number of tokens, a small part of the memory of all engines
+	 */
+	public long tokensToLeaveFree(String service, String account, long now) {
+		if (of(service, account, now) <= MAX_OVERUSE) {
+			return 0;
+		}
+		long queued = contention(service, now).others()
+			.stream()
+			.filter((a) -> a.queuedTokens() > 0 && of(service, a.account(), now) <= MAX_OVERUSE)
+			.mapToLong(AccountUsage::queuedTokens)
+			.sum();
+		return Math.min(queued, Math.round(MAX_FREE_SHARE * this.memoryTokens.applyAsLong(service)));
+	}
+
 	/**
 	 * Return the usage of this entry to report to other entries.
 	 * @param service the name of the service
--- a/laneworks-core/src/main/java/dev/laneworks/core/shares/Contention.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/shares/Contention.java
@@ -62,6 +62,10 @@
 		return this.others.getOrDefault(account, new AccountUsage(account, 0, 0));
 	}
 
+	Collection<AccountUsage> others() {
+		return this.others.values();
+	}
+
 	// The usage of all entries by account.
 	Collection<AccountUsage> accounts(Collection<AccountUsage> own) {
 		Map<String, AccountUsage> sums = new HashMap<>(this.others);
--- a/laneworks-core/src/main/java/dev/laneworks/core/shares/OwnUsage.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/shares/OwnUsage.java
@@ -16,12 +16,17 @@
 
 	private final Map<String, Map<String, AccountUsage>> byService = new HashMap<>();
 
+	/** The memory that queued requests need, by service; never zero. */
+	private final Map<String, Long> queuedTokens = new HashMap<>();
+
 	/**
 	 * Record a change of the usage of an account.
 	 * @param service the name of the service
 	 * @param change the change of each count, which may be negative
 	 */
 	void add(String service, AccountUsage change) {
+		this.queuedTokens.merge(service, change.queuedTokens(), Long::sum);
+		this.queuedTokens.remove(service, 0L);
 		Map<String, AccountUsage> accounts = this.byService.computeIfAbsent(service, (s) -> new HashMap<>());
 		AccountUsage sum = of(service, change.account()).plus(change);
 		accounts.put(sum.account(), sum);
@@ -47,7 +52,7 @@
 	}
 
 	boolean hasQueued(String service) {
-		return this.byService.getOrDefault(service, Map.of()).values().stream().anyMatch((a) -> a.queuedTokens() > 0);
+		return this.queuedTokens.getOrDefault(service, 0L) > 0;
 	}
 
 }
--- a/laneworks-core/src/test/java/dev/laneworks/core/shares/AccountSharesTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/shares/AccountSharesTests.java
@@ -94,6 +94,22 @@
 		assertThat(this.shares.ofDemand(SERVICE, "steady", 0)).isLessThan(3.0);
 	}
 
+	// Guards against an entry whose only callers are above their share and which takes
+	// the
+	// memory that others wait for.
+	@Test
+	void accountAboveItsShareLeavesMemoryToRequestsAtOtherEntries() {
+		this.shares.reservationChanged(SERVICE, "large", 80_000);
+		this.shares.queueChanged(SERVICE, "large", 80_000);
+		this.others = new ServiceDemand(SERVICE, 1, 3_000, 0, 0, List.of(new AccountUsage("small", 1_000, 4_500)));
+		assertThat(this.shares.tokensToLeaveFree(SERVICE, "large", 0)).isEqualTo(4_500);
+		assertThat(this.shares.tokensToLeaveFree(SERVICE, "small", 0)).isEqualTo(0);
+		this.others = new ServiceDemand(SERVICE, 9, 70_000, 0, 0, List.of(new AccountUsage("small", 1_000, 70_000)));
+		assertThat(this.shares.tokensToLeaveFree(SERVICE, "large", 50)).isEqualTo(5_000);
+		this.others = ServiceDemand.none(SERVICE);
+		assertThat(this.shares.tokensToLeaveFree(SERVICE, "large", 100)).isEqualTo(0);
+	}
+
 	@Test
 	void reportsTheLargestAccountsWhileAnyEntryQueues() {
 		for (int i = 1; i <= 40; i++) {
