--- a/laneworks-core/src/test/java/dev/laneworks/core/shares/SharedFleet.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/shares/SharedFleet.java
@@ -149,11 +149,6 @@
 		return IntStream.range(0, ACCOUNTS).mapToDouble((i) -> this.served[i]).sum() / capacityWork();
 	}
 
-	// The part of the capacity that the other accounts used.
-	double goodputOfOthers() {
-		return goodput() - this.served[this.flooder] / capacityWork();
-	}
-
 	private double capacityWork() {
 		return (double) this.memoryTokens * (this.endsAt - WARM_UP_MILLIS - MAX_WAIT_MILLIS);
 	}
