Merge fair shares of client accounts and wire them and the retry times to the queue

The queue reports its changes by account, refuses from a full queue the account that demands most beyond its share, and lets an account above its share start only if it leaves memory for others within theirs that wait at other entries. Refused callers of a governed service get the times of core.returns, which follow the release of memory and what other entries report as returning; RetryAfterSchedule stays in force for all other services.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptScheduler.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptScheduler.java
@@ -109,7 +109,8 @@
 			target = this.sender.chooseLeastUtilized(call, engine.get(), now);
 			OptionalLong wait = memoryWaitMillis(call, target.get(), engine.get(), now);
 			if (wait.isPresent()) {
-				refuse(call, "no engine has memory to start the generation in time", wait.getAsLong(), now);
+				refuse(call, "no engine has memory to start the generation in time",
+						retryAfterMillis(call, wait.getAsLong(), engine.get(), now), now);
 				return;
 			}
 		}
@@ -132,11 +133,8 @@
 	}
 
 	@Override
-	public void refuse(DirectCall call, String detail, long waitMillis, long now) {
-		NoTargetReason reason = this.engines.apply(call)
-			.map((e) -> NoTargetReason.until(detail, retryAfterMillis(call, waitMillis, e, now)))
-			.orElse(NoTargetReason.of(detail));
-		this.completion.refuse(call, RefusalReason.OVERLOADED, reason, now);
+	public void refuse(DirectCall call, String detail, long retryAfterMillis, long now) {
+		this.completion.refuse(call, RefusalReason.OVERLOADED, NoTargetReason.until(detail, retryAfterMillis), now);
 	}
 
 	@Override
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -20,6 +20,7 @@
 import dev.laneworks.core.serving.RequestKind;
 import dev.laneworks.core.serving.ServiceSpec;
 import dev.laneworks.core.serving.ServingPlan;
+import dev.laneworks.core.shares.ReservationListener;
 import dev.laneworks.core.speed.MalformedLoads;
 import dev.laneworks.core.time.Timers;
 import dev.laneworks.core.verdict.RefusalReason;
@@ -157,6 +158,16 @@
 		return this.headroom.headroom();
 	}
 
+	/**
+	 * Register the listener for changes of the engine memory that attempts reserve,
+	 * replacing any earlier one. To be called before the first request.
+	 * @param listener the listener to notify
+	 * @since 0.4
+	 */
+	public void onReservation(ReservationListener listener) {
+		this.sender.onReservation(listener);
+	}
+
 	/**
 	 * Return the number of requests without a final answer.
 	 * @return the number of open calls
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/QueuedStarts.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/QueuedStarts.java
@@ -13,6 +13,7 @@
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.returns.RetryTime;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.time.Timers;
 import dev.laneworks.core.waiting.EngineMemory;
@@ -173,8 +174,9 @@
 
 	private boolean tryStart(DirectCall call, QueuedGeneration generation, long now) {
 		double limit = this.queues.maxUtilization(call.request().service(), generation.routePriority(), now);
-		Optional<ListedTarget> target = this.engines.apply(call)
-			.flatMap((e) -> this.sender.chooseWithRoom(call, e, limit, now));
+		Optional<ListedTarget> target = leavesMemoryFree(call, generation, limit, now)
+				? this.engines.apply(call).flatMap((e) -> this.sender.chooseWithRoom(call, e, limit, now))
+				: Optional.empty();
 		target.ifPresent((t) -> {
 			this.queues.remove(call.request().service(), call.number());
 			this.starter.start(call, t, now);
@@ -182,13 +184,23 @@
 		return target.isPresent();
 	}
 
+	private boolean leavesMemoryFree(DirectCall call, QueuedGeneration generation, double limit, long now) {
+		long toLeave = this.queues.tokensToLeaveFree(call.request().service(), generation.account(), now);
+		if (toLeave == 0) {
+			return true;
+		}
+		EngineMemory memory = memory(call, now);
+		return (limit - memory.utilization()) * memory.totalTokens() >= generation.memoryTokens() + toLeave;
+	}
+
 	private void refuse(QueueRefusal refusal, long now) {
 		DirectCall call = this.calls.get(refusal.generation().call());
 		long wait = this.queues.position(call.request().service(), refusal.generation(), memory(call, now), now)
 			.expectedWaitMillis();
-		this.starter.refuse(call,
-				refusal.cause().detail() + ", after " + (now - call.openedAt()) + " ms, expected wait " + wait + " ms",
-				wait, now);
+		RetryTime retry = this.queues.retryTime(call.request().service(), refusal.generation(), memory(call, now),
+				call.callerTimeoutAt() - now, now);
+		this.starter.refuse(call, refusal.cause().detail() + ", after " + (now - call.openedAt())
+				+ " ms, expected wait " + wait + " ms" + retry.detail(), retry.millis(), now);
 	}
 
 	private QueuedGeneration describe(DirectCall call, long now) {
@@ -242,10 +254,11 @@
 		 * Refuse a generation that is not to wait.
 		 * @param call the call of the generation
 		 * @param detail the reason for the caller's operator
-		 * @param waitMillis the expected time until memory is free, in milliseconds
+		 * @param retryAfterMillis the time after which the caller is to return, in
+		 * milliseconds
 		 * @param now the current time in milliseconds of the monotonic clock
 		 */
-		void refuse(DirectCall call, String detail, long waitMillis, long now);
+		void refuse(DirectCall call, String detail, long retryAfterMillis, long now);
 
 		/**
 		 * Refuse a generation that another entry can serve, since this one ends.
--- a/laneworks-core/src/main/java/dev/laneworks/core/waiting/GenerationQueues.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/waiting/GenerationQueues.java
@@ -12,9 +12,14 @@
 
 import dev.laneworks.core.gossip.ServiceDemand;
 import dev.laneworks.core.headroom.StartLimit;
+import dev.laneworks.core.returns.MemoryOutlook;
+import dev.laneworks.core.returns.RefusedCaller;
+import dev.laneworks.core.returns.RetryTime;
+import dev.laneworks.core.returns.RetryTimes;
 import dev.laneworks.core.serving.RouteSpec;
 import dev.laneworks.core.serving.ServingPlan;
 import dev.laneworks.core.shares.AccountOveruse;
+import dev.laneworks.core.shares.QueueListener;
 
 /**
  * Queues of the generations that wait at this entry for engine memory, one for each
@@ -40,10 +45,14 @@
 
 	private final CallerAges callerAges = new CallerAges();
 
+	private final RetryTimes retryTimes = new RetryTimes();
+
 	private final Map<String, ServiceQueue> queues = new HashMap<>();
 
 	private GovernedServices governed = GovernedServices.NONE;
 
+	private QueueListener listener = QueueListener.NONE;
+
 	private long refused;
 
 	/**
@@ -63,6 +72,15 @@
 		this.pacing = new CheckPacing(random);
 	}
 
+	/**
+	 * Register the listener for generations that are queued or leave the queue, replacing
+	 * any earlier one. To be called before the first request.
+	 * @param queueListener the listener to notify
+	 */
+	public void onQueueChange(QueueListener queueListener) {
+		this.listener = queueListener;
+	}
+
 	/**
 	 * Create queues that govern no service.
 	 * @return queues that stay empty
@@ -115,6 +133,18 @@
 		return this.limit.maxUtilization(service, priority, now);
 	}
 
+	/**
+	 * Return the memory that a generation must leave free when it starts, for client
+	 * accounts within their fair shares that wait at other entries.
+	 * @param service the name of the service
+	 * @param account the client account of the generation
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return the number of tokens
+	 */
+	public long tokensToLeaveFree(String service, String account, long now) {
+		return this.overuse.tokensToLeaveFree(service, account, now);
+	}
+
 	/**
 	 * Estimate the time of the first arrival of a request that arrives now.
 	 * @param route the name of the route
@@ -277,17 +307,44 @@
 	}
 
 	/**
-	 * Return the demand that waits at this entry, for gossip updates to other entries.
-	 * @return the demand for each service with queued generations
+	 * Return the time at which the caller of a refused generation is to return, and count
+	 * it as returning.
+	 * @param service the name of the service
+	 * @param generation the refused generation, which is not in the queue
+	 * @param memory the memory of the engines
+	 * @param leftMillis the time left to the caller in milliseconds
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return the time, in step with the memory that is released
+	 */
+	public RetryTime retryTime(String service, QueuedGeneration generation, EngineMemory memory, long leftMillis,
+			long now) {
+		MemoryOutlook outlook = queue(service).outlook(generation, memory,
+				maxUtilization(service, generation.routePriority(), now), this.peers.demandOfOthers(service),
+				this.peers.entries(), now);
+		return this.retryTimes.schedule(
+				new RefusedCaller(service, generation.priority(), generation.memoryTokens(), leftMillis), outlook, now);
+	}
+
+	/**
+	 * Return the demand that this entry could not serve yet, for gossip updates to other
+	 * entries.
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return the demand for each service with queued generations or callers that are
+	 * still to return
 	 */
-	public List<ServiceDemand> demand() {
+	public List<ServiceDemand> demand(long now) {
 		return this.queues.entrySet()
 			.stream()
-			.filter((e) -> e.getValue().size() > 0)
-			.map((e) -> new ServiceDemand(e.getKey(), e.getValue().size(), e.getValue().tokens(), 0, 0, List.of()))
+			.map((e) -> demand(e.getKey(), e.getValue(), now))
+			.filter((d) -> d.queuedRequests() > 0 || d.returningRequests() > 0)
 			.toList();
 	}
 
+	private ServiceDemand demand(String service, ServiceQueue queue, long now) {
+		return new ServiceDemand(service, queue.size(), queue.tokens(), this.retryTimes.returningRequests(service, now),
+				this.retryTimes.returningTokens(service, now), List.of());
+	}
+
 	/**
 	 * Return the queued generations of all services by priority of their routes.
 	 * @return the counts and the arrivals of the oldest
@@ -324,7 +381,8 @@
 		WaitingSettings inForce = this.settings.orElseThrow();
 		StartTimes startTimes = new StartTimes();
 		return new ServiceQueue(inForce.maxQueued(), startTimes,
-				new QueueRanking(service, inForce.order(), startTimes, this.overuse));
+				new QueueRanking(service, inForce.order(), startTimes, this.overuse),
+				(account, change) -> this.listener.queueChanged(service, account, change));
 	}
 
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/waiting/MemoryRelease.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/waiting/MemoryRelease.java
@@ -34,10 +34,18 @@
 	 * @return the time in milliseconds; unbounded if no memory is in use
 	 */
 	long millisUntilReleased(double tokens, double usedTokens) {
+		return Math.round(Math.min(Long.MAX_VALUE / 2, tokens / tokensPerMilli(usedTokens)));
+	}
+
+	/**
+	 * Estimate the rate at which memory is released.
+	 * @param usedTokens the memory in use of which parts are released, in tokens
+	 * @return the number of tokens per millisecond
+	 */
+	double tokensPerMilli(double usedTokens) {
 		// Generations leave in proportion to their size and in inverse proportion to
 		// their time, so the mean over memory is the ratio of the two averages.
-		double lifetimeMillis = this.meanTokenMillis / this.meanTokens;
-		return Math.round(Math.min(Long.MAX_VALUE / 2, tokens * lifetimeMillis / usedTokens));
+		return usedTokens * this.meanTokens / this.meanTokenMillis;
 	}
 
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/waiting/QueueRanking.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/waiting/QueueRanking.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.Stream;
 
 import dev.laneworks.core.shares.AccountOveruse;
@@ -47,8 +48,22 @@
 		return ranks(generations, now).sorted(RANKS).map(Rank::generation).toList();
 	}
 
+	// The generation to refuse from a full queue: the last one, of the account that
+	// demands most beyond its share if there is one.
 	QueuedGeneration findLast(Collection<QueuedGeneration> generations, long now) {
-		return ranks(generations, now).max(RANKS).orElseThrow().generation();
+		Map<String, Double> demand = new HashMap<>();
+		generations
+			.forEach((g) -> demand.computeIfAbsent(g.account(), (a) -> this.overuse.ofDemand(this.service, a, now)));
+		Optional<String> largest = demand.entrySet()
+			.stream()
+			.filter((e) -> e.getValue() > MAX_USE_OF_SHARE)
+			.max(Map.Entry.comparingByValue())
+			.map(Map.Entry::getKey);
+		return ranks(generations, now)
+			.filter((r) -> largest.filter((a) -> !a.equals(r.generation().account())).isEmpty())
+			.max(RANKS)
+			.orElseThrow()
+			.generation();
 	}
 
 	// The generations that go before a given one.
--- a/laneworks-core/src/main/java/dev/laneworks/core/waiting/ServiceQueue.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/waiting/ServiceQueue.java
@@ -7,8 +7,10 @@
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.function.ObjLongConsumer;
 
 import dev.laneworks.core.gossip.ServiceDemand;
+import dev.laneworks.core.returns.MemoryOutlook;
 
 /**
  * Bounded queue of the generations that wait for the engines of one service. Not
@@ -26,10 +28,14 @@
 
 	private final QueueRanking ranking;
 
-	ServiceQueue(int maxQueued, StartTimes startTimes, QueueRanking ranking) {
+	/** Receives each change of the memory that an account's generations wait for. */
+	private final ObjLongConsumer<String> queuedTokens;
+
+	ServiceQueue(int maxQueued, StartTimes startTimes, QueueRanking ranking, ObjLongConsumer<String> queuedTokens) {
 		this.maxQueued = maxQueued;
 		this.startTimes = startTimes;
 		this.ranking = ranking;
+		this.queuedTokens = queuedTokens;
 	}
 
 	StartTimes startTimes() {
@@ -65,7 +71,11 @@
 	}
 
 	boolean remove(long call) {
-		return this.byCall.remove(call) != null;
+		QueuedGeneration removed = this.byCall.remove(call);
+		if (removed != null) {
+			this.queuedTokens.accept(removed.account(), -removed.memoryTokens());
+		}
+		return removed != null;
 	}
 
 	// Whether no other generation that may start at the same engines goes first.
@@ -90,6 +100,7 @@
 			return Optional.of(new QueueRefusal(generation, QueueRefusal.Cause.STARTS_TOO_LATE, expectedWaitMillis));
 		}
 		this.byCall.put(generation.call(), generation);
+		this.queuedTokens.accept(generation.account(), generation.memoryTokens());
 		return (size() > this.maxQueued) ? Optional.of(removeLast(expectedWaitMillis, now)) : Optional.empty();
 	}
 
@@ -137,6 +148,24 @@
 				memory.totalTokens());
 	}
 
+	/**
+	 * Describe what precedes a generation that is refused.
+	 * @param generation the refused generation, which is not in the queue
+	 * @param memory the memory of the engines
+	 * @param maxUtilization the start limit of the generation
+	 * @param others the demand of the other entries
+	 * @param entries the number of known entries
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return the expected release of memory and the demand for it
+	 */
+	MemoryOutlook outlook(QueuedGeneration generation, EngineMemory memory, double maxUtilization, ServiceDemand others,
+			int entries, long now) {
+		double used = memory.utilization() * memory.totalTokens();
+		double excess = Math.max(0, memory.utilization() - maxUtilization) * memory.totalTokens();
+		long ahead = ahead(generation, now).stream().mapToLong(QueuedGeneration::memoryTokens).sum();
+		return new MemoryOutlook(this.release.tokensPerMilli(used), excess, tokens(), ahead, others, entries);
+	}
+
 	QueuePosition position(QueuedGeneration generation, long expectedWaitMillis, long now) {
 		SortedMap<Integer, Integer> counts = new TreeMap<>();
 		ahead(generation, now).forEach((g) -> counts.merge(g.priority(), 1, Integer::sum));
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/OverloadedFleet.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/OverloadedFleet.java
@@ -311,7 +311,7 @@
 		}
 		this.received.forEach(this::sumWork);
 		this.queues.forEach((e, q) -> this.demand.put(e,
-				q.demand().stream().findFirst().orElse(ServiceDemand.none(DispatchHarness.ENGINES))));
+				q.demand(this.now).stream().findFirst().orElse(ServiceDemand.none(DispatchHarness.ENGINES))));
 	}
 
 	private void sumWork(DispatchHarness entry, Map<DispatchHarness, List<WorkAtTarget>> ofOthers) {
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/QueuedStartsTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/QueuedStartsTests.java
@@ -68,7 +68,7 @@
 		assertThat(this.harness.refusals).isEmpty();
 		openShort(8);
 		assertThat(last().call()).isEqualTo(8);
-		assertThat(this.queues.demand().get(0).queuedRequests()).isEqualTo(1);
+		assertThat(this.queues.demand(this.harness.now).get(0).queuedRequests()).isEqualTo(1);
 	}
 
 	@Test
--- a/laneworks-core/src/test/java/dev/laneworks/core/waiting/GenerationQueuesTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/waiting/GenerationQueuesTests.java
@@ -1,5 +1,6 @@
 package dev.laneworks.core.waiting;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -124,6 +125,35 @@
 		assertThat(this.queues.isWaiting(SERVICE)).isFalse();
 	}
 
+	// Guards against an account that floods a full queue at the cost of the others.
+	@Test
+	void fullQueueRefusesTheAccountThatDemandsMostBeyondItsShare() {
+		this.overuse = Map.of("flood", 3.0);
+		Map<String, Long> queued = new HashMap<>();
+		this.queues.onQueueChange((service, account, change) -> queued.merge(account, change, Long::sum));
+		this.queues.enqueue(SERVICE, generation(1, 2, "flood", 0, 0, 2_000), MEMORY, 10);
+		this.queues.enqueue(SERVICE, generation(2, 2, "flood", 0, 0, 1_000), MEMORY, 10);
+		this.queues.enqueue(SERVICE, generation(3, 2, "a", 0, 0, 4_000), MEMORY, 10);
+		this.queues.enqueue(SERVICE, generation(4, 2, "a", 0, 0, 4_000), MEMORY, 10);
+		Optional<QueueRefusal> refusal = this.queues.enqueue(SERVICE, generation(5, 2, "b", 0, 0, 4_000), MEMORY, 10);
+		assertThat(refusal.get().generation().call()).isEqualTo(1);
+		assertThat(queued).containsExactly("flood", 3_300L, "a", 6_600L, "b", 3_300L);
+	}
+
+	// Guards against callers that are all told to return at the same moment, and against
+	// other entries that give the same time again.
+	@Test
+	void refusedCallersReturnOneAfterTheOtherAndAreReported() {
+		QueuedGeneration refused = generation(1, 2, "a", 0, 0, 4_000);
+		long first = this.queues.retryTime(SERVICE, refused, MEMORY, 30_000, 0).millis();
+		long second = this.queues.retryTime(SERVICE, refused, MEMORY, 30_000, 0).millis();
+		assertThat(second).isGreaterThan(first);
+		ServiceDemand demand = this.queues.demand(0).get(0);
+		assertThat(demand.returningRequests()).isEqualTo(2);
+		assertThat(demand.returningTokens()).isEqualTo(6_600);
+		assertThat(this.queues.demand(second)).isEmpty();
+	}
+
 	@Test
 	void generationWaitsOnlyForThoseThatMayUseTheSameEngines() {
 		QueuedGeneration north = new QueuedGeneration(1, 0, "a", AllowedRegions.of(List.of("north")), 3_300, 10, 0, 0,
@@ -152,11 +182,11 @@
 	void reportsDemandAndOldestByPriority() {
 		this.queues.enqueue(SERVICE, generation(1, 2, "a", 5, 5, 4_000), MEMORY, 10);
 		this.queues.enqueue(SERVICE, generation(2, 2, "a", 9, 9, 4_000), MEMORY, 10);
-		assertThat(this.queues.demand()).containsExactly(new ServiceDemand(SERVICE, 2, 2 * 3_300, 0, 0, List.of()));
+		assertThat(this.queues.demand(0)).containsExactly(new ServiceDemand(SERVICE, 2, 2 * 3_300, 0, 0, List.of()));
 		assertThat(this.queues.countByPriority()).containsExactly(2, new WaitingCount(2, 5));
 		this.queues.remove(SERVICE, 1);
 		this.queues.remove(SERVICE, 2);
-		assertThat(this.queues.demand()).isEmpty();
+		assertThat(this.queues.demand(0)).isEmpty();
 	}
 
 	@Test
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -30,11 +30,14 @@
 import dev.laneworks.core.gossip.RetryBudgetUsage;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.core.mechanism.Mechanism;
+import dev.laneworks.core.serving.AccountGrant;
 import dev.laneworks.core.serving.ServiceSpec;
 import dev.laneworks.core.serving.ServingPlan;
 import dev.laneworks.core.shares.AccountOveruse;
+import dev.laneworks.core.shares.AccountShares;
 import dev.laneworks.core.time.Timers;
 import dev.laneworks.core.waiting.GenerationQueues;
+import dev.laneworks.core.waiting.WaitingSettings;
 import dev.laneworks.entry.caller.CallLatencyMetrics;
 import dev.laneworks.runtime.audit.AuditTrail;
 import dev.laneworks.runtime.http.AsyncHttpClient;
@@ -131,6 +134,10 @@
 
 	private final SpeedMetrics speedMetrics = new SpeedMetrics();
 
+	private final AccountShares shares;
+
+	private final AccountGauges accountGauges = new AccountGauges(this.metrics);
+
 	private final StoreView store;
 
 	private final SnapshotTransfer snapshots;
@@ -216,12 +223,20 @@
 		this.peers.shareSignals(this.backpressure, this.directory::isCurrentIncarnation);
 		this.chooser = new TargetChooser(eligibility, this.estimates, settings.dataCentre(), this.peers::silentMillis,
 				random, settings.mechanisms());
-		this.queues = new GenerationQueues(settings.waiting(), this::startLimit, AccountOveruse.NONE, this.peers,
-				random);
-		this.peers.useDemand(this.queues::demand);
+		this.shares = new AccountShares(this.peers::demandOfOthers, this::accountWeight,
+				(s) -> engineMemoryTokens(s, eligibility));
+		boolean sharesMemory = settings.waiting().filter(WaitingSettings::accountShares).isPresent();
+		this.queues = new GenerationQueues(settings.waiting(), this::startLimit,
+				sharesMemory ? this.shares : AccountOveruse.NONE, this.peers, random);
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(settings.mechanisms()), this.directory,
 				this.estimates, eligibility, this.chooser, this.peers, this.peers, this.queues,
 				this.suspects.requests(), this.retryBudget, timers, calls, this.audit);
+		this.peers.useDemand(() -> this.queues.demand(this.loop.now()));
+		if (sharesMemory) {
+			this.queues.onQueueChange(this.shares);
+			this.dispatcher.onReservation(this.shares);
+			this.peers.useDemand(() -> this.shares.addAccounts(this.queues.demand(this.loop.now()), this.loop.now()));
+		}
 		calls.use(this.dispatcher);
 		this.suspects.use(this.dispatcher);
 		members.use(this.dispatcher, this.store);
@@ -402,6 +417,7 @@
 	}
 
 	private EntryGauges collectGauges(long now) {
+		this.accountGauges.update(this.shares.shares(AccountGauges.MAX_ACCOUNTS, now));
 		return new EntryGauges(this.estimates.countUnreachable(now), this.cold.count(now),
 				this.backpressure.limitCount(), this.backpressure.backoffCount(now),
 				this.suspects.requests().quarantined(now), this.store.evacuations().count(),
@@ -481,6 +497,19 @@
 			.orElse(0.0);
 	}
 
+	private double accountWeight(String account) {
+		return this.store.published().plan().map((p) -> p.accountWeight(account)).orElse(AccountGrant.DEFAULT_WEIGHT);
+	}
+
+	private long engineMemoryTokens(String service, Eligibility eligibility) {
+		return this.store.published()
+			.plan()
+			.flatMap((p) -> p.findService(service))
+			.flatMap(ServiceSpec::engine)
+			.map((e) -> (long) ((double) e.memoryTokens() * eligibility.acceptingTargets(service).size()))
+			.orElse(0L);
+	}
+
 	private void use(ServingPlan activePlan) {
 		this.dispatcher.applyPlan(activePlan);
 	}
