--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -242,9 +242,8 @@
 		return chosen;
 	}
 
-	// A large generation counts with the mean size towards the limit, since it would
-	// starve
-	// if smaller ones took all memory released below the limit. It must fit nevertheless.
+	// A large generation counts only in part towards the limit: it would starve if
+	// smaller ones took all memory released below the limit. It must fit nevertheless.
 	private boolean hasRoom(ListedTarget target, EngineSpec engine, GenerationSize size, double maxUtilization,
 			long now) {
 		double utilization = utilization(target, engine, now);
