--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -153,7 +153,7 @@
 	 * @param eligibility the candidate filter
 	 * @param estimates the recorded state of all targets
 	 * @param dataCentre the data centre of this process
-	 * @param updates returns when entries of other data centres were last heard
+	 * @param updates returns when the last updates from other data centres arrived
 	 * @param random the source of jitter
 	 * @param mechanisms the optional mechanisms that are enabled
 	 */
--- a/laneworks-core/src/main/java/dev/laneworks/core/locality/Locality.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/locality/Locality.java
@@ -41,7 +41,7 @@
 	/**
 	 * Create the decision of an entry.
 	 * @param dataCentre the data centre of the entry
-	 * @param updates returns when other data centres were last heard
+	 * @param updates returns when the last updates from other data centres arrived
 	 * @param random the source of the distribution over data centres
 	 */
 	public Locality(String dataCentre, DataCentreUpdates updates, RandomGenerator random) {
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/QueuedStartsTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/QueuedStartsTests.java
@@ -72,7 +72,7 @@
 	}
 
 	@Test
-	void releasedMemoryStartsTheNextAtOnceAndTheLogTellsTheStory() {
+	void releasedMemoryStartsTheNextAtOnceAndIsLogged() {
 		fill();
 		openLong(7);
 		this.harness.now += 10;
