Log and count whether a request had been sent when its caller's disconnection was noticed

Cause: a cancelled line gave only the age of the call. It could not tell an entry that sends requests which it reads late from one that notices a disconnection late or lets the target go on working. Change: the line says whether the request had been sent and how long before; two gauges count the calls of either kind. No decision changes.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -82,6 +82,8 @@
 
 	private final MalformedLoads malformedLoads;
 
+	private final DisconnectedCalls disconnectedCalls = new DisconnectedCalls();
+
 	private final Map<Long, DirectCall> calls = new HashMap<>();
 
 	private Optional<ServingPlan> plan = Optional.empty();
@@ -195,6 +197,15 @@
 		return this.malformedLoads.count();
 	}
 
+	/**
+	 * Return the calls whose callers disconnected.
+	 * @return the counts since the start
+	 * @since 0.5
+	 */
+	public DisconnectedCalls disconnectedCalls() {
+		return this.disconnectedCalls;
+	}
+
 	/**
 	 * Accept a request and begin its first attempt.
 	 * @param number the number that identifies the call; not used before
@@ -482,9 +493,9 @@
 	public void callerDisconnected(long number, long now) {
 		DirectCall call = this.calls.get(number);
 		if (call != null) {
+			String cause = this.disconnectedCalls.record(call, now);
 			this.completion.abandonAll(call);
-			this.completion.finish(call, AuditKind.CANCELLED,
-					"the caller disconnected after " + (now - call.openedAt()) + " ms", now);
+			this.completion.finish(call, AuditKind.CANCELLED, cause, now);
 		}
 	}
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -539,6 +539,10 @@
 		this.metrics.register("laneworks_store_histories", (Gauge<Integer>) this.store.published()::restoreCount);
 		this.metrics.register("laneworks_items_refused", (Gauge<Integer>) this.store.published()::refusedItems);
 		this.metrics.register("laneworks_peers", (Gauge<Integer>) this.peers::count);
+		this.metrics.register("laneworks_callers_left_before_send",
+				(Gauge<Long>) this.dispatcher.disconnectedCalls()::notSent);
+		this.metrics.register("laneworks_callers_left_after_send",
+				(Gauge<Long>) this.dispatcher.disconnectedCalls()::atTarget);
 		this.metrics.register("laneworks_queue_refused", (Gauge<Long>) () -> this.gauges.refusedFromQueue());
 		WaitingGauge.register(this.metrics, () -> this.gauges.waiting());
 		this.speedMetrics.register(this.metrics);
