Read pipelined requests ahead in order, so that a close behind them is noticed

What callers saw: a caller that sent a second request before the first was answered and then left kept its target at work until the deadline, and the second request was sent as well. A pipelined request in parts was read in another order. Cause: the entry stopped looking for a close once it had read a byte of a further request. It gave that byte back by a call that puts bytes before those read earlier, though they came later. Why it works: bytes of further requests are read on, up to 64 KiB, and appended to those read earlier; the end of the input is seen behind them. Beyond the limit a close is seen when the response is complete.

--- a/laneworks-entry/src/main/java/dev/laneworks/entry/caller/CallerConnection.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/caller/CallerConnection.java
@@ -1,11 +1,13 @@
 package dev.laneworks.entry.caller;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
 
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
+import io.undertow.util.ImmediatePooledByteBuffer;
 import org.xnio.IoUtils;
 
 /**
@@ -14,8 +16,8 @@
  * <p>
  * Undertow does not read from a connection between the end of a request and the start of
  * its response and therefore does not detect its closing. This class reads from the
- * connection and returns the bytes of a pipelined request to it. Used on the I/O thread
- * of the connection alone.
+ * connection and returns the bytes of pipelined requests to it. Used on the I/O thread of
+ * the connection alone.
  *
  * @since 0.5
  */
@@ -23,13 +25,17 @@
 
 	private static final long POLL_INTERVAL_MILLIS = 250;
 
+	/**
+	 * Upper limit for the bytes of pipelined requests that are read ahead. A
+	 * disconnection behind more of them is not detected until the response is complete.
+	 */
+	private static final int MAX_PIPELINED_BYTES = 64 * 1024;
+
 	private final HttpServerExchange exchange;
 
 	private Runnable disconnectListener = () -> {
 	};
 
-	private boolean pipelined;
-
 	private boolean closed;
 
 	/**
@@ -56,7 +62,7 @@
 	 * @return {@code true} if the caller does not wait for the response any more
 	 */
 	public boolean isClosed() {
-		if (!this.closed && isReadable() && read() < 0) {
+		if (!this.closed && isReadable() && isEndOfInput((HttpServerConnection) this.exchange.getConnection())) {
 			this.closed = true;
 			this.disconnectListener.run();
 			IoUtils.safeClose(this.exchange.getConnection());
@@ -65,7 +71,7 @@
 	}
 
 	private boolean isReadable() {
-		return !this.pipelined && !this.exchange.isComplete() && !this.exchange.isResponseStarted()
+		return !this.exchange.isComplete() && !this.exchange.isResponseStarted()
 				&& this.exchange.getConnection() instanceof HttpServerConnection;
 	}
 
@@ -79,24 +85,43 @@
 		}
 	}
 
-	private int read() {
-		HttpServerConnection connection = (HttpServerConnection) this.exchange.getConnection();
-		PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
-		int count = read(connection, pooled);
-		if (count > 0) {
-			this.pipelined = true;
+	private static boolean isEndOfInput(HttpServerConnection connection) {
+		while (pipelinedBytes(connection) < MAX_PIPELINED_BYTES) {
+			PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
+			int count = read(connection, pooled.getBuffer());
+			if (count <= 0) {
+				pooled.close();
+				return count < 0;
+			}
 			pooled.getBuffer().flip();
-			connection.ungetRequestBytes(pooled);
+			appendPipelined(connection, pooled);
 		}
-		else {
-			pooled.close();
+		return false;
+	}
+
+	private static int pipelinedBytes(HttpServerConnection connection) {
+		PooledByteBuffer pipelined = connection.getExtraBytes();
+		return (pipelined != null) ? pipelined.getBuffer().remaining() : 0;
+	}
+
+	// HttpServerConnection.ungetRequestBytes would put the bytes before those that were
+	// read earlier.
+	private static void appendPipelined(HttpServerConnection connection, PooledByteBuffer next) {
+		PooledByteBuffer earlier = connection.getExtraBytes();
+		if (earlier == null) {
+			connection.setExtraBytes(next);
+			return;
 		}
-		return count;
+		ByteBuffer joined = ByteBuffer.allocate(earlier.getBuffer().remaining() + next.getBuffer().remaining());
+		joined.put(earlier.getBuffer()).put(next.getBuffer()).flip();
+		earlier.close();
+		next.close();
+		connection.setExtraBytes(new ImmediatePooledByteBuffer(joined));
 	}
 
-	private static int read(HttpServerConnection connection, PooledByteBuffer pooled) {
+	private static int read(HttpServerConnection connection, ByteBuffer buffer) {
 		try {
-			return connection.getOriginalSourceConduit().read(pooled.getBuffer());
+			return connection.getOriginalSourceConduit().read(buffer);
 		}
 		catch (IOException ex) {
 			// A reset connection is closed as well.
