Watch the caller's connection by events until its response is complete

What callers saw: nothing. An engine went on with a generation whose caller had left between two events, until a write failed: two events later, or never for an engine that sends nothing. Cause: the look for a close ended with the start of the response, and before it came every 250 ms only. Ruled out: a failed write as the sign; the first one after a close succeeds. Evidence: the test timed out after 60 s on the code before; it passes now. Why it works: the socket is read on readiness during the whole exchange; the request reader is put back when the exchange ends. This drops the timer of each request. A connection that closes because a write failed is reported as well. A caller that closes its sending side only counts as disconnected at any time now, as it did before the first byte.

--- a/laneworks-entry/src/main/java/dev/laneworks/entry/caller/CallerConnection.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/caller/CallerConnection.java
@@ -2,29 +2,28 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.concurrent.TimeUnit;
 
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.ImmediatePooledByteBuffer;
+import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
+import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /**
- * Connection of a caller whose request has been received, from then until its response
- * starts.
+ * Connection of a caller whose request has been received, from then until its response is
+ * complete.
  * <p>
- * Undertow does not read from a connection between the end of a request and the start of
- * its response and therefore does not detect its closing. This class reads from the
- * connection and returns the bytes of pipelined requests to it. Used on the I/O thread of
- * the connection alone.
+ * Undertow does not read from a connection during that time and therefore does not detect
+ * its closing before a write fails. This class reads from the connection and returns the
+ * bytes of pipelined requests to it. A caller that closes only its sending side counts as
+ * disconnected. Used on the I/O thread of the connection alone.
  *
  * @since 0.5
  */
 public final class CallerConnection {
 
-	private static final long POLL_INTERVAL_MILLIS = 250;
-
 	/**
 	 * Upper limit for the bytes of pipelined requests that are read ahead. A
 	 * disconnection behind more of them is not detected until the response is complete.
@@ -47,12 +46,24 @@
 	}
 
 	/**
-	 * Watch for the disconnection of the caller.
+	 * Watch for the disconnection of the caller until the response is complete.
 	 * @param listener called once, before the connection is closed on this side
 	 */
 	public void watch(Runnable listener) {
 		this.disconnectListener = listener;
-		schedulePoll();
+		if (!(this.exchange.getConnection() instanceof HttpServerConnection connection)) {
+			return;
+		}
+		ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
+		ChannelListener<? super ConduitStreamSourceChannel> requestReader = source.getReadListener();
+		source.setReadListener((c) -> handleReadable(connection));
+		connection.getOriginalSourceConduit().resumeReads();
+		this.exchange.addExchangeCompleteListener((e, next) -> {
+			connection.getOriginalSourceConduit().suspendReads();
+			source.setReadListener(requestReader);
+			reportIfClosed(connection);
+			next.proceed();
+		});
 	}
 
 	/**
@@ -62,27 +73,31 @@
 	 * @return {@code true} if the caller does not wait for the response any more
 	 */
 	public boolean isClosed() {
-		if (!this.closed && isReadable() && isEndOfInput((HttpServerConnection) this.exchange.getConnection())) {
-			this.closed = true;
-			this.disconnectListener.run();
-			IoUtils.safeClose(this.exchange.getConnection());
+		if (!this.closed && !this.exchange.isComplete()
+				&& this.exchange.getConnection() instanceof HttpServerConnection connection
+				&& isEndOfInput(connection)) {
+			report();
+			IoUtils.safeClose(connection);
 		}
 		return this.closed;
 	}
 
-	private boolean isReadable() {
-		return !this.exchange.isComplete() && !this.exchange.isResponseStarted()
-				&& this.exchange.getConnection() instanceof HttpServerConnection;
+	private void handleReadable(HttpServerConnection connection) {
+		if (!isClosed() && pipelinedBytes(connection) >= MAX_PIPELINED_BYTES) {
+			connection.getOriginalSourceConduit().suspendReads();
+		}
 	}
 
-	private void schedulePoll() {
-		this.exchange.getIoThread().executeAfter(this::poll, POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+	// Covers connections that were closed because a write failed.
+	private void reportIfClosed(HttpServerConnection connection) {
+		if (!this.closed && !connection.isOpen()) {
+			report();
+		}
 	}
 
-	private void poll() {
-		if (!isClosed() && isReadable()) {
-			schedulePoll();
-		}
+	private void report() {
+		this.closed = true;
+		this.disconnectListener.run();
 	}
 
 	private static boolean isEndOfInput(HttpServerConnection connection) {
