Refuse a Content-Length that overflows

Cause: the framing check allowed any number of digits. Undertow's parser wraps around at 2^64, so that the body was read with another length, and Long.parseLong failed. Why it works: lengths of more than 18 digits, which no long overflows at, are refused before anything reads them. The check stands in a class of its own now and is made for callers of the sidecar way as well.

--- a/laneworks-entry/src/main/java/dev/laneworks/entry/caller/CallerServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/caller/CallerServer.java
@@ -302,6 +302,12 @@
 	}
 
 	private void withBody(HttpServerExchange exchange, BodyAction action) {
+		if (!RequestFraming.hasUnambiguousLength(exchange)) {
+			exchange.setPersistent(false);
+			ProblemResponse.send(exchange,
+					Refusal.permanent(RefusalReason.BAD_REQUEST, "the request is not framed clearly"));
+			return;
+		}
 		if (exchange.getRequestContentLength() > this.settings.maxBodyBytes()) {
 			exchange.setPersistent(false);
 			ProblemResponse.send(exchange, tooLarge());
--- /dev/null
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/caller/RequestFraming.java
@@ -0,0 +1,46 @@
+package dev.laneworks.entry.caller;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+
+/**
+ * Checks of the headers that delimit and address a request, which Undertow does not make.
+ * <p>
+ * A request that fails them may be read with another length than the one that its sender
+ * meant. Its connection must be closed after the response.
+ *
+ * @since 0.5
+ */
+public final class RequestFraming {
+
+	/** The most digits for which no value overflows a {@code long}. */
+	private static final int MAX_LENGTH_DIGITS = 18;
+
+	private RequestFraming() {
+	}
+
+	/**
+	 * Determine whether the body length is declared in exactly one way, which prevents
+	 * request smuggling.
+	 * @param exchange the exchange whose request head has been received
+	 * @return {@code false} if the request must be refused
+	 */
+	public static boolean hasUnambiguousLength(HttpServerExchange exchange) {
+		HeaderMap headers = exchange.getRequestHeaders();
+		HeaderValues lengths = headers.get(Headers.CONTENT_LENGTH);
+		HeaderValues transferEncodings = headers.get(Headers.TRANSFER_ENCODING);
+		if (transferEncodings != null && (lengths != null || transferEncodings.size() > 1
+				|| !transferEncodings.getFirst().equalsIgnoreCase("chunked"))) {
+			return false;
+		}
+		return lengths == null || (lengths.size() == 1 && isLength(lengths.getFirst()));
+	}
+
+	private static boolean isLength(String value) {
+		return !value.isEmpty() && value.length() <= MAX_LENGTH_DIGITS
+				&& value.chars().allMatch((c) -> c >= '0' && c <= '9');
+	}
+
+}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/CallerRequest.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/CallerRequest.java
@@ -168,17 +168,4 @@
 		return found;
 	}
 
-	// Determine whether the body length is declared in exactly one way, which prevents
-	// request smuggling.
-	boolean hasUnambiguousLength() {
-		HeaderValues lengths = this.exchange.getRequestHeaders().get(Headers.CONTENT_LENGTH);
-		HeaderValues transferEncodings = this.exchange.getRequestHeaders().get(Headers.TRANSFER_ENCODING);
-		if (transferEncodings != null && (lengths != null || transferEncodings.size() > 1
-				|| !transferEncodings.getFirst().equalsIgnoreCase("chunked"))) {
-			return false;
-		}
-		return lengths == null || (lengths.size() == 1 && !lengths.getFirst().isEmpty()
-				&& lengths.getFirst().chars().allMatch((c) -> c >= '0' && c <= '9'));
-	}
-
 }
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
@@ -21,6 +21,7 @@
 import dev.laneworks.core.serving.ServingPlan;
 import dev.laneworks.core.verdict.Refusal;
 import dev.laneworks.core.verdict.RefusalReason;
+import dev.laneworks.entry.caller.RequestFraming;
 import dev.laneworks.runtime.http.HttpHeader;
 import dev.laneworks.runtime.http.IoWorker;
 import io.undertow.Undertow;
@@ -184,7 +185,8 @@
 			return Either.left(Refusal.permanent(RefusalReason.HEAD_TOO_LARGE,
 					"the head is larger than " + limits.maxHeaderBytes() + " bytes"));
 		}
-		if (!request.hasUnambiguousLength() || request.exchange().isHostIncludedInRequestURI()) {
+		if (!RequestFraming.hasUnambiguousLength(request.exchange())
+				|| request.exchange().isHostIncludedInRequestURI()) {
 			request.exchange().setPersistent(false);
 			return Either.left(Refusal.permanent(RefusalReason.BAD_REQUEST, "the request is not framed clearly"));
 		}
--- a/laneworks-processtests/src/test/java/dev/laneworks/processtests/ServingTests.java
+++ b/laneworks-processtests/src/test/java/dev/laneworks/processtests/ServingTests.java
@@ -106,6 +106,15 @@
 		assertThat(this.client.call("GET", fleet.entryUri(0, "/livez"), "").statusCode()).isEqualTo(200);
 	}
 
+	// Guards against a length whose value overflows: its request failed with 500, and was
+	// read with another length.
+	@Test
+	void rejectsContentLengthThatOverflows() throws IOException {
+		assertThat(sendRaw("POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + Fleet.KEY
+				+ "\r\nContent-Length: 18446744073709551617\r\n\r\nx"))
+			.startsWith("HTTP/1.1 400");
+	}
+
 	// Guards against generations that keep running after their client disconnected.
 	@Test
 	void clientDisconnectCancelsGeneration() {
