Look at the caller's connection before a call goes to a sidecar

What callers saw: nothing; targets ran requests whose callers had left. A request that lay unread while the process was paused was opened at once, though the close behind it was in the socket. Why it works: the connection is looked at on its I/O thread before the call is handed over; a later close reaches the duty thread behind it. Open: between the duty thread's ring and the sidecar there is no further look; a close that arrives meanwhile is a cancellation.

--- a/laneworks-entry/src/main/java/dev/laneworks/entry/caller/CallerServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/caller/CallerServer.java
@@ -168,8 +168,7 @@
 		CallerResponse response = generation.stream() ? createStreamedResponse(exchange, json, call)
 				: new BufferedResponse(exchange, json, request.work().promptTokens(), this.times.start(),
 						(o) -> this.calls.recordConsumed(call, o));
-		trackResponse(exchange, call);
-		rejectIfFull(exchange, this.calls.open(call, request, response));
+		openTracked(exchange, call, () -> this.calls.open(call, request, response));
 	}
 
 	private void resumeStream(HttpServerExchange exchange) {
@@ -188,10 +187,9 @@
 			CompletionJson json = new CompletionJson(kind, position.get().generation(), "",
 					System.currentTimeMillis() / 1000);
 			long call = this.calls.nextCallNumber();
-			trackResponse(exchange, call);
 			exchange.dispatch();
-			rejectIfFull(exchange,
-					this.calls.resume(call, request, position.get(), createStreamedResponse(exchange, json, call)));
+			CallerResponse response = createStreamedResponse(exchange, json, call);
+			openTracked(exchange, call, () -> this.calls.resume(call, request, position.get(), response));
 		});
 	}
 
@@ -209,8 +207,7 @@
 			}
 			exchange.getResponseHeaders().put(ResponseHeaders.REQUEST, request.get().work().requestId());
 			long call = this.calls.nextCallNumber();
-			trackResponse(exchange, call);
-			rejectIfFull(exchange, this.calls.open(call, request.get(), new ServiceResponse(exchange)));
+			openTracked(exchange, call, () -> this.calls.open(call, request.get(), new ServiceResponse(exchange)));
 		}));
 	}
 
@@ -255,8 +252,22 @@
 				() -> this.calls.recordDisconnect(call));
 	}
 
-	private void trackResponse(HttpServerExchange exchange, long call) {
-		new CallerConnection(exchange).watch(() -> this.calls.recordDisconnect(call));
+	// Opens a call unless its caller has disconnected; requests wait unread while the
+	// process is paused.
+	private void openTracked(HttpServerExchange exchange, long call, BooleanSupplier opener) {
+		CallerConnection connection = new CallerConnection(exchange);
+		if (connection.isClosed()) {
+			return;
+		}
+		trackResponse(exchange, connection, call);
+		if (!opener.getAsBoolean()) {
+			ProblemResponse.send(exchange, Refusal.notRun(RefusalReason.OVERLOADED,
+					"this entry has reached its limit of open calls", RETRY_DELAY));
+		}
+	}
+
+	private void trackResponse(HttpServerExchange exchange, CallerConnection connection, long call) {
+		connection.watch(() -> this.calls.recordDisconnect(call));
 		AtomicBoolean open = new AtomicBoolean(true);
 		this.openResponses.incrementAndGet();
 		exchange.addExchangeCompleteListener((e, next) -> {
@@ -279,13 +290,6 @@
 		}
 	}
 
-	private static void rejectIfFull(HttpServerExchange exchange, boolean accepted) {
-		if (!accepted) {
-			ProblemResponse.send(exchange, Refusal.notRun(RefusalReason.OVERLOADED,
-					"this entry has reached its limit of open calls", RETRY_DELAY));
-		}
-	}
-
 	private void withAccount(HttpServerExchange exchange, AccountAction action) {
 		Optional<FleetConfiguration> configuration = this.calls.configuration();
 		if (configuration.isEmpty()) {
--- a/laneworks-processtests/src/test/java/dev/laneworks/processtests/FailureTests.java
+++ b/laneworks-processtests/src/test/java/dev/laneworks/processtests/FailureTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.net.URI;
+import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -206,6 +207,26 @@
 		});
 	}
 
+	// Guards against an entry that sends after a pause what its callers no longer wait
+	// for.
+	@Test
+	void pausedEntrySendsNothingOfCallersThatLeft() throws IOException {
+		URI uri = this.fleet.entryUri(0, "/services/lookup/left");
+		this.fleet.entry(0).pause();
+		for (int i = 0; i < 10; i++) {
+			try (Socket socket = new Socket("127.0.0.1", uri.getPort())) {
+				socket.getOutputStream()
+					.write(("GET " + uri.getPath() + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + Fleet.KEY
+							+ "\r\n\r\n")
+						.getBytes(StandardCharsets.UTF_8));
+			}
+		}
+		this.fleet.entry(0).unpause();
+		HttpResponse<String> response = this.client.call("GET", uri, "");
+		assertThat(response.statusCode()).isEqualTo(200);
+		assertThat(JsonText.read(response.body()).path("calls").asInt()).isEqualTo(1);
+	}
+
 	// Starts a long generation and disconnects, which must not delay the shutdown.
 	private void askAndDisconnect() throws IOException {
 		String body = "{\"model\": \"m\", \"prompt\": \"x\", \"stream\": true, \"standin_length\": 90000}";
