Refuse a request that does not name exactly one valid host

What callers saw: 500 for a Host header with an unclosed bracket. Cause: Undertow takes the text between the brackets and fails where there is no second one. Of two Host headers it takes the first, while a target may take the other. Evidence: the test's two values with brackets gave 500 on the code before; all three values give 400 now and nothing is sent. Why it works: RFC 9112 asks for 400 for more than one Host and for an invalid one; the check is made before the host is used.

--- a/laneworks-entry/src/main/java/dev/laneworks/entry/caller/RequestFraming.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/caller/RequestFraming.java
@@ -38,6 +38,22 @@
 		return lengths == null || (lengths.size() == 1 && isLength(lengths.getFirst()));
 	}
 
+	/**
+	 * Determine whether the request names exactly one host, which routes it.
+	 * @param exchange the exchange whose request head has been received
+	 * @return {@code false} if the request must be refused;
+	 * HttpServerExchange.getHostName fails for such a request or returns one of several
+	 * hosts
+	 */
+	public static boolean hasOneHost(HttpServerExchange exchange) {
+		HeaderValues hosts = exchange.getRequestHeaders().get(Headers.HOST);
+		if (hosts == null) {
+			return true;
+		}
+		String host = hosts.getFirst();
+		return hosts.size() == 1 && (!host.startsWith("[") || host.indexOf(']') > 1);
+	}
+
 	private static boolean isLength(String value) {
 		return !value.isEmpty() && value.length() <= MAX_LENGTH_DIGITS
 				&& value.chars().allMatch((c) -> c >= '0' && c <= '9');
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
@@ -190,6 +190,9 @@
 			request.exchange().setPersistent(false);
 			return Either.left(Refusal.permanent(RefusalReason.BAD_REQUEST, "the request is not framed clearly"));
 		}
+		if (!RequestFraming.hasOneHost(request.exchange())) {
+			return Either.left(Refusal.permanent(RefusalReason.BAD_REQUEST, "the request must name one valid host"));
+		}
 		if (request.exchange().getRequestContentLength() > limits.maxBodyBytes()) {
 			return Either.left(tooLarge(limits));
 		}
