Close the connection at a chunk size that overflows

Cause: Undertow keeps flags in the upper bits of the remaining size, so that a larger size sets the one that stands for the end of the body. Now the connection closes and nothing is sent. Ruled out: 400 in place of the close. The first form of the test asked for it; Undertow closes the connection at any malformed chunk (also at 'g') before a response can be written, and its own parts that would allow one drop what follows the body. The new form asks for as much: no response, nothing sent, and nothing read as a further request; it also covers an empty and a non-hexadecimal size.

--- a/laneworks-entry/src/main/java/dev/laneworks/entry/caller/CallerServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/caller/CallerServer.java
@@ -324,6 +324,7 @@
 				exchange.endExchange();
 			}
 		}, this.settings.requestTimeout().toMillis(), TimeUnit.MILLISECONDS);
+		RequestFraming.validateChunks(exchange);
 		exchange.getRequestReceiver().receiveFullBytes((e, body) -> {
 			e.dispatch();
 			action.accept(body);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/caller/RequestFraming.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/caller/RequestFraming.java
@@ -54,6 +54,15 @@
 		return hosts.size() == 1 && (!host.startsWith("[") || host.indexOf(']') > 1);
 	}
 
+	/**
+	 * Refuse invalid chunk sizes while a body is read. To be called before the body is
+	 * read; reading fails with an {@link java.io.IOException}.
+	 * @param exchange the exchange whose request head has been received
+	 */
+	public static void validateChunks(HttpServerExchange exchange) {
+		ChunkSizeValidator.install(exchange);
+	}
+
 	private static boolean isLength(String value) {
 		return !value.isEmpty() && value.length() <= MAX_LENGTH_DIGITS
 				&& value.chars().allMatch((c) -> c >= '0' && c <= '9');
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
@@ -248,6 +248,7 @@
 				.executeAfter(() -> onBodyTimeout(request), admitted.limits().headTimeoutMillis(),
 						TimeUnit.MILLISECONDS);
 		}
+		RequestFraming.validateChunks(exchange);
 		exchange.getRequestReceiver().receiveFullBytes((e, body) -> {
 			e.dispatch();
 			request.body(body);
