Watch a caller's connection before its call may be answered

What callers saw: nothing; the log had an unhandled error (UT005071) for each request that was refused at once. Cause: the watch began after the dispatcher was called. A refusal completes the exchange within that call, and a listener can't be added to a completed exchange. Why it works: the watch begins first. Since an exchange may now complete within a call of the dispatcher, a connection that is found closed then is reported in a later turn, and a call that has ended is left alone.

--- a/laneworks-entry/src/main/java/dev/laneworks/entry/caller/CallerConnection.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/caller/CallerConnection.java
@@ -76,7 +76,8 @@
 		if (!this.closed && !this.exchange.isComplete()
 				&& this.exchange.getConnection() instanceof HttpServerConnection connection
 				&& isEndOfInput(connection)) {
-			report();
+			this.closed = true;
+			this.disconnectListener.run();
 			IoUtils.safeClose(connection);
 		}
 		return this.closed;
@@ -88,18 +89,16 @@
 		}
 	}
 
-	// Covers connections that were closed because a write failed.
+	// Covers connections that were closed because a write failed. The listener runs
+	// later,
+	// since the exchange may complete within a call of its owner.
 	private void reportIfClosed(HttpServerConnection connection) {
 		if (!this.closed && !connection.isOpen()) {
-			report();
+			this.closed = true;
+			this.exchange.getIoThread().execute(this.disconnectListener);
 		}
 	}
 
-	private void report() {
-		this.closed = true;
-		this.disconnectListener.run();
-	}
-
 	private static boolean isEndOfInput(HttpServerConnection connection) {
 		while (pipelinedBytes(connection) < MAX_PIPELINED_BYTES) {
 			PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectCalls.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectCalls.java
@@ -62,14 +62,17 @@
 		long number = ++this.lastCallNumber;
 		request.measure(this.times.start());
 		this.open.put(number, new OpenCall(request, admitted.id()));
-		this.dispatcher.open(number, admitted, this.loop.now());
+		// Before the dispatcher is called, which may answer at once.
 		request.connection().watch(() -> callerLeft(number));
+		this.dispatcher.open(number, admitted, this.loop.now());
 	}
 
 	private void callerLeft(long call) {
-		this.dispatcher.callerDisconnected(call, this.loop.now());
-		this.open.remove(call);
-		this.loop.runTimers();
+		if (this.open.containsKey(call)) {
+			this.dispatcher.callerDisconnected(call, this.loop.now());
+			this.open.remove(call);
+			this.loop.runTimers();
+		}
 	}
 
 	@Override
