Add a failing test of the connection of a cancelled call

What targets see: the connection of a request whose caller left stays open for ten seconds, and the target works on.

--- a/laneworks-runtime/src/test/java/dev/laneworks/runtime/http/HttpExchangeTests.java
+++ b/laneworks-runtime/src/test/java/dev/laneworks/runtime/http/HttpExchangeTests.java
@@ -1,8 +1,13 @@
 package dev.laneworks.runtime.http;
 
+import java.io.IOException;
 import java.net.Socket;
 import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -16,6 +21,9 @@
 @Timeout(60)
 class HttpExchangeTests extends LoopbackTestSupport {
 
+	/** Far above any delay of a test, and below the time for which a close may linger. */
+	private static final int AT_ONCE_MILLIS = 4_000;
+
 	@Test
 	void resetReachesServerThatWritesNothing() throws Exception {
 		HttpExchange exchange = call();
@@ -36,6 +44,49 @@
 		}
 	}
 
+	// Guards against a connection that stays open for seconds after its call was
+	// cancelled,
+	// so that the server works on.
+	@Test
+	void cancelEndsConnectionAtOnce() throws Exception {
+		for (Consumer<HttpExchange> cancel : List.<Consumer<HttpExchange>>of(HttpExchange::cancel,
+				HttpExchange::cancelWithReset)) {
+			HttpExchange exchange = call();
+			try (Socket accepted = this.server.accept()) {
+				accepted.setSoTimeout(AT_ONCE_MILLIS);
+				assertThat(accepted.getInputStream().read()).isEqualTo('G');
+				runOnIoThread(() -> cancel.accept(exchange));
+				assertThat(isEnded(accepted)).isTrue();
+			}
+		}
+	}
+
+	// Guards against a connection that occupies a place at the server although nothing is
+	// sent on it.
+	@Test
+	void connectionWithoutRequestEndsAtOnce() throws Exception {
+		this.httpClient.send(get().server(), Optional::empty, new ResponseCollector(100, (r) -> {
+		}));
+		try (Socket accepted = this.server.accept()) {
+			accepted.setSoTimeout(AT_ONCE_MILLIS);
+			assertThat(isEnded(accepted)).isTrue();
+		}
+	}
+
+	// Returns whether the connection is closed or reset before the time limit.
+	private static boolean isEnded(Socket accepted) throws IOException {
+		try {
+			accepted.getInputStream().readAllBytes();
+			return true;
+		}
+		catch (SocketTimeoutException ex) {
+			return false;
+		}
+		catch (SocketException ex) {
+			return true;
+		}
+	}
+
 	private HttpExchange call() {
 		return this.httpClient.send(get(), new ResponseCollector(100, (r) -> {
 		}));
