Close the socket of a cancelled call at once

What callers saw: nothing. Targets worked on for up to ten seconds, or to the end, for callers that had left, also where the entry had noticed the departure within milliseconds and logged it. Cause: closing Undertow's client connection does not close the socket. It reads what the server sends for up to ten seconds first, and sends no end of input while the request counts as sent. All cancelled calls were concerned: of callers that left, of attempts past their time, of runs that went on elsewhere; on both ways. Ruled out: a late or missing look (the log has the cancellation 75 ms after the send of a request that was worked on for 1,180 ms more) and a cancellation that is not carried out (it is, and the socket stays ESTABLISHED). Why it works: an upgrade hands out the connection of the socket, whose close is immediate, or a reset where the caller of the method asks for one. The same holds for a connection on which nothing is sent, and for one that broke.

--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpExchange.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpExchange.java
@@ -59,7 +59,8 @@
 	 * Cancel the call without further calls of its listener, and close the connection.
 	 */
 	public void cancel() {
-		cancel(IoUtils::safeClose);
+		cancel((c) -> {
+		});
 	}
 
 	/**
@@ -70,19 +71,22 @@
 	 * does not continue beside its replacement.
 	 */
 	public void cancelWithReset() {
-		cancel(HttpExchange::closeWithReset);
+		cancel(HttpExchange::resetOnClose);
 	}
 
-	private void cancel(Consumer<ClientConnection> closeAction) {
+	private void cancel(Consumer<ClientConnection> prepareClose) {
 		this.abandoned = true;
 		this.finished.set(true);
 		ClientConnection open = this.connection;
 		if (open != null) {
-			open.getIoThread().execute(() -> closeAction.accept(open));
+			open.getIoThread().execute(() -> {
+				prepareClose.accept(open);
+				closeAtOnce(open);
+			});
 		}
 	}
 
-	private static void closeWithReset(ClientConnection open) {
+	private static void resetOnClose(ClientConnection open) {
 		try {
 			open.setOption(Options.CLOSE_ABORT, true);
 		}
@@ -90,7 +94,19 @@
 			// The connection is already closed.
 			Logger.debug("cannot reset the connection: {}", ex.getMessage());
 		}
-		IoUtils.safeClose(open);
+	}
+
+	// Undertow's own close keeps the socket open for up to ten seconds and reads what the
+	// server sends, which therefore works on. An upgrade hands out the socket's
+	// connection.
+	private static void closeAtOnce(ClientConnection open) {
+		try {
+			IoUtils.safeClose(open.performUpgrade());
+		}
+		catch (IOException ex) {
+			Logger.debug("the connection is closed already: {}", ex.getMessage());
+			IoUtils.safeClose(open);
+		}
 	}
 
 	void handleConnectFailure(IOException cause) {
@@ -102,13 +118,13 @@
 	void send(ClientConnection open) {
 		this.connection = open;
 		if (this.abandoned) {
-			IoUtils.safeClose(open);
+			closeAtOnce(open);
 			return;
 		}
 		Optional<HttpRequest> supplied = this.callSupplier.get();
 		if (supplied.isEmpty()) {
 			this.finished.set(true);
-			IoUtils.safeClose(open);
+			closeAtOnce(open);
 			return;
 		}
 		this.call = supplied.get();
@@ -221,7 +237,7 @@
 		if (this.finished.compareAndSet(false, true)) {
 			this.listener.onConnectionBroken(cause);
 		}
-		IoUtils.safeClose(this.connection);
+		closeAtOnce(this.connection);
 	}
 
 	private ClientCallback<ClientExchange> callback(Consumer<ClientExchange> next) {
