--- a/laneworks-processtests/src/test/java/dev/laneworks/processtests/Fleet.java
+++ b/laneworks-processtests/src/test/java/dev/laneworks/processtests/Fleet.java
@@ -20,6 +20,7 @@
 import dev.laneworks.standin.engine.EngineSettings;
 import dev.laneworks.standin.forward.Forwarder;
 import dev.laneworks.standin.platform.PlatformServer;
+import dev.laneworks.standin.process.RunningProcess;
 import dev.laneworks.standin.service.PlainServer;
 
 /**
--- a/laneworks-standin/src/main/java/dev/laneworks/standin/process/RunningProcess.java
+++ b/laneworks-standin/src/main/java/dev/laneworks/standin/process/RunningProcess.java
@@ -1,4 +1,4 @@
-package dev.laneworks.processtests;
+package dev.laneworks.standin.process;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -10,8 +10,10 @@
 
 /**
  * Child process that runs a program of the system, controlled by signals.
+ *
+ * @since 0.5
  */
-final class RunningProcess {
+public final class RunningProcess {
 
 	private static final long EXIT_TIMEOUT_SECONDS = 60;
 
@@ -24,7 +26,14 @@
 		this.log = log;
 	}
 
-	static RunningProcess start(String mainClass, Path settings, Path log) {
+	/**
+	 * Start a program with the class path of this process.
+	 * @param mainClass the name of the main class
+	 * @param settings the settings file of the program
+	 * @param log the file that its output is appended to
+	 * @return the running process
+	 */
+	public static RunningProcess start(String mainClass, Path settings, Path log) {
 		String classPath = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
 		List<String> command = new ArrayList<>(List.of(
 				Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx128m", "-XX:+UseSerialGC",
@@ -40,28 +49,55 @@
 		}
 	}
 
-	void kill() {
+	/**
+	 * End the process without notice and wait until it has ended.
+	 */
+	public void kill() {
 		this.process.destroyForcibly();
 		awaitExit();
 	}
 
-	void terminate() {
+	/**
+	 * Request a graceful shutdown.
+	 */
+	public void terminate() {
 		sendSignal("TERM");
 	}
 
-	void pause() {
+	/**
+	 * Pause the process until {@link #unpause()}.
+	 */
+	public void pause() {
 		sendSignal("STOP");
 	}
 
-	void unpause() {
+	/**
+	 * Make the process read its settings again.
+	 */
+	public void reload() {
+		sendSignal("HUP");
+	}
+
+	/**
+	 * Resume a paused process.
+	 */
+	public void unpause() {
 		sendSignal("CONT");
 	}
 
-	boolean isAlive() {
+	/**
+	 * Determine whether the process runs.
+	 * @return {@code false} once it has ended
+	 */
+	public boolean isAlive() {
 		return this.process.isAlive();
 	}
 
-	int awaitExit() {
+	/**
+	 * Wait until the process has ended.
+	 * @return the exit code
+	 */
+	public int awaitExit() {
 		try {
 			if (!this.process.waitFor(EXIT_TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
 				throw new IllegalStateException("the process did not exit before the timeout; its log: " + log());
@@ -74,7 +110,11 @@
 		}
 	}
 
-	String log() {
+	/**
+	 * Return the output of the process.
+	 * @return the content of its log file
+	 */
+	public String log() {
 		try {
 			return Files.readString(this.log);
 		}
--- /dev/null
+++ b/laneworks-standin/src/main/java/dev/laneworks/standin/process/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Child processes that tests start, signal and end.
+ */
+package dev.laneworks.standin.process;
