Restore reasons, figures and faults in the comments of constants

Change: 32 constants, the deciding code first. Only facts that the older comments held and that still hold, in today's names. Notes on how values were found stay out, and so does what today's comments say in other words. No code changes: the diff has comment lines alone.

--- a/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
@@ -32,7 +32,7 @@
 	/**
 	 * How long after an outage of the list an expired entry may still be written again,
 	 * in milliseconds. It also bounds how long a draining target is sent requests after
-	 * its entry was removed.
+	 * its entry was removed, for which the platform allows about two seconds.
 	 */
 	private static final long RECOVERY_MILLIS = 1_800;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptScheduler.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptScheduler.java
@@ -22,7 +22,7 @@
 
 	/**
 	 * Upper bound of the learned connect timeout. Equals the initial retransmission
-	 * timeout of RFC 6298.
+	 * timeout of RFC 6298 and the time that callers allow for a connection.
 	 */
 	private static final long MAX_CONNECT_MILLIS = 1_000;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -21,7 +21,10 @@
  */
 final class AttemptSender {
 
-	/** Memory utilization of an engine above which it receives no new live copies. */
+	/**
+	 * Memory utilization of an engine above which it receives no new live copies, which
+	 * must leave memory for generations.
+	 */
 	private static final double MAX_BACKUP_UTILIZATION = 0.75;
 
 	/**
@@ -34,8 +37,8 @@
 	static final double MAX_UTILIZATION_WITH_COPIES = 0.9;
 
 	/**
-	 * Granularity in which the growth of a generation is recorded; limits the number of
-	 * updates to other entries.
+	 * Granularity in which the growth of a generation is recorded; half of the tokens
+	 * reserved ahead. Limits the number of updates to other entries.
 	 */
 	private static final long GROWTH_STEP_TOKENS = 125;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Continuation.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Continuation.java
@@ -19,7 +19,8 @@
 
 	/**
 	 * The longest time for which a generation may execute at its copy without an event
-	 * while its first engine still executes it.
+	 * while its first engine still executes it. 400 ms are allowed, and ending either
+	 * execution takes part of them.
 	 */
 	static final long FIRST_EVENT_TIMEOUT_MILLIS = 300;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/EngineAdmission.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/EngineAdmission.java
@@ -23,6 +23,8 @@
 
 	/**
 	 * Maximum wait of a highest-priority generation, in multiples of its latency goal.
+	 * One that waits longer would be late even if it were sent, and so would all behind
+	 * it.
 	 */
 	private static final double MAX_WAIT_GOALS = 1;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/GenerationSize.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/GenerationSize.java
@@ -18,14 +18,15 @@
 		List<PromptPart> parts) {
 
 	/**
-	 * Tokens reserved ahead of a running generation, so that a target that fills up can
-	 * be avoided in time.
+	 * Tokens reserved ahead of a running generation, which are about two seconds of
+	 * growth, so that a target that fills up can be avoided in time.
 	 */
 	private static final long GROWTH_TOKENS = 250;
 
 	/**
 	 * Minimum length of a generation for which a live copy is worthwhile. A shorter one
-	 * finishes within the reclaim notice.
+	 * finishes within the reclaim notice, and its engine takes longer to read its prompt
+	 * than to generate it.
 	 */
 	private static final long LONG_TOKENS = 200;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/SharedRetryBudget.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/SharedRetryBudget.java
@@ -31,7 +31,7 @@
 
 	/**
 	 * Fraction of the fleet-wide limit that processes may spend together. The margin
-	 * covers gossip updates that are late or lost when a process crashes.
+	 * covers gossip updates that are up to a second old, or lost when a process crashes.
 	 */
 	private static final double SHARED_LIMIT_FRACTION = 0.7;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StandbyCopies.java
@@ -27,13 +27,15 @@
 	private static final long MIN_RUNNING_MILLIS = 700;
 
 	/**
-	 * Refresh interval of a copy. Must stay below the idle time after which engines free
-	 * a copy.
+	 * Refresh interval of a copy. Engines free a copy that is not used or refreshed for
+	 * five seconds.
 	 */
 	private static final long REFRESH_INTERVAL_MILLIS = 2_500;
 
+	/** Delay before the search for an engine with memory for a copy is repeated. */
 	private static final long NO_DESTINATION_DELAY_MILLIS = 400;
 
+	/** Delay while another copy is in progress; a refresh takes about 20 ms. */
 	private static final long BUSY_DELAY_MILLIS = 60;
 
 	/**
@@ -44,7 +46,7 @@
 
 	/**
 	 * Maximum fleet memory utilization for new copies. Prevents copies from causing
-	 * engines to preempt generations.
+	 * engines to preempt generations, since some engine is away at any time.
 	 */
 	private static final double MAX_FLEET_UTILIZATION_NEW = 0.5;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -23,25 +23,28 @@
 final class StreamMover {
 
 	/**
-	 * Generations with fewer tokens finish within the reclaim notice and are not moved.
+	 * Generations with fewer tokens finish within the reclaim notice and are not moved; a
+	 * token takes about 8 ms.
 	 */
 	private static final long SHORT_GENERATION_TOKENS = 100;
 
 	/**
-	 * Maximum duration of a copy after which the generation is stopped. Bounds the pause
-	 * that the caller sees.
+	 * Maximum duration of a copy after which the generation is stopped. A faster copy met
+	 * no queue on its links, so that the final one stays within the pause of 180 ms that
+	 * callers allow.
 	 */
 	private static final long FAST_COPY_MILLIS = 60;
 
 	/**
 	 * Time after the reclaim notice from which a generation is stopped regardless of copy
-	 * duration. Leaves time for the final copy.
+	 * duration. Leaves time for the final copy within a notice of 1.5 s.
 	 */
 	private static final long FORCED_STOP_MILLIS = 1_250;
 
 	/** Time after the reclaim notice from which no more copies are attempted. */
 	private static final long GIVE_UP_MILLIS = 6_000;
 
+	/** Delay before an order that could not be carried out is repeated. */
 	private static final long RETRY_DELAY_MILLIS = 40;
 
 	/** Copies up to this size bypass the turn between entries. */
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetChooser.java
@@ -50,8 +50,8 @@
 	private static final int MIN_LOCAL_ENGINES = 4;
 
 	/**
-	 * Score penalty of a copy destination in another data centre, where copies take
-	 * longer and share the link.
+	 * Score penalty of a copy destination in another data centre, where copies take twice
+	 * as long and share the link.
 	 */
 	private static final double REMOTE_PENALTY_COPY = 0.5;
 
@@ -69,7 +69,7 @@
 
 	/**
 	 * Memory utilization, including the copy, up to which all copy destinations count as
-	 * equal. Leaves a margin for errors of the estimate.
+	 * equal. Leaves a margin for an estimate that is wrong by a tenth.
 	 */
 	private static final double AMPLE_MEMORY_UTILIZATION = 0.75;
 
@@ -106,7 +106,8 @@
 
 	/**
 	 * Maximum random part of a new generation's score. Spreads placements that other
-	 * processes made too recently to be visible here.
+	 * processes made too recently to be visible here: engines without unread prompts
+	 * count as equal unless one holds a generation or two more.
 	 */
 	private static final double PLACEMENT_SPREAD = 0.25;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetQuality.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetQuality.java
@@ -11,7 +11,10 @@
  */
 public final class TargetQuality {
 
-	/** Half-life of the weight of a response. */
+	/**
+	 * Half-life of the weight of a response; about as long as a transient fault of a
+	 * target lasts.
+	 */
 	private static final double HALF_LIFE_MILLIS = 4_000;
 
 	/** Minimum decayed count of failed responses for an ejection. */
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -25,20 +25,22 @@
 
 	/**
 	 * How long after an outage items may still be missing that their owners write again,
-	 * in milliseconds.
+	 * in milliseconds. The platform names about two seconds.
 	 */
 	private static final long RECOVERY_MILLIS = 2_000;
 
 	/**
 	 * The shortest outage after which missing target entries count as expired, in
-	 * milliseconds. Entries expire after three missed heartbeats; an entry that is
-	 * missing after a shorter outage was removed by its target.
+	 * milliseconds. Entries expire after three missed heartbeats, which is 3.6 s at an
+	 * interval of 1.2 s; an entry that is missing after a shorter outage was removed by
+	 * its target, and counting it as expired would delay the draining.
 	 */
 	private static final long MIN_EXPIRY_OUTAGE_MILLIS = 1_000;
 
 	/**
 	 * How long the next call may be overdue before all items are read again, in
-	 * milliseconds.
+	 * milliseconds. If it is only late, because the process was held up, this costs one
+	 * reading too many.
 	 */
 	private static final long STALL_TIMEOUT_MILLIS = 1_000;
 
@@ -50,8 +52,8 @@
 
 	/**
 	 * The longest time the store may hold a watch that other processes depend on, in
-	 * milliseconds. It bounds how long a broken connection of the watcher goes
-	 * undetected.
+	 * milliseconds. A broken connection of the watcher is detected within this time and
+	 * three heartbeats, well below the two seconds within which a plan must take effect.
 	 */
 	private static final long SHARED_WAIT_MILLIS = 700;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/gossip/Gossip.java
@@ -36,7 +36,9 @@
 
 	/**
 	 * The longest time to wait for the copies of one entry away from a target, in
-	 * milliseconds. Keeps a slow link of one entry from blocking the copies of others.
+	 * milliseconds; longer than a whole copy between data centres takes over an idle
+	 * link. A copy that waits for the link of its destination would block the others
+	 * until their engine ends.
 	 */
 	private static final long MAX_TURN_MILLIS = 500;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/poison/SuspectRequests.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/poison/SuspectRequests.java
@@ -31,7 +31,8 @@
 
 	/**
 	 * The first quarantine of a request that completed before, in milliseconds; each
-	 * further crash doubles it.
+	 * further crash doubles it. Many targets may crash at once while they execute a
+	 * request that its callers repeat all the time.
 	 */
 	static final long FIRST_QUARANTINE_MILLIS = 2_000;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/time/PauseDetector.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/time/PauseDetector.java
@@ -13,7 +13,8 @@
 
 	/**
 	 * The shortest gap between two heartbeats that counts as a pause, in milliseconds; a
-	 * little above three intervals of an idle entry.
+	 * little above three intervals of an idle entry. A gap of a busy entry that counts as
+	 * a pause causes streams to be refused during a shutdown.
 	 */
 	private static final long MIN_PAUSE_MILLIS = 500;
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/time/SuspensionMeter.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/time/SuspensionMeter.java
@@ -20,7 +20,8 @@
 
 	/**
 	 * The jump of the wall clock that triggers a reading of the boot clock, in
-	 * milliseconds. Slow correction of the wall clock reaches it rarely.
+	 * milliseconds. Slow correction of the wall clock takes at least a hundred seconds to
+	 * reach it.
 	 */
 	private static final long MIN_JUMP_MILLIS = 50;
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
@@ -69,10 +69,16 @@
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
-	/** Covers the delay of the load balancer and requests in transit. */
+	/**
+	 * Covers the two seconds for which the load balancer goes on, and requests in
+	 * transit.
+	 */
 	private static final long DEFAULT_TAKE_ALL_MILLIS = 2_600;
 
-	/** Below the time after which callers give up on an entry that does not answer. */
+	/**
+	 * Below the second after which callers give up on an entry that does not read their
+	 * requests. A start takes 0.4 to 1.2 s from listening to the plan.
+	 */
 	private static final long DEFAULT_START_HOLD_MILLIS = 650;
 
 	private static final int MAX_LIMIT = 1_000_000;
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/log/LineOutput.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/log/LineOutput.java
@@ -15,6 +15,7 @@
  */
 final class LineOutput {
 
+	/** A few times the lines of a busy entry. */
 	private static final double LINES_PER_SECOND = 400;
 
 	private static final double BURST_LINES = 1_200;
