--- a/laneworks-entry/src/main/java/dev/laneworks/entry/caller/CallerConnection.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/caller/CallerConnection.java
@@ -89,9 +89,9 @@
 		}
 	}
 
-	// Covers connections that were closed because a write failed. The listener runs
-	// later,
-	// since the exchange may complete within a call of its owner.
+	// Covers connections that were closed because a write failed. The exchange may
+	// complete
+	// within a call of its owner, so the listener runs in a later turn.
 	private void reportIfClosed(HttpServerConnection connection) {
 		if (!this.closed && !connection.isOpen()) {
 			this.closed = true;
