--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DisconnectedCalls.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DisconnectedCalls.java
@@ -14,7 +14,7 @@
 	private volatile long atTarget;
 
 	/**
-	 * Return the calls that no target had been sent.
+	 * Return the number of calls whose request had not been sent to a target.
 	 * @return the count since the start
 	 */
 	public long notSent() {
@@ -22,7 +22,7 @@
 	}
 
 	/**
-	 * Return the calls that a target had been sent and may have been executing.
+	 * Return the number of calls whose request had been sent to a target.
 	 * @return the count since the start
 	 */
 	public long atTarget() {
