Tell how far an entry is behind when it refuses, and why each fetch failed

Refusals name for how long the entry has known that others have a newer revision, an accepted plan names the store's revision of it, and an entry tells when it has caught up and after how long. Each new cause of a failed call in an outage has its line, so that discarded answers can be told from rejections. A task that throws on the background thread leaves a line. The version of the active plan is a gauge. No logic changes.

--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/LagTracker.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/LagTracker.java
@@ -1,5 +1,7 @@
 package dev.laneworks.core.follow;
 
+import java.util.OptionalLong;
+
 /**
  * Tracks how long a process has lacked changes that others have, and how long its watch
  * may take to return them.
@@ -26,6 +28,9 @@
 	/** When this process fell behind that revision, in milliseconds. */
 	private long behindSince;
 
+	/** Whether this process fell behind and has not caught up since. */
+	private boolean isLagReported;
+
 	/** The number of the last watch that was expected to return a change. */
 	private long expectedWatch = -1;
 
@@ -42,6 +47,7 @@
 		boolean isNew = known >= this.highestReported;
 		if (isNew) {
 			this.behindSince = now;
+			this.isLagReported = true;
 		}
 		this.highestReported = Math.max(this.highestReported, reported);
 		return isNew;
@@ -57,6 +63,21 @@
 		return (known < this.highestReported) ? now - this.behindSince : 0;
 	}
 
+	/**
+	 * Record the revision known to this process.
+	 * @param known the revision
+	 * @param now the current time in milliseconds
+	 * @return how long this process was behind, in milliseconds; empty unless it has just
+	 * caught up
+	 */
+	OptionalLong recordCaughtUp(long known, long now) {
+		if (!this.isLagReported || known < this.highestReported) {
+			return OptionalLong.empty();
+		}
+		this.isLagReported = false;
+		return OptionalLong.of(now - this.behindSince);
+	}
+
 	// Returns whether the watch was not yet expected to return a change.
 	boolean startExpecting(long watch) {
 		boolean isNew = this.expectedWatch != watch;
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -104,6 +104,9 @@
 
 	private int failures;
 
+	/** The cause of the last failed call. */
+	private String lastFailure = "";
+
 	private long lastContactAt;
 
 	private long recoveredAt = Long.MIN_VALUE / 2;
@@ -189,6 +192,7 @@
 		this.mustReadAgain = true;
 		this.listener.itemsRead(this.cache.replace(all, at), now);
 		this.mustReadAgain = false;
+		reportCaughtUp(now);
 		// Items that an older copy of the store lacks are not reported as removed. Other
 		// processes read the copy themselves.
 		if (!isOtherEra) {
@@ -405,6 +409,11 @@
 		}
 	}
 
+	private void reportCaughtUp(long now) {
+		this.lag.recordCaughtUp(this.cache.revision(), now)
+			.ifPresent((lagMillis) -> this.listener.caughtUp(this.cache.revision(), lagMillis));
+	}
+
 	// An update that changes nothing here was forwarded before.
 	private void forwardIfNew(StoreUpdate update, long before, long now) {
 		if (this.cache.revision() > before) {
@@ -442,10 +451,7 @@
 			return;
 		}
 		this.failures++;
-		if (!this.unreachable) {
-			this.unreachable = true;
-			this.listener.storeUnreachable(cause);
-		}
+		reportFailure(cause);
 		long next = now + this.backoff.delayMillis(this.failures);
 		if (this.synced) {
 			this.call.schedule(next, this::watchUnlessDelegated);
@@ -455,6 +461,18 @@
 		}
 	}
 
+	private void reportFailure(String cause) {
+		boolean isOtherCause = !cause.equals(this.lastFailure);
+		this.lastFailure = cause;
+		if (!this.unreachable) {
+			this.unreachable = true;
+			this.listener.storeUnreachable(cause);
+		}
+		else if (isOtherCause) {
+			this.listener.callFailedAgain(cause, this.failures);
+		}
+	}
+
 	// Changes after a gap are applied at once, since a draining target must not wait
 	// for a large plan to arrive. They are also read in their order later.
 	private void applyOutOfOrder(List<StoreChange> changes, long now) {
@@ -502,6 +520,7 @@
 	// Changes applied before are skipped, since an update may arrive twice or late.
 	private void applyChanges(List<StoreChange> changes, long at, long now) {
 		notifyChanged(this.cache.advance(changes, at), now);
+		reportCaughtUp(now);
 	}
 
 	private void notifyChanged(List<StoreChange> newChanges, long now) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreListener.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreListener.java
@@ -39,6 +39,14 @@
 	 */
 	void fellBehind(long known, long reported);
 
+	/**
+	 * Handle that this process has all changes again that other processes have.
+	 * @param known the revision up to which this process has all changes
+	 * @param lagMillis how long it lacked some, in milliseconds
+	 * @since 0.7
+	 */
+	void caughtUp(long known, long lagMillis);
+
 	/**
 	 * Handle that the store was restored from an older copy, before {@link #itemsRead} is
 	 * called. Items that it lacks may soon be written again, and those it holds may be
@@ -55,6 +63,15 @@
 	 */
 	void storeUnreachable(String cause);
 
+	/**
+	 * Handle that a further call failed while the store is unreachable, and for another
+	 * cause than the call before.
+	 * @param cause the cause of the failed call
+	 * @param consecutive the number of consecutive failed calls
+	 * @since 0.7
+	 */
+	void callFailedAgain(String cause, int consecutive);
+
 	/**
 	 * Handle that an overdue watch was restarted because it returned nothing of a change
 	 * that other processes have.
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/LargeItemSimulation.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/LargeItemSimulation.java
@@ -261,6 +261,16 @@
 			// Expected until the large item arrives.
 		}
 
+		@Override
+		public void caughtUp(long known, long lagMillis) {
+			// Not recorded.
+		}
+
+		@Override
+		public void callFailedAgain(String cause, int consecutive) {
+			// The simulated store is always reachable.
+		}
+
 		@Override
 		public void watchRestarted(int inARow, long waitedMillis) {
 			// Cancelled answers are counted by the transfer.
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
@@ -91,6 +91,17 @@
 		assertThat(this.events).containsExactly("all [a]", "lost refused", "regained 2005", "changed [x]").inOrder();
 	}
 
+	@Test
+	void reportsEachNewCauseOfFailuresInAnOutage() {
+		startWatching();
+		this.follower.failed(this.lastCall, "refused", 1_000);
+		this.timers.run(1_200);
+		this.follower.failed(this.lastCall, "refused", 1_210);
+		this.timers.run(2_000);
+		this.follower.failed(this.lastCall, "too large", 2_010);
+		assertThat(this.events).containsExactly("all [a]", "lost refused", "failed again too large 3").inOrder();
+	}
+
 	@Test
 	void makesTheFirstWatchAfterAFailureShort() {
 		startWatching();
@@ -160,7 +171,8 @@
 		assertThat(this.behindReports).containsExactly("100 to 160");
 		this.follower.watchAnswered(this.lastCall, List.of(change("x", 160), change("y", 180)), 180, 600);
 		deliver(lowerRanked(), 190, 200, 700, change("z", 200));
-		assertThat(this.behindReports).containsExactly("100 to 160", "180 to 200").inOrder();
+		assertThat(this.behindReports).containsExactly("100 to 160", "caught up with 180 after 100", "180 to 200")
+			.inOrder();
 	}
 
 	/**
@@ -647,6 +659,16 @@
 			StoreFollowerTests.this.events.add("history " + StorePosition.of(known) + " to " + StorePosition.of(at));
 		}
 
+		@Override
+		public void caughtUp(long known, long lagMillis) {
+			StoreFollowerTests.this.behindReports.add("caught up with " + known + " after " + lagMillis);
+		}
+
+		@Override
+		public void callFailedAgain(String cause, int consecutive) {
+			StoreFollowerTests.this.events.add("failed again " + cause + ' ' + consecutive);
+		}
+
 		@Override
 		public void storeUnreachable(String cause) {
 			StoreFollowerTests.this.events.add("lost " + cause);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -253,9 +253,9 @@
 		this.resumeGate = new ResumeGate(this.store.follower()::ageMillis);
 		this.loop.onPause(this::paused);
 		this.ingress = IngressGate.create(settings.maxDelayShare(), this.loop, calls::load, this.metrics);
-		this.callers = new DirectServer(this.io, settings.callers(), calls, adapter.headers(),
-				this.store.published()::plan, this.shutdown, (r) -> this.ingress.flatMap((g) -> g.refuse(r)), this.loop,
-				this.resumeGate::isClosed, random, this.audit);
+		this.callers = new DirectServer(this.io, settings.callers(), calls, adapter.headers(), this.store,
+				this.shutdown, (r) -> this.ingress.flatMap((g) -> g.refuse(r)), this.loop, this.resumeGate::isClosed,
+				random, this.audit);
 		this.readiness = new ReadinessServer(this.io, settings.readiness(), adapter.source()::readinessPaths,
 				this::isReady);
 		registerMetrics();
@@ -426,6 +426,7 @@
 		return new EntryGauges(this.estimates.countUnreachable(now), this.cold.count(now),
 				this.backpressure.limitCount(), this.backpressure.backoffCount(now),
 				this.suspects.requests().quarantined(now), this.store.evacuations().count(),
+				this.store.published().plan().map(ServingPlan::version).orElse(-1L),
 				this.store.follower().behindMillis(now), this.dispatcher.headroom().lowestLimit(now),
 				this.dispatcher.headroom().largestDisplacedShare(now), this.queues.refused(),
 				WaitingGauge.of(this.queues.countByPriority(), now));
@@ -538,6 +539,7 @@
 		this.metrics.register("laneworks_displaced_share", (Gauge<Double>) () -> this.gauges.displacedShare());
 		this.metrics.register("laneworks_store_histories", (Gauge<Integer>) this.store.published()::restoreCount);
 		this.metrics.register("laneworks_items_refused", (Gauge<Integer>) this.store.published()::refusedItems);
+		this.metrics.register("laneworks_plan_version", (Gauge<Long>) () -> this.gauges.planVersion());
 		this.metrics.register("laneworks_peers", (Gauge<Integer>) this.peers::count);
 		this.metrics.register("laneworks_callers_left_before_read", (Gauge<Long>) this.callers::unreadRequests);
 		this.metrics.register("laneworks_callers_left_before_send",
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.LongPredicate;
-import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import dev.laneworks.core.audit.AuditEvent;
@@ -64,7 +63,7 @@
 
 	private final HeaderTranslator translator;
 
-	private final Supplier<Optional<ServingPlan>> plan;
+	private final StoreView store;
 
 	private final GracefulShutdown shutdown;
 
@@ -90,14 +89,13 @@
 	private volatile long unreadRequests;
 
 	DirectServer(IoWorker io, InetSocketAddress address, DirectCalls calls, HeaderTranslator translator,
-			Supplier<Optional<ServingPlan>> plan, GracefulShutdown shutdown,
-			Function<RouteSpec, Optional<Refusal>> capacity, EventLoop loop, LongPredicate isDeferring,
-			RandomGenerator random, AuditSink audit) {
+			StoreView store, GracefulShutdown shutdown, Function<RouteSpec, Optional<Refusal>> capacity, EventLoop loop,
+			LongPredicate isDeferring, RandomGenerator random, AuditSink audit) {
 		this.capacity = capacity;
 		this.isDeferring = isDeferring;
 		this.calls = calls;
 		this.translator = translator;
-		this.plan = plan;
+		this.store = store;
 		this.shutdown = shutdown;
 		this.loop = loop;
 		this.random = random;
@@ -175,7 +173,7 @@
 	}
 
 	private Either<Refusal, Admitted> admit(CallerRequest request) {
-		Optional<ServingPlan> activePlan = this.plan.get();
+		Optional<ServingPlan> activePlan = this.store.published().plan();
 		if (activePlan.isEmpty()) {
 			return Either.left(Refusal.notRun(RefusalReason.NOT_READY, "this entry has no configuration yet",
 					NOT_READY_RETRY_DELAY));
@@ -297,9 +295,11 @@
 	}
 
 	private void refuse(CallerRequest request, Refusal refusal) {
+		long behind = this.store.follower().behindMillis(this.loop.now());
 		this.audit.record(AuditEvent.of(AuditKind.REFUSED, this.translator.requestId(request.headers()), "",
 				"at admission, " + refusal.reason().label() + ", plan "
-						+ this.plan.get().map(ServingPlan::version).orElse(0L) + ": " + refusal.detail()));
+						+ this.store.published().plan().map(ServingPlan::version).orElse(0L)
+						+ ((behind > 0) ? ", " + behind + " ms behind other entries" : "") + ": " + refusal.detail()));
 		request.refuse(refusal, this.translator.rejectionHeaders(refusal, ""));
 	}
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EntryGauges.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EntryGauges.java
@@ -11,6 +11,7 @@
  * @param targetsInBackoff the targets that requested a backoff of this entry
  * @param quarantinedRequests the requests that are sent to no target
  * @param evacuatedDataCentres the data centres that receive no requests
+ * @param planVersion the version of the active plan; -1 if there is none
  * @param storeBehindMillis for how long changes of the store have been known to be
  * missing, in milliseconds
  * @param startLimit the lowest limit of engine memory utilization of any service up to
@@ -21,10 +22,10 @@
  * @param waiting the generations that wait for engine memory, by priority
  */
 record EntryGauges(long suspectedTargets, long coldTargets, int rateLimitedTargets, int targetsInBackoff,
-		long quarantinedRequests, int evacuatedDataCentres, long storeBehindMillis, double startLimit,
+		long quarantinedRequests, int evacuatedDataCentres, long planVersion, long storeBehindMillis, double startLimit,
 		double displacedShare, long refusedFromQueue, Map<Integer, WaitingGauge> waiting) {
 
 	/** The values before the first collection. */
-	static final EntryGauges NONE = new EntryGauges(0, 0, 0, 0, 0, 0, 0, 1, 0, 0, Map.of());
+	static final EntryGauges NONE = new EntryGauges(0, 0, 0, 0, 0, 0, -1, 0, 1, 0, 0, Map.of());
 
 }
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
@@ -211,6 +211,18 @@
 						+ StorePosition.of(knownRevision) + " have been read here"));
 	}
 
+	@Override
+	public void caughtUp(long knownRevision, long lagMillis) {
+		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "", "caught up with revision "
+				+ StorePosition.of(knownRevision) + " after " + lagMillis + " ms behind other entries"));
+	}
+
+	@Override
+	public void callFailedAgain(String cause, int consecutive) {
+		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "",
+				"still unreachable after " + consecutive + " failed calls in a row: " + cause));
+	}
+
 	@Override
 	public void watchRestarted(int consecutive, long waitedMillis) {
 		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "",
@@ -243,25 +255,27 @@
 	// The first plan is parsed at once: requests wait for it, and no streams exist yet.
 	private void readPlan(StoreItem item) {
 		if (this.plan.isPresent() && item.value().length() > LARGE_PLAN_CHARS) {
-			this.background.submit(() -> this.source.plan(item), (read) -> applyPlan(item.key(), read));
+			this.background.submit(() -> this.source.plan(item), (read) -> applyPlan(item, read));
 		}
 		else {
-			applyPlan(item.key(), this.source.plan(item));
+			applyPlan(item, this.source.plan(item));
 		}
 	}
 
-	private void applyPlan(String key, Either<String, ServingPlan> read) {
+	private void applyPlan(StoreItem item, Either<String, ServingPlan> read) {
 		if (read.isLeft()) {
-			this.refused.refuse(key, AuditEvent.of(AuditKind.CONFIGURATION_REFUSED, "plan", "", read.getLeft()));
+			this.refused.refuse(item.key(), AuditEvent.of(AuditKind.CONFIGURATION_REFUSED, "plan", "", read.getLeft()));
 			return;
 		}
-		this.refused.forget(key);
+		this.refused.forget(item.key());
 		ServingPlan newPlan = read.get();
 		if (this.plan.isPresent() && newPlan.version() <= this.plan.get().version()) {
 			return;
 		}
 		this.plan = Optional.of(newPlan);
-		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_ACCEPTED, "plan", "", "version " + newPlan.version()));
+		long revision = item.revision();
+		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_ACCEPTED, "plan", "", "version " + newPlan.version()
+				+ ((revision == StoreItem.UNKNOWN_REVISION) ? "" : " of revision " + StorePosition.of(revision))));
 		this.planListener.accept(newPlan);
 		this.targets.use(newPlan);
 	}
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/DefaultBackgroundExecutor.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/DefaultBackgroundExecutor.java
@@ -3,6 +3,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
+import dev.laneworks.runtime.log.LogLine;
 import org.xnio.XnioIoThread;
 
 /**
@@ -26,9 +27,19 @@
 	@Override
 	public <T> void submit(Supplier<T> task, Consumer<T> receiver) {
 		this.thread.getWorker().execute(() -> {
-			T result = task.get();
+			T result = run(task);
 			this.thread.execute(() -> receiver.accept(result));
 		});
 	}
 
+	private static <T> T run(Supplier<T> task) {
+		try {
+			return task.get();
+		}
+		catch (RuntimeException | Error ex) {
+			LogLine.of("background-task").with("outcome", "failed").with("cause", ex.toString()).warn();
+			throw ex;
+		}
+	}
+
 }
