--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreUpdate.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreUpdate.java
@@ -20,6 +20,9 @@
 public record StoreUpdate(String sender, String group, long from, long to, List<StoreChange> changes,
 		boolean recovering, Kind kind) {
 
+	/** Separates serving plans from the much smaller items of the target list. */
+	private static final int LARGE_CHANGE_CHARACTERS = 2_000;
+
 	public StoreUpdate {
 		Objects.requireNonNull(sender, "sender must not be null");
 		Objects.requireNonNull(group, "group must not be null");
@@ -27,6 +30,21 @@
 		changes = List.copyOf(changes);
 	}
 
+	/**
+	 * Return this update if its values fit into a message, and otherwise a copy without
+	 * the large changes or, if that is not enough, without any.
+	 * @param maxCharacters the maximum length of all values, in characters
+	 * @return an update from which receivers detect the changes left out
+	 * @since 0.7
+	 */
+	public StoreUpdate reducedTo(long maxCharacters) {
+		if (characters() <= maxCharacters) {
+			return this;
+		}
+		StoreUpdate small = withoutLargeChanges(LARGE_CHANGE_CHARACTERS);
+		return (small.characters() <= maxCharacters) ? small : withoutChanges();
+	}
+
 	/**
 	 * Return a copy without large changes. Its {@code from} leaves a gap, so that
 	 * receivers detect the missing changes but apply the small ones at once.
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -245,7 +245,8 @@
 		calls.use(this.dispatcher);
 		this.suspects.use(this.dispatcher);
 		members.use(this.dispatcher, this.store);
-		this.snapshots = new SnapshotTransfer(this.store.follower(), this.peers, this.loop, this.audit);
+		this.snapshots = new SnapshotTransfer(this.store.follower(), this.peers::snapshotSources,
+				this.peers::requestSnapshot, timers, this.loop::now, this.audit);
 		this.peers.useSnapshotTransfer(this.snapshots);
 		this.drainingQuery = new EngineDrainingQuery(this.store, this.peers, this.estimates, adapter.engines(),
 				this.loop, this.audit);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/SnapshotTransfer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/SnapshotTransfer.java
@@ -3,6 +3,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
@@ -14,6 +17,7 @@
 import dev.laneworks.core.handover.SnapshotRequest;
 import dev.laneworks.core.handover.SnapshotSender;
 import dev.laneworks.core.handover.StoreSnapshot;
+import dev.laneworks.core.time.Timers;
 import dev.laneworks.wire.ProtobufSnapshotFormat;
 
 /**
@@ -31,17 +35,26 @@
 
 	private final SnapshotFetcher fetcher;
 
-	private final EventLoop loop;
+	private final LongSupplier clock;
 
 	private final AuditSink audit;
 
-	SnapshotTransfer(StoreFollower follower, PeerEntries peers, EventLoop loop, AuditSink audit) {
+	/**
+	 * Create a transfer.
+	 * @param follower the follower of the store
+	 * @param peers supplies the addresses of entries that may serve a snapshot
+	 * @param requests sends a request to an address
+	 * @param timers schedules requests
+	 * @param clock the time in milliseconds
+	 * @param audit the sink for audit events
+	 */
+	SnapshotTransfer(StoreFollower follower, Supplier<List<String>> peers, BiConsumer<String, SnapshotRequest> requests,
+			Timers timers, LongSupplier clock, AuditSink audit) {
 		this.follower = follower;
-		this.loop = loop;
+		this.clock = clock;
 		this.audit = audit;
 		this.server = new SnapshotSender(this::currentSnapshot, new ProtobufSnapshotFormat());
-		this.fetcher = new SnapshotFetcher(new ProtobufSnapshotFormat(), peers::snapshotSources, peers::requestSnapshot,
-				this::useSnapshot, loop.timers());
+		this.fetcher = new SnapshotFetcher(new ProtobufSnapshotFormat(), peers, requests, this::useSnapshot, timers);
 	}
 
 	// Fetch a snapshot unless the store has been read already.
@@ -78,7 +91,7 @@
 		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "",
 				"unreachable; adopted revision " + StorePosition.of(snapshot.revision()) + " from " + result.from()
 						+ ", " + snapshot.ageMillis() + " ms old"));
-		this.follower.applySnapshot(snapshot.items(), snapshot.revision(), this.loop.now());
+		this.follower.applySnapshot(snapshot.items(), snapshot.revision(), this.clock.getAsLong());
 	}
 
 }
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipSimulation.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipSimulation.java
@@ -29,6 +29,8 @@
 import dev.laneworks.core.follow.StoreItem;
 import dev.laneworks.core.follow.StorePosition;
 import dev.laneworks.core.follow.StoreUpdate;
+import dev.laneworks.core.handover.SnapshotChunk;
+import dev.laneworks.core.handover.SnapshotRequest;
 import dev.laneworks.core.serving.RequestLimits;
 import dev.laneworks.core.serving.ServiceSpec;
 import dev.laneworks.core.serving.ServingPlan;
@@ -48,6 +50,11 @@
 
 	private static final long STORE_MILLIS = 4;
 
+	/** Length of the changes that fit into a message between entries. */
+	private static final int MAX_UPDATE_CHARACTERS = 32 * 1024;
+
+	private static final String PLAN_KEY = "plan";
+
 	final Timers timers = new Timers();
 
 	final SplittableRandom random;
@@ -89,6 +96,12 @@
 
 	private boolean up = true;
 
+	/** The current plan: its version, a space and padding. */
+	private StoreItem plan = new StoreItem(PLAN_KEY, "1 ");
+
+	/** Bandwidth of each entry's link for snapshots, in Mbit/s. */
+	double linkMegabit = 10;
+
 	/** Proportion of updates between entries that are lost, in thousandths. */
 	int lostUpdatesPerMille;
 
@@ -143,6 +156,12 @@
 		this.now = end;
 	}
 
+	// Publish a plan of a given length.
+	void publishPlan(long version, int characters) {
+		this.plan = new StoreItem(PLAN_KEY, version + " " + "x".repeat(characters), ++this.revision);
+		write(new StoreChange(PLAN_KEY, Optional.of(this.plan), this.revision));
+	}
+
 	void list(String id, String address, boolean leaving) {
 		this.rewritten.add(id);
 		write(id, address + " " + this.starts.getOrDefault(id, 0L) + (leaving ? " leaving" : ""));
@@ -313,7 +332,7 @@
 
 	private List<StoreItem> items() {
 		List<StoreItem> all = new ArrayList<>();
-		all.add(new StoreItem("plan", "1"));
+		all.add(this.plan);
 		this.evacuated.forEach((d) -> all.add(evacuation(d)));
 		this.listed.keySet().forEach((id) -> all.add(item(id)));
 		return all;
@@ -336,16 +355,35 @@
 	}
 
 	private void send(Entry from, StoreUpdate update, List<Entry> receivers) {
+		StoreUpdate sent = update.reducedTo(MAX_UPDATE_CHARACTERS);
 		for (Entry to : receivers) {
 			boolean isDelivered = to != from && this.random.nextInt(1_000) >= this.lostUpdatesPerMille;
 			for (int i = 0; isDelivered && i < ((this.random.nextInt(20) == 0) ? 2 : 1); i++) {
 				long delay = 1 + ((this.random.nextInt(1_000) < this.lateUpdatesPerMille) ? this.random.nextInt(400)
 						: this.random.nextInt(5));
-				this.timers.schedule(this.now + delay, (t) -> to.receive(from, update));
+				this.timers.schedule(this.now + delay, (t) -> to.receive(from, sent));
 			}
 		}
 	}
 
+	private void requestSnapshot(Entry to, String from, SnapshotRequest request) {
+		this.entries.stream()
+			.filter((e) -> e.name.equals(from) && !e.ignoresPeers)
+			.forEach((e) -> this.timers.schedule(this.now + 1 + this.random.nextInt(3),
+					(t) -> e.snapshots.answer(request, t).forEach((c) -> sendChunk(e, to, c))));
+	}
+
+	// Chunks occupy the links of both entries.
+	private void sendChunk(Entry from, Entry to, SnapshotChunk chunk) {
+		long start = Math.max(this.now, Math.max(from.linkFreeAt, to.linkFreeAt));
+		long end = start + (long) (chunk.data().length * 8 / (this.linkMegabit * 1_000));
+		from.linkFreeAt = end;
+		to.linkFreeAt = end;
+		if (!to.ignoresPeers && this.random.nextInt(1_000) >= this.lostUpdatesPerMille) {
+			this.timers.schedule(end + 1, (t) -> to.snapshots.received(from.name, chunk, t));
+		}
+	}
+
 	/**
 	 * Content of the store at the time of a backup.
 	 *
@@ -397,10 +435,18 @@
 		/** Whether this entry receives no updates from other entries. */
 		boolean ignoresPeers;
 
+		/** The versions of the plan in the order in which they came into force. */
+		final List<Long> planVersions = new ArrayList<>();
+
 		private final SharedWatch watch;
 
 		private final Source source;
 
+		private final SnapshotTransfer snapshots;
+
+		/** When the link has sent all chunks, in milliseconds. */
+		private long linkFreeAt;
+
 		Entry(String name, String dataCentre) {
 			this.name = name;
 			this.dataCentre = dataCentre;
@@ -408,10 +454,26 @@
 					(u) -> MembershipSimulation.this.sendToDataCentre(this, u),
 					(u) -> MembershipSimulation.this.sendToOtherDataCentres(this, u));
 			this.source = new Source(this);
-			this.store = new StoreView(this.source, SETTINGS, this, this, (p) -> {
-			}, this.watch, MembershipSimulation.this.timers, MembershipSimulation.this.random.split(),
+			this.store = new StoreView(this.source, SETTINGS, this, this, (p) -> this.planVersions.add(p.version()),
+					this.watch, MembershipSimulation.this.timers, MembershipSimulation.this.random.split(),
 					new SynchronousWork(), (e) -> {
 					});
+			this.snapshots = new SnapshotTransfer(this.store.follower(), this::peerNames,
+					(to, request) -> MembershipSimulation.this.requestSnapshot(this, to, request),
+					MembershipSimulation.this.timers, () -> MembershipSimulation.this.now, (e) -> {
+					});
+		}
+
+		private List<String> peerNames() {
+			return MembershipSimulation.this.entries.stream()
+				.filter((e) -> e != this
+						&& (MembershipSimulation.this.broadcastsToAll || e.dataCentre.equals(this.dataCentre)))
+				.map((e) -> e.name)
+				.toList();
+		}
+
+		long planVersion() {
+			return this.planVersions.isEmpty() ? -1 : this.planVersions.get(this.planVersions.size() - 1);
 		}
 
 		Set<String> knownIds() {
@@ -450,7 +512,7 @@
 			if (update.kind() == StoreUpdate.Kind.REQUEST) {
 				this.watch.createAnswer(update)
 					.ifPresent((a) -> MembershipSimulation.this.timers.schedule(MembershipSimulation.this.now + 2,
-							(t) -> from.receive(this, a)));
+							(t) -> from.receive(this, a.reducedTo(MAX_UPDATE_CHARACTERS))));
 				return;
 			}
 			this.watch.recordUpdate(update, MembershipSimulation.this.now);
@@ -597,7 +659,7 @@
 
 		@Override
 		public boolean isPlan(String key) {
-			return key.equals("plan");
+			return key.equals(PLAN_KEY);
 		}
 
 		@Override
@@ -612,7 +674,8 @@
 
 		@Override
 		public Either<String, ServingPlan> plan(StoreItem item) {
-			return Either.right(new ServingPlan(1, List.of(),
+			long version = Long.parseLong(item.value().substring(0, item.value().indexOf(' ')));
+			return Either.right(new ServingPlan(version, List.of(),
 					Map.of("s", new ServiceSpec("s", Integer.MAX_VALUE, 0, Optional.empty())), Map.of(),
 					new RequestLimits(1, 1, 1, 1)));
 		}
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/GossipSocket.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/GossipSocket.java
@@ -43,9 +43,6 @@
 	 */
 	private static final int MAX_DATAGRAM_BYTES = 32 * 1024;
 
-	/** Separates serving plans from the much smaller items of the target list. */
-	private static final int LARGE_CHANGE_CHARACTERS = 2_000;
-
 	private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
 	private final Channel channel;
@@ -92,10 +89,7 @@
 	 * @param update the update or request
 	 */
 	public void send(List<InetSocketAddress> addresses, StoreUpdate update) {
-		// Avoids encoding an update that is certainly too large.
-		StoreUpdate reduced = (update.characters() <= MAX_DATAGRAM_BYTES) ? update
-				: update.withoutLargeChanges(LARGE_CHANGE_CHARACTERS);
-		byte[] encoded = EntryDatagramCodec.encode(reduced);
+		byte[] encoded = EntryDatagramCodec.encode(update.reducedTo(MAX_DATAGRAM_BYTES));
 		byte[] datagram = (encoded.length <= MAX_DATAGRAM_BYTES) ? encoded
 				: EntryDatagramCodec.encode(update.withoutChanges());
 		addresses.forEach((a) -> write(a, datagram));
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
@@ -31228,6 +31228,16 @@
      * @return The firstPiece.
      */
     int getFirstPiece();
+
+    /**
+     * <pre>
+     * With any revision: the one that the sender has; only a later one is of use.
+     * </pre>
+     *
+     * <code>uint64 newer_than = 3;</code>
+     * @return The newerThan.
+     */
+    long getNewerThan();
   }
   /**
    * <pre>
@@ -31301,6 +31311,21 @@
       return firstPiece_;
     }
 
+    public static final int NEWER_THAN_FIELD_NUMBER = 3;
+    private long newerThan_ = 0L;
+    /**
+     * <pre>
+     * With any revision: the one that the sender has; only a later one is of use.
+     * </pre>
+     *
+     * <code>uint64 newer_than = 3;</code>
+     * @return The newerThan.
+     */
+    @java.lang.Override
+    public long getNewerThan() {
+      return newerThan_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -31321,6 +31346,9 @@
       if (firstPiece_ != 0) {
         output.writeUInt32(2, firstPiece_);
       }
+      if (newerThan_ != 0L) {
+        output.writeUInt64(3, newerThan_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -31338,6 +31366,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeUInt32Size(2, firstPiece_);
       }
+      if (newerThan_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, newerThan_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -31357,6 +31389,8 @@
           != other.getRevision()) return false;
       if (getFirstPiece()
           != other.getFirstPiece()) return false;
+      if (getNewerThan()
+          != other.getNewerThan()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -31373,6 +31407,9 @@
           getRevision());
       hash = (37 * hash) + FIRST_PIECE_FIELD_NUMBER;
       hash = (53 * hash) + getFirstPiece();
+      hash = (37 * hash) + NEWER_THAN_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getNewerThan());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -31510,6 +31547,7 @@
         bitField0_ = 0;
         revision_ = 0L;
         firstPiece_ = 0;
+        newerThan_ = 0L;
         return this;
       }
 
@@ -31549,6 +31587,9 @@
         if (((from_bitField0_ & 0x00000002) != 0)) {
           result.firstPiece_ = firstPiece_;
         }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.newerThan_ = newerThan_;
+        }
       }
 
       @java.lang.Override
@@ -31569,6 +31610,9 @@
         if (other.getFirstPiece() != 0) {
           setFirstPiece(other.getFirstPiece());
         }
+        if (other.getNewerThan() != 0L) {
+          setNewerThan(other.getNewerThan());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -31605,6 +31649,11 @@
                 bitField0_ |= 0x00000002;
                 break;
               } // case 16
+              case 24: {
+                newerThan_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -31698,6 +31747,50 @@
         return this;
       }
 
+      private long newerThan_ ;
+      /**
+       * <pre>
+       * With any revision: the one that the sender has; only a later one is of use.
+       * </pre>
+       *
+       * <code>uint64 newer_than = 3;</code>
+       * @return The newerThan.
+       */
+      @java.lang.Override
+      public long getNewerThan() {
+        return newerThan_;
+      }
+      /**
+       * <pre>
+       * With any revision: the one that the sender has; only a later one is of use.
+       * </pre>
+       *
+       * <code>uint64 newer_than = 3;</code>
+       * @param value The newerThan to set.
+       * @return This builder for chaining.
+       */
+      public Builder setNewerThan(long value) {
+
+        newerThan_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * With any revision: the one that the sender has; only a later one is of use.
+       * </pre>
+       *
+       * <code>uint64 newer_than = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearNewerThan() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        newerThan_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:laneworks.StateQuestion)
     }
 
@@ -33264,6 +33357,16 @@
      */
     com.google.protobuf.ByteString
         getValueBytes();
+
+    /**
+     * <pre>
+     * Of its last change; 0 if it is not known.
+     * </pre>
+     *
+     * <code>uint64 revision = 3;</code>
+     * @return The revision.
+     */
+    long getRevision();
   }
   /**
    * Protobuf type {@code laneworks.StoreItem}
@@ -33387,6 +33490,21 @@
       }
     }
 
+    public static final int REVISION_FIELD_NUMBER = 3;
+    private long revision_ = 0L;
+    /**
+     * <pre>
+     * Of its last change; 0 if it is not known.
+     * </pre>
+     *
+     * <code>uint64 revision = 3;</code>
+     * @return The revision.
+     */
+    @java.lang.Override
+    public long getRevision() {
+      return revision_;
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -33407,6 +33525,9 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(value_)) {
         com.google.protobuf.GeneratedMessage.writeString(output, 2, value_);
       }
+      if (revision_ != 0L) {
+        output.writeUInt64(3, revision_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -33422,6 +33543,10 @@
       if (!com.google.protobuf.GeneratedMessage.isStringEmpty(value_)) {
         size += com.google.protobuf.GeneratedMessage.computeStringSize(2, value_);
       }
+      if (revision_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(3, revision_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -33441,6 +33566,8 @@
           .equals(other.getKey())) return false;
       if (!getValue()
           .equals(other.getValue())) return false;
+      if (getRevision()
+          != other.getRevision()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
       return true;
     }
@@ -33456,6 +33583,9 @@
       hash = (53 * hash) + getKey().hashCode();
       hash = (37 * hash) + VALUE_FIELD_NUMBER;
       hash = (53 * hash) + getValue().hashCode();
+      hash = (37 * hash) + REVISION_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getRevision());
       hash = (29 * hash) + getUnknownFields().hashCode();
       memoizedHashCode = hash;
       return hash;
@@ -33589,6 +33719,7 @@
         bitField0_ = 0;
         key_ = "";
         value_ = "";
+        revision_ = 0L;
         return this;
       }
 
@@ -33628,6 +33759,9 @@
         if (((from_bitField0_ & 0x00000002) != 0)) {
           result.value_ = value_;
         }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
+          result.revision_ = revision_;
+        }
       }
 
       @java.lang.Override
@@ -33652,6 +33786,9 @@
           bitField0_ |= 0x00000002;
           onChanged();
         }
+        if (other.getRevision() != 0L) {
+          setRevision(other.getRevision());
+        }
         this.mergeUnknownFields(other.getUnknownFields());
         onChanged();
         return this;
@@ -33688,6 +33825,11 @@
                 bitField0_ |= 0x00000002;
                 break;
               } // case 18
+              case 24: {
+                revision_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -33849,6 +33991,50 @@
         return this;
       }
 
+      private long revision_ ;
+      /**
+       * <pre>
+       * Of its last change; 0 if it is not known.
+       * </pre>
+       *
+       * <code>uint64 revision = 3;</code>
+       * @return The revision.
+       */
+      @java.lang.Override
+      public long getRevision() {
+        return revision_;
+      }
+      /**
+       * <pre>
+       * Of its last change; 0 if it is not known.
+       * </pre>
+       *
+       * <code>uint64 revision = 3;</code>
+       * @param value The revision to set.
+       * @return This builder for chaining.
+       */
+      public Builder setRevision(long value) {
+
+        revision_ = value;
+        bitField0_ |= 0x00000004;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Of its last change; 0 if it is not known.
+       * </pre>
+       *
+       * <code>uint64 revision = 3;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearRevision() {
+        bitField0_ = (bitField0_ & ~0x00000004);
+        revision_ = 0L;
+        onChanged();
+        return this;
+      }
+
       // @@protoc_insertion_point(builder_scope:laneworks.StoreItem)
     }
 
@@ -39851,34 +40037,35 @@
       "\003 \001(\006\022!\n\004ends\030\004 \003(\0132\023.laneworks.EndedRun" +
       "\022\035\n\020sound_age_millis\030\005 \001(\004H\000\210\001\001B\023\n\021_soun" +
       "d_age_millis\".\n\010EndedRun\022\016\n\006target\030\001 \001(\t" +
-      "\022\022\n\nage_millis\030\002 \001(\004\"6\n\rStateQuestion\022\020\n" +
-      "\010revision\030\001 \001(\022\022\023\n\013first_piece\030\002 \001(\r\"_\n\n" +
-      "StatePiece\022\020\n\010revision\030\001 \001(\004\022\022\n\nage_mill" +
-      "is\030\002 \001(\004\022\016\n\006number\030\003 \001(\r\022\r\n\005count\030\004 \001(\r\022" +
-      "\014\n\004data\030\005 \001(\014\"1\n\nStoreItems\022#\n\005items\030\001 \003" +
-      "(\0132\024.laneworks.StoreItem\"\'\n\tStoreItem\022\013\n" +
-      "\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(\t\"\250\001\n\tStoreNews\022" +
-      "\016\n\006reader\030\001 \001(\t\022\014\n\004from\030\002 \001(\004\022\n\n\002to\030\003 \001(" +
-      "\004\022\'\n\007changes\030\004 \003(\0132\026.laneworks.StoreChan" +
-      "ge\022&\n\004kind\030\005 \001(\0162\030.laneworks.StoreNewsKi" +
-      "nd\022\r\n\005group\030\006 \001(\t\022\021\n\treturning\030\007 \001(\010\"J\n\013" +
-      "StoreChange\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001" +
-      "(\004\022\022\n\005value\030\003 \001(\tH\000\210\001\001B\010\n\006_value\"E\n\017Serv" +
-      "iceSpending\022\017\n\007service\030\001 \001(\t\022\020\n\010requests" +
-      "\030\002 \001(\r\022\017\n\007repeats\030\003 \001(\r\"S\n\013TargetLimit\022\016" +
-      "\n\006target\030\001 \001(\t\022\014\n\004over\030\002 \001(\010\022\022\n\nper_seco" +
-      "nd\030\003 \001(\001\022\022\n\nage_millis\030\004 \001(\r\"\307\001\n\014WorkAtT" +
-      "arget\022\016\n\006target\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022" +
-      "\023\n\013held_tokens\030\003 \001(\004\022\025\n\runread_tokens\030\004 " +
-      "\001(\004\022\017\n\007to_move\030\005 \001(\r\022\017\n\007copying\030\006 \001(\010\022\017\n" +
-      "\007refused\030\007 \001(\r\022\017\n\007leaving\030\010 \001(\010\022%\n\005speed" +
-      "\030\t \001(\0132\026.laneworks.SpeedReport\"j\n\013SpeedR" +
-      "eport\022\020\n\010slowness\030\001 \001(\002\022\022\n\nage_millis\030\002 " +
-      "\001(\r\022\030\n\020millis_per_token\030\003 \001(\002\022\033\n\023interva" +
-      "l_age_millis\030\004 \001(\r*W\n\rStoreNewsKind\022\023\n\017S" +
-      "TORE_NEWS_READ\020\000\022\027\n\023STORE_NEWS_QUESTION\020" +
-      "\001\022\030\n\024STORE_NEWS_PASSED_ON\020\002B&\n\030dev.lanew" +
-      "orks.wire.protoB\010ProtocolP\000b\006proto3"
+      "\022\022\n\nage_millis\030\002 \001(\004\"J\n\rStateQuestion\022\020\n" +
+      "\010revision\030\001 \001(\022\022\023\n\013first_piece\030\002 \001(\r\022\022\n\n" +
+      "newer_than\030\003 \001(\004\"_\n\nStatePiece\022\020\n\010revisi" +
+      "on\030\001 \001(\004\022\022\n\nage_millis\030\002 \001(\004\022\016\n\006number\030\003" +
+      " \001(\r\022\r\n\005count\030\004 \001(\r\022\014\n\004data\030\005 \001(\014\"1\n\nSto" +
+      "reItems\022#\n\005items\030\001 \003(\0132\024.laneworks.Store" +
+      "Item\"9\n\tStoreItem\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030" +
+      "\002 \001(\t\022\020\n\010revision\030\003 \001(\004\"\250\001\n\tStoreNews\022\016\n" +
+      "\006reader\030\001 \001(\t\022\014\n\004from\030\002 \001(\004\022\n\n\002to\030\003 \001(\004\022" +
+      "\'\n\007changes\030\004 \003(\0132\026.laneworks.StoreChange" +
+      "\022&\n\004kind\030\005 \001(\0162\030.laneworks.StoreNewsKind" +
+      "\022\r\n\005group\030\006 \001(\t\022\021\n\treturning\030\007 \001(\010\"J\n\013St" +
+      "oreChange\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004" +
+      "\022\022\n\005value\030\003 \001(\tH\000\210\001\001B\010\n\006_value\"E\n\017Servic" +
+      "eSpending\022\017\n\007service\030\001 \001(\t\022\020\n\010requests\030\002" +
+      " \001(\r\022\017\n\007repeats\030\003 \001(\r\"S\n\013TargetLimit\022\016\n\006" +
+      "target\030\001 \001(\t\022\014\n\004over\030\002 \001(\010\022\022\n\nper_second" +
+      "\030\003 \001(\001\022\022\n\nage_millis\030\004 \001(\r\"\307\001\n\014WorkAtTar" +
+      "get\022\016\n\006target\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\023\n" +
+      "\013held_tokens\030\003 \001(\004\022\025\n\runread_tokens\030\004 \001(" +
+      "\004\022\017\n\007to_move\030\005 \001(\r\022\017\n\007copying\030\006 \001(\010\022\017\n\007r" +
+      "efused\030\007 \001(\r\022\017\n\007leaving\030\010 \001(\010\022%\n\005speed\030\t" +
+      " \001(\0132\026.laneworks.SpeedReport\"j\n\013SpeedRep" +
+      "ort\022\020\n\010slowness\030\001 \001(\002\022\022\n\nage_millis\030\002 \001(" +
+      "\r\022\030\n\020millis_per_token\030\003 \001(\002\022\033\n\023interval_" +
+      "age_millis\030\004 \001(\r*W\n\rStoreNewsKind\022\023\n\017STO" +
+      "RE_NEWS_READ\020\000\022\027\n\023STORE_NEWS_QUESTION\020\001\022" +
+      "\030\n\024STORE_NEWS_PASSED_ON\020\002B&\n\030dev.lanewor" +
+      "ks.wire.protoB\010ProtocolP\000b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -40075,7 +40262,7 @@
     internal_static_laneworks_StateQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_StateQuestion_descriptor,
-        new java.lang.String[] { "Revision", "FirstPiece", });
+        new java.lang.String[] { "Revision", "FirstPiece", "NewerThan", });
     internal_static_laneworks_StatePiece_descriptor =
       getDescriptor().getMessageType(32);
     internal_static_laneworks_StatePiece_fieldAccessorTable = new
@@ -40093,7 +40280,7 @@
     internal_static_laneworks_StoreItem_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_StoreItem_descriptor,
-        new java.lang.String[] { "Key", "Value", });
+        new java.lang.String[] { "Key", "Value", "Revision", });
     internal_static_laneworks_StoreNews_descriptor =
       getDescriptor().getMessageType(35);
     internal_static_laneworks_StoreNews_fieldAccessorTable = new
