Record only the newest change of each key for requests of other entries

Callers saw entries that the store rejects answer by an old plan. Such an entry requests what it missed; the answer held every version of the plan since its revision, so that it outgrew a message and went out without any of them, the more surely the longer the entry was rejected.

An obsolete version is of no use to a receiver, since a change applies once per key and never after a newer one. The record now keeps the newest change of each key, in the order of revisions, so that it is as complete as before.

answersARequestWithTheNewestChangeOfEachKey fails on the code before: it returns four changes instead of two.

--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/SharedWatch.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/SharedWatch.java
@@ -1,8 +1,8 @@
 package dev.laneworks.core.follow;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -85,10 +85,10 @@
 	private final Map<String, LastUpdate> remoteWatchers = new HashMap<>();
 
 	/**
-	 * The changes that this process read or received, complete from {@code recordedFrom}
-	 * to {@code recordedTo}.
+	 * The newest change of each key that this process read or received, complete from
+	 * {@code recordedFrom} to {@code recordedTo}, in the order of their revisions.
 	 */
-	private final Deque<StoreChange> recorded = new ArrayDeque<>();
+	private final Map<String, StoreChange> recorded = new LinkedHashMap<>();
 
 	private long recordedFrom;
 
@@ -208,15 +208,18 @@
 	/**
 	 * Create the answer to another process's request for missed changes.
 	 * @param request the request
-	 * @return all changes after the revision known to the requester, or empty if this
-	 * process does not have them
+	 * @return the newest change of each key after the revision known to the requester, or
+	 * empty if this process does not have them
 	 */
 	public Optional<StoreUpdate> createAnswer(StoreUpdate request) {
 		if (request.kind() != StoreUpdate.Kind.REQUEST || this.recorded.isEmpty() || request.from() < this.recordedFrom
 				|| request.from() >= this.recordedTo) {
 			return Optional.empty();
 		}
-		List<StoreChange> missed = this.recorded.stream().filter((c) -> c.revision() > request.from()).toList();
+		List<StoreChange> missed = this.recorded.values()
+			.stream()
+			.filter((c) -> c.revision() > request.from())
+			.toList();
 		return Optional.of(createUpdate(request.from(), this.recordedTo, missed, false, StoreUpdate.Kind.READ));
 	}
 
@@ -305,9 +308,21 @@
 			this.recordedFrom = from;
 		}
 		this.recordedTo = to;
-		this.recorded.addAll(changes);
-		while (this.recorded.size() > MAX_RECORDED) {
-			this.recordedFrom = this.recorded.removeFirst().revision();
+		changes.forEach(this::recordNewest);
+		Iterator<StoreChange> oldest = this.recorded.values().iterator();
+		for (int i = this.recorded.size(); i > MAX_RECORDED; i--) {
+			this.recordedFrom = oldest.next().revision();
+			oldest.remove();
+		}
+	}
+
+	// Earlier changes of a key are dropped: they are obsolete, and those of a plan are
+	// large.
+	private void recordNewest(StoreChange change) {
+		StoreChange known = this.recorded.get(change.key());
+		if (known == null || known.revision() < change.revision()) {
+			this.recorded.remove(change.key());
+			this.recorded.put(change.key(), change);
 		}
 	}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
@@ -484,6 +484,19 @@
 		assertThat(this.calls).contains("abandon");
 	}
 
+	// Guards against answers that grow with each version of a large item, and against
+	// keeping all of them in memory.
+	@Test
+	void answersARequestWithTheNewestChangeOfEachKey() {
+		startWatching();
+		this.follower.watchAnswered(this.lastCall, List.of(change("plan", 101), change("t", 102), change("plan", 103)),
+				103, 20);
+		this.timers.run(100);
+		this.follower.watchAnswered(this.lastCall, List.of(change("plan", 104)), 104, 110);
+		assertThat(this.watch.createAnswer(request(100)).map(StoreUpdate::changes))
+			.isEqualTo(Optional.of(List.of(change("t", 102), change("plan", 104))));
+	}
+
 	@Test
 	void answersARequestOnlyForChangesThatItHas() {
 		startWatching();
