Hand rejected entries the changes that they know to lack

Callers saw: an entry answered 404 and 401 by an old plan for as long as the store rejected it, while its neighbours had the new one.

A message tells that others have a newer revision, but a plan that exceeds a message is left out of it. The entry then watched the store itself, was rejected, and 60 ms later left the watch to an entry of higher rank, whose revision is the very one that it lacked. That counted as contact with the store: it was fresh by its own account, reset its backoff, and requested nothing. Even a request could not have brought a plan that exceeds a message.

An entry that lacks changes leaves the watch to nobody.

A transfer asks two entries for a first chunk instead of all entries for eight, encodes anew when the state has changed instead of handing out one up to 2 s old, keeps the revision that is being fetched, and repeats requests at the pace of the link: a window takes longer than the former interval of 40 ms below 26 Mbit/s.

--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/CallTracker.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/CallTracker.java
@@ -31,6 +31,9 @@
 	 */
 	private long progressAt;
 
+	/** When the open call started, in milliseconds. */
+	private long startedAt;
+
 	private long watchStartedAt;
 
 	private long watchWaitMillis;
@@ -66,6 +69,7 @@
 	long begin(long answerDue, long partMillis, Timers.TimedAction overdue, long now) {
 		this.number++;
 		this.open = true;
+		this.startedAt = now;
 		this.progressAt = now;
 		scheduleTimeout(answerDue, partMillis, overdue, this.number);
 		return this.number;
@@ -138,6 +142,16 @@
 		return isWatch && this.arrived != this.number && now - this.progressAt >= millis;
 	}
 
+	/**
+	 * Determine whether the answer to the open call is arriving or being parsed.
+	 * @param millis the longest time since its last part, in milliseconds
+	 * @param now the current time in milliseconds
+	 */
+	boolean isReceiving(long millis, long now) {
+		boolean isArriving = this.progressAt > this.startedAt && now - this.progressAt < millis;
+		return this.open && (isArriving || this.arrived == this.number);
+	}
+
 	// Whether the open call exceeds the wait of the last watch by the given time
 	// without receiving a part of an answer.
 	boolean isWatchOverdue(long moreMillis, long now) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/LagTracker.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/LagTracker.java
@@ -53,6 +53,10 @@
 		return isNew;
 	}
 
+	boolean isBehind(long known) {
+		return known < this.highestReported;
+	}
+
 	/**
 	 * Return how long this process has been behind others.
 	 * @param known the revision known to this process
@@ -60,7 +64,7 @@
 	 * @return the time in milliseconds; 0 if it is not behind
 	 */
 	long lagMillis(long known, long now) {
-		return (known < this.highestReported) ? now - this.behindSince : 0;
+		return isBehind(known) ? now - this.behindSince : 0;
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -57,6 +57,12 @@
 	 */
 	private static final long SHARED_WAIT_MILLIS = 700;
 
+	/**
+	 * How long this process may lack changes that others have, without receiving them
+	 * from the store, before it requests them from another process, in milliseconds.
+	 */
+	private static final long CATCH_UP_DELAY_MILLIS = 300;
+
 	private final FollowSettings settings;
 
 	private final StoreCalls outputs;
@@ -172,12 +178,16 @@
 		// pages.
 		boolean isOutdated = this.synced && this.firstRevision < this.cache.revision();
 		if (!isOutdated) {
-			applyAll(all, this.firstRevision, now);
+			List<StoreChange> missed = applyAll(all, this.firstRevision, now);
+			this.watch.sendMissed(this.firstRevision, missed, isRecovering(now));
 		}
 		watch(now);
 	}
 
-	private void applyAll(List<StoreItem> all, long at, long now) {
+	// Returns the differences that other processes may have missed too. Items that an
+	// older copy of the store lacks are not among them: other processes read the copy
+	// themselves.
+	private List<StoreChange> applyAll(List<StoreItem> all, long at, long now) {
 		boolean isOtherEra = this.hasReadAll && !StorePosition.isSameEra(this.cache.revision(), at);
 		List<StoreChange> missed = this.hasReadAll ? this.cache.missedChanges(all, at) : List.of();
 		if (isOtherEra) {
@@ -193,11 +203,7 @@
 		this.listener.itemsRead(this.cache.replace(all, at), now);
 		this.mustReadAgain = false;
 		reportCaughtUp(now);
-		// Items that an older copy of the store lacks are not reported as removed. Other
-		// processes read the copy themselves.
-		if (!isOtherEra) {
-			this.watch.sendMissed(at, missed, isRecovering(now));
-		}
+		return isOtherEra ? List.of() : missed;
 	}
 
 	/**
@@ -295,16 +301,29 @@
 	}
 
 	/**
-	 * Apply a snapshot of all items from another process while this one has not completed
-	 * its own read, whose items replace the snapshot.
+	 * Apply a snapshot of all items from another process, unless this process already has
+	 * all changes up to its revision. A later read replaces the items.
 	 * @param items the items
 	 * @param at the revision of the snapshot
 	 * @param now the current time in milliseconds
+	 * @return {@code false} if the snapshot contains nothing new
 	 */
-	public void applySnapshot(List<StoreItem> items, long at, long now) {
-		if (!this.synced) {
-			applyAll(items, at, now);
+	public boolean applySnapshot(List<StoreItem> items, long at, long now) {
+		if (this.hasReadAll && at <= this.cache.revision()) {
+			return false;
 		}
+		applyAll(items, at, now);
+		return true;
+	}
+
+	/**
+	 * Return the revision up to which this process has all changes, also while all items
+	 * are read again.
+	 * @return the revision, or empty before the first read or snapshot
+	 * @since 0.7
+	 */
+	public OptionalLong appliedRevision() {
+		return this.hasReadAll ? OptionalLong.of(this.cache.revision()) : OptionalLong.empty();
 	}
 
 	/**
@@ -402,6 +421,17 @@
 		return this.lag.lagMillis(this.cache.revision(), now);
 	}
 
+	/**
+	 * Determine whether this process lacks changes that other processes have and receives
+	 * none of them from the store, so that it depends on another process.
+	 * @param now the current time in milliseconds
+	 * @return {@code false} while an answer of the store is arriving
+	 * @since 0.7
+	 */
+	public boolean isStalledBehind(long now) {
+		return behindMillis(now) >= CATCH_UP_DELAY_MILLIS && !this.call.isReceiving(CATCH_UP_DELAY_MILLIS, now);
+	}
+
 	private void reportBehind(long reportedRevision, long now) {
 		long revision = this.cache.revision();
 		if (this.lag.recordAhead(reportedRevision, revision, now)) {
@@ -423,9 +453,13 @@
 
 	// The changes are applied at once, since the pages being read may be older.
 	private void applyWhileReading(StoreUpdate update, long now) {
-		if (this.hasReadAll) {
-			applyOutOfOrder(update.changes(), now);
+		if (!this.hasReadAll) {
+			return;
+		}
+		if (update.to() > this.cache.revision()) {
+			reportBehind(update.to(), now);
 		}
+		applyOutOfOrder(update.changes(), now);
 	}
 
 	/**
@@ -533,9 +567,11 @@
 		this.mustReadAgain = before;
 	}
 
-	// A watching process counts as an answer from the store.
+	// A watching process counts as an answer from the store, unless it has changes that
+	// did not arrive here.
 	private void watchUnlessDelegated(long now) {
-		this.delegated = this.watch.isServedByOther(this.cache.revision(), now);
+		boolean isBehind = this.lag.isBehind(this.cache.revision());
+		this.delegated = !isBehind && this.watch.isServedByOther(this.cache.revision(), now);
 		if (!this.delegated) {
 			watch(now);
 			return;
@@ -549,6 +585,9 @@
 		this.timers.schedule(now + SharedWatch.HEARTBEAT_MILLIS, this::heartbeat);
 		readAgainIfStalled(now);
 		probeIfDue(now);
+		if (isStalledBehind(now)) {
+			this.watch.requestMissed(this.cache.revision(), now);
+		}
 		if (this.synced && this.call.isOpen() && !isStoreOverdue(now) && !isSilent(now)) {
 			this.watch.sendChanges(this.cache.revision(), this.cache.revision(), List.of(), isRecovering(now));
 		}
--- a/laneworks-core/src/main/java/dev/laneworks/core/handover/SnapshotFetcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/handover/SnapshotFetcher.java
@@ -1,11 +1,15 @@
 package dev.laneworks.core.handover;
 
 import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 
 import dev.laneworks.core.time.Timers;
 
@@ -13,19 +17,27 @@
  * Receiving side of a snapshot transfer, for a process that cannot read the store itself.
  * <p>
  * Chunks may be lost, duplicated or reordered. All chunks must come from one process and
- * one revision; a later revision replaces an incomplete one, and an earlier one is
- * ignored. If the sender falls silent, the transfer starts again at another process. Not
+ * one revision. A later revision replaces one of which a single chunk has arrived, or
+ * that its sender no longer has; otherwise a state that changes all the while would never
+ * be complete. If the sender falls silent, the transfer starts again at another process.
+ * Missing chunks are requested again at intervals that follow the pace of the link. Not
  * thread-safe.
  *
  * @since 0.2
  */
 public final class SnapshotFetcher {
 
-	/** The interval of requests for missing chunks, in milliseconds. */
+	/** The shortest interval of requests for missing chunks, in milliseconds. */
 	static final long REQUEST_MILLIS = 40;
 
-	/** The silence after which a sender is abandoned, in milliseconds. */
-	private static final long MAX_SILENCE_MILLIS = 150;
+	/** The shortest silence after which a sender is abandoned, in milliseconds. */
+	private static final long MIN_SILENCE_MILLIS = 150;
+
+	/** The longest silence after which a sender is abandoned, in milliseconds. */
+	private static final long MAX_SILENCE_MILLIS = 2_000;
+
+	/** The number of processes that are asked for a snapshot at a time. */
+	private static final int CANDIDATES = 2;
 
 	private final SnapshotFormat format;
 
@@ -37,8 +49,13 @@
 
 	private final Timers timers;
 
+	private final RandomGenerator random;
+
 	private boolean isActive;
 
+	/** The revision that this process has; 0 if it has none. */
+	private long newerThan;
+
 	private Optional<PartialSnapshot> partial = Optional.empty();
 
 	/**
@@ -48,23 +65,32 @@
 	 * @param requests sends a request to an address
 	 * @param receiver receives the complete snapshot
 	 * @param timers schedules requests
+	 * @param random selects the processes to ask
 	 */
 	public SnapshotFetcher(SnapshotFormat format, Supplier<List<String>> peers,
-			BiConsumer<String, SnapshotRequest> requests, Consumer<Result> receiver, Timers timers) {
+			BiConsumer<String, SnapshotRequest> requests, Consumer<Result> receiver, Timers timers,
+			RandomGenerator random) {
 		this.format = format;
 		this.peers = peers;
 		this.requests = requests;
 		this.receiver = receiver;
 		this.timers = timers;
+		this.random = random;
 	}
 
 	/**
 	 * Start to send requests, until a snapshot is complete or {@link #stop()} is called.
+	 * Has no effect on a transfer in progress.
+	 * @param knownRevision the revision that this process has, so that only a later
+	 * snapshot is of use; 0 if it has none
 	 * @param now the current time in milliseconds
 	 */
-	public void start(long now) {
-		this.isActive = true;
-		sendRequests(now);
+	public void start(long knownRevision, long now) {
+		this.newerThan = knownRevision;
+		if (!this.isActive) {
+			this.isActive = true;
+			sendRequests(now);
+		}
 	}
 
 	/** Stop the transfer, because a snapshot was obtained elsewhere. */
@@ -83,8 +109,11 @@
 		if (!this.isActive || !this.peers.get().contains(from)) {
 			return;
 		}
-		if (this.partial.filter((s) -> s.revision() >= chunk.revision()).isEmpty()) {
-			this.partial = Optional.of(new PartialSnapshot(from, chunk));
+		if (chunk.revision() <= this.newerThan) {
+			return;
+		}
+		if (this.partial.filter((s) -> !s.isReplacedBy(from, chunk)).isEmpty()) {
+			this.partial = Optional.of(new PartialSnapshot(from, chunk, now));
 		}
 		PartialSnapshot snapshot = this.partial.get();
 		if (!snapshot.add(from, chunk, now)) {
@@ -93,8 +122,8 @@
 		if (snapshot.isComplete()) {
 			complete(snapshot);
 		}
-		else if (snapshot.firstMissing() % SnapshotSender.WINDOW == 0) {
-			this.requests.accept(from, new SnapshotRequest(snapshot.revision(), snapshot.firstMissing()));
+		else if (snapshot.isWindowComplete()) {
+			requestNext(snapshot, now);
 		}
 	}
 
@@ -111,18 +140,27 @@
 		if (!this.isActive) {
 			return;
 		}
-		this.partial = this.partial.filter((s) -> now - s.receivedAt() <= MAX_SILENCE_MILLIS);
-		if (this.partial.isPresent()) {
-			PartialSnapshot snapshot = this.partial.get();
-			this.requests.accept(snapshot.from(), new SnapshotRequest(snapshot.revision(), snapshot.firstMissing()));
+		this.partial = this.partial.filter((s) -> !s.isAbandoned(now));
+		if (this.partial.isEmpty()) {
+			candidates().forEach((p) -> this.requests.accept(p, SnapshotRequest.newest(this.newerThan)));
 		}
-		else {
-			this.peers.get()
-				.forEach((p) -> this.requests.accept(p, new SnapshotRequest(SnapshotRequest.ANY_REVISION, 0)));
+		else if (this.partial.get().isRequestDue(now)) {
+			requestNext(this.partial.get(), now);
 		}
 		this.timers.schedule(now + REQUEST_MILLIS, this::sendRequests);
 	}
 
+	private void requestNext(PartialSnapshot snapshot, long now) {
+		snapshot.recordRequest(now);
+		this.requests.accept(snapshot.from(), new SnapshotRequest(snapshot.revision(), snapshot.firstMissing()));
+	}
+
+	private List<String> candidates() {
+		List<String> all = new ArrayList<>(this.peers.get());
+		Collections.shuffle(all, new Random(this.random.nextLong()));
+		return all.subList(0, Math.min(CANDIDATES, all.size()));
+	}
+
 	/**
 	 * A received snapshot.
 	 *
@@ -146,9 +184,21 @@
 
 		private final byte[][] chunks;
 
+		private int received;
+
 		private long receivedAt;
 
-		PartialSnapshot(String from, SnapshotChunk first) {
+		private long requestedAt;
+
+		/** The end of the chunks requested so far. */
+		private int requestedEnd = 1;
+
+		/** The longest time between two chunks, in milliseconds. */
+		private long longestGapMillis;
+
+		PartialSnapshot(String from, SnapshotChunk first, long now) {
+			this.receivedAt = now;
+			this.requestedAt = now;
 			this.from = from;
 			this.revision = first.revision();
 			this.ageMillis = first.ageMillis();
@@ -167,8 +217,29 @@
 			return this.ageMillis;
 		}
 
-		long receivedAt() {
-			return this.receivedAt;
+		boolean isReplacedBy(String sender, SnapshotChunk chunk) {
+			boolean isFree = this.received <= 1 || sender.equals(this.from);
+			return isFree && chunk.revision() > this.revision;
+		}
+
+		boolean isAbandoned(long now) {
+			long silence = Math.min(MAX_SILENCE_MILLIS, Math.max(MIN_SILENCE_MILLIS, 4 * this.longestGapMillis));
+			return now - this.receivedAt > silence;
+		}
+
+		// Whether the requested chunks should have arrived by now.
+		boolean isRequestDue(long now) {
+			long pace = Math.max(REQUEST_MILLIS, 2 * this.longestGapMillis);
+			return now - Math.max(this.receivedAt, this.requestedAt) >= pace;
+		}
+
+		void recordRequest(long now) {
+			this.requestedAt = now;
+			this.requestedEnd = firstMissing() + SnapshotSender.WINDOW;
+		}
+
+		boolean isWindowComplete() {
+			return firstMissing() >= this.requestedEnd;
 		}
 
 		// Returns whether the chunk belongs to this snapshot and was missing.
@@ -177,6 +248,8 @@
 					&& chunk.count() == this.chunks.length && this.chunks[chunk.number()] == null;
 			if (isNew) {
 				this.chunks[chunk.number()] = chunk.data();
+				this.longestGapMillis = Math.max(this.longestGapMillis, now - this.receivedAt);
+				this.received++;
 				this.receivedAt = now;
 			}
 			return isNew;
--- a/laneworks-core/src/main/java/dev/laneworks/core/handover/SnapshotSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/handover/SnapshotSender.java
@@ -1,7 +1,9 @@
 package dev.laneworks.core.handover;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.LongFunction;
@@ -9,8 +11,10 @@
 /**
  * Server side of a snapshot transfer, which sends the state of this process in chunks.
  * <p>
- * An encoded snapshot is reused for a short time, so that a receiver can fetch all chunks
- * of one revision while the state changes. Not thread-safe.
+ * A request for any revision is answered with the first chunk of the current one, so that
+ * a receiver can ask several processes at little cost. An encoded snapshot is kept while
+ * its chunks are requested, so that a receiver can fetch all of them although the state
+ * changes meanwhile. Not thread-safe.
  *
  * @since 0.2
  */
@@ -22,16 +26,25 @@
 	/** The most chunks in response to one request; avoids flooding a link. */
 	static final int WINDOW = 8;
 
-	/** The time for which an encoded snapshot is reused, in milliseconds. */
-	private static final long REUSE_MILLIS = 2_000;
+	/**
+	 * The time for which an encoded snapshot is kept without requests, in milliseconds.
+	 */
+	private static final long IDLE_MILLIS = 2_000;
+
+	/** The shortest time between two encodings, in milliseconds. */
+	private static final long ENCODING_INTERVAL_MILLIS = 100;
+
+	/** Bounds the memory of the encoded snapshots. */
+	private static final int MAX_ENCODED = 3;
 
 	private final LongFunction<Optional<StoreSnapshot>> snapshotSource;
 
 	private final SnapshotFormat format;
 
-	private List<SnapshotChunk> chunks = List.of();
+	/** The encoded snapshots, the newest first. */
+	private final Deque<Encoded> encoded = new ArrayDeque<>();
 
-	private long encodedAt;
+	private long encodedAt = Long.MIN_VALUE / 2;
 
 	/**
 	 * Create a server.
@@ -48,17 +61,42 @@
 	 * Answer a request for chunks.
 	 * @param request the revision and the first missing chunk
 	 * @param now the current time in milliseconds
-	 * @return the next missing chunks, from the first one if another revision than the
-	 * current one is requested; empty if this process has no snapshot
+	 * @return the next missing chunks, or the first chunk of the current revision if
+	 * another one than those kept is requested; empty if this process has no snapshot or
+	 * none that is newer than the requester's
 	 */
 	public List<SnapshotChunk> answer(SnapshotRequest request, long now) {
-		if (this.chunks.isEmpty() || now - this.encodedAt > REUSE_MILLIS) {
-			this.chunks = this.snapshotSource.apply(now).map(this::split).orElse(List.of());
-			this.encodedAt = now;
+		this.encoded.removeIf((e) -> now - e.usedAt > IDLE_MILLIS);
+		Optional<Encoded> kept = this.encoded.stream().filter((e) -> e.revision == request.revision()).findFirst();
+		if (kept.isPresent()) {
+			return kept.get().chunks(request.firstChunk(), WINDOW, now);
+		}
+		return current(now).filter((e) -> e.revision > request.newerThan())
+			.map((e) -> e.chunks(0, 1, now))
+			.orElse(List.of());
+	}
+
+	private Optional<Encoded> current(long now) {
+		if (this.encoded.isEmpty() || now - this.encodedAt >= ENCODING_INTERVAL_MILLIS) {
+			this.snapshotSource.apply(now).filter(this::isNew).ifPresent((s) -> encode(s, now));
+		}
+		return Optional.ofNullable(this.encoded.peekFirst());
+	}
+
+	private boolean isNew(StoreSnapshot snapshot) {
+		return this.encoded.isEmpty() || snapshot.revision() != this.encoded.peekFirst().revision;
+	}
+
+	private void encode(StoreSnapshot snapshot, long now) {
+		this.encodedAt = now;
+		List<SnapshotChunk> chunks = split(snapshot);
+		if (chunks.isEmpty()) {
+			return;
+		}
+		this.encoded.addFirst(new Encoded(snapshot.revision(), chunks, now));
+		if (this.encoded.size() > MAX_ENCODED) {
+			this.encoded.removeLast();
 		}
-		boolean isSame = !this.chunks.isEmpty() && this.chunks.get(0).revision() == request.revision();
-		int first = isSame ? request.firstChunk() : 0;
-		return this.chunks.stream().skip(first).limit(WINDOW).toList();
 	}
 
 	private List<SnapshotChunk> split(StoreSnapshot snapshot) {
@@ -75,4 +113,26 @@
 		return split;
 	}
 
+	/** An encoded snapshot. */
+	private static final class Encoded {
+
+		private final long revision;
+
+		private final List<SnapshotChunk> chunks;
+
+		private long usedAt;
+
+		Encoded(long revision, List<SnapshotChunk> chunks, long now) {
+			this.revision = revision;
+			this.chunks = chunks;
+			this.usedAt = now;
+		}
+
+		List<SnapshotChunk> chunks(int first, int count, long now) {
+			this.usedAt = now;
+			return this.chunks.stream().skip(first).limit(count).toList();
+		}
+
+	}
+
 }
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
@@ -143,6 +143,18 @@
 		assertThat(this.calls.get(this.calls.size() - 1)).isEqualTo("watch 120 4000");
 	}
 
+	// Guards against going back to an older state that another process still has.
+	@Test
+	void ignoresASnapshotOlderThanTheItemsBeingReadAgain() {
+		startWatching();
+		this.follower.historyCompacted(this.lastCall, 1_000);
+		this.timers.run(1_100);
+		assertThat(this.follower.applySnapshot(List.of(item("old")), 99, 1_110)).isFalse();
+		assertThat(this.events).containsExactly("all [a]");
+		assertThat(this.follower.applySnapshot(List.of(item("new")), 101, 1_120)).isTrue();
+		assertThat(this.events).containsExactly("all [a]", "all [new]").inOrder();
+	}
+
 	@Test
 	void reportsChangesThatOnlyANewReadFound() {
 		startWatching();
@@ -220,6 +232,23 @@
 		assertThat(this.events).containsExactly("all [a]", "changed [a]", "changed [b]").inOrder();
 	}
 
+	// Guards against a process that counts as served by a watcher whose changes did not
+	// arrive, while the store rejects its own calls.
+	@Test
+	void doesNotLeaveTheWatchToAProcessWhoseChangesItLacks() {
+		this.otherCount = 3;
+		startWatching();
+		for (long now = 100; now < 2_000; now += 150) {
+			this.timers.run(now);
+			deliver(higherRanked(), 101, 101, now);
+			this.follower.failed(this.lastCall, "status 503", now + 4);
+		}
+		assertThat(this.events).containsExactly("all [a]", "lost status 503").inOrder();
+		assertThat(this.follower.ageMillis(2_000)).isAtLeast(1_900);
+		assertThat(this.follower.isStalledBehind(2_000)).isTrue();
+		assertThat(this.sent.stream().filter((u) -> u.kind() == StoreUpdate.Kind.REQUEST).count()).isAtLeast(5);
+	}
+
 	@Test
 	void watchesAgainWhenTheWatcherFallsSilent() {
 		this.otherCount = 3;
--- a/laneworks-core/src/test/java/dev/laneworks/core/handover/StateHandoverTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/handover/StateHandoverTests.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.SplittableRandom;
 
 import dev.laneworks.core.follow.StoreItem;
 import dev.laneworks.core.handover.SnapshotFetcher.Result;
@@ -38,14 +39,17 @@
 
 	private final SnapshotSender server = new SnapshotSender((t) -> this.snapshot, new TextFormat());
 
+	/** The server at the second address, if there is one. */
+	private Optional<SnapshotSender> other = Optional.empty();
+
 	private final SnapshotFetcher fetcher = new SnapshotFetcher(new TextFormat(), () -> List.of(A, B),
-			this::sendRequest, this.results::add, this.timers);
+			this::sendRequest, this.results::add, this.timers, new SplittableRandom(1));
 
 	private long now;
 
 	@Test
 	void receivesSnapshotOfManyChunks() {
-		this.fetcher.start(0);
+		this.fetcher.start(0, 0);
 		deliverAll();
 		assertThat(this.results).containsExactly(new Result(A, this.snapshot.get()));
 	}
@@ -53,7 +57,7 @@
 	@Test
 	void toleratesLostDuplicatedAndReorderedChunks() {
 		Random random = new Random(7);
-		this.fetcher.start(0);
+		this.fetcher.start(0, 0);
 		for (int i = 0; i < 400 && this.results.isEmpty(); i++) {
 			List<Sent> arriving = new ArrayList<>(this.inTransit);
 			arriving.addAll(this.inTransit);
@@ -67,7 +71,7 @@
 
 	@Test
 	void abandonsASilentServer() {
-		this.fetcher.start(0);
+		this.fetcher.start(0, 0);
 		deliver(this.inTransit.get(0));
 		this.inTransit.clear();
 		this.isServerSilent = true;
@@ -81,14 +85,13 @@
 
 	@Test
 	void onlyALaterRevisionReplacesAnIncompleteSnapshot() {
-		this.fetcher.start(0);
+		this.fetcher.start(0, 0);
 		deliver(this.inTransit.get(0));
 		List<Sent> delayed = List.copyOf(this.inTransit);
 		this.inTransit.clear();
 		StoreSnapshot later = state(101, 20_000);
-		SnapshotSender other = new SnapshotSender((t) -> Optional.of(later), new TextFormat());
-		other.answer(new SnapshotRequest(SnapshotRequest.ANY_REVISION, 0), 0)
-			.forEach((p) -> this.inTransit.add(new Sent(B, p)));
+		this.other = Optional.of(new SnapshotSender((t) -> Optional.of(later), new TextFormat()));
+		sendRequest(B, new SnapshotRequest(SnapshotRequest.ANY_REVISION, 0));
 		deliver(this.inTransit.remove(0));
 		delayed.forEach(this::deliver);
 		deliverAll();
@@ -98,7 +101,7 @@
 	@Test
 	void receivesTheInitialRevisionWhileTheStateChanges() {
 		StoreSnapshot first = this.snapshot.get();
-		this.fetcher.start(0);
+		this.fetcher.start(0, 0);
 		this.snapshot = Optional.of(state(101, 200_000));
 		deliverAll();
 		assertThat(this.results).containsExactly(new Result(A, first));
@@ -108,7 +111,7 @@
 	void ignoresUnknownSendersAndInactiveTransfers() {
 		SnapshotChunk chunk = new SnapshotChunk(900, 0, 0, 1, "k=v".getBytes(StandardCharsets.UTF_8));
 		this.fetcher.received(A, chunk, 0);
-		this.fetcher.start(0);
+		this.fetcher.start(0, 0);
 		this.fetcher.received("10.9.9.9:7200", chunk, 0);
 		assertThat(this.results).isEmpty();
 		this.fetcher.stop();
@@ -129,6 +132,11 @@
 		if (!this.isServerSilent && address.equals(A)) {
 			this.server.answer(request, this.now).forEach((p) -> this.inTransit.add(new Sent(A, p)));
 		}
+		if (address.equals(B)) {
+			this.other.stream()
+				.flatMap((s) -> s.answer(request, this.now).stream())
+				.forEach((p) -> this.inTransit.add(new Sent(B, p)));
+		}
 	}
 
 	private void deliverAll() {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -246,7 +246,7 @@
 		this.suspects.use(this.dispatcher);
 		members.use(this.dispatcher, this.store);
 		this.snapshots = new SnapshotTransfer(this.store.follower(), this.peers::snapshotSources,
-				this.peers::requestSnapshot, timers, this.loop::now, this.audit);
+				this.peers::requestSnapshot, timers, this.loop::now, random, this.audit);
 		this.peers.useSnapshotTransfer(this.snapshots);
 		this.drainingQuery = new EngineDrainingQuery(this.store, this.peers, this.estimates, adapter.engines(),
 				this.loop, this.audit);
@@ -284,6 +284,7 @@
 		this.operatorsAddress = Optional.of(operators.address());
 		this.peers.listen(this.settings.gossipAddress());
 		this.loop.run(() -> this.peers.start(this.loop.now()));
+		this.loop.run(() -> this.snapshots.start(this.loop.now()));
 		this.loop.run(() -> this.suspects.start(this.loop.now()));
 		if (this.settings.mechanisms().isEnabled(Mechanism.LEAVING_INQUIRY)) {
 			this.loop.run(() -> this.drainingQuery.start(this.loop.now()));
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PeerEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PeerEntries.java
@@ -1,12 +1,15 @@
 package dev.laneworks.entry.direct;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -54,6 +57,9 @@
  */
 final class PeerEntries implements GossipOutputs, CopyCoordination, EntryRanks, PeerDemand, RetryLending.Outputs {
 
+	/** The number of entries that a request for missed store changes is sent to. */
+	private static final int REQUEST_RECEIVERS = 2;
+
 	private final Mechanisms mechanisms;
 
 	private final String ownAddress;
@@ -104,7 +110,7 @@
 		this.gossip = new Gossip(GossipSettings.defaults(), settings.instance(), settings.dataCentre(), this.ownAddress,
 				this.seeds, this, loop.timers(), random, audit);
 		this.watch = new SharedWatch(settings.instance(), settings.dataCentre(), this::sharingPeers,
-				(u) -> sendStoreUpdate(this.gossip.nearAddresses(), u), (u) -> sendStoreUpdate(
+				(u) -> sendStoreUpdate(localReceivers(u, random), u), (u) -> sendStoreUpdate(
 						this.gossip.topOfOtherDataCentres(SharedWatch.RECEIVERS_PER_GROUP, SharedWatch::rank), u));
 		this.lending = new RetryLending(retryBudget, this::findLenders, this, random);
 		if (this.mechanisms.isEnabled(Mechanism.ENTRY_NEWS)) {
@@ -358,6 +364,17 @@
 		return this.mechanisms.isEnabled(Mechanism.SHARED_READING) ? this.gossip.sameDataCentre().size() : 0;
 	}
 
+	// A request is answered with all missed changes, so that only a few entries receive
+	// it.
+	private List<String> localReceivers(StoreUpdate update, RandomGenerator random) {
+		List<String> near = new ArrayList<>(this.gossip.nearAddresses());
+		if (update.kind() != StoreUpdate.Kind.REQUEST) {
+			return near;
+		}
+		Collections.shuffle(near, new Random(random.nextLong()));
+		return near.subList(0, Math.min(REQUEST_RECEIVERS, near.size()));
+	}
+
 	// Has no effect before the socket is open.
 	private void sendStoreUpdate(List<String> addresses, StoreUpdate update) {
 		if (this.socket != null && !addresses.isEmpty()) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/SnapshotTransfer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/SnapshotTransfer.java
@@ -6,6 +6,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 
 import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
@@ -21,24 +22,31 @@
 import dev.laneworks.wire.ProtobufSnapshotFormat;
 
 /**
- * Transfer of the plan and the target list between entries for starts during a store
- * outage.
+ * Transfer of the plan and the target list between entries.
  * <p>
- * Serves snapshots to other entries, and fetches one at the start so that a new entry can
- * serve before the store is reachable. Used on the I/O thread alone.
+ * Serves snapshots to other entries. Fetches one while this entry has read nothing from
+ * the store, or while it lacks changes that other entries have and receives none of them
+ * from the store. Used on the I/O thread alone.
  */
 final class SnapshotTransfer {
 
+	/** The interval for checking whether a snapshot is needed, in milliseconds. */
+	private static final long CHECK_MILLIS = 100;
+
 	private final StoreFollower follower;
 
 	private final SnapshotSender server;
 
 	private final SnapshotFetcher fetcher;
 
+	private final Timers timers;
+
 	private final LongSupplier clock;
 
 	private final AuditSink audit;
 
+	private boolean isStarted;
+
 	/**
 	 * Create a transfer.
 	 * @param follower the follower of the store
@@ -46,21 +54,36 @@
 	 * @param requests sends a request to an address
 	 * @param timers schedules requests
 	 * @param clock the time in milliseconds
+	 * @param random selects the entries to ask
 	 * @param audit the sink for audit events
 	 */
 	SnapshotTransfer(StoreFollower follower, Supplier<List<String>> peers, BiConsumer<String, SnapshotRequest> requests,
-			Timers timers, LongSupplier clock, AuditSink audit) {
+			Timers timers, LongSupplier clock, RandomGenerator random, AuditSink audit) {
 		this.follower = follower;
+		this.timers = timers;
 		this.clock = clock;
 		this.audit = audit;
 		this.server = new SnapshotSender(this::currentSnapshot, new ProtobufSnapshotFormat());
-		this.fetcher = new SnapshotFetcher(new ProtobufSnapshotFormat(), peers, requests, this::useSnapshot, timers);
+		this.fetcher = new SnapshotFetcher(new ProtobufSnapshotFormat(), peers, requests, this::useSnapshot, timers,
+				random);
 	}
 
-	// Fetch a snapshot unless the store has been read already.
+	// Fetch a snapshot whenever one is needed.
 	void start(long now) {
-		if (this.follower.knownRevision().isEmpty()) {
-			this.fetcher.start(now);
+		if (!this.isStarted) {
+			this.isStarted = true;
+			check(now);
+		}
+	}
+
+	private void check(long now) {
+		this.timers.schedule(now + CHECK_MILLIS, this::check);
+		OptionalLong known = this.follower.appliedRevision();
+		if (known.isEmpty() || this.follower.isStalledBehind(now)) {
+			this.fetcher.start(known.orElse(0), now);
+		}
+		else if (this.follower.behindMillis(now) == 0) {
+			this.fetcher.stop();
 		}
 	}
 
@@ -88,10 +111,13 @@
 
 	private void useSnapshot(SnapshotFetcher.Result result) {
 		StoreSnapshot snapshot = result.snapshot();
-		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "",
-				"unreachable; adopted revision " + StorePosition.of(snapshot.revision()) + " from " + result.from()
-						+ ", " + snapshot.ageMillis() + " ms old"));
-		this.follower.applySnapshot(snapshot.items(), snapshot.revision(), this.clock.getAsLong());
+		long behind = this.follower.behindMillis(this.clock.getAsLong());
+		if (this.follower.applySnapshot(snapshot.items(), snapshot.revision(), this.clock.getAsLong())) {
+			this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "",
+					"adopted revision " + StorePosition.of(snapshot.revision()) + " from " + result.from() + ", "
+							+ snapshot.ageMillis() + " ms old"
+							+ ((behind > 0) ? "; had been behind for " + behind + " ms" : "")));
+		}
 	}
 
 }
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipSimulation.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipSimulation.java
@@ -1,6 +1,7 @@
 package dev.laneworks.entry.direct;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -8,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -86,6 +88,12 @@
 	 */
 	private final Map<String, String> lapsed = new TreeMap<>();
 
+	/**
+	 * The targets that registered again after their lapse, so that the registration of
+	 * their former incarnation does not return.
+	 */
+	private final Set<String> listedSinceLapse = new HashSet<>();
+
 	private final List<Runnable> waitingWatches = new ArrayList<>();
 
 	private Backup backup;
@@ -136,6 +144,7 @@
 
 	void start() {
 		this.entries.forEach((e) -> e.store.follower().start(this.now));
+		this.entries.forEach((e) -> this.timers.schedule(this.now + 300, e.snapshots::start));
 		advance(200);
 	}
 
@@ -164,6 +173,7 @@
 
 	void list(String id, String address, boolean leaving) {
 		this.rewritten.add(id);
+		this.listedSinceLapse.add(id);
 		write(id, address + " " + this.starts.getOrDefault(id, 0L) + (leaving ? " leaving" : ""));
 	}
 
@@ -224,6 +234,7 @@
 	// store returns.
 	void lapse(String id) {
 		this.lapsed.put(id, this.listed.get(id));
+		this.listedSinceLapse.remove(id);
 		unlist(id);
 	}
 
@@ -244,7 +255,11 @@
 		this.up = true;
 		for (String id : List.copyOf(this.lapsed.keySet())) {
 			String listedValue = this.lapsed.remove(id);
-			this.timers.schedule(this.now + this.random.nextInt(1_500), (t) -> write(id, listedValue));
+			this.timers.schedule(this.now + this.random.nextInt(1_500), (t) -> {
+				if (!this.listedSinceLapse.contains(id)) {
+					write(id, listedValue);
+				}
+			});
 		}
 	}
 
@@ -339,10 +354,14 @@
 	}
 
 	private void sendToDataCentre(Entry from, StoreUpdate update) {
-		send(from, update,
-				this.entries.stream()
-					.filter((e) -> this.broadcastsToAll || e.dataCentre.equals(from.dataCentre))
-					.toList());
+		List<Entry> near = this.entries.stream()
+			.filter((e) -> e != from && (this.broadcastsToAll || e.dataCentre.equals(from.dataCentre)))
+			.collect(Collectors.toCollection(ArrayList::new));
+		if (update.kind() == StoreUpdate.Kind.REQUEST) {
+			Collections.shuffle(near, new Random(this.random.nextLong()));
+			near.subList(Math.min(2, near.size()), near.size()).clear();
+		}
+		send(from, update, near);
 	}
 
 	private void sendToOtherDataCentres(Entry from, StoreUpdate update) {
@@ -460,7 +479,8 @@
 					});
 			this.snapshots = new SnapshotTransfer(this.store.follower(), this::peerNames,
 					(to, request) -> MembershipSimulation.this.requestSnapshot(this, to, request),
-					MembershipSimulation.this.timers, () -> MembershipSimulation.this.now, (e) -> {
+					MembershipSimulation.this.timers, () -> MembershipSimulation.this.now,
+					new SplittableRandom(name.hashCode()), (e) -> {
 					});
 		}
 
@@ -482,14 +502,9 @@
 			return ids;
 		}
 
-		// The snapshot encoding carries no revisions of items.
 		private void adopt(Entry provider, long at) {
-			List<StoreItem> snapshot = provider.store.follower()
-				.knownItems()
-				.stream()
-				.map((i) -> new StoreItem(i.key(), i.value()))
-				.toList();
-			this.store.follower().applySnapshot(snapshot, at, MembershipSimulation.this.now);
+			this.store.follower()
+				.applySnapshot(provider.store.follower().knownItems(), at, MembershipSimulation.this.now);
 		}
 
 		// Return the start time of the known incarnation of each target.
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/ProtobufSnapshotFormat.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/ProtobufSnapshotFormat.java
@@ -19,7 +19,8 @@
 	@Override
 	public byte[] encode(List<StoreItem> items) {
 		Protocol.StoreItems.Builder builder = Protocol.StoreItems.newBuilder();
-		items.forEach((i) -> builder.addItems(Protocol.StoreItem.newBuilder().setKey(i.key()).setValue(i.value())));
+		items.forEach((i) -> builder
+			.addItems(Protocol.StoreItem.newBuilder().setKey(i.key()).setValue(i.value()).setRevision(i.revision())));
 		return builder.build().toByteArray();
 	}
 
@@ -29,7 +30,7 @@
 			return Optional.of(Protocol.StoreItems.parseFrom(bytes)
 				.getItemsList()
 				.stream()
-				.map((i) -> new StoreItem(i.getKey(), i.getValue()))
+				.map((i) -> new StoreItem(i.getKey(), i.getValue(), i.getRevision()))
 				.toList());
 		}
 		catch (InvalidProtocolBufferException ex) {
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/SnapshotCodec.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/SnapshotCodec.java
@@ -19,11 +19,12 @@
 		return Protocol.StateQuestion.newBuilder()
 			.setRevision(request.revision())
 			.setFirstPiece(request.firstChunk())
+			.setNewerThan(request.newerThan())
 			.build();
 	}
 
 	static SnapshotRequest decode(Protocol.StateQuestion request) {
-		return new SnapshotRequest(request.getRevision(), request.getFirstPiece());
+		return new SnapshotRequest(request.getRevision(), request.getFirstPiece(), request.getNewerThan());
 	}
 
 	static Protocol.StatePiece encode(SnapshotChunk chunk) {
