Read all items again when a watch returns more than they are

Callers saw: after the store had rejected an entry for some seconds while large plans changed, the entry answered by the old plan for as long again (13 s of 22 s on real processes), until its history was gone.

The answer to the first watch after the rejection holds every version of the plan since the entry's revision. One over 4 MiB was read to its end, discarded, and requested again from the same revision, larger each time. Class: a failure that its own retry repeats.

A larger one holds obsolete versions, or an item that has grown, so that all items are read again: pages hold each item once. The answer is abandoned as soon as its length is known, by the Content-Length as a rule, and has a line of its own. Reading again from the same place is ruled out by the call itself: nothing is left that returns to the revision of an answer that was too large.

--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/ItemCache.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/ItemCache.java
@@ -32,6 +32,11 @@
 		return this.revision;
 	}
 
+	// The length of the values of all items.
+	long characters() {
+		return this.itemsByKey.values().stream().mapToLong((i) -> i.value().length()).sum();
+	}
+
 	// All items at the revision, in the order of their keys.
 	List<StoreItem> items() {
 		return List.copyOf(this.itemsByKey.values());
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreCalls.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreCalls.java
@@ -21,8 +21,10 @@
 	 * @param call the number of the call, returned with its answer
 	 * @param revision the revision after which changes are requested
 	 * @param waitMillis how long the store may hold the call, in milliseconds
+	 * @param maxCharacters the length of values beyond which the answer is not read but
+	 * reported to {@link StoreFollower#watchAnswerTooLarge}
 	 */
-	void watch(long call, long revision, long waitMillis);
+	void watch(long call, long revision, long waitMillis, long maxCharacters);
 
 	/**
 	 * Probe the store on a connection of its own, with the cheapest request that it
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -63,6 +63,12 @@
 	 */
 	private static final long CATCH_UP_DELAY_MILLIS = 300;
 
+	/**
+	 * The largest answer to a watch, as a multiple of all items. A larger one holds
+	 * several versions of the same items, and reading all items again is shorter.
+	 */
+	private static final int MAX_ANSWER_RATIO = 2;
+
 	private final FollowSettings settings;
 
 	private final StoreCalls outputs;
@@ -474,6 +480,20 @@
 		}
 	}
 
+	/**
+	 * Handle an answer to a watch that is larger than allowed. All items are read again,
+	 * since the next answer from the same revision would be larger still.
+	 * @param number the number of the call
+	 * @param now the current time in milliseconds
+	 * @since 0.7
+	 */
+	public void watchAnswerTooLarge(long number, long now) {
+		if (completeCall(number, now)) {
+			this.listener.watchAnswerTooLarge(this.cache.revision());
+			readAll(now);
+		}
+	}
+
 	/**
 	 * Handle the failure of a call.
 	 * @param number the number of the call
@@ -636,7 +656,7 @@
 		long wait = (this.failures > 0) ? this.settings.minIntervalMillis() : watchWaitMillis();
 		long number = beginCall(now + wait + this.settings.answerMillis(), now);
 		this.call.markWatch(wait, now);
-		this.outputs.watch(number, this.cache.revision(), wait);
+		this.outputs.watch(number, this.cache.revision(), wait, MAX_ANSWER_RATIO * this.cache.characters());
 	}
 
 	private long watchWaitMillis() {
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreListener.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreListener.java
@@ -72,6 +72,13 @@
 	 */
 	void callFailedAgain(String cause, int consecutive);
 
+	/**
+	 * Handle that an answer to a watch was too large, so that all items are read instead.
+	 * @param known the revision up to which this process has all changes
+	 * @since 0.7
+	 */
+	void watchAnswerTooLarge(long known);
+
 	/**
 	 * Handle that an overdue watch was restarted because it returned nothing of a change
 	 * that other processes have.
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/LargeItemSimulation.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/LargeItemSimulation.java
@@ -174,7 +174,7 @@
 		}
 
 		@Override
-		public void watch(long number, long from, long waitMillis) {
+		public void watch(long number, long from, long waitMillis, long maxCharacters) {
 			begin(number);
 			this.watchedRevision = from;
 			LargeItemSimulation.this.timers.schedule(LargeItemSimulation.this.now + waitMillis, (t) -> {
@@ -271,6 +271,11 @@
 			// The simulated store is always reachable.
 		}
 
+		@Override
+		public void watchAnswerTooLarge(long known) {
+			// Not recorded.
+		}
+
 		@Override
 		public void watchRestarted(int inARow, long waitedMillis) {
 			// Cancelled answers are counted by the transfer.
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
@@ -209,6 +209,18 @@
 		assertThat(this.calls.get(this.calls.size() - 1)).isEqualTo("page ");
 	}
 
+	// Guards against a watch that is repeated from the same revision after an answer was
+	// too large.
+	@Test
+	void readsAllItemsAgainAfterAnAnswerThatIsTooLarge() {
+		startWatching();
+		this.follower.watchAnswerTooLarge(this.lastCall, 1_000);
+		assertThat(this.calls.get(this.calls.size() - 1)).isEqualTo("page ");
+		this.follower.pageRead(this.lastCall, List.of(item("a"), item("b")), false, 140, 1_010);
+		assertThat(this.events).containsExactly("all [a]", "too large after 100", "all [a, b]").inOrder();
+		assertThat(this.calls.get(this.calls.size() - 1)).isEqualTo("watch 140 4000");
+	}
+
 	@Test
 	void startsAgainFromTheFirstPageAfterAPageFails() {
 		this.follower.start(0);
@@ -649,7 +661,7 @@
 		}
 
 		@Override
-		public void watch(long call, long revision, long waitMillis) {
+		public void watch(long call, long revision, long waitMillis, long maxCharacters) {
 			StoreFollowerTests.this.lastCall = call;
 			StoreFollowerTests.this.calls.add("watch " + revision + ' ' + waitMillis);
 		}
@@ -706,6 +718,11 @@
 			StoreFollowerTests.this.behindReports.add("caught up with " + known + " after " + lagMillis);
 		}
 
+		@Override
+		public void watchAnswerTooLarge(long known) {
+			StoreFollowerTests.this.events.add("too large after " + known);
+		}
+
 		@Override
 		public void callFailedAgain(String cause, int consecutive) {
 			StoreFollowerTests.this.events.add("failed again " + cause + ' ' + consecutive);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
@@ -223,6 +223,12 @@
 				"still unreachable after " + consecutive + " failed calls in a row: " + cause));
 	}
 
+	@Override
+	public void watchAnswerTooLarge(long knownRevision) {
+		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "", "the changes after revision "
+				+ StorePosition.of(knownRevision) + " are larger than all items, which are read again"));
+	}
+
 	@Override
 	public void watchRestarted(int consecutive, long waitedMillis) {
 		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "",
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipSimulation.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipSimulation.java
@@ -55,6 +55,9 @@
 	/** Length of the changes that fit into a message between entries. */
 	private static final int MAX_UPDATE_CHARACTERS = 32 * 1024;
 
+	/** The smallest limit of the answer to a watch. */
+	private static final int MIN_ANSWER_CHARACTERS = 192 * 1024;
+
 	private static final String PLAN_KEY = "plan";
 
 	final Timers timers = new Timers();
@@ -602,14 +605,14 @@
 		}
 
 		@Override
-		public void watch(long call, long since, long waitMillis) {
+		public void watch(long call, long since, long waitMillis, long maxCharacters) {
 			this.watchCall = call;
 			if (this.entry.losesNextLongWatch && waitMillis > SETTINGS.minIntervalMillis()) {
 				this.entry.losesNextLongWatch = false;
 				MembershipSimulation.this.calls++;
 				return;
 			}
-			answer(call, (t) -> answerWhenChanged(call, since, t + waitMillis, t));
+			answer(call, (t) -> answerWhenChanged(call, since, t + waitMillis, maxCharacters, t));
 		}
 
 		// Reset the connection of the open watch.
@@ -617,7 +620,7 @@
 			this.follower.get().failed(this.watchCall, "reset", MembershipSimulation.this.now);
 		}
 
-		private void answerWhenChanged(long call, long since, long end, long t) {
+		private void answerWhenChanged(long call, long since, long end, long maxCharacters, long t) {
 			if (!MembershipSimulation.this.up || this.entry.rejectedByStore) {
 				return;
 			}
@@ -629,21 +632,32 @@
 					: MembershipSimulation.this.history.stream().filter((c) -> c.revision() > since).toList();
 			if (!changes.isEmpty() || t >= end) {
 				long at = MembershipSimulation.this.watchesSilent ? since : MembershipSimulation.this.revision;
-				MembershipSimulation.this.timers.schedule(t + STORE_MILLIS,
-						(later) -> this.follower.get().watchAnswered(call, changes, at, later));
+				boolean isTooLarge = characters(changes) > Math.max(MIN_ANSWER_CHARACTERS, maxCharacters);
+				MembershipSimulation.this.timers.schedule(t + STORE_MILLIS, (later) -> {
+					if (isTooLarge) {
+						this.follower.get().watchAnswerTooLarge(call, later);
+					}
+					else {
+						this.follower.get().watchAnswered(call, changes, at, later);
+					}
+				});
 				return;
 			}
 			boolean[] isAnswered = new boolean[1];
 			Consumer<Long> retryOnce = (when) -> {
 				if (!isAnswered[0]) {
 					isAnswered[0] = true;
-					answerWhenChanged(call, since, end, when);
+					answerWhenChanged(call, since, end, maxCharacters, when);
 				}
 			};
 			MembershipSimulation.this.waitingWatches.add(() -> retryOnce.accept(MembershipSimulation.this.now));
 			MembershipSimulation.this.timers.schedule(end, retryOnce::accept);
 		}
 
+		private static long characters(List<StoreChange> changes) {
+			return changes.stream().flatMap((c) -> c.item().stream()).mapToLong((i) -> i.value().length()).sum();
+		}
+
 		// Calls fail or stay unanswered while the store is down or rejects the entry.
 		private void answer(long call, Timers.TimedAction reply) {
 			MembershipSimulation.this.calls++;
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpResponseHead.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpResponseHead.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Status and headers of a response.
@@ -43,4 +44,16 @@
 		return first("Content-Type").orElse("");
 	}
 
+	/**
+	 * Return the length of the body.
+	 * @return the value of the {@code Content-Length} header in bytes, or empty if it is
+	 * absent or malformed
+	 * @since 0.7
+	 */
+	public OptionalLong contentLength() {
+		return first("Content-Length").filter((v) -> v.matches("\\d{1,18}"))
+			.map((v) -> OptionalLong.of(Long.parseLong(v)))
+			.orElse(OptionalLong.empty());
+	}
+
 }
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/ResponseCollector.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/ResponseCollector.java
@@ -11,6 +11,9 @@
 
 /**
  * Response listener that collects the complete response in memory.
+ * <p>
+ * A response that is too large is reported with a {@link ResponseTooLargeException} as
+ * soon as its length is known; what follows of it is discarded.
  *
  * @since 0.1
  */
@@ -26,7 +29,7 @@
 
 	private HttpResponseHead head = new HttpResponseHead(0, List.of());
 
-	private boolean tooLarge;
+	private boolean isReported;
 
 	/**
 	 * Create a listener without progress notifications.
@@ -52,20 +55,26 @@
 
 	@Override
 	public void onConnectFailed(IOException cause) {
-		this.receiver.accept(Either.left(cause));
+		report(Either.left(cause));
 	}
 
 	@Override
 	public void onHead(HttpResponseHead received) {
 		this.head = received;
 		this.progress.run();
+		if (received.contentLength().orElse(0) > this.maxBytes) {
+			report(Either.left(new ResponseTooLargeException(this.maxBytes)));
+		}
 	}
 
 	@Override
 	public void onBody(ByteBuffer data) {
+		if (this.isReported) {
+			return;
+		}
 		this.progress.run();
 		if (this.body.size() + data.remaining() > this.maxBytes) {
-			this.tooLarge = true;
+			report(Either.left(new ResponseTooLargeException(this.maxBytes)));
 			return;
 		}
 		byte[] part = new byte[data.remaining()];
@@ -75,17 +84,19 @@
 
 	@Override
 	public void onComplete() {
-		if (this.tooLarge) {
-			this.receiver
-				.accept(Either.left(new IOException("the response is larger than " + this.maxBytes + " bytes")));
-			return;
-		}
-		this.receiver.accept(Either.right(new Response(this.head, this.body.toByteArray())));
+		report(Either.right(new Response(this.head, this.body.toByteArray())));
 	}
 
 	@Override
 	public void onConnectionBroken(IOException cause) {
-		this.receiver.accept(Either.left(cause));
+		report(Either.left(cause));
+	}
+
+	private void report(Either<IOException, Response> result) {
+		if (!this.isReported) {
+			this.isReported = true;
+			this.receiver.accept(result);
+		}
 	}
 
 	/**
