Refuse by the plan with 503 while other entries are known to have a newer one

Callers saw a final 404 or 401 for a route or a key that existed: the entry that answered lacked the plan and had been told so by others.

Whether a refusal is final was decided by the active plan alone. What the entry knew of its own lag stood in a log line and a gauge.

While an entry lacks changes that another one has, a request that its plan does not allow (unknown route or key, too large a head or body) is answered with 503 and Retry-After of 20 ms on a connection that is closed, so that the retry leads to another entry, which has the plan. 'Not run' is true. Callers of routes that exist nowhere get the 503 for the same time, some milliseconds as a rule, and 404 after it. Requests that the plan allows are executed as before: an entry that refused everything while it lacks a change would turn the store's trouble into one of its callers. Refusals are not turned by age alone, since an outage of the store for all entries says nothing of a newer plan.

--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -427,6 +427,15 @@
 		return this.lag.lagMillis(this.cache.revision(), now);
 	}
 
+	/**
+	 * Determine whether this process lacks changes that other processes have.
+	 * @return {@code true} from the first report of a later revision
+	 * @since 0.7
+	 */
+	public boolean isBehind() {
+		return this.lag.isBehind(this.cache.revision());
+	}
+
 	/**
 	 * Determine whether this process lacks changes that other processes have and receives
 	 * none of them from the store, so that it depends on another process.
@@ -590,8 +599,7 @@
 	// A watching process counts as an answer from the store, unless it has changes that
 	// did not arrive here.
 	private void watchUnlessDelegated(long now) {
-		boolean isBehind = this.lag.isBehind(this.cache.revision());
-		this.delegated = !isBehind && this.watch.isServedByOther(this.cache.revision(), now);
+		this.delegated = !isBehind() && this.watch.isServedByOther(this.cache.revision(), now);
 		if (!this.delegated) {
 			watch(now);
 			return;
--- a/laneworks-core/src/main/java/dev/laneworks/core/verdict/RefusalReason.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/verdict/RefusalReason.java
@@ -69,7 +69,10 @@
 	/** An earlier attempt with the same key may have run at another target. */
 	KEY_IN_DOUBT(409),
 
-	/** The sidecar's list of published targets is too old to decide on a key. */
+	/**
+	 * The process may lack what it would need to decide: the sidecar's list of published
+	 * targets is too old to decide on a key, or the entry knows of a newer plan.
+	 */
 	STALE_VIEW(503),
 
 	/** The caller disconnected and the generation was cancelled. */
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
@@ -52,6 +52,9 @@
 	private static final Duration NOT_READY_RETRY_DELAY = Duration.ofMillis(300);
 
 	/** Short, since callers retry on a new connection, which leads to another entry. */
+	/** Another entry has the newer plan already. */
+	private static final Duration BEHIND_RETRY_DELAY = Duration.ofMillis(20);
+
 	private static final Duration STOPPING_RETRY_DELAY = Duration.ofMillis(20);
 
 	/** Bytes of a header line besides name and value: colon, space and line end. */
@@ -180,7 +183,7 @@
 		}
 		RequestLimits limits = activePlan.get().limits();
 		if (headBytes(request) > limits.maxHeaderBytes()) {
-			return Either.left(Refusal.permanent(RefusalReason.HEAD_TOO_LARGE,
+			return Either.left(refuseByPlan(request, RefusalReason.HEAD_TOO_LARGE,
 					"the head is larger than " + limits.maxHeaderBytes() + " bytes"));
 		}
 		if (!RequestFraming.hasUnambiguousLength(request.exchange())
@@ -192,7 +195,7 @@
 			return Either.left(Refusal.permanent(RefusalReason.BAD_REQUEST, "the request must name one valid host"));
 		}
 		if (request.exchange().getRequestContentLength() > limits.maxBodyBytes()) {
-			return Either.left(tooLarge(limits));
+			return Either.left(tooLarge(request, limits));
 		}
 		return admit(request, activePlan.get());
 	}
@@ -201,7 +204,8 @@
 		Optional<RouteSpec> route = activePlan.findRoute(request.exchange().getHostName(),
 				request.exchange().getRequestURI());
 		if (route.isEmpty()) {
-			return Either.left(Refusal.permanent(RefusalReason.UNKNOWN_ROUTE, "no route covers this host and path"));
+			return Either
+				.left(refuseByPlan(request, RefusalReason.UNKNOWN_ROUTE, "no route covers this host and path"));
 		}
 		RequestMetadata metadata;
 		try {
@@ -213,7 +217,7 @@
 		Optional<AccountGrant> account = metadata.key().flatMap(activePlan::findAccount);
 		if (account.isEmpty() && activePlan.requiresKeys() && !route.get().open()) {
 			return Either
-				.left(Refusal.permanent(RefusalReason.UNKNOWN_ACCOUNT, "the key belongs to no client account"));
+				.left(refuseByPlan(request, RefusalReason.UNKNOWN_ACCOUNT, "the key belongs to no client account"));
 		}
 		if (metadata.id().isEmpty()) {
 			return Either.left(Refusal.permanent(RefusalReason.BAD_REQUEST, "the request has no identity"));
@@ -253,7 +257,7 @@
 			open(request, admitted, arrived);
 		}, (e, ex) -> {
 			e.setPersistent(false);
-			refuse(request, (ex instanceof RequestTooBigException) ? tooLarge(admitted.limits())
+			refuse(request, (ex instanceof RequestTooBigException) ? tooLarge(request, admitted.limits())
 					: Refusal.permanent(RefusalReason.BAD_REQUEST, "the body cannot be read: " + ex.getMessage()));
 		});
 	}
@@ -303,11 +307,23 @@
 		request.refuse(refusal, this.translator.rejectionHeaders(refusal, ""));
 	}
 
-	private static Refusal tooLarge(RequestLimits limits) {
-		return Refusal.permanent(RefusalReason.TOO_LARGE,
+	private Refusal tooLarge(CallerRequest request, RequestLimits limits) {
+		return refuseByPlan(request, RefusalReason.TOO_LARGE,
 				"the body is larger than " + limits.maxBodyBytes() + " bytes");
 	}
 
+	// A newer plan may allow what the active one does not, so that the refusal is not
+	// final while another entry is known to have more. A retry on a new connection leads
+	// to such an entry.
+	private Refusal refuseByPlan(CallerRequest request, RefusalReason reason, String detail) {
+		if (!this.store.follower().isBehind()) {
+			return Refusal.permanent(reason, detail);
+		}
+		request.exchange().setPersistent(false);
+		return Refusal.notRun(RefusalReason.STALE_VIEW, detail + ", but other entries may have a newer plan",
+				BEHIND_RETRY_DELAY);
+	}
+
 	private static int headBytes(CallerRequest request) {
 		int bytes = request.method().length() + request.uri().length();
 		for (HttpHeader header : request.headers()) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/SnapshotTransfer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/SnapshotTransfer.java
@@ -82,7 +82,7 @@
 		if (known.isEmpty() || this.follower.isStalledBehind(now)) {
 			this.fetcher.start(known.orElse(0), now);
 		}
-		else if (this.follower.behindMillis(now) == 0) {
+		else if (!this.follower.isBehind()) {
 			this.fetcher.stop();
 		}
 	}
