--- a/laneworks-standin/src/main/java/dev/laneworks/standin/process/RunningProcess.java
+++ b/laneworks-standin/src/main/java/dev/laneworks/standin/process/RunningProcess.java
@@ -34,10 +34,25 @@
 	 * @return the running process
 	 */
 	public static RunningProcess start(String mainClass, Path settings, Path log) {
+		return start(mainClass, settings, log, List.of("-Xmx128m"));
+	}
+
+	/**
+	 * Start a program with the class path of this process and options of its own.
+	 * @param mainClass the name of the main class
+	 * @param settings the settings file of the program
+	 * @param log the file that its output is appended to
+	 * @param options the options of the virtual machine
+	 * @return the running process
+	 * @since 0.7
+	 */
+	public static RunningProcess start(String mainClass, Path settings, Path log, List<String> options) {
 		String classPath = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
-		List<String> command = new ArrayList<>(List.of(
-				Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx128m", "-XX:+UseSerialGC",
-				"-XX:TieredStopAtLevel=1", "-cp", classPath, mainClass, "--config", settings.toString()));
+		List<String> command = new ArrayList<>();
+		command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+		command.addAll(options);
+		command.addAll(List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-cp", classPath, mainClass, "--config",
+				settings.toString()));
 		try {
 			Process process = new ProcessBuilder(command).redirectErrorStream(true)
 				.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
