Report what a background task throws and read a plan again after it

Callers see an entry that serves by an old plan although the new one has arrived.

Cause, found by reading: a task that threw on the background thread ended without a result. A large answer of the store then counted as being parsed until its timeout, and a large plan was never read again until the next change: the listener had returned long before, so that no reading of all items made up for it. On a heap of 72 MB, an answer of some MB, its text, its tree and its decoded value are alive at once.

A receiver gets the result or what the task threw, errors included, so that no caller can leave the failure out. A plan whose reading failed is read again after 250 ms, then twice as long up to 4 s, unless a newer one has arrived; each failure has a line. Whether the users' entries met it is not shown: their record has no such line and had no way to have one.

readsAPlanAgainAfterItsTaskFailed; the code before can't express it, since its tasks have no failure.

--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
@@ -42,6 +42,11 @@
 	 */
 	private static final long EVACUATION_RETENTION_MILLIS = 4_000;
 
+	/** Delay before a plan is read again after the first failure. */
+	private static final long PLAN_RETRY_MILLIS = 250;
+
+	private static final long MAX_PLAN_RETRY_MILLIS = 4_000;
+
 	/** Limits the length of the audit line about missed changes. */
 	private static final int MAX_LOGGED_MISSED_KEYS = 8;
 
@@ -63,6 +68,9 @@
 
 	private Optional<ServingPlan> plan = Optional.empty();
 
+	/** The item of the latest plan that was received. */
+	private StoreItem planItem;
+
 	private boolean hasReadAll;
 
 	private final Timers timers;
@@ -118,7 +126,7 @@
 		// Before the plan, which may name the services of targets that are no longer
 		// listed.
 		this.targets.forgetPending();
-		items.stream().filter((i) -> this.source.isPlan(i.key())).forEach(this::readPlan);
+		items.stream().filter((i) -> this.source.isPlan(i.key())).forEach((i) -> readPlan(i, now));
 		this.targets.replaceAll(items.stream().filter((i) -> isTarget(i.key())).toList(), now);
 		this.hasReadAll = true;
 	}
@@ -139,7 +147,7 @@
 		}
 		reportKeyFault(change.key());
 		if (this.source.isPlan(change.key())) {
-			readPlan(change.item().get());
+			readPlan(change.item().get(), now);
 		}
 		else if (isTarget(change.key())) {
 			this.targets.put(change.item().get(), change.revision());
@@ -259,15 +267,33 @@
 	}
 
 	// The first plan is parsed at once: requests wait for it, and no streams exist yet.
-	private void readPlan(StoreItem item) {
+	private void readPlan(StoreItem item, long now) {
+		this.planItem = item;
 		if (this.plan.isPresent() && item.value().length() > LARGE_PLAN_CHARS) {
-			this.background.submit(() -> this.source.plan(item), (read) -> applyPlan(item, read));
+			readInBackground(item, PLAN_RETRY_MILLIS, now);
 		}
 		else {
 			applyPlan(item, this.source.plan(item));
 		}
 	}
 
+	private void readInBackground(StoreItem item, long retryMillis, long now) {
+		this.background.submit(() -> this.source.plan(item), (read) -> {
+			if (read.isRight()) {
+				applyPlan(item, read.get());
+				return;
+			}
+			this.audit
+				.record(AuditEvent.of(AuditKind.CONFIGURATION_REFUSED, "plan", "", "reading it failed, retrying in "
+						+ retryMillis + " ms unless a newer one arrives: " + read.getLeft()));
+			this.timers.schedule(now + retryMillis, (t) -> {
+				if (item == this.planItem) {
+					readInBackground(item, Math.min(MAX_PLAN_RETRY_MILLIS, 2 * retryMillis), t);
+				}
+			});
+		});
+	}
+
 	private void applyPlan(StoreItem item, Either<String, ServingPlan> read) {
 		if (read.isLeft()) {
 			this.refused.refuse(item.key(), AuditEvent.of(AuditKind.CONFIGURATION_REFUSED, "plan", "", read.getLeft()));
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipSimulation.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipSimulation.java
@@ -726,8 +726,8 @@
 	private static final class SynchronousWork implements BackgroundExecutor {
 
 		@Override
-		public <T> void submit(Supplier<T> task, Consumer<T> receiver) {
-			receiver.accept(task.get());
+		public <T> void submit(Supplier<T> task, Consumer<Either<Throwable, T>> receiver) {
+			receiver.accept(Either.right(task.get()));
 		}
 
 	}
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlanAndTargetsTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlanAndTargetsTests.java
@@ -40,6 +40,10 @@
 
 	private final List<Runnable> pendingWork = new ArrayList<>();
 
+	private final Timers timers = new Timers();
+
+	private int failingTasks;
+
 	private final List<Long> activeVersions = new ArrayList<>();
 
 	private final List<AuditEvent> audited = new ArrayList<>();
@@ -51,7 +55,7 @@
 	private final TargetDirectory directory = new TargetDirectory(new Recorder(), this.evacuations, new Timers());
 
 	private final PlanAndTargets published = new PlanAndTargets(new Plans(), this.directory, this.evacuations,
-			(p) -> this.activeVersions.add(p.version()), this.audited::add, new DeferredWork(), new Timers());
+			(p) -> this.activeVersions.add(p.version()), this.audited::add, new DeferredWork(), this.timers);
 
 	@Test
 	void readsALargePlanOnABackgroundThread() {
@@ -72,6 +76,33 @@
 		assertThat(this.activeVersions).containsExactly(1L, 3L).inOrder();
 	}
 
+	// Guards against a plan that is never read because the first attempt failed.
+	@Test
+	void readsAPlanAgainAfterItsTaskFailed() {
+		this.published.itemsRead(List.of(plan("1")), 0);
+		this.failingTasks = 2;
+		change("2" + PADDING);
+		for (long now = 0; now < 3_000; now += 50) {
+			this.pendingWork.forEach(Runnable::run);
+			this.pendingWork.clear();
+			this.timers.run(now);
+		}
+		assertThat(this.activeVersions).containsExactly(1L, 2L).inOrder();
+		assertThat(audited(AuditKind.CONFIGURATION_REFUSED)).hasSize(2);
+	}
+
+	@Test
+	void doesNotReadAPlanAgainOnceANewerOneArrived() {
+		this.published.itemsRead(List.of(plan("1")), 0);
+		this.failingTasks = 1;
+		change("2" + PADDING);
+		this.pendingWork.remove(0).run();
+		change("3");
+		this.timers.run(3_000);
+		assertThat(this.pendingWork).isEmpty();
+		assertThat(this.activeVersions).containsExactly(1L, 3L).inOrder();
+	}
+
 	@Test
 	void ignoresUnreadableRegistrationsAndAppliesTheOthers() {
 		this.published
@@ -257,8 +288,16 @@
 	private final class DeferredWork implements BackgroundExecutor {
 
 		@Override
-		public <T> void submit(Supplier<T> task, Consumer<T> receiver) {
-			PlanAndTargetsTests.this.pendingWork.add(() -> receiver.accept(task.get()));
+		public <T> void submit(Supplier<T> task, Consumer<Either<Throwable, T>> receiver) {
+			PlanAndTargetsTests.this.pendingWork.add(() -> receiver.accept(run(task)));
+		}
+
+		private <T> Either<Throwable, T> run(Supplier<T> task) {
+			if (PlanAndTargetsTests.this.failingTasks > 0) {
+				PlanAndTargetsTests.this.failingTasks--;
+				return Either.left(new OutOfMemoryError("heap"));
+			}
+			return Either.right(task.get());
 		}
 
 	}
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/BackgroundExecutor.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/BackgroundExecutor.java
@@ -3,6 +3,8 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
+import io.vavr.control.Either;
+
 /**
  * Executes tasks that would delay an I/O thread on another thread.
  *
@@ -15,8 +17,9 @@
 	 * another in submission order.
 	 * @param <T> the type of the result
 	 * @param task the task, which must not access state of the I/O thread
-	 * @param receiver receives the result on the I/O thread
+	 * @param receiver receives on the I/O thread the result, or what the task threw,
+	 * errors such as {@link OutOfMemoryError} included
 	 */
-	<T> void submit(Supplier<T> task, Consumer<T> receiver);
+	<T> void submit(Supplier<T> task, Consumer<Either<Throwable, T>> receiver);
 
 }
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/DefaultBackgroundExecutor.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/DefaultBackgroundExecutor.java
@@ -4,6 +4,7 @@
 import java.util.function.Supplier;
 
 import dev.laneworks.runtime.log.LogLine;
+import io.vavr.control.Either;
 import org.xnio.XnioIoThread;
 
 /**
@@ -25,20 +26,20 @@
 	}
 
 	@Override
-	public <T> void submit(Supplier<T> task, Consumer<T> receiver) {
+	public <T> void submit(Supplier<T> task, Consumer<Either<Throwable, T>> receiver) {
 		this.thread.getWorker().execute(() -> {
-			T result = run(task);
+			Either<Throwable, T> result = run(task);
 			this.thread.execute(() -> receiver.accept(result));
 		});
 	}
 
-	private static <T> T run(Supplier<T> task) {
+	private static <T> Either<Throwable, T> run(Supplier<T> task) {
 		try {
-			return task.get();
+			return Either.right(task.get());
 		}
 		catch (RuntimeException | Error ex) {
 			LogLine.of("background-task").with("outcome", "failed").with("cause", ex.toString()).warn();
-			throw ex;
+			return Either.left(ex);
 		}
 	}
 
