Wait longer for a store that has become slow, and probe it during starts

Callers saw: an entry that started while the store took 0.8 s for an answer was never ready.

Each reading was given up after 0.7 s without a first part and begun again; the time never grew. Class: a fetch that only repeats itself.

The time for an answer doubles after each call that timed out, up to four times 0.7 s, until a call is answered within 0.7 s; so does, until then, the time after which a watch is overdue. Before the first reading it doubles from the first timeout. What the longer time would cost where an answer was lost and the store is quick again is avoided by probes, which now run during readings too: a probe that is answered after a silence begins an idle reading anew.

readsFromAStoreThatIsSlowFromTheStart (1.5 s an answer; no process ever has the item on the code before) and readsAgainAtOnceWhenAProbeShowsThatTheStoreIsBack fail before. LargeItemSimulation answers probes as late as calls, and returns the large item with a page, as a store does.

--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/CallTracker.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/CallTracker.java
@@ -138,8 +138,16 @@
 	 * @return {@code false} also while its answer is being parsed
 	 */
 	boolean isWatchIdle(long millis, long now) {
-		boolean isWatch = this.open && this.lastWatch == this.number;
-		return isWatch && this.arrived != this.number && now - this.progressAt >= millis;
+		return this.lastWatch == this.number && isIdle(millis, now);
+	}
+
+	// Whether any call is open and has received nothing for a time.
+	boolean isIdle(long millis, long now) {
+		return this.open && this.arrived != this.number && now - this.progressAt >= millis;
+	}
+
+	long startedAt() {
+		return this.startedAt;
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -69,6 +69,18 @@
 	 */
 	private static final int MAX_ANSWER_RATIO = 2;
 
+	/**
+	 * The maximum doublings of the time for an answer, after calls that timed out. They
+	 * let a store answer that has become slow.
+	 */
+	private static final int MAX_TIMEOUT_DOUBLINGS = 2;
+
+	/**
+	 * The consecutive calls whose answers count as lost rather than late, once the store
+	 * has been read.
+	 */
+	private static final int MAX_LOST_ANSWERS = 2;
+
 	private final FollowSettings settings;
 
 	private final StoreCalls outputs;
@@ -116,6 +128,12 @@
 
 	private int failures;
 
+	/**
+	 * The consecutive calls that timed out, without one that was answered within the
+	 * first timeout.
+	 */
+	private int timeouts;
+
 	/** The cause of the last failed call. */
 	private String lastFailure = "";
 
@@ -239,16 +257,22 @@
 	}
 
 	/**
-	 * Handle the store's answer to a probe. The watch is restarted if it is idle when the
-	 * store returns after a silence, or if it stays idle although the probe shows a newer
-	 * revision.
+	 * Handle the store's answer to a probe. An idle call is restarted when the store
+	 * returns after a silence, and an idle watch if the probe shows a newer revision.
 	 * @param at the revision of the store, which may be seconds old
 	 * @param now the current time in milliseconds
 	 */
 	public void probeAnswered(long at, long now) {
 		boolean isBack = this.unreachable && this.silence.isSilent(now);
 		this.silence.recordContact(now);
-		if (!this.synced || this.delegated) {
+		if (!this.synced) {
+			if (isBack && this.call.isIdle(LagTracker.OVERDUE_MILLIS, now)) {
+				this.outputs.cancel();
+				readAll(now);
+			}
+			return;
+		}
+		if (this.delegated) {
 			return;
 		}
 		if (this.call.isOpen() && at > this.cache.revision()) {
@@ -543,11 +567,15 @@
 	}
 
 	private boolean completeCall(long number, long now) {
+		boolean isQuick = now - this.call.startedAt() <= this.settings.answerMillis();
 		if (!this.call.end(number, now)) {
 			return false;
 		}
+		if (isQuick) {
+			this.timeouts = 0;
+			this.lag.resetOverdue();
+		}
 		this.failures = 0;
-		this.lag.resetOverdue();
 		recordReachable(this.silence.recordAnswer(now) >= MIN_EXPIRY_OUTAGE_MILLIS, now);
 		return true;
 	}
@@ -639,8 +667,7 @@
 	}
 
 	private void probeIfDue(long now) {
-		if (this.hasReadAll && !this.delegated && (this.call.isOpen() || this.unreachable)
-				&& this.silence.startProbeIfDue(now)) {
+		if (!this.delegated && (this.call.isOpen() || this.unreachable) && this.silence.startProbeIfDue(now)) {
 			this.outputs.probe();
 		}
 	}
@@ -655,14 +682,14 @@
 	}
 
 	private void readPage(Optional<String> afterKey, long now) {
-		this.outputs.readPage(beginCall(now + this.settings.answerMillis(), now), afterKey);
+		this.outputs.readPage(beginCall(now + answerMillis(), now), afterKey);
 	}
 
 	private void watch(long now) {
 		// The first watch after a failure is short, to detect soon whether the store is
 		// back.
 		long wait = (this.failures > 0) ? this.settings.minIntervalMillis() : watchWaitMillis();
-		long number = beginCall(now + wait + this.settings.answerMillis(), now);
+		long number = beginCall(now + wait + answerMillis(), now);
 		this.call.markWatch(wait, now);
 		this.outputs.watch(number, this.cache.revision(), wait, MAX_ANSWER_RATIO * this.cache.characters());
 	}
@@ -672,8 +699,16 @@
 				: this.settings.waitMillis();
 	}
 
+	// A start has nothing to lose by waiting. Later, single lost answers are more likely
+	// than a store that has become slow.
+	private long answerMillis() {
+		int slow = this.hasReadAll ? Math.max(0, this.timeouts - MAX_LOST_ANSWERS) : this.timeouts;
+		return this.settings.answerMillis() << Math.min(MAX_TIMEOUT_DOUBLINGS, slow);
+	}
+
 	private long beginCall(long answerDue, long now) {
-		return this.call.begin(answerDue, this.settings.answerMillis(), (t) -> {
+		return this.call.begin(answerDue, answerMillis(), (t) -> {
+			this.timeouts++;
 			this.outputs.cancel();
 			failed(this.call.number(), "no answer before the timeout", t);
 		}, now);
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/LargeItemSimulation.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/LargeItemSimulation.java
@@ -32,6 +32,8 @@
 
 	private static final long SMALL_BYTES = 400;
 
+	private static final long PROBE_TIMEOUT_MILLIS = 500;
+
 	private final double bytesPerMillisecond;
 
 	private final long largeBytes;
@@ -170,7 +172,12 @@
 		public void readPage(long number, Optional<String> afterKey) {
 			begin(number);
 			long at = LargeItemSimulation.this.revision;
-			send(SMALL_BYTES, (t) -> this.follower.pageRead(number, List.of(), false, at, t));
+			List<StoreItem> items = LargeItemSimulation.this.history.stream()
+				.filter((c) -> c.key().equals(LARGE_KEY))
+				.flatMap((c) -> c.item().stream())
+				.toList();
+			send(SMALL_BYTES + items.size() * LargeItemSimulation.this.largeBytes,
+					(t) -> this.follower.pageRead(number, items, false, at, t));
 		}
 
 		@Override
@@ -226,7 +233,11 @@
 
 		@Override
 		public void probe() {
-			LargeItemSimulation.this.timers.schedule(LargeItemSimulation.this.now + STEP_MILLIS,
+			if (LargeItemSimulation.this.latencyMillis > PROBE_TIMEOUT_MILLIS) {
+				return;
+			}
+			long latency = Math.max(STEP_MILLIS, LargeItemSimulation.this.latencyMillis);
+			LargeItemSimulation.this.timers.schedule(LargeItemSimulation.this.now + latency,
 					(t) -> this.follower.probeAnswered(LargeItemSimulation.this.revision, t));
 		}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/LargeItemSimulationTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/LargeItemSimulationTests.java
@@ -46,6 +46,14 @@
 		assertThat(simulation.runUntilAllHaveTheLargeItem(20_000).get()).isAtMost(5_000);
 	}
 
+	// Guards against readings that are given up and begun again for as long as the store
+	// takes longer than the first timeout.
+	@Test
+	void readsFromAStoreThatIsSlowFromTheStart() {
+		LargeItemSimulation simulation = new LargeItemSimulation(8, LARGE_BYTES, 300, 1_500, 1);
+		assertThat(simulation.runUntilAllHaveTheLargeItem(20_000).get()).isAtMost(9_000);
+	}
+
 	@Test
 	void oneProcessReceivesAnItemThatTakesLongerThanItsTimeouts() {
 		LargeItemSimulation simulation = new LargeItemSimulation(1, 1_000_000, 1, 4, 1);
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
@@ -190,6 +190,21 @@
 	/**
 	 * Guards against a follower that makes no further calls after its listener throws.
 	 */
+	// Guards against a start that waits for an answer which was lost, although the store
+	// has returned.
+	@Test
+	void readsAgainAtOnceWhenAProbeShowsThatTheStoreIsBack() {
+		this.follower.start(0);
+		for (long now = 0; now <= 3_200; now += 50) {
+			this.timers.run(now);
+		}
+		long open = this.lastCall;
+		this.follower.probeAnswered(100, 3_200);
+		assertThat(this.lastCall).isGreaterThan(open);
+		this.follower.pageRead(this.lastCall, List.of(item("a")), false, 100, 3_210);
+		assertThat(this.events).contains("all [a]");
+	}
+
 	@Test
 	void readsAllItemsAgainAfterTheListenerFails() {
 		startWatching();
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipSimulation.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipSimulation.java
@@ -69,6 +69,11 @@
 	/** The registered targets with the values of their registrations. */
 	private final TreeMap<String, String> listed = new TreeMap<>();
 
+	/**
+	 * The values that live targets wrote last, which an older copy of the store may lack.
+	 */
+	private final TreeMap<String, String> registered = new TreeMap<>();
+
 	/** The revision of the latest write of each registration. */
 	private final Map<String, Long> writtenAt = new HashMap<>();
 
@@ -181,6 +186,7 @@
 	}
 
 	private void write(String id, String value) {
+		this.registered.put(id, value);
 		this.listed.put(id, value);
 		this.writtenAt.put(id, ++this.revision);
 		write(new StoreChange("servers/" + id, Optional.of(item(id)), this.revision));
@@ -209,6 +215,7 @@
 
 	void unlist(String id) {
 		this.rewritten.add(id);
+		this.registered.remove(id);
 		this.listed.remove(id);
 		write(new StoreChange("servers/" + id, Optional.empty(), ++this.revision));
 	}
@@ -291,7 +298,7 @@
 	// Restore the store in a new era. Live targets and the operator write again what
 	// was lost; registrations of targets that ended lapse after three heartbeats.
 	void restoreFromBackup() {
-		TreeMap<String, String> current = new TreeMap<>(this.listed);
+		TreeMap<String, String> current = new TreeMap<>(this.registered);
 		Set<String> requested = Set.copyOf(this.evacuated);
 		long era = StorePosition.of(this.revision).era() + 1;
 		this.revision = inEra(era, this.backup.revision);
