Vouch for the store only while no large answer is arriving

Callers of entries that leave the watch to another one saw a large plan late: they began to read it only once the watcher had read all of it over its own link, and its message then told them that something was missing.

A large answer keeps arriving for longer than a heartbeat, and exceeds a message anyway. The watcher now sends no heartbeat from 150 ms after the answer's first part until it is complete, so that the others watch for themselves after 480 ms. Small answers arrive within a heartbeat as a rule and change nothing.

sendsNoHeartbeatWhileALargeAnswerArrives fails before (5 heartbeats instead of 1).

--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/CallTracker.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/CallTracker.java
@@ -34,6 +34,9 @@
 	/** When the open call started, in milliseconds. */
 	private long startedAt;
 
+	/** When the first part of the open call's answer arrived, in milliseconds. */
+	private long firstPartAt = NONE;
+
 	private long watchStartedAt;
 
 	private long watchWaitMillis;
@@ -70,6 +73,7 @@
 		this.number++;
 		this.open = true;
 		this.startedAt = now;
+		this.firstPartAt = NONE;
 		this.progressAt = now;
 		scheduleTimeout(answerDue, partMillis, overdue, this.number);
 		return this.number;
@@ -97,6 +101,7 @@
 	 */
 	void recordProgress(long answered, long now) {
 		if (answered == this.number) {
+			this.firstPartAt = (this.firstPartAt == NONE) ? now : this.firstPartAt;
 			this.progressAt = now;
 		}
 	}
@@ -156,10 +161,15 @@
 	 * @param now the current time in milliseconds
 	 */
 	boolean isReceiving(long millis, long now) {
-		boolean isArriving = this.progressAt > this.startedAt && now - this.progressAt < millis;
+		boolean isArriving = this.firstPartAt != NONE && now - this.progressAt < millis;
 		return this.open && (isArriving || this.arrived == this.number);
 	}
 
+	// Whether the answer to the open call began to arrive some time ago.
+	boolean isLargeAnswerArriving(long millis, long now) {
+		return this.open && this.firstPartAt != NONE && now - this.firstPartAt >= millis;
+	}
+
 	// Whether the open call exceeds the wait of the last watch by the given time
 	// without receiving a part of an answer.
 	boolean isWatchOverdue(long moreMillis, long now) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -644,7 +644,7 @@
 		if (isStalledBehind(now)) {
 			this.watch.requestMissed(this.cache.revision(), now);
 		}
-		if (this.synced && this.call.isOpen() && !isStoreOverdue(now) && !isSilent(now)) {
+		if (isWatching(now)) {
 			this.watch.sendChanges(this.cache.revision(), this.cache.revision(), List.of(), isRecovering(now));
 		}
 		else if (this.delegated) {
@@ -652,6 +652,13 @@
 		}
 	}
 
+	// Others read a large answer themselves, since it exceeds a message. They must not
+	// wait until it has arrived here.
+	private boolean isWatching(long now) {
+		return this.synced && this.call.isOpen() && !isStoreOverdue(now) && !isSilent(now)
+				&& !this.call.isLargeAnswerArriving(SharedWatch.HEARTBEAT_MILLIS, now);
+	}
+
 	// A listener that throws prevents the next call from being scheduled and may have
 	// missed a change. Both are repaired by reading all items again. After a process
 	// pause the call is overdue at one heartbeat only.
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
@@ -325,6 +325,22 @@
 		assertThat(this.sent).isEmpty();
 	}
 
+	// Guards against others that wait for a watcher while a large answer arrives there.
+	@Test
+	void sendsNoHeartbeatWhileALargeAnswerArrives() {
+		this.otherCount = 3;
+		startWatching();
+		this.timers.run(150);
+		assertThat(this.sent).hasSize(1);
+		for (long now = 160; now < 700; now += 10) {
+			this.follower.answerProgressed(this.lastCall, now);
+			this.timers.run(now);
+		}
+		assertThat(this.sent).hasSize(2);
+		this.follower.watchAnswered(this.lastCall, List.of(change("a", 101)), 101, 710);
+		assertThat(this.sent).hasSize(3);
+	}
+
 	@Test
 	void skipsKnownChanges() {
 		startWatching();
