--- a/laneworks-core/src/main/java/dev/laneworks/core/handover/SnapshotFetcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/handover/SnapshotFetcher.java
@@ -53,6 +53,9 @@
 
 	private boolean isActive;
 
+	/** The number of transfers that were started, so that a former one sends nothing. */
+	private int transfers;
+
 	/** The revision that this process has; 0 if it has none. */
 	private long newerThan;
 
@@ -89,7 +92,8 @@
 		this.newerThan = knownRevision;
 		if (!this.isActive) {
 			this.isActive = true;
-			sendRequests(now);
+			this.transfers++;
+			sendRequests(this.transfers, now);
 		}
 	}
 
@@ -136,8 +140,8 @@
 		});
 	}
 
-	private void sendRequests(long now) {
-		if (!this.isActive) {
+	private void sendRequests(int transfer, long now) {
+		if (!this.isActive || transfer != this.transfers) {
 			return;
 		}
 		this.partial = this.partial.filter((s) -> !s.isAbandoned(now));
@@ -147,7 +151,7 @@
 		else if (this.partial.get().isRequestDue(now)) {
 			requestNext(this.partial.get(), now);
 		}
-		this.timers.schedule(now + REQUEST_MILLIS, this::sendRequests);
+		this.timers.schedule(now + REQUEST_MILLIS, (t) -> sendRequests(transfer, t));
 	}
 
 	private void requestNext(PartialSnapshot snapshot, long now) {
--- a/laneworks-core/src/test/java/dev/laneworks/core/handover/StateHandoverTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/handover/StateHandoverTests.java
@@ -107,6 +107,22 @@
 		assertThat(this.results).containsExactly(new Result(A, first));
 	}
 
+	// Guards against requests that multiply with each transfer.
+	@Test
+	void sendsRequestsAtTheSameIntervalAfterATransferStartsAgain() {
+		this.isServerSilent = true;
+		this.fetcher.start(0, 0);
+		for (int i = 0; i < 5; i++) {
+			this.fetcher.stop();
+			this.fetcher.start(0, this.now);
+		}
+		this.requests.clear();
+		for (int i = 0; i < 10; i++) {
+			passTime(SnapshotFetcher.REQUEST_MILLIS);
+		}
+		assertThat(this.requests).hasSize(20);
+	}
+
 	@Test
 	void ignoresUnknownSendersAndInactiveTransfers() {
 		SnapshotChunk chunk = new SnapshotChunk(900, 0, 0, 1, "k=v".getBytes(StandardCharsets.UTF_8));
