--- a/laneworks-core/src/main/java/dev/laneworks/core/handover/SnapshotFetcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/handover/SnapshotFetcher.java
@@ -20,24 +20,32 @@
  * one revision. A later revision replaces one of which a single chunk has arrived, or
  * that its sender no longer has; otherwise a state that changes all the while would never
  * be complete. If the sender falls silent, the transfer starts again at another process.
- * Missing chunks are requested again at intervals that follow the pace of the link. Not
- * thread-safe.
+ * Requests are repeated at intervals that follow the pace of the link and grow while
+ * nothing arrives, so that repeated answers do not fill the link. Not thread-safe.
  *
  * @since 0.2
  */
 public final class SnapshotFetcher {
 
-	/** The shortest interval of requests for missing chunks, in milliseconds. */
+	/** The interval for checking which requests are due, in milliseconds. */
 	static final long REQUEST_MILLIS = 40;
 
-	/** The shortest silence after which a sender is abandoned, in milliseconds. */
+	/**
+	 * The longest time to expect for the requested chunks of one answer, in milliseconds.
+	 */
+	private static final long MAX_PACE_MILLIS = 1_000;
+
+	/** The silence after which a sender is abandoned, as a multiple of the pace. */
+	private static final int ABANDONED_PACES = 4;
+
+	/** The shortest such silence, in milliseconds. */
 	private static final long MIN_SILENCE_MILLIS = 150;
 
-	/** The longest silence after which a sender is abandoned, in milliseconds. */
-	private static final long MAX_SILENCE_MILLIS = 2_000;
+	/** The number of processes that are asked for a snapshot at first. */
+	private static final int FIRST_CANDIDATES = 2;
 
-	/** The number of processes that are asked for a snapshot at a time. */
-	private static final int CANDIDATES = 2;
+	/** The most processes that are asked at a time, after doublings without an answer. */
+	private static final int MAX_CANDIDATES = 16;
 
 	private final SnapshotFormat format;
 
@@ -59,6 +67,14 @@
 	/** The revision that this process has; 0 if it has none. */
 	private long newerThan;
 
+	private int candidates = FIRST_CANDIDATES;
+
+	/** When the last request for any snapshot was sent, in milliseconds. */
+	private long askedAt;
+
+	/** How long the chunks of one answer are expected to take, in milliseconds. */
+	private long paceMillis = REQUEST_MILLIS;
+
 	private Optional<PartialSnapshot> partial = Optional.empty();
 
 	/**
@@ -93,6 +109,8 @@
 		if (!this.isActive) {
 			this.isActive = true;
 			this.transfers++;
+			this.candidates = FIRST_CANDIDATES;
+			this.askedAt = Long.MIN_VALUE / 2;
 			sendRequests(this.transfers, now);
 		}
 	}
@@ -127,6 +145,7 @@
 			complete(snapshot);
 		}
 		else if (snapshot.isWindowComplete()) {
+			this.paceMillis = Math.max(REQUEST_MILLIS, Math.min(MAX_PACE_MILLIS, snapshot.windowMillis(now)));
 			requestNext(snapshot, now);
 		}
 	}
@@ -144,27 +163,36 @@
 		if (!this.isActive || transfer != this.transfers) {
 			return;
 		}
-		this.partial = this.partial.filter((s) -> !s.isAbandoned(now));
+		if (this.partial.filter((s) -> s.isAbandoned(this.paceMillis, now)).isPresent()) {
+			this.partial = Optional.empty();
+			this.paceMillis = Math.min(MAX_PACE_MILLIS, 2 * this.paceMillis);
+		}
 		if (this.partial.isEmpty()) {
-			candidates().forEach((p) -> this.requests.accept(p, SnapshotRequest.newest(this.newerThan)));
+			askCandidates(now);
 		}
-		else if (this.partial.get().isRequestDue(now)) {
+		else if (this.partial.get().isRequestDue(this.paceMillis, now)) {
 			requestNext(this.partial.get(), now);
 		}
 		this.timers.schedule(now + REQUEST_MILLIS, (t) -> sendRequests(transfer, t));
 	}
 
+	private void askCandidates(long now) {
+		if (now - this.askedAt < this.paceMillis) {
+			return;
+		}
+		this.askedAt = now;
+		List<String> all = new ArrayList<>(this.peers.get());
+		Collections.shuffle(all, new Random(this.random.nextLong()));
+		all.subList(0, Math.min(this.candidates, all.size()))
+			.forEach((p) -> this.requests.accept(p, SnapshotRequest.newest(this.newerThan)));
+		this.candidates = Math.min(MAX_CANDIDATES, 2 * this.candidates);
+	}
+
 	private void requestNext(PartialSnapshot snapshot, long now) {
 		snapshot.recordRequest(now);
 		this.requests.accept(snapshot.from(), new SnapshotRequest(snapshot.revision(), snapshot.firstMissing()));
 	}
 
-	private List<String> candidates() {
-		List<String> all = new ArrayList<>(this.peers.get());
-		Collections.shuffle(all, new Random(this.random.nextLong()));
-		return all.subList(0, Math.min(CANDIDATES, all.size()));
-	}
-
 	/**
 	 * A received snapshot.
 	 *
@@ -197,9 +225,6 @@
 		/** The end of the chunks requested so far. */
 		private int requestedEnd = 1;
 
-		/** The longest time between two chunks, in milliseconds. */
-		private long longestGapMillis;
-
 		PartialSnapshot(String from, SnapshotChunk first, long now) {
 			this.receivedAt = now;
 			this.requestedAt = now;
@@ -226,15 +251,18 @@
 			return isFree && chunk.revision() > this.revision;
 		}
 
-		boolean isAbandoned(long now) {
-			long silence = Math.min(MAX_SILENCE_MILLIS, Math.max(MIN_SILENCE_MILLIS, 4 * this.longestGapMillis));
-			return now - this.receivedAt > silence;
+		boolean isAbandoned(long paceMillis, long now) {
+			return now - this.receivedAt > Math.max(MIN_SILENCE_MILLIS, ABANDONED_PACES * paceMillis);
 		}
 
 		// Whether the requested chunks should have arrived by now.
-		boolean isRequestDue(long now) {
-			long pace = Math.max(REQUEST_MILLIS, 2 * this.longestGapMillis);
-			return now - Math.max(this.receivedAt, this.requestedAt) >= pace;
+		boolean isRequestDue(long paceMillis, long now) {
+			return now - Math.max(this.receivedAt, this.requestedAt) >= 2 * paceMillis;
+		}
+
+		// How long the requested chunks took to arrive.
+		long windowMillis(long now) {
+			return now - this.requestedAt;
 		}
 
 		void recordRequest(long now) {
@@ -252,7 +280,6 @@
 					&& chunk.count() == this.chunks.length && this.chunks[chunk.number()] == null;
 			if (isNew) {
 				this.chunks[chunk.number()] = chunk.data();
-				this.longestGapMillis = Math.max(this.longestGapMillis, now - this.receivedAt);
 				this.received++;
 				this.receivedAt = now;
 			}
--- a/laneworks-core/src/main/java/dev/laneworks/core/handover/SnapshotSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/handover/SnapshotSender.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.LongFunction;
@@ -11,7 +12,7 @@
 /**
  * Server side of a snapshot transfer, which sends the state of this process in chunks.
  * <p>
- * A request for any revision is answered with the first chunk of the current one, so that
+ * The first chunk of a snapshot is empty. It answers a request for any revision, so that
  * a receiver can ask several processes at little cost. An encoded snapshot is kept while
  * its chunks are requested, so that a receiver can fetch all of them although the state
  * changes meanwhile. Not thread-safe.
@@ -61,28 +62,41 @@
 	 * Answer a request for chunks.
 	 * @param request the revision and the first missing chunk
 	 * @param now the current time in milliseconds
-	 * @return the next missing chunks, or the first chunk of the current revision if
-	 * another one than those kept is requested; empty if this process has no snapshot or
-	 * none that is newer than the requester's
+	 * @return the next missing chunks, or the empty first chunk of the current revision
+	 * if another one than those kept is requested; empty if this process has no snapshot
+	 * or none that is newer than the requester's
 	 */
 	public List<SnapshotChunk> answer(SnapshotRequest request, long now) {
-		this.encoded.removeIf((e) -> now - e.usedAt > IDLE_MILLIS);
+		this.encoded.removeIf((e) -> !e.isFetched(now) && now - e.encodedAt > IDLE_MILLIS);
 		Optional<Encoded> kept = this.encoded.stream().filter((e) -> e.revision == request.revision()).findFirst();
 		if (kept.isPresent()) {
 			return kept.get().chunks(request.firstChunk(), WINDOW, now);
 		}
 		return current(now).filter((e) -> e.revision > request.newerThan())
-			.map((e) -> e.chunks(0, 1, now))
+			.map((e) -> e.chunks.subList(0, 1))
 			.orElse(List.of());
 	}
 
 	private Optional<Encoded> current(long now) {
-		if (this.encoded.isEmpty() || now - this.encodedAt >= ENCODING_INTERVAL_MILLIS) {
+		boolean isDue = this.encoded.isEmpty() || now - this.encodedAt >= ENCODING_INTERVAL_MILLIS;
+		if (isDue && (this.encoded.size() < MAX_ENCODED || findUnused(now).isPresent())) {
 			this.snapshotSource.apply(now).filter(this::isNew).ifPresent((s) -> encode(s, now));
 		}
 		return Optional.ofNullable(this.encoded.peekFirst());
 	}
 
+	// Returns the oldest snapshot that no receiver is fetching.
+	private Optional<Encoded> findUnused(long now) {
+		Iterator<Encoded> oldestFirst = this.encoded.descendingIterator();
+		while (oldestFirst.hasNext()) {
+			Encoded snapshot = oldestFirst.next();
+			if (!snapshot.isFetched(now)) {
+				return Optional.of(snapshot);
+			}
+		}
+		return Optional.empty();
+	}
+
 	private boolean isNew(StoreSnapshot snapshot) {
 		return this.encoded.isEmpty() || snapshot.revision() != this.encoded.peekFirst().revision;
 	}
@@ -93,21 +107,22 @@
 		if (chunks.isEmpty()) {
 			return;
 		}
-		this.encoded.addFirst(new Encoded(snapshot.revision(), chunks, now));
-		if (this.encoded.size() > MAX_ENCODED) {
-			this.encoded.removeLast();
+		if (this.encoded.size() == MAX_ENCODED) {
+			findUnused(now).ifPresent(this.encoded::remove);
 		}
+		this.encoded.addFirst(new Encoded(snapshot.revision(), chunks, now));
 	}
 
 	private List<SnapshotChunk> split(StoreSnapshot snapshot) {
 		byte[] bytes = this.format.encode(snapshot.items());
-		int count = Math.max(1, (bytes.length + CHUNK_BYTES - 1) / CHUNK_BYTES);
+		int count = 1 + (bytes.length + CHUNK_BYTES - 1) / CHUNK_BYTES;
 		if (count > SnapshotChunk.MAX_CHUNKS) {
 			return List.of();
 		}
 		List<SnapshotChunk> split = new ArrayList<>();
 		for (int i = 0; i < count; i++) {
-			byte[] data = Arrays.copyOfRange(bytes, i * CHUNK_BYTES, Math.min(bytes.length, (i + 1) * CHUNK_BYTES));
+			byte[] data = Arrays.copyOfRange(bytes, Math.max(0, i - 1) * CHUNK_BYTES,
+					Math.min(bytes.length, i * CHUNK_BYTES));
 			split.add(new SnapshotChunk(snapshot.revision(), snapshot.ageMillis(), i, count, data));
 		}
 		return split;
@@ -120,16 +135,23 @@
 
 		private final List<SnapshotChunk> chunks;
 
-		private long usedAt;
+		private final long encodedAt;
+
+		/** When chunks were last requested, in milliseconds. */
+		private long fetchedAt = Long.MIN_VALUE / 2;
 
 		Encoded(long revision, List<SnapshotChunk> chunks, long now) {
 			this.revision = revision;
 			this.chunks = chunks;
-			this.usedAt = now;
+			this.encodedAt = now;
+		}
+
+		boolean isFetched(long now) {
+			return now - this.fetchedAt <= IDLE_MILLIS;
 		}
 
 		List<SnapshotChunk> chunks(int first, int count, long now) {
-			this.usedAt = now;
+			this.fetchedAt = now;
 			return this.chunks.stream().skip(first).limit(count).toList();
 		}
 
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipSimulation.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipSimulation.java
@@ -402,12 +402,12 @@
 					(t) -> e.snapshots.answer(request, t).forEach((c) -> sendChunk(e, to, c))));
 	}
 
-	// Chunks occupy the links of both entries.
+	// Chunks pass the outgoing link of one entry and then the incoming link of the other.
 	private void sendChunk(Entry from, Entry to, SnapshotChunk chunk) {
-		long start = Math.max(this.now, Math.max(from.linkFreeAt, to.linkFreeAt));
-		long end = start + (long) (chunk.data().length * 8 / (this.linkMegabit * 1_000));
-		from.linkFreeAt = end;
-		to.linkFreeAt = end;
+		long transferMillis = (long) (chunk.data().length * 8 / (this.linkMegabit * 1_000));
+		from.outgoingFreeAt = Math.max(this.now, from.outgoingFreeAt) + transferMillis;
+		to.incomingFreeAt = Math.max(from.outgoingFreeAt, to.incomingFreeAt) + transferMillis;
+		long end = to.incomingFreeAt;
 		if (!to.ignoresPeers && this.random.nextInt(1_000) >= this.lostUpdatesPerMille) {
 			this.timers.schedule(end + 1, (t) -> to.snapshots.received(from.name, chunk, t));
 		}
@@ -473,8 +473,10 @@
 
 		private final SnapshotTransfer snapshots;
 
-		/** When the link has sent all chunks, in milliseconds. */
-		private long linkFreeAt;
+		/** When the outgoing link has sent all chunks, in milliseconds. */
+		private long outgoingFreeAt;
+
+		private long incomingFreeAt;
 
 		Entry(String name, String dataCentre) {
 			this.name = name;
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlanPropagationTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlanPropagationTests.java
@@ -20,6 +20,12 @@
 	 */
 	private static final long APPLY_MILLIS = 3_000;
 
+	/**
+	 * The same time for entries that the store rejects, where a plan takes longer over a
+	 * link than others need to read it.
+	 */
+	private static final long REJECTED_APPLY_MILLIS = 9_000;
+
 	private static final int[] FLEETS = { 4, 33, 300 };
 
 	private static final int DATA_CENTRES = 3;
@@ -27,6 +33,12 @@
 	/** Larger than a message between entries. */
 	private static final int LARGE_PLAN_CHARACTERS = 40_000;
 
+	/**
+	 * The plans of all entries together. It bounds the memory of the test: a plan has a
+	 * megabyte at 33 entries.
+	 */
+	private static final int LARGEST_PLANS_CHARACTERS = 33_000_000;
+
 	/** Two plans fit into a message between entries. */
 	private static final int SMALL_PLAN_CHARACTERS = 12_000;
 
@@ -35,19 +47,31 @@
 	@Test
 	void rejectedEntriesApplyEachLargePlanInTime() {
 		assertNoneLate((entries) -> {
-			Play play = new Play(1, entries);
+			Play play = new Play(1, entries, APPLY_MILLIS);
 			play.rejectShare(0.4);
 			play.publish(15_000, 1_000, LARGE_PLAN_CHARACTERS);
 			return play;
 		});
 	}
 
+	// Guards against requests for chunks that are repeated before the answer can have
+	// arrived, until repeated answers fill the link.
+	@Test
+	void rejectedEntriesApplyPlansOfThePlatformsLargestSize() {
+		assertNoneLate((entries) -> {
+			Play play = new Play(3, entries, REJECTED_APPLY_MILLIS);
+			play.rejectShare(0.4);
+			play.publish(20_000, 10_000, Math.min(1_000_000, LARGEST_PLANS_CHARACTERS / entries));
+			return play;
+		});
+	}
+
 	// Guards against answers to rejected entries that outgrow a message because they
 	// include each version of the plan.
 	@Test
 	void rejectedEntriesApplyPlansThatChangeInQuickSuccession() {
 		assertNoneLate((entries) -> {
-			Play play = new Play(2, entries);
+			Play play = new Play(2, entries, APPLY_MILLIS);
 			play.simulation.lostUpdatesPerMille = 200;
 			play.rejectShare(0.4);
 			play.publish(8_000, 100, SMALL_PLAN_CHARACTERS);
@@ -83,9 +107,12 @@
 
 		private final List<String> late = new ArrayList<>();
 
+		private final long applyMillis;
+
 		private long version = 1;
 
-		Play(long seed, int entries) {
+		Play(long seed, int entries, long applyMillis) {
+			this.applyMillis = applyMillis;
 			this.simulation = new MembershipSimulation(seed, entries, DATA_CENTRES);
 			this.simulation.broadcastsToAll = entries <= 9;
 			for (int i = 0; i < 6; i++) {
@@ -105,7 +132,7 @@
 		// last plan must be in force.
 		void publish(long millis, long interval, int characters) {
 			long start = this.simulation.now;
-			for (long t = 0; t < millis + APPLY_MILLIS; t += STEP_MILLIS) {
+			for (long t = 0; t < millis + this.applyMillis; t += STEP_MILLIS) {
 				if (t < millis && t % interval == 0) {
 					this.simulation.publishPlan(++this.version, characters);
 					this.publishedAt.add(this.simulation.now);
@@ -119,7 +146,7 @@
 		}
 
 		private void check(MembershipSimulation.Entry entry) {
-			long due = 1 + this.publishedAt.stream().filter((p) -> this.simulation.now - p > APPLY_MILLIS).count();
+			long due = 1 + this.publishedAt.stream().filter((p) -> this.simulation.now - p > this.applyMillis).count();
 			if (entry.planVersion() < due) {
 				this.late.add(entry.name + " has plan " + entry.planVersion() + " instead of " + due + " at "
 						+ this.simulation.now + " ms");
