--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -462,6 +462,7 @@
 		boolean isIdle = this.dispatcher.openCalls() == 0 && this.callers.unfinishedAnswers() == 0;
 		boolean isGraceOver = now - since >= this.settings.graceMillis() - EXIT_MARGIN_MILLIS;
 		if (isGraceOver || (isIdle && now - since >= BALANCER_DRAIN_MILLIS)) {
+			this.shutdown.complete();
 			try {
 				this.peers.shutDown(now);
 			}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/GracefulShutdown.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/GracefulShutdown.java
@@ -40,6 +40,8 @@
 
 	private volatile long requestedAt = NOT_REQUESTED;
 
+	private volatile boolean isComplete;
+
 	/**
 	 * Create a shutdown that is not yet requested.
 	 * @param acceptAllMillis the time after the request during which all requests are
@@ -68,6 +70,11 @@
 		return this.requestedAt - this.earliestSentAt;
 	}
 
+	// Reject all further requests, since the process exits.
+	void complete() {
+		this.isComplete = true;
+	}
+
 	boolean isRequested() {
 		return this.requestedAt != NOT_REQUESTED;
 	}
@@ -80,6 +87,9 @@
 	 * @return {@code false} if the process is likely to end before the answer is complete
 	 */
 	boolean canFinish(RouteSpec route, Optional<GenerationSize> size, long now) {
+		if (this.isComplete) {
+			return false;
+		}
 		if (!isRequested() || now - this.earliestSentAt < this.acceptAllMillis) {
 			return true;
 		}
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/GracefulShutdownTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/GracefulShutdownTests.java
@@ -42,6 +42,15 @@
 		assertThat(this.shutdown.canFinish(route(RequestKind.UNSAFE, 300), Optional.empty(), 17_101)).isFalse();
 	}
 
+	// Guards against a request that is accepted between the decision to exit and the
+	// exit.
+	@Test
+	void rejectsAllRequestsOnceItIsComplete() {
+		this.shutdown.request(10_000, 10_000);
+		this.shutdown.complete();
+		assertThat(this.shutdown.canFinish(route(RequestKind.UNSAFE, 300), Optional.empty(), 10_001)).isFalse();
+	}
+
 	@Test
 	void rejectsStreamsOfUnknownLength() {
 		this.shutdown.request(10_000, 10_000);
