--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/CallTracker.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/CallTracker.java
@@ -159,6 +159,7 @@
 	 * Determine whether the answer to the open call is arriving or being parsed.
 	 * @param millis the longest time since its last part, in milliseconds
 	 * @param now the current time in milliseconds
+	 * @return {@code false} if nothing has arrived recently
 	 */
 	boolean isReceiving(long millis, long now) {
 		boolean isArriving = this.firstPartAt != NONE && now - this.progressAt < millis;
