--- a/laneworks-core/src/main/java/dev/laneworks/core/handover/SnapshotFetcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/handover/SnapshotFetcher.java
@@ -35,6 +35,9 @@
 	 */
 	private static final long MAX_PACE_MILLIS = 1_000;
 
+	/** The longest interval of requests that nobody answers, in milliseconds. */
+	private static final long MAX_ASK_MILLIS = 320;
+
 	/** The silence after which a sender is abandoned, as a multiple of the pace. */
 	private static final int ABANDONED_PACES = 4;
 
@@ -72,6 +75,9 @@
 	/** When the last request for any snapshot was sent, in milliseconds. */
 	private long askedAt;
 
+	/** The interval of those requests, in milliseconds. */
+	private long askIntervalMillis = REQUEST_MILLIS;
+
 	/** How long the chunks of one answer are expected to take, in milliseconds. */
 	private long paceMillis = REQUEST_MILLIS;
 
@@ -111,6 +117,7 @@
 			this.transfers++;
 			this.candidates = FIRST_CANDIDATES;
 			this.askedAt = Long.MIN_VALUE / 2;
+			this.askIntervalMillis = REQUEST_MILLIS;
 			sendRequests(this.transfers, now);
 		}
 	}
@@ -177,10 +184,13 @@
 	}
 
 	private void askCandidates(long now) {
-		if (now - this.askedAt < this.paceMillis) {
+		if (now - this.askedAt < Math.max(this.paceMillis, this.askIntervalMillis)) {
 			return;
 		}
 		this.askedAt = now;
+		if (this.candidates == MAX_CANDIDATES) {
+			this.askIntervalMillis = Math.min(MAX_ASK_MILLIS, 2 * this.askIntervalMillis);
+		}
 		List<String> all = new ArrayList<>(this.peers.get());
 		Collections.shuffle(all, new Random(this.random.nextLong()));
 		all.subList(0, Math.min(this.candidates, all.size()))
