Let only live incarnations write their registrations again in the simulation

Two restores of the simulated store in a row let the rewriting that the first one had scheduled take effect after the target had left and started again, so that an ended incarnation wrote its registration once more.

--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipSimulation.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipSimulation.java
@@ -311,7 +311,8 @@
 		this.history.clear();
 		this.discardedUpTo = this.revision;
 		current.forEach((id, value) -> this.timers.schedule(this.now + this.random.nextInt(1_500), (t) -> {
-			if (!this.rewritten.contains(id)) {
+			boolean isCurrent = value.equals(this.registered.get(id));
+			if (isCurrent && !this.rewritten.contains(id)) {
 				write(id, value);
 			}
 		}));
