--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -293,7 +293,7 @@
 		if (!await(this.ended)) {
 			return ExitCode.FAILED;
 		}
-		LogLine.of("ended").with("openCalls", this.dispatcher.openCalls()).info();
+		LogLine.of("ended").info();
 		return ExitCode.OK;
 	}
 
@@ -431,6 +431,7 @@
 				this.store.published().plan().map(ServingPlan::version).orElse(-1L),
 				this.store.follower().behindMillis(now), this.dispatcher.headroom().lowestLimit(now),
 				this.dispatcher.headroom().largestDisplacedShare(now), this.queues.refused(),
+				this.callers.connections(), this.callers.unanswered(),
 				WaitingGauge.of(this.queues.countByPriority(), now));
 	}
 
@@ -463,6 +464,12 @@
 		boolean isGraceOver = now - since >= this.settings.graceMillis() - EXIT_MARGIN_MILLIS;
 		if (isGraceOver || (isIdle && now - since >= BALANCER_DRAIN_MILLIS)) {
 			this.shutdown.complete();
+			LogLine.of("ending")
+				.with("cause", isGraceOver ? "the grace period is over" : "no call is open")
+				.with("openCalls", this.dispatcher.openCalls())
+				.with("unanswered", this.callers.unanswered())
+				.with("connections", this.callers.connections())
+				.info();
 			try {
 				this.peers.shutDown(now);
 			}
@@ -544,6 +551,8 @@
 		this.metrics.register("laneworks_items_refused", (Gauge<Integer>) this.store.published()::refusedItems);
 		this.metrics.register("laneworks_plan_version", (Gauge<Long>) () -> this.gauges.planVersion());
 		this.metrics.register("laneworks_peers", (Gauge<Integer>) this.peers::count);
+		this.metrics.register("laneworks_caller_connections", (Gauge<Integer>) () -> this.gauges.callerConnections());
+		this.metrics.register("laneworks_requests_unanswered", (Gauge<Integer>) () -> this.gauges.unanswered());
 		this.metrics.register("laneworks_callers_left_before_read", (Gauge<Long>) this.callers::unreadRequests);
 		this.metrics.register("laneworks_callers_left_before_send",
 				(Gauge<Long>) this.dispatcher.disconnectedCalls()::notSent);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
@@ -23,13 +23,12 @@
 import dev.laneworks.entry.caller.RequestFraming;
 import dev.laneworks.runtime.http.HttpHeader;
 import dev.laneworks.runtime.http.IoWorker;
-import io.undertow.Undertow;
-import io.undertow.Undertow.ListenerInfo;
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RequestTooBigException;
 import io.undertow.util.SameThreadExecutor;
 import io.vavr.control.Either;
+import org.xnio.OptionMap;
 
 /**
  * Ingress server that receives callers' requests, rejects those that the active plan does
@@ -51,16 +50,16 @@
 
 	private static final Duration NOT_READY_RETRY_DELAY = Duration.ofMillis(300);
 
-	/** Short, since callers retry on a new connection, which leads to another entry. */
-	/** Another entry has the newer plan already. */
+	/** Short, since another entry has the newer plan already. */
 	private static final Duration BEHIND_RETRY_DELAY = Duration.ofMillis(20);
 
+	/** Short, since callers retry on a new connection, which leads to another entry. */
 	private static final Duration STOPPING_RETRY_DELAY = Duration.ofMillis(20);
 
 	/** Bytes of a header line besides name and value: colon, space and line end. */
 	private static final int HEADER_LINE_OVERHEAD_BYTES = 4;
 
-	private final Undertow server;
+	private final IngressListener listener;
 
 	private final DirectCalls calls;
 
@@ -82,11 +81,9 @@
 	/** Whether requests have to wait after a process pause. */
 	private final LongPredicate isDeferring;
 
-	/** Requests read before the server was opened or while it defers them. */
+	/** Requests that were read while the server defers them. */
 	private final DeferredRequests deferred = new DeferredRequests();
 
-	private boolean open;
-
 	private int unfinishedAnswers;
 
 	private volatile long unreadRequests;
@@ -103,35 +100,40 @@
 		this.loop = loop;
 		this.random = random;
 		this.audit = audit;
-		this.server = Undertow.builder()
-			.setWorker(io.worker())
-			.setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEAD_BYTES)
-			.setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_TIMEOUT_MILLIS)
-			.setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
-			.setServerOption(UndertowOptions.DECODE_URL, false)
-			.setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-			.setServerOption(UndertowOptions.REQUIRE_HOST_HTTP11, true)
-			.addHttpListener(address.getPort(), address.getHostString())
-			.setHandler(this::handle)
-			.build();
+		OptionMap options = OptionMap.builder()
+			.set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEAD_BYTES)
+			.set(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_TIMEOUT_MILLIS)
+			.set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
+			.set(UndertowOptions.DECODE_URL, false)
+			.set(UndertowOptions.ALWAYS_SET_DATE, false)
+			.set(UndertowOptions.REQUIRE_HOST_HTTP11, true)
+			.getMap();
+		this.listener = new IngressListener(io, address, options, this::handle);
 	}
 
-	// Bind the address and suspend reading until open() is called: connections are
-	// accepted and wait.
+	// Bind the address; connections wait until open() is called.
 	void listen() {
-		this.server.start();
-		this.server.getListenerInfo().forEach(ListenerInfo::suspend);
+		this.listener.listen();
 	}
 
 	// Start accepting requests; to be called on the I/O thread.
 	void open() {
-		this.open = true;
-		this.deferred.replay(this::accept, this.loop::run);
-		this.server.getListenerInfo().forEach(ListenerInfo::resume);
+		this.listener.accept();
 	}
 
 	InetSocketAddress address() {
-		return (InetSocketAddress) this.server.getListenerInfo().get(0).getAddress();
+		return this.listener.address();
+	}
+
+	// Return the number of open connections.
+	int connections() {
+		return this.listener.connections();
+	}
+
+	// Return the number of connections with a request that was read, at least in part,
+	// and has no complete answer.
+	int unanswered() {
+		return this.listener.unanswered();
 	}
 
 	int unfinishedAnswers() {
@@ -144,10 +146,9 @@
 		return this.unreadRequests;
 	}
 
-	// A connection may be accepted between the start of the server and its suspension.
 	private void handle(HttpServerExchange exchange) {
 		this.loop.begin();
-		if (this.open && !this.isDeferring.test(this.loop.now())) {
+		if (!this.isDeferring.test(this.loop.now())) {
 			accept(exchange);
 		}
 		else {
@@ -157,9 +158,7 @@
 
 	// Handle the requests that were deferred after a process pause.
 	void releaseDeferred() {
-		if (this.open) {
-			this.deferred.replay(this::accept, this.loop::run);
-		}
+		this.deferred.replay(this::accept, this.loop::run);
 	}
 
 	private void accept(HttpServerExchange exchange) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EntryGauges.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EntryGauges.java
@@ -19,13 +19,17 @@
  * @param displacedShare the largest share of the remaining engine memory of any service
  * that recently had to move at once
  * @param refusedFromQueue the generations refused instead of waiting, or after waiting
+ * @param callerConnections the open connections of callers
+ * @param unanswered the connections with a request that was read and has no complete
+ * answer
  * @param waiting the generations that wait for engine memory, by priority
  */
 record EntryGauges(long suspectedTargets, long coldTargets, int rateLimitedTargets, int targetsInBackoff,
 		long quarantinedRequests, int evacuatedDataCentres, long planVersion, long storeBehindMillis, double startLimit,
-		double displacedShare, long refusedFromQueue, Map<Integer, WaitingGauge> waiting) {
+		double displacedShare, long refusedFromQueue, int callerConnections, int unanswered,
+		Map<Integer, WaitingGauge> waiting) {
 
 	/** The values before the first collection. */
-	static final EntryGauges NONE = new EntryGauges(0, 0, 0, 0, 0, 0, -1, 0, 1, 0, 0, Map.of());
+	static final EntryGauges NONE = new EntryGauges(0, 0, 0, 0, 0, 0, -1, 0, 1, 0, 0, 0, 0, Map.of());
 
 }
