--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -80,6 +80,15 @@
 	 */
 	private static final long POLL_INTERVAL_MILLIS = 10;
 
+	/**
+	 * Consecutive polls without a request after which the process may end. Requests that
+	 * arrived while the process did not run are read after the first poll.
+	 */
+	private static final int IDLE_POLLS = 5;
+
+	/** Interval between two polls above which the process did not run in between. */
+	private static final long MAX_POLL_INTERVAL_MILLIS = 50;
+
 	/** Interval at which this entry's share of the retry budget is updated. */
 	private static final long RETRY_SHARE_INTERVAL_MILLIS = 500;
 
@@ -170,6 +179,14 @@
 	/** Whether requests are read; used on the I/O thread alone. */
 	private boolean open;
 
+	/**
+	 * The latest polls of the shutdown without a request; used on the I/O thread alone.
+	 */
+	private int idlePolls;
+
+	/** The time of the latest poll of the shutdown; used on the I/O thread alone. */
+	private long polledAt;
+
 	private volatile boolean ready;
 
 	private volatile Optional<InetSocketAddress> operatorsAddress = Optional.empty();
@@ -460,9 +477,12 @@
 
 	private void pollShutdown(long since, long now) {
 		this.dispatcher.refuseUnfinishable((r) -> this.shutdown.isTimeSufficient(r.route(), r.size(), now), now);
-		boolean isIdle = this.dispatcher.openCalls() == 0 && this.callers.unfinishedAnswers() == 0;
+		boolean isIdle = this.dispatcher.openCalls() == 0 && this.callers.unanswered() == 0;
+		boolean isLate = now - this.polledAt > MAX_POLL_INTERVAL_MILLIS;
+		this.polledAt = now;
+		this.idlePolls = (isIdle && !isLate) ? this.idlePolls + 1 : 0;
 		boolean isGraceOver = now - since >= this.settings.graceMillis() - EXIT_MARGIN_MILLIS;
-		if (isGraceOver || (isIdle && now - since >= BALANCER_DRAIN_MILLIS)) {
+		if (isGraceOver || (this.idlePolls >= IDLE_POLLS && now - since >= BALANCER_DRAIN_MILLIS)) {
 			this.shutdown.complete();
 			LogLine.of("ending")
 				.with("cause", isGraceOver ? "the grace period is over" : "no call is open")
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
@@ -84,8 +84,6 @@
 	/** Requests that were read while the server defers them. */
 	private final DeferredRequests deferred = new DeferredRequests();
 
-	private int unfinishedAnswers;
-
 	private volatile long unreadRequests;
 
 	DirectServer(IoWorker io, InetSocketAddress address, DirectCalls calls, HeaderTranslator translator,
@@ -136,10 +134,6 @@
 		return this.listener.unanswered();
 	}
 
-	int unfinishedAnswers() {
-		return this.unfinishedAnswers;
-	}
-
 	// Return how many requests were dropped since their callers had disconnected before
 	// the requests were read.
 	long unreadRequests() {
@@ -288,11 +282,6 @@
 		DirectRequest direct = new DirectRequest(admitted.facts().id(), route,
 				route.selectService(this.random.nextDouble()), account, remainingMillis, regions,
 				request.digest(account), admitted.facts().size());
-		this.unfinishedAnswers++;
-		request.exchange().addExchangeCompleteListener((e, next) -> {
-			this.unfinishedAnswers--;
-			next.proceed();
-		});
 		this.calls.open(request, direct);
 		this.loop.runTimers();
 	}
