--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -43,6 +43,8 @@
 
 	private static final String RESTARTED = "the target started again";
 
+	private static final String PROCESS_ENDS = "this entry ends";
+
 	private final DispatchSettings settings;
 
 	private final TargetDirectory directory;
@@ -190,6 +192,25 @@
 		this.queuedStarts.refuseUnfinishable(canFinish, now);
 	}
 
+	/**
+	 * End all open calls, since this process ends. Streams that have begun are cut; other
+	 * calls are refused, with the promise that they were not executed if that is certain.
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @since 0.7
+	 */
+	public void endAll(long now) {
+		// First, so that no generation starts in the memory that other calls release.
+		this.queuedStarts.refuseUnfinishable((r) -> false, now);
+		for (DirectCall call : List.copyOf(this.calls.values())) {
+			if (call.isStreaming()) {
+				this.completion.cut(call, PROCESS_ENDS, now);
+			}
+			else if (this.calls.containsKey(call.number())) {
+				this.completion.refuse(call, RefusalReason.LEAVING, PROCESS_ENDS, now);
+			}
+		}
+	}
+
 	/**
 	 * Return the number of answers whose load report could not be read.
 	 * @return the count since the start
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -587,6 +587,12 @@
 			DirectEntry.this.peers.shutDown(DirectEntry.this.loop.now());
 		}
 
+		@Override
+		public void endCalls(long now) {
+			DirectEntry.this.callers.rejectIncomplete();
+			DirectEntry.this.dispatcher.endAll(now);
+		}
+
 		@Override
 		public void closeIdleConnections() {
 			DirectEntry.this.callers.closeIdleConnections();
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
@@ -2,8 +2,10 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import java.util.function.LongPredicate;
@@ -84,6 +86,9 @@
 	/** Requests that were read while the server defers them. */
 	private final DeferredRequests deferred = new DeferredRequests();
 
+	/** Requests whose body is arriving. */
+	private final Set<CallerRequest> incomplete = new HashSet<>();
+
 	private volatile long unreadRequests;
 
 	DirectServer(IoWorker io, InetSocketAddress address, DirectCalls calls, HeaderTranslator translator,
@@ -146,6 +151,14 @@
 		releaseDeferred();
 	}
 
+	// Reject the requests whose body has not arrived completely.
+	void rejectIncomplete() {
+		Set.copyOf(this.incomplete).forEach((r) -> {
+			r.exchange().setPersistent(false);
+			refuse(r, stopping());
+		});
+	}
+
 	// Close the connections without a request.
 	void closeIdleConnections() {
 		this.listener.closeIdle();
@@ -251,6 +264,11 @@
 		HttpServerExchange exchange = request.exchange();
 		exchange.setMaxEntitySize(admitted.limits().maxBodyBytes());
 		long arrived = this.loop.now();
+		this.incomplete.add(request);
+		exchange.addExchangeCompleteListener((e, next) -> {
+			this.incomplete.remove(request);
+			next.proceed();
+		});
 		if (!exchange.isRequestComplete()) {
 			exchange.getIoThread()
 				.executeAfter(() -> onBodyTimeout(request), admitted.limits().headTimeoutMillis(),
@@ -259,6 +277,7 @@
 		RequestFraming.validateChunks(exchange);
 		exchange.getRequestReceiver().receiveFullBytes((e, body) -> {
 			e.dispatch();
+			this.incomplete.remove(request);
 			request.body(body);
 			open(request, admitted, arrived);
 		}, (e, ex) -> {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/GracefulShutdown.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/GracefulShutdown.java
@@ -17,7 +17,7 @@
  * closes its connection.</li>
  * <li>{@link Phase#ENDING}: no connection is accepted any more and no further request is
  * read; connections without a request are closed. Requests that are still arriving are
- * rejected.</li>
+ * rejected, and calls in progress that the grace period cuts off get a final answer.</li>
  * <li>{@link Phase#ENDED}: all answers are written and all connections are closed.</li>
  * </ol>
  * <p>
@@ -37,6 +37,9 @@
 	/** Time before the end of the grace period that is left for the exit. */
 	private static final long EXIT_MILLIS = 250;
 
+	/** Time for writing the answers to all calls that are still in progress. */
+	private static final long LAST_ANSWERS_MILLIS = 150;
+
 	/**
 	 * Consecutive polls without a request after which the process may end. Requests that
 	 * arrived while the process did not run are read after the first poll.
@@ -56,7 +59,11 @@
 
 	private final long acceptAllMillis;
 
-	private final long graceMillis;
+	/** Time after the signal at which all connections are closed. */
+	private final long closeMillis;
+
+	/** Time after the signal at which calls in progress get their final answer. */
+	private final long lastAnswersMillis;
 
 	// Both are written by the signal thread and read by the I/O thread; the request is
 	// visible once the second is set.
@@ -80,7 +87,8 @@
 	 */
 	GracefulShutdown(long acceptAllMillis, long graceMillis) {
 		this.acceptAllMillis = acceptAllMillis;
-		this.graceMillis = graceMillis - EXIT_MILLIS;
+		this.closeMillis = graceMillis - EXIT_MILLIS;
+		this.lastAnswersMillis = this.closeMillis - LAST_ANSWERS_MILLIS;
 	}
 
 	/**
@@ -128,11 +136,12 @@
 			findEndCause(work, now).ifPresent((cause) -> {
 				this.phase = Phase.ENDING;
 				work.stopReading(cause);
+				work.endCalls(now);
 			});
 		}
 		if (this.phase == Phase.ENDING) {
 			work.closeIdleConnections();
-			if (work.unanswered() == 0 || isGraceOver(now)) {
+			if (work.unanswered() == 0 || now - this.requestedAt >= this.closeMillis) {
 				this.phase = Phase.ENDED;
 				work.closeConnections();
 			}
@@ -144,17 +153,13 @@
 		boolean isLate = now - this.polledAt > MAX_POLL_INTERVAL_MILLIS;
 		this.polledAt = now;
 		this.idlePolls = (work.unanswered() == 0 && !isLate) ? this.idlePolls + 1 : 0;
-		if (isGraceOver(now)) {
+		if (now - this.requestedAt >= this.lastAnswersMillis) {
 			return Optional.of("the grace period is over");
 		}
 		boolean isIdle = this.idlePolls >= IDLE_POLLS && now - this.requestedAt >= BALANCER_DRAIN_MILLIS;
 		return isIdle ? Optional.of("all requests are answered") : Optional.empty();
 	}
 
-	private boolean isGraceOver(long now) {
-		return now - this.requestedAt >= this.graceMillis;
-	}
-
 	/**
 	 * Determine whether a request can be accepted.
 	 * @param route the route of the request
@@ -183,7 +188,7 @@
 		if (!isRequested()) {
 			return true;
 		}
-		long remainingMillis = this.earliestSentAt + this.graceMillis - now;
+		long remainingMillis = this.earliestSentAt + this.lastAnswersMillis - now;
 		return expectedMillis(route, size) <= remainingMillis;
 	}
 
@@ -224,6 +229,13 @@
 		 */
 		void stopReading(String cause);
 
+		/**
+		 * Answer the calls in progress: those that may have been executed with a failure,
+		 * the others as not executed. Streams that have begun are cut.
+		 * @param now the current time in milliseconds of the monotonic clock
+		 */
+		void endCalls(long now);
+
 		/**
 		 * Close the connections from which no part of a request was read since their last
 		 * answer.
