--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
@@ -242,7 +242,7 @@
 		if (metadata.id().isEmpty()) {
 			return Either.left(Refusal.permanent(RefusalReason.BAD_REQUEST, "the request has no identity"));
 		}
-		if (!this.shutdown.canFinish(route.get(), metadata.size(), this.loop.now())) {
+		if (!this.shutdown.canFinish(maxMillis(route.get(), metadata), this.loop.now())) {
 			return Either.left(stopping());
 		}
 		Optional<Refusal> overload = this.capacity.apply(route.get());
@@ -255,6 +255,10 @@
 			.right(new Admitted(metadata, withAccountPriority(route.get(), account), account, activePlan.limits()));
 	}
 
+	private static long maxMillis(RouteSpec route, RequestMetadata metadata) {
+		return Math.min(route.timeoutMillis(), metadata.callerTimeoutMillis().orElse(Long.MAX_VALUE));
+	}
+
 	private static RouteSpec withAccountPriority(RouteSpec route, Optional<AccountGrant> account) {
 		OptionalInt accountPriority = account.map(AccountGrant::priority).orElse(OptionalInt.empty());
 		return accountPriority.isPresent() ? route.withPriority(accountPriority.getAsInt()) : route;
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
@@ -37,8 +37,8 @@
  * @param graceMillis the time from the shutdown request to the end of the process, in
  * milliseconds
  * @param acceptAllMillis the time after the shutdown request during which all requests
- * are accepted, in milliseconds; later ones are accepted only if the time left is
- * sufficient
+ * are accepted, in milliseconds; later ones are accepted only if they end in time even if
+ * they use their whole time-out
  * @param maxStartWaitMillis the longest time for which requests that arrive during the
  * start wait unread for the plan, in milliseconds
  * @param mechanisms the mechanisms that are switched on
@@ -69,12 +69,6 @@
 
 	private static final double MILLIS_PER_SECOND = 1_000;
 
-	/**
-	 * Covers the two seconds for which the load balancer goes on, and requests in
-	 * transit.
-	 */
-	private static final long DEFAULT_TAKE_ALL_MILLIS = 2_600;
-
 	/**
 	 * Below the second after which callers give up on an entry that does not read their
 	 * requests. A start takes 0.4 to 1.2 s from listening to the plan.
@@ -115,7 +109,7 @@
 				retries.number("ratio", 0, 1, 0.1), retries.number("extra", 0, MAX_LIMIT, 0),
 				retries.number("extraShare", 0, 1, DEFAULT_EXTRA_SHARE), coldBound(root),
 				millis(root.number("graceSeconds", MIN_SECONDS, MAX_SECONDS, 8)),
-				root.integer("takeAllMillis", 0, ONE_MINUTE, DEFAULT_TAKE_ALL_MILLIS),
+				root.integer("takeAllMillis", 0, ONE_MINUTE, 0),
 				root.integer("startHoldMillis", 0, ONE_MINUTE, DEFAULT_START_HOLD_MILLIS), Mechanisms.read(root, "off"),
 				WaitingSettings.read(root, "waiting"), maxDelayShare(root));
 	}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/GracefulShutdown.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/GracefulShutdown.java
@@ -162,34 +162,31 @@
 
 	/**
 	 * Determine whether a request can be accepted.
-	 * @param route the route of the request
-	 * @param size the size of the generation; empty for a plain service
+	 * @param maxMillis the longest time that the request may take, in milliseconds
 	 * @param now the current time in milliseconds of the monotonic clock
-	 * @return {@code false} if the process is likely to end before the answer is complete
+	 * @return {@code false} if the process may end before the answer is complete
 	 */
-	boolean canFinish(RouteSpec route, Optional<GenerationSize> size, long now) {
+	boolean canFinish(long maxMillis, long now) {
 		if (isEnding()) {
 			return false;
 		}
-		if (!isRequested() || now - this.earliestSentAt < this.acceptAllMillis) {
-			return true;
-		}
-		return isTimeSufficient(route, size, now);
+		return !isRequested() || now - this.earliestSentAt < this.acceptAllMillis || maxMillis <= remainingMillis(now);
 	}
 
 	/**
-	 * Determine whether a request that starts now completes before the process ends.
+	 * Determine whether a request that was accepted and starts now is expected to
+	 * complete before the process ends.
 	 * @param route the route of the request
 	 * @param size the size of the generation; empty for a plain service
 	 * @param now the current time in milliseconds of the monotonic clock
 	 * @return {@code false} if the process is likely to end before the answer is complete
 	 */
 	boolean isTimeSufficient(RouteSpec route, Optional<GenerationSize> size, long now) {
-		if (!isRequested()) {
-			return true;
-		}
-		long remainingMillis = this.earliestSentAt + this.lastAnswersMillis - now;
-		return expectedMillis(route, size) <= remainingMillis;
+		return !isRequested() || expectedMillis(route, size) <= remainingMillis(now);
+	}
+
+	private long remainingMillis(long now) {
+		return this.earliestSentAt + this.lastAnswersMillis - now;
 	}
 
 	private static long expectedMillis(RouteSpec route, Optional<GenerationSize> size) {
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/GracefulShutdownTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/GracefulShutdownTests.java
@@ -24,25 +24,22 @@
 	private final FakeWork work = new FakeWork();
 
 	@Test
-	void acceptsAllRequestsUntilShortlyAfterTheSignal() {
-		assertThat(canFinishStream(2_000, 1_000_000)).isTrue();
+	void acceptsAllRequestsForTheTimeThatIsSet() {
+		assertThat(this.shutdown.canFinish(39_000, 1_000_000)).isTrue();
 		this.shutdown.request(10_000, 10_000);
-		assertThat(canFinishStream(2_000, 12_599)).isTrue();
-	}
-
-	@Test
-	void rejectsStreamsThatOutlastTheProcess() {
-		this.shutdown.request(10_000, 10_000);
-		assertThat(canFinishStream(2_000, 12_600)).isFalse();
-		assertThat(canFinishStream(60, 12_600)).isTrue();
-		assertThat(canFinishStream(60, 16_000)).isFalse();
+		assertThat(this.shutdown.canFinish(39_000, 12_599)).isTrue();
+		assertThat(this.shutdown.canFinish(39_000, 12_600)).isFalse();
 	}
 
+	/**
+	 * Guards against requests that are accepted by what they are expected to take and cut
+	 * when the process ends.
+	 */
 	@Test
-	void acceptsPlainRequestsUntilShortlyBeforeTheExit() {
+	void rejectsRequestsWhoseTimeoutOutlastsTheProcess() {
 		this.shutdown.request(10_000, 10_000);
-		assertThat(this.shutdown.canFinish(route(RequestKind.UNSAFE, 300), Optional.empty(), 17_100)).isTrue();
-		assertThat(this.shutdown.canFinish(route(RequestKind.UNSAFE, 300), Optional.empty(), 17_101)).isFalse();
+		assertThat(this.shutdown.canFinish(1_200, 16_800)).isTrue();
+		assertThat(this.shutdown.canFinish(1_200, 16_801)).isFalse();
 	}
 
 	// Guards against a request that is accepted between the decision to exit and the
@@ -52,13 +49,14 @@
 		this.shutdown.request(10_000, 10_000);
 		poll(10_000, 13_000);
 		assertThat(this.shutdown.isEnding()).isTrue();
-		assertThat(this.shutdown.canFinish(route(RequestKind.UNSAFE, 300), Optional.empty(), 10_001)).isFalse();
+		assertThat(this.shutdown.canFinish(1, 10_001)).isFalse();
 	}
 
 	@Test
-	void rejectsStreamsOfUnknownLength() {
+	void judgesQueuedStreamsOfUnknownLengthByTheirTimeout() {
 		this.shutdown.request(10_000, 10_000);
-		assertThat(this.shutdown.canFinish(route(RequestKind.STREAMING, 1_800), Optional.empty(), 12_600)).isFalse();
+		assertThat(this.shutdown.isTimeSufficient(route(RequestKind.STREAMING, 1_800), Optional.empty(), 10_000))
+			.isFalse();
 	}
 
 	/**
@@ -68,9 +66,9 @@
 	@Test
 	void countsFromTheEarliestTimeAtWhichTheSignalMayHaveBeenSent() {
 		this.shutdown.request(51_100, 49_000);
-		assertThat(canFinishStream(2_000, 53_554)).isFalse();
-		assertThat(canFinishStream(60, 53_554)).isTrue();
-		assertThat(canFinishStream(60, 55_000)).isFalse();
+		assertThat(this.shutdown.canFinish(39_000, 53_554)).isFalse();
+		assertThat(this.shutdown.canFinish(2_460, 53_554)).isTrue();
+		assertThat(this.shutdown.canFinish(2_460, 55_000)).isFalse();
 	}
 
 	/**
@@ -137,11 +135,6 @@
 		return isEnded;
 	}
 
-	private boolean canFinishStream(long maxTokens, long now) {
-		GenerationSize size = new GenerationSize("m", 3_000, maxTokens, OptionalLong.empty(), List.of());
-		return this.shutdown.canFinish(route(RequestKind.STREAMING, 1_800), Optional.of(size), now);
-	}
-
 	private static RouteSpec route(RequestKind kind, long goalMillis) {
 		return new RouteSpec("r", "h", "/", kind, 39_000, goalMillis, 180, 1, 1, false,
 				List.of(new WeightedService("s", 1)), AllowedRegions.any());
