--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -98,8 +98,8 @@
 	private final MetricRegistry metrics = new MetricRegistry();
 
 	/**
-	 * Released once requests are read; components that callers do not need start after
-	 * it.
+	 * Released once requests are read or never will be; components that callers do not
+	 * need start after it.
 	 */
 	private final CountDownLatch opened = new CountDownLatch(1);
 
@@ -272,6 +272,19 @@
 		if (!awaitPlan()) {
 			return ExitCode.FAILED;
 		}
+		if (this.ended.getCount() > 0) {
+			startServices();
+		}
+		if (!await(this.ended)) {
+			return ExitCode.FAILED;
+		}
+		stopThreads();
+		LogLine.of("ended").info();
+		return ExitCode.OK;
+	}
+
+	// Start what callers do not depend on.
+	private void startServices() {
 		OperatorServer operators = new OperatorServer(this.io.worker(), this.settings.operators(), this.metrics,
 				this.audit, this::isReady, this::status, Handlers.routing());
 		operators.start();
@@ -284,12 +297,6 @@
 			this.loop.run(() -> this.drainingQuery.start(this.loop.now()));
 		}
 		MonotonicClock.includeSuspensions();
-		if (!await(this.ended)) {
-			return ExitCode.FAILED;
-		}
-		stopThreads();
-		LogLine.of("ended").info();
-		return ExitCode.OK;
 	}
 
 	/**
@@ -467,7 +474,10 @@
 		this.dispatcher.refuseUnfinishable((r) -> this.shutdown.isTimeSufficient(r.route(), r.size(), now), now);
 		if (this.shutdown.poll(new StoppingWork(), now)) {
 			this.store.follower().stop();
-			this.loop.stop(this.ended::countDown);
+			this.loop.stop(() -> {
+				this.ended.countDown();
+				this.opened.countDown();
+			});
 			return;
 		}
 		this.loop.timers().schedule(now + POLL_INTERVAL_MILLIS, this::pollShutdown);
@@ -570,6 +580,11 @@
 	/** What a stop ends, in the order of {@link GracefulShutdown}. */
 	private final class StoppingWork implements GracefulShutdown.Work {
 
+		@Override
+		public boolean isReading() {
+			return DirectEntry.this.open;
+		}
+
 		@Override
 		public int unanswered() {
 			return Math.max(DirectEntry.this.dispatcher.openCalls(), DirectEntry.this.callers.unanswered());
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/GracefulShutdown.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/GracefulShutdown.java
@@ -150,6 +150,9 @@
 	}
 
 	private Optional<String> findEndCause(Work work, long now) {
+		if (!work.isReading()) {
+			return Optional.of("no request was read yet");
+		}
 		boolean isLate = now - this.polledAt > MAX_POLL_INTERVAL_MILLIS;
 		this.polledAt = now;
 		this.idlePolls = (work.unanswered() == 0 && !isLate) ? this.idlePolls + 1 : 0;
@@ -212,6 +215,12 @@
 	/** Work of the process that a stop ends. */
 	interface Work {
 
+		/**
+		 * Determine whether requests are read.
+		 * @return {@code false} until the start is complete
+		 */
+		boolean isReading();
+
 		/**
 		 * Return the number of requests that were read, at least in part, and have no
 		 * complete answer.
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PeerEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PeerEntries.java
@@ -186,8 +186,12 @@
 		}
 	}
 
+	// Tell the other entries that this one ends; without effect before the socket is
+	// open.
 	void shutDown(long now) {
-		this.gossip.shutDown(now);
+		if (this.socket != null) {
+			this.gossip.shutDown(now);
+		}
 	}
 
 	// Close the socket, after what was sent, and wait until its thread has stopped.
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/GracefulShutdownTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/GracefulShutdownTests.java
@@ -126,6 +126,14 @@
 		assertThat(poll(10_000, 18_150)).isTrue();
 	}
 
+	// Guards against a stop during the start that opens the port and ends then.
+	@Test
+	void endsAtOnceIfNothingWasRead() {
+		this.work.reading = false;
+		this.shutdown.request(10_000, 10_000);
+		assertThat(poll(10_000, 10_000)).isTrue();
+	}
+
 	// Polls each 10 ms until the process may exit or the time is over.
 	private boolean poll(long from, long until) {
 		boolean isEnded = false;
@@ -146,6 +154,13 @@
 
 		private int unanswered;
 
+		private boolean reading = true;
+
+		@Override
+		public boolean isReading() {
+			return this.reading;
+		}
+
 		@Override
 		public int unanswered() {
 			return this.unanswered;
