--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
@@ -29,7 +29,9 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RequestTooBigException;
 import io.undertow.util.SameThreadExecutor;
+import io.undertow.util.StatusCodes;
 import io.vavr.control.Either;
+import org.tinylog.Logger;
 import org.xnio.OptionMap;
 
 /**
@@ -180,7 +182,23 @@
 
 	// Handle the requests that were deferred after a process pause.
 	void releaseDeferred() {
-		this.deferred.replay(this::accept, this.loop::run);
+		this.deferred.replay((e) -> answerIfThrown(e, () -> accept(e)), this.loop::run);
+	}
+
+	// Undertow answers a request whose handler throws only while it calls the handler.
+	// After an error, too, the I/O thread goes on, and the caller would wait in vain.
+	private static void answerIfThrown(HttpServerExchange exchange, Runnable action) {
+		try {
+			action.run();
+		}
+		catch (RuntimeException | Error ex) {
+			Logger.error(ex, "a request cannot be handled");
+			exchange.setPersistent(false);
+			if (!exchange.isResponseStarted()) {
+				exchange.setStatusCode(StatusCodes.INTERNAL_SERVER_ERROR);
+			}
+			exchange.endExchange();
+		}
 	}
 
 	private void accept(HttpServerExchange exchange) {
@@ -283,7 +301,7 @@
 			e.dispatch();
 			this.incomplete.remove(request);
 			request.body(body);
-			open(request, admitted, arrived);
+			answerIfThrown(e, () -> open(request, admitted, arrived));
 		}, (e, ex) -> {
 			e.setPersistent(false);
 			refuse(request, (ex instanceof RequestTooBigException) ? tooLarge(request, admitted.limits())
