--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/program/SignalHandlers.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/program/SignalHandlers.java
@@ -1,5 +1,6 @@
 package dev.laneworks.runtime.program;
 
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 
 import dev.laneworks.runtime.log.LogLine;
@@ -22,6 +23,10 @@
 
 	private final AtomicInteger signals = new AtomicInteger();
 
+	private Optional<Runnable> reloadAction = Optional.empty();
+
+	private boolean reloadDeferred;
+
 	/**
 	 * Install the handlers of TERM and INT.
 	 * @param stop starts the planned stop; called once, on the signal's thread
@@ -36,15 +41,43 @@
 		});
 	}
 
+	/**
+	 * Install the handler of HUP, which would end the process otherwise. Signals before
+	 * {@link #handleReload} are handled then.
+	 * @since 0.7
+	 */
+	public void deferReload() {
+		Signal.handle(new Signal("HUP"), (s) -> reload());
+	}
+
 	/**
 	 * Install the handler of HUP, which would end the process otherwise.
-	 * @param reload reloads the settings; called on the signal's thread
+	 * @param reload reloads the settings; called on the signal's thread, or here if a
+	 * signal was deferred
 	 */
 	public void handleReload(Runnable reload) {
-		Signal.handle(new Signal("HUP"), (s) -> {
-			LogLine.of("signal").with("signal", "HUP").with("effect", "settings are read again").info();
-			reload.run();
-		});
+		boolean isDue;
+		synchronized (this) {
+			this.reloadAction = Optional.of(reload);
+			isDue = this.reloadDeferred;
+		}
+		deferReload();
+		if (isDue) {
+			reload();
+		}
+	}
+
+	private void reload() {
+		Optional<Runnable> action;
+		synchronized (this) {
+			action = this.reloadAction;
+			this.reloadDeferred = action.isEmpty();
+		}
+		LogLine.of("signal")
+			.with("signal", "HUP")
+			.with("effect", action.isPresent() ? "settings are read again" : "deferred until the start is complete")
+			.info();
+		action.ifPresent(Runnable::run);
 	}
 
 	private void onSignal(String name, Runnable stop) {
