--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DeferredRequests.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DeferredRequests.java
@@ -23,12 +23,12 @@
 	/**
 	 * Replay all requests whose exchange is not complete.
 	 * @param handler the handler of each request
-	 * @param loop the executor that runs each replay as a separate action
+	 * @param executor the executor that runs each replay as a separate action
 	 */
-	void replay(Consumer<HttpServerExchange> handler, Consumer<Runnable> loop) {
+	void replay(Consumer<HttpServerExchange> handler, Consumer<Runnable> executor) {
 		List<HttpServerExchange> all = List.copyOf(this.waiting);
 		this.waiting.clear();
-		all.forEach((e) -> loop.accept(() -> {
+		all.forEach((e) -> executor.accept(() -> {
 			if (!e.isComplete()) {
 				handler.accept(e);
 			}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
@@ -7,6 +7,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongPredicate;
 import java.util.random.RandomGenerator;
@@ -150,7 +151,7 @@
 	// Accept no further connections and reject the requests that wait.
 	void stopReading() {
 		this.listener.closeSocket();
-		releaseDeferred();
+		replayDeferred(Runnable::run);
 	}
 
 	// Reject the requests whose body has not arrived completely.
@@ -182,7 +183,11 @@
 
 	// Handle the requests that were deferred after a process pause.
 	void releaseDeferred() {
-		this.deferred.replay((e) -> answerIfThrown(e, () -> accept(e)), this.loop::run);
+		replayDeferred(this.loop::run);
+	}
+
+	private void replayDeferred(Consumer<Runnable> executor) {
+		this.deferred.replay((e) -> answerIfThrown(e, () -> accept(e)), executor);
 	}
 
 	// Undertow answers a request whose handler throws only while it calls the handler.
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/GracefulShutdown.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/GracefulShutdown.java
@@ -40,13 +40,13 @@
 	/** Time for writing the answers to all calls that are still in progress. */
 	private static final long LAST_ANSWERS_MILLIS = 150;
 
-	/**
-	 * Consecutive polls without a request after which the process may end. Requests that
-	 * arrived while the process did not run are read after the first poll.
-	 */
+	/** Consecutive polls without a request after which the process may end. */
 	private static final int IDLE_POLLS = 5;
 
-	/** Interval between two polls above which the process did not run in between. */
+	/**
+	 * Interval between two polls above which the process did not run in between. What
+	 * arrived meanwhile, requests and answers, is read after the second one.
+	 */
 	private static final long MAX_POLL_INTERVAL_MILLIS = 50;
 
 	/** Upper estimate of the generation time per token on a loaded engine. */
@@ -156,7 +156,7 @@
 		boolean isLate = now - this.polledAt > MAX_POLL_INTERVAL_MILLIS;
 		this.polledAt = now;
 		this.idlePolls = (work.unanswered() == 0 && !isLate) ? this.idlePolls + 1 : 0;
-		if (now - this.requestedAt >= this.lastAnswersMillis) {
+		if (!isLate && now - this.requestedAt >= this.lastAnswersMillis) {
 			return Optional.of("the grace period is over");
 		}
 		boolean isIdle = this.idlePolls >= IDLE_POLLS && now - this.requestedAt >= BALANCER_DRAIN_MILLIS;
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/IngressListener.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/IngressListener.java
@@ -48,6 +48,8 @@
 
 	private volatile AcceptingChannel<StreamConnection> server;
 
+	private boolean closed;
+
 	/**
 	 * Create a listener that is not bound yet.
 	 * @param io the I/O threads
@@ -107,6 +109,7 @@
 
 	// Accept no further connections and close those that wait for their acceptance.
 	void closeSocket() {
+		this.closed = true;
 		IoUtils.safeClose(this.server);
 	}
 
@@ -128,6 +131,11 @@
 	}
 
 	private void opened(StreamConnection channel) {
+		// Another thread may have accepted it before the socket was closed.
+		if (this.closed) {
+			IoUtils.safeClose(channel);
+			return;
+		}
 		this.connections.put(channel, new IngressConnection(channel));
 		// Undertow installs its own close listener and may handle a request at once.
 		this.http.handleEvent(channel);
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/GracefulShutdownTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/GracefulShutdownTests.java
@@ -117,6 +117,18 @@
 		assertThat(poll(13_610, 13_650)).isTrue();
 	}
 
+	// Guards against calls that are ended although their answers arrived during a pause.
+	@Test
+	void readsAnswersThatArrivedDuringAPauseBeforeItEndsCalls() {
+		this.shutdown.request(10_000, 10_000);
+		this.work.unanswered = 1;
+		poll(10_000, 16_000);
+		assertThat(poll(18_100, 18_100)).isFalse();
+		assertThat(this.work.steps).isEmpty();
+		poll(18_110, 18_110);
+		assertThat(this.work.steps).contains("end calls");
+	}
+
 	// Guards against a further signal that prolongs the stop.
 	@Test
 	void countsFromTheFirstSignal() {
