--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -201,13 +201,17 @@
 	public void endAll(long now) {
 		// First, so that no generation starts in the memory that other calls release.
 		this.queuedStarts.refuseUnfinishable((r) -> false, now);
-		for (DirectCall call : List.copyOf(this.calls.values())) {
-			if (call.isStreaming()) {
-				this.completion.cut(call, PROCESS_ENDS, now);
-			}
-			else if (this.calls.containsKey(call.number())) {
-				this.completion.refuse(call, RefusalReason.LEAVING, PROCESS_ENDS, now);
-			}
+		for (long number : List.copyOf(this.calls.keySet())) {
+			Optional.ofNullable(this.calls.get(number)).ifPresent((c) -> end(c, now));
+		}
+	}
+
+	private void end(DirectCall call, long now) {
+		if (call.isStreaming()) {
+			this.completion.cut(call, PROCESS_ENDS, now);
+		}
+		else {
+			this.completion.refuse(call, RefusalReason.LEAVING, PROCESS_ENDS, now);
 		}
 	}
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -470,17 +470,28 @@
 		return this.dispatcher.headroom().maxUtilization(service, priority, now);
 	}
 
+	// A step that throws must not prevent the end.
 	private void pollShutdown(long now) {
-		this.dispatcher.refuseUnfinishable((r) -> this.shutdown.isTimeSufficient(r.route(), r.size(), now), now);
-		if (this.shutdown.poll(new StoppingWork(), now)) {
-			this.store.follower().stop();
-			this.loop.stop(() -> {
-				this.ended.countDown();
-				this.opened.countDown();
-			});
-			return;
+		try {
+			this.dispatcher.refuseUnfinishable((r) -> this.shutdown.isTimeSufficient(r.route(), r.size(), now), now);
+			this.shutdown.poll(new StoppingWork(), now);
+		}
+		finally {
+			if (this.shutdown.isEnded()) {
+				end();
+			}
+			else {
+				this.loop.timers().schedule(now + POLL_INTERVAL_MILLIS, this::pollShutdown);
+			}
 		}
-		this.loop.timers().schedule(now + POLL_INTERVAL_MILLIS, this::pollShutdown);
+	}
+
+	private void end() {
+		this.loop.stop(() -> {
+			this.ended.countDown();
+			this.opened.countDown();
+		});
+		this.store.follower().stop();
 	}
 
 	private Optional<WorkAtTarget> peerWork(TargetIncarnation target) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/GracefulShutdown.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/GracefulShutdown.java
@@ -121,14 +121,18 @@
 		return this.phase == Phase.ENDING || this.phase == Phase.ENDED;
 	}
 
+	// Determine whether the process may exit.
+	boolean isEnded() {
+		return this.phase == Phase.ENDED;
+	}
+
 	/**
 	 * Take the steps that are due. To be called at short intervals on the I/O thread once
 	 * a stop was requested.
 	 * @param work the work of the process
 	 * @param now the current time in milliseconds of the monotonic clock
-	 * @return {@code true} if the process may exit
 	 */
-	boolean poll(Work work, long now) {
+	void poll(Work work, long now) {
 		if (this.phase == Phase.SERVING) {
 			this.phase = Phase.STOPPING;
 		}
@@ -146,7 +150,6 @@
 				work.closeConnections();
 			}
 		}
-		return this.phase == Phase.ENDED;
 	}
 
 	private Optional<String> findEndCause(Work work, long now) {
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/GracefulShutdownTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/GracefulShutdownTests.java
@@ -148,11 +148,10 @@
 
 	// Polls each 10 ms until the process may exit or the time is over.
 	private boolean poll(long from, long until) {
-		boolean isEnded = false;
-		for (long now = from; now <= until && !isEnded; now += 10) {
-			isEnded = this.shutdown.poll(this.work, now);
+		for (long now = from; now <= until && !this.shutdown.isEnded(); now += 10) {
+			this.shutdown.poll(this.work, now);
 		}
-		return isEnded;
+		return this.shutdown.isEnded();
 	}
 
 	private static RouteSpec route(RequestKind kind, long goalMillis) {
