--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -199,8 +199,6 @@
 	 * @since 0.7
 	 */
 	public void endAll(long now) {
-		// First, so that no generation starts in the memory that other calls release.
-		this.queuedStarts.refuseUnfinishable((r) -> false, now);
 		for (long number : List.copyOf(this.calls.keySet())) {
 			Optional.ofNullable(this.calls.get(number)).ifPresent((c) -> end(c, now));
 		}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/QueuedStartsTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/QueuedStartsTests.java
@@ -204,6 +204,22 @@
 		assertThat(this.queues.isQueued(DispatchHarness.ENGINES, 8)).isTrue();
 	}
 
+	// Guards against generations that start in the memory of those that the end of the
+	// process cuts off.
+	@Test
+	void endOfTheProcessAnswersAllCallsAndStartsNone() {
+		fill();
+		openLong(7);
+		this.harness.event(this.harness.sent.get(0), 0);
+		this.harness.dispatcher.endAll(this.harness.now);
+		this.harness.passTime(0);
+		assertThat(this.harness.sent).hasSize(6);
+		assertThat(this.harness.dispatcher.openCalls()).isEqualTo(0);
+		assertThat(this.harness.answers(1)).contains("cut");
+		assertThat(this.harness.refusals.get(2L).verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+		assertThat(this.harness.refusals.get(7L).verdict()).isEqualTo(Verdict.NOT_RUN);
+	}
+
 	// Guards against starts for callers whose time passed while the process was paused.
 	@Test
 	void pausedProcessRefusesExpiredBeforeItStartsAny() {
