--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpExchange.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpExchange.java
@@ -130,11 +130,9 @@
 		this.call = supplied.get();
 		// Undertow closes the connection at the end of a body before it reports that end.
 		// Deferring the handler lets received data be processed first.
-		open.getCloseSetter().set((c) -> {
-			if (!this.finished.get()) {
-				open.getIoThread().execute(() -> handleBroken(new IOException("the server closed the connection")));
-			}
-		});
+		open.getCloseSetter()
+			.set((c) -> open.getIoThread()
+				.execute(() -> handleBroken(new IOException("the server closed the connection"))));
 		ClientRequest request = new ClientRequest().setMethod(new HttpString(this.call.method()))
 			.setPath(this.call.path());
 		request.getRequestHeaders().put(Headers.HOST, this.call.server().getAuthority());
