Tell in the log how the end of an answer was marked

A stream that its engine broke off was logged as whole, and nothing told whether its body had a length, chunks or neither, nor whether an event was incomplete. The line of an answer now ends with "ended by its framing" or "ended with its connection", and with the number of bytes behind the last complete event. No decision changes.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptOutcomes.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptOutcomes.java
@@ -67,9 +67,10 @@
 	 * @param call the request being dispatched
 	 * @param attempt the answered attempt
 	 * @param head the parsed head of the answer
+	 * @param end how the body ended
 	 * @param now the current time in milliseconds of the monotonic clock
 	 */
-	void handleAnswer(DirectCall call, Attempt attempt, AnswerHead head, long now) {
+	void handleAnswer(DirectCall call, Attempt attempt, AnswerHead head, AnswerEnd end, long now) {
 		call.recordPossibleRun();
 		if (head.isServerError()) {
 			recordFailure(attempt.target(), "status " + head.status(), now);
@@ -83,7 +84,7 @@
 			this.poison.recordCompleted(call, now);
 		}
 		this.completion.finish(call, AuditKind.ANSWERED,
-				"status " + head.status() + " after " + (now - call.openedAt()) + " ms", now);
+				"status " + head.status() + " after " + (now - call.openedAt()) + " ms, " + end.describe(), now);
 		this.outputs.deliver(call.number(), attempt.number());
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -360,13 +360,14 @@
 	}
 
 	/**
-	 * Handle a complete answer.
+	 * Handle the end of an answer that is no stream.
 	 * @param number the number of the call
 	 * @param attempt the number of the attempt
 	 * @param head the parsed head of the answer
+	 * @param end how the body ended
 	 * @param now the current time in milliseconds of the monotonic clock
 	 */
-	public void answered(long number, int attempt, AnswerHead head, long now) {
+	public void answered(long number, int attempt, AnswerHead head, AnswerEnd end, long now) {
 		Optional<Attempt> found = find(number, attempt);
 		if (found.isEmpty()) {
 			return;
@@ -383,7 +384,7 @@
 			this.outcomes.handleFailure(call, found.get(), "status " + head.status() + " to a resumed generation", now);
 		}
 		else {
-			this.outcomes.handleAnswer(call, found.get(), head, now);
+			this.outcomes.handleAnswer(call, found.get(), head, end, now);
 		}
 	}
 
@@ -433,12 +434,13 @@
 	}
 
 	/**
-	 * Handle the regular end of a stream.
+	 * Handle the end of a stream.
 	 * @param number the number of the call
 	 * @param attempt the number of the attempt
+	 * @param end how the body ended
 	 * @param now the current time in milliseconds of the monotonic clock
 	 */
-	public void streamEnded(long number, int attempt, long now) {
+	public void streamEnded(long number, int attempt, AnswerEnd end, long now) {
 		Optional<Attempt> found = find(number, attempt);
 		if (found.isEmpty()) {
 			return;
@@ -454,7 +456,8 @@
 		this.completion.finish(call, AuditKind.ANSWERED,
 				"stream up to event " + call.lastEvent() + " whole after " + (now - call.openedAt()) + " ms, attempts "
 						+ call.attempts() + ", first event after " + call.firstEventMillis() + " ms, longest pause "
-						+ call.longestPauseMillis() + " ms before event " + call.eventAfterLongestPause(),
+						+ call.longestPauseMillis() + " ms before event " + call.eventAfterLongestPause() + ", "
+						+ end.describe(),
 				now);
 		this.outputs.endStream(number);
 	}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/OverloadedFleet.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/OverloadedFleet.java
@@ -526,7 +526,7 @@
 				return true;
 			}
 			to.complete = true;
-			to.entry.dispatcher.streamEnded(this.sent.call(), this.sent.attempt(), now);
+			to.entry.dispatcher.streamEnded(this.sent.call(), this.sent.attempt(), AnswerEnd.DELIMITED, now);
 			return false;
 		}
 
@@ -675,7 +675,8 @@
 					+ (OverloadedFleet.this.speeds.isPresent() ? 0 : EVENT_INTERVAL_MILLIS);
 			if (!isOpen || execution.passed >= execution.caller.events) {
 				this.running.remove(execution);
-				entry.dispatcher.streamEnded(execution.sent.call(), execution.sent.attempt(), OverloadedFleet.this.now);
+				entry.dispatcher.streamEnded(execution.sent.call(), execution.sent.attempt(), AnswerEnd.DELIMITED,
+						OverloadedFleet.this.now);
 			}
 		}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/PoisonedFleet.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/PoisonedFleet.java
@@ -408,7 +408,8 @@
 			run.next++;
 			run.nextEventAt += EVENT_INTERVAL_MILLIS;
 			if (run.next >= run.request.events) {
-				run.entry.dispatcher.streamEnded(run.sent.call(), run.sent.attempt(), PoisonedFleet.this.now);
+				run.entry.dispatcher.streamEnded(run.sent.call(), run.sent.attempt(), AnswerEnd.DELIMITED,
+						PoisonedFleet.this.now);
 				handleEnd(run.entry, run.sent.call());
 				this.runs.remove(run);
 			}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 
 import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.dispatch.AnswerEnd;
 import dev.laneworks.core.dispatch.AnswerHead;
 import dev.laneworks.core.dispatch.ConnectFault;
 import dev.laneworks.core.dispatch.Dispatcher;
@@ -158,11 +159,14 @@
 			return;
 		}
 		if (this.isEventStream) {
-			this.request.relay(this.framer.remainder());
-			this.dispatcher.streamEnded(this.call, this.number, this.loop.now());
+			byte[] remainder = this.framer.remainder();
+			this.request.relay(remainder);
+			this.dispatcher.streamEnded(this.call, this.number,
+					new AnswerEnd(this.head.isDelimited(), remainder.length), this.loop.now());
 		}
 		else {
-			this.dispatcher.answered(this.call, this.number, this.answerHead, this.loop.now());
+			this.dispatcher.answered(this.call, this.number, this.answerHead, new AnswerEnd(this.head.isDelimited(), 0),
+					this.loop.now());
 		}
 		this.loop.runTimers();
 	}
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpResponseHead.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpResponseHead.java
@@ -1,8 +1,10 @@
 package dev.laneworks.runtime.http;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /**
  * Status and headers of a response.
@@ -13,6 +15,9 @@
  */
 public record HttpResponseHead(int status, List<HttpHeader> headers) {
 
+	/** Statuses whose responses have no body. */
+	private static final Set<Integer> HAS_NO_BODY = Set.of(204, 304);
+
 	public HttpResponseHead {
 		headers = List.copyOf(headers);
 	}
@@ -44,6 +49,20 @@
 		return first("Content-Type").orElse("");
 	}
 
+	/**
+	 * Determine whether the end of the body is marked by a length or by a last chunk. The
+	 * body ends with its connection otherwise, so that an early end cannot be told from
+	 * the regular one.
+	 * @return {@code true} if a truncated body is detectable by its framing
+	 * @since 0.8
+	 */
+	public boolean isDelimited() {
+		List<String> codings = all("Transfer-Encoding");
+		boolean isChunked = !codings.isEmpty()
+				&& !codings.get(codings.size() - 1).trim().toLowerCase(Locale.ROOT).equals("identity");
+		return isChunked || first("Content-Length").isPresent() || HAS_NO_BODY.contains(this.status);
+	}
+
 	/**
 	 * Return the length of the body.
 	 * @return the value of the {@code Content-Length} header in bytes, or empty if it is
