--- /dev/null
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/BrokenOffAnswerTests.java
@@ -0,0 +1,194 @@
+package dev.laneworks.core.dispatch;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import dev.laneworks.core.backpressure.BackpressureSignals;
+import dev.laneworks.core.dispatch.CopyResult.Outcome;
+import dev.laneworks.core.dispatch.DispatchHarness.Sent;
+import dev.laneworks.core.poison.RequestDigest;
+import dev.laneworks.core.serving.RequestKind;
+import org.junit.jupiter.api.Test;
+
+import static com.google.common.truth.Truth.assertThat;
+
+/**
+ * Tests that an answer which ends with its connection counts as complete only if its
+ * target completed it.
+ */
+class BrokenOffAnswerTests {
+
+	private static final AnswerEnd INSIDE_EVENT = new AnswerEnd(false, 7);
+
+	private static final AnswerEnd BETWEEN_EVENTS = new AnswerEnd(false, 0);
+
+	private static final RequestDigest SAME = new RequestDigest(7, 7, 7);
+
+	private final DispatchHarness harness = DispatchHarness.create();
+
+	@Test
+	void streamThatEndsInsideAnEventResumesAtItsCopy() {
+		this.harness.join(DispatchHarness.ENGINES, "a");
+		this.harness.join(DispatchHarness.ENGINES, "b");
+		this.harness.openStream(1);
+		Sent first = this.harness.sendLast();
+		this.harness.event(first, 0);
+		end(first, INSIDE_EVENT);
+		Sent second = this.harness.sendLast();
+		assertThat(second.order().resume().get().lastEvent()).isEqualTo("0");
+		assertThat(this.harness.event(second, 1)).isTrue();
+		end(second, AnswerEnd.DELIMITED);
+		assertThat(this.harness.answers(1)).containsExactly("started", "ended").inOrder();
+	}
+
+	@Test
+	void resumedStreamThatEndsInsideAnEventIsCut() {
+		this.harness.join(DispatchHarness.ENGINES, "a");
+		this.harness.join(DispatchHarness.ENGINES, "b");
+		this.harness.openStream(1);
+		Sent first = this.harness.sendLast();
+		this.harness.event(first, 0);
+		end(first, INSIDE_EVENT);
+		this.harness.remove(first.target());
+		Sent second = this.harness.sendLast();
+		this.harness.event(second, 1);
+		end(second, INSIDE_EVENT);
+		assertThat(this.harness.answers(1)).containsExactly("started", "cut").inOrder();
+	}
+
+	// Guards against a request that clears itself of the crash it has just caused.
+	@Test
+	void streamThatEndsInsideAnEventIsSuspectedAndClearsNothing() {
+		this.harness.join(DispatchHarness.ENGINES, "a");
+		Sent sent = openSuspect();
+		this.harness.event(sent, 0);
+		end(sent, INSIDE_EVENT);
+		assertThat(this.harness.cleared).isEmpty();
+		this.harness.dispatcher.probed(sent.target(), true, this.harness.now);
+		assertThat(this.harness.suspected).containsExactly(SAME);
+	}
+
+	@Test
+	void streamThatEndsWithItsConnectionBeforeItsFirstEventIsSuspected() {
+		this.harness.join(DispatchHarness.ENGINES, "a");
+		Sent sent = openSuspect();
+		end(sent, BETWEEN_EVENTS);
+		this.harness.dispatcher.probed(sent.target(), true, this.harness.now);
+		assertThat(this.harness.suspected).containsExactly(SAME);
+		assertThat(this.harness.answers(1)).containsExactly("refused 502");
+	}
+
+	@Test
+	void streamThatEndsBetweenEventsIsCompleteOnceItsTargetAcceptsConnections() {
+		this.harness.join(DispatchHarness.ENGINES, "a");
+		Sent sent = openSuspect();
+		this.harness.event(sent, 0);
+		end(sent, BETWEEN_EVENTS);
+		assertThat(this.harness.checked).containsExactly(sent.target());
+		assertThat(this.harness.answers(1)).containsExactly("started");
+		this.harness.dispatcher.probed(sent.target(), false, this.harness.now);
+		assertThat(this.harness.answers(1)).containsExactly("started", "ended").inOrder();
+	}
+
+	@Test
+	void streamThatEndsBetweenEventsIsCutIfItsTargetRefusesConnections() {
+		this.harness.join(DispatchHarness.ENGINES, "a");
+		Sent sent = openSuspect();
+		this.harness.event(sent, 0);
+		end(sent, BETWEEN_EVENTS);
+		this.harness.dispatcher.probed(sent.target(), true, this.harness.now);
+		assertThat(this.harness.answers(1)).containsExactly("started", "cut").inOrder();
+		assertThat(this.harness.suspected).containsExactly(SAME);
+		assertThat(this.harness.cleared).isEmpty();
+	}
+
+	@Test
+	void plainAnswerThatEndsWithItsConnectionIsNotDeliveredIfItsTargetRefusesConnections() {
+		this.harness.join(DispatchHarness.PLAIN, "a");
+		this.harness.open(1, RequestKind.UNSAFE, 1);
+		Sent sent = this.harness.sendLast();
+		answer(sent, BETWEEN_EVENTS);
+		assertThat(this.harness.answers(1)).isEmpty();
+		this.harness.dispatcher.probed(sent.target(), true, this.harness.now);
+		assertThat(this.harness.answers(1)).containsExactly("refused 502");
+	}
+
+	// A target that does not answer the probe sent the regular end of the connection just
+	// before, so that it is more likely busy than gone.
+	@Test
+	void answerThatEndsWithItsConnectionIsDeliveredIfTheProbeIsInconclusive() {
+		this.harness.join(DispatchHarness.PLAIN, "a");
+		this.harness.open(1, RequestKind.UNSAFE, 1);
+		answer(this.harness.sendLast(), BETWEEN_EVENTS);
+		this.harness.passTime(300);
+		assertThat(this.harness.answers(1)).containsExactly("delivered 1");
+	}
+
+	// A crashing process may close its port after its connections.
+	@Test
+	void answerClearsItsRequestOnceItsTargetHasOutlivedIt() {
+		this.harness.join(DispatchHarness.ENGINES, "a");
+		Sent sent = openSuspect();
+		this.harness.suspects.recordCrash(SAME, this.harness.join(DispatchHarness.ENGINES, "x").incarnation(),
+				this.harness.now, this.harness.now);
+		this.harness.event(sent, 0);
+		end(sent, BETWEEN_EVENTS);
+		this.harness.dispatcher.probed(sent.target(), false, this.harness.now);
+		assertThat(this.harness.cleared).isEmpty();
+		this.harness.passTime(300);
+		this.harness.dispatcher.probed(sent.target(), false, this.harness.now);
+		assertThat(this.harness.cleared).containsExactly(SAME);
+	}
+
+	@Test
+	void streamStoppedForItsMoveIsNotCompleteWithoutFraming() {
+		Sent first = stopForMove();
+		end(first, BETWEEN_EVENTS);
+		assertThat(this.harness.answers(1)).containsExactly("started");
+		this.harness.copied(Outcome.COPIED, "h1");
+		Sent second = this.harness.sendLast();
+		assertThat(second.order().resume())
+			.isEqualTo(Optional.of(new ResumePoint(first.target().address(), "h1", "0")));
+	}
+
+	@Test
+	void streamThatEndedBeforeItsMoveStoppedItIsComplete() {
+		Sent first = stopForMove();
+		end(first, BETWEEN_EVENTS);
+		this.harness.copied(Outcome.NO_SUCH_RUN, "");
+		assertThat(this.harness.answers(1)).containsExactly("started", "ended").inOrder();
+		assertThat(this.harness.released).contains(first.target().id() + "/h1");
+	}
+
+	private Sent stopForMove() {
+		this.harness.join(DispatchHarness.ENGINES, "a");
+		this.harness.openStream(1, 22_000);
+		Sent first = this.harness.sendLast();
+		this.harness.join(DispatchHarness.ENGINES, "b");
+		this.harness.event(first, 0);
+		this.harness.drain(first.target());
+		this.harness.passTime(90);
+		this.harness.copied(Outcome.COPIED, "h1");
+		assertThat(this.harness.copies.get(1).stopFirst()).isTrue();
+		return first;
+	}
+
+	private Sent openSuspect() {
+		this.harness.shareDigest(1, SAME);
+		this.harness.openStream(1);
+		return this.harness.sendLast();
+	}
+
+	private void end(Sent sent, AnswerEnd end) {
+		this.harness.dispatcher.streamEnded(sent.call(), sent.attempt(), end, this.harness.now);
+		this.harness.passTime(0);
+	}
+
+	private void answer(Sent sent, AnswerEnd end) {
+		AnswerHead head = new AnswerHead(200, DispatchHarness.id(sent.call()), true, false, false, false,
+				Optional.empty(), OptionalLong.empty(), BackpressureSignals.NONE);
+		this.harness.dispatcher.answered(sent.call(), sent.attempt(), head, end, this.harness.now);
+		this.harness.passTime(0);
+	}
+
+}
