Take a stream that ends inside an event for broken off, whatever its framing

Callers of a stream without a length or chunks got a 200 with a part of an event and the chunk that ends the body when their engine broke the stream off with a plain close. The entry passed on the bytes behind the last whole event and took the end of the connection for the end of the stream: the call was finished, its live copy dropped, its request cleared of suspicion.

AnswerCompletenessTests shows the same for each byte of an event, and for no other framing.

A stream whose last event is incomplete is now handled as a broken connection by all that rests on it: it resumes at a copy or is cut, its target gets a failure, its request is suspected, and it counts as no completion for headroom and latency. No part of an event is passed on.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AnswerEnd.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AnswerEnd.java
@@ -20,6 +20,15 @@
 		}
 	}
 
+	/**
+	 * Determine whether the target broke the answer off, as it did with a stream that
+	 * ends inside an event.
+	 * @return {@code false} if the answer may be complete
+	 */
+	public boolean isBrokenOff() {
+		return this.trailingBytes > 0;
+	}
+
 	/**
 	 * Describe the end for logs.
 	 * @return a phrase without the subject
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -446,20 +446,28 @@
 			return;
 		}
 		DirectCall call = this.calls.get(number);
-		if (call.isSuccessor(found.get()) || !call.isStreaming()) {
+		if (end.isBrokenOff()) {
+			attemptBroken(number, attempt, "the stream ended inside an event, " + end.describe(), now);
+		}
+		else if (call.isSuccessor(found.get()) || !call.isStreaming()) {
 			this.outcomes.handleFailure(call, found.get(), "the stream ended without an event", now);
-			return;
 		}
+		else {
+			completeStream(call, found.get(), end, now);
+		}
+	}
+
+	private void completeStream(DirectCall call, Attempt attempt, AnswerEnd end, long now) {
 		this.scheduler.recordCompleted(call, now);
 		this.poison.recordCompleted(call, now);
-		this.headroom.recordEnd(call, found.get(), now);
+		this.headroom.recordEnd(call, attempt, now);
 		this.completion.finish(call, AuditKind.ANSWERED,
 				"stream up to event " + call.lastEvent() + " whole after " + (now - call.openedAt()) + " ms, attempts "
 						+ call.attempts() + ", first event after " + call.firstEventMillis() + " ms, longest pause "
 						+ call.longestPauseMillis() + " ms before event " + call.eventAfterLongestPause() + ", "
 						+ end.describe(),
 				now);
-		this.outputs.endStream(number);
+		this.outputs.endStream(call.number());
 	}
 
 	/**
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
@@ -159,10 +159,8 @@
 			return;
 		}
 		if (this.isEventStream) {
-			byte[] remainder = this.framer.remainder();
-			this.request.relay(remainder);
 			this.dispatcher.streamEnded(this.call, this.number,
-					new AnswerEnd(this.head.isDelimited(), remainder.length), this.loop.now());
+					new AnswerEnd(this.head.isDelimited(), this.framer.remainder().length), this.loop.now());
 		}
 		else {
 			this.dispatcher.answered(this.call, this.number, this.answerHead, new AnswerEnd(this.head.isDelimited(), 0),
