Resume a stream without framing that was stopped to be moved

An engine that is ordered to stop a run closes its stream without its end. If the stream has neither a length nor chunks, the entry took that for the end of the answer: its caller got a 200 that is framed as complete, up to the last event before the move, and the copy was thrown away.

Such an end now counts as the stop that was ordered, and the generation resumes at its copy. If the engine answers the order with 404, the run had ended before, and the stream is complete. Streams whose end is marked are handled as before.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -45,6 +45,9 @@
 
 	private static final String PROCESS_ENDS = "this entry ends";
 
+	/** A stream that ended with its connection, between two events. */
+	private static final AnswerEnd UNMARKED = new AnswerEnd(false, 0);
+
 	private final DispatchSettings settings;
 
 	private final TargetDirectory directory;
@@ -449,6 +452,10 @@
 		if (end.isBrokenOff()) {
 			attemptBroken(number, attempt, "the stream ended inside an event, " + end.describe(), now);
 		}
+		else if (!end.delimited() && isStoppedForMove(call, found.get(), now)) {
+			// The move decides whether the generation resumes or had ended before.
+			return;
+		}
 		else if (call.isSuccessor(found.get()) || !call.isStreaming()) {
 			this.outcomes.handleFailure(call, found.get(), "the stream ended without an event", now);
 		}
@@ -457,6 +464,10 @@
 		}
 	}
 
+	private boolean isStoppedForMove(DirectCall call, Attempt attempt, long now) {
+		return !call.isSuccessor(attempt) && this.mover.handleUnmarkedEnd(call, now);
+	}
+
 	private void completeStream(DirectCall call, Attempt attempt, AnswerEnd end, long now) {
 		this.scheduler.recordCompleted(call, now);
 		this.poison.recordCompleted(call, now);
@@ -691,6 +702,11 @@
 			Dispatcher.this.continuation.resume(call, destination, from, now);
 		}
 
+		@Override
+		public void complete(DirectCall call, long now) {
+			call.attempt().ifPresent((a) -> completeStream(call, a, UNMARKED, now));
+		}
+
 		@Override
 		public void handleLost(DirectCall call, String cause, long now) {
 			Dispatcher.this.completion.endAsLost(call, cause, now);
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/GenerationMove.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/GenerationMove.java
@@ -29,6 +29,8 @@
 
 	private boolean sourceClosed;
 
+	private boolean possiblyEnded;
+
 	private boolean announced;
 
 	GenerationMove(ListedTarget source) {
@@ -112,4 +114,13 @@
 		this.sourceClosed = true;
 	}
 
+	// Whether the connection to the source ended as it does at the end of the generation.
+	boolean isPossiblyEnded() {
+		return this.possiblyEnded;
+	}
+
+	void markPossiblyEnded() {
+		this.possiblyEnded = true;
+	}
+
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -126,6 +126,19 @@
 		return true;
 	}
 
+	/**
+	 * Handle the end of the connection to the source engine, between two events of a
+	 * stream whose end is not marked otherwise. The generation has stopped for its move
+	 * or has ended; the result of the final copy tells which.
+	 * @param call the call whose connection ended
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return {@code true} if the generation was ordered to stop
+	 */
+	boolean handleUnmarkedEnd(DirectCall call, long now) {
+		call.move().ifPresent(GenerationMove::markPossiblyEnded);
+		return handleSourceClosed(call, now);
+	}
+
 	/**
 	 * Determine whether the current move of a call issued a copy order.
 	 * @param call the call that is moved
@@ -332,7 +345,9 @@
 		handleFinalCopyFailure(call, move, result, now);
 	}
 
-	// If the source still holds the stopped generation it resumes there, otherwise at the
+	// A generation that the source does not know, and whose stream may have ended, is
+	// complete. If the source still holds the stopped generation it resumes there,
+	// otherwise at the
 	// last partial copy.
 	private void handleFinalCopyFailure(DirectCall call, GenerationMove move, CopyResult result, long now) {
 		if (!move.isSourceClosed()) {
@@ -342,6 +357,10 @@
 			requeue(queue, call, now);
 			return;
 		}
+		if (result.outcome() == CopyResult.Outcome.NO_SUCH_RUN && move.isPossiblyEnded()) {
+			this.resumption.complete(call, now);
+			return;
+		}
 		if (move.handle().isEmpty()) {
 			removeFromQueue(call, move, now);
 			this.resumption.handleLost(call, "the generation was stopped and its copy is unusable", now);
@@ -428,6 +447,13 @@
 		 */
 		void resume(DirectCall call, ListedTarget destination, ResumePoint from, long now);
 
+		/**
+		 * Complete a call whose generation had ended before it was to be stopped.
+		 * @param call the call to complete
+		 * @param now the current time in milliseconds of the monotonic clock
+		 */
+		void complete(DirectCall call, long now);
+
 		/**
 		 * Handle a generation that was stopped and has no usable copy.
 		 * @param call the call whose generation is lost
