Hold back an answer that ends with its connection until its target is known to live

An answer with neither a length nor chunks ends as its target's connection does, and the operating system closes the connections of a crashed process in the same way. Callers got the part of a stream up to its last event, or of a plain answer, as complete; the request was cleared by the crash it may have caused, and a stream that ended so before its first event was not suspected.

Such an answer is now held back until a probe of its target is answered: accepted, it is complete; refused, it is handled as a broken connection. After 250 ms without a verdict it is complete, since the target has just closed the connection regularly. Its request is watched for a crash like one whose connection broke, and is cleared only by a connection that the target accepts 250 ms later. A stream that ends so beside its resumption elsewhere leaves the answer to the resumption. Answers whose end is marked are neither probed nor delayed.

Checks were scheduled only for the first connection that ended at a target; while others followed within 300 ms there were no more.

What stays: a plain answer without framing that a live target cuts short with a plain close cannot be told from a whole one.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptOutcomes.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptOutcomes.java
@@ -26,15 +26,13 @@
 
 	private final CallCompletion completion;
 
-	private final PoisonRequestGuard poison;
-
 	private final DispatchOutputs outputs;
 
 	private final AuditSink audit;
 
 	AttemptOutcomes(DispatchSettings settings, TargetDirectory directory, TargetEstimates estimates,
 			AttemptSender sender, AttemptScheduler scheduler, Continuation continuation, CallCompletion completion,
-			PoisonRequestGuard poison, DispatchOutputs outputs, AuditSink audit) {
+			DispatchOutputs outputs, AuditSink audit) {
 		this.settings = settings;
 		this.directory = directory;
 		this.estimates = estimates;
@@ -42,7 +40,6 @@
 		this.scheduler = scheduler;
 		this.continuation = continuation;
 		this.completion = completion;
-		this.poison = poison;
 		this.outputs = outputs;
 		this.audit = audit;
 	}
@@ -81,7 +78,6 @@
 		}
 		else {
 			recordSuccess(attempt, now);
-			this.poison.recordCompleted(call, now);
 		}
 		this.completion.finish(call, AuditKind.ANSWERED,
 				"status " + head.status() + " after " + (now - call.openedAt()) + " ms, " + end.describe(), now);
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.LongConsumer;
 import java.util.function.Predicate;
 
 import dev.laneworks.core.audit.AuditKind;
@@ -80,6 +81,8 @@
 
 	private final PoisonRequestGuard poison;
 
+	private final UnconfirmedAnswers unconfirmed;
+
 	private final GenerationQueues queues;
 
 	private final QueuedStarts queuedStarts;
@@ -134,6 +137,7 @@
 				audit);
 		this.poison = new PoisonRequestGuard(suspects, directory, eligibility::isDraining, this.completion, timers,
 				outputs, audit, settings.mechanisms().isEnabled(Mechanism.REQUEST_QUARANTINE));
+		this.unconfirmed = new UnconfirmedAnswers(outputs, timers);
 		this.queues = queues;
 		this.queuedStarts = new QueuedStarts(queues, this.calls, this.sender, timers, audit, this::engine);
 		this.completion.onEnd(this.queuedStarts::handleEnd);
@@ -146,7 +150,7 @@
 				settings.mechanisms().isEnabled(Mechanism.COPIES_AT_NOTICE));
 		this.headroom = new HeadroomRecorder(new ServiceEngines(() -> this.plan, eligibility, chooser, entries));
 		this.outcomes = new AttemptOutcomes(settings, directory, estimates, this.sender, this.scheduler,
-				this.continuation, this.completion, this.poison, outputs, audit);
+				this.continuation, this.completion, outputs, audit);
 	}
 
 	/**
@@ -321,7 +325,7 @@
 			this.estimates.of(target).quality().recordUnreachable(now);
 			if (fault == ConnectFault.REFUSED) {
 				this.estimates.recordRefusedConnection(target);
-				this.poison.handleRefusedConnection(target, now);
+				handleRefusedConnection(target, now);
 			}
 		}
 		// Recording the refusal may have ended the call.
@@ -386,7 +390,14 @@
 		else if (call.isStreaming() || call.isSuccessor(found.get())) {
 			this.outcomes.handleFailure(call, found.get(), "status " + head.status() + " to a resumed generation", now);
 		}
+		else if (!end.delimited()) {
+			holdBack(call, found.get(), !head.isServerError(),
+					(t) -> this.outcomes.handleAnswer(call, found.get(), head, end, t), now);
+		}
 		else {
+			if (!head.isServerError()) {
+				this.poison.recordCompleted(call, now);
+			}
 			this.outcomes.handleAnswer(call, found.get(), head, end, now);
 		}
 	}
@@ -456,12 +467,44 @@
 			// The move decides whether the generation resumes or had ended before.
 			return;
 		}
+		else if (!end.delimited() && !found.get().isAnswering()) {
+			attemptBroken(number, attempt, "the connection ended before the first event", now);
+		}
 		else if (call.isSuccessor(found.get()) || !call.isStreaming()) {
 			this.outcomes.handleFailure(call, found.get(), "the stream ended without an event", now);
 		}
-		else {
+		else if (end.delimited()) {
+			this.poison.recordCompleted(call, now);
 			completeStream(call, found.get(), end, now);
 		}
+		else if (call.successor().isPresent()) {
+			// An engine also closes a stream that resumes at another one.
+			this.outcomes.handleFailure(call, found.get(), "the connection ended beside a resumption", now);
+		}
+		else {
+			holdBack(call, found.get(), true, (t) -> completeStream(call, found.get(), end, t), now);
+		}
+	}
+
+	// Holds back an answer whose end is not marked until its target is known to live.
+	private void holdBack(DirectCall call, Attempt attempt, boolean isSuccess, LongConsumer complete, long now) {
+		this.poison.handleClosedConnection(call, attempt, isSuccess, now);
+		this.unconfirmed.hold(attempt.target(), (t) -> {
+			if (find(call.number(), attempt.number()).isPresent()) {
+				complete.accept(t);
+			}
+		}, (t) -> handleCrashAtEnd(call, attempt, t), now);
+	}
+
+	private void handleCrashAtEnd(DirectCall call, Attempt attempt, long now) {
+		if (find(call.number(), attempt.number()).isPresent() && !isStoppedForMove(call, attempt, now)) {
+			this.outcomes.handleFailure(call, attempt, "the target crashed at the end of its answer", now);
+		}
+	}
+
+	private void handleRefusedConnection(ListedTarget target, long now) {
+		this.unconfirmed.handleRefusedConnection(target, now);
+		this.poison.handleRefusedConnection(target, now);
 	}
 
 	private boolean isStoppedForMove(DirectCall call, Attempt attempt, long now) {
@@ -470,7 +513,6 @@
 
 	private void completeStream(DirectCall call, Attempt attempt, AnswerEnd end, long now) {
 		this.scheduler.recordCompleted(call, now);
-		this.poison.recordCompleted(call, now);
 		this.headroom.recordEnd(call, attempt, now);
 		this.completion.finish(call, AuditKind.ANSWERED,
 				"stream up to event " + call.lastEvent() + " whole after " + (now - call.openedAt()) + " ms, attempts "
@@ -511,9 +553,10 @@
 	 */
 	public void probed(ListedTarget target, boolean refused, long now) {
 		if (refused) {
-			this.poison.handleRefusedConnection(target, now);
+			handleRefusedConnection(target, now);
 		}
 		else {
+			this.unconfirmed.handleReachable(target, now);
 			this.poison.handleReachable(target, now);
 		}
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/PoisonRequestGuard.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/PoisonRequestGuard.java
@@ -1,7 +1,10 @@
 package dev.laneworks.core.dispatch;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -37,6 +40,15 @@
 	 */
 	private static final List<Long> CHECK_DELAYS_MILLIS = List.of(0L, 50L, 300L);
 
+	/**
+	 * Delays of the checks after an answer that ended with its connection, whose target
+	 * is probed at once in any case.
+	 */
+	private static final List<Long> ANSWERED_CHECK_DELAYS_MILLIS = List.of(50L, 300L);
+
+	/** Delays of the checks while earlier ones of the same target are due. */
+	private static final List<Long> FURTHER_CHECK_DELAYS_MILLIS = List.of(300L);
+
 	/**
 	 * Retry-after time in milliseconds while the checks of the last target are pending;
 	 * longer than the last check's delay.
@@ -66,6 +78,9 @@
 
 	private final BrokenConnections brokenConnections = new BrokenConnections();
 
+	/** The time of the last scheduled check of each target. */
+	private final Map<TargetIncarnation, Long> lastCheckAt = new HashMap<>();
+
 	PoisonRequestGuard(SuspectRequests suspects, TargetDirectory directory, Predicate<ListedTarget> announcedDraining,
 			CallCompletion completion, Timers timers, DispatchOutputs outputs, AuditSink audit, boolean enabled) {
 		this.suspects = suspects;
@@ -133,15 +148,46 @@
 	 * @param now the current time in milliseconds of the monotonic clock
 	 */
 	void handleBrokenConnection(DirectCall call, Attempt attempt, long now) {
+		awaitCrash(call, attempt, false, now);
+	}
+
+	/**
+	 * Handle an answer that ended with its connection. It counts as broken off if its
+	 * target is found to have crashed. A success clears its request once the target has
+	 * outlived it.
+	 * @param call the call of the attempt
+	 * @param attempt the attempt whose connection ended
+	 * @param isSuccess whether the target did not report a failure of its own
+	 * @param now the current time in milliseconds of the monotonic clock
+	 */
+	void handleClosedConnection(DirectCall call, Attempt attempt, boolean isSuccess, long now) {
+		awaitCrash(call, attempt, isSuccess, now);
+	}
+
+	private void awaitCrash(DirectCall call, Attempt attempt, boolean mayClear, long now) {
 		ListedTarget target = attempt.target();
 		boolean wasExpectedToStay = this.directory.isAvailable(target) || this.directory.isFormerIncarnation(target);
 		if (!this.enabled || call.isHarmless() || !wasExpectedToStay
 				|| this.announcedShutdown.contains(target.incarnation()) || this.announcedDraining.test(target)) {
 			return;
 		}
-		if (this.brokenConnections.add(call.request().digest(), call.request().id(), target.incarnation(), now)) {
-			CHECK_DELAYS_MILLIS.forEach((m) -> this.timers.schedule(now + m, (t) -> this.outputs.probe(target)));
+		BrokenConnections.Broken broken = new BrokenConnections.Broken(call.request().digest(), call.request().id(),
+				now, mayClear);
+		this.brokenConnections.add(broken, target.incarnation());
+		scheduleChecks(target, mayClear ? ANSWERED_CHECK_DELAYS_MILLIS : CHECK_DELAYS_MILLIS, now);
+	}
+
+	// Each connection that ended is followed by a check that a crashing process no longer
+	// passes.
+	private void scheduleChecks(ListedTarget target, List<Long> delaysMillis, long now) {
+		this.lastCheckAt.values().removeIf((t) -> t < now);
+		Optional<Long> last = Optional.ofNullable(this.lastCheckAt.get(target.incarnation()));
+		if (last.filter((t) -> t >= now + BrokenConnections.CRASHING_MILLIS).isPresent()) {
+			return;
 		}
+		List<Long> delays = last.isPresent() ? FURTHER_CHECK_DELAYS_MILLIS : delaysMillis;
+		this.lastCheckAt.put(target.incarnation(), now + delays.get(delays.size() - 1));
+		delays.forEach((m) -> this.timers.schedule(now + m, (t) -> this.outputs.probe(target)));
 	}
 
 	/**
@@ -159,7 +205,10 @@
 	 * @param now the current time in milliseconds of the monotonic clock
 	 */
 	void handleReachable(ListedTarget target, long now) {
-		this.brokenConnections.connectionAccepted(target.incarnation(), now);
+		this.brokenConnections.connectionAccepted(target.incarnation(), now)
+			.stream()
+			.filter(BrokenConnections.Broken::mayClear)
+			.forEach((b) -> this.suspects.recordCompletion(b.digest(), b.brokenAt()));
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/poison/BrokenConnections.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/poison/BrokenConnections.java
@@ -4,14 +4,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 
 import dev.laneworks.core.directory.TargetIncarnation;
 
 /**
- * Requests whose connection broke, kept until it is known whether the target crashed.
+ * Requests whose connection ended, kept until it is known whether the target crashed.
  * <p>
  * A connection may also be reset by a live target or by the network; such a request does
  * not become suspect. Not thread-safe.
@@ -31,23 +30,18 @@
 	 * The time for which a crashing process may still accept connections, in
 	 * milliseconds.
 	 */
-	static final long CRASHING_MILLIS = 250;
+	public static final long CRASHING_MILLIS = 250;
 
 	private final Map<TargetIncarnation, List<Broken>> byIncarnation = new HashMap<>();
 
 	/**
-	 * Record that the connection of a request broke.
-	 * @param digest the digest of the request
-	 * @param requestId the id of the request
+	 * Record that the connection of a request ended.
+	 * @param broken the request and the time at which its connection ended
 	 * @param incarnation the incarnation of the target that executed it
-	 * @param now the current time in milliseconds
-	 * @return {@code true} if it is the only one recorded for this incarnation
 	 */
-	public boolean add(RequestDigest digest, String requestId, TargetIncarnation incarnation, long now) {
-		removeExpired(now);
-		List<Broken> requests = this.byIncarnation.computeIfAbsent(incarnation, (r) -> new ArrayList<>());
-		requests.add(new Broken(digest, requestId, now));
-		return requests.size() == 1;
+	public void add(Broken broken, TargetIncarnation incarnation) {
+		removeExpired(broken.brokenAt());
+		this.byIncarnation.computeIfAbsent(incarnation, (r) -> new ArrayList<>()).add(broken);
 	}
 
 	/**
@@ -83,11 +77,14 @@
 	 * connections.
 	 * @param incarnation the incarnation of the target
 	 * @param now the current time in milliseconds
+	 * @return the requests whose connections ended while the target lived
 	 */
-	public void connectionAccepted(TargetIncarnation incarnation, long now) {
-		Optional.ofNullable(this.byIncarnation.get(incarnation))
-			.ifPresent((requests) -> requests.removeIf((b) -> now - b.brokenAt() >= CRASHING_MILLIS));
+	public List<Broken> connectionAccepted(TargetIncarnation incarnation, long now) {
+		List<Broken> requests = this.byIncarnation.getOrDefault(incarnation, new ArrayList<>());
+		List<Broken> outlived = requests.stream().filter((b) -> now - b.brokenAt() >= CRASHING_MILLIS).toList();
+		requests.removeAll(outlived);
 		removeExpired(now);
+		return outlived;
 	}
 
 	/**
@@ -105,13 +102,15 @@
 	}
 
 	/**
-	 * A request whose connection broke.
+	 * A request whose connection ended.
 	 *
 	 * @param digest the digest of the request
 	 * @param requestId the id of the request
-	 * @param brokenAt the time at which the connection broke, in milliseconds
+	 * @param brokenAt the time at which the connection ended, in milliseconds
+	 * @param mayClear whether the connection ended as it does after a successful answer,
+	 * which clears the request if the target did not crash
 	 */
-	public record Broken(RequestDigest digest, String requestId, long brokenAt) {
+	public record Broken(RequestDigest digest, String requestId, long brokenAt, boolean mayClear) {
 
 	}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/BrokenOffAnswerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/BrokenOffAnswerTests.java
@@ -124,6 +124,20 @@
 		assertThat(this.harness.answers(1)).containsExactly("delivered 1");
 	}
 
+	// Guards against a target whose answers keep its earlier checks pending for ever.
+	@Test
+	void eachAnswerIsFollowedByACheckOfItsTarget() {
+		this.harness.join(DispatchHarness.PLAIN, "a");
+		for (int call = 1; call <= 100; call++) {
+			this.harness.open(call, RequestKind.UNSAFE, 1);
+			answer(this.harness.sendLast(), BETWEEN_EVENTS);
+			this.harness.passTime(40);
+		}
+		this.harness.checked.clear();
+		this.harness.passTime(300);
+		assertThat(this.harness.checked).isNotEmpty();
+	}
+
 	// A crashing process may close its port after its connections.
 	@Test
 	void answerClearsItsRequestOnceItsTargetHasOutlivedIt() {
