--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -691,7 +691,8 @@
 				+ ", service " + request.service() + ", " + request.route().kind() + ", due in "
 				+ (call.dueAt() - call.openedAt()) + " ms, digest " + request.digest().label()
 				+ request.size()
-					.map((w) -> ", tokens " + w.promptTokens() + " in, " + w.maxTokens() + " out")
+					.map((w) -> ", tokens " + w.promptTokens() + " in, " + w.maxTokens() + " out, prompt "
+							+ w.describeParts())
 					.orElse("");
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/GenerationSize.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/GenerationSize.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.OptionalLong;
+import java.util.stream.Collectors;
 
 /**
  * Size of a generation as far as it matters to engine scheduling.
@@ -30,6 +31,9 @@
 	 */
 	private static final long LONG_TOKENS = 200;
 
+	/** Bounds the length of a log line. */
+	private static final int DESCRIBED_PARTS = 8;
+
 	public GenerationSize {
 		Objects.requireNonNull(model, "model must not be null");
 		Objects.requireNonNull(expectedTokens, "expectedTokens must not be null");
@@ -47,6 +51,15 @@
 		return this.maxTokens < LONG_TOKENS;
 	}
 
+	/**
+	 * Describe the parts of the prompt for logs.
+	 * @return the identifiers of the first parts and the number of all
+	 */
+	public String describeParts() {
+		String first = this.parts.stream().limit(DESCRIBED_PARTS).map(PromptPart::id).collect(Collectors.joining(" "));
+		return (this.parts.size() > DESCRIBED_PARTS) ? first + " of " + this.parts.size() + " parts" : first;
+	}
+
 	/**
 	 * Return the engine memory to reserve for the generation.
 	 * @param generated the number of tokens generated so far
