--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
@@ -1,6 +1,7 @@
 package dev.laneworks.core.dispatch;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -10,6 +11,7 @@
 import dev.laneworks.core.audit.AuditEvent;
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.directory.ListedTarget;
+import dev.laneworks.core.poison.PromptPartDigests;
 import dev.laneworks.core.verdict.Verdict;
 import dev.laneworks.core.waiting.QueuedGeneration;
 
@@ -27,6 +29,8 @@
 
 	private final long openedAt;
 
+	private final PromptPartDigests prompt;
+
 	private final Set<String> tried = new HashSet<>();
 
 	private Optional<Attempt> attempt = Optional.empty();
@@ -75,6 +79,8 @@
 		this.number = number;
 		this.request = request;
 		this.openedAt = openedAt;
+		this.prompt = PromptPartDigests.of(request.account(), request.service(),
+				request.size().map(GenerationSize::partIds).orElse(List.of()));
 	}
 
 	long number() {
@@ -103,6 +109,11 @@
 		return this.tried;
 	}
 
+	// The parts of the prompt that other requests may share.
+	PromptPartDigests prompt() {
+		return this.prompt;
+	}
+
 	// The candidate filter for the next attempt.
 	CandidateFilter filter() {
 		return filterWithout(this.tried);
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -17,6 +17,8 @@
 import dev.laneworks.core.headroom.EngineHeadroom;
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.poison.RequestDigest;
+import dev.laneworks.core.poison.SuspectPartGroup;
+import dev.laneworks.core.poison.SuspectParts;
 import dev.laneworks.core.poison.SuspectRequests;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.serving.RequestKind;
@@ -109,6 +111,7 @@
 	 * @param entries the number and ranks of the entries
 	 * @param queues the queues of generations that wait for engine memory
 	 * @param suspects the requests that were in progress when targets crashed
+	 * @param suspectParts the prompt parts that were in progress when targets crashed
 	 * @param retries the share of this process in the retry budget
 	 * @param timers the scheduler of delayed tasks
 	 * @param outputs the receiver of decisions to carry out
@@ -116,8 +119,8 @@
 	 */
 	public Dispatcher(DispatchSettings settings, TargetDirectory directory, TargetEstimates estimates,
 			Eligibility eligibility, TargetChooser chooser, CopyCoordination coordination, EntryRanks entries,
-			GenerationQueues queues, SuspectRequests suspects, SharedRetryBudget retries, Timers timers,
-			DispatchOutputs outputs, AuditSink audit) {
+			GenerationQueues queues, SuspectRequests suspects, SuspectParts suspectParts, SharedRetryBudget retries,
+			Timers timers, DispatchOutputs outputs, AuditSink audit) {
 		this.settings = settings;
 		this.directory = directory;
 		this.estimates = estimates;
@@ -135,8 +138,8 @@
 				new CallResumption());
 		this.completion = new CallCompletion(settings, this.calls, this.sender, this.standbys, this.mover, outputs,
 				audit);
-		this.poison = new PoisonRequestGuard(suspects, directory, eligibility::isDraining, this.completion, timers,
-				outputs, audit, settings.mechanisms().isEnabled(Mechanism.REQUEST_QUARANTINE));
+		this.poison = new PoisonRequestGuard(suspects, suspectParts, directory, eligibility::isDraining,
+				this.completion, timers, outputs, audit, settings.mechanisms().isEnabled(Mechanism.REQUEST_QUARANTINE));
 		this.unconfirmed = new UnconfirmedAnswers(outputs, timers);
 		this.queues = queues;
 		this.queuedStarts = new QueuedStarts(queues, this.calls, this.sender, timers, audit, this::engine);
@@ -291,6 +294,7 @@
 			return OptionalLong.empty();
 		}
 		found.get().markSent(now);
+		this.poison.handleSent(call, now);
 		call.recordArrival();
 		this.estimates.of(target).quality().recordSent(now);
 		if (call.isSuccessor(found.get())) {
@@ -396,7 +400,7 @@
 		}
 		else {
 			if (!head.isServerError()) {
-				this.poison.recordCompleted(call, now);
+				this.poison.recordCompleted(call, found.get(), now);
 			}
 			this.outcomes.handleAnswer(call, found.get(), head, end, now);
 		}
@@ -474,7 +478,7 @@
 			this.outcomes.handleFailure(call, found.get(), "the stream ended without an event", now);
 		}
 		else if (end.delimited()) {
-			this.poison.recordCompleted(call, now);
+			this.poison.recordCompleted(call, found.get(), now);
 			completeStream(call, found.get(), end, now);
 		}
 		else if (call.successor().isPresent()) {
@@ -575,6 +579,21 @@
 		}
 	}
 
+	/**
+	 * Refuse the open calls with prompt parts that are quarantined from now on, unless a
+	 * target has begun to answer them.
+	 * @param group the quarantined parts
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @since 0.8
+	 */
+	public void quarantined(SuspectPartGroup group, long now) {
+		for (DirectCall call : List.copyOf(this.calls.values())) {
+			if (group.matches(call.prompt()) && call.lastEvent() == DirectCall.NO_EVENT) {
+				this.poison.refuse(call, now);
+			}
+		}
+	}
+
 	/**
 	 * Handle the disconnection of a caller: end the call without an answer.
 	 * @param number the number of the call
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/GenerationSize.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/GenerationSize.java
@@ -51,12 +51,20 @@
 		return this.maxTokens < LONG_TOKENS;
 	}
 
+	/**
+	 * Return the identifiers of the parts of the prompt.
+	 * @return the identifiers in order
+	 */
+	public List<String> partIds() {
+		return this.parts.stream().map(PromptPart::id).toList();
+	}
+
 	/**
 	 * Describe the parts of the prompt for logs.
 	 * @return the identifiers of the first parts and the number of all
 	 */
 	public String describeParts() {
-		String first = this.parts.stream().limit(DESCRIBED_PARTS).map(PromptPart::id).collect(Collectors.joining(" "));
+		String first = partIds().stream().limit(DESCRIBED_PARTS).collect(Collectors.joining(" "));
 		return (this.parts.size() > DESCRIBED_PARTS) ? first + " of " + this.parts.size() + " parts" : first;
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/PoisonRequestGuard.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/PoisonRequestGuard.java
@@ -19,12 +19,13 @@
 import dev.laneworks.core.directory.TargetIncarnation;
 import dev.laneworks.core.poison.BrokenConnections;
 import dev.laneworks.core.poison.RequestDigest;
+import dev.laneworks.core.poison.SuspectParts;
 import dev.laneworks.core.poison.SuspectRequests;
 import dev.laneworks.core.time.Timers;
 import dev.laneworks.core.verdict.RefusalReason;
 
 /**
- * Detects requests that crash targets, and quarantines them.
+ * Detects requests and prompt parts that crash targets, and quarantines them.
  * <p>
  * A request becomes suspect if its connection broke at a target that was not draining and
  * the target is then found to have crashed: it refuses connections, or its list entry
@@ -59,6 +60,8 @@
 
 	private final SuspectRequests suspects;
 
+	private final SuspectParts suspectParts;
+
 	private final TargetDirectory directory;
 
 	private final Predicate<ListedTarget> announcedDraining;
@@ -81,9 +84,11 @@
 	/** The time of the last scheduled check of each target. */
 	private final Map<TargetIncarnation, Long> lastCheckAt = new HashMap<>();
 
-	PoisonRequestGuard(SuspectRequests suspects, TargetDirectory directory, Predicate<ListedTarget> announcedDraining,
-			CallCompletion completion, Timers timers, DispatchOutputs outputs, AuditSink audit, boolean enabled) {
+	PoisonRequestGuard(SuspectRequests suspects, SuspectParts suspectParts, TargetDirectory directory,
+			Predicate<ListedTarget> announcedDraining, CallCompletion completion, Timers timers,
+			DispatchOutputs outputs, AuditSink audit, boolean enabled) {
 		this.suspects = suspects;
+		this.suspectParts = suspectParts;
 		this.directory = directory;
 		this.announcedDraining = announcedDraining;
 		this.completion = completion;
@@ -96,7 +101,15 @@
 	// Targets whose connections just broke count as crashed until they are checked, so
 	// that the request cannot crash one more target meanwhile.
 	boolean isQuarantined(DirectCall call, long now) {
-		return this.enabled && quarantineLeftMillis(call.request().digest(), now).isPresent();
+		return this.enabled && (quarantineLeftMillis(call.request().digest(), now).isPresent()
+				|| this.suspectParts.remainingQuarantineMillis(call.prompt(), now).isPresent());
+	}
+
+	// To be called when a request that is not quarantined is written to a target.
+	void handleSent(DirectCall call, long now) {
+		if (this.enabled) {
+			this.suspectParts.recordSent(call.prompt(), now);
+		}
 	}
 
 	private OptionalLong quarantineLeftMillis(RequestDigest digest, long now) {
@@ -122,9 +135,32 @@
 	 * @return {@code true} if the call was refused
 	 */
 	boolean refuse(DirectCall call, long now) {
+		if (!this.enabled) {
+			return false;
+		}
+		return refuseForPrompt(call, now) || refuseForRequest(call, now);
+	}
+
+	private boolean refuseForPrompt(DirectCall call, long now) {
+		OptionalLong left = this.suspectParts.remainingQuarantineMillis(call.prompt(), now);
+		if (left.isEmpty()) {
+			return false;
+		}
+		String groups = this.suspectParts.groupsOf(call.prompt())
+			.stream()
+			.map((g) -> g.label() + " after " + g.crashTimes().size() + " crashes")
+			.collect(Collectors.joining(", "));
+		this.completion.refuse(call, RefusalReason.QUARANTINED,
+				new NoTargetReason("targets crashed while executing requests with the same prompt parts: " + groups
+						+ "; it is not sent to any target for " + seconds(left.getAsLong()) + " s", left),
+				now);
+		return true;
+	}
+
+	private boolean refuseForRequest(DirectCall call, long now) {
 		RequestDigest digest = call.request().digest();
 		OptionalLong left = quarantineLeftMillis(digest, now);
-		if (!this.enabled || left.isEmpty()) {
+		if (left.isEmpty()) {
 			return false;
 		}
 		String runs = this.suspects.crashedTargets(digest)
@@ -132,14 +168,19 @@
 			.map(TargetIncarnation::id)
 			.sorted()
 			.collect(Collectors.joining(", "));
-		this.completion.refuse(call, RefusalReason.QUARANTINED,
-				new NoTargetReason("targets crashed while executing this request, digest " + digest.label() + ": "
-						+ runs + "; it is not sent to any target for "
-						+ (left.getAsLong() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND + " s", left),
-				now);
+		this.completion
+			.refuse(call, RefusalReason.QUARANTINED,
+					new NoTargetReason("targets crashed while executing this request, digest " + digest.label() + ": "
+							+ runs + "; it is not sent to any target for " + seconds(left.getAsLong()) + " s", left),
+					now);
 		return true;
 	}
 
+	// Rounds up.
+	private static long seconds(long millis) {
+		return (millis + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+	}
+
 	/**
 	 * Handle the broken connection of an attempt that was sent, and check whether its
 	 * target is alive.
@@ -172,7 +213,7 @@
 			return;
 		}
 		BrokenConnections.Broken broken = new BrokenConnections.Broken(call.request().digest(), call.request().id(),
-				now, mayClear);
+				call.prompt(), beganAt(attempt), now, mayClear);
 		this.brokenConnections.add(broken, target.incarnation());
 		scheduleChecks(target, mayClear ? ANSWERED_CHECK_DELAYS_MILLIS : CHECK_DELAYS_MILLIS, now);
 	}
@@ -208,7 +249,10 @@
 		this.brokenConnections.connectionAccepted(target.incarnation(), now)
 			.stream()
 			.filter(BrokenConnections.Broken::mayClear)
-			.forEach((b) -> this.suspects.recordCompletion(b.digest(), b.brokenAt()));
+			.forEach((b) -> {
+				this.suspects.recordCompletion(b.digest(), b.brokenAt());
+				b.beganAt().ifPresent((began) -> this.suspectParts.recordSuccess(b.prompt(), began, now));
+			});
 	}
 
 	/**
@@ -243,28 +287,49 @@
 		this.announcedShutdown.remove(target.incarnation());
 	}
 
-	void recordCompleted(DirectCall call, long now) {
+	/**
+	 * Record that a target completed a request, or executed it for so long that it is
+	 * harmless.
+	 * @param call the call to clear
+	 * @param attempt the attempt at the target
+	 * @param now the current time in milliseconds of the monotonic clock
+	 */
+	void recordCompleted(DirectCall call, Attempt attempt, long now) {
 		if (this.enabled) {
 			this.suspects.recordCompletion(call.request().digest(), now);
+			this.suspectParts.recordSuccess(call.prompt(), beganAt(attempt).orElse(attempt.sentAt()), now);
 		}
 	}
 
+	private static OptionalLong beganAt(Attempt attempt) {
+		return attempt.isAnswering() ? OptionalLong.of(attempt.firstEventAt()) : OptionalLong.empty();
+	}
+
 	// Clears the request of a generation that has sent events for long enough.
 	void handleEvent(DirectCall call, Attempt attempt, long now) {
 		if (!call.isHarmless() && now - attempt.firstEventAt() >= this.suspects.settings().clearAfterMillis()) {
 			call.markHarmless();
-			recordCompleted(call, now);
+			recordCompleted(call, attempt, now);
 		}
 	}
 
 	private void recordCrash(ListedTarget target, String evidence, long now) {
-		for (BrokenConnections.Broken request : this.brokenConnections.takeAfterCrash(target.incarnation(), now)) {
+		List<BrokenConnections.Broken> requests = this.brokenConnections.takeAfterCrash(target.incarnation(), now);
+		for (BrokenConnections.Broken request : requests) {
 			boolean isNew = this.suspects.recordCrash(request.digest(), target.incarnation(), request.brokenAt(), now);
 			this.audit.record(AuditEvent.of(AuditKind.SUSPECTED, request.requestId(), target.id(),
 					"the target crashed while executing it, " + evidence + "; digest " + request.digest().label() + ", "
 							+ this.suspects.crashedTargets(request.digest()).size() + " crashes so far"
 							+ (isNew ? "" : ", already recorded")));
 		}
+		List<BrokenConnections.Broken> suspectPrompts = requests.stream()
+			.filter(BrokenConnections.Broken::isPromptSuspect)
+			.toList();
+		suspectPrompts.stream()
+			.mapToLong(BrokenConnections.Broken::brokenAt)
+			.min()
+			.ifPresent((at) -> this.suspectParts.recordCrash(target.incarnation(), at,
+					suspectPrompts.stream().map(BrokenConnections.Broken::prompt).toList(), now));
 	}
 
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/poison/BrokenConnections.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/poison/BrokenConnections.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 
@@ -32,6 +33,12 @@
 	 */
 	public static final long CRASHING_MILLIS = 250;
 
+	/**
+	 * The longest time for which a target may answer before a part of the prompt crashes
+	 * it, in milliseconds.
+	 */
+	private static final long PROMPT_CRASH_MILLIS = 1_000;
+
 	private final Map<TargetIncarnation, List<Broken>> byIncarnation = new HashMap<>();
 
 	/**
@@ -106,11 +113,24 @@
 	 *
 	 * @param digest the digest of the request
 	 * @param requestId the id of the request
+	 * @param prompt the parts of its prompt
+	 * @param beganAt the time at which the target began to answer, in milliseconds; empty
+	 * if it had not
 	 * @param brokenAt the time at which the connection ended, in milliseconds
 	 * @param mayClear whether the connection ended as it does after a successful answer,
 	 * which clears the request if the target did not crash
 	 */
-	public record Broken(RequestDigest digest, String requestId, long brokenAt, boolean mayClear) {
+	public record Broken(RequestDigest digest, String requestId, PromptPartDigests prompt, OptionalLong beganAt,
+			long brokenAt, boolean mayClear) {
+
+		/**
+		 * Determine whether the prompt may have crashed the target, which it does as the
+		 * target begins to answer.
+		 * @return {@code false} if the target had answered for a while
+		 */
+		public boolean isPromptSuspect() {
+			return this.beganAt.isEmpty() || this.brokenAt - this.beganAt.getAsLong() <= PROMPT_CRASH_MILLIS;
+		}
 
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/poison/SuspectGossip.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/poison/SuspectGossip.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
@@ -16,17 +17,19 @@
 import dev.laneworks.core.time.Timers;
 
 /**
- * Reports suspect requests to other entries, so that each entry need not lose targets of
- * its own to find them.
+ * Reports what this entry observed of crashes to other entries, so that each entry need
+ * not lose targets of its own to find their causes.
  * <p>
  * Observations of this entry are sent to all entries at once and repeated soon after and
  * in the next rounds. Each round also sends all reports to new entries and to a few
  * random ones, so that every entry receives them despite lost datagrams and the end of
- * the reporting entry. Nothing is sent while no request is suspect. Not thread-safe.
+ * the reporting entry. Nothing is sent while there is nothing to report. Not thread-safe.
  *
+ * @param <K> the type that identifies an observation
+ * @param <R> the type of a report
  * @since 0.4
  */
-public final class SuspectGossip {
+public final class SuspectGossip<K, R> {
 
 	/** The interval between rounds, in milliseconds. */
 	static final long ROUND_MILLIS = 1_000;
@@ -52,47 +55,118 @@
 	 */
 	private static final long SINGLE_CRASH_MILLIS = 5_000;
 
-	/** The most reports in one round. */
+	/**
+	 * The time for which a crash is reported that is not attributed to a part, in
+	 * milliseconds; makes up for lost datagrams.
+	 */
+	private static final long PART_CRASH_MILLIS = 10_000;
+
+	/** The most reports of requests in one round. */
 	private static final int MAX_REPORTS = 256;
 
-	/** The most reports in one datagram, of about 120 bytes each. */
-	private static final int REPORTS_PER_DATAGRAM = 64;
+	/** The most bytes of reports in one datagram, unless a single report is larger. */
+	private static final int MAX_DATAGRAM_BYTES = 7_680;
+
+	/** The approximate size of the report of one request. */
+	private static final int REQUEST_REPORT_BYTES = 120;
+
+	/** The approximate size of a crash or of a success, without its parts. */
+	private static final int PART_REPORT_BYTES = 40;
 
-	private final SuspectRequests suspects;
+	/** The approximate size of a prompt, without its parts, and of a part. */
+	private static final int PROMPT_BYTES = 12;
+
+	private static final int PART_BYTES = 8;
+
+	private final Source<K, R> source;
 
 	private final Supplier<List<String>> entries;
 
-	private final BiConsumer<Collection<String>, List<SuspectReport>> output;
+	private final BiConsumer<Collection<String>, List<R>> output;
 
 	private final Timers timers;
 
 	private final RandomGenerator random;
 
 	/** Observations of this entry that were not sent yet. */
-	private final Set<RequestDigest> unsent = new LinkedHashSet<>();
+	private final Set<K> unsent = new LinkedHashSet<>();
 
 	/** Observations that were sent, with the number of rounds that still repeat them. */
-	private final Map<RequestDigest, Integer> remainingRounds = new LinkedHashMap<>();
+	private final Map<K, Integer> remainingRounds = new LinkedHashMap<>();
 
 	private Set<String> previousEntries = Set.of();
 
 	/**
 	 * Create the gossip of an entry; {@link #start} begins it.
-	 * @param suspects the suspect requests
+	 * @param source creates the reports
 	 * @param entries supplies the addresses of all other known entries
 	 * @param output sends reports to addresses, without a guarantee of delivery
 	 * @param timers schedules the rounds
 	 * @param random selects the random receivers
 	 */
-	public SuspectGossip(SuspectRequests suspects, Supplier<List<String>> entries,
-			BiConsumer<Collection<String>, List<SuspectReport>> output, Timers timers, RandomGenerator random) {
-		this.suspects = Objects.requireNonNull(suspects, "suspects must not be null");
+	public SuspectGossip(Source<K, R> source, Supplier<List<String>> entries,
+			BiConsumer<Collection<String>, List<R>> output, Timers timers, RandomGenerator random) {
+		this.source = Objects.requireNonNull(source, "source must not be null");
 		this.entries = Objects.requireNonNull(entries, "entries must not be null");
 		this.output = Objects.requireNonNull(output, "output must not be null");
 		this.timers = Objects.requireNonNull(timers, "timers must not be null");
 		this.random = Objects.requireNonNull(random, "random must not be null");
 	}
 
+	/**
+	 * Return a source of reports about suspect requests.
+	 * @param suspects the suspect requests
+	 * @return the source
+	 */
+	public static Source<RequestDigest, SuspectReport> requestReports(SuspectRequests suspects) {
+		return new Source<>() {
+
+			@Override
+			public Optional<SuspectReport> report(RequestDigest key, long now) {
+				return suspects.report(key, now);
+			}
+
+			@Override
+			public List<SuspectReport> reports(long now) {
+				return suspects.reports(SINGLE_CRASH_MILLIS, MAX_REPORTS, now);
+			}
+
+			@Override
+			public int bytes(SuspectReport report) {
+				return REQUEST_REPORT_BYTES;
+			}
+
+		};
+	}
+
+	/**
+	 * Return a source of reports about prompt parts.
+	 * @param suspects the suspect parts
+	 * @return the source
+	 */
+	public static Source<TimedObservation, PartObservation> partReports(SuspectParts suspects) {
+		return new Source<>() {
+
+			@Override
+			public Optional<PartObservation> report(TimedObservation key, long now) {
+				return Optional.of(key.observation().olderBy(Math.max(0, now - key.at())));
+			}
+
+			@Override
+			public List<PartObservation> reports(long now) {
+				return suspects.observations(PART_CRASH_MILLIS, now);
+			}
+
+			@Override
+			public int bytes(PartObservation report) {
+				return (report instanceof PartObservation.Crash crash) ? PART_REPORT_BYTES
+						+ crash.suspects().stream().mapToInt((p) -> PROMPT_BYTES + PART_BYTES * p.parts().size()).sum()
+						: PART_REPORT_BYTES;
+			}
+
+		};
+	}
+
 	/**
 	 * Start the rounds.
 	 * @param now the current time in milliseconds
@@ -109,41 +183,98 @@
 		}
 		this.previousEntries = Set.copyOf(all);
 		if (!receivers.isEmpty()) {
-			send(receivers, this.suspects.reports(SINGLE_CRASH_MILLIS, MAX_REPORTS, now));
+			send(receivers, this.source.reports(now));
 		}
 		this.timers.schedule(now + ROUND_MILLIS, this::start);
 	}
 
 	/**
 	 * Report an observation of this entry.
-	 * @param digest the digest of the request
+	 * @param key identifies the observation
 	 * @param now the current time in milliseconds
 	 */
-	public void report(RequestDigest digest, long now) {
+	public void report(K key, long now) {
 		if (this.unsent.isEmpty()) {
 			this.timers.schedule(now, this::sendUnsent);
 		}
-		this.unsent.add(digest);
+		this.unsent.add(key);
 	}
 
 	private void sendUnsent(long now) {
-		Set<RequestDigest> observed = Set.copyOf(this.unsent);
+		Set<K> observed = Set.copyOf(this.unsent);
 		this.unsent.clear();
 		send(this.entries.get(), reportsOf(observed, now));
 		observed.forEach((d) -> this.remainingRounds.put(d, REPEAT_ROUNDS));
 		this.timers.schedule(now + FIRST_REPEAT_MILLIS, (t) -> send(this.entries.get(), reportsOf(observed, t)));
 	}
 
-	private List<SuspectReport> reportsOf(Set<RequestDigest> digests, long now) {
-		List<SuspectReport> reports = new ArrayList<>();
-		digests.forEach((d) -> this.suspects.report(d, now).ifPresent(reports::add));
+	private List<R> reportsOf(Set<K> keys, long now) {
+		List<R> reports = new ArrayList<>();
+		keys.forEach((k) -> this.source.report(k, now).ifPresent(reports::add));
 		return reports;
 	}
 
-	private void send(Collection<String> addresses, List<SuspectReport> reports) {
-		for (int i = 0; i < reports.size() && !addresses.isEmpty(); i += REPORTS_PER_DATAGRAM) {
-			this.output.accept(addresses, reports.subList(i, Math.min(reports.size(), i + REPORTS_PER_DATAGRAM)));
+	private void send(Collection<String> addresses, List<R> reports) {
+		if (addresses.isEmpty()) {
+			return;
 		}
+		List<R> datagram = new ArrayList<>();
+		int bytes = 0;
+		for (R report : reports) {
+			int more = this.source.bytes(report);
+			if (!datagram.isEmpty() && bytes + more > MAX_DATAGRAM_BYTES) {
+				this.output.accept(addresses, List.copyOf(datagram));
+				datagram.clear();
+				bytes = 0;
+			}
+			datagram.add(report);
+			bytes += more;
+		}
+		if (!datagram.isEmpty()) {
+			this.output.accept(addresses, datagram);
+		}
+	}
+
+	/**
+	 * Source of reports.
+	 *
+	 * @param <K> the type that identifies an observation
+	 * @param <R> the type of a report
+	 */
+	public interface Source<K, R> {
+
+		/**
+		 * Create the report of one observation.
+		 * @param key identifies the observation
+		 * @param now the current time in milliseconds
+		 * @return the report; empty if there is none any more
+		 */
+		Optional<R> report(K key, long now);
+
+		/**
+		 * Create the reports for entries that may have missed them.
+		 * @param now the current time in milliseconds
+		 * @return the reports
+		 */
+		List<R> reports(long now);
+
+		/**
+		 * Estimate the size of a report.
+		 * @param report the report
+		 * @return the size in bytes
+		 */
+		int bytes(R report);
+
+	}
+
+	/**
+	 * Observation about prompt parts and the time for which its age is stated.
+	 *
+	 * @param observation the observation
+	 * @param at the time in milliseconds
+	 */
+	public record TimedObservation(PartObservation observation, long at) {
+
 	}
 
 }
--- /dev/null
+++ b/laneworks-core/src/main/java/dev/laneworks/core/poison/SuspectParts.java
@@ -0,0 +1,298 @@
+package dev.laneworks.core.poison;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.OptionalLong;
+import java.util.function.ToLongFunction;
+
+import dev.laneworks.core.directory.TargetIncarnation;
+
+/**
+ * Registry of the prompt parts that crash targets, whatever else the requests hold.
+ * <p>
+ * Keeps the latest crashes with the prompts that were in progress, and the successes that
+ * refute parts as their cause. Both also come from other entries, so that every entry
+ * arrives at the same groups of suspect parts. Requests with all parts of a group are
+ * quarantined, except for single trials, which begin after a time and become rarer as
+ * they fail. Not thread-safe.
+ *
+ * @since 0.8
+ */
+public final class SuspectParts {
+
+	/** The most crashes to keep; bounds the memory. */
+	static final int MAX_CRASHES = 512;
+
+	/**
+	 * The time within which a trial ends a target, clears the parts or is given up, in
+	 * milliseconds.
+	 */
+	static final long TRIAL_MILLIS = 10_000;
+
+	private final PartSettings settings;
+
+	private final ToLongFunction<SuspectPartGroup> trialDelay;
+
+	private final SuspectPartsListener listener;
+
+	/** In the order in which they became known. */
+	private final Map<TargetIncarnation, CrashedTarget> crashes = new LinkedHashMap<>();
+
+	/** The time of the latest success on each part, by account and for all accounts. */
+	private final Map<PartKey, Long> successes = new HashMap<>();
+
+	private final SuccessfulParts successfulParts = new SuccessfulParts();
+
+	private PartAttribution attribution;
+
+	private List<SuspectPartGroup> groups = List.of();
+
+	/** The groups that the listener knows. */
+	private List<SuspectPartGroup> announcedGroups = List.of();
+
+	/** The end of the trial of each group that has one. */
+	private final Map<SuspectPartGroup, Long> trialsUntil = new HashMap<>();
+
+	/**
+	 * Create an empty registry.
+	 * @param settings the thresholds and durations
+	 * @param trialDelay the time in milliseconds by which this process delays its trials
+	 * of a group, so that not all processes try at once
+	 * @param listener receives each change
+	 */
+	public SuspectParts(PartSettings settings, ToLongFunction<SuspectPartGroup> trialDelay,
+			SuspectPartsListener listener) {
+		this.settings = Objects.requireNonNull(settings, "settings must not be null");
+		this.trialDelay = Objects.requireNonNull(trialDelay, "trialDelay must not be null");
+		this.listener = Objects.requireNonNull(listener, "listener must not be null");
+		this.attribution = new PartAttribution(settings, List.of(), Map.of(), (k) -> false);
+	}
+
+	/**
+	 * Record that a target crashed.
+	 * @param incarnation the incarnation of the target
+	 * @param at the time of the crash in milliseconds
+	 * @param suspects the prompts of the requests of this process that may have caused it
+	 * @param now the current time in milliseconds
+	 */
+	public void recordCrash(TargetIncarnation incarnation, long at, List<PromptPartDigests> suspects, long now) {
+		if (addCrash(incarnation, at, suspects)) {
+			this.listener.observed(new PartObservation.Crash(incarnation, Math.max(0, now - at), suspects), now);
+			update(now);
+		}
+	}
+
+	/**
+	 * Record that a target completed a request, or executed it for so long that it cannot
+	 * crash the target any more.
+	 * @param prompt the parts of the request
+	 * @param beganAt the time at which the target began to answer, in milliseconds
+	 * @param now the current time in milliseconds
+	 */
+	public void recordSuccess(PromptPartDigests prompt, long beganAt, long now) {
+		boolean isNew = false;
+		for (long part : prompt.parts()) {
+			if (addSuccess(prompt.account(), part, beganAt)) {
+				isNew = true;
+				this.listener.observed(new PartObservation.Success(prompt.account(), part, Math.max(0, now - beganAt)),
+						now);
+			}
+		}
+		if (isNew) {
+			update(now);
+		}
+	}
+
+	/**
+	 * Handle observations of another process.
+	 * @param observations the observations, which are considered together
+	 * @param now the current time in milliseconds
+	 */
+	public void handleObservations(List<PartObservation> observations, long now) {
+		boolean isNew = false;
+		for (PartObservation observation : observations) {
+			if (observation instanceof PartObservation.Crash crash) {
+				isNew |= addCrash(crash.incarnation(), now - crash.ageMillis(), crash.suspects());
+			}
+		}
+		if (isNew) {
+			attribute(now);
+		}
+		for (PartObservation observation : observations) {
+			if (observation instanceof PartObservation.Success success) {
+				isNew |= addSuccess(success.account(), success.part(), now - success.ageMillis());
+			}
+		}
+		if (isNew) {
+			update(now);
+		}
+	}
+
+	/**
+	 * Return the remaining quarantine of a request.
+	 * @param prompt the parts of the request
+	 * @param now the current time in milliseconds
+	 * @return milliseconds until the next trial; empty if the request may be sent
+	 */
+	public OptionalLong remainingQuarantineMillis(PromptPartDigests prompt, long now) {
+		return this.groups.stream()
+			.filter((g) -> g.matches(prompt))
+			.mapToLong((g) -> Math.max(trialAt(g), this.trialsUntil.getOrDefault(g, Long.MIN_VALUE)) - now)
+			.filter((left) -> left > 0)
+			.max();
+	}
+
+	/**
+	 * Record that a request is sent to a target. If it is the trial of a group, further
+	 * requests of the group wait for its result.
+	 * @param prompt the parts of the request
+	 * @param now the current time in milliseconds
+	 */
+	public void recordSent(PromptPartDigests prompt, long now) {
+		this.groups.stream()
+			.filter((g) -> g.matches(prompt))
+			.forEach((g) -> this.trialsUntil.put(g, now + TRIAL_MILLIS));
+	}
+
+	/**
+	 * Return the groups that a request belongs to.
+	 * @param prompt the parts of the request
+	 * @return the groups, in trial or in quarantine
+	 */
+	public List<SuspectPartGroup> groupsOf(PromptPartDigests prompt) {
+		return this.groups.stream().filter((g) -> g.matches(prompt)).toList();
+	}
+
+	/**
+	 * Return the number of groups of parts that are held responsible for crashes.
+	 * @return the count
+	 */
+	public long quarantined() {
+		return this.groups.size();
+	}
+
+	/**
+	 * Create observations of the crashes that other processes need: recent ones, and
+	 * those of groups in quarantine.
+	 * @param recentMillis the age up to which a crash is recent, in milliseconds
+	 * @param now the current time in milliseconds
+	 * @return the observations, those of groups first
+	 */
+	public List<PartObservation> observations(long recentMillis, long now) {
+		if (removeExpired(now)) {
+			update(now);
+		}
+		List<PartObservation> all = new ArrayList<>();
+		this.crashes.values().stream().filter(this::isOfGroup).forEach((c) -> all.add(c.observation(now)));
+		this.crashes.values()
+			.stream()
+			.filter((c) -> !isOfGroup(c) && now - c.at() <= recentMillis)
+			.forEach((c) -> all.add(c.observation(now)));
+		return all;
+	}
+
+	private long trialAt(SuspectPartGroup group) {
+		return group.quarantinedUntil() + this.trialDelay.applyAsLong(group);
+	}
+
+	private boolean addCrash(TargetIncarnation incarnation, long at, List<PromptPartDigests> suspects) {
+		List<PromptPartDigests> prompts = suspects.stream().filter((s) -> !s.parts().isEmpty()).toList();
+		if (prompts.isEmpty()) {
+			return false;
+		}
+		boolean isNew = this.crashes.computeIfAbsent(incarnation, (i) -> new CrashedTarget(i, at)).merge(prompts, at);
+		prompts.forEach((p) -> p.parts().forEach((part) -> addEarlierSuccess(new PartKey(p.account(), part), at)));
+		evictExcess();
+		return isNew;
+	}
+
+	// A success may become known before the crash that it refutes.
+	private void addEarlierSuccess(PartKey key, long crashedAt) {
+		for (PartKey each : List.of(key, key.forAllAccounts())) {
+			OptionalLong success = this.successfulParts.latest(each);
+			if (success.isPresent() && success.getAsLong() >= crashedAt) {
+				this.successes.merge(each, success.getAsLong(), Math::max);
+			}
+		}
+	}
+
+	private boolean addSuccess(long account, long part, long at) {
+		PartKey key = new PartKey(account, part);
+		this.successfulParts.add(key, at);
+		this.successfulParts.add(key.forAllAccounts(), at);
+		boolean isRefuted = this.attribution.isRefutedBySuccess(key, at)
+				|| this.attribution.isRefutedBySuccess(key.forAllAccounts(), at);
+		if (isRefuted) {
+			this.successes.merge(key, at, Math::max);
+			this.successes.merge(key.forAllAccounts(), at, Math::max);
+		}
+		return isRefuted;
+	}
+
+	private void update(long now) {
+		List<SuspectPartGroup> before = this.announcedGroups;
+		attribute(now);
+		if (removeExpired(now)) {
+			attribute(now);
+		}
+		this.announcedGroups = this.groups;
+		this.trialsUntil.keySet().retainAll(this.groups);
+		before.stream()
+			.filter((b) -> this.groups.stream().noneMatch(b::isSame))
+			.forEach((b) -> this.listener.cleared(b, now));
+		this.groups.stream()
+			.filter((g) -> before.stream().noneMatch(g::isSame))
+			.forEach((g) -> this.listener.quarantined(g, now));
+	}
+
+	private void attribute(long now) {
+		long since = now - this.settings.memoryMillis();
+		this.attribution = new PartAttribution(this.settings, this.crashes.values(), this.successes,
+				(k) -> this.successfulParts.latest(k).orElse(Long.MIN_VALUE) >= since);
+		this.groups = this.attribution.groups();
+	}
+
+	private boolean isOfGroup(CrashedTarget crash) {
+		return this.groups.stream().anyMatch((g) -> isOfGroup(g, crash));
+	}
+
+	private static boolean isOfGroup(SuspectPartGroup group, CrashedTarget crash) {
+		return group.parts().stream().allMatch((p) -> crash.involves(new PartKey(group.account(), p)));
+	}
+
+	// Crashes of a group are kept while it is in quarantine, and for as long again, so
+	// that one failed trial renews the quarantine.
+	private boolean removeExpired(long now) {
+		boolean isRemoved = this.crashes.values()
+			.removeIf((c) -> now - c.at() > this.settings.memoryMillis() && !isHeldInGroup(c, now));
+		if (isRemoved) {
+			this.successes.keySet().removeIf((k) -> this.crashes.values().stream().noneMatch((c) -> c.involves(k)));
+		}
+		return isRemoved;
+	}
+
+	private boolean isHeldInGroup(CrashedTarget crash, long now) {
+		return this.groups.stream().filter((g) -> isOfGroup(g, crash)).anyMatch((g) -> {
+			long quarantineMillis = g.quarantinedUntil() - g.crashTimes().get(g.crashTimes().size() - 1);
+			return now <= g.quarantinedUntil() + Math.max(this.settings.memoryMillis(), quarantineMillis);
+		});
+	}
+
+	private void evictExcess() {
+		Iterator<CrashedTarget> earliest = this.crashes.values().iterator();
+		while (this.crashes.size() > MAX_CRASHES && earliest.hasNext()) {
+			if (!isOfGroup(earliest.next())) {
+				earliest.remove();
+			}
+		}
+		if (this.crashes.size() > MAX_CRASHES) {
+			this.crashes.remove(this.crashes.keySet().iterator().next());
+		}
+	}
+
+}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -25,9 +25,14 @@
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.mechanism.Mechanisms;
+import dev.laneworks.core.poison.PartObservation;
+import dev.laneworks.core.poison.PartSettings;
 import dev.laneworks.core.poison.PoisonSettings;
 import dev.laneworks.core.poison.RequestDigest;
 import dev.laneworks.core.poison.SuspectListener;
+import dev.laneworks.core.poison.SuspectPartGroup;
+import dev.laneworks.core.poison.SuspectParts;
+import dev.laneworks.core.poison.SuspectPartsListener;
 import dev.laneworks.core.poison.SuspectRequests;
 import dev.laneworks.core.serving.AllowedRegions;
 import dev.laneworks.core.serving.EngineSpec;
@@ -114,6 +119,8 @@
 
 	final SuspectRequests suspects;
 
+	final SuspectParts suspectParts;
+
 	final Dispatcher dispatcher;
 
 	/**
@@ -128,6 +135,16 @@
 	Consumer<RequestDigest> onSuspicion = (d) -> {
 	};
 
+	/** Called for each observation of prompt parts. */
+	Consumer<PartObservation> onPartObservation = (o) -> {
+	};
+
+	/** The groups of prompt parts whose quarantine has ended. */
+	final List<SuspectPartGroup> clearedParts = new ArrayList<>();
+
+	/** The time by which the trials of a quarantined part are delayed. */
+	long trialDelayMillis;
+
 	private final Map<Long, RequestDigest> digests = new TreeMap<>();
 
 	/** Whether suspicions are being received from another entry. */
@@ -153,6 +170,11 @@
 		this(retryRatio, retryExtra, seed, mechanisms, poison, queues, plan, "dc");
 	}
 
+	DispatchHarness(double retryRatio, double retryExtra, long seed, Mechanisms mechanisms, PoisonSettings poison,
+			PartSettings parts) {
+		this(retryRatio, retryExtra, seed, mechanisms, poison, parts, GenerationQueues.off(), defaultPlan(), "dc");
+	}
+
 	DispatchHarness(double retryRatio, double retryExtra, long seed, Mechanisms mechanisms, PoisonSettings poison,
 			String dataCentre) {
 		this(retryRatio, retryExtra, seed, mechanisms, poison, GenerationQueues.off(), defaultPlan(), dataCentre);
@@ -160,14 +182,20 @@
 
 	private DispatchHarness(double retryRatio, double retryExtra, long seed, Mechanisms mechanisms,
 			PoisonSettings poison, GenerationQueues queues, ServingPlan plan, String dataCentre) {
+		this(retryRatio, retryExtra, seed, mechanisms, poison, PartSettings.defaults(), queues, plan, dataCentre);
+	}
+
+	private DispatchHarness(double retryRatio, double retryExtra, long seed, Mechanisms mechanisms,
+			PoisonSettings poison, PartSettings parts, GenerationQueues queues, ServingPlan plan, String dataCentre) {
 		this.suspects = new SuspectRequests(poison, new SuspicionRecorder());
+		this.suspectParts = new SuspectParts(parts, (g) -> this.trialDelayMillis, new PartRecorder());
 		SplittableRandom random = new SplittableRandom(seed);
 		TargetChooser chooser = new TargetChooser(this.eligibility, this.estimates, dataCentre,
 				(d, t) -> this.silentMillis.getOrDefault(d, 0L), random, mechanisms);
 		setRetryLimits(retryRatio, retryExtra);
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(mechanisms), this.directory, this.estimates,
-				this.eligibility, chooser, new FixedCopyTurn(), new FixedRanks(), queues, this.suspects, this.retries,
-				this.timers, this, this.audit::add);
+				this.eligibility, chooser, new FixedCopyTurn(), new FixedRanks(), queues, this.suspects,
+				this.suspectParts, this.retries, this.timers, this, this.audit::add);
 		this.dispatcher.applyPlan(plan);
 	}
 
@@ -462,6 +490,25 @@
 
 	}
 
+	private final class PartRecorder implements SuspectPartsListener {
+
+		@Override
+		public void observed(PartObservation observation, long now) {
+			DispatchHarness.this.onPartObservation.accept(observation);
+		}
+
+		@Override
+		public void quarantined(SuspectPartGroup group, long now) {
+			DispatchHarness.this.dispatcher.quarantined(group, now);
+		}
+
+		@Override
+		public void cleared(SuspectPartGroup group, long now) {
+			DispatchHarness.this.clearedParts.add(group);
+		}
+
+	}
+
 	private final class EvacuationForwarder implements EvacuationListener {
 
 		@Override
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/PoisonedFleet.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/PoisonedFleet.java
@@ -11,9 +11,12 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.ObjLongConsumer;
 
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.mechanism.Mechanisms;
+import dev.laneworks.core.poison.PartObservation;
+import dev.laneworks.core.poison.PartSettings;
 import dev.laneworks.core.poison.PoisonSettings;
 import dev.laneworks.core.poison.RequestDigest;
 import dev.laneworks.core.poison.SuspectGossip;
@@ -27,7 +30,8 @@
 
 /**
  * Simulation in virtual time of several entries and engines, in which engines crash at
- * random, all at once, or from harmful requests that are retried at any entry.
+ * random, all at once, from harmful requests that are retried at any entry, or from
+ * requests with a harmful part in their prompts.
  * <p>
  * Engines read a prompt in 250 to 400 ms and then send an event every 40 ms. A harmful
  * request crashes its engine 70 ms after it started. A crashed engine stays listed for
@@ -51,6 +55,19 @@
 
 	private static final double DATAGRAM_LOSS = 0.033;
 
+	/** The number of shared first parts, and of second parts, of harmless prompts. */
+	private static final int FIRST_PARTS = 4;
+
+	private static final int SECOND_PARTS = 40;
+
+	/**
+	 * The number of crashes by a part after which requests with it are counted, and the
+	 * time that entries have to react, as the users' rules state them.
+	 */
+	private static final int COUNTED_CRASHES = 5;
+
+	private static final long REACTION_MILLIS = 3_000;
+
 	private final SplittableRandom random;
 
 	private final Timers timers = new Timers();
@@ -69,6 +86,19 @@
 
 	private final Set<Long> harmless = new HashSet<>();
 
+	/** The crashes that each harmful part caused, and the time of the fifth. */
+	private final Map<String, Integer> crashesByPart = new HashMap<>();
+
+	private final Map<String, Long> fifthCrashAt = new HashMap<>();
+
+	private final Set<String> harmfulParts = new HashSet<>();
+
+	private final PoisonSettings settings;
+
+	private final PartSettings partSettings;
+
+	private final long seed;
+
 	private long calls;
 
 	private int enginesMade;
@@ -89,30 +119,66 @@
 
 	long gossipBytes;
 
-	PoisonedFleet(int entries, int engines, PoisonSettings settings, long seed) {
+	/** Requests with a harmful part that were sent too long after its fifth crash. */
+	int partSentLate;
+
+	/** Harmless generations that were sent and did not complete, and those that did. */
+	int harmlessBroken;
+
+	int harmlessCompleted;
+
+	/** The delay and the loss of datagrams between entries. */
+	long datagramMillis = ONE_WAY_MILLIS;
+
+	double datagramLoss = DATAGRAM_LOSS;
+
+	/** Whether crashing engines close connections as after a complete answer. */
+	boolean closesPlainly;
+
+	PoisonedFleet(int entries, int engines, PoisonSettings settings, PartSettings partSettings, long seed) {
 		this.random = new SplittableRandom(seed);
+		this.settings = settings;
+		this.partSettings = partSettings;
+		this.seed = seed;
 		for (int i = 0; i < entries; i++) {
-			DispatchHarness entry = new DispatchHarness(1, 1_000, seed * 100 + i, Mechanisms.all(), settings);
-			entry.entries = entries;
-			entry.rank = i;
-			this.entries.add(entry);
-			this.handled.put(entry, 0);
-		}
-		for (DispatchHarness entry : this.entries) {
-			SuspectGossip gossip = new SuspectGossip(entry.suspects, () -> addresses(entry), this::sendReports,
-					this.timers, this.random);
-			entry.onSuspicion = (d) -> {
-				if (!entry.receivingGossip) {
-					gossip.report(d, this.now);
-				}
-			};
-			gossip.start(0);
+			addEntry();
 		}
 		for (int i = 0; i < engines; i++) {
 			add();
 		}
 	}
 
+	private void addEntry() {
+		int rank = this.entries.size();
+		DispatchHarness entry = new DispatchHarness(1, 1_000, this.seed * 100 + rank, Mechanisms.all(), this.settings,
+				this.partSettings);
+		entry.rank = rank;
+		entry.trialDelayMillis = rank * 2_000L;
+		entry.passTime(this.now);
+		this.entries.add(entry);
+		this.entries.forEach((e) -> e.entries = this.entries.size());
+		this.handled.put(entry, 0);
+		this.engines.values().forEach((e) -> entry.directory.put(e.target));
+		startGossip(entry);
+	}
+
+	private void startGossip(DispatchHarness entry) {
+		SuspectGossip<SuspectGossip.TimedObservation, PartObservation> parts = new SuspectGossip<>(
+				SuspectGossip.partReports(entry.suspectParts), () -> addresses(entry), this::sendObservations,
+				this.timers, this.random);
+		entry.onPartObservation = (o) -> parts.report(new SuspectGossip.TimedObservation(o, this.now), this.now);
+		parts.start(this.now);
+		SuspectGossip<RequestDigest, SuspectReport> gossip = new SuspectGossip<>(
+				SuspectGossip.requestReports(entry.suspects), () -> addresses(entry), this::sendReports, this.timers,
+				this.random);
+		entry.onSuspicion = (d) -> {
+			if (!entry.receivingGossip) {
+				gossip.report(d, this.now);
+			}
+		};
+		gossip.start(this.now);
+	}
+
 	/**
 	 * Run a fleet of four entries and 28 engines under twenty generations a second, with
 	 * three callers that send the same request again.
@@ -123,7 +189,7 @@
 	 * @return the fleet after the run, with its results
 	 */
 	static PoisonedFleet play(PoisonSettings settings, long seed, long millis, Consumer<PoisonedFleet> faults) {
-		PoisonedFleet fleet = new PoisonedFleet(4, 28, settings, seed);
+		PoisonedFleet fleet = new PoisonedFleet(4, 28, settings, PartSettings.defaults(), seed);
 		fleet.openHarmless(20);
 		fleet.repeatIdentical(3, 300);
 		faults.accept(fleet);
@@ -131,6 +197,66 @@
 		return fleet;
 	}
 
+	/**
+	 * Run a fleet under forty harmless generations a second that share the parts of their
+	 * prompts.
+	 * @param entries the number of entries
+	 * @param engines the number of engines
+	 * @param settings the thresholds of the quarantine of parts
+	 * @param seed the random seed
+	 * @param millis the duration in milliseconds of virtual time
+	 * @param faults the faults to inject
+	 * @return the fleet after the run, with its results
+	 */
+	static PoisonedFleet playParts(int entries, int engines, PartSettings settings, long seed, long millis,
+			Consumer<PoisonedFleet> faults) {
+		PoisonedFleet fleet = new PoisonedFleet(entries, engines, PoisonSettings.defaults(), settings, seed);
+		faults.accept(fleet);
+		fleet.openHarmlessWithParts(40);
+		fleet.run(millis);
+		return fleet;
+	}
+
+	// Opens harmless generations, of which a third are long.
+	private void openHarmlessWithParts(double perSecond) {
+		every(Math.round(1_000 / perSecond), () -> {
+			String account = "account " + this.random.nextInt(5);
+			String first = "first" + this.random.nextInt(FIRST_PARTS);
+			String second = "second" + this.random.nextInt(SECOND_PARTS);
+			List<String> parts = List.of(first, second, "own" + this.calls);
+			open(new Request(digest(this.calls + 1, 0), account, parts, (this.random.nextInt(3) == 0) ? 200 : 4,
+					parts.stream().anyMatch(this.harmfulParts::contains)));
+		});
+	}
+
+	/**
+	 * Open requests with a harmful part from a time on, no two of them alike.
+	 * @param from the time of the first in milliseconds
+	 * @param part the harmful part
+	 * @param meanMillis the mean interval in milliseconds
+	 * @param accounts the number of accounts that send them
+	 * @param prompt creates the parts before the last from a harmless first and second
+	 * part and the harmful one
+	 */
+	void sendHarmfulPart(long from, String part, long meanMillis, int accounts, PromptShape prompt) {
+		this.harmfulParts.add(part);
+		this.timers.schedule(from, (t) -> every(meanMillis, () -> {
+			List<String> parts = new ArrayList<>(
+					prompt.parts("first" + this.random.nextInt(FIRST_PARTS), "second" + this.random.nextInt(3), part));
+			parts.add("own" + this.calls);
+			open(new Request(digest(this.calls + 1, 0), "account " + this.random.nextInt(accounts), parts, 4, true));
+		}));
+	}
+
+	// Makes a part of the harmless prompts harmful from a time on.
+	void turnHarmful(long from, String part) {
+		this.timers.schedule(from, (t) -> this.harmfulParts.add(part));
+	}
+
+	void startEntryAt(long at) {
+		this.timers.schedule(at, (t) -> addEntry());
+	}
+
 	// Crashes engines at random, at this mean interval.
 	void crashEvery(long millis) {
 		every(millis, () -> {
@@ -149,15 +275,15 @@
 
 	// Opens harmless generations, of which a third are long.
 	void openHarmless(double perSecond) {
-		every(Math.round(1_000 / perSecond),
-				() -> open(new Request(digest(this.calls + 1, 0), (this.random.nextInt(3) == 0) ? 200 : 4, false)));
+		every(Math.round(1_000 / perSecond), () -> open(new Request(digest(this.calls + 1, 0), "acme", List.of(),
+				(this.random.nextInt(3) == 0) ? 200 : 4, false)));
 	}
 
 	// Repeats identical requests, as polling clients do.
 	void repeatIdentical(int callers, long eachMillis) {
 		for (int i = 0; i < callers; i++) {
 			RequestDigest digest = digest(i, 1);
-			every(eachMillis, () -> open(new Request(digest, 4, false)));
+			every(eachMillis, () -> open(new Request(digest, "acme", List.of(), 4, false)));
 		}
 	}
 
@@ -165,7 +291,7 @@
 	void sendHarmful(int different) {
 		for (int i = 0; i < different; i++) {
 			RequestDigest digest = digest(i, 2);
-			every(1_000, () -> open(new Request(digest, 4, true)));
+			every(1_000, () -> open(new Request(digest, "acme", List.of(), 4, true)));
 		}
 	}
 
@@ -213,10 +339,10 @@
 		RouteSpec route = new RouteSpec("r", "h", "/", RequestKind.STREAMING, 39_000, 1_800, 180, 1, 1, false,
 				List.of(new WeightedService(DispatchHarness.ENGINES, 1)), AllowedRegions.any());
 		GenerationSize size = new GenerationSize("m", 1_500, (request.events > 4) ? 1_000 : 40, OptionalLong.empty(),
-				List.of());
+				request.parts.stream().map((p) -> new PromptPart(p, 100)).toList());
 		entry.passTime(this.now - entry.now);
 		entry.dispatcher.open(number, new DirectRequest(DispatchHarness.id(number), route, DispatchHarness.ENGINES,
-				"acme", 39_000, AllowedRegions.any(), request.digest, Optional.of(size)), this.now);
+				request.account, 39_000, AllowedRegions.any(), request.digest, Optional.of(size)), this.now);
 		processOutputs(entry);
 		handleEnd(entry, number);
 	}
@@ -235,8 +361,13 @@
 		if (!request.harmful && isQuarantined) {
 			this.harmlessRefused++;
 		}
+		if (!request.harmful && !isQuarantined) {
+			boolean isComplete = entry.answers(number).contains("ended");
+			this.harmlessCompleted += isComplete ? 1 : 0;
+			this.harmlessBroken += isComplete ? 0 : 1;
+		}
 		boolean wasExecuted = entry.answers(number).contains("refused 502") || entry.answers(number).contains("cut");
-		if (request.harmful && wasExecuted) {
+		if (request.harmful && wasExecuted && request.harmfulPart().isEmpty()) {
 			this.timers.schedule(this.now + 1, (t) -> open(request));
 		}
 	}
@@ -273,6 +404,10 @@
 			this.sentDuringDetection += isDuringDetection ? 1 : 0;
 			this.sentAfterDetection += isDuringDetection ? 0 : 1;
 		}
+		Optional<Long> fifth = Optional.ofNullable(request).flatMap(Request::harmfulPart).map(this.fifthCrashAt::get);
+		if (fifth.isPresent() && this.now > fifth.get() + REACTION_MILLIS) {
+			this.partSentLate++;
+		}
 	}
 
 	private void add() {
@@ -289,7 +424,7 @@
 		}
 		for (Run run : List.copyOf(engine.runs)) {
 			if (run.isOpen()) {
-				run.entry.breakConnection(run.sent);
+				endConnection(run);
 				processOutputs(run.entry);
 				handleEnd(run.entry, run.sent.call());
 			}
@@ -299,6 +434,16 @@
 		this.timers.schedule(this.now + REPLACEMENT_MILLIS, (t) -> add());
 	}
 
+	private void endConnection(Run run) {
+		if (this.closesPlainly) {
+			run.entry.dispatcher.streamEnded(run.sent.call(), run.sent.attempt(), new AnswerEnd(false, 0), this.now);
+			run.entry.passTime(0);
+		}
+		else {
+			run.entry.breakConnection(run.sent);
+		}
+	}
+
 	private List<String> addresses(DispatchHarness but) {
 		List<String> others = new ArrayList<>();
 		for (int i = 0; i < this.entries.size(); i++) {
@@ -312,31 +457,67 @@
 	private void sendReports(Iterable<String> addresses, List<SuspectReport> reports) {
 		for (String address : addresses) {
 			this.gossipBytes += reports.stream().mapToLong((r) -> 30 + 35L * r.crashes().size()).sum();
-			if (this.random.nextDouble() >= DATAGRAM_LOSS) {
-				DispatchHarness entry = this.entries.get(Integer.parseInt(address));
-				this.timers.schedule(this.now + ONE_WAY_MILLIS, (t) -> {
-					entry.receivingGossip = true;
-					reports.forEach((r) -> entry.suspects.handleReport(r, t));
-					entry.receivingGossip = false;
-				});
-			}
+			receive(address, (e, t) -> {
+				e.receivingGossip = true;
+				reports.forEach((r) -> e.suspects.handleReport(r, t));
+				e.receivingGossip = false;
+			});
+		}
+	}
+
+	private void sendObservations(Iterable<String> addresses, List<PartObservation> observations) {
+		for (String address : addresses) {
+			this.gossipBytes += observations.stream()
+				.mapToLong((o) -> 30 + ((o instanceof PartObservation.Crash crash)
+						? crash.suspects().stream().mapToLong((p) -> 12 + 8L * p.parts().size()).sum() : 0))
+				.sum();
+			receive(address, (e, t) -> e.suspectParts.handleObservations(observations, t));
+		}
+	}
+
+	private void receive(String address, ObjLongConsumer<DispatchHarness> handler) {
+		if (this.random.nextDouble() >= this.datagramLoss) {
+			DispatchHarness entry = this.entries.get(Integer.parseInt(address));
+			this.timers.schedule(this.now + this.datagramMillis, (t) -> {
+				entry.passTime(t - entry.now);
+				handler.accept(entry, t);
+				processOutputs(entry);
+			});
 		}
 	}
 
-	private static final class Request {
+	/** Places a harmful part among harmless ones. */
+	@FunctionalInterface
+	interface PromptShape {
+
+		List<String> parts(String first, String second, String harmful);
+
+	}
+
+	private final class Request {
 
 		private final RequestDigest digest;
 
+		private final String account;
+
+		private final List<String> parts;
+
 		private final int events;
 
 		private final boolean harmful;
 
-		private Request(RequestDigest digest, int events, boolean harmful) {
+		private Request(RequestDigest digest, String account, List<String> parts, int events, boolean harmful) {
 			this.digest = digest;
+			this.account = account;
+			this.parts = parts;
 			this.events = events;
 			this.harmful = harmful;
 		}
 
+		private Optional<String> harmfulPart() {
+			return this.parts.stream().filter(PoisonedFleet.this.harmfulParts::contains).findFirst();
+		}
+
 	}
 
 	private final class Run {
@@ -400,6 +581,11 @@
 			if (PoisonedFleet.this.crashes.merge(run.request.digest, 1, Integer::sum) == 3) {
 				PoisonedFleet.this.thirdCrashAt.put(run.request.digest, PoisonedFleet.this.now);
 			}
+			run.request.harmfulPart().ifPresent((p) -> {
+				if (PoisonedFleet.this.crashesByPart.merge(p, 1, Integer::sum) == COUNTED_CRASHES) {
+					PoisonedFleet.this.fifthCrashAt.put(p, PoisonedFleet.this.now);
+				}
+			});
 			crash(this);
 		}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/poison/BrokenConnectionsTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/poison/BrokenConnectionsTests.java
@@ -1,6 +1,7 @@
 package dev.laneworks.core.poison;
 
 import java.util.List;
+import java.util.OptionalLong;
 
 import dev.laneworks.core.directory.TargetIncarnation;
 import org.junit.jupiter.api.Test;
@@ -78,7 +79,8 @@
 	}
 
 	private void add(RequestDigest digest, String id, TargetIncarnation incarnation, long now) {
-		this.brokenConnections.add(new BrokenConnections.Broken(digest, id, now, true), incarnation);
+		this.brokenConnections.add(new BrokenConnections.Broken(digest, id, new PromptPartDigests(0, List.of()),
+				OptionalLong.empty(), now, true), incarnation);
 	}
 
 	private static List<String> requestIds(List<BrokenConnections.Broken> requests) {
--- a/laneworks-core/src/test/java/dev/laneworks/core/poison/SuspectGossipTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/poison/SuspectGossipTests.java
@@ -132,8 +132,9 @@
 
 		private final SuspectRequests suspects = new SuspectRequests(PoisonSettings.defaults(), this);
 
-		private final SuspectGossip gossip = new SuspectGossip(this.suspects, this::others, this::send,
-				SuspectGossipTests.this.timers, SuspectGossipTests.this.random);
+		private final SuspectGossip<RequestDigest, SuspectReport> gossip = new SuspectGossip<>(
+				SuspectGossip.requestReports(this.suspects), this::others, this::send, SuspectGossipTests.this.timers,
+				SuspectGossipTests.this.random);
 
 		private boolean isReceiving;
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -229,7 +229,7 @@
 				sharesMemory ? this.shares : AccountOveruse.NONE, this.peers, random);
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(settings.mechanisms()), this.directory,
 				this.estimates, eligibility, this.chooser, this.peers, this.peers, this.queues,
-				this.suspects.requests(), this.retryBudget, timers, calls, this.audit);
+				this.suspects.requests(), this.suspects.parts(), this.retryBudget, timers, calls, this.audit);
 		this.peers.useDemand(() -> this.queues.demand(this.loop.now()));
 		if (sharesMemory) {
 			this.queues.onQueueChange(this.shares);
@@ -439,8 +439,8 @@
 		this.accountGauges.update(this.shares.shares(AccountGauges.MAX_ACCOUNTS, now));
 		return new EntryGauges(this.estimates.countUnreachable(now), this.cold.count(now),
 				this.backpressure.limitCount(), this.backpressure.backoffCount(now),
-				this.suspects.requests().quarantined(now), this.store.evacuations().count(),
-				this.store.published().plan().map(ServingPlan::version).orElse(-1L),
+				this.suspects.requests().quarantined(now), this.suspects.parts().quarantined(),
+				this.store.evacuations().count(), this.store.published().plan().map(ServingPlan::version).orElse(-1L),
 				this.store.follower().behindMillis(now), this.dispatcher.headroom().lowestLimit(now),
 				this.dispatcher.headroom().largestDisplacedShare(now), this.queues.refused(),
 				this.callers.connections(), this.callers.unanswered(),
@@ -556,6 +556,7 @@
 		this.metrics.register("laneworks_targets_resting", (Gauge<Integer>) () -> this.gauges.targetsInBackoff());
 		this.metrics.register("laneworks_targets_cold", (Gauge<Long>) () -> this.gauges.coldTargets());
 		this.metrics.register("laneworks_requests_quarantined", (Gauge<Long>) () -> this.gauges.quarantinedRequests());
+		this.metrics.register("laneworks_prompt_parts_quarantined", (Gauge<Long>) () -> this.gauges.quarantinedParts());
 		this.metrics.register("laneworks_data_centres_evacuated",
 				(Gauge<Integer>) () -> this.gauges.evacuatedDataCentres());
 		this.metrics.register("laneworks_start_limit", (Gauge<Double>) () -> this.gauges.startLimit());
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EntryGauges.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EntryGauges.java
@@ -10,6 +10,8 @@
  * @param rateLimitedTargets the targets that advertise a rate limit
  * @param targetsInBackoff the targets that requested a backoff of this entry
  * @param quarantinedRequests the requests that are sent to no target
+ * @param quarantinedParts the groups of prompt parts that are held responsible for
+ * crashes of targets
  * @param evacuatedDataCentres the data centres that receive no requests
  * @param planVersion the version of the active plan; -1 if there is none
  * @param storeBehindMillis for how long changes of the store have been known to be
@@ -25,11 +27,11 @@
  * @param waiting the generations that wait for engine memory, by priority
  */
 record EntryGauges(long suspectedTargets, long coldTargets, int rateLimitedTargets, int targetsInBackoff,
-		long quarantinedRequests, int evacuatedDataCentres, long planVersion, long storeBehindMillis, double startLimit,
-		double displacedShare, long refusedFromQueue, int callerConnections, int unanswered,
-		Map<Integer, WaitingGauge> waiting) {
+		long quarantinedRequests, long quarantinedParts, int evacuatedDataCentres, long planVersion,
+		long storeBehindMillis, double startLimit, double displacedShare, long refusedFromQueue, int callerConnections,
+		int unanswered, Map<Integer, WaitingGauge> waiting) {
 
 	/** The values before the first collection. */
-	static final EntryGauges NONE = new EntryGauges(0, 0, 0, 0, 0, 0, -1, 0, 1, 0, 0, 0, 0, Map.of());
+	static final EntryGauges NONE = new EntryGauges(0, 0, 0, 0, 0, 0, 0, -1, 0, 1, 0, 0, 0, 0, Map.of());
 
 }
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PeerEntries.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PeerEntries.java
@@ -43,6 +43,7 @@
 import dev.laneworks.core.handover.SnapshotRequest;
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.mechanism.Mechanisms;
+import dev.laneworks.core.poison.PartObservation;
 import dev.laneworks.core.poison.SuspectReport;
 import dev.laneworks.core.waiting.PeerDemand;
 import dev.laneworks.wire.GossipListener;
@@ -88,6 +89,9 @@
 	private Consumer<SuspectReport> suspectListener = (r) -> {
 	};
 
+	private Consumer<List<PartObservation>> partListener = (o) -> {
+	};
+
 	private Predicate<TargetIncarnation> listed = (t) -> false;
 
 	private Supplier<List<ServiceDemand>> demand = List::of;
@@ -170,6 +174,11 @@
 		this.suspectListener = listener;
 	}
 
+	// Set the listener for other entries' observations of prompt parts.
+	void onPartObservations(Consumer<List<PartObservation>> listener) {
+		this.partListener = listener;
+	}
+
 	// Return the gossip addresses of all other known entries.
 	List<String> addresses() {
 		return this.gossip.addresses();
@@ -180,6 +189,11 @@
 		this.socket.sendSuspects(addresses.stream().map(PeerEntries::socketAddress).toList(), reports);
 	}
 
+	// The socket is open by then, since no other entry is known before.
+	void reportParts(Collection<String> addresses, List<PartObservation> observations) {
+		this.socket.sendPartObservations(addresses.stream().map(PeerEntries::socketAddress).toList(), observations);
+	}
+
 	void start(long now) {
 		if (this.mechanisms.isEnabled(Mechanism.ENTRY_NEWS)) {
 			this.gossip.start(now);
@@ -428,6 +442,11 @@
 			PeerEntries.this.loop.run(() -> reports.forEach(PeerEntries.this.suspectListener));
 		}
 
+		@Override
+		public void partsObserved(List<PartObservation> observations) {
+			PeerEntries.this.loop.run(() -> PeerEntries.this.partListener.accept(observations));
+		}
+
 		@Override
 		public void loanRequested(String from, RetryLoanRequest request) {
 			PeerEntries.this.loop
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/SuspectTracking.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/SuspectTracking.java
@@ -7,22 +7,37 @@
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.TargetIncarnation;
 import dev.laneworks.core.dispatch.Dispatcher;
+import dev.laneworks.core.poison.PartObservation;
+import dev.laneworks.core.poison.PartSettings;
 import dev.laneworks.core.poison.PoisonSettings;
 import dev.laneworks.core.poison.RequestDigest;
 import dev.laneworks.core.poison.SuspectGossip;
 import dev.laneworks.core.poison.SuspectListener;
+import dev.laneworks.core.poison.SuspectPartGroup;
+import dev.laneworks.core.poison.SuspectParts;
+import dev.laneworks.core.poison.SuspectPartsListener;
 import dev.laneworks.core.poison.SuspectReport;
 import dev.laneworks.core.poison.SuspectRequests;
 
 /**
- * Tracking of requests during whose execution targets crash, shared with the other
- * entries. Used on the I/O thread alone.
+ * Tracking of requests and prompt parts during whose execution targets crash, shared with
+ * the other entries. Used on the I/O thread alone.
  */
 final class SuspectTracking implements SuspectListener {
 
+	/**
+	 * The time between the trials of a quarantined part at different entries, in
+	 * milliseconds; long enough to learn of the crash that a trial causes.
+	 */
+	private static final long TRIAL_INTERVAL_MILLIS = 2_000;
+
 	private final SuspectRequests requests = new SuspectRequests(PoisonSettings.defaults(), this);
 
-	private final SuspectGossip gossip;
+	private final SuspectParts parts;
+
+	private final SuspectGossip<RequestDigest, SuspectReport> requestGossip;
+
+	private final SuspectGossip<SuspectGossip.TimedObservation, PartObservation> partGossip;
 
 	private final EventLoop loop;
 
@@ -36,8 +51,14 @@
 	SuspectTracking(PeerEntries peers, EventLoop loop, RandomGenerator random, AuditSink audit) {
 		this.loop = loop;
 		this.audit = audit;
-		this.gossip = new SuspectGossip(this.requests, peers::addresses, peers::reportSuspects, loop.timers(), random);
+		this.parts = new SuspectParts(PartSettings.defaults(), (g) -> peers.rankFor(g.label()) * TRIAL_INTERVAL_MILLIS,
+				new PartListener());
+		this.requestGossip = new SuspectGossip<>(SuspectGossip.requestReports(this.requests), peers::addresses,
+				peers::reportSuspects, loop.timers(), random);
+		this.partGossip = new SuspectGossip<>(SuspectGossip.partReports(this.parts), peers::addresses,
+				peers::reportParts, loop.timers(), random);
 		peers.onSuspect(this::reportReceived);
+		peers.onPartObservations((o) -> this.parts.handleObservations(o, this.loop.now()));
 	}
 
 	// Set the dispatcher that ends the calls of quarantined requests; to be called
@@ -50,8 +71,13 @@
 		return this.requests;
 	}
 
+	SuspectParts parts() {
+		return this.parts;
+	}
+
 	void start(long now) {
-		this.gossip.start(now);
+		this.requestGossip.start(now);
+		this.partGossip.start(now);
 	}
 
 	@Override
@@ -88,7 +114,7 @@
 
 	private void announceOwn(RequestDigest digest, long now) {
 		if (!this.applyingPeerReport) {
-			this.gossip.report(digest, now);
+			this.requestGossip.report(digest, now);
 		}
 	}
 
@@ -96,4 +122,32 @@
 		this.audit.record(AuditEvent.of(AuditKind.QUARANTINED, digest.label(), "", cause));
 	}
 
+	/** Announces observations of prompt parts and ends the calls of quarantined ones. */
+	private final class PartListener implements SuspectPartsListener {
+
+		@Override
+		public void observed(PartObservation observation, long now) {
+			SuspectTracking.this.partGossip.report(new SuspectGossip.TimedObservation(observation, now), now);
+		}
+
+		@Override
+		public void quarantined(SuspectPartGroup group, long now) {
+			record(group, group.crashTimes().size() + " crashes of targets involved requests with all of these "
+					+ group.parts().size() + " prompt parts" + (group.isOfAllAccounts() ? "" : " of one account")
+					+ ", and no success since; they are sent to no target for " + (group.quarantinedUntil() - now)
+					+ " ms");
+			SuspectTracking.this.dispatcher.quarantined(group, now);
+		}
+
+		@Override
+		public void cleared(SuspectPartGroup group, long now) {
+			record(group, "these prompt parts together are no longer held responsible for crashes");
+		}
+
+		private void record(SuspectPartGroup group, String cause) {
+			SuspectTracking.this.audit.record(AuditEvent.of(AuditKind.QUARANTINED, group.label(), "", cause));
+		}
+
+	}
+
 }
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/EntryDatagramCodec.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/EntryDatagramCodec.java
@@ -10,6 +10,7 @@
 import dev.laneworks.core.gossip.LoadUpdate;
 import dev.laneworks.core.handover.SnapshotChunk;
 import dev.laneworks.core.handover.SnapshotRequest;
+import dev.laneworks.core.poison.PartObservation;
 import dev.laneworks.core.poison.SuspectReport;
 import dev.laneworks.wire.proto.Protocol;
 import org.tinylog.Logger;
@@ -65,6 +66,14 @@
 			.toByteArray();
 	}
 
+	static byte[] encodeParts(List<PartObservation> observations) {
+		return Protocol.EntryDatagram.newBuilder()
+			.setProtocol(VERSION)
+			.setParts(PartObservationCodec.encode(observations))
+			.build()
+			.toByteArray();
+	}
+
 	static byte[] encode(RetryLoanRequest request) {
 		return Protocol.EntryDatagram.newBuilder()
 			.setProtocol(VERSION)
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/GossipListener.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/GossipListener.java
@@ -8,6 +8,7 @@
 import dev.laneworks.core.gossip.LoadUpdate;
 import dev.laneworks.core.handover.SnapshotChunk;
 import dev.laneworks.core.handover.SnapshotRequest;
+import dev.laneworks.core.poison.PartObservation;
 import dev.laneworks.core.poison.SuspectReport;
 
 /**
@@ -53,6 +54,12 @@
 	 */
 	void suspectsReported(List<SuspectReport> reports);
 
+	/**
+	 * Handle observations of prompt parts during whose execution targets crashed.
+	 * @param observations the observations of one datagram
+	 */
+	void partsObserved(List<PartObservation> observations);
+
 	/**
 	 * Handle the request of an entry for a loan of retries.
 	 * @param from the sender's address, {@code IP:PORT}
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/GossipSocket.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/GossipSocket.java
@@ -11,6 +11,7 @@
 import dev.laneworks.core.gossip.LoadUpdate;
 import dev.laneworks.core.handover.SnapshotChunk;
 import dev.laneworks.core.handover.SnapshotRequest;
+import dev.laneworks.core.poison.PartObservation;
 import dev.laneworks.core.poison.SuspectReport;
 import dev.laneworks.wire.proto.Protocol;
 import io.netty.bootstrap.Bootstrap;
@@ -125,6 +126,16 @@
 		addresses.forEach((a) -> write(a, datagram));
 	}
 
+	/**
+	 * Send observations of prompt parts during whose execution targets crashed.
+	 * @param addresses the receivers' addresses
+	 * @param observations the observations, few enough for a datagram
+	 */
+	public void sendPartObservations(Collection<InetSocketAddress> addresses, List<PartObservation> observations) {
+		byte[] datagram = EntryDatagramCodec.encodeParts(observations);
+		addresses.forEach((a) -> write(a, datagram));
+	}
+
 	/**
 	 * Ask an entry for a loan of retries.
 	 * @param address the receiver's address
@@ -184,6 +195,7 @@
 						this.listener.snapshotRequested(from, SnapshotCodec.decode(datagram.getQuestion()));
 					case PIECE -> this.listener.chunkReceived(from, SnapshotCodec.decode(datagram.getPiece()));
 					case SUSPECTS -> this.listener.suspectsReported(SuspectCodec.decode(datagram.getSuspects()));
+					case PARTS -> this.listener.partsObserved(PartObservationCodec.decode(datagram.getParts()));
 					case LOAN_REQUEST ->
 						this.listener.loanRequested(from, RetryLoanCodec.decode(datagram.getLoanRequest()));
 					case LOAN -> this.listener.loanReceived(RetryLoanCodec.decode(datagram.getLoan()));
--- a/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
+++ b/laneworks-wire/src/main/java/dev/laneworks/wire/proto/Protocol.java
@@ -25597,6 +25597,21 @@
      */
     dev.laneworks.wire.proto.Protocol.RetryLoanOrBuilder getLoanOrBuilder();
 
+    /**
+     * <code>.laneworks.PartNews parts = 9;</code>
+     * @return Whether the parts field is set.
+     */
+    boolean hasParts();
+    /**
+     * <code>.laneworks.PartNews parts = 9;</code>
+     * @return The parts.
+     */
+    dev.laneworks.wire.proto.Protocol.PartNews getParts();
+    /**
+     * <code>.laneworks.PartNews parts = 9;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.PartNewsOrBuilder getPartsOrBuilder();
+
     dev.laneworks.wire.proto.Protocol.EntryDatagram.KindCase getKindCase();
   }
   /**
@@ -25658,6 +25673,7 @@
       SUSPECTS(6),
       LOAN_REQUEST(7),
       LOAN(8),
+      PARTS(9),
       KIND_NOT_SET(0);
       private final int value;
       private KindCase(int value) {
@@ -25682,6 +25698,7 @@
           case 6: return SUSPECTS;
           case 7: return LOAN_REQUEST;
           case 8: return LOAN;
+          case 9: return PARTS;
           case 0: return KIND_NOT_SET;
           default: return null;
         }
@@ -25925,6 +25942,37 @@
       return dev.laneworks.wire.proto.Protocol.RetryLoan.getDefaultInstance();
     }
 
+    public static final int PARTS_FIELD_NUMBER = 9;
+    /**
+     * <code>.laneworks.PartNews parts = 9;</code>
+     * @return Whether the parts field is set.
+     */
+    @java.lang.Override
+    public boolean hasParts() {
+      return kindCase_ == 9;
+    }
+    /**
+     * <code>.laneworks.PartNews parts = 9;</code>
+     * @return The parts.
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.PartNews getParts() {
+      if (kindCase_ == 9) {
+         return (dev.laneworks.wire.proto.Protocol.PartNews) kind_;
+      }
+      return dev.laneworks.wire.proto.Protocol.PartNews.getDefaultInstance();
+    }
+    /**
+     * <code>.laneworks.PartNews parts = 9;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.PartNewsOrBuilder getPartsOrBuilder() {
+      if (kindCase_ == 9) {
+         return (dev.laneworks.wire.proto.Protocol.PartNews) kind_;
+      }
+      return dev.laneworks.wire.proto.Protocol.PartNews.getDefaultInstance();
+    }
+
     private byte memoizedIsInitialized = -1;
     @java.lang.Override
     public final boolean isInitialized() {
@@ -25963,6 +26011,9 @@
       if (kindCase_ == 8) {
         output.writeMessage(8, (dev.laneworks.wire.proto.Protocol.RetryLoan) kind_);
       }
+      if (kindCase_ == 9) {
+        output.writeMessage(9, (dev.laneworks.wire.proto.Protocol.PartNews) kind_);
+      }
       getUnknownFields().writeTo(output);
     }
 
@@ -26004,6 +26055,10 @@
         size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(8, (dev.laneworks.wire.proto.Protocol.RetryLoan) kind_);
       }
+      if (kindCase_ == 9) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(9, (dev.laneworks.wire.proto.Protocol.PartNews) kind_);
+      }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
       return size;
@@ -26051,6 +26106,10 @@
           if (!getLoan()
               .equals(other.getLoan())) return false;
           break;
+        case 9:
+          if (!getParts()
+              .equals(other.getParts())) return false;
+          break;
         case 0:
         default:
       }
@@ -26096,6 +26155,10 @@
           hash = (37 * hash) + LOAN_FIELD_NUMBER;
           hash = (53 * hash) + getLoan().hashCode();
           break;
+        case 9:
+          hash = (37 * hash) + PARTS_FIELD_NUMBER;
+          hash = (53 * hash) + getParts().hashCode();
+          break;
         case 0:
         default:
       }
@@ -26256,6 +26319,9 @@
         if (loanBuilder_ != null) {
           loanBuilder_.clear();
         }
+        if (partsBuilder_ != null) {
+          partsBuilder_.clear();
+        }
         kindCase_ = 0;
         kind_ = null;
         return this;
@@ -26328,6 +26394,10 @@
             loanBuilder_ != null) {
           result.kind_ = loanBuilder_.build();
         }
+        if (kindCase_ == 9 &&
+            partsBuilder_ != null) {
+          result.kind_ = partsBuilder_.build();
+        }
       }
 
       @java.lang.Override
@@ -26374,6 +26444,10 @@
             mergeLoan(other.getLoan());
             break;
           }
+          case PARTS: {
+            mergeParts(other.getParts());
+            break;
+          }
           case KIND_NOT_SET: {
             break;
           }
@@ -26458,6 +26532,13 @@
                 kindCase_ = 8;
                 break;
               } // case 66
+              case 74: {
+                input.readMessage(
+                    internalGetPartsFieldBuilder().getBuilder(),
+                    extensionRegistry);
+                kindCase_ = 9;
+                break;
+              } // case 74
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -27516,6 +27597,148 @@
         return loanBuilder_;
       }
 
+      private com.google.protobuf.SingleFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.PartNews, dev.laneworks.wire.proto.Protocol.PartNews.Builder, dev.laneworks.wire.proto.Protocol.PartNewsOrBuilder> partsBuilder_;
+      /**
+       * <code>.laneworks.PartNews parts = 9;</code>
+       * @return Whether the parts field is set.
+       */
+      @java.lang.Override
+      public boolean hasParts() {
+        return kindCase_ == 9;
+      }
+      /**
+       * <code>.laneworks.PartNews parts = 9;</code>
+       * @return The parts.
+       */
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.PartNews getParts() {
+        if (partsBuilder_ == null) {
+          if (kindCase_ == 9) {
+            return (dev.laneworks.wire.proto.Protocol.PartNews) kind_;
+          }
+          return dev.laneworks.wire.proto.Protocol.PartNews.getDefaultInstance();
+        } else {
+          if (kindCase_ == 9) {
+            return partsBuilder_.getMessage();
+          }
+          return dev.laneworks.wire.proto.Protocol.PartNews.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.laneworks.PartNews parts = 9;</code>
+       */
+      public Builder setParts(dev.laneworks.wire.proto.Protocol.PartNews value) {
+        if (partsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          kind_ = value;
+          onChanged();
+        } else {
+          partsBuilder_.setMessage(value);
+        }
+        kindCase_ = 9;
+        return this;
+      }
+      /**
+       * <code>.laneworks.PartNews parts = 9;</code>
+       */
+      public Builder setParts(
+          dev.laneworks.wire.proto.Protocol.PartNews.Builder builderForValue) {
+        if (partsBuilder_ == null) {
+          kind_ = builderForValue.build();
+          onChanged();
+        } else {
+          partsBuilder_.setMessage(builderForValue.build());
+        }
+        kindCase_ = 9;
+        return this;
+      }
+      /**
+       * <code>.laneworks.PartNews parts = 9;</code>
+       */
+      public Builder mergeParts(dev.laneworks.wire.proto.Protocol.PartNews value) {
+        if (partsBuilder_ == null) {
+          if (kindCase_ == 9 &&
+              kind_ != dev.laneworks.wire.proto.Protocol.PartNews.getDefaultInstance()) {
+            kind_ = dev.laneworks.wire.proto.Protocol.PartNews.newBuilder((dev.laneworks.wire.proto.Protocol.PartNews) kind_)
+                .mergeFrom(value).buildPartial();
+          } else {
+            kind_ = value;
+          }
+          onChanged();
+        } else {
+          if (kindCase_ == 9) {
+            partsBuilder_.mergeFrom(value);
+          } else {
+            partsBuilder_.setMessage(value);
+          }
+        }
+        kindCase_ = 9;
+        return this;
+      }
+      /**
+       * <code>.laneworks.PartNews parts = 9;</code>
+       */
+      public Builder clearParts() {
+        if (partsBuilder_ == null) {
+          if (kindCase_ == 9) {
+            kindCase_ = 0;
+            kind_ = null;
+            onChanged();
+          }
+        } else {
+          if (kindCase_ == 9) {
+            kindCase_ = 0;
+            kind_ = null;
+          }
+          partsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>.laneworks.PartNews parts = 9;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.PartNews.Builder getPartsBuilder() {
+        return internalGetPartsFieldBuilder().getBuilder();
+      }
+      /**
+       * <code>.laneworks.PartNews parts = 9;</code>
+       */
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.PartNewsOrBuilder getPartsOrBuilder() {
+        if ((kindCase_ == 9) && (partsBuilder_ != null)) {
+          return partsBuilder_.getMessageOrBuilder();
+        } else {
+          if (kindCase_ == 9) {
+            return (dev.laneworks.wire.proto.Protocol.PartNews) kind_;
+          }
+          return dev.laneworks.wire.proto.Protocol.PartNews.getDefaultInstance();
+        }
+      }
+      /**
+       * <code>.laneworks.PartNews parts = 9;</code>
+       */
+      private com.google.protobuf.SingleFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.PartNews, dev.laneworks.wire.proto.Protocol.PartNews.Builder, dev.laneworks.wire.proto.Protocol.PartNewsOrBuilder> 
+          internalGetPartsFieldBuilder() {
+        if (partsBuilder_ == null) {
+          if (!(kindCase_ == 9)) {
+            kind_ = dev.laneworks.wire.proto.Protocol.PartNews.getDefaultInstance();
+          }
+          partsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+              dev.laneworks.wire.proto.Protocol.PartNews, dev.laneworks.wire.proto.Protocol.PartNews.Builder, dev.laneworks.wire.proto.Protocol.PartNewsOrBuilder>(
+                  (dev.laneworks.wire.proto.Protocol.PartNews) kind_,
+                  getParentForChildren(),
+                  isClean());
+          kind_ = null;
+        }
+        kindCase_ = 9;
+        onChanged();
+        return partsBuilder_;
+      }
+
       // @@protoc_insertion_point(builder_scope:laneworks.EntryDatagram)
     }
 
@@ -30644,12 +30867,3532 @@
     long getAgeMillis();
   }
   /**
-   * Protobuf type {@code laneworks.EndedRun}
+   * Protobuf type {@code laneworks.EndedRun}
+   */
+  public static final class EndedRun extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:laneworks.EndedRun)
+      EndedRunOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "EndedRun");
+    }
+    // Use EndedRun.newBuilder() to construct.
+    private EndedRun(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private EndedRun() {
+      target_ = "";
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EndedRun_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EndedRun_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EndedRun_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              dev.laneworks.wire.proto.Protocol.EndedRun.class, dev.laneworks.wire.proto.Protocol.EndedRun.Builder.class);
+    }
+
+    public static final int TARGET_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object target_ = "";
+    /**
+     * <code>string target = 1;</code>
+     * @return The target.
+     */
+    @java.lang.Override
+    public java.lang.String getTarget() {
+      java.lang.Object ref = target_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        target_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string target = 1;</code>
+     * @return The bytes for target.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getTargetBytes() {
+      java.lang.Object ref = target_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        target_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int AGE_MILLIS_FIELD_NUMBER = 2;
+    private long ageMillis_ = 0L;
+    /**
+     * <code>uint64 age_millis = 2;</code>
+     * @return The ageMillis.
+     */
+    @java.lang.Override
+    public long getAgeMillis() {
+      return ageMillis_;
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, target_);
+      }
+      if (ageMillis_ != 0L) {
+        output.writeUInt64(2, ageMillis_);
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, target_);
+      }
+      if (ageMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, ageMillis_);
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof dev.laneworks.wire.proto.Protocol.EndedRun)) {
+        return super.equals(obj);
+      }
+      dev.laneworks.wire.proto.Protocol.EndedRun other = (dev.laneworks.wire.proto.Protocol.EndedRun) obj;
+
+      if (!getTarget()
+          .equals(other.getTarget())) return false;
+      if (getAgeMillis()
+          != other.getAgeMillis()) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + TARGET_FIELD_NUMBER;
+      hash = (53 * hash) + getTarget().hashCode();
+      hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAgeMillis());
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.EndedRun parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EndedRun parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EndedRun parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EndedRun parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EndedRun parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EndedRun parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EndedRun parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EndedRun parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.EndedRun parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.EndedRun parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EndedRun parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.EndedRun parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(dev.laneworks.wire.proto.Protocol.EndedRun prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code laneworks.EndedRun}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:laneworks.EndedRun)
+        dev.laneworks.wire.proto.Protocol.EndedRunOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EndedRun_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EndedRun_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                dev.laneworks.wire.proto.Protocol.EndedRun.class, dev.laneworks.wire.proto.Protocol.EndedRun.Builder.class);
+      }
+
+      // Construct using dev.laneworks.wire.proto.Protocol.EndedRun.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        target_ = "";
+        ageMillis_ = 0L;
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EndedRun_descriptor;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.EndedRun getDefaultInstanceForType() {
+        return dev.laneworks.wire.proto.Protocol.EndedRun.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.EndedRun build() {
+        dev.laneworks.wire.proto.Protocol.EndedRun result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.EndedRun buildPartial() {
+        dev.laneworks.wire.proto.Protocol.EndedRun result = new dev.laneworks.wire.proto.Protocol.EndedRun(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(dev.laneworks.wire.proto.Protocol.EndedRun result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.target_ = target_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.ageMillis_ = ageMillis_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof dev.laneworks.wire.proto.Protocol.EndedRun) {
+          return mergeFrom((dev.laneworks.wire.proto.Protocol.EndedRun)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(dev.laneworks.wire.proto.Protocol.EndedRun other) {
+        if (other == dev.laneworks.wire.proto.Protocol.EndedRun.getDefaultInstance()) return this;
+        if (!other.getTarget().isEmpty()) {
+          target_ = other.target_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getAgeMillis() != 0L) {
+          setAgeMillis(other.getAgeMillis());
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                target_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                ageMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object target_ = "";
+      /**
+       * <code>string target = 1;</code>
+       * @return The target.
+       */
+      public java.lang.String getTarget() {
+        java.lang.Object ref = target_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          target_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string target = 1;</code>
+       * @return The bytes for target.
+       */
+      public com.google.protobuf.ByteString
+          getTargetBytes() {
+        java.lang.Object ref = target_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          target_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string target = 1;</code>
+       * @param value The target to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTarget(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        target_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string target = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTarget() {
+        target_ = getDefaultInstance().getTarget();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string target = 1;</code>
+       * @param value The bytes for target to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTargetBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        target_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long ageMillis_ ;
+      /**
+       * <code>uint64 age_millis = 2;</code>
+       * @return The ageMillis.
+       */
+      @java.lang.Override
+      public long getAgeMillis() {
+        return ageMillis_;
+      }
+      /**
+       * <code>uint64 age_millis = 2;</code>
+       * @param value The ageMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAgeMillis(long value) {
+
+        ageMillis_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 age_millis = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAgeMillis() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        ageMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:laneworks.EndedRun)
+    }
+
+    // @@protoc_insertion_point(class_scope:laneworks.EndedRun)
+    private static final dev.laneworks.wire.proto.Protocol.EndedRun DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.EndedRun();
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.EndedRun getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<EndedRun>
+        PARSER = new com.google.protobuf.AbstractParser<EndedRun>() {
+      @java.lang.Override
+      public EndedRun parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<EndedRun> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<EndedRun> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.EndedRun getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface PartNewsOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:laneworks.PartNews)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+     */
+    java.util.List<dev.laneworks.wire.proto.Protocol.PartCrash> 
+        getCrashesList();
+    /**
+     * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.PartCrash getCrashes(int index);
+    /**
+     * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+     */
+    int getCrashesCount();
+    /**
+     * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+     */
+    java.util.List<? extends dev.laneworks.wire.proto.Protocol.PartCrashOrBuilder> 
+        getCrashesOrBuilderList();
+    /**
+     * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.PartCrashOrBuilder getCrashesOrBuilder(
+        int index);
+
+    /**
+     * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+     */
+    java.util.List<dev.laneworks.wire.proto.Protocol.PartSuccess> 
+        getSuccessesList();
+    /**
+     * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.PartSuccess getSuccesses(int index);
+    /**
+     * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+     */
+    int getSuccessesCount();
+    /**
+     * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+     */
+    java.util.List<? extends dev.laneworks.wire.proto.Protocol.PartSuccessOrBuilder> 
+        getSuccessesOrBuilderList();
+    /**
+     * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.PartSuccessOrBuilder getSuccessesOrBuilder(
+        int index);
+  }
+  /**
+   * <pre>
+   * Crashes of targets with the prompts in progress, and later successes on parts of these.
+   * </pre>
+   *
+   * Protobuf type {@code laneworks.PartNews}
+   */
+  public static final class PartNews extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:laneworks.PartNews)
+      PartNewsOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "PartNews");
+    }
+    // Use PartNews.newBuilder() to construct.
+    private PartNews(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private PartNews() {
+      crashes_ = java.util.Collections.emptyList();
+      successes_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PartNews_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PartNews_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PartNews_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              dev.laneworks.wire.proto.Protocol.PartNews.class, dev.laneworks.wire.proto.Protocol.PartNews.Builder.class);
+    }
+
+    public static final int CRASHES_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private java.util.List<dev.laneworks.wire.proto.Protocol.PartCrash> crashes_;
+    /**
+     * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.List<dev.laneworks.wire.proto.Protocol.PartCrash> getCrashesList() {
+      return crashes_;
+    }
+    /**
+     * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends dev.laneworks.wire.proto.Protocol.PartCrashOrBuilder> 
+        getCrashesOrBuilderList() {
+      return crashes_;
+    }
+    /**
+     * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+     */
+    @java.lang.Override
+    public int getCrashesCount() {
+      return crashes_.size();
+    }
+    /**
+     * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.PartCrash getCrashes(int index) {
+      return crashes_.get(index);
+    }
+    /**
+     * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.PartCrashOrBuilder getCrashesOrBuilder(
+        int index) {
+      return crashes_.get(index);
+    }
+
+    public static final int SUCCESSES_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private java.util.List<dev.laneworks.wire.proto.Protocol.PartSuccess> successes_;
+    /**
+     * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+     */
+    @java.lang.Override
+    public java.util.List<dev.laneworks.wire.proto.Protocol.PartSuccess> getSuccessesList() {
+      return successes_;
+    }
+    /**
+     * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends dev.laneworks.wire.proto.Protocol.PartSuccessOrBuilder> 
+        getSuccessesOrBuilderList() {
+      return successes_;
+    }
+    /**
+     * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+     */
+    @java.lang.Override
+    public int getSuccessesCount() {
+      return successes_.size();
+    }
+    /**
+     * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.PartSuccess getSuccesses(int index) {
+      return successes_.get(index);
+    }
+    /**
+     * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.PartSuccessOrBuilder getSuccessesOrBuilder(
+        int index) {
+      return successes_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      for (int i = 0; i < crashes_.size(); i++) {
+        output.writeMessage(1, crashes_.get(i));
+      }
+      for (int i = 0; i < successes_.size(); i++) {
+        output.writeMessage(2, successes_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+
+          {
+            final int count = crashes_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(crashes_.get(i));
+            }
+            size += 1 * count;
+          }
+
+          {
+            final int count = successes_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(successes_.get(i));
+            }
+            size += 1 * count;
+          }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof dev.laneworks.wire.proto.Protocol.PartNews)) {
+        return super.equals(obj);
+      }
+      dev.laneworks.wire.proto.Protocol.PartNews other = (dev.laneworks.wire.proto.Protocol.PartNews) obj;
+
+      if (!getCrashesList()
+          .equals(other.getCrashesList())) return false;
+      if (!getSuccessesList()
+          .equals(other.getSuccessesList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      if (getCrashesCount() > 0) {
+        hash = (37 * hash) + CRASHES_FIELD_NUMBER;
+        hash = (53 * hash) + getCrashesList().hashCode();
+      }
+      if (getSuccessesCount() > 0) {
+        hash = (37 * hash) + SUCCESSES_FIELD_NUMBER;
+        hash = (53 * hash) + getSuccessesList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.PartNews parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PartNews parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PartNews parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PartNews parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PartNews parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PartNews parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PartNews parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PartNews parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.PartNews parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.PartNews parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PartNews parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PartNews parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(dev.laneworks.wire.proto.Protocol.PartNews prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * <pre>
+     * Crashes of targets with the prompts in progress, and later successes on parts of these.
+     * </pre>
+     *
+     * Protobuf type {@code laneworks.PartNews}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:laneworks.PartNews)
+        dev.laneworks.wire.proto.Protocol.PartNewsOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PartNews_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PartNews_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                dev.laneworks.wire.proto.Protocol.PartNews.class, dev.laneworks.wire.proto.Protocol.PartNews.Builder.class);
+      }
+
+      // Construct using dev.laneworks.wire.proto.Protocol.PartNews.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        if (crashesBuilder_ == null) {
+          crashes_ = java.util.Collections.emptyList();
+        } else {
+          crashes_ = null;
+          crashesBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000001);
+        if (successesBuilder_ == null) {
+          successes_ = java.util.Collections.emptyList();
+        } else {
+          successes_ = null;
+          successesBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000002);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PartNews_descriptor;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.PartNews getDefaultInstanceForType() {
+        return dev.laneworks.wire.proto.Protocol.PartNews.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.PartNews build() {
+        dev.laneworks.wire.proto.Protocol.PartNews result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.PartNews buildPartial() {
+        dev.laneworks.wire.proto.Protocol.PartNews result = new dev.laneworks.wire.proto.Protocol.PartNews(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(dev.laneworks.wire.proto.Protocol.PartNews result) {
+        if (crashesBuilder_ == null) {
+          if (((bitField0_ & 0x00000001) != 0)) {
+            crashes_ = java.util.Collections.unmodifiableList(crashes_);
+            bitField0_ = (bitField0_ & ~0x00000001);
+          }
+          result.crashes_ = crashes_;
+        } else {
+          result.crashes_ = crashesBuilder_.build();
+        }
+        if (successesBuilder_ == null) {
+          if (((bitField0_ & 0x00000002) != 0)) {
+            successes_ = java.util.Collections.unmodifiableList(successes_);
+            bitField0_ = (bitField0_ & ~0x00000002);
+          }
+          result.successes_ = successes_;
+        } else {
+          result.successes_ = successesBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(dev.laneworks.wire.proto.Protocol.PartNews result) {
+        int from_bitField0_ = bitField0_;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof dev.laneworks.wire.proto.Protocol.PartNews) {
+          return mergeFrom((dev.laneworks.wire.proto.Protocol.PartNews)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(dev.laneworks.wire.proto.Protocol.PartNews other) {
+        if (other == dev.laneworks.wire.proto.Protocol.PartNews.getDefaultInstance()) return this;
+        if (crashesBuilder_ == null) {
+          if (!other.crashes_.isEmpty()) {
+            if (crashes_.isEmpty()) {
+              crashes_ = other.crashes_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+            } else {
+              ensureCrashesIsMutable();
+              crashes_.addAll(other.crashes_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.crashes_.isEmpty()) {
+            if (crashesBuilder_.isEmpty()) {
+              crashesBuilder_.dispose();
+              crashesBuilder_ = null;
+              crashes_ = other.crashes_;
+              bitField0_ = (bitField0_ & ~0x00000001);
+              crashesBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetCrashesFieldBuilder() : null;
+            } else {
+              crashesBuilder_.addAllMessages(other.crashes_);
+            }
+          }
+        }
+        if (successesBuilder_ == null) {
+          if (!other.successes_.isEmpty()) {
+            if (successes_.isEmpty()) {
+              successes_ = other.successes_;
+              bitField0_ = (bitField0_ & ~0x00000002);
+            } else {
+              ensureSuccessesIsMutable();
+              successes_.addAll(other.successes_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.successes_.isEmpty()) {
+            if (successesBuilder_.isEmpty()) {
+              successesBuilder_.dispose();
+              successesBuilder_ = null;
+              successes_ = other.successes_;
+              bitField0_ = (bitField0_ & ~0x00000002);
+              successesBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetSuccessesFieldBuilder() : null;
+            } else {
+              successesBuilder_.addAllMessages(other.successes_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                dev.laneworks.wire.proto.Protocol.PartCrash m =
+                    input.readMessage(
+                        dev.laneworks.wire.proto.Protocol.PartCrash.parser(),
+                        extensionRegistry);
+                if (crashesBuilder_ == null) {
+                  ensureCrashesIsMutable();
+                  crashes_.add(m);
+                } else {
+                  crashesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 10
+              case 18: {
+                dev.laneworks.wire.proto.Protocol.PartSuccess m =
+                    input.readMessage(
+                        dev.laneworks.wire.proto.Protocol.PartSuccess.parser(),
+                        extensionRegistry);
+                if (successesBuilder_ == null) {
+                  ensureSuccessesIsMutable();
+                  successes_.add(m);
+                } else {
+                  successesBuilder_.addMessage(m);
+                }
+                break;
+              } // case 18
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.util.List<dev.laneworks.wire.proto.Protocol.PartCrash> crashes_ =
+        java.util.Collections.emptyList();
+      private void ensureCrashesIsMutable() {
+        if (!((bitField0_ & 0x00000001) != 0)) {
+          crashes_ = new java.util.ArrayList<dev.laneworks.wire.proto.Protocol.PartCrash>(crashes_);
+          bitField0_ |= 0x00000001;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.PartCrash, dev.laneworks.wire.proto.Protocol.PartCrash.Builder, dev.laneworks.wire.proto.Protocol.PartCrashOrBuilder> crashesBuilder_;
+
+      /**
+       * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+       */
+      public java.util.List<dev.laneworks.wire.proto.Protocol.PartCrash> getCrashesList() {
+        if (crashesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(crashes_);
+        } else {
+          return crashesBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+       */
+      public int getCrashesCount() {
+        if (crashesBuilder_ == null) {
+          return crashes_.size();
+        } else {
+          return crashesBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.PartCrash getCrashes(int index) {
+        if (crashesBuilder_ == null) {
+          return crashes_.get(index);
+        } else {
+          return crashesBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+       */
+      public Builder setCrashes(
+          int index, dev.laneworks.wire.proto.Protocol.PartCrash value) {
+        if (crashesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureCrashesIsMutable();
+          crashes_.set(index, value);
+          onChanged();
+        } else {
+          crashesBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+       */
+      public Builder setCrashes(
+          int index, dev.laneworks.wire.proto.Protocol.PartCrash.Builder builderForValue) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          crashes_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          crashesBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+       */
+      public Builder addCrashes(dev.laneworks.wire.proto.Protocol.PartCrash value) {
+        if (crashesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureCrashesIsMutable();
+          crashes_.add(value);
+          onChanged();
+        } else {
+          crashesBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+       */
+      public Builder addCrashes(
+          int index, dev.laneworks.wire.proto.Protocol.PartCrash value) {
+        if (crashesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureCrashesIsMutable();
+          crashes_.add(index, value);
+          onChanged();
+        } else {
+          crashesBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+       */
+      public Builder addCrashes(
+          dev.laneworks.wire.proto.Protocol.PartCrash.Builder builderForValue) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          crashes_.add(builderForValue.build());
+          onChanged();
+        } else {
+          crashesBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+       */
+      public Builder addCrashes(
+          int index, dev.laneworks.wire.proto.Protocol.PartCrash.Builder builderForValue) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          crashes_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          crashesBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+       */
+      public Builder addAllCrashes(
+          java.lang.Iterable<? extends dev.laneworks.wire.proto.Protocol.PartCrash> values) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, crashes_);
+          onChanged();
+        } else {
+          crashesBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+       */
+      public Builder clearCrashes() {
+        if (crashesBuilder_ == null) {
+          crashes_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000001);
+          onChanged();
+        } else {
+          crashesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+       */
+      public Builder removeCrashes(int index) {
+        if (crashesBuilder_ == null) {
+          ensureCrashesIsMutable();
+          crashes_.remove(index);
+          onChanged();
+        } else {
+          crashesBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.PartCrash.Builder getCrashesBuilder(
+          int index) {
+        return internalGetCrashesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.PartCrashOrBuilder getCrashesOrBuilder(
+          int index) {
+        if (crashesBuilder_ == null) {
+          return crashes_.get(index);  } else {
+          return crashesBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+       */
+      public java.util.List<? extends dev.laneworks.wire.proto.Protocol.PartCrashOrBuilder> 
+           getCrashesOrBuilderList() {
+        if (crashesBuilder_ != null) {
+          return crashesBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(crashes_);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.PartCrash.Builder addCrashesBuilder() {
+        return internalGetCrashesFieldBuilder().addBuilder(
+            dev.laneworks.wire.proto.Protocol.PartCrash.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.PartCrash.Builder addCrashesBuilder(
+          int index) {
+        return internalGetCrashesFieldBuilder().addBuilder(
+            index, dev.laneworks.wire.proto.Protocol.PartCrash.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .laneworks.PartCrash crashes = 1;</code>
+       */
+      public java.util.List<dev.laneworks.wire.proto.Protocol.PartCrash.Builder> 
+           getCrashesBuilderList() {
+        return internalGetCrashesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.PartCrash, dev.laneworks.wire.proto.Protocol.PartCrash.Builder, dev.laneworks.wire.proto.Protocol.PartCrashOrBuilder> 
+          internalGetCrashesFieldBuilder() {
+        if (crashesBuilder_ == null) {
+          crashesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              dev.laneworks.wire.proto.Protocol.PartCrash, dev.laneworks.wire.proto.Protocol.PartCrash.Builder, dev.laneworks.wire.proto.Protocol.PartCrashOrBuilder>(
+                  crashes_,
+                  ((bitField0_ & 0x00000001) != 0),
+                  getParentForChildren(),
+                  isClean());
+          crashes_ = null;
+        }
+        return crashesBuilder_;
+      }
+
+      private java.util.List<dev.laneworks.wire.proto.Protocol.PartSuccess> successes_ =
+        java.util.Collections.emptyList();
+      private void ensureSuccessesIsMutable() {
+        if (!((bitField0_ & 0x00000002) != 0)) {
+          successes_ = new java.util.ArrayList<dev.laneworks.wire.proto.Protocol.PartSuccess>(successes_);
+          bitField0_ |= 0x00000002;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.PartSuccess, dev.laneworks.wire.proto.Protocol.PartSuccess.Builder, dev.laneworks.wire.proto.Protocol.PartSuccessOrBuilder> successesBuilder_;
+
+      /**
+       * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+       */
+      public java.util.List<dev.laneworks.wire.proto.Protocol.PartSuccess> getSuccessesList() {
+        if (successesBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(successes_);
+        } else {
+          return successesBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+       */
+      public int getSuccessesCount() {
+        if (successesBuilder_ == null) {
+          return successes_.size();
+        } else {
+          return successesBuilder_.getCount();
+        }
+      }
+      /**
+       * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.PartSuccess getSuccesses(int index) {
+        if (successesBuilder_ == null) {
+          return successes_.get(index);
+        } else {
+          return successesBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+       */
+      public Builder setSuccesses(
+          int index, dev.laneworks.wire.proto.Protocol.PartSuccess value) {
+        if (successesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureSuccessesIsMutable();
+          successes_.set(index, value);
+          onChanged();
+        } else {
+          successesBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+       */
+      public Builder setSuccesses(
+          int index, dev.laneworks.wire.proto.Protocol.PartSuccess.Builder builderForValue) {
+        if (successesBuilder_ == null) {
+          ensureSuccessesIsMutable();
+          successes_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          successesBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+       */
+      public Builder addSuccesses(dev.laneworks.wire.proto.Protocol.PartSuccess value) {
+        if (successesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureSuccessesIsMutable();
+          successes_.add(value);
+          onChanged();
+        } else {
+          successesBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+       */
+      public Builder addSuccesses(
+          int index, dev.laneworks.wire.proto.Protocol.PartSuccess value) {
+        if (successesBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensureSuccessesIsMutable();
+          successes_.add(index, value);
+          onChanged();
+        } else {
+          successesBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+       */
+      public Builder addSuccesses(
+          dev.laneworks.wire.proto.Protocol.PartSuccess.Builder builderForValue) {
+        if (successesBuilder_ == null) {
+          ensureSuccessesIsMutable();
+          successes_.add(builderForValue.build());
+          onChanged();
+        } else {
+          successesBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+       */
+      public Builder addSuccesses(
+          int index, dev.laneworks.wire.proto.Protocol.PartSuccess.Builder builderForValue) {
+        if (successesBuilder_ == null) {
+          ensureSuccessesIsMutable();
+          successes_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          successesBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+       */
+      public Builder addAllSuccesses(
+          java.lang.Iterable<? extends dev.laneworks.wire.proto.Protocol.PartSuccess> values) {
+        if (successesBuilder_ == null) {
+          ensureSuccessesIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, successes_);
+          onChanged();
+        } else {
+          successesBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+       */
+      public Builder clearSuccesses() {
+        if (successesBuilder_ == null) {
+          successes_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000002);
+          onChanged();
+        } else {
+          successesBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+       */
+      public Builder removeSuccesses(int index) {
+        if (successesBuilder_ == null) {
+          ensureSuccessesIsMutable();
+          successes_.remove(index);
+          onChanged();
+        } else {
+          successesBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.PartSuccess.Builder getSuccessesBuilder(
+          int index) {
+        return internalGetSuccessesFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.PartSuccessOrBuilder getSuccessesOrBuilder(
+          int index) {
+        if (successesBuilder_ == null) {
+          return successes_.get(index);  } else {
+          return successesBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+       */
+      public java.util.List<? extends dev.laneworks.wire.proto.Protocol.PartSuccessOrBuilder> 
+           getSuccessesOrBuilderList() {
+        if (successesBuilder_ != null) {
+          return successesBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(successes_);
+        }
+      }
+      /**
+       * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.PartSuccess.Builder addSuccessesBuilder() {
+        return internalGetSuccessesFieldBuilder().addBuilder(
+            dev.laneworks.wire.proto.Protocol.PartSuccess.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.PartSuccess.Builder addSuccessesBuilder(
+          int index) {
+        return internalGetSuccessesFieldBuilder().addBuilder(
+            index, dev.laneworks.wire.proto.Protocol.PartSuccess.getDefaultInstance());
+      }
+      /**
+       * <code>repeated .laneworks.PartSuccess successes = 2;</code>
+       */
+      public java.util.List<dev.laneworks.wire.proto.Protocol.PartSuccess.Builder> 
+           getSuccessesBuilderList() {
+        return internalGetSuccessesFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.PartSuccess, dev.laneworks.wire.proto.Protocol.PartSuccess.Builder, dev.laneworks.wire.proto.Protocol.PartSuccessOrBuilder> 
+          internalGetSuccessesFieldBuilder() {
+        if (successesBuilder_ == null) {
+          successesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              dev.laneworks.wire.proto.Protocol.PartSuccess, dev.laneworks.wire.proto.Protocol.PartSuccess.Builder, dev.laneworks.wire.proto.Protocol.PartSuccessOrBuilder>(
+                  successes_,
+                  ((bitField0_ & 0x00000002) != 0),
+                  getParentForChildren(),
+                  isClean());
+          successes_ = null;
+        }
+        return successesBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:laneworks.PartNews)
+    }
+
+    // @@protoc_insertion_point(class_scope:laneworks.PartNews)
+    private static final dev.laneworks.wire.proto.Protocol.PartNews DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.PartNews();
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.PartNews getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<PartNews>
+        PARSER = new com.google.protobuf.AbstractParser<PartNews>() {
+      @java.lang.Override
+      public PartNews parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<PartNews> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<PartNews> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.PartNews getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface PartCrashOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:laneworks.PartCrash)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>string target = 1;</code>
+     * @return The target.
+     */
+    java.lang.String getTarget();
+    /**
+     * <code>string target = 1;</code>
+     * @return The bytes for target.
+     */
+    com.google.protobuf.ByteString
+        getTargetBytes();
+
+    /**
+     * <code>uint64 age_millis = 2;</code>
+     * @return The ageMillis.
+     */
+    long getAgeMillis();
+
+    /**
+     * <pre>
+     * Of the requests that may have caused the crash.
+     * </pre>
+     *
+     * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+     */
+    java.util.List<dev.laneworks.wire.proto.Protocol.PromptParts> 
+        getPromptsList();
+    /**
+     * <pre>
+     * Of the requests that may have caused the crash.
+     * </pre>
+     *
+     * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.PromptParts getPrompts(int index);
+    /**
+     * <pre>
+     * Of the requests that may have caused the crash.
+     * </pre>
+     *
+     * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+     */
+    int getPromptsCount();
+    /**
+     * <pre>
+     * Of the requests that may have caused the crash.
+     * </pre>
+     *
+     * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+     */
+    java.util.List<? extends dev.laneworks.wire.proto.Protocol.PromptPartsOrBuilder> 
+        getPromptsOrBuilderList();
+    /**
+     * <pre>
+     * Of the requests that may have caused the crash.
+     * </pre>
+     *
+     * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+     */
+    dev.laneworks.wire.proto.Protocol.PromptPartsOrBuilder getPromptsOrBuilder(
+        int index);
+  }
+  /**
+   * Protobuf type {@code laneworks.PartCrash}
+   */
+  public static final class PartCrash extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:laneworks.PartCrash)
+      PartCrashOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "PartCrash");
+    }
+    // Use PartCrash.newBuilder() to construct.
+    private PartCrash(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private PartCrash() {
+      target_ = "";
+      prompts_ = java.util.Collections.emptyList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PartCrash_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PartCrash_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PartCrash_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              dev.laneworks.wire.proto.Protocol.PartCrash.class, dev.laneworks.wire.proto.Protocol.PartCrash.Builder.class);
+    }
+
+    public static final int TARGET_FIELD_NUMBER = 1;
+    @SuppressWarnings("serial")
+    private volatile java.lang.Object target_ = "";
+    /**
+     * <code>string target = 1;</code>
+     * @return The target.
+     */
+    @java.lang.Override
+    public java.lang.String getTarget() {
+      java.lang.Object ref = target_;
+      if (ref instanceof java.lang.String) {
+        return (java.lang.String) ref;
+      } else {
+        com.google.protobuf.ByteString bs = 
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        target_ = s;
+        return s;
+      }
+    }
+    /**
+     * <code>string target = 1;</code>
+     * @return The bytes for target.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getTargetBytes() {
+      java.lang.Object ref = target_;
+      if (ref instanceof java.lang.String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        target_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+
+    public static final int AGE_MILLIS_FIELD_NUMBER = 2;
+    private long ageMillis_ = 0L;
+    /**
+     * <code>uint64 age_millis = 2;</code>
+     * @return The ageMillis.
+     */
+    @java.lang.Override
+    public long getAgeMillis() {
+      return ageMillis_;
+    }
+
+    public static final int PROMPTS_FIELD_NUMBER = 3;
+    @SuppressWarnings("serial")
+    private java.util.List<dev.laneworks.wire.proto.Protocol.PromptParts> prompts_;
+    /**
+     * <pre>
+     * Of the requests that may have caused the crash.
+     * </pre>
+     *
+     * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+     */
+    @java.lang.Override
+    public java.util.List<dev.laneworks.wire.proto.Protocol.PromptParts> getPromptsList() {
+      return prompts_;
+    }
+    /**
+     * <pre>
+     * Of the requests that may have caused the crash.
+     * </pre>
+     *
+     * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+     */
+    @java.lang.Override
+    public java.util.List<? extends dev.laneworks.wire.proto.Protocol.PromptPartsOrBuilder> 
+        getPromptsOrBuilderList() {
+      return prompts_;
+    }
+    /**
+     * <pre>
+     * Of the requests that may have caused the crash.
+     * </pre>
+     *
+     * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+     */
+    @java.lang.Override
+    public int getPromptsCount() {
+      return prompts_.size();
+    }
+    /**
+     * <pre>
+     * Of the requests that may have caused the crash.
+     * </pre>
+     *
+     * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.PromptParts getPrompts(int index) {
+      return prompts_.get(index);
+    }
+    /**
+     * <pre>
+     * Of the requests that may have caused the crash.
+     * </pre>
+     *
+     * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+     */
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.PromptPartsOrBuilder getPromptsOrBuilder(
+        int index) {
+      return prompts_.get(index);
+    }
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
+        com.google.protobuf.GeneratedMessage.writeString(output, 1, target_);
+      }
+      if (ageMillis_ != 0L) {
+        output.writeUInt64(2, ageMillis_);
+      }
+      for (int i = 0; i < prompts_.size(); i++) {
+        output.writeMessage(3, prompts_.get(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
+        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, target_);
+      }
+      if (ageMillis_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeUInt64Size(2, ageMillis_);
+      }
+
+          {
+            final int count = prompts_.size();
+            for (int i = 0; i < count; i++) {
+              size += com.google.protobuf.CodedOutputStream
+                .computeMessageSizeNoTag(prompts_.get(i));
+            }
+            size += 1 * count;
+          }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof dev.laneworks.wire.proto.Protocol.PartCrash)) {
+        return super.equals(obj);
+      }
+      dev.laneworks.wire.proto.Protocol.PartCrash other = (dev.laneworks.wire.proto.Protocol.PartCrash) obj;
+
+      if (!getTarget()
+          .equals(other.getTarget())) return false;
+      if (getAgeMillis()
+          != other.getAgeMillis()) return false;
+      if (!getPromptsList()
+          .equals(other.getPromptsList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + TARGET_FIELD_NUMBER;
+      hash = (53 * hash) + getTarget().hashCode();
+      hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAgeMillis());
+      if (getPromptsCount() > 0) {
+        hash = (37 * hash) + PROMPTS_FIELD_NUMBER;
+        hash = (53 * hash) + getPromptsList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.PartCrash parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PartCrash parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PartCrash parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PartCrash parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PartCrash parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PartCrash parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PartCrash parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PartCrash parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.PartCrash parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.PartCrash parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PartCrash parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PartCrash parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(dev.laneworks.wire.proto.Protocol.PartCrash prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code laneworks.PartCrash}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:laneworks.PartCrash)
+        dev.laneworks.wire.proto.Protocol.PartCrashOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PartCrash_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PartCrash_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                dev.laneworks.wire.proto.Protocol.PartCrash.class, dev.laneworks.wire.proto.Protocol.PartCrash.Builder.class);
+      }
+
+      // Construct using dev.laneworks.wire.proto.Protocol.PartCrash.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        target_ = "";
+        ageMillis_ = 0L;
+        if (promptsBuilder_ == null) {
+          prompts_ = java.util.Collections.emptyList();
+        } else {
+          prompts_ = null;
+          promptsBuilder_.clear();
+        }
+        bitField0_ = (bitField0_ & ~0x00000004);
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PartCrash_descriptor;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.PartCrash getDefaultInstanceForType() {
+        return dev.laneworks.wire.proto.Protocol.PartCrash.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.PartCrash build() {
+        dev.laneworks.wire.proto.Protocol.PartCrash result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.PartCrash buildPartial() {
+        dev.laneworks.wire.proto.Protocol.PartCrash result = new dev.laneworks.wire.proto.Protocol.PartCrash(this);
+        buildPartialRepeatedFields(result);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartialRepeatedFields(dev.laneworks.wire.proto.Protocol.PartCrash result) {
+        if (promptsBuilder_ == null) {
+          if (((bitField0_ & 0x00000004) != 0)) {
+            prompts_ = java.util.Collections.unmodifiableList(prompts_);
+            bitField0_ = (bitField0_ & ~0x00000004);
+          }
+          result.prompts_ = prompts_;
+        } else {
+          result.prompts_ = promptsBuilder_.build();
+        }
+      }
+
+      private void buildPartial0(dev.laneworks.wire.proto.Protocol.PartCrash result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.target_ = target_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.ageMillis_ = ageMillis_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof dev.laneworks.wire.proto.Protocol.PartCrash) {
+          return mergeFrom((dev.laneworks.wire.proto.Protocol.PartCrash)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(dev.laneworks.wire.proto.Protocol.PartCrash other) {
+        if (other == dev.laneworks.wire.proto.Protocol.PartCrash.getDefaultInstance()) return this;
+        if (!other.getTarget().isEmpty()) {
+          target_ = other.target_;
+          bitField0_ |= 0x00000001;
+          onChanged();
+        }
+        if (other.getAgeMillis() != 0L) {
+          setAgeMillis(other.getAgeMillis());
+        }
+        if (promptsBuilder_ == null) {
+          if (!other.prompts_.isEmpty()) {
+            if (prompts_.isEmpty()) {
+              prompts_ = other.prompts_;
+              bitField0_ = (bitField0_ & ~0x00000004);
+            } else {
+              ensurePromptsIsMutable();
+              prompts_.addAll(other.prompts_);
+            }
+            onChanged();
+          }
+        } else {
+          if (!other.prompts_.isEmpty()) {
+            if (promptsBuilder_.isEmpty()) {
+              promptsBuilder_.dispose();
+              promptsBuilder_ = null;
+              prompts_ = other.prompts_;
+              bitField0_ = (bitField0_ & ~0x00000004);
+              promptsBuilder_ = 
+                com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                   internalGetPromptsFieldBuilder() : null;
+            } else {
+              promptsBuilder_.addAllMessages(other.prompts_);
+            }
+          }
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 10: {
+                target_ = input.readStringRequireUtf8();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 10
+              case 16: {
+                ageMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000002;
+                break;
+              } // case 16
+              case 26: {
+                dev.laneworks.wire.proto.Protocol.PromptParts m =
+                    input.readMessage(
+                        dev.laneworks.wire.proto.Protocol.PromptParts.parser(),
+                        extensionRegistry);
+                if (promptsBuilder_ == null) {
+                  ensurePromptsIsMutable();
+                  prompts_.add(m);
+                } else {
+                  promptsBuilder_.addMessage(m);
+                }
+                break;
+              } // case 26
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private java.lang.Object target_ = "";
+      /**
+       * <code>string target = 1;</code>
+       * @return The target.
+       */
+      public java.lang.String getTarget() {
+        java.lang.Object ref = target_;
+        if (!(ref instanceof java.lang.String)) {
+          com.google.protobuf.ByteString bs =
+              (com.google.protobuf.ByteString) ref;
+          java.lang.String s = bs.toStringUtf8();
+          target_ = s;
+          return s;
+        } else {
+          return (java.lang.String) ref;
+        }
+      }
+      /**
+       * <code>string target = 1;</code>
+       * @return The bytes for target.
+       */
+      public com.google.protobuf.ByteString
+          getTargetBytes() {
+        java.lang.Object ref = target_;
+        if (ref instanceof String) {
+          com.google.protobuf.ByteString b = 
+              com.google.protobuf.ByteString.copyFromUtf8(
+                  (java.lang.String) ref);
+          target_ = b;
+          return b;
+        } else {
+          return (com.google.protobuf.ByteString) ref;
+        }
+      }
+      /**
+       * <code>string target = 1;</code>
+       * @param value The target to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTarget(
+          java.lang.String value) {
+        if (value == null) { throw new NullPointerException(); }
+        target_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string target = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearTarget() {
+        target_ = getDefaultInstance().getTarget();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>string target = 1;</code>
+       * @param value The bytes for target to set.
+       * @return This builder for chaining.
+       */
+      public Builder setTargetBytes(
+          com.google.protobuf.ByteString value) {
+        if (value == null) { throw new NullPointerException(); }
+        checkByteStringIsUtf8(value);
+        target_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+
+      private long ageMillis_ ;
+      /**
+       * <code>uint64 age_millis = 2;</code>
+       * @return The ageMillis.
+       */
+      @java.lang.Override
+      public long getAgeMillis() {
+        return ageMillis_;
+      }
+      /**
+       * <code>uint64 age_millis = 2;</code>
+       * @param value The ageMillis to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAgeMillis(long value) {
+
+        ageMillis_ = value;
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <code>uint64 age_millis = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAgeMillis() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        ageMillis_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private java.util.List<dev.laneworks.wire.proto.Protocol.PromptParts> prompts_ =
+        java.util.Collections.emptyList();
+      private void ensurePromptsIsMutable() {
+        if (!((bitField0_ & 0x00000004) != 0)) {
+          prompts_ = new java.util.ArrayList<dev.laneworks.wire.proto.Protocol.PromptParts>(prompts_);
+          bitField0_ |= 0x00000004;
+         }
+      }
+
+      private com.google.protobuf.RepeatedFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.PromptParts, dev.laneworks.wire.proto.Protocol.PromptParts.Builder, dev.laneworks.wire.proto.Protocol.PromptPartsOrBuilder> promptsBuilder_;
+
+      /**
+       * <pre>
+       * Of the requests that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+       */
+      public java.util.List<dev.laneworks.wire.proto.Protocol.PromptParts> getPromptsList() {
+        if (promptsBuilder_ == null) {
+          return java.util.Collections.unmodifiableList(prompts_);
+        } else {
+          return promptsBuilder_.getMessageList();
+        }
+      }
+      /**
+       * <pre>
+       * Of the requests that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+       */
+      public int getPromptsCount() {
+        if (promptsBuilder_ == null) {
+          return prompts_.size();
+        } else {
+          return promptsBuilder_.getCount();
+        }
+      }
+      /**
+       * <pre>
+       * Of the requests that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.PromptParts getPrompts(int index) {
+        if (promptsBuilder_ == null) {
+          return prompts_.get(index);
+        } else {
+          return promptsBuilder_.getMessage(index);
+        }
+      }
+      /**
+       * <pre>
+       * Of the requests that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+       */
+      public Builder setPrompts(
+          int index, dev.laneworks.wire.proto.Protocol.PromptParts value) {
+        if (promptsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePromptsIsMutable();
+          prompts_.set(index, value);
+          onChanged();
+        } else {
+          promptsBuilder_.setMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Of the requests that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+       */
+      public Builder setPrompts(
+          int index, dev.laneworks.wire.proto.Protocol.PromptParts.Builder builderForValue) {
+        if (promptsBuilder_ == null) {
+          ensurePromptsIsMutable();
+          prompts_.set(index, builderForValue.build());
+          onChanged();
+        } else {
+          promptsBuilder_.setMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Of the requests that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+       */
+      public Builder addPrompts(dev.laneworks.wire.proto.Protocol.PromptParts value) {
+        if (promptsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePromptsIsMutable();
+          prompts_.add(value);
+          onChanged();
+        } else {
+          promptsBuilder_.addMessage(value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Of the requests that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+       */
+      public Builder addPrompts(
+          int index, dev.laneworks.wire.proto.Protocol.PromptParts value) {
+        if (promptsBuilder_ == null) {
+          if (value == null) {
+            throw new NullPointerException();
+          }
+          ensurePromptsIsMutable();
+          prompts_.add(index, value);
+          onChanged();
+        } else {
+          promptsBuilder_.addMessage(index, value);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Of the requests that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+       */
+      public Builder addPrompts(
+          dev.laneworks.wire.proto.Protocol.PromptParts.Builder builderForValue) {
+        if (promptsBuilder_ == null) {
+          ensurePromptsIsMutable();
+          prompts_.add(builderForValue.build());
+          onChanged();
+        } else {
+          promptsBuilder_.addMessage(builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Of the requests that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+       */
+      public Builder addPrompts(
+          int index, dev.laneworks.wire.proto.Protocol.PromptParts.Builder builderForValue) {
+        if (promptsBuilder_ == null) {
+          ensurePromptsIsMutable();
+          prompts_.add(index, builderForValue.build());
+          onChanged();
+        } else {
+          promptsBuilder_.addMessage(index, builderForValue.build());
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Of the requests that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+       */
+      public Builder addAllPrompts(
+          java.lang.Iterable<? extends dev.laneworks.wire.proto.Protocol.PromptParts> values) {
+        if (promptsBuilder_ == null) {
+          ensurePromptsIsMutable();
+          com.google.protobuf.AbstractMessageLite.Builder.addAll(
+              values, prompts_);
+          onChanged();
+        } else {
+          promptsBuilder_.addAllMessages(values);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Of the requests that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+       */
+      public Builder clearPrompts() {
+        if (promptsBuilder_ == null) {
+          prompts_ = java.util.Collections.emptyList();
+          bitField0_ = (bitField0_ & ~0x00000004);
+          onChanged();
+        } else {
+          promptsBuilder_.clear();
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Of the requests that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+       */
+      public Builder removePrompts(int index) {
+        if (promptsBuilder_ == null) {
+          ensurePromptsIsMutable();
+          prompts_.remove(index);
+          onChanged();
+        } else {
+          promptsBuilder_.remove(index);
+        }
+        return this;
+      }
+      /**
+       * <pre>
+       * Of the requests that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.PromptParts.Builder getPromptsBuilder(
+          int index) {
+        return internalGetPromptsFieldBuilder().getBuilder(index);
+      }
+      /**
+       * <pre>
+       * Of the requests that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.PromptPartsOrBuilder getPromptsOrBuilder(
+          int index) {
+        if (promptsBuilder_ == null) {
+          return prompts_.get(index);  } else {
+          return promptsBuilder_.getMessageOrBuilder(index);
+        }
+      }
+      /**
+       * <pre>
+       * Of the requests that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+       */
+      public java.util.List<? extends dev.laneworks.wire.proto.Protocol.PromptPartsOrBuilder> 
+           getPromptsOrBuilderList() {
+        if (promptsBuilder_ != null) {
+          return promptsBuilder_.getMessageOrBuilderList();
+        } else {
+          return java.util.Collections.unmodifiableList(prompts_);
+        }
+      }
+      /**
+       * <pre>
+       * Of the requests that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.PromptParts.Builder addPromptsBuilder() {
+        return internalGetPromptsFieldBuilder().addBuilder(
+            dev.laneworks.wire.proto.Protocol.PromptParts.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Of the requests that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+       */
+      public dev.laneworks.wire.proto.Protocol.PromptParts.Builder addPromptsBuilder(
+          int index) {
+        return internalGetPromptsFieldBuilder().addBuilder(
+            index, dev.laneworks.wire.proto.Protocol.PromptParts.getDefaultInstance());
+      }
+      /**
+       * <pre>
+       * Of the requests that may have caused the crash.
+       * </pre>
+       *
+       * <code>repeated .laneworks.PromptParts prompts = 3;</code>
+       */
+      public java.util.List<dev.laneworks.wire.proto.Protocol.PromptParts.Builder> 
+           getPromptsBuilderList() {
+        return internalGetPromptsFieldBuilder().getBuilderList();
+      }
+      private com.google.protobuf.RepeatedFieldBuilder<
+          dev.laneworks.wire.proto.Protocol.PromptParts, dev.laneworks.wire.proto.Protocol.PromptParts.Builder, dev.laneworks.wire.proto.Protocol.PromptPartsOrBuilder> 
+          internalGetPromptsFieldBuilder() {
+        if (promptsBuilder_ == null) {
+          promptsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+              dev.laneworks.wire.proto.Protocol.PromptParts, dev.laneworks.wire.proto.Protocol.PromptParts.Builder, dev.laneworks.wire.proto.Protocol.PromptPartsOrBuilder>(
+                  prompts_,
+                  ((bitField0_ & 0x00000004) != 0),
+                  getParentForChildren(),
+                  isClean());
+          prompts_ = null;
+        }
+        return promptsBuilder_;
+      }
+
+      // @@protoc_insertion_point(builder_scope:laneworks.PartCrash)
+    }
+
+    // @@protoc_insertion_point(class_scope:laneworks.PartCrash)
+    private static final dev.laneworks.wire.proto.Protocol.PartCrash DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.PartCrash();
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.PartCrash getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<PartCrash>
+        PARSER = new com.google.protobuf.AbstractParser<PartCrash>() {
+      @java.lang.Override
+      public PartCrash parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<PartCrash> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<PartCrash> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.PartCrash getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface PromptPartsOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:laneworks.PromptParts)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <pre>
+     * Hash of the client account.
+     * </pre>
+     *
+     * <code>fixed64 account = 1;</code>
+     * @return The account.
+     */
+    long getAccount();
+
+    /**
+     * <pre>
+     * Hashes of service and identifier of each part.
+     * </pre>
+     *
+     * <code>repeated fixed64 parts = 2;</code>
+     * @return A list containing the parts.
+     */
+    java.util.List<java.lang.Long> getPartsList();
+    /**
+     * <pre>
+     * Hashes of service and identifier of each part.
+     * </pre>
+     *
+     * <code>repeated fixed64 parts = 2;</code>
+     * @return The count of parts.
+     */
+    int getPartsCount();
+    /**
+     * <pre>
+     * Hashes of service and identifier of each part.
+     * </pre>
+     *
+     * <code>repeated fixed64 parts = 2;</code>
+     * @param index The index of the element to return.
+     * @return The parts at the given index.
+     */
+    long getParts(int index);
+  }
+  /**
+   * Protobuf type {@code laneworks.PromptParts}
+   */
+  public static final class PromptParts extends
+      com.google.protobuf.GeneratedMessage implements
+      // @@protoc_insertion_point(message_implements:laneworks.PromptParts)
+      PromptPartsOrBuilder {
+  private static final long serialVersionUID = 0L;
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 34,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "PromptParts");
+    }
+    // Use PromptParts.newBuilder() to construct.
+    private PromptParts(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+      super(builder);
+    }
+    private PromptParts() {
+      parts_ = emptyLongList();
+    }
+
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PromptParts_descriptor;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PromptParts_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PromptParts_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              dev.laneworks.wire.proto.Protocol.PromptParts.class, dev.laneworks.wire.proto.Protocol.PromptParts.Builder.class);
+    }
+
+    public static final int ACCOUNT_FIELD_NUMBER = 1;
+    private long account_ = 0L;
+    /**
+     * <pre>
+     * Hash of the client account.
+     * </pre>
+     *
+     * <code>fixed64 account = 1;</code>
+     * @return The account.
+     */
+    @java.lang.Override
+    public long getAccount() {
+      return account_;
+    }
+
+    public static final int PARTS_FIELD_NUMBER = 2;
+    @SuppressWarnings("serial")
+    private com.google.protobuf.Internal.LongList parts_ =
+        emptyLongList();
+    /**
+     * <pre>
+     * Hashes of service and identifier of each part.
+     * </pre>
+     *
+     * <code>repeated fixed64 parts = 2;</code>
+     * @return A list containing the parts.
+     */
+    @java.lang.Override
+    public java.util.List<java.lang.Long>
+        getPartsList() {
+      return parts_;
+    }
+    /**
+     * <pre>
+     * Hashes of service and identifier of each part.
+     * </pre>
+     *
+     * <code>repeated fixed64 parts = 2;</code>
+     * @return The count of parts.
+     */
+    public int getPartsCount() {
+      return parts_.size();
+    }
+    /**
+     * <pre>
+     * Hashes of service and identifier of each part.
+     * </pre>
+     *
+     * <code>repeated fixed64 parts = 2;</code>
+     * @param index The index of the element to return.
+     * @return The parts at the given index.
+     */
+    public long getParts(int index) {
+      return parts_.getLong(index);
+    }
+    private int partsMemoizedSerializedSize = -1;
+
+    private byte memoizedIsInitialized = -1;
+    @java.lang.Override
+    public final boolean isInitialized() {
+      byte isInitialized = memoizedIsInitialized;
+      if (isInitialized == 1) return true;
+      if (isInitialized == 0) return false;
+
+      memoizedIsInitialized = 1;
+      return true;
+    }
+
+    @java.lang.Override
+    public void writeTo(com.google.protobuf.CodedOutputStream output)
+                        throws java.io.IOException {
+      getSerializedSize();
+      if (account_ != 0L) {
+        output.writeFixed64(1, account_);
+      }
+      if (getPartsList().size() > 0) {
+        output.writeUInt32NoTag(18);
+        output.writeUInt32NoTag(partsMemoizedSerializedSize);
+      }
+      for (int i = 0; i < parts_.size(); i++) {
+        output.writeFixed64NoTag(parts_.getLong(i));
+      }
+      getUnknownFields().writeTo(output);
+    }
+
+    @java.lang.Override
+    public int getSerializedSize() {
+      int size = memoizedSize;
+      if (size != -1) return size;
+
+      size = 0;
+      if (account_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(1, account_);
+      }
+      {
+        int dataSize = 0;
+        dataSize = 8 * getPartsList().size();
+        size += dataSize;
+        if (!getPartsList().isEmpty()) {
+          size += 1;
+          size += com.google.protobuf.CodedOutputStream
+              .computeInt32SizeNoTag(dataSize);
+        }
+        partsMemoizedSerializedSize = dataSize;
+      }
+      size += getUnknownFields().getSerializedSize();
+      memoizedSize = size;
+      return size;
+    }
+
+    @java.lang.Override
+    public boolean equals(final java.lang.Object obj) {
+      if (obj == this) {
+       return true;
+      }
+      if (!(obj instanceof dev.laneworks.wire.proto.Protocol.PromptParts)) {
+        return super.equals(obj);
+      }
+      dev.laneworks.wire.proto.Protocol.PromptParts other = (dev.laneworks.wire.proto.Protocol.PromptParts) obj;
+
+      if (getAccount()
+          != other.getAccount()) return false;
+      if (!getPartsList()
+          .equals(other.getPartsList())) return false;
+      if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      return true;
+    }
+
+    @java.lang.Override
+    public int hashCode() {
+      if (memoizedHashCode != 0) {
+        return memoizedHashCode;
+      }
+      int hash = 41;
+      hash = (19 * hash) + getDescriptor().hashCode();
+      hash = (37 * hash) + ACCOUNT_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAccount());
+      if (getPartsCount() > 0) {
+        hash = (37 * hash) + PARTS_FIELD_NUMBER;
+        hash = (53 * hash) + getPartsList().hashCode();
+      }
+      hash = (29 * hash) + getUnknownFields().hashCode();
+      memoizedHashCode = hash;
+      return hash;
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.PromptParts parseFrom(
+        java.nio.ByteBuffer data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PromptParts parseFrom(
+        java.nio.ByteBuffer data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PromptParts parseFrom(
+        com.google.protobuf.ByteString data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PromptParts parseFrom(
+        com.google.protobuf.ByteString data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PromptParts parseFrom(byte[] data)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PromptParts parseFrom(
+        byte[] data,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      return PARSER.parseFrom(data, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PromptParts parseFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PromptParts parseFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.PromptParts parseDelimitedFrom(java.io.InputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input);
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.PromptParts parseDelimitedFrom(
+        java.io.InputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PromptParts parseFrom(
+        com.google.protobuf.CodedInputStream input)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input);
+    }
+    public static dev.laneworks.wire.proto.Protocol.PromptParts parseFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      return com.google.protobuf.GeneratedMessage
+          .parseWithIOException(PARSER, input, extensionRegistry);
+    }
+
+    @java.lang.Override
+    public Builder newBuilderForType() { return newBuilder(); }
+    public static Builder newBuilder() {
+      return DEFAULT_INSTANCE.toBuilder();
+    }
+    public static Builder newBuilder(dev.laneworks.wire.proto.Protocol.PromptParts prototype) {
+      return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+    }
+    @java.lang.Override
+    public Builder toBuilder() {
+      return this == DEFAULT_INSTANCE
+          ? new Builder() : new Builder().mergeFrom(this);
+    }
+
+    @java.lang.Override
+    protected Builder newBuilderForType(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      Builder builder = new Builder(parent);
+      return builder;
+    }
+    /**
+     * Protobuf type {@code laneworks.PromptParts}
+     */
+    public static final class Builder extends
+        com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+        // @@protoc_insertion_point(builder_implements:laneworks.PromptParts)
+        dev.laneworks.wire.proto.Protocol.PromptPartsOrBuilder {
+      public static final com.google.protobuf.Descriptors.Descriptor
+          getDescriptor() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PromptParts_descriptor;
+      }
+
+      @java.lang.Override
+      protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+          internalGetFieldAccessorTable() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PromptParts_fieldAccessorTable
+            .ensureFieldAccessorsInitialized(
+                dev.laneworks.wire.proto.Protocol.PromptParts.class, dev.laneworks.wire.proto.Protocol.PromptParts.Builder.class);
+      }
+
+      // Construct using dev.laneworks.wire.proto.Protocol.PromptParts.newBuilder()
+      private Builder() {
+
+      }
+
+      private Builder(
+          com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+        super(parent);
+
+      }
+      @java.lang.Override
+      public Builder clear() {
+        super.clear();
+        bitField0_ = 0;
+        account_ = 0L;
+        parts_ = emptyLongList();
+        return this;
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.Descriptors.Descriptor
+          getDescriptorForType() {
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PromptParts_descriptor;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.PromptParts getDefaultInstanceForType() {
+        return dev.laneworks.wire.proto.Protocol.PromptParts.getDefaultInstance();
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.PromptParts build() {
+        dev.laneworks.wire.proto.Protocol.PromptParts result = buildPartial();
+        if (!result.isInitialized()) {
+          throw newUninitializedMessageException(result);
+        }
+        return result;
+      }
+
+      @java.lang.Override
+      public dev.laneworks.wire.proto.Protocol.PromptParts buildPartial() {
+        dev.laneworks.wire.proto.Protocol.PromptParts result = new dev.laneworks.wire.proto.Protocol.PromptParts(this);
+        if (bitField0_ != 0) { buildPartial0(result); }
+        onBuilt();
+        return result;
+      }
+
+      private void buildPartial0(dev.laneworks.wire.proto.Protocol.PromptParts result) {
+        int from_bitField0_ = bitField0_;
+        if (((from_bitField0_ & 0x00000001) != 0)) {
+          result.account_ = account_;
+        }
+        if (((from_bitField0_ & 0x00000002) != 0)) {
+          parts_.makeImmutable();
+          result.parts_ = parts_;
+        }
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(com.google.protobuf.Message other) {
+        if (other instanceof dev.laneworks.wire.proto.Protocol.PromptParts) {
+          return mergeFrom((dev.laneworks.wire.proto.Protocol.PromptParts)other);
+        } else {
+          super.mergeFrom(other);
+          return this;
+        }
+      }
+
+      public Builder mergeFrom(dev.laneworks.wire.proto.Protocol.PromptParts other) {
+        if (other == dev.laneworks.wire.proto.Protocol.PromptParts.getDefaultInstance()) return this;
+        if (other.getAccount() != 0L) {
+          setAccount(other.getAccount());
+        }
+        if (!other.parts_.isEmpty()) {
+          if (parts_.isEmpty()) {
+            parts_ = other.parts_;
+            parts_.makeImmutable();
+            bitField0_ |= 0x00000002;
+          } else {
+            ensurePartsIsMutable();
+            parts_.addAll(other.parts_);
+          }
+          onChanged();
+        }
+        this.mergeUnknownFields(other.getUnknownFields());
+        onChanged();
+        return this;
+      }
+
+      @java.lang.Override
+      public final boolean isInitialized() {
+        return true;
+      }
+
+      @java.lang.Override
+      public Builder mergeFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws java.io.IOException {
+        if (extensionRegistry == null) {
+          throw new java.lang.NullPointerException();
+        }
+        try {
+          boolean done = false;
+          while (!done) {
+            int tag = input.readTag();
+            switch (tag) {
+              case 0:
+                done = true;
+                break;
+              case 9: {
+                account_ = input.readFixed64();
+                bitField0_ |= 0x00000001;
+                break;
+              } // case 9
+              case 17: {
+                long v = input.readFixed64();
+                ensurePartsIsMutable();
+                parts_.addLong(v);
+                break;
+              } // case 17
+              case 18: {
+                int length = input.readRawVarint32();
+                int limit = input.pushLimit(length);
+                int alloc = length > 4096 ? 4096 : length;
+                ensurePartsIsMutable(alloc / 8);
+                while (input.getBytesUntilLimit() > 0) {
+                  parts_.addLong(input.readFixed64());
+                }
+                input.popLimit(limit);
+                break;
+              } // case 18
+              default: {
+                if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                  done = true; // was an endgroup tag
+                }
+                break;
+              } // default:
+            } // switch (tag)
+          } // while (!done)
