+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.unwrapIOException();
+        } finally {
+          onChanged();
+        } // finally
+        return this;
+      }
+      private int bitField0_;
+
+      private long account_ ;
+      /**
+       * <pre>
+       * Hash of the client account.
+       * </pre>
+       *
+       * <code>fixed64 account = 1;</code>
+       * @return The account.
+       */
+      @java.lang.Override
+      public long getAccount() {
+        return account_;
+      }
+      /**
+       * <pre>
+       * Hash of the client account.
+       * </pre>
+       *
+       * <code>fixed64 account = 1;</code>
+       * @param value The account to set.
+       * @return This builder for chaining.
+       */
+      public Builder setAccount(long value) {
+
+        account_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Hash of the client account.
+       * </pre>
+       *
+       * <code>fixed64 account = 1;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearAccount() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        account_ = 0L;
+        onChanged();
+        return this;
+      }
+
+      private com.google.protobuf.Internal.LongList parts_ = emptyLongList();
+      private void ensurePartsIsMutable() {
+        if (!parts_.isModifiable()) {
+          parts_ = makeMutableCopy(parts_);
+        }
+        bitField0_ |= 0x00000002;
+      }
+      private void ensurePartsIsMutable(int capacity) {
+        if (!parts_.isModifiable()) {
+          parts_ = makeMutableCopy(parts_, capacity);
+        }
+        bitField0_ |= 0x00000002;
+      }
+      /**
+       * <pre>
+       * Hashes of service and identifier of each part.
+       * </pre>
+       *
+       * <code>repeated fixed64 parts = 2;</code>
+       * @return A list containing the parts.
+       */
+      public java.util.List<java.lang.Long>
+          getPartsList() {
+        parts_.makeImmutable();
+        return parts_;
+      }
+      /**
+       * <pre>
+       * Hashes of service and identifier of each part.
+       * </pre>
+       *
+       * <code>repeated fixed64 parts = 2;</code>
+       * @return The count of parts.
+       */
+      public int getPartsCount() {
+        return parts_.size();
+      }
+      /**
+       * <pre>
+       * Hashes of service and identifier of each part.
+       * </pre>
+       *
+       * <code>repeated fixed64 parts = 2;</code>
+       * @param index The index of the element to return.
+       * @return The parts at the given index.
+       */
+      public long getParts(int index) {
+        return parts_.getLong(index);
+      }
+      /**
+       * <pre>
+       * Hashes of service and identifier of each part.
+       * </pre>
+       *
+       * <code>repeated fixed64 parts = 2;</code>
+       * @param index The index to set the value at.
+       * @param value The parts to set.
+       * @return This builder for chaining.
+       */
+      public Builder setParts(
+          int index, long value) {
+
+        ensurePartsIsMutable();
+        parts_.setLong(index, value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Hashes of service and identifier of each part.
+       * </pre>
+       *
+       * <code>repeated fixed64 parts = 2;</code>
+       * @param value The parts to add.
+       * @return This builder for chaining.
+       */
+      public Builder addParts(long value) {
+
+        ensurePartsIsMutable();
+        parts_.addLong(value);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Hashes of service and identifier of each part.
+       * </pre>
+       *
+       * <code>repeated fixed64 parts = 2;</code>
+       * @param values The parts to add.
+       * @return This builder for chaining.
+       */
+      public Builder addAllParts(
+          java.lang.Iterable<? extends java.lang.Long> values) {
+        ensurePartsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, parts_);
+        bitField0_ |= 0x00000002;
+        onChanged();
+        return this;
+      }
+      /**
+       * <pre>
+       * Hashes of service and identifier of each part.
+       * </pre>
+       *
+       * <code>repeated fixed64 parts = 2;</code>
+       * @return This builder for chaining.
+       */
+      public Builder clearParts() {
+        parts_ = emptyLongList();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+        return this;
+      }
+
+      // @@protoc_insertion_point(builder_scope:laneworks.PromptParts)
+    }
+
+    // @@protoc_insertion_point(class_scope:laneworks.PromptParts)
+    private static final dev.laneworks.wire.proto.Protocol.PromptParts DEFAULT_INSTANCE;
+    static {
+      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.PromptParts();
+    }
+
+    public static dev.laneworks.wire.proto.Protocol.PromptParts getDefaultInstance() {
+      return DEFAULT_INSTANCE;
+    }
+
+    private static final com.google.protobuf.Parser<PromptParts>
+        PARSER = new com.google.protobuf.AbstractParser<PromptParts>() {
+      @java.lang.Override
+      public PromptParts parsePartialFrom(
+          com.google.protobuf.CodedInputStream input,
+          com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+          throws com.google.protobuf.InvalidProtocolBufferException {
+        Builder builder = newBuilder();
+        try {
+          builder.mergeFrom(input, extensionRegistry);
+        } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+          throw e.setUnfinishedMessage(builder.buildPartial());
+        } catch (com.google.protobuf.UninitializedMessageException e) {
+          throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+        } catch (java.io.IOException e) {
+          throw new com.google.protobuf.InvalidProtocolBufferException(e)
+              .setUnfinishedMessage(builder.buildPartial());
+        }
+        return builder.buildPartial();
+      }
+    };
+
+    public static com.google.protobuf.Parser<PromptParts> parser() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Parser<PromptParts> getParserForType() {
+      return PARSER;
+    }
+
+    @java.lang.Override
+    public dev.laneworks.wire.proto.Protocol.PromptParts getDefaultInstanceForType() {
+      return DEFAULT_INSTANCE;
+    }
+
+  }
+
+  public interface PartSuccessOrBuilder extends
+      // @@protoc_insertion_point(interface_extends:laneworks.PartSuccess)
+      com.google.protobuf.MessageOrBuilder {
+
+    /**
+     * <code>fixed64 account = 1;</code>
+     * @return The account.
+     */
+    long getAccount();
+
+    /**
+     * <code>fixed64 part = 2;</code>
+     * @return The part.
+     */
+    long getPart();
+
+    /**
+     * <pre>
+     * Since the target began to answer.
+     * </pre>
+     *
+     * <code>uint64 age_millis = 3;</code>
+     * @return The ageMillis.
+     */
+    long getAgeMillis();
+  }
+  /**
+   * Protobuf type {@code laneworks.PartSuccess}
    */
-  public static final class EndedRun extends
+  public static final class PartSuccess extends
       com.google.protobuf.GeneratedMessage implements
-      // @@protoc_insertion_point(message_implements:laneworks.EndedRun)
-      EndedRunOrBuilder {
+      // @@protoc_insertion_point(message_implements:laneworks.PartSuccess)
+      PartSuccessOrBuilder {
   private static final long serialVersionUID = 0L;
     static {
       com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -30658,77 +34401,63 @@
         /* minor= */ 34,
         /* patch= */ 2,
         /* suffix= */ "",
-        "EndedRun");
+        "PartSuccess");
     }
-    // Use EndedRun.newBuilder() to construct.
-    private EndedRun(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    // Use PartSuccess.newBuilder() to construct.
+    private PartSuccess(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
       super(builder);
     }
-    private EndedRun() {
-      target_ = "";
+    private PartSuccess() {
     }
 
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EndedRun_descriptor;
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PartSuccess_descriptor;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EndedRun_descriptor;
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PartSuccess_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EndedRun_fieldAccessorTable
+      return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PartSuccess_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              dev.laneworks.wire.proto.Protocol.EndedRun.class, dev.laneworks.wire.proto.Protocol.EndedRun.Builder.class);
+              dev.laneworks.wire.proto.Protocol.PartSuccess.class, dev.laneworks.wire.proto.Protocol.PartSuccess.Builder.class);
     }
 
-    public static final int TARGET_FIELD_NUMBER = 1;
-    @SuppressWarnings("serial")
-    private volatile java.lang.Object target_ = "";
+    public static final int ACCOUNT_FIELD_NUMBER = 1;
+    private long account_ = 0L;
     /**
-     * <code>string target = 1;</code>
-     * @return The target.
+     * <code>fixed64 account = 1;</code>
+     * @return The account.
      */
     @java.lang.Override
-    public java.lang.String getTarget() {
-      java.lang.Object ref = target_;
-      if (ref instanceof java.lang.String) {
-        return (java.lang.String) ref;
-      } else {
-        com.google.protobuf.ByteString bs = 
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        target_ = s;
-        return s;
-      }
+    public long getAccount() {
+      return account_;
     }
+
+    public static final int PART_FIELD_NUMBER = 2;
+    private long part_ = 0L;
     /**
-     * <code>string target = 1;</code>
-     * @return The bytes for target.
+     * <code>fixed64 part = 2;</code>
+     * @return The part.
      */
     @java.lang.Override
-    public com.google.protobuf.ByteString
-        getTargetBytes() {
-      java.lang.Object ref = target_;
-      if (ref instanceof java.lang.String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        target_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
+    public long getPart() {
+      return part_;
     }
 
-    public static final int AGE_MILLIS_FIELD_NUMBER = 2;
+    public static final int AGE_MILLIS_FIELD_NUMBER = 3;
     private long ageMillis_ = 0L;
     /**
-     * <code>uint64 age_millis = 2;</code>
+     * <pre>
+     * Since the target began to answer.
+     * </pre>
+     *
+     * <code>uint64 age_millis = 3;</code>
      * @return The ageMillis.
      */
     @java.lang.Override
@@ -30750,11 +34479,14 @@
     @java.lang.Override
     public void writeTo(com.google.protobuf.CodedOutputStream output)
                         throws java.io.IOException {
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
-        com.google.protobuf.GeneratedMessage.writeString(output, 1, target_);
+      if (account_ != 0L) {
+        output.writeFixed64(1, account_);
+      }
+      if (part_ != 0L) {
+        output.writeFixed64(2, part_);
       }
       if (ageMillis_ != 0L) {
-        output.writeUInt64(2, ageMillis_);
+        output.writeUInt64(3, ageMillis_);
       }
       getUnknownFields().writeTo(output);
     }
@@ -30765,12 +34497,17 @@
       if (size != -1) return size;
 
       size = 0;
-      if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
-        size += com.google.protobuf.GeneratedMessage.computeStringSize(1, target_);
+      if (account_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(1, account_);
+      }
+      if (part_ != 0L) {
+        size += com.google.protobuf.CodedOutputStream
+          .computeFixed64Size(2, part_);
       }
       if (ageMillis_ != 0L) {
         size += com.google.protobuf.CodedOutputStream
-          .computeUInt64Size(2, ageMillis_);
+          .computeUInt64Size(3, ageMillis_);
       }
       size += getUnknownFields().getSerializedSize();
       memoizedSize = size;
@@ -30782,13 +34519,15 @@
       if (obj == this) {
        return true;
       }
-      if (!(obj instanceof dev.laneworks.wire.proto.Protocol.EndedRun)) {
+      if (!(obj instanceof dev.laneworks.wire.proto.Protocol.PartSuccess)) {
         return super.equals(obj);
       }
-      dev.laneworks.wire.proto.Protocol.EndedRun other = (dev.laneworks.wire.proto.Protocol.EndedRun) obj;
+      dev.laneworks.wire.proto.Protocol.PartSuccess other = (dev.laneworks.wire.proto.Protocol.PartSuccess) obj;
 
-      if (!getTarget()
-          .equals(other.getTarget())) return false;
+      if (getAccount()
+          != other.getAccount()) return false;
+      if (getPart()
+          != other.getPart()) return false;
       if (getAgeMillis()
           != other.getAgeMillis()) return false;
       if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -30802,8 +34541,12 @@
       }
       int hash = 41;
       hash = (19 * hash) + getDescriptor().hashCode();
-      hash = (37 * hash) + TARGET_FIELD_NUMBER;
-      hash = (53 * hash) + getTarget().hashCode();
+      hash = (37 * hash) + ACCOUNT_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getAccount());
+      hash = (37 * hash) + PART_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getPart());
       hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
       hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
           getAgeMillis());
@@ -30812,44 +34555,44 @@
       return hash;
     }
 
-    public static dev.laneworks.wire.proto.Protocol.EndedRun parseFrom(
+    public static dev.laneworks.wire.proto.Protocol.PartSuccess parseFrom(
         java.nio.ByteBuffer data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static dev.laneworks.wire.proto.Protocol.EndedRun parseFrom(
+    public static dev.laneworks.wire.proto.Protocol.PartSuccess parseFrom(
         java.nio.ByteBuffer data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static dev.laneworks.wire.proto.Protocol.EndedRun parseFrom(
+    public static dev.laneworks.wire.proto.Protocol.PartSuccess parseFrom(
         com.google.protobuf.ByteString data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static dev.laneworks.wire.proto.Protocol.EndedRun parseFrom(
+    public static dev.laneworks.wire.proto.Protocol.PartSuccess parseFrom(
         com.google.protobuf.ByteString data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static dev.laneworks.wire.proto.Protocol.EndedRun parseFrom(byte[] data)
+    public static dev.laneworks.wire.proto.Protocol.PartSuccess parseFrom(byte[] data)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data);
     }
-    public static dev.laneworks.wire.proto.Protocol.EndedRun parseFrom(
+    public static dev.laneworks.wire.proto.Protocol.PartSuccess parseFrom(
         byte[] data,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
       return PARSER.parseFrom(data, extensionRegistry);
     }
-    public static dev.laneworks.wire.proto.Protocol.EndedRun parseFrom(java.io.InputStream input)
+    public static dev.laneworks.wire.proto.Protocol.PartSuccess parseFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static dev.laneworks.wire.proto.Protocol.EndedRun parseFrom(
+    public static dev.laneworks.wire.proto.Protocol.PartSuccess parseFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -30857,26 +34600,26 @@
           .parseWithIOException(PARSER, input, extensionRegistry);
     }
 
-    public static dev.laneworks.wire.proto.Protocol.EndedRun parseDelimitedFrom(java.io.InputStream input)
+    public static dev.laneworks.wire.proto.Protocol.PartSuccess parseDelimitedFrom(java.io.InputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input);
     }
 
-    public static dev.laneworks.wire.proto.Protocol.EndedRun parseDelimitedFrom(
+    public static dev.laneworks.wire.proto.Protocol.PartSuccess parseDelimitedFrom(
         java.io.InputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
     }
-    public static dev.laneworks.wire.proto.Protocol.EndedRun parseFrom(
+    public static dev.laneworks.wire.proto.Protocol.PartSuccess parseFrom(
         com.google.protobuf.CodedInputStream input)
         throws java.io.IOException {
       return com.google.protobuf.GeneratedMessage
           .parseWithIOException(PARSER, input);
     }
-    public static dev.laneworks.wire.proto.Protocol.EndedRun parseFrom(
+    public static dev.laneworks.wire.proto.Protocol.PartSuccess parseFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws java.io.IOException {
@@ -30889,7 +34632,7 @@
     public static Builder newBuilder() {
       return DEFAULT_INSTANCE.toBuilder();
     }
-    public static Builder newBuilder(dev.laneworks.wire.proto.Protocol.EndedRun prototype) {
+    public static Builder newBuilder(dev.laneworks.wire.proto.Protocol.PartSuccess prototype) {
       return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
     }
     @java.lang.Override
@@ -30905,26 +34648,26 @@
       return builder;
     }
     /**
-     * Protobuf type {@code laneworks.EndedRun}
+     * Protobuf type {@code laneworks.PartSuccess}
      */
     public static final class Builder extends
         com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-        // @@protoc_insertion_point(builder_implements:laneworks.EndedRun)
-        dev.laneworks.wire.proto.Protocol.EndedRunOrBuilder {
+        // @@protoc_insertion_point(builder_implements:laneworks.PartSuccess)
+        dev.laneworks.wire.proto.Protocol.PartSuccessOrBuilder {
       public static final com.google.protobuf.Descriptors.Descriptor
           getDescriptor() {
-        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EndedRun_descriptor;
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PartSuccess_descriptor;
       }
 
       @java.lang.Override
       protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
           internalGetFieldAccessorTable() {
-        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EndedRun_fieldAccessorTable
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PartSuccess_fieldAccessorTable
             .ensureFieldAccessorsInitialized(
-                dev.laneworks.wire.proto.Protocol.EndedRun.class, dev.laneworks.wire.proto.Protocol.EndedRun.Builder.class);
+                dev.laneworks.wire.proto.Protocol.PartSuccess.class, dev.laneworks.wire.proto.Protocol.PartSuccess.Builder.class);
       }
 
-      // Construct using dev.laneworks.wire.proto.Protocol.EndedRun.newBuilder()
+      // Construct using dev.laneworks.wire.proto.Protocol.PartSuccess.newBuilder()
       private Builder() {
 
       }
@@ -30938,7 +34681,8 @@
       public Builder clear() {
         super.clear();
         bitField0_ = 0;
-        target_ = "";
+        account_ = 0L;
+        part_ = 0L;
         ageMillis_ = 0L;
         return this;
       }
@@ -30946,17 +34690,17 @@
       @java.lang.Override
       public com.google.protobuf.Descriptors.Descriptor
           getDescriptorForType() {
-        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_EndedRun_descriptor;
+        return dev.laneworks.wire.proto.Protocol.internal_static_laneworks_PartSuccess_descriptor;
       }
 
       @java.lang.Override
-      public dev.laneworks.wire.proto.Protocol.EndedRun getDefaultInstanceForType() {
-        return dev.laneworks.wire.proto.Protocol.EndedRun.getDefaultInstance();
+      public dev.laneworks.wire.proto.Protocol.PartSuccess getDefaultInstanceForType() {
+        return dev.laneworks.wire.proto.Protocol.PartSuccess.getDefaultInstance();
       }
 
       @java.lang.Override
-      public dev.laneworks.wire.proto.Protocol.EndedRun build() {
-        dev.laneworks.wire.proto.Protocol.EndedRun result = buildPartial();
+      public dev.laneworks.wire.proto.Protocol.PartSuccess build() {
+        dev.laneworks.wire.proto.Protocol.PartSuccess result = buildPartial();
         if (!result.isInitialized()) {
           throw newUninitializedMessageException(result);
         }
@@ -30964,39 +34708,43 @@
       }
 
       @java.lang.Override
-      public dev.laneworks.wire.proto.Protocol.EndedRun buildPartial() {
-        dev.laneworks.wire.proto.Protocol.EndedRun result = new dev.laneworks.wire.proto.Protocol.EndedRun(this);
+      public dev.laneworks.wire.proto.Protocol.PartSuccess buildPartial() {
+        dev.laneworks.wire.proto.Protocol.PartSuccess result = new dev.laneworks.wire.proto.Protocol.PartSuccess(this);
         if (bitField0_ != 0) { buildPartial0(result); }
         onBuilt();
         return result;
       }
 
-      private void buildPartial0(dev.laneworks.wire.proto.Protocol.EndedRun result) {
+      private void buildPartial0(dev.laneworks.wire.proto.Protocol.PartSuccess result) {
         int from_bitField0_ = bitField0_;
         if (((from_bitField0_ & 0x00000001) != 0)) {
-          result.target_ = target_;
+          result.account_ = account_;
         }
         if (((from_bitField0_ & 0x00000002) != 0)) {
+          result.part_ = part_;
+        }
+        if (((from_bitField0_ & 0x00000004) != 0)) {
           result.ageMillis_ = ageMillis_;
         }
       }
 
       @java.lang.Override
       public Builder mergeFrom(com.google.protobuf.Message other) {
-        if (other instanceof dev.laneworks.wire.proto.Protocol.EndedRun) {
-          return mergeFrom((dev.laneworks.wire.proto.Protocol.EndedRun)other);
+        if (other instanceof dev.laneworks.wire.proto.Protocol.PartSuccess) {
+          return mergeFrom((dev.laneworks.wire.proto.Protocol.PartSuccess)other);
         } else {
           super.mergeFrom(other);
           return this;
         }
       }
 
-      public Builder mergeFrom(dev.laneworks.wire.proto.Protocol.EndedRun other) {
-        if (other == dev.laneworks.wire.proto.Protocol.EndedRun.getDefaultInstance()) return this;
-        if (!other.getTarget().isEmpty()) {
-          target_ = other.target_;
-          bitField0_ |= 0x00000001;
-          onChanged();
+      public Builder mergeFrom(dev.laneworks.wire.proto.Protocol.PartSuccess other) {
+        if (other == dev.laneworks.wire.proto.Protocol.PartSuccess.getDefaultInstance()) return this;
+        if (other.getAccount() != 0L) {
+          setAccount(other.getAccount());
+        }
+        if (other.getPart() != 0L) {
+          setPart(other.getPart());
         }
         if (other.getAgeMillis() != 0L) {
           setAgeMillis(other.getAgeMillis());
@@ -31027,16 +34775,21 @@
               case 0:
                 done = true;
                 break;
-              case 10: {
-                target_ = input.readStringRequireUtf8();
+              case 9: {
+                account_ = input.readFixed64();
                 bitField0_ |= 0x00000001;
                 break;
-              } // case 10
-              case 16: {
-                ageMillis_ = input.readUInt64();
+              } // case 9
+              case 17: {
+                part_ = input.readFixed64();
                 bitField0_ |= 0x00000002;
                 break;
-              } // case 16
+              } // case 17
+              case 24: {
+                ageMillis_ = input.readUInt64();
+                bitField0_ |= 0x00000004;
+                break;
+              } // case 24
               default: {
                 if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                   done = true; // was an endgroup tag
@@ -31054,81 +34807,77 @@
       }
       private int bitField0_;
 
-      private java.lang.Object target_ = "";
+      private long account_ ;
       /**
-       * <code>string target = 1;</code>
-       * @return The target.
+       * <code>fixed64 account = 1;</code>
+       * @return The account.
        */
-      public java.lang.String getTarget() {
-        java.lang.Object ref = target_;
-        if (!(ref instanceof java.lang.String)) {
-          com.google.protobuf.ByteString bs =
-              (com.google.protobuf.ByteString) ref;
-          java.lang.String s = bs.toStringUtf8();
-          target_ = s;
-          return s;
-        } else {
-          return (java.lang.String) ref;
-        }
+      @java.lang.Override
+      public long getAccount() {
+        return account_;
       }
       /**
-       * <code>string target = 1;</code>
-       * @return The bytes for target.
+       * <code>fixed64 account = 1;</code>
+       * @param value The account to set.
+       * @return This builder for chaining.
        */
-      public com.google.protobuf.ByteString
-          getTargetBytes() {
-        java.lang.Object ref = target_;
-        if (ref instanceof String) {
-          com.google.protobuf.ByteString b = 
-              com.google.protobuf.ByteString.copyFromUtf8(
-                  (java.lang.String) ref);
-          target_ = b;
-          return b;
-        } else {
-          return (com.google.protobuf.ByteString) ref;
-        }
+      public Builder setAccount(long value) {
+
+        account_ = value;
+        bitField0_ |= 0x00000001;
+        onChanged();
+        return this;
       }
       /**
-       * <code>string target = 1;</code>
-       * @param value The target to set.
+       * <code>fixed64 account = 1;</code>
        * @return This builder for chaining.
        */
-      public Builder setTarget(
-          java.lang.String value) {
-        if (value == null) { throw new NullPointerException(); }
-        target_ = value;
-        bitField0_ |= 0x00000001;
+      public Builder clearAccount() {
+        bitField0_ = (bitField0_ & ~0x00000001);
+        account_ = 0L;
         onChanged();
         return this;
       }
+
+      private long part_ ;
       /**
-       * <code>string target = 1;</code>
+       * <code>fixed64 part = 2;</code>
+       * @return The part.
+       */
+      @java.lang.Override
+      public long getPart() {
+        return part_;
+      }
+      /**
+       * <code>fixed64 part = 2;</code>
+       * @param value The part to set.
        * @return This builder for chaining.
        */
-      public Builder clearTarget() {
-        target_ = getDefaultInstance().getTarget();
-        bitField0_ = (bitField0_ & ~0x00000001);
+      public Builder setPart(long value) {
+
+        part_ = value;
+        bitField0_ |= 0x00000002;
         onChanged();
         return this;
       }
       /**
-       * <code>string target = 1;</code>
-       * @param value The bytes for target to set.
+       * <code>fixed64 part = 2;</code>
        * @return This builder for chaining.
        */
-      public Builder setTargetBytes(
-          com.google.protobuf.ByteString value) {
-        if (value == null) { throw new NullPointerException(); }
-        checkByteStringIsUtf8(value);
-        target_ = value;
-        bitField0_ |= 0x00000001;
+      public Builder clearPart() {
+        bitField0_ = (bitField0_ & ~0x00000002);
+        part_ = 0L;
         onChanged();
         return this;
       }
 
       private long ageMillis_ ;
       /**
-       * <code>uint64 age_millis = 2;</code>
+       * <pre>
+       * Since the target began to answer.
+       * </pre>
+       *
+       * <code>uint64 age_millis = 3;</code>
        * @return The ageMillis.
        */
       @java.lang.Override
@@ -31136,45 +34885,53 @@
         return ageMillis_;
       }
       /**
-       * <code>uint64 age_millis = 2;</code>
+       * <pre>
+       * Since the target began to answer.
+       * </pre>
+       *
+       * <code>uint64 age_millis = 3;</code>
        * @param value The ageMillis to set.
        * @return This builder for chaining.
        */
       public Builder setAgeMillis(long value) {
 
         ageMillis_ = value;
-        bitField0_ |= 0x00000002;
+        bitField0_ |= 0x00000004;
         onChanged();
         return this;
       }
       /**
-       * <code>uint64 age_millis = 2;</code>
+       * <pre>
+       * Since the target began to answer.
+       * </pre>
+       *
+       * <code>uint64 age_millis = 3;</code>
        * @return This builder for chaining.
        */
       public Builder clearAgeMillis() {
-        bitField0_ = (bitField0_ & ~0x00000002);
+        bitField0_ = (bitField0_ & ~0x00000004);
         ageMillis_ = 0L;
         onChanged();
         return this;
       }
 
-      // @@protoc_insertion_point(builder_scope:laneworks.EndedRun)
+      // @@protoc_insertion_point(builder_scope:laneworks.PartSuccess)
     }
 
-    // @@protoc_insertion_point(class_scope:laneworks.EndedRun)
-    private static final dev.laneworks.wire.proto.Protocol.EndedRun DEFAULT_INSTANCE;
+    // @@protoc_insertion_point(class_scope:laneworks.PartSuccess)
+    private static final dev.laneworks.wire.proto.Protocol.PartSuccess DEFAULT_INSTANCE;
     static {
-      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.EndedRun();
+      DEFAULT_INSTANCE = new dev.laneworks.wire.proto.Protocol.PartSuccess();
     }
 
-    public static dev.laneworks.wire.proto.Protocol.EndedRun getDefaultInstance() {
+    public static dev.laneworks.wire.proto.Protocol.PartSuccess getDefaultInstance() {
       return DEFAULT_INSTANCE;
     }
 
-    private static final com.google.protobuf.Parser<EndedRun>
-        PARSER = new com.google.protobuf.AbstractParser<EndedRun>() {
+    private static final com.google.protobuf.Parser<PartSuccess>
+        PARSER = new com.google.protobuf.AbstractParser<PartSuccess>() {
       @java.lang.Override
-      public EndedRun parsePartialFrom(
+      public PartSuccess parsePartialFrom(
           com.google.protobuf.CodedInputStream input,
           com.google.protobuf.ExtensionRegistryLite extensionRegistry)
           throws com.google.protobuf.InvalidProtocolBufferException {
@@ -31193,17 +34950,17 @@
       }
     };
 
-    public static com.google.protobuf.Parser<EndedRun> parser() {
+    public static com.google.protobuf.Parser<PartSuccess> parser() {
       return PARSER;
     }
 
     @java.lang.Override
-    public com.google.protobuf.Parser<EndedRun> getParserForType() {
+    public com.google.protobuf.Parser<PartSuccess> getParserForType() {
       return PARSER;
     }
 
     @java.lang.Override
-    public dev.laneworks.wire.proto.Protocol.EndedRun getDefaultInstanceForType() {
+    public dev.laneworks.wire.proto.Protocol.PartSuccess getDefaultInstanceForType() {
       return DEFAULT_INSTANCE;
     }
 
@@ -39882,6 +43639,26 @@
   private static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_laneworks_EndedRun_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_PartNews_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_PartNews_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_PartCrash_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_PartCrash_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_PromptParts_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_PromptParts_fieldAccessorTable;
+  private static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_laneworks_PartSuccess_descriptor;
+  private static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_laneworks_PartSuccess_fieldAccessorTable;
   private static final com.google.protobuf.Descriptors.Descriptor
     internal_static_laneworks_StateQuestion_descriptor;
   private static final 
@@ -40019,7 +43796,7 @@
       "(\r\022\030\n\020returning_tokens\030\005 \001(\004\022)\n\010accounts" +
       "\030\006 \003(\0132\027.laneworks.AccountUsage\"K\n\014Accou" +
       "ntUsage\022\017\n\007account\030\001 \001(\t\022\023\n\013used_tokens\030" +
-      "\002 \001(\004\022\025\n\rqueued_tokens\030\003 \001(\004\"\323\002\n\rEntryDa" +
+      "\002 \001(\004\022\025\n\rqueued_tokens\030\003 \001(\004\"\371\002\n\rEntryDa" +
       "tagram\022\020\n\010protocol\030\001 \001(\r\022$\n\004work\030\002 \001(\0132\024" +
       ".laneworks.EntryNewsH\000\022%\n\005store\030\003 \001(\0132\024." +
       "laneworks.StoreNewsH\000\022,\n\010question\030\004 \001(\0132" +
@@ -40028,44 +43805,53 @@
       "\006 \001(\0132\026.laneworks.SuspectNewsH\000\0223\n\014loan_" +
       "request\030\007 \001(\0132\033.laneworks.RetryLoanReque" +
       "stH\000\022$\n\004loan\030\010 \001(\0132\024.laneworks.RetryLoan" +
-      "H\000B\006\n\004kind\"D\n\020RetryLoanRequest\022\016\n\006number" +
-      "\030\001 \001(\004\022\017\n\007service\030\002 \001(\t\022\017\n\007retries\030\003 \001(\001" +
-      "\",\n\tRetryLoan\022\016\n\006number\030\001 \001(\004\022\017\n\007retries" +
-      "\030\002 \001(\001\"8\n\013SuspectNews\022)\n\007reports\030\001 \003(\0132\030" +
-      ".laneworks.SuspectReport\"\221\001\n\rSuspectRepo" +
-      "rt\022\016\n\006caller\030\001 \001(\006\022\014\n\004high\030\002 \001(\006\022\013\n\003low\030" +
-      "\003 \001(\006\022!\n\004ends\030\004 \003(\0132\023.laneworks.EndedRun" +
-      "\022\035\n\020sound_age_millis\030\005 \001(\004H\000\210\001\001B\023\n\021_soun" +
-      "d_age_millis\".\n\010EndedRun\022\016\n\006target\030\001 \001(\t" +
-      "\022\022\n\nage_millis\030\002 \001(\004\"J\n\rStateQuestion\022\020\n" +
-      "\010revision\030\001 \001(\022\022\023\n\013first_piece\030\002 \001(\r\022\022\n\n" +
-      "newer_than\030\003 \001(\004\"_\n\nStatePiece\022\020\n\010revisi" +
-      "on\030\001 \001(\004\022\022\n\nage_millis\030\002 \001(\004\022\016\n\006number\030\003" +
-      " \001(\r\022\r\n\005count\030\004 \001(\r\022\014\n\004data\030\005 \001(\014\"1\n\nSto" +
-      "reItems\022#\n\005items\030\001 \003(\0132\024.laneworks.Store" +
-      "Item\"9\n\tStoreItem\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030" +
-      "\002 \001(\t\022\020\n\010revision\030\003 \001(\004\"\250\001\n\tStoreNews\022\016\n" +
-      "\006reader\030\001 \001(\t\022\014\n\004from\030\002 \001(\004\022\n\n\002to\030\003 \001(\004\022" +
-      "\'\n\007changes\030\004 \003(\0132\026.laneworks.StoreChange" +
-      "\022&\n\004kind\030\005 \001(\0162\030.laneworks.StoreNewsKind" +
-      "\022\r\n\005group\030\006 \001(\t\022\021\n\treturning\030\007 \001(\010\"J\n\013St" +
-      "oreChange\022\013\n\003key\030\001 \001(\t\022\020\n\010revision\030\002 \001(\004" +
-      "\022\022\n\005value\030\003 \001(\tH\000\210\001\001B\010\n\006_value\"E\n\017Servic" +
-      "eSpending\022\017\n\007service\030\001 \001(\t\022\020\n\010requests\030\002" +
-      " \001(\r\022\017\n\007repeats\030\003 \001(\r\"S\n\013TargetLimit\022\016\n\006" +
-      "target\030\001 \001(\t\022\014\n\004over\030\002 \001(\010\022\022\n\nper_second" +
-      "\030\003 \001(\001\022\022\n\nage_millis\030\004 \001(\r\"\307\001\n\014WorkAtTar" +
-      "get\022\016\n\006target\030\001 \001(\t\022\020\n\010requests\030\002 \001(\r\022\023\n" +
-      "\013held_tokens\030\003 \001(\004\022\025\n\runread_tokens\030\004 \001(" +
-      "\004\022\017\n\007to_move\030\005 \001(\r\022\017\n\007copying\030\006 \001(\010\022\017\n\007r" +
-      "efused\030\007 \001(\r\022\017\n\007leaving\030\010 \001(\010\022%\n\005speed\030\t" +
-      " \001(\0132\026.laneworks.SpeedReport\"j\n\013SpeedRep" +
-      "ort\022\020\n\010slowness\030\001 \001(\002\022\022\n\nage_millis\030\002 \001(" +
-      "\r\022\030\n\020millis_per_token\030\003 \001(\002\022\033\n\023interval_" +
-      "age_millis\030\004 \001(\r*W\n\rStoreNewsKind\022\023\n\017STO" +
-      "RE_NEWS_READ\020\000\022\027\n\023STORE_NEWS_QUESTION\020\001\022" +
-      "\030\n\024STORE_NEWS_PASSED_ON\020\002B&\n\030dev.lanewor" +
-      "ks.wire.protoB\010ProtocolP\000b\006proto3"
+      "H\000\022$\n\005parts\030\t \001(\0132\023.laneworks.PartNewsH\000" +
+      "B\006\n\004kind\"D\n\020RetryLoanRequest\022\016\n\006number\030\001" +
+      " \001(\004\022\017\n\007service\030\002 \001(\t\022\017\n\007retries\030\003 \001(\001\"," +
+      "\n\tRetryLoan\022\016\n\006number\030\001 \001(\004\022\017\n\007retries\030\002" +
+      " \001(\001\"8\n\013SuspectNews\022)\n\007reports\030\001 \003(\0132\030.l" +
+      "aneworks.SuspectReport\"\221\001\n\rSuspectReport" +
+      "\022\016\n\006caller\030\001 \001(\006\022\014\n\004high\030\002 \001(\006\022\013\n\003low\030\003 " +
+      "\001(\006\022!\n\004ends\030\004 \003(\0132\023.laneworks.EndedRun\022\035" +
+      "\n\020sound_age_millis\030\005 \001(\004H\000\210\001\001B\023\n\021_sound_" +
+      "age_millis\".\n\010EndedRun\022\016\n\006target\030\001 \001(\t\022\022" +
+      "\n\nage_millis\030\002 \001(\004\"\\\n\010PartNews\022%\n\007crashe" +
+      "s\030\001 \003(\0132\024.laneworks.PartCrash\022)\n\tsuccess" +
+      "es\030\002 \003(\0132\026.laneworks.PartSuccess\"X\n\tPart" +
+      "Crash\022\016\n\006target\030\001 \001(\t\022\022\n\nage_millis\030\002 \001(" +
+      "\004\022\'\n\007prompts\030\003 \003(\0132\026.laneworks.PromptPar" +
+      "ts\"-\n\013PromptParts\022\017\n\007account\030\001 \001(\006\022\r\n\005pa" +
+      "rts\030\002 \003(\006\"@\n\013PartSuccess\022\017\n\007account\030\001 \001(" +
+      "\006\022\014\n\004part\030\002 \001(\006\022\022\n\nage_millis\030\003 \001(\004\"J\n\rS" +
+      "tateQuestion\022\020\n\010revision\030\001 \001(\022\022\023\n\013first_" +
+      "piece\030\002 \001(\r\022\022\n\nnewer_than\030\003 \001(\004\"_\n\nState" +
+      "Piece\022\020\n\010revision\030\001 \001(\004\022\022\n\nage_millis\030\002 " +
+      "\001(\004\022\016\n\006number\030\003 \001(\r\022\r\n\005count\030\004 \001(\r\022\014\n\004da" +
+      "ta\030\005 \001(\014\"1\n\nStoreItems\022#\n\005items\030\001 \003(\0132\024." +
+      "laneworks.StoreItem\"9\n\tStoreItem\022\013\n\003key\030" +
+      "\001 \001(\t\022\r\n\005value\030\002 \001(\t\022\020\n\010revision\030\003 \001(\004\"\250" +
+      "\001\n\tStoreNews\022\016\n\006reader\030\001 \001(\t\022\014\n\004from\030\002 \001" +
+      "(\004\022\n\n\002to\030\003 \001(\004\022\'\n\007changes\030\004 \003(\0132\026.lanewo" +
+      "rks.StoreChange\022&\n\004kind\030\005 \001(\0162\030.lanework" +
+      "s.StoreNewsKind\022\r\n\005group\030\006 \001(\t\022\021\n\treturn" +
+      "ing\030\007 \001(\010\"J\n\013StoreChange\022\013\n\003key\030\001 \001(\t\022\020\n" +
+      "\010revision\030\002 \001(\004\022\022\n\005value\030\003 \001(\tH\000\210\001\001B\010\n\006_" +
+      "value\"E\n\017ServiceSpending\022\017\n\007service\030\001 \001(" +
+      "\t\022\020\n\010requests\030\002 \001(\r\022\017\n\007repeats\030\003 \001(\r\"S\n\013" +
+      "TargetLimit\022\016\n\006target\030\001 \001(\t\022\014\n\004over\030\002 \001(" +
+      "\010\022\022\n\nper_second\030\003 \001(\001\022\022\n\nage_millis\030\004 \001(" +
+      "\r\"\307\001\n\014WorkAtTarget\022\016\n\006target\030\001 \001(\t\022\020\n\010re" +
+      "quests\030\002 \001(\r\022\023\n\013held_tokens\030\003 \001(\004\022\025\n\runr" +
+      "ead_tokens\030\004 \001(\004\022\017\n\007to_move\030\005 \001(\r\022\017\n\007cop" +
+      "ying\030\006 \001(\010\022\017\n\007refused\030\007 \001(\r\022\017\n\007leaving\030\010" +
+      " \001(\010\022%\n\005speed\030\t \001(\0132\026.laneworks.SpeedRep" +
+      "ort\"j\n\013SpeedReport\022\020\n\010slowness\030\001 \001(\002\022\022\n\n" +
+      "age_millis\030\002 \001(\r\022\030\n\020millis_per_token\030\003 \001" +
+      "(\002\022\033\n\023interval_age_millis\030\004 \001(\r*W\n\rStore" +
+      "NewsKind\022\023\n\017STORE_NEWS_READ\020\000\022\027\n\023STORE_N" +
+      "EWS_QUESTION\020\001\022\030\n\024STORE_NEWS_PASSED_ON\020\002" +
+      "B&\n\030dev.laneworks.wire.protoB\010ProtocolP\000" +
+      "b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -40226,7 +44012,7 @@
     internal_static_laneworks_EntryDatagram_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_EntryDatagram_descriptor,
-        new java.lang.String[] { "Protocol", "Work", "Store", "Question", "Piece", "Suspects", "LoanRequest", "Loan", "Kind", });
+        new java.lang.String[] { "Protocol", "Work", "Store", "Question", "Piece", "Suspects", "LoanRequest", "Loan", "Parts", "Kind", });
     internal_static_laneworks_RetryLoanRequest_descriptor =
       getDescriptor().getMessageType(26);
     internal_static_laneworks_RetryLoanRequest_fieldAccessorTable = new
@@ -40257,62 +44043,86 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_EndedRun_descriptor,
         new java.lang.String[] { "Target", "AgeMillis", });
-    internal_static_laneworks_StateQuestion_descriptor =
+    internal_static_laneworks_PartNews_descriptor =
       getDescriptor().getMessageType(31);
+    internal_static_laneworks_PartNews_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_laneworks_PartNews_descriptor,
+        new java.lang.String[] { "Crashes", "Successes", });
+    internal_static_laneworks_PartCrash_descriptor =
+      getDescriptor().getMessageType(32);
+    internal_static_laneworks_PartCrash_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_laneworks_PartCrash_descriptor,
+        new java.lang.String[] { "Target", "AgeMillis", "Prompts", });
+    internal_static_laneworks_PromptParts_descriptor =
+      getDescriptor().getMessageType(33);
+    internal_static_laneworks_PromptParts_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_laneworks_PromptParts_descriptor,
+        new java.lang.String[] { "Account", "Parts", });
+    internal_static_laneworks_PartSuccess_descriptor =
+      getDescriptor().getMessageType(34);
+    internal_static_laneworks_PartSuccess_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_laneworks_PartSuccess_descriptor,
+        new java.lang.String[] { "Account", "Part", "AgeMillis", });
+    internal_static_laneworks_StateQuestion_descriptor =
+      getDescriptor().getMessageType(35);
     internal_static_laneworks_StateQuestion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_StateQuestion_descriptor,
         new java.lang.String[] { "Revision", "FirstPiece", "NewerThan", });
     internal_static_laneworks_StatePiece_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(36);
     internal_static_laneworks_StatePiece_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_StatePiece_descriptor,
         new java.lang.String[] { "Revision", "AgeMillis", "Number", "Count", "Data", });
     internal_static_laneworks_StoreItems_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(37);
     internal_static_laneworks_StoreItems_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_StoreItems_descriptor,
         new java.lang.String[] { "Items", });
     internal_static_laneworks_StoreItem_descriptor =
-      getDescriptor().getMessageType(34);
+      getDescriptor().getMessageType(38);
     internal_static_laneworks_StoreItem_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_StoreItem_descriptor,
         new java.lang.String[] { "Key", "Value", "Revision", });
     internal_static_laneworks_StoreNews_descriptor =
-      getDescriptor().getMessageType(35);
+      getDescriptor().getMessageType(39);
     internal_static_laneworks_StoreNews_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_StoreNews_descriptor,
         new java.lang.String[] { "Reader", "From", "To", "Changes", "Kind", "Group", "Returning", });
     internal_static_laneworks_StoreChange_descriptor =
-      getDescriptor().getMessageType(36);
+      getDescriptor().getMessageType(40);
     internal_static_laneworks_StoreChange_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_StoreChange_descriptor,
         new java.lang.String[] { "Key", "Revision", "Value", });
     internal_static_laneworks_ServiceSpending_descriptor =
-      getDescriptor().getMessageType(37);
+      getDescriptor().getMessageType(41);
     internal_static_laneworks_ServiceSpending_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_ServiceSpending_descriptor,
         new java.lang.String[] { "Service", "Requests", "Repeats", });
     internal_static_laneworks_TargetLimit_descriptor =
-      getDescriptor().getMessageType(38);
+      getDescriptor().getMessageType(42);
     internal_static_laneworks_TargetLimit_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_TargetLimit_descriptor,
         new java.lang.String[] { "Target", "Over", "PerSecond", "AgeMillis", });
     internal_static_laneworks_WorkAtTarget_descriptor =
-      getDescriptor().getMessageType(39);
+      getDescriptor().getMessageType(43);
     internal_static_laneworks_WorkAtTarget_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_WorkAtTarget_descriptor,
         new java.lang.String[] { "Target", "Requests", "HeldTokens", "UnreadTokens", "ToMove", "Copying", "Refused", "Leaving", "Speed", });
     internal_static_laneworks_SpeedReport_descriptor =
-      getDescriptor().getMessageType(40);
+      getDescriptor().getMessageType(44);
     internal_static_laneworks_SpeedReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_laneworks_SpeedReport_descriptor,
