Confirm an answer only by a probe that was ordered after its end

Two causes, each shown by the log of its entry:

- The first was confirmed within 10 ms of its end, by a check of the same engine that had been ordered, and had connected, before the crash.
Probes now have numbers; only one that was ordered after the end confirms an answer, and a request is cleared by when a probe was ordered, not by when its result arrives.
- The others were confirmed at once; the engine's port refused connections 53 and 64 ms later.
A crashing process may close its port after its connections.
The end of a stream now waits for 50 ms before its engine is probed: its events are delivered by then.
A plain answer is still probed at once, since it is delivered only afterwards.

BrokenOffAnswerTests checks both.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DispatchOutputs.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DispatchOutputs.java
@@ -74,8 +74,9 @@
 	 * Probe whether a target accepts connections. The result goes to
 	 * {@link Dispatcher#probed}.
 	 * @param target the target to probe
+	 * @param probe the probe, to be named with its result
 	 */
-	void probe(ListedTarget target);
+	void probe(ListedTarget target, Probe probe);
 
 	/**
 	 * Notify engines that a copy is no longer needed.
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -48,6 +48,13 @@
 
 	private static final String PROCESS_ENDS = "this entry ends";
 
+	/**
+	 * The time for which the end of a stream is held back before its target is probed, in
+	 * milliseconds. Its events are delivered already. The probe for a plain answer, which
+	 * is delivered after it, is sent at once.
+	 */
+	private static final long STREAM_SETTLE_MILLIS = 50;
+
 	/** A stream that ended with its connection, between two events. */
 	private static final AnswerEnd UNMARKED = new AnswerEnd(false, 0);
 
@@ -138,9 +145,10 @@
 				new CallResumption());
 		this.completion = new CallCompletion(settings, this.calls, this.sender, this.standbys, this.mover, outputs,
 				audit);
+		TargetProbes probes = new TargetProbes(outputs);
 		this.poison = new PoisonRequestGuard(suspects, suspectParts, directory, eligibility::isDraining,
-				this.completion, timers, outputs, audit, settings.mechanisms().isEnabled(Mechanism.REQUEST_QUARANTINE));
-		this.unconfirmed = new UnconfirmedAnswers(outputs, timers);
+				this.completion, timers, probes, audit, settings.mechanisms().isEnabled(Mechanism.REQUEST_QUARANTINE));
+		this.unconfirmed = new UnconfirmedAnswers(probes, timers);
 		this.queues = queues;
 		this.queuedStarts = new QueuedStarts(queues, this.calls, this.sender, timers, audit, this::engine);
 		this.completion.onEnd(this.queuedStarts::handleEnd);
@@ -395,7 +403,7 @@
 			this.outcomes.handleFailure(call, found.get(), "status " + head.status() + " to a resumed generation", now);
 		}
 		else if (!end.delimited()) {
-			holdBack(call, found.get(), !head.isServerError(),
+			holdBack(call, found.get(), 0, !head.isServerError(),
 					(t) -> this.outcomes.handleAnswer(call, found.get(), head, end, t), now);
 		}
 		else {
@@ -486,14 +494,16 @@
 			this.outcomes.handleFailure(call, found.get(), "the connection ended beside a resumption", now);
 		}
 		else {
-			holdBack(call, found.get(), true, (t) -> completeStream(call, found.get(), end, t), now);
+			holdBack(call, found.get(), STREAM_SETTLE_MILLIS, true, (t) -> completeStream(call, found.get(), end, t),
+					now);
 		}
 	}
 
 	// Holds back an answer whose end is not marked until its target is known to live.
-	private void holdBack(DirectCall call, Attempt attempt, boolean isSuccess, LongConsumer complete, long now) {
+	private void holdBack(DirectCall call, Attempt attempt, long settleMillis, boolean isSuccess, LongConsumer complete,
+			long now) {
 		this.poison.handleClosedConnection(call, attempt, isSuccess, now);
-		this.unconfirmed.hold(attempt.target(), (t) -> {
+		this.unconfirmed.hold(attempt.target(), settleMillis, (t) -> {
 			if (find(call.number(), attempt.number()).isPresent()) {
 				complete.accept(t);
 			}
@@ -551,17 +561,18 @@
 	/**
 	 * Handle the result of a probe that was ordered by {@link DispatchOutputs#probe}.
 	 * @param target the probed target
+	 * @param probe the probe as ordered
 	 * @param refused {@code true} if the connection was refused, {@code false} if it was
 	 * established
 	 * @param now the current time in milliseconds of the monotonic clock
 	 */
-	public void probed(ListedTarget target, boolean refused, long now) {
+	public void probed(ListedTarget target, Probe probe, boolean refused, long now) {
 		if (refused) {
 			handleRefusedConnection(target, now);
 		}
 		else {
-			this.unconfirmed.handleReachable(target, now);
-			this.poison.handleReachable(target, now);
+			this.unconfirmed.handleReachable(target, probe, now);
+			this.poison.handleReachable(target, probe, now);
 		}
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/PoisonRequestGuard.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/PoisonRequestGuard.java
@@ -42,13 +42,10 @@
 	private static final List<Long> CHECK_DELAYS_MILLIS = List.of(0L, 50L, 300L);
 
 	/**
-	 * Delays of the checks after an answer that ended with its connection, whose target
-	 * is probed at once in any case.
+	 * Delays of the checks while earlier ones of the same target are due, or after an
+	 * answer that ended with its connection, whose target is probed in any case.
 	 */
-	private static final List<Long> ANSWERED_CHECK_DELAYS_MILLIS = List.of(50L, 300L);
-
-	/** Delays of the checks while earlier ones of the same target are due. */
-	private static final List<Long> FURTHER_CHECK_DELAYS_MILLIS = List.of(300L);
+	private static final List<Long> LATER_CHECK_DELAYS_MILLIS = List.of(300L);
 
 	/**
 	 * Retry-after time in milliseconds while the checks of the last target are pending;
@@ -70,7 +67,7 @@
 
 	private final Timers timers;
 
-	private final DispatchOutputs outputs;
+	private final TargetProbes probes;
 
 	private final AuditSink audit;
 
@@ -85,15 +82,15 @@
 	private final Map<TargetIncarnation, Long> lastCheckAt = new HashMap<>();
 
 	PoisonRequestGuard(SuspectRequests suspects, SuspectParts suspectParts, TargetDirectory directory,
-			Predicate<ListedTarget> announcedDraining, CallCompletion completion, Timers timers,
-			DispatchOutputs outputs, AuditSink audit, boolean enabled) {
+			Predicate<ListedTarget> announcedDraining, CallCompletion completion, Timers timers, TargetProbes probes,
+			AuditSink audit, boolean enabled) {
 		this.suspects = suspects;
 		this.suspectParts = suspectParts;
 		this.directory = directory;
 		this.announcedDraining = announcedDraining;
 		this.completion = completion;
 		this.timers = timers;
-		this.outputs = outputs;
+		this.probes = probes;
 		this.audit = audit;
 		this.enabled = enabled;
 	}
@@ -215,7 +212,7 @@
 		BrokenConnections.Broken broken = new BrokenConnections.Broken(call.request().digest(), call.request().id(),
 				call.prompt(), beganAt(attempt), now, mayClear);
 		this.brokenConnections.add(broken, target.incarnation());
-		scheduleChecks(target, mayClear ? ANSWERED_CHECK_DELAYS_MILLIS : CHECK_DELAYS_MILLIS, now);
+		scheduleChecks(target, mayClear ? LATER_CHECK_DELAYS_MILLIS : CHECK_DELAYS_MILLIS, now);
 	}
 
 	// Each connection that ended is followed by a check that a crashing process no longer
@@ -226,9 +223,9 @@
 		if (last.filter((t) -> t >= now + BrokenConnections.CRASHING_MILLIS).isPresent()) {
 			return;
 		}
-		List<Long> delays = last.isPresent() ? FURTHER_CHECK_DELAYS_MILLIS : delaysMillis;
+		List<Long> delays = last.isPresent() ? LATER_CHECK_DELAYS_MILLIS : delaysMillis;
 		this.lastCheckAt.put(target.incarnation(), now + delays.get(delays.size() - 1));
-		delays.forEach((m) -> this.timers.schedule(now + m, (t) -> this.outputs.probe(target)));
+		delays.forEach((m) -> this.timers.schedule(now + m, (t) -> this.probes.start(target, t)));
 	}
 
 	/**
@@ -241,12 +238,14 @@
 	}
 
 	/**
-	 * Handle an established connection, which shows that the target is alive.
+	 * Handle an established connection, which shows that the target was alive when it was
+	 * ordered.
 	 * @param target the target that accepted the connection
+	 * @param probe the probe that connected
 	 * @param now the current time in milliseconds of the monotonic clock
 	 */
-	void handleReachable(ListedTarget target, long now) {
-		this.brokenConnections.connectionAccepted(target.incarnation(), now)
+	void handleReachable(ListedTarget target, Probe probe, long now) {
+		this.brokenConnections.connectionAccepted(target.incarnation(), probe.startedAt())
 			.stream()
 			.filter(BrokenConnections.Broken::mayClear)
 			.forEach((b) -> {
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/UnconfirmedAnswers.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/UnconfirmedAnswers.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongConsumer;
+import java.util.function.Predicate;
 
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetIncarnation;
@@ -26,50 +27,80 @@
 
 	private final List<UnconfirmedAnswer> waiting = new ArrayList<>();
 
-	private final DispatchOutputs outputs;
+	private final TargetProbes probes;
 
 	private final Timers timers;
 
-	UnconfirmedAnswers(DispatchOutputs outputs, Timers timers) {
-		this.outputs = outputs;
+	UnconfirmedAnswers(TargetProbes probes, Timers timers) {
+		this.probes = probes;
 		this.timers = timers;
 	}
 
 	/**
 	 * Hold back an answer and probe its target.
 	 * @param target the target whose answer ended
+	 * @param settleMillis the time in milliseconds after which the target is probed,
+	 * since a crashing process may close its port after its connections
 	 * @param complete receives the time if the answer is to be taken for complete
 	 * @param brokenOff receives the time if the target crashed
 	 * @param now the current time in milliseconds of the monotonic clock
 	 */
-	void hold(ListedTarget target, LongConsumer complete, LongConsumer brokenOff, long now) {
-		UnconfirmedAnswer answer = new UnconfirmedAnswer(target.incarnation(), complete, brokenOff);
+	void hold(ListedTarget target, long settleMillis, LongConsumer complete, LongConsumer brokenOff, long now) {
+		long probeAt = now + settleMillis;
+		UnconfirmedAnswer answer = new UnconfirmedAnswer(target.incarnation(), this.probes.lastNumber(), probeAt,
+				complete, brokenOff);
 		this.waiting.add(answer);
-		this.outputs.probe(target);
-		this.timers.schedule(now + MAX_WAIT_MILLIS, (t) -> {
+		if (settleMillis == 0) {
+			this.probes.start(target, now);
+		}
+		else {
+			this.timers.schedule(probeAt, (t) -> probe(target, answer, t));
+		}
+		this.timers.schedule(probeAt + MAX_WAIT_MILLIS, (t) -> {
 			if (this.waiting.remove(answer)) {
 				complete.accept(t);
 			}
 		});
 	}
 
-	void handleReachable(ListedTarget target, long now) {
-		take(target).forEach((a) -> a.complete().accept(now));
+	private void probe(ListedTarget target, UnconfirmedAnswer answer, long now) {
+		if (this.waiting.contains(answer)) {
+			this.probes.start(target, now);
+		}
+	}
+
+	// A probe that was ordered before the end of an answer may have connected before the
+	// target crashed.
+	void handleReachable(ListedTarget target, Probe probe, long now) {
+		take((a) -> a.target().equals(target.incarnation()) && a.isConfirmedBy(probe))
+			.forEach((a) -> a.complete().accept(now));
 	}
 
 	void handleRefusedConnection(ListedTarget target, long now) {
-		take(target).forEach((a) -> a.brokenOff().accept(now));
+		take((a) -> a.target().equals(target.incarnation())).forEach((a) -> a.brokenOff().accept(now));
 	}
 
-	private List<UnconfirmedAnswer> take(ListedTarget target) {
-		List<UnconfirmedAnswer> taken = this.waiting.stream()
-			.filter((a) -> a.target().equals(target.incarnation()))
-			.toList();
+	private List<UnconfirmedAnswer> take(Predicate<UnconfirmedAnswer> filter) {
+		List<UnconfirmedAnswer> taken = this.waiting.stream().filter(filter).toList();
 		this.waiting.removeAll(taken);
 		return taken;
 	}
 
-	private record UnconfirmedAnswer(TargetIncarnation target, LongConsumer complete, LongConsumer brokenOff) {
+	/**
+	 * Answer that ended with its connection.
+	 *
+	 * @param target the target
+	 * @param earlierProbe the number of the last probe that was ordered before the end
+	 * @param confirmedFrom the time from which a probe confirms the answer
+	 * @param complete receives the time if the answer is complete
+	 * @param brokenOff receives the time if the target crashed
+	 */
+	private record UnconfirmedAnswer(TargetIncarnation target, long earlierProbe, long confirmedFrom,
+			LongConsumer complete, LongConsumer brokenOff) {
+
+		private boolean isConfirmedBy(Probe probe) {
+			return probe.number() > this.earlierProbe && probe.startedAt() >= this.confirmedFrom;
+		}
 
 	}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/BrokenOffAnswerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/BrokenOffAnswerTests.java
@@ -64,7 +64,7 @@
 		this.harness.event(sent, 0);
 		end(sent, INSIDE_EVENT);
 		assertThat(this.harness.cleared).isEmpty();
-		this.harness.dispatcher.probed(sent.target(), true, this.harness.now);
+		this.harness.probed(sent.target(), true);
 		assertThat(this.harness.suspected).containsExactly(SAME);
 	}
 
@@ -73,7 +73,7 @@
 		this.harness.join(DispatchHarness.ENGINES, "a");
 		Sent sent = openSuspect();
 		end(sent, BETWEEN_EVENTS);
-		this.harness.dispatcher.probed(sent.target(), true, this.harness.now);
+		this.harness.probed(sent.target(), true);
 		assertThat(this.harness.suspected).containsExactly(SAME);
 		assertThat(this.harness.answers(1)).containsExactly("refused 502");
 	}
@@ -84,9 +84,13 @@
 		Sent sent = openSuspect();
 		this.harness.event(sent, 0);
 		end(sent, BETWEEN_EVENTS);
-		assertThat(this.harness.checked).containsExactly(sent.target());
+		// A crashing process may close its port after its connections.
+		this.harness.passTime(49);
+		this.harness.probed(sent.target(), false);
 		assertThat(this.harness.answers(1)).containsExactly("started");
-		this.harness.dispatcher.probed(sent.target(), false, this.harness.now);
+		this.harness.passTime(1);
+		assertThat(this.harness.checked).containsExactly(sent.target());
+		this.harness.probed(sent.target(), false);
 		assertThat(this.harness.answers(1)).containsExactly("started", "ended").inOrder();
 	}
 
@@ -96,12 +100,29 @@
 		Sent sent = openSuspect();
 		this.harness.event(sent, 0);
 		end(sent, BETWEEN_EVENTS);
-		this.harness.dispatcher.probed(sent.target(), true, this.harness.now);
+		this.harness.probed(sent.target(), true);
 		assertThat(this.harness.answers(1)).containsExactly("started", "cut").inOrder();
 		assertThat(this.harness.suspected).containsExactly(SAME);
 		assertThat(this.harness.cleared).isEmpty();
 	}
 
+	// A probe may connect before its target crashes and be reported after it.
+	@Test
+	void probeThatWasOrderedBeforeTheEndOfAnAnswerConfirmsNothing() {
+		this.harness.join(DispatchHarness.PLAIN, "a");
+		this.harness.open(1, RequestKind.UNSAFE, 1);
+		answer(this.harness.sendLast(), BETWEEN_EVENTS);
+		Probe earlier = this.harness.lastProbe;
+		this.harness.open(2, RequestKind.UNSAFE, 1);
+		Sent sent = this.harness.sendLast();
+		answer(sent, BETWEEN_EVENTS);
+		this.harness.probed(sent.target(), earlier, false);
+		assertThat(this.harness.answers(1)).containsExactly("delivered 1");
+		assertThat(this.harness.answers(2)).isEmpty();
+		this.harness.probed(sent.target(), true);
+		assertThat(this.harness.answers(2)).containsExactly("refused 502");
+	}
+
 	@Test
 	void plainAnswerThatEndsWithItsConnectionIsNotDeliveredIfItsTargetRefusesConnections() {
 		this.harness.join(DispatchHarness.PLAIN, "a");
@@ -109,7 +130,7 @@
 		Sent sent = this.harness.sendLast();
 		answer(sent, BETWEEN_EVENTS);
 		assertThat(this.harness.answers(1)).isEmpty();
-		this.harness.dispatcher.probed(sent.target(), true, this.harness.now);
+		this.harness.probed(sent.target(), true);
 		assertThat(this.harness.answers(1)).containsExactly("refused 502");
 	}
 
@@ -147,10 +168,10 @@
 				this.harness.now, this.harness.now);
 		this.harness.event(sent, 0);
 		end(sent, BETWEEN_EVENTS);
-		this.harness.dispatcher.probed(sent.target(), false, this.harness.now);
+		this.harness.probed(sent.target(), false);
 		assertThat(this.harness.cleared).isEmpty();
 		this.harness.passTime(300);
-		this.harness.dispatcher.probed(sent.target(), false, this.harness.now);
+		this.harness.probed(sent.target(), false);
 		assertThat(this.harness.cleared).containsExactly(SAME);
 	}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -63,6 +63,9 @@
 	/** The targets that were ordered to be probed. */
 	final List<ListedTarget> checked = new ArrayList<>();
 
+	/** The probe that was ordered last. */
+	Probe lastProbe;
+
 	final List<CopyOrder> copies = new ArrayList<>();
 
 	final List<String> released = new ArrayList<>();
@@ -408,8 +411,23 @@
 	}
 
 	@Override
-	public void probe(ListedTarget target) {
+	public void probe(ListedTarget target, Probe probe) {
 		this.checked.add(target);
+		this.lastProbe = probe;
+	}
+
+	/**
+	 * Report the result of a probe that is ordered now.
+	 * @param target the probed target
+	 * @param refused whether it refuses connections
+	 */
+	void probed(ListedTarget target, boolean refused) {
+		probed(target, new Probe(Long.MAX_VALUE, this.now), refused);
+	}
+
+	void probed(ListedTarget target, Probe probe, boolean refused) {
+		this.dispatcher.probed(target, probe, refused, this.now);
+		settle();
 	}
 
 	@Override
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherFuzzTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherFuzzTests.java
@@ -181,7 +181,7 @@
 		private void simulateSuspicions(SplittableRandom suspicionChoices) {
 			for (ListedTarget checked : List.copyOf(this.harness.checked)) {
 				if (suspicionChoices.nextInt(3) > 0) {
-					this.harness.dispatcher.probed(checked, suspicionChoices.nextBoolean(), this.harness.now);
+					this.harness.probed(checked, suspicionChoices.nextBoolean());
 				}
 			}
 			this.harness.checked.clear();
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/PoisonedFleet.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/PoisonedFleet.java
@@ -387,8 +387,9 @@
 			}
 		}
 		for (ListedTarget checked : List.copyOf(entry.checked)) {
+			Probe probe = entry.lastProbe;
 			this.timers.schedule(this.now + ONE_WAY_MILLIS,
-					(t) -> entry.dispatcher.probed(checked, !this.engines.containsKey(checked.id()), t));
+					(t) -> entry.dispatcher.probed(checked, probe, !this.engines.containsKey(checked.id()), t));
 		}
 		entry.checked.clear();
 		List.copyOf(entry.refusals.keySet()).forEach((n) -> handleEnd(entry, n));
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/PoisonedRequestTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/PoisonedRequestTests.java
@@ -104,7 +104,7 @@
 		this.harness.breakConnection(sent);
 		this.harness.passTime(300);
 		assertThat(this.harness.checked).hasSize(3);
-		this.harness.dispatcher.probed(sent.target(), false, this.harness.now);
+		this.harness.probed(sent.target(), false);
 		this.harness.remove(sent.target());
 		assertThat(this.harness.suspected).isEmpty();
 	}
@@ -116,11 +116,11 @@
 		this.harness.breakConnection(sent);
 		assertThat(this.harness.checked).containsExactly(sent.target());
 		// A process that crashes may close its connections before its port.
-		this.harness.dispatcher.probed(sent.target(), false, this.harness.now);
+		this.harness.probed(sent.target(), false);
 		this.harness.passTime(50);
 		assertThat(this.harness.checked).hasSize(2);
 		assertThat(this.harness.suspected).isEmpty();
-		this.harness.dispatcher.probed(sent.target(), true, this.harness.now);
+		this.harness.probed(sent.target(), true);
 		assertThat(this.harness.suspected).containsExactly(SAME);
 	}
 
@@ -158,7 +158,7 @@
 		DispatchHarness.Sent sent = sendOne();
 		this.harness.drain(target);
 		this.harness.breakConnection(sent);
-		this.harness.dispatcher.probed(target, true, this.harness.now);
+		this.harness.probed(target, true);
 		this.harness.remove(target);
 		assertThat(this.harness.suspected).isEmpty();
 	}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/TargetBackpressureTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/TargetBackpressureTests.java
@@ -170,7 +170,7 @@
 		Sent sent = this.harness.sendLast();
 		this.harness.backpressure.recordResponse(target, DRAINING_SIGNAL, 0, 0);
 		this.harness.breakConnection(sent);
-		this.harness.dispatcher.probed(target, true, this.harness.now);
+		this.harness.probed(target, true);
 		assertThat(this.harness.suspected).isEmpty();
 	}
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectCalls.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectCalls.java
@@ -10,6 +10,7 @@
 import dev.laneworks.core.dispatch.DirectRequest;
 import dev.laneworks.core.dispatch.DispatchOutputs;
 import dev.laneworks.core.dispatch.Dispatcher;
+import dev.laneworks.core.dispatch.Probe;
 import dev.laneworks.core.dispatch.SendParameters;
 import dev.laneworks.core.ingress.IngressLoad;
 import dev.laneworks.core.verdict.Refusal;
@@ -133,10 +134,10 @@
 	}
 
 	@Override
-	public void probe(ListedTarget target) {
+	public void probe(ListedTarget target, Probe probe) {
 		this.loop.run(() -> {
 			TargetCheck check = new TargetCheck((refused) -> {
-				this.dispatcher.probed(target, refused, this.loop.now());
+				this.dispatcher.probed(target, probe, refused, this.loop.now());
 				this.loop.runTimers();
 			});
 			this.http.send(URI.create("http://" + target.address()), check::atConnection, check);
