Complete a stream whose resumption has nothing left to send, and try sound parts again later

A stream that was whole, and whose engine crashed within 50 ms of its unmarked end, was resumed at its copy and then cut: the copy's engine answered with a complete stream without an event, which counted as a failure. With the first execution gone, such an answer now completes the call.

The first trial of a part that was sound shortly before is now made after 10 s instead of 5 s.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -482,6 +482,11 @@
 		else if (!end.delimited() && !found.get().isAnswering()) {
 			attemptBroken(number, attempt, "the connection ended before the first event", now);
 		}
+		else if (call.isSuccessor(found.get()) && call.isStreaming() && call.attempt().isEmpty()) {
+			// The first execution ended after its last event.
+			this.continuation.switchToSuccessor(call, now);
+			completeStream(call, found.get(), end, now);
+		}
 		else if (call.isSuccessor(found.get()) || !call.isStreaming()) {
 			this.outcomes.handleFailure(call, found.get(), "the stream ended without an event", now);
 		}
--- a/laneworks-core/src/main/java/dev/laneworks/core/poison/PartSettings.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/poison/PartSettings.java
@@ -40,7 +40,7 @@
 	 * @return the settings in use
 	 */
 	public static PartSettings defaults() {
-		return new PartSettings(4, 6, 50, 60_000, 5_000, 3_600_000, 600_000);
+		return new PartSettings(4, 6, 50, 60_000, 10_000, 3_600_000, 600_000);
 	}
 
 }
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/BrokenOffAnswerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/BrokenOffAnswerTests.java
@@ -41,6 +41,22 @@
 		assertThat(this.harness.answers(1)).containsExactly("started", "ended").inOrder();
 	}
 
+	// Guards against a complete stream that is cut since its engine crashed right after
+	// it.
+	@Test
+	void resumptionThatHasNothingLeftToSendIsComplete() {
+		this.harness.join(DispatchHarness.ENGINES, "a");
+		this.harness.join(DispatchHarness.ENGINES, "b");
+		this.harness.openStream(1);
+		Sent first = this.harness.sendLast();
+		this.harness.event(first, 0);
+		end(first, BETWEEN_EVENTS);
+		this.harness.probed(first.target(), true);
+		Sent second = this.harness.sendLast();
+		end(second, AnswerEnd.DELIMITED);
+		assertThat(this.harness.answers(1)).containsExactly("started", "ended").inOrder();
+	}
+
 	@Test
 	void resumedStreamThatEndsInsideAnEventIsCut() {
 		this.harness.join(DispatchHarness.ENGINES, "a");
