--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -475,32 +475,39 @@
 		if (end.isBrokenOff()) {
 			attemptBroken(number, attempt, "the stream ended inside an event, " + end.describe(), now);
 		}
-		else if (!end.delimited() && isStoppedForMove(call, found.get(), now)) {
-			// The move decides whether the generation resumes or had ended before.
-			return;
+		else if (end.delimited()) {
+			endDelimitedStream(call, found.get(), end, now);
 		}
-		else if (!end.delimited() && !found.get().isAnswering()) {
-			attemptBroken(number, attempt, "the connection ended before the first event", now);
+		else if (!isStoppedForMove(call, found.get(), now)) {
+			endUnmarkedStream(call, found.get(), end, now);
 		}
-		else if (call.isSuccessor(found.get()) && call.isStreaming() && call.attempt().isEmpty()) {
-			// The first execution ended after its last event.
+	}
+
+	private void endDelimitedStream(DirectCall call, Attempt attempt, AnswerEnd end, long now) {
+		if (call.isSuccessor(attempt) && call.isStreaming() && call.attempt().isEmpty()) {
+			// The first execution was lost after its last event.
 			this.continuation.switchToSuccessor(call, now);
-			completeStream(call, found.get(), end, now);
+			completeStream(call, attempt, end, now);
 		}
-		else if (call.isSuccessor(found.get()) || !call.isStreaming()) {
-			this.outcomes.handleFailure(call, found.get(), "the stream ended without an event", now);
+		else if (call.isSuccessor(attempt) || !call.isStreaming()) {
+			this.outcomes.handleFailure(call, attempt, "the stream ended without an event", now);
 		}
-		else if (end.delimited()) {
-			this.poison.recordCompleted(call, found.get(), now);
-			completeStream(call, found.get(), end, now);
+		else {
+			this.poison.recordCompleted(call, attempt, now);
+			completeStream(call, attempt, end, now);
+		}
+	}
+
+	private void endUnmarkedStream(DirectCall call, Attempt attempt, AnswerEnd end, long now) {
+		if (!attempt.isAnswering()) {
+			attemptBroken(call.number(), attempt.number(), "the connection ended before the first event", now);
 		}
 		else if (call.successor().isPresent()) {
 			// An engine also closes a stream that resumes at another one.
-			this.outcomes.handleFailure(call, found.get(), "the connection ended beside a resumption", now);
+			this.outcomes.handleFailure(call, attempt, "the connection ended beside a resumption", now);
 		}
 		else {
-			holdBack(call, found.get(), STREAM_SETTLE_MILLIS, true, (t) -> completeStream(call, found.get(), end, t),
-					now);
+			holdBack(call, attempt, STREAM_SETTLE_MILLIS, true, (t) -> completeStream(call, attempt, end, t), now);
 		}
 	}
 
@@ -526,6 +533,8 @@
 		this.poison.handleRefusedConnection(target, now);
 	}
 
+	// If the stream may have stopped for its move, the move decides whether it resumes or
+	// is complete.
 	private boolean isStoppedForMove(DirectCall call, Attempt attempt, long now) {
 		return !call.isSuccessor(attempt) && this.mover.handleUnmarkedEnd(call, now);
 	}
