Count no resumed generation as a success on its prompt parts

A resumed generation does not read its prompt, so a success now dates from when the prompt was first answered. The test fails with the former time.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
@@ -270,6 +271,12 @@
 		return this.lastEventAt;
 	}
 
+	// When a target began to answer the prompt; a resumed generation does not read it
+	// anew.
+	OptionalLong beganAt() {
+		return (this.lastEvent != NO_EVENT) ? OptionalLong.of(this.firstEventAt) : OptionalLong.empty();
+	}
+
 	// The time to the first event, in milliseconds.
 	long firstEventMillis() {
 		return this.firstEventAt - this.openedAt;
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/PoisonRequestGuard.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/PoisonRequestGuard.java
@@ -210,7 +210,7 @@
 			return;
 		}
 		BrokenConnections.Broken broken = new BrokenConnections.Broken(call.request().digest(), call.request().id(),
-				call.prompt(), beganAt(attempt), now, mayClear);
+				call.prompt(), call.beganAt(), now, mayClear);
 		this.brokenConnections.add(broken, target.incarnation());
 		scheduleChecks(target, mayClear ? LATER_CHECK_DELAYS_MILLIS : CHECK_DELAYS_MILLIS, now);
 	}
@@ -296,14 +296,10 @@
 	void recordCompleted(DirectCall call, Attempt attempt, long now) {
 		if (this.enabled) {
 			this.suspects.recordCompletion(call.request().digest(), now);
-			this.suspectParts.recordSuccess(call.prompt(), beganAt(attempt).orElse(attempt.sentAt()), now);
+			this.suspectParts.recordSuccess(call.prompt(), call.beganAt().orElse(attempt.sentAt()), now);
 		}
 	}
 
-	private static OptionalLong beganAt(Attempt attempt) {
-		return attempt.isAnswering() ? OptionalLong.of(attempt.firstEventAt()) : OptionalLong.empty();
-	}
-
 	// Clears the request of a generation that has sent events for long enough.
 	void handleEvent(DirectCall call, Attempt attempt, long now) {
 		if (!call.isHarmless() && now - attempt.firstEventAt() >= this.suspects.settings().clearAfterMillis()) {
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -274,8 +274,17 @@
 		openStream(call, 3_000);
 	}
 
+	void openStream(long call, List<String> parts) {
+		openStream(call, 3_000, parts);
+	}
+
 	void openStream(long call, long promptTokens) {
-		GenerationSize size = new GenerationSize("m", promptTokens, 1_000, OptionalLong.empty(), List.of());
+		openStream(call, promptTokens, List.of());
+	}
+
+	private void openStream(long call, long promptTokens, List<String> parts) {
+		GenerationSize size = new GenerationSize("m", promptTokens, 1_000, OptionalLong.empty(),
+				parts.stream().map((p) -> new PromptPart(p, 100)).toList());
 		open(call, RequestKind.STREAMING, 1, ENGINES, Optional.of(size));
 	}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/PoisonedRequestTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/PoisonedRequestTests.java
@@ -6,6 +6,7 @@
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetIncarnation;
 import dev.laneworks.core.mechanism.Mechanism;
+import dev.laneworks.core.poison.PromptPartDigests;
 import dev.laneworks.core.poison.RequestDigest;
 import dev.laneworks.core.serving.RequestKind;
 import dev.laneworks.core.verdict.RefusalReason;
@@ -226,6 +227,34 @@
 		assertThat(this.harness.cleared).containsExactly(SAME);
 	}
 
+	// Guards against a generation that clears the parts of its prompt where it resumes,
+	// since it does not read them there.
+	@Test
+	void resumedGenerationIsNoSuccessOnItsPromptParts() {
+		List.of("a", "b").forEach((id) -> this.harness.join(DispatchHarness.ENGINES, id));
+		this.harness.openStream(1, List.of("part", "own"));
+		DispatchHarness.Sent first = this.harness.sendLast();
+		this.harness.event(first, 0);
+		this.harness.passTime(2_000);
+		crashWithPart("x");
+		this.harness.breakConnection(first);
+		DispatchHarness.Sent second = this.harness.sendLast();
+		this.harness.passTime(100);
+		this.harness.event(second, 1);
+		this.harness.dispatcher.streamEnded(1, second.attempt(), AnswerEnd.DELIMITED, this.harness.now);
+		for (String target : List.of("y", "z", "u", "v", "w")) {
+			this.harness.passTime(100);
+			crashWithPart(target);
+		}
+		assertThat(this.harness.suspectParts.quarantined()).isEqualTo(1);
+	}
+
+	private void crashWithPart(String target) {
+		PromptPartDigests prompt = PromptPartDigests.of("acme", DispatchHarness.ENGINES, List.of("part", "own"));
+		this.harness.suspectParts.recordCrash(TargetIncarnation.of(target), this.harness.now, List.of(prompt),
+				this.harness.now);
+	}
+
 	@Test
 	void disabledMechanismQuarantinesNothing() {
 		DispatchHarness withoutQuarantine = DispatchHarness.without(Mechanism.REQUEST_QUARANTINE);
