--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AnswerEnd.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AnswerEnd.java
@@ -3,16 +3,16 @@
 /**
  * End of the body of an answer, as its framing shows it.
  *
- * @param delimited whether the body's length or its last chunk marked the end;
- * {@code false} if the body ended with its connection
+ * @param closeDelimited whether the body ended with its connection; {@code false} if its
+ * length or its last chunk marked the end
  * @param trailingBytes the number of bytes after the last complete event of a stream; 0
  * for a body that is no stream
  * @since 0.8
  */
-public record AnswerEnd(boolean delimited, int trailingBytes) {
+public record AnswerEnd(boolean closeDelimited, int trailingBytes) {
 
-	/** A body whose end was marked and that has no bytes after its last event. */
-	public static final AnswerEnd DELIMITED = new AnswerEnd(true, 0);
+	/** The end of a body that its length or its last chunk marked, after an event. */
+	public static final AnswerEnd MARKED = new AnswerEnd(false, 0);
 
 	public AnswerEnd {
 		if (trailingBytes < 0) {
@@ -34,7 +34,7 @@
 	 * @return a phrase without the subject
 	 */
 	public String describe() {
-		return (this.delimited ? "ended by its framing" : "ended with its connection")
+		return (this.closeDelimited ? "ended with its connection" : "ended by its framing")
 				+ ((this.trailingBytes > 0) ? ", " + this.trailingBytes + " bytes after the last event" : "");
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -56,7 +56,7 @@
 	private static final long STREAM_SETTLE_MILLIS = 50;
 
 	/** A stream that ended with its connection, between two events. */
-	private static final AnswerEnd UNMARKED = new AnswerEnd(false, 0);
+	private static final AnswerEnd CLOSED_BETWEEN_EVENTS = new AnswerEnd(true, 0);
 
 	private final DispatchSettings settings;
 
@@ -402,7 +402,7 @@
 		else if (call.isStreaming() || call.isSuccessor(found.get())) {
 			this.outcomes.handleFailure(call, found.get(), "status " + head.status() + " to a resumed generation", now);
 		}
-		else if (!end.delimited()) {
+		else if (end.closeDelimited()) {
 			holdBack(call, found.get(), 0, !head.isServerError(),
 					(t) -> this.outcomes.handleAnswer(call, found.get(), head, end, t), now);
 		}
@@ -475,15 +475,15 @@
 		if (end.isBrokenOff()) {
 			attemptBroken(number, attempt, "the stream ended inside an event, " + end.describe(), now);
 		}
-		else if (end.delimited()) {
-			endDelimitedStream(call, found.get(), end, now);
+		else if (!end.closeDelimited()) {
+			endMarkedStream(call, found.get(), end, now);
 		}
 		else if (!isStoppedForMove(call, found.get(), now)) {
-			endUnmarkedStream(call, found.get(), end, now);
+			endCloseDelimitedStream(call, found.get(), end, now);
 		}
 	}
 
-	private void endDelimitedStream(DirectCall call, Attempt attempt, AnswerEnd end, long now) {
+	private void endMarkedStream(DirectCall call, Attempt attempt, AnswerEnd end, long now) {
 		if (call.isSuccessor(attempt) && call.isStreaming() && call.attempt().isEmpty()) {
 			// The first execution was lost after its last event.
 			this.continuation.switchToSuccessor(call, now);
@@ -498,7 +498,7 @@
 		}
 	}
 
-	private void endUnmarkedStream(DirectCall call, Attempt attempt, AnswerEnd end, long now) {
+	private void endCloseDelimitedStream(DirectCall call, Attempt attempt, AnswerEnd end, long now) {
 		if (!attempt.isAnswering()) {
 			attemptBroken(call.number(), attempt.number(), "the connection ended before the first event", now);
 		}
@@ -511,7 +511,7 @@
 		}
 	}
 
-	// Holds back an answer whose end is not marked until its target is known to live.
+	// Holds back a close-delimited answer until its target is known to live.
 	private void holdBack(DirectCall call, Attempt attempt, long settleMillis, boolean isSuccess, LongConsumer complete,
 			long now) {
 		this.poison.handleClosedConnection(call, attempt, isSuccess, now);
@@ -536,7 +536,7 @@
 	// If the stream may have stopped for its move, the move decides whether it resumes or
 	// is complete.
 	private boolean isStoppedForMove(DirectCall call, Attempt attempt, long now) {
-		return !call.isSuccessor(attempt) && this.mover.handleUnmarkedEnd(call, now);
+		return !call.isSuccessor(attempt) && this.mover.handleCloseDelimitedEnd(call, now);
 	}
 
 	private void completeStream(DirectCall call, Attempt attempt, AnswerEnd end, long now) {
@@ -792,7 +792,7 @@
 
 		@Override
 		public void complete(DirectCall call, long now) {
-			call.attempt().ifPresent((a) -> completeStream(call, a, UNMARKED, now));
+			call.attempt().ifPresent((a) -> completeStream(call, a, CLOSED_BETWEEN_EVENTS, now));
 		}
 
 		@Override
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -128,13 +128,13 @@
 
 	/**
 	 * Handle the end of the connection to the source engine, between two events of a
-	 * stream whose end is not marked otherwise. The generation has stopped for its move
-	 * or has ended; the result of the final copy tells which.
+	 * close-delimited stream. The generation has stopped for its move or has ended; the
+	 * result of the final copy tells which.
 	 * @param call the call whose connection ended
 	 * @param now the current time in milliseconds of the monotonic clock
 	 * @return {@code true} if the generation was ordered to stop
 	 */
-	boolean handleUnmarkedEnd(DirectCall call, long now) {
+	boolean handleCloseDelimitedEnd(DirectCall call, long now) {
 		call.move().ifPresent(GenerationMove::markPossiblyEnded);
 		return handleSourceClosed(call, now);
 	}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/AccountReservationTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/AccountReservationTests.java
@@ -33,7 +33,7 @@
 			this.harness.event(sent, i);
 		}
 		assertThat(this.used).containsExactly("engines/acme", 3_375L);
-		this.harness.dispatcher.streamEnded(1, sent.attempt(), AnswerEnd.DELIMITED, this.harness.now);
+		this.harness.dispatcher.streamEnded(1, sent.attempt(), AnswerEnd.MARKED, this.harness.now);
 		assertThat(this.used).containsExactly("engines/acme", 0L);
 	}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/BrokenOffAnswerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/BrokenOffAnswerTests.java
@@ -18,9 +18,9 @@
  */
 class BrokenOffAnswerTests {
 
-	private static final AnswerEnd INSIDE_EVENT = new AnswerEnd(false, 7);
+	private static final AnswerEnd INSIDE_EVENT = new AnswerEnd(true, 7);
 
-	private static final AnswerEnd BETWEEN_EVENTS = new AnswerEnd(false, 0);
+	private static final AnswerEnd BETWEEN_EVENTS = new AnswerEnd(true, 0);
 
 	private static final RequestDigest SAME = new RequestDigest(7, 7, 7);
 
@@ -37,7 +37,7 @@
 		Sent second = this.harness.sendLast();
 		assertThat(second.order().resume().get().lastEvent()).isEqualTo("0");
 		assertThat(this.harness.event(second, 1)).isTrue();
-		end(second, AnswerEnd.DELIMITED);
+		end(second, AnswerEnd.MARKED);
 		assertThat(this.harness.answers(1)).containsExactly("started", "ended").inOrder();
 	}
 
@@ -53,7 +53,7 @@
 		end(first, BETWEEN_EVENTS);
 		this.harness.probed(first.target(), true);
 		Sent second = this.harness.sendLast();
-		end(second, AnswerEnd.DELIMITED);
+		end(second, AnswerEnd.MARKED);
 		assertThat(this.harness.answers(1)).containsExactly("started", "ended").inOrder();
 	}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -343,7 +343,7 @@
 		AnswerHead head = new AnswerHead(status, id(to.call()), status < 300, false, notRun, false, Optional.empty(),
 				OptionalLong.empty(), signals);
 		this.dispatcher.headReceived(to.call(), to.attempt(), head, this.now);
-		this.dispatcher.answered(to.call(), to.attempt(), head, AnswerEnd.DELIMITED, this.now);
+		this.dispatcher.answered(to.call(), to.attempt(), head, AnswerEnd.MARKED, this.now);
 		settle();
 	}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherFuzzTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherFuzzTests.java
@@ -292,7 +292,7 @@
 			long next = this.nextEvent.computeIfAbsent(key(sent), (k) -> firstEvent(sent));
 			if (choice == 9 && next > 0) {
 				this.atTarget.remove(index);
-				this.harness.dispatcher.streamEnded(sent.call(), sent.attempt(), AnswerEnd.DELIMITED, this.harness.now);
+				this.harness.dispatcher.streamEnded(sent.call(), sent.attempt(), AnswerEnd.MARKED, this.harness.now);
 				return;
 			}
 			this.nextEvent.put(key(sent), next + 1);
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherTests.java
@@ -167,7 +167,7 @@
 		Sent sent = this.harness.sendLast();
 		AnswerHead other = new AnswerHead(200, "request-77", true, false, false, false, Optional.empty(),
 				OptionalLong.empty(), BackpressureSignals.NONE);
-		this.harness.dispatcher.answered(sent.call(), sent.attempt(), other, AnswerEnd.DELIMITED, 10);
+		this.harness.dispatcher.answered(sent.call(), sent.attempt(), other, AnswerEnd.MARKED, 10);
 		assertThat(this.harness.answers(1)).containsExactly("refused 502");
 	}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/OverloadedFleet.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/OverloadedFleet.java
@@ -526,7 +526,7 @@
 				return true;
 			}
 			to.complete = true;
-			to.entry.dispatcher.streamEnded(this.sent.call(), this.sent.attempt(), AnswerEnd.DELIMITED, now);
+			to.entry.dispatcher.streamEnded(this.sent.call(), this.sent.attempt(), AnswerEnd.MARKED, now);
 			return false;
 		}
 
@@ -675,7 +675,7 @@
 					+ (OverloadedFleet.this.speeds.isPresent() ? 0 : EVENT_INTERVAL_MILLIS);
 			if (!isOpen || execution.passed >= execution.caller.events) {
 				this.running.remove(execution);
-				entry.dispatcher.streamEnded(execution.sent.call(), execution.sent.attempt(), AnswerEnd.DELIMITED,
+				entry.dispatcher.streamEnded(execution.sent.call(), execution.sent.attempt(), AnswerEnd.MARKED,
 						OverloadedFleet.this.now);
 			}
 		}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/PoisonedFleet.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/PoisonedFleet.java
@@ -437,7 +437,7 @@
 
 	private void endConnection(Run run) {
 		if (this.closesPlainly) {
-			run.entry.dispatcher.streamEnded(run.sent.call(), run.sent.attempt(), new AnswerEnd(false, 0), this.now);
+			run.entry.dispatcher.streamEnded(run.sent.call(), run.sent.attempt(), new AnswerEnd(true, 0), this.now);
 			run.entry.passTime(0);
 		}
 		else {
@@ -595,7 +595,7 @@
 			run.next++;
 			run.nextEventAt += EVENT_INTERVAL_MILLIS;
 			if (run.next >= run.request.events) {
-				run.entry.dispatcher.streamEnded(run.sent.call(), run.sent.attempt(), AnswerEnd.DELIMITED,
+				run.entry.dispatcher.streamEnded(run.sent.call(), run.sent.attempt(), AnswerEnd.MARKED,
 						PoisonedFleet.this.now);
 				handleEnd(run.entry, run.sent.call());
 				this.runs.remove(run);
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/PoisonedRequestTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/PoisonedRequestTests.java
@@ -241,7 +241,7 @@
 		DispatchHarness.Sent second = this.harness.sendLast();
 		this.harness.passTime(100);
 		this.harness.event(second, 1);
-		this.harness.dispatcher.streamEnded(1, second.attempt(), AnswerEnd.DELIMITED, this.harness.now);
+		this.harness.dispatcher.streamEnded(1, second.attempt(), AnswerEnd.MARKED, this.harness.now);
 		for (String target : List.of("y", "z", "u", "v", "w")) {
 			this.harness.passTime(100);
 			crashWithPart(target);
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/QueuedStartsTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/QueuedStartsTests.java
@@ -274,7 +274,7 @@
 
 	private void complete(DispatchHarness.Sent sent) {
 		this.harness.event(sent, 0);
-		this.harness.dispatcher.streamEnded(sent.call(), sent.attempt(), AnswerEnd.DELIMITED, this.harness.now);
+		this.harness.dispatcher.streamEnded(sent.call(), sent.attempt(), AnswerEnd.MARKED, this.harness.now);
 		this.harness.passTime(0);
 	}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
@@ -35,7 +35,7 @@
 		assertThat(this.harness.event(sent, 0)).isTrue();
 		assertThat(this.harness.event(sent, 1)).isTrue();
 		assertThat(this.harness.event(sent, 1)).isFalse();
-		this.harness.dispatcher.streamEnded(1, sent.attempt(), AnswerEnd.DELIMITED, 50);
+		this.harness.dispatcher.streamEnded(1, sent.attempt(), AnswerEnd.MARKED, 50);
 		assertThat(this.harness.answers(1)).containsExactly("started", "ended").inOrder();
 	}
 
@@ -285,7 +285,7 @@
 		Sent second = this.harness.sendLast();
 		assertThat(second.order().resume().isPresent()).isTrue();
 		assertThat(this.harness.event(second, 1)).isTrue();
-		this.harness.dispatcher.streamEnded(1, second.attempt(), AnswerEnd.DELIMITED, this.harness.now);
+		this.harness.dispatcher.streamEnded(1, second.attempt(), AnswerEnd.MARKED, this.harness.now);
 		assertThat(this.harness.answers(1)).containsExactly("started", "ended").inOrder();
 	}
 
@@ -598,7 +598,7 @@
 		this.harness.drain(first.target());
 		this.harness.passTime(400);
 		this.harness.copied(Outcome.COPIED, "h1");
-		this.harness.dispatcher.streamEnded(1, first.attempt(), AnswerEnd.DELIMITED, this.harness.now);
+		this.harness.dispatcher.streamEnded(1, first.attempt(), AnswerEnd.MARKED, this.harness.now);
 		assertThat(this.harness.answers(1)).containsExactly("started", "ended").inOrder();
 		assertThat(this.harness.released).contains(first.target().id() + "/h1");
 	}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/TargetSpeedFailureTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/TargetSpeedFailureTests.java
@@ -34,7 +34,7 @@
 			AnswerHead head = new AnswerHead(200, DispatchHarness.id(call), true, false, false, false, Optional.empty(),
 					true, OptionalLong.empty(), BackpressureSignals.NONE);
 			this.harness.dispatcher.headReceived(call, sent.attempt(), head, this.harness.now);
-			this.harness.dispatcher.answered(call, sent.attempt(), head, AnswerEnd.DELIMITED, this.harness.now);
+			this.harness.dispatcher.answered(call, sent.attempt(), head, AnswerEnd.MARKED, this.harness.now);
 			assertThat(this.harness.answers.get((long) call)).containsExactly("delivered 1");
 		}
 		assertThat(this.harness.dispatcher.malformedLoads()).isEqualTo(20);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
@@ -160,11 +160,11 @@
 		}
 		if (this.isEventStream) {
 			this.dispatcher.streamEnded(this.call, this.number,
-					new AnswerEnd(this.head.isDelimited(), this.framer.remainder().length), this.loop.now());
+					new AnswerEnd(this.head.isCloseDelimited(), this.framer.remainder().length), this.loop.now());
 		}
 		else {
-			this.dispatcher.answered(this.call, this.number, this.answerHead, new AnswerEnd(this.head.isDelimited(), 0),
-					this.loop.now());
+			this.dispatcher.answered(this.call, this.number, this.answerHead,
+					new AnswerEnd(this.head.isCloseDelimited(), 0), this.loop.now());
 		}
 		this.loop.runTimers();
 	}
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpResponseHead.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpResponseHead.java
@@ -50,17 +50,16 @@
 	}
 
 	/**
-	 * Determine whether the end of the body is marked by a length or by a last chunk. The
-	 * body ends with its connection otherwise, so that an early end cannot be told from
-	 * the regular one.
-	 * @return {@code true} if a truncated body is detectable by its framing
+	 * Determine whether the body ends with its connection, since it has neither a length
+	 * nor chunks (RFC 9112, section 6.3). Its framing does not show an early end.
+	 * @return {@code true} if a truncated body looks like a complete one
 	 * @since 0.8
 	 */
-	public boolean isDelimited() {
+	public boolean isCloseDelimited() {
 		List<String> codings = all("Transfer-Encoding");
 		boolean isChunked = !codings.isEmpty()
 				&& !codings.get(codings.size() - 1).trim().toLowerCase(Locale.ROOT).equals("identity");
-		return isChunked || first("Content-Length").isPresent() || HAS_NO_BODY.contains(this.status);
+		return !isChunked && first("Content-Length").isEmpty() && !HAS_NO_BODY.contains(this.status);
 	}
 
 	/**
