--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -514,7 +514,7 @@
 	// Holds back a close-delimited answer until its target is known to live.
 	private void holdBack(DirectCall call, Attempt attempt, long settleMillis, boolean isSuccess, LongConsumer complete,
 			long now) {
-		this.poison.handleClosedConnection(call, attempt, isSuccess, now);
+		this.poison.handleCloseDelimitedAnswer(call, attempt, isSuccess, now);
 		this.unconfirmed.hold(attempt.target(), settleMillis, (t) -> {
 			if (find(call.number(), attempt.number()).isPresent()) {
 				complete.accept(t);
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/PoisonRequestGuard.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/PoisonRequestGuard.java
@@ -27,10 +27,12 @@
 /**
  * Detects requests and prompt parts that crash targets, and quarantines them.
  * <p>
- * A request becomes suspect if its connection broke at a target that was not draining and
- * the target is then found to have crashed: it refuses connections, or its list entry
- * ends. Exempt are generations that have sent events for a while, since a harmful request
- * crashes its target early, and requests at a draining target, which was expected to end.
+ * A request becomes suspect if its connection broke, or ended a close-delimited answer,
+ * at a target that was not draining and the target is then found to have crashed: it
+ * refuses connections, or its list entry ends. The parts of its prompt become suspect
+ * with it, unless the target had answered for a while. Exempt are generations that have
+ * sent events for a while, since a harmful request crashes its target early, and requests
+ * at a draining target, which was expected to end.
  */
 final class PoisonRequestGuard {
 
@@ -190,15 +192,14 @@
 	}
 
 	/**
-	 * Handle an answer that ended with its connection. It counts as broken off if its
-	 * target is found to have crashed. A success clears its request once the target has
-	 * outlived it.
+	 * Handle a close-delimited answer. It counts as broken off if its target is found to
+	 * have crashed. A success clears its request once the target has outlived it.
 	 * @param call the call of the attempt
 	 * @param attempt the attempt whose connection ended
 	 * @param isSuccess whether the target did not report a failure of its own
 	 * @param now the current time in milliseconds of the monotonic clock
 	 */
-	void handleClosedConnection(DirectCall call, Attempt attempt, boolean isSuccess, long now) {
+	void handleCloseDelimitedAnswer(DirectCall call, Attempt attempt, boolean isSuccess, long now) {
 		awaitCrash(call, attempt, isSuccess, now);
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/poison/PartAttribution.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/poison/PartAttribution.java
@@ -81,41 +81,40 @@
 	List<SuspectPartGroup> groups() {
 		List<SuspectPartGroup> groups = new ArrayList<>();
 		Set<CrashedTarget> explained = new HashSet<>();
-		Optional<SuspectPartGroup> next = next(explained);
+		Optional<Suspicion> next = strongestSuspicion(explained);
 		while (next.isPresent()) {
-			groups.add(next.get());
-			next = next(explained);
+			groups.add(group(next.get()));
+			explained.addAll(next.get().crashes());
+			next = strongestSuspicion(explained);
 		}
 		return groups;
 	}
 
-	// Finds the part with most unexplained crashes, and adds them to the explained ones.
-	private Optional<SuspectPartGroup> next(Set<CrashedTarget> explained) {
-		PartKey suspect = null;
-		List<Long> mostTimes = List.of();
+	private Optional<Suspicion> strongestSuspicion(Set<CrashedTarget> explained) {
+		Optional<Suspicion> strongest = Optional.empty();
 		for (Map.Entry<PartKey, List<CrashedTarget>> part : this.crashesByPart.entrySet()) {
-			int needed = Math.max(requiredCrashes(part.getKey()), mostTimes.size() + 1);
+			int needed = Math.max(requiredCrashes(part.getKey()), strongest.map((s) -> s.times().size() + 1).orElse(0));
 			if (part.getValue().size() >= needed) {
-				List<CrashedTarget> unexplained = unexplained(part.getValue(), explained);
-				List<Long> times = distinctTimes(unexplained);
-				if (times.size() >= needed && isHeldAgainst(part.getKey(), unexplained)) {
-					suspect = part.getKey();
-					mostTimes = times;
+				List<CrashedTarget> crashes = part.getValue().stream().filter((c) -> !explained.contains(c)).toList();
+				List<Long> times = distinctTimes(crashes);
+				if (times.size() >= needed && isHeldAgainst(part.getKey(), crashes)) {
+					strongest = Optional.of(new Suspicion(part.getKey(), crashes, times));
 				}
 			}
 		}
-		if (suspect == null) {
-			return Optional.empty();
-		}
-		long account = suspect.account();
-		Set<CrashedTarget> crashes = new HashSet<>(unexplained(this.crashesByPart.get(suspect), explained));
+		return strongest;
+	}
+
+	// The group of the parts that all crashes of a suspicion involve.
+	private SuspectPartGroup group(Suspicion suspicion) {
+		long account = suspicion.key().account();
 		Set<Long> inseparable = this.crashesByPart.entrySet()
 			.stream()
-			.filter((e) -> e.getKey().account() == account && e.getValue().containsAll(crashes))
+			.filter((e) -> e.getKey().account() == account && e.getValue().containsAll(suspicion.crashes()))
 			.map((e) -> e.getKey().part())
 			.collect(Collectors.toSet());
-		explained.addAll(crashes);
-		return Optional.of(new SuspectPartGroup(account, inseparable, mostTimes, quarantinedUntil(suspect, mostTimes)));
+		return new SuspectPartGroup(account, inseparable, suspicion.times(),
+				quarantinedUntil(suspicion.key(), suspicion.times()));
 	}
 
 	private int requiredCrashes(PartKey key) {
@@ -133,10 +132,6 @@
 			.count() > 1;
 	}
 
-	private static List<CrashedTarget> unexplained(List<CrashedTarget> crashes, Set<CrashedTarget> explained) {
-		return crashes.stream().filter((c) -> !explained.contains(c)).toList();
-	}
-
 	private List<Long> distinctTimes(List<CrashedTarget> crashes) {
 		List<Long> times = new ArrayList<>();
 		for (CrashedTarget crash : crashes) {
@@ -161,4 +156,15 @@
 		return until;
 	}
 
+	/**
+	 * Part with enough crashes that no stronger suspicion explains.
+	 *
+	 * @param key the part, as used by one account or by all
+	 * @param crashes the crashes that involve it
+	 * @param times the times of the crashes that count
+	 */
+	private record Suspicion(PartKey key, List<CrashedTarget> crashes, List<Long> times) {
+
+	}
+
 }
