Wait for the probe of a close-delimited answer across a pause of the process

After a pause, timers run before what arrived meanwhile is read, so that the wait for the probe was over before its result was read. A wait that ends over 20 ms late now begins anew. The test fails without this.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/UnconfirmedAnswers.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/UnconfirmedAnswers.java
@@ -25,6 +25,12 @@
 	 */
 	static final long MAX_WAIT_MILLIS = 250;
 
+	/**
+	 * The delay above which the end of a wait shows that this process did not run, in
+	 * milliseconds. The result of a probe may then be unread.
+	 */
+	private static final long MAX_TIMER_DELAY_MILLIS = 20;
+
 	private final List<UnconfirmedAnswer> waiting = new ArrayList<>();
 
 	private final TargetProbes probes;
@@ -56,9 +62,16 @@
 		else {
 			this.timers.schedule(probeAt, (t) -> probe(target, answer, t));
 		}
-		this.timers.schedule(probeAt + MAX_WAIT_MILLIS, (t) -> {
-			if (this.waiting.remove(answer)) {
-				complete.accept(t);
+		endWaitAt(probeAt + MAX_WAIT_MILLIS, answer);
+	}
+
+	private void endWaitAt(long due, UnconfirmedAnswer answer) {
+		this.timers.schedule(due, (t) -> {
+			if (t - due > MAX_TIMER_DELAY_MILLIS && this.waiting.contains(answer)) {
+				endWaitAt(t + MAX_WAIT_MILLIS, answer);
+			}
+			else if (this.waiting.remove(answer)) {
+				answer.complete().accept(t);
 			}
 		});
 	}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/BrokenOffAnswerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/BrokenOffAnswerTests.java
@@ -161,6 +161,20 @@
 		assertThat(this.harness.answers(1)).containsExactly("delivered 1");
 	}
 
+	// Timers that became due during a pause of the process run before it reads what
+	// arrived.
+	@Test
+	void answerIsNotDeliveredAtTheEndOfAPauseBeforeItsProbeIsRead() {
+		this.harness.join(DispatchHarness.PLAIN, "a");
+		this.harness.open(1, RequestKind.UNSAFE, 1);
+		Sent sent = this.harness.sendLast();
+		answer(sent, BETWEEN_EVENTS);
+		this.harness.timers.run(this.harness.now + 1_000);
+		assertThat(this.harness.answers(1)).isEmpty();
+		this.harness.probed(sent.target(), true);
+		assertThat(this.harness.answers(1)).containsExactly("refused 502");
+	}
+
 	// Guards against a target whose answers keep its earlier checks pending for ever.
 	@Test
 	void eachAnswerIsFollowedByACheckOfItsTarget() {
