--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/BrokenOffAnswerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/BrokenOffAnswerTests.java
@@ -28,11 +28,7 @@
 
 	@Test
 	void streamThatEndsInsideAnEventResumesAtItsCopy() {
-		this.harness.join(DispatchHarness.ENGINES, "a");
-		this.harness.join(DispatchHarness.ENGINES, "b");
-		this.harness.openStream(1);
-		Sent first = this.harness.sendLast();
-		this.harness.event(first, 0);
+		Sent first = startStreamWithCopy();
 		end(first, INSIDE_EVENT);
 		Sent second = this.harness.sendLast();
 		assertThat(second.order().resume().get().lastEvent()).isEqualTo("0");
@@ -45,11 +41,7 @@
 	// it.
 	@Test
 	void resumptionThatHasNothingLeftToSendIsComplete() {
-		this.harness.join(DispatchHarness.ENGINES, "a");
-		this.harness.join(DispatchHarness.ENGINES, "b");
-		this.harness.openStream(1);
-		Sent first = this.harness.sendLast();
-		this.harness.event(first, 0);
+		Sent first = startStreamWithCopy();
 		end(first, BETWEEN_EVENTS);
 		this.harness.probed(first.target(), true);
 		Sent second = this.harness.sendLast();
@@ -59,11 +51,7 @@
 
 	@Test
 	void resumedStreamThatEndsInsideAnEventIsCut() {
-		this.harness.join(DispatchHarness.ENGINES, "a");
-		this.harness.join(DispatchHarness.ENGINES, "b");
-		this.harness.openStream(1);
-		Sent first = this.harness.sendLast();
-		this.harness.event(first, 0);
+		Sent first = startStreamWithCopy();
 		end(first, INSIDE_EVENT);
 		this.harness.remove(first.target());
 		Sent second = this.harness.sendLast();
@@ -240,6 +228,15 @@
 		assertThat(this.harness.released).contains(first.target().id() + "/h1");
 	}
 
+	private Sent startStreamWithCopy() {
+		this.harness.join(DispatchHarness.ENGINES, "a");
+		this.harness.join(DispatchHarness.ENGINES, "b");
+		this.harness.openStream(1);
+		Sent first = this.harness.sendLast();
+		this.harness.event(first, 0);
+		return first;
+	}
+
 	private Sent stopForMove() {
 		this.harness.join(DispatchHarness.ENGINES, "a");
 		this.harness.openStream(1, 22_000);
