Remove two methods that nothing calls

Duty.queueSize and EngineModel.hasGeneration have no caller in main code or tests, and say of no embedder that needs them. Kept: InvalidDocumentException.getSource, whose comment names applications that embed the library; Duty.rejectedCount, EngineSpec.estimateCopyMillis and RunningProcess.unpause, which tests rest on. DutyTests and the build pass.

--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/duty/Duty.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/duty/Duty.java
@@ -103,14 +103,6 @@
 		}
 	}
 
-	/**
-	 * Return the number of commands in the queue.
-	 * @return the number, without the commands that the duty submitted to itself
-	 */
-	public int queueSize() {
-		return this.queue.size();
-	}
-
 	/**
 	 * Return the number of commands that {@link #offer} rejected.
 	 * @return the number since the duty was created
--- a/laneworks-standin/src/main/java/dev/laneworks/standin/engine/EngineModel.java
+++ b/laneworks-standin/src/main/java/dev/laneworks/standin/engine/EngineModel.java
@@ -178,15 +178,6 @@
 		return this.preemptions;
 	}
 
-	/**
-	 * Determine whether a generation is running, waiting or paused.
-	 * @param name the generation's name
-	 * @return {@code false} if it is unknown, finished or cancelled
-	 */
-	public boolean hasGeneration(String name) {
-		return this.sequences.containsKey(name);
-	}
-
 	private void emitToken(Sequence sequence, long stepEnd) {
 		if (sequence.remainingPrefillTokens > 0) {
 			return;
