Index crashes by prompt part, and bound the parts that are kept

What callers would have seen: with many crashes on record, each observation of a crash or a success counted all crashes anew on the I/O thread, so that every open stream of the entry paused meanwhile. Prompts of 30 parts also exhausted the heap: the bound was one on crashes (512) and prompts (32 each), not on their parts.

Why it works: a crash changes only the records of its own parts, and only parts with enough crashes for a quarantine are attributed.

--- a/laneworks-core/src/main/java/dev/laneworks/core/poison/CrashedTarget.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/poison/CrashedTarget.java
@@ -51,12 +51,6 @@
 		return this.suspects.size() > before;
 	}
 
-	boolean involves(PartKey key) {
-		return this.suspects.stream()
-			.anyMatch((s) -> (key.account() == PartKey.ALL_ACCOUNTS || key.account() == s.account())
-					&& s.parts().contains(key.part()));
-	}
-
 	PartObservation.Crash observation(long now) {
 		return new PartObservation.Crash(this.incarnation, Math.max(0, now - this.at), List.copyOf(this.suspects));
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/poison/PartAttribution.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/poison/PartAttribution.java
@@ -1,14 +1,12 @@
 package dev.laneworks.core.poison;
 
 import java.util.ArrayList;
-import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
+import java.util.SortedMap;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
@@ -24,68 +22,22 @@
 
 	private final PartSettings settings;
 
-	/** The crashes since the latest success on each part, in ascending order of time. */
-	private final Map<PartKey, List<CrashedTarget>> crashesByPart = new TreeMap<>(
-			Comparator.comparingLong(PartKey::account).thenComparingLong(PartKey::part));
+	private final SortedMap<PartKey, List<CrashedTarget>> crashesByPart;
 
 	private final Predicate<PartKey> soundBefore;
 
 	/**
 	 * Attribute crashes to parts.
 	 * @param settings the thresholds and durations
-	 * @param crashes the recorded crashes
-	 * @param successes the time of the latest success on each part that crashes involved,
-	 * in milliseconds
+	 * @param crashesByPart the crashes that count for each part, in ascending order of
+	 * time; parts with too few crashes for a quarantine may be left out
 	 * @param soundBefore determines whether a part had a success lately
 	 */
-	PartAttribution(PartSettings settings, Collection<CrashedTarget> crashes, Map<PartKey, Long> successes,
+	PartAttribution(PartSettings settings, SortedMap<PartKey, List<CrashedTarget>> crashesByPart,
 			Predicate<PartKey> soundBefore) {
 		this.settings = settings;
+		this.crashesByPart = crashesByPart;
 		this.soundBefore = soundBefore;
-		crashes.stream().sorted(Comparator.comparingLong(CrashedTarget::at)).forEach((c) -> {
-			for (PromptPartDigests suspect : c.suspects()) {
-				for (long part : suspect.parts()) {
-					PartKey key = new PartKey(suspect.account(), part);
-					count(key, c, successes);
-					count(key.forAllAccounts(), c, successes);
-				}
-			}
-		});
-	}
-
-	private void count(PartKey key, CrashedTarget crash, Map<PartKey, Long> successes) {
-		if (crash.at() <= successes.getOrDefault(key, Long.MIN_VALUE)) {
-			return;
-		}
-		List<CrashedTarget> counted = this.crashesByPart.computeIfAbsent(key, (k) -> new ArrayList<>());
-		if (counted.isEmpty() || counted.get(counted.size() - 1) != crash) {
-			counted.add(crash);
-		}
-	}
-
-	/**
-	 * Determine whether a success refutes a part as the cause of a crash that counts.
-	 * @param key the part, as used by one account or by all
-	 * @param at the time at which the target began the successful answer
-	 * @return {@code true} if crashes before that time count for the part
-	 */
-	boolean isRefutedBySuccess(PartKey key, long at) {
-		List<CrashedTarget> counted = this.crashesByPart.getOrDefault(key, List.of());
-		return !counted.isEmpty() && counted.get(0).at() <= at;
-	}
-
-	/**
-	 * Determine whether a prompt has a part that is not of a group and that crashes count
-	 * for.
-	 * @param prompt the parts of the request
-	 * @param group the group that the request belongs to
-	 * @return {@code true} if a crash under the request would not show its cause
-	 */
-	boolean hasOtherSuspectParts(PromptPartDigests prompt, SuspectPartGroup group) {
-		return prompt.parts()
-			.stream()
-			.filter((p) -> !group.parts().contains(p))
-			.anyMatch((p) -> this.crashesByPart.containsKey(new PartKey(prompt.account(), p)));
 	}
 
 	/**
@@ -124,7 +76,8 @@
 		long account = suspicion.key().account();
 		Set<Long> inseparable = this.crashesByPart.entrySet()
 			.stream()
-			.filter((e) -> e.getKey().account() == account && e.getValue().containsAll(suspicion.crashes()))
+			.filter((e) -> e.getKey().account() == account && e.getValue().size() >= suspicion.crashes().size())
+			.filter((e) -> new HashSet<>(e.getValue()).containsAll(suspicion.crashes()))
 			.map((e) -> e.getKey().part())
 			.collect(Collectors.toSet());
 		List<Long> times = suspicion.times().subList(requiredCrashes(suspicion.key()) - 1, suspicion.times().size());
--- a/laneworks-core/src/main/java/dev/laneworks/core/poison/SuspectParts.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/poison/SuspectParts.java
@@ -1,13 +1,16 @@
 package dev.laneworks.core.poison;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.ToLongFunction;
 
 import dev.laneworks.core.directory.TargetIncarnation;
@@ -28,6 +31,9 @@
 	/** The most crashes to keep; bounds the memory. */
 	static final int MAX_CRASHES = 512;
 
+	/** The most pairs of a part and a crash to keep; bounds the memory. */
+	static final int MAX_ENTRIES = 32_768;
+
 	/**
 	 * The time within which a trial ends a target, clears the parts or is given up, in
 	 * milliseconds.
@@ -49,15 +55,12 @@
 	/** In the order in which they became known. */
 	private final Map<TargetIncarnation, CrashedTarget> crashes = new LinkedHashMap<>();
 
-	/** The time of the latest success on each part, by account and for all accounts. */
-	private final Map<PartKey, Long> successes = new HashMap<>();
+	private final CrashesByPart crashesByPart;
 
 	private final LatestPrompts latestPrompts = new LatestPrompts();
 
 	private final SuccessfulParts successfulParts = new SuccessfulParts();
 
-	private PartAttribution attribution;
-
 	private List<SuspectPartGroup> groups = List.of();
 
 	/** The groups that the listener knows. */
@@ -78,7 +81,7 @@
 		this.settings = Objects.requireNonNull(settings, "settings must not be null");
 		this.trialDelay = Objects.requireNonNull(trialDelay, "trialDelay must not be null");
 		this.listener = Objects.requireNonNull(listener, "listener must not be null");
-		this.attribution = new PartAttribution(settings, List.of(), Map.of(), (k) -> false);
+		this.crashesByPart = new CrashesByPart(settings.crashesToQuarantine(), this::latestSuccess);
 	}
 
 	/**
@@ -136,9 +139,6 @@
 				isNew |= addCrash(crash.incarnation(), now - crash.ageMillis(), crash.suspects());
 			}
 		}
-		if (isNew) {
-			attribute(now);
-		}
 		for (PartObservation observation : observations) {
 			if (observation instanceof PartObservation.Success success) {
 				isNew |= addSuccess(success.account(), success.part(), now - success.ageMillis());
@@ -204,10 +204,11 @@
 			update(now);
 		}
 		List<PartObservation> all = new ArrayList<>();
-		this.crashes.values().stream().filter(this::isOfGroup).forEach((c) -> all.add(c.observation(now)));
+		Set<CrashedTarget> ofGroups = crashesOf(this.groups);
+		this.crashes.values().stream().filter(ofGroups::contains).forEach((c) -> all.add(c.observation(now)));
 		this.crashes.values()
 			.stream()
-			.filter((c) -> !isOfGroup(c) && now - c.at() <= recentMillis)
+			.filter((c) -> !ofGroups.contains(c) && now - c.at() <= recentMillis)
 			.forEach((c) -> all.add(c.observation(now)));
 		return all;
 	}
@@ -217,7 +218,14 @@
 	private long trialAt(SuspectPartGroup group, PromptPartDigests prompt) {
 		long until = this.latestPrompts.isCommon(group) ? group.quarantinedUntilIfCommon() : group.quarantinedUntil();
 		return until + this.trialDelay.applyAsLong(group)
-				+ (this.attribution.hasOtherSuspectParts(prompt, group) ? UNAMBIGUOUS_TRIAL_MILLIS : 0);
+				+ (hasOtherSuspectParts(prompt, group) ? UNAMBIGUOUS_TRIAL_MILLIS : 0);
+	}
+
+	private boolean hasOtherSuspectParts(PromptPartDigests prompt, SuspectPartGroup group) {
+		return prompt.parts()
+			.stream()
+			.filter((p) -> !group.parts().contains(p))
+			.anyMatch((p) -> this.crashesByPart.isSuspect(new PartKey(prompt.account(), p)));
 	}
 
 	private boolean addCrash(TargetIncarnation incarnation, long at, List<PromptPartDigests> suspects) {
@@ -225,31 +233,26 @@
 		if (prompts.isEmpty()) {
 			return false;
 		}
-		boolean isNew = this.crashes.computeIfAbsent(incarnation, (i) -> new CrashedTarget(i, at)).merge(prompts, at);
-		prompts.forEach((p) -> p.parts().forEach((part) -> addEarlierSuccess(new PartKey(p.account(), part), at)));
+		CrashedTarget crash = this.crashes.computeIfAbsent(incarnation, (i) -> new CrashedTarget(i, at));
+		boolean isNew = crash.merge(prompts, at);
+		this.crashesByPart.add(crash);
 		evictExcess();
 		return isNew;
 	}
 
-	// A success may become known before the crash that it refutes.
-	private void addEarlierSuccess(PartKey key, long crashedAt) {
-		for (PartKey each : List.of(key, key.forAllAccounts())) {
-			OptionalLong success = this.successfulParts.latest(each);
-			if (success.isPresent() && success.getAsLong() >= crashedAt) {
-				this.successes.merge(each, success.getAsLong(), Math::max);
-			}
-		}
+	private long latestSuccess(PartKey key) {
+		return this.successfulParts.latest(key).orElse(Long.MIN_VALUE);
 	}
 
 	private boolean addSuccess(long account, long part, long at) {
 		PartKey key = new PartKey(account, part);
 		this.successfulParts.add(key, at);
 		this.successfulParts.add(key.forAllAccounts(), at);
-		boolean isRefuted = this.attribution.isRefutedBySuccess(key, at)
-				|| this.attribution.isRefutedBySuccess(key.forAllAccounts(), at);
+		boolean isRefuted = this.crashesByPart.isRefutedBySuccess(key, at)
+				|| this.crashesByPart.isRefutedBySuccess(key.forAllAccounts(), at);
 		if (isRefuted) {
-			this.successes.merge(key, at, Math::max);
-			this.successes.merge(key.forAllAccounts(), at, Math::max);
+			this.crashesByPart.recordSuccess(key, at);
+			this.crashesByPart.recordSuccess(key.forAllAccounts(), at);
 		}
 		return isRefuted;
 	}
@@ -272,47 +275,59 @@
 
 	private void attribute(long now) {
 		long since = now - this.settings.memoryMillis();
-		this.attribution = new PartAttribution(this.settings, this.crashes.values(), this.successes,
-				(k) -> this.successfulParts.latest(k).orElse(Long.MIN_VALUE) >= since);
-		this.groups = this.attribution.groups();
+		this.groups = new PartAttribution(this.settings, this.crashesByPart.frequentParts(),
+				(k) -> latestSuccess(k) >= since)
+			.groups();
 	}
 
-	private boolean isOfGroup(CrashedTarget crash) {
-		return this.groups.stream().anyMatch((g) -> isOfGroup(g, crash));
-	}
-
-	private static boolean isOfGroup(SuspectPartGroup group, CrashedTarget crash) {
-		return group.parts().stream().allMatch((p) -> crash.involves(new PartKey(group.account(), p)));
+	private Set<CrashedTarget> crashesOf(List<SuspectPartGroup> those) {
+		Set<CrashedTarget> all = new HashSet<>();
+		those.forEach((g) -> all.addAll(this.crashesByPart.crashesOf(g)));
+		return all;
 	}
 
 	// Crashes of a group are kept while it is in quarantine, and for as long again, so
 	// that one failed trial renews the quarantine.
 	private boolean removeExpired(long now) {
-		boolean isRemoved = this.crashes.values()
-			.removeIf((c) -> now - c.at() > this.settings.memoryMillis() && !isHeldInGroup(c, now));
-		if (isRemoved) {
-			this.successes.keySet().removeIf((k) -> this.crashes.values().stream().noneMatch((c) -> c.involves(k)));
+		List<CrashedTarget> old = this.crashes.values()
+			.stream()
+			.filter((c) -> now - c.at() > this.settings.memoryMillis())
+			.toList();
+		if (old.isEmpty()) {
+			return false;
 		}
-		return isRemoved;
+		Set<CrashedTarget> held = crashesOf(this.groups.stream().filter((g) -> isRemembered(g, now)).toList());
+		List<CrashedTarget> expired = old.stream().filter((c) -> !held.contains(c)).toList();
+		expired.forEach(this::remove);
+		return !expired.isEmpty();
 	}
 
-	private boolean isHeldInGroup(CrashedTarget crash, long now) {
-		return this.groups.stream().filter((g) -> isOfGroup(g, crash)).anyMatch((g) -> {
-			long quarantineMillis = g.quarantinedUntil() - g.crashTimes().get(g.crashTimes().size() - 1);
-			return now <= g.quarantinedUntil() + Math.max(this.settings.memoryMillis(), quarantineMillis);
-		});
+	private boolean isRemembered(SuspectPartGroup group, long now) {
+		long quarantineMillis = group.quarantinedUntil() - group.crashTimes().get(group.crashTimes().size() - 1);
+		return now <= group.quarantinedUntil() + Math.max(this.settings.memoryMillis(), quarantineMillis);
 	}
 
+	// Evicts crashes of no group first, of each the earliest first.
 	private void evictExcess() {
-		Iterator<CrashedTarget> earliest = this.crashes.values().iterator();
-		while (this.crashes.size() > MAX_CRASHES && earliest.hasNext()) {
-			if (!isOfGroup(earliest.next())) {
-				earliest.remove();
-			}
+		if (!isOverLimit()) {
+			return;
 		}
-		if (this.crashes.size() > MAX_CRASHES) {
-			this.crashes.remove(this.crashes.keySet().iterator().next());
+		Set<CrashedTarget> ofGroups = crashesOf(this.groups);
+		List<CrashedTarget> candidates = new ArrayList<>(this.crashes.values());
+		candidates.sort(Comparator.comparing(ofGroups::contains));
+		Iterator<CrashedTarget> next = candidates.iterator();
+		while (isOverLimit()) {
+			remove(next.next());
 		}
 	}
 
+	private boolean isOverLimit() {
+		return this.crashes.size() > MAX_CRASHES || this.crashesByPart.entries() > MAX_ENTRIES;
+	}
+
+	private void remove(CrashedTarget crash) {
+		this.crashes.remove(crash.incarnation());
+		this.crashesByPart.remove(crash);
+	}
+
 }
--- a/laneworks-core/src/test/java/dev/laneworks/core/poison/SuspectPartsTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/poison/SuspectPartsTests.java
@@ -214,6 +214,23 @@
 		assertThat(this.parts.groupsOf(prompt("a", "bad"))).hasSize(1);
 	}
 
+	// Guards against long prompts that exhaust the memory or the processor of an entry.
+	@Test
+	void boundsThePartsOfCrashesButKeepsThoseOfAQuarantine() {
+		crashFourTimes(0, prompt("a", "bad"));
+		for (int i = 0; i < 100; i++) {
+			crash(1_000 + i, longPrompts(i));
+		}
+		long parts = this.parts.observations(Long.MAX_VALUE, 2_000)
+			.stream()
+			.map(PartObservation.Crash.class::cast)
+			.flatMap((c) -> c.suspects().stream())
+			.mapToLong((s) -> s.parts().size())
+			.sum();
+		assertThat(parts).isAtMost(16_384);
+		assertThat(this.parts.groupsOf(prompt("a", "bad"))).hasSize(1);
+	}
+
 	@Test
 	void promptWithoutSharedPartsIsNeverSuspect() {
 		assertThat(PromptPartDigests.of("a", "s", List.of("only")).parts()).isEmpty();
@@ -228,6 +245,16 @@
 		return new SuspectParts(PartSettings.defaults(), (g) -> 0, new Recorder());
 	}
 
+	// Prompts of 30 parts each that no other prompt has.
+	private static PromptPartDigests[] longPrompts(int crash) {
+		return IntStream.range(0, 32)
+			.mapToObj((prompt) -> prompt("a",
+					IntStream.range(0, 30)
+						.mapToObj((part) -> crash + "-" + prompt + "-" + part)
+						.toArray(String[]::new)))
+			.toArray(PromptPartDigests[]::new);
+	}
+
 	private void crashFourTimes(long from, PromptPartDigests prompt) {
 		for (int i = 0; i < 4; i++) {
 			crash(from + i * 100, prompt);
