Confirm a close-delimited stream only once its target can no longer be crashing

Cause: the end of such a stream was held back for 50 ms. BrokenConnections already assumes that a crashing process may accept connections for 250 ms; the two bounds were at odds, and the request stayed suspect while its stream was taken for whole.

Ruled out: a probe that had connected before the end (its number is compared), a wait that a pause had used up (no pause in the logs).

Now the same 250 ms hold for both. A first probe after 50 ms still finds most crashes, so that a stream resumes as early as before. Only the end is held back: all events are delivered at once.

The new test is red before (the stream is ended by the first probe), and the test of a confirmed stream asks for 250 ms where it asked for 50.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -16,6 +16,7 @@
 import dev.laneworks.core.directory.TargetDirectory;
 import dev.laneworks.core.headroom.EngineHeadroom;
 import dev.laneworks.core.mechanism.Mechanism;
+import dev.laneworks.core.poison.BrokenConnections;
 import dev.laneworks.core.poison.RequestDigest;
 import dev.laneworks.core.poison.SuspectPartGroup;
 import dev.laneworks.core.poison.SuspectParts;
@@ -49,11 +50,11 @@
 	private static final String PROCESS_ENDS = "this entry ends";
 
 	/**
-	 * The time for which the end of a stream is held back before its target is probed, in
-	 * milliseconds. Its events are delivered already. The probe for a plain answer, which
-	 * is delivered after it, is sent at once.
+	 * The time for which the end of a stream is held back before a probe of its target
+	 * confirms it, in milliseconds. Its events are delivered already. The probe for a
+	 * plain answer, which is delivered after it, is sent at once.
 	 */
-	private static final long STREAM_SETTLE_MILLIS = 50;
+	private static final long STREAM_SETTLE_MILLIS = BrokenConnections.CRASHING_MILLIS;
 
 	/** A stream that ended with its connection, between two events. */
 	private static final AnswerEnd CLOSED_BETWEEN_EVENTS = new AnswerEnd(true, 0);
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/UnconfirmedAnswers.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/UnconfirmedAnswers.java
@@ -18,6 +18,12 @@
  */
 final class UnconfirmedAnswers {
 
+	/**
+	 * The delay of the first probe of an answer that a later one confirms, in
+	 * milliseconds. Most crashes show by then, so that a stream resumes early.
+	 */
+	static final long FIRST_PROBE_MILLIS = 50;
+
 	/**
 	 * The longest wait, in milliseconds. A target that does not answer within it has
 	 * closed its connection regularly just before, so that it is more likely busy than
@@ -45,8 +51,8 @@
 	/**
 	 * Hold back an answer and probe its target.
 	 * @param target the target whose answer ended
-	 * @param settleMillis the time in milliseconds after which the target is probed,
-	 * since a crashing process may close its port after its connections
+	 * @param settleMillis the time in milliseconds after which a probe confirms the
+	 * answer, since a crashing process may close its port after its connections
 	 * @param complete receives the time if the answer is to be taken for complete
 	 * @param brokenOff receives the time if the target crashed
 	 * @param now the current time in milliseconds of the monotonic clock
@@ -60,6 +66,11 @@
 			probe(target, answer, now);
 		}
 		else {
+			this.timers.schedule(now + FIRST_PROBE_MILLIS, (t) -> {
+				if (this.waiting.contains(answer)) {
+					this.probes.start(target, t);
+				}
+			});
 			this.timers.schedule(probeAt, (t) -> probe(target, answer, t));
 		}
 	}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/BrokenOffAnswerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/BrokenOffAnswerTests.java
@@ -88,16 +88,31 @@
 		Sent sent = openSuspect();
 		this.harness.event(sent, 0);
 		end(sent, BETWEEN_EVENTS);
-		// A crashing process may close its port after its connections.
-		this.harness.passTime(49);
+		this.harness.passTime(249);
 		this.harness.probed(sent.target(), false);
 		assertThat(this.harness.answers(1)).containsExactly("started");
 		this.harness.passTime(1);
-		assertThat(this.harness.checked).containsExactly(sent.target());
 		this.harness.probed(sent.target(), false);
 		assertThat(this.harness.answers(1)).containsExactly("started", "ended").inOrder();
 	}
 
+	// A crashing process may close its port after its connections.
+	@Test
+	void streamThatEndsBetweenEventsIsCutIfItsTargetRefusesConnectionsSoonAfterAnAcceptedOne() {
+		this.harness.join(DispatchHarness.ENGINES, "a");
+		Sent sent = openSuspect();
+		this.harness.event(sent, 0);
+		end(sent, BETWEEN_EVENTS);
+		this.harness.passTime(50);
+		assertThat(this.harness.checked).containsExactly(sent.target());
+		this.harness.probed(sent.target(), false);
+		assertThat(this.harness.answers(1)).containsExactly("started");
+		this.harness.passTime(200);
+		this.harness.probed(sent.target(), true);
+		assertThat(this.harness.answers(1)).containsExactly("started", "cut").inOrder();
+		assertThat(this.harness.suspected).containsExactly(SAME);
+	}
+
 	@Test
 	void streamThatEndsBetweenEventsIsCutIfItsTargetRefusesConnections() {
 		this.harness.join(DispatchHarness.ENGINES, "a");
