Stop a generation for its move only once the retry budget allows its resumption

What callers saw: the first planned move of a young entry cut their stream. The copies succeeded, the engine was told to stop the generation, and then "the retry budget is exhausted: 0.0 of 0.8 retries for 2 requests" ended it, though the draining engine would have served on for its notice.

Cause: the budget was asked only after the stop, which can't be undone.

Ruled out: that the resumption need not be counted. The rule counts arrivals at targets beyond the first of a request, whatever announced them.

Now the budget is asked before the final copy, for the generation and for those that were stopped and have not resumed yet. Without a retry left it stays at its engine with its partial copy, others of the queue go first, and a loan is asked for.

The new test is red before (the first copy is followed by the final one). The bound of the budget is untouched.

--- a/laneworks-core/src/main/java/dev/laneworks/core/budget/RetryLedger.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/budget/RetryLedger.java
@@ -78,6 +78,15 @@
 		return this.loans.stream().mapToDouble((l) -> l.retries).sum();
 	}
 
+	// What is left of the share of this process and of its loans.
+	double left(double share, long now) {
+		return Math.max(0, share - used(now)) + borrowed(now);
+	}
+
+	boolean hasLeft(double share, double retries, long now) {
+		return left(share, now) + EPSILON >= retries;
+	}
+
 	/**
 	 * Spend one retry, of loans first since they expire.
 	 * @param share the share of this process within the window
@@ -86,11 +95,10 @@
 	 * @return {@code false} if too little is left
 	 */
 	boolean trySpend(double share, double reserved, long now) {
-		double borrowed = borrowed(now);
-		double own = Math.max(0, share - used(now));
-		if (own + borrowed + EPSILON < 1 + reserved) {
+		if (!hasLeft(share, 1 + reserved, now)) {
 			return false;
 		}
+		double borrowed = borrowed(now);
 		double ownPart = Math.max(0, 1 - borrowed);
 		reduceLoans(1 - ownPart);
 		if (ownPart > 0) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/budget/SharedRetryBudget.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/budget/SharedRetryBudget.java
@@ -159,6 +159,19 @@
 		}
 	}
 
+	/**
+	 * Determine whether resumptions would be allowed now. If not, borrow what is missing.
+	 * @param service the name of the service
+	 * @param count the number of resumptions
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return {@code false} if the budget has too little left
+	 */
+	public boolean allowsResumptions(String service, int count, long now) {
+		expectResumptions(service, count, now);
+		RetryLedger ledger = account(service).ledger;
+		return ledger.hasLeft(ownShare(ledger, now), count, now);
+	}
+
 	/**
 	 * Lend retries to another process.
 	 * @param service the name of the service
@@ -248,7 +261,8 @@
 	}
 
 	private void borrowMissing(String service, double needed, long now) {
-		double missing = needed - balance(account(service).ledger, now);
+		RetryLedger ledger = account(service).ledger;
+		double missing = needed - ledger.left(ownShare(ledger, now), now);
 		if (missing > 0) {
 			this.demandListener.lacking(service, missing, now);
 		}
@@ -266,10 +280,6 @@
 				: START_FRACTION * (ofRequests + this.extra * age / predecessorMillis);
 	}
 
-	private double balance(RetryLedger ledger, long now) {
-		return Math.max(0, ownShare(ledger, now) - ledger.used(now)) + ledger.borrowed(now);
-	}
-
 	private void recordDenied(String service, Account account, long now) {
 		this.denied++;
 		boolean isFirst = now - account.lastDeniedAt > EXHAUSTION_MILLIS;
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -792,6 +792,11 @@
 			Dispatcher.this.continuation.resume(call, destination, from, now);
 		}
 
+		@Override
+		public boolean isAllowed(String service, int count, long now) {
+			return Dispatcher.this.retries.allowsResumptions(service, count, now);
+		}
+
 		@Override
 		public void complete(DirectCall call, long now) {
 			call.attempt().ifPresent((a) -> completeStream(call, a, CLOSED_BETWEEN_EVENTS, now));
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/MoveQueue.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/MoveQueue.java
@@ -109,6 +109,13 @@
 		countPending(call, false);
 	}
 
+	// Whether the generation of the copy in progress was ordered to stop.
+	boolean hasStopped() {
+		return this.active.flatMap(DirectCall::move)
+			.filter((m) -> m.phase() == CopyPhase.STOPPING || m.phase() == CopyPhase.STOPPED)
+			.isPresent();
+	}
+
 	boolean isEmpty() {
 		return this.waiting.isEmpty() && this.active.isEmpty();
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -196,7 +196,10 @@
 		if (next.isEmpty()) {
 			return;
 		}
-		if (mayCopyNow(queue, next.get(), now)) {
+		if (!next.get().move().get().handle().isEmpty() && !mayResume(next.get(), now)) {
+			requeue(queue, next.get(), now);
+		}
+		else if (mayCopyNow(queue, next.get(), now)) {
 			copyWhileRunning(queue, next.get(), now);
 		}
 		else {
@@ -283,7 +286,12 @@
 					return;
 				}
 				boolean wasFast = now - move.orderedAt() <= FAST_COPY_MILLIS;
-				if (wasFast || queue.millisSinceNotice(now) >= FORCED_STOP_MILLIS) {
+				boolean isStopDue = wasFast || queue.millisSinceNotice(now) >= FORCED_STOP_MILLIS;
+				if (isStopDue && !mayResume(call, now)) {
+					copyAgainLater(queue, call, move, now);
+					return;
+				}
+				if (isStopDue) {
 					move.setPhase(CopyPhase.STOPPING);
 				}
 				sendCopyOrder(call, move, now);
@@ -294,14 +302,27 @@
 				retryAtOtherEngine(queue, call, move, now);
 			}
 			// Not attributed to the destination: the source did not make the copy.
-			case NO_ANSWER, UNDER_WAY, NO_SUCH_RUN -> {
-				releaseReservation(move);
-				queue.endActiveCopy();
-				requeue(queue, call, now);
-			}
+			case NO_ANSWER, UNDER_WAY, NO_SUCH_RUN -> copyAgainLater(queue, call, move, now);
 		}
 	}
 
+	// A draining engine serves on for a while, so that a generation is stopped only once
+	// the retry budget has enough for it and for those that were stopped before.
+	private boolean mayResume(DirectCall call, long now) {
+		String service = call.request().service();
+		long stopped = this.queues.values()
+			.stream()
+			.filter((q) -> q.source().service().equals(service) && q.hasStopped())
+			.count();
+		return this.resumption.isAllowed(service, (int) stopped + 1, now);
+	}
+
+	private void copyAgainLater(MoveQueue queue, DirectCall call, GenerationMove move, long now) {
+		releaseReservation(move);
+		queue.endActiveCopy();
+		requeue(queue, call, now);
+	}
+
 	private void retryAtOtherEngine(MoveQueue queue, DirectCall call, GenerationMove move, long now) {
 		move.triedIds().add(move.destination().id());
 		releasePartialCopy(move);
@@ -347,14 +368,10 @@
 
 	// A generation that the source does not know, and whose stream may have ended, is
 	// complete. If the source still holds the stopped generation it resumes there,
-	// otherwise at the
-	// last partial copy.
+	// otherwise at the last partial copy.
 	private void handleFinalCopyFailure(DirectCall call, GenerationMove move, CopyResult result, long now) {
 		if (!move.isSourceClosed()) {
-			MoveQueue queue = this.queues.get(move.source().incarnation());
-			releaseReservation(move);
-			queue.endActiveCopy();
-			requeue(queue, call, now);
+			copyAgainLater(this.queues.get(move.source().incarnation()), call, move, now);
 			return;
 		}
 		if (result.outcome() == CopyResult.Outcome.NO_SUCH_RUN && move.isPossiblyEnded()) {
@@ -447,6 +464,15 @@
 		 */
 		void resume(DirectCall call, ListedTarget destination, ResumePoint from, long now);
 
+		/**
+		 * Determine whether generations may resume now.
+		 * @param service the service of the generations
+		 * @param count the number of generations
+		 * @param now the current time in milliseconds of the monotonic clock
+		 * @return {@code false} if the retry budget has too little left
+		 */
+		boolean isAllowed(String service, int count, long now);
+
 		/**
 		 * Complete a call whose generation had ended before it was to be stopped.
 		 * @param call the call to complete
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
@@ -304,6 +304,30 @@
 		assertThat(this.harness.event(first, 1)).isTrue();
 	}
 
+	// Guards against a stream that is cut after its stop although its engine would serve
+	// it
+	// until a retry is left.
+	@Test
+	void generationIsStoppedOnlyOnceTheRetryBudgetAllowsItsResumption() {
+		Sent first = streamWithoutLiveCopy();
+		this.harness.setRetryLimits(0, 0);
+		this.harness.drain(first.target());
+		this.harness.passTime(AFTER_SMALL_COPIES_MILLIS);
+		this.harness.copied(Outcome.COPIED, "h1");
+		this.harness.passTime(1_000);
+		assertThat(this.harness.copies).hasSize(1);
+		assertThat(this.harness.event(first, 1)).isTrue();
+		this.harness.setRetryLimits(1, 1);
+		this.harness.passTime(AFTER_SMALL_COPIES_MILLIS);
+		assertThat(this.harness.copies).hasSize(2);
+		this.harness.copied(Outcome.COPIED, "h1");
+		assertThat(this.harness.copies.get(2).stopFirst()).isTrue();
+		this.harness.breakConnection(first);
+		this.harness.copied(Outcome.COPIED, "h1");
+		assertThat(this.harness.sendLast().order().resume().isPresent()).isTrue();
+		assertThat(this.harness.answers(1)).containsExactly("started");
+	}
+
 	@Test
 	void copiesWhileRunningAndStopsAfterAFastCopy() {
 		Sent first = streamWithoutLiveCopy();
