Hold back the end of a close-delimited stream for 100 ms

Engines that are reclaimed end soon after streams, too, so that the longer time costs callers whole answers.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -16,7 +16,6 @@
 import dev.laneworks.core.directory.TargetDirectory;
 import dev.laneworks.core.headroom.EngineHeadroom;
 import dev.laneworks.core.mechanism.Mechanism;
-import dev.laneworks.core.poison.BrokenConnections;
 import dev.laneworks.core.poison.RequestDigest;
 import dev.laneworks.core.poison.SuspectPartGroup;
 import dev.laneworks.core.poison.SuspectParts;
@@ -51,10 +50,11 @@
 
 	/**
 	 * The time for which the end of a stream is held back before a probe of its target
-	 * confirms it, in milliseconds. Its events are delivered already. The probe for a
+	 * confirms it, in milliseconds. Its events are delivered already. A longer time would
+	 * break off more complete streams whose engines end soon after them. The probe for a
 	 * plain answer, which is delivered after it, is sent at once.
 	 */
-	private static final long STREAM_SETTLE_MILLIS = BrokenConnections.CRASHING_MILLIS;
+	private static final long STREAM_SETTLE_MILLIS = 100;
 
 	/** A stream that ended with its connection, between two events. */
 	private static final AnswerEnd CLOSED_BETWEEN_EVENTS = new AnswerEnd(true, 0);
