Tell entries that start later which successes refute the crashes they learn of

Cause: the log shows the part of all streams quarantined "after 8 crashes" at entries 0.01 to 1.3 s after their start only (59:11.118 at one that started at 59:11.108), while entries that had run since before blamed the harmful parts alone. Reports to new entries carry the crashes, but not the successes since, so that the part of all requests has most crashes there and explains them all. Restarts of all entries spread that belief to the whole fleet.

Reports now begin with the latest success on each part of the crashes in them, 256 at most. Order and repetition do not matter, as before. The new test is red before: the later entry refuses a request with the common part alone.

--- a/laneworks-core/src/main/java/dev/laneworks/core/poison/SuspectParts.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/poison/SuspectParts.java
@@ -34,6 +34,9 @@
 	/** The most pairs of a part and a crash to keep; bounds the memory. */
 	static final int MAX_ENTRIES = 32_768;
 
+	/** The most successes in the observations for other processes. */
+	private static final int MAX_REPORTED_SUCCESSES = 256;
+
 	/**
 	 * The time within which a trial ends a target, clears the parts or is given up, in
 	 * milliseconds.
@@ -194,25 +197,41 @@
 
 	/**
 	 * Create observations of the crashes that other processes need: recent ones, and
-	 * those of groups in quarantine.
+	 * those of groups in quarantine. A process that has just started would hold the parts
+	 * of most crashes responsible, so that successes on their parts are added.
 	 * @param recentMillis the age up to which a crash is recent, in milliseconds
 	 * @param now the current time in milliseconds
-	 * @return the observations, those of groups first
+	 * @return the observations: successes, then crashes of groups, then other crashes
 	 */
 	public List<PartObservation> observations(long recentMillis, long now) {
 		if (removeExpired(now)) {
 			update(now);
 		}
-		List<PartObservation> all = new ArrayList<>();
 		Set<CrashedTarget> ofGroups = crashesOf(this.groups);
-		this.crashes.values().stream().filter(ofGroups::contains).forEach((c) -> all.add(c.observation(now)));
+		List<CrashedTarget> reported = new ArrayList<>(
+				this.crashes.values().stream().filter(ofGroups::contains).toList());
 		this.crashes.values()
 			.stream()
 			.filter((c) -> !ofGroups.contains(c) && now - c.at() <= recentMillis)
-			.forEach((c) -> all.add(c.observation(now)));
+			.forEach(reported::add);
+		List<PartObservation> all = successesOn(reported, now);
+		reported.forEach((c) -> all.add(c.observation(now)));
 		return all;
 	}
 
+	private List<PartObservation> successesOn(List<CrashedTarget> reported, long now) {
+		List<PartObservation> successes = new ArrayList<>();
+		reported.stream()
+			.flatMap((c) -> c.suspects().stream())
+			.flatMap((s) -> s.parts().stream().map((p) -> new PartKey(s.account(), p)))
+			.distinct()
+			.filter((k) -> this.successfulParts.latest(k).isPresent())
+			.limit(MAX_REPORTED_SUCCESSES)
+			.forEach((k) -> successes
+				.add(new PartObservation.Success(k.account(), k.part(), Math.max(0, now - latestSuccess(k)))));
+		return successes;
+	}
+
 	// A crash under a request with other suspect parts would not show its cause, so that
 	// requests without them are tried first.
 	private long trialAt(SuspectPartGroup group, PromptPartDigests prompt) {
--- a/laneworks-core/src/test/java/dev/laneworks/core/poison/SuspectPartsTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/poison/SuspectPartsTests.java
@@ -179,6 +179,21 @@
 		assertThat(other.remainingQuarantineMillis(prompt("a", "first"), OBSERVED_BY_MILLIS).isEmpty()).isTrue();
 	}
 
+	// Guards against an entry that starts later and holds a sound part responsible, since
+	// it
+	// knows the crashes alone.
+	@Test
+	void successesOnThePartsOfCrashesAreTold() {
+		crashFourTimes(0, prompt("a", "all", "bad"));
+		this.parts.recordSuccess(prompt("a", "all", "sound"), 350, 400);
+		crashFourTimes(500, prompt("a", "all", "worse"));
+		SuspectParts other = create();
+		other.handleObservations(this.parts.observations(10_000, 900), 900);
+		assertThat(other.remainingQuarantineMillis(prompt("a", "all", "bad"), 900).isPresent()).isTrue();
+		assertThat(other.remainingQuarantineMillis(prompt("a", "all", "worse"), 900).isPresent()).isTrue();
+		assertThat(other.remainingQuarantineMillis(prompt("a", "all", "sound"), 900).isEmpty()).isTrue();
+	}
+
 	// An entry that starts later must learn of a quarantine, however old its crashes are.
 	@Test
 	void crashesOfAQuarantineAreKeptAndTold() {
