Take the caller's port before the link of the review's stand-ins connects

Cause: a caller that had left already made the link's thread fail with a trace. Change: its port is read where the failure is handled.

--- a/review/common/link.py
+++ b/review/common/link.py
@@ -35,6 +35,7 @@
     def connect(self, caller):
         self.open.wait()
         try:
+            caller_port = caller.getpeername()[1]
             host, port = self.target.rsplit(":", 1)
             worker = socket.create_connection((host, int(port)))
         except OSError:
@@ -43,7 +44,7 @@
         for channel in (caller, worker):
             channel.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         threading.Thread(target=self.pump, args=(caller, worker, None), daemon=True).start()
-        self.pump(worker, caller, caller.getpeername()[1])
+        self.pump(worker, caller, caller_port)
 
     def pump(self, source, sink, caller_port):
         try:
