Review case 2 with copies: the stream ends as complete although a copy could go on

Cause: as before, a probe that any process at the address answers confirms the end of a stream without a length.

--- a/review/common/link.py
+++ b/review/common/link.py
@@ -4,7 +4,9 @@
 
 
 class Link:
-    def __init__(self, target, record, name):
+    def __init__(self, target, record, name, loses_new=False):
+        """With loses_new, channels that are opened during a cut never come up; else they do when it heals."""
+        self.loses_new = loses_new
         self.target = target
         self.record = record
         self.name = name
@@ -30,8 +32,15 @@
             caller, _ = self.server.accept()
             if not self.open.is_set():
                 self.opened_while_cut += 1
+                if self.loses_new:
+                    threading.Thread(target=self.lose, args=(caller,), daemon=True).start()
+                    continue
             threading.Thread(target=self.connect, args=(caller,), daemon=True).start()
 
+    def lose(self, caller):
+        self.open.wait()
+        reset(caller)
+
     def connect(self, caller):
         self.open.wait()
         try:
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -60,6 +60,10 @@
             daemon_threads = True
             request_queue_size = 256
 
+            def handle_error(self, request, client_address):
+                # A caller that left before its answer is no fault.
+                pass
+
         self.server = Server(("127.0.0.1", 0), Handler)
         self.address = "127.0.0.1:%d" % self.server.server_address[1]
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -38,6 +38,7 @@
     def __init__(self, options):
         self.options = options
         self.lock = threading.Lock()
+        self.running = {}
         self.log = open(options.log, "a", buffering=1)
 
     def write(self, what, **more):
@@ -95,28 +96,51 @@
                 {"stage": "both", "models": [{"name": "m", "version": 1, "adapters": []}], "busy-slots": False,
                  "sequence": 1, "num-waiting": 0, "num-running": 0, "kv-used": 0, "kv-total": 90000, "handles": 0,
                  "state": "ready"}).encode())
+        elif uri == "/-/kv-move":
+            self.move(send, json.loads(body))
+        elif uri.startswith("/-/"):
+            send("200 OK", "Content-Type: application/json\r\n", b"{}")
         elif headers.get("expect-instance", self.options.id) != self.options.id:
             self.write("not run: another instance is expected", id=headers.get("request-id"))
             send("421 Misdirected Request", "Instance-Id: %s\r\n" % self.options.id)
         else:
             self.write("run", id=headers.get("request-id"), method=method, uri=uri, tenant=headers.get("tenant"),
-                       credential=headers.get("credential"), bytes=len(body))
+                       credential=headers.get("credential"), bytes=len(body), copy=headers.get("kv-backup"),
+                       goes_on_from=headers.get("kv-from"))
             head = "Request-Id: %s\r\nResponse-Seal: seal.%s\r\n" % (headers.get("request-id"), self.options.id)
             if self.options.events:
-                self.stream(channel, head, headers.get("request-id"))
+                # A copy is taken to be there whenever a run goes on from one.
+                first = int(headers["last-event-id"]) + 1 if "last-event-id" in headers else 0
+                self.stream(channel, head, headers.get("request-id"), first)
             else:
                 time.sleep(self.options.work_ms / 1000)
                 send("200 OK", head, b"answer")
 
-    def stream(self, channel, head, request_id):
+    def move(self, send, order):
+        run = self.running.get(order["id"])
+        self.write("kv-move", id=order["id"], last=bool(order.get("last")), known=bool(run))
+        if not run:
+            send("404 Not Found", "Content-Type: application/json\r\n", b"{}")
+            return
+        if order.get("last"):
+            run["stop"].set()
+        send("200 OK", "Content-Type: application/json\r\n",
+             json.dumps({"handle": "h-" + order["id"], "made": run["made"]}).encode())
+
+    def stream(self, channel, head, request_id, first):
         o = self.options
+        run = self.running[request_id] = {"stop": threading.Event(), "made": first}
         framing = "Connection: close\r\n" if o.unframed else "Transfer-Encoding: chunked\r\n"
         channel.sendall(("HTTP/1.1 200 OK\r\n%sContent-Type: text/event-stream\r\n%s\r\n" % (head, framing)).encode())
-        for number in range(o.events):
+        for number in range(first, o.events):
+            if run["stop"].is_set():
+                return
             event = b"id: %d\ndata: piece %d\n\n" % (number, number)
             channel.sendall(event if o.unframed else b"%x\r\n%s\r\n" % (len(event), event))
+            run["made"] = number + 1
             if number < o.events - 1:
                 time.sleep(o.gap_ms / 1000)
+        del self.running[request_id]
         self.write("made the last event", id=request_id, event=o.events - 1)
         if not o.unframed:
             channel.sendall(b"0\r\n\r\n")
