Read TROUBLE and name record.txt in each case of the review

Cause: both were done in the stand-ins that the cases share, so that a case's folder didn't show them.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -61,4 +61,7 @@
     return sound and served and not wrong
 
 
-run(CASE, play)
+# What was sent, answered and run; with TROUBLE=0 the same is done without the disruption.
+RECORD = os.path.join(CASE, "record.txt")
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+run(RECORD, TROUBLE, play)
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -32,10 +32,10 @@
 
 
 class Fleet:
-    def __init__(self, case):
+    def __init__(self, record):
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.lock = threading.Lock()
-        self.file = open(os.path.join(case, "record.txt"), "w", buffering=1)
+        self.file = open(record, "w", buffering=1)
         self.started = time.time()
         self.processes = []
         self.entries = []
@@ -189,12 +189,11 @@
     return ("%s %s HTTP/1.1\r\n%s\r\n" % (method, path, "".join("%s: %s\r\n" % h for h in headers.items()))).encode()
 
 
-def run(case, play):
-    """Run a case; play returns True if the rule held. Ends with exit code 0, 1 or 2."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+def run(record, trouble, play):
+    """Run a case and write its record; play returns True if the rule held. Ends with exit code 0, 1 or 2."""
     fleet = None
     try:
-        fleet = Fleet(case)
+        fleet = Fleet(record)
         fleet.record("case", "begins", trouble=trouble)
         held = play(fleet, trouble)
         fleet.record("case", "the rule held" if held else "THE RULE WAS BROKEN")
