Log the view of the store that decided an attempt, and targets that are kept after their removal

For the incident of a request to a target that had left. Its three hypotheses could not be told apart: a removal that is held back left no line before "leaving: LAPSED", and "routed" said neither which view of the store decided the attempt nor whether it resumes a generation.

"membership" says that an entry was removed shortly after an outage and for how long its target is kept, and that it was written again. No decision changes.

--- a/laneworks-core/src/main/java/dev/laneworks/core/directory/DirectoryListener.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/DirectoryListener.java
@@ -26,6 +26,24 @@
 	 */
 	void draining(ListedTarget target, DrainingCause cause);
 
+	/**
+	 * Handle a target whose list entry was removed shortly after an outage of the list.
+	 * It accepts requests until its entry is written again or the time has passed.
+	 * @param target the target
+	 * @param until the end of that time in milliseconds
+	 * @since 0.8
+	 */
+	default void expired(ListedTarget target, long until) {
+	}
+
+	/**
+	 * Handle an expired target whose list entry was written again.
+	 * @param target the target
+	 * @since 0.8
+	 */
+	default void renewed(ListedTarget target) {
+	}
+
 	/**
 	 * Handle a draining target whose list entry was removed, or an incarnation that was
 	 * replaced by a newer one. When both are reported in one batch, the former
--- a/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/directory/TargetDirectory.java
@@ -191,7 +191,9 @@
 	}
 
 	private void apply(ListedTarget target) {
-		this.expiryDeadlines.remove(target.id());
+		if (this.expiryDeadlines.remove(target.id()) != null) {
+			notifyListener(() -> this.listener.renewed(target));
+		}
 		ListedTarget before = this.targets.put(target.id(), target);
 		boolean wasDraining = this.draining.contains(target.id());
 		if (target.draining() && !wasDraining) {
@@ -219,7 +221,9 @@
 		}
 		if (now < this.recoveryEndsAt && !this.draining.contains(id)) {
 			if (this.expiryDeadlines.putIfAbsent(id, this.recoveryEndsAt) == null) {
-				this.timers.schedule(this.recoveryEndsAt, this::dropExpired);
+				long until = this.recoveryEndsAt;
+				this.timers.schedule(until, this::dropExpired);
+				notifyListener(() -> this.listener.expired(target, until));
 			}
 			return;
 		}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -14,6 +14,7 @@
 import dev.laneworks.core.directory.DrainingCause;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
+import dev.laneworks.core.follow.StoreContact;
 import dev.laneworks.core.headroom.EngineHeadroom;
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.poison.RequestDigest;
@@ -111,6 +112,7 @@
 	 * Create a dispatcher.
 	 * @param settings the timeouts and limits that apply
 	 * @param directory the listed targets
+	 * @param contact the age of what is known of them
 	 * @param estimates the recorded state of each target
 	 * @param eligibility the rules that decide which targets may receive requests
 	 * @param chooser the selection among eligible targets
@@ -125,10 +127,10 @@
 	 * @param outputs the receiver of decisions to carry out
 	 * @param audit the receiver of decisions with their causes
 	 */
-	public Dispatcher(DispatchSettings settings, TargetDirectory directory, TargetEstimates estimates,
-			Eligibility eligibility, TargetChooser chooser, CopyCoordination coordination, EntryRanks entries,
-			GenerationQueues queues, SuspectRequests suspects, SuspectParts suspectParts, SharedRetryBudget retries,
-			Timers timers, DispatchOutputs outputs, AuditSink audit) {
+	public Dispatcher(DispatchSettings settings, TargetDirectory directory, StoreContact contact,
+			TargetEstimates estimates, Eligibility eligibility, TargetChooser chooser, CopyCoordination coordination,
+			EntryRanks entries, GenerationQueues queues, SuspectRequests suspects, SuspectParts suspectParts,
+			SharedRetryBudget retries, Timers timers, DispatchOutputs outputs, AuditSink audit) {
 		this.settings = settings;
 		this.directory = directory;
 		this.estimates = estimates;
@@ -138,7 +140,7 @@
 		this.outputs = outputs;
 		this.audit = audit;
 		this.malformedLoads = new MalformedLoads(audit);
-		this.sender = new AttemptSender(directory, eligibility, estimates, chooser, outputs, audit,
+		this.sender = new AttemptSender(directory, contact, eligibility, estimates, chooser, outputs, audit,
 				settings.mechanisms(), (c) -> queues.enginePriority(c.request().service(), c.request().route()));
 		this.standbys = new StandbyCopies(directory, eligibility, estimates, chooser, coordination, timers, outputs,
 				audit, settings.mechanisms().isEnabled(Mechanism.STANDBY_COPIES));
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/SilenceDetector.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/SilenceDetector.java
@@ -66,7 +66,7 @@
 		return silence;
 	}
 
-	private long silentMillis(long now) {
+	long silentMillis(long now) {
 		return now - this.lastContactAt;
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -21,7 +21,7 @@
  *
  * @since 0.2
  */
-public final class StoreFollower {
+public final class StoreFollower implements StoreContact {
 
 	/**
 	 * How long after an outage items may still be missing that their owners write again,
@@ -337,6 +337,11 @@
 		return this.hasReadAll && !this.delegated && this.silence.isSilent(now);
 	}
 
+	@Override
+	public long silentMillis(long now) {
+		return this.silence.silentMillis(now);
+	}
+
 	/**
 	 * Apply a snapshot of all items from another process, unless this process already has
 	 * all changes up to its revision. A later read replaces the items.
@@ -359,6 +364,7 @@
 	 * @return the revision, or empty before the first read or snapshot
 	 * @since 0.7
 	 */
+	@Override
 	public OptionalLong appliedRevision() {
 		return this.hasReadAll ? OptionalLong.of(this.cache.revision()) : OptionalLong.empty();
 	}
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -22,6 +22,7 @@
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
 import dev.laneworks.core.directory.TargetIncarnation;
+import dev.laneworks.core.follow.StoreContact;
 import dev.laneworks.core.gossip.WorkAtTarget;
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.mechanism.Mechanisms;
@@ -120,6 +121,9 @@
 	/** The allowed regions of requests that are opened from now on. */
 	AllowedRegions regions = AllowedRegions.any();
 
+	/** The contact to the store, which is always recent. */
+	private final StoreContact contact = new RecentContact();
+
 	final SuspectRequests suspects;
 
 	final SuspectParts suspectParts;
@@ -196,8 +200,8 @@
 		TargetChooser chooser = new TargetChooser(this.eligibility, this.estimates, dataCentre,
 				(d, t) -> this.silentMillis.getOrDefault(d, 0L), random, mechanisms);
 		setRetryLimits(retryRatio, retryExtra);
-		this.dispatcher = new Dispatcher(DispatchSettings.defaults(mechanisms), this.directory, this.estimates,
-				this.eligibility, chooser, new FixedCopyTurn(), new FixedRanks(), queues, this.suspects,
+		this.dispatcher = new Dispatcher(DispatchSettings.defaults(mechanisms), this.directory, this.contact,
+				this.estimates, this.eligibility, chooser, new FixedCopyTurn(), new FixedRanks(), queues, this.suspects,
 				this.suspectParts, this.retries, this.timers, this, this.audit::add);
 		this.dispatcher.applyPlan(plan);
 	}
@@ -468,6 +472,20 @@
 
 	}
 
+	private static final class RecentContact implements StoreContact {
+
+		@Override
+		public OptionalLong appliedRevision() {
+			return OptionalLong.of(1);
+		}
+
+		@Override
+		public long silentMillis(long now) {
+			return 0;
+		}
+
+	}
+
 	private final class FixedCopyTurn implements CopyCoordination {
 
 		@Override
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -228,7 +228,7 @@
 		this.queues = new GenerationQueues(settings.waiting(), this::startLimit,
 				sharesMemory ? this.shares : AccountOveruse.NONE, this.peers, random);
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(settings.mechanisms()), this.directory,
-				this.estimates, eligibility, this.chooser, this.peers, this.peers, this.queues,
+				this.store.follower(), this.estimates, eligibility, this.chooser, this.peers, this.peers, this.queues,
 				this.suspects.requests(), this.suspects.parts(), this.retryBudget, timers, calls, this.audit);
 		this.peers.useDemand(() -> this.queues.demand(this.loop.now()));
 		if (sharesMemory) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/MembershipEvents.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/MembershipEvents.java
@@ -79,6 +79,17 @@
 		this.dispatcher.targetDraining(target, cause, this.loop.now());
 	}
 
+	@Override
+	public void expired(ListedTarget target, long until) {
+		record(target, "its entry was removed shortly after an outage of the store: it receives requests for "
+				+ (until - this.loop.now()) + " ms more unless the entry is written again");
+	}
+
+	@Override
+	public void renewed(ListedTarget target) {
+		record(target, "its entry was written again");
+	}
+
 	@Override
 	public void gone(ListedTarget target) {
 		record(target, "gone");
