--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
@@ -25,6 +25,9 @@
 	 */
 	private static final long AFTER_SMALL_COPIES_MILLIS = 90;
 
+	/** Time after which a draining engine receives no requests. */
+	private static final long DRAIN_MILLIS = 3_000;
+
 	private final DispatchHarness harness = DispatchHarness.create();
 
 	@Test
@@ -371,6 +374,53 @@
 		assertThat(this.harness.copies).hasSize(copiesBefore + 1);
 	}
 
+	// Guards against a request to an engine that began to drain over three seconds
+	// before.
+	@Test
+	void generationDoesNotReturnToSourceThatLeftLongBefore() {
+		Sent first = stopForMoveAfter(DRAIN_MILLIS);
+		this.harness.copied(Outcome.COPIED, "h1");
+		this.harness.answer(this.harness.sendLast(), 503, true);
+		assertThat(lastSent().target()).isNotEqualTo(first.target());
+		assertThat(this.harness.answers(1)).containsExactly("started", "cut").inOrder();
+	}
+
+	@Test
+	void generationWhoseFinalCopyFailsLateResumesAtItsPartialCopy() {
+		stopForMoveAfter(DRAIN_MILLIS);
+		ListedTarget destination = this.harness.copies.get(0).destination();
+		this.harness.copied(Outcome.NO_ROOM, "h1");
+		assertThat(lastSent().target()).isEqualTo(destination);
+	}
+
+	@Test
+	void generationDoesNotResumeAtDestinationThatLeftLongBefore() {
+		Sent first = streamWithoutLiveCopy();
+		this.harness.drain(first.target());
+		this.harness.passTime(AFTER_SMALL_COPIES_MILLIS);
+		ListedTarget destination = this.harness.copies.get(0).destination();
+		this.harness.drain(destination);
+		this.harness.passTime(DRAIN_MILLIS);
+		this.harness.copied(Outcome.COPIED, "h1");
+		this.harness.breakConnection(first);
+		this.harness.copied(Outcome.COPIED, "h1");
+		assertThat(this.harness.sent).containsExactly(first);
+	}
+
+	// Stops the generation of call 1 by a slow copy after a time since the notice.
+	private Sent stopForMoveAfter(long millis) {
+		Sent first = streamWithoutLiveCopy();
+		this.harness.drain(first.target());
+		this.harness.passTime(millis);
+		this.harness.copied(Outcome.COPIED, "h1");
+		this.harness.breakConnection(first);
+		return first;
+	}
+
+	private Sent lastSent() {
+		return this.harness.sent.get(this.harness.sent.size() - 1);
+	}
+
 	// Guards against a stopped generation that is lost while a loan of retries is on its
 	// way.
 	@Test
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipSimulation.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipSimulation.java
@@ -164,6 +164,21 @@
 		provider.store.follower().knownRevision().ifPresent((at) -> newEntry.adopt(provider, at));
 	}
 
+	// Start an entry that reaches neither the store nor other entries.
+	Entry startWithoutContact(String dataCentre) {
+		Entry newEntry = new Entry("e" + this.entries.size(), dataCentre);
+		newEntry.rejectedByStore = true;
+		newEntry.ignoresPeers = true;
+		this.entries.add(newEntry);
+		newEntry.store.follower().start(this.now);
+		return newEntry;
+	}
+
+	// Give an entry the snapshot of another one.
+	void adopt(Entry receiver, Entry provider) {
+		provider.store.follower().knownRevision().ifPresent((at) -> receiver.adopt(provider, at));
+	}
+
 	void advance(long millis) {
 		long end = this.now + millis;
 		while (this.timers.nextDue() <= end) {
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MissedStoreUpdateTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MissedStoreUpdateTests.java
@@ -85,6 +85,23 @@
 		});
 	}
 
+	// Guards against an entry that takes the time of its own start for an outage of the
+	// store and holds back removals after it.
+	@Test
+	void dropsATargetThatVanishesAfterItsOwnLateStart() {
+		runAll((seed, simulation, provider) -> {
+			MembershipSimulation.Entry late = simulation.startWithoutContact("dc0");
+			simulation.advance(1_200);
+			simulation.adopt(late, provider);
+			late.rejectedByStore = false;
+			simulation.advance(1_000);
+			assertWithMessage("seed %s", seed).that(late.store.directory().acceptsRequests("t0")).isTrue();
+			simulation.unlist("t0");
+			simulation.advance(300);
+			assertTakesNoWork(seed, late);
+		});
+	}
+
 	@Test
 	void requestsAMissedChangeWhicheverPeerReportedTheNextOne() {
 		runAll((seed, simulation, isolated) -> {
