Bound the resumption of generations at engines that have departed

What callers saw: nothing; the users saw a request run at a target more than drain-ms after the store had confirmed its leaving.

Cause: the last look before the first byte passed over resumptions. A generation that moves away from a draining engine is stopped up to 6 s after the notice; if its copy is refused then, or its final copy fails, it went back to the engine that was leaving, and it followed a copy to a destination that had begun to leave itself. Class: an exception from a check that has no bound of its own.

Change: SendGuard is the one place that decides, immediately before the first byte, whether a target may still receive an attempt. It keeps when the departure of each incarnation became known (draining, gone, or expired) and lets a generation resume there only within the new setting drainMillis, less 500 ms for the way. Continuation and StreamMover ask it before they choose: a generation whose final copy fails late resumes at its partial copy and not at its source. Its rejections name the view of the store.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -1,7 +1,6 @@
 package dev.laneworks.core.dispatch;
 
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.ToIntFunction;
 
@@ -9,8 +8,6 @@
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
-import dev.laneworks.core.follow.StoreContact;
-import dev.laneworks.core.follow.StorePosition;
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.mechanism.Mechanisms;
 import dev.laneworks.core.serving.EngineSpec;
@@ -49,7 +46,7 @@
 
 	private final TargetDirectory directory;
 
-	private final StoreContact contact;
+	private final SendGuard guard;
 
 	private final Eligibility eligibility;
 
@@ -67,11 +64,11 @@
 
 	private ReservationListener reservations = ReservationListener.NONE;
 
-	AttemptSender(TargetDirectory directory, StoreContact contact, Eligibility eligibility, TargetEstimates estimates,
+	AttemptSender(TargetDirectory directory, SendGuard guard, Eligibility eligibility, TargetEstimates estimates,
 			TargetChooser chooser, DispatchOutputs outputs, AuditSink audit, Mechanisms mechanisms,
 			ToIntFunction<DirectCall> enginePriority) {
 		this.directory = directory;
-		this.contact = contact;
+		this.guard = guard;
 		this.eligibility = eligibility;
 		this.estimates = estimates;
 		this.chooser = chooser;
@@ -164,8 +161,9 @@
 				+ Math.round(this.estimates.requests(target, now))
 				+ engine.map((e) -> ", memory " + Math.round(PERCENT * this.chooser.utilization(target, e, now)) + "%")
 					.orElse("")
-				+ describeView(target, now) + ", left out " + this.eligibility.countExcluded(call.filter(), now)
-				+ this.estimates.of(target).speed().describe(now) + this.chooser.nearTargets().describe(target)
+				+ ", directory of " + this.directory.size() + this.guard.describeView(target, now) + ", left out "
+				+ this.eligibility.countExcluded(call.filter(), now) + this.estimates.of(target).speed().describe(now)
+				+ this.chooser.nearTargets().describe(target)
 				+ backup.map((b) -> ", copy grows at " + b.id()).orElse("")
 				+ resume.map((r) -> ", resumes after event " + r.lastEvent()).orElse("") + call.endWait(now)));
 		this.estimates.update(target, TargetEstimate::requestStarted);
@@ -181,15 +179,6 @@
 		return attempt;
 	}
 
-	private String describeView(ListedTarget target, long now) {
-		OptionalLong revision = this.contact.appliedRevision();
-		OptionalLong drainingSince = this.estimates.of(target).drainingSince();
-		return ", directory of " + this.directory.size()
-				+ (revision.isPresent() ? " at revision " + StorePosition.of(revision.getAsLong()) : "") + " heard "
-				+ this.contact.silentMillis(now) + " ms ago"
-				+ (drainingSince.isPresent() ? ", leaving for " + (now - drainingSince.getAsLong()) + " ms" : "");
-	}
-
 	private void recordPromptTokensAhead(Attempt attempt, Optional<EngineSpec> engine, long now) {
 		boolean hasMemory = engine.filter((e) -> this.chooser.utilization(attempt.target(), e, now) <= 1).isPresent();
 		attempt.setPromptTokensAhead(hasMemory ? this.estimates.pendingPromptTokens(attempt.target()) : -1);
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Continuation.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Continuation.java
@@ -44,6 +44,8 @@
 
 	private final Eligibility eligibility;
 
+	private final SendGuard guard;
+
 	private final SharedRetryBudget retries;
 
 	private final AttemptSender sender;
@@ -68,11 +70,12 @@
 
 	private final boolean copiesAtNotice;
 
-	Continuation(Eligibility eligibility, SharedRetryBudget retries, AttemptSender sender, StandbyCopies standbys,
-			StreamMover mover, CallCompletion completion, PoisonRequestGuard poison, AuditSink audit,
-			AttemptStarter starter, Function<DirectCall, Optional<EngineSpec>> engines, Predicate<DirectCall> open,
-			Timers timers, boolean copiesAtNotice) {
+	Continuation(Eligibility eligibility, SendGuard guard, SharedRetryBudget retries, AttemptSender sender,
+			StandbyCopies standbys, StreamMover mover, CallCompletion completion, PoisonRequestGuard poison,
+			AuditSink audit, AttemptStarter starter, Function<DirectCall, Optional<EngineSpec>> engines,
+			Predicate<DirectCall> open, Timers timers, boolean copiesAtNotice) {
 		this.eligibility = eligibility;
+		this.guard = guard;
 		this.retries = retries;
 		this.sender = sender;
 		this.standbys = standbys;
@@ -199,6 +202,9 @@
 					"its KV cache is held by a target that is withheld, in a backoff period or in an evacuated data centre",
 					now);
 		}
+		else if (!this.guard.mayResume(destination, now)) {
+			this.completion.endAsLost(call, "its KV cache is held by a target that departed too long ago", now);
+		}
 		else if (this.retries.tryAcquire(call.request().service(), RetryPurpose.RESUMPTION, now)) {
 			call.setAttempt(this.starter.startAttempt(call, destination, Optional.of(from), now));
 		}
@@ -240,7 +246,8 @@
 	 * @return {@code true} if the generation was sent to its source
 	 */
 	boolean returnToSource(DirectCall call, Attempt refused, String cause, long now) {
-		Optional<ListedTarget> source = call.stoppedAt().filter((s) -> this.eligibility.allowsReturn(s, now));
+		Optional<ListedTarget> source = call.stoppedAt()
+			.filter((s) -> this.eligibility.allowsReturn(s, now) && this.guard.mayResume(s, now));
 		call.stoppedAt(Optional.empty());
 		if (source.isEmpty() || refused.resume().isEmpty()
 				|| !this.retries.tryAcquire(call.request().service(), RetryPurpose.RESUMPTION, now)) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -14,7 +14,6 @@
 import dev.laneworks.core.directory.DrainingCause;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
-import dev.laneworks.core.follow.StoreContact;
 import dev.laneworks.core.headroom.EngineHeadroom;
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.poison.RequestDigest;
@@ -88,6 +87,8 @@
 
 	private final Eligibility eligibility;
 
+	private final SendGuard guard;
+
 	private final AttemptOutcomes outcomes;
 
 	private final PoisonRequestGuard poison;
@@ -112,9 +113,9 @@
 	 * Create a dispatcher.
 	 * @param settings the timeouts and limits that apply
 	 * @param directory the listed targets
-	 * @param contact the age of what is known of them
 	 * @param estimates the recorded state of each target
 	 * @param eligibility the rules that decide which targets may receive requests
+	 * @param guard the last decision before a request is sent to its target
 	 * @param chooser the selection among eligible targets
 	 * @param coordination the coordination of copies away from an engine with other
 	 * processes
@@ -127,20 +128,21 @@
 	 * @param outputs the receiver of decisions to carry out
 	 * @param audit the receiver of decisions with their causes
 	 */
-	public Dispatcher(DispatchSettings settings, TargetDirectory directory, StoreContact contact,
-			TargetEstimates estimates, Eligibility eligibility, TargetChooser chooser, CopyCoordination coordination,
+	public Dispatcher(DispatchSettings settings, TargetDirectory directory, TargetEstimates estimates,
+			Eligibility eligibility, SendGuard guard, TargetChooser chooser, CopyCoordination coordination,
 			EntryRanks entries, GenerationQueues queues, SuspectRequests suspects, SuspectParts suspectParts,
 			SharedRetryBudget retries, Timers timers, DispatchOutputs outputs, AuditSink audit) {
 		this.settings = settings;
 		this.directory = directory;
 		this.estimates = estimates;
 		this.eligibility = eligibility;
+		this.guard = guard;
 		this.retries = retries;
 		this.timers = timers;
 		this.outputs = outputs;
 		this.audit = audit;
 		this.malformedLoads = new MalformedLoads(audit);
-		this.sender = new AttemptSender(directory, contact, eligibility, estimates, chooser, outputs, audit,
+		this.sender = new AttemptSender(directory, guard, eligibility, estimates, chooser, outputs, audit,
 				settings.mechanisms(), (c) -> queues.enginePriority(c.request().service(), c.request().route()));
 		this.standbys = new StandbyCopies(directory, eligibility, estimates, chooser, coordination, timers, outputs,
 				audit, settings.mechanisms().isEnabled(Mechanism.STANDBY_COPIES));
@@ -158,7 +160,7 @@
 		this.scheduler = new AttemptScheduler(settings, retries, this.sender, this.completion, this.poison, timers,
 				outputs, audit, this::engine, entries, this.queuedStarts, (c, a, t) -> connectFailed(c.number(),
 						a.number(), ConnectFault.TIMED_OUT, "connect timeout expired", t));
-		this.continuation = new Continuation(eligibility, retries, this.sender, this.standbys, this.mover,
+		this.continuation = new Continuation(eligibility, guard, retries, this.sender, this.standbys, this.mover,
 				this.completion, this.poison, audit, this.scheduler::startAttempt, this::engine,
 				(c) -> this.calls.containsKey(c.number()), timers,
 				settings.mechanisms().isEnabled(Mechanism.COPIES_AT_NOTICE));
@@ -298,8 +300,7 @@
 					(t) -> connectFailed(number, attempt, ConnectFault.TIMED_OUT, "the request is quarantined", t));
 			return OptionalLong.empty();
 		}
-		Optional<String> rejection = this.eligibility.findRejection(target, now)
-			.filter((c) -> found.get().resume().isEmpty());
+		Optional<String> rejection = this.guard.findRejection(found.get(), now);
 		if (rejection.isPresent()) {
 			this.timers.schedule(now,
 					(t) -> connectFailed(number, attempt, ConnectFault.TIMED_OUT, rejection.get(), t));
@@ -665,6 +666,7 @@
 	 * @param now the current time in milliseconds of the monotonic clock
 	 */
 	public void targetDraining(ListedTarget target, DrainingCause cause, long now) {
+		this.guard.recordDeparture(target, now);
 		this.headroom.recordDeparture(target, now);
 		this.poison.handleDraining(target, cause, now);
 		if (this.directory.isFormerIncarnation(target)) {
@@ -682,6 +684,26 @@
 		moving.forEach((c) -> this.continuation.moveFromEngine(c, now));
 	}
 
+	/**
+	 * Handle the removal of a target's list entry, although the target may be listed
+	 * again.
+	 * @param target the target
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @since 0.8
+	 */
+	public void targetExpired(ListedTarget target, long now) {
+		this.guard.recordDeparture(target, now);
+	}
+
+	/**
+	 * Handle a target that is listed again, or for the first time.
+	 * @param target the target
+	 * @since 0.8
+	 */
+	public void targetListed(ListedTarget target) {
+		this.guard.recordReturn(target);
+	}
+
 	/**
 	 * Handle the removal of a target from the directory. If a newer incarnation of it is
 	 * listed, everything that the former one held is lost: its generations resume
@@ -814,6 +836,11 @@
 			return Dispatcher.this.eligibility.acceptsWork(target, now);
 		}
 
+		@Override
+		public boolean mayResume(ListedTarget target, long now) {
+			return Dispatcher.this.guard.mayResume(target, now);
+		}
+
 		@Override
 		public boolean isEvacuated(ListedTarget target) {
 			return Dispatcher.this.eligibility.isEvacuated(target);
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/StreamMover.java
@@ -383,7 +383,9 @@
 			this.resumption.handleLost(call, "the generation was stopped and its copy is unusable", now);
 			return;
 		}
-		if (result.outcome() != CopyResult.Outcome.NO_ANSWER && !this.resumption.isReplaced(move.source())) {
+		boolean holdsGeneration = result.outcome() != CopyResult.Outcome.NO_ANSWER
+				&& !this.resumption.isReplaced(move.source());
+		if (holdsGeneration && this.resumption.mayResume(move.source(), now)) {
 			resumeFromSource(move);
 		}
 		move.setPhase(CopyPhase.STOPPED);
@@ -497,6 +499,14 @@
 		 */
 		boolean acceptsWork(ListedTarget target, long now);
 
+		/**
+		 * Determine whether a generation may resume at a target.
+		 * @param target the target to check
+		 * @param now the current time in milliseconds of the monotonic clock
+		 * @return {@code false} if the target departed too long ago
+		 */
+		boolean mayResume(ListedTarget target, long now);
+
 		/**
 		 * Determine whether a target must not receive work although it stays listed.
 		 * @param target the target to check
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -121,8 +121,7 @@
 	/** The allowed regions of requests that are opened from now on. */
 	AllowedRegions regions = AllowedRegions.any();
 
-	/** The contact to the store, which is always recent. */
-	private final StoreContact contact = new RecentContact();
+	final SendGuard guard = new SendGuard(this.eligibility, new RecentContact(), OptionalLong.of(3_000));
 
 	final SuspectRequests suspects;
 
@@ -200,8 +199,8 @@
 		TargetChooser chooser = new TargetChooser(this.eligibility, this.estimates, dataCentre,
 				(d, t) -> this.silentMillis.getOrDefault(d, 0L), random, mechanisms);
 		setRetryLimits(retryRatio, retryExtra);
-		this.dispatcher = new Dispatcher(DispatchSettings.defaults(mechanisms), this.directory, this.contact,
-				this.estimates, this.eligibility, chooser, new FixedCopyTurn(), new FixedRanks(), queues, this.suspects,
+		this.dispatcher = new Dispatcher(DispatchSettings.defaults(mechanisms), this.directory, this.estimates,
+				this.eligibility, this.guard, chooser, new FixedCopyTurn(), new FixedRanks(), queues, this.suspects,
 				this.suspectParts, this.retries, this.timers, this, this.audit::add);
 		this.dispatcher.applyPlan(plan);
 	}
@@ -578,6 +577,7 @@
 
 		@Override
 		public void joined(ListedTarget target) {
+			DispatchHarness.this.dispatcher.targetListed(target);
 			DispatchHarness.this.estimates.of(target).recordListed(target);
 		}
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -26,6 +26,7 @@
 import dev.laneworks.core.dispatch.DispatchSettings;
 import dev.laneworks.core.dispatch.Dispatcher;
 import dev.laneworks.core.dispatch.Eligibility;
+import dev.laneworks.core.dispatch.SendGuard;
 import dev.laneworks.core.dispatch.TargetChooser;
 import dev.laneworks.core.dispatch.TargetEstimates;
 import dev.laneworks.core.gossip.RetryBudgetUsage;
@@ -228,8 +229,9 @@
 		this.queues = new GenerationQueues(settings.waiting(), this::startLimit,
 				sharesMemory ? this.shares : AccountOveruse.NONE, this.peers, random);
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(settings.mechanisms()), this.directory,
-				this.store.follower(), this.estimates, eligibility, this.chooser, this.peers, this.peers, this.queues,
-				this.suspects.requests(), this.suspects.parts(), this.retryBudget, timers, calls, this.audit);
+				this.estimates, eligibility, new SendGuard(eligibility, this.store.follower(), settings.drainMillis()),
+				this.chooser, this.peers, this.peers, this.queues, this.suspects.requests(), this.suspects.parts(),
+				this.retryBudget, timers, calls, this.audit);
 		this.peers.useDemand(() -> this.queues.demand(this.loop.now()));
 		if (sharesMemory) {
 			this.queues.onQueueChange(this.shares);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectSettings.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import java.util.stream.Collectors;
 
 import dev.laneworks.core.dispatch.ColdRateLimit;
@@ -34,6 +35,8 @@
  * @param retryExtraShare the part of {@code retryExtra} that all entries together spend,
  * from 0 to 1
  * @param coldBound how far the fleet may exceed the rate that a cold target sustains
+ * @param drainMillis the time within which targets that announced their departure may
+ * still receive requests, in milliseconds; empty if generations may always resume there
  * @param graceMillis the time from the shutdown request to the end of the process, in
  * milliseconds
  * @param acceptAllMillis the time after the shutdown request during which all requests
@@ -50,8 +53,8 @@
 public record DirectSettings(String instance, String dataCentre, Map<String, String> regions, InetSocketAddress callers,
 		InetSocketAddress readiness, InetSocketAddress operators, InetSocketAddress gossipAddress, List<String> seeds,
 		InetSocketAddress store, FollowSettings follow, long retryWindowMillis, double retryRatio, double retryExtra,
-		double retryExtraShare, ColdRateLimit coldBound, long graceMillis, long acceptAllMillis,
-		long maxStartWaitMillis, Mechanisms mechanisms, Optional<WaitingSettings> waiting,
+		double retryExtraShare, ColdRateLimit coldBound, OptionalLong drainMillis, long graceMillis,
+		long acceptAllMillis, long maxStartWaitMillis, Mechanisms mechanisms, Optional<WaitingSettings> waiting,
 		OptionalDouble maxDelayShare) {
 
 	/** Longest time for which the store holds a watch; see {@link FollowSettings}. */
@@ -107,7 +110,7 @@
 				Addresses.address(store, "address"), follow,
 				millis(retries.number("windowSeconds", MIN_SECONDS, MAX_SECONDS, 10)),
 				retries.number("ratio", 0, 1, 0.1), retries.number("extra", 0, MAX_LIMIT, 0),
-				retries.number("extraShare", 0, 1, DEFAULT_EXTRA_SHARE), coldBound(root),
+				retries.number("extraShare", 0, 1, DEFAULT_EXTRA_SHARE), coldBound(root), drainMillis(root),
 				millis(root.number("graceSeconds", MIN_SECONDS, MAX_SECONDS, 8)),
 				root.integer("takeAllMillis", 0, ONE_MINUTE, 0),
 				root.integer("startHoldMillis", 0, ONE_MINUTE, DEFAULT_START_HOLD_MILLIS), Mechanisms.read(root, "off"),
@@ -133,8 +136,8 @@
 		return equals(new DirectSettings(other.instance, other.dataCentre, other.regions, other.callers,
 				other.readiness, other.operators, other.gossipAddress, other.seeds, other.store, other.follow,
 				other.retryWindowMillis, this.retryRatio, this.retryExtra, this.retryExtraShare, other.coldBound,
-				other.graceMillis, other.acceptAllMillis, other.maxStartWaitMillis, other.mechanisms, other.waiting,
-				other.maxDelayShare));
+				other.drainMillis, other.graceMillis, other.acceptAllMillis, other.maxStartWaitMillis, other.mechanisms,
+				other.waiting, other.maxDelayShare));
 	}
 
 	private static Map<String, String> regions(DocumentObject root) {
@@ -151,6 +154,11 @@
 		return new ColdRateLimit(cold.number("overage", 0, MAX_LIMIT, 1), cold.number("slack", 0, MAX_LIMIT, 0));
 	}
 
+	private static OptionalLong drainMillis(DocumentObject root) {
+		return root.has("drainMillis") ? OptionalLong.of(root.integer("drainMillis", 0, ONE_MINUTE, 0))
+				: OptionalLong.empty();
+	}
+
 	private static OptionalDouble maxDelayShare(DocumentObject root) {
 		if (!root.has("ingress")) {
 			return OptionalDouble.empty();
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/MembershipEvents.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/MembershipEvents.java
@@ -68,6 +68,7 @@
 
 	@Override
 	public void joined(ListedTarget target) {
+		this.dispatcher.targetListed(target);
 		this.estimates.of(target).recordListed(target);
 		this.estimates.recordReachable(target);
 		record(target, "joined at " + target.address() + " in " + target.dataCentre());
@@ -81,12 +82,14 @@
 
 	@Override
 	public void expired(ListedTarget target, long until) {
+		this.dispatcher.targetExpired(target, this.loop.now());
 		record(target, "its entry was removed shortly after an outage of the store: it receives requests for "
 				+ (until - this.loop.now()) + " ms more unless the entry is written again");
 	}
 
 	@Override
 	public void renewed(ListedTarget target) {
+		this.dispatcher.targetListed(target);
 		record(target, "its entry was written again");
 	}
 
