Do not take an entry's own silence for an outage of the store

What callers saw: requests sent for up to 1.8 s to a target whose removal the entry had read, on top of the time until it read it.

Cause: removals are held back for 1.8 s from when an entry finds the store reachable again after a second of silence, since healthy targets may expire in an outage and register again. The silence of a process counted that had just started, so that nothing could have expired for it, or that was late itself; and such a process told others that it recovers. Class: an allowance for an outage of a dependency, granted for one's own absence.

The event loop reports by how much its wake-ups are late, and that time does not count.

With the start counted again, as a trial, it and StoreFollowerTests.doesNotTakeItsOwnStartForAnOutage fail. MembershipTests and PlanPropagationTests pass: targets that expire in an outage of the store are still kept, also by an entry that starts in it.

--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/SilenceDetector.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/SilenceDetector.java
@@ -21,11 +21,34 @@
 
 	private long longestMillis;
 
+	/** The time since the last contact in which this process was late itself. */
+	private long latenessMillis;
+
 	private long probedAt = Long.MIN_VALUE / 2;
 
 	void recordContact(long now) {
-		this.longestMillis = Math.max(this.longestMillis, silentMillis(now));
+		this.longestMillis = Math.max(this.longestMillis, silentMillis(now) - this.latenessMillis);
 		this.lastContactAt = Math.max(this.lastContactAt, now);
+		this.latenessMillis = 0;
+	}
+
+	/**
+	 * Forget the silence before the first contact, which says nothing about the store.
+	 * @param now the time of the first contact in milliseconds
+	 */
+	void recordFirstContact(long now) {
+		this.lastContactAt = now;
+		this.longestMillis = 0;
+		this.latenessMillis = 0;
+	}
+
+	/**
+	 * Record that this process was late by some time, which does not count as silence of
+	 * the store.
+	 * @param millis the time in milliseconds
+	 */
+	void recordLateness(long millis) {
+		this.latenessMillis += millis;
 	}
 
 	/**
@@ -61,7 +84,7 @@
 	 * @return the silence in milliseconds
 	 */
 	long resetLongest(long now) {
-		long silence = Math.max(this.longestMillis, silentMillis(now));
+		long silence = Math.max(this.longestMillis, silentMillis(now) - this.latenessMillis);
 		this.longestMillis = 0;
 		return silence;
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -342,18 +342,32 @@
 		return this.silence.silentMillis(now);
 	}
 
+	/**
+	 * Record that this process handled an event late. The store's silence in that time is
+	 * not taken for an outage.
+	 * @param millis the time by which it was late, in milliseconds
+	 * @since 0.8
+	 */
+	public void recordLateness(long millis) {
+		this.silence.recordLateness(millis);
+	}
+
 	/**
 	 * Apply a snapshot of all items from another process, unless this process already has
 	 * all changes up to its revision. A later read replaces the items.
 	 * @param items the items
 	 * @param at the revision of the snapshot
+	 * @param ageMillis the age of the other process's view in milliseconds
 	 * @param now the current time in milliseconds
 	 * @return {@code false} if the snapshot contains nothing new
 	 */
-	public boolean applySnapshot(List<StoreItem> items, long at, long now) {
+	public boolean applySnapshot(List<StoreItem> items, long at, long ageMillis, long now) {
 		if (this.hasReadAll && at <= this.cache.revision()) {
 			return false;
 		}
+		if (!this.hasReadAll) {
+			this.silence.recordFirstContact(now - ageMillis);
+		}
 		applyAll(items, at, now);
 		return true;
 	}
@@ -589,7 +603,9 @@
 			this.lag.resetOverdue();
 		}
 		this.failures = 0;
-		recordReachable(this.silence.recordAnswer(now) >= MIN_EXPIRY_OUTAGE_MILLIS, now);
+		boolean wasSilent = this.silence.recordAnswer(now) >= MIN_EXPIRY_OUTAGE_MILLIS;
+		// Nothing can have expired before the first read.
+		recordReachable(wasSilent && this.hasReadAll, now);
 		return true;
 	}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
@@ -31,6 +31,9 @@
 
 	private final List<String> restarts = new ArrayList<>();
 
+	/** When the store was reported to be back after an outage of its own. */
+	private final List<Long> returns = new ArrayList<>();
+
 	private boolean listenerFails;
 
 	private final Timers timers = new Timers();
@@ -137,7 +140,7 @@
 	@Test
 	void ignoresPagesOlderThanAnAdoptedSnapshot() {
 		this.follower.start(0);
-		this.follower.applySnapshot(List.of(item("a")), 120, 5);
+		this.follower.applySnapshot(List.of(item("a")), 120, 0, 5);
 		this.follower.pageRead(this.lastCall, List.of(item("a"), item("b")), false, 110, 10);
 		assertThat(this.events).containsExactly("all [a]");
 		assertThat(this.calls.get(this.calls.size() - 1)).isEqualTo("watch 120 4000");
@@ -149,9 +152,9 @@
 		startWatching();
 		this.follower.historyCompacted(this.lastCall, 1_000);
 		this.timers.run(1_100);
-		assertThat(this.follower.applySnapshot(List.of(item("old")), 99, 1_110)).isFalse();
+		assertThat(this.follower.applySnapshot(List.of(item("old")), 99, 0, 1_110)).isFalse();
 		assertThat(this.events).containsExactly("all [a]");
-		assertThat(this.follower.applySnapshot(List.of(item("new")), 101, 1_120)).isTrue();
+		assertThat(this.follower.applySnapshot(List.of(item("new")), 101, 0, 1_120)).isTrue();
 		assertThat(this.events).containsExactly("all [a]", "all [new]").inOrder();
 	}
 
@@ -395,6 +398,45 @@
 		assertThat(this.events).containsExactly("all [a]", "changed [a]").inOrder();
 	}
 
+	// Guards against removals that are held back since this process was late itself.
+	@Test
+	void doesNotTakeItsOwnLatenessForAnOutage() {
+		startWatching();
+		this.follower.failed(this.lastCall, "no answer before the timeout", 1_500);
+		this.follower.recordLateness(900);
+		this.timers.run(1_600);
+		this.follower.watchAnswered(this.lastCall, List.of(change("x")), 130, 1_604);
+		assertThat(this.events).contains("regained 1599");
+		this.timers.run(1_700);
+		assertThat(this.returns).isEmpty();
+		this.follower.failed(this.lastCall, "refused", 1_710);
+		this.timers.run(2_900);
+		this.follower.watchAnswered(this.lastCall, List.of(change("y")), 131, 2_910);
+		assertThat(this.returns).containsExactly(2_910L);
+	}
+
+	// Guards against removals that are held back since the process has just started.
+	@Test
+	void doesNotTakeItsOwnStartForAnOutage() {
+		this.follower.start(0);
+		this.follower.failed(this.lastCall, "refused", 600);
+		this.follower.applySnapshot(List.of(item("a")), 90, 50, 1_200);
+		this.timers.run(1_300);
+		this.follower.pageRead(this.lastCall, List.of(item("a")), false, 100, 1_310);
+		assertThat(this.events).containsAtLeast("lost refused", "regained 1310");
+		assertThat(this.returns).isEmpty();
+	}
+
+	@Test
+	void aStartWithASnapshotFromBeforeAnOutageNoticesItsEnd() {
+		this.follower.start(0);
+		this.follower.failed(this.lastCall, "refused", 600);
+		this.follower.applySnapshot(List.of(item("a")), 90, 2_000, 1_200);
+		this.timers.run(1_300);
+		this.follower.pageRead(this.lastCall, List.of(item("a")), false, 100, 1_310);
+		assertThat(this.returns).containsExactly(1_310L);
+	}
+
 	@Test
 	void marksUpdatesShortlyAfterAnOutage() {
 		startWatching();
@@ -772,6 +814,9 @@
 		@Override
 		public void storeReachable(long awayMillis, boolean mayHaveBeenAway, long now) {
 			StoreFollowerTests.this.events.add("regained " + awayMillis);
+			if (mayHaveBeenAway) {
+				StoreFollowerTests.this.returns.add(now);
+			}
 		}
 
 	}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -249,6 +249,7 @@
 		this.peers.onStoreUpdate((u) -> this.store.follower().updateReceived(u, this.loop.now()));
 		this.resumeGate = new ResumeGate(this.store.follower()::ageMillis);
 		this.loop.onPause(this::paused);
+		this.loop.onLateness(this.store.follower()::recordLateness);
 		this.ingress = IngressGate.create(settings.maxDelayShare(), this.loop, calls::load, this.metrics);
 		this.callers = new DirectServer(this.io, settings.callers(), calls, adapter.headers(), this.store,
 				this.shutdown, (r) -> this.ingress.flatMap((g) -> g.refuse(r)), this.loop, this.resumeGate::isClosed,
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EventLoop.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EventLoop.java
@@ -1,6 +1,7 @@
 package dev.laneworks.entry.direct;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 
 import dev.laneworks.core.time.PauseDetector;
@@ -14,6 +15,9 @@
  */
 final class EventLoop {
 
+	/** The shortest lateness of a wake-up that is reported; a turn usually takes less. */
+	private static final long MIN_LATENESS_MILLIS = 20;
+
 	private final XnioIoThread thread;
 
 	private final Timers timers;
@@ -25,6 +29,9 @@
 	private PauseListener pauseListener = (m, t) -> {
 	};
 
+	private LongConsumer latenessListener = (m) -> {
+	};
+
 	private XnioExecutor.Key wakeUpKey;
 
 	private long wakeUpAt = Long.MAX_VALUE;
@@ -51,6 +58,12 @@
 		this.pauseListener = listener;
 	}
 
+	// Set the listener for wake-ups that come late, which receives by how many
+	// milliseconds.
+	void onLateness(LongConsumer listener) {
+		this.latenessListener = listener;
+	}
+
 	/**
 	 * Start the handling of an input. To be called on the thread before each input: after
 	 * a pause, overdue timers run first, so that a call past its deadline gets no further
@@ -138,8 +151,12 @@
 	}
 
 	private void wakeUp() {
+		long lateMillis = now() - this.wakeUpAt;
 		this.wakeUpKey = null;
 		this.wakeUpAt = Long.MAX_VALUE;
+		if (lateMillis >= MIN_LATENESS_MILLIS) {
+			this.latenessListener.accept(lateMillis);
+		}
 		begin();
 		runTimers();
 	}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/SnapshotTransfer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/SnapshotTransfer.java
@@ -106,13 +106,14 @@
 			return Optional.empty();
 		}
 		return Optional
-			.of(new StoreSnapshot(revision.getAsLong(), this.follower.ageMillis(now), this.follower.knownItems()));
+			.of(new StoreSnapshot(revision.getAsLong(), this.follower.silentMillis(now), this.follower.knownItems()));
 	}
 
 	private void useSnapshot(SnapshotFetcher.Result result) {
 		StoreSnapshot snapshot = result.snapshot();
 		long behind = this.follower.behindMillis(this.clock.getAsLong());
-		if (this.follower.applySnapshot(snapshot.items(), snapshot.revision(), this.clock.getAsLong())) {
+		if (this.follower.applySnapshot(snapshot.items(), snapshot.revision(), snapshot.ageMillis(),
+				this.clock.getAsLong())) {
 			this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_SERVICE, "store", "",
 					"adopted revision " + StorePosition.of(snapshot.revision()) + " from " + result.from() + ", "
 							+ snapshot.ageMillis() + " ms old"
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipSimulation.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipSimulation.java
@@ -532,7 +532,9 @@
 
 		private void adopt(Entry provider, long at) {
 			this.store.follower()
-				.applySnapshot(provider.store.follower().knownItems(), at, MembershipSimulation.this.now);
+				.applySnapshot(provider.store.follower().knownItems(), at,
+						provider.store.follower().silentMillis(MembershipSimulation.this.now),
+						MembershipSimulation.this.now);
 		}
 
 		// Return the start time of the known incarnation of each target.
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MissedStoreUpdateTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MissedStoreUpdateTests.java
@@ -94,6 +94,7 @@
 			simulation.advance(1_200);
 			simulation.adopt(late, provider);
 			late.rejectedByStore = false;
+			late.ignoresPeers = false;
 			simulation.advance(1_000);
 			assertWithMessage("seed %s", seed).that(late.store.directory().acceptsRequests("t0")).isTrue();
 			simulation.unlist("t0");
