Let requests wait for the store where a late process would send them by an old view

What callers saw: a request that an entry had read late was sent to a target which had said over three seconds before that it drains, by a process that had been starved since its start.

Cause: the gate that holds requests after a pause closed for single pauses of a second only, and it was asked when a request was read, not when its bytes left: what had been decided before waited for its connection and was sent by the old view. Class: a check at the door that is not repeated after a wait.

Change: the event loop reports late wake-ups; lateness since the store, or an entry that reads it, was last heard adds up, and a second of it closes the gate once. Resumptions do not wait.

Ruled out: holding requests whenever the view is older than a second. In an outage of the store all views are, and each request would wait for nothing.

Evidence: DispatcherTests.requestWaitsForTheStoreBeforeItIsSentByALateProcess and ResumeGateTests.closesOnceWhenShortPausesAddUp; without the new calls they do not compile, so that they were not seen red. PlatformEntryTests, PlatformBackpressureTests and CallerDisconnectTests pass.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptScheduler.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptScheduler.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 import dev.laneworks.core.audit.AuditKind;
 import dev.laneworks.core.audit.AuditSink;
@@ -28,6 +29,9 @@
 	 */
 	private static final long MAX_CONNECT_MILLIS = 1_000;
 
+	/** Interval in which postponed calls check whether the store was heard. */
+	private static final long POSTPONED_POLL_MILLIS = 10;
+
 	private final DispatchSettings settings;
 
 	private final SharedRetryBudget retryBudget;
@@ -46,6 +50,10 @@
 
 	private final Function<DirectCall, Optional<EngineSpec>> engines;
 
+	private final SendGuard guard;
+
+	private final Predicate<DirectCall> open;
+
 	private final ConnectFailureHandler connectFailure;
 
 	/**
@@ -67,7 +75,8 @@
 	AttemptScheduler(DispatchSettings settings, SharedRetryBudget retryBudget, AttemptSender sender,
 			CallCompletion completion, PoisonRequestGuard poison, Timers timers, DispatchOutputs outputs,
 			AuditSink audit, Function<DirectCall, Optional<EngineSpec>> engines, EntryRanks entries,
-			QueuedStarts queuedStarts, ConnectFailureHandler connectFailure) {
+			QueuedStarts queuedStarts, SendGuard guard, Predicate<DirectCall> open,
+			ConnectFailureHandler connectFailure) {
 		this.settings = settings;
 		this.retryBudget = retryBudget;
 		this.sender = sender;
@@ -80,6 +89,8 @@
 		this.entries = entries;
 		this.queuedStarts = queuedStarts;
 		queuedStarts.use(this);
+		this.guard = guard;
+		this.open = open;
 		this.connectFailure = connectFailure;
 		this.connectTimeout = new AdaptiveTimeout(settings.connectMillis(),
 				settings.mechanisms().isEnabled(Mechanism.LEARNED_CONNECT_LIMIT) ? MAX_CONNECT_MILLIS
@@ -119,6 +130,34 @@
 		send(call, target.get(), now);
 	}
 
+	/**
+	 * Abandon an attempt that was not sent, and dispatch its call again once the store
+	 * was heard.
+	 * @param call the request being dispatched
+	 * @param attempt the attempt that was not sent
+	 * @param now the current time in milliseconds of the monotonic clock
+	 */
+	void postpone(DirectCall call, Attempt attempt, long now) {
+		if (call.find(attempt.number()).isPresent()) {
+			this.audit.record(call.event(AuditKind.RETRIED, attempt.target().id(),
+					"nothing was sent: waits for the store" + this.guard.describeView(attempt.target(), now)));
+			this.sender.abandon(call, attempt);
+			dispatchOnceStoreIsHeard(call, now);
+		}
+	}
+
+	private void dispatchOnceStoreIsHeard(DirectCall call, long now) {
+		if (!this.guard.awaitsStore(now)) {
+			dispatch(call, now);
+			return;
+		}
+		this.timers.schedule(now + POSTPONED_POLL_MILLIS, (t) -> {
+			if (this.open.test(call)) {
+				dispatchOnceStoreIsHeard(call, t);
+			}
+		});
+	}
+
 	private void send(DirectCall call, ListedTarget target, long now) {
 		if (call.timesSent() > 0
 				&& !this.retryBudget.tryAcquire(call.request().service(), RetryPurpose.REPETITION, now)) {
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -158,8 +158,9 @@
 		this.queuedStarts = new QueuedStarts(queues, this.calls, this.sender, timers, audit, this::engine);
 		this.completion.onEnd(this.queuedStarts::handleEnd);
 		this.scheduler = new AttemptScheduler(settings, retries, this.sender, this.completion, this.poison, timers,
-				outputs, audit, this::engine, entries, this.queuedStarts, (c, a, t) -> connectFailed(c.number(),
-						a.number(), ConnectFault.TIMED_OUT, "connect timeout expired", t));
+				outputs, audit, this::engine, entries, this.queuedStarts, guard,
+				(c) -> this.calls.containsKey(c.number()), (c, a, t) -> connectFailed(c.number(), a.number(),
+						ConnectFault.TIMED_OUT, "connect timeout expired", t));
 		this.continuation = new Continuation(eligibility, guard, retries, this.sender, this.standbys, this.mover,
 				this.completion, this.poison, audit, this.scheduler::startAttempt, this::engine,
 				(c) -> this.calls.containsKey(c.number()), timers,
@@ -300,6 +301,10 @@
 					(t) -> connectFailed(number, attempt, ConnectFault.TIMED_OUT, "the request is quarantined", t));
 			return OptionalLong.empty();
 		}
+		if (found.get().resume().isEmpty() && this.guard.awaitsStore(now)) {
+			this.timers.schedule(now, (t) -> this.scheduler.postpone(call, found.get(), t));
+			return OptionalLong.empty();
+		}
 		Optional<String> rejection = this.guard.findRejection(found.get(), now);
 		if (rejection.isPresent()) {
 			this.timers.schedule(now,
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/SendGuard.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/SendGuard.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.LongPredicate;
 
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetIncarnation;
@@ -39,6 +40,8 @@
 
 	private final StoreContact contact;
 
+	private final LongPredicate awaitsStore;
+
 	private final OptionalLong drainMillis;
 
 	/** When the departure of each incarnation became known, in milliseconds. */
@@ -48,12 +51,16 @@
 	 * Create a guard.
 	 * @param eligibility the rules that decide which targets may receive requests
 	 * @param contact the age of what is known of the targets
+	 * @param awaitsStore whether new requests have to wait at a time in milliseconds,
+	 * since this process was late and has not heard the store since
 	 * @param drainMillis the time after the announcement of a departure within which the
 	 * target may still receive requests, in milliseconds; empty if it is not bounded
 	 */
-	public SendGuard(Eligibility eligibility, StoreContact contact, OptionalLong drainMillis) {
+	public SendGuard(Eligibility eligibility, StoreContact contact, LongPredicate awaitsStore,
+			OptionalLong drainMillis) {
 		this.eligibility = Objects.requireNonNull(eligibility, "eligibility must not be null");
 		this.contact = Objects.requireNonNull(contact, "contact must not be null");
+		this.awaitsStore = Objects.requireNonNull(awaitsStore, "awaitsStore must not be null");
 		this.drainMillis = Objects.requireNonNull(drainMillis, "drainMillis must not be null");
 	}
 
@@ -90,6 +97,17 @@
 				|| now - since <= this.drainMillis.getAsLong() - TRANSIT_MILLIS;
 	}
 
+	/**
+	 * Determine whether a new request has to wait until the store is heard. A resumption
+	 * does not wait, since its caller sees a pause.
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return {@code true} if what is known of the targets is as old as a pause of this
+	 * process
+	 */
+	boolean awaitsStore(long now) {
+		return this.awaitsStore.test(now);
+	}
+
 	/**
 	 * Determine why nothing may be sent to the target of an attempt. To be called once
 	 * its connection is established, immediately before the first byte.
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/SilenceDetector.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/SilenceDetector.java
@@ -24,6 +24,8 @@
 	/** The time since the last contact in which this process was late itself. */
 	private long latenessMillis;
 
+	private long lateUntil = Long.MIN_VALUE;
+
 	private long probedAt = Long.MIN_VALUE / 2;
 
 	void recordContact(long now) {
@@ -43,12 +45,19 @@
 	}
 
 	/**
-	 * Record that this process was late by some time, which does not count as silence of
-	 * the store.
-	 * @param millis the time in milliseconds
+	 * Record that this process was late, which does not count as silence of the store.
+	 * @param since when it should have acted, in milliseconds
+	 * @param now the current time in milliseconds
 	 */
-	void recordLateness(long millis) {
-		this.latenessMillis += millis;
+	void recordLateness(long since, long now) {
+		long from = Math.max(since, Math.max(this.lastContactAt, this.lateUntil));
+		this.latenessMillis += Math.max(0, now - from);
+		this.lateUntil = now;
+	}
+
+	// The time since the last contact in which this process was late itself.
+	long latenessMillis() {
+		return this.latenessMillis;
 	}
 
 	/**
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -343,13 +343,17 @@
 	}
 
 	/**
-	 * Record that this process handled an event late. The store's silence in that time is
-	 * not taken for an outage.
-	 * @param millis the time by which it was late, in milliseconds
+	 * Record that this process was late. The store's silence in that time is not taken
+	 * for an outage.
+	 * @param since when it should have acted, in milliseconds
+	 * @param now the current time in milliseconds
+	 * @return the time in which it was late since the store, or another process that
+	 * reads it, was last heard, in milliseconds
 	 * @since 0.8
 	 */
-	public void recordLateness(long millis) {
-		this.silence.recordLateness(millis);
+	public long recordLateness(long since, long now) {
+		this.silence.recordLateness(since, now);
+		return this.silence.latenessMillis();
 	}
 
 	/**
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -121,7 +121,11 @@
 	/** The allowed regions of requests that are opened from now on. */
 	AllowedRegions regions = AllowedRegions.any();
 
-	final SendGuard guard = new SendGuard(this.eligibility, new RecentContact(), OptionalLong.of(3_000));
+	/** Whether new requests wait until the store is heard. */
+	boolean awaitsStore;
+
+	final SendGuard guard = new SendGuard(this.eligibility, new RecentContact(), (t) -> this.awaitsStore,
+			OptionalLong.of(3_000));
 
 	final SuspectRequests suspects;
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherTests.java
@@ -223,6 +223,35 @@
 		assertThat(this.harness.sendLast().target().id()).isEqualTo("b");
 	}
 
+	// Guards against a request that waited while its process was late and is sent to a
+	// target which left meanwhile.
+	@Test
+	void requestWaitsForTheStoreBeforeItIsSentByALateProcess() {
+		ListedTarget leaving = this.harness.join(DispatchHarness.PLAIN, "a");
+		this.harness.open(1, RequestKind.UNSAFE, 1);
+		this.harness.awaitsStore = true;
+		assertThat(this.harness.assertReady(this.harness.sent.get(0))).isFalse();
+		this.harness.join(DispatchHarness.PLAIN, "b");
+		this.harness.drain(leaving);
+		this.harness.passTime(100);
+		assertThat(this.harness.sent).hasSize(1);
+		this.harness.awaitsStore = false;
+		this.harness.passTime(10);
+		assertThat(this.harness.sendLast().target().id()).isEqualTo("b");
+	}
+
+	@Test
+	void postponedRequestIsNotSentOnceItsCallerHasLeft() {
+		this.harness.join(DispatchHarness.PLAIN, "a");
+		this.harness.open(1, RequestKind.UNSAFE, 1);
+		this.harness.awaitsStore = true;
+		this.harness.assertReady(this.harness.sent.get(0));
+		this.harness.dispatcher.callerDisconnected(1, this.harness.now);
+		this.harness.awaitsStore = false;
+		this.harness.passTime(50);
+		assertThat(this.harness.sent).hasSize(1);
+	}
+
 	@Test
 	void sendsNothingMoreToMisdirectedTarget() {
 		this.harness.join(DispatchHarness.PLAIN, "a");
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
@@ -403,7 +403,7 @@
 	void doesNotTakeItsOwnLatenessForAnOutage() {
 		startWatching();
 		this.follower.failed(this.lastCall, "no answer before the timeout", 1_500);
-		this.follower.recordLateness(900);
+		assertThat(this.follower.recordLateness(600, 1_500)).isEqualTo(900);
 		this.timers.run(1_600);
 		this.follower.watchAnswered(this.lastCall, List.of(change("x")), 130, 1_604);
 		assertThat(this.events).contains("regained 1599");
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -218,6 +218,7 @@
 		this.store = new StoreView(adapter.source(), settings.follow(), members, members, this::use, this.peers.watch(),
 				timers, random, new DefaultBackgroundExecutor(thread), this.audit);
 		this.directory = this.store.directory();
+		this.resumeGate = new ResumeGate(this.store.follower()::ageMillis);
 		Eligibility eligibility = new Eligibility(this.directory, this.estimates, this.cold, this.backpressure,
 				settings.regions());
 		this.peers.shareSignals(this.backpressure, this.directory::isCurrentIncarnation);
@@ -229,7 +230,8 @@
 		this.queues = new GenerationQueues(settings.waiting(), this::startLimit,
 				sharesMemory ? this.shares : AccountOveruse.NONE, this.peers, random);
 		this.dispatcher = new Dispatcher(DispatchSettings.defaults(settings.mechanisms()), this.directory,
-				this.estimates, eligibility, new SendGuard(eligibility, this.store.follower(), settings.drainMillis()),
+				this.estimates, eligibility,
+				new SendGuard(eligibility, this.store.follower(), this.resumeGate::isClosed, settings.drainMillis()),
 				this.chooser, this.peers, this.peers, this.queues, this.suspects.requests(), this.suspects.parts(),
 				this.retryBudget, timers, calls, this.audit);
 		this.peers.useDemand(() -> this.queues.demand(this.loop.now()));
@@ -247,9 +249,8 @@
 		this.drainingQuery = new EngineDrainingQuery(this.store, this.peers, this.estimates, adapter.engines(),
 				this.loop, this.audit);
 		this.peers.onStoreUpdate((u) -> this.store.follower().updateReceived(u, this.loop.now()));
-		this.resumeGate = new ResumeGate(this.store.follower()::ageMillis);
 		this.loop.onPause(this::paused);
-		this.loop.onLateness(this.store.follower()::recordLateness);
+		this.loop.onLateness(this::late);
 		this.ingress = IngressGate.create(settings.maxDelayShare(), this.loop, calls::load, this.metrics);
 		this.callers = new DirectServer(this.io, settings.callers(), calls, adapter.headers(), this.store,
 				this.shutdown, (r) -> this.ingress.flatMap((g) -> g.refuse(r)), this.loop, this.resumeGate::isClosed,
@@ -406,18 +407,34 @@
 	private void paused(long millis, long now) {
 		long suspended = MonotonicClock.suspendedMillis() - this.reportedSuspendedMillis;
 		this.reportedSuspendedMillis += suspended;
+		this.store.follower().recordLateness(now - millis, now);
+		boolean wasGateClosed = this.resumeGate.isClosed(now);
 		boolean isGateClosed = this.resumeGate.paused(millis, now);
 		this.dispatcher.headroom().recordPause(millis, now);
 		this.audit.record(AuditEvent.of(AuditKind.PAUSED, this.settings.instance(), "",
 				"process paused for " + millis + " ms, the machine suspended for " + suspended + " ms of them; "
 						+ this.dispatcher.openCalls() + " open calls"
 						+ (isGateClosed ? "; requests wait until the store answers" : "")));
-		if (isGateClosed) {
-			this.store.follower().processResumed(now);
-			pollResumeGate(now);
+		if (isGateClosed && !wasGateClosed) {
+			awaitStore(now);
 		}
 	}
 
+	private void late(long due, long now) {
+		long lateMillis = this.store.follower().recordLateness(due, now);
+		if (this.resumeGate.late(lateMillis, now)) {
+			this.audit.record(AuditEvent.of(AuditKind.PAUSED, this.settings.instance(), "",
+					"late by " + lateMillis + " ms since the store was last heard; " + this.dispatcher.openCalls()
+							+ " open calls; requests wait until the store answers"));
+			awaitStore(now);
+		}
+	}
+
+	private void awaitStore(long now) {
+		this.store.follower().processResumed(now);
+		pollResumeGate(now);
+	}
+
 	private void pollResumeGate(long now) {
 		if (this.resumeGate.isClosed(now)) {
 			this.loop.timers().schedule(now + POLL_INTERVAL_MILLIS, this::pollResumeGate);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EventLoop.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EventLoop.java
@@ -1,7 +1,6 @@
 package dev.laneworks.entry.direct;
 
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 
 import dev.laneworks.core.time.PauseDetector;
@@ -29,7 +28,7 @@
 	private PauseListener pauseListener = (m, t) -> {
 	};
 
-	private LongConsumer latenessListener = (m) -> {
+	private LatenessListener latenessListener = (s, t) -> {
 	};
 
 	private XnioExecutor.Key wakeUpKey;
@@ -58,9 +57,8 @@
 		this.pauseListener = listener;
 	}
 
-	// Set the listener for wake-ups that come late, which receives by how many
-	// milliseconds.
-	void onLateness(LongConsumer listener) {
+	// Set the listener for late wake-ups, which is called before overdue timers run.
+	void onLateness(LatenessListener listener) {
 		this.latenessListener = listener;
 	}
 
@@ -151,16 +149,32 @@
 	}
 
 	private void wakeUp() {
-		long lateMillis = now() - this.wakeUpAt;
+		long due = this.wakeUpAt;
 		this.wakeUpKey = null;
 		this.wakeUpAt = Long.MAX_VALUE;
-		if (lateMillis >= MIN_LATENESS_MILLIS) {
-			this.latenessListener.accept(lateMillis);
+		long now = now();
+		if (now - due >= MIN_LATENESS_MILLIS) {
+			this.latenessListener.late(due, now);
 		}
 		begin();
 		runTimers();
 	}
 
+	/**
+	 * Listener for late wake-ups.
+	 */
+	@FunctionalInterface
+	interface LatenessListener {
+
+		/**
+		 * Handle a late wake-up.
+		 * @param due when it was due, in milliseconds of the monotonic clock
+		 * @param now the current time in milliseconds of the monotonic clock
+		 */
+		void late(long due, long now);
+
+	}
+
 	/**
 	 * Listener for pauses of the process.
 	 */
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/ResumeGate.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/ResumeGate.java
@@ -3,7 +3,8 @@
 import java.util.function.LongUnaryOperator;
 
 /**
- * Gate that holds requests after a long process pause until the store has answered again.
+ * Gate that holds requests after a long process pause, or after a series of short ones,
+ * until the store has answered again.
  * <p>
  * After a pause the recorded state is stale: targets may be draining and data centres
  * evacuated. The gate opens without the store after a bounded wait. Used on the I/O
@@ -29,6 +30,8 @@
 
 	private long resumedAt = NEVER;
 
+	private long lateMillis;
+
 	ResumeGate(LongUnaryOperator storeAge) {
 		this.storeAge = storeAge;
 	}
@@ -47,6 +50,19 @@
 		return isLong;
 	}
 
+	/**
+	 * Handle a late wake-up of the process.
+	 * @param sinceContactMillis the time since the last contact in which the process was
+	 * late, in milliseconds
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return {@code true} if this closes the gate
+	 */
+	boolean late(long sinceContactMillis, long now) {
+		boolean becomesLong = sinceContactMillis >= LONG_PAUSE_MILLIS && this.lateMillis < LONG_PAUSE_MILLIS;
+		this.lateMillis = sinceContactMillis;
+		return becomesLong && !isClosed(now) && paused(sinceContactMillis, now);
+	}
+
 	boolean isClosed(long now) {
 		boolean isStoreRead = now - this.storeAge.applyAsLong(now) > this.resumedAt;
 		return now - this.resumedAt < MAX_WAIT_MILLIS && !isStoreRead;
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/ResumeGateTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/ResumeGateTests.java
@@ -51,6 +51,18 @@
 		assertThat(this.gate.isClosed(7_100)).isTrue();
 	}
 
+	// Guards against decisions on old state by a process that gets little processor time.
+	@Test
+	void closesOnceWhenShortPausesAddUp() {
+		assertThat(this.gate.late(600, 5_000)).isFalse();
+		assertThat(this.gate.late(1_100, 5_600)).isTrue();
+		assertThat(this.gate.isClosed(5_600)).isTrue();
+		assertThat(this.gate.late(1_300, 5_950)).isFalse();
+		assertThat(this.gate.isClosed(5_950)).isFalse();
+		assertThat(this.gate.late(0, 6_500)).isFalse();
+		assertThat(this.gate.late(1_000, 8_000)).isTrue();
+	}
+
 	@Test
 	void staysOpenAfterAShortPause() {
 		assertThat(this.gate.paused(999, 5_000)).isFalse();
