Give store calls the time in which the process was late itself

What callers saw: requests to targets that had left. It is told at 31.68 s that it is behind, cancels its watch at 32.05 s since nothing arrived for 300 ms, takes the store for unreachable at 32.90 s since no answer came before the timeout, and reads revision 143 at 33.40 s. Until 35.19 s the removals were then held back: 4.48 s in all.

Cause: its event loop was behind by 0.1 to 0.2 s a turn. Timers that were overdue ran before the answers that waited to be read, and each cancelled call began anew with a new connection. Class: a timeout that measures one's own delay.

Change: lateness of the event loop does not count as idle time of a call, and a timeout is extended once by it, by at most the time for an answer.

--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/CallTracker.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/CallTracker.java
@@ -37,6 +37,12 @@
 	/** When the first part of the open call's answer arrived, in milliseconds. */
 	private long firstPartAt = NONE;
 
+	/** The total time in which this process was late, in milliseconds. */
+	private long totalLatenessMillis;
+
+	/** That time at the start or the last part of the open call's answer. */
+	private long latenessAtProgress;
+
 	private long watchStartedAt;
 
 	private long watchWaitMillis;
@@ -61,7 +67,8 @@
 	 * Begin a call, in place of any open one.
 	 * <p>
 	 * The timeout is extended while parts of the answer arrive. Otherwise a large answer
-	 * would be restarted from its first byte repeatedly.
+	 * would be restarted from its first byte repeatedly. It is also extended once by the
+	 * time in which this process was late, since the answer may wait to be read.
 	 * @param answerDue when the call times out, in milliseconds
 	 * @param partMillis how long each further part of the answer may take, in
 	 * milliseconds
@@ -75,7 +82,18 @@
 		this.startedAt = now;
 		this.firstPartAt = NONE;
 		this.progressAt = now;
-		scheduleTimeout(answerDue, partMillis, overdue, this.number);
+		this.latenessAtProgress = this.totalLatenessMillis;
+		long before = this.totalLatenessMillis;
+		long started = this.number;
+		scheduleTimeout(answerDue, partMillis, (t) -> {
+			long lateMillis = Math.min(partMillis, this.totalLatenessMillis - before);
+			if (lateMillis > 0) {
+				scheduleTimeout(t + lateMillis, partMillis, overdue, started);
+			}
+			else {
+				overdue.run(t);
+			}
+		}, started);
 		return this.number;
 	}
 
@@ -103,9 +121,18 @@
 		if (answered == this.number) {
 			this.firstPartAt = (this.firstPartAt == NONE) ? now : this.firstPartAt;
 			this.progressAt = now;
+			this.latenessAtProgress = this.totalLatenessMillis;
 		}
 	}
 
+	/**
+	 * Record that this process was late.
+	 * @param millis the time in milliseconds
+	 */
+	void recordLateness(long millis) {
+		this.totalLatenessMillis += millis;
+	}
+
 	/**
 	 * Mark the open call as a watch.
 	 * @param waitMillis how long the store may hold it, in milliseconds
@@ -146,9 +173,11 @@
 		return this.lastWatch == this.number && isIdle(millis, now);
 	}
 
-	// Whether any call is open and has received nothing for a time.
+	// Whether any call is open and has received nothing for a time, without that in
+	// which this process was late.
 	boolean isIdle(long millis, long now) {
-		return this.open && this.arrived != this.number && now - this.progressAt >= millis;
+		long lateMillis = this.totalLatenessMillis - this.latenessAtProgress;
+		return this.open && this.arrived != this.number && now - this.progressAt - lateMillis >= millis;
 	}
 
 	long startedAt() {
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/SilenceDetector.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/SilenceDetector.java
@@ -48,11 +48,13 @@
 	 * Record that this process was late, which does not count as silence of the store.
 	 * @param since when it should have acted, in milliseconds
 	 * @param now the current time in milliseconds
+	 * @return the part of that time that was not recorded before, in milliseconds
 	 */
-	void recordLateness(long since, long now) {
-		long from = Math.max(since, Math.max(this.lastContactAt, this.lateUntil));
-		this.latenessMillis += Math.max(0, now - from);
+	long recordLateness(long since, long now) {
+		long from = Math.max(since, this.lateUntil);
+		this.latenessMillis += Math.max(0, now - Math.max(from, this.lastContactAt));
 		this.lateUntil = now;
+		return Math.max(0, now - from);
 	}
 
 	// The time since the last contact in which this process was late itself.
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -352,7 +352,7 @@
 	 * @since 0.8
 	 */
 	public long recordLateness(long since, long now) {
-		this.silence.recordLateness(since, now);
+		this.call.recordLateness(this.silence.recordLateness(since, now));
 		return this.silence.latenessMillis();
 	}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
@@ -415,6 +415,30 @@
 		assertThat(this.returns).containsExactly(2_910L);
 	}
 
+	// Guards against a process that cancels its own calls since it is late to read their
+	// answers.
+	@Test
+	void givesACallTheTimeInWhichItWasLateItself() {
+		startWatching();
+		this.follower.processResumed(1_000);
+		this.follower.recordLateness(1_200, 1_700);
+		this.timers.run(1_760);
+		assertThat(this.events).containsExactly("all [a]");
+		this.timers.run(2_260);
+		assertThat(this.events).containsExactly("all [a]", "lost no answer before the timeout").inOrder();
+	}
+
+	@Test
+	void extendsTheTimeOfACallOnlyOnce() {
+		startWatching();
+		this.follower.processResumed(1_000);
+		this.follower.recordLateness(1_000, 1_760);
+		this.timers.run(1_760);
+		this.follower.recordLateness(1_760, 2_460);
+		this.timers.run(2_460);
+		assertThat(this.events).contains("lost no answer before the timeout");
+	}
+
 	// Guards against removals that are held back since the process has just started.
 	@Test
 	void doesNotTakeItsOwnStartForAnOutage() {
