--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/ResponseByteLimit.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/ResponseByteLimit.java
@@ -4,9 +4,9 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 
+import org.xnio.channels.StreamSinkChannel;
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
-import org.xnio.channels.StreamSinkChannel;
 
 /**
  * Limits the bytes that a server sends without completing the head of a response or a
