Ignore the return of the store that others report to an entry that heard it meanwhile

The entry had started five seconds before and read the list at revision 161; another entry, cut off alone, had told it that the store is back, and it held back the removals of revisions 162 to 171.

Cause: an entry whose own call was overdue believed the report whatever it had heard itself.

Evidence: StoreFollowerTests.ignoresTheReturnThatOthersReportIfItHeardTheStoreMeanwhile failed before (52 tests, 1 failure). MembershipTests, MissedStoreUpdateTests and PlanPropagationTests pass, so that reports of real outages still count.

--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/SilenceDetector.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/SilenceDetector.java
@@ -57,6 +57,11 @@
 		return Math.max(0, now - from);
 	}
 
+	// The longest silence between two contacts since the last reset.
+	long longestMillis() {
+		return this.longestMillis;
+	}
+
 	// The time since the last contact in which this process was late itself.
 	long latenessMillis() {
 		return this.latenessMillis;
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -628,9 +628,12 @@
 		return now - this.recoveredAt < RECOVERY_MILLIS;
 	}
 
-	// Ignored while this process's own watch works, since it detects an outage itself.
+	// Ignored while this process's own watch works, since it detects an outage itself,
+	// and
+	// if it heard the store meanwhile, since another process may have been cut off alone.
 	private void reportRecovery(long now) {
-		if (isStoreOverdue(now) && now - this.recoveryReportedAt >= RECOVERY_MILLIS) {
+		boolean wasSilent = this.silence.longestMillis() >= MIN_EXPIRY_OUTAGE_MILLIS;
+		if (wasSilent && isStoreOverdue(now) && now - this.recoveryReportedAt >= RECOVERY_MILLIS) {
 			this.recoveryReportedAt = now;
 			this.listener.recoveryReported(now);
 		}
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
@@ -384,6 +384,15 @@
 			.inOrder();
 	}
 
+	// Guards against removals that are held back since another process was cut off alone.
+	@Test
+	void ignoresTheReturnThatOthersReportIfItHeardTheStoreMeanwhile() {
+		startWatching();
+		this.follower.failed(this.lastCall, "no answer", 500);
+		this.follower.updateReceived(afterOutage(100, 102, change("b", 102)), 600);
+		assertThat(this.events).containsExactly("all [a]", "lost no answer", "changed [b]").inOrder();
+	}
+
 	@Test
 	void reportsNoReturnOfTheStoreWhileAWatcherServesIt() {
 		this.otherCount = 3;
