Keep an answer of the store that arrives when a late process closes its gate

The gate behind accumulated lateness restarted the watch as behind a pause, also while its answer was arriving, so that a starved entry read a large answer anew. StoreFollowerTests.keepsAnAnswerThatArrivesWhenTheProcessWasLate covers it.

--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -296,6 +296,18 @@
 		}
 	}
 
+	/**
+	 * Handle that this process was late for long in all since the store was last heard.
+	 * The watch is restarted as after a pause, unless its answer is arriving.
+	 * @param now the current time in milliseconds
+	 * @since 0.8
+	 */
+	public void processDelayed(long now) {
+		if (!this.call.isReceiving(CATCH_UP_DELAY_MILLIS, now)) {
+			processResumed(now);
+		}
+	}
+
 	/**
 	 * Record that the answer to a call has arrived and is still being parsed, so that the
 	 * call does not count as idle.
--- a/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/follow/StoreFollowerTests.java
@@ -448,6 +448,17 @@
 		assertThat(this.events).contains("lost no answer before the timeout");
 	}
 
+	@Test
+	void keepsAnAnswerThatArrivesWhenTheProcessWasLate() {
+		startWatching();
+		this.calls.clear();
+		this.follower.answerProgressed(this.lastCall, 1_000);
+		this.follower.processDelayed(1_100);
+		assertThat(this.calls).isEmpty();
+		this.follower.processDelayed(1_400);
+		assertThat(this.calls).containsExactly("abandon", "watch 100 60").inOrder();
+	}
+
 	// Guards against removals that are held back since the process has just started.
 	@Test
 	void doesNotTakeItsOwnStartForAnOutage() {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -416,7 +416,8 @@
 						+ this.dispatcher.openCalls() + " open calls"
 						+ (isGateClosed ? "; requests wait until the store answers" : "")));
 		if (isGateClosed && !wasGateClosed) {
-			awaitStore(now);
+			this.store.follower().processResumed(now);
+			pollResumeGate(now);
 		}
 	}
 
@@ -426,15 +427,11 @@
 			this.audit.record(AuditEvent.of(AuditKind.PAUSED, this.settings.instance(), "",
 					"late by " + lateMillis + " ms since the store was last heard; " + this.dispatcher.openCalls()
 							+ " open calls; requests wait until the store answers"));
-			awaitStore(now);
+			this.store.follower().processDelayed(now);
+			pollResumeGate(now);
 		}
 	}
 
-	private void awaitStore(long now) {
-		this.store.follower().processResumed(now);
-		pollResumeGate(now);
-	}
-
 	private void pollResumeGate(long now) {
 		if (this.resumeGate.isClosed(now)) {
 			this.loop.timers().schedule(now + POLL_INTERVAL_MILLIS, this::pollResumeGate);
