Say contact with the store where new code said that it is heard

Reading the change as a newcomer: "contact" is the follower's word and the type's name. Names, comments and the log's text only; no decision changes. StoreFollowerTests, DispatcherTests, StreamMovingTests, ResumeGateTests, MissedStoreUpdateTests and MembershipTests pass.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptScheduler.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptScheduler.java
@@ -29,7 +29,7 @@
 	 */
 	private static final long MAX_CONNECT_MILLIS = 1_000;
 
-	/** Interval in which postponed calls check whether the store was heard. */
+	/** Interval in which postponed calls check for a contact with the store. */
 	private static final long POSTPONED_POLL_MILLIS = 10;
 
 	private final DispatchSettings settings;
@@ -131,8 +131,8 @@
 	}
 
 	/**
-	 * Abandon an attempt that was not sent, and dispatch its call again once the store
-	 * was heard.
+	 * Abandon an attempt that was not sent, and dispatch its call again after a contact
+	 * with the store.
 	 * @param call the request being dispatched
 	 * @param attempt the attempt that was not sent
 	 * @param now the current time in milliseconds of the monotonic clock
@@ -142,18 +142,18 @@
 			this.audit.record(call.event(AuditKind.RETRIED, attempt.target().id(),
 					"nothing was sent: waits for the store" + this.guard.describeView(attempt.target(), now)));
 			this.sender.abandon(call, attempt);
-			dispatchOnceStoreIsHeard(call, now);
+			dispatchAfterContact(call, now);
 		}
 	}
 
-	private void dispatchOnceStoreIsHeard(DirectCall call, long now) {
-		if (!this.guard.awaitsStore(now)) {
+	private void dispatchAfterContact(DirectCall call, long now) {
+		if (!this.guard.awaitsContact(now)) {
 			dispatch(call, now);
 			return;
 		}
 		this.timers.schedule(now + POSTPONED_POLL_MILLIS, (t) -> {
 			if (this.open.test(call)) {
-				dispatchOnceStoreIsHeard(call, t);
+				dispatchAfterContact(call, t);
 			}
 		});
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -301,7 +301,7 @@
 					(t) -> connectFailed(number, attempt, ConnectFault.TIMED_OUT, "the request is quarantined", t));
 			return OptionalLong.empty();
 		}
-		if (found.get().resume().isEmpty() && this.guard.awaitsStore(now)) {
+		if (found.get().resume().isEmpty() && this.guard.awaitsContact(now)) {
 			this.timers.schedule(now, (t) -> this.scheduler.postpone(call, found.get(), t));
 			return OptionalLong.empty();
 		}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/SendGuard.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/SendGuard.java
@@ -40,7 +40,7 @@
 
 	private final StoreContact contact;
 
-	private final LongPredicate awaitsStore;
+	private final LongPredicate awaitsContact;
 
 	private final OptionalLong drainMillis;
 
@@ -50,17 +50,17 @@
 	/**
 	 * Create a guard.
 	 * @param eligibility the rules that decide which targets may receive requests
-	 * @param contact the age of what is known of the targets
-	 * @param awaitsStore whether new requests have to wait at a time in milliseconds,
-	 * since this process was late and has not heard the store since
+	 * @param contact the revision and age of the known targets
+	 * @param awaitsContact whether new requests have to wait at a time in milliseconds,
+	 * since this process was late and had no contact with the store since
 	 * @param drainMillis the time after the announcement of a departure within which the
 	 * target may still receive requests, in milliseconds; empty if it is not bounded
 	 */
-	public SendGuard(Eligibility eligibility, StoreContact contact, LongPredicate awaitsStore,
+	public SendGuard(Eligibility eligibility, StoreContact contact, LongPredicate awaitsContact,
 			OptionalLong drainMillis) {
 		this.eligibility = Objects.requireNonNull(eligibility, "eligibility must not be null");
 		this.contact = Objects.requireNonNull(contact, "contact must not be null");
-		this.awaitsStore = Objects.requireNonNull(awaitsStore, "awaitsStore must not be null");
+		this.awaitsContact = Objects.requireNonNull(awaitsContact, "awaitsContact must not be null");
 		this.drainMillis = Objects.requireNonNull(drainMillis, "drainMillis must not be null");
 	}
 
@@ -98,14 +98,13 @@
 	}
 
 	/**
-	 * Determine whether a new request has to wait until the store is heard. A resumption
-	 * does not wait, since its caller sees a pause.
+	 * Determine whether a new request has to wait for a contact with the store. A
+	 * resumption does not wait, since its caller sees a pause.
 	 * @param now the current time in milliseconds of the monotonic clock
-	 * @return {@code true} if what is known of the targets is as old as a pause of this
-	 * process
+	 * @return {@code true} if the known targets are as old as a pause of this process
 	 */
-	boolean awaitsStore(long now) {
-		return this.awaitsStore.test(now);
+	boolean awaitsContact(long now) {
+		return this.awaitsContact.test(now);
 	}
 
 	/**
@@ -135,7 +134,7 @@
 		OptionalLong revision = this.contact.appliedRevision();
 		Long since = this.departures.get(target.incarnation());
 		return (revision.isPresent() ? ", store revision " + StorePosition.of(revision.getAsLong()) : "")
-				+ ", store heard " + this.contact.silentMillis(now) + " ms ago"
+				+ ", last contact " + this.contact.silentMillis(now) + " ms ago"
 				+ ((since != null) ? ", departure known for " + (now - since) + " ms" : "");
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreContact.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreContact.java
@@ -3,7 +3,7 @@
 import java.util.OptionalLong;
 
 /**
- * What a process knows of a store, and how old it is.
+ * Revision and age of a process's view of a store.
  *
  * @since 0.8
  */
@@ -16,7 +16,7 @@
 	OptionalLong appliedRevision();
 
 	/**
-	 * Return the time since the store, or another process that reads it, was last heard.
+	 * Return the time since the last contact with the store or a process that reads it.
 	 * @param now the current time in milliseconds
 	 * @return the time in milliseconds
 	 */
--- a/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/follow/StoreFollower.java
@@ -297,8 +297,8 @@
 	}
 
 	/**
-	 * Handle that this process was late for long in all since the store was last heard.
-	 * The watch is restarted as after a pause, unless its answer is arriving.
+	 * Handle that this process was late for long in all since the last contact. The watch
+	 * is restarted as after a pause, unless its answer is arriving.
 	 * @param now the current time in milliseconds
 	 * @since 0.8
 	 */
@@ -359,8 +359,8 @@
 	 * for an outage.
 	 * @param since when it should have acted, in milliseconds
 	 * @param now the current time in milliseconds
-	 * @return the time in which it was late since the store, or another process that
-	 * reads it, was last heard, in milliseconds
+	 * @return the time in which it was late since the last contact with the store or a
+	 * process that reads it, in milliseconds
 	 * @since 0.8
 	 */
 	public long recordLateness(long since, long now) {
@@ -642,7 +642,7 @@
 
 	// Ignored while this process's own watch works, since it detects an outage itself,
 	// and
-	// if it heard the store meanwhile, since another process may have been cut off alone.
+	// if it had contact meanwhile, since another process may have been cut off alone.
 	private void reportRecovery(long now) {
 		boolean wasSilent = this.silence.longestMillis() >= MIN_EXPIRY_OUTAGE_MILLIS;
 		if (wasSilent && isStoreOverdue(now) && now - this.recoveryReportedAt >= RECOVERY_MILLIS) {
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -121,10 +121,10 @@
 	/** The allowed regions of requests that are opened from now on. */
 	AllowedRegions regions = AllowedRegions.any();
 
-	/** Whether new requests wait until the store is heard. */
-	boolean awaitsStore;
+	/** Whether new requests wait for a contact with the store. */
+	boolean awaitsContact;
 
-	final SendGuard guard = new SendGuard(this.eligibility, new RecentContact(), (t) -> this.awaitsStore,
+	final SendGuard guard = new SendGuard(this.eligibility, new RecentContact(), (t) -> this.awaitsContact,
 			OptionalLong.of(3_000));
 
 	final SuspectRequests suspects;
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherTests.java
@@ -229,13 +229,13 @@
 	void requestWaitsForTheStoreBeforeItIsSentByALateProcess() {
 		ListedTarget leaving = this.harness.join(DispatchHarness.PLAIN, "a");
 		this.harness.open(1, RequestKind.UNSAFE, 1);
-		this.harness.awaitsStore = true;
+		this.harness.awaitsContact = true;
 		assertThat(this.harness.assertReady(this.harness.sent.get(0))).isFalse();
 		this.harness.join(DispatchHarness.PLAIN, "b");
 		this.harness.drain(leaving);
 		this.harness.passTime(100);
 		assertThat(this.harness.sent).hasSize(1);
-		this.harness.awaitsStore = false;
+		this.harness.awaitsContact = false;
 		this.harness.passTime(10);
 		assertThat(this.harness.sendLast().target().id()).isEqualTo("b");
 	}
@@ -244,10 +244,10 @@
 	void postponedRequestIsNotSentOnceItsCallerHasLeft() {
 		this.harness.join(DispatchHarness.PLAIN, "a");
 		this.harness.open(1, RequestKind.UNSAFE, 1);
-		this.harness.awaitsStore = true;
+		this.harness.awaitsContact = true;
 		this.harness.assertReady(this.harness.sent.get(0));
 		this.harness.dispatcher.callerDisconnected(1, this.harness.now);
-		this.harness.awaitsStore = false;
+		this.harness.awaitsContact = false;
 		this.harness.passTime(50);
 		assertThat(this.harness.sent).hasSize(1);
 	}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -425,8 +425,8 @@
 		long lateMillis = this.store.follower().recordLateness(due, now);
 		if (this.resumeGate.late(lateMillis, now)) {
 			this.audit.record(AuditEvent.of(AuditKind.PAUSED, this.settings.instance(), "",
-					"late by " + lateMillis + " ms since the store was last heard; " + this.dispatcher.openCalls()
-							+ " open calls; requests wait until the store answers"));
+					"late by " + lateMillis + " ms since the last contact with the store; "
+							+ this.dispatcher.openCalls() + " open calls; requests wait until the store answers"));
 			this.store.follower().processDelayed(now);
 			pollResumeGate(now);
 		}
