Log whether an accepted plan requires keys, and how many it has

Cause of what the logs could not tell: `configuration-accepted` named the version alone. A request that is served with a key that was taken away may come from a plan that is not in force, from a decision kept on a connection, or from a plan that is taken to need no key.

--- a/laneworks-core/src/main/java/dev/laneworks/core/serving/ServingPlan.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/serving/ServingPlan.java
@@ -146,6 +146,15 @@
 		return !this.accountsByKey.isEmpty();
 	}
 
+	/**
+	 * Return the number of keys that the client accounts of the plan have.
+	 * @return the number of keys
+	 * @since 0.8
+	 */
+	public int keyCount() {
+		return this.accountsByKey.size();
+	}
+
 	/**
 	 * Find the client account to which a key belongs.
 	 * @param key the key sent by the caller
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/PlanAndTargets.java
@@ -306,8 +306,10 @@
 		}
 		this.plan = Optional.of(newPlan);
 		long revision = item.revision();
-		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_ACCEPTED, "plan", "", "version " + newPlan.version()
-				+ ((revision == StoreItem.UNKNOWN_REVISION) ? "" : " of revision " + StorePosition.of(revision))));
+		String source = (revision == StoreItem.UNKNOWN_REVISION) ? "" : " of revision " + StorePosition.of(revision);
+		String keys = newPlan.requiresKeys() ? newPlan.keyCount() + " keys" : "no key required";
+		this.audit.record(AuditEvent.of(AuditKind.CONFIGURATION_ACCEPTED, "plan", "",
+				"version " + newPlan.version() + source + ", " + newPlan.routes().size() + " routes, " + keys));
 		this.planListener.accept(newPlan);
 		this.targets.use(newPlan);
 	}
