Require keys of a plan whose accounts have none left

Cause: ServingPlan derived whether keys are required from the number of keys. A plan whose accounts have no key was thus the same as one without accounts, which requires none. Class: an empty set that is read as "no restriction".

The decision on a request is ServingPlan.findAccess, which runs without a network; DirectServer asks it for each request that it reads.

Replaced tests: ServingPlanTests.needsKeysOnlyWithAccounts asserted that a plan without keys requires none, which is the fault. Its successor asserts both facts apart, and keeps the assertions on known and revoked keys.

--- a/laneworks-core/src/main/java/dev/laneworks/core/serving/ServingPlan.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/serving/ServingPlan.java
@@ -31,7 +31,7 @@
 
 	private final Map<String, Integer> mostUrgentPriorities = new HashMap<>();
 
-	private final Map<String, AccountGrant> accountsByKey;
+	private final AccountKeys keys;
 
 	private final Map<String, Double> weights = new HashMap<>();
 
@@ -42,11 +42,11 @@
 	 * @param version the version; only a plan with a higher one replaces this plan
 	 * @param routes the routes in any order
 	 * @param services the services by name
-	 * @param accountsByKey the client accounts by key; if empty, no request needs a key
+	 * @param keys the keys of the client accounts, and whether requests need one
 	 * @param limits the size limits and timeouts of requests
 	 */
-	public ServingPlan(long version, List<RouteSpec> routes, Map<String, ServiceSpec> services,
-			Map<String, AccountGrant> accountsByKey, RequestLimits limits) {
+	public ServingPlan(long version, List<RouteSpec> routes, Map<String, ServiceSpec> services, AccountKeys keys,
+			RequestLimits limits) {
 		this.version = version;
 		this.routes = List.copyOf(routes);
 		this.routesByHost = groupByHost(routes);
@@ -54,9 +54,9 @@
 		this.serviceNames.addAll(services.keySet());
 		routes.forEach((r) -> r.services().forEach((s) -> this.serviceNames.add(s.service())));
 		routes.stream().filter((r) -> r.kind() == RequestKind.STREAMING).forEach(this::addPriority);
-		this.accountsByKey = Map.copyOf(accountsByKey);
+		this.keys = keys;
 		// The plan may name an account twice; the result must not depend on the order.
-		accountsByKey.values().forEach((a) -> this.weights.merge(a.account(), a.weight(), Math::max));
+		keys.grants().forEach((a) -> this.weights.merge(a.account(), a.weight(), Math::max));
 		this.limits = limits;
 	}
 
@@ -140,10 +140,10 @@
 
 	/**
 	 * Determine whether requests need a key on routes that are not open.
-	 * @return {@code true} if the plan has client accounts
+	 * @return {@code true} if the plan defines client accounts, even if they have no key
 	 */
 	public boolean requiresKeys() {
-		return !this.accountsByKey.isEmpty();
+		return this.keys.areRequired();
 	}
 
 	/**
@@ -152,7 +152,7 @@
 	 * @since 0.8
 	 */
 	public int keyCount() {
-		return this.accountsByKey.size();
+		return this.keys.grants().size();
 	}
 
 	/**
@@ -161,7 +161,21 @@
 	 * @return the account and its rights, or empty if the key is unknown
 	 */
 	public Optional<AccountGrant> findAccount(String key) {
-		return Optional.ofNullable(this.accountsByKey.get(key));
+		return this.keys.find(key);
+	}
+
+	/**
+	 * Decide whether a request may use a route.
+	 * @param route the route that covers the request
+	 * @param key the key sent by the caller, if any
+	 * @return the terms of the access, or empty if the request needs a key and has none
+	 * that belongs to an account
+	 * @since 0.8
+	 */
+	public Optional<RouteAccess> findAccess(RouteSpec route, Optional<String> key) {
+		Optional<AccountGrant> account = key.flatMap(this::findAccount);
+		boolean isAllowed = account.isPresent() || route.open() || !requiresKeys();
+		return isAllowed ? Optional.of(RouteAccess.of(route, account)) : Optional.empty();
 	}
 
 	private void addPriority(RouteSpec route) {
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -35,6 +35,7 @@
 import dev.laneworks.core.poison.SuspectParts;
 import dev.laneworks.core.poison.SuspectPartsListener;
 import dev.laneworks.core.poison.SuspectRequests;
+import dev.laneworks.core.serving.AccountKeys;
 import dev.laneworks.core.serving.AllowedRegions;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.serving.RequestKind;
@@ -224,7 +225,7 @@
 		return new ServingPlan(1, List.of(),
 				Map.of(PLAIN, new ServiceSpec(PLAIN, 100, 0, Optional.empty()), ENGINES,
 						new ServiceSpec(ENGINES, 400, 0, Optional.of(engine))),
-				Map.of(), new RequestLimits(16_384, 4_194_304, 3_000, 15_000));
+				AccountKeys.notRequired(), new RequestLimits(16_384, 4_194_304, 3_000, 15_000));
 	}
 
 	static DispatchHarness without(Mechanism mechanism) {
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/QueuedStartsTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/QueuedStartsTests.java
@@ -12,6 +12,7 @@
 import dev.laneworks.core.mechanism.Mechanism;
 import dev.laneworks.core.mechanism.Mechanisms;
 import dev.laneworks.core.poison.PoisonSettings;
+import dev.laneworks.core.serving.AccountKeys;
 import dev.laneworks.core.serving.AllowedRegions;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.serving.RequestKind;
@@ -286,7 +287,7 @@
 		EngineSpec engine = new EngineSpec(24, 26_928, 18_432, 2_700, 4, true, true, 2_000);
 		return new ServingPlan(1, List.of(LONG, SHORT),
 				Map.of(DispatchHarness.ENGINES, new ServiceSpec(DispatchHarness.ENGINES, 400, 0, Optional.of(engine))),
-				Map.of(), new RequestLimits(16_384, 4_194_304, 3_000, 15_000));
+				AccountKeys.notRequired(), new RequestLimits(16_384, 4_194_304, 3_000, 15_000));
 	}
 
 	private static RouteSpec route(String name, int priority, long goalMillis, long timeoutMillis) {
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StepwiseEngine.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StepwiseEngine.java
@@ -9,6 +9,7 @@
 
 import dev.laneworks.core.dispatch.OverloadedFleet.Execution;
 import dev.laneworks.core.dispatch.OverloadedFleet.Kind;
+import dev.laneworks.core.serving.AccountKeys;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.serving.RequestLimits;
 import dev.laneworks.core.serving.ServiceSpec;
@@ -54,7 +55,7 @@
 		EngineSpec spec = new EngineSpec(SLOTS, MEMORY_TOKENS, 18_432, 2_700, TOKENS_PER_EVENT, true, true, 2_000);
 		return new ServingPlan(1, List.of(Kind.PAGE_LONG.route(), Kind.PAGE_SHORT.route()),
 				Map.of(DispatchHarness.ENGINES, new ServiceSpec(DispatchHarness.ENGINES, 400, 0, Optional.of(spec))),
-				Map.of(), new RequestLimits(16_384, 4_194_304, 3_000, 15_000));
+				AccountKeys.notRequired(), new RequestLimits(16_384, 4_194_304, 3_000, 15_000));
 	}
 
 	// A generation that resumes at its copy is not read again.
--- a/laneworks-core/src/test/java/dev/laneworks/core/serving/ServingPlanTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/serving/ServingPlanTests.java
@@ -29,13 +29,34 @@
 	}
 
 	@Test
-	void needsKeysOnlyWithAccounts() {
-		assertThat(plan(List.of()).requiresKeys()).isFalse();
+	void requiresKeysIfThePlanHasAccountsEvenWithoutAKey() {
+		assertThat(plan(AccountKeys.notRequired()).requiresKeys()).isFalse();
 		AccountGrant grant = new AccountGrant("acme", OptionalInt.of(1), AllowedRegions.any());
-		ServingPlan plan = new ServingPlan(1, List.of(), Map.of(), Map.of("key", grant), LIMITS);
+		ServingPlan plan = plan(AccountKeys.required(Map.of("key", grant)));
 		assertThat(plan.requiresKeys()).isTrue();
 		assertThat(plan.findAccount("key")).isEqualTo(Optional.of(grant));
 		assertThat(plan.findAccount("revoked")).isEqualTo(Optional.empty());
+		ServingPlan withoutKeys = plan(AccountKeys.required(Map.of()));
+		assertThat(withoutKeys.requiresKeys()).isTrue();
+		assertThat(withoutKeys.findAccount("key")).isEqualTo(Optional.empty());
+	}
+
+	@Test
+	void allowsRequestsByKeyUnlessTheirRouteIsOpen() {
+		RouteSpec route = route("r", "h", "/");
+		AccountGrant grant = new AccountGrant("acme", OptionalInt.of(1), AllowedRegions.of(List.of("north")));
+		ServingPlan plan = plan(AccountKeys.required(Map.of("key", grant)));
+		RouteAccess access = plan.findAccess(route, Optional.of("key")).orElseThrow();
+		assertThat(access.account()).isEqualTo(Optional.of(grant));
+		assertThat(access.route().priority()).isEqualTo(1);
+		assertThat(access.regions()).isEqualTo(AllowedRegions.of(List.of("north")));
+		for (Optional<String> key : List.of(Optional.of("revoked"), Optional.of(""), Optional.<String>empty())) {
+			assertThat(plan.findAccess(route, key)).isEqualTo(Optional.empty());
+			assertThat(plan(AccountKeys.required(Map.of())).findAccess(route, key)).isEqualTo(Optional.empty());
+			RouteAccess open = plan(AccountKeys.notRequired()).findAccess(route, key).orElseThrow();
+			assertThat(open.account()).isEqualTo(Optional.empty());
+			assertThat(open.route()).isEqualTo(route);
+		}
 	}
 
 	@Test
@@ -57,7 +78,12 @@
 	}
 
 	private static ServingPlan plan(List<RouteSpec> routes) {
-		return new ServingPlan(1, routes, Map.of("s", new ServiceSpec("s", 10, 0, Optional.empty())), Map.of(), LIMITS);
+		return new ServingPlan(1, routes, Map.of("s", new ServiceSpec("s", 10, 0, Optional.empty())),
+				AccountKeys.notRequired(), LIMITS);
+	}
+
+	private static ServingPlan plan(AccountKeys keys) {
+		return new ServingPlan(1, List.of(), Map.of(), keys, LIMITS);
 	}
 
 	private static RouteSpec route(String name, String host, String prefix) {
--- a/laneworks-core/src/test/java/dev/laneworks/core/waiting/GovernedServicesTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/waiting/GovernedServicesTests.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 
+import dev.laneworks.core.serving.AccountKeys;
 import dev.laneworks.core.serving.AllowedRegions;
 import dev.laneworks.core.serving.EngineSpec;
 import dev.laneworks.core.serving.RequestKind;
@@ -64,7 +65,7 @@
 
 	private static ServingPlan plan(RouteSpec... routes) {
 		return new ServingPlan(1, Arrays.asList(routes), Map.of("s", new ServiceSpec("s", 100, 0, Optional.of(ENGINE))),
-				Map.of(), new RequestLimits(16_384, 4_194_304, 3_000, 15_000));
+				AccountKeys.notRequired(), new RequestLimits(16_384, 4_194_304, 3_000, 15_000));
 	}
 
 	private static RouteSpec route(int priority, long goalMillis) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -17,8 +16,8 @@
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.dispatch.DirectRequest;
 import dev.laneworks.core.serving.AccountGrant;
-import dev.laneworks.core.serving.AllowedRegions;
 import dev.laneworks.core.serving.RequestLimits;
+import dev.laneworks.core.serving.RouteAccess;
 import dev.laneworks.core.serving.RouteSpec;
 import dev.laneworks.core.serving.ServingPlan;
 import dev.laneworks.core.verdict.Refusal;
@@ -257,8 +256,8 @@
 		catch (IllegalArgumentException ex) {
 			return Either.left(Refusal.permanent(RefusalReason.BAD_REQUEST, ex.getMessage()));
 		}
-		Optional<AccountGrant> account = metadata.key().flatMap(activePlan::findAccount);
-		if (account.isEmpty() && activePlan.requiresKeys() && !route.get().open()) {
+		Optional<RouteAccess> access = activePlan.findAccess(route.get(), metadata.key());
+		if (access.isEmpty()) {
 			return Either
 				.left(refuseByPlan(request, RefusalReason.UNKNOWN_ACCOUNT, "the key belongs to no client account"));
 		}
@@ -274,19 +273,13 @@
 			request.exchange().setPersistent(false);
 			return Either.left(overload.get());
 		}
-		return Either
-			.right(new Admitted(metadata, withAccountPriority(route.get(), account), account, activePlan.limits()));
+		return Either.right(new Admitted(metadata, access.get(), activePlan.limits()));
 	}
 
 	private static long maxMillis(RouteSpec route, RequestMetadata metadata) {
 		return Math.min(route.timeoutMillis(), metadata.callerTimeoutMillis().orElse(Long.MAX_VALUE));
 	}
 
-	private static RouteSpec withAccountPriority(RouteSpec route, Optional<AccountGrant> account) {
-		OptionalInt accountPriority = account.map(AccountGrant::priority).orElse(OptionalInt.empty());
-		return accountPriority.isPresent() ? route.withPriority(accountPriority.getAsInt()) : route;
-	}
-
 	private void readBody(CallerRequest request, Admitted admitted) {
 		HttpServerExchange exchange = request.exchange();
 		exchange.setMaxEntitySize(admitted.limits().maxBodyBytes());
@@ -335,15 +328,13 @@
 			refuse(request, stopping());
 			return;
 		}
-		RouteSpec route = admitted.route();
+		RouteAccess access = admitted.access();
+		RouteSpec route = access.route();
 		long waitMillis = admitted.facts().callerTimeoutMillis().orElse(route.timeoutMillis());
 		long remainingMillis = Math.max(1, waitMillis - (this.loop.now() - arrived));
-		String account = admitted.account().map(AccountGrant::account).orElse("");
-		AllowedRegions regions = admitted.account()
-			.map((a) -> a.regions().intersect(route.regions()))
-			.orElse(route.regions());
+		String account = access.account().map(AccountGrant::account).orElse("");
 		DirectRequest direct = new DirectRequest(admitted.facts().id(), route,
-				route.selectService(this.random.nextDouble()), account, remainingMillis, regions,
+				route.selectService(this.random.nextDouble()), account, remainingMillis, access.regions(),
 				request.digest(account), admitted.facts().size());
 		this.calls.open(request, direct);
 		this.loop.runTimers();
@@ -387,8 +378,7 @@
 		return bytes;
 	}
 
-	private record Admitted(RequestMetadata facts, RouteSpec route, Optional<AccountGrant> account,
-			RequestLimits limits) {
+	private record Admitted(RequestMetadata facts, RouteAccess access, RequestLimits limits) {
 
 	}
 
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipSimulation.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/MembershipSimulation.java
@@ -33,6 +33,7 @@
 import dev.laneworks.core.follow.StoreUpdate;
 import dev.laneworks.core.handover.SnapshotChunk;
 import dev.laneworks.core.handover.SnapshotRequest;
+import dev.laneworks.core.serving.AccountKeys;
 import dev.laneworks.core.serving.RequestLimits;
 import dev.laneworks.core.serving.ServiceSpec;
 import dev.laneworks.core.serving.ServingPlan;
@@ -732,8 +733,8 @@
 		public Either<String, ServingPlan> plan(StoreItem item) {
 			long version = Long.parseLong(item.value().substring(0, item.value().indexOf(' ')));
 			return Either.right(new ServingPlan(version, List.of(),
-					Map.of("s", new ServiceSpec("s", Integer.MAX_VALUE, 0, Optional.empty())), Map.of(),
-					new RequestLimits(1, 1, 1, 1)));
+					Map.of("s", new ServiceSpec("s", Integer.MAX_VALUE, 0, Optional.empty())),
+					AccountKeys.notRequired(), new RequestLimits(1, 1, 1, 1)));
 		}
 
 		@Override
--- a/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlanAndTargetsTests.java
+++ b/laneworks-entry/src/test/java/dev/laneworks/entry/direct/PlanAndTargetsTests.java
@@ -21,6 +21,7 @@
 import dev.laneworks.core.follow.StoreChange;
 import dev.laneworks.core.follow.StoreFollower;
 import dev.laneworks.core.follow.StoreItem;
+import dev.laneworks.core.serving.AccountKeys;
 import dev.laneworks.core.serving.RequestLimits;
 import dev.laneworks.core.serving.ServiceSpec;
 import dev.laneworks.core.serving.ServingPlan;
@@ -343,8 +344,8 @@
 			Map<String, ServiceSpec> services = Stream.of(words)
 				.skip(1)
 				.collect(Collectors.toMap((s) -> s, (s) -> new ServiceSpec(s, 1, 0, Optional.empty())));
-			return Either.right(new ServingPlan(Long.parseLong(words[0]), List.of(), services, Map.of(),
-					new RequestLimits(1, 1, 1, 1)));
+			return Either.right(new ServingPlan(Long.parseLong(words[0]), List.of(), services,
+					AccountKeys.notRequired(), new RequestLimits(1, 1, 1, 1)));
 		}
 
 		@Override
