Allow no region where a list of allowed regions is empty

What callers saw: a route or a client account whose last allowed region was taken away was served in every region.

Cause: AllowedRegions.of returned the instance without a restriction for an empty collection. Class: an empty set that is read as "no restriction", as with the keys of a plan.

The other reading opens every region as the last one is removed, and whoever keeps data in a region can't undo that. A missing list means no restriction, as before.

Such requests are refused at once, with 503, `no-target` and not run, as those whose route and account have no region in common.

Replaced assertion: EvacuationTests asserted that a restriction to no region equals none, which is the fault. It now asserts that such a restriction allows neither a known nor an unknown region, also in any intersection, and that nothing is sent.

--- a/laneworks-core/src/main/java/dev/laneworks/core/serving/AllowedRegions.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/serving/AllowedRegions.java
@@ -29,11 +29,11 @@
 
 	/**
 	 * Create a restriction to the given regions.
-	 * @param names the names of the regions; an empty collection means no restriction
-	 * @return the restriction, or the instance that allows every region
+	 * @param names the names of the regions; if empty, no region is allowed
+	 * @return the restriction
 	 */
 	public static AllowedRegions of(Collection<String> names) {
-		return names.isEmpty() ? ANY : new AllowedRegions(Optional.of(Set.copyOf(names)));
+		return new AllowedRegions(Optional.of(Set.copyOf(names)));
 	}
 
 	/**
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/EvacuationTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/EvacuationTests.java
@@ -163,7 +163,28 @@
 	void dataCentreOfUnknownRegionServesOnlyUnrestrictedRequests() {
 		assertThat(AllowedRegions.of(List.of("north")).contains(Optional.empty())).isFalse();
 		assertThat(AllowedRegions.any().contains(Optional.empty())).isTrue();
-		assertThat(AllowedRegions.of(List.of())).isEqualTo(AllowedRegions.any());
+		assertThat(AllowedRegions.of(List.of()).contains(Optional.empty())).isFalse();
+	}
+
+	// Guards against a restriction that is lifted because no region is left in it.
+	@Test
+	void restrictionWithoutRegionsAllowsNone() {
+		AllowedRegions none = AllowedRegions.of(List.of());
+		assertThat(none).isNotEqualTo(AllowedRegions.any());
+		for (AllowedRegions other : List.of(AllowedRegions.any(), AllowedRegions.of(List.of("north")), none)) {
+			assertThat(none.intersect(other)).isEqualTo(none);
+			assertThat(other.intersect(none)).isEqualTo(none);
+		}
+		this.harness.join(DispatchHarness.PLAIN, "north");
+		this.harness.join(DispatchHarness.ENGINES, "engine");
+		this.harness.regions = none;
+		this.harness.open(1, RequestKind.SAFE, 2);
+		this.harness.openStream(2);
+		for (long call : List.of(1L, 2L)) {
+			assertThat(this.harness.refusals.get(call).detail()).contains("region");
+			assertThat(this.harness.refusals.get(call).verdict()).isEqualTo(Verdict.NOT_RUN);
+		}
+		assertThat(this.harness.sent).isEmpty();
 	}
 
 	@Test
