Refuse requests of a route of which no service has a share

What callers saw: where the weights of a split route were all taken to 0, all requests went to its first service, which had no share.

Cause: RouteSpec.selectService fell back to the first service if it found none, for weights that are all 0 as for a remainder left by rounding; the latter could select a service without a share, too. Class: an empty set, here of services with a share, that is read as "no restriction".

Decision: such a request is refused when its head is read, with 503, `no-target`, not run, and no delay to retry after, since only another plan changes it; an entry that is behind answers `stale-view` as for other refusals by the plan. A split without any weight counts as one whose weights are 0. A remainder goes to the last service with a share.

Replaced test: selectsTheFirstServiceIfAllWeightsAreZero asserted the fault. selectsNoServiceWithoutAShare asserts that no position selects a service without a share, for weights that are all 0, in part 0, and tiny.

--- a/laneworks-core/src/main/java/dev/laneworks/core/serving/RouteSpec.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/serving/RouteSpec.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * Route that maps requests of a host and path prefix to services, with their limits.
@@ -81,18 +82,23 @@
 	 * Select the service of one request in proportion to the weights.
 	 * @param position the position of the request in the total weight, from 0 (inclusive)
 	 * to 1 (exclusive)
-	 * @return the service's name; the first service if all weights are 0
+	 * @return the service's name, or empty if no service has a weight above 0
 	 */
-	public String selectService(double position) {
+	public Optional<String> selectService(double position) {
 		double total = this.services.stream().mapToDouble(WeightedService::weight).sum();
 		double remainingWeight = position * total;
+		Optional<String> selected = Optional.empty();
 		for (WeightedService candidate : this.services) {
-			remainingWeight -= candidate.weight();
-			if (remainingWeight < 0) {
-				return candidate.service();
+			if (candidate.weight() > 0) {
+				selected = Optional.of(candidate.service());
+				remainingWeight -= candidate.weight();
+			}
+			if (selected.isPresent() && remainingWeight < 0) {
+				return selected;
 			}
 		}
-		return this.services.get(0).service();
+		// Rounding may leave a remainder behind the last share.
+		return selected;
 	}
 
 }
--- a/laneworks-core/src/test/java/dev/laneworks/core/serving/ServingPlanTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/serving/ServingPlanTests.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.Test;
 
@@ -64,17 +65,28 @@
 		RouteSpec route = new RouteSpec("r", "h", "/", RequestKind.SAFE, 1_000, 100, 0, 0, 1, false,
 				List.of(new WeightedService("a", 90), new WeightedService("b", 10), new WeightedService("none", 0)),
 				AllowedRegions.any());
-		assertThat(route.selectService(0)).isEqualTo("a");
-		assertThat(route.selectService(0.899)).isEqualTo("a");
-		assertThat(route.selectService(0.901)).isEqualTo("b");
-		assertThat(route.selectService(0.9999)).isEqualTo("b");
+		assertThat(route.selectService(0)).isEqualTo(Optional.of("a"));
+		assertThat(route.selectService(0.899)).isEqualTo(Optional.of("a"));
+		assertThat(route.selectService(0.901)).isEqualTo(Optional.of("b"));
+		assertThat(route.selectService(0.9999)).isEqualTo(Optional.of("b"));
 	}
 
+	// Guards against requests at a service that the plan gives no share of a route.
 	@Test
-	void selectsTheFirstServiceIfAllWeightsAreZero() {
-		RouteSpec route = new RouteSpec("r", "h", "/", RequestKind.SAFE, 1_000, 100, 0, 0, 1, false,
-				List.of(new WeightedService("a", 0), new WeightedService("b", 0)), AllowedRegions.any());
-		assertThat(route.selectService(0.5)).isEqualTo("a");
+	void selectsNoServiceWithoutAShare() {
+		for (double position : new double[] { 0, 0.5, Math.nextDown(1.0) }) {
+			assertThat(split(0, 0).selectService(position)).isEqualTo(Optional.empty());
+			assertThat(split(0, 0.1, 0.2, 0).selectService(position).orElseThrow()).isAnyOf("s1", "s2");
+			assertThat(split(0, 1e-300, 0).selectService(position)).isEqualTo(Optional.of("s1"));
+		}
+	}
+
+	private static RouteSpec split(double... weights) {
+		List<WeightedService> services = IntStream.range(0, weights.length)
+			.mapToObj((i) -> new WeightedService("s" + i, weights[i]))
+			.toList();
+		return new RouteSpec("r", "h", "/", RequestKind.SAFE, 1_000, 100, 0, 0, 1, false, services,
+				AllowedRegions.any());
 	}
 
 	private static ServingPlan plan(List<RouteSpec> routes) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectServer.java
@@ -264,6 +264,10 @@
 		if (metadata.id().isEmpty()) {
 			return Either.left(Refusal.permanent(RefusalReason.BAD_REQUEST, "the request has no identity"));
 		}
+		Optional<String> service = access.get().route().selectService(this.random.nextDouble());
+		if (service.isEmpty()) {
+			return Either.left(refuseByPlan(request, RefusalReason.NO_TARGET, "no service has a share of the route"));
+		}
 		if (!this.shutdown.canFinish(maxMillis(route.get(), metadata), this.loop.now())) {
 			return Either.left(stopping());
 		}
@@ -273,7 +277,7 @@
 			request.exchange().setPersistent(false);
 			return Either.left(overload.get());
 		}
-		return Either.right(new Admitted(metadata, access.get(), activePlan.limits()));
+		return Either.right(new Admitted(metadata, access.get(), service.get(), activePlan.limits()));
 	}
 
 	private static long maxMillis(RouteSpec route, RequestMetadata metadata) {
@@ -333,9 +337,8 @@
 		long waitMillis = admitted.facts().callerTimeoutMillis().orElse(route.timeoutMillis());
 		long remainingMillis = Math.max(1, waitMillis - (this.loop.now() - arrived));
 		String account = access.account().map(AccountGrant::account).orElse("");
-		DirectRequest direct = new DirectRequest(admitted.facts().id(), route,
-				route.selectService(this.random.nextDouble()), account, remainingMillis, access.regions(),
-				request.digest(account), admitted.facts().size());
+		DirectRequest direct = new DirectRequest(admitted.facts().id(), route, admitted.service(), account,
+				remainingMillis, access.regions(), request.digest(account), admitted.facts().size());
 		this.calls.open(request, direct);
 		this.loop.runTimers();
 	}
@@ -378,7 +381,7 @@
 		return bytes;
 	}
 
-	private record Admitted(RequestMetadata facts, RouteAccess access, RequestLimits limits) {
+	private record Admitted(RequestMetadata facts, RouteAccess access, String service, RequestLimits limits) {
 
 	}
 
