Use no data centre where an intent's list of them is empty

What callers saw: an intent whose last data centre was taken away sent requests to every data centre, whatever its spill rule.

Cause: Intent held a missing and an empty list alike, and DefaultTargetSelector read an empty one as all. Class: an empty set that is read as "no restriction", here on the way over sidecars.

Change: the list is optional from the document on. A missing one means all data centres, as before, with the entry's own first; an empty one means none but those that the spill rule adds.

Evidence: with the former logic behind the new type, listWithoutDataCentresAllowsNone fails (a target is selected where none is allowed); now it passes with the other tests of its class, ConfigurationParserTests and CallCoordinatorTests.

--- a/laneworks-bench/src/main/java/dev/laneworks/bench/fuzz/FakeCluster.java
+++ b/laneworks-bench/src/main/java/dev/laneworks/bench/fuzz/FakeCluster.java
@@ -57,8 +57,8 @@
 
 	private static final long CONVERGENCE_MILLIS = 18_000;
 
-	private static final Intent INTENT = new Intent(Intent.ANY_ACCOUNT, MODEL, "", "1", 1, List.of(), SpillRule.ANY,
-			true);
+	private static final Intent INTENT = new Intent(Intent.ANY_ACCOUNT, MODEL, "", "1", 1, Optional.empty(),
+			SpillRule.ANY, true);
 
 	private final VirtualTime time = new VirtualTime();
 
--- a/laneworks-bench/src/main/java/dev/laneworks/bench/policy/CorePolicy.java
+++ b/laneworks-bench/src/main/java/dev/laneworks/bench/policy/CorePolicy.java
@@ -1,7 +1,6 @@
 package dev.laneworks.bench.policy;
 
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -43,7 +42,7 @@
 
 	private static final String MODEL = "m";
 
-	private static final Intent INTENT = new Intent("*", MODEL, "", "1", 1, List.of(), SpillRule.ANY, true);
+	private static final Intent INTENT = new Intent("*", MODEL, "", "1", 1, Optional.empty(), SpillRule.ANY, true);
 
 	private final Replay replay;
 
--- a/laneworks-bench/src/main/java/dev/laneworks/bench/slopes/SlopesCommand.java
+++ b/laneworks-bench/src/main/java/dev/laneworks/bench/slopes/SlopesCommand.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.IntFunction;
@@ -56,7 +57,7 @@
 
 	private static final int OUTPUT_TOKENS = 300;
 
-	private static final Intent INTENT = new Intent("*", "model-0", "", "1", 1, List.of(), SpillRule.ANY, true);
+	private static final Intent INTENT = new Intent("*", "model-0", "", "1", 1, Optional.empty(), SpillRule.ANY, true);
 
 	@Override
 	public String name() {
--- a/laneworks-core/src/main/java/dev/laneworks/core/configuration/ConfigurationParser.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/configuration/ConfigurationParser.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.regex.Pattern;
 
@@ -157,8 +158,9 @@
 		if (!this.served.contains(model)) {
 			throw object.invalid("model", "names \"" + model + "\", which no target serves");
 		}
-		List<String> centres = object.texts("dataCentres");
-		for (String centre : centres) {
+		Optional<List<String>> centres = object.has("dataCentres") ? Optional.of(object.texts("dataCentres"))
+				: Optional.empty();
+		for (String centre : centres.orElse(List.of())) {
 			if (!this.dataCentres.contains(centre)) {
 				throw object.invalid("dataCentres", "names \"" + centre + "\", which has no target");
 			}
--- a/laneworks-core/src/main/java/dev/laneworks/core/routing/DefaultTargetSelector.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/routing/DefaultTargetSelector.java
@@ -116,10 +116,7 @@
 	}
 
 	private List<String> dataCentres(Intent intent, List<TargetDescription> usable) {
-		List<String> order = new ArrayList<>(intent.dataCentres());
-		if (order.isEmpty()) {
-			order.add(this.ownDataCentre);
-		}
+		List<String> order = new ArrayList<>(intent.dataCentres().orElse(List.of(this.ownDataCentre)));
 		List<String> regions = usable.stream()
 			.filter((t) -> order.contains(t.dataCentre()))
 			.map(TargetDescription::region)
--- a/laneworks-core/src/test/java/dev/laneworks/core/call/CallCoordinatorTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/call/CallCoordinatorTests.java
@@ -237,7 +237,7 @@
 	private void open(boolean repeatable) {
 		SidecarRequest request = new SidecarRequest("request", OperationKind.COMPLETION, "a", "m", "POST", "/",
 				new byte[0], 1, repeatable, Optional.empty(), 1, 100, 10_000);
-		Intent intent = new Intent("*", "m", "", "1", 1, List.of(), SpillRule.ANY, true);
+		Intent intent = new Intent("*", "m", "", "1", 1, Optional.empty(), SpillRule.ANY, true);
 		this.coordinator.open(1, new CallRequest(request, intent, 0, Optional.empty(), false), 0);
 	}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/configuration/ConfigurationParserTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/configuration/ConfigurationParserTests.java
@@ -1,5 +1,8 @@
 package dev.laneworks.core.configuration;
 
+import java.util.List;
+import java.util.Optional;
+
 import org.junit.jupiter.api.Test;
 
 import static com.google.common.truth.Truth.assertThat;
@@ -28,6 +31,23 @@
 		assertThat(configuration.accountByDigest(digest).orElseThrow().name()).isEqualTo("a");
 	}
 
+	@Test
+	void tellsAnEmptyListOfDataCentresFromAMissingOne() {
+		assertThat(dataCentres("")).isEqualTo(Optional.empty());
+		assertThat(dataCentres(", \"dataCentres\": []")).isEqualTo(Optional.of(List.of()));
+		assertThat(dataCentres(", \"dataCentres\": [\"d1\"]")).isEqualTo(Optional.of(List.of("d1")));
+	}
+
+	private static Optional<List<String>> dataCentres(String member) {
+		return ConfigurationParser
+			.parse("file",
+					"{\"version\": 1, \"targets\": [" + TARGET + "], \"intents\": [{\"model\": \"m1\"" + member + "}]}")
+			.get()
+			.intent("a", "m1")
+			.orElseThrow()
+			.dataCentres();
+	}
+
 	@Test
 	void rejectsADuplicateTarget() {
 		assertThat(fault("{\"version\": 1, \"targets\": [" + TARGET + ",\n" + TARGET + "]}"))
--- a/laneworks-core/src/test/java/dev/laneworks/core/routing/DefaultTargetSelectorTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/routing/DefaultTargetSelectorTests.java
@@ -61,6 +61,16 @@
 		assertThat(select(intent(SpillRule.NONE), Set.of()).orElseThrow()).startsWith("d1");
 	}
 
+	// Guards against a restriction that is lifted because no data centre is left in it.
+	@Test
+	void listWithoutDataCentresAllowsNone() {
+		for (SpillRule spill : List.of(SpillRule.NONE, SpillRule.REGION)) {
+			assertThat(select(intent(spill, Optional.of(List.of())), Set.of())).isEqualTo(Optional.empty());
+			assertThat(select(intent(spill, Optional.empty()), Set.of()).isPresent()).isTrue();
+		}
+		assertThat(select(intent(SpillRule.ANY, Optional.of(List.of())), Set.of()).isPresent()).isTrue();
+	}
+
 	@Test
 	void excludesDrainingAndRejectingTargets() {
 		this.states.state("d1-a").recordDraining();
@@ -96,7 +106,11 @@
 	}
 
 	private static Intent intent(SpillRule spill) {
-		return new Intent("*", "m", "", "1", 1, List.of("d1"), spill, true);
+		return intent(spill, Optional.of(List.of("d1")));
+	}
+
+	private static Intent intent(SpillRule spill, Optional<List<String>> dataCentres) {
+		return new Intent("*", "m", "", "1", 1, dataCentres, spill, true);
 	}
 
 	private Optional<String> select(Intent intent, Set<String> excluded) {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/caller/RequestReader.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/caller/RequestReader.java
@@ -6,7 +6,6 @@
 import java.security.NoSuchAlgorithmException;
 import java.time.Duration;
 import java.util.HexFormat;
-import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
 
@@ -150,7 +149,7 @@
 	static CallRequest resumedRequest(String account) {
 		SidecarRequest request = new SidecarRequest(createRequestId(), OperationKind.COMPLETION, account, "", "", "",
 				new byte[0], 0, false, Optional.empty(), 0, 1, 0);
-		Intent intent = new Intent(account, "", "", "", 0, List.of(), SpillRule.NONE, false);
+		Intent intent = new Intent(account, "", "", "", 0, Optional.empty(), SpillRule.NONE, false);
 		return new CallRequest(request, intent, 0, Optional.empty(), true);
 	}
 
