--- a/laneworks-core/src/main/java/dev/laneworks/core/configuration/Intent.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/configuration/Intent.java
@@ -11,8 +11,8 @@
  * @param adapter the adapter to load, or an empty string
  * @param modelVersion the version of the weights
  * @param priority the priority of its requests, higher first; 0 is for batch requests
- * @param dataCentres the data centres to use, nearest first, none of them if the list has
- * none; empty for all
+ * @param dataCentres the data centres to use, nearest first; an empty list allows none,
+ * and without a list all are allowed
  * @param spill where requests may go when these data centres are full
  * @param repeatable whether requests may run more than once if the caller does not
  * specify it
--- a/laneworks-core/src/main/java/dev/laneworks/core/serving/RouteSpec.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/serving/RouteSpec.java
@@ -92,9 +92,9 @@
 			if (candidate.weight() > 0) {
 				selected = Optional.of(candidate.service());
 				remainingWeight -= candidate.weight();
-			}
-			if (selected.isPresent() && remainingWeight < 0) {
-				return selected;
+				if (remainingWeight < 0) {
+					break;
+				}
 			}
 		}
 		// Rounding may leave a remainder behind the last share.
