--- a/review/6/case.py
+++ b/review/6/case.py
@@ -84,4 +84,7 @@
     return bool(lacking), summary
 
 
-sys.exit(run_case(os.path.dirname(os.path.abspath(__file__)), play))
+# What was sent, answered and run; with TROUBLE=0 the same is done without the disruption.
+RECORD = os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt")
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+sys.exit(run_case(RECORD, TROUBLE, play))
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -436,8 +436,8 @@
 class Record:
     """What was sent, answered and run, in the order of time; written to record.txt of the case."""
 
-    def __init__(self, folder):
-        self.path = os.path.join(folder, "record.txt")
+    def __init__(self, path):
+        self.path = path
         self.lines = []
 
     def add(self, text, at=None):
@@ -472,18 +472,18 @@
         return sum(max(0, min(until, e) - max(since, b)) for b, e in self.pauses)
 
 
-def run_case(folder, play):
+def run_case(path, trouble, play):
     """Play a case and end with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
-    `play(fleet_ended, record, trouble)` returns (broken, summary). Whatever happens, all processes are ended.
+    `play(fleet_ended, record, trouble)` returns (broken, summary). The record is written to `path`. Whatever happens, all
+    processes are ended.
     """
     async def quietly():
         # Handlers of channels that are still open at the end are cancelled.
         asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
         return await asyncio.wait_for(play(fleets.append, record, trouble), 110)
 
-    record = Record(folder)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    record = Record(path)
     fleets = []
     try:
         broken, summary = asyncio.run(quietly())
