Check the size of a large chunk before its events are passed on

A caller of a stream got the events of a chunk of over 32 KB with a wrong size, with the framing between them, before the stream was cut.

Cause: ChunkedBodyReader let data of such chunks pass as received, to bound the memory. A size is only known to be right at the end of its chunk; plain answers are delivered whole, but the events of a stream leave at once.

Change: the chunks of an event stream are held until their end has been checked. One of over 1 MiB, what may wait for a slow caller as well, fails at its size. Data of a chunk counts as progress for the limit of bytes between two parts. Other bodies are as before.

A size that ends at the end of a later chunk stays open: it can't be told from a right one without a digest that the entry could check.

--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/ChunkedBodyReader.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/ChunkedBodyReader.java
@@ -19,11 +19,16 @@
 	/** Far above any body; the parser keeps flags in the bits above. */
 	private static final long MAX_CHUNK_BYTES = 1L << 48;
 
-	/** Chunks above this size are passed on as they are received. */
+	/** Chunks of a buffered body above this size are passed on as they are received. */
 	private static final int MAX_HELD_BYTES = 32 * 1024;
 
+	/** The largest chunk of a body whose parts are used before its end. */
+	private static final int MAX_STREAMED_CHUNK_BYTES = 1024 * 1024;
+
 	private static final int RADIX = 16;
 
+	private final boolean isStreamed;
+
 	private final ByteArrayOutputStream trailer = new ByteArrayOutputStream();
 
 	private State state = State.SIZE_START;
@@ -35,6 +40,24 @@
 
 	private boolean isLargeChunk;
 
+	/**
+	 * Create a reader of one body.
+	 * @param isStreamed whether parts of the body are used before its end, so that no
+	 * byte may be passed on before the end of its chunk; larger chunks than can be held
+	 * fail
+	 */
+	ChunkedBodyReader(boolean isStreamed) {
+		this.isStreamed = isStreamed;
+	}
+
+	/**
+	 * Determine whether the next byte belongs to the data of a chunk.
+	 * @return {@code false} within the framing of the chunks
+	 */
+	boolean isInData() {
+		return this.state == State.DATA;
+	}
+
 	/**
 	 * Return how many of the last bytes belong to a chunk, or to trailer fields, whose
 	 * end has not been received. A wrong size is known only there.
@@ -126,9 +149,13 @@
 		require(FieldLine.isTextCharacter(Byte.toUnsignedInt(value)));
 	}
 
-	private void startData() {
+	private void startData() throws MalformedResponseException {
+		if (this.isStreamed && this.remaining > MAX_STREAMED_CHUNK_BYTES) {
+			throw new MalformedResponseException(
+					"the server sent a chunk of over " + MAX_STREAMED_CHUNK_BYTES + " bytes in an event stream");
+		}
 		this.state = (this.remaining > 0) ? State.DATA : State.TRAILER;
-		this.isLargeChunk = this.remaining > MAX_HELD_BYTES;
+		this.isLargeChunk = !this.isStreamed && this.remaining > MAX_HELD_BYTES;
 		if (this.isLargeChunk) {
 			this.unverifiedBytes = 0;
 		}
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/LimitingIoThread.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/LimitingIoThread.java
@@ -33,7 +33,9 @@
 			ChannelListener<? super StreamConnection> openListener, OptionMap options) {
 		ResponseByteLimit limit = options.get(LIMIT);
 		return getWorker().openStreamConnection(destination, (c) -> {
-			c.getSourceChannel().setConduit(new ResponseFramingConduit(limit.apply(c.getSourceChannel().getConduit())));
+			c.getSourceChannel()
+				.setConduit(new ResponseFramingConduit(limit.apply(c.getSourceChannel().getConduit()),
+						limit::recordProgress));
 			openListener.handleEvent(c);
 		}, options);
 	}
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/ResponseFramingConduit.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/ResponseFramingConduit.java
@@ -25,7 +25,10 @@
 
 	private final ResponseHeadReader heads = new ResponseHeadReader();
 
-	private final ChunkedBodyReader chunks = new ChunkedBodyReader();
+	private final Runnable progress;
+
+	/** Null unless the body is in chunks. */
+	private ChunkedBodyReader chunks;
 
 	/** Bytes that may only be passed on when more have been received. */
 	private final ByteArrayOutputStream held = new ByteArrayOutputStream();
@@ -36,9 +39,11 @@
 	/**
 	 * Create a conduit.
 	 * @param next the conduit from which the connection reads
+	 * @param progress runs when data of a chunk is received
 	 */
-	ResponseFramingConduit(StreamSourceConduit next) {
+	ResponseFramingConduit(StreamSourceConduit next, Runnable progress) {
 		super(next);
+		this.progress = progress;
 	}
 
 	@Override
@@ -71,7 +76,7 @@
 			received.position(received.limit());
 		}
 		if (this.heads.isChunked()) {
-			this.chunks.accept(received.duplicate());
+			acceptChunks(received.duplicate());
 		}
 		this.held.writeBytes(this.heads.takeHeads());
 		while (received.hasRemaining()) {
@@ -81,8 +86,20 @@
 		return count;
 	}
 
+	// Data that is held back counts as a part of the body. Its amount has a limit.
+	private void acceptChunks(ByteBuffer received) throws IOException {
+		if (this.chunks == null) {
+			this.chunks = new ChunkedBodyReader(this.heads.isEventStream());
+		}
+		this.chunks.accept(received);
+		if (this.chunks.isInData()) {
+			this.progress.run();
+		}
+	}
+
 	private void release() {
-		int count = this.held.size() - this.chunks.unverifiedBytes();
+		int unverifiedBytes = (this.chunks != null) ? this.chunks.unverifiedBytes() : 0;
+		int count = this.held.size() - unverifiedBytes;
 		if (count > 0) {
 			byte[] bytes = this.held.toByteArray();
 			this.ready = ByteBuffer.wrap(bytes, 0, count);
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/ResponseHeadReader.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/ResponseHeadReader.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -23,6 +24,10 @@
 
 	private static final String CHUNKED = "chunked";
 
+	private static final String MEDIA_TYPE = "Content-Type";
+
+	private static final String EVENT_STREAM = "text/event-stream";
+
 	private final ByteArrayOutputStream line = new ByteArrayOutputStream();
 
 	private final StringBuilder head = new StringBuilder();
@@ -42,6 +47,8 @@
 
 	private boolean hasNoBody;
 
+	private boolean eventStream;
+
 	/**
 	 * Determine whether the head of the final response is complete.
 	 * @return {@code true} if the next byte does not belong to a head
@@ -66,6 +73,15 @@
 		return this.hasNoBody;
 	}
 
+	/**
+	 * Determine whether a final response has server-sent events as its body, according to
+	 * any of its fields.
+	 * @return {@code true} if it has; {@code false} before the head is complete
+	 */
+	boolean isEventStream() {
+		return this.complete && this.eventStream;
+	}
+
 	/**
 	 * Return the heads that have been completed since the last call.
 	 * @return the heads as the parser is to read them; empty if there are none
@@ -97,6 +113,7 @@
 	private void acceptLine(String content) throws MalformedResponseException {
 		if (this.statusLine == null) {
 			this.statusLine = StatusLine.parse(content);
+			this.eventStream = false;
 			append(this.statusLine.toString());
 			return;
 		}
@@ -117,6 +134,8 @@
 			this.codings.add(field.value());
 		}
 		else {
+			this.eventStream |= field.name().equalsIgnoreCase(MEDIA_TYPE)
+					&& field.value().toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
 			append(field.name() + ": " + field.value());
 		}
 	}
--- a/laneworks-runtime/src/test/java/dev/laneworks/runtime/http/ChunkedBodyReaderTests.java
+++ b/laneworks-runtime/src/test/java/dev/laneworks/runtime/http/ChunkedBodyReaderTests.java
@@ -7,6 +7,7 @@
 
 import org.junit.jupiter.api.Test;
 
+import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
@@ -40,8 +41,31 @@
 		}
 	}
 
+	// Guards against events that are passed on before the size of their chunk has been
+	// checked.
+	@Test
+	void dataOfAStreamedChunkIsUnverifiedUntilItsEnd() throws IOException {
+		ChunkedBodyReader reader = new ChunkedBodyReader(true);
+		reader.accept(StandardCharsets.ISO_8859_1.encode("100000\r\n" + "x".repeat(0x100000)));
+		assertThat(reader.unverifiedBytes()).isEqualTo(8 + 0x100000);
+		reader.accept(StandardCharsets.ISO_8859_1.encode("\r\n"));
+		assertThat(reader.unverifiedBytes()).isEqualTo(0);
+	}
+
+	@Test
+	void streamedChunkThatCannotBeHeldFailsAtItsSize() throws IOException {
+		String size = "100001\r\n";
+		new ChunkedBodyReader(false).accept(StandardCharsets.ISO_8859_1.encode(size));
+		assertThrows(MalformedResponseException.class,
+				() -> new ChunkedBodyReader(true).accept(StandardCharsets.ISO_8859_1.encode(size)));
+	}
+
 	private static void acceptInParts(String body, int partBytes) throws IOException {
-		ChunkedBodyReader reader = new ChunkedBodyReader();
+		acceptInParts(body, partBytes, new ChunkedBodyReader(false));
+		acceptInParts(body, partBytes, new ChunkedBodyReader(true));
+	}
+
+	private static void acceptInParts(String body, int partBytes, ChunkedBodyReader reader) throws IOException {
 		ByteBuffer bytes = StandardCharsets.ISO_8859_1.encode(body);
 		while (bytes.hasRemaining()) {
 			int count = Math.min(partBytes, bytes.remaining());
--- a/laneworks-runtime/src/test/java/dev/laneworks/runtime/http/ResponseFramingConduitTests.java
+++ b/laneworks-runtime/src/test/java/dev/laneworks/runtime/http/ResponseFramingConduitTests.java
@@ -103,7 +103,8 @@
 
 	private static String readAll(String sent, int partBytes, int bufferBytes) throws IOException {
 		StreamSourceConduit conduit = new ResponseFramingConduit(
-				inParts(StandardCharsets.US_ASCII.encode(sent), partBytes));
+				inParts(StandardCharsets.US_ASCII.encode(sent), partBytes), () -> {
+				});
 		StringBuilder received = new StringBuilder();
 		ByteBuffer buffer = ByteBuffer.allocate(bufferBytes);
 		while (conduit.read(buffer) >= 0) {
--- a/laneworks-sidecar/src/test/java/dev/laneworks/sidecar/target/HttpTargetClientTests.java
+++ b/laneworks-sidecar/src/test/java/dev/laneworks/sidecar/target/HttpTargetClientTests.java
@@ -38,6 +38,10 @@
 
 	private static final String EVENT = "data: {\"choices\":[{\"text\":\"a\",\"finish_reason\":\"stop\"}]}\n\n";
 
+	private static final String CHUNKS = "Transfer-Encoding: chunked";
+
+	private static final String EVENT_CHUNKS = "Content-Type: text/event-stream\r\n" + CHUNKS;
+
 	private final IoWorker io = IoWorker.start(1, 1);
 
 	private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
@@ -87,6 +91,31 @@
 		}
 	}
 
+	// Guards against a body that is delivered although a chunk has another size than the
+	// one that it announces.
+	@Test
+	void malformedChunksAreNoOutput() throws Exception {
+		for (String size : List.of("3", "5", "6", "8", "10", "", "0", "-4", "4 4", "ffffffffffffffff")) {
+			String body = size + "\r\nhell\r\n1\r\no\r\n0\r\n\r\n";
+			this.client.start("g", request(OperationKind.SERVICE));
+			assertWithMessage(size).that(answerRaw(200, CHUNKS, body)).isEqualTo("lost UNKNOWN");
+			String stream = size + "\r\n" + EVENT + "\r\n0\r\n\r\n";
+			this.client.start("g", request(OperationKind.COMPLETION));
+			assertWithMessage(size).that(answerRaw(200, EVENT_CHUNKS, stream)).isEqualTo("lost BROKEN");
+		}
+	}
+
+	@Test
+	void validChunksAreOutput() throws Exception {
+		this.client.start("g", request(OperationKind.SERVICE));
+		String body = "4\r\nhell\r\n1\r\no\r\n0\r\n\r\n";
+		assertWithMessage("service").that(answerRaw(200, CHUNKS, body)).isEqualTo("chunk 0");
+		this.received.clear();
+		this.client.start("h", request(OperationKind.COMPLETION));
+		String stream = Integer.toHexString(EVENT.length()) + "\r\n" + EVENT + "\r\n0\r\n\r\n";
+		assertWithMessage("engine").that(answerRaw(200, EVENT_CHUNKS, stream)).isEqualTo("chunk 0");
+	}
+
 	@Test
 	void validAnswersArrive() throws Exception {
 		this.client.start("g", request(OperationKind.SERVICE));
@@ -103,10 +132,14 @@
 
 	// Answers the next call, and returns the first event that it leads to.
 	private String answer(int status, String field, String body) throws Exception {
+		return answerRaw(status, field + "\r\nContent-Length: " + body.length(), body);
+	}
+
+	private String answerRaw(int status, String fields, String body) throws Exception {
 		this.received.clear();
 		try (Socket accepted = this.server.accept()) {
 			readHead(accepted.getInputStream());
-			String head = "HTTP/1.1 " + status + " X\r\n" + field + "\r\nContent-Length: " + body.length();
+			String head = "HTTP/1.1 " + status + " X\r\n" + fields;
 			accepted.getOutputStream().write((head + "\r\n\r\n" + body).getBytes(StandardCharsets.ISO_8859_1));
 			return this.received.poll(30, TimeUnit.SECONDS);
 		}
