Judge the event ids of a stream by what its own attempt has sent

Cause: the dispatcher dropped each event whose id was not above the last one as known, also on a first attempt, where nothing is known, and took any id for the first one. The framer took an event without a readable id for bytes beside the events, read the first of two ids, and threw on the I/O thread at one of 20 digits, which nobody caught. What came before the first id was written nowhere, since the answer had not begun. An id was also taken for the number of events in the estimates of memory and length.

Change: EventId reads an id and never throws; EventSequence, one for each attempt, allows any first id on a first attempt, the one behind Last-Event-Id on a resumption, and from there on each id one above the last. What can't be sound ends the attempt: the stream resumes behind the last good event, or is cut; before its first event the caller gets 502. A resumption that ends before an event that the caller has, or without the event that was damaged, is not complete. Comments before the first event are held and passed on with it. Estimates count events.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Attempt.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Attempt.java
@@ -1,6 +1,7 @@
 package dev.laneworks.core.dispatch;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import dev.laneworks.core.directory.ListedTarget;
 
@@ -15,6 +16,8 @@
 
 	private final Optional<ResumePoint> resume;
 
+	private final EventSequence events;
+
 	private Optional<ListedTarget> backup;
 
 	private long reservedTokens;
@@ -36,6 +39,7 @@
 		this.number = number;
 		this.target = target;
 		this.resume = resume;
+		this.events = new EventSequence(resume.map(ResumePoint::lastEventNumber).orElse(OptionalLong.empty()));
 		this.backup = backup;
 		this.startedAt = startedAt;
 	}
@@ -52,6 +56,11 @@
 		return this.resume;
 	}
 
+	// The events that its target has sent.
+	EventSequence events() {
+		return this.events;
+	}
+
 	// The prompt tokens that its engine had yet to read when it was sent; negative if it
 	// also waited for memory.
 	long promptTokensAhead() {
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptSender.java
@@ -280,7 +280,7 @@
 	}
 
 	private static long reservedTokens(DirectCall call, Optional<EngineSpec> engine) {
-		long generated = (call.lastEvent() + 1) * engine.map(EngineSpec::tokensPerEvent).orElse(0);
+		long generated = call.eventCount() * engine.map(EngineSpec::tokensPerEvent).orElse(0);
 		long roundedDown = generated - generated % GROWTH_STEP_TOKENS;
 		return call.request().size().map((w) -> w.reservedTokens(roundedDown)).orElse(0L);
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
@@ -54,6 +54,10 @@
 
 	private long lastEvent = NO_EVENT;
 
+	private long eventCount;
+
+	private boolean lacksEvent;
+
 	private long firstEventAt;
 
 	private long lastEventAt;
@@ -269,6 +273,20 @@
 		return this.lastEvent;
 	}
 
+	// How many events the caller has received.
+	long eventCount() {
+		return this.eventCount;
+	}
+
+	// Whether a target sent an event after the last one that was damaged.
+	boolean lacksEvent() {
+		return this.lacksEvent;
+	}
+
+	void recordDamagedEvent() {
+		this.lacksEvent = true;
+	}
+
 	String lastEventText() {
 		return (this.lastEvent != NO_EVENT) ? Long.toString(this.lastEvent) : "";
 	}
@@ -307,6 +325,8 @@
 			this.eventAfterLongestPause = event;
 		}
 		this.lastEvent = event;
+		this.eventCount++;
+		this.lacksEvent = false;
 		this.lastEventAt = now;
 	}
 
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -422,20 +422,26 @@
 	}
 
 	/**
-	 * Handle an event of a stream.
+	 * Handle an event of a stream. An event that shows that the stream is damaged ends
+	 * the attempt.
 	 * @param number the number of the call
 	 * @param attempt the number of the attempt
-	 * @param id the sequence number of the event within the stream
+	 * @param id the id of the event within the stream
 	 * @param now the current time in milliseconds of the monotonic clock
 	 * @return {@code true} if the event is to be forwarded; {@code false} if the caller
 	 * has received it already or the attempt is over
 	 */
-	public boolean eventReceived(long number, int attempt, long id, long now) {
+	public boolean eventReceived(long number, int attempt, EventId id, long now) {
 		Optional<Attempt> found = find(number, attempt);
 		if (found.isEmpty()) {
 			return false;
 		}
 		DirectCall call = this.calls.get(number);
+		Optional<String> fault = found.get().events().add(id);
+		if (fault.isPresent()) {
+			handleDamagedStream(call, found.get(), fault.get(), now);
+			return false;
+		}
 		if (call.isSuccessor(found.get())) {
 			this.continuation.switchToSuccessor(call, now);
 		}
@@ -445,11 +451,8 @@
 			handleFirstEvent(call, found.get(), now);
 		}
 		this.poison.handleEvent(call, found.get(), now);
-		if (call.lastEvent() != DirectCall.NO_EVENT && id <= call.lastEvent()) {
-			return false;
-		}
-		if (call.lastEvent() != DirectCall.NO_EVENT && id != call.lastEvent() + 1) {
-			this.completion.cut(call, "event " + id + " came after event " + call.lastEvent(), now);
+		long event = id.number().orElseThrow();
+		if (event <= call.lastEvent()) {
 			return false;
 		}
 		if (!call.isStreaming()) {
@@ -460,12 +463,21 @@
 		if (!isFirstOfAttempt) {
 			engine.ifPresent((e) -> this.sender.recordInterval(call, found.get(), e, now));
 		}
-		call.recordEvent(id, now);
+		call.recordEvent(event, now);
 		this.sender.recordGrowth(call, found.get(), engine, now);
 		engine.ifPresent((e) -> this.standbys.releaseIfUnusable(call, e, now));
 		return true;
 	}
 
+	// Nothing of the attempt reaches the caller from now on. The generation resumes after
+	// the last event that the caller has, or its stream is cut.
+	private void handleDamagedStream(DirectCall call, Attempt attempt, String cause, long now) {
+		call.recordDamagedEvent();
+		this.outputs.abandon(call.number(), attempt.number());
+		endUnlessStopped(call, attempt, StreamEnd.BROKEN,
+				(t) -> this.outcomes.handleFailure(call, attempt, cause + attempt.describeStop(t), t), now);
+	}
+
 	/**
 	 * Handle the end of a stream.
 	 * @param number the number of the call
@@ -482,6 +494,9 @@
 		if (end.isBrokenOff()) {
 			attemptBroken(number, attempt, "the stream ended inside an event, " + end.describe(), now);
 		}
+		else if (endsTooEarly(call, found.get())) {
+			handleDamagedStream(call, found.get(), "the resumed stream ended too early", now);
+		}
 		else if (end.closeDelimited()) {
 			endUnlessStopped(call, found.get(), StreamEnd.CLOSE_DELIMITED,
 					(t) -> endCloseDelimitedStream(call, found.get(), end, t), now);
@@ -492,6 +507,12 @@
 		}
 	}
 
+	// Whether a resumption ended before an event that its generation has sent already.
+	private static boolean endsTooEarly(DirectCall call, Attempt attempt) {
+		return call.lastEvent() > attempt.events().last().orElse(DirectCall.NO_EVENT)
+				|| (call.lacksEvent() && !attempt.isAnswering());
+	}
+
 	private void endMarkedStream(DirectCall call, Attempt attempt, AnswerEnd end, long now) {
 		if (hasNothingLeft(call, attempt)) {
 			completeStream(call, attempt, end, now);
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/QueuedStarts.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/QueuedStarts.java
@@ -146,7 +146,8 @@
 
 	void recordCompleted(DirectCall call, long now) {
 		if (governs(call)) {
-			long followed = call.lastEvent() * this.engines.apply(call).map(EngineSpec::tokensPerEvent).orElse(0);
+			long followed = (call.eventCount() - 1)
+					* this.engines.apply(call).map(EngineSpec::tokensPerEvent).orElse(0);
 			long held = call.attempt().map(Attempt::reservedTokens).orElse(0L);
 			this.queues.recordCompleted(call.request().service(), held, now - call.startedAt());
 			this.queues.recordStream(call.request().service(), followed,
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/ResumePoint.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/ResumePoint.java
@@ -1,6 +1,7 @@
 package dev.laneworks.core.dispatch;
 
 import java.util.Objects;
+import java.util.OptionalLong;
 
 /**
  * Position from which a running generation resumes at another engine.
@@ -18,4 +19,8 @@
 		Objects.requireNonNull(lastEvent, "lastEvent must not be null");
 	}
 
+	OptionalLong lastEventNumber() {
+		return this.lastEvent.isEmpty() ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(this.lastEvent));
+	}
+
 }
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -356,6 +356,10 @@
 	}
 
 	boolean event(Sent from, long id) {
+		return event(from, EventId.of(id));
+	}
+
+	boolean event(Sent from, EventId id) {
 		boolean passed = this.dispatcher.eventReceived(from.call(), from.attempt(), id, this.now);
 		settle();
 		return passed;
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/OverloadedFleet.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/OverloadedFleet.java
@@ -514,7 +514,8 @@
 		// Sends the next event and returns whether the execution goes on.
 		boolean sendEvent(long now) {
 			Caller to = this.caller;
-			boolean isNew = to.entry.dispatcher.eventReceived(this.sent.call(), this.sent.attempt(), this.passed, now);
+			boolean isNew = to.entry.dispatcher.eventReceived(this.sent.call(), this.sent.attempt(),
+					EventId.of(this.passed), now);
 			if (!isNew) {
 				return false;
 			}
@@ -669,7 +670,7 @@
 			}
 			execution.caller.lastEventAt = OverloadedFleet.this.now;
 			boolean isOpen = entry.dispatcher.eventReceived(execution.sent.call(), execution.sent.attempt(),
-					execution.passed, OverloadedFleet.this.now);
+					EventId.of(execution.passed), OverloadedFleet.this.now);
 			execution.passed++;
 			execution.nextEventAt = OverloadedFleet.this.now
 					+ (OverloadedFleet.this.speeds.isPresent() ? 0 : EVENT_INTERVAL_MILLIS);
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StreamMovingTests.java
@@ -37,11 +37,24 @@
 		Sent sent = this.harness.sendLast();
 		assertThat(this.harness.event(sent, 0)).isTrue();
 		assertThat(this.harness.event(sent, 1)).isTrue();
-		assertThat(this.harness.event(sent, 1)).isFalse();
 		this.harness.dispatcher.streamEnded(1, sent.attempt(), AnswerEnd.MARKED, 50);
 		assertThat(this.harness.answers(1)).containsExactly("started", "ended").inOrder();
 	}
 
+	// Guards against a repeated id that hides an event: nothing is known before the first
+	// attempt.
+	@Test
+	void repeatedEventOfAFirstAttemptCutsTheStream() {
+		this.harness.join(DispatchHarness.ENGINES, "a");
+		this.harness.openStream(1);
+		Sent sent = this.harness.sendLast();
+		this.harness.event(sent, 0);
+		this.harness.event(sent, 1);
+		assertThat(this.harness.event(sent, 1)).isFalse();
+		this.harness.dispatcher.streamEnded(1, sent.attempt(), AnswerEnd.MARKED, 50);
+		assertThat(this.harness.answers(1)).containsExactly("started", "cut").inOrder();
+	}
+
 	@Test
 	void missingEventCutsTheStream() {
 		this.harness.join(DispatchHarness.ENGINES, "a");
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EventFramer.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EventFramer.java
@@ -2,8 +2,9 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.util.OptionalLong;
+import java.util.Optional;
+
+import dev.laneworks.core.dispatch.EventId;
 
 /**
  * Framer that splits the bytes of an event stream into complete events and reads their
@@ -14,8 +15,6 @@
  */
 final class EventFramer {
 
-	private static final String ID = "id:";
-
 	private final EventSink sink;
 
 	private final ByteArrayOutputStream event = new ByteArrayOutputStream();
@@ -24,6 +23,8 @@
 
 	private boolean isLineEmpty = true;
 
+	private boolean isFirst = true;
+
 	EventFramer(EventSink sink) {
 		this.sink = sink;
 	}
@@ -59,31 +60,20 @@
 		if (isBlank) {
 			byte[] bytes = this.event.toByteArray();
 			this.event.reset();
-			this.sink.event(bytes, id(bytes));
+			this.sink.event(bytes, EventFields.read(bytes, this.isFirst).id());
+			this.isFirst = false;
 		}
 	}
 
-	private static OptionalLong id(byte[] bytes) {
-		String text = new String(bytes, StandardCharsets.ISO_8859_1);
-		return text.lines()
-			.filter((l) -> l.startsWith(ID))
-			.map((l) -> l.substring(ID.length()).trim())
-			.filter((l) -> !l.isEmpty() && l.chars().allMatch(Character::isDigit))
-			.mapToLong(Long::parseLong)
-			.mapToObj(OptionalLong::of)
-			.findFirst()
-			.orElse(OptionalLong.empty());
-	}
-
 	@FunctionalInterface
 	interface EventSink {
 
 		/**
-		 * Handle a complete event.
-		 * @param bytes the event including the blank line that ends it
-		 * @param id the event id; empty if it has none
+		 * Handle a complete event, or comments and other fields that are none.
+		 * @param bytes the bytes including the blank line that ends them
+		 * @param id the id of the event; empty if the bytes are no event
 		 */
-		void event(byte[] bytes, OptionalLong id);
+		void event(byte[] bytes, Optional<EventId> id);
 
 	}
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
@@ -5,6 +5,7 @@
 import java.net.ConnectException;
 import java.net.URI;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
@@ -14,6 +15,7 @@
 import dev.laneworks.core.dispatch.AnswerHead;
 import dev.laneworks.core.dispatch.ConnectFault;
 import dev.laneworks.core.dispatch.Dispatcher;
+import dev.laneworks.core.dispatch.EventId;
 import dev.laneworks.core.dispatch.SendParameters;
 import dev.laneworks.runtime.http.HttpExchange;
 import dev.laneworks.runtime.http.HttpRequest;
@@ -62,6 +64,11 @@
 
 	private final EventFramer framer = new EventFramer(this::event);
 
+	/** Comments before the first event that the caller receives. */
+	private final ByteArrayOutputStream preamble = new ByteArrayOutputStream();
+
+	private boolean isRelaying;
+
 	private HttpExchange exchange;
 
 	private HttpResponseHead head;
@@ -180,7 +187,7 @@
 
 	// Return the bytes of the answer that are buffered.
 	long bufferedBytes() {
-		return (long) this.body.size() + this.framer.pendingBytes();
+		return (long) this.body.size() + this.framer.pendingBytes() + this.preamble.size();
 	}
 
 	@Override
@@ -211,14 +218,38 @@
 		this.loop.runTimers();
 	}
 
-	private void event(byte[] bytes, OptionalLong id) {
+	private void event(byte[] bytes, Optional<EventId> id) {
 		if (this.abandoned) {
 			return;
 		}
-		this.bytesWithoutId = id.isPresent() ? 0 : this.bytesWithoutId + bytes.length;
-		if (id.isEmpty() || this.dispatcher.eventReceived(this.call, this.number, id.getAsLong(), this.loop.now())) {
+		if (id.isEmpty()) {
+			this.bytesWithoutId += bytes.length;
+			relayBesideEvents(bytes);
+			return;
+		}
+		this.bytesWithoutId = 0;
+		byte[] preceding = this.preamble.toByteArray();
+		this.preamble.reset();
+		if (this.dispatcher.eventReceived(this.call, this.number, id.get(), this.loop.now())) {
+			this.isRelaying = true;
+			this.request.relay(concat(preceding, bytes));
+		}
+	}
+
+	// The answer to the caller starts with the first event.
+	private void relayBesideEvents(byte[] bytes) {
+		if (this.isRelaying) {
 			this.request.relay(bytes);
 		}
+		else {
+			this.preamble.writeBytes(bytes);
+		}
+	}
+
+	private static byte[] concat(byte[] first, byte[] second) {
+		byte[] all = Arrays.copyOf(first, first.length + second.length);
+		System.arraycopy(second, 0, all, first.length, second.length);
+		return all;
 	}
 
 }
