Pass no status on as a promise that its target did not make

A 200, 204 or 301 that carried the statement was executed at three targets, and ended as a 503. Over sidecars each 429, 503 and status under 500 of an engine counted as not run, and a service's 503 or 429 was handed on.

Cause: what an answer proves was decided where attempts end, and which status its caller gets where answers are delivered; the second knew nothing of the first. The statement counted with any value and on any status.

Change: AnswerMeaning says for both ways what status and statement prove and whether the answer may be delivered. Without the statement, 503, 429 and 408 are failures: another attempt where the route allows one, else 502 without the seal, and the worker's own answer only for requests that may be repeated. A success with the statement contradicts itself: it is a broken answer at its head, never another run of a request that must not be repeated. The statement is Not-Executed: 1, as the examples of the wire have it. A target behind a sidecar states it by Laneworks-Verdict: not-run.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AnswerHead.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AnswerHead.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 
 import dev.laneworks.core.backpressure.BackpressureSignals;
+import dev.laneworks.core.verdict.AnswerMeaning;
 
 /**
  * Head of an answer, parsed from the protocol of the target.
@@ -30,8 +31,6 @@
 
 	private static final int FIRST_REDIRECT = 300;
 
-	private static final int FIRST_SERVER_ERROR = 500;
-
 	/** HTTP status of a target that received a request for another one. */
 	private static final int MISDIRECTED = 421;
 
@@ -68,11 +67,12 @@
 	}
 
 	/**
-	 * Determine whether the target failed.
-	 * @return {@code true} for a status of 500 or above
+	 * Return what the answer proves about the execution of its request.
+	 * @return the meaning of status and statement
+	 * @since 0.8
 	 */
-	public boolean isServerError() {
-		return this.status >= FIRST_SERVER_ERROR;
+	public AnswerMeaning meaning() {
+		return AnswerMeaning.of(this.status, this.notRun);
 	}
 
 	/**
@@ -89,7 +89,7 @@
 	 * of a second execution
 	 */
 	public boolean saysNotRun() {
-		return this.notRun || isMisdirected();
+		return meaning() == AnswerMeaning.NOT_RUN;
 	}
 
 	/**
@@ -106,11 +106,12 @@
 	/**
 	 * Determine whether this is a valid answer to a request.
 	 * @param id the id of the request
-	 * @return {@code false} if the answer belongs to another request, is encoded, or is a
-	 * success without a digest
+	 * @return {@code false} if the answer belongs to another request, is encoded,
+	 * contradicts itself, or is a success without a digest
 	 */
 	public boolean isValidAnswerTo(String id) {
-		if (this.encoded || (!this.requestId.isEmpty() && !this.requestId.equals(id))) {
+		if (this.encoded || meaning() == AnswerMeaning.CONTRADICTION
+				|| (!this.requestId.isEmpty() && !this.requestId.equals(id))) {
 			return false;
 		}
 		return !isSuccess() || (this.digested && this.requestId.equals(id));
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptOutcomes.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/AttemptOutcomes.java
@@ -5,6 +5,7 @@
 import dev.laneworks.core.audit.AuditSink;
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.directory.TargetDirectory;
+import dev.laneworks.core.verdict.RefusalReason;
 
 /**
  * Handles the end of an attempt: another attempt, resumption at a copy, or the end of the
@@ -60,7 +61,8 @@
 	}
 
 	/**
-	 * Handle the answer of a target that executed the request.
+	 * Handle the answer of a target that may have executed the request. The caller
+	 * receives it unless its status would promise that the request did not run.
 	 * @param call the request being dispatched
 	 * @param attempt the answered attempt
 	 * @param head the parsed head of the answer
@@ -69,7 +71,7 @@
 	 */
 	void handleAnswer(DirectCall call, Attempt attempt, AnswerHead head, AnswerEnd end, long now) {
 		call.recordPossibleRun();
-		if (head.isServerError()) {
+		if (head.meaning().isFailure()) {
 			recordFailure(attempt.target(), "status " + head.status(), now);
 			if (this.scheduler.mayRetry(call, attempt, now)) {
 				this.scheduler.retry(call, attempt, "status " + head.status(), now);
@@ -79,6 +81,11 @@
 		else {
 			recordSuccess(attempt, now);
 		}
+		if (!head.meaning().isDeliverable(call.request().route().kind().isRepeatable())) {
+			this.completion.refuse(call, RefusalReason.TARGET_LOST, "status " + head.status() + " at "
+					+ attempt.target().id() + " without a statement that the request did not run", now);
+			return;
+		}
 		this.completion.finish(call, AuditKind.ANSWERED,
 				"status " + head.status() + " after " + (now - call.openedAt()) + " ms, " + end.describe(), now);
 		this.outputs.deliver(call.number(), attempt.number());
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -410,11 +410,11 @@
 			this.outcomes.handleFailure(call, found.get(), "status " + head.status() + " to a resumed generation", now);
 		}
 		else if (end.closeDelimited()) {
-			holdBack(call, found.get(), 0, !head.isServerError(),
+			holdBack(call, found.get(), 0, !head.meaning().isFailure(),
 					(t) -> this.outcomes.handleAnswer(call, found.get(), head, end, t), now);
 		}
 		else {
-			if (!head.isServerError()) {
+			if (!head.meaning().isFailure()) {
 				this.poison.recordCompleted(call, found.get(), now);
 			}
 			this.outcomes.handleAnswer(call, found.get(), head, end, now);
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
@@ -17,6 +17,7 @@
 import dev.laneworks.core.dispatch.Dispatcher;
 import dev.laneworks.core.dispatch.EventId;
 import dev.laneworks.core.dispatch.SendParameters;
+import dev.laneworks.core.verdict.AnswerMeaning;
 import dev.laneworks.runtime.http.HttpExchange;
 import dev.laneworks.runtime.http.HttpRequest;
 import dev.laneworks.runtime.http.HttpResponseHead;
@@ -153,6 +154,11 @@
 		this.head = received;
 		this.answerHead = this.translator.readAnswer(received);
 		this.isEventStream = this.dispatcher.headReceived(this.call, this.number, this.answerHead, this.loop.now());
+		// Its body may be a stream without end.
+		if (this.answerHead.meaning() == AnswerMeaning.CONTRADICTION) {
+			breakOff("status " + received.status() + " and a statement that the request did not run");
+			this.loop.runTimers();
+		}
 	}
 
 	@Override
--- a/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/target/EngineStream.java
+++ b/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/target/EngineStream.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import dev.laneworks.core.host.TargetLoss;
 import dev.laneworks.core.message.FinishReason;
+import dev.laneworks.core.verdict.AnswerMeaning;
 import dev.laneworks.runtime.http.EventStreamParser;
 import dev.laneworks.runtime.http.HttpResponseHead;
 import dev.laneworks.runtime.http.HttpResponseListener;
@@ -21,12 +22,6 @@
 
 	private static final int STATUS_OK = 200;
 
-	private static final int STATUS_TOO_MANY_REQUESTS = 429;
-
-	private static final int STATUS_UNAVAILABLE = 503;
-
-	private static final int FIRST_SERVER_ERROR = 500;
-
 	private static final int STATUS_NOT_FOUND = 404;
 
 	private static final int STATUS_GONE = 410;
@@ -41,6 +36,8 @@
 
 	private int status;
 
+	private AnswerMeaning meaning = AnswerMeaning.FAILURE;
+
 	private long nextOffset;
 
 	private boolean ended;
@@ -59,30 +56,28 @@
 	@Override
 	public void onHead(HttpResponseHead head) {
 		this.status = head.status();
+		this.meaning = TargetStatement.meaning(head);
 	}
 
 	@Override
 	public void onBody(ByteBuffer data) {
-		if (this.status == STATUS_OK) {
+		if (this.status == STATUS_OK && this.meaning == AnswerMeaning.RESULT) {
 			this.parser.accept(data);
 		}
 	}
 
 	@Override
 	public void onComplete() {
-		if (this.status == STATUS_OK) {
-			reportLoss(TargetLoss.BROKEN);
-		}
-		else if (this.status == STATUS_NOT_FOUND || this.status == STATUS_GONE) {
-			reportLoss(TargetLoss.UNKNOWN);
-		}
-		else if (this.status == STATUS_TOO_MANY_REQUESTS || this.status == STATUS_UNAVAILABLE
-				|| this.status < FIRST_SERVER_ERROR) {
-			reportLoss(TargetLoss.REFUSED);
-		}
-		else {
-			reportLoss(TargetLoss.BROKEN);
+		reportLoss(loss());
+	}
+
+	// An engine that may have started the generation is asked for its output again.
+	private TargetLoss loss() {
+		if (this.meaning == AnswerMeaning.NOT_RUN) {
+			return TargetLoss.REFUSED;
 		}
+		boolean isUnknown = this.status == STATUS_NOT_FOUND || this.status == STATUS_GONE;
+		return isUnknown ? TargetLoss.UNKNOWN : TargetLoss.BROKEN;
 	}
 
 	@Override
--- a/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/target/HttpTargetClient.java
+++ b/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/target/HttpTargetClient.java
@@ -11,6 +11,7 @@
 import dev.laneworks.core.message.OperationKind;
 import dev.laneworks.core.message.ServiceReply;
 import dev.laneworks.core.message.SidecarRequest;
+import dev.laneworks.core.verdict.AnswerMeaning;
 import dev.laneworks.runtime.http.AsyncHttpClient;
 import dev.laneworks.runtime.http.HttpExchange;
 import dev.laneworks.runtime.http.HttpHeader;
@@ -116,7 +117,7 @@
 						new HttpHeader("X-Request-Id", generation))
 				: List.of(new HttpHeader("X-Request-Id", generation));
 		HttpRequest call = new HttpRequest(this.server, request.method(), request.path(), headers, request.body());
-		ServiceAnswer answer = new ServiceAnswer(generation);
+		ServiceAnswer answer = new ServiceAnswer(generation, request.repeatable());
 		this.client.send(call, answer);
 	}
 
@@ -133,8 +134,11 @@
 
 		private final String generation;
 
-		ServiceAnswer(String generation) {
+		private final boolean repeatable;
+
+		ServiceAnswer(String generation, boolean repeatable) {
 			this.generation = generation;
+			this.repeatable = repeatable;
 		}
 
 		@Override
@@ -146,6 +150,14 @@
 				return;
 			}
 			ResponseCollector.Response response = received.get();
+			AnswerMeaning meaning = TargetStatement.meaning(response.head());
+			if (!meaning.isDeliverable(this.repeatable)) {
+				Logger.info("answer of the service is not passed on: generation={} status={} meaning={}",
+						this.generation, response.status(), meaning);
+				HttpTargetClient.this.events.onLost(this.generation,
+						(meaning == AnswerMeaning.NOT_RUN) ? TargetLoss.REFUSED : TargetLoss.UNKNOWN);
+				return;
+			}
 			byte[] reply = new ServiceReply(response.status(), response.contentType(), response.body()).encode();
 			HttpTargetClient.this.events.onChunk(this.generation, 0, reply);
 			HttpTargetClient.this.events.onEnd(this.generation, 1, FinishReason.STOP);
--- a/laneworks-sidecar/src/test/java/dev/laneworks/sidecar/target/HttpTargetClientTests.java
+++ b/laneworks-sidecar/src/test/java/dev/laneworks/sidecar/target/HttpTargetClientTests.java
@@ -38,6 +38,8 @@
 
 	private static final String EVENT = "data: {\"choices\":[{\"text\":\"a\",\"finish_reason\":\"stop\"}]}\n\n";
 
+	private static final String STATEMENT = "Laneworks-Verdict: not-run";
+
 	private static final String CHUNKS = "Transfer-Encoding: chunked";
 
 	private static final String EVENT_CHUNKS = "Content-Type: text/event-stream\r\n" + CHUNKS;
@@ -110,7 +112,6 @@
 		this.client.start("g", request(OperationKind.SERVICE));
 		String body = "4\r\nhell\r\n1\r\no\r\n0\r\n\r\n";
 		assertWithMessage("service").that(answerRaw(200, CHUNKS, body)).isEqualTo("chunk 0");
-		this.received.clear();
 		this.client.start("h", request(OperationKind.COMPLETION));
 		String stream = Integer.toHexString(EVENT.length()) + "\r\n" + EVENT + "\r\n0\r\n\r\n";
 		assertWithMessage("engine").that(answerRaw(200, EVENT_CHUNKS, stream)).isEqualTo("chunk 0");
@@ -120,9 +121,39 @@
 	void validAnswersArrive() throws Exception {
 		this.client.start("g", request(OperationKind.SERVICE));
 		assertWithMessage("service").that(answer(200, "X: y", "hello")).isEqualTo("chunk 0");
-		this.received.clear();
 		this.client.start("h", request(OperationKind.COMPLETION));
-		assertWithMessage("refusal").that(answer(503, "X: y", "")).isEqualTo("lost REFUSED");
+		assertWithMessage("refusal").that(answer(503, STATEMENT, "")).isEqualTo("lost REFUSED");
+	}
+
+	// Guards against a promise to the caller of a request that was executed and failed.
+	@Test
+	void onlyTheStatementOfATargetIsARefusal() throws Exception {
+		for (int status : new int[] { 400, 408, 422, 429, 500, 503 }) {
+			for (String field : List.of("X: y", "Laneworks-Verdict: ran", "Laneworks-Verdict:", "Retry-After: 1",
+					STATEMENT + "\r\nLaneworks-Verdict: ran")) {
+				this.client.start("g", request(OperationKind.COMPLETION));
+				assertWithMessage("engine %s %s", status, field).that(answer(status, field, ""))
+					.isEqualTo("lost BROKEN");
+				this.client.start("g", request(OperationKind.SERVICE));
+				boolean isPromise = status == 408 || status == 429 || status == 503;
+				assertWithMessage("service %s %s", status, field).that(answer(status, field, ""))
+					.isEqualTo(isPromise ? "lost UNKNOWN" : "chunk 0");
+			}
+			for (OperationKind kind : List.of(OperationKind.COMPLETION, OperationKind.SERVICE)) {
+				this.client.start("g", request(kind));
+				assertWithMessage("%s %s", kind, status).that(answer(status, STATEMENT, "")).isEqualTo("lost REFUSED");
+			}
+		}
+	}
+
+	@Test
+	void successWithTheStatementIsNoRefusal() throws Exception {
+		this.client.start("g", request(OperationKind.COMPLETION));
+		assertWithMessage("engine").that(answer(200, STATEMENT, EVENT)).isEqualTo("lost BROKEN");
+		for (int status : new int[] { 200, 204, 301 }) {
+			this.client.start("g", request(OperationKind.SERVICE));
+			assertWithMessage("service").that(answer(status, STATEMENT, "")).isEqualTo("lost UNKNOWN");
+		}
 	}
 
 	private static SidecarRequest request(OperationKind kind) {
@@ -141,7 +172,12 @@
 			readHead(accepted.getInputStream());
 			String head = "HTTP/1.1 " + status + " X\r\n" + fields;
 			accepted.getOutputStream().write((head + "\r\n\r\n" + body).getBytes(StandardCharsets.ISO_8859_1));
-			return this.received.poll(30, TimeUnit.SECONDS);
+			String first = this.received.poll(30, TimeUnit.SECONDS);
+			if ("chunk 0".equals(first)) {
+				assertWithMessage("what follows the output").that(this.received.poll(30, TimeUnit.SECONDS))
+					.isEqualTo("end STOP");
+			}
+			return first;
 		}
 	}
 
--- a/laneworks-standin/src/main/java/dev/laneworks/standin/engine/EngineServer.java
+++ b/laneworks-standin/src/main/java/dev/laneworks/standin/engine/EngineServer.java
@@ -15,6 +15,7 @@
 import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
 import io.undertow.util.StatusCodes;
 
 /**
@@ -42,6 +43,9 @@
  */
 public final class EngineServer {
 
+	/** States that a request was not executed. */
+	private static final HttpString VERDICT = new HttpString("Laneworks-Verdict");
+
 	private static final int QUEUE_CAPACITY = 8192;
 
 	private static final int CHARS_PER_TOKEN = 4;
@@ -120,6 +124,7 @@
 			}
 			catch (IOException ex) {
 				e.setStatusCode(StatusCodes.BAD_REQUEST);
+				e.getResponseHeaders().put(VERDICT, "not-run");
 				e.getResponseSender().send("not JSON");
 				return;
 			}
