Count an event as lacking only where a damaged one was received

A resumption that ended before an event that the caller has marked its generation as lacking one, although it shows nothing of the first execution; a later resumption with nothing left would have been cut. Only a damaged event counts now. The fields of an event are read in one pass, and events without comments before them are relayed without a copy. generationWithoutItsCopyIsComplete keeps a whole stream whole.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -439,6 +439,7 @@
 		DirectCall call = this.calls.get(number);
 		Optional<String> fault = found.get().events().add(id);
 		if (fault.isPresent()) {
+			call.recordDamagedEvent();
 			handleDamagedStream(call, found.get(), fault.get(), now);
 			return false;
 		}
@@ -472,7 +473,6 @@
 	// Nothing of the attempt reaches the caller from now on. The generation resumes after
 	// the last event that the caller has, or its stream is cut.
 	private void handleDamagedStream(DirectCall call, Attempt attempt, String cause, long now) {
-		call.recordDamagedEvent();
 		this.outputs.abandon(call.number(), attempt.number());
 		endUnlessStopped(call, attempt, StreamEnd.BROKEN,
 				(t) -> this.outcomes.handleFailure(call, attempt, cause + attempt.describeStop(t), t), now);
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/EventId.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/EventId.java
@@ -45,7 +45,7 @@
 		if (values.isEmpty()) {
 			return unreadable("an event has no id");
 		}
-		if (values.stream().distinct().count() > 1) {
+		if (values.size() > 1 && values.stream().distinct().count() > 1) {
 			return unreadable("an event has several ids");
 		}
 		String value = values.get(0);
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/EventOrderTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/EventOrderTests.java
@@ -132,6 +132,20 @@
 		}
 	}
 
+	// A copy that ends too early shows nothing of the generation, which may be whole.
+	@Test
+	void generationWithoutItsCopyIsComplete() {
+		Started started = Stage.FIRST.start("b");
+		DispatchHarness harness = started.harness;
+		harness.event(started.sent, 0);
+		harness.drain(started.sent.target());
+		Sent second = harness.sendLast();
+		harness.event(started.sent, 1);
+		end(harness, second);
+		end(harness, started.sent);
+		assertThat(harness.answers(1)).containsExactly("started", "ended").inOrder();
+	}
+
 	@Property(tries = 2_000, seed = "90")
 	void streamWithOneWrongIdIsCompleteOnlyWithAllItsEvents(@ForAll Stage stage, @ForAll @IntRange(max = 120) int first,
 			@ForAll @IntRange(min = 1, max = 12) int count, @ForAll @IntRange(max = 11) int place,
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EventFields.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/EventFields.java
@@ -1,6 +1,7 @@
 package dev.laneworks.entry.direct;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
@@ -32,12 +33,15 @@
 	static EventFields read(byte[] bytes, boolean isFirst) {
 		String text = new String(bytes, StandardCharsets.ISO_8859_1);
 		String fields = (isFirst && text.startsWith(BYTE_ORDER_MARK)) ? text.substring(BYTE_ORDER_MARK.length()) : text;
-		List<String> ids = fields.lines()
-			.filter((l) -> name(l).equals(ID))
-			.map(EventFields::value)
-			.filter((v) -> v.indexOf(NULL) < 0)
-			.toList();
-		return new EventFields(ids, fields.lines().anyMatch((l) -> name(l).equals(DATA)));
+		List<String> ids = new ArrayList<>();
+		boolean hasData = false;
+		for (String line : (Iterable<String>) fields.lines()::iterator) {
+			if (isField(line, ID) && line.indexOf(NULL) < 0) {
+				ids.add(value(line, ID));
+			}
+			hasData |= isField(line, DATA);
+		}
+		return new EventFields(ids, hasData);
 	}
 
 	/**
@@ -49,14 +53,14 @@
 		return (this.hasData || !this.ids.isEmpty()) ? Optional.of(EventId.read(this.ids)) : Optional.empty();
 	}
 
-	private static String name(String line) {
-		int colon = line.indexOf(':');
-		return (colon < 0) ? line : line.substring(0, colon);
+	// A line without a colon is a field without a value.
+	private static boolean isField(String line, String name) {
+		return line.startsWith(name) && (line.length() == name.length() || line.charAt(name.length()) == ':');
 	}
 
 	// One space behind the colon is no part of the value.
-	private static String value(String line) {
-		String value = line.substring(Math.min(line.length(), name(line).length() + 1));
+	private static String value(String line, String name) {
+		String value = line.substring(Math.min(line.length(), name.length() + 1));
 		return value.startsWith(" ") ? value.substring(1) : value;
 	}
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
@@ -238,7 +238,7 @@
 		this.preamble.reset();
 		if (this.dispatcher.eventReceived(this.call, this.number, id.get(), this.loop.now())) {
 			this.isRelaying = true;
-			this.request.relay(concat(preceding, bytes));
+			this.request.relay((preceding.length > 0) ? concat(preceding, bytes) : bytes);
 		}
 	}
 
