--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DirectCall.java
@@ -278,7 +278,7 @@
 		return this.eventCount;
 	}
 
-	// Whether a target sent an event after the last one that was damaged.
+	// Whether a damaged event was received after the last event.
 	boolean lacksEvent() {
 		return this.lacksEvent;
 	}
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/EventId.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/EventId.java
@@ -7,8 +7,8 @@
 /**
  * Id of an event, as its target sent it in the {@code id} fields of the event.
  * <p>
- * The last field would count (WHATWG HTML, section 9.2.6), but fields that differ are
- * those of two events whose separator is lost.
+ * Parsers use the last field (WHATWG HTML, section 9.2.6). Fields that differ are those
+ * of two events whose separator is lost.
  *
  * @param number the sequence number; empty if the event has none that can be read
  * @param fault why there is no number; empty text if there is one
@@ -19,7 +19,7 @@
 	/** Leaves room for counting on without an overflow. */
 	private static final int MAX_DIGITS = 18;
 
-	/** Length of a text in a log. */
+	/** Limits how much of a malformed id is logged. */
 	private static final int MAX_SHOWN_CHARACTERS = 40;
 
 	public EventId {
--- a/laneworks-core/src/main/java/dev/laneworks/core/verdict/AnswerMeaning.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/verdict/AnswerMeaning.java
@@ -6,8 +6,8 @@
  * What the complete answer of a target proves about the execution of its request.
  * <p>
  * Callers take some statuses for a promise that the request did not run. Only the
- * target's own statement proves that, in addition to the status of a request that was
- * sent to another target (RFC 9110, section 15.5.20).
+ * target's own statement proves that, or status 421, which states that the request
+ * reached the wrong target (RFC 9110, section 15.5.20).
  *
  * @since 0.8
  */
@@ -25,7 +25,7 @@
 	/** The status promises that the request did not run, but the target does not. */
 	UNPROVED_PROMISE,
 
-	/** The target states that it did not execute the request, with another status. */
+	/** The status is none of a rejection, and the target states that it rejected. */
 	CONTRADICTION;
 
 	private static final int FIRST_ERROR = 400;
