Make the test of a copy that ends too early fail without its fix

It plays a later resumption with nothing left now. The steps that two tests share are one method. No main code changes.

--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/EventOrderTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/EventOrderTests.java
@@ -114,9 +114,7 @@
 		for (int sentAgain = 0; sentAgain < 2; sentAgain++) {
 			Started started = Stage.FIRST.start("b");
 			DispatchHarness harness = started.harness;
-			harness.event(started.sent, 0);
-			harness.drain(started.sent.target());
-			Sent second = harness.sendLast();
+			Sent second = resumeAtCopy(started);
 			harness.event(started.sent, 1);
 			harness.event(started.sent, 2);
 			if (sentAgain > 0) {
@@ -132,20 +130,32 @@
 		}
 	}
 
-	// A copy that ends too early shows nothing of the generation, which may be whole.
+	// A copy that ends too early shows nothing of the generation. Guards against a cut of
+	// a whole stream whose later resumption has nothing left.
 	@Test
 	void generationWithoutItsCopyIsComplete() {
 		Started started = Stage.FIRST.start("b");
 		DispatchHarness harness = started.harness;
-		harness.event(started.sent, 0);
-		harness.drain(started.sent.target());
-		Sent second = harness.sendLast();
+		Sent second = resumeAtCopy(started);
 		harness.event(started.sent, 1);
 		end(harness, second);
-		end(harness, started.sent);
+		harness.passTime(100);
+		harness.copied(Outcome.COPIED, "h1");
+		harness.copied(Outcome.COPIED, "h1");
+		harness.breakConnection(started.sent);
+		Sent third = harness.sendLast();
+		assertThat(third.order().resume().get().lastEvent()).isEqualTo("1");
+		end(harness, third);
 		assertThat(harness.answers(1)).containsExactly("started", "ended").inOrder();
 	}
 
+	// Sends the first event, and resumes the generation beside its first execution.
+	private static Sent resumeAtCopy(Started started) {
+		started.harness.event(started.sent, 0);
+		started.harness.drain(started.sent.target());
+		return started.harness.sendLast();
+	}
+
 	@Property(tries = 2_000, seed = "90")
 	void streamWithOneWrongIdIsCompleteOnlyWithAllItsEvents(@ForAll Stage stage, @ForAll @IntRange(max = 120) int first,
 			@ForAll @IntRange(min = 1, max = 12) int count, @ForAll @IntRange(max = 11) int place,
