--- a/laneworks-entry/src/main/java/dev/laneworks/entry/Entry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/Entry.java
@@ -26,6 +26,7 @@
 import dev.laneworks.runtime.duty.Duty;
 import dev.laneworks.runtime.log.LogLine;
 import dev.laneworks.runtime.operator.OperatorServer;
+import dev.laneworks.runtime.program.BuildInfo;
 import dev.laneworks.runtime.program.ExitCode;
 import dev.laneworks.runtime.program.MonotonicClock;
 import dev.laneworks.runtime.program.ProcessContext;
@@ -103,7 +104,10 @@
 				() -> ProcessContext.query(this.duty, this::status), Handlers.routing());
 		operators.start();
 		this.callerServer.start();
-		LogLine.of("started").with("address", this.settings.callers().address().toString()).info();
+		LogLine.of("started")
+			.with("address", this.settings.callers().address().toString())
+			.with("build", BuildInfo.current().describe())
+			.info();
 		ExitCode code = this.context.awaitEnd();
 		this.callerServer.stop();
 		operators.stop();
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -47,6 +47,7 @@
 import dev.laneworks.runtime.http.IoWorker;
 import dev.laneworks.runtime.log.LogLine;
 import dev.laneworks.runtime.operator.OperatorServer;
+import dev.laneworks.runtime.program.BuildInfo;
 import dev.laneworks.runtime.program.ExitCode;
 import dev.laneworks.runtime.program.MonotonicClock;
 import io.undertow.Handlers;
@@ -270,7 +271,10 @@
 		this.loop.run(() -> this.store.follower().start(this.loop.now()));
 		this.readiness.start();
 		this.ingress.ifPresent((g) -> this.loop.run(g::start));
-		LogLine.of("started").with("address", this.settings.callers().toString()).info();
+		LogLine.of("started")
+			.with("address", this.settings.callers().toString())
+			.with("build", BuildInfo.current().describe())
+			.info();
 		this.loop.run(() -> pollPlan(this.loop.now()));
 		this.loop.run(this::updateRetryShare);
 		if (!awaitPlan()) {
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/program/Program.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/program/Program.java
@@ -90,7 +90,7 @@
 		}
 		OptionParser parser = new OptionParser();
 		OptionSpec<Void> help = parser.accepts("help", "print this help");
-		OptionSpec<Void> version = parser.accepts("version", "print the version");
+		OptionSpec<Void> version = parser.accepts("version", "print the version and the digest of the sources");
 		OptionSpec<Void> check = parser.accepts("check-config", "check the settings and exit");
 		OptionSpec<String> config = parser.accepts("config", "the settings, JSON with comments")
 			.withRequiredArg()
@@ -108,7 +108,7 @@
 			return ExitCode.OK;
 		}
 		if (options.has(version)) {
-			out.println(this.name + ' ' + version());
+			out.println(this.name + ' ' + BuildInfo.current().describe());
 			return ExitCode.OK;
 		}
 		if (!options.valuesOf(rest).isEmpty()) {
@@ -120,15 +120,6 @@
 		return start(options.valueOf(config), options.has(check), out, err);
 	}
 
-	/**
-	 * Return the version of the software.
-	 * @return the version in the manifest; {@code development} if there is none
-	 */
-	public static String version() {
-		String version = Program.class.getPackage().getImplementationVersion();
-		return (version != null) ? version : "development";
-	}
-
 	private ExitCode start(String file, boolean checkOnly, PrintStream out, PrintStream err) {
 		Either<String, T> settings = read(file);
 		if (settings.isLeft()) {
--- a/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/Sidecar.java
+++ b/laneworks-sidecar/src/main/java/dev/laneworks/sidecar/Sidecar.java
@@ -24,6 +24,7 @@
 import dev.laneworks.runtime.operator.OperatorServer;
 import dev.laneworks.runtime.platform.HttpLiveList;
 import dev.laneworks.runtime.platform.LiveInstance;
+import dev.laneworks.runtime.program.BuildInfo;
 import dev.laneworks.runtime.program.ExitCode;
 import dev.laneworks.runtime.program.MonotonicClock;
 import dev.laneworks.runtime.program.ProcessContext;
@@ -111,6 +112,7 @@
 			.with("address", this.settings.address().toString())
 			.with("target", this.settings.target().toString())
 			.with("incarnation", Long.toHexString(this.incarnation))
+			.with("build", BuildInfo.current().describe())
 			.info();
 		ExitCode code = this.context.awaitEnd();
 		operators.stop();
