Confirm the end of an answer without a length by the process that sent it

Cause: an answer that ended with its connection counted as whole once anybody accepted a connection at the target's address, and also if two probes had no result. The operating system accepts connections for a process that is ending, and another process may have taken the address.

Change: a second connection is opened while such an answer is received. After the end, the target's health path is asked on it; only the same process can answer there. Without it, a new connection is asked, and the answer must state the target's id. Another id or status 421 shows that the process has ended. If nothing is shown in 0.5 s, or in 1.5 s where the call cannot continue elsewhere, the answer counts as broken off: the stream resumes at a copy or is cut, the plain answer is retried or ends as 502.

Ruled out: a longer wait (a new process still confirms); the engine's report (it states no id); an id-less answer while the list names the target (wrong until the list knows of the crash); check-ins in the list (not visible there).

Tests replaced, since they asserted the fault: a stream was complete once its target accepted connections (an answer is asked for, and accepted connections confirm nothing), and a plain answer was delivered when two probes had no result (502 is asked for).

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DispatchOutputs.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/DispatchOutputs.java
@@ -78,6 +78,17 @@
 	 */
 	void probe(ListedTarget target, Probe probe);
 
+	/**
+	 * Request the identity of the process at the target of an attempt whose answer has
+	 * ended. An answer goes to {@link Dispatcher#identified}, a refused connection to
+	 * {@link Dispatcher#probed}.
+	 * @param call the number of the call
+	 * @param attempt the number of the attempt
+	 * @param probe the probe, to be named with its result
+	 * @since 0.9
+	 */
+	void identify(long call, int attempt, Probe probe);
+
 	/**
 	 * Notify engines that a copy is no longer needed.
 	 * @param source the engine that made the copy
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -50,9 +50,9 @@
 
 	/**
 	 * The time for which the end of a stream is held back before a probe of its target
-	 * confirms it, in milliseconds. Its events are delivered already. A longer time would
-	 * break off more complete streams whose engines end soon after them. The probe for a
-	 * plain answer, which is delivered after it, is sent at once.
+	 * may confirm it, in milliseconds. Its events are delivered already. A longer time
+	 * would break off more complete streams whose engines end soon after them. The probe
+	 * for a plain answer, which is delivered after it, is sent at once.
 	 */
 	private static final long STREAM_SETTLE_MILLIS = 100;
 
@@ -546,7 +546,8 @@
 				&& (!call.isSuccessor(attempt) || call.attempt().isEmpty());
 	}
 
-	// Holds back a close-delimited answer until its target is known to live.
+	// Holds back a close-delimited answer until the process that sent it is known to
+	// live.
 	private void holdBack(DirectCall call, Attempt attempt, long settleMillis, boolean isSuccess, LongConsumer complete,
 			long now) {
 		this.poison.handleCloseDelimitedAnswer(call, attempt, isSuccess, now);
@@ -555,12 +556,18 @@
 				complete.accept(t);
 			}
 		};
-		// An answer without an event shows nothing but its end.
-		LongConsumer inconclusive = hasNothingLeft(call, attempt)
-				? (t) -> endBrokenOff(call, attempt, "no probe shows that the target lives", t) : completeIfOpen;
-		this.unconfirmed.hold(attempt.target(), settleMillis, completeIfOpen,
-				(t) -> endBrokenOff(call, attempt, "the target crashed at the end of its answer", t), inconclusive,
-				now);
+		this.unconfirmed.hold(call, attempt, settleMillis, completeIfOpen,
+				(t) -> endBrokenOff(call, attempt, "the target crashed at the end of its answer", t),
+				(t) -> endBrokenOff(call, attempt, "no probe shows that the process which sent the answer lives", t),
+				(t) -> canContinue(call, attempt, t), now);
+	}
+
+	private boolean canContinue(DirectCall call, Attempt attempt, long now) {
+		if (!call.isStreaming()) {
+			return this.scheduler.mayRetry(call, attempt, now);
+		}
+		return call.isSuccessor(attempt) || !call.holders().isEmpty() || attempt.backup().isPresent()
+				|| call.standby().isPresent();
 	}
 
 	private void endBrokenOff(DirectCall call, Attempt attempt, String cause, long now) {
@@ -571,7 +578,7 @@
 	}
 
 	private void handleRefusedConnection(ListedTarget target, long now) {
-		this.unconfirmed.handleRefusedConnection(target, now);
+		this.unconfirmed.handleEndedProcess(target, now);
 		this.poison.handleRefusedConnection(target, now);
 	}
 
@@ -638,11 +645,34 @@
 			handleRefusedConnection(target, now);
 		}
 		else {
-			this.unconfirmed.handleReachable(target, probe, now);
 			this.poison.handleReachable(target, probe, now);
 		}
 	}
 
+	/**
+	 * Handle the answer to a probe that was ordered by {@link DispatchOutputs#identify}.
+	 * @param target the probed target
+	 * @param probe the probe as ordered
+	 * @param answer the answer
+	 * @param now the current time in milliseconds of the monotonic clock
+	 * @since 0.9
+	 */
+	public void identified(ListedTarget target, Probe probe, ProbeAnswer answer, long now) {
+		switch (answer.identify(target, this.directory.isFormerIncarnation(target))) {
+			case SAME -> {
+				this.unconfirmed.handleSameProcess(target, probe, now);
+				this.poison.handleReachable(target, probe, now);
+			}
+			case OTHER -> {
+				this.unconfirmed.handleEndedProcess(target, now);
+				this.poison.handleReplacedProcess(target, now);
+			}
+			case UNKNOWN -> {
+				// A later probe may show it.
+			}
+		}
+	}
+
 	/**
 	 * Refuse the open calls for a request that is quarantined from now on, unless a
 	 * target has begun to answer them.
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/PoisonRequestGuard.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/PoisonRequestGuard.java
@@ -244,6 +244,16 @@
 		recordCrash(target, "it refuses connections", now);
 	}
 
+	/**
+	 * Handle the answer of another process at the address of a target, which shows that
+	 * the target has crashed.
+	 * @param target the target
+	 * @param now the current time in milliseconds of the monotonic clock
+	 */
+	void handleReplacedProcess(ListedTarget target, long now) {
+		recordCrash(target, "another process answers at its address", now);
+	}
+
 	/**
 	 * Handle an established connection, which shows that the target was alive when it was
 	 * ordered.
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Probe.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Probe.java
@@ -1,7 +1,8 @@
 package dev.laneworks.core.dispatch;
 
 /**
- * Attempt to connect to a target in order to find out whether it accepts connections.
+ * Attempt to find out whether a target accepts connections, or which process answers
+ * there.
  *
  * @param number increases with each probe of the process
  * @param startedAt the time at which it was ordered, in milliseconds of the monotonic
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetProbes.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetProbes.java
@@ -31,4 +31,14 @@
 		return probe;
 	}
 
+	/**
+	 * Order a probe that identifies the process which served an attempt.
+	 * @param call the call of the attempt
+	 * @param attempt the attempt whose answer ended
+	 * @param now the current time in milliseconds of the monotonic clock
+	 */
+	void identify(DirectCall call, Attempt attempt, long now) {
+		this.outputs.identify(call.number(), attempt.number(), new Probe(++this.lastNumber, now));
+	}
+
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/UnconfirmedAnswers.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/UnconfirmedAnswers.java
@@ -3,18 +3,19 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongConsumer;
+import java.util.function.LongPredicate;
 import java.util.function.Predicate;
 
 import dev.laneworks.core.directory.ListedTarget;
-import dev.laneworks.core.directory.TargetIncarnation;
 import dev.laneworks.core.time.Timers;
 
 /**
- * Answers that ended with their connection, held back until a connection to their target
- * shows whether it crashed.
+ * Answers that ended with their connection, held back until the process that sent them
+ * shows that it has outlived them.
  * <p>
  * The operating system closes the connections of a crashed process as a process does that
- * has written a complete answer without a length.
+ * has written a complete answer without a length. It also accepts connections for a
+ * process that is ending, and another process may take over the address.
  */
 final class UnconfirmedAnswers {
 
@@ -28,12 +29,17 @@
 	static final long MAX_WAIT_MILLIS = 250;
 
 	/**
-	 * The number of probes without a result after which an answer is not held back any
-	 * more. Its target closed the connection regularly just before, so that it is more
-	 * likely busy than gone.
+	 * The number of probes without a result after which an answer counts as broken off if
+	 * its call can continue elsewhere.
 	 */
 	private static final int MAX_PROBES = 2;
 
+	/**
+	 * The number of probes without a result after which an answer counts as broken off in
+	 * any case. The target may answer a probe only once it has a free slot.
+	 */
+	private static final int MAX_LAST_PROBES = 6;
+
 	/**
 	 * The delay above which the end of a wait shows that this process did not run, in
 	 * milliseconds. The result of a probe may then be unread.
@@ -53,68 +59,69 @@
 
 	/**
 	 * Hold back an answer and probe its target.
-	 * @param target the target whose answer ended
+	 * @param call the call of the answer
+	 * @param attempt the attempt whose answer ended
 	 * @param settleMillis the time in milliseconds after which a probe confirms the
 	 * answer, since a crashing process may close its port after its connections
-	 * @param complete receives the time if the target lives
-	 * @param brokenOff receives the time if the target crashed
-	 * @param inconclusive receives the time if no probe has a result
+	 * @param complete receives the time if the process that sent the answer lives
+	 * @param brokenOff receives the time if that process has ended
+	 * @param unproved receives the time if no probe shows either
+	 * @param canContinue whether the call can continue elsewhere at a time
 	 * @param now the current time in milliseconds of the monotonic clock
 	 */
-	void hold(ListedTarget target, long settleMillis, LongConsumer complete, LongConsumer brokenOff,
-			LongConsumer inconclusive, long now) {
+	void hold(DirectCall call, Attempt attempt, long settleMillis, LongConsumer complete, LongConsumer brokenOff,
+			LongConsumer unproved, LongPredicate canContinue, long now) {
 		long probeAt = now + settleMillis;
-		UnconfirmedAnswer answer = new UnconfirmedAnswer(target.incarnation(), this.probes.lastNumber(), probeAt,
-				complete, brokenOff, inconclusive);
+		UnconfirmedAnswer answer = new UnconfirmedAnswer(call, attempt, this.probes.lastNumber(), probeAt, complete,
+				brokenOff, unproved, canContinue);
 		this.waiting.add(answer);
 		if (settleMillis == 0) {
-			probe(target, answer, 1, now);
+			probe(answer, 1, now);
 		}
 		else {
 			this.timers.schedule(now + FIRST_PROBE_MILLIS, (t) -> {
 				if (this.waiting.contains(answer)) {
-					this.probes.start(target, t);
+					this.probes.start(attempt.target(), t);
 				}
 			});
-			this.timers.schedule(probeAt, (t) -> probe(target, answer, 1, t));
+			this.timers.schedule(probeAt, (t) -> probe(answer, 1, t));
 		}
 	}
 
 	// The wait begins with the probe, which a pause of this process may have delayed.
-	private void probe(ListedTarget target, UnconfirmedAnswer answer, int count, long now) {
+	private void probe(UnconfirmedAnswer answer, int count, long now) {
 		if (this.waiting.contains(answer)) {
-			this.probes.start(target, now);
-			endWaitAt(now + MAX_WAIT_MILLIS, target, answer, count);
+			this.probes.identify(answer.call(), answer.attempt(), now);
+			endWaitAt(now + MAX_WAIT_MILLIS, answer, count);
 		}
 	}
 
-	private void endWaitAt(long due, ListedTarget target, UnconfirmedAnswer answer, int count) {
+	private void endWaitAt(long due, UnconfirmedAnswer answer, int count) {
 		this.timers.schedule(due, (t) -> {
 			if (!this.waiting.contains(answer)) {
 				return;
 			}
 			if (t - due > MAX_TIMER_DELAY_MILLIS) {
-				endWaitAt(t + MAX_WAIT_MILLIS, target, answer, count);
+				endWaitAt(t + MAX_WAIT_MILLIS, answer, count);
 			}
-			else if (count < MAX_PROBES) {
-				probe(target, answer, count + 1, t);
+			else if (count < MAX_PROBES || (count < MAX_LAST_PROBES && !answer.canContinue().test(t))) {
+				probe(answer, count + 1, t);
 			}
 			else {
 				this.waiting.remove(answer);
-				answer.inconclusive().accept(t);
+				answer.unproved().accept(t);
 			}
 		});
 	}
 
-	// A probe that was ordered before the end of an answer may have connected before the
-	// target crashed.
-	void handleReachable(ListedTarget target, Probe probe, long now) {
-		take((a) -> a.target().equals(target.incarnation()) && a.isConfirmedBy(probe))
-			.forEach((a) -> a.complete().accept(now));
+	// A probe that was ordered before the end of an answer may have been answered before
+	// the target crashed.
+	void handleSameProcess(ListedTarget target, Probe probe, long now) {
+		take((a) -> a.isFrom(target) && a.isConfirmedBy(probe)).forEach((a) -> a.complete().accept(now));
 	}
 
-	void handleRefusedConnection(ListedTarget target, long now) {
-		take((a) -> a.target().equals(target.incarnation())).forEach((a) -> a.brokenOff().accept(now));
+	void handleEndedProcess(ListedTarget target, long now) {
+		take((a) -> a.isFrom(target)).forEach((a) -> a.brokenOff().accept(now));
 	}
 
 	private List<UnconfirmedAnswer> take(Predicate<UnconfirmedAnswer> filter) {
@@ -126,15 +133,21 @@
 	/**
 	 * Answer that ended with its connection.
 	 *
-	 * @param target the target
+	 * @param call the call of the answer
+	 * @param attempt the attempt whose answer ended
 	 * @param earlierProbe the number of the last probe that was ordered before the end
 	 * @param confirmedFrom the time from which a probe confirms the answer
-	 * @param complete receives the time if the target lives
-	 * @param brokenOff receives the time if the target crashed
-	 * @param inconclusive receives the time if no probe has a result
+	 * @param complete receives the time if the process that sent the answer lives
+	 * @param brokenOff receives the time if that process has ended
+	 * @param unproved receives the time if no probe shows either
+	 * @param canContinue whether the call can continue elsewhere at a time
 	 */
-	private record UnconfirmedAnswer(TargetIncarnation target, long earlierProbe, long confirmedFrom,
-			LongConsumer complete, LongConsumer brokenOff, LongConsumer inconclusive) {
+	private record UnconfirmedAnswer(DirectCall call, Attempt attempt, long earlierProbe, long confirmedFrom,
+			LongConsumer complete, LongConsumer brokenOff, LongConsumer unproved, LongPredicate canContinue) {
+
+		private boolean isFrom(ListedTarget target) {
+			return this.attempt.target().isSameIncarnation(target);
+		}
 
 		private boolean isConfirmedBy(Probe probe) {
 			return probe.number() > this.earlierProbe && probe.startedAt() >= this.confirmedFrom;
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/BrokenOffAnswerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/BrokenOffAnswerTests.java
@@ -6,6 +6,7 @@
 import dev.laneworks.core.backpressure.BackpressureSignals;
 import dev.laneworks.core.dispatch.CopyResult.Outcome;
 import dev.laneworks.core.dispatch.DispatchHarness.Sent;
+import dev.laneworks.core.dispatch.ProbeAnswer.Connection;
 import dev.laneworks.core.poison.RequestDigest;
 import dev.laneworks.core.serving.RequestKind;
 import org.junit.jupiter.api.Test;
@@ -60,7 +61,7 @@
 		end(second, BETWEEN_EVENTS);
 		assertThat(this.harness.answers(1)).containsExactly("started");
 		this.harness.passTime(100);
-		this.harness.probed(second.target(), false);
+		this.harness.lives(second.target());
 		assertThat(this.harness.answers(1)).containsExactly("started", "ended").inOrder();
 	}
 
@@ -109,16 +110,72 @@
 	}
 
 	@Test
-	void streamThatEndsBetweenEventsIsCompleteOnceItsTargetAcceptsConnections() {
-		this.harness.join(DispatchHarness.ENGINES, "a");
-		Sent sent = openSuspect();
-		this.harness.event(sent, 0);
-		end(sent, BETWEEN_EVENTS);
+	void streamThatEndsBetweenEventsIsCompleteOnceItsTargetAnswers() {
+		Sent sent = endSuspectStream();
 		this.harness.passTime(99);
-		this.harness.probed(sent.target(), false);
+		this.harness.lives(sent.target());
 		assertThat(this.harness.answers(1)).containsExactly("started");
 		this.harness.passTime(1);
-		this.harness.probed(sent.target(), false);
+		assertThat(this.harness.identified).containsExactly(sent.target());
+		this.harness.lives(sent.target());
+		assertThat(this.harness.answers(1)).containsExactly("started", "ended").inOrder();
+	}
+
+	// Guards against a stream of a crashed engine that is complete since its port still
+	// takes connections.
+	@Test
+	void acceptedConnectionsConfirmNothing() {
+		Sent sent = endSuspectStream();
+		for (int count = 0; count < 16; count++) {
+			this.harness.passTime(99);
+			this.harness.probed(sent.target(), false);
+			assertThat(this.harness.answers(1)).containsExactly("started");
+		}
+		this.harness.passTime(100);
+		assertThat(this.harness.answers(1)).containsExactly("started", "cut").inOrder();
+	}
+
+	// Guards against a stream of a crashed engine that is complete since another process
+	// has taken over its address.
+	@Test
+	void answerOfAnotherProcessShowsThatTheTargetHasEnded() {
+		Sent sent = endSuspectStream();
+		this.harness.passTime(100);
+		this.harness.identified(sent.target(), Connection.NEW, "another");
+		assertThat(this.harness.answers(1)).containsExactly("started", "cut").inOrder();
+		assertThat(this.harness.suspected).containsExactly(SAME);
+	}
+
+	@Test
+	void streamResumesAtItsCopyIfAnotherProcessAnswers() {
+		Sent first = startStreamWithCopy();
+		end(first, BETWEEN_EVENTS);
+		this.harness.passTime(100);
+		this.harness.identified(first.target(), Connection.NEW, "another");
+		Sent second = this.harness.sendLast();
+		assertThat(second.order().resume().get().lastEvent()).isEqualTo("0");
+		this.harness.event(second, 1);
+		end(second, AnswerEnd.MARKED);
+		assertThat(this.harness.answers(1)).containsExactly("started", "ended").inOrder();
+	}
+
+	@Test
+	void streamResumesAtItsCopyIfNoProbeIsAnswered() {
+		Sent first = startStreamWithCopy();
+		end(first, BETWEEN_EVENTS);
+		this.harness.passTime(599);
+		assertThat(this.harness.sent).hasSize(1);
+		this.harness.passTime(1);
+		assertThat(this.harness.sendLast().order().resume().get().lastEvent()).isEqualTo("0");
+	}
+
+	@Test
+	void answerWithoutAnIdProvesTheProcessOnAnEarlierConnectionOnly() {
+		Sent sent = endSuspectStream();
+		this.harness.passTime(100);
+		this.harness.identified(sent.target(), Connection.NEW, "");
+		assertThat(this.harness.answers(1)).containsExactly("started");
+		this.harness.identified(sent.target(), Connection.EARLIER, "");
 		assertThat(this.harness.answers(1)).containsExactly("started", "ended").inOrder();
 	}
 
@@ -131,7 +188,7 @@
 		end(sent, BETWEEN_EVENTS);
 		this.harness.passTime(50);
 		assertThat(this.harness.checked).containsExactly(sent.target());
-		this.harness.probed(sent.target(), false);
+		this.harness.lives(sent.target());
 		assertThat(this.harness.answers(1)).containsExactly("started");
 		this.harness.passTime(49);
 		this.harness.probed(sent.target(), true);
@@ -161,7 +218,8 @@
 		this.harness.open(2, RequestKind.UNSAFE, 1);
 		Sent sent = this.harness.sendLast();
 		answer(sent, BETWEEN_EVENTS);
-		this.harness.probed(sent.target(), earlier, false);
+		this.harness.identified(sent.target(), earlier,
+				new ProbeAnswer(Connection.NEW, Optional.of(sent.target().id()), false));
 		assertThat(this.harness.answers(1)).containsExactly("delivered 1");
 		assertThat(this.harness.answers(2)).isEmpty();
 		this.harness.probed(sent.target(), true);
@@ -179,17 +237,18 @@
 		assertThat(this.harness.answers(1)).containsExactly("refused 502");
 	}
 
-	// A target that does not answer the probe sent the regular end of the connection just
-	// before, so that it is more likely busy than gone.
+	// A process that has ended may have closed the connection, as a busy one that answers
+	// no probe may have done.
 	@Test
-	void answerThatEndsWithItsConnectionIsDeliveredIfTwoProbesAreInconclusive() {
+	void plainAnswerThatEndsWithItsConnectionIsNotDeliveredIfNoProbeIsAnswered() {
 		this.harness.join(DispatchHarness.PLAIN, "a");
 		this.harness.open(1, RequestKind.UNSAFE, 1);
 		answer(this.harness.sendLast(), BETWEEN_EVENTS);
-		this.harness.passTime(499);
+		this.harness.passTime(1_499);
+		assertThat(this.harness.identified).hasSize(6);
 		assertThat(this.harness.answers(1)).isEmpty();
 		this.harness.passTime(1);
-		assertThat(this.harness.answers(1)).containsExactly("delivered 1");
+		assertThat(this.harness.answers(1)).containsExactly("refused 502");
 	}
 
 	// Guards against a stream of a crashed engine that is complete since the first probe
@@ -309,7 +368,7 @@
 		end(first, BETWEEN_EVENTS);
 		this.harness.copied(Outcome.NO_SUCH_RUN, "");
 		this.harness.passTime(100);
-		this.harness.probed(first.target(), false);
+		this.harness.lives(first.target());
 		assertThat(this.harness.answers(1)).containsExactly("started", "ended").inOrder();
 	}
 
@@ -335,6 +394,14 @@
 		return first;
 	}
 
+	private Sent endSuspectStream() {
+		this.harness.join(DispatchHarness.ENGINES, "a");
+		Sent sent = openSuspect();
+		this.harness.event(sent, 0);
+		end(sent, BETWEEN_EVENTS);
+		return sent;
+	}
+
 	private Sent openSuspect() {
 		this.harness.shareDigest(1, SAME);
 		this.harness.openStream(1);
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -65,6 +65,9 @@
 	/** The targets that were ordered to be probed. */
 	final List<ListedTarget> checked = new ArrayList<>();
 
+	/** The targets whose processes were ordered to be identified. */
+	final List<ListedTarget> identified = new ArrayList<>();
+
 	/** The probe that was ordered last. */
 	Probe lastProbe;
 
@@ -437,6 +440,34 @@
 		this.lastProbe = probe;
 	}
 
+	@Override
+	public void identify(long call, int attempt, Probe probe) {
+		this.identified.add(this.sent.stream()
+			.filter((s) -> s.call() == call && s.attempt() == attempt)
+			.findFirst()
+			.orElseThrow()
+			.target());
+		this.lastProbe = probe;
+	}
+
+	/**
+	 * Report that the process of a target answers to a probe that is ordered now.
+	 * @param target the probed target
+	 */
+	void lives(ListedTarget target) {
+		identified(target, ProbeAnswer.Connection.NEW, target.id());
+	}
+
+	void identified(ListedTarget target, ProbeAnswer.Connection connection, String id) {
+		identified(target, new Probe(Long.MAX_VALUE, this.now),
+				new ProbeAnswer(connection, Optional.of(id).filter((i) -> !i.isEmpty()), false));
+	}
+
+	void identified(ListedTarget target, Probe probe, ProbeAnswer answer) {
+		this.dispatcher.identified(target, probe, answer, this.now);
+		settle();
+	}
+
 	/**
 	 * Report the result of a probe that is ordered now.
 	 * @param target the probed target
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherFuzzTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatcherFuzzTests.java
@@ -185,6 +185,13 @@
 				}
 			}
 			this.harness.checked.clear();
+			for (ListedTarget identified : List.copyOf(this.harness.identified)) {
+				if (suspicionChoices.nextInt(3) > 0) {
+					String id = suspicionChoices.nextBoolean() ? identified.id() : "another";
+					this.harness.identified(identified, ProbeAnswer.Connection.NEW, id);
+				}
+			}
+			this.harness.identified.clear();
 			RequestDigest digest = digest(suspicionChoices);
 			switch (suspicionChoices.nextInt(20)) {
 				case 0 -> this.harness.suspects.recordCrash(digest,
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/PoisonedFleet.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/PoisonedFleet.java
@@ -403,6 +403,19 @@
 					(t) -> entry.dispatcher.probed(checked, probe, !this.engines.containsKey(checked.id()), t));
 		}
 		entry.checked.clear();
+		for (ListedTarget checked : List.copyOf(entry.identified)) {
+			Probe probe = entry.lastProbe;
+			this.timers.schedule(this.now + ONE_WAY_MILLIS, (t) -> {
+				if (this.engines.containsKey(checked.id())) {
+					entry.dispatcher.identified(checked, probe,
+							new ProbeAnswer(ProbeAnswer.Connection.NEW, Optional.of(checked.id()), false), t);
+				}
+				else {
+					entry.dispatcher.probed(checked, probe, true, t);
+				}
+			});
+		}
+		entry.identified.clear();
 		List.copyOf(entry.refusals.keySet()).forEach((n) -> handleEnd(entry, n));
 	}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StopOrderTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/StopOrderTests.java
@@ -40,7 +40,7 @@
 			harness.copied(Outcome.NOT_SENT, "");
 			endStream(harness, first, end);
 			harness.passTime(100);
-			harness.probed(first.target(), false);
+			harness.lives(first.target());
 			if (end == End.BROKEN) {
 				assertThat(harness.sendLast().order().resume().get().handle()).isEqualTo("h1");
 			}
@@ -462,7 +462,7 @@
 			AnswerEnd end = (this.end == End.CLOSE_DELIMITED) ? new AnswerEnd(true, 0) : AnswerEnd.MARKED;
 			harness.dispatcher.streamEnded(1, resumed.attempt(), end, harness.now);
 			harness.passTime(100);
-			harness.probed(resumed.target(), false);
+			harness.lives(resumed.target());
 			assertWithMessage("%s", this).that(harness.answers(1)).containsExactly("started", "ended").inOrder();
 		}
 
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectCalls.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectCalls.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.UnaryOperator;
 
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.dispatch.CopyOrder;
@@ -34,6 +35,8 @@
 
 	private final EngineCommands engines;
 
+	private final UnaryOperator<String> healthPaths;
+
 	private final CallLatencyMetrics times;
 
 	private final Map<Long, OpenCall> open = new HashMap<>();
@@ -45,12 +48,13 @@
 	private long lastCallNumber;
 
 	DirectCalls(EventLoop loop, AsyncHttpClient http, HeaderTranslator translator, EngineCommands engines,
-			CallLatencyMetrics times) {
-		this.times = times;
+			UnaryOperator<String> healthPaths, CallLatencyMetrics times) {
 		this.loop = loop;
 		this.http = http;
 		this.translator = translator;
 		this.engines = engines;
+		this.healthPaths = healthPaths;
+		this.times = times;
 	}
 
 	void use(Dispatcher callDispatcher) {
@@ -74,7 +78,7 @@
 	private void callerLeft(long call) {
 		if (this.open.containsKey(call)) {
 			this.dispatcher.callerDisconnected(call, this.loop.now());
-			this.open.remove(call);
+			closeCall(call);
 			this.loop.runTimers();
 		}
 	}
@@ -82,8 +86,10 @@
 	@Override
 	public void send(long call, int attempt, ListedTarget target, SendParameters parameters) {
 		OpenCall openCall = this.open.get(call);
+		TargetIdentification identification = new TargetIdentification(this.http, this.translator, target,
+				this.healthPaths.apply(target.service()), this.dispatcher, this.loop);
 		TargetAttempt targetAttempt = new TargetAttempt(call, attempt, target, parameters, openCall.request,
-				this.dispatcher, this.translator, this.loop, this::hasMemory);
+				this.dispatcher, this.translator, this.loop, this::hasMemory, identification);
 		openCall.attempts.put(attempt, targetAttempt);
 		this.loop.run(() -> {
 			if (!openCall.request.connection().isClosed() && !targetAttempt.isAbandoned()) {
@@ -159,13 +165,22 @@
 		});
 	}
 
+	@Override
+	public void identify(long call, int attempt, Probe probe) {
+		this.loop.run(() -> Optional.ofNullable(this.open.get(call))
+			.map((o) -> o.attempts.get(attempt))
+			.ifPresent((a) -> a.identify(probe)));
+	}
+
 	@Override
 	public void releaseCopy(ListedTarget source, String handle) {
 		this.loop.run(() -> this.engines.release(source, handle));
 	}
 
 	private Optional<OpenCall> closeCall(long call) {
-		return Optional.ofNullable(this.open.remove(call));
+		Optional<OpenCall> closed = Optional.ofNullable(this.open.remove(call));
+		closed.ifPresent((o) -> o.attempts.values().forEach(TargetAttempt::close));
+		return closed;
 	}
 
 	private static final class OpenCall {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/DirectEntry.java
@@ -204,7 +204,7 @@
 		this.loop = new EventLoop(thread, timers, clock);
 		AsyncHttpClient http = new AsyncHttpClient(this.io.worker(), this.io.buffers());
 		PlatformAdapter adapter = platform.create(settings, http, thread);
-		DirectCalls calls = new DirectCalls(this.loop, http, adapter.headers(), adapter.engines(),
+		DirectCalls calls = new DirectCalls(this.loop, http, adapter.headers(), adapter.engines(), this::healthPath,
 				new CallLatencyMetrics(this.metrics));
 		this.retryBudget = new SharedRetryBudget(settings.retryWindowMillis(), this.loop.now(), this.audit);
 		this.peers = new PeerEntries(settings, this.estimates, this.retryBudget, this.loop, random, this.audit);
@@ -542,6 +542,14 @@
 			.orElse(0.0);
 	}
 
+	private String healthPath(String service) {
+		return this.store.published()
+			.plan()
+			.flatMap((p) -> p.findService(service))
+			.map(ServiceSpec::healthPath)
+			.orElse(ServiceSpec.DEFAULT_HEALTH_PATH);
+	}
+
 	private double accountWeight(String account) {
 		return this.store.published().plan().map((p) -> p.accountWeight(account)).orElse(AccountGrant.DEFAULT_WEIGHT);
 	}
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/HeaderTranslator.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/HeaderTranslator.java
@@ -4,6 +4,7 @@
 
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.dispatch.AnswerHead;
+import dev.laneworks.core.dispatch.ProbeAnswer;
 import dev.laneworks.core.dispatch.SendParameters;
 import dev.laneworks.core.verdict.Refusal;
 import dev.laneworks.runtime.http.HttpHeader;
@@ -49,6 +50,24 @@
 	 */
 	AnswerHead readAnswer(HttpResponseHead head);
 
+	/**
+	 * Create the headers of a request for the identity of the process at a target's
+	 * address.
+	 * @param target the expected target
+	 * @return the headers to send
+	 * @since 0.9
+	 */
+	List<HttpHeader> identityHeaders(ListedTarget target);
+
+	/**
+	 * Read the identity of a process from its answer.
+	 * @param head the status and the headers
+	 * @param connection the connection on which it answered
+	 * @return the identity that the head states
+	 * @since 0.9
+	 */
+	ProbeAnswer readIdentity(HttpResponseHead head, ProbeAnswer.Connection connection);
+
 	/**
 	 * Create the headers of a refusal.
 	 * @param refusal the reason and the retry delay
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetAttempt.java
@@ -16,6 +16,7 @@
 import dev.laneworks.core.dispatch.ConnectFault;
 import dev.laneworks.core.dispatch.Dispatcher;
 import dev.laneworks.core.dispatch.EventId;
+import dev.laneworks.core.dispatch.Probe;
 import dev.laneworks.core.dispatch.SendParameters;
 import dev.laneworks.core.verdict.AnswerMeaning;
 import dev.laneworks.runtime.http.HttpExchange;
@@ -61,6 +62,8 @@
 
 	private final BooleanSupplier hasMemory;
 
+	private final TargetIdentification identification;
+
 	private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
 	private final EventFramer framer = new EventFramer(this::event);
@@ -83,7 +86,8 @@
 	private boolean abandoned;
 
 	TargetAttempt(long call, int number, ListedTarget target, SendParameters parameters, CallerRequest request,
-			Dispatcher dispatcher, HeaderTranslator translator, EventLoop loop, BooleanSupplier hasMemory) {
+			Dispatcher dispatcher, HeaderTranslator translator, EventLoop loop, BooleanSupplier hasMemory,
+			TargetIdentification identification) {
 		this.call = call;
 		this.number = number;
 		this.target = target;
@@ -93,6 +97,7 @@
 		this.translator = translator;
 		this.loop = loop;
 		this.hasMemory = hasMemory;
+		this.identification = identification;
 	}
 
 	URI server() {
@@ -107,8 +112,19 @@
 		return this.abandoned;
 	}
 
+	// Ask its target for its identity, since the answer has ended.
+	void identify(Probe probe) {
+		this.identification.start(probe);
+	}
+
+	// Close the connections beside that of the answer.
+	void close() {
+		this.identification.close();
+	}
+
 	void abandon() {
 		this.abandoned = true;
+		close();
 		if (this.exchange != null) {
 			this.exchange.cancelWithReset();
 		}
@@ -154,6 +170,9 @@
 		this.head = received;
 		this.answerHead = this.translator.readAnswer(received);
 		this.isEventStream = this.dispatcher.headReceived(this.call, this.number, this.answerHead, this.loop.now());
+		if (received.isCloseDelimited()) {
+			this.identification.handleAnswerBegun();
+		}
 		// Its body may be a stream without end.
 		if (this.answerHead.meaning() == AnswerMeaning.CONTRADICTION) {
 			breakOff("status " + received.status() + " and a statement that the request did not run");
@@ -198,6 +217,7 @@
 
 	@Override
 	public void onComplete() {
+		this.identification.handleAnswerEnded();
 		this.loop.begin();
 		if (this.abandoned) {
 			return;
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/AsyncHttpClient.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/AsyncHttpClient.java
@@ -66,12 +66,7 @@
 	public HttpExchange send(URI server, Supplier<Optional<HttpRequest>> callSupplier, HttpResponseListener listener) {
 		ResponseByteLimit limit = new ResponseByteLimit(MAX_BYTES_BETWEEN_PARTS);
 		HttpExchange exchange = new HttpExchange(callSupplier, listener, this.buffers, limit);
-		OptionMap options = OptionMap.builder()
-			.set(UndertowOptions.ENABLE_HTTP2, false)
-			.set(Options.TCP_NODELAY, true)
-			.set(LimitingIoThread.LIMIT, limit)
-			.getMap();
-		UndertowClient.getInstance().connect(new ClientCallback<ClientConnection>() {
+		connect(server, limit, new ClientCallback<>() {
 
 			@Override
 			public void completed(ClientConnection connection) {
@@ -83,8 +78,30 @@
 				exchange.handleConnectFailure(ex);
 			}
 
-		}, server, this.connector, this.buffers, options);
+		});
 		return exchange;
 	}
 
+	/**
+	 * Open a connection whose request is sent later, if at all.
+	 * @param server the URI of the server
+	 * @return the connection, which is established later or never
+	 * @since 0.9
+	 */
+	public StandbyConnection open(URI server) {
+		ResponseByteLimit limit = new ResponseByteLimit(MAX_BYTES_BETWEEN_PARTS);
+		StandbyConnection connection = new StandbyConnection(this.buffers, limit);
+		connect(server, limit, connection.callback());
+		return connection;
+	}
+
+	private void connect(URI server, ResponseByteLimit limit, ClientCallback<ClientConnection> callback) {
+		OptionMap options = OptionMap.builder()
+			.set(UndertowOptions.ENABLE_HTTP2, false)
+			.set(Options.TCP_NODELAY, true)
+			.set(LimitingIoThread.LIMIT, limit)
+			.getMap();
+		UndertowClient.getInstance().connect(callback, server, this.connector, this.buffers, options);
+	}
+
 }
--- a/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpExchange.java
+++ b/laneworks-runtime/src/main/java/dev/laneworks/runtime/http/HttpExchange.java
@@ -115,7 +115,7 @@
 	// Undertow's own close keeps the socket open for up to ten seconds and reads what the
 	// server sends, which therefore works on. An upgrade hands out the socket's
 	// connection.
-	private static void closeAtOnce(ClientConnection open) {
+	static void closeAtOnce(ClientConnection open) {
 		try {
 			IoUtils.safeClose(open.performUpgrade());
 		}
