Let the answer of a process confirm only the stream that it was asked for

Cause: the result of a probe was matched by target. Now it is matched by the probe that was ordered for an answer. An ended process still ends all of them.

answerForOneStreamConfirmsNoOther: red before.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/Dispatcher.java
@@ -660,7 +660,7 @@
 	public void identified(ListedTarget target, Probe probe, ProbeAnswer answer, long now) {
 		switch (answer.identify(target, this.directory.isFormerIncarnation(target))) {
 			case SAME -> {
-				this.unconfirmed.handleSameProcess(target, probe, now);
+				this.unconfirmed.handleSameProcess(probe, now);
 				this.poison.handleReachable(target, probe, now);
 			}
 			case OTHER -> {
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetProbes.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/TargetProbes.java
@@ -15,10 +15,6 @@
 		this.outputs = outputs;
 	}
 
-	long lastNumber() {
-		return this.lastNumber;
-	}
-
 	/**
 	 * Order a probe.
 	 * @param target the target to connect to
@@ -36,9 +32,12 @@
 	 * @param call the call of the attempt
 	 * @param attempt the attempt whose answer ended
 	 * @param now the current time in milliseconds of the monotonic clock
+	 * @return the ordered probe
 	 */
-	void identify(DirectCall call, Attempt attempt, long now) {
-		this.outputs.identify(call.number(), attempt.number(), new Probe(++this.lastNumber, now));
+	Probe identify(DirectCall call, Attempt attempt, long now) {
+		Probe probe = new Probe(++this.lastNumber, now);
+		this.outputs.identify(call.number(), attempt.number(), probe);
+		return probe;
 	}
 
 }
--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/UnconfirmedAnswers.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/UnconfirmedAnswers.java
@@ -1,7 +1,9 @@
 package dev.laneworks.core.dispatch;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.LongConsumer;
 import java.util.function.LongPredicate;
 import java.util.function.Predicate;
@@ -71,9 +73,8 @@
 	 */
 	void hold(DirectCall call, Attempt attempt, long settleMillis, LongConsumer complete, LongConsumer brokenOff,
 			LongConsumer unproved, LongPredicate canContinue, long now) {
-		long probeAt = now + settleMillis;
-		UnconfirmedAnswer answer = new UnconfirmedAnswer(call, attempt, this.probes.lastNumber(), probeAt, complete,
-				brokenOff, unproved, canContinue);
+		UnconfirmedAnswer answer = new UnconfirmedAnswer(call, attempt, new HashSet<>(), complete, brokenOff, unproved,
+				canContinue);
 		this.waiting.add(answer);
 		if (settleMillis == 0) {
 			probe(answer, 1, now);
@@ -84,14 +85,14 @@
 					this.probes.start(attempt.target(), t);
 				}
 			});
-			this.timers.schedule(probeAt, (t) -> probe(answer, 1, t));
+			this.timers.schedule(now + settleMillis, (t) -> probe(answer, 1, t));
 		}
 	}
 
 	// The wait begins with the probe, which a pause of this process may have delayed.
 	private void probe(UnconfirmedAnswer answer, int count, long now) {
 		if (this.waiting.contains(answer)) {
-			this.probes.identify(answer.call(), answer.attempt(), now);
+			answer.probes().add(this.probes.identify(answer.call(), answer.attempt(), now));
 			endWaitAt(now + MAX_WAIT_MILLIS, answer, count);
 		}
 	}
@@ -114,14 +115,14 @@
 		});
 	}
 
-	// A probe that was ordered before the end of an answer may have been answered before
-	// the target crashed.
-	void handleSameProcess(ListedTarget target, Probe probe, long now) {
-		take((a) -> a.isFrom(target) && a.isConfirmedBy(probe)).forEach((a) -> a.complete().accept(now));
+	// What identifies the process of one answer does not identify that of another one,
+	// which may have ended before it.
+	void handleSameProcess(Probe probe, long now) {
+		take((a) -> a.probes().contains(probe)).forEach((a) -> a.complete().accept(now));
 	}
 
 	void handleEndedProcess(ListedTarget target, long now) {
-		take((a) -> a.isFrom(target)).forEach((a) -> a.brokenOff().accept(now));
+		take((a) -> a.attempt().target().isSameIncarnation(target)).forEach((a) -> a.brokenOff().accept(now));
 	}
 
 	private List<UnconfirmedAnswer> take(Predicate<UnconfirmedAnswer> filter) {
@@ -135,23 +136,14 @@
 	 *
 	 * @param call the call of the answer
 	 * @param attempt the attempt whose answer ended
-	 * @param earlierProbe the number of the last probe that was ordered before the end
-	 * @param confirmedFrom the time from which a probe confirms the answer
+	 * @param probes the probes of its process so far
 	 * @param complete receives the time if the process that sent the answer lives
 	 * @param brokenOff receives the time if that process has ended
 	 * @param unproved receives the time if no probe shows either
 	 * @param canContinue whether the call can continue elsewhere at a time
 	 */
-	private record UnconfirmedAnswer(DirectCall call, Attempt attempt, long earlierProbe, long confirmedFrom,
-			LongConsumer complete, LongConsumer brokenOff, LongConsumer unproved, LongPredicate canContinue) {
-
-		private boolean isFrom(ListedTarget target) {
-			return this.attempt.target().isSameIncarnation(target);
-		}
-
-		private boolean isConfirmedBy(Probe probe) {
-			return probe.number() > this.earlierProbe && probe.startedAt() >= this.confirmedFrom;
-		}
+	private record UnconfirmedAnswer(DirectCall call, Attempt attempt, Set<Probe> probes, LongConsumer complete,
+			LongConsumer brokenOff, LongConsumer unproved, LongPredicate canContinue) {
 
 	}
 
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/BrokenOffAnswerTests.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/BrokenOffAnswerTests.java
@@ -146,6 +146,26 @@
 		assertThat(this.harness.suspected).containsExactly(SAME);
 	}
 
+	// Guards against a stream of a crashed engine that is complete since its restarted
+	// process answered for a stream without an earlier connection.
+	@Test
+	void answerForOneStreamConfirmsNoOther() {
+		this.harness.join(DispatchHarness.ENGINES, "a");
+		this.harness.openStream(1);
+		Sent first = this.harness.sendLast();
+		this.harness.openStream(2);
+		Sent second = this.harness.sendLast();
+		this.harness.event(first, 0);
+		this.harness.event(second, 0);
+		end(first, BETWEEN_EVENTS);
+		end(second, BETWEEN_EVENTS);
+		this.harness.passTime(100);
+		this.harness.identified(second.target(), this.harness.lastProbe,
+				new ProbeAnswer(Connection.EARLIER, Optional.empty(), false));
+		assertThat(this.harness.answers(1)).containsExactly("started");
+		assertThat(this.harness.answers(2)).containsExactly("started", "ended").inOrder();
+	}
+
 	@Test
 	void streamResumesAtItsCopyIfAnotherProcessAnswers() {
 		Sent first = startStreamWithCopy();
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/DispatchHarness.java
@@ -1,6 +1,7 @@
 package dev.laneworks.core.dispatch;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -68,6 +69,9 @@
 	/** The targets whose processes were ordered to be identified. */
 	final List<ListedTarget> identified = new ArrayList<>();
 
+	/** The probes that were ordered to identify a process. */
+	final Map<Probe, ListedTarget> identityProbes = new LinkedHashMap<>();
+
 	/** The probe that was ordered last. */
 	Probe lastProbe;
 
@@ -442,16 +446,18 @@
 
 	@Override
 	public void identify(long call, int attempt, Probe probe) {
-		this.identified.add(this.sent.stream()
+		ListedTarget target = this.sent.stream()
 			.filter((s) -> s.call() == call && s.attempt() == attempt)
 			.findFirst()
 			.orElseThrow()
-			.target());
+			.target();
+		this.identified.add(target);
 		this.lastProbe = probe;
+		this.identityProbes.put(probe, target);
 	}
 
 	/**
-	 * Report that the process of a target answers to a probe that is ordered now.
+	 * Report that the process of a target answers to all probes so far.
 	 * @param target the probed target
 	 */
 	void lives(ListedTarget target) {
@@ -459,8 +465,13 @@
 	}
 
 	void identified(ListedTarget target, ProbeAnswer.Connection connection, String id) {
-		identified(target, new Probe(Long.MAX_VALUE, this.now),
-				new ProbeAnswer(connection, Optional.of(id).filter((i) -> !i.isEmpty()), false));
+		ProbeAnswer answer = new ProbeAnswer(connection, Optional.of(id).filter((i) -> !i.isEmpty()), false);
+		this.identityProbes.entrySet()
+			.stream()
+			.filter((p) -> p.getValue().equals(target))
+			.map(Map.Entry::getKey)
+			.toList()
+			.forEach((p) -> identified(target, p, answer));
 	}
 
 	void identified(ListedTarget target, Probe probe, ProbeAnswer answer) {
--- a/laneworks-core/src/test/java/dev/laneworks/core/dispatch/PoisonedFleet.java
+++ b/laneworks-core/src/test/java/dev/laneworks/core/dispatch/PoisonedFleet.java
@@ -403,19 +403,17 @@
 					(t) -> entry.dispatcher.probed(checked, probe, !this.engines.containsKey(checked.id()), t));
 		}
 		entry.checked.clear();
-		for (ListedTarget checked : List.copyOf(entry.identified)) {
-			Probe probe = entry.lastProbe;
-			this.timers.schedule(this.now + ONE_WAY_MILLIS, (t) -> {
-				if (this.engines.containsKey(checked.id())) {
-					entry.dispatcher.identified(checked, probe,
-							new ProbeAnswer(ProbeAnswer.Connection.NEW, Optional.of(checked.id()), false), t);
+		Map.copyOf(entry.identityProbes)
+			.forEach((probe, target) -> this.timers.schedule(this.now + ONE_WAY_MILLIS, (t) -> {
+				if (this.engines.containsKey(target.id())) {
+					entry.dispatcher.identified(target, probe,
+							new ProbeAnswer(ProbeAnswer.Connection.NEW, Optional.of(target.id()), false), t);
 				}
 				else {
-					entry.dispatcher.probed(checked, probe, true, t);
+					entry.dispatcher.probed(target, probe, true, t);
 				}
-			});
-		}
-		entry.identified.clear();
+			}));
+		entry.identityProbes.clear();
 		List.copyOf(entry.refusals.keySet()).forEach((n) -> handleEnd(entry, n));
 	}
 
