Name the steps of a target's identification, and its limits

No behaviour changes. Cause: on a second reading, the limit for an answer whose call can continue elsewhere had the plain name, and the listener reached into its outer class in long lines. BrokenOffAnswerTests, StopOrderTests, ProbeAnswerTests, CloseDelimitedAnswerTests, AnswerCompletenessTests: green.

--- a/laneworks-core/src/main/java/dev/laneworks/core/dispatch/UnconfirmedAnswers.java
+++ b/laneworks-core/src/main/java/dev/laneworks/core/dispatch/UnconfirmedAnswers.java
@@ -31,16 +31,15 @@
 	static final long MAX_WAIT_MILLIS = 250;
 
 	/**
-	 * The number of probes without a result after which an answer counts as broken off if
-	 * its call can continue elsewhere.
+	 * The number of probes without a result after which an answer counts as broken off.
+	 * The target may answer a probe only once it has a free slot.
 	 */
-	private static final int MAX_PROBES = 2;
+	private static final int MAX_PROBES = 6;
 
 	/**
-	 * The number of probes without a result after which an answer counts as broken off in
-	 * any case. The target may answer a probe only once it has a free slot.
+	 * The same for an answer whose call can continue elsewhere, where nothing is lost.
 	 */
-	private static final int MAX_LAST_PROBES = 6;
+	private static final int MAX_PROBES_WITH_ALTERNATIVE = 2;
 
 	/**
 	 * The delay above which the end of a wait shows that this process did not run, in
@@ -105,7 +104,7 @@
 			if (t - due > MAX_TIMER_DELAY_MILLIS) {
 				endWaitAt(t + MAX_WAIT_MILLIS, answer, count);
 			}
-			else if (count < MAX_PROBES || (count < MAX_LAST_PROBES && !answer.canContinue().test(t))) {
+			else if (count < (answer.canContinue().test(t) ? MAX_PROBES_WITH_ALTERNATIVE : MAX_PROBES)) {
 				probe(answer, count + 1, t);
 			}
 			else {
--- a/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetIdentification.java
+++ b/laneworks-entry/src/main/java/dev/laneworks/entry/direct/TargetIdentification.java
@@ -11,6 +11,7 @@
 import dev.laneworks.core.directory.ListedTarget;
 import dev.laneworks.core.dispatch.Dispatcher;
 import dev.laneworks.core.dispatch.Probe;
+import dev.laneworks.core.dispatch.ProbeAnswer;
 import dev.laneworks.core.dispatch.ProbeAnswer.Connection;
 import dev.laneworks.runtime.http.AsyncHttpClient;
 import dev.laneworks.runtime.http.HttpExchange;
@@ -97,6 +98,24 @@
 		this.exchanges.clear();
 	}
 
+	private void handleRefusedConnection(Probe probe) {
+		this.loop.begin();
+		this.dispatcher.probed(this.target, probe, true, this.loop.now());
+		this.loop.runTimers();
+	}
+
+	private void handleAnswer(Probe probe, ProbeAnswer answer) {
+		this.loop.begin();
+		this.dispatcher.identified(this.target, probe, answer, this.loop.now());
+		this.loop.runTimers();
+	}
+
+	// The process has ended, or it has closed an idle connection.
+	private void handleLostConnection(Probe probe) {
+		this.lostEarlier = true;
+		start(probe);
+	}
+
 	private URI server() {
 		return URI.create("http://" + this.target.address());
 	}
@@ -125,10 +144,7 @@
 			TargetIdentification.this.isAwaiting = false;
 			// A timeout is inconclusive: the network path may be interrupted.
 			if (!TargetIdentification.this.closed && cause instanceof ConnectException) {
-				TargetIdentification.this.loop.begin();
-				TargetIdentification.this.dispatcher.probed(TargetIdentification.this.target, this.probe, true,
-						TargetIdentification.this.loop.now());
-				TargetIdentification.this.loop.runTimers();
+				handleRefusedConnection(this.probe);
 			}
 		}
 
@@ -136,11 +152,7 @@
 		public void onHead(HttpResponseHead head) {
 			TargetIdentification.this.isAwaiting = false;
 			if (!TargetIdentification.this.closed) {
-				TargetIdentification.this.loop.begin();
-				TargetIdentification.this.dispatcher.identified(TargetIdentification.this.target, this.probe,
-						TargetIdentification.this.translator.readIdentity(head, this.connection),
-						TargetIdentification.this.loop.now());
-				TargetIdentification.this.loop.runTimers();
+				handleAnswer(this.probe, TargetIdentification.this.translator.readIdentity(head, this.connection));
 			}
 		}
 
@@ -154,13 +166,11 @@
 			// The head holds the identity.
 		}
 
-		// The server may have closed an idle connection.
 		@Override
 		public void onConnectionBroken(IOException cause) {
 			TargetIdentification.this.isAwaiting = false;
-			if (this.connection == Connection.EARLIER && !TargetIdentification.this.closed) {
-				TargetIdentification.this.lostEarlier = true;
-				start(this.probe);
+			if (!TargetIdentification.this.closed && this.connection == Connection.EARLIER) {
+				handleLostConnection(this.probe);
 			}
 		}
 
